--- /dev/null
+++ b/packages/daemons/src/controlDaemon.ts
@@ -0,0 +1,69 @@
+/**
+ * The control daemon: reads settings and wires the adapters to a control replica; nothing else.
+ */
+import * as kumquatfront from 'kumquatfront';
+
+/** A running control replica. */
+export interface RunningControl {
+  readonly node: kumquatfront.controlNode.ControlNode;
+  readonly transport: kumquatfront.jsonRpcTransport.JsonRpcTransport;
+  close(): void;
+}
+
+/**
+ * Starts a control replica.
+ *
+ * @param settings - checked settings
+ * @param onFatal - called when the disk fails; the process must end
+ * @returns the running replica, or a failure of its data folder
+ * @example
+ * ```ts
+ * const started = controlDaemon.start(settings, () => process.exit(1));
+ * ```
+ */
+export function start(
+  settings: kumquatfront.settingsLoader.ControlDaemonSettings,
+  onFatal: (reason: string) => void,
+): kumquatfront.results.Result<RunningControl, kumquatfront.failures.Failure> {
+  const { control } = settings;
+  const log = kumquatfront.keyValueLog.create(control.name, settings.logLevel);
+  const { scheduler, clock } = kumquatfront.systemTime;
+  const transport = kumquatfront.jsonRpcTransport.create({ clusterKey: settings.clusterKey, scheduler, log });
+  const disk = kumquatfront.fileDisk.open(settings.dataFolder, (error) => {
+    onFatal(error instanceof Error ? error.message : String(error));
+  });
+  return kumquatfront.controlNode
+    .create(control, {
+      clock,
+      scheduler,
+      random: kumquatfront.seededRandom.createUnpredictable(),
+      peers: transport,
+      log,
+      metrics: kumquatfront.statsdMetrics.create(settings.metrics, control.name),
+      disk,
+      orders: kumquatfront.httpUpstreams.createOrders(() => undefined),
+    })
+    .map((node) => {
+      const { operatorKeyHash } = settings;
+      const server = kumquatfront.controlHttp.createServer({
+        node,
+        peers: transport,
+        operatorKeyHash,
+        control: control.control,
+      });
+      const [host = '', port = ''] = settings.operatorListen.split(':');
+      server.listen(Number(port), host, () => {
+        log.info('listening', { operators: settings.operatorListen, peers: control.peerAddress });
+      });
+      transport.listen(control.peerAddress, () => undefined);
+      return {
+        node,
+        transport,
+        close: () => {
+          server.close();
+          node.stop();
+          transport.close();
+        },
+      };
+    });
+}
--- /dev/null
+++ b/packages/daemons/src/entry.ts
@@ -0,0 +1,20 @@
+#!/usr/bin/env node
+/**
+ * `kumquatfront-entry --settings FILE`
+ */
+import * as kumquatfront from 'kumquatfront';
+
+import * as entryDaemon from './entryDaemon.js';
+import * as settingsFile from './settingsFile.js';
+
+const settings = settingsFile.load('kumquatfront-entry', kumquatfront.settingsLoader.readEntry);
+const running = entryDaemon.start(settings);
+
+function drain(): void {
+  running.drain(() => {
+    process.exit(0);
+  });
+}
+
+process.once('SIGTERM', drain);
+process.once('SIGINT', drain);
--- /dev/null
+++ b/packages/daemons/src/entryDaemon.ts
@@ -0,0 +1,78 @@
+/**
+ * The entry daemon: reads settings and wires the adapters to an entry; nothing else.
+ */
+import type * as http from 'node:http';
+
+import * as kumquatfront from 'kumquatfront';
+
+/** A running entry. */
+export interface RunningEntry {
+  readonly node: kumquatfront.entryNode.EntryNode;
+  readonly transport: kumquatfront.jsonRpcTransport.JsonRpcTransport;
+  /** Drains, closes everything, then calls back. */
+  drain(done: () => void): void;
+}
+
+function portsFor(
+  settings: kumquatfront.settingsLoader.EntryDaemonSettings,
+  transport: kumquatfront.jsonRpcTransport.JsonRpcTransport,
+  log: kumquatfront.ports.Log,
+): kumquatfront.entryTypes.EntryPorts {
+  return {
+    clock: kumquatfront.systemTime.clock,
+    scheduler: kumquatfront.systemTime.scheduler,
+    random: kumquatfront.seededRandom.createUnpredictable(),
+    peers: transport,
+    log,
+    metrics: kumquatfront.statsdMetrics.create(settings.metrics, settings.entry.name),
+    engines: kumquatfront.httpUpstreams.createEngines(),
+    services: kumquatfront.httpUpstreams.createServices(),
+  };
+}
+
+function closeServer(server: http.Server, done: () => void): void {
+  server.close(() => {
+    done();
+  });
+  server.closeIdleConnections();
+}
+
+/**
+ * Starts an entry.
+ *
+ * @param settings - checked settings
+ * @returns the running entry
+ * @example
+ * ```ts
+ * const running = entryDaemon.start(settings);
+ * process.on('SIGTERM', () => running.drain(() => process.exit(0)));
+ * ```
+ */
+export function start(settings: kumquatfront.settingsLoader.EntryDaemonSettings): RunningEntry {
+  const log = kumquatfront.keyValueLog.create(settings.entry.name, settings.logLevel);
+  const transport = kumquatfront.jsonRpcTransport.create({
+    clusterKey: settings.clusterKey,
+    scheduler: kumquatfront.systemTime.scheduler,
+    log,
+  });
+  const node = kumquatfront.entryNode.create(settings.entry, portsFor(settings, transport, log));
+  const server = kumquatfront.entryHttp.createServer(settings.entry, node);
+  const [host = '', port = ''] = settings.callerListen.split(':');
+  server.listen(Number(port), host, () => {
+    log.info('listening', { callers: settings.callerListen, peers: settings.entry.peerAddress });
+  });
+  transport.listen(settings.entry.peerAddress, () => undefined);
+  return {
+    node,
+    transport,
+    drain: (done) => {
+      node.drain(() => {
+        closeServer(server, () => {
+          node.stop();
+          transport.close();
+          done();
+        });
+      });
+    },
+  };
+}
--- /dev/null
+++ b/packages/demo/src/cluster.ts
@@ -0,0 +1,202 @@
+/**
+ * Starts a small deployment as separate processes on loopback, and ends exactly those.
+ */
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+import * as net from 'node:net';
+import * as path from 'node:path';
+
+import * as kumquatfront from 'kumquatfront';
+
+import type * as deployments from './deployments.js';
+
+/** Keys of the demonstration. */
+export const keys = {
+  cluster: 'demo-cluster-key-0001',
+  signing: 'demo-signing-key-0001',
+  upstream: 'demo-upstream-key',
+  operator: 'demo-operator-key',
+} as const;
+
+const CONTROL_COUNT = 3;
+const ENTRY_COUNT = 4;
+
+/** One process of the deployment. */
+export interface Member {
+  readonly name: string;
+  readonly child: childProcess.ChildProcess;
+  readonly port: number;
+}
+
+/** A running deployment. */
+export interface Cluster {
+  readonly control: readonly Member[];
+  readonly entries: readonly Member[];
+  readonly engines: readonly Member[];
+  readonly services: readonly Member[];
+  readonly operatorAddresses: readonly string[];
+  readonly entryAddresses: readonly string[];
+  stop(): Promise<void>;
+}
+
+/** Finds free ports by binding them for a moment. */
+async function freePorts(count: number): Promise<readonly number[]> {
+  const servers = await Promise.all(
+    Array.from(
+      { length: count },
+      () =>
+        new Promise<net.Server>((resolve) => {
+          const server = net.createServer();
+          server.listen(0, '127.0.0.1', () => {
+            resolve(server);
+          });
+        }),
+    ),
+  );
+  const ports = servers.map((server) => (server.address() as net.AddressInfo).port);
+  await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise<void>((resolve) => {
+          server.close(() => {
+            resolve();
+          });
+        }),
+    ),
+  );
+  return ports;
+}
+
+function local(port: number): string {
+  return `127.0.0.1:${port}`;
+}
+
+/** Starts processes and remembers them. */
+class Starter {
+  readonly members: Member[] = [];
+  private readonly folder: string;
+
+  constructor(folder: string) {
+    this.folder = folder;
+    fs.mkdirSync(folder, { recursive: true });
+  }
+
+  settingsFile(name: string, settings: unknown): string {
+    const file = path.join(this.folder, `${name}.json`);
+    fs.writeFileSync(file, JSON.stringify(settings, null, 2));
+    return file;
+  }
+
+  dataFolder(name: string): string {
+    return path.join(this.folder, 'data', name);
+  }
+
+  start(name: string, port: number, module: string, ...rest: readonly string[]): Member {
+    const log = fs.openSync(path.join(this.folder, `${name}.log`), 'a');
+    const file = new URL(import.meta.resolve(module)).pathname;
+    const child = childProcess.spawn(process.execPath, [file, ...rest], { stdio: ['ignore', 'ignore', log] });
+    fs.closeSync(log);
+    const member = { name, child, port };
+    this.members.push(member);
+    return member;
+  }
+
+  async stop(): Promise<void> {
+    for (const { child } of this.members) {
+      if (child.exitCode === null && child.signalCode === null) {
+        child.kill('SIGKILL');
+        await new Promise((resolve) => child.once('exit', resolve));
+      }
+    }
+  }
+}
+
+/**
+ * Starts a deployment: three control replicas, four entries, its engines and services.
+ *
+ * @param deployment - what to start
+ * @param folder - where settings, logs and data go
+ * @returns the running deployment
+ * @example
+ * ```ts
+ * const running = await cluster.start(deployments.tuckshop, '.demo');
+ * ```
+ */
+export async function start(deployment: deployments.Deployment, folder: string): Promise<Cluster> {
+  const upstreamCount = deployment.engines.count + deployment.services.count;
+  const ports = [...(await freePorts(CONTROL_COUNT * 2 + ENTRY_COUNT * 2 + upstreamCount))];
+  const take = (count: number): readonly number[] => ports.splice(0, count);
+  const controlPeers = take(CONTROL_COUNT).map(local);
+  const operatorAddresses = take(CONTROL_COUNT).map(local);
+  const entryPeers = take(ENTRY_COUNT).map(local);
+  const entryPorts = take(ENTRY_COUNT);
+  const starter = new Starter(folder);
+  const centreOf = (position: number): string =>
+    deployment.dataCentres[position % deployment.dataCentres.length] ?? '';
+
+  const control = controlPeers.map((peerAddress, position) => {
+    const name = `control-${position + 1}`;
+    const file = starter.settingsFile(name, {
+      control: {
+        name,
+        dataCentre: centreOf(position),
+        operatorAddress: operatorAddresses[position],
+        peerAddress,
+        control: controlPeers,
+        clusterKey: keys.cluster,
+        operatorKeyHash: kumquatfront.trafficResolver.hashKey(keys.operator),
+        dataFolder: starter.dataFolder(name),
+      },
+    });
+    return starter.start(name, 0, 'kumquatfront-daemons/control', '--settings', file);
+  });
+  const entries = entryPorts.map((port, position) => {
+    const name = `entry-${position + 1}`;
+    const file = starter.settingsFile(name, {
+      entry: {
+        name,
+        dataCentre: centreOf(position),
+        callerAddress: local(port),
+        peerAddress: entryPeers[position],
+        entries: entryPeers,
+        control: controlPeers,
+        clusterKey: keys.cluster,
+        signingKey: keys.signing,
+        upstreamKeyHash: kumquatfront.trafficResolver.hashKey(keys.upstream),
+        addressLife: 2_000,
+        relay: { stallTimeout: 1_500 },
+      },
+    });
+    return starter.start(name, port, 'kumquatfront-daemons/entry', '--settings', file);
+  });
+  const entryAddresses = entryPorts.map((port) => `http://${local(port)}`);
+  const upstream = (kind: 'engine' | 'plainService', pool: string, position: number): Member => {
+    const name = `${pool}-${position + 1}`;
+    const [port = 0] = take(1);
+    const options = {
+      kind,
+      name,
+      port,
+      dataCentre: centreOf(position),
+      labels: { pool },
+      entries: entryAddresses,
+      upstreamKey: keys.upstream,
+    };
+    return starter.start(name, port, 'kumquatfront-stand-ins/upstreamProcess', JSON.stringify(options));
+  };
+  const engines = Array.from({ length: deployment.engines.count }, (_, position) =>
+    upstream('engine', deployment.engines.pool, position),
+  );
+  const services = Array.from({ length: deployment.services.count }, (_, position) =>
+    upstream('plainService', deployment.services.pool, position),
+  );
+  return {
+    control,
+    entries,
+    engines,
+    services,
+    operatorAddresses,
+    entryAddresses,
+    stop: () => starter.stop(),
+  };
+}
--- /dev/null
+++ b/packages/demo/src/configuring.ts
@@ -0,0 +1,68 @@
+/**
+ * Applies a configuration file to a running deployment and waits until it is in force everywhere.
+ */
+import * as fs from 'node:fs';
+
+import * as kumquatfront from 'kumquatfront';
+import * as command from 'kumquatfront-command';
+
+import * as cluster from './cluster.js';
+
+const IN_FORCE_LIMIT = 15_000;
+const POLL_INTERVAL = 200;
+
+/** What became of the file. */
+export interface Configured {
+  readonly objects: number;
+  readonly version: number;
+  readonly inForceAt: number;
+}
+
+async function waitUntilInForce(
+  client: command.operatorClient.OperatorClient,
+  version: number,
+  wanted: number,
+): Promise<number> {
+  const { clock, scheduler } = kumquatfront.systemTime;
+  const endsAt = clock.now() + IN_FORCE_LIMIT;
+  let count = 0;
+  while (count < wanted && clock.now() < endsAt) {
+    const status = await client.status();
+    const entries = status.ok ? status.val.replicas.flatMap((replica) => replica.entries) : [];
+    const inForce = entries.filter((entry) => entry.configurationVersion >= version);
+    count = new Set(inForce.map((entry) => entry.name)).size;
+    await new Promise<void>((resolve) => {
+      scheduler.after(POLL_INTERVAL, resolve);
+    });
+  }
+  return count;
+}
+
+/**
+ * Applies a file.
+ *
+ * @param running - the deployment
+ * @param file - path of the configuration file
+ * @returns what became of it
+ * @example
+ * ```ts
+ * await configuring.apply(running, 'examples/lankaroute/configuration.json');
+ * ```
+ */
+export async function apply(running: cluster.Cluster, file: string): Promise<Configured> {
+  const client = new command.operatorClient.OperatorClient({
+    control: running.operatorAddresses,
+    key: cluster.keys.operator,
+    random: kumquatfront.seededRandom.createUnpredictable(),
+    time: kumquatfront.systemTime,
+  });
+  const drafts = command.applyFile.parse(fs.readFileSync(file, 'utf8')).unwrap();
+  const applied = await command.applyFile.apply(client, drafts);
+  if (applied.err) {
+    throw new kumquatfront.failures.FailureError(applied.val);
+  }
+  const version = Math.max(...applied.val.map((object) => object.version));
+  const inForceAt = await waitUntilInForce(client, version, running.entries.length);
+  await client.close();
+  return { objects: applied.val.length, version, inForceAt };
+}
--- /dev/null
+++ b/packages/kumquatfront/src/adapters/keyValueLog.ts
@@ -0,0 +1,70 @@
+/**
+ * Logs by `loglevel`: one line of key=value pairs for each event.
+ */
+import * as loglevelModule from 'loglevel';
+
+import type * as ports from '../kernel/ports.js';
+
+/** Levels from the most to the least talkative. */
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error' | 'silent';
+
+const PLAIN_VALUE = /^[A-Za-z0-9._:/@+-]+$/;
+
+function formatValue(value: string | number | boolean): string {
+  const text = String(value);
+  return PLAIN_VALUE.test(text) ? text : JSON.stringify(text);
+}
+
+/**
+ * Formats one event.
+ *
+ * @param level - its level
+ * @param event - its name
+ * @param fields - its facts; undefined ones are left out
+ * @returns the line, without a line end
+ * @example
+ * ```ts
+ * keyValueLog.format('info', 'drainStarted', { inFlight: 3 }); // level=info event=drainStarted inFlight=3
+ * ```
+ */
+export function format(level: string, event: string, fields: ports.LogFields = {}): string {
+  const pairs = Object.entries(fields).map(([key, value]) =>
+    value === undefined ? '' : ` ${key}=${formatValue(value)}`,
+  );
+  return `level=${level} event=${event}${pairs.join('')}`;
+}
+
+/**
+ * Creates a log that writes to standard error.
+ *
+ * @param name - the process, named in every line
+ * @param level - the least level that is written
+ * @returns the log
+ * @example
+ * ```ts
+ * const log = keyValueLog.create('entry-1', 'info');
+ * log.info('started', { port: 8080 });
+ * ```
+ */
+export function create(name: string, level: LogLevel): ports.Log {
+  const logger = loglevelModule.default.getLogger(name);
+  logger.methodFactory = (methodName) => (event: string, fields: ports.LogFields) => {
+    const line = format(methodName, event, fields);
+    process.stderr.write(`time=${new Date().toISOString()} process=${name} ${line}\n`);
+  };
+  logger.setLevel(level, false);
+  return {
+    debug: (event, fields) => {
+      logger.debug(event, fields);
+    },
+    info: (event, fields) => {
+      logger.info(event, fields);
+    },
+    warn: (event, fields) => {
+      logger.warn(event, fields);
+    },
+    error: (event, fields) => {
+      logger.error(event, fields);
+    },
+  };
+}
--- /dev/null
+++ b/packages/kumquatfront/src/agreedState/claimTable.ts
@@ -0,0 +1,130 @@
+/**
+ * Claims on calls that are not idempotent. A claim is granted to one attempt, once; what became of it is
+ * kept for its life, so that a repeat is answered and never run again.
+ */
+import type * as types from './types.js';
+
+function keyOf(account: string, key: string): string {
+  return JSON.stringify([account, key]);
+}
+
+/** The claims, in the order in which they were made. */
+export class ClaimTable {
+  private claims = new Map<string, types.Claim>();
+  private perAccount = new Map<string, number>();
+  private readonly limits: types.AgreedStateLimits;
+
+  constructor(limits: types.AgreedStateLimits) {
+    this.limits = limits;
+  }
+
+  get size(): number {
+    return this.claims.size;
+  }
+
+  /** Grants a claim, or tells what became of the one that stands. */
+  claim(command: types.ClaimCommand, stamp: number): types.ClaimAnswer {
+    this.expire(stamp);
+    const key = keyOf(command.account, command.key);
+    const known = this.claims.get(key);
+    if (known === undefined) {
+      return this.grant(key, command, stamp);
+    }
+    // An attempt that was given up before its claim arrived must not be granted afterwards: its caller has
+    // been told that the call was not run. A new attempt may run it.
+    if (known.state === 'notRun') {
+      return known.attempt === command.attempt ? { state: 'unknown' } : this.regrant(key, command, stamp);
+    }
+    if (known.digest !== command.digest) {
+      return { state: 'keyReused' };
+    }
+    if (known.state === 'done') {
+      return { state: 'done', outcome: known.outcome };
+    }
+    if (known.state === 'unknown') {
+      return { state: 'unknown' };
+    }
+    // The same attempt asks again when the answer to its claim was lost on the way.
+    return known.attempt === command.attempt
+      ? { state: 'granted' }
+      : { state: 'pending', holder: known.holder };
+  }
+
+  /** Ends a claim; only the attempt that holds it can. */
+  settle(command: types.SettleClaimCommand, stamp: number): void {
+    const key = keyOf(command.account, command.key);
+    const known = this.claims.get(key);
+    if (known === undefined) {
+      if (command.result === 'notRun') {
+        this.store(key, { ...command, digest: '', holder: '', stamp, state: 'notRun', outcome: null });
+      }
+      return;
+    }
+    if (known.attempt === command.attempt && known.state === 'pending') {
+      this.claims.set(key, { ...known, state: command.result, outcome: command.outcome });
+    }
+  }
+
+  private grant(key: string, command: types.ClaimCommand, stamp: number): types.ClaimAnswer {
+    if ((this.perAccount.get(command.account) ?? 0) >= this.limits.claimsPerAccount) {
+      return { state: 'full', retryAfter: this.untilRoom(command.account, stamp) };
+    }
+    this.store(key, { ...command, stamp, state: 'pending', outcome: null });
+    return { state: 'granted' };
+  }
+
+  private regrant(key: string, command: types.ClaimCommand, stamp: number): types.ClaimAnswer {
+    this.remove(key);
+    return this.grant(key, command, stamp);
+  }
+
+  private untilRoom(account: string, stamp: number): number {
+    for (const claim of this.claims.values()) {
+      if (claim.account === account) {
+        return Math.max(0, claim.stamp + this.limits.claimLife - stamp);
+      }
+    }
+    return 0;
+  }
+
+  private store(key: string, source: types.Claim): void {
+    const { account, digest, holder, attempt, stamp, state, outcome } = source;
+    this.claims.set(key, { account, key: source.key, digest, holder, attempt, stamp, state, outcome });
+    this.perAccount.set(account, (this.perAccount.get(account) ?? 0) + 1);
+  }
+
+  private remove(key: string): void {
+    const claim = this.claims.get(key);
+    if (claim === undefined) {
+      return;
+    }
+    this.claims.delete(key);
+    const left = (this.perAccount.get(claim.account) ?? 1) - 1;
+    if (left > 0) {
+      this.perAccount.set(claim.account, left);
+    } else {
+      this.perAccount.delete(claim.account);
+    }
+  }
+
+  private expire(stamp: number): void {
+    for (const [key, claim] of this.claims) {
+      if (claim.stamp + this.limits.claimLife > stamp) {
+        return;
+      }
+      this.remove(key);
+    }
+  }
+
+  toJson(): readonly types.Claim[] {
+    return [...this.claims.values()];
+  }
+
+  restore(claims: readonly types.Claim[]): void {
+    this.claims = new Map();
+    this.perAccount = new Map();
+    for (const claim of claims) {
+      this.store(keyOf(claim.account, claim.key), claim);
+    }
+  }
+}
--- /dev/null
+++ b/packages/kumquatfront/src/consensus/replica.ts
@@ -0,0 +1,531 @@
+/**
+ * One replica of the replicated log: terms, votes and log matching after Ongaro and Ousterhout, "In search
+ * of an understandable consensus algorithm" (2014), with pre-vote, check-quorum and a leader lease. It
+ * takes messages and timer firings, and gives messages, disk writes and applied entries.
+ */
+import * as failures from '../kernel/failures.js';
+import type * as ports from '../kernel/ports.js';
+import * as results from '../kernel/results.js';
+import type * as timerService from '../kernel/timerService.js';
+import * as leadership from './leadership.js';
+import type * as logStore from './logStore.js';
+import * as snapshotTransfer from './snapshotTransfer.js';
+import type * as types from './types.js';
+
+/** The state machine behind the log, as functions. */
+export interface StateMachine {
+  /** Applies a committed command and returns its result; must be deterministic. */
+  readonly apply: (command: unknown, index: number, stamp: number) => unknown;
+  readonly takeSnapshot: () => unknown;
+  readonly restore: (state: unknown) => void;
+}
+
+/** What a replica is made from. */
+export interface ReplicaOptions {
+  readonly store: logStore.LogStore;
+  readonly timers: timerService.TimerService;
+  readonly clock: ports.Clock;
+  readonly random: ports.Random;
+  readonly log: ports.Log;
+  readonly timing: types.ConsensusTiming;
+  readonly machine: StateMachine;
+  /** Sends a message to a member's address; it may be lost. */
+  readonly send: (address: string, message: types.ConsensusMessage) => void;
+}
+
+/** Receives the result of a proposal, or why there is none. */
+export type ProposalDone = (result: results.Result<unknown, failures.Failure>) => void;
+
+interface PendingProposal {
+  readonly term: number;
+  readonly done: ProposalDone;
+}
+
+/** A replica of the log; see the module comment. */
+export class Replica {
+  readonly options: ReplicaOptions;
+  role: types.ReplicaRole = 'uninitialized';
+  commitIndex = 0;
+  appliedIndex = 0;
+  private leaderIdentity = '';
+  private heardLeaderAt: number;
+  private leaderCommit = 0;
+  private leading: leadership.Leadership | undefined;
+  private votes = new Set<string>();
+  private cancelElection: ports.Cancel = () => undefined;
+  private readonly pending = new Map<number, PendingProposal>();
+  private readonly receiver = new snapshotTransfer.SnapshotReceiver();
+
+  constructor(options: ReplicaOptions) {
+    this.options = options;
+    const { store, timers, machine } = options;
+    if (store.snapshot.index > 0) {
+      machine.restore(store.snapshot.state);
+    }
+    this.commitIndex = store.snapshot.index;
+    this.appliedIndex = store.snapshot.index;
+    // A restarted voter has forgotten how recently it promised a leader its lease. Counting the restart as
+    // news of a leader makes it refuse votes for one election timeout, which outlasts any lease it gave.
+    this.heardLeaderAt = timers.now();
+    if (store.hardState.clusterIdentity !== '') {
+      this.becomeFollower('');
+    }
+  }
+
+  /** Founds a cluster of this one replica; others join it. */
+  found(clusterIdentity: string, member: types.Member): void {
+    const { store, clock } = this.options;
+    store.setHardState({ clusterIdentity, term: 1, votedFor: store.identity });
+    const payload: types.LogPayload = { type: 'members', members: [{ ...member, role: 'voter' }] };
+    store.append({ index: 1, term: 1, stamp: clock.wall(), payload });
+    store.whenDurable(() => {
+      this.becomeLeader();
+    });
+  }
+
+  /** Accepts messages of a cluster from now on; called once a member has answered the request to join. */
+  adopt(clusterIdentity: string): void {
+    const { store } = this.options;
+    if (store.hardState.clusterIdentity === '') {
+      store.setHardState({ clusterIdentity, term: 0, votedFor: '' });
+      this.becomeFollower('');
+    }
+  }
+
+  /** Hands in a message of another replica. */
+  receive(message: types.ConsensusMessage): void {
+    const { store } = this.options;
+    // A message for a former identity of this VM, or of another cluster, says nothing to this replica.
+    if (message.to !== store.identity || message.clusterIdentity !== store.hardState.clusterIdentity) {
+      return;
+    }
+    if (message.term > store.hardState.term && !(message.type === 'voteRequest' || this.isPreVote(message))) {
+      this.raiseTerm(message.term);
+    }
+    switch (message.type) {
+      case 'voteRequest':
+        this.onVoteRequest(message);
+        break;
+      case 'voteAnswer':
+        this.onVoteAnswer(message);
+        break;
+      case 'appendRequest':
+        this.onAppendRequest(message);
+        break;
+      case 'snapshotPiece':
+        this.onSnapshotPiece(message);
+        break;
+      case 'appendAnswer':
+      case 'snapshotAnswer':
+        if (message.term === store.hardState.term) {
+          this.leading?.onAnswer(message);
+        }
+        break;
+    }
+  }
+
+  /** Proposes a command; `done` gets what the state machine returned once it is committed and applied. */
+  propose(command: unknown, done: ProposalDone): void {
+    this.appendAsLeader({ type: 'command', command }, done);
+  }
+
+  /** Replaces the members by a list that differs in one replica; refused while another change is open. */
+  changeMembers(members: readonly types.Member[], done: ProposalDone): void {
+    const { store } = this.options;
+    // Two open changes, or one before this term has committed anything, could leave majorities of the old
+    // and the new members that do not overlap: two leaders. One at a time after a commit of this term is enough.
+    if (store.membersIndex() > this.commitIndex || this.leading?.hasCommitted() !== true) {
+      const remedy = 'Try again once the open change is committed.';
+      done(results.Err(failures.create('conflict', 'A change of members is still open.', remedy)));
+      return;
+    }
+    this.appendAsLeader({ type: 'members', members }, done);
+  }
+
+  private appendAsLeader(payload: types.LogPayload, done: ProposalDone): void {
+    const { store, clock } = this.options;
+    if (this.leading === undefined) {
+      done(results.Err(this.notLeader()));
+      return;
+    }
+    // A leader without its lease may already have a successor: taking the change would leave its operator
+    // waiting for a commit that cannot come. Refusing at once, before anything is written, is safe to say.
+    if (!this.leading.hasLease()) {
+      const remedy = 'Try another control replica; nothing was changed.';
+      done(results.Err(failures.create('noQuorum', 'This leader does not hear from a quorum.', remedy)));
+      return;
+    }
+    const index = store.lastIndex + 1;
+    const stamp = Math.max(clock.wall(), store.lastStamp);
+    store.append({ index, term: store.hardState.term, stamp, payload });
+    this.pending.set(index, { term: store.hardState.term, done });
+    this.leading.onAppended();
+  }
+
+  private notLeader(): failures.Failure {
+    const leader = this.leader();
+    return failures.create(
+      'notLeader',
+      'This replica does not lead.',
+      leader === undefined
+        ? 'Try again in a second: no leader is known.'
+        : `Ask the leader at ${leader.address}.`,
+      leader === undefined ? {} : { leader: leader.address },
+    );
+  }
+
+  leader(): types.Member | undefined {
+    return this.options.store.members().find((member) => member.identity === this.leaderIdentity);
+  }
+
+  /** True when what this replica has applied is at most a few heartbeats behind what is committed. */
+  isFresh(): boolean {
+    if (this.leading !== undefined) {
+      return this.leading.hasLease() && this.leading.hasCommitted();
+    }
+    return this.hearsLeader() && this.leaderIdentity !== '' && this.appliedIndex >= this.leaderCommit;
+  }
+
+  /** True for a leader that may act alone: it holds its lease and has applied all before its term. */
+  mayLead(): boolean {
+    return this.leading !== undefined && this.isFresh();
+  }
+
+  /** How far a member's log is known to match, and when it last answered; for the leader only. */
+  progressOf(identity: string): leadership.Progress | undefined {
+    return this.leading?.progressOf(identity);
+  }
+
+  status(): types.ReplicaStatus {
+    const { store } = this.options;
+    return {
+      identity: store.identity,
+      clusterIdentity: store.hardState.clusterIdentity,
+      role: this.role,
+      term: store.hardState.term,
+      leader: this.leader(),
+      lastIndex: store.lastIndex,
+      commitIndex: this.commitIndex,
+      appliedIndex: this.appliedIndex,
+      members: store.members(),
+      fresh: this.isFresh(),
+    };
+  }
+
+  private isPreVote(message: types.ConsensusMessage): boolean {
+    return message.type === 'voteAnswer' && message.preVote && message.granted;
+  }
+
+  private isVoter(): boolean {
+    const { store } = this.options;
+    return store.members().some((member) => member.identity === store.identity && member.role === 'voter');
+  }
+
+  private hearsLeader(): boolean {
+    return this.options.timers.now() - this.heardLeaderAt < this.options.timing.electionTimeout;
+  }
+
+  private raiseTerm(term: number): void {
+    const { store } = this.options;
+    store.setHardState({ ...store.hardState, term, votedFor: '' });
+    this.becomeFollower('');
+  }
+
+  private becomeFollower(leaderIdentity: string): void {
+    const wasLeading = this.leading !== undefined;
+    this.leading?.stop();
+    this.leading = undefined;
+    this.role = 'follower';
+    this.leaderIdentity = leaderIdentity;
+    this.restartElectionTimer();
+    if (wasLeading) {
+      this.options.log.warn('leaderStepsDown', { term: this.options.store.hardState.term });
+      this.failPending();
+    }
+  }
+
+  private failPending(): void {
+    const remedy =
+      'Resend it with the same change id: it is applied once, and the first answer is given again.';
+    const failure = failures.create('timeout', 'The leader changed before the outcome was known.', remedy);
+    const open = [...this.pending.values()];
+    this.pending.clear();
+    for (const proposal of open) {
+      proposal.done(results.Err(failure));
+    }
+  }
+
+  private restartElectionTimer(): void {
+    const { timers, random, timing } = this.options;
+    this.cancelElection();
+    const delay = timing.electionTimeout * (1 + random.next());
+    this.cancelElection = timers.after(delay, () => {
+      this.startPreVote();
+    });
+  }
+
+  private startPreVote(): void {
+    this.restartElectionTimer();
+    if (this.role === 'leader' || !this.isVoter()) {
+      return;
+    }
+    // A replica that was cut off asks first, without raising its term: on its return the others, who hear
+    // from their leader, say no, and the leader is not deposed.
+    this.role = 'follower';
+    this.leaderIdentity = '';
+    this.requestVotes(true);
+  }
+
+  private startElection(): void {
+    const { store, log } = this.options;
+    this.role = 'candidate';
+    store.setHardState({ ...store.hardState, term: store.hardState.term + 1, votedFor: store.identity });
+    log.info('electionStarted', { term: store.hardState.term });
+    this.restartElectionTimer();
+    store.whenDurable(() => {
+      if (this.role === 'candidate') {
+        this.requestVotes(false);
+      }
+    });
+  }
+
+  private requestVotes(preVote: boolean): void {
+    const { store } = this.options;
+    this.votes = new Set([store.identity]);
+    const term = preVote ? store.hardState.term + 1 : store.hardState.term;
+    for (const member of this.otherVoters()) {
+      this.post(member, {
+        type: 'voteRequest',
+        preVote,
+        term,
+        lastIndex: store.lastIndex,
+        lastTerm: store.lastTerm,
+      });
+    }
+    this.countVotes(preVote);
+  }
+
+  private otherVoters(): readonly types.Member[] {
+    const { store } = this.options;
+    return store.members().filter((member) => member.role === 'voter' && member.identity !== store.identity);
+  }
+
+  private countVotes(preVote: boolean): void {
+    if (this.votes.size * 2 <= this.otherVoters().length + 1) {
+      return;
+    }
+    if (preVote) {
+      this.startElection();
+    } else {
+      this.becomeLeader();
+    }
+  }
+
+  private onVoteRequest(message: types.VoteRequest): void {
+    const { store } = this.options;
+    const upToDate =
+      message.lastTerm > store.lastTerm ||
+      (message.lastTerm === store.lastTerm && message.lastIndex >= store.lastIndex);
+    // Whoever hears from a leader, or is one with its lease, refuses without looking at the term: this is
+    // what makes the leader's lease worth trusting.
+    const leaderAlive = this.leading === undefined ? this.hearsLeader() : this.leading.hasLease();
+    if (!leaderAlive && !message.preVote && message.term > store.hardState.term) {
+      this.raiseTerm(message.term);
+    }
+    const free = store.hardState.votedFor === '' || store.hardState.votedFor === message.from;
+    const granted = message.preVote
+      ? !leaderAlive && upToDate && message.term > store.hardState.term
+      : !leaderAlive && upToDate && message.term === store.hardState.term && free;
+    if (granted && !message.preVote) {
+      store.setHardState({ ...store.hardState, votedFor: message.from });
+      this.restartElectionTimer();
+    }
+    const term = granted ? message.term : store.hardState.term;
+    store.whenDurable(() => {
+      this.answer(message.from, { type: 'voteAnswer', preVote: message.preVote, granted, term });
+    });
+  }
+
+  private onVoteAnswer(message: types.VoteAnswer): void {
+    const { term } = this.options.store.hardState;
+    const expectedTerm = message.preVote ? term + 1 : term;
+    const asked = message.preVote ? this.role === 'follower' : this.role === 'candidate';
+    if (!message.granted || !asked || message.term !== expectedTerm || this.leaderIdentity !== '') {
+      return;
+    }
+    if (this.otherVoters().some((member) => member.identity === message.from)) {
+      this.votes.add(message.from);
+      this.countVotes(message.preVote);
+    }
+  }
+
+  private becomeLeader(): void {
+    const { store, log, clock } = this.options;
+    this.cancelElection();
+    this.role = 'leader';
+    this.leaderIdentity = store.identity;
+    log.info('leaderElected', { term: store.hardState.term, lastIndex: store.lastIndex });
+    this.leading = new leadership.Leadership(this.options, {
+      commitIndex: () => this.commitIndex,
+      commit: (index) => {
+        this.commitTo(index);
+      },
+      lostQuorum: () => {
+        this.becomeFollower('');
+      },
+      post: (member, body) => {
+        this.post(member, body);
+      },
+    });
+    const stamp = Math.max(clock.wall(), store.lastStamp);
+    store.append({
+      index: store.lastIndex + 1,
+      term: store.hardState.term,
+      stamp,
+      payload: { type: 'noop' },
+    });
+    this.leading.start();
+  }
+
+  private followLeader(from: string, commitIndex: number): void {
+    this.heardLeaderAt = this.options.timers.now();
+    this.leaderCommit = commitIndex;
+    if (this.role !== 'follower' || this.leaderIdentity !== from) {
+      this.becomeFollower(from);
+    }
+    this.restartElectionTimer();
+  }
+
+  private onAppendRequest(message: types.AppendRequest): void {
+    const { store } = this.options;
+    if (message.term < store.hardState.term) {
+      this.answerAppend(message, false, 0);
+      return;
+    }
+    this.followLeader(message.from, message.commitIndex);
+    const previousTerm = store.termAt(message.previousIndex);
+    if (message.previousIndex > store.snapshot.index && previousTerm !== message.previousTerm) {
+      this.answerAppend(message, false, Math.min(store.lastIndex, message.previousIndex - 1));
+      return;
+    }
+    if (message.previousIndex < store.snapshot.index && message.entries.length === 0) {
+      this.answerAppend(message, true, store.snapshot.index);
+      return;
+    }
+    for (const entry of message.entries) {
+      this.storeEntry(entry);
+    }
+    const matchIndex = message.previousIndex + message.entries.length;
+    this.commitTo(Math.min(message.commitIndex, matchIndex));
+    this.answerAppend(message, true, matchIndex);
+  }
+
+  private storeEntry(entry: types.LogEntry): void {
+    const { store } = this.options;
+    if (entry.index <= store.snapshot.index || store.termAt(entry.index) === entry.term) {
+      return;
+    }
+    if (entry.index <= store.lastIndex) {
+      store.truncateFrom(entry.index);
+    }
+    store.append(entry);
+  }
+
+  private answerAppend(message: types.AppendRequest, success: boolean, matchIndex: number): void {
+    const { store } = this.options;
+    const { term } = store.hardState;
+    store.whenDurable(() => {
+      this.answer(message.from, { type: 'appendAnswer', term, success, matchIndex, sentAt: message.sentAt });
+    });
+  }
+
+  private onSnapshotPiece(message: types.SnapshotPiece): void {
+    const { store, machine } = this.options;
+    if (message.term < store.hardState.term) {
+      return;
+    }
+    this.followLeader(message.from, message.index);
+    const answer = (received: number, installed: boolean): void => {
+      const { index, sentAt } = message;
+      this.answer(message.from, {
+        type: 'snapshotAnswer',
+        term: message.term,
+        index,
+        received,
+        installed,
+        sentAt,
+      });
+    };
+    if (message.index <= this.appliedIndex) {
+      answer(message.total, true);
+      return;
+    }
+    const snapshot = this.receiver.receive(message);
+    if (snapshot === undefined) {
+      answer(this.receiver.received, false);
+      return;
+    }
+    machine.restore(snapshot.state);
+    this.commitIndex = snapshot.index;
+    this.appliedIndex = snapshot.index;
+    store.install(snapshot, () => {
+      answer(message.total, true);
+    });
+  }
+
+  private commitTo(index: number): void {
+    const { store } = this.options;
+    this.commitIndex = Math.max(this.commitIndex, Math.min(index, store.lastIndex));
+    while (this.appliedIndex < this.commitIndex) {
+      this.applyNext();
+    }
+    if (this.appliedIndex - store.snapshot.index >= this.options.timing.snapshotEvery) {
+      this.takeSnapshot();
+    }
+  }
+
+  private applyNext(): void {
+    const { store, machine } = this.options;
+    this.appliedIndex += 1;
+    const entry = store.entryAt(this.appliedIndex);
+    if (entry === undefined) {
+      return;
+    }
+    const { payload, index, stamp } = entry;
+    const value = payload.type === 'command' ? machine.apply(payload.command, index, stamp) : null;
+    const proposal = this.pending.get(index);
+    this.pending.delete(index);
+    if (proposal?.term === entry.term) {
+      proposal.done(results.Ok(value));
+    }
+  }
+
+  private takeSnapshot(): void {
+    const { store, machine, log } = this.options;
+    const entry = store.entryAt(this.appliedIndex);
+    if (entry === undefined || store.membersIndex() > this.appliedIndex) {
+      return;
+    }
+    const { index, term, stamp } = entry;
+    store.compact({ index, term, stamp, members: store.members(), state: machine.takeSnapshot() });
+    log.info('snapshotTaken', { index });
+  }
+
+  private answer(identity: string, body: leadership.MessageBody): void {
+    const member = this.options.store.members().find((candidate) => candidate.identity === identity);
+    const address = member?.address ?? this.replyAddresses.get(identity);
+    if (address !== undefined) {
+      this.post({ identity, address }, body);
+    }
+  }
+
+  /** Addresses of replicas that are not in this replica's log yet, learned from the answer to its join. */
+  readonly replyAddresses = new Map<string, string>();
+
+  private post(member: Pick<types.Member, 'identity' | 'address'>, body: leadership.MessageBody): void {
+    const { store, send } = this.options;
+    const { clusterIdentity } = store.hardState;
+    const message = { ...body, clusterIdentity, from: store.identity, to: member.identity };
+    send(member.address, message);
+  }
+}
--- /dev/null
+++ b/packages/kumquatfront/src/controlNode/methods.ts
@@ -0,0 +1,82 @@
+/**
+ * Methods that control replicas serve to entries and to each other, with the shapes of their messages.
+ */
+import type * as agreedState from '../agreedState/types.js';
+import type * as configuration from '../configuration/types.js';
+import type * as consensus from '../consensus/types.js';
+import type * as directory from '../directory/types.js';
+
+/** Names of the methods. */
+export const methods = {
+  consensus: 'control.consensus',
+  join: 'control.join',
+  hello: 'control.hello',
+  configure: 'control.configure',
+  claims: 'control.claims',
+  settleClaim: 'control.settleClaim',
+  pull: 'configuration.pull',
+  status: 'control.status',
+  order: 'control.order',
+} as const;
+
+/** Asks for the configuration after a version. */
+export interface PullRequest {
+  readonly version: number;
+  /** True where only the leader under its lease may answer. */
+  readonly leaderOnly: boolean;
+  /** The entry that pulls; its version shows how far a change is in force. */
+  readonly presence: directory.EntryPresence | null;
+}
+
+/** Answers a pull. */
+export interface PullAnswer {
+  /** False where the answerer may be behind: the puller should ask another. */
+  readonly fresh: boolean;
+  /** Milliseconds since the answerer itself heard from control; 0 for control. */
+  readonly age: number;
+  /** Absent where nothing changed or the answerer is not fresh. */
+  readonly delta?: configuration.ConfigurationDelta;
+  readonly entries: readonly directory.EntryPresence[];
+}
+
+/** Asks a replica who it is, before it is told to join or to found a cluster. */
+export interface HelloAnswer {
+  readonly identity: string;
+  readonly clusterIdentity: string;
+  readonly leaderAddress: string;
+}
+
+/** Asks the leader to take a replica in. */
+export interface JoinRequest {
+  readonly identity: string;
+  readonly name: string;
+  readonly address: string;
+}
+
+/** Answers a request to join. */
+export interface JoinAnswer {
+  readonly clusterIdentity: string;
+  readonly members: readonly consensus.Member[];
+}
+
+/** Claims of one entry, gathered over a few milliseconds. */
+export interface ClaimsRequest {
+  readonly claims: readonly agreedState.ClaimCommand[];
+}
+
+/** Answers to claims, in the order asked. */
+export interface ClaimsAnswer {
+  readonly answers: readonly agreedState.ClaimAnswer[];
+}
+
+/** What one replica knows, for `status`. */
+export interface ControlStatus {
+  readonly name: string;
+  readonly replica: consensus.ReplicaStatus;
+  readonly configurationVersion: number;
+  readonly digest: string;
+  readonly claims: number;
+  readonly openOrders: number;
+  /** Entries seen by this replica, with the version each has in force. */
+  readonly entries: readonly directory.EntryPresence[];
+}
--- /dev/null
+++ b/packages/kumquatfront/src/directory/newsParser.ts
@@ -0,0 +1,78 @@
+/**
+ * Parses what upstreams post: announcements, load reports and cache events.
+ */
+import * as ajv from 'ajv';
+
+import * as failures from '../kernel/failures.js';
+import * as results from '../kernel/results.js';
+import * as schemaFailures from '../utils/schemaFailures.js';
+import type * as types from './types.js';
+
+const text = { type: 'string', minLength: 1, maxLength: 128 };
+const count = { type: 'number', minimum: 0, maximum: 1e15 };
+const stamp = { name: text, incarnation: count, sequence: count };
+const prefixes = { type: 'array', maxItems: 4_096, items: { type: 'string', maxLength: 64 } };
+
+function object(properties: Readonly<Record<string, unknown>>): Record<string, unknown> {
+  return { type: 'object', additionalProperties: false, required: Object.keys(properties), properties };
+}
+
+const SCHEMAS: Readonly<Record<types.UpstreamNews['type'], ajv.AnySchema>> = {
+  announce: object({
+    type: { const: 'announce' },
+    announcement: object({
+      ...stamp,
+      address: { type: 'string', pattern: '^http://[0-9a-fA-F.:\\[\\]]+$', maxLength: 128 },
+      kind: { enum: ['engine', 'plainService'] },
+      labels: { type: 'object', additionalProperties: { type: 'string', maxLength: 128 }, maxProperties: 32 },
+      dataCentre: text,
+      memoryTokens: count,
+      slots: count,
+      lease: { type: 'number', minimum: 100, maximum: 600_000 },
+      leaving: { type: 'boolean' },
+    }),
+  }),
+  load: object({
+    type: { const: 'load' },
+    report: object({ ...stamp, running: count, waiting: count, usedTokens: count }),
+  }),
+  cache: object({
+    type: { const: 'cache' },
+    event: object({ ...stamp, added: prefixes, removed: prefixes }),
+  }),
+};
+
+const validator = new ajv.Ajv({ strict: true });
+const compiled = new Map(Object.entries(SCHEMAS).map(([type, schema]) => [type, validator.compile(schema)]));
+
+function parseJson(body: string): unknown {
+  try {
+    return JSON.parse(body);
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Parses one piece of news.
+ *
+ * @param body - JSON text from an upstream
+ * @returns the news, or a `badInput` failure that names the key at fault
+ * @example
+ * ```ts
+ * const news = newsParser.parse(body);
+ * ```
+ */
+export function parse(body: string): results.Result<types.UpstreamNews, failures.Failure> {
+  const value = parseJson(body);
+  const type = typeof value === 'object' && value !== null && 'type' in value ? String(value.type) : '';
+  const validate = compiled.get(type);
+  if (validate === undefined) {
+    const remedy = `Send a JSON object whose type is one of ${[...compiled.keys()].join(', ')}.`;
+    return results.Err(failures.create('badInput', 'The news is of no known type.', remedy));
+  }
+  if (!validate(value)) {
+    return results.Err(schemaFailures.describe('news', validate.errors ?? []));
+  }
+  return results.Ok(value as types.UpstreamNews);
+}
--- /dev/null
+++ b/packages/kumquatfront/src/entryNode/entryNode.ts
@@ -0,0 +1,204 @@
+/**
+ * An entry: takes requests of callers and news of upstreams, and places, relays and refuses. All outside
+ * comes through ports, so the whole node runs on virtual time as it does on a VM.
+ */
+import * as fairQueue from '../admission/fairQueue.js';
+import * as localPlacement from '../admission/localPlacement.js';
+import * as addressList from '../addresses/addressList.js';
+import * as burnRecorder from '../burn/burnRecorder.js';
+import * as claimClient from '../claims/claimClient.js';
+import * as configurationReplica from '../configuration/configurationReplica.js';
+import * as controlClient from '../controlClient/controlClient.js';
+import * as directory from '../directory/directory.js';
+import type * as directoryTypes from '../directory/types.js';
+import * as lengthEstimator from '../estimates/lengthEstimator.js';
+import * as serviceRegistry from '../kernel/serviceRegistry.js';
+import * as timerService from '../kernel/timerService.js';
+import * as choice from '../routing/choice.js';
+import * as health from '../routing/health.js';
+import * as retryBudget from '../routing/retryBudget.js';
+import type * as routing from '../routing/types.js';
+import * as trafficResolver from '../selectors/trafficResolver.js';
+import * as requestFront from './requestFront.js';
+import type * as types from './types.js';
+
+/** Services of an entry, by name. */
+export interface EntryServices {
+  readonly timers: timerService.TimerService;
+  readonly directory: directory.Directory;
+  readonly configuration: configurationReplica.ConfigurationReplica;
+  readonly resolver: trafficResolver.TrafficResolver;
+  readonly estimates: lengthEstimator.LengthEstimator;
+  readonly health: health.Health;
+  readonly placement: routing.PlacementPolicy;
+  readonly retries: retryBudget.RetryBudget;
+  readonly claims: claimClient.ClaimClient;
+  readonly burn: burnRecorder.BurnRecorder;
+  readonly requests: requestFront.RequestFront;
+}
+
+/** Makes the serving policy of an entry; pass another to replace it. */
+export type CreatePlacement = (options: localPlacement.LocalPlacementOptions) => routing.PlacementPolicy;
+
+/** What an entry offers to the adapters around it. */
+export interface EntryNode {
+  readonly services: serviceRegistry.ServiceRegistry<EntryServices>;
+  readonly requests: requestFront.RequestFront;
+  /** Takes news that an upstream posted. */
+  takeNews(news: directoryTypes.UpstreamNews): void;
+  /** Addresses for a caller, preferred first. */
+  addresses(): readonly addressList.EntryAddress[];
+  presence(): directoryTypes.EntryPresence;
+  /** Leaves the address list, waits until cached lists have expired and requests have ended, then calls back. */
+  drain(done: () => void): void;
+  stop(): void;
+}
+
+const DEFAULT_BOUNDS: fairQueue.QueueBounds = { perAccount: 200, total: 1_000 };
+const DEFAULT_RETRY_PERCENT = 20;
+const CONTROL_ATTEMPT_TIMEOUT = 500;
+const DRAIN_CHECK_INTERVAL = 100;
+
+/**
+ * Creates an entry.
+ *
+ * @param settings - the entry's settings
+ * @param ports - everything outside
+ * @param createPlacement - the serving policy; placement by this entry alone where absent
+ * @returns the entry, running
+ * @example
+ * ```ts
+ * const entry = entryNode.create(settings, ports);
+ * entry.takeNews({ type: 'announce', announcement });
+ * ```
+ */
+export function create(
+  settings: types.EntrySettings,
+  ports: types.EntryPorts,
+  createPlacement: CreatePlacement = (options) => new localPlacement.LocalPlacement(options),
+): EntryNode {
+  const { clock, scheduler, random, peers, log, metrics } = ports;
+  const services = serviceRegistry.create<EntryServices>();
+  const timers = timerService.create(clock, scheduler);
+  services.register('timers', timers);
+  let draining = false;
+
+  const presence = (): directoryTypes.EntryPresence => ({
+    name: settings.name,
+    dataCentre: settings.dataCentre,
+    callerAddress: settings.callerAddress,
+    peerAddress: settings.peerAddress,
+    state: stateNow(),
+    inFlight: requests.inFlight,
+    configurationVersion: configuration.inForce,
+  });
+  const stateNow = (): directoryTypes.EntryPresence['state'] => {
+    if (draining) {
+      return 'draining';
+    }
+    return configuration.isReady() && configuration.isFresh() ? 'serving' : 'stale';
+  };
+
+  const known = new directory.Directory({
+    name: settings.name,
+    peerAddress: settings.peerAddress,
+    incarnation: clock.wall(),
+    seeds: settings.entries,
+    settings: settings.directory,
+    timers,
+    random,
+    peers,
+    log,
+    presence,
+  });
+  services.register('directory', known);
+
+  const control = new controlClient.ControlClient({
+    addresses: settings.control,
+    peers,
+    timers,
+    attemptTimeout: CONTROL_ATTEMPT_TIMEOUT,
+  });
+  const configuration = new configurationReplica.ConfigurationReplica({
+    settings: settings.configuration,
+    control,
+    peers,
+    timers,
+    random,
+    log,
+    presence,
+    entries: () => known.entries(),
+  });
+  services.register('configuration', configuration);
+  services.register('claims', new claimClient.ClaimClient(control, timers, settings.claims));
+
+  const resolver = new trafficResolver.TrafficResolver();
+  const burn = new burnRecorder.BurnRecorder(() => clock.wall());
+  configuration.onChange(() => {
+    resolver.update(configuration.all());
+    burn.update(configuration.all());
+  });
+  services.register('resolver', resolver);
+  services.register('burn', burn);
+  services.register('health', new health.Health());
+  services.register('retries', new retryBudget.RetryBudget(DEFAULT_RETRY_PERCENT));
+  services.register('estimates', new lengthEstimator.LengthEstimator());
+  services.register(
+    'placement',
+    createPlacement({
+      directory: known,
+      estimator: services.find('estimates'),
+      health: services.find('health'),
+      timers,
+      random,
+      metrics,
+      choose: choice.chooseOfTwo,
+      headroom: settings.headroom,
+      bounds: () => boundsOf(configuration),
+      weightOf: (account) => resolver.weightOf(account),
+      upstreamWait: settings.upstreamWait,
+    }),
+  );
+  const requests = new requestFront.RequestFront({ settings, ports, services });
+  services.register('requests', requests);
+
+  return {
+    services,
+    requests,
+    takeNews: (news) => {
+      known.takeNews(news);
+    },
+    addresses: () => addressList.order(known.entries(), settings.dataCentre, random),
+    presence,
+    drain: (done) => {
+      draining = true;
+      log.info('drainStarted', { inFlight: requests.inFlight });
+      known.announcePresence();
+      // Callers may hold a list that still names this entry; it goes on accepting until the last such list
+      // has expired, or they would meet a closed door.
+      timers.after(settings.addressLife, () => {
+        const cancel = timers.every(
+          () => DRAIN_CHECK_INTERVAL,
+          () => {
+            if (requests.inFlight === 0) {
+              cancel();
+              log.info('drainEnded');
+              done();
+            }
+          },
+        );
+      });
+    },
+    stop: () => {
+      timers.stop();
+    },
+  };
+}
+
+function boundsOf(configuration: configurationReplica.ConfigurationReplica): fairQueue.QueueBounds {
+  const limits = configuration.find('limits', 'default');
+  return {
+    perAccount: limits?.queuePerAccount ?? DEFAULT_BOUNDS.perAccount,
+    total: limits?.queueTotal ?? DEFAULT_BOUNDS.total,
+  };
+}
--- /dev/null
+++ b/packages/kumquatfront/src/entryNode/refusals.ts
@@ -0,0 +1,85 @@
+/**
+ * Refusals that an entry gives before a request goes anywhere. Nothing has been run.
+ */
+import type * as streams from '../streams/types.js';
+
+/** The caller's key is not known. */
+export const unknownKey: streams.Refusal = {
+  kind: 'invalid',
+  status: 401,
+  message: 'The bearer key is not known.',
+  remedy: 'Send the key of a configured client account in the Authorization header.',
+};
+
+/** No selector matches. */
+export const noRoute: streams.Refusal = {
+  kind: 'invalid',
+  status: 404,
+  message: 'No selector matches this request.',
+  remedy: 'Check the labels and the model; an operator can add a selector.',
+};
+
+/** A call that is not idempotent came without a key. */
+export const keyNeeded: streams.Refusal = {
+  kind: 'invalid',
+  status: 400,
+  message: 'This call is not idempotent and was not run.',
+  remedy: 'Send it with an Idempotency-Key header that is unique for this action.',
+};
+
+/**
+ * The entry has no configuration yet.
+ *
+ * @param entries - addresses of other entries
+ * @returns the refusal
+ * @example
+ * ```ts
+ * caller.refused(refusals.notReady(otherEntries));
+ * ```
+ */
+export function notReady(entries: readonly string[]): streams.Refusal {
+  return {
+    kind: 'notRun',
+    status: 503,
+    message: 'This entry does not know the configuration yet.',
+    remedy: 'Go to another entry, or come back after the given time.',
+    retryAfter: 1_000,
+    entries,
+  };
+}
+
+/**
+ * The entry is cut off and others are not.
+ *
+ * @param entries - addresses of other entries
+ * @returns the refusal
+ * @example
+ * ```ts
+ * caller.refused(refusals.stale(otherEntries));
+ * ```
+ */
+export function stale(entries: readonly string[]): streams.Refusal {
+  return {
+    kind: 'notRun',
+    status: 503,
+    message: 'This entry is cut off from control and from the other entries.',
+    remedy: 'Go to another entry, or come back after the given time.',
+    retryAfter: 5_000,
+    entries,
+  };
+}
+
+/**
+ * The request is at fault.
+ *
+ * @param message - what is wrong
+ * @param remedy - what to do
+ * @returns the refusal
+ * @example
+ * ```ts
+ * caller.refused(refusals.invalid('The body has no prompt.', 'Add "prompt".'));
+ * ```
+ */
+export function invalid(message: string, remedy: string): streams.Refusal {
+  return { kind: 'invalid', status: 400, message, remedy };
+}
--- /dev/null
+++ b/packages/kumquatfront/src/entryNode/requestFront.ts
@@ -0,0 +1,385 @@
+/**
+ * Where requests enter: recognises the client account, finds the selector, and starts the relay.
+ */
+import type * as configurationTypes from '../configuration/types.js';
+import type * as ports from '../kernel/ports.js';
+import type * as serviceRegistry from '../kernel/serviceRegistry.js';
+import type * as routing from '../routing/types.js';
+import * as trafficResolver from '../selectors/trafficResolver.js';
+import * as generationRelay from '../streams/generationRelay.js';
+import * as resumeToken from '../streams/resumeToken.js';
+import * as serviceRelay from '../streams/serviceRelay.js';
+import type * as streams from '../streams/types.js';
+import * as canonicalJson from '../utils/canonicalJson.js';
+import type * as entryNode from './entryNode.js';
+import * as measuredCaller from './measuredCaller.js';
+import * as promptFacts from './promptFacts.js';
+import * as refusals from './refusals.js';
+import type * as types from './types.js';
+
+/** What the front is made from. */
+export interface RequestFrontOptions {
+  readonly settings: types.EntrySettings;
+  readonly ports: types.EntryPorts;
+  readonly services: serviceRegistry.ServiceRegistry<entryNode.EntryServices>;
+}
+
+interface Admitted {
+  readonly account: trafficResolver.ResolvedAccount;
+  readonly route: trafficResolver.Route;
+  readonly labels: Readonly<Record<string, string>>;
+}
+
+type Refuse = (refusal: streams.Refusal) => void;
+
+const IDLE_HANDLE: streams.StreamHandle = { drained: () => undefined, callerGone: () => undefined };
+const IDEMPOTENT_METHODS: readonly string[] = ['GET', 'HEAD', 'OPTIONS'];
+
+/** The front; see the module comment. */
+export class RequestFront {
+  private readonly options: RequestFrontOptions;
+  private readonly log: ports.Log;
+  private active = 0;
+
+  constructor(options: RequestFrontOptions) {
+    this.options = options;
+    this.log = options.ports.log;
+  }
+
+  /** Requests that have not ended. */
+  get inFlight(): number {
+    return this.active;
+  }
+
+  private otherEntries(): readonly string[] {
+    const { services, settings } = this.options;
+    return services
+      .find('directory')
+      .entries()
+      .filter((entry) => entry.state === 'serving' && entry.name !== settings.name)
+      .map((entry) => entry.callerAddress);
+  }
+
+  private admitAccount(
+    request: types.CallerRequest,
+    refuse: Refuse,
+  ): trafficResolver.ResolvedAccount | undefined {
+    const configuration = this.options.services.find('configuration');
+    if (!configuration.isReady()) {
+      refuse(refusals.notReady(this.otherEntries()));
+      return undefined;
+    }
+    if (!configuration.isFresh() && this.isCutOffAlone()) {
+      refuse(refusals.stale(this.otherEntries()));
+      return undefined;
+    }
+    const account = this.options.services.find('resolver').account(request.bearerKey);
+    if (account === undefined) {
+      refuse(refusals.unknownKey);
+    }
+    return account;
+  }
+
+  /**
+   * True where this entry once knew others and hears from none. While others are in reach and as stale as
+   * this one, control as a whole is down: nothing can be accepted meanwhile, so serving on reverts nothing.
+   */
+  private isCutOffAlone(): boolean {
+    const { settings, services } = this.options;
+    return settings.entries.length > 0 && services.find('directory').entries().length === 1;
+  }
+
+  private admit(
+    request: types.CallerRequest,
+    extraLabels: Readonly<Record<string, string>>,
+    refuse: Refuse,
+  ): Admitted | undefined {
+    const account = this.admitAccount(request, refuse);
+    if (account === undefined) {
+      return undefined;
+    }
+    const parsed = trafficResolver.parseHeaderLabels(request.labelsHeader);
+    if (parsed.err) {
+      refuse(refusals.invalid(parsed.val.message, parsed.val.remedy));
+      return undefined;
+    }
+    // The account's own labels come last, so that a caller cannot claim another market's.
+    const labels = { ...parsed.val, ...extraLabels, ...account.labels };
+    const route = this.options.services.find('resolver').route(labels);
+    if (route === undefined) {
+      refuse(refusals.noRoute);
+      return undefined;
+    }
+    return { account, route, labels };
+  }
+
+  /** Takes a request to generate. */
+  generate(request: types.GenerationRequest, caller: streams.GenerationCaller): streams.StreamHandle {
+    const refuse: Refuse = (refusal) => {
+      caller.refused(refusal);
+    };
+    const model = typeof request.body.model === 'string' ? request.body.model : '';
+    const admitted = this.admit(request, { model, path: request.path }, refuse);
+    if (admitted === undefined) {
+      return IDLE_HANDLE;
+    }
+    const prompt = promptFacts.read(request.body);
+    if (prompt === undefined) {
+      refuse(refusals.invalid('The body has neither a prompt nor messages.', 'Add "prompt" or "messages".'));
+      return IDLE_HANDLE;
+    }
+    return this.startRelay(request, admitted, prompt, caller);
+  }
+
+  private startRelay(
+    request: types.GenerationRequest,
+    admitted: Admitted,
+    prompt: promptFacts.PromptFacts,
+    caller: streams.GenerationCaller,
+  ): streams.StreamHandle {
+    const { ports: outside, services, settings } = this.options;
+    const { account, route, labels } = admitted;
+    const { selector } = route;
+    const requestId = outside.random.identity();
+    const model = selector.adapter ?? selector.model ?? labels.model ?? '';
+    const traffic = labels.traffic ?? route.selectorName;
+    const placementRequest = {
+      requestId,
+      account: account.name,
+      deployment: selector.deployment,
+      upstreams: route.deployment.upstreams,
+      kind: route.deployment.kind,
+      urgency: selector.urgency,
+      promptTokens: prompt.tokens,
+      prefix: prompt.prefix,
+      estimateKeys: [`${account.name}/${model}/${traffic}`, `${model}/${traffic}`, model],
+    };
+    const order = {
+      path: request.path,
+      body: JSON.stringify({ ...request.body, model, stream: true }),
+      priority: selector.urgency === 'urgent' ? 0 : 1,
+    };
+    const relay = new generationRelay.GenerationRelay({
+      requestId,
+      order,
+      mayRestart: request.acceptsRestart && selector.onUpstreamDeath === 'restart',
+      engines: outside.engines,
+      timers: services.find('timers'),
+      settings: settings.relay,
+      caller: this.measured(selector.urgency, caller),
+      host: this.relayHost(placementRequest, request.path),
+    });
+    this.active += 1;
+    services.find('retries').requested(account.name);
+    relay.start();
+    return relay;
+  }
+
+  private measured(
+    urgency: configurationTypes.Urgency,
+    caller: streams.GenerationCaller,
+  ): streams.GenerationCaller {
+    const { services, ports: outside } = this.options;
+    const { clock, metrics } = outside;
+    return measuredCaller.create({
+      now: () => clock.now(),
+      burn: services.find('burn'),
+      metrics,
+      urgency,
+      caller,
+    });
+  }
+
+  private relayHost(
+    request: Omit<routing.PlacementRequest, 'exclude'>,
+    path: string,
+  ): generationRelay.RelayHost {
+    const { services, ports: outside, settings } = this.options;
+    const placement = services.find('placement');
+    return {
+      place: (exclude, done) => placement.place({ ...request, exclude }, done),
+      issueToken: (target, generation) =>
+        resumeToken.issue(
+          {
+            requestId: request.requestId,
+            account: request.account,
+            upstream: target.name,
+            address: target.address,
+            generation,
+            path,
+          },
+          settings.signingKey,
+        ),
+      mayRetry: () => services.find('retries').mayRetry(request.account),
+      progressed: (produced) => {
+        placement.progressed(request.requestId, produced);
+      },
+      left: (upstream, produced, reason) => {
+        this.onLeft(request.requestId, upstream, produced, reason);
+      },
+      stalled: (milliseconds) => {
+        outside.metrics.count('relay.stalls', 1);
+        this.log.debug('streamStalled', { request: request.requestId, milliseconds });
+      },
+      dropped: () => {
+        outside.metrics.count('relay.dropped_tokens', 1);
+      },
+      otherEntries: () => this.otherEntries(),
+      finished: () => {
+        this.active -= 1;
+      },
+    };
+  }
+
+  private onLeft(
+    requestId: string,
+    upstream: string,
+    produced: number,
+    reason: generationRelay.LeaveReason,
+  ): void {
+    const { services, ports: outside } = this.options;
+    const health = services.find('health');
+    services.find('placement').finished(requestId, produced, reason === 'whole');
+    if (reason === 'whole') {
+      health.succeeded(upstream);
+    } else if (reason === 'failure' || reason === 'stall') {
+      health.failed(upstream, reason, outside.clock.now());
+      outside.metrics.count('upstream.failures', 1, { reason });
+      this.log.warn('upstreamFailed', { upstream, reason, request: requestId });
+    }
+  }
+
+  /** Takes a request to go on with a stream, begun here or at another entry. */
+  resume(request: types.ResumeRequest, caller: streams.GenerationCaller): streams.StreamHandle {
+    const { settings, ports: outside, services } = this.options;
+    const account = this.admitAccount(request, (refusal) => {
+      caller.refused(refusal);
+    });
+    if (account === undefined) {
+      return IDLE_HANDLE;
+    }
+    const verified = resumeToken.verify(request.token, account.name, settings.signingKey);
+    if (verified.err || verified.val.claims.requestId !== request.requestId) {
+      const { message, remedy } = verified.err
+        ? verified.val
+        : { message: 'The token is of another request.', remedy: 'Ask for the request that it names.' };
+      caller.refused({ kind: 'invalid', status: 403, message, remedy });
+      return IDLE_HANDLE;
+    }
+    const { claims, nextIndex } = verified.val;
+    const placementRequest = {
+      requestId: `${claims.requestId}/${outside.random.identity()}`,
+      account: account.name,
+      deployment: '',
+      upstreams: '',
+      kind: 'engine',
+      urgency: 'patient',
+      promptTokens: 0,
+      prefix: '',
+      estimateKeys: [],
+    } as const;
+    const relay = new generationRelay.GenerationRelay({
+      requestId: claims.requestId,
+      order: undefined,
+      mayRestart: false,
+      engines: outside.engines,
+      timers: services.find('timers'),
+      settings: settings.relay,
+      caller,
+      host: {
+        ...this.relayHost(placementRequest, claims.path),
+        // The token that is issued again must name the request, not this one resumption of it.
+        issueToken: (target, generation) =>
+          resumeToken.issue(
+            { ...claims, upstream: target.name, address: target.address, generation },
+            settings.signingKey,
+          ),
+      },
+    });
+    this.active += 1;
+    relay.resumeFrom({ name: claims.upstream, address: claims.address }, claims.generation, nextIndex);
+    return relay;
+  }
+
+  /** Takes a call to a plain service. */
+  call(request: types.ServiceRequest, caller: streams.ServiceCaller): void {
+    const refuse: Refuse = (refusal) => {
+      caller.refused(refusal);
+    };
+    const extraLabels = { service: request.service, method: request.method, path: request.path };
+    const admitted = this.admit(request, extraLabels, refuse);
+    if (admitted === undefined) {
+      return;
+    }
+    const { account, route } = admitted;
+    const idempotent = route.selector.idempotent ?? IDEMPOTENT_METHODS.includes(request.method);
+    if (!idempotent && request.idempotencyKey === undefined) {
+      refuse(refusals.keyNeeded);
+      return;
+    }
+    this.startCall(request, account, route, idempotent, caller);
+  }
+
+  private startCall(
+    request: types.ServiceRequest,
+    account: trafficResolver.ResolvedAccount,
+    route: trafficResolver.Route,
+    idempotent: boolean,
+    caller: streams.ServiceCaller,
+  ): void {
+    const { services, ports: outside, settings } = this.options;
+    const { method, path, contentType, body } = request;
+    const requestId = outside.random.identity();
+    const key = request.idempotencyKey ?? '';
+    const host = this.relayHost(
+      {
+        requestId,
+        account: account.name,
+        deployment: route.selector.deployment,
+        upstreams: route.deployment.upstreams,
+        kind: route.deployment.kind,
+        urgency: route.selector.urgency,
+        promptTokens: 0,
+        prefix: '',
+        estimateKeys: [],
+      },
+      path,
+    );
+    const digest = canonicalJson.digest([request.service, method, path, body]);
+    this.active += 1;
+    services.find('retries').requested(account.name);
+    new serviceRelay.ServiceRelay({
+      call: { method, path, contentType, body, idempotencyKey: key },
+      claim: idempotent
+        ? undefined
+        : { account: account.name, key, digest, holder: settings.name, attempt: requestId },
+      claims: services.find('claims'),
+      services: outside.services,
+      timeout: settings.serviceTimeout,
+      caller: this.timedCall(route.selector.urgency, caller),
+      host,
+    }).start();
+  }
+
+  private timedCall(
+    urgency: configurationTypes.Urgency,
+    caller: streams.ServiceCaller,
+  ): streams.ServiceCaller {
+    const { clock, metrics } = this.options.ports;
+    const burn = this.options.services.find('burn');
+    const startedAt = clock.now();
+    return {
+      answered: (answer, repeated) => {
+        const elapsed = clock.now() - startedAt;
+        burn.record('stall', urgency, elapsed);
+        burn.record('whole', urgency, elapsed);
+        metrics.timing('call.whole', elapsed, { urgency });
+        caller.answered(answer, repeated);
+      },
+      refused: (refusal) => {
+        metrics.count('refusals', 1, { kind: refusal.kind });
+        caller.refused(refusal);
+      },
+    };
+  }
+}
--- /dev/null
+++ b/packages/kumquatfront/src/estimates/lengthEstimator.ts
@@ -0,0 +1,137 @@
+/**
+ * On-line estimates of output length. Each key keeps a histogram over logarithmic buckets whose old counts
+ * fade; a key that has seen too little answers with what its parent knows, down to a prior.
+ */
+
+/** Keys from the most to the least specific, such as account, model and traffic. */
+export type EstimateKeys = readonly string[];
+
+/** Settings of the estimator. */
+export interface LengthEstimatorSettings {
+  /** Observations a key needs before its own histogram is used. */
+  readonly minimumCount: number;
+  /** Weight an old observation keeps when a new one arrives, below 1. */
+  readonly fading: number;
+  /** Keys remembered at most; the one unused for longest goes first. */
+  readonly maximumKeys: number;
+}
+
+/** Settings that suit a day's mix of traffic. */
+export const defaultSettings: LengthEstimatorSettings = {
+  minimumCount: 8,
+  fading: 0.995,
+  maximumKeys: 20_000,
+};
+
+const BUCKETS_PER_DOUBLING = 3;
+const BUCKET_COUNT = 52;
+/** Prior: most outputs are a few hundred tokens, some are thousands. */
+const PRIOR_MEDIAN_BUCKET = 24;
+
+interface Histogram {
+  readonly counts: Float64Array;
+  total: number;
+}
+
+function bucketOf(length: number): number {
+  const bucket = Math.ceil(Math.log2(Math.max(1, length)) * BUCKETS_PER_DOUBLING);
+  return Math.min(BUCKET_COUNT - 1, bucket);
+}
+
+function upperEdge(bucket: number): number {
+  return 2 ** (bucket / BUCKETS_PER_DOUBLING);
+}
+
+function createPrior(): Histogram {
+  const counts = new Float64Array(BUCKET_COUNT);
+  for (let bucket = 0; bucket < BUCKET_COUNT; bucket += 1) {
+    counts[bucket] = Math.exp(-(((bucket - PRIOR_MEDIAN_BUCKET) / 8) ** 2));
+  }
+  return { counts, total: counts.reduce((sum, count) => sum + count, 0) };
+}
+
+function conditionalQuantile(histogram: Histogram, produced: number, quantile: number): number | undefined {
+  const first = bucketOf(produced + 1);
+  let tail = 0;
+  for (let bucket = first; bucket < BUCKET_COUNT; bucket += 1) {
+    tail += histogram.counts[bucket] ?? 0;
+  }
+  if (tail < 0.5) {
+    return undefined;
+  }
+  let seen = 0;
+  for (let bucket = first; bucket < BUCKET_COUNT; bucket += 1) {
+    seen += histogram.counts[bucket] ?? 0;
+    if (seen >= tail * quantile) {
+      return Math.max(produced + 1, upperEdge(bucket));
+    }
+  }
+  return undefined;
+}
+
+/**
+ * Estimates output lengths in tokens.
+ *
+ * @example
+ * ```ts
+ * const estimator = new lengthEstimator.LengthEstimator();
+ * estimator.observe(['bursar/report', 'report'], 1800);
+ * estimator.quantile(['bursar/report', 'report'], 0, 0.75); // final length, in tokens
+ * ```
+ */
+export class LengthEstimator {
+  private readonly settings: LengthEstimatorSettings;
+  private readonly histograms = new Map<string, Histogram>();
+  private readonly prior = createPrior();
+
+  constructor(settings: LengthEstimatorSettings = defaultSettings) {
+    this.settings = settings;
+  }
+
+  /** Learns the final length of a generation under all its keys. */
+  observe(keys: EstimateKeys, length: number): void {
+    for (const key of keys) {
+      this.observeKey(key, length);
+    }
+  }
+
+  private observeKey(key: string, length: number): void {
+    const histogram = this.histograms.get(key) ?? { counts: new Float64Array(BUCKET_COUNT), total: 0 };
+    for (let bucket = 0; bucket < BUCKET_COUNT; bucket += 1) {
+      histogram.counts[bucket] = (histogram.counts[bucket] ?? 0) * this.settings.fading;
+    }
+    const bucket = bucketOf(length);
+    histogram.counts[bucket] = (histogram.counts[bucket] ?? 0) + 1;
+    histogram.total = histogram.total * this.settings.fading + 1;
+    this.histograms.delete(key);
+    this.histograms.set(key, histogram);
+    this.forgetOldest();
+  }
+
+  private forgetOldest(): void {
+    if (this.histograms.size <= this.settings.maximumKeys) {
+      return;
+    }
+    const [oldest] = this.histograms.keys();
+    if (oldest !== undefined) {
+      this.histograms.delete(oldest);
+    }
+  }
+
+  /**
+   * Final length that a share `quantile` of comparable generations stays under, given that `produced`
+   * tokens exist already. A generation that outlived its estimate is judged by those that did so before.
+   */
+  quantile(keys: EstimateKeys, produced: number, quantile: number): number {
+    for (const key of keys) {
+      const histogram = this.histograms.get(key);
+      if (histogram !== undefined && histogram.total >= this.settings.minimumCount) {
+        const value = conditionalQuantile(histogram, produced, quantile);
+        if (value !== undefined) {
+          return value;
+        }
+      }
+    }
+    return conditionalQuantile(this.prior, produced, quantile) ?? produced * 2;
+  }
+}
--- /dev/null
+++ b/packages/kumquatfront/src/utils/canonicalJson.ts
@@ -0,0 +1,44 @@
+/**
+ * JSON text that is the same for equal values, whatever the order of their keys.
+ */
+import * as crypto from 'node:crypto';
+
+function sortKeys(_key: string, value: unknown): unknown {
+  if (value === null || typeof value !== 'object' || Array.isArray(value)) {
+    return value;
+  }
+  const record = value as Record<string, unknown>;
+  return Object.fromEntries(
+    Object.keys(record)
+      .sort()
+      .map((key) => [key, record[key]]),
+  );
+}
+
+/**
+ * Canonical JSON text.
+ *
+ * @param value - a JSON value
+ * @returns its text with keys in order
+ * @example
+ * ```ts
+ * canonicalJson.stringify({ b: 1, a: 2 }); // '{"a":2,"b":1}'
+ * ```
+ */
+export function stringify(value: unknown): string {
+  return JSON.stringify(value, sortKeys);
+}
+
+/**
+ * SHA-256 of the canonical text.
+ *
+ * @param value - a JSON value
+ * @returns 64 hexadecimal digits
+ * @example
+ * ```ts
+ * canonicalJson.digest({ amount: 12 });
+ * ```
+ */
+export function digest(value: unknown): string {
+  return crypto.createHash('sha256').update(stringify(value)).digest('hex');
+}
--- /dev/null
+++ b/packages/standIns/src/service/serviceHttp.ts
@@ -0,0 +1,33 @@
+/**
+ * The HTTP adapter of the stand-in service.
+ */
+import * as http from 'node:http';
+
+import * as kumquatfront from 'kumquatfront';
+
+import type * as serviceModel from './serviceModel.js';
+
+/**
+ * Creates the server. `GET /stand-in/runs` tells how often each call ran.
+ *
+ * @param model - the service
+ * @returns the server, not yet listening
+ * @example
+ * ```ts
+ * serviceHttp.createServer(new serviceModel.ServiceModel()).listen(0, '127.0.0.1');
+ * ```
+ */
+export function createServer(model: serviceModel.ServiceModel): http.Server {
+  return http.createServer((request, response) => {
+    if (request.url === '/stand-in/runs') {
+      kumquatfront.httpAnswers.sendJson(response, 200, Object.fromEntries(model.runs));
+      return;
+    }
+    kumquatfront.httpAnswers.readBody(request, () => {
+      const key = kumquatfront.httpAnswers.header(request, 'idempotency-key') ?? '';
+      const body = model.run(request.method ?? 'GET', request.url ?? '/', key);
+      response.writeHead(200, { 'content-type': 'application/json' });
+      response.end(body);
+    });
+  });
+}
--- /dev/null
+++ b/packages/standIns/src/upstreamProcess.ts
@@ -0,0 +1,114 @@
+#!/usr/bin/env node
+/**
+ * A stand-in upstream as a process: `upstreamProcess.js '{"kind":"engine",...}'`.
+ */
+import type * as http from 'node:http';
+import type * as net from 'node:net';
+
+import * as kumquatfront from 'kumquatfront';
+
+import * as announcer from './announcer/announcer.js';
+import * as httpPoster from './announcer/httpPoster.js';
+import * as engineHttp from './engine/engineHttp.js';
+import * as engineModel from './engine/engineModel.js';
+import * as orderBook from './engine/orderBook.js';
+import type * as engineTypes from './engine/types.js';
+import * as serviceHttp from './service/serviceHttp.js';
+import * as serviceModel from './service/serviceModel.js';
+
+/** What the process is told on its command line. */
+export interface UpstreamProcessOptions {
+  readonly kind: 'engine' | 'plainService';
+  readonly name: string;
+  readonly port: number;
+  readonly dataCentre: string;
+  readonly labels: Readonly<Record<string, string>>;
+  readonly entries: readonly string[];
+  readonly upstreamKey: string;
+  /** Only for engines. */
+  readonly engine?: Omit<engineTypes.EngineOptions, 'name'>;
+}
+
+const LEASE = 4_000;
+const ANNOUNCE_EVERY = 1_000;
+const REPORT_EVERY = 500;
+const REPORT_LAG = 200;
+const CACHE_LOSS = 0.1;
+
+interface Upstream {
+  readonly server: http.Server;
+  readonly load: () => engineTypes.EngineLoad;
+  readonly cacheChanges: () => { readonly added: readonly string[]; readonly removed: readonly string[] };
+}
+
+function createEngine(
+  options: UpstreamProcessOptions,
+  timers: kumquatfront.timerService.TimerService,
+): Upstream {
+  const engineOptions = { name: options.name, ...DEFAULT_ENGINE, ...options.engine };
+  const model = new engineModel.EngineModel(engineOptions, timers);
+  const server = engineHttp.createServer({ model, orders: new orderBook.OrderBook(true) });
+  return { server, load: () => model.load(), cacheChanges: () => model.takeCacheChanges() };
+}
+
+const DEFAULT_ENGINE: Omit<engineTypes.EngineOptions, 'name'> = {
+  memoryTokens: 6_000,
+  slots: 16,
+  stepBase: 12,
+  stepPerRunning: 0.3,
+  prefillPerToken: 0.02,
+  prefillPerStep: 512,
+  cachedPrefixes: 64,
+};
+
+function createService(): Upstream {
+  const model = new serviceModel.ServiceModel();
+  const idle = { running: 0, waiting: 0, usedTokens: 0 };
+  return {
+    server: serviceHttp.createServer(model),
+    load: () => idle,
+    cacheChanges: () => ({ added: [], removed: [] }),
+  };
+}
+
+function run(options: UpstreamProcessOptions): void {
+  const { clock, scheduler } = kumquatfront.systemTime;
+  const timers = kumquatfront.timerService.create(clock, scheduler);
+  const random = kumquatfront.seededRandom.createUnpredictable();
+  const upstream = options.kind === 'engine' ? createEngine(options, timers) : createService();
+  const engine = { ...DEFAULT_ENGINE, ...options.engine };
+  upstream.server.listen(options.port, '127.0.0.1', () => {
+    const { port } = upstream.server.address() as net.AddressInfo;
+    const own = new announcer.Announcer({
+      announcement: {
+        name: options.name,
+        incarnation: clock.wall(),
+        address: `http://127.0.0.1:${port}`,
+        kind: options.kind,
+        labels: options.labels,
+        dataCentre: options.dataCentre,
+        memoryTokens: options.kind === 'engine' ? engine.memoryTokens : 0,
+        slots: options.kind === 'engine' ? engine.slots : 0,
+        lease: LEASE,
+      },
+      timers,
+      random,
+      announceEvery: ANNOUNCE_EVERY,
+      reportEvery: REPORT_EVERY,
+      reportLag: REPORT_LAG,
+      cacheLoss: CACHE_LOSS,
+      load: upstream.load,
+      cacheChanges: upstream.cacheChanges,
+      isFrozen: () => false,
+      post: httpPoster.create({ entries: options.entries, upstreamKey: options.upstreamKey, random }),
+    });
+    process.once('SIGTERM', () => {
+      own.leave();
+    });
+  });
+}
+
+const [, , argument] = process.argv;
+if (argument !== undefined) {
+  run(JSON.parse(argument) as UpstreamProcessOptions);
+}
