Scenarios on virtual time: every fault named by the issues, with golden files

Cause: the promises were built but not proved under failure.

Change: a small world on virtual time (hosts that die and freeze, links that are cut one way, disks that forget and tear), a line language, 42 scenarios with golden sessions, and `npm run prove`, which takes 38 safeguards out of the built library one at a time and wants the scenario red without each.

Found and mended: an entry cut from all control replicas asked another entry only after three timeouts in a row (3 s), so it was close to calling itself stale; it now asks a peer beside control after two silent pulls.

--- a/packages/kumquatfront/src/configuration/configurationReplica.ts
+++ b/packages/kumquatfront/src/configuration/configurationReplica.ts
@@ -32,6 +32,9 @@
   readonly entries: () => readonly directory.EntryPresence[];
 }
 
+/** Pulls without an answer after which other entries are asked as well. */
+const PULLS_BEFORE_PEERS = 2;
+
 /** The replica; see the module comment. */
 export class ConfigurationReplica {
   private readonly options: ConfigurationReplicaOptions;
@@ -103,6 +106,11 @@
       return;
     }
     this.pullFromAny(request, this.shuffledControl());
+    // Each silent control replica costs a whole timeout. Asking an entry beside them brings changes in while
+    // this entry alone is cut from control, long before it would have to call itself stale.
+    if (this.options.timers.now() - this.freshAt > settings.pullInterval * PULLS_BEFORE_PEERS) {
+      this.pullFromPeer(request);
+    }
   }
 
   private shuffledControl(): readonly string[] {
@@ -115,7 +123,6 @@
   private pullFromAny(request: methods.PullRequest, addresses: readonly string[]): void {
     const [first, ...others] = addresses;
     if (first === undefined) {
-      this.pullFromPeer(request);
       return;
     }
     const { peers, settings } = this.options;
--- /dev/null
+++ b/packages/scenarios/src/language/actions.ts
@@ -0,0 +1,226 @@
+/**
+ * What a scenario can do, verb by verb.
+ */
+import * as baseConfiguration from './baseConfiguration.js';
+import * as expectations from './expectations.js';
+import * as lineModule from './line.js';
+import type * as session from './session.js';
+
+/** Carries out one line. */
+export type Action = (current: session.Session, line: lineModule.Line) => void;
+
+const { word, wordAfter, numberOption, duration } = lineModule;
+
+function entryOf(line: lineModule.Line): string {
+  return wordAfter(line, 'at') ?? 'entry-1';
+}
+
+function onHost(act: (current: session.Session, name: string) => void): Action {
+  return (current, line) => {
+    act(current, word(line, 0));
+  };
+}
+
+const addEngine: Action = (current, line) => {
+  current.world.addEngine(word(line, 0), {
+    pool: line.options.pool ?? 'llm',
+    reportLag: numberOption(line, 'lag', 200),
+    checksFencing: line.options.fencing !== 'ignored',
+    options: {
+      memoryTokens: numberOption(line, 'memory', 6_000),
+      slots: numberOption(line, 'slots', 8),
+      stepBase: numberOption(line, 'step', 20),
+      stepPerRunning: 0,
+      prefillPerToken: 0.02,
+      prefillPerStep: 512,
+      cachedPrefixes: 16,
+    },
+  });
+};
+
+const send: Action = (current, line) => {
+  const account = line.options.account === 'canteen' ? 'canteen' : 'school';
+  const traffic = line.options.traffic ?? 'report';
+  const wish = {
+    name: word(line, 0),
+    key: baseConfiguration.accountKeys[account],
+    labels: `traffic=${traffic}`,
+    tokens: numberOption(line, 'tokens', 100),
+    promptLength: numberOption(line, 'prompt', 20),
+    acceptsRestart: line.words.includes('restart'),
+    persistent: line.words.includes('persistent'),
+  };
+  current.stream(wish, entryOf(line));
+};
+
+const act: Action = (current, line) => {
+  const name = word(line, 0);
+  const key = line.options.key ?? name;
+  current.call(name, 'POST', line.options.path ?? '/pay', key, line.options.body ?? name, entryOf(line));
+};
+
+const read: Action = (current, line) => {
+  const name = word(line, 0);
+  current.call(name, 'GET', line.options.path ?? `/balances/${name}`, undefined, '', entryOf(line));
+};
+
+/** `change c1 market m1 expect=0 region=north at control-1` */
+const change: Action = (current, line) => {
+  const [name, kind, object] = [word(line, 0), word(line, 1), word(line, 2)];
+  const { expect = '0', id, match, precedence = '50', region = name } = line.options;
+  const bodies: Readonly<Record<string, unknown>> = {
+    market: { labels: { region } },
+    limits: { queuePerAccount: numberOption(line, 'queue', 200) },
+    selector: { match, precedence: Number(precedence), deployment: 'llm', urgency: 'patient' },
+  };
+  const expectedVersion = expect.startsWith('of:')
+    ? (current.changes.get(expect.slice(3))?.version ?? 0)
+    : Number(expect);
+  const body = line.words.includes('delete') ? null : (bodies[kind] ?? {});
+  const draft = { kind: kind as 'market', name: object, body, expectedVersion, changeId: id };
+  current.change(name, draft, named(current, wordAfter(line, 'at') ?? 'leader'));
+};
+
+/** `changes 500 markets` applies many changes, each waited for. */
+const changes: Action = (current, line) => {
+  for (let count = 0; count < Number(word(line, 0)); count += 1) {
+    const name = `bulk-${current.changes.size}`;
+    const draft = { kind: 'market' as const, name, body: { labels: { region: name } }, expectedVersion: 0 };
+    current.change(name, draft, current.world.leaders()[0] ?? '');
+    current.waitUntil(`${name} is accepted`, () => current.changes.get(name)?.state === 'accepted');
+  }
+};
+
+const order: Action = (current, line) => {
+  const [leader = ''] = current.world.leaders();
+  const action = line.options.action === 'changeRole' ? 'changeRole' : 'loadModel';
+  const replica = current.world.controls.get(leader)?.node?.services.find('replica');
+  const command = {
+    type: 'order',
+    orderId: word(line, 0),
+    upstream: word(line, 1),
+    order: { action, target: line.options.target ?? 'model' },
+  };
+  replica?.propose(command, () => undefined);
+};
+
+const UNTIL_LIMIT = 10_000;
+
+/** `until change c1 accepted`: runs a millisecond at a time, so that what follows comes right after it. */
+const until: Action = (current, line) => {
+  const { time } = current.world;
+  for (let waited = 0; waited < UNTIL_LIMIT; waited += 1) {
+    if (expectations.holds(current, line)) {
+      return;
+    }
+    time.advance(1);
+  }
+  throw new lineModule.ScenarioError(line, `it did not come within ${UNTIL_LIMIT} ms`);
+};
+
+const leaderOf = (current: session.Session): string => current.world.leaders()[0] ?? '';
+
+/** Names a host, or the leader by the word `leader`. */
+function named(current: session.Session, name: string): string {
+  return name === 'leader' ? leaderOf(current) : name;
+}
+
+/** Every verb. */
+export const actions: Readonly<Record<string, Action>> = {
+  engine: addEngine,
+  service: (current, line) => {
+    current.world.addService(word(line, 0), line.options.pool ?? 'app', numberOption(line, 'delay', 5));
+  },
+  configure: (current) => {
+    current.configure();
+  },
+  advance: (current, line) => {
+    current.world.time.advance(duration(line, word(line, 0)));
+  },
+  until,
+  send,
+  act,
+  read,
+  change,
+  changes,
+  order,
+  kill: (current, line) => {
+    const name = named(current, word(line, 0));
+    current.world.record(`-- ${name} is killed`);
+    current.world.kill(name, line.words.includes('torn'));
+  },
+  boot: onHost((current, name) => {
+    current.world.boot(name);
+  }),
+  freeze: (current, line) => {
+    const name = named(current, word(line, 0));
+    current.world.record(`-- ${name} freezes`);
+    current.world.freeze(name);
+  },
+  thaw: onHost((current, name) => {
+    current.world.record(`-- ${name} thaws`);
+    current.world.thaw(name);
+  }),
+  cut: (current, line) => {
+    current.world.net.cut(word(line, 0), word(line, 1));
+  },
+  'cut-one-way': (current, line) => {
+    current.world.net.cutOneWay(named(current, word(line, 0)), named(current, word(line, 1)));
+  },
+  lag: (current, line) => {
+    current.world.net.lag(named(current, word(line, 0)), word(line, 1), duration(line, word(line, 2)));
+  },
+  isolate: (current, line) => {
+    const name = named(current, word(line, 0));
+    current.world.record(`-- ${name} is cut off`);
+    current.world.isolate(name);
+  },
+  /** `partition control-1 entry-1` cuts the named hosts, which hear each other, from all others. */
+  partition: (current, line) => {
+    for (const name of line.words) {
+      for (const other of current.world.net.hosts.keys()) {
+        if (!line.words.includes(other)) {
+          current.world.net.cut(name, other);
+        }
+      }
+    }
+  },
+  heal: (current) => {
+    current.world.record('-- every link heals');
+    current.world.net.heal();
+  },
+  'lose-disk': onHost((current, name) => {
+    current.world.controls.get(name)?.disk.lose();
+  }),
+  'flip-bit': (current, line) => {
+    current.world.controls.get(word(line, 0))?.disk.flipBit('log');
+  },
+  leave: onHost((current, name) => {
+    current.world.record(`-- ${name} says that it leaves`);
+    current.world.leave(name);
+  }),
+  drain: onHost((current, name) => {
+    current.world.entries.get(name)?.node?.drain(() => {
+      current.world.record(`${name} has drained`);
+      current.world.kill(name);
+    });
+  }),
+  slow: (current, line) => {
+    current.streams.get(word(line, 0))?.setSlow(true);
+  },
+  fast: (current, line) => {
+    current.streams.get(word(line, 0))?.setSlow(false);
+  },
+  away: (current, line) => {
+    current.streams.get(word(line, 0))?.leave();
+  },
+  back: (current, line) => {
+    current.streams.get(word(line, 0))?.comeBack(entryOf(line));
+  },
+  delay: (current, line) => {
+    const service = current.world.services.get(word(line, 0));
+    if (service !== undefined) {
+      service.delay = duration(line, word(line, 1));
+    }
+  },
+};
--- /dev/null
+++ b/packages/scenarios/src/language/line.ts
@@ -0,0 +1,128 @@
+/**
+ * One line of a scenario: a verb, plain words, and `name=value` options.
+ */
+
+/** A parsed line. */
+export interface Line {
+  readonly number: number;
+  readonly text: string;
+  readonly verb: string;
+  readonly words: readonly string[];
+  readonly options: Readonly<Record<string, string>>;
+}
+
+/** An error in a scenario, with the line at fault. */
+export class ScenarioError extends Error {
+  constructor(line: Line, message: string) {
+    super(`line ${line.number}: ${line.text}: ${message}`);
+    this.name = 'ScenarioError';
+  }
+}
+
+/**
+ * Parses the text of a scenario; `#` begins a comment.
+ *
+ * @param text - the scenario
+ * @returns its lines
+ * @example
+ * ```ts
+ * line.parse('engine e1 memory=4000\nadvance 2s');
+ * ```
+ */
+export function parse(text: string): readonly Line[] {
+  const lines: Line[] = [];
+  for (const [position, raw] of text.split('\n').entries()) {
+    const content = raw.replace(/#.*$/, '').trim();
+    if (content === '') {
+      continue;
+    }
+    const parts = content.split(/\s+/);
+    const options: Record<string, string> = {};
+    const words: string[] = [];
+    for (const part of parts) {
+      const equals = part.indexOf('=');
+      if (equals > 0) {
+        options[part.slice(0, equals)] = part.slice(equals + 1);
+      } else {
+        words.push(part);
+      }
+    }
+    const [verb = '', ...rest] = words;
+    lines.push({ number: position + 1, text: content, verb, words: rest, options });
+  }
+  return lines;
+}
+
+/**
+ * A word of a line.
+ *
+ * @param line - the line
+ * @param position - which word after the verb
+ * @returns the word
+ * @example
+ * ```ts
+ * const host = line.word(current, 0);
+ * ```
+ */
+export function word(line: Line, position: number): string {
+  const found = line.words[position];
+  if (found === undefined) {
+    throw new ScenarioError(line, `word ${position + 1} is missing`);
+  }
+  return found;
+}
+
+/**
+ * The word after another, as in `at entry-1`.
+ *
+ * @param line - the line
+ * @param before - the word before it
+ * @returns the word; undefined where `before` does not occur
+ * @example
+ * ```ts
+ * const entry = line.wordAfter(current, 'at');
+ * ```
+ */
+export function wordAfter(line: Line, before: string): string | undefined {
+  const position = line.words.indexOf(before);
+  return position < 0 ? undefined : line.words[position + 1];
+}
+
+/**
+ * A number option.
+ *
+ * @param line - the line
+ * @param name - the option
+ * @param fallback - what holds where it is absent
+ * @returns the number
+ * @example
+ * ```ts
+ * const memory = line.numberOption(current, 'memory', 6000);
+ * ```
+ */
+export function numberOption(line: Line, name: string, fallback: number): number {
+  const text = line.options[name];
+  return text === undefined ? fallback : Number(text);
+}
+
+const UNITS: Readonly<Record<string, number>> = { ms: 1, s: 1_000, m: 60_000, h: 3_600_000 };
+
+/**
+ * A duration such as `500ms`, `2s` or `1h`.
+ *
+ * @param line - the line, for the message
+ * @param text - the duration
+ * @returns milliseconds
+ * @example
+ * ```ts
+ * line.duration(current, '2s'); // 2000
+ * ```
+ */
+export function duration(line: Line, text: string): number {
+  const [, count = '', unit = ''] = /^(\d+)(ms|s|m|h)$/.exec(text) ?? [];
+  const factor = UNITS[unit];
+  if (factor === undefined) {
+    throw new ScenarioError(line, `"${text}" is no duration; write 500ms, 2s, 5m or 1h`);
+  }
+  return Number(count) * factor;
+}
--- /dev/null
+++ b/packages/scenarios/src/scripts/prove.ts
@@ -0,0 +1,61 @@
+/**
+ * `npm run prove`: takes each safeguard out of the built library, runs its scenario, and puts it back. Every
+ * scenario must fail without its safeguard; one that still passes proves nothing and ends this with status 1.
+ */
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+
+import * as safeguards from './safeguards.js';
+
+const LIBRARY = new URL('../../../kumquatfront/dist/', import.meta.url).pathname;
+const RUNNER = new URL('./runScenario.js', import.meta.url).pathname;
+const RUN_LIMIT = 60_000;
+
+interface Verdict {
+  readonly red: boolean;
+  readonly detail: string;
+}
+
+function run(scenario: string): Verdict {
+  const result = childProcess.spawnSync(process.execPath, [RUNNER, scenario], {
+    encoding: 'utf8',
+    timeout: RUN_LIMIT,
+  });
+  const lines = result.stdout.trim().split('\n');
+  return { red: result.status !== 0, detail: lines.at(-1) ?? '' };
+}
+
+function prove(safeguard: safeguards.Safeguard): Verdict {
+  const file = LIBRARY + safeguard.file;
+  const original = fs.readFileSync(file, 'utf8');
+  if (original.split(safeguard.find).length !== 2) {
+    return { red: false, detail: `the text to take out does not stand exactly once in ${safeguard.file}` };
+  }
+  try {
+    fs.writeFileSync(
+      file,
+      original.replace(safeguard.find, () => safeguard.replace),
+    );
+    return run(safeguard.scenario);
+  } finally {
+    fs.writeFileSync(file, original);
+  }
+}
+
+const wanted = process.argv.slice(2);
+let unproved = 0;
+for (const safeguard of safeguards.safeguards) {
+  if (wanted.length > 0 && !wanted.includes(safeguard.scenario)) {
+    continue;
+  }
+  const whole = run(safeguard.scenario);
+  const without = prove(safeguard);
+  const proved = !whole.red && without.red;
+  unproved += proved ? 0 : 1;
+  process.stdout.write(`${proved ? 'proved  ' : 'UNPROVED'} ${safeguard.scenario}: ${safeguard.name}\n`);
+  process.stdout.write(
+    `         without it: ${without.detail}${whole.red ? ` (and red with it: ${whole.detail})` : ''}\n`,
+  );
+}
+process.stdout.write(`${safeguards.safeguards.length} safeguards, ${unproved} unproved\n`);
+process.exitCode = unproved === 0 ? 0 : 1;
