--- /dev/null
+++ b/packages/kumquatfront/src/consensus/replica.spec.ts
@@ -0,0 +1,213 @@
+/**
+ * Single decisions of a replica that random runs rarely reach, each driven by messages and timers alone.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import type * as ports from '../kernel/ports.js';
+import * as timerService from '../kernel/timerService.js';
+import * as logStore from './logStore.js';
+import * as replica from './replica.js';
+import type * as types from './types.js';
+
+const CLUSTER = 'cluster';
+const ELECTION_TIMEOUT = 1_000;
+
+function member(identity: string): types.Member {
+  return { identity, name: identity, address: identity, role: 'voter' };
+}
+
+const MEMBERS = ['a', 'b', 'c'].map(member);
+
+/** Replica `a` of three, whose clock is set by hand and whose timers fire only when told to. */
+class Bench {
+  now = 0;
+  readonly sent: types.ConsensusMessage[] = [];
+  readonly applied: unknown[] = [];
+  readonly store: logStore.LogStore;
+  readonly replica: replica.Replica;
+  private readonly timers: { readonly at: number; readonly run: () => void; live: boolean }[] = [];
+
+  constructor(entries: readonly types.LogEntry[], term: number) {
+    const disk: ports.Disk = {
+      read: (file) => (file === 'identity' ? Buffer.from('a') : undefined),
+      append: () => undefined,
+      sync: (_file, done) => {
+        done();
+      },
+      replace: (_file, _bytes, done) => {
+        done();
+      },
+    };
+    const random: ports.Random = { next: () => 0, identity: () => 'a' };
+    const clock: ports.Clock = { now: () => this.now, wall: () => this.now };
+    this.store = logStore.LogStore.open(disk, random).unwrap();
+    this.store.setHardState({ clusterIdentity: CLUSTER, term, votedFor: '' });
+    this.store.append({ index: 1, term: 1, stamp: 0, payload: { type: 'members', members: MEMBERS } });
+    for (const entry of entries) {
+      this.store.append(entry);
+    }
+    const silent = (): void => undefined;
+    this.replica = new replica.Replica({
+      store: this.store,
+      clock,
+      random,
+      timers: timerService.create(clock, { after: (delay, run) => this.schedule(delay, run) }),
+      log: { debug: silent, info: silent, warn: silent, error: silent },
+      timing: {
+        heartbeat: 100,
+        electionTimeout: ELECTION_TIMEOUT,
+        leaseShare: 0.8,
+        snapshotEvery: 1_000,
+        snapshotPieceLength: 1_000,
+        appendLimit: 10,
+      },
+      machine: {
+        apply: (command) => this.applied.push(command),
+        takeSnapshot: () => null,
+        restore: silent,
+      },
+      send: (_address, message) => this.sent.push(message),
+    });
+  }
+
+  private schedule(delay: number, run: () => void): ports.Cancel {
+    const timer = { at: this.now + delay, run, live: true };
+    this.timers.push(timer);
+    return () => {
+      timer.live = false;
+    };
+  }
+
+  advance(duration: number): void {
+    this.now += duration;
+    for (const timer of this.timers.splice(0)) {
+      if (timer.live && timer.at <= this.now) {
+        timer.run();
+      } else if (timer.live) {
+        this.timers.push(timer);
+      }
+    }
+  }
+
+  askVote(term: number, lastIndex: number, lastTerm: number): boolean {
+    this.replica.receive({
+      ...{ type: 'voteRequest', preVote: false, clusterIdentity: CLUSTER, from: 'b', to: 'a' },
+      ...{ term, lastIndex, lastTerm },
+    });
+    const answer = this.sent.at(-1);
+    return answer?.type === 'voteAnswer' && answer.granted;
+  }
+
+  heartbeat(term: number): void {
+    this.replica.receive({
+      ...{ type: 'appendRequest', clusterIdentity: CLUSTER, from: 'c', to: 'a', term },
+      ...{ previousIndex: this.store.lastIndex, previousTerm: this.store.lastTerm, entries: [] },
+      ...{ commitIndex: 1, sentAt: 0 },
+    });
+  }
+
+  /** Wins an election with the vote of `b`. */
+  win(): void {
+    this.advance(ELECTION_TIMEOUT * 2);
+    const term = this.store.hardState.term + 1;
+    const address = { clusterIdentity: CLUSTER, from: 'b', to: 'a', term };
+    this.replica.receive({ type: 'voteAnswer', preVote: true, granted: true, ...address });
+    this.replica.receive({ type: 'voteAnswer', preVote: false, granted: true, ...address });
+    assert.equal(this.replica.role, 'leader');
+  }
+
+  acknowledge(matchIndex: number): void {
+    const { term } = this.store.hardState;
+    const address = { clusterIdentity: CLUSTER, from: 'b', to: 'a', term };
+    this.advance(1);
+    this.replica.receive({ type: 'appendAnswer', success: true, matchIndex, sentAt: this.now, ...address });
+  }
+}
+
+function command(index: number, term: number): types.LogEntry {
+  return { index, term, stamp: 0, payload: { type: 'command', command: index } };
+}
+
+// A candidate that lacks an entry this voter holds could lead and overwrite it. If the entry is committed, an
+// operator's accepted change would be gone.
+void test.test('a voter refuses a candidate whose log is behind its own', () => {
+  const bench = new Bench([command(2, 2)], 2);
+  bench.advance(ELECTION_TIMEOUT);
+  assert.equal(bench.askVote(3, 1, 1), false);
+  assert.equal(bench.askVote(4, 2, 2), true);
+});
+
+// A voter that gave its vote away a second time in the same term would make two leaders possible.
+void test.test('a voter gives one vote a term', () => {
+  const bench = new Bench([], 1);
+  bench.advance(ELECTION_TIMEOUT);
+  assert.equal(bench.askVote(2, 1, 1), true);
+  bench.replica.receive({
+    ...{ type: 'voteRequest', preVote: false, clusterIdentity: CLUSTER, from: 'c', to: 'a' },
+    ...{ term: 2, lastIndex: 1, lastTerm: 1 },
+  });
+  assert.equal(bench.sent.at(-1)?.type === 'voteAnswer' && bench.sent.at(-1)?.to === 'c', true);
+  const answer = bench.sent.at(-1);
+  assert.equal(answer?.type === 'voteAnswer' && answer.granted, false);
+});
+
+// The leader's lease rests on this: whoever heard from it refuses others for an election timeout. A restart
+// forgets when that was, so it counts as news of a leader.
+void test.test('a voter refuses everyone while a leader may hold its lease, also after a restart', () => {
+  const bench = new Bench([], 1);
+  assert.equal(bench.askVote(2, 1, 1), false);
+  bench.advance(ELECTION_TIMEOUT);
+  bench.heartbeat(1);
+  bench.advance(ELECTION_TIMEOUT - 1);
+  assert.equal(bench.askVote(2, 9, 9), false);
+  bench.advance(1);
+  assert.equal(bench.askVote(2, 9, 9), true);
+});
+
+// An entry of an older term on a majority can still be overwritten by a later leader (figure 8 of the Raft
+// paper). Only an entry of the leader's own term commits by counting, and the older ones with it.
+void test.test('a leader commits an older entry only together with one of its own term', () => {
+  const bench = new Bench([command(2, 1)], 1);
+  bench.win();
+  bench.acknowledge(2);
+  assert.equal(bench.replica.commitIndex, 0);
+  bench.acknowledge(3);
+  assert.equal(bench.replica.commitIndex, 3);
+  assert.deepEqual(bench.applied, [2]);
+});
+
+// Two changes of members at once, or one before this term has committed, could leave an old and a new majority
+// that do not overlap.
+void test.test('members change one at a time, and only after this term has committed', () => {
+  const bench = new Bench([], 1);
+  bench.win();
+  const outcomes: boolean[] = [];
+  const change = (identities: readonly string[]): void => {
+    bench.replica.changeMembers(identities.map(member), (result) => outcomes.push(result.ok));
+  };
+  change(['a', 'b']);
+  assert.deepEqual(outcomes, [false]);
+  bench.acknowledge(2);
+  change(['a', 'b']);
+  change(['a', 'b', 'd']);
+  assert.deepEqual(outcomes, [false, false]);
+  bench.acknowledge(3);
+  assert.deepEqual(outcomes, [false, false, true]);
+});
+
+// A frozen leader wakes up after its lease is over. Until its timers run it still believes that it leads; it
+// must refuse operators on the clock alone.
+void test.test('a leader past its lease refuses before anything is written', () => {
+  const bench = new Bench([], 1);
+  bench.win();
+  bench.acknowledge(2);
+  assert.equal(bench.replica.mayLead(), true);
+  bench.now += ELECTION_TIMEOUT;
+  assert.equal(bench.replica.mayLead(), false);
+  const before = bench.store.lastIndex;
+  bench.replica.propose('late', (result) => {
+    assert.equal(result.err && result.val.kind, 'noQuorum');
+  });
+  assert.equal(bench.store.lastIndex, before);
+});
--- a/packages/scenarios/src/scripts/prove.ts
+++ b/packages/scenarios/src/scripts/prove.ts
@@ -9,6 +9,7 @@
 
 const LIBRARY = new URL('../../../kumquatfront/dist/', import.meta.url).pathname;
 const RUNNER = new URL('./runScenario.js', import.meta.url).pathname;
+const SOAK = new URL('./soak.js', import.meta.url).pathname;
 const RUN_LIMIT = 60_000;
 
 interface Verdict {
@@ -17,12 +18,14 @@
 }
 
 function run(scenario: string): Verdict {
-  const result = childProcess.spawnSync(process.execPath, [RUNNER, scenario], {
+  const [kind, seed = ''] = scenario.split(':');
+  const command = kind === 'soak' ? [SOAK, '1', seed] : [RUNNER, scenario];
+  const result = childProcess.spawnSync(process.execPath, command, {
     encoding: 'utf8',
     timeout: RUN_LIMIT,
   });
-  const lines = result.stdout.trim().split('\n');
-  return { red: result.status !== 0, detail: lines.at(-1) ?? '' };
+  const [first = ''] = result.stdout.trim().split('\n');
+  return { red: result.status !== 0, detail: first };
 }
 
 function prove(safeguard: safeguards.Safeguard): Verdict {
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -9,6 +9,7 @@
   readonly file: string;
   readonly find: string;
   readonly replace: string;
+  /** Name of a scenario, or `soak:SEED` for a run of random faults. */
   readonly scenario: string;
 }
 
@@ -286,4 +287,25 @@
     replace: 'if (false) {',
     scenario: 'order-late-from-old-leader',
   },
+  {
+    name: 'a voter gives one vote a term',
+    file: REPLICA,
+    find: 'message.term === store.hardState.term && free;',
+    replace: 'message.term === store.hardState.term;',
+    scenario: 'soak:39',
+  },
+  {
+    name: 'a leader past its lease does not act',
+    file: 'consensus/leadership.js',
+    find: 'return timers.now() < this.quorumAcknowledgedAt() + timing.electionTimeout * timing.leaseShare;',
+    replace: 'return true;',
+    scenario: 'soak:17',
+  },
+  {
+    name: 'what was accepted under random faults was synced',
+    file: 'consensus/logStore.js',
+    find: 'this.waiting.push(done);',
+    replace: 'done();',
+    scenario: 'soak:61',
+  },
 ];
