--- /dev/null
+++ b/packages/benchmarks/src/relay/tokenSource.ts
@@ -0,0 +1,93 @@
+/**
+ * A process that streams tokens as fast as they are taken, or at a pace, and announces itself as an engine.
+ * Told by JSON on the command line.
+ */
+import * as http from 'node:http';
+import type * as net from 'node:net';
+
+import * as kumquatfront from 'kumquatfront';
+import * as standIns from 'kumquatfront-stand-ins';
+
+interface SourceOptions {
+  readonly port: number;
+  readonly entries: readonly string[];
+  readonly upstreamKey: string;
+  readonly tokens: number;
+  /** Milliseconds between tokens; 0 streams as fast as they are taken. */
+  readonly pace: number;
+}
+
+const BATCH = 64;
+const options = JSON.parse(process.argv[2] ?? '{}') as SourceOptions;
+const { clock, scheduler } = kumquatfront.systemTime;
+
+function event(generation: string, index: number): string {
+  const chunk = {
+    id: generation,
+    choices: [{ index: 0, text: 'token ', finish_reason: null }],
+    at: clock.wall() + (clock.now() % 1),
+  };
+  return `id: ${generation}:${index}\ndata: ${JSON.stringify(chunk)}\n\n`;
+}
+
+function stream(generation: string, response: http.ServerResponse): void {
+  let index = 0;
+  const finish = (): void => {
+    response.end(`id: ${generation}:${index}\ndata: [DONE]\n\n`);
+  };
+  const fast = (): void => {
+    while (index < options.tokens) {
+      let batch = '';
+      for (let count = 0; count < BATCH && index < options.tokens; count += 1) {
+        batch += event(generation, index++);
+      }
+      if (!response.write(batch)) {
+        response.once('drain', fast);
+        return;
+      }
+    }
+    finish();
+  };
+  const paced = (): void => {
+    if (index >= options.tokens) {
+      finish();
+      return;
+    }
+    response.write(event(generation, index++));
+    scheduler.after(options.pace, paced);
+  };
+  (options.pace === 0 ? fast : paced)();
+}
+
+const server = http.createServer((request, response) => {
+  request.resume();
+  request.on('end', () => {
+    response.writeHead(200, { 'content-type': 'text/event-stream' });
+    stream(String(request.headers['x-generation-id'] ?? 'bare.1'), response);
+  });
+});
+
+server.listen(options.port, '127.0.0.1', () => {
+  const { port } = server.address() as net.AddressInfo;
+  const random = kumquatfront.seededRandom.createUnpredictable();
+  const idle = { running: 0, waiting: 0, usedTokens: 0 };
+  new standIns.announcer.Announcer({
+    announcement: {
+      ...{ name: 'source', incarnation: clock.wall(), address: `http://127.0.0.1:${port}`, kind: 'engine' },
+      ...{
+        labels: { pool: 'ledger-llm' },
+        dataCentre: 'perth-1',
+        memoryTokens: 1e9,
+        slots: 10_000,
+        lease: 5_000,
+      },
+    },
+    timers: kumquatfront.timerService.create(clock, scheduler),
+    random,
+    ...{ announceEvery: 1_000, reportEvery: 1_000, reportLag: 0, cacheLoss: 0 },
+    load: () => idle,
+    cacheChanges: () => ({ added: [], removed: [] }),
+    isFrozen: () => false,
+    post: standIns.httpPoster.create({ entries: options.entries, upstreamKey: options.upstreamKey, random }),
+  });
+});
--- a/packages/command/src/applyFile.ts
+++ b/packages/command/src/applyFile.ts
@@ -88,27 +88,67 @@
   return kumquatfront.results.Ok(applied);
 }
 
+/** What applying one object would do, and on which version. */
+export interface PlannedObject {
+  readonly object: string;
+  readonly action: AppliedObject['action'];
+  /** Version that the change would be made on; 0 where the object is new. */
+  readonly onVersion: number;
+}
+
+/**
+ * Finds out what applying drafts would do.
+ *
+ * @param client - the operators' client
+ * @param drafts - what the file says
+ * @returns what would become of each
+ * @example
+ * ```ts
+ * const planned = await applyFile.plan(client, drafts);
+ * ```
+ */
+export async function plan(
+  client: operatorClient.OperatorClient,
+  drafts: readonly kumquatfront.configurationTypes.ConfigurationDraft[],
+): Promise<kumquatfront.results.Result<readonly PlannedObject[], kumquatfront.failures.Failure>> {
+  const planned: PlannedObject[] = [];
+  for (const draft of drafts) {
+    const result = await planOne(client, draft);
+    if (result.err) {
+      return result;
+    }
+    planned.push(result.val);
+  }
+  return kumquatfront.results.Ok(planned);
+}
+
+async function planOne(
+  client: operatorClient.OperatorClient,
+  draft: kumquatfront.configurationTypes.ConfigurationDraft,
+): Promise<kumquatfront.results.Result<PlannedObject, kumquatfront.failures.Failure>> {
+  const listed = await client.get(draft.kind);
+  return listed.map((objects) => {
+    const current = objects.find((item) => item.name === draft.name);
+    const { stringify } = kumquatfront.canonicalJson;
+    const equal = current !== undefined && stringify(current.body) === stringify(draft.body);
+    const changed = current === undefined ? 'created' : 'changed';
+    const object = `${draft.kind}/${draft.name}`;
+    return { object, action: equal ? 'unchanged' : changed, onVersion: current?.version ?? 0 };
+  });
+}
+
 async function applyOne(
   client: operatorClient.OperatorClient,
   draft: kumquatfront.configurationTypes.ConfigurationDraft,
 ): Promise<kumquatfront.results.Result<AppliedObject, kumquatfront.failures.Failure>> {
-  const object = `${draft.kind}/${draft.name}`;
-  const listed = await client.get(draft.kind);
-  if (listed.err) {
-    return listed;
+  const planned = await planOne(client, draft);
+  if (planned.err) {
+    return planned;
   }
-  const current = listed.val.find((item) => item.name === draft.name);
-  const { canonicalJson } = kumquatfront;
-  if (
-    current !== undefined &&
-    canonicalJson.stringify(current.body) === canonicalJson.stringify(draft.body)
-  ) {
-    return kumquatfront.results.Ok({ object, action: 'unchanged', version: current.version });
+  const { object, action, onVersion } = planned.val;
+  if (action === 'unchanged') {
+    return kumquatfront.results.Ok({ object, action, version: onVersion });
   }
-  const result = await client.put(draft, current?.version ?? 0);
-  return result.map((version) => ({
-    object,
-    action: current === undefined ? 'created' : 'changed',
-    version,
-  }));
+  const result = await client.put(draft, onVersion);
+  return result.map((version) => ({ object, action, version }));
 }
--- /dev/null
+++ b/packages/command/src/main.ts
@@ -0,0 +1,159 @@
+#!/usr/bin/env node
+/**
+ * The `kumquatfront` command for operators.
+ */
+import * as yargs from 'yargs';
+
+import * as commands from './commands.js';
+
+const exitCodes = commands.exitCodes;
+
+await yargs
+  .default(process.argv.slice(2))
+  .scriptName('kumquatfront')
+  .usage(
+    '$0 <command>\n\nControl is found by --control or KUMQUATFRONT_CONTROL, the key by KUMQUATFRONT_OPERATOR_KEY.',
+  )
+  .option('control', {
+    type: 'string',
+    describe: 'Operator addresses of the control replicas, separated by commas',
+    default: process.env.KUMQUATFRONT_CONTROL ?? '',
+    global: true,
+  })
+  .option('output', {
+    alias: 'o',
+    choices: ['table', 'json'] as const,
+    default: 'table' as const,
+    global: true,
+  })
+  .command(
+    'apply',
+    'Apply a configuration file',
+    (builder) =>
+      builder.option('file', {
+        alias: 'f',
+        type: 'string',
+        demandOption: true,
+        describe: 'Configuration file',
+      }),
+    (parsed) => commands.run(parsed, (context) => commands.apply(context, parsed.file)),
+  )
+  .command(
+    'diff',
+    'Show what applying a file would change',
+    (builder) =>
+      builder.option('file', {
+        alias: 'f',
+        type: 'string',
+        demandOption: true,
+        describe: 'Configuration file',
+      }),
+    (parsed) => commands.run(parsed, (context) => commands.diff(context, parsed.file)),
+  )
+  .command(
+    'get <kind> [name]',
+    'Show configured objects',
+    (builder) =>
+      builder
+        .positional('kind', { type: 'string', demandOption: true })
+        .positional('name', { type: 'string' }),
+    (parsed) => commands.run(parsed, (context) => commands.get(context, parsed.kind, parsed.name)),
+  )
+  .command(
+    'delete <kind> <name>',
+    'Delete a configured object',
+    (builder) =>
+      builder
+        .positional('kind', { type: 'string', demandOption: true })
+        .positional('name', { type: 'string', demandOption: true }),
+    (parsed) => commands.run(parsed, (context) => commands.remove(context, parsed.kind, parsed.name)),
+  )
+  .command(
+    'status',
+    'Show control replicas, entries, and where which version is in force',
+    (builder) => builder,
+    (parsed) => commands.run(parsed, commands.status),
+  )
+  .command(
+    'watch',
+    'Show the status again and again until interrupted',
+    (builder) =>
+      builder.option('every', { type: 'number', default: 2_000, describe: 'Milliseconds between looks' }),
+    (parsed) => commands.run(parsed, (context) => commands.watch(context, parsed.every)),
+  )
+  .command(
+    'addresses',
+    'Show the addresses that an entry gives to callers',
+    (builder) =>
+      builder.option('entry', { type: 'string', demandOption: true, describe: 'Any entry: http://ip:port' }),
+    (parsed) => commands.run(parsed, (context) => commands.addresses(context, parsed.entry)),
+  )
+  .command(
+    'drain <entry>',
+    'Have an entry leave the address list and end when its requests have',
+    (builder) =>
+      builder.positional('entry', { type: 'string', demandOption: true, describe: 'Name of the entry' }),
+    (parsed) => commands.run(parsed, (context) => commands.drain(context, parsed.entry)),
+  )
+  .command(
+    'order <upstream> <action> <target>',
+    'Order an upstream to load a model or an adapter, or to change its role',
+    (builder) =>
+      builder
+        .positional('upstream', { type: 'string', demandOption: true })
+        .positional('action', {
+          choices: ['loadModel', 'loadAdapter', 'changeRole'] as const,
+          demandOption: true,
+        })
+        .positional('target', { type: 'string', demandOption: true }),
+    (parsed) =>
+      commands.run(parsed, (context) =>
+        commands.order(context, parsed.upstream, parsed.action, parsed.target),
+      ),
+  )
+  .command('report', 'Reports', (builder) =>
+    builder
+      .command(
+        'burn',
+        'How fast the error budgets of the objectives burn',
+        (inner) => inner.option('html', { type: 'string', describe: 'Write a page with plots to this file' }),
+        (parsed) => commands.run(parsed, (context) => commands.burn(context, parsed.html)),
+      )
+      .demandCommand(1, 'Name a report: burn.'),
+  )
+  .command('check', 'Checks', (builder) =>
+    builder
+      .command(
+        'settings <file>',
+        'Check a settings file of an entry or a control replica',
+        (inner) => inner.positional('file', { type: 'string', demandOption: true }),
+        (parsed) => {
+          commands.runWithoutControl(parsed, () => commands.checkSettings(parsed.file));
+        },
+      )
+      .command(
+        'configuration <file>',
+        'Check a configuration file',
+        (inner) => inner.positional('file', { type: 'string', demandOption: true }),
+        (parsed) => {
+          commands.runWithoutControl(parsed, () => commands.checkConfiguration(parsed.file));
+        },
+      )
+      .demandCommand(1, 'Name what to check: settings or configuration.'),
+  )
+  .command(
+    'hash <key>',
+    'Show the hash under which a key is configured',
+    (builder) => builder.positional('key', { type: 'string', demandOption: true }),
+    (parsed) => {
+      commands.runWithoutControl(parsed, () => commands.hash(parsed.key));
+    },
+  )
+  .completion('completion', 'Print a completion script for the shell')
+  .demandCommand(1, 'Name a command; --help lists them.')
+  .strict()
+  .fail((message, error: Error | undefined) => {
+    process.stderr.write(`${error?.message ?? message}\n`);
+    process.exit(exitCodes.usage);
+  })
+  .parseAsync();
--- a/packages/command/src/operatorClient.ts
+++ b/packages/command/src/operatorClient.ts
@@ -120,6 +120,19 @@
     return this.request('POST', '/v1/orders', order);
   }
 
+  /** Has an entry drain and end. */
+  async drain(entry: string): Promise<Outcome<unknown>> {
+    return this.request('POST', '/v1/drains', { entry });
+  }
+
+  /** Counts against the objectives, of every entry that answers. */
+  async burn(): Promise<Outcome<readonly kumquatfront.burnRecorder.BurnCounts[]>> {
+    const result = await this.request('GET', '/v1/burn');
+    return result.map(
+      (answer) => (answer as { counts: readonly kumquatfront.burnRecorder.BurnCounts[] }).counts,
+    );
+  }
+
   async close(): Promise<void> {
     await this.agent.destroy();
   }
--- a/packages/daemons/src/controlDaemon.ts
+++ b/packages/daemons/src/controlDaemon.ts
@@ -41,7 +41,6 @@
       log,
       metrics: kumquatfront.statsdMetrics.create(settings.metrics, control.name),
       disk,
-      orders: kumquatfront.httpUpstreams.createOrders(() => undefined),
     })
     .map((node) => {
       const { operatorKeyHash } = settings;
--- a/packages/daemons/src/entry.ts
+++ b/packages/daemons/src/entry.ts
@@ -8,7 +8,7 @@
 import * as settingsFile from './settingsFile.js';
 
 const settings = settingsFile.load('kumquatfront-entry', kumquatfront.settingsLoader.readEntry);
-const running = entryDaemon.start(settings);
+const running = entryDaemon.start(settings, drain);
 
 function drain(): void {
   running.drain(() => {
--- a/packages/daemons/src/entryDaemon.ts
+++ b/packages/daemons/src/entryDaemon.ts
@@ -17,6 +17,7 @@
   settings: kumquatfront.settingsLoader.EntryDaemonSettings,
   transport: kumquatfront.jsonRpcTransport.JsonRpcTransport,
   log: kumquatfront.ports.Log,
+  onDrainRequest: () => void,
 ): kumquatfront.entryTypes.EntryPorts {
   return {
     clock: kumquatfront.systemTime.clock,
@@ -27,6 +28,8 @@
     metrics: kumquatfront.statsdMetrics.create(settings.metrics, settings.entry.name),
     engines: kumquatfront.httpUpstreams.createEngines(),
     services: kumquatfront.httpUpstreams.createServices(),
+    orders: kumquatfront.httpUpstreams.createOrders(),
+    onDrainRequest,
   };
 }
 
@@ -41,21 +44,28 @@
  * Starts an entry.
  *
  * @param settings - checked settings
+ * @param onDrainRequest - called when an operator asks for a drain through control
  * @returns the running entry
  * @example
  * ```ts
- * const running = entryDaemon.start(settings);
+ * const running = entryDaemon.start(settings, drain);
  * process.on('SIGTERM', () => running.drain(() => process.exit(0)));
  * ```
  */
-export function start(settings: kumquatfront.settingsLoader.EntryDaemonSettings): RunningEntry {
+export function start(
+  settings: kumquatfront.settingsLoader.EntryDaemonSettings,
+  onDrainRequest: () => void,
+): RunningEntry {
   const log = kumquatfront.keyValueLog.create(settings.entry.name, settings.logLevel);
   const transport = kumquatfront.jsonRpcTransport.create({
     clusterKey: settings.clusterKey,
     scheduler: kumquatfront.systemTime.scheduler,
     log,
   });
-  const node = kumquatfront.entryNode.create(settings.entry, portsFor(settings, transport, log));
+  const node = kumquatfront.entryNode.create(
+    settings.entry,
+    portsFor(settings, transport, log, onDrainRequest),
+  );
   const server = kumquatfront.entryHttp.createServer(settings.entry, node);
   const [host = '', port = ''] = settings.callerListen.split(':');
   server.listen(Number(port), host, () => {
--- a/packages/demo/src/cluster.ts
+++ b/packages/demo/src/cluster.ts
@@ -39,8 +39,17 @@
   stop(): Promise<void>;
 }
 
-/** Finds free ports by binding them for a moment. */
-async function freePorts(count: number): Promise<readonly number[]> {
+/**
+ * Finds free ports by binding them for a moment.
+ *
+ * @param count - how many
+ * @returns the ports
+ * @example
+ * ```ts
+ * const [port] = await cluster.freePorts(1);
+ * ```
+ */
+export async function freePorts(count: number): Promise<readonly number[]> {
   const servers = await Promise.all(
     Array.from(
       { length: count },
--- a/packages/kumquatfront/src/adapters/controlHttp.ts
+++ b/packages/kumquatfront/src/adapters/controlHttp.ts
@@ -62,6 +62,10 @@
   const [, kind, name] = OBJECT_PATH.exec(url.pathname) ?? [];
   if (request.method === 'GET' && url.pathname === '/v1/status') {
     sendStatus(options, response);
+  } else if (request.method === 'GET' && url.pathname === '/v1/burn') {
+    sendBurn(options, response);
+  } else if (request.method === 'POST' && url.pathname === '/v1/drains') {
+    drainEntry(options, request, response);
   } else if (request.method === 'POST' && url.pathname === '/v1/orders') {
     placeOrder(options, request, response);
   } else if (request.method === 'GET' && kind !== undefined) {
@@ -202,22 +206,87 @@
   return results.Ok({ type: 'order', orderId, upstream, order: { action, target } });
 }
 
-/** Gathers the status of every replica: each knows only the entries that pulled from it. */
-function sendStatus(options: ControlHttpOptions, response: http.ServerResponse): void {
-  const replicas: methods.ControlStatus[] = [];
+/** Asks all addresses and calls back once with what answered. */
+function askAll(
+  options: ControlHttpOptions,
+  addresses: readonly string[],
+  method: string,
+  done: (answers: readonly unknown[], silent: readonly string[]) => void,
+): void {
+  const answers: unknown[] = [];
   const silent: string[] = [];
-  let open = options.control.length;
-  for (const address of options.control) {
-    options.peers.request(address, methods.methods.status, null, STATUS_TIMEOUT, (result) => {
+  let open = addresses.length;
+  if (open === 0) {
+    done(answers, silent);
+  }
+  for (const address of addresses) {
+    options.peers.request(address, method, null, STATUS_TIMEOUT, (result) => {
       if (result.ok) {
-        replicas.push(result.val as methods.ControlStatus);
+        answers.push(result.val);
       } else {
         silent.push(address);
       }
       open -= 1;
       if (open === 0) {
-        httpAnswers.sendJson(response, 200, { replicas, silent });
+        done(answers, silent);
       }
     });
   }
 }
+
+/** Gathers the status of every replica: each knows only the entries that pulled from it. */
+function gatherStatus(
+  options: ControlHttpOptions,
+  done: (replicas: readonly methods.ControlStatus[], silent: readonly string[]) => void,
+): void {
+  askAll(options, options.control, methods.methods.status, (answers, silent) => {
+    done(answers as readonly methods.ControlStatus[], silent);
+  });
+}
+
+function sendStatus(options: ControlHttpOptions, response: http.ServerResponse): void {
+  gatherStatus(options, (replicas, silent) => {
+    httpAnswers.sendJson(response, 200, { replicas, silent });
+  });
+}
+
+/** Peer addresses of the entries that some replica has heard from, by name. */
+function entriesOf(replicas: readonly methods.ControlStatus[]): ReadonlyMap<string, string> {
+  return new Map(
+    replicas.flatMap((replica) => replica.entries.map((entry) => [entry.name, entry.peerAddress])),
+  );
+}
+
+function sendBurn(options: ControlHttpOptions, response: http.ServerResponse): void {
+  gatherStatus(options, (replicas) => {
+    const addresses = [...new Set(entriesOf(replicas).values())];
+    askAll(options, addresses, methods.methods.entryBurn, (counts, silent) => {
+      httpAnswers.sendJson(response, 200, { counts, silent });
+    });
+  });
+}
+
+function drainEntry(
+  options: ControlHttpOptions,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): void {
+  httpAnswers.readBody(request, (text) => {
+    const body = text.andThen(httpAnswers.parseObject);
+    const name = body.ok && typeof body.val.entry === 'string' ? body.val.entry : '';
+    gatherStatus(options, (replicas) => {
+      const address = entriesOf(replicas).get(name);
+      if (address === undefined) {
+        const remedy = '`kumquatfront status` lists the entries.';
+        httpAnswers.sendFailure(
+          response,
+          failures.create('notFound', `There is no entry "${name}".`, remedy),
+        );
+        return;
+      }
+      options.peers.request(address, methods.methods.entryDrain, null, STATUS_TIMEOUT, (result) => {
+        finish(response, result, () => ({ entry: name, drains: true }));
+      });
+    });
+  });
+}
--- a/packages/kumquatfront/src/adapters/httpUpstreams.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.ts
@@ -284,14 +284,13 @@
  * Creates the port for orders: `POST /v1/orders` with the fencing number, then `GET /v1/orders` to read back
  * what the upstream has taken, since some take any number.
  *
- * @param addressOf - finds the address of an upstream by name
  * @returns the port
  * @example
  * ```ts
- * const ports = { orders: httpUpstreams.createOrders((name) => addresses.get(name)) };
+ * const ports = { orders: httpUpstreams.createOrders() };
  * ```
  */
-export function createOrders(addressOf: (upstream: string) => string | undefined): orders.OrderPort {
+export function createOrders(): orders.OrderPort {
   const agent = createAgent();
   const perform = async (address: string, body: string, timeout: number): Promise<orders.OrderReceipt> => {
     const signal = AbortSignal.timeout(timeout);
@@ -308,15 +307,8 @@
     return (await readBack.body.json()) as orders.OrderReceipt;
   };
   return {
-    give: (order, timeout, done) => {
-      const address = addressOf(order.upstream);
-      const remedy = 'It is tried again; `kumquatfront status` lists the upstreams.';
-      if (address === undefined) {
-        done(
-          results.Err(failures.create('unreachable', `${order.upstream} has not announced itself.`, remedy)),
-        );
-        return;
-      }
+    give: (order, address, timeout, done) => {
+      const remedy = 'It is tried again.';
       const body = JSON.stringify({
         ...order.order,
         orderId: order.orderId,
--- a/packages/kumquatfront/src/admission/headroom.ts
+++ b/packages/kumquatfront/src/admission/headroom.ts
@@ -4,7 +4,7 @@
  */
 import type * as upstreamTable from '../directory/upstreamTable.js';
 import type * as estimates from '../estimates/lengthEstimator.js';
-import type * as dispatchLedger from '../routing/dispatchLedger.js';
+import * as dispatchLedger from '../routing/dispatchLedger.js';
 import type * as routing from '../routing/types.js';
 import * as memoryForecast from './memoryForecast.js';
 
@@ -13,15 +13,15 @@
   /** Share kept free of patient work, for urgent calls and for forecasts that fall short. */
   readonly reservedMemory: number;
   readonly reservedSlots: number;
-  /** Quantile of the final length that the forecast reckons with. */
-  readonly lengthQuantile: number;
+  /** Standard deviations above the mean that the forecast of memory reckons with. */
+  readonly deviations: number;
 }
 
 /** Settings found by `npm run measure`; see docs/design/policy.md. */
 export const defaultSettings: HeadroomSettings = {
-  reservedMemory: 0.12,
-  reservedSlots: 0.15,
-  lengthQuantile: 0.7,
+  reservedMemory: 0.03,
+  reservedSlots: 0.1,
+  deviations: 1.5,
 };
 
 /** What the headroom looks at. */
@@ -29,14 +29,16 @@
   readonly ledger: dispatchLedger.DispatchLedger;
   readonly estimator: estimates.LengthEstimator;
   readonly settings: HeadroomSettings;
+  readonly now: number;
 }
 
 function forecastOwn(upstream: string, context: HeadroomContext): memoryForecast.ForecastItem[] {
   const items: memoryForecast.ForecastItem[] = [];
   for (const dispatch of context.ledger.at(upstream)) {
-    const { produced, promptTokens, estimateKeys } = dispatch;
-    const final = context.estimator.quantile(estimateKeys, produced, context.settings.lengthQuantile);
-    items.push({ held: promptTokens + produced, remaining: Math.max(1, final - produced) });
+    const { promptTokens, estimateKeys } = dispatch;
+    const produced = dispatchLedger.producedBy(dispatch, context.now);
+    const survival = context.estimator.survival(estimateKeys, produced, memoryForecast.HORIZONS);
+    items.push({ held: promptTokens + produced, survival });
   }
   return items;
 }
@@ -55,7 +57,7 @@
   for (const dispatch of context.ledger.at(upstream.announcement.name)) {
     if (dispatch.since <= upstream.loadAt) {
       ownCount += 1;
-      ownHeld += dispatch.promptTokens + dispatch.produced;
+      ownHeld += dispatch.promptTokens + dispatchLedger.producedBy(dispatch, upstream.loadAt);
     }
   }
   const count = Math.max(0, upstream.load.running + upstream.load.waiting - ownCount);
@@ -63,37 +65,78 @@
     return [];
   }
   const held = Math.max(0, upstream.load.usedTokens - ownHeld) / count;
-  const typical = context.estimator.quantile(request.estimateKeys.slice(-1), 0, 0.5);
-  return Array.from({ length: count }, () => ({ held, remaining: Math.max(1, typical / 2) }));
+  const survival = context.estimator.survival(request.estimateKeys.slice(-1), 0, memoryForecast.HORIZONS);
+  return Array.from({ length: count }, () => ({ held, survival }));
 }
 
-/**
- * Memory that stays free at the forecast peak if the request is placed there.
- *
- * @param upstream - the engine
- * @param request - the request that would be added
- * @param context - what is known
- * @returns tokens; negative where it does not fit
- * @example
- * ```ts
- * const fits = headroom.after(engine, request, context) >= 0;
- * ```
- */
-export function after(
-  upstream: upstreamTable.UpstreamRecord,
-  request: routing.PlacementRequest,
-  context: HeadroomContext,
-): number {
-  const { name, slots, memoryTokens } = upstream.announcement;
-  const items = [...forecastOwn(name, context), ...forecastOthers(upstream, request, context)];
-  if (slots > 0 && items.length + 1 > Math.floor(slots * (1 - context.settings.reservedSlots))) {
-    return Number.NEGATIVE_INFINITY;
+interface Remembered {
+  readonly forecast: memoryForecast.Forecast;
+  readonly count: number;
+  readonly at: number;
+  readonly ledgerVersion: number;
+  readonly loadAt: number;
+}
+
+/** Time for which a forecast is used again while nothing was placed on the engine, milliseconds. */
+const REMEMBERED_FOR = 100;
+
+/** Headroom of engines; it remembers forecasts for a moment, as a queue asks for many requests in a row. */
+export class Headroom {
+  private readonly remembered = new Map<string, Remembered>();
+
+  private forecastOf(
+    upstream: upstreamTable.UpstreamRecord,
+    request: routing.PlacementRequest,
+    context: HeadroomContext,
+  ): Remembered {
+    const { name } = upstream.announcement;
+    const ledgerVersion = context.ledger.versionAt(name);
+    const known = this.remembered.get(name);
+    const current = known?.ledgerVersion === ledgerVersion && known.loadAt === upstream.loadAt;
+    if (known !== undefined && current && context.now - known.at < REMEMBERED_FOR) {
+      return known;
+    }
+    const items = [...forecastOwn(name, context), ...forecastOthers(upstream, request, context)];
+    const forecast = memoryForecast.of(items);
+    const created = {
+      forecast,
+      count: items.length,
+      at: context.now,
+      ledgerVersion,
+      loadAt: upstream.loadAt,
+    };
+    this.remembered.set(name, created);
+    return created;
+  }
+
+  /**
+   * Memory that stays free at the forecast peak if a request is placed on an engine.
+   *
+   * @param upstream - the engine
+   * @param request - the request that would be added
+   * @param survival - its probability to be alive at each horizon
+   * @param context - what is known
+   * @returns tokens; negative where it does not fit
+   */
+  after(
+    upstream: upstreamTable.UpstreamRecord,
+    request: routing.PlacementRequest,
+    survival: readonly number[],
+    context: HeadroomContext,
+  ): number {
+    const { slots, memoryTokens } = upstream.announcement;
+    const { reservedSlots, reservedMemory, deviations } = context.settings;
+    const { forecast, count } = this.forecastOf(upstream, request, context);
+    if (slots > 0 && count + 1 > Math.floor(slots * (1 - reservedSlots))) {
+      return Number.NEGATIVE_INFINITY;
+    }
+    const peak = memoryForecast.peakWith(forecast, { held: request.promptTokens, survival }, deviations);
+    const room = memoryTokens * (1 - reservedMemory) - peak;
+    // An engine with nothing on it takes any request: one whose forecast exceeds the memory must run somewhere.
+    return count === 0 ? Math.max(0, room) : room;
+  }
+
+  forget(upstream: string): void {
+    this.remembered.delete(upstream);
   }
-  const final = context.estimator.quantile(request.estimateKeys, 0, context.settings.lengthQuantile);
-  items.push({ held: request.promptTokens, remaining: final });
-  const usable = memoryTokens * (1 - context.settings.reservedMemory);
-  // An engine with nothing on it takes any request: one whose estimate exceeds the memory must run somewhere.
-  return items.length === 1
-    ? Math.max(0, usable - memoryForecast.peak(items))
-    : usable - memoryForecast.peak(items);
 }
--- a/packages/kumquatfront/src/admission/localPlacement.ts
+++ b/packages/kumquatfront/src/admission/localPlacement.ts
@@ -11,9 +11,11 @@
 import * as dispatchLedger from '../routing/dispatchLedger.js';
 import type * as health from '../routing/health.js';
 import type * as types from '../routing/types.js';
+import * as rendezvous from '../utils/rendezvous.js';
 import * as drainRate from './drainRate.js';
 import * as fairQueue from './fairQueue.js';
 import * as headroom from './headroom.js';
+import * as memoryForecast from './memoryForecast.js';
 
 /** What the placement is made from. */
 export interface LocalPlacementOptions {
@@ -48,6 +50,7 @@
 export class LocalPlacement implements types.PlacementPolicy {
   readonly ledger = new dispatchLedger.DispatchLedger();
   private readonly options: LocalPlacementOptions;
+  private readonly headroom = new headroom.Headroom();
   private readonly queues = new Map<string, fairQueue.FairQueue<Waiting>>();
   private readonly rate: drainRate.DrainRate;
   private readonly withoutUpstream = new Set<() => void>();
@@ -68,19 +71,45 @@
     });
     options.directory.onGone((name) => {
       this.ledger.forgetUpstream(name);
+      this.headroom.forget(name);
     });
   }
 
   place(request: types.PlacementRequest, done: (placement: types.Placement) => void): ports.Cancel {
-    const candidates = this.candidates(request);
-    if (!candidates.some((candidate) => choice.isUsable(request, candidate, this.context()))) {
-      return this.waitForUpstream(request, done);
-    }
     if (request.urgency === 'urgent' || request.kind === 'plainService') {
-      this.placeUrgent(request, candidates, done);
-      return () => undefined;
+      return this.whenUsable(request, done, () => {
+        this.placeUrgent(request, this.candidates(request), done);
+        return () => undefined;
+      });
     }
-    return this.enqueue(request, done);
+    return this.placePatient(request, done);
+  }
+
+  /** Queues a patient request until an engine has headroom for it. */
+  placePatient(request: types.PlacementRequest, done: (placement: types.Placement) => void): ports.Cancel {
+    return this.whenUsable(request, done, () => this.enqueue(request, done));
+  }
+
+  /** Goes on at once where an upstream is usable, or as soon as one is. */
+  whenUsable(
+    request: types.PlacementRequest,
+    done: (placement: types.Placement) => void,
+    goOn: () => ports.Cancel,
+  ): ports.Cancel {
+    return this.hasUsable(request) ? goOn() : this.waitForUpstream(request, done, goOn);
+  }
+
+  private hasUsable(request: types.PlacementRequest): boolean {
+    const context = this.context();
+    return this.candidates(request).some((candidate) => choice.isUsable(request, candidate, context));
+  }
+
+  /** Counts a dispatch that another process has made. */
+  adopt(
+    running: Pick<types.OwnDispatch, 'requestId' | 'upstream' | 'promptTokens' | 'estimateKeys' | 'produced'>,
+  ): void {
+    const now = this.options.timers.now();
+    this.ledger.adopt({ ...running, urgency: 'patient', since: now, progressedAt: now, rate: 0 });
   }
 
   private placeUrgent(
@@ -103,6 +132,7 @@
   private waitForUpstream(
     request: types.PlacementRequest,
     done: (placement: types.Placement) => void,
+    goOn: () => ports.Cancel,
   ): ports.Cancel {
     let cancelInner: ports.Cancel = () => undefined;
     const stopWaiting = (): void => {
@@ -110,9 +140,9 @@
       cancelTimer();
     };
     const retry = (): void => {
-      if (this.candidates(request).some((candidate) => choice.isUsable(request, candidate, this.context()))) {
+      if (this.hasUsable(request)) {
         stopWaiting();
-        cancelInner = this.place(request, done);
+        cancelInner = goOn();
       }
     };
     const cancelTimer = this.options.timers.after(this.options.upstreamWait, () => {
@@ -127,7 +157,7 @@
   }
 
   private enqueue(request: types.PlacementRequest, done: (placement: types.Placement) => void): ports.Cancel {
-    const queue = this.queueOf(request.deployment);
+    const queue = this.queueOf(`${request.deployment}/${request.group?.index ?? 0}`);
     const cost = request.promptTokens + this.options.estimator.quantile(request.estimateKeys, 0, 0.5);
     const item = {
       account: request.account,
@@ -146,13 +176,13 @@
     };
   }
 
-  private queueOf(deployment: string): fairQueue.FairQueue<Waiting> {
-    const known = this.queues.get(deployment);
+  private queueOf(name: string): fairQueue.FairQueue<Waiting> {
+    const known = this.queues.get(name);
     if (known !== undefined) {
       return known;
     }
     const queue = new fairQueue.FairQueue<Waiting>(this.options.bounds, this.options.weightOf);
-    this.queues.set(deployment, queue);
+    this.queues.set(name, queue);
     return queue;
   }
 
@@ -177,15 +207,16 @@
 
   private findRoom(request: types.PlacementRequest): upstreamTable.UpstreamRecord | undefined {
     const context = this.context();
-    const { ledger } = this;
     const { estimator, directory: known, headroom: settings } = this.options;
+    const headroomContext = { ledger: this.ledger, estimator, settings, now: context.now };
+    const survival = estimator.survival(request.estimateKeys, 0, memoryForecast.HORIZONS);
     let best: upstreamTable.UpstreamRecord | undefined;
     let bestRoom = 0;
     for (const candidate of this.sample(this.candidates(request))) {
       if (!choice.isUsable(request, candidate, context)) {
         continue;
       }
-      const room = headroom.after(candidate, request, { ledger, estimator, settings });
+      const room = this.headroom.after(candidate, request, survival, headroomContext);
       const cached = known.table.hasPrefix(candidate.announcement.name, request.prefix);
       const worth = room + (cached ? AFFINITY_TOKENS : 0);
       if (room >= 0 && (best === undefined || worth > bestRoom)) {
@@ -216,7 +247,12 @@
   }
 
   private candidates(request: types.PlacementRequest): readonly upstreamTable.UpstreamRecord[] {
-    return this.options.directory.table.candidates(request.upstreams);
+    const all = this.options.directory.table.candidates(request.upstreams);
+    const { group } = request;
+    if (group === undefined || group.count === 1) {
+      return all;
+    }
+    return all.filter((record) => rendezvous.hash(record.announcement.name) % group.count === group.index);
   }
 
   private context(): choice.ChoiceContext {
@@ -225,7 +261,7 @@
   }
 
   progressed(requestId: string, produced: number): void {
-    this.ledger.progressed(requestId, produced);
+    this.ledger.progressed(requestId, produced, this.options.timers.now());
   }
 
   finished(requestId: string, produced: number, whole: boolean): void {
--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -15,6 +15,7 @@
 import * as results from '../kernel/results.js';
 import * as serviceRegistry from '../kernel/serviceRegistry.js';
 import * as timerService from '../kernel/timerService.js';
+import * as entryOrderPort from '../orders/entryOrderPort.js';
 import * as orderDesk from '../orders/orderDesk.js';
 import type * as orders from '../orders/types.js';
 import * as membership from './membership.js';
@@ -38,7 +39,8 @@
 /** Ports of a control replica. */
 export interface ControlPorts extends ports.BasePorts {
   readonly disk: ports.Disk;
-  readonly orders: orders.OrderPort;
+  /** How orders reach upstreams; through the entries where absent. */
+  readonly orders?: orders.OrderPort;
 }
 
 /** Services of a control replica, by name. */
@@ -125,7 +127,7 @@
       settings: settings.orders,
       replica: this.replica,
       state,
-      port: outside.orders,
+      port: outside.orders ?? entryOrderPort.create(peers, random, () => this.liveEntries()),
       timers: this.timers,
       log,
     });
--- a/packages/kumquatfront/src/controlNode/methods.ts
+++ b/packages/kumquatfront/src/controlNode/methods.ts
@@ -17,6 +17,9 @@
   pull: 'configuration.pull',
   status: 'control.status',
   order: 'control.order',
+  entryBurn: 'entry.burn',
+  entryDrain: 'entry.drain',
+  entryOrder: 'entry.order',
 } as const;
 
 /** Asks for the configuration after a version. */
--- a/packages/kumquatfront/src/entryNode/entryNode.ts
+++ b/packages/kumquatfront/src/entryNode/entryNode.ts
@@ -3,17 +3,20 @@
  * comes through ports, so the whole node runs on virtual time as it does on a VM.
  */
 import * as fairQueue from '../admission/fairQueue.js';
-import * as localPlacement from '../admission/localPlacement.js';
+import * as coordinatedPlacement from '../admission/coordinatedPlacement.js';
 import * as addressList from '../addresses/addressList.js';
 import * as burnRecorder from '../burn/burnRecorder.js';
 import * as claimClient from '../claims/claimClient.js';
 import * as configurationReplica from '../configuration/configurationReplica.js';
 import * as controlClient from '../controlClient/controlClient.js';
+import * as methods from '../controlNode/methods.js';
 import * as directory from '../directory/directory.js';
 import type * as directoryTypes from '../directory/types.js';
 import * as lengthEstimator from '../estimates/lengthEstimator.js';
+import * as results from '../kernel/results.js';
 import * as serviceRegistry from '../kernel/serviceRegistry.js';
 import * as timerService from '../kernel/timerService.js';
+import * as entryOrderPort from '../orders/entryOrderPort.js';
 import * as choice from '../routing/choice.js';
 import * as health from '../routing/health.js';
 import * as retryBudget from '../routing/retryBudget.js';
@@ -38,7 +41,9 @@
 }
 
 /** Makes the serving policy of an entry; pass another to replace it. */
-export type CreatePlacement = (options: localPlacement.LocalPlacementOptions) => routing.PlacementPolicy;
+export type CreatePlacement = (
+  options: coordinatedPlacement.CoordinatedPlacementOptions,
+) => routing.PlacementPolicy;
 
 /** What an entry offers to the adapters around it. */
 export interface EntryNode {
@@ -64,7 +69,7 @@
  *
  * @param settings - the entry's settings
  * @param ports - everything outside
- * @param createPlacement - the serving policy; placement by this entry alone where absent
+ * @param createPlacement - the serving policy; placement by the entries together where absent
  * @returns the entry, running
  * @example
  * ```ts
@@ -75,7 +80,7 @@
 export function create(
   settings: types.EntrySettings,
   ports: types.EntryPorts,
-  createPlacement: CreatePlacement = (options) => new localPlacement.LocalPlacement(options),
+  createPlacement: CreatePlacement = (options) => new coordinatedPlacement.CoordinatedPlacement(options),
 ): EntryNode {
   const { clock, scheduler, random, peers, log, metrics } = ports;
   const services = serviceRegistry.create<EntryServices>();
@@ -157,11 +162,24 @@
       bounds: () => boundsOf(configuration),
       weightOf: (account) => resolver.weightOf(account),
       upstreamWait: settings.upstreamWait,
+      name: settings.name,
+      peerAddress: settings.peerAddress,
+      peers,
+      coordination: settings.coordination,
     }),
   );
   const requests = new requestFront.RequestFront({ settings, ports, services });
   services.register('requests', requests);
 
+  entryOrderPort.serve(peers, known.table, ports.orders);
+  peers.serve(methods.methods.entryBurn, (_parameters, reply) => {
+    reply(results.Ok(burn.toJson()));
+  });
+  peers.serve(methods.methods.entryDrain, (_parameters, reply) => {
+    reply(results.Ok(null));
+    ports.onDrainRequest();
+  });
+
   return {
     services,
     requests,
--- a/packages/kumquatfront/src/entryNode/types.ts
+++ b/packages/kumquatfront/src/entryNode/types.ts
@@ -1,11 +1,13 @@
 /**
  * What an entry is made from and how requests are handed to it.
  */
+import type * as coordination from '../admission/coordinatedPlacement.js';
 import type * as admission from '../admission/headroom.js';
 import type * as claimClient from '../claims/claimClient.js';
 import type * as configurationReplica from '../configuration/configurationReplica.js';
 import type * as directory from '../directory/directory.js';
 import type * as ports from '../kernel/ports.js';
+import type * as orders from '../orders/types.js';
 import type * as streams from '../streams/types.js';
 
 /** Settings of an entry. Times are milliseconds. */
@@ -28,6 +30,7 @@
   readonly claims: claimClient.ClaimClientSettings;
   readonly relay: streams.RelaySettings;
   readonly headroom: admission.HeadroomSettings;
+  readonly coordination: coordination.CoordinationSettings;
   readonly serviceTimeout: number;
   readonly upstreamWait: number;
   /** Time for which callers may keep a list of addresses. */
@@ -38,6 +41,10 @@
 export interface EntryPorts extends ports.BasePorts {
   readonly engines: streams.GenerationPort;
   readonly services: streams.ServicePort;
+  /** Gives orders of control to upstreams, which only entries know. */
+  readonly orders: orders.OrderPort;
+  /** Called when an operator asks this entry to drain; the daemon drains and ends. */
+  readonly onDrainRequest: () => void;
 }
 
 /** A request as the front hands it in. */
--- a/packages/kumquatfront/src/estimates/lengthEstimator.ts
+++ b/packages/kumquatfront/src/estimates/lengthEstimator.ts
@@ -19,7 +19,7 @@
 /** Settings that suit a day's mix of traffic. */
 export const defaultSettings: LengthEstimatorSettings = {
   minimumCount: 8,
-  fading: 0.995,
+  fading: 0.999,
   maximumKeys: 20_000,
 };
 
@@ -28,9 +28,35 @@
 /** Prior: most outputs are a few hundred tokens, some are thousands. */
 const PRIOR_MEDIAN_BUCKET = 24;
 
+/** Steps after which half of the generations that are longer than any seen are taken to have ended. */
+const UNKNOWN_HALF_LIFE = 500;
+
 interface Histogram {
   readonly counts: Float64Array;
+  /** Weight of each bucket and all above it; made anew when it is first needed after an observation. */
+  readonly tails: Float64Array;
   total: number;
+  tailsAreCurrent: boolean;
+}
+
+function createHistogram(): Histogram {
+  return {
+    counts: new Float64Array(BUCKET_COUNT),
+    tails: new Float64Array(BUCKET_COUNT + 1),
+    total: 0,
+    tailsAreCurrent: false,
+  };
+}
+
+/** Weight of the observations in a bucket and above. */
+function tailOf(histogram: Histogram, bucket: number): number {
+  if (!histogram.tailsAreCurrent) {
+    for (let position = BUCKET_COUNT - 1; position >= 0; position -= 1) {
+      histogram.tails[position] = (histogram.tails[position + 1] ?? 0) + (histogram.counts[position] ?? 0);
+    }
+    histogram.tailsAreCurrent = true;
+  }
+  return histogram.tails[bucket] ?? 0;
 }
 
 function bucketOf(length: number): number {
@@ -38,24 +64,27 @@
   return Math.min(BUCKET_COUNT - 1, bucket);
 }
 
+const UPPER_EDGES = Float64Array.from(
+  { length: BUCKET_COUNT },
+  (_, bucket) => 2 ** (bucket / BUCKETS_PER_DOUBLING),
+);
+
 function upperEdge(bucket: number): number {
-  return 2 ** (bucket / BUCKETS_PER_DOUBLING);
+  return UPPER_EDGES[bucket] ?? Number.POSITIVE_INFINITY;
 }
 
 function createPrior(): Histogram {
-  const counts = new Float64Array(BUCKET_COUNT);
+  const prior = createHistogram();
   for (let bucket = 0; bucket < BUCKET_COUNT; bucket += 1) {
-    counts[bucket] = Math.exp(-(((bucket - PRIOR_MEDIAN_BUCKET) / 8) ** 2));
+    prior.counts[bucket] = Math.exp(-(((bucket - PRIOR_MEDIAN_BUCKET) / 8) ** 2));
   }
-  return { counts, total: counts.reduce((sum, count) => sum + count, 0) };
+  prior.total = tailOf(prior, 0);
+  return prior;
 }
 
 function conditionalQuantile(histogram: Histogram, produced: number, quantile: number): number | undefined {
   const first = bucketOf(produced + 1);
-  let tail = 0;
-  for (let bucket = first; bucket < BUCKET_COUNT; bucket += 1) {
-    tail += histogram.counts[bucket] ?? 0;
-  }
+  const tail = tailOf(histogram, first);
   if (tail < 0.5) {
     return undefined;
   }
@@ -69,6 +98,16 @@
   return undefined;
 }
 
+/** Weight of observations longer than `length`; within a bucket they are taken as spread evenly. */
+function weightBeyond(histogram: Histogram, length: number): number {
+  const first = bucketOf(length + 1);
+  const weight = tailOf(histogram, first + 1);
+  const lower = first === 0 ? 0 : upperEdge(first - 1);
+  const upper = upperEdge(first);
+  const share = Math.min(1, Math.max(0, (upper - length) / Math.max(1, upper - lower)));
+  return weight + (histogram.counts[first] ?? 0) * share;
+}
+
 /**
  * Estimates output lengths in tokens.
  *
@@ -96,13 +135,14 @@
   }
 
   private observeKey(key: string, length: number): void {
-    const histogram = this.histograms.get(key) ?? { counts: new Float64Array(BUCKET_COUNT), total: 0 };
+    const histogram = this.histograms.get(key) ?? createHistogram();
     for (let bucket = 0; bucket < BUCKET_COUNT; bucket += 1) {
       histogram.counts[bucket] = (histogram.counts[bucket] ?? 0) * this.settings.fading;
     }
     const bucket = bucketOf(length);
     histogram.counts[bucket] = (histogram.counts[bucket] ?? 0) + 1;
     histogram.total = histogram.total * this.settings.fading + 1;
+    histogram.tailsAreCurrent = false;
     this.histograms.delete(key);
     this.histograms.set(key, histogram);
     this.forgetOldest();
@@ -134,4 +174,26 @@
     }
     return conditionalQuantile(this.prior, produced, quantile) ?? produced * 2;
   }
+
+  /** Probability that a generation with `produced` tokens is still alive after each number of further steps. */
+  survival(keys: EstimateKeys, produced: number, steps: readonly number[]): readonly number[] {
+    const histogram = this.histogramFor(keys, produced);
+    const now = weightBeyond(histogram, produced);
+    if (now <= 0) {
+      return steps.map((step) => UNKNOWN_HALF_LIFE / (UNKNOWN_HALF_LIFE + step));
+    }
+    return steps.map((step) => weightBeyond(histogram, produced + step) / now);
+  }
+
+  /** The histogram of the most specific key that has seen enough generations as long as this one. */
+  private histogramFor(keys: EstimateKeys, produced: number): Histogram {
+    for (const key of keys) {
+      const histogram = this.histograms.get(key);
+      const enough = histogram !== undefined && histogram.total >= this.settings.minimumCount;
+      if (enough && weightBeyond(histogram, produced) >= 0.5) {
+        return histogram;
+      }
+    }
+    return this.prior;
+  }
 }
--- a/packages/kumquatfront/src/orders/orderDesk.ts
+++ b/packages/kumquatfront/src/orders/orderDesk.ts
@@ -63,7 +63,7 @@
     }
     this.inFlight.add(order.orderId);
     this.attempts.set(order.orderId, (this.attempts.get(order.orderId) ?? 0) + 1);
-    port.give(order, settings.longestFlight, (result) => {
+    port.give(order, '', settings.longestFlight, (result) => {
       this.inFlight.delete(order.orderId);
       if (result.ok && result.val.fencingNumber >= order.fencingNumber) {
         this.settle(order, 'done');
--- a/packages/kumquatfront/src/orders/types.ts
+++ b/packages/kumquatfront/src/orders/types.ts
@@ -24,9 +24,13 @@
 
 /** Upstreams as the order desk sees them. */
 export interface OrderPort {
-  /** Gives an order; the answer says whether the upstream took it. */
+  /**
+   * Gives an order; the answer is what the upstream, read back, has taken last. `address` is that of the
+   * upstream where the giver knows it, else empty.
+   */
   give(
     order: agreedState.Order,
+    address: string,
     timeout: number,
     done: (result: results.Result<OrderReceipt, failures.Failure>) => void,
   ): void;
--- a/packages/kumquatfront/src/routing/types.ts
+++ b/packages/kumquatfront/src/routing/types.ts
@@ -22,6 +22,14 @@
   readonly estimateKeys: estimates.EstimateKeys;
   /** Upstreams that have failed this request already. */
   readonly exclude: ReadonlySet<string>;
+  /** Where given, only engines of this group. */
+  readonly group?: EngineGroup;
+}
+
+/** A share of a deployment's engines: those whose name hashes to `index` modulo `count`. */
+export interface EngineGroup {
+  readonly index: number;
+  readonly count: number;
 }
 
 /** Why a request got no place; it has not been run. */
@@ -56,5 +64,9 @@
   readonly promptTokens: number;
   readonly estimateKeys: estimates.EstimateKeys;
   readonly since: number;
+  /** Tokens at the last word of progress, and when that was. */
   produced: number;
+  progressedAt: number;
+  /** Tokens a millisecond between the last two words of progress. */
+  rate: number;
 }
--- a/packages/kumquatfront/src/settings/defaultConfig.ts
+++ b/packages/kumquatfront/src/settings/defaultConfig.ts
@@ -1,6 +1,7 @@
 /**
  * Every default of the settings, in one place. Times are milliseconds.
  */
+import * as coordinatedPlacement from '../admission/coordinatedPlacement.js';
 import * as headroom from '../admission/headroom.js';
 import * as agreedState from '../agreedState/agreedState.js';
 import type * as controlNode from '../controlNode/controlNode.js';
@@ -15,6 +16,7 @@
   | 'claims'
   | 'relay'
   | 'headroom'
+  | 'coordination'
   | 'serviceTimeout'
   | 'upstreamWait'
   | 'addressLife'
@@ -33,6 +35,7 @@
     generationLimit: 3,
   },
   headroom: headroom.defaultSettings,
+  coordination: coordinatedPlacement.defaultSettings,
   serviceTimeout: 10_000,
   upstreamWait: 3_000,
   addressLife: 10_000,
--- a/packages/kumquatfront/src/settings/generatedSettings.ts
+++ b/packages/kumquatfront/src/settings/generatedSettings.ts
@@ -142,9 +142,23 @@
      */
     reservedSlots?: number;
     /**
-     * Quantile of output length that the forecast reckons with
+     * Standard deviations above the mean that the forecast of memory reckons with
      */
-    lengthQuantile?: number;
+    deviations?: number;
+  };
+  coordination?: {
+    /**
+     * Engines that one entry coordinates at most
+     */
+    groupSize?: number;
+    /**
+     * Time between asks for a place, and between reports of progress
+     */
+    interval?: number;
+    /**
+     * Time a coordinator has to answer before an entry places alone
+     */
+    askTimeout?: number;
   };
   /**
    * Time a plain service has to answer
--- a/packages/kumquatfront/src/settings/settingsLoader.ts
+++ b/packages/kumquatfront/src/settings/settingsLoader.ts
@@ -96,6 +96,7 @@
       claims: { ...entryDefaults.claims, ...own.claims },
       relay: { ...entryDefaults.relay, ...own.relay },
       headroom: { ...entryDefaults.headroom, ...own.headroom },
+      coordination: { ...entryDefaults.coordination, ...own.coordination },
     },
   };
 }
--- a/packages/kumquatfront/src/settings/settingsSchema.ts
+++ b/packages/kumquatfront/src/settings/settingsSchema.ts
@@ -232,9 +232,30 @@
               $ref: '#/definitions/Share',
               description: "Share of an engine's slots kept from patient work",
             },
-            lengthQuantile: {
-              $ref: '#/definitions/Share',
-              description: 'Quantile of output length that the forecast reckons with',
+            deviations: {
+              type: 'number',
+              minimum: 0,
+              maximum: 6,
+              description: 'Standard deviations above the mean that the forecast of memory reckons with',
+            },
+          },
+        },
+        coordination: {
+          type: 'object',
+          additionalProperties: false,
+          properties: {
+            groupSize: {
+              type: 'integer',
+              minimum: 1,
+              description: 'Engines that one entry coordinates at most',
+            },
+            interval: {
+              $ref: '#/definitions/Milliseconds',
+              description: 'Time between asks for a place, and between reports of progress',
+            },
+            askTimeout: {
+              $ref: '#/definitions/Milliseconds',
+              description: 'Time a coordinator has to answer before an entry places alone',
             },
           },
         },
--- a/packages/kumquatfront/src/streams/generationRelay.ts
+++ b/packages/kumquatfront/src/streams/generationRelay.ts
@@ -60,6 +60,7 @@
   private connectionNumber = 0;
   private resumesWithoutProgress = 0;
   private opened = false;
+  private connectionsOfGeneration = 0;
   private lastProgressAt = 0;
   private paused = false;
   private over = false;
@@ -129,6 +130,7 @@
     this.target = target;
     this.nextIndex = 0;
     this.resumesWithoutProgress = 0;
+    this.connectionsOfGeneration = 0;
     this.lastProgressAt = this.now();
     this.tokenPrefix = host.issueToken(target, this.generation);
     if (restarted) {
@@ -142,6 +144,7 @@
   private openWith(open: (listener: types.GenerationListener) => types.GenerationConnection): void {
     this.connection?.close();
     this.connectionNumber += 1;
+    this.connectionsOfGeneration += 1;
     this.opened = false;
     const number = this.connectionNumber;
     const isCurrent = (): boolean => number === this.connectionNumber && !this.over;
@@ -239,6 +242,12 @@
   private onSilence(waited: number): void {
     const { host, settings } = this.options;
     host.stalled(waited);
+    if (!this.opened && this.isFirstConnection()) {
+      // An engine that does not even accept is frozen or out of reach. There is nothing to resume, so asking
+      // it again would only make the caller wait; the request goes elsewhere at once.
+      this.leaveUpstream('stall');
+      return;
+    }
     if (!this.opened) {
       this.countedReconnect();
       return;
@@ -276,9 +285,13 @@
     }
   }
 
+  /** True while the generation has only its first connection and no token. */
+  private isFirstConnection(): boolean {
+    return this.nextIndex === 0 && this.connectionsOfGeneration === 1;
+  }
+
   private onConnectionLost(reason: types.ConnectionFailure): void {
-    const firstAttempt = this.nextIndex === 0 && this.resumesWithoutProgress === 0;
-    if (reason === 'neverSent' && firstAttempt) {
+    if (reason === 'neverSent' && this.isFirstConnection()) {
       this.leaveUpstream('failure');
       return;
     }
--- a/packages/scenarios/src/language/actions.ts
+++ b/packages/scenarios/src/language/actions.ts
@@ -1,6 +1,8 @@
 /**
  * What a scenario can do, verb by verb.
  */
+import * as kumquatfront from 'kumquatfront';
+
 import * as baseConfiguration from './baseConfiguration.js';
 import * as expectations from './expectations.js';
 import * as lineModule from './line.js';
@@ -50,7 +52,7 @@
     acceptsRestart: line.words.includes('restart'),
     persistent: line.words.includes('persistent'),
   };
-  current.stream(wish, entryOf(line));
+  current.stream(wish, named(current, entryOf(line)));
 };
 
 const act: Action = (current, line) => {
@@ -120,9 +122,24 @@
 
 const leaderOf = (current: session.Session): string => current.world.leaders()[0] ?? '';
 
-/** Names a host, or the leader by the word `leader`. */
+/** The entry that coordinates the engines of the pool, by the rule that all entries share. */
+function coordinatorOf(current: session.Session): string {
+  const up = [...current.world.entries.keys()].filter((name) => current.world.hostOf(name).isUp);
+  return kumquatfront.rendezvous.pick('llm/0/1', up) ?? '';
+}
+
+/** Names a host: the leader, the coordinator, or some other entry than the coordinator, by those words. */
 function named(current: session.Session, name: string): string {
-  return name === 'leader' ? leaderOf(current) : name;
+  switch (name) {
+    case 'leader':
+      return leaderOf(current);
+    case 'coordinator':
+      return coordinatorOf(current);
+    case 'others':
+      return [...current.world.entries.keys()].find((entry) => entry !== coordinatorOf(current)) ?? '';
+    default:
+      return name;
+  }
 }
 
 /** Every verb. */
--- a/packages/scenarios/src/language/session.ts
+++ b/packages/scenarios/src/language/session.ts
@@ -57,15 +57,15 @@
     throw new Error(`Waited ${SETTLE_LIMIT} ms in vain: ${what}.`);
   }
 
-  /** Waits for a full set of voters, applies the base configuration, and waits until it is in force. */
-  configure(): void {
+  /** Waits for a full set of voters, applies the base configuration and what is given, and waits until it is in force. */
+  configure(further: readonly kumquatfront.configurationTypes.ConfigurationDraft[] = []): void {
     const wanted = this.world.controls.size;
     this.waitUntil('every control replica votes', () => {
       const [leader] = this.world.leaders();
       const status = this.world.controls.get(leader ?? '')?.node?.status();
       return status?.replica.members.filter((member) => member.role === 'voter').length === wanted;
     });
-    for (const [position, draft] of baseConfiguration.drafts.entries()) {
+    for (const [position, draft] of [...baseConfiguration.drafts, ...further].entries()) {
       const name = `base-${position}`;
       this.change(
         name,
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -114,9 +114,9 @@
   {
     name: 'requests wait for the upstream list after a restart',
     file: 'admission/localPlacement.js',
-    find: 'return this.waitForUpstream(request, done);',
+    find: 'this.waitForUpstream(request, done, goOn);',
     replace:
-      "done({ type: 'refused', refusal: { reason: 'noUpstream', retryAfter: 60000 } }); return () => undefined;",
+      "(done({ type: 'refused', refusal: { reason: 'noUpstream', retryAfter: 60000 } }), () => undefined);",
     scenario: 'entries-restart-together',
   },
   {
@@ -308,4 +308,18 @@
     replace: 'done();',
     scenario: 'soak:61',
   },
+  {
+    name: 'asks are repeated to whoever coordinates now',
+    file: 'admission/coordinatedPlacement.js',
+    find: 'this.repeatAsks();',
+    replace: '',
+    scenario: 'coordinator-killed',
+  },
+  {
+    name: 'an entry places alone when the coordinator is silent',
+    file: 'admission/coordinatedPlacement.js',
+    find: 'this.placeAlone(requestId, waiting);',
+    replace: '',
+    scenario: 'coordinator-frozen',
+  },
 ];
--- a/packages/scenarios/src/world/world.ts
+++ b/packages/scenarios/src/world/world.ts
@@ -23,6 +23,8 @@
   readonly syncDelay?: number;
   readonly control?: Partial<kumquatfront.controlNode.ControlSettings>;
   readonly entry?: Partial<kumquatfront.entryTypes.EntrySettings>;
+  /** The serving policy of the entries; the product's own where absent. */
+  readonly createPlacement?: kumquatfront.entryNode.CreatePlacement;
   /** Lines of the session. */
   readonly record: (line: string) => void;
 }
@@ -33,6 +35,8 @@
   readonly options: Omit<standIns.engineTypes.EngineOptions, 'name'>;
   readonly reportLag: number;
   readonly checksFencing: boolean;
+  /** Told the duration of every step, for measurements. */
+  readonly onStep?: (duration: number) => void;
 }
 
 interface ControlSlot {
@@ -142,7 +146,7 @@
 
   private ordersOf(own: host.Host): kumquatfront.orderTypes.OrderPort {
     return {
-      give: (order, timeout, done) => {
+      give: (order, _address, timeout, done) => {
         const engine = this.engines.get(order.upstream);
         const life = own.currentLife;
         let open = true;
@@ -190,7 +194,7 @@
         signingKey: SIGNING_KEY,
         upstreamKeyHash: '',
       };
-      slot.node = kumquatfront.entryNode.create(settings, {
+      const outside = {
         ...this.basePorts(slot.host),
         engines: virtualUpstreams.createEngines(this.net, slot.host, (engine) => this.engines.get(engine)),
         services: virtualUpstreams.createServices(
@@ -199,7 +203,10 @@
           (service) => this.services.get(service),
           this.time,
         ),
-      });
+        orders: this.ordersOf(slot.host),
+        onDrainRequest: () => undefined,
+      };
+      slot.node = kumquatfront.entryNode.create(settings, outside, this.options.createPlacement);
     };
     this.boots.set(name, boot);
     boot();
@@ -212,6 +219,7 @@
       new standIns.engineModel.EngineModel(
         { name, ...wish.options },
         { now: () => this.time.now(), after: (delay, run) => own.scheduler().after(delay, run) },
+        wish.onStep,
       );
     const slot: virtualUpstreams.VirtualEngine = {
       host: own,
--- a/packages/standIns/src/engine/engineModel.ts
+++ b/packages/standIns/src/engine/engineModel.ts
@@ -26,6 +26,7 @@
     starts: 0,
   };
   private readonly time: ModelTime;
+  private readonly onStep: ((duration: number) => void) | undefined;
   private readonly generations = new Map<string, types.Generation>();
   private running: types.Generation[] = [];
   private waiting: types.Generation[] = [];
@@ -37,9 +38,10 @@
   private cacheAdded: string[] = [];
   private cacheRemoved: string[] = [];
 
-  constructor(options: types.EngineOptions, time: ModelTime) {
+  constructor(options: types.EngineOptions, time: ModelTime, onStep?: (duration: number) => void) {
     this.options = options;
     this.time = time;
+    this.onStep = onStep;
   }
 
   /** Takes an order. */
@@ -166,7 +168,9 @@
     }
     this.stepScheduled = true;
     this.admit();
-    this.time.after(this.stepDuration(), () => {
+    const duration = this.stepDuration();
+    this.onStep?.(duration);
+    this.time.after(duration, () => {
       this.stepScheduled = false;
       if (!this.frozen) {
         this.step();
