--- /dev/null
+++ b/examples/embed/src/embed.ts
@@ -0,0 +1,62 @@
+/**
+ * Embeds one part, the admission policy, behind a transport of one's own: requests wait in a fair queue until
+ * an engine has headroom, and the policy is told what becomes of them. Run with `node dist/embed.js`.
+ */
+import * as kumquatfront from 'kumquatfront';
+
+const { clock, scheduler } = kumquatfront.systemTime;
+const timers = kumquatfront.timerService.create(clock, scheduler);
+const table = new kumquatfront.upstreamTable.UpstreamTable();
+const silent = (): void => undefined;
+
+// News comes from wherever your engines report; here two engines announce themselves once.
+for (const name of ['engine-1', 'engine-2']) {
+  const announcement: kumquatfront.directoryTypes.Announcement = {
+    ...{
+      name,
+      incarnation: 1,
+      sequence: 1,
+      address: `http://${name}`,
+      kind: 'engine',
+      labels: { pool: 'llm' },
+    },
+    ...{ dataCentre: 'here', memoryTokens: 4_000, slots: 4, lease: 60_000, leaving: false },
+  };
+  table.announce(announcement, 0, timers.now());
+}
+
+const placement = new kumquatfront.localPlacement.LocalPlacement({
+  directory: { table, onNews: silent, onGone: silent },
+  estimator: new kumquatfront.lengthEstimator.LengthEstimator(),
+  health: new kumquatfront.health.Health(),
+  timers,
+  random: kumquatfront.seededRandom.create(1),
+  metrics: kumquatfront.statsdMetrics.silent,
+  choose: kumquatfront.choice.chooseOfTwo,
+  headroom: kumquatfront.headroom.defaultSettings,
+  bounds: () => ({ perAccount: 10, total: 40 }),
+  weightOf: () => 1,
+  upstreamWait: 1_000,
+});
+
+for (let count = 1; count <= 4; count += 1) {
+  const requestId = `request-${count}`;
+  const request: kumquatfront.routingTypes.PlacementRequest = {
+    ...{
+      requestId,
+      account: 'school-1',
+      deployment: 'llm',
+      upstreams: 'pool=llm',
+      kind: 'engine',
+      urgency: 'patient',
+    },
+    ...{ promptTokens: 300, prefix: '', estimateKeys: ['school-1', 'all'], exclude: new Set<string>() },
+  };
+  placement.place(request, (answer) => {
+    const where = answer.type === 'granted' ? answer.upstream.announcement.name : answer.refusal.reason;
+    process.stdout.write(`${requestId}: ${where}\n`);
+    // Your transport runs the request here and tells the policy how long the output became.
+    placement.finished(requestId, 250, true);
+  });
+}
+timers.stop();
--- a/packages/benchmarks/src/policy/decisionCost.ts
+++ b/packages/benchmarks/src/policy/decisionCost.ts
@@ -46,7 +46,7 @@
   }
   const noDirectory = { table, onNews: () => undefined, onGone: () => undefined };
   const placement = new kumquatfront.localPlacement.LocalPlacement({
-    directory: noDirectory as never,
+    directory: noDirectory,
     estimator: new kumquatfront.lengthEstimator.LengthEstimator(),
     health: new kumquatfront.health.Health(),
     timers,
--- /dev/null
+++ b/packages/benchmarks/src/slopes/controlTraffic.ts
@@ -0,0 +1,102 @@
+/**
+ * Bytes and messages of control on virtual time: idle with entries that pull, and for each change.
+ */
+import * as scenarios from 'kumquatfront-scenarios';
+
+/** Figures of one size; a second unless said otherwise. */
+export interface ControlTraffic {
+  readonly entries: number;
+  readonly replicas: number;
+  readonly leaderBytes: number;
+  readonly followerBytes: number;
+  readonly entryBytes: number;
+  readonly leaderMessages: number;
+  /** Bytes that the whole system sends for one change, beyond the idle traffic. */
+  readonly bytesForChange: number;
+  /** Milliseconds until a change is in force at every entry: the longest of several. */
+  readonly inForce: number;
+}
+
+const IDLE_SECONDS = 20;
+const CHANGES = 10;
+const STEP = 20;
+const IN_FORCE_LIMIT = 30_000;
+
+function names(prefix: string, count: number): readonly string[] {
+  return Array.from({ length: count }, (_, position) => `${prefix}-${position + 1}`);
+}
+
+function sentBy(
+  session: scenarios.session.Session,
+  name: string,
+): { readonly messages: number; readonly bytes: number } {
+  return session.world.net.sent.get(name) ?? { messages: 0, bytes: 0 };
+}
+
+function totalBytes(session: scenarios.session.Session): number {
+  return [...session.world.net.sent.values()].reduce((sum, counter) => sum + counter.bytes, 0);
+}
+
+function changeAndWait(session: scenarios.session.Session, position: number, entries: number): number {
+  const name = `change-${position}`;
+  const [leader = ''] = session.world.leaders();
+  const body = { labels: { region: name } };
+  const startedAt = session.world.time.now();
+  session.change(
+    name,
+    { kind: 'market', name, body, expectedVersion: 0, changeId: `slopes-${name}` },
+    leader,
+  );
+  while (session.world.time.now() - startedAt < IN_FORCE_LIMIT) {
+    session.world.time.advance(STEP);
+    const version = session.changes.get(name)?.version ?? 0;
+    if (version > 0 && session.inForce(version) === entries) {
+      return session.world.time.now() - startedAt;
+    }
+  }
+  return -1;
+}
+
+/**
+ * Measures one size.
+ *
+ * @param replicas - control replicas
+ * @param entries - entries that pull
+ * @returns the figures
+ * @example
+ * ```ts
+ * controlTraffic.measure(3, 64);
+ * ```
+ */
+export function measure(replicas: number, entries: number): ControlTraffic {
+  const session = new scenarios.session.Session({
+    seed: 3,
+    controlNames: names('control', replicas),
+    entryNames: names('entry', entries),
+    dataCentreOf: (name) => `centre-${Number(/(\d+)$/.exec(name)?.[1] ?? 1) % 6}`,
+    network: { withinDataCentre: 0.5, betweenDataCentres: 1.5, loss: 0 },
+    entry: {
+      directory: { round: 3_600_000, fanout: 1, keepFor: 3_600_000, presenceLease: 3_600_000 },
+      configuration: { pullInterval: 5_000, pullTimeout: 1_000, staleAfter: 15_000 },
+    },
+  });
+  session.configure();
+  session.world.net.countBytes = true;
+  session.world.time.advance(IDLE_SECONDS * 1_000);
+  const [leader = ''] = session.world.leaders();
+  const follower = names('control', replicas).find((name) => name !== leader) ?? '';
+  const idleTotal = totalBytes(session) / IDLE_SECONDS;
+  const figures = {
+    leaderBytes: sentBy(session, leader).bytes / IDLE_SECONDS,
+    followerBytes: sentBy(session, follower).bytes / IDLE_SECONDS,
+    entryBytes: sentBy(session, 'entry-1').bytes / IDLE_SECONDS,
+    leaderMessages: sentBy(session, leader).messages / IDLE_SECONDS,
+  };
+  session.world.net.sent.clear();
+  const startedAt = session.world.time.now();
+  const waits = Array.from({ length: CHANGES }, (_, position) => changeAndWait(session, position, entries));
+  const elapsed = (session.world.time.now() - startedAt) / 1_000;
+  const bytesForChange = (totalBytes(session) - idleTotal * elapsed) / CHANGES;
+  const inForce = waits.includes(-1) ? -1 : Math.max(...waits);
+  return { entries, replicas, ...figures, bytesForChange, inForce };
+}
--- /dev/null
+++ b/packages/benchmarks/src/slopes/memory.ts
@@ -0,0 +1,146 @@
+/**
+ * Heap that an entry's state takes, from the growth of the heap with its size. Needs `--expose-gc`.
+ */
+import * as kumquatfront from 'kumquatfront';
+
+/** Bytes for one of each. */
+export interface MemorySlopes {
+  readonly account: number;
+  readonly upstream: number;
+  readonly dispatch: number;
+  readonly claim: number;
+  readonly configurationObject: number;
+}
+
+const COUNT = 5_000;
+
+function heapAfterCollection(): number {
+  const collect = (globalThis as { gc?: () => void }).gc;
+  if (collect === undefined) {
+    throw new Error('Run this with node --expose-gc; `npm run slopes` does.');
+  }
+  collect();
+  collect();
+  return process.memoryUsage().heapUsed;
+}
+
+/** Heap that `make` keeps for each of `COUNT` things. */
+function slope(make: () => unknown): number {
+  const before = heapAfterCollection();
+  const kept = make();
+  const after = heapAfterCollection();
+  return kept === undefined ? 0 : (after - before) / COUNT;
+}
+
+function positions(): readonly number[] {
+  return Array.from({ length: COUNT }, (_, position) => position);
+}
+
+function account(position: number): kumquatfront.configurationTypes.ConfigurationObject {
+  const name = `account-${position}`;
+  const keyHashes = [kumquatfront.trafficResolver.hashKey(name)];
+  return { kind: 'clientAccount', name, version: position, body: { market: 'm', keyHashes } };
+}
+
+function resolverWithAccounts(): unknown {
+  const resolver = new kumquatfront.trafficResolver.TrafficResolver();
+  resolver.update(positions().map(account));
+  return resolver;
+}
+
+function tableWithUpstreams(): unknown {
+  const table = new kumquatfront.upstreamTable.UpstreamTable();
+  const store = new kumquatfront.publicationStore.PublicationStore(60_000);
+  for (const position of positions()) {
+    const common = { name: `upstream-${position}`, incarnation: 1, sequence: 1 };
+    const announcement: kumquatfront.directoryTypes.Announcement = {
+      ...common,
+      address: `http://10.0.${position % 250}.1:8000`,
+      kind: 'engine',
+      labels: { pool: 'llm', model: 'm' },
+      dataCentre: 'c',
+      memoryTokens: 16_000,
+      slots: 32,
+      lease: 60_000,
+      leaving: false,
+    };
+    const report = { ...common, running: 10, waiting: 0, usedTokens: 9_000 };
+    table.announce(announcement, 0, 0);
+    table.report(report, 0, 0);
+    store.publish('entry', 1, `announce/${common.name}`, { type: 'announce', announcement }, 0);
+    store.publish('entry', 1, `load/${common.name}`, { type: 'load', report }, 0);
+  }
+  return [table, store];
+}
+
+function ledgerWithDispatches(): unknown {
+  const ledger = new kumquatfront.dispatchLedger.DispatchLedger();
+  for (const position of positions()) {
+    ledger.dispatched(
+      {
+        requestId: `request-${position}`,
+        account: 'a',
+        deployment: 'd',
+        upstreams: 'pool=llm',
+        kind: 'engine',
+        urgency: 'patient',
+        promptTokens: 100,
+        prefix: '',
+        estimateKeys: [`account-${position}/m/t`, 'm/t', 'm'],
+        exclude: new Set(),
+      },
+      `upstream-${position % 600}`,
+      0,
+    );
+  }
+  return ledger;
+}
+
+function stateWithClaims(): unknown {
+  const state = new kumquatfront.agreedState.AgreedState();
+  for (const position of positions()) {
+    const common = { account: 'a', key: `key-${position}`, attempt: `attempt-${position}` };
+    state.apply({ type: 'claim', ...common, digest: 'd'.repeat(64), holder: 'entry-1' }, position + 1, 0);
+    const outcome = {
+      status: 200,
+      contentType: 'application/json',
+      body: `{"done":${position},"pad":"${'x'.repeat(100)}"}`,
+    };
+    state.apply({ type: 'settleClaim', ...common, result: 'done', outcome }, position + 1, 0);
+  }
+  return state;
+}
+
+function stateWithObjects(): unknown {
+  const state = new kumquatfront.agreedState.AgreedState();
+  for (const position of positions()) {
+    const name = `market-${position}`;
+    const body = { labels: { region: name } };
+    const changeId = `change-${position}`;
+    state.apply(
+      { type: 'configure', changeId, kind: 'market', name, expectedVersion: 0, body },
+      position + 1,
+      0,
+    );
+  }
+  return state;
+}
+
+/**
+ * Measures every slope.
+ *
+ * @returns bytes for one of each
+ * @example
+ * ```ts
+ * memory.measure().upstream;
+ * ```
+ */
+export function measure(): MemorySlopes {
+  return {
+    account: slope(resolverWithAccounts),
+    upstream: slope(tableWithUpstreams),
+    dispatch: slope(ledgerWithDispatches),
+    claim: slope(stateWithClaims),
+    configurationObject: slope(stateWithObjects),
+  };
+}
--- a/packages/demo/src/cluster.ts
+++ b/packages/demo/src/cluster.ts
@@ -36,6 +36,10 @@
   readonly services: readonly Member[];
   readonly operatorAddresses: readonly string[];
   readonly entryAddresses: readonly string[];
+  /** Folder of a control replica's agreed state. */
+  dataFolder(name: string): string;
+  /** Starts a process again that has ended, as it was started. */
+  restart(name: string): Member;
   stop(): Promise<void>;
 }
 
@@ -83,6 +87,7 @@
 /** Starts processes and remembers them. */
 class Starter {
   readonly members: Member[] = [];
+  private readonly started = new Map<string, () => Member>();
   private readonly folder: string;
 
   constructor(folder: string) {
@@ -101,6 +106,7 @@
   }
 
   start(name: string, port: number, module: string, ...rest: readonly string[]): Member {
+    this.started.set(name, () => this.start(name, port, module, ...rest));
     const log = fs.openSync(path.join(this.folder, `${name}.log`), 'a');
     const file = new URL(import.meta.resolve(module)).pathname;
     const child = childProcess.spawn(process.execPath, [file, ...rest], { stdio: ['ignore', 'ignore', log] });
@@ -110,6 +116,14 @@
     return member;
   }
 
+  restart(name: string): Member {
+    const start = this.started.get(name);
+    if (start === undefined) {
+      throw new Error(`There is no process ${name}.`);
+    }
+    return start();
+  }
+
   async stop(): Promise<void> {
     for (const { child } of this.members) {
       if (child.exitCode === null && child.signalCode === null) {
@@ -206,6 +220,8 @@
     services,
     operatorAddresses,
     entryAddresses,
+    dataFolder: (name) => starter.dataFolder(name),
+    restart: (name) => starter.restart(name),
     stop: () => starter.stop(),
   };
 }
--- a/packages/kumquatfront/src/admission/coordinatedPlacement.ts
+++ b/packages/kumquatfront/src/admission/coordinatedPlacement.ts
@@ -3,6 +3,7 @@
  * placed by the coordinator of a group of engines: an entry that all others pick by rendezvous hashing, which
  * knows everything patient that runs on the group. When it does not answer, this entry places by itself.
  */
+import type * as directory from '../directory/directory.js';
 import type * as directoryTypes from '../directory/types.js';
 import type * as ports from '../kernel/ports.js';
 import type * as routing from '../routing/types.js';
@@ -26,6 +27,7 @@
 
 /** What the placement is made from. */
 export interface CoordinatedPlacementOptions extends localPlacement.LocalPlacementOptions {
+  readonly directory: directory.Directory;
   readonly name: string;
   readonly peerAddress: string;
   readonly peers: ports.PeerTransport;
--- a/packages/kumquatfront/src/admission/localPlacement.ts
+++ b/packages/kumquatfront/src/admission/localPlacement.ts
@@ -19,7 +19,8 @@
 
 /** What the placement is made from. */
 export interface LocalPlacementOptions {
-  readonly directory: directory.Directory;
+  /** Where upstreams are known; a whole directory, or a table with word of its changes. */
+  readonly directory: Pick<directory.Directory, 'table' | 'onNews' | 'onGone'>;
   readonly estimator: estimates.LengthEstimator;
   readonly health: health.Health;
   readonly timers: timerService.TimerService;
--- a/packages/kumquatfront/src/directory/directory.ts
+++ b/packages/kumquatfront/src/directory/directory.ts
@@ -55,6 +55,9 @@
   private readonly options: DirectoryOptions;
   private readonly store: publicationStore.PublicationStore;
   private readonly peersByName = new Map<string, PeerRecord>();
+  private readonly publishedWhole = new Map<string, { readonly content: string; readonly at: number }>();
+  private presenceText = '';
+  private presenceAt = Number.NEGATIVE_INFINITY;
   private readonly listeners: (() => void)[] = [];
   private readonly goneListeners: ((name: string) => void)[] = [];
 
@@ -119,7 +122,8 @@
 
   private publish(news: types.UpstreamNews): void {
     const { name, incarnation } = this.options;
-    const item = this.store.publish(name, incarnation, keyOf(news), news, this.now());
+    const value = this.shortened(news);
+    const item = this.store.publish(name, incarnation, keyOf(value), value, this.now());
     const leaves = news.type === 'announce' && news.announcement.leaving;
     if (leaves) {
       this.push([item]);
@@ -127,6 +131,25 @@
     this.notifyListeners();
   }
 
+  /**
+   * An announcement that repeats the last one travels as a renewal, a quarter of its size; the whole one is
+   * published again before the former leaves the stores of others.
+   */
+  private shortened(news: types.UpstreamNews): types.PublishedValue {
+    if (news.type !== 'announce') {
+      return news;
+    }
+    const { announcement } = news;
+    const { name, incarnation, sequence } = announcement;
+    const content = JSON.stringify({ ...announcement, sequence: 0 });
+    const last = this.publishedWhole.get(name);
+    if (last?.content === content && this.now() - last.at < this.options.settings.keepFor / 2) {
+      return { type: 'renewal', renewal: { name, incarnation, sequence } };
+    }
+    this.publishedWhole.set(name, { content, at: this.now() });
+    return news;
+  }
+
   private push(items: readonly types.PublishedItem[]): void {
     for (const address of this.peerAddresses()) {
       this.options.peers.notify(address, 'directory.push', items);
@@ -137,6 +160,8 @@
     switch (value.type) {
       case 'announce':
         return this.table.announce(value.announcement, age, this.now());
+      case 'renewal':
+        return this.table.renew(value.renewal, age, this.now());
       case 'load':
         return this.table.report(value.report, age, this.now());
       case 'cache':
@@ -165,9 +190,8 @@
   }
 
   private runRound(): void {
-    const { settings, peers, peerAddress, name, incarnation, presence } = this.options;
-    const value: types.PublishedValue = { type: 'presence', presence: presence() };
-    this.store.publish(name, incarnation, 'presence', value, this.now());
+    const { settings, peers, peerAddress } = this.options;
+    this.publishPresence();
     this.expire();
     const offer: Offer = { from: peerAddress, vector: this.store.vector(), first: true };
     for (const address of this.pickPeers(settings.fanout)) {
@@ -175,6 +199,22 @@
     }
   }
 
+  /** Publishes the presence when its state changed, and often enough to keep its lease. */
+  private publishPresence(): void {
+    const { name, incarnation, settings } = this.options;
+    const presence = this.options.presence();
+    const text = `${presence.state}/${presence.configurationVersion}`;
+    if (
+      text === this.presenceText &&
+      this.now() - this.presenceAt < settings.presenceLease / PRESENCES_IN_LEASE
+    ) {
+      return;
+    }
+    this.presenceText = text;
+    this.presenceAt = this.now();
+    this.store.publish(name, incarnation, 'presence', { type: 'presence', presence }, this.now());
+  }
+
   /** Tells every peer this entry's presence at once; for a change of state such as draining. */
   announcePresence(): void {
     const { name, incarnation, presence } = this.options;
@@ -186,6 +226,7 @@
     const now = this.now();
     this.store.expire(now);
     for (const name of this.table.expire(now)) {
+      this.publishedWhole.delete(name);
       this.options.log.info('upstreamGone', { upstream: name });
       for (const listener of this.goneListeners) {
         listener(name);
@@ -238,8 +279,12 @@
 
 const ACKNOWLEDGED = results.Ok(null);
 
-function keyOf(news: types.UpstreamNews): string {
+function keyOf(news: types.PublishedValue): string {
   switch (news.type) {
+    case 'presence':
+      return 'presence';
+    case 'renewal':
+      return `renewal/${news.renewal.name}`;
     case 'announce':
       return `announce/${news.announcement.name}`;
     case 'load':
@@ -251,6 +296,9 @@
 
 const CACHE_EVENTS_KEPT = 16;
 
+/** Publications of an unchanged presence within its lease, so that one may be lost. */
+const PRESENCES_IN_LEASE = 3;
+
 function rankOf(item: types.PublishedItem): number {
   return item.value.type === 'announce' ? 0 : item.sequence;
 }
--- a/packages/kumquatfront/src/directory/publicationStore.ts
+++ b/packages/kumquatfront/src/directory/publicationStore.ts
@@ -6,6 +6,9 @@
  */
 import type * as types from './types.js';
 
+/** Stands for the incarnation of a publisher that a peer has never heard of. */
+const NEVER_HEARD = -1;
+
 interface StoredItem {
   readonly item: types.PublishedItem;
   /** Local time at which the item would have had age 0. */
@@ -95,9 +98,9 @@
   }
 
   vector(): types.StateVector {
-    const vector: Record<string, { incarnation: number; sequence: number }> = {};
+    const vector: Record<string, readonly [number, number]> = {};
     for (const [name, publisher] of this.publishers) {
-      vector[name] = { incarnation: publisher.incarnation, sequence: publisher.contiguous };
+      vector[name] = [publisher.incarnation, publisher.contiguous];
     }
     return vector;
   }
@@ -106,10 +109,9 @@
   missingFrom(vector: types.StateVector, now: number): readonly Extract[] {
     const extracts: Extract[] = [];
     for (const [name, publisher] of this.publishers) {
-      const theirs = vector[name];
-      const after = theirs?.incarnation === publisher.incarnation ? theirs.sequence : 0;
-      const behind = theirs === undefined || theirs.incarnation <= publisher.incarnation;
-      if (behind && (after < publisher.contiguous || theirs === undefined)) {
+      const [incarnation, sequence] = vector[name] ?? [NEVER_HEARD, 0];
+      const after = incarnation === publisher.incarnation ? sequence : 0;
+      if (incarnation <= publisher.incarnation && after < publisher.contiguous) {
         extracts.push(this.extract(name, publisher, after, now));
       }
     }
@@ -119,18 +121,18 @@
   private extract(name: string, publisher: Publisher, after: number, now: number): Extract {
     const items = [...publisher.items.values()]
       .filter((stored) => stored.item.sequence > after)
-      .map((stored) => ({ ...stored.item, age: now - stored.bornAt }));
+      .map((stored) => ({ ...stored.item, age: Math.round(now - stored.bornAt) }));
     return { publisher: name, incarnation: publisher.incarnation, after, upTo: publisher.contiguous, items };
   }
 
   /** True when the holder of `vector` knows something that this store does not. */
   isBehind(vector: types.StateVector): boolean {
-    return Object.entries(vector).some(([name, theirs]) => {
+    return Object.entries(vector).some(([name, [incarnation, sequence]]) => {
       const own = this.publishers.get(name);
-      if (own === undefined || own.incarnation < theirs.incarnation) {
+      if (own === undefined || own.incarnation < incarnation) {
         return true;
       }
-      return own.incarnation === theirs.incarnation && own.contiguous < theirs.sequence;
+      return own.incarnation === incarnation && own.contiguous < sequence;
     });
   }
 
--- a/packages/kumquatfront/src/directory/types.ts
+++ b/packages/kumquatfront/src/directory/types.ts
@@ -28,6 +28,13 @@
   readonly leaving: boolean;
 }
 
+/** Word that an upstream announced itself again and nothing but its lease changed. */
+export interface Renewal {
+  readonly name: string;
+  readonly incarnation: number;
+  readonly sequence: number;
+}
+
 /** A load report; it may be late. */
 export interface LoadReport {
   readonly name: string;
@@ -70,6 +77,7 @@
 /** A value that one entry publishes to the others. */
 export type PublishedValue =
   | { readonly type: 'announce'; readonly announcement: Announcement }
+  | { readonly type: 'renewal'; readonly renewal: Renewal }
   | { readonly type: 'load'; readonly report: LoadReport }
   | { readonly type: 'cache'; readonly event: CacheEvent }
   | { readonly type: 'presence'; readonly presence: EntryPresence };
@@ -86,7 +94,5 @@
   readonly value: PublishedValue;
 }
 
-/** Newest sequence known of each publisher without a gap. */
-export type StateVector = Readonly<
-  Record<string, { readonly incarnation: number; readonly sequence: number }>
->;
+/** Incarnation and newest sequence known of each publisher without a gap; a pair, as it travels often. */
+export type StateVector = Readonly<Record<string, readonly [incarnation: number, sequence: number]>>;
--- a/packages/kumquatfront/src/directory/upstreamTable.ts
+++ b/packages/kumquatfront/src/directory/upstreamTable.ts
@@ -22,16 +22,20 @@
 }
 
 const CACHED_PREFIXES_KEPT = 4_096;
+const CONTENTS_KEPT = 5_000;
 
 /** The table; see the module comment. */
 export class UpstreamTable {
   private readonly records = new Map<string, UpstreamRecord>();
+  /** Newest announcement heard of each upstream, whether its lease holds or not. */
+  private readonly contents = new Map<string, types.Announcement>();
   private readonly caches = new Map<string, CacheView>();
   private version = 0;
   private readonly bySelector = new Map<string, { version: number; records: readonly UpstreamRecord[] }>();
 
   /** Takes an announcement that is `age` milliseconds old; true when it is news. */
   announce(announcement: types.Announcement, age: number, now: number): boolean {
+    this.rememberContent(announcement);
     const known = this.records.get(announcement.name);
     const before = known?.announcement;
     if (before !== undefined && !isNewer(announcement, before)) {
@@ -62,6 +66,30 @@
     return true;
   }
 
+  /**
+   * Takes word that an announcement was repeated unchanged `age` milliseconds ago. What it repeats may have
+   * come too late to hold by itself, after a cut, so it is looked up among all that were ever heard lately.
+   */
+  renew(renewal: types.Renewal, age: number, now: number): boolean {
+    const content = this.contents.get(renewal.name);
+    return (
+      content?.incarnation === renewal.incarnation &&
+      this.announce({ ...content, sequence: renewal.sequence }, age, now)
+    );
+  }
+
+  private rememberContent(announcement: types.Announcement): void {
+    const known = this.contents.get(announcement.name);
+    if (known !== undefined && !isNewer(announcement, known)) {
+      return;
+    }
+    this.contents.delete(announcement.name);
+    this.contents.set(announcement.name, announcement);
+    if (this.contents.size > CONTENTS_KEPT) {
+      this.contents.delete(this.contents.keys().next().value ?? '');
+    }
+  }
+
   /** Takes a load report; it never changes whether the upstream leaves. */
   report(report: types.LoadReport, age: number, now: number): boolean {
     const known = this.records.get(report.name);
