--- a/packages/benchmarks/src/slopes.ts
+++ b/packages/benchmarks/src/slopes.ts
@@ -1,11 +1,12 @@
 /**
- * `npm run slopes -- [ways] [traffic] [heap] [processes]`: what docs/CAPACITY.md is worked out from. Prints tables
- * and writes JSON; without names, all four parts.
+ * `npm run slopes -- [ways] [traffic] [coordination] [heap] [processes]`: what docs/CAPACITY.md is worked out from. Prints tables
+ * and writes JSON; without names, all five parts.
  */
 import * as fs from 'node:fs';
 
 import * as controlProcesses from './slopes/controlProcesses.js';
 import * as controlTraffic from './slopes/controlTraffic.js';
+import * as coordinationTraffic from './slopes/coordinationTraffic.js';
 import * as dissemination from './slopes/dissemination.js';
 import * as memory from './slopes/memory.js';
 
@@ -94,6 +95,7 @@
 const PARTS: Readonly<Record<string, () => readonly object[] | Promise<readonly object[]>>> = {
   ways: measureWays,
   traffic: measureTraffic,
+  coordination: () => [coordinationTraffic.measure(8), coordinationTraffic.measure(32)],
   heap: () => [memory.measure()],
   processes: async () => [await controlProcesses.measure()],
 };
