--- a/packages/benchmarks/src/slopes.ts
+++ b/packages/benchmarks/src/slopes.ts
@@ -1,6 +1,7 @@
 /**
- * `npm run slopes -- [ways] [traffic] [coordination] [heap] [processes]`: what docs/CAPACITY.md is worked out from. Prints tables
- * and writes JSON; without names, all five parts.
+ * `npm run slopes -- [ways] [traffic] [coordination] [heap] [processes]
+ * [claims] [recovery]`: what docs/CAPACITY.md is worked out from. Prints tables
+ * and writes JSON; without names, all parts.
  */
 import * as fs from 'node:fs';
 
@@ -97,7 +98,9 @@
   traffic: measureTraffic,
   coordination: () => [coordinationTraffic.measure(8), coordinationTraffic.measure(32)],
   heap: () => [memory.measure()],
-  processes: async () => [await controlProcesses.measure()],
+  processes: async () => [await controlProcesses.measure(3), await controlProcesses.measure(5)],
+  claims: async () => [await controlProcesses.measureClaims()],
+  recovery: async () => [await controlProcesses.measureRecovery()],
 };
 
 const wanted = process.argv.slice(2);
--- a/packages/benchmarks/src/slopes/dissemination.ts
+++ b/packages/benchmarks/src/slopes/dissemination.ts
@@ -28,6 +28,9 @@
   readonly bytesPerNode: number;
   readonly messagesPerNode: number;
   readonly busiestBytes: number;
+  /** Share of the upstreams that a node knows, on average over nodes and time, and at the worst node and time. */
+  readonly known: number;
+  readonly knownWorst: number;
   /** Milliseconds until 99% and all of the nodes in reach know that an upstream leaves; -1 where never. */
   readonly leave99: number;
   readonly leave100: number;
@@ -38,7 +41,8 @@
 }
 
 const DATA_CENTRES = 6;
-const LEASE_RENEWALS = 3;
+const LEASE_RENEWALS = 6;
+const SAMPLES = 10;
 const LEAVE_LIMIT = 30_000;
 const STEP = 50;
 
@@ -291,12 +295,27 @@
     return -1;
   }
 
+  /** Runs for a while and looks now and then at how much each node knows. */
+  private sampleKnowledge(duration: number): { readonly known: number; readonly knownWorst: number } {
+    const shares: number[] = [];
+    for (let sample = 0; sample < SAMPLES; sample += 1) {
+      this.time.advance(duration / SAMPLES);
+      const now = this.time.now();
+      for (const node of this.nodes.values()) {
+        const leased = node.table.all().filter((record) => record.expiresAt > now).length;
+        shares.push(leased / this.options.upstreams);
+      }
+    }
+    const known = shares.reduce((sum, share) => sum + share, 0) / shares.length;
+    return { known, knownWorst: Math.min(...shares) };
+  }
+
   run(): DisseminationFigures {
     const { duration, nodes, renewEvery } = this.options;
-    this.time.advance(renewEvery * 2 + this.options.round * 2);
+    this.time.advance(renewEvery * 4 + this.options.round * 4);
     this.net.sent.clear();
     const cpuBefore = process.cpuUsage();
-    this.time.advance(duration);
+    const knowledge = this.sampleKnowledge(duration);
     const cpu = process.cpuUsage(cpuBefore);
     const sent = [...this.net.sent.values()];
     const seconds = duration / 1_000;
@@ -308,7 +327,7 @@
       busiestBytes: Math.max(...sent.map((counter) => counter.bytes)) / seconds,
       cpuPerNode: (cpu.user + cpu.system) / 1_000 / nodes / seconds,
     };
-    return { ...figures, ...this.leaveTimes(), healed: this.healTime() };
+    return { ...figures, ...knowledge, ...this.leaveTimes(), healed: this.healTime() };
   }
 }
 
--- a/packages/demo/src/cluster.ts
+++ b/packages/demo/src/cluster.ts
@@ -27,6 +27,7 @@
     ? `127.${1 + ((process.pid >> 16) & 127)}.${(process.pid >> 8) & 255}.${process.pid & 255}`
     : '127.0.0.1';
 
+const WORKSPACE = new URL('../../../', import.meta.url).pathname;
 const CONTROL_COUNT = 3;
 const ENTRY_COUNT = 4;
 
@@ -93,6 +94,19 @@
   return `${LOOPBACK}:${port}`;
 }
 
+/** The example settings of a deployment; addresses, keys and folders are replaced by those of this machine. */
+function exampleSettings(
+  deployment: deployments.Deployment,
+  file: string,
+  role: 'entry' | 'control',
+): object {
+  const folder = path.dirname(path.join(WORKSPACE, deployment.configurationFile));
+  const settings = JSON.parse(fs.readFileSync(path.join(folder, file), 'utf8')) as Readonly<
+    Record<string, object>
+  >;
+  return { ...settings[role], metrics: {} };
+}
+
 /** Starts processes and remembers them. */
 class Starter {
   readonly members: Member[] = [];
@@ -144,22 +158,27 @@
 }
 
 /**
- * Starts a deployment: three control replicas, four entries, its engines and services.
+ * Starts a deployment: control replicas, four entries, its engines and services.
  *
  * @param deployment - what to start
  * @param folder - where settings, logs and data go
+ * @param controlCount - control replicas; three where absent
  * @returns the running deployment
  * @example
  * ```ts
  * const running = await cluster.start(deployments.tuckshop, '.demo');
  * ```
  */
-export async function start(deployment: deployments.Deployment, folder: string): Promise<Cluster> {
+export async function start(
+  deployment: deployments.Deployment,
+  folder: string,
+  controlCount = CONTROL_COUNT,
+): Promise<Cluster> {
   const upstreamCount = deployment.engines.count + deployment.services.count;
-  const ports = [...(await freePorts(CONTROL_COUNT * 2 + ENTRY_COUNT * 2 + upstreamCount))];
+  const ports = [...(await freePorts(controlCount * 2 + ENTRY_COUNT * 2 + upstreamCount))];
   const take = (count: number): readonly number[] => ports.splice(0, count);
-  const controlPeers = take(CONTROL_COUNT).map(local);
-  const operatorAddresses = take(CONTROL_COUNT).map(local);
+  const controlPeers = take(controlCount).map(local);
+  const operatorAddresses = take(controlCount).map(local);
   const entryPeers = take(ENTRY_COUNT).map(local);
   const entryPorts = take(ENTRY_COUNT);
   const starter = new Starter(folder);
@@ -170,6 +189,7 @@
     const name = `control-${position + 1}`;
     const file = starter.settingsFile(name, {
       control: {
+        ...exampleSettings(deployment, 'control-1.json', 'control'),
         name,
         dataCentre: centreOf(position),
         operatorAddress: operatorAddresses[position],
@@ -186,6 +206,7 @@
     const name = `entry-${position + 1}`;
     const file = starter.settingsFile(name, {
       entry: {
+        ...exampleSettings(deployment, 'entry-1.json', 'entry'),
         name,
         dataCentre: centreOf(position),
         callerAddress: local(port),
--- /dev/null
+++ b/packages/kumquatfront/src/adapters/strangers.spec.ts
@@ -0,0 +1,167 @@
+/**
+ * Strangers on the network: processes without the cluster key, and upstreams without the upstream key.
+ */
+import * as assert from 'node:assert/strict';
+import type * as http from 'node:http';
+import * as net from 'node:net';
+import * as test from 'node:test';
+
+import * as undici from 'undici';
+
+import * as entryNode from '../entryNode/entryNode.js';
+import type * as entryTypes from '../entryNode/types.js';
+import type * as ports from '../kernel/ports.js';
+import * as results from '../kernel/results.js';
+import * as trafficResolver from '../selectors/trafficResolver.js';
+import * as defaultConfig from '../settings/defaultConfig.js';
+import * as entryHttp from './entryHttp.js';
+import * as httpUpstreams from './httpUpstreams.js';
+import * as jsonRpcTransport from './jsonRpcTransport.js';
+import * as seededRandom from './seededRandom.js';
+import * as statsdMetrics from './statsdMetrics.js';
+import * as systemTime from './systemTime.js';
+
+const silent = (): void => undefined;
+const log: ports.Log = { debug: silent, info: silent, warn: silent, error: silent };
+const LOCAL = '127.0.0.1';
+
+function createTransport(clusterKey: string): jsonRpcTransport.JsonRpcTransport {
+  return jsonRpcTransport.create({ clusterKey, scheduler: systemTime.scheduler, log });
+}
+
+function listen(transport: jsonRpcTransport.JsonRpcTransport): Promise<string> {
+  return new Promise((resolve) => {
+    transport.listen(`${LOCAL}:0`, (port) => {
+      resolve(`${LOCAL}:${port}`);
+    });
+  });
+}
+
+function ask(transport: jsonRpcTransport.JsonRpcTransport, address: string): Promise<boolean> {
+  return new Promise((resolve) => {
+    transport.request(address, 'test.echo', { text: 'x' }, 3_000, (result) => {
+      resolve(result.ok);
+    });
+  });
+}
+
+// A process with another cluster key connects and calls a method. The handler never sees it, and the connection
+// ends; one with the right key is answered.
+void test.test('a process without the cluster key is not heard', async () => {
+  const server = createTransport('the-right-cluster-key');
+  let calls = 0;
+  server.serve('test.echo', (parameters, reply) => {
+    calls += 1;
+    reply(results.Ok(parameters));
+  });
+  const address = await listen(server);
+  const friend = createTransport('the-right-cluster-key');
+  const stranger = createTransport('some-other-cluster-key');
+  assert.equal(await ask(friend, address), true);
+  assert.equal(await ask(stranger, address), false);
+  assert.equal(calls, 1);
+  for (const transport of [server, friend, stranger]) {
+    transport.close();
+  }
+});
+
+// A stranger skips the proof and sends a request, or sends nonsense. It gets no answer but the greeting.
+void test.test('lines before the proof are not taken for requests', async () => {
+  const server = createTransport('the-right-cluster-key');
+  let calls = 0;
+  server.serve('test.echo', () => {
+    calls += 1;
+  });
+  const [host = '', port = ''] = (await listen(server)).split(':');
+  for (const line of [
+    '{"jsonrpc":"2.0","id":1,"method":"test.echo"}',
+    'nonsense',
+    '{"nonce":5,"proof":[]}',
+  ]) {
+    const socket = net.connect(Number(port), host);
+    socket.write(`${line}\n`);
+    const received = await new Promise<string>((resolve) => {
+      let text = '';
+      socket.on('data', (bytes) => {
+        text += bytes.toString();
+      });
+      socket.on('error', silent);
+      socket.on('close', () => {
+        resolve(text);
+      });
+    });
+    assert.ok(received.split('\n').length <= 2, received);
+  }
+  assert.equal(calls, 0);
+  server.close();
+});
+
+async function withEntry(run: (address: string, node: entryNode.EntryNode) => Promise<void>): Promise<void> {
+  const transport = createTransport('the-right-cluster-key');
+  const settings: entryTypes.EntrySettings = {
+    ...defaultConfig.entryDefaults,
+    name: 'entry-1',
+    dataCentre: 'c',
+    callerAddress: `http://${LOCAL}`,
+    peerAddress: `${LOCAL}:1`,
+    control: [`${LOCAL}:1`],
+    signingKey: 'signing-key',
+    upstreamKeyHash: trafficResolver.hashKey('upstream-key'),
+  };
+  const node = entryNode.create(settings, {
+    clock: systemTime.clock,
+    scheduler: systemTime.scheduler,
+    random: seededRandom.create(1),
+    peers: transport,
+    log,
+    metrics: statsdMetrics.silent,
+    engines: httpUpstreams.createEngines(),
+    services: httpUpstreams.createServices(),
+    orders: httpUpstreams.createOrders(),
+    onDrainRequest: silent,
+  });
+  const server: http.Server = entryHttp.createServer(settings, node);
+  await new Promise<void>((resolve) => {
+    server.listen(0, LOCAL, resolve);
+  });
+  const { port } = server.address() as net.AddressInfo;
+  try {
+    await run(`http://${LOCAL}:${port}`, node);
+  } finally {
+    node.stop();
+    transport.close();
+    server.closeAllConnections();
+    server.close();
+  }
+}
+
+const NEWS = JSON.stringify({
+  type: 'announce',
+  announcement: {
+    ...{ name: 'e1', incarnation: 1, sequence: 1, address: 'http://127.0.0.1:9', kind: 'engine', labels: {} },
+    ...{ dataCentre: 'c', memoryTokens: 1, slots: 1, lease: 60_000, leaving: false },
+  },
+});
+
+async function post(address: string, key: string, body: string): Promise<number> {
+  const headers = { authorization: `Bearer ${key}`, 'content-type': 'application/json' };
+  const response = await undici.request(`${address}/v1/announcements`, { method: 'POST', headers, body });
+  await response.body.dump();
+  return response.statusCode;
+}
+
+// A stranger announces an engine of its own; callers' prompts would be sent to it. Without the upstream key it is
+// refused and the table stays empty.
+void test.test('announcements of strangers are refused, and bodies are bounded', async () => {
+  await withEntry(async (address, node) => {
+    const known = (): number => node.services.find('directory').table.all().length;
+    assert.equal(await post(address, 'wrong-key', NEWS), 401);
+    assert.equal(await post(address, '', NEWS), 401);
+    assert.equal(known(), 0);
+    assert.equal(await post(address, 'upstream-key', '{"type":"announce"}'), 400);
+    assert.equal(await post(address, 'upstream-key', ' '.repeat(5_000_000)), 413);
+    assert.equal(known(), 0);
+    assert.equal(await post(address, 'upstream-key', NEWS), 200);
+    assert.equal(known(), 1);
+  });
+});
--- a/packages/kumquatfront/src/directory/directory.ts
+++ b/packages/kumquatfront/src/directory/directory.ts
@@ -56,6 +56,7 @@
   private readonly store: publicationStore.PublicationStore;
   private readonly peersByName = new Map<string, PeerRecord>();
   private readonly publishedWhole = new Map<string, { readonly content: string; readonly at: number }>();
+  private readonly everHeard = new Set<string>();
   private presenceText = '';
   private presenceAt = Number.NEGATIVE_INFINITY;
   private readonly listeners: (() => void)[] = [];
@@ -167,6 +168,7 @@
       case 'cache':
         return this.table.cacheEvent(value.event);
       case 'presence':
+        this.remember(value.presence.peerAddress);
         this.peersByName.set(value.presence.name, { presence: value.presence, heardAt: this.now() - age });
         return true;
     }
@@ -252,7 +254,8 @@
   }
 
   private pickPeers(count: number): readonly string[] {
-    const pool = [...this.peerAddresses()];
+    const remembered = this.options.random.next() < REMEMBERED_SHARE ? this.silentAddresses() : [];
+    const pool = remembered.length > 0 ? remembered : [...this.peerAddresses()];
     const picked: string[] = [];
     while (picked.length < count && pool.length > 0) {
       const position = Math.floor(this.options.random.next() * pool.length);
@@ -261,6 +264,23 @@
     return picked;
   }
 
+  /**
+   * Addresses of entries that have fallen silent. After a cut of a data centre or a region both sides have
+   * forgotten each other's presence; without a try now and then they would meet again only through a seed.
+   */
+  private silentAddresses(): string[] {
+    const live = this.peerAddresses();
+    return [...this.everHeard].filter((address) => !live.has(address));
+  }
+
+  private remember(address: string): void {
+    this.everHeard.delete(address);
+    this.everHeard.add(address);
+    if (this.everHeard.size > ADDRESSES_REMEMBERED) {
+      this.everHeard.delete(this.everHeard.values().next().value ?? '');
+    }
+  }
+
   private peerAddresses(): ReadonlySet<string> {
     const known = [...this.peersByName.values()].map((peer) => peer.presence.peerAddress);
     const addresses = new Set([...this.options.seeds, ...known]);
@@ -295,6 +315,9 @@
 }
 
 const CACHE_EVENTS_KEPT = 16;
+/** Share of the rounds in which a silent entry is tried, if there is one. */
+const REMEMBERED_SHARE = 0.25;
+const ADDRESSES_REMEMBERED = 1_000;
 
 /** Publications of an unchanged presence within its lease, so that one may be lost. */
 const PRESENCES_IN_LEASE = 3;
--- a/packages/scenarios/src/language/scenario.ts
+++ b/packages/scenarios/src/language/scenario.ts
@@ -1,6 +1,8 @@
 /**
  * Runs a scenario: the first lines set the world up, the others act and expect, in order.
  */
+import * as kumquatfront from 'kumquatfront';
+
 import * as actions from './actions.js';
 import * as expectations from './expectations.js';
 import * as lineModule from './line.js';
@@ -43,6 +45,10 @@
     network: { withinDataCentre: 0.5, betweenDataCentres: 1.5, loss: 0 },
     syncDelay: Number(settings.syncDelay ?? 1),
     control: {
+      orders: {
+        ...kumquatfront.defaultConfig.controlDefaults.orders,
+        longestFlight: Number(settings.longestFlight ?? 2_000),
+      },
       timing: {
         heartbeat: 100,
         electionTimeout: 1_000,
--- a/packages/scenarios/src/scripts/prove.ts
+++ b/packages/scenarios/src/scripts/prove.ts
@@ -17,15 +17,27 @@
   readonly detail: string;
 }
 
+function commandFor(scenario: string): readonly string[] {
+  const [kind, argument = ''] = scenario.split(':');
+  switch (kind) {
+    case 'soak':
+      return [SOAK, argument];
+    case 'spec':
+      return ['--test', '--test-reporter=spec', `${LIBRARY}${argument}.spec.js`];
+    default:
+      return [RUNNER, scenario];
+  }
+}
+
 function run(scenario: string): Verdict {
-  const [kind, seed = ''] = scenario.split(':');
-  const command = kind === 'soak' ? [SOAK, '1', seed] : [RUNNER, scenario];
+  const command = commandFor(scenario);
   const result = childProcess.spawnSync(process.execPath, command, {
     encoding: 'utf8',
     timeout: RUN_LIMIT,
   });
-  const [first = ''] = result.stdout.trim().split('\n');
-  return { red: result.status !== 0, detail: first };
+  const lines = result.stdout.trim().split('\n');
+  const failed = lines.find((line) => line.includes('✖')) ?? lines[0];
+  return { red: result.status !== 0, detail: failed?.trim() ?? '' };
 }
 
 function prove(safeguard: safeguards.Safeguard): Verdict {
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -9,7 +9,7 @@
   readonly file: string;
   readonly find: string;
   readonly replace: string;
-  /** Name of a scenario, or `soak:SEED` for a run of random faults. */
+  /** Name of a scenario, `soak:COUNT` for so many runs of random faults, or `spec:FILE`. */
   readonly scenario: string;
 }
 
@@ -287,26 +287,19 @@
     replace: 'if (false) {',
     scenario: 'order-late-from-old-leader',
   },
-  {
-    name: 'a voter gives one vote a term',
-    file: ELECTION,
-    find: 'message.term === store.hardState.term && free;',
-    replace: 'message.term === store.hardState.term;',
-    scenario: 'soak:39',
-  },
   {
     name: 'a leader past its lease does not act',
     file: 'consensus/leadership.js',
     find: 'return timers.now() < this.quorumAcknowledgedAt() + timing.electionTimeout * timing.leaseShare;',
     replace: 'return true;',
-    scenario: 'soak:17',
+    scenario: 'soak:100',
   },
   {
     name: 'what was accepted under random faults was synced',
     file: 'consensus/logStore.js',
     find: 'this.waiting.push(done);',
     replace: 'done();',
-    scenario: 'soak:61',
+    scenario: 'soak:300',
   },
   {
     name: 'asks are repeated to whoever coordinates now',
@@ -322,4 +315,81 @@
     replace: '',
     scenario: 'coordinator-frozen',
   },
+  {
+    name: 'a voter gives one vote a term',
+    file: 'consensus/election.js',
+    find: 'message.term === store.hardState.term && free;',
+    replace: 'message.term === store.hardState.term;',
+    scenario: 'spec:consensus/replica',
+  },
+  {
+    name: 'a voter refuses a candidate whose log is behind',
+    file: 'consensus/election.js',
+    find: '!leaderAlive && upToDate && message.term === store',
+    replace: '!leaderAlive && message.term === store',
+    scenario: 'spec:consensus/replica',
+  },
+  {
+    name: 'a voter refuses while a leader may hold its lease',
+    file: 'consensus/election.js',
+    find: 'const leaderAlive = this.host.leaderAlive();',
+    replace: 'const leaderAlive = false;',
+    scenario: 'spec:consensus/replica',
+  },
+  {
+    name: 'only an entry of the own term commits by counting',
+    file: 'consensus/leadership.js',
+    find: 'store.termAt(index) === store.hardState.term && ',
+    replace: '',
+    scenario: 'spec:consensus/replica',
+  },
+  {
+    name: 'members change one at a time',
+    file: 'consensus/replica.js',
+    find: 'store.membersIndex() > this.commitIndex || ',
+    replace: '',
+    scenario: 'spec:consensus/replica',
+  },
+  {
+    name: 'an overwritten past is voided before a snapshot',
+    file: 'consensus/logStore.js',
+    find: 'if (!continues) {',
+    replace: 'if (false) {',
+    scenario: 'spec:consensus/logStore',
+  },
+  {
+    name: 'tokens of another generation are dropped',
+    file: 'streams/generationRelay.js',
+    find: 'generation !== this.generation || index',
+    replace: 'index',
+    scenario: 'spec:streams/generationRelay',
+  },
+  {
+    name: 'an older answer reverts nothing',
+    file: 'configuration/configurationReplica.js',
+    find: 'if (delta.version <= this.version) {',
+    replace: 'if (false) {',
+    scenario: 'spec:configuration/configurationReplica',
+  },
+  {
+    name: 'the configuration of another cluster is refused',
+    file: 'configuration/configurationReplica.js',
+    find: "if (this.clusterIdentity !== '' &&",
+    replace: 'if (false &&',
+    scenario: 'spec:configuration/configurationReplica',
+  },
+  {
+    name: 'leaving is never undone',
+    file: 'directory/upstreamTable.js',
+    find: '(sameLife && known?.leaving === true)',
+    replace: 'false',
+    scenario: 'spec:directory/upstreamTable',
+  },
+  {
+    name: 'a gap empties what is known of a cache',
+    file: 'directory/upstreamTable.js',
+    find: 'if (event.sequence !== view.sequence + 1) {',
+    replace: 'if (false) {',
+    scenario: 'spec:directory/upstreamTable',
+  },
 ];
