--- a/packages/demo/src/cluster.ts
+++ b/packages/demo/src/cluster.ts
@@ -100,7 +100,7 @@
   file: string,
   role: 'entry' | 'control',
 ): object {
-  const folder = path.dirname(path.join(WORKSPACE, deployment.configurationFile));
+  const folder = path.dirname(path.resolve(WORKSPACE, deployment.configurationFile));
   const settings = JSON.parse(fs.readFileSync(path.join(folder, file), 'utf8')) as Readonly<
     Record<string, object>
   >;
