--- a/packages/command/src/burnReport.ts
+++ b/packages/command/src/burnReport.ts
@@ -65,7 +65,7 @@
  * @returns the burn of each objective
  * @example
  * ```ts
- * const report = burnReport.create(objectives, counts, Date.now());
+ * const report = burnReport.create(objectives, counts, clock.wall());
  * ```
  */
 export function create(
--- a/packages/daemons/src/control.ts
+++ b/packages/daemons/src/control.ts
@@ -16,8 +16,9 @@
   settingsFile.fail(started.val);
 } else {
   const stop = (): void => {
-    started.val.close();
-    process.exit(0);
+    started.val.stop(() => {
+      process.exit(0);
+    });
   };
   process.once('SIGTERM', stop);
   process.once('SIGINT', stop);
--- a/packages/daemons/src/controlDaemon.ts
+++ b/packages/daemons/src/controlDaemon.ts
@@ -7,7 +7,8 @@
 export interface RunningControl {
   readonly node: kumquatfront.controlNode.ControlNode;
   readonly transport: kumquatfront.jsonRpcTransport.JsonRpcTransport;
-  close(): void;
+  /** Lets operators' requests in flight end, closes everything, then calls back. */
+  stop(done: () => void): void;
 }
 
 /**
@@ -58,10 +59,14 @@
       return {
         node,
         transport,
-        close: () => {
-          server.close();
-          node.stop();
-          transport.close();
+        stop: (done) => {
+          // Entries ask another replica when this one is gone; an operator's request would be left without answer.
+          server.close(() => {
+            node.stop();
+            transport.close();
+            done();
+          });
+          server.closeIdleConnections();
         },
       };
     });
--- a/packages/kumquatfront/src/client/callerClient.ts
+++ b/packages/kumquatfront/src/client/callerClient.ts
@@ -145,7 +145,9 @@
       }
       if (attempt.type === 'refused') {
         last = attempt.failure;
-        const again = last.kind === 'notRun' || (last.kind === 'interrupted' && this.options.restart);
+        // Before the first token there is nothing to void, so asking again needs no leave to restart.
+        const voidable = this.options.restart || state.tokens === 0;
+        const again = last.kind === 'notRun' || (last.kind === 'interrupted' && voidable);
         if (!again) {
           return results.Err(last);
         }
--- a/packages/scenarios/src/language/expectations.ts
+++ b/packages/scenarios/src/language/expectations.ts
@@ -92,6 +92,9 @@
     const taken = current.world.engines.get(word(line, 0))?.orders.taken ?? [];
     return compare('orders', taken.map((order) => order.target).join(','), word(line, 1));
   },
+  /** Loads that the weight store refused. */
+  'weight-refusals': (current, line) =>
+    compare('refused loads', current.world.weightStore.refused, word(line, 0)),
   /** `expect newest-order e1 second`: what the upstream ended up with. */
   'newest-order': (current, line) =>
     compare(
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -392,4 +392,11 @@
     replace: 'if (false) {',
     scenario: 'spec:directory/upstreamTable',
   },
+  {
+    name: 'weight loads stay within the rate of the store',
+    file: 'orders/orderDesk.js',
+    find: 'if (this.loadTimes.length >= this.options.settings.weightLoadsPerMinute) {',
+    replace: 'if (false) {',
+    scenario: 'orders-weight-loads',
+  },
 ];
--- a/packages/scenarios/src/world/world.ts
+++ b/packages/scenarios/src/world/world.ts
@@ -55,6 +55,7 @@
 const REPORT_EVERY = 500;
 const LEASE = 4_000;
 const CACHE_LOSS = 0.1;
+const WEIGHT_LOADS_PER_MINUTE = kumquatfront.defaultConfig.controlDefaults.orders.weightLoadsPerMinute;
 
 /** The world; see the module comment. */
 export class World {
@@ -65,6 +66,10 @@
   readonly entries = new Map<string, EntrySlot>();
   readonly engines = new Map<string, virtualUpstreams.VirtualEngine>();
   readonly services = new Map<string, virtualUpstreams.VirtualService>();
+  /** The store that engines load weights from; loads beyond its rate are refused and counted. */
+  readonly weightStore = new standIns.weightStoreModel.WeightStoreModel(WEIGHT_LOADS_PER_MINUTE, () =>
+    this.time.now(),
+  );
   private readonly announcers = new Map<string, standIns.announcer.Announcer>();
   private readonly boots = new Map<string, () => void>();
   private readonly options: WorldOptions;
@@ -166,6 +171,9 @@
           );
         });
         this.net.deliver(own.name, order.upstream, () => {
+          if (order.order.action !== 'changeRole' && !this.weightStore.load()) {
+            this.record(`the weight store refuses a load for ${order.upstream}`);
+          }
           const taken = engine?.orders.take(order.fencingNumber, order.order.target) === true;
           const verb = taken ? 'takes' : 'refuses';
           this.record(`${order.upstream} ${verb} order ${order.orderId} of ${own.name}`);
--- a/scripts/generateSettings.js
+++ b/scripts/generateSettings.js
@@ -17,7 +17,12 @@
 });
 fs.writeFileSync(TARGET, text);
 
-const schema = JSON.stringify(JSON.parse(fs.readFileSync(SOURCE, 'utf8')), null, 2);
+/** Puts objects without inner objects on one line, so that the file stays short enough to read. */
+function inlineLeaves(text) {
+  return text.replace(/\{\s+([^{}]*?)\s+\}/g, (_whole, inner) => `{ ${inner.replace(/\s+/g, ' ')} }`);
+}
+
+const schema = inlineLeaves(JSON.stringify(JSON.parse(fs.readFileSync(SOURCE, 'utf8')), null, 2));
 fs.writeFileSync(
   SCHEMA_TARGET,
   `/**\n * Generated from settings.schema.json by \`npm run generate\`; change the schema instead.\n */\n
