--- a/packages/kumquatfront/src/admission/coordinatedPlacement.ts
+++ b/packages/kumquatfront/src/admission/coordinatedPlacement.ts
@@ -175,7 +175,9 @@
     // The coordinator may know an upstream that the news has not brought here yet.
     known.table.announce(announcement, 0, timers.now());
     const upstream = known.table.get(announcement.name);
-    if (upstream === undefined || upstream.leaving) {
+    // The coordinator can repeat its former answer when word that the request left that engine was lost.
+    const failed = waiting.request.exclude.has(announcement.name);
+    if (upstream === undefined || upstream.leaving || failed) {
       this.withdraw(waiting);
       this.place(
         { ...waiting.request, exclude: new Set([...waiting.request.exclude, announcement.name]) },
@@ -190,9 +192,12 @@
   }
 
   private withdraw(waiting: Waiting): void {
-    this.options.peers.notify(waiting.coordinator, messages.methods.withdrawn, {
-      requestId: waiting.request.requestId,
-    });
+    const { requestId } = waiting.request;
+    if (waiting.coordinator === this.options.peerAddress) {
+      this.coordinator.forget(requestId);
+    } else {
+      this.options.peers.notify(waiting.coordinator, messages.methods.withdrawn, { requestId });
+    }
   }
 
   /** Asks again: an answer may be lost, and the coordinator may be another by now. */
@@ -235,8 +240,19 @@
     this.running.delete(requestId);
     this.local.finished(requestId, produced, whole);
     if (running !== undefined) {
-      const finished: messages.Finished = { requestId, produced, whole };
-      this.options.peers.notify(this.coordinatorOf(running.request), messages.methods.finished, finished);
+      this.tellFinished(this.coordinatorOf(running.request), { requestId, produced, whole });
+    }
+  }
+
+  /**
+   * Tells the coordinator that a request has left its engine. This entry's own is told at once and not by a
+   * message to itself: the request may ask again in the same moment, and would get its former answer.
+   */
+  private tellFinished(coordinator: string, finished: messages.Finished): void {
+    if (coordinator === this.options.peerAddress) {
+      this.coordinator.onFinished(finished);
+    } else {
+      this.options.peers.notify(coordinator, messages.methods.finished, finished);
     }
   }
 
--- a/packages/kumquatfront/src/admission/placementCoordinator.ts
+++ b/packages/kumquatfront/src/admission/placementCoordinator.ts
@@ -105,13 +105,15 @@
     }
   }
 
-  private onFinished(finished: messages.Finished): void {
+  /** A request has left its engine. */
+  onFinished(finished: messages.Finished): void {
     if (this.known.delete(finished.requestId)) {
       this.local.finished(finished.requestId, finished.produced, finished.whole);
     }
   }
 
-  private forget(requestId: string): void {
+  /** A request is given up, or its asker has died. */
+  forget(requestId: string): void {
     const known = this.known.get(requestId);
     this.known.delete(requestId);
     known?.cancel();
--- a/packages/kumquatfront/src/entryNode/refusals.ts
+++ b/packages/kumquatfront/src/entryNode/refusals.ts
@@ -49,7 +49,7 @@
 }
 
 /**
- * The entry is cut off and others are not.
+ * The entry is cut off and others probably are not.
  *
  * @param entries - addresses of other entries
  * @returns the refusal
@@ -62,7 +62,7 @@
   return {
     kind: 'notRun',
     status: 503,
-    message: 'This entry is cut off from control and from the other entries.',
+    message: 'This entry is cut off from control and from most other entries.',
     remedy: 'Go to another entry, or come back after the given time.',
     retryAfter: 5_000,
     entries,
--- a/packages/kumquatfront/src/entryNode/requestFront.ts
+++ b/packages/kumquatfront/src/entryNode/requestFront.ts
@@ -69,7 +69,7 @@
       refuse(refusals.notReady(this.otherEntries()));
       return undefined;
     }
-    if (!configuration.isFresh() && this.isCutOffAlone()) {
+    if (!configuration.isFresh() && this.isCutOff()) {
       refuse(refusals.stale(this.otherEntries()));
       return undefined;
     }
@@ -81,12 +81,16 @@
   }
 
   /**
-   * True where this entry once knew others and hears from none. While others are in reach and as stale as
-   * this one, control as a whole is down: nothing can be accepted meanwhile, so serving on reverts nothing.
+   * True where this entry reaches at most half of the entries that the settings name, itself included. The
+   * others probably hear from control and serve what was changed meanwhile, so callers are handed to them.
+   * One that reaches more than half, all of them as stale as itself, takes control to be down as a whole:
+   * nothing can be accepted then, and serving on reverts nothing.
    */
-  private isCutOffAlone(): boolean {
+  private isCutOff(): boolean {
     const { settings, services } = this.options;
-    return settings.entries.length > 0 && services.find('directory').entries().length === 1;
+    const others = settings.entries.filter((address) => address !== settings.peerAddress);
+    const reached = services.find('directory').entries().length;
+    return others.length > 0 && reached * 2 <= others.length + 1;
   }
 
   private admit(
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -227,10 +227,17 @@
   {
     name: 'an entry that is cut off alone hands its callers on',
     file: 'entryNode/requestFront.js',
-    find: 'return settings.entries.length > 0 &&',
+    find: 'return others.length > 0 &&',
     replace: 'return false &&',
     scenario: 'entry-cut-off-alone',
   },
+  {
+    name: 'a minority of entries that is cut off hands its callers on',
+    file: 'entryNode/requestFront.js',
+    find: 'reached * 2 <= others.length + 1',
+    replace: 'reached === 1',
+    scenario: 'entries-minority-cut-off',
+  },
   {
     name: 'an empty replica founds nothing while others are silent',
     file: 'controlNode/membership.js',
@@ -276,7 +283,7 @@
   {
     name: 'serving goes on while all of control is down',
     file: 'entryNode/requestFront.js',
-    find: 'if (!configuration.isFresh() && this.isCutOffAlone()) {',
+    find: 'if (!configuration.isFresh() && this.isCutOff()) {',
     replace: 'if (!configuration.isFresh()) {',
     scenario: 'control-all-down-and-back',
   },
