--- a/packages/kumquatfront/src/adapters/httpUpstreams.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.ts
@@ -14,6 +14,7 @@
 
 const CONNECT_TIMEOUT = 1_000;
 const ANSWER_LIMIT = 4 * 1024 * 1024;
+const EVENT_LIMIT = 1024 * 1024;
 const DONE = '[DONE]';
 
 /** Codes of errors that occur before a connection exists, so that no byte can have been sent on it. */
@@ -67,6 +68,8 @@
   private body: undici.Dispatcher.ResponseData['body'] | undefined;
   private over = false;
   private paused = false;
+  /** Bytes received since the last whole event. */
+  private unfinished = 0;
 
   constructor(listener: streams.GenerationListener) {
     this.listener = listener;
@@ -123,7 +126,13 @@
       },
     });
     body.on('data', (bytes: Buffer) => {
+      this.unfinished += bytes.length;
       parser.feed(decoder.write(bytes));
+      // An engine that never ends an event would fill this process; no event comes near the limit.
+      if (this.unfinished > EVENT_LIMIT) {
+        this.fail('broken', 'event too large');
+        body.destroy();
+      }
     });
     body.on('end', () => {
       this.fail('broken', 'end');
@@ -137,6 +146,7 @@
   }
 
   private onEvent(event: eventSource.EventSourceMessage): void {
+    this.unfinished = 0;
     if (this.over) {
       return;
     }
--- a/packages/kumquatfront/src/adapters/noRetries.spec.ts
+++ b/packages/kumquatfront/src/adapters/noRetries.spec.ts
@@ -1,5 +1,6 @@
 /**
- * What the HTTP client underneath does when a connection breaks: nothing is sent a second time.
+ * What the HTTP client underneath does when a connection breaks or never ends: nothing is sent a second time,
+ * and nothing fills the process.
  */
 import * as assert from 'node:assert/strict';
 import * as net from 'node:net';
@@ -84,3 +85,30 @@
   await new Promise((resolve) => setImmediate(resolve));
   assert.equal(await call(httpUpstreams.createServices(), server.target), 'neverSent');
 });
+
+// An engine sends one event without an end. The connection is given up instead of filling the entry's memory.
+void test.test('an event without an end breaks the connection', async () => {
+  const server = await serve((socket, count) => {
+    if (count === 1) {
+      socket.write('HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: ');
+      socket.write('x'.repeat(3_000_000));
+    }
+  });
+  const order = { generation: 'r.1', path: '/v1/completions', body: '{}', priority: 0 };
+  const reason = await new Promise<string>((resolve) => {
+    httpUpstreams.createEngines().start(server.target, order, {
+      opened: () => undefined,
+      token: () => {
+        resolve('token');
+      },
+      ended: () => {
+        resolve('ended');
+      },
+      failed: (_reason, detail) => {
+        resolve(detail);
+      },
+    });
+  });
+  assert.equal(reason, 'event too large');
+  server.close();
+});
