A place that comes after its caller went away is given back

Cause (found by reading): a caller that leaves while its request waits in a queue of an entry that places alone, or after a withdrawn grant, could still be granted a place; the relay dropped it silently and the ledger counted it as running for ever, so the engine looked fuller than it was.

Change: the relay gives such a place back.

--- a/packages/kumquatfront/src/streams/generationRelay.spec.ts
+++ b/packages/kumquatfront/src/streams/generationRelay.spec.ts
@@ -12,10 +12,13 @@
 class Bench {
   readonly got: string[] = [];
   readonly opened: { readonly kind: string; readonly listener: types.GenerationListener }[] = [];
+  readonly left: string[] = [];
   dropped = 0;
+  /** Gives the place that was asked for; at once unless told otherwise. */
+  grant: () => void = () => undefined;
   readonly relay: generationRelay.GenerationRelay;
 
-  constructor(mayRestart = false) {
+  constructor(mayRestart = false, grantsAtOnce = true) {
     const open = (kind: string) => (listener: types.GenerationListener) => {
       this.opened.push({ kind, listener });
       return { pause: () => undefined, resume: () => undefined, close: () => undefined };
@@ -59,13 +62,20 @@
       },
       host: {
         place: (_exclude, done) => {
-          done({ type: 'granted', upstream: { announcement } as never });
+          this.grant = () => {
+            done({ type: 'granted', upstream: { announcement } as never });
+          };
+          if (grantsAtOnce) {
+            this.grant();
+          }
           return () => undefined;
         },
         issueToken: () => 'token',
         mayRetry: () => true,
         progressed: () => undefined,
-        left: () => undefined,
+        left: (upstream, _produced, reason) => {
+          this.left.push(`${upstream} ${reason}`);
+        },
         stalled: () => undefined,
         dropped: () => {
           this.dropped += 1;
@@ -138,3 +148,13 @@
   bench.listener(2).token('r.1', 5, 'f');
   assert.deepEqual(bench.got, ['0', 'interrupted']);
 });
+
+// The caller goes away while its request waits in the queue, and the place is granted a moment later. Nothing is
+// sent to the engine, and the place is given back; it would count as running for ever otherwise.
+void test.test('a place that comes after the caller went away is given back', () => {
+  const bench = new Bench(false, false);
+  bench.relay.callerGone();
+  bench.grant();
+  assert.equal(bench.opened.length, 0);
+  assert.deepEqual(bench.left, ['e1 callerGone']);
+});
--- a/packages/kumquatfront/src/streams/generationRelay.ts
+++ b/packages/kumquatfront/src/streams/generationRelay.ts
@@ -95,6 +95,7 @@
   private placeAgain(): void {
     this.cancelPlacement = this.options.host.place(this.exclude, (placement) => {
       if (this.over) {
+        this.giveBack(placement);
         return;
       }
       if (placement.type === 'granted') {
@@ -106,6 +107,16 @@
     });
   }
 
+  /**
+   * The caller went away while the request waited, and the place came after all. Kept, it would count as a
+   * running generation for ever, and the engine would look fuller than it is.
+   */
+  private giveBack(placement: routing.Placement): void {
+    if (placement.type === 'granted') {
+      this.options.host.left(placement.upstream.announcement.name, 0, 'callerGone');
+    }
+  }
+
   private refusePlacement(refusal: routing.PlacementRefusal): void {
     const full = refusal.reason === 'queueFull';
     this.finish({
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -406,4 +406,11 @@
     replace: 'if (false) {',
     scenario: 'orders-weight-loads',
   },
+  {
+    name: 'a place that nobody waits for any more is given back',
+    file: RELAY,
+    find: 'this.giveBack(placement);',
+    replace: '',
+    scenario: 'spec:streams/generationRelay',
+  },
 ];
