--- a/packages/benchmarks/src/relay.ts
+++ b/packages/benchmarks/src/relay.ts
@@ -12,9 +12,10 @@
 import * as demo from 'kumquatfront-demo';
 import * as undici from 'undici';
 
+import * as processCost from './processCost.js';
+
 const FAST = { streams: 16, tokens: 20_000, pace: 0 };
 const PACED = { streams: 100, tokens: 150, pace: 25 };
-const TICKS_PER_SECOND = 100;
 const SCALE = 100;
 const { clock, scheduler } = kumquatfront.systemTime;
 
@@ -32,12 +33,6 @@
   });
 }
 
-/** Processor seconds of a process so far. */
-function cpuSeconds(pid: number): number {
-  const fields = fs.readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? [];
-  return (Number(fields[11]) + Number(fields[12])) / TICKS_PER_SECOND;
-}
-
 function histogram(): histograms.Histogram {
   return histograms.build({
     lowestDiscernibleValue: 1,
@@ -85,13 +80,13 @@
   const delays = histogram();
   const firsts = histogram();
   const agent = new undici.Agent({ headersTimeout: 0, bodyTimeout: 0, pipelining: 1, connections: streams });
-  const cpuBefore = cpuSeconds(pid);
+  const cpuBefore = processCost.cpuSeconds(pid);
   const startedAt = clock.now();
   const counts = await Promise.all(
     Array.from({ length: streams }, () => readStream(url, delays, firsts, agent)),
   );
   const seconds = (clock.now() - startedAt) / 1_000;
-  const cpu = cpuSeconds(pid) - cpuBefore;
+  const cpu = processCost.cpuSeconds(pid) - cpuBefore;
   await agent.destroy();
   const tokens = counts.reduce((sum, count) => sum + count, 0);
   return { tokens, seconds, cpuSeconds: cpu, delay: quantiles(delays), firstToken: quantiles(firsts) };
--- a/packages/benchmarks/src/slopes/controlProcesses.ts
+++ b/packages/benchmarks/src/slopes/controlProcesses.ts
@@ -10,6 +10,8 @@
 import * as command from 'kumquatfront-command';
 import * as demo from 'kumquatfront-demo';
 
+import * as processCost from '../processCost.js';
+
 /** Milliseconds. */
 export interface Quantiles {
   readonly p50: number;
@@ -55,20 +57,8 @@
 const PARALLEL = 32;
 const PARALLEL_CHANGES = 1_500;
 const LONE_CHANGES = 200;
-const TICKS_PER_SECOND = 100;
-const PAGE = 4_096;
 const { clock, scheduler } = kumquatfront.systemTime;
 
-function cpuSeconds(pid: number): number {
-  const fields = fs.readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? [];
-  return (Number(fields[11]) + Number(fields[12])) / TICKS_PER_SECOND;
-}
-
-function residentMegabytes(pid: number): number {
-  const pages = Number(fs.readFileSync(`/proc/${pid}/statm`, 'utf8').split(' ')[1]);
-  return (pages * PAGE) / 1e6;
-}
-
 function quantiles(values: readonly number[]): Quantiles {
   const sorted = [...values].sort((left, right) => left - right);
   const at = (share: number): number => sorted[Math.floor((sorted.length - 1) * share)] ?? 0;
@@ -107,23 +97,23 @@
 async function measureRunning(running: demo.cluster.Cluster): Promise<ControlProcesses> {
   const pids = running.control.map((member) => member.child.pid ?? 0);
   const entryPid = running.entries[0]?.child.pid ?? 0;
-  const before = [...pids, entryPid].map(cpuSeconds);
+  const before = [...pids, entryPid].map(processCost.cpuSeconds);
   await new Promise<void>((resolve) => {
     scheduler.after(IDLE, resolve);
   });
   const idle = [...pids, entryPid].map(
-    (pid, position) => (cpuSeconds(pid) - (before[position] ?? 0)) / (IDLE / 1_000),
+    (pid, position) => (processCost.cpuSeconds(pid) - (before[position] ?? 0)) / (IDLE / 1_000),
   );
   const client = createClient(running);
   const status = (await client.status()).unwrap();
   const leader = status.replicas.find((replica) => replica.replica.role === 'leader')?.name;
   const leaderPid = running.control.find((member) => member.name === leader)?.child.pid ?? 0;
   const lone = await changeMany(client, 0, LONE_CHANGES, 1);
-  const cpuBefore = cpuSeconds(leaderPid);
+  const cpuBefore = processCost.cpuSeconds(leaderPid);
   const startedAt = clock.now();
   const latencies = await changeMany(client, LONE_CHANGES, PARALLEL_CHANGES, PARALLEL);
   const seconds = (clock.now() - startedAt) / 1_000;
-  const leaderCpu = cpuSeconds(leaderPid) - cpuBefore;
+  const leaderCpu = processCost.cpuSeconds(leaderPid) - cpuBefore;
   await client.close();
   return {
     changesPerSecond: PARALLEL_CHANGES / seconds,
@@ -132,8 +122,8 @@
     idleCpu: idle.slice(0, -1),
     entryIdleCpu: idle.at(-1) ?? 0,
     leaderCpuPerChange: (leaderCpu * 1_000) / PARALLEL_CHANGES,
-    residentMegabytes: pids.map(residentMegabytes),
-    entryResidentMegabytes: residentMegabytes(entryPid),
+    residentMegabytes: pids.map(processCost.residentMegabytes),
+    entryResidentMegabytes: processCost.residentMegabytes(entryPid),
   };
 }
 
--- a/packages/kumquatfront/src/admission/coordinatedPlacement.ts
+++ b/packages/kumquatfront/src/admission/coordinatedPlacement.ts
@@ -106,13 +106,27 @@
 
   /** Peer address of the coordinator of a request's group. */
   private coordinatorOf(request: routing.PlacementRequest): string {
+    return this.coordinatorOfGroup(groupKey(request));
+  }
+
+  private coordinatorOfGroup(key: string): string {
     const presences = this.presences();
     const names = presences.map((entry) => entry.name);
-    const key = `${request.deployment}/${request.group?.index ?? 0}/${request.group?.count ?? 1}`;
     const picked = rendezvous.pick(key, names);
     return presences.find((entry) => entry.name === picked)?.peerAddress ?? this.options.peerAddress;
   }
 
+  /** Finds coordinators during one pass over many requests, which share few groups: each is picked once. */
+  private coordinatorsOfPass(): (request: routing.PlacementRequest) => string {
+    const picked = new Map<string, string>();
+    return (request) => {
+      const key = groupKey(request);
+      const coordinator = picked.get(key) ?? this.coordinatorOfGroup(key);
+      picked.set(key, coordinator);
+      return coordinator;
+    };
+  }
+
   private sendAsk(waiting: Waiting): void {
     const { peers, peerAddress, coordination } = this.options;
     const { requestId } = waiting.request;
@@ -202,8 +216,9 @@
 
   /** Asks again: an answer may be lost, and the coordinator may be another by now. */
   private repeatAsks(): void {
+    const coordinatorOf = this.coordinatorsOfPass();
     for (const waiting of [...this.asked.values()]) {
-      const coordinator = this.coordinatorOf(waiting.request);
+      const coordinator = coordinatorOf(waiting.request);
       if (coordinator !== waiting.coordinator) {
         this.withdraw(waiting);
         waiting.coordinator = coordinator;
@@ -213,9 +228,10 @@
   }
 
   private tellProgress(): void {
+    const coordinatorOf = this.coordinatorsOfPass();
     const byCoordinator = new Map<string, messages.Running[]>();
     for (const { request, upstream, produced } of this.running.values()) {
-      const coordinator = this.coordinatorOf(request);
+      const coordinator = coordinatorOf(request);
       const list = byCoordinator.get(coordinator) ?? [];
       const { requestId, promptTokens, estimateKeys } = request;
       list.push({ requestId, upstream, promptTokens, estimateKeys, produced });
@@ -260,3 +276,7 @@
     return this.asked.size + this.local.waiting();
   }
 }
+
+function groupKey(request: routing.PlacementRequest): string {
+  return `${request.deployment}/${request.group?.index ?? 0}/${request.group?.count ?? 1}`;
+}
--- a/packages/kumquatfront/src/agreedState/agreedState.ts
+++ b/packages/kumquatfront/src/agreedState/agreedState.ts
@@ -174,10 +174,6 @@
     return [...this.orders.values()].filter((order) => order.state === 'open');
   }
 
-  allOrders(): readonly types.Order[] {
-    return [...this.orders.values()];
-  }
-
   objectOf(kind: string, name: string): configuration.ConfigurationObject | undefined {
     return this.objects.get(validation.keyOf(kind, name));
   }
--- a/packages/kumquatfront/src/configuration/validation.ts
+++ b/packages/kumquatfront/src/configuration/validation.ts
@@ -123,17 +123,13 @@
   );
 }
 
-function checkSelectorText(text: string): results.Result<labelSelector.LabelSelector, failures.Failure> {
-  return labelSelector.parse(text);
-}
-
 function checkSelector(
   name: string,
   body: types.SelectorBody,
   lookup: ObjectLookup,
   others: Iterable<types.ConfigurationObject>,
 ): results.Result<null, failures.Failure> {
-  const parsed = checkSelectorText(body.match);
+  const parsed = labelSelector.parse(body.match);
   if (parsed.err) {
     return parsed;
   }
@@ -179,7 +175,7 @@
         : results.Ok(null);
     }
     case 'deployment':
-      return checkSelectorText((draft.body as types.DeploymentBody).upstreams).map(() => null);
+      return labelSelector.parse((draft.body as types.DeploymentBody).upstreams).map(() => null);
     case 'selector':
       return checkSelector(draft.name, draft.body as types.SelectorBody, lookup, all);
     case 'market':
--- a/packages/kumquatfront/src/selectors/trafficResolver.ts
+++ b/packages/kumquatfront/src/selectors/trafficResolver.ts
@@ -29,6 +29,7 @@
 
 const HEADER_LABEL = /^([A-Za-z0-9][A-Za-z0-9._/-]{0,62})=([A-Za-z0-9][A-Za-z0-9._-]{0,62})$/;
 const MAXIMUM_HEADER_LABELS = 16;
+const DEFAULT_WEIGHT = 1;
 
 /**
  * Hash under which a bearer key is configured.
@@ -80,6 +81,7 @@
 /** Accounts and selectors, compiled from one version of the configuration. */
 export class TrafficResolver {
   private accounts = new Map<string, ResolvedAccount>();
+  private weights = new Map<string, number>();
   private selectors: CompiledSelector[] = [];
 
   /** Compiles a version of the configuration. */
@@ -94,6 +96,7 @@
       }
     }
     this.accounts = new Map();
+    this.weights = new Map();
     this.selectors = [];
     for (const object of objects) {
       if (object.kind === 'clientAccount') {
@@ -110,6 +113,7 @@
     body: configuration.ClientAccountBody,
     marketLabels: labelSelector.Labels,
   ): void {
+    this.weights.set(name, body.weight ?? DEFAULT_WEIGHT);
     const labels = { ...marketLabels, ...body.labels, account: name, market: body.market };
     for (const hash of body.keyHashes) {
       this.accounts.set(hash, { name, body, labels });
@@ -135,14 +139,9 @@
     return this.accounts.get(hashKey(key));
   }
 
-  /** Weight of an account in contended queues. */
+  /** Weight of an account in contended queues; asked at every turn of a queue. */
   weightOf(name: string): number {
-    for (const account of this.accounts.values()) {
-      if (account.name === name) {
-        return account.body.weight ?? 1;
-      }
-    }
-    return 1;
+    return this.weights.get(name) ?? DEFAULT_WEIGHT;
   }
 
   /** The selector of highest precedence that matches. */
--- /dev/null
+++ b/packages/scenarios/src/scripts/controlSafeguards.ts
@@ -0,0 +1,201 @@
+/**
+ * Safeguards of control: the log, the agreed state, claims and orders.
+ */
+import type * as safeguards from './safeguards.js';
+
+const CLAIMS = 'agreedState/claimTable.js';
+const STATE = 'agreedState/agreedState.js';
+const ELECTION = 'consensus/election.js';
+
+/** Each with what must fail without it. */
+export const controlSafeguards: readonly safeguards.Safeguard[] = [
+  {
+    name: 'a claim is granted once',
+    file: CLAIMS,
+    find: 'if (known === undefined) {\n            return this.grant',
+    replace: 'if (true) {\n            return this.grant',
+    scenario: 'claim-same-moment',
+  },
+  {
+    name: 'a claim stays with the attempt that holds it',
+    file: CLAIMS,
+    find: 'return known.attempt === command.attempt\n            ?',
+    replace: 'return true\n            ?',
+    scenario: 'claim-holder-dies',
+  },
+  {
+    name: 'a key stands for one request',
+    file: CLAIMS,
+    find: 'if (known.digest !== command.digest) {',
+    replace: 'if (false) {',
+    scenario: 'claim-key-reused',
+  },
+  {
+    name: 'an attempt may ask again when its answer was lost',
+    file: 'controlClient/controlClient.js',
+    find: 'if (result.ok || !isWorthRetrying(result.val)) {',
+    replace: 'if (true) {',
+    scenario: 'claim-leader-killed',
+  },
+  {
+    name: 'a change id gets its first answer again',
+    file: STATE,
+    find: 'if (remembered !== undefined) {',
+    replace: 'if (false) {',
+    scenario: 'control-leader-killed-after-commit',
+  },
+  {
+    name: 'answers to change ids are part of snapshots',
+    file: STATE,
+    find: 'answers: [...this.answers.values()],',
+    replace: 'answers: [],',
+    scenario: 'control-resend-after-snapshot',
+  },
+  {
+    name: 'a change needs the version it was made on',
+    file: STATE,
+    find: 'if (current !== command.expectedVersion) {',
+    replace: 'if (false) {',
+    scenario: 'control-operators-race',
+  },
+  {
+    name: 'a cut-off replica asks before it raises its term',
+    file: ELECTION,
+    find: 'this.requestVotes(true);',
+    replace: 'this.startElection();',
+    scenario: 'control-cut-off-for-an-hour',
+  },
+  {
+    name: 'a leader without a quorum stops leading',
+    file: 'consensus/leadership.js',
+    find: 'this.host.lostQuorum();',
+    replace: 'this.sendToAll(true);',
+    scenario: 'control-one-way-cut',
+  },
+  {
+    name: 'a frozen leader is replaced',
+    file: ELECTION,
+    find: 'this.startPreVote();',
+    replace: '',
+    scenario: 'control-frozen-leader-wakes',
+  },
+  {
+    name: 'a cut-off replica says that it is not fresh',
+    file: 'controlNode/controlNode.js',
+    find: 'if (!this.replica.isFresh()) {\n            return { fresh: false',
+    replace: 'if (false) {\n            return { fresh: false',
+    scenario: 'control-and-entry-cut-off',
+  },
+  {
+    name: 'an empty replica founds nothing while others are silent',
+    file: 'controlNode/membership.js',
+    find: 'if (answers.length === asked && first',
+    replace: 'if (first',
+    scenario: 'control-empty-folder-never-founds',
+  },
+  {
+    name: 'a lost replica is replaced and votes again',
+    file: 'controlNode/membership.js',
+    find: 'this.repair();',
+    replace: '',
+    scenario: 'control-lost-disks',
+  },
+  {
+    name: 'nothing is answered before it is synced',
+    file: 'consensus/logStore.js',
+    find: 'this.waiting.push(done);',
+    replace: 'done();',
+    scenario: 'control-power-loss',
+  },
+  {
+    name: 'a torn record is cut off',
+    file: 'consensus/logFile.js',
+    find: 'if (isTorn(buffer, offset)) {',
+    replace: 'if (false) {',
+    scenario: 'control-torn-log',
+  },
+  {
+    name: 'a rotten record is refused',
+    file: 'consensus/logFile.js',
+    find: 'if (isTorn(buffer, offset)) {',
+    replace: 'if (true) {',
+    scenario: 'control-corrupt-log',
+  },
+  {
+    name: 'a snapshot reaches a replica that is far behind',
+    file: 'consensus/leadership.js',
+    find: 'this.sendSnapshot(peer, now);',
+    replace: '',
+    scenario: 'control-restart-after-500-changes',
+  },
+  {
+    name: 'a new leader waits out the longest flight of an order',
+    file: 'orders/orderDesk.js',
+    find: 'if (timers.now() - this.leadingSince < settings.longestFlight) {',
+    replace: 'if (false) {',
+    scenario: 'order-late-from-old-leader',
+  },
+  {
+    name: 'a leader past its lease does not act',
+    file: 'consensus/leadership.js',
+    find: 'return timers.now() < this.quorumAcknowledgedAt() + timing.electionTimeout * timing.leaseShare;',
+    replace: 'return true;',
+    scenario: 'soak:100',
+  },
+  {
+    name: 'what was accepted under random faults was synced',
+    file: 'consensus/logStore.js',
+    find: 'this.waiting.push(done);',
+    replace: 'done();',
+    scenario: 'soak:300',
+  },
+  {
+    name: 'a voter gives one vote a term',
+    file: 'consensus/election.js',
+    find: 'message.term === store.hardState.term && free;',
+    replace: 'message.term === store.hardState.term;',
+    scenario: 'spec:consensus/replica',
+  },
+  {
+    name: 'a voter refuses a candidate whose log is behind',
+    file: 'consensus/election.js',
+    find: '!leaderAlive && upToDate && message.term === store',
+    replace: '!leaderAlive && message.term === store',
+    scenario: 'spec:consensus/replica',
+  },
+  {
+    name: 'a voter refuses while a leader may hold its lease',
+    file: 'consensus/election.js',
+    find: 'const leaderAlive = this.host.leaderAlive();',
+    replace: 'const leaderAlive = false;',
+    scenario: 'spec:consensus/replica',
+  },
+  {
+    name: 'only an entry of the own term commits by counting',
+    file: 'consensus/leadership.js',
+    find: 'store.termAt(index) === store.hardState.term && ',
+    replace: '',
+    scenario: 'spec:consensus/replica',
+  },
+  {
+    name: 'members change one at a time',
+    file: 'consensus/replica.js',
+    find: 'store.membersIndex() > this.commitIndex || ',
+    replace: '',
+    scenario: 'spec:consensus/replica',
+  },
+  {
+    name: 'an overwritten past is voided before a snapshot',
+    file: 'consensus/logStore.js',
+    find: 'if (!continues) {',
+    replace: 'if (false) {',
+    scenario: 'spec:consensus/logStore',
+  },
+  {
+    name: 'weight loads stay within the rate of the store',
+    file: 'orders/orderDesk.js',
+    find: 'if (this.loadTimes.length >= this.options.settings.weightLoadsPerMinute) {',
+    replace: 'if (false) {',
+    scenario: 'orders-weight-loads',
+  },
+];
--- a/packages/scenarios/src/scripts/prove.ts
+++ b/packages/scenarios/src/scripts/prove.ts
@@ -58,11 +58,13 @@
 }
 
 const wanted = process.argv.slice(2);
+let tried = 0;
 let unproved = 0;
 for (const safeguard of safeguards.safeguards) {
   if (wanted.length > 0 && !wanted.includes(safeguard.scenario)) {
     continue;
   }
+  tried += 1;
   const whole = run(safeguard.scenario);
   const without = prove(safeguard);
   const proved = !whole.red && without.red;
@@ -72,5 +74,5 @@
     `         without it: ${without.detail}${whole.red ? ` (and red with it: ${whole.detail})` : ''}\n`,
   );
 }
-process.stdout.write(`${safeguards.safeguards.length} safeguards, ${unproved} unproved\n`);
+process.stdout.write(`${tried} of ${safeguards.safeguards.length} safeguards tried, ${unproved} unproved\n`);
 process.exitCode = unproved === 0 ? 0 : 1;
