--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import typescriptEslint from 'typescript-eslint';
 
 export default typescriptEslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', 'eslint.config.js'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'eslint.config.js'] },
   ...typescriptEslint.configs.strictTypeChecked,
   ...typescriptEslint.configs.stylisticTypeChecked,
   prettier,
--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
@@ -32,6 +32,16 @@
 const CONNECT_TIMEOUT = 1_000;
 const AUTHENTICATION_TIMEOUT = 2_000;
 
+/** How often a connection in use is checked for life. */
+const PROBE_INTERVAL = 400;
+
+/**
+ * A connection may go silent for good without a reset, while new ones work; consensus and notices sent on it
+ * would vanish unseen. A probe that is not answered this long ends it, and the next message opens another.
+ */
+const PROBE_TIMEOUT = 1_000;
+const PROBE_METHOD = 'transport.probe';
+
 interface Greeting {
   readonly nonce?: string;
   readonly proof?: string;
@@ -73,9 +83,14 @@
   private serverNonce = '';
   private ready = false;
   private waiting: string[] = [];
+  private readonly scheduler: ports.Scheduler;
+  private sentSinceProbe = false;
+  private bytesAtProbe = 0;
+  private cancelProbe: ports.Cancel = () => undefined;
 
-  constructor(address: string, clusterKey: string, onClose: () => void) {
+  constructor(address: string, clusterKey: string, scheduler: ports.Scheduler, onClose: () => void) {
     this.clusterKey = clusterKey;
+    this.scheduler = scheduler;
     this.client = new jsonRpc.JSONRPCClient((payload: unknown) => {
       this.send(JSON.stringify(payload));
     });
@@ -89,13 +104,38 @@
       }
     });
     this.socket.on('error', () => undefined);
+    this.probeLater();
     this.socket.on('close', () => {
+      this.cancelProbe();
       this.client.rejectAllPendingRequests('the connection was closed');
       onClose();
     });
   }
 
+  private probeLater(): void {
+    this.cancelProbe = this.scheduler.after(PROBE_INTERVAL, () => {
+      if (!this.ready || !this.sentSinceProbe) {
+        this.probeLater();
+        return;
+      }
+      this.client.request(PROBE_METHOD, []).then(
+        () => undefined,
+        () => undefined,
+      );
+      this.sentSinceProbe = false;
+      this.bytesAtProbe = this.socket.bytesRead;
+      this.cancelProbe = this.scheduler.after(PROBE_TIMEOUT, () => {
+        if (this.socket.bytesRead === this.bytesAtProbe) {
+          this.socket.destroy();
+          return;
+        }
+        this.probeLater();
+      });
+    });
+  }
+
   private send(text: string): void {
+    this.sentSinceProbe = true;
     if (!this.ready) {
       this.waiting.push(text);
       return;
@@ -143,6 +183,9 @@
 
   constructor(options: JsonRpcTransportOptions) {
     this.options = options;
+    this.serve(PROBE_METHOD, (_parameters, reply) => {
+      reply(results.Ok(null));
+    });
   }
 
   serve(method: string, handler: ports.PeerHandler): void {
@@ -226,7 +269,7 @@
     if (known !== undefined) {
       return known;
     }
-    const created = new PeerConnection(address, this.options.clusterKey, () => {
+    const created = new PeerConnection(address, this.options.clusterKey, this.options.scheduler, () => {
       this.connections.delete(address);
       this.closedSent += created.socket.bytesWritten;
       this.closedReceived += created.socket.bytesRead;
--- a/packages/kumquatfront/src/agreedState/agreedState.ts
+++ b/packages/kumquatfront/src/agreedState/agreedState.ts
@@ -5,6 +5,7 @@
 import type * as configuration from '../configuration/types.js';
 import * as validation from '../configuration/validation.js';
 import * as failures from '../kernel/failures.js';
+import type * as trafficTypes from '../traffic/types.js';
 import * as canonicalJson from '../utils/canonicalJson.js';
 import * as claimTable from './claimTable.js';
 import type * as types from './types.js';
@@ -30,6 +31,8 @@
   readonly answers: readonly RememberedAnswer[];
   readonly claims: readonly types.Claim[];
   readonly orders: readonly types.Order[];
+  /** Absent until an operator has sent a whole traffic configuration. */
+  readonly traffic?: trafficTypes.VersionedText;
 }
 
 /** Bounds used where the settings give none. */
@@ -49,6 +52,7 @@
   private tombstoneFloor = 0;
   private answers = new Map<string, RememberedAnswer>();
   private orders = new Map<string, types.Order>();
+  private heldTraffic: trafficTypes.VersionedText | undefined;
   private readonly claims: claimTable.ClaimTable;
   private readonly limits: types.AgreedStateLimits;
 
@@ -66,6 +70,11 @@
     return this.claims.size;
   }
 
+  /** The whole traffic configuration; undefined until there is one. */
+  get traffic(): trafficTypes.VersionedText | undefined {
+    return this.heldTraffic;
+  }
+
   /** Applies one committed command. */
   apply(command: types.Command, index: number, stamp: number): unknown {
     switch (command.type) {
@@ -80,7 +89,21 @@
         return this.placeOrder(command, index, stamp);
       case 'settleOrder':
         return this.settleOrder(command);
+      case 'replaceTraffic':
+        return this.replaceTraffic(command);
+    }
+  }
+
+  /**
+   * Only a higher version takes effect. An operator whose answer was lost sends the same one again, perhaps
+   * after a higher one: taking it would put the older configuration back in force.
+   */
+  private replaceTraffic(command: types.ReplaceTrafficCommand): types.ReplaceTrafficAnswer {
+    const { version, text } = command;
+    if (this.heldTraffic === undefined || version > this.heldTraffic.version) {
+      this.heldTraffic = { version, text };
     }
+    return { version: this.heldTraffic.version };
   }
 
   private configure(command: types.ConfigureCommand, index: number, stamp: number): types.ConfigureAnswer {
@@ -208,6 +231,7 @@
       answers: [...this.answers.values()],
       claims: this.claims.toJson(),
       orders: [...this.orders.values()],
+      ...(this.heldTraffic === undefined ? {} : { traffic: this.heldTraffic }),
     };
   }
 
@@ -221,6 +245,7 @@
     this.answers = new Map(json.answers.map((answer) => [answer.changeId, answer]));
     this.claims.restore(json.claims);
     this.orders = new Map(json.orders.map((order) => [order.orderId, order]));
+    this.heldTraffic = json.traffic;
   }
 }
 
--- a/packages/kumquatfront/src/agreedState/types.ts
+++ b/packages/kumquatfront/src/agreedState/types.ts
@@ -68,9 +68,27 @@
   readonly result: 'done' | 'failed';
 }
 
+/** Replaces the whole traffic configuration, if its version is higher than the one that is held. */
+export interface ReplaceTrafficCommand {
+  readonly type: 'replaceTraffic';
+  readonly version: number;
+  /** As the operator sent it. */
+  readonly text: string;
+}
+
+/** Answer to a replacement; `version` is the one that is held afterwards. */
+export interface ReplaceTrafficAnswer {
+  readonly version: number;
+}
+
 /** Every command. */
 export type Command =
-  ConfigureCommand | ClaimCommand | SettleClaimCommand | OrderCommand | SettleOrderCommand;
+  | ReplaceTrafficCommand
+  | ConfigureCommand
+  | ClaimCommand
+  | SettleClaimCommand
+  | OrderCommand
+  | SettleOrderCommand;
 
 /** Answer to a change of configuration. */
 export type ConfigureAnswer =
--- a/packages/kumquatfront/src/consensus/leadership.ts
+++ b/packages/kumquatfront/src/consensus/leadership.ts
@@ -23,6 +23,13 @@
   /** Time at which a message went out that is not answered yet; undefined where none is open. */
   openSince: number | undefined;
   snapshotReceived: number;
+  /** Number of the newest round of messages that it answered. */
+  answeredRound: number;
+}
+
+interface Confirmation {
+  readonly after: number;
+  readonly done: (leads: boolean) => void;
 }
 
 /** What the leadership asks of its replica. */
@@ -45,6 +52,9 @@
   private durableIndex = 0;
   private sendScheduled = false;
   private stopped = false;
+  /** Messages sent so far, each with a number of its own. */
+  private rounds = 0;
+  private confirmations: Confirmation[] = [];
   private snapshotText: { index: number; text: string } | undefined;
   private cancelHeartbeat: ports.Cancel = () => undefined;
 
@@ -65,9 +75,19 @@
     this.onAppended();
   }
 
+  /** Time for which this leadership has lasted. */
+  age(): ports.Milliseconds {
+    return this.options.timers.now() - this.startedAt;
+  }
+
   stop(): void {
     this.stopped = true;
     this.cancelHeartbeat();
+    const open = this.confirmations;
+    this.confirmations = [];
+    for (const entry of open) {
+      entry.done(false);
+    }
   }
 
   /** True once an entry of this term is committed, so that everything before it is known to be. */
@@ -87,25 +107,54 @@
     return timers.now() < this.quorumAcknowledgedAt() + timing.electionTimeout * timing.leaseShare;
   }
 
+  /**
+   * Calls back with true once a quorum has answered a message that was sent after this call, so that no
+   * successor can have been elected before it; with false where this leader steps down first.
+   *
+   * Why not the lease: a suspended VM's steady clock stands still, so its lease outlives the election of a
+   * successor, and a read under it would show a state that others have replaced. Answers to messages sent
+   * after the question depend on no clock.
+   */
+  confirm(done: (leads: boolean) => void): void {
+    this.confirmations.push({ after: this.rounds, done });
+    this.rounds += 1;
+    this.sendSoon();
+  }
+
+  private checkConfirmations(): void {
+    const answered = this.quorumValue(this.rounds, (peer) => peer.answeredRound);
+    const settled = this.confirmations.filter((entry) => answered > entry.after);
+    this.confirmations = this.confirmations.filter((entry) => answered <= entry.after);
+    for (const entry of settled) {
+      entry.done(true);
+    }
+  }
+
   progressOf(identity: string): Progress | undefined {
     return this.progress.get(identity);
   }
 
   /** Called after the leader's log grew: makes it durable and sends it on. */
   onAppended(): void {
-    const { store, timers } = this.options;
+    const { store } = this.options;
     const { lastIndex } = store;
     store.whenDurable(() => {
       this.durableIndex = Math.max(this.durableIndex, lastIndex);
       this.advanceCommit();
     });
-    if (!this.sendScheduled) {
-      this.sendScheduled = true;
-      timers.after(0, () => {
-        this.sendScheduled = false;
-        this.sendToAll(false);
-      });
+    this.sendSoon();
+  }
+
+  private sendSoon(): void {
+    if (this.sendScheduled) {
+      return;
     }
+    this.sendScheduled = true;
+    this.options.timers.after(0, () => {
+      this.sendScheduled = false;
+      this.sendToAll(this.confirmations.length > 0);
+      this.checkConfirmations();
+    });
   }
 
   onAnswer(message: types.AppendAnswer | types.SnapshotAnswer): void {
@@ -114,6 +163,8 @@
       return;
     }
     peer.acknowledgedAt = Math.max(peer.acknowledgedAt, message.sentAt);
+    peer.answeredRound = Math.max(peer.answeredRound, message.round);
+    this.checkConfirmations();
     peer.openSince = undefined;
     if (message.type === 'snapshotAnswer') {
       this.onSnapshotAnswer(peer, message);
@@ -162,6 +213,7 @@
         acknowledgedAt: known?.acknowledgedAt ?? Number.NEGATIVE_INFINITY,
         openSince: known?.openSince,
         snapshotReceived: known?.snapshotReceived ?? 0,
+        answeredRound: known?.answeredRound ?? 0,
         member,
       });
     }
@@ -208,6 +260,7 @@
       peer.openSince = now;
     }
     const commitIndex = this.host.commitIndex();
+    this.rounds += 1;
     this.host.post(peer.member, {
       type: 'appendRequest',
       term,
@@ -216,6 +269,7 @@
       entries,
       commitIndex,
       sentAt: now,
+      round: this.rounds,
     });
   }
 
@@ -227,6 +281,7 @@
     }
     const { text } = this.snapshotText;
     peer.openSince = now;
+    this.rounds += 1;
     this.host.post(peer.member, {
       type: 'snapshotPiece',
       term: store.hardState.term,
@@ -236,6 +291,7 @@
       total: text.length,
       data: text.slice(peer.snapshotReceived, peer.snapshotReceived + timing.snapshotPieceLength),
       sentAt: now,
+      round: this.rounds,
     });
   }
 
--- a/packages/kumquatfront/src/consensus/replica.spec.ts
+++ b/packages/kumquatfront/src/consensus/replica.spec.ts
@@ -103,7 +103,7 @@
     this.replica.receive({
       ...{ type: 'appendRequest', clusterIdentity: CLUSTER, from: 'c', to: 'a', term },
       ...{ previousIndex: this.store.lastIndex, previousTerm: this.store.lastTerm, entries: [] },
-      ...{ commitIndex: 1, sentAt: 0 },
+      ...{ commitIndex: 1, sentAt: 0, round: 1 },
     });
   }
 
@@ -117,11 +117,20 @@
     assert.equal(this.replica.role, 'leader');
   }
 
+  private lastRound(): number {
+    const last = this.sent.filter((message) => message.type === 'appendRequest').at(-1);
+    return last?.type === 'appendRequest' ? last.round : 0;
+  }
+
   acknowledge(matchIndex: number): void {
     const { term } = this.store.hardState;
     const address = { clusterIdentity: CLUSTER, from: 'b', to: 'a', term };
     this.advance(1);
-    this.replica.receive({ type: 'appendAnswer', success: true, matchIndex, sentAt: this.now, ...address });
+    const round = this.lastRound();
+    this.replica.receive({
+      ...{ type: 'appendAnswer', success: true, matchIndex, sentAt: this.now, round },
+      ...address,
+    });
   }
 }
 
--- a/packages/kumquatfront/src/consensus/replica.ts
+++ b/packages/kumquatfront/src/consensus/replica.ts
@@ -209,11 +209,42 @@
     return this.hearsLeader() && this.leaderIdentity !== '' && this.applier.appliedIndex >= this.leaderCommit;
   }
 
+  /**
+   * Calls back once this replica's state machine is certain to hold everything that was committed before the
+   * call; with a failure where that cannot be known here. Depends on no clock.
+   */
+  confirmRead(done: (result: results.Result<null, failures.Failure>) => void): void {
+    const leading = this.leading;
+    if (leading === undefined) {
+      done(results.Err(this.notLeader()));
+      return;
+    }
+    leading.confirm((leads) => {
+      // An entry of this term must be committed too: before it, the leader does not know what others committed.
+      if (leads && leading.hasCommitted()) {
+        done(results.Ok(null));
+        return;
+      }
+      const remedy = 'Ask again in a second, or ask another replica.';
+      done(results.Err(failures.create('noQuorum', 'No quorum confirmed this read.', remedy)));
+    });
+  }
+
   /** True for a leader that may act alone: it holds its lease and has applied all before its term. */
   mayLead(): boolean {
     return this.leading !== undefined && this.isFresh();
   }
 
+  /** Time since this replica heard from a leader; 0 where it leads. */
+  silentFor(): ports.Milliseconds {
+    return this.leading === undefined ? this.options.timers.now() - this.heardLeaderAt : 0;
+  }
+
+  /** Time for which this replica has led; 0 where it does not. */
+  leadsFor(): ports.Milliseconds {
+    return this.leading?.age() ?? 0;
+  }
+
   /** How far a member's log is known to match, and when it last answered; for the leader only. */
   progressOf(identity: string): leadership.Progress | undefined {
     return this.leading?.progressOf(identity);
@@ -337,8 +368,9 @@
   private answerAppend(message: types.AppendRequest, success: boolean, matchIndex: number): void {
     const { store } = this.options;
     const { term } = store.hardState;
+    const { sentAt, round } = message;
     store.whenDurable(() => {
-      this.answer(message.from, { type: 'appendAnswer', term, success, matchIndex, sentAt: message.sentAt });
+      this.answer(message.from, { type: 'appendAnswer', term, success, matchIndex, sentAt, round });
     });
   }
 
@@ -349,7 +381,7 @@
     }
     this.followLeader(message.from, message.index);
     const answer = (received: number, installed: boolean): void => {
-      const { index, sentAt } = message;
+      const { index, sentAt, round } = message;
       this.answer(message.from, {
         type: 'snapshotAnswer',
         term: message.term,
@@ -357,6 +389,7 @@
         received,
         installed,
         sentAt,
+        round,
       });
     };
     if (message.index <= this.applier.appliedIndex) {
--- a/packages/kumquatfront/src/consensus/types.ts
+++ b/packages/kumquatfront/src/consensus/types.ts
@@ -78,6 +78,8 @@
   readonly commitIndex: number;
   /** Leader's monotonic send time, echoed in the answer; the leader's lease counts from it. */
   readonly sentAt: number;
+  /** Number of the leader's message, echoed in the answer; reads are confirmed by it. */
+  readonly round: number;
 }
 
 /** Answers an append after the entries are synced. */
@@ -87,6 +89,8 @@
   /** On success the last index known to match; else the index to go on from. */
   readonly matchIndex: number;
   readonly sentAt: number;
+  /** Number of the leader's message, echoed in the answer; reads are confirmed by it. */
+  readonly round: number;
 }
 
 /** One piece of a snapshot. */
@@ -99,6 +103,8 @@
   /** A slice of the snapshot's JSON text. */
   readonly data: string;
   readonly sentAt: number;
+  /** Number of the leader's message, echoed in the answer; reads are confirmed by it. */
+  readonly round: number;
 }
 
 /** Says how much of a snapshot arrived. */
@@ -108,6 +114,8 @@
   readonly received: number;
   readonly installed: boolean;
   readonly sentAt: number;
+  /** Number of the leader's message, echoed in the answer; reads are confirmed by it. */
+  readonly round: number;
 }
 
 /** Every message between replicas. */
--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -18,6 +18,7 @@
 import * as entryOrderPort from '../orders/entryOrderPort.js';
 import * as orderDesk from '../orders/orderDesk.js';
 import type * as orders from '../orders/types.js';
+import * as trafficControl from '../trafficControl/trafficControl.js';
 import * as membership from './membership.js';
 import * as methods from './methods.js';
 
@@ -34,6 +35,10 @@
   readonly orders: orders.OrderSettings;
   /** Time without a pull after which an entry no longer counts for "in force at". */
   readonly entryLease: number;
+  /** False where the system has started before, so that this replica may only join; true where absent. */
+  readonly mayFound?: boolean;
+  /** Control VMs that may be lost at once; 1 where absent. */
+  readonly toleratedLosses?: number;
 }
 
 /** Ports of a control replica. */
@@ -41,6 +46,8 @@
   readonly disk: ports.Disk;
   /** How orders reach upstreams; through the entries where absent. */
   readonly orders?: orders.OrderPort;
+  /** Reads whole traffic configurations; without it this replica serves none. */
+  readonly decodeTraffic?: trafficControl.DecodeTraffic;
 }
 
 /** Services of a control replica, by name. */
@@ -50,6 +57,7 @@
   readonly replica: replica.Replica;
   readonly membership: membership.Membership;
   readonly orders: orderDesk.OrderDesk;
+  readonly traffic: trafficControl.TrafficControl;
 }
 
 /** What a control replica offers to the adapters around it. */
@@ -97,6 +105,7 @@
   private readonly timers: timerService.TimerService;
   private readonly replica: replica.Replica;
   private readonly state: agreedState.AgreedState;
+  private readonly traffic: trafficControl.TrafficControl | undefined;
   private readonly seen = new Map<string, SeenEntry>();
 
   constructor(settings: ControlSettings, outside: ControlPorts, store: logStore.LogStore) {
@@ -113,7 +122,11 @@
       log,
       timing: settings.timing,
       machine: {
-        apply: (command, index, stamp) => state.apply(command as agreedTypes.Command, index, stamp),
+        apply: (command, index, stamp) => {
+          const answer = state.apply(command as agreedTypes.Command, index, stamp);
+          this.traffic?.wakeWatches();
+          return answer;
+        },
         takeSnapshot: () => state.toJson(),
         restore: (json) => {
           state.restore(json as agreedState.AgreedStateJson);
@@ -136,11 +149,35 @@
     this.services.register('replica', this.replica);
     this.services.register('orders', desk);
     this.services.register('membership', this.createMembership(outside, store.identity));
+    if (outside.decodeTraffic !== undefined) {
+      this.traffic = this.createTrafficControl(outside, outside.decodeTraffic);
+      this.services.register('traffic', this.traffic);
+    }
     this.serve(peers);
   }
 
+  private createTrafficControl(
+    outside: ControlPorts,
+    decode: trafficControl.DecodeTraffic,
+  ): trafficControl.TrafficControl {
+    const { peers, random, log, metrics } = outside;
+    const { peerAddress, control, toleratedLosses = 1 } = this.settings;
+    return new trafficControl.TrafficControl({
+      replica: this.replica,
+      state: this.state,
+      peers,
+      timers: this.timers,
+      random,
+      log,
+      metrics,
+      peerAddress,
+      decode,
+      leastVoters: Math.min(2 * toleratedLosses + 1, control.length),
+    });
+  }
+
   private createMembership(outside: ControlPorts, identity: string): membership.Membership {
-    const { name, peerAddress, control } = this.settings;
+    const { name, peerAddress, control, mayFound = true, toleratedLosses = 1 } = this.settings;
     const { peers, random, log } = outside;
     const own = this.replica;
     return new membership.Membership({
@@ -153,6 +190,8 @@
       timers: this.timers,
       random,
       log,
+      mayFound,
+      toleratedLosses,
     });
   }
 
--- a/packages/kumquatfront/src/controlNode/membership.ts
+++ b/packages/kumquatfront/src/controlNode/membership.ts
@@ -22,6 +22,10 @@
   readonly timers: timerService.TimerService;
   readonly random: ports.Random;
   readonly log: ports.Log;
+  /** False where the system has started before: a new replica may only join then. */
+  readonly mayFound: boolean;
+  /** Losses that the voters must bear at once; 2 n + 1 of them are kept where there are as many. */
+  readonly toleratedLosses: number;
 }
 
 const JOIN_INTERVAL = 500;
@@ -29,15 +33,25 @@
 const REQUEST_TIMEOUT = 400;
 /** A member that answered this recently is alive, and another may not take its name. */
 const ALIVE_WITHIN = 5_000;
+/** A voter that is silent for this long makes way, where enough others are alive; it joins again on its return. */
+const SILENT_VOTER = 3_000;
+/** The same where a new replica has caught up to take its place. */
+const REPLACED_VOTER = 1_500;
+/** A learner that is silent for this long is dropped; it joins again on its return. */
+const SILENT_LEARNER = 6_000;
+/** A replica that has heard no leader for this long asks whether it is still a member. */
+const ASK_MEMBERSHIP_AFTER = 1_500;
 /** Entries a learner may lack when it is promoted; it receives them within a heartbeat. */
 const PROMOTION_LAG = 16;
 
 /** Membership of one replica; see the module comment. */
 export class Membership {
   private readonly options: MembershipOptions;
+  private control: readonly string[];
 
   constructor(options: MembershipOptions) {
     this.options = options;
+    this.control = options.control;
     this.serve();
     options.timers.every(
       () => JOIN_INTERVAL,
@@ -61,6 +75,8 @@
         identity: status.identity,
         clusterIdentity: status.clusterIdentity,
         leaderAddress: status.leader?.address ?? '',
+        members: status.members.map((member) => member.identity),
+        leads: this.options.replica.mayLead(),
       };
       reply(results.Ok(answer));
     });
@@ -74,12 +90,25 @@
     return members.some((member) => member.identity === this.options.identity);
   }
 
+  /** Replaces the addresses under which others are looked for. */
+  setControl(control: readonly string[]): void {
+    this.control = control;
+  }
+
+  /** Addresses to ask: those of the settings, and those of every member that is known. */
+  private askedAddresses(): readonly string[] {
+    const { peerAddress, replica: own } = this.options;
+    const known = own.status().members.map((member) => member.address);
+    return [...new Set([...this.control, ...known])].filter((address) => address !== peerAddress);
+  }
+
   private joinOrFound(): void {
-    const { control, peerAddress, peers } = this.options;
-    if (this.isMember()) {
+    const { peers, replica: own } = this.options;
+    const lonely = own.silentFor() > ASK_MEMBERSHIP_AFTER;
+    if (this.isMember() && !lonely) {
       return;
     }
-    const others = control.filter((address) => address !== peerAddress);
+    const others = this.askedAddresses();
     const answers: methods.HelloAnswer[] = [];
     let open = others.length;
     const decide = (): void => {
@@ -102,7 +131,11 @@
   }
 
   private decide(answers: readonly methods.HelloAnswer[], asked: number): void {
-    const { control, peerAddress, replica: own, random, identity, name } = this.options;
+    const { peerAddress, replica: own, random, identity, name, mayFound } = this.options;
+    if (this.isMember()) {
+      this.rejoinIfRemoved(answers);
+      return;
+    }
     const founded = answers.find((answer) => answer.clusterIdentity !== '');
     if (founded !== undefined) {
       this.join(answers);
@@ -110,13 +143,25 @@
     }
     // A replica that lost its disk looks like a new one. Founding while any other is silent could make a
     // second cluster beside the one that the silent replicas belong to; so all must answer, and all be new.
-    const first = [...control].sort()[0] === peerAddress;
-    if (answers.length === asked && first && own.status().clusterIdentity === '') {
+    const first = [...this.control].sort()[0] === peerAddress;
+    if (mayFound && answers.length === asked && first && own.status().clusterIdentity === '') {
       this.options.log.info('clusterFounded', { identity });
       own.found(random.identity(), { identity, name, address: peerAddress, role: 'voter' });
     }
   }
 
+  /**
+   * A voter that was silent for long was removed by the others, and its own log does not say so: nobody sends
+   * it anything any more. A leader that does not list it takes it in again.
+   */
+  private rejoinIfRemoved(answers: readonly methods.HelloAnswer[]): void {
+    const { identity } = this.options;
+    const leader = answers.find((answer) => answer.leads);
+    if (leader !== undefined && !leader.members.includes(identity)) {
+      this.join([leader]);
+    }
+  }
+
   private join(answers: readonly methods.HelloAnswer[]): void {
     const { peers, name, identity, peerAddress, replica: own, log } = this.options;
     const leader = answers.find((answer) => answer.leaderAddress !== '')?.leaderAddress;
@@ -151,7 +196,8 @@
       return;
     }
     const former = status.members.find((member) => member.name === request.name);
-    if (former !== undefined && this.isAlive(former)) {
+    // One address is one process: whoever asks from a member's address under a new identity has replaced it.
+    if (former !== undefined && former.address !== request.address && this.isAlive(former)) {
       const message = `Control replica ${request.name} is alive under another identity.`;
       const remedy =
         'Give each control VM its own name; if the former one was just stopped, wait a few seconds.';
@@ -189,12 +235,15 @@
       if (
         progress === undefined ||
         progress.matchIndex + PROMOTION_LAG < commitIndex ||
-        progress.matchIndex === 0
+        progress.matchIndex === 0 ||
+        this.silenceOf(learner) > REPLACED_VOTER
       ) {
         continue;
       }
       const lost = members.find(
-        (member) => member.name === learner.name && member.identity !== learner.identity,
+        (member) =>
+          (member.name === learner.name || member.address === learner.address) &&
+          member.identity !== learner.identity,
       );
       const next =
         lost === undefined
@@ -212,5 +261,43 @@
       });
       return;
     }
+    this.removeSilent(members);
+  }
+
+  private silenceOf(member: consensus.Member): number {
+    const { replica: own, identity, timers } = this.options;
+    if (member.identity === identity) {
+      return 0;
+    }
+    return timers.now() - (own.progressOf(member.identity)?.acknowledgedAt ?? Number.NEGATIVE_INFINITY);
+  }
+
+  /**
+   * Removes a member that is silent, one at a time. A voter that is gone for good still raises the quorum:
+   * with four voters, one gone, the next loss would stop every change. It goes only where the voters that are
+   * alive bear the tolerated losses without it, so removing one that is merely slow costs nothing.
+   */
+  private removeSilent(members: readonly consensus.Member[]): void {
+    const { replica: own, log, toleratedLosses } = this.options;
+    const voters = members.filter((member) => member.role === 'voter');
+    const alive = voters.filter((member) => this.silenceOf(member) < REPLACED_VOTER);
+    const limit = alive.length >= 2 * toleratedLosses + 1 ? SILENT_VOTER : Number.POSITIVE_INFINITY;
+    const replaced = alive.length >= 2 * toleratedLosses + 1 && voters.length > 2 * toleratedLosses + 1;
+    const silent = members.find(
+      (member) =>
+        this.silenceOf(member) >
+        (member.role === 'learner' ? SILENT_LEARNER : replaced ? REPLACED_VOTER : limit),
+    );
+    if (silent === undefined || own.leadsFor() < SILENT_VOTER) {
+      return;
+    }
+    own.changeMembers(
+      members.filter((member) => member !== silent),
+      (result) => {
+        if (result.ok) {
+          log.warn('memberRemoved', { replica: silent.name, identity: silent.identity, reason: 'silent' });
+        }
+      },
+    );
   }
 }
--- a/packages/kumquatfront/src/controlNode/methods.ts
+++ b/packages/kumquatfront/src/controlNode/methods.ts
@@ -46,6 +46,10 @@
   readonly identity: string;
   readonly clusterIdentity: string;
   readonly leaderAddress: string;
+  /** Identities of the members that the answerer knows. */
+  readonly members: readonly string[];
+  /** True where the answerer leads and hears from a quorum. */
+  readonly leads: boolean;
 }
 
 /** Asks the leader to take a replica in. */
--- /dev/null
+++ b/packages/kumquatfront/src/instances/instanceView.ts
@@ -0,0 +1,144 @@
+/**
+ * What one entry believes of the upstream instances: the merge of what each control replica tells it.
+ */
+import type * as ports from '../kernel/ports.js';
+import type * as types from './types.js';
+
+/**
+ * A replica that has answered this recently counts; two and a half times the longest wait for an answer,
+ * so that one lost answer does not hide a replica.
+ */
+const SOURCE_LEASE: ports.Milliseconds = 2_500;
+
+/** A replica that started this recently has not heard of every instance yet: two announcement intervals. */
+const SOURCE_SETTLES: ports.Milliseconds = 3_000;
+
+/** One instance as entries use it. */
+export interface Instance {
+  readonly identity: string;
+  readonly service: string;
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly slots: number;
+  readonly state: types.InstanceState;
+  /** Entry's time at which the instance was heard of for the first time. */
+  readonly firstAt: number;
+}
+
+interface Source {
+  epoch: string;
+  revision: number;
+  since: number;
+  heardAt: number;
+  readonly identities: Set<string>;
+}
+
+/** The view; see the module comment. */
+export class InstanceView {
+  private readonly sources = new Map<string, Source>();
+  private readonly instances = new Map<string, Instance>();
+  private byService = new Map<string, Instance[]>();
+  private readonly onChange: (instance: Instance, event: 'found' | 'leaving' | 'gone') => void;
+
+  constructor(onChange: (instance: Instance, event: 'found' | 'leaving' | 'gone') => void) {
+    this.onChange = onChange;
+  }
+
+  /** Where the news of a source should go on from. */
+  positionOf(source: string): { readonly epoch: string; readonly revision: number } {
+    const known = this.sources.get(source);
+    return known === undefined
+      ? { epoch: '', revision: 0 }
+      : { epoch: known.epoch, revision: known.revision };
+  }
+
+  /** Takes a source's news in. */
+  merge(sourceName: string, news: types.InstanceNews, now: number): void {
+    const known = this.sources.get(sourceName);
+    const source =
+      known?.epoch === news.epoch
+        ? known
+        : { epoch: news.epoch, revision: 0, since: now, heardAt: now, identities: new Set<string>() };
+    this.sources.set(sourceName, source);
+    source.heardAt = now;
+    source.revision = news.revision;
+    if (news.whole) {
+      source.identities.clear();
+    }
+    for (const record of news.records) {
+      source.identities.add(record.identity);
+      this.take(record, now);
+    }
+    for (const identity of news.removed) {
+      source.identities.delete(identity);
+    }
+    this.dropUnheard(now);
+  }
+
+  private take(record: types.InstanceRecord, now: number): void {
+    const known = this.instances.get(record.identity);
+    const leaving = record.state === 'leaving' || known?.state === 'leaving';
+    const instance: Instance = {
+      identity: record.identity,
+      service: record.service,
+      address: record.address,
+      dataCentre: record.dataCentre,
+      slots: record.slots,
+      state: leaving ? 'leaving' : 'ready',
+      firstAt: known?.firstAt ?? now - record.firstAge,
+    };
+    this.instances.set(record.identity, instance);
+    this.byService.clear();
+    if (known === undefined) {
+      this.onChange(instance, 'found');
+    }
+    if (leaving && known?.state !== 'leaving') {
+      this.onChange(instance, 'leaving');
+    }
+  }
+
+  /**
+   * Drops instances that no settled source in contact lists any more. With no such source (control is down,
+   * or just started and still empty) nothing is dropped: the last view is better than none.
+   */
+  private dropUnheard(now: number): void {
+    const settled = [...this.sources.values()].filter(
+      (source) => now - source.heardAt < SOURCE_LEASE && now - source.since > SOURCE_SETTLES,
+    );
+    if (settled.length === 0) {
+      return;
+    }
+    const inContact = [...this.sources.values()].filter((source) => now - source.heardAt < SOURCE_LEASE);
+    for (const instance of this.instances.values()) {
+      if (!inContact.some((source) => source.identities.has(instance.identity))) {
+        this.instances.delete(instance.identity);
+        this.byService.clear();
+        this.onChange(instance, 'gone');
+      }
+    }
+  }
+
+  get(identity: string): Instance | undefined {
+    return this.instances.get(identity);
+  }
+
+  /** Instances of a service that take requests; of two at one address only the newer incarnation. */
+  readyOf(service: string): readonly Instance[] {
+    const cached = this.byService.get(service);
+    if (cached !== undefined) {
+      return cached;
+    }
+    const newest = new Map<string, Instance>();
+    for (const instance of this.instances.values()) {
+      const rival = newest.get(instance.address);
+      if (rival === undefined || rival.firstAt < instance.firstAt) {
+        newest.set(instance.address, instance);
+      }
+    }
+    const ready = [...newest.values()].filter(
+      (instance) => instance.service === service && instance.state === 'ready',
+    );
+    this.byService.set(service, ready);
+    return ready;
+  }
+}
--- /dev/null
+++ b/packages/kumquatfront/src/instances/types.ts
@@ -0,0 +1,43 @@
+/**
+ * Upstream instances as they announce themselves, and the news of them between processes. Times are
+ * milliseconds.
+ */
+
+/** `leaving` takes no new requests; an instance never comes back from it. */
+export type InstanceState = 'ready' | 'leaving';
+
+/** What an instance says of itself. */
+export interface Announcement {
+  /** New at each start of the instance. */
+  readonly identity: string;
+  readonly service: string;
+  /** `ip:port` */
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly slots: number;
+  readonly state: InstanceState;
+  /** How much longer the instance is slow after its start. */
+  readonly warmUpLeft: number;
+  /** Goes up with each announcement, so that a late one can be told. */
+  readonly sequence: number;
+}
+
+/** One record as it goes between processes. */
+export interface InstanceRecord extends Announcement {
+  /** Time since the instance was heard of. */
+  readonly age: number;
+  /** Time since the instance was heard of for the first time. */
+  readonly firstAge: number;
+}
+
+/** News since a revision of one publisher. */
+export interface InstanceNews {
+  /** New at each start of the publisher: revisions of another epoch say nothing. */
+  readonly epoch: string;
+  readonly revision: number;
+  /** True where the records are all that there are; instances that are missing are gone. */
+  readonly whole: boolean;
+  readonly records: readonly InstanceRecord[];
+  /** Identities that are gone since the revision asked for. */
+  readonly removed: readonly string[];
+}
--- /dev/null
+++ b/packages/kumquatfront/src/placement/placementQueue.ts
@@ -0,0 +1,85 @@
+/**
+ * Generations that wait for a place on an engine.
+ *
+ * Pattern: under overload a first-come queue makes everybody late. Those that can still be in time go before
+ * those that are late already, which lose nothing more by waiting; urgent ones go before patient ones always.
+ * One large generation at the head must not be overtaken for ever by small ones, nor hold everything up.
+ */
+import type * as ports from '../kernel/ports.js';
+import type * as types from './types.js';
+
+/** One that waits. */
+export interface Waiting {
+  readonly request: types.PlacementRequest;
+  readonly since: ports.Milliseconds;
+  readonly answer: (answer: types.PlacementAnswer) => void;
+}
+
+/** Time for which smaller generations may overtake a larger one that finds no room: near one objective. */
+const OVERTAKEN_FOR: ports.Milliseconds = 1_500;
+
+/** Generations that may wait at once; with a hundred bytes each, far below what control may use. */
+const MOST_WAITING = 2_000;
+
+/** The queue; see the module comment. */
+export class PlacementQueue {
+  private readonly waiting = new Map<string, Waiting>();
+
+  get size(): number {
+    return this.waiting.size;
+  }
+
+  /** Adds one; asking again for the same generation replaces the former question. False where it is full. */
+  add(request: types.PlacementRequest, now: number, answer: Waiting['answer']): boolean {
+    const former = this.waiting.get(request.facts.identity);
+    if (former === undefined && this.waiting.size >= MOST_WAITING) {
+      return false;
+    }
+    this.waiting.set(request.facts.identity, { request, since: former?.since ?? now, answer });
+    return true;
+  }
+
+  remove(identity: string): void {
+    this.waiting.delete(identity);
+  }
+
+  waitingOf(service: string): number {
+    return [...this.waiting.values()].filter((entry) => entry.request.facts.service === service).length;
+  }
+
+  /** Takes out all whose patience is over. */
+  takeExpired(now: number): readonly Waiting[] {
+    const expired = [...this.waiting.values()].filter((entry) => now - entry.since >= entry.request.patience);
+    for (const entry of expired) {
+      this.waiting.delete(entry.request.facts.identity);
+    }
+    return expired;
+  }
+
+  private inOrder(now: number): readonly Waiting[] {
+    const isLate = (entry: Waiting): number => (now - entry.since > entry.request.objectiveLeft ? 1 : 0);
+    return [...this.waiting.values()].sort(
+      (left, right) =>
+        left.request.facts.rank - right.request.facts.rank ||
+        isLate(left) - isLate(right) ||
+        left.since - right.since,
+    );
+  }
+
+  /** Offers places in order; `place` returns true where one was found. */
+  serve(now: number, place: (waiting: Waiting) => boolean): void {
+    const heldUp = new Map<string, number>();
+    for (const entry of this.inOrder(now)) {
+      const { service, rank, identity } = entry.request.facts;
+      const holder = heldUp.get(service);
+      if (holder !== undefined && holder <= rank) {
+        continue;
+      }
+      if (place(entry)) {
+        this.waiting.delete(identity);
+      } else if (now - entry.since > OVERTAKEN_FOR) {
+        heldUp.set(service, rank);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/kumquatfront/src/placement/types.ts
@@ -0,0 +1,68 @@
+/**
+ * Messages between entries and the coordinator that places and moves generations for the whole system.
+ * Times are milliseconds, sizes are tokens.
+ */
+import type * as ports from '../kernel/ports.js';
+
+/** What is known of a generation before and while it runs. */
+export interface GenerationFacts {
+  readonly identity: string;
+  readonly service: string;
+  readonly promptTokens: number;
+  /** Output never exceeds this. */
+  readonly outputLimit: number;
+  /** The caller's guess of the output; right at the median, often far off. 0 where there is none. */
+  readonly lengthHint: number;
+  /** 0 is the most urgent. */
+  readonly rank: number;
+  /** Client account; empty where there is none. */
+  readonly account: string;
+}
+
+/** Asks for a place on an engine. */
+export interface PlacementRequest {
+  readonly facts: GenerationFacts;
+  readonly entry: string;
+  readonly dataCentre: string;
+  /** Identities of engines that the asker does not want. */
+  readonly excluded: readonly string[];
+  /** Time to the first event that the caller expects, counted from now. */
+  readonly objectiveLeft: ports.Milliseconds;
+  /** Time after which a place is of no use any more. */
+  readonly patience: ports.Milliseconds;
+}
+
+/** Answers a request for a place. */
+export type PlacementAnswer =
+  | { readonly state: 'placed'; readonly instance: string }
+  /** Nothing was started; `retryAfter` is when a place is likely. */
+  | { readonly state: 'refused'; readonly retryAfter: ports.Milliseconds; readonly reason: string };
+
+/** A generation that runs, as its entry sees it. */
+export interface RunningGeneration {
+  readonly facts: GenerationFacts;
+  readonly instance: string;
+  /** Output tokens made so far. */
+  readonly produced: number;
+  /** True once the first event came, so that there is memory to move. */
+  readonly started: boolean;
+}
+
+/** Everything that one entry has running; the newest report replaces the one before. */
+export interface EntryReport {
+  readonly entry: string;
+  /** Where the entry is told to move generations: `ip:port`. */
+  readonly address: string;
+  readonly sequence: number;
+  readonly generations: readonly RunningGeneration[];
+}
+
+/** Tells an entry to move one generation to another engine. */
+export interface MoveCommand {
+  readonly identity: string;
+  readonly source: string;
+  readonly target: string;
+}
+
+/** How a move ended: `moved` counts once the source has stopped the run. */
+export type MoveOutcome = 'moved' | 'ended' | 'failed';
--- /dev/null
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -0,0 +1,70 @@
+/**
+ * What every exchange of one entry shares.
+ */
+import type * as instanceView from '../instances/instanceView.js';
+import type * as ports from '../kernel/ports.js';
+import type * as timerService from '../kernel/timerService.js';
+import type * as trafficTypes from '../traffic/types.js';
+import type * as localChoice from './localChoice.js';
+import type * as placementClient from './placementClient.js';
+import type * as retryAllowance from './retryAllowance.js';
+import type * as types from './types.js';
+
+/** Parts that exchanges use. */
+export interface ExchangeContext {
+  readonly timers: timerService.TimerService;
+  readonly log: ports.Log;
+  readonly metrics: ports.Metrics;
+  readonly upstreams: types.UpstreamPort;
+  readonly instances: instanceView.InstanceView;
+  readonly choice: localChoice.LocalChoice;
+  readonly allowance: retryAllowance.RetryAllowance;
+  readonly placement: placementClient.PlacementClient;
+}
+
+/** One request with all that its route says of it. */
+export interface RoutedRequest {
+  readonly request: types.TrafficRequest;
+  readonly caller: types.CallerPort;
+  readonly route: trafficTypes.Route;
+  readonly service: trafficTypes.Service;
+  /** Name of the client account; undefined where none is needed. */
+  readonly account?: string;
+  /** Rank: that of the account, else that of the route. */
+  readonly rank: number;
+  /** Moment at which the caller must have its final answer. */
+  readonly answerBy: ports.Milliseconds;
+  /** Version of the configuration that decided. */
+  readonly version: number;
+}
+
+/** Time to come back where no upstream of a service is known: about one announcement. */
+export const NO_UPSTREAM_RETRY: ports.Milliseconds = 500;
+
+/**
+ * Logs how a request ended.
+ *
+ * @param context - the entry's parts
+ * @param routed - the request
+ * @param outcome - how it ended, with what decided it
+ * @example
+ * ```ts
+ * exchangeContext.logEnd(context, routed, { outcome: 'answered', status: 200 });
+ * ```
+ */
+export function logEnd(context: ExchangeContext, routed: RoutedRequest, outcome: ports.LogFields): void {
+  const { request, route, service, version } = routed;
+  const milliseconds = Math.round(context.timers.now() - request.arrivedAt);
+  context.log.info('requestEnded', {
+    request: request.identity,
+    route: route.name,
+    service: service.name,
+    version,
+    ...outcome,
+    milliseconds,
+  });
+  context.metrics.timing('relayed.whole', milliseconds, {
+    kind: route.kind,
+    outcome: String(outcome.outcome),
+  });
+}
--- /dev/null
+++ b/packages/kumquatfront/src/relay/placementClient.ts
@@ -0,0 +1,216 @@
+/**
+ * An entry's side of placement: it asks the coordinator for places, reports what runs, and carries out moves.
+ * Where no coordinator answers, the caller of this part chooses by itself.
+ */
+import type * as ports from '../kernel/ports.js';
+import * as results from '../kernel/results.js';
+import type * as timerService from '../kernel/timerService.js';
+import type * as placementTypes from '../placement/types.js';
+import * as methods from '../trafficControl/methods.js';
+
+/** Reports go out this often; the coordinator's forecasts are as old as this at most. */
+const REPORT_INTERVAL: ports.Milliseconds = 250;
+
+/** A change is reported after this pause, which gathers changes of the same moment. */
+const REPORT_PAUSE: ports.Milliseconds = 15;
+
+/** Pause before a question that failed is asked again. */
+const ASK_AGAIN: ports.Milliseconds = 80;
+
+/**
+ * Without an answer of any coordinator for this long an entry places by itself: an election takes as long,
+ * and a caller's objective is still in reach.
+ */
+const COORDINATOR_GRACE: ports.Milliseconds = 900;
+
+/** A generation that this entry serves. */
+export interface OpenGeneration {
+  /** What runs; undefined while it has no upstream. */
+  readonly describe: () => placementTypes.RunningGeneration | undefined;
+  readonly move: (target: string, done: (outcome: placementTypes.MoveOutcome) => void) => void;
+}
+
+/** What the client is made from. */
+export interface PlacementClientOptions {
+  readonly entry: string;
+  readonly dataCentre: string;
+  readonly peerAddress: string;
+  readonly peers: ports.PeerTransport;
+  readonly timers: timerService.TimerService;
+  readonly log: ports.Log;
+  /** Peer address of the coordinator; empty where none is known. */
+  readonly coordinator: () => string;
+}
+
+/** A question for a place, before the entry adds who it is. */
+export type PlaceQuestion = Omit<placementTypes.PlacementRequest, 'entry' | 'dataCentre'>;
+
+/** Answer to a question for a place; `alone` where no coordinator answers. */
+export type PlaceOutcome = placementTypes.PlacementAnswer | { readonly state: 'alone' };
+
+/** The client; see the module comment. */
+export class PlacementClient {
+  private readonly options: PlacementClientOptions;
+  private readonly open = new Map<string, OpenGeneration>();
+  private sequence: number;
+  private reportScheduled = false;
+  private reportedEmpty = false;
+  /** Questions that must be asked again when another coordinator takes over. */
+  private readonly askers = new Map<string, () => void>();
+
+  constructor(options: PlacementClientOptions) {
+    this.options = options;
+    const { timers, peers } = options;
+    // A restarted entry must not seem older than its former self: wall-clock time would do, but may jump.
+    this.sequence = 0;
+    timers.every(
+      () => REPORT_INTERVAL,
+      () => {
+        this.sendReport();
+      },
+    );
+    peers.serve(methods.methods.move, (parameters, reply) => {
+      this.onMove(parameters as placementTypes.MoveCommand, reply);
+    });
+  }
+
+  private onMove(command: placementTypes.MoveCommand, reply: ports.Reply): void {
+    const generation = this.open.get(command.identity);
+    if (generation?.describe()?.instance !== command.source) {
+      reply(results.Ok('ended' satisfies placementTypes.MoveOutcome));
+      return;
+    }
+    generation.move(command.target, (outcome) => {
+      this.sendReport();
+      reply(results.Ok(outcome));
+    });
+  }
+
+  /** Called when another replica coordinates: questions to the former one may never be answered. */
+  coordinatorChanged(): void {
+    for (const ask of [...this.askers.values()]) {
+      ask();
+    }
+    this.changed();
+  }
+
+  /** Asks for a place until there is an answer; the returned function withdraws the question. */
+  place(request: PlaceQuestion, done: (outcome: PlaceOutcome) => void): ports.Cancel {
+    const { timers, peers, log } = this.options;
+    const { identity } = request.facts;
+    const begun = timers.now();
+    let settled = false;
+    let round = 0;
+    let failingSince: number | undefined;
+    let cancelTimer: ports.Cancel = () => undefined;
+    const settle = (outcome: PlaceOutcome): void => {
+      if (!settled) {
+        settled = true;
+        cancelTimer();
+        this.askers.delete(identity);
+        done(outcome);
+      }
+    };
+    const fail = (): void => {
+      failingSince ??= timers.now();
+      if (timers.now() - failingSince > COORDINATOR_GRACE) {
+        log.warn('coordinatorSilent', { request: identity, since: Math.round(timers.now() - failingSince) });
+        settle({ state: 'alone' });
+        return;
+      }
+      cancelTimer = timers.after(ASK_AGAIN, ask);
+    };
+    const ask = (): void => {
+      if (settled) {
+        return;
+      }
+      cancelTimer();
+      round += 1;
+      const asked = round;
+      const coordinator = this.options.coordinator();
+      if (coordinator === '') {
+        fail();
+        return;
+      }
+      const elapsed = timers.now() - begun;
+      const patience = Math.max(0, request.patience - elapsed);
+      const objectiveLeft = request.objectiveLeft - elapsed;
+      const { entry, dataCentre } = this.options;
+      const parameters: methods.PlaceRequest = { ...request, entry, dataCentre, patience, objectiveLeft };
+      peers.request(coordinator, methods.methods.place, parameters, patience + 500, (result) => {
+        if (settled || asked !== round) {
+          return;
+        }
+        if (result.ok) {
+          settle(result.val as placementTypes.PlacementAnswer);
+        } else {
+          fail();
+        }
+      });
+    };
+    this.askers.set(identity, ask);
+    ask();
+    return () => {
+      if (!settled) {
+        settled = true;
+        cancelTimer();
+        this.askers.delete(identity);
+        const coordinator = this.options.coordinator();
+        if (coordinator !== '') {
+          peers.notify(coordinator, methods.methods.withdraw, { identity } satisfies methods.Withdrawal);
+        }
+      }
+    };
+  }
+
+  /** Adds a generation to the reports. */
+  opened(identity: string, generation: OpenGeneration): void {
+    this.open.set(identity, generation);
+    this.changed();
+  }
+
+  closed(identity: string): void {
+    this.open.delete(identity);
+    this.changed();
+  }
+
+  /** Reports soon: something began, ended or moved. */
+  changed(): void {
+    if (this.reportScheduled) {
+      return;
+    }
+    this.reportScheduled = true;
+    this.options.timers.after(REPORT_PAUSE, () => {
+      this.reportScheduled = false;
+      this.sendReport();
+    });
+  }
+
+  get openCount(): number {
+    return this.open.size;
+  }
+
+  private sendReport(): void {
+    const { peers, entry, peerAddress, coordinator } = this.options;
+    const address = coordinator();
+    const generations: placementTypes.RunningGeneration[] = [];
+    for (const generation of this.open.values()) {
+      const running = generation.describe();
+      if (running !== undefined) {
+        generations.push(running);
+      }
+    }
+    if (address === '' || (generations.length === 0 && this.reportedEmpty)) {
+      return;
+    }
+    this.reportedEmpty = generations.length === 0;
+    this.sequence += 1;
+    const report: placementTypes.EntryReport = {
+      entry,
+      address: peerAddress,
+      sequence: this.sequence,
+      generations,
+    };
+    peers.notify(address, methods.methods.report, report);
+  }
+}
--- /dev/null
+++ b/packages/kumquatfront/src/relay/plainExchange.ts
@@ -0,0 +1,245 @@
+/**
+ * Relays one request whose answer is handed over whole. An idempotent one may run on several upstreams; any
+ * other is sent again only where it is certain that it has not run.
+ */
+import type * as instanceView from '../instances/instanceView.js';
+import type * as ports from '../kernel/ports.js';
+import * as answerRules from './answerRules.js';
+import * as exchangeContext from './exchangeContext.js';
+import type * as types from './types.js';
+
+/**
+ * An idempotent request without an answer for this share of its objective is sent to a second upstream too:
+ * one in a hundred of plain calls takes longer, and a hanging upstream costs a fraction of the objective only.
+ */
+const HEDGE_SHARE = 0.7;
+const SHORTEST_HEDGE: ports.Milliseconds = 60;
+
+interface Attempt {
+  readonly instance: instanceView.Instance;
+  readonly cancel: types.CancelExchange;
+  head: types.UpstreamHead | undefined;
+  readonly chunks: Uint8Array[];
+}
+
+/** One plain exchange; see the module comment. */
+export class PlainExchange {
+  private readonly context: exchangeContext.ExchangeContext;
+  private readonly routed: exchangeContext.RoutedRequest;
+  private readonly tried = new Set<string>();
+  private readonly open = new Set<Attempt>();
+  /** Upstreams that may have run the request. */
+  private runs = 0;
+  private sends = 0;
+  private ended = false;
+  private lastFailure: { head: types.UpstreamHead; body: Uint8Array } | undefined;
+  private cancelDeadline: ports.Cancel = () => undefined;
+  private cancelHedge: ports.Cancel = () => undefined;
+
+  constructor(context: exchangeContext.ExchangeContext, routed: exchangeContext.RoutedRequest) {
+    this.context = context;
+    this.routed = routed;
+  }
+
+  private get repeatable(): boolean {
+    return this.routed.route.kind === 'idempotent';
+  }
+
+  start(): void {
+    const { timers, allowance } = this.context;
+    const { caller, answerBy, service, route } = this.routed;
+    allowance.requested(service.name, timers.now());
+    caller.onGone(() => {
+      this.finish({ outcome: 'callerGone' });
+    });
+    this.cancelDeadline = timers.after(answerBy - timers.now(), () => {
+      this.giveUp();
+    });
+    this.sendNext();
+    if (this.repeatable && route.maximumAttempts > 1) {
+      this.cancelHedge = timers.after(Math.max(SHORTEST_HEDGE, route.objective * HEDGE_SHARE), () => {
+        this.hedge();
+      });
+    }
+  }
+
+  private hedge(): void {
+    if (!this.ended && this.open.size === 1 && this.mayRepeat()) {
+      this.context.log.debug('hedged', { request: this.routed.request.identity });
+      this.sendNext();
+    }
+  }
+
+  /** True where another upstream may be sent the request, which draws on the shared budget. */
+  private mayRepeat(): boolean {
+    const { allowance, timers } = this.context;
+    const { route, service } = this.routed;
+    return this.runs < route.maximumAttempts && allowance.take(service.name, timers.now());
+  }
+
+  private sendNext(): void {
+    const { instances, choice, timers, upstreams } = this.context;
+    const { request, service, account, answerBy } = this.routed;
+    const now = timers.now();
+    const instance = choice.choose(instances.readyOf(service.name), this.tried, now);
+    if (instance === undefined) {
+      this.noUpstreamLeft();
+      return;
+    }
+    this.tried.add(instance.identity);
+    this.runs += 1;
+    this.sends += 1;
+    choice.dispatched(instance.identity, now);
+    const chunks: Uint8Array[] = [];
+    const listener: types.ExchangeListener = {
+      head: (head) => {
+        attempt.head = head;
+      },
+      data: (bytes) => {
+        chunks.push(bytes);
+      },
+      end: () => {
+        this.onWhole(attempt);
+      },
+      failed: (failure, reason) => {
+        this.onFailed(attempt, failure, reason);
+      },
+    };
+    const timeLeft = answerBy - now;
+    const cancel = upstreams.send({ request, instance, timeLeft, account }, listener);
+    const attempt: Attempt = { instance, cancel, head: undefined, chunks };
+    this.open.add(attempt);
+  }
+
+  private close(attempt: Attempt): void {
+    if (this.open.delete(attempt)) {
+      this.context.choice.ended(attempt.instance.identity);
+    }
+  }
+
+  private onWhole(attempt: Attempt): void {
+    const { choice, timers } = this.context;
+    const { head, instance } = attempt;
+    this.close(attempt);
+    if (this.ended || head === undefined) {
+      return;
+    }
+    if (head.load !== undefined) {
+      choice.loadTold(instance.identity, head.load, timers.now());
+    }
+    const verdict = answerRules.judge(head, this.repeatable);
+    if (verdict === 'notRun') {
+      this.runs -= 1;
+      this.tryAgain('notRun');
+      return;
+    }
+    if (verdict === 'garbled') {
+      choice.failed(instance.identity, 'failure', timers.now());
+      this.tryAgain('garbled');
+      return;
+    }
+    const body = Buffer.concat(attempt.chunks);
+    if (head.status >= 500) {
+      choice.failed(instance.identity, 'failure', timers.now());
+      this.lastFailure = { head, body };
+      this.tryAgain('upstreamFailed');
+      return;
+    }
+    choice.succeeded(instance.identity);
+    this.hand(head, body, instance);
+  }
+
+  private hand(head: types.UpstreamHead, body: Uint8Array, instance?: instanceView.Instance): void {
+    this.routed.caller.whole(head, body);
+    this.finish({
+      outcome: 'answered',
+      status: head.status,
+      upstream: instance?.identity,
+      sends: this.sends,
+    });
+  }
+
+  private onFailed(attempt: Attempt, failure: types.ExchangeFailure, reason: string): void {
+    const { choice, timers, log } = this.context;
+    this.close(attempt);
+    if (this.ended) {
+      return;
+    }
+    const { identity } = attempt.instance;
+    log.info('attemptFailed', { request: this.routed.request.identity, upstream: identity, failure, reason });
+    choice.failed(identity, failure === 'notSent' ? 'stall' : 'failure', timers.now());
+    if (failure === 'notSent') {
+      this.runs -= 1;
+      this.sendNext();
+      return;
+    }
+    this.tryAgain(failure);
+  }
+
+  /** After an attempt that gave no answer: sends another where that is allowed, else tells the caller. */
+  private tryAgain(cause: 'notRun' | 'garbled' | 'broken' | 'upstreamFailed'): void {
+    if (this.open.size > 0) {
+      return;
+    }
+    if ((cause === 'notRun' || this.repeatable) && this.mayRepeat()) {
+      this.sendNext();
+      return;
+    }
+    if (cause === 'notRun' && this.runs === 0) {
+      this.refuse('overloaded', 'every upstream that was asked is full', exchangeContext.NO_UPSTREAM_RETRY);
+      return;
+    }
+    this.failUnknown();
+  }
+
+  private noUpstreamLeft(): void {
+    if (this.open.size > 0) {
+      return;
+    }
+    if (this.runs === 0 || (this.repeatable && this.lastFailure === undefined)) {
+      const reason = this.sends === 0 ? 'no upstream is known' : 'no upstream took it';
+      this.refuse('noUpstream', reason, exchangeContext.NO_UPSTREAM_RETRY);
+      return;
+    }
+    this.failUnknown();
+  }
+
+  private failUnknown(): void {
+    if (this.lastFailure !== undefined) {
+      this.hand(this.lastFailure.head, this.lastFailure.body);
+      return;
+    }
+    this.refuse('outcomeUnknown', 'the upstream gave no whole answer');
+  }
+
+  private giveUp(): void {
+    if (this.runs === 0) {
+      this.refuse('timeoutNotRun', 'no upstream took it in time', exchangeContext.NO_UPSTREAM_RETRY);
+    } else {
+      const { choice, timers } = this.context;
+      for (const attempt of this.open) {
+        choice.failed(attempt.instance.identity, 'stall', timers.now());
+      }
+      this.refuse('timeoutUnknown', 'the upstream did not answer in time');
+    }
+  }
+
+  private refuse(reason: types.RefusalReason, message: string, retryAfter?: ports.Milliseconds): void {
+    this.routed.caller.refuse({ reason, message, retryAfter });
+    this.finish({ outcome: reason, reason: message, sends: this.sends });
+  }
+
+  private finish(outcome: ports.LogFields): void {
+    if (this.ended) {
+      return;
+    }
+    this.ended = true;
+    this.cancelDeadline();
+    this.cancelHedge();
+    for (const attempt of [...this.open]) {
+      attempt.cancel();
+      this.close(attempt);
+    }
+    exchangeContext.logEnd(this.context, this.routed, outcome);
+  }
+}
--- /dev/null
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -0,0 +1,598 @@
+/**
+ * Relays one stream of events. It runs on one upstream at a time; it may be moved with its memory to another
+ * engine while it runs, and where its route allows it, it goes on elsewhere after the last event that came.
+ * Whatever happens underneath, the caller sees each event once and in order, or a stream that breaks off.
+ */
+import type * as instanceView from '../instances/instanceView.js';
+import type * as ports from '../kernel/ports.js';
+import * as lengthForecast from '../placement/lengthForecast.js';
+import type * as placementTypes from '../placement/types.js';
+import * as answerRules from './answerRules.js';
+import * as eventSplitter from './eventSplitter.js';
+import * as exchangeContext from './exchangeContext.js';
+import * as generationMove from './generationMove.js';
+import type * as placementClient from './placementClient.js';
+import type * as types from './types.js';
+
+/** After the final copy the source closes its stream by itself; a silent connection must not hold up the rest. */
+const SOURCE_CLOSES_WITHIN: ports.Milliseconds = 60;
+
+/** A resumable stream that is silent for this long goes on elsewhere: seven of the pauses that callers accept. */
+const RESUME_AFTER_SILENCE: ports.Milliseconds = 1_300;
+
+/** Decoding time of one token on a busy engine, for what a waiting generation still needs. */
+const TOKEN_TIME: ports.Milliseconds = 9;
+
+/** Share of the time left that a generation may wait for its place. */
+const WAITING_SHARE = 0.6;
+
+interface Leg {
+  readonly instance: instanceView.Instance;
+  readonly splitter: eventSplitter.EventSplitter;
+  cancel: types.CancelExchange;
+  /** Set where the answer is no stream of events but a failure that is handed over whole. */
+  failure: { head: types.UpstreamHead; chunks: Uint8Array[] } | undefined;
+  /** Where the memory comes from, for a leg that goes on from a copy. */
+  readonly copy: types.MemoryCopy | undefined;
+  events: number;
+}
+
+/** One stream; see the module comment. */
+export class StreamExchange implements placementClient.OpenGeneration {
+  private readonly context: exchangeContext.ExchangeContext;
+  private readonly routed: exchangeContext.RoutedRequest;
+  private readonly facts: placementTypes.GenerationFacts | undefined;
+  private readonly excluded = new Set<string>();
+  private leg: Leg | undefined;
+  private begun = false;
+  private ended = false;
+  /** Upstreams that may have run the request from its start or a resumption. */
+  private runs = 0;
+  private sends = 0;
+  private moves = 0;
+  private produced = 0;
+  private lastEvent: string | undefined;
+  private lastEventAt: ports.Milliseconds;
+  private longestPause = 0;
+  private activeMove: generationMove.GenerationMove | undefined;
+  /** Set where the source's stream closed while its final copy was under way. */
+  private closedWhileStopping: (() => void) | undefined;
+  /** The leg whose source has stopped and whose last events are awaited. */
+  private sourceClosing: { readonly leg: Leg; readonly closed: () => void } | undefined;
+  private firstHead: types.UpstreamHead | undefined;
+  private cancelDeadline: ports.Cancel = () => undefined;
+  private cancelPlacement: ports.Cancel = () => undefined;
+  private cancelSilence: ports.Cancel = () => undefined;
+
+  constructor(context: exchangeContext.ExchangeContext, routed: exchangeContext.RoutedRequest) {
+    this.context = context;
+    this.routed = routed;
+    this.lastEvent = routed.request.lastEvent;
+    this.lastEventAt = routed.request.arrivedAt;
+    this.facts = factsOf(routed);
+  }
+
+  start(): void {
+    const { timers, allowance, placement } = this.context;
+    const { caller, answerBy, service, request } = this.routed;
+    allowance.requested(service.name, timers.now());
+    caller.onGone(() => {
+      this.finish({ outcome: 'callerGone' });
+    });
+    this.cancelDeadline = timers.after(answerBy - timers.now(), () => {
+      this.giveUp();
+    });
+    if (this.facts !== undefined) {
+      placement.opened(request.identity, this);
+    }
+    this.findPlace();
+  }
+
+  describe(): placementTypes.RunningGeneration | undefined {
+    if (this.leg === undefined || this.facts === undefined) {
+      return undefined;
+    }
+    const { produced, facts } = this;
+    return { facts, instance: this.leg.instance.identity, produced, started: this.leg.events > 0 };
+  }
+
+  private get resumable(): boolean {
+    return this.routed.route.resumable;
+  }
+
+  private findPlace(): void {
+    const { placement, timers, choice, instances } = this.context;
+    const { service, answerBy, request, route } = this.routed;
+    if (this.facts === undefined) {
+      this.chooseAlone();
+      return;
+    }
+    const now = timers.now();
+    const left = answerBy - now;
+    const needed = lengthForecast.expectedOutput(this.facts, 0) * TOKEN_TIME;
+    const ejected = choice.ejectedOf(instances.readyOf(service.name), now);
+    const question: placementClient.PlaceQuestion = {
+      facts: this.facts,
+      excluded: [...this.excluded, ...ejected],
+      objectiveLeft: request.arrivedAt + route.objective - now,
+      patience: Math.max(0, Math.min(left * WAITING_SHARE, left - needed)),
+    };
+    this.cancelPlacement = placement.place(question, (outcome) => {
+      this.onPlace(outcome);
+    });
+  }
+
+  private onPlace(outcome: placementClient.PlaceOutcome): void {
+    if (this.ended) {
+      return;
+    }
+    if (outcome.state === 'alone') {
+      this.chooseAlone();
+    } else if (outcome.state === 'refused') {
+      this.noPlace('overloaded', outcome.reason, outcome.retryAfter);
+    } else {
+      const instance = this.context.instances.get(outcome.instance);
+      if (instance === undefined || this.excluded.has(instance.identity)) {
+        this.chooseAlone();
+      } else {
+        this.send(instance, undefined);
+      }
+    }
+  }
+
+  private chooseAlone(): void {
+    const { choice, instances, timers } = this.context;
+    const candidates = instances.readyOf(this.routed.service.name);
+    const instance = choice.choose(candidates, this.excluded, timers.now());
+    if (instance === undefined) {
+      const reason = 'no upstream is left to ask';
+      this.noPlace('noUpstream', reason, exchangeContext.NO_UPSTREAM_RETRY);
+      return;
+    }
+    this.send(instance, undefined);
+  }
+
+  /** No engine takes it: a refusal is true only where none has run it before. */
+  private noPlace(reason: types.RefusalReason, message: string, retryAfter: ports.Milliseconds): void {
+    if (this.begun) {
+      this.breakOff(message);
+    } else if (this.runs > 0 && !this.resumable) {
+      this.refuse('outcomeUnknown', message);
+    } else {
+      this.refuse(reason, message, retryAfter);
+    }
+  }
+
+  private send(instance: instanceView.Instance, copy: types.MemoryCopy | undefined): void {
+    const { upstreams, choice, timers, placement, log } = this.context;
+    const { request, account, rank, answerBy } = this.routed;
+    const now = timers.now();
+    const leg: Leg = {
+      instance,
+      splitter: new eventSplitter.EventSplitter(),
+      cancel: () => undefined,
+      failure: undefined,
+      copy,
+      events: 0,
+    };
+    this.leg = leg;
+    this.sends += 1;
+    if (copy === undefined) {
+      this.runs += 1;
+    }
+    choice.dispatched(instance.identity, now);
+    log.debug('streamSent', {
+      request: request.identity,
+      upstream: instance.identity,
+      lastEvent: this.lastEvent,
+      copy: copy?.handle,
+    });
+    const urgency = this.facts === undefined ? undefined : rank;
+    const call: types.UpstreamCall = {
+      request,
+      instance,
+      timeLeft: answerBy - now,
+      account,
+      urgency,
+      lastEvent: this.lastEvent,
+      copy,
+    };
+    leg.cancel = upstreams.send(call, this.listen(leg));
+    this.watchSilence();
+    placement.changed();
+  }
+
+  private listen(leg: Leg): types.ExchangeListener {
+    const ifCurrent = (run: () => void): void => {
+      if (this.leg === leg && !this.ended) {
+        run();
+      }
+    };
+    return {
+      head: (head) => {
+        ifCurrent(() => {
+          this.onHead(leg, head);
+        });
+      },
+      data: (bytes) => {
+        ifCurrent(() => {
+          this.onData(leg, bytes);
+        });
+      },
+      end: () => {
+        ifCurrent(() => {
+          this.onEnd(leg);
+        });
+      },
+      failed: (failure, reason) => {
+        ifCurrent(() => {
+          this.onBroken(leg, failure, reason);
+        });
+      },
+    };
+  }
+
+  private onHead(leg: Leg, head: types.UpstreamHead): void {
+    const { choice, timers } = this.context;
+    if (head.load !== undefined) {
+      choice.loadTold(leg.instance.identity, head.load, timers.now());
+    }
+    const verdict = answerRules.judge(head, this.resumable);
+    if (verdict === 'notRun') {
+      this.dropLeg(leg);
+      this.onNotRun(leg);
+    } else if (verdict === 'garbled') {
+      this.dropLeg(leg);
+      this.onBroken(leg, 'garbled', 'the answer is not one to this request');
+    } else if (head.status >= 300) {
+      leg.failure = { head, chunks: [] };
+    } else {
+      this.firstHead ??= head;
+    }
+  }
+
+  private onData(leg: Leg, bytes: Uint8Array): void {
+    if (leg.failure !== undefined) {
+      leg.failure.chunks.push(bytes);
+      return;
+    }
+    for (const event of leg.splitter.push(bytes)) {
+      this.onEvent(leg, event);
+    }
+  }
+
+  private onEvent(leg: Leg, event: eventSplitter.WholeEvent): void {
+    const { caller, service } = this.routed;
+    const now = this.context.timers.now();
+    leg.events += 1;
+    // An engine that goes on from a copy may begin with what the caller already has.
+    if (event.identity !== undefined && !this.isNew(event.identity)) {
+      return;
+    }
+    if (event.identity !== undefined) {
+      this.lastEvent = event.identity;
+    }
+    if (!this.begun && this.firstHead !== undefined) {
+      this.begun = true;
+      caller.begin(this.firstHead);
+      this.context.placement.changed();
+    } else {
+      this.longestPause = Math.max(this.longestPause, now - this.lastEventAt);
+    }
+    this.lastEventAt = now;
+    this.produced += service.engine?.tokensPerEvent ?? 1;
+    caller.write(event.bytes);
+    this.watchSilence();
+  }
+
+  private isNew(identity: string): boolean {
+    const number = Number(identity);
+    const last = Number(this.lastEvent);
+    return this.lastEvent === undefined || Number.isNaN(number) || Number.isNaN(last) || number > last;
+  }
+
+  /** A resumable stream does not wait for a silent upstream. */
+  private watchSilence(): void {
+    this.cancelSilence();
+    const { leg } = this;
+    if (!this.resumable || leg === undefined) {
+      return;
+    }
+    this.cancelSilence = this.context.timers.after(RESUME_AFTER_SILENCE, () => {
+      if (this.leg === leg && !this.ended && this.activeMove?.stopping !== true && this.mayResume()) {
+        leg.cancel();
+        this.dropLeg(leg);
+        this.afterBreak(leg, 'silent');
+      }
+    });
+  }
+
+  private mayResume(): boolean {
+    const { allowance, timers } = this.context;
+    const { route, service } = this.routed;
+    return this.resumable && this.runs < route.maximumAttempts && allowance.take(service.name, timers.now());
+  }
+
+  private dropLeg(leg: Leg): void {
+    if (this.leg === leg) {
+      leg.cancel();
+      this.leg = undefined;
+      this.context.choice.ended(leg.instance.identity);
+    }
+  }
+
+  private onEnd(leg: Leg): void {
+    if (this.sourceClosing?.leg === leg) {
+      this.sourceClosing.closed();
+      return;
+    }
+    if (this.activeMove?.stopping === true) {
+      // The source closes its stream for the final copy; whether this was its true end is known with the answer.
+      this.closedWhileStopping = () => {
+        this.onEnd(leg);
+      };
+      return;
+    }
+    if (leg.failure !== undefined) {
+      this.onFailureAnswer(leg, leg.failure);
+      return;
+    }
+    const rest = leg.splitter.takeRest();
+    this.context.choice.succeeded(leg.instance.identity);
+    const { caller } = this.routed;
+    if (!this.begun && this.firstHead !== undefined) {
+      this.begun = true;
+      caller.begin(this.firstHead);
+    }
+    if (rest.length > 0) {
+      caller.write(rest);
+    }
+    caller.end();
+    this.dropLeg(leg);
+    this.finish({ outcome: 'answered', upstream: leg.instance.identity });
+  }
+
+  private onFailureAnswer(leg: Leg, failure: NonNullable<Leg['failure']>): void {
+    const { choice, timers } = this.context;
+    this.dropLeg(leg);
+    choice.failed(leg.instance.identity, 'failure', timers.now());
+    if (failure.head.status >= 500 && this.mayResume()) {
+      this.afterBreak(leg, 'upstreamFailed');
+    } else if (this.begun) {
+      this.breakOff(`the next upstream answered ${failure.head.status}`);
+    } else {
+      this.routed.caller.whole(failure.head, Buffer.concat(failure.chunks));
+      this.finish({ outcome: 'answered', status: failure.head.status, upstream: leg.instance.identity });
+    }
+  }
+
+  /** The upstream has certainly not run what was sent to it. */
+  private onNotRun(leg: Leg): void {
+    const { allowance, timers, log } = this.context;
+    const { service, request } = this.routed;
+    this.excluded.add(leg.instance.identity);
+    log.info('attemptNotRun', { request: request.identity, upstream: leg.instance.identity });
+    if (leg.copy !== undefined) {
+      this.afterCopyRefused(leg);
+      return;
+    }
+    this.runs -= 1;
+    if (allowance.take(service.name, timers.now())) {
+      this.findPlace();
+    } else {
+      this.noPlace('overloaded', 'no repeat is left', exchangeContext.NO_UPSTREAM_RETRY);
+    }
+  }
+
+  private onBroken(leg: Leg, failure: types.ExchangeFailure, reason: string): void {
+    const { choice, timers, log } = this.context;
+    const move = this.activeMove;
+    if (this.sourceClosing?.leg === leg) {
+      this.sourceClosing.closed();
+      return;
+    }
+    if (move?.stopping === true) {
+      this.closedWhileStopping = () => {
+        this.onBroken(leg, failure, reason);
+      };
+      return;
+    }
+    this.dropLeg(leg);
+    log.info('streamBroken', {
+      request: this.routed.request.identity,
+      upstream: leg.instance.identity,
+      failure,
+      reason,
+      lastEvent: this.lastEvent,
+    });
+    choice.failed(leg.instance.identity, failure === 'notSent' ? 'stall' : 'failure', timers.now());
+    this.excluded.add(leg.instance.identity);
+    if (failure === 'notSent') {
+      this.onNotSent(leg);
+    } else if (move?.handle !== undefined) {
+      // The source is gone between its two copies: the first holds all but the last moments.
+      this.activeMove = undefined;
+      this.goOnFromCopy(move.target, { address: leg.instance.address, handle: move.handle });
+    } else if (this.mayResume()) {
+      this.afterBreak(leg, failure);
+    } else if (this.begun) {
+      this.breakOff(reason);
+    } else {
+      this.refuse('outcomeUnknown', 'the upstream broke off before its first event');
+    }
+  }
+
+  private onNotSent(leg: Leg): void {
+    if (leg.copy !== undefined) {
+      this.afterCopyRefused(leg);
+      return;
+    }
+    this.runs -= 1;
+    this.findPlace();
+  }
+
+  private afterBreak(leg: Leg, cause: string): void {
+    this.excluded.add(leg.instance.identity);
+    this.context.log.info('streamResumes', {
+      request: this.routed.request.identity,
+      cause,
+      lastEvent: this.lastEvent,
+      runs: this.runs,
+    });
+    this.findPlace();
+  }
+
+  /** The engine with the copy did not take the run over: resumable streams begin elsewhere, others are lost. */
+  private afterCopyRefused(leg: Leg): void {
+    if (this.mayResume()) {
+      this.afterBreak(leg, 'copyRefused');
+    } else {
+      this.breakOff('the engine with the copy did not take it');
+    }
+  }
+
+  /** Moves the run to another engine; `done` is called once the source is free for the next move. */
+  move(targetIdentity: string, done: (outcome: placementTypes.MoveOutcome) => void): void {
+    const { instances, upstreams, log } = this.context;
+    const { request } = this.routed;
+    const target = instances.get(targetIdentity);
+    const { leg } = this;
+    if (this.ended || leg === undefined || leg.events === 0) {
+      done('ended');
+      return;
+    }
+    if (target === undefined || this.activeMove !== undefined) {
+      done('failed');
+      return;
+    }
+    const move = new generationMove.GenerationMove(upstreams, leg.instance, target, request.identity);
+    this.activeMove = move;
+    const startedAt = this.context.timers.now();
+    move.run((result) => {
+      const milliseconds = Math.round(this.context.timers.now() - startedAt);
+      log.info('moveResult', {
+        request: request.identity,
+        source: leg.instance.identity,
+        target: target.identity,
+        milliseconds,
+        ...result,
+      });
+      this.onMoveResult(leg, move, result, done);
+    });
+  }
+
+  private onMoveResult(
+    leg: Leg,
+    move: generationMove.GenerationMove,
+    result: generationMove.MoveResult,
+    done: (outcome: placementTypes.MoveOutcome) => void,
+  ): void {
+    const closed = this.closedWhileStopping;
+    this.closedWhileStopping = undefined;
+    if (this.ended) {
+      done('ended');
+      return;
+    }
+    if (this.activeMove !== move) {
+      // The stream broke between the copies and has gone on from the first one.
+      done('moved');
+      return;
+    }
+    if (result.state === 'unmoved') {
+      if (result.ended || closed === undefined) {
+        this.activeMove = undefined;
+      }
+      done(result.ended ? 'ended' : 'failed');
+      // The source may have stopped although its answer was lost: its closed stream is judged now.
+      closed?.();
+      return;
+    }
+    this.activeMove = undefined;
+    const next = result.at === 'target' ? move.target : leg.instance;
+    const copy = { address: leg.instance.address, handle: result.handle };
+    done(result.at === 'target' ? 'moved' : 'failed');
+    const goOn = (): void => {
+      if (this.leg === leg && !this.ended) {
+        this.dropLeg(leg);
+        this.goOnFromCopy(next, copy);
+      }
+    };
+    if (closed === undefined) {
+      // What the source made last is still on its way; its stream closes behind it.
+      const cancelWait = this.context.timers.after(SOURCE_CLOSES_WITHIN, goOn);
+      this.sourceClosing = {
+        leg,
+        closed: () => {
+          cancelWait();
+          goOn();
+        },
+      };
+    } else {
+      goOn();
+    }
+  }
+
+  private goOnFromCopy(instance: instanceView.Instance, copy: types.MemoryCopy): void {
+    this.sourceClosing = undefined;
+    this.moves += 1;
+    this.send(instance, copy);
+  }
+
+  private giveUp(): void {
+    if (this.begun) {
+      this.breakOff('the route allows no more time');
+    } else if (this.runs === 0) {
+      this.refuse('timeoutNotRun', 'no place came free in time', exchangeContext.NO_UPSTREAM_RETRY);
+    } else {
+      this.refuse('timeoutUnknown', 'the upstream did not begin in time');
+    }
+  }
+
+  private refuse(reason: types.RefusalReason, message: string, retryAfter?: ports.Milliseconds): void {
+    this.routed.caller.refuse({ reason, message, retryAfter });
+    this.finish({ outcome: reason, reason: message });
+  }
+
+  /** The caller must see that its answer is incomplete. */
+  private breakOff(reason: string): void {
+    this.routed.caller.abort();
+    this.finish({ outcome: 'interrupted', reason });
+  }
+
+  private finish(outcome: ports.LogFields): void {
+    if (this.ended) {
+      return;
+    }
+    this.ended = true;
+    this.cancelDeadline();
+    this.cancelPlacement();
+    this.cancelSilence();
+    this.activeMove?.cancel();
+    if (this.leg !== undefined) {
+      this.dropLeg(this.leg);
+    }
+    if (this.facts !== undefined) {
+      this.context.placement.closed(this.routed.request.identity);
+    }
+    const { sends, moves, lastEvent } = this;
+    const longestPause = Math.round(this.longestPause);
+    exchangeContext.logEnd(this.context, this.routed, { ...outcome, sends, moves, lastEvent, longestPause });
+  }
+}
+
+function factsOf(routed: exchangeContext.RoutedRequest): placementTypes.GenerationFacts | undefined {
+  const { request, service, rank, account } = routed;
+  if (service.engine === undefined) {
+    return undefined;
+  }
+  const { generation } = request;
+  return {
+    identity: request.identity,
+    service: service.name,
+    promptTokens: generation?.promptTokens ?? 0,
+    outputLimit: generation?.outputLimit ?? 0,
+    lengthHint: generation?.lengthHint ?? 0,
+    rank,
+    account: account ?? '',
+  };
+}
--- /dev/null
+++ b/packages/kumquatfront/src/relay/trafficRelay.ts
@@ -0,0 +1,125 @@
+/**
+ * An entry's front for relayed requests: finds route, client account and service, and starts the exchange.
+ * Whatever cannot be served is refused here at once.
+ */
+import type * as ports from '../kernel/ports.js';
+import type * as routeTable from '../traffic/routeTable.js';
+import type * as trafficTypes from '../traffic/types.js';
+import type * as exchangeContext from './exchangeContext.js';
+import * as plainExchange from './plainExchange.js';
+import * as streamExchange from './streamExchange.js';
+import type * as types from './types.js';
+
+/** Time to come back where the entry has no configuration yet: about the time of a first watch. */
+const NO_CONFIGURATION_RETRY: ports.Milliseconds = 300;
+
+/** Time to come back, to another entry, from one that is stopping. */
+const DRAINING_RETRY: ports.Milliseconds = 20;
+
+/** What the relay is made from. */
+export interface TrafficRelayOptions {
+  readonly context: exchangeContext.ExchangeContext;
+  readonly random: ports.Random;
+  readonly routes: () => routeTable.RouteTable | undefined;
+  /** True once this entry has been told to stop. */
+  readonly draining: () => boolean;
+}
+
+interface Admitted {
+  readonly route: trafficTypes.Route;
+  readonly account?: trafficTypes.Account;
+}
+
+/** The relay; see the module comment. */
+export class TrafficRelay {
+  private readonly options: TrafficRelayOptions;
+
+  constructor(options: TrafficRelayOptions) {
+    this.options = options;
+  }
+
+  /** Serves one request. */
+  handle(request: types.TrafficRequest, caller: types.CallerPort): void {
+    const routes = this.options.routes();
+    if (routes === undefined) {
+      const message = 'this entry has no configuration yet';
+      this.refuse(request, caller, {
+        reason: 'noConfiguration',
+        message,
+        retryAfter: NO_CONFIGURATION_RETRY,
+      });
+      return;
+    }
+    const admitted = this.admit(routes, request, caller);
+    if (admitted === undefined) {
+      return;
+    }
+    const { route, account } = admitted;
+    const service = routes.serviceOf(routes.pickService(route, this.options.random.next()));
+    if (service === undefined) {
+      const message = `route ${route.name} has no service`;
+      this.refuse(request, caller, { reason: 'noRoute', message });
+      return;
+    }
+    // A long generation cannot end before this process must: elsewhere it can, and it has not begun here.
+    if (this.options.draining() && service.engine !== undefined) {
+      const message = 'this entry is stopping';
+      this.refuse(request, caller, { reason: 'draining', message, retryAfter: DRAINING_RETRY });
+      return;
+    }
+    const limit = Math.min(request.patience ?? Number.POSITIVE_INFINITY, route.timeout);
+    this.start({
+      request,
+      caller,
+      route,
+      service,
+      account: account?.name,
+      rank: account?.priority ?? route.priority,
+      answerBy: request.arrivedAt + limit,
+      version: routes.version,
+    });
+  }
+
+  private start(routed: exchangeContext.RoutedRequest): void {
+    const { context } = this.options;
+    const exchange =
+      routed.route.kind === 'stream'
+        ? new streamExchange.StreamExchange(context, routed)
+        : new plainExchange.PlainExchange(context, routed);
+    exchange.start();
+  }
+
+  private admit(
+    routes: routeTable.RouteTable,
+    request: types.TrafficRequest,
+    caller: types.CallerPort,
+  ): Admitted | undefined {
+    const path = request.path.split('?', 1)[0] ?? '';
+    const route = routes.routeOf(request.host, path);
+    if (route === undefined) {
+      const message = `no route for ${request.host}${path} in version ${routes.version}`;
+      this.refuse(request, caller, { reason: 'noRoute', message });
+      return undefined;
+    }
+    if (!routes.wantsKeys || route.anonymous) {
+      return { route };
+    }
+    const account = request.key === undefined ? undefined : routes.accountOf(request.key);
+    if (account === undefined) {
+      const message = `the key is of no client account in version ${routes.version}`;
+      this.refuse(request, caller, { reason: 'unknownKey', message });
+      return undefined;
+    }
+    return { route, account };
+  }
+
+  private refuse(request: types.TrafficRequest, caller: types.CallerPort, refusal: types.Refusal): void {
+    this.options.context.log.info('requestRefused', {
+      request: request.identity,
+      reason: refusal.reason,
+      message: refusal.message,
+    });
+    this.options.context.metrics.count('relayed.refusals', 1, { reason: refusal.reason });
+    caller.refuse(refusal);
+  }
+}
--- /dev/null
+++ b/packages/kumquatfront/src/trafficControl/methods.ts
@@ -0,0 +1,71 @@
+/**
+ * Methods that control serves for whole traffic configurations, upstream instances and placement, with the
+ * shapes of their messages.
+ */
+import type * as instanceTypes from '../instances/types.js';
+import type * as placementTypes from '../placement/types.js';
+import type * as trafficTypes from '../traffic/types.js';
+
+/** Names of the methods. */
+export const methods = {
+  watch: 'traffic.watch',
+  replace: 'traffic.replace',
+  read: 'traffic.read',
+  gossip: 'traffic.gossip',
+  place: 'placement.place',
+  withdraw: 'placement.withdraw',
+  report: 'placement.report',
+  /** Served by entries. */
+  move: 'placement.move',
+} as const;
+
+/** Whether an entry should be given to callers. */
+export type EntryState = 'starting' | 'ready' | 'draining';
+
+/** What an entry says of itself with each watch. */
+export interface EntryNews {
+  readonly name: string;
+  readonly dataCentre: string;
+  /** Where callers connect: `ip:port`. */
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+  readonly state: EntryState;
+  /** Version that the entry has in force; 0 before the first. */
+  readonly trafficVersion: number;
+}
+
+/** Asks for news; the answer comes when there is some, or after a while without. */
+export interface WatchRequest {
+  readonly entry: EntryNews;
+  readonly epoch: string;
+  readonly revision: number;
+}
+
+/** News for an entry. */
+export interface WatchAnswer {
+  readonly instances: instanceTypes.InstanceNews;
+  /** Present where the entry's version is older. */
+  readonly traffic?: trafficTypes.VersionedText;
+  /** False where the answerer may be behind; what it tells is then no reason to begin serving. */
+  readonly fresh: boolean;
+  /** Term of the leader that the answerer follows, and its address; empty where it knows none. */
+  readonly leaderTerm: number;
+  readonly leaderAddress: string;
+  /** Peer addresses of all control replicas. */
+  readonly control: readonly string[];
+  /** Entries that this replica hears from. */
+  readonly entryCount: number;
+}
+
+/** News of instances between control replicas. */
+export interface Gossip {
+  readonly records: readonly instanceTypes.InstanceRecord[];
+}
+
+/** Withdraws a question for a place. */
+export interface Withdrawal {
+  readonly identity: string;
+}
+
+/** A question for a place as it travels. */
+export type PlaceRequest = placementTypes.PlacementRequest;
--- /dev/null
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -0,0 +1,379 @@
+/**
+ * The part of a control replica that serves traffic: it takes whole configurations and announcements in,
+ * tells entries of both as soon as they change, and lets the leader's coordinator place generations.
+ */
+import type * as agreedState from '../agreedState/agreedState.js';
+import type * as agreedTypes from '../agreedState/types.js';
+import type * as replica from '../consensus/replica.js';
+import * as instanceTable from '../instances/instanceTable.js';
+import type * as instanceTypes from '../instances/types.js';
+import * as failures from '../kernel/failures.js';
+import type * as ports from '../kernel/ports.js';
+import * as results from '../kernel/results.js';
+import type * as timerService from '../kernel/timerService.js';
+import * as coordinator from '../placement/coordinator.js';
+import * as evacuation from '../placement/evacuation.js';
+import type * as placementTypes from '../placement/types.js';
+import * as routeTable from '../traffic/routeTable.js';
+import type * as trafficTypes from '../traffic/types.js';
+import * as trafficValidation from '../traffic/trafficValidation.js';
+import * as methods from './methods.js';
+
+/** Turns an operator's text into a configuration; the format is the adapter's. */
+export type DecodeTraffic = (
+  text: string,
+) => results.Result<trafficTypes.TrafficConfiguration, failures.Failure>;
+
+/** What the part is made from. */
+export interface TrafficControlOptions {
+  readonly replica: replica.Replica;
+  readonly state: agreedState.AgreedState;
+  readonly peers: ports.PeerTransport;
+  readonly timers: timerService.TimerService;
+  readonly random: ports.Random;
+  readonly log: ports.Log;
+  readonly metrics: ports.Metrics;
+  readonly peerAddress: string;
+  readonly decode: DecodeTraffic;
+  /** Voters that must stand before the first change is taken. */
+  readonly leastVoters: number;
+}
+
+/** Longest time for which a watch stays open: well inside an entry's timeout for it. */
+const WATCH_OPEN: ports.Milliseconds = 700;
+
+/** An entry that asks for nothing this long is not given to callers any more. */
+const ENTRY_LEASE: ports.Milliseconds = 2_000;
+
+/** How often instances are checked for silence and news goes to the other replicas. */
+const GOSSIP_INTERVAL: ports.Milliseconds = 250;
+
+/** How long a change may take before its operator is told to ask again: inside a caller's second. */
+const FORWARD_TIMEOUT: ports.Milliseconds = 900;
+
+interface OpenWatch {
+  readonly request: methods.WatchRequest;
+  readonly reply: ports.Reply;
+  readonly closesAt: ports.Milliseconds;
+}
+
+interface KnownEntry {
+  readonly news: methods.EntryNews;
+  readonly heardAt: ports.Milliseconds;
+}
+
+/** The part; see the module comment. */
+export class TrafficControl {
+  private readonly options: TrafficControlOptions;
+  private readonly table: instanceTable.InstanceTable;
+  private readonly coordinator: coordinator.Coordinator;
+  private readonly entries = new Map<string, KnownEntry>();
+  private watches: OpenWatch[] = [];
+  private readonly unsent = new Set<string>();
+  private decoded: routeTable.RouteTable | undefined;
+
+  constructor(options: TrafficControlOptions) {
+    this.options = options;
+    const { replica: own, timers, random, log, peers } = options;
+    this.table = new instanceTable.InstanceTable(random.identity());
+    this.coordinator = new coordinator.Coordinator({
+      timers,
+      log,
+      random,
+      leads: () => own.mayLead(),
+      instances: () => this.table.records(timers.now()),
+      instancesRevision: () => this.table.currentRevision,
+      serviceOf: (name) => this.routes()?.serviceOf(name),
+      move: (entryAddress, command, done) => {
+        peers.request(entryAddress, methods.methods.move, command, evacuation.MOVE_TIMEOUT, (result) => {
+          done(result.ok ? (result.val as placementTypes.MoveOutcome) : 'failed');
+        });
+      },
+    });
+    this.serve();
+    timers.every(
+      () => GOSSIP_INTERVAL,
+      () => {
+        this.beat();
+      },
+    );
+  }
+
+  private serve(): void {
+    const { peers } = this.options;
+    const { methods: names } = methods;
+    peers.serve(names.watch, (parameters, reply) => {
+      this.onWatch(parameters as methods.WatchRequest, reply);
+    });
+    peers.serve(names.replace, (parameters, reply) => {
+      this.replaceHere(parameters as trafficTypes.VersionedText, reply);
+    });
+    peers.serve(names.read, (_parameters, reply) => {
+      this.readHere(reply);
+    });
+    peers.serve(names.gossip, (parameters, reply) => {
+      this.onGossip(parameters as methods.Gossip);
+      reply(results.Ok(null));
+    });
+    peers.serve(names.place, (parameters, reply) => {
+      this.onPlace(parameters as methods.PlaceRequest, reply);
+    });
+    peers.serve(names.withdraw, (parameters, reply) => {
+      this.coordinator.withdraw((parameters as methods.Withdrawal).identity);
+      reply(results.Ok(null));
+    });
+    peers.serve(names.report, (parameters, reply) => {
+      this.coordinator.report(parameters as placementTypes.EntryReport);
+      reply(results.Ok(null));
+    });
+  }
+
+  private onPlace(request: methods.PlaceRequest, reply: ports.Reply): void {
+    if (!this.options.replica.mayLead()) {
+      reply(results.Err(this.notLeader()));
+      return;
+    }
+    this.coordinator.place(request, (answer) => {
+      reply(results.Ok(answer));
+    });
+  }
+
+  private notLeader(): failures.Failure {
+    return failures.create('notLeader', 'This replica does not lead.', 'Ask the leader.');
+  }
+
+  /** The configuration in force here, decoded once for each version. */
+  private routes(): routeTable.RouteTable | undefined {
+    const { state, decode, log } = this.options;
+    const held = state.traffic;
+    if (held === undefined || this.decoded?.version === held.version) {
+      return this.decoded;
+    }
+    const decoded = decode(held.text);
+    if (decoded.err) {
+      log.error('trafficUnreadable', { version: held.version, reason: failures.describe(decoded.val) });
+      return this.decoded;
+    }
+    this.decoded = new routeTable.RouteTable(decoded.val);
+    return this.decoded;
+  }
+
+  /** Takes an operator's configuration: checked here, committed by the leader before it is acknowledged. */
+  replace(text: string, done: ports.Reply): void {
+    const { replica: own, peers, log, decode } = this.options;
+    const checked = decode(text).andThen((configuration) => trafficValidation.check(configuration));
+    if (checked.err) {
+      log.info('trafficRefused', { reason: failures.describe(checked.val) });
+      done(results.Err(checked.val));
+      return;
+    }
+    const proposal: trafficTypes.VersionedText = { version: checked.val.version, text };
+    const settle: ports.Reply = (result) => {
+      log.info('trafficSent', {
+        version: proposal.version,
+        outcome: result.ok ? 'acknowledged' : failures.describe(result.val),
+      });
+      done(result);
+    };
+    if (own.mayLead()) {
+      this.replaceHere(proposal, settle);
+      return;
+    }
+    this.askLeader((address) => {
+      peers.request(address, methods.methods.replace, proposal, FORWARD_TIMEOUT, settle);
+    }, settle);
+  }
+
+  private askLeader(ask: (address: string) => void, done: ports.Reply): void {
+    const leader = this.options.replica.leader();
+    if (leader === undefined || leader.address === this.options.peerAddress) {
+      const remedy = 'Ask again in a second, or ask another replica.';
+      done(results.Err(failures.create('noQuorum', 'No leader is known.', remedy)));
+      return;
+    }
+    ask(leader.address);
+  }
+
+  private replaceHere(proposal: trafficTypes.VersionedText, done: ports.Reply): void {
+    const { replica: own, leastVoters } = this.options;
+    const voters = own.status().members.filter((member) => member.role === 'voter').length;
+    // Right after the founding fewer replicas hold the log than must be there to lose some.
+    if (voters < leastVoters) {
+      const remedy = 'Send it again in a second.';
+      const message = `Only ${voters} of ${leastVoters} replicas have joined.`;
+      done(results.Err(failures.create('noQuorum', message, remedy)));
+      return;
+    }
+    const command: agreedTypes.ReplaceTrafficCommand = { type: 'replaceTraffic', ...proposal };
+    own.propose(command, (result) => {
+      done(result);
+      this.wakeWatches();
+    });
+  }
+
+  /** Reads the newest configuration; a failure where this cannot be certain. */
+  read(done: (result: results.Result<trafficTypes.VersionedText | null, failures.Failure>) => void): void {
+    const { replica: own, peers } = this.options;
+    const settle: ports.Reply = (result) => {
+      done(result.map((value) => value as trafficTypes.VersionedText | null));
+    };
+    if (own.mayLead()) {
+      this.readHere(settle);
+      return;
+    }
+    this.askLeader((address) => {
+      peers.request(address, methods.methods.read, null, FORWARD_TIMEOUT, settle);
+    }, settle);
+  }
+
+  private readHere(done: ports.Reply): void {
+    const { replica: own, state } = this.options;
+    own.confirmRead((confirmed) => {
+      done(confirmed.map(() => state.traffic ?? null));
+    });
+  }
+
+  /** Takes an announcement of an instance; it is on its way to all entries when this returns. */
+  announce(announcement: instanceTypes.Announcement): void {
+    const now = this.options.timers.now();
+    const changed = this.table.hear(announcement, now);
+    this.unsent.add(announcement.identity);
+    if (changed) {
+      this.options.log.info('instanceHeard', {
+        instance: announcement.identity,
+        service: announcement.service,
+        address: announcement.address,
+        state: announcement.state,
+        sequence: announcement.sequence,
+      });
+      this.spread();
+    }
+  }
+
+  /** Takes an instance's notice that it leaves, which names nothing but its identity. */
+  leave(identity: string): void {
+    if (this.table.leave(identity, this.options.timers.now())) {
+      this.options.log.info('instanceLeaves', { instance: identity });
+      this.unsent.add(identity);
+      this.spread();
+    }
+  }
+
+  private onGossip(gossip: methods.Gossip): void {
+    const now = this.options.timers.now();
+    let changed = false;
+    for (const record of gossip.records) {
+      changed = this.table.hear(record, now, record.age, record.firstAge) || changed;
+    }
+    if (changed) {
+      this.wakeWatches();
+      this.coordinator.instancesChanged();
+    }
+  }
+
+  private spread(): void {
+    this.sendGossip();
+    this.wakeWatches();
+    this.coordinator.instancesChanged();
+  }
+
+  private sendGossip(): void {
+    const { peers, replica: own, peerAddress, timers } = this.options;
+    if (this.unsent.size === 0) {
+      return;
+    }
+    const records = this.table.records(timers.now(), (identity) => this.unsent.has(identity));
+    this.unsent.clear();
+    for (const member of own.status().members) {
+      if (member.address !== peerAddress) {
+        peers.notify(member.address, methods.methods.gossip, { records } satisfies methods.Gossip);
+      }
+    }
+  }
+
+  private beat(): void {
+    const now = this.options.timers.now();
+    this.sendGossip();
+    const expired = this.table.expire(now);
+    if (expired) {
+      this.options.log.info('instancesExpired', { revision: this.table.currentRevision });
+    }
+    for (const [name, entry] of this.entries) {
+      if (now - entry.heardAt > ENTRY_LEASE) {
+        this.entries.delete(name);
+        this.options.log.info('entryLost', { entry: name });
+      }
+    }
+    this.wakeWatches();
+  }
+
+  private onWatch(request: methods.WatchRequest, reply: ports.Reply): void {
+    const now = this.options.timers.now();
+    const { entry } = request;
+    if (!this.entries.has(entry.name)) {
+      this.options.log.info('entryFound', { entry: entry.name, state: entry.state });
+    }
+    this.entries.set(entry.name, { news: entry, heardAt: now });
+    const watch = { request, reply, closesAt: now + WATCH_OPEN };
+    if (this.hasNewsFor(watch, now)) {
+      this.answerWatch(watch);
+    } else {
+      this.watches.push(watch);
+    }
+  }
+
+  private hasNewsFor(watch: OpenWatch, now: number): boolean {
+    const { request } = watch;
+    const version = this.options.state.traffic?.version ?? 0;
+    return (
+      now >= watch.closesAt ||
+      request.revision !== this.table.currentRevision ||
+      request.entry.trafficVersion < version
+    );
+  }
+
+  /** Answers every watch that has news; called whenever there may be some. */
+  wakeWatches(): void {
+    const now = this.options.timers.now();
+    const due = this.watches.filter((watch) => this.hasNewsFor(watch, now));
+    this.watches = this.watches.filter((watch) => !due.includes(watch));
+    for (const watch of due) {
+      this.answerWatch(watch);
+    }
+  }
+
+  private answerWatch(watch: OpenWatch): void {
+    const { replica: own, state, timers } = this.options;
+    const { request } = watch;
+    const status = own.status();
+    const { traffic } = state;
+    const answer: methods.WatchAnswer = {
+      instances: this.table.newsSince(request.epoch, request.revision, timers.now()),
+      ...(traffic !== undefined && traffic.version > request.entry.trafficVersion ? { traffic } : {}),
+      fresh: status.fresh,
+      leaderTerm: status.term,
+      leaderAddress: status.fresh ? (status.leader?.address ?? '') : '',
+      control: status.members.map((member) => member.address),
+      entryCount: this.entries.size,
+    };
+    watch.reply(results.Ok(answer));
+  }
+
+  /**
+   * True where a notice may be acknowledged: entries hear of it from here, and this replica is not cut off
+   * from the others, which tell the rest.
+   */
+  mayAcknowledge(): boolean {
+    return this.options.replica.isFresh() && this.entries.size > 0;
+  }
+
+  /** Entries that callers of a data centre may be given, as this replica hears from them. */
+  entriesFor(dataCentre: string, most: number): readonly methods.EntryNews[] {
+    const now = this.options.timers.now();
+    const ready = [...this.entries.values()]
+      .filter((entry) => entry.news.state === 'ready' && now - entry.heardAt <= ENTRY_LEASE)
+      .map((entry) => entry.news);
+    const near = ready.filter((entry) => entry.dataCentre === dataCentre);
+    return [...near, ...ready.filter((entry) => entry.dataCentre !== dataCentre)].slice(0, most);
+  }
+}
--- /dev/null
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -0,0 +1,170 @@
+/**
+ * An entry that relays requests under a whole traffic configuration, made of services that find each other by
+ * name. All outside comes through ports.
+ */
+import * as instanceView from '../instances/instanceView.js';
+import * as failures from '../kernel/failures.js';
+import type * as ports from '../kernel/ports.js';
+import * as serviceRegistry from '../kernel/serviceRegistry.js';
+import * as timerService from '../kernel/timerService.js';
+import * as localChoice from '../relay/localChoice.js';
+import * as placementClient from '../relay/placementClient.js';
+import * as retryAllowance from '../relay/retryAllowance.js';
+import * as trafficRelay from '../relay/trafficRelay.js';
+import type * as relayTypes from '../relay/types.js';
+import * as routeTable from '../traffic/routeTable.js';
+import * as controlWatch from '../trafficControl/controlWatch.js';
+import type * as methods from '../trafficControl/methods.js';
+import type * as trafficControl from '../trafficControl/trafficControl.js';
+
+/** Settings of an entry. Times are milliseconds. */
+export interface TrafficEntrySettings {
+  readonly name: string;
+  readonly dataCentre: string;
+  /** Where callers connect: `ip:port`. */
+  readonly callerAddress: string;
+  /** Where other processes of the system connect: `ip:port`. */
+  readonly peerAddress: string;
+  /** Peer addresses of some control replicas. */
+  readonly seeds: readonly string[];
+  readonly retries: retryAllowance.AllowanceSettings;
+}
+
+/** Ports of an entry. */
+export interface TrafficEntryPorts extends ports.BasePorts {
+  readonly upstreams: relayTypes.UpstreamPort;
+  readonly decodeTraffic: trafficControl.DecodeTraffic;
+}
+
+/** Services of an entry, by name. */
+export interface TrafficEntryServices {
+  readonly timers: timerService.TimerService;
+  readonly instances: instanceView.InstanceView;
+  readonly placement: placementClient.PlacementClient;
+  readonly relay: trafficRelay.TrafficRelay;
+  readonly watch: controlWatch.ControlWatch;
+}
+
+/** An entry; see the module comment. */
+export class TrafficEntry {
+  readonly services = serviceRegistry.create<TrafficEntryServices>();
+  private readonly settings: TrafficEntrySettings;
+  private readonly outside: TrafficEntryPorts;
+  private readonly timers: timerService.TimerService;
+  private readonly watch: controlWatch.ControlWatch;
+  private readonly relay: trafficRelay.TrafficRelay;
+  private readonly placement: placementClient.PlacementClient;
+  private routes: routeTable.RouteTable | undefined;
+  private draining = false;
+
+  constructor(settings: TrafficEntrySettings, outside: TrafficEntryPorts) {
+    const { random, log, metrics, peers, upstreams } = outside;
+    this.settings = settings;
+    this.outside = outside;
+    this.timers = timerService.create(outside.clock, outside.scheduler);
+    const { timers } = this;
+    const choice = new localChoice.LocalChoice(random, settings.dataCentre);
+    const instances = new instanceView.InstanceView((instance, event) => {
+      log.info('instanceSeen', {
+        instance: instance.identity,
+        service: instance.service,
+        address: instance.address,
+        event,
+      });
+      if (event === 'gone') {
+        choice.forget(instance.identity);
+      }
+    });
+    this.placement = new placementClient.PlacementClient({
+      entry: settings.name,
+      dataCentre: settings.dataCentre,
+      peerAddress: settings.peerAddress,
+      peers,
+      timers,
+      log,
+      coordinator: () => this.watch.coordinator,
+    });
+    const { placement } = this;
+    const allowance = new retryAllowance.RetryAllowance(settings.retries, () => this.watch.entryCount);
+    this.relay = new trafficRelay.TrafficRelay({
+      context: { timers, log, metrics, upstreams, instances, choice, allowance, placement },
+      random,
+      routes: () => this.routes,
+      draining: () => this.draining,
+    });
+    this.watch = new controlWatch.ControlWatch({
+      timers,
+      peers,
+      log,
+      seeds: settings.seeds,
+      describe: () => this.describe(),
+      instances,
+      onTraffic: (traffic) => {
+        this.applyTraffic(traffic.text);
+      },
+      onCoordinator: () => {
+        placement.coordinatorChanged();
+      },
+    });
+    this.services.register('timers', timers);
+    this.services.register('instances', instances);
+    this.services.register('placement', placement);
+    this.services.register('relay', this.relay);
+    this.services.register('watch', this.watch);
+  }
+
+  private describe(): methods.EntryNews {
+    const { name, dataCentre, callerAddress, peerAddress } = this.settings;
+    const trafficVersion = this.routes?.version ?? 0;
+    return { name, dataCentre, callerAddress, peerAddress, state: this.state, trafficVersion };
+  }
+
+  /** Whether callers should come here. */
+  get state(): methods.EntryState {
+    if (this.draining) {
+      return 'draining';
+    }
+    return this.routes === undefined ? 'starting' : 'ready';
+  }
+
+  /** Limits of what callers may send; undefined before the first configuration. */
+  get limits(): routeTable.RouteTable['limits'] | undefined {
+    return this.routes?.limits;
+  }
+
+  private applyTraffic(text: string): void {
+    const decoded = this.outside.decodeTraffic(text);
+    if (decoded.err) {
+      this.outside.log.error('trafficUnreadable', { reason: failures.describe(decoded.val) });
+      return;
+    }
+    const first = this.routes === undefined;
+    this.routes = new routeTable.RouteTable(decoded.val);
+    if (first) {
+      this.watch.tellNow();
+    }
+  }
+
+  /** Serves one request of a caller. */
+  handle(request: relayTypes.TrafficRequest, caller: relayTypes.CallerPort): void {
+    this.relay.handle(request, caller);
+  }
+
+  /** Takes this entry out of the address list at once; it goes on serving whoever still comes. */
+  drain(): void {
+    if (!this.draining) {
+      this.draining = true;
+      this.outside.log.info('drainStarted', { generations: this.placement.openCount });
+      this.watch.tellNow();
+    }
+  }
+
+  /** Replaces the addresses of control that the settings name. */
+  setSeeds(seeds: readonly string[]): void {
+    this.watch.setSeeds(seeds);
+  }
+
+  stop(): void {
+    this.timers.stop();
+  }
+}
--- /dev/null
+++ b/scripts/bundle.js
@@ -0,0 +1,34 @@
+/**
+ * Bundles the platform's program into one file, which starts several times as fast as some hundred modules.
+ */
+import * as path from 'node:path';
+
+import * as esbuild from 'esbuild';
+
+/**
+ * `ts-results` is a CommonJS package whose files find each other in a way that a bundler cannot follow. Its
+ * modules proper stand beside it; they are given the default export by which Node.js shows the package.
+ */
+const tsResultsPlugin = {
+  name: 'ts-results',
+  setup(build) {
+    const folder = path.resolve('node_modules/ts-results/esm');
+    build.onResolve({ filter: /^ts-results$/ }, () => ({ path: 'ts-results', namespace: 'default-export' }));
+    build.onLoad({ filter: /.*/, namespace: 'default-export' }, () => ({
+      contents: `import * as all from './index.js'; export default all;`,
+      resolveDir: folder,
+    }));
+  },
+};
+
+await esbuild.build({
+  entryPoints: ['platform/src/main.ts'],
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  outfile: 'target/kumquatfront.cjs',
+  alias: { kumquatfront: './packages/kumquatfront/src/index.ts' },
+  plugins: [tsResultsPlugin],
+  legalComments: 'none',
+});
