An answer without a length that is reset is not handed over as whole

Cause: where the last bytes and the reset of a connection arrive together, the event loop reports a plain end; the relay took half an answer for a whole one.

Fix: when the connection ends, a write of nothing brings the pending error out.

--- a/packages/kumquatfront/src/adapters/freshExchange.ts
+++ b/packages/kumquatfront/src/adapters/freshExchange.ts
@@ -6,6 +6,7 @@
  * and nothing can be mistaken for the next answer. It costs one round trip and a millisecond of set-up.
  */
 import * as http from 'node:http';
+import * as net from 'node:net';
 
 import type * as ports from '../kernel/ports.js';
 import type * as relayTypes from '../relay/types.js';
@@ -45,6 +46,40 @@
   return headers;
 }
 
+/**
+ * Learns, when a connection ends, whether it was reset in truth.
+ *
+ * When the last bytes and the reset arrive together, the event loop reports a plain end and keeps the error to
+ * itself; an answer without a length that was cut in half would be handed over as whole. Writing nothing
+ * brings the error out, and sends no byte.
+ *
+ * @param socket - the connection, which must allow writing after the peer's end
+ * @returns calls back with true where it was reset; ask once the end has come
+ */
+function watchEnd(socket: net.Socket): (done: (reset: boolean) => void) => void {
+  let verdict: boolean | undefined;
+  let waiting: ((reset: boolean) => void) | undefined;
+  socket.prependListener('end', () => {
+    socket.write(new Uint8Array(0), (error) => {
+      verdict = error !== undefined && error !== null;
+      waiting?.(verdict);
+    });
+  });
+  return (done) => {
+    if (verdict === undefined) {
+      waiting = done;
+    } else {
+      done(verdict);
+    }
+  };
+}
+
+/** True where an answer says itself where it ends. */
+function isFramed(incoming: http.IncomingMessage): boolean {
+  const { headers } = incoming;
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
 /**
  * Sends a request.
  *
@@ -63,16 +98,19 @@
   listener: FreshListener,
 ): relayTypes.CancelExchange {
   const colon = request.address.lastIndexOf(':');
+  const host = request.address.slice(0, colon);
+  const port = Number(request.address.slice(colon + 1));
   let connected = false;
   let done = false;
   let response: http.IncomingMessage | undefined;
   const outgoing = http.request({
-    host: request.address.slice(0, colon),
-    port: Number(request.address.slice(colon + 1)),
+    host,
+    port,
     method: request.method,
     path: request.path,
     headers: [...request.headers, ['Connection', 'close'] as const].flat(),
-    agent: false,
+    // Kept open for writing after the upstream's end, so that `watchEnd` can tell an end from a reset.
+    createConnection: () => net.connect({ host, port, allowHalfOpen: true }),
     maxHeaderSize: MAXIMUM_HEADER_BYTES,
   });
   const settle = (): boolean => {
@@ -92,7 +130,11 @@
   const cancelConnecting = scheduler.after(CONNECT_TIMEOUT, () => {
     fail('notSent', 'the connection did not open in time');
   });
+  let ended: (done: (reset: boolean) => void) => void = (end) => {
+    end(false);
+  };
   outgoing.on('socket', (socket) => {
+    ended = watchEnd(socket);
     socket.setNoDelay(true);
     socket.once('connect', () => {
       connected = true;
@@ -120,15 +162,28 @@
     incoming.on('end', () => {
       if (!incoming.complete) {
         fail('broken', 'the answer ended early');
-      } else if (settle()) {
-        listener.end();
+        return;
+      }
+      const finish = (reset: boolean): void => {
+        if (reset) {
+          fail('broken', 'the connection was reset');
+        } else if (settle()) {
+          listener.end();
+        }
+      };
+      if (isFramed(incoming)) {
+        finish(false);
+      } else {
+        ended(finish);
       }
     });
     incoming.on('error', (error) => {
       fail('broken', error.message);
     });
     incoming.on('close', () => {
-      fail('broken', 'the connection closed before the answer was whole');
+      if (!incoming.complete) {
+        fail('broken', 'the connection closed before the answer was whole');
+      }
     });
     listener.head(incoming.statusCode ?? 0, pairs(incoming.rawHeaders));
   });
--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -14,6 +14,9 @@
 /** How often places are offered anew; a step of an engine takes as long. */
 const PUMP_INTERVAL: ports.Milliseconds = 20;
 
+/** How often the coordinator logs what it believes. */
+const STATE_INTERVAL: ports.Milliseconds = 1_000;
+
 /** After its election a coordinator grants nothing for this long, until the entries have reported: two reports. */
 const LEARNING: ports.Milliseconds = 600;
 
@@ -54,6 +57,24 @@
         this.pump();
       },
     );
+    options.timers.every(
+      () => STATE_INTERVAL,
+      () => {
+        this.logState();
+      },
+    );
+  }
+
+  private logState(): void {
+    if (this.leadsSince === undefined || (this.queue.size === 0 && this.pool.placedCount === 0)) {
+      return;
+    }
+    const loads = this.pool.describe();
+    this.options.log.info('coordinatorState', {
+      waiting: this.queue.size,
+      placed: this.pool.placedCount,
+      engines: loads.join(' '),
+    });
   }
 
   /** Asks for a place; the answer may come much later. */
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -203,6 +203,16 @@
     return best;
   }
 
+  /** One word for each engine: identity, generations, forecast share of its memory, and whether it leaves. */
+  describe(): readonly string[] {
+    const loads = this.loads();
+    return [...this.engines.values()].map((engine) => {
+      const load = loads.get(engine.identity) ?? { memory: 0, count: 0 };
+      const share = Math.round((100 * load.memory) / engine.traits.memoryTokens);
+      return `${engine.identity}:${load.count}:${share}%${engine.leaving ? ':leaving' : ''}`;
+    });
+  }
+
   /** Share of the slots of a service's engines that are taken. */
   takenShare(service: string): number {
     let slots = 0;
