Coordinator without a leader, forecasts of peaks, quicker starts

What: any replica coordinates when asked; entries agree on the first that answers. Memory is forecast by the peak of the sum over time, lengths by what was learned. Moves may go over the bound. Bundles without unused parts, with kept code; shorter elections.

--- a/packages/kumquatfront/src/configuration/validation.ts
+++ b/packages/kumquatfront/src/configuration/validation.ts
@@ -59,10 +59,22 @@
 };
 
 const NAME = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
-const validator = new ajv.Ajv({ allErrors: false, strict: true });
-const compiled = new Map<string, ajv.ValidateFunction>();
-for (const [kind, schema] of Object.entries(SCHEMAS)) {
-  compiled.set(kind, validator.compile(schema));
+
+type Kinds = ReadonlyMap<string, ajv.ValidateFunction>;
+let compiledKinds: Kinds | undefined;
+
+/**
+ * The compiled schemas. Compiling takes 60 ms, half of the start of a process, so it waits for the first draft:
+ * after a crash of all control replicas every entry waits for them to be back.
+ */
+function validators(): Kinds {
+  if (compiledKinds === undefined) {
+    const compiler = new ajv.Ajv({ allErrors: false, strict: true });
+    compiledKinds = new Map(
+      Object.entries(SCHEMAS).map(([kind, schema]) => [kind, compiler.compile(schema)]),
+    );
+  }
+  return compiledKinds;
 }
 
 /** Key of an object among all kinds. */
@@ -96,7 +108,7 @@
 export function checkShape(
   draft: types.ConfigurationDraft,
 ): results.Result<types.ConfigurationDraft, failures.Failure> {
-  const validate = compiled.get(draft.kind);
+  const validate = validators().get(draft.kind);
   if (validate === undefined) {
     const remedy = `Use one of ${Object.keys(SCHEMAS).join(', ')}.`;
     return results.Err(failures.create('badInput', `There is no kind "${draft.kind}".`, remedy));
--- a/packages/kumquatfront/src/instances/instanceTable.ts
+++ b/packages/kumquatfront/src/instances/instanceTable.ts
@@ -97,6 +97,14 @@
     return this.hear({ ...announcement, state: 'leaving', sequence: announcement.sequence + 1 }, now);
   }
 
+  /** True where an instance is known to leave, or to be gone. */
+  isLeaving(identity: string): boolean {
+    const known = this.held.get(identity);
+    return known === undefined
+      ? this.removed.some((entry) => entry.identity === identity)
+      : known.announcement.state === 'leaving';
+  }
+
   /** Drops what has been silent for its lease; true where something was dropped. */
   expire(now: number): boolean {
     let dropped = false;
--- a/packages/kumquatfront/src/instances/instanceView.ts
+++ b/packages/kumquatfront/src/instances/instanceView.ts
@@ -122,6 +122,11 @@
     return this.instances.get(identity);
   }
 
+  /** True where an instance has given notice, or is gone. */
+  isLeaving(identity: string): boolean {
+    return this.instances.get(identity)?.state !== 'ready';
+  }
+
   /** Instances of a service that take requests; of two at one address only the newer incarnation. */
   readyOf(service: string): readonly Instance[] {
     const cached = this.byService.get(service);
--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -1,6 +1,7 @@
 /**
- * Places generations on engines for the whole system, and moves them off engines that leave. It runs beside
- * the leader of control; its state is soft, and a new leader learns it from the entries' next reports.
+ * Places generations on engines for the whole system, and moves them off engines that leave. Every control
+ * replica can do it; entries turn to the leader, or to one that all of them see where there is no leader. Its
+ * state is soft: whoever takes over learns it from the entries' next reports. Two at once only place less well.
  */
 import type * as instanceTypes from '../instances/types.js';
 import type * as ports from '../kernel/ports.js';
@@ -17,8 +18,14 @@
 /** How often the coordinator logs what it believes. */
 const STATE_INTERVAL: ports.Milliseconds = 1_000;
 
-/** After its election a coordinator grants nothing for this long, until the entries have reported: two reports. */
-const LEARNING: ports.Milliseconds = 600;
+/** A coordinator that is asked for the first time grants nothing for this long: until all entries have reported. */
+const LEARNING: ports.Milliseconds = 450;
+
+/** Without a report for this long nobody takes this replica for the coordinator. */
+const IDLE_AFTER: ports.Milliseconds = 1_500;
+
+/** The queue is offered places this often even where nothing changed. */
+const SERVE_INTERVAL: ports.Milliseconds = 100;
 
 /** Longest time to come back that is told: a caller honours a third of its time left at most. */
 const LONGEST_RETRY_AFTER: ports.Milliseconds = 4_000;
@@ -28,8 +35,6 @@
   readonly timers: timerService.TimerService;
   readonly log: ports.Log;
   readonly random: ports.Random;
-  /** True while this replica leads. */
-  readonly leads: () => boolean;
   /** The instances as this replica knows them. */
   readonly instances: () => readonly instanceTypes.InstanceRecord[];
   /** Changes whenever `instances` does. */
@@ -44,13 +49,21 @@
   private readonly pool = new enginePool.EnginePool();
   private readonly queue = new placementQueue.PlacementQueue();
   private readonly evacuation: evacuation.Evacuation;
-  private leadsSince: number | undefined;
+  private activeSince: number | undefined;
+  private askedAt = Number.NEGATIVE_INFINITY;
+  private servedAt = Number.NEGATIVE_INFINITY;
+  private changed = true;
   /** Smoothed time between two grants of a service, for times to come back. */
   private readonly grantGap = new Map<string, { at: number; gap: number }>();
 
   constructor(options: CoordinatorOptions) {
     this.options = options;
-    this.evacuation = new evacuation.Evacuation({ pool: this.pool, move: options.move, log: options.log });
+    this.evacuation = new evacuation.Evacuation({
+      pool: this.pool,
+      move: options.move,
+      now: () => options.timers.now(),
+      log: options.log,
+    });
     options.timers.every(
       () => PUMP_INTERVAL,
       () => {
@@ -66,7 +79,7 @@
   }
 
   private logState(): void {
-    if (this.leadsSince === undefined || (this.queue.size === 0 && this.pool.placedCount === 0)) {
+    if (this.activeSince === undefined || (this.queue.size === 0 && this.pool.placedCount === 0)) {
       return;
     }
     const loads = this.pool.describe();
@@ -80,10 +93,13 @@
   /** Asks for a place; the answer may come much later. */
   place(request: types.PlacementRequest, answer: (answer: types.PlacementAnswer) => void): void {
     const now = this.options.timers.now();
+    this.askedAt = now;
+    this.changed = true;
     const known = this.pool.placedOf(request.facts.identity);
     // The answer to an earlier question may have been lost; granting another engine would count it twice.
     if (known !== undefined && !known.reported && !request.excluded.includes(known.running.instance)) {
-      answer({ state: 'placed', instance: known.running.instance });
+      const { instance, backup } = known.running;
+      answer({ state: 'placed', instance, backup });
       return;
     }
     if (!this.queue.add(request, now, answer)) {
@@ -100,11 +116,15 @@
 
   /** Takes an entry's report in. */
   report(report: types.EntryReport): void {
-    this.pool.report(report, this.options.timers.now());
+    const now = this.options.timers.now();
+    this.askedAt = now;
+    this.changed = true;
+    this.pool.report(report, now);
   }
 
   /** Called when the instances changed, so that an evacuation starts at once. */
   instancesChanged(): void {
+    this.changed = true;
     this.pump();
   }
 
@@ -128,19 +148,21 @@
 
   private pump(): void {
     const now = this.options.timers.now();
-    if (!this.options.leads()) {
-      this.leadsSince = undefined;
+    if (now - this.askedAt > IDLE_AFTER) {
+      this.activeSince = undefined;
       return;
     }
-    this.leadsSince ??= now;
-    this.refreshEngines();
-    this.pool.expire(now);
+    this.activeSince ??= now;
     for (const expired of this.queue.takeExpired(now)) {
       this.refuse(expired, 'no place came free in time');
     }
-    if (now - this.leadsSince < LEARNING) {
+    if (now - this.activeSince < LEARNING || (!this.changed && now - this.servedAt < SERVE_INTERVAL)) {
       return;
     }
+    this.changed = false;
+    this.servedAt = now;
+    this.refreshEngines();
+    this.pool.expire(now);
     this.evacuation.pump();
     this.queue.serve(now, (waiting) => this.tryPlace(waiting, now));
   }
@@ -162,22 +184,41 @@
 
   private tryPlace(waiting: placementQueue.Waiting, now: number): boolean {
     const { facts, dataCentre, excluded } = waiting.request;
-    const engine = this.pool.bestFor(facts, 0, dataCentre, new Set(excluded));
+    const patient = facts.rank >= enginePool.PATIENT_RANK;
+    const purpose = patient ? 'patient' : 'urgent';
+    const search = { facts, produced: 0, purpose, dataCentre, excluded: new Set(excluded) } as const;
+    const engine = this.pool.bestFor(search);
     if (engine === undefined) {
       return false;
     }
-    this.pool.grant(waiting.request, engine.identity, now);
+    const backup = patient ? this.backupFor(facts, engine) : undefined;
+    const placement = { instance: engine.identity, backup: backup?.identity };
+    this.pool.grant(waiting.request, placement, now);
     this.noteGrant(facts.service, now);
     this.options.log.debug('placed', {
       request: facts.identity,
       engine: engine.identity,
+      backup: backup?.identity,
       waited: Math.round(now - waiting.since),
       waiting: this.queue.size,
     });
-    waiting.answer({ state: 'placed', instance: engine.identity });
+    waiting.answer({ state: 'placed', ...placement });
     return true;
   }
 
+  /**
+   * An engine that keeps a copy of a long generation as it grows, where memory is to spare. It saves what no
+   * notice comes for, and takes the haste out of notices: what has a copy survives its engine.
+   */
+  private backupFor(facts: types.GenerationFacts, engine: enginePool.Engine): enginePool.Engine | undefined {
+    if (!engine.traits.backups) {
+      return undefined;
+    }
+    const { dataCentre } = engine;
+    const excluded = new Set([engine.identity]);
+    return this.pool.bestFor({ facts, produced: 0, purpose: 'backup', dataCentre, excluded });
+  }
+
   private noteGrant(service: string, now: number): void {
     const known = this.grantGap.get(service);
     const gap = known === undefined ? 100 : 0.9 * known.gap + 0.1 * (now - known.at);
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -4,20 +4,30 @@
  *
  * Pattern: long generations that fill the memory of an engine together are preempted, read again, and late.
  * A bound on the forecast keeps them in the queue instead. Grounds: on the sites of the first users a bound
- * of 85 in 100 for patient work does away with preemptions; without it there are 20 to 200 in half a minute.
+ * for patient work does away with preemptions; without it there are 20 to 200 in half a minute.
  */
 import type * as ports from '../kernel/ports.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as lengthForecast from './lengthForecast.js';
+import * as memoryPeak from './memoryPeak.js';
 import type * as types from './types.js';
 
-/** Share of an engine's memory that patient generations are forecast to fill; see the module comment. */
-export const PATIENT_MEMORY_SHARE = 0.85;
+/** What a place is wanted for; each has a bound of its own on the share of memory that is forecast to fill. */
+export type Purpose = 'patient' | 'urgent' | 'move' | 'backup';
 
-/** Share for urgent generations, which are short: what the patient ones leave, less a margin for error. */
-export const URGENT_MEMORY_SHARE = 0.97;
-
-/** Slots that patient generations leave free, so that an urgent one starts at once. */
+/**
+ * Shares of an engine's memory. Urgent generations are short and take what patient ones leave, less a margin
+ * for error. A move may go over: what would be lost otherwise is worth more than what it may make late. Copies
+ * kept as backups only take memory that nobody is near to needing.
+ */
+const MEMORY_SHARES: Readonly<Record<Purpose, number>> = {
+  patient: 0.85,
+  urgent: 0.97,
+  move: 1.02,
+  backup: 0,
+};
+
+/** Slots that patient generations and backups leave free, so that an urgent one starts at once. */
 const SLOTS_KEPT_FREE = 2;
 
 /** A generation of this rank or above it is patient. */
@@ -29,7 +39,7 @@
 /** An entry whose reports stop for this long is dead, and what it ran was cancelled with its connections. */
 const REPORT_LEASE: ports.Milliseconds = 2_500;
 
-/** Forecast tokens per engine that being in the caller's data centre is worth, as share of its memory. */
+/** Being in the wanted data centre, as share of an engine's memory. */
 const SAME_DATA_CENTRE_BONUS = 0.05;
 
 /** An engine as the coordinator sees it. */
@@ -51,17 +61,33 @@
 
 interface KnownEntry {
   readonly address: string;
+  readonly epoch: string;
   readonly sequence: number;
   readonly heardAt: ports.Milliseconds;
 }
 
+/** What is sought. */
+export interface Search {
+  readonly facts: types.GenerationFacts;
+  readonly produced: number;
+  readonly purpose: Purpose;
+  readonly dataCentre: string;
+  readonly excluded: ReadonlySet<string>;
+  /** What being in the data centre is worth, as share of memory. */
+  readonly nearBonus?: number;
+}
+
+const EMPTY: readonly memoryPeak.Growth[] = [];
+
 /** The pool; see the module comment. */
 export class EnginePool {
+  readonly lengths = new lengthForecast.LengthForecast();
   private engines = new Map<string, Engine>();
   private readonly placed = new Map<string, Placed>();
   private readonly entries = new Map<string, KnownEntry>();
-  /** Incoming moves: memory at the target that no report shows yet, by generation. */
-  private readonly incoming = new Map<string, { readonly target: string; readonly memory: number }>();
+  /** Generations that are being moved, with their targets: memory there that no report shows yet. */
+  private readonly incoming = new Map<string, string>();
+  private loads: Map<string, memoryPeak.Growth[]> | undefined;
 
   setEngines(engines: readonly Engine[]): void {
     this.engines = new Map(engines.map((engine) => [engine.identity, engine]));
@@ -81,25 +107,26 @@
 
   /** Replaces what an entry has running by its newest report. */
   report(report: types.EntryReport, now: number): void {
-    const known = this.entries.get(report.entry);
-    if (known !== undefined && known.sequence >= report.sequence && now - known.heardAt < REPORT_LEASE) {
+    const { entry, epoch, sequence, address } = report;
+    const known = this.entries.get(entry);
+    if (known?.epoch === epoch && known.sequence >= sequence) {
       return;
     }
-    this.entries.set(report.entry, { address: report.address, sequence: report.sequence, heardAt: now });
+    this.entries.set(entry, { address, epoch, sequence, heardAt: now });
     for (const [identity, placed] of this.placed) {
       const fresh = !placed.reported && now - placed.grantedAt < GRANT_HOLDS;
-      if (placed.entry === report.entry && !fresh) {
+      if (placed.entry === entry && !fresh) {
         this.placed.delete(identity);
       }
     }
     for (const running of report.generations) {
-      this.placed.set(running.facts.identity, {
-        running,
-        entry: report.entry,
-        grantedAt: now,
-        reported: true,
-      });
+      const { identity } = running.facts;
+      this.placed.set(identity, { running, entry, grantedAt: now, reported: true });
     }
+    for (const finished of report.finished) {
+      this.lengths.learn(finished.facts, finished.produced);
+    }
+    this.loads = undefined;
   }
 
   /** Drops what entries ran that are silent, and grants that were never taken up. */
@@ -108,34 +135,39 @@
       const heardAt = this.entries.get(placed.entry)?.heardAt ?? placed.grantedAt;
       if (now - Math.max(heardAt, placed.grantedAt) > REPORT_LEASE) {
         this.placed.delete(identity);
+        this.loads = undefined;
       }
     }
   }
 
-  grant(request: types.PlacementRequest, instance: string, now: number): void {
-    this.placed.set(request.facts.identity, {
-      running: { facts: request.facts, instance, produced: 0, started: false },
-      entry: request.entry,
-      grantedAt: now,
-      reported: false,
-    });
+  grant(request: types.PlacementRequest, answer: types.Placement, now: number): void {
+    const { facts, entry } = request;
+    const { instance, backup } = answer;
+    const running = { facts, instance, backup, produced: 0, started: false };
+    this.placed.set(facts.identity, { running, entry, grantedAt: now, reported: false });
+    this.loads = undefined;
   }
 
   expectMove(identity: string, target: string): void {
-    const placed = this.placed.get(identity);
-    if (placed !== undefined) {
-      const { facts, produced } = placed.running;
-      this.incoming.set(identity, { target, memory: lengthForecast.peakMemory(facts, produced) });
-    }
+    this.incoming.set(identity, target);
+    this.loads = undefined;
   }
 
-  endMove(identity: string): void {
+  /** Notes the end of a move; where it went well the generation runs at its target from now on. */
+  endMove(identity: string, moved: boolean, now: number): void {
+    const target = this.incoming.get(identity);
+    const placed = this.placed.get(identity);
     this.incoming.delete(identity);
+    this.loads = undefined;
+    if (moved && target !== undefined && placed !== undefined) {
+      const running = { ...placed.running, instance: target, backup: undefined };
+      this.placed.set(identity, { ...placed, running, grantedAt: now, reported: false });
+    }
   }
 
   /** True while a generation is being moved onto an engine. */
   receives(instance: string): boolean {
-    return [...this.incoming.values()].some((move) => move.target === instance);
+    return [...this.incoming.values()].includes(instance);
   }
 
   placedOn(instance: string): readonly Placed[] {
@@ -150,52 +182,57 @@
     return this.placed.size;
   }
 
-  /** Forecast of tokens and count of generations on each engine, with moves that are on their way. */
-  private loads(): Map<string, { memory: number; count: number }> {
-    const loads = new Map<string, { memory: number; count: number }>();
-    const add = (instance: string, memory: number): void => {
-      const load = loads.get(instance) ?? { memory: 0, count: 0 };
-      load.memory += memory;
-      load.count += 1;
-      loads.set(instance, load);
-    };
-    for (const { running } of this.placed.values()) {
-      add(running.instance, lengthForecast.peakMemory(running.facts, running.produced));
+  private growthOf(running: types.RunningGeneration): memoryPeak.Growth {
+    const { facts, produced } = running;
+    return { held: facts.promptTokens + produced, remaining: this.lengths.remaining(facts, produced) };
+  }
+
+  /** What each engine holds: generations, copies of others, and moves that are on their way. */
+  private loadsOf(): Map<string, memoryPeak.Growth[]> {
+    if (this.loads !== undefined) {
+      return this.loads;
     }
-    for (const move of this.incoming.values()) {
-      add(move.target, move.memory);
+    const loads = new Map<string, memoryPeak.Growth[]>();
+    const add = (instance: string | undefined, growth: memoryPeak.Growth): void => {
+      if (instance !== undefined) {
+        const held = loads.get(instance);
+        if (held === undefined) {
+          loads.set(instance, [growth]);
+        } else {
+          held.push(growth);
+        }
+      }
+    };
+    for (const [identity, { running }] of this.placed) {
+      const growth = this.growthOf(running);
+      add(running.instance, growth);
+      add(running.backup, growth);
+      add(this.incoming.get(identity), growth);
     }
+    this.loads = loads;
     return loads;
   }
 
   /** The engine that has the most memory to spare after taking a generation in; undefined where none has room. */
-  bestFor(
-    facts: types.GenerationFacts,
-    produced: number,
-    dataCentre: string,
-    excluded: ReadonlySet<string>,
-    sameDataCentreBonus = SAME_DATA_CENTRE_BONUS,
-  ): Engine | undefined {
-    const loads = this.loads();
-    const patient = facts.rank >= PATIENT_RANK;
-    const needed = lengthForecast.peakMemory(facts, produced);
+  bestFor(search: Search): Engine | undefined {
+    const { facts, produced, purpose, dataCentre, excluded, nearBonus = SAME_DATA_CENTRE_BONUS } = search;
+    const loads = this.loadsOf();
+    const held = facts.promptTokens + produced;
+    const growth = { held, remaining: this.lengths.remaining(facts, produced) };
+    const keptFree = purpose === 'urgent' || purpose === 'move' ? 0 : SLOTS_KEPT_FREE;
     let best: Engine | undefined;
     let bestScore = Number.NEGATIVE_INFINITY;
     for (const engine of this.engines.values()) {
       if (engine.service !== facts.service || engine.leaving || excluded.has(engine.identity)) {
         continue;
       }
-      const load = loads.get(engine.identity) ?? { memory: 0, count: 0 };
+      const load = loads.get(engine.identity) ?? EMPTY;
       const { memoryTokens, slots } = engine.traits;
-      const bound = memoryTokens * (patient ? PATIENT_MEMORY_SHARE : URGENT_MEMORY_SHARE);
+      const filled = memoryPeak.peakOf([...load, growth]) / memoryTokens;
       // An engine with nothing on it takes a generation of any size: it would wait for ever otherwise.
-      const fits = load.count === 0 || load.memory + needed <= bound;
-      if (!fits || load.count >= slots - (patient ? SLOTS_KEPT_FREE : 0)) {
-        continue;
-      }
-      const near = engine.dataCentre === dataCentre ? sameDataCentreBonus : 0;
-      const score = 1 - load.memory / memoryTokens + near;
-      if (score > bestScore) {
+      const fits = filled <= MEMORY_SHARES[purpose] || (load.length === 0 && purpose !== 'backup');
+      const score = (engine.dataCentre === dataCentre ? nearBonus : 0) - filled;
+      if (fits && load.length < slots - keptFree && score > bestScore) {
         best = engine;
         bestScore = score;
       }
@@ -205,25 +242,11 @@
 
   /** One word for each engine: identity, generations, forecast share of its memory, and whether it leaves. */
   describe(): readonly string[] {
-    const loads = this.loads();
+    const loads = this.loadsOf();
     return [...this.engines.values()].map((engine) => {
-      const load = loads.get(engine.identity) ?? { memory: 0, count: 0 };
-      const share = Math.round((100 * load.memory) / engine.traits.memoryTokens);
-      return `${engine.identity}:${load.count}:${share}%${engine.leaving ? ':leaving' : ''}`;
+      const load = loads.get(engine.identity) ?? EMPTY;
+      const share = Math.round((100 * memoryPeak.peakOf(load)) / engine.traits.memoryTokens);
+      return `${engine.identity}:${load.length}:${share}%${engine.leaving ? ':leaving' : ''}`;
     });
   }
-
-  /** Share of the slots of a service's engines that are taken. */
-  takenShare(service: string): number {
-    let slots = 0;
-    let taken = 0;
-    const loads = this.loads();
-    for (const engine of this.engines.values()) {
-      if (engine.service === service && !engine.leaving) {
-        slots += engine.traits.slots;
-        taken += loads.get(engine.identity)?.count ?? 0;
-      }
-    }
-    return slots === 0 ? 1 : taken / slots;
-  }
 }
--- a/packages/kumquatfront/src/placement/evacuation.ts
+++ b/packages/kumquatfront/src/placement/evacuation.ts
@@ -8,7 +8,6 @@
  */
 import type * as ports from '../kernel/ports.js';
 import type * as enginePool from './enginePool.js';
-import * as lengthForecast from './lengthForecast.js';
 import type * as types from './types.js';
 
 /** A generation with fewer tokens left than this ends before its engine does: half a second of decoding. */
@@ -20,8 +19,8 @@
 /** A move whose end is not heard by then is taken as lost: twice the copy of the largest prompt. */
 export const MOVE_TIMEOUT: ports.Milliseconds = 3_000;
 
-/** How much worth it is to stay in the data centre, where a copy takes half as long: decisive. */
-const SAME_DATA_CENTRE_FIRST = 1;
+/** Being in the source's data centre, where a copy takes half as long, as share of memory: decisive. */
+const SAME_DATA_CENTRE_BONUS = 1;
 
 /** What the scheduler asks of those around it. */
 export interface EvacuationHost {
@@ -31,6 +30,7 @@
     command: types.MoveCommand,
     done: (outcome: types.MoveOutcome) => void,
   ) => void;
+  readonly now: () => ports.Milliseconds;
   readonly log: ports.Log;
 }
 
@@ -59,21 +59,23 @@
     }
   }
 
-  /** The most that a copied token saves goes first: worth grows with the output, cost with what is copied. */
+  /**
+   * What has a copy elsewhere goes last, since it survives the engine. Among the rest the most that a copied
+   * token saves goes first: worth grows with the output, cost with what is copied.
+   */
   private inOrder(source: enginePool.Engine): readonly enginePool.Placed[] {
+    const { pool } = this.host;
     const value = ({ running }: enginePool.Placed): number => {
-      const output = lengthForecast.expectedOutput(running.facts, running.produced);
-      return (running.facts.promptTokens + 10 * output) / (running.facts.promptTokens + running.produced);
+      const { facts, produced } = running;
+      const output = pool.lengths.expectedOutput(facts, produced);
+      return (facts.promptTokens + 10 * output) / (facts.promptTokens + produced);
     };
-    return this.host.pool
+    const backed = ({ running }: enginePool.Placed): number => (running.backup === undefined ? 0 : 1);
+    return pool
       .placedOn(source.identity)
       .filter(({ running }) => running.started && (this.tries.get(this.tryOf(running)) ?? 0) < MOST_TRIES)
-      .filter(
-        ({ running }) =>
-          lengthForecast.expectedOutput(running.facts, running.produced) - running.produced >=
-            ENDS_BY_ITSELF || running.produced === 0,
-      )
-      .sort((left, right) => value(right) - value(left));
+      .filter(({ running }) => pool.lengths.remaining(running.facts, running.produced) >= ENDS_BY_ITSELF)
+      .sort((left, right) => backed(left) - backed(right) || value(right) - value(left));
   }
 
   private tryOf(running: types.RunningGeneration): string {
@@ -102,7 +104,7 @@
       const command = { identity, source: source.identity, target: target.identity };
       this.host.move(address, command, (outcome) => {
         this.moving.delete(source.identity);
-        pool.endMove(identity);
+        pool.endMove(identity, outcome === 'moved', this.host.now());
         log.info('moveEnded', { request: identity, source: source.identity, outcome });
         this.pump();
       });
@@ -119,7 +121,14 @@
     const busy = pool.engineList.filter((engine) => pool.receives(engine.identity));
     const excluded = new Set([source.identity, ...busy.map((engine) => engine.identity)]);
     const find = (refused: ReadonlySet<string>): enginePool.Engine | undefined =>
-      pool.bestFor(facts, produced, source.dataCentre, refused, SAME_DATA_CENTRE_FIRST);
+      pool.bestFor({
+        facts,
+        produced,
+        purpose: 'move',
+        dataCentre: source.dataCentre,
+        excluded: refused,
+        nearBonus: SAME_DATA_CENTRE_BONUS,
+      });
     return find(excluded) ?? find(new Set([source.identity]));
   }
 }
--- a/packages/kumquatfront/src/placement/types.ts
+++ b/packages/kumquatfront/src/placement/types.ts
@@ -32,9 +32,16 @@
   readonly patience: ports.Milliseconds;
 }
 
+/** A place on an engine. */
+export interface Placement {
+  readonly instance: string;
+  /** Engine that keeps a copy of the memory as it grows; undefined where there is none. */
+  readonly backup?: string;
+}
+
 /** Answers a request for a place. */
 export type PlacementAnswer =
-  | { readonly state: 'placed'; readonly instance: string }
+  | ({ readonly state: 'placed' } & Placement)
   /** Nothing was started; `retryAfter` is when a place is likely. */
   | { readonly state: 'refused'; readonly retryAfter: ports.Milliseconds; readonly reason: string };
 
@@ -42,6 +49,8 @@
 export interface RunningGeneration {
   readonly facts: GenerationFacts;
   readonly instance: string;
+  /** Engine that keeps a copy of its memory; undefined where there is none any more. */
+  readonly backup?: string;
   /** Output tokens made so far. */
   readonly produced: number;
   /** True once the first event came, so that there is memory to move. */
@@ -53,8 +62,20 @@
   readonly entry: string;
   /** Where the entry is told to move generations: `ip:port`. */
   readonly address: string;
+  /** New at each start of the entry. */
+  readonly epoch: string;
   readonly sequence: number;
   readonly generations: readonly RunningGeneration[];
+  /** Generations that ended by themselves since the last report, with their whole output. */
+  readonly finished: readonly FinishedGeneration[];
+  /** Engines among those above that have given notice to this entry's knowledge. */
+  readonly leaving: readonly string[];
+}
+
+/** A generation that ended by itself. */
+export interface FinishedGeneration {
+  readonly facts: GenerationFacts;
+  readonly produced: number;
 }
 
 /** Tells an entry to move one generation to another engine. */
--- a/packages/kumquatfront/src/relay/placementClient.ts
+++ b/packages/kumquatfront/src/relay/placementClient.ts
@@ -27,6 +27,8 @@
 export interface OpenGeneration {
   /** What runs; undefined while it has no upstream. */
   readonly describe: () => placementTypes.RunningGeneration | undefined;
+  /** True where its engine has given notice. */
+  readonly isLeaving: () => boolean;
   readonly move: (target: string, done: (outcome: placementTypes.MoveOutcome) => void) => void;
 }
 
@@ -37,6 +39,7 @@
   readonly peerAddress: string;
   readonly peers: ports.PeerTransport;
   readonly timers: timerService.TimerService;
+  readonly random: ports.Random;
   readonly log: ports.Log;
   /** Peer address of the coordinator; empty where none is known. */
   readonly coordinator: () => string;
@@ -52,7 +55,9 @@
 export class PlacementClient {
   private readonly options: PlacementClientOptions;
   private readonly open = new Map<string, OpenGeneration>();
-  private sequence: number;
+  private readonly epoch: string;
+  private sequence = 0;
+  private finished: placementTypes.FinishedGeneration[] = [];
   private reportScheduled = false;
   private reportedEmpty = false;
   /** Questions that must be asked again when another coordinator takes over. */
@@ -61,8 +66,7 @@
   constructor(options: PlacementClientOptions) {
     this.options = options;
     const { timers, peers } = options;
-    // A restarted entry must not seem older than its former self: wall-clock time would do, but may jump.
-    this.sequence = 0;
+    this.epoch = options.random.identity();
     timers.every(
       () => REPORT_INTERVAL,
       () => {
@@ -169,8 +173,12 @@
     this.changed();
   }
 
-  closed(identity: string): void {
+  /** Takes a generation out of the reports; `finished` where it ended by itself. */
+  closed(identity: string, finished: placementTypes.FinishedGeneration | undefined): void {
     this.open.delete(identity);
+    if (finished !== undefined) {
+      this.finished.push(finished);
+    }
     this.changed();
   }
 
@@ -194,22 +202,31 @@
     const { peers, entry, peerAddress, coordinator } = this.options;
     const address = coordinator();
     const generations: placementTypes.RunningGeneration[] = [];
+    const leaving = new Set<string>();
     for (const generation of this.open.values()) {
       const running = generation.describe();
       if (running !== undefined) {
         generations.push(running);
+        if (generation.isLeaving()) {
+          leaving.add(running.instance);
+        }
       }
     }
-    if (address === '' || (generations.length === 0 && this.reportedEmpty)) {
+    const { finished, epoch } = this;
+    if (address === '' || (generations.length === 0 && this.reportedEmpty && this.finished.length === 0)) {
       return;
     }
     this.reportedEmpty = generations.length === 0;
     this.sequence += 1;
+    this.finished = [];
     const report: placementTypes.EntryReport = {
       entry,
       address: peerAddress,
+      epoch,
       sequence: this.sequence,
       generations,
+      finished,
+      leaving: [...leaving],
     };
     peers.notify(address, methods.methods.report, report);
   }
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -5,7 +5,6 @@
  */
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
-import * as lengthForecast from '../placement/lengthForecast.js';
 import type * as placementTypes from '../placement/types.js';
 import * as answerRules from './answerRules.js';
 import * as eventSplitter from './eventSplitter.js';
@@ -34,6 +33,8 @@
   failure: { head: types.UpstreamHead; chunks: Uint8Array[] } | undefined;
   /** Where the memory comes from, for a leg that goes on from a copy. */
   readonly copy: types.MemoryCopy | undefined;
+  /** Engine that keeps a copy of the memory as it grows. */
+  readonly backup: instanceView.Instance | undefined;
   events: number;
 }
 
@@ -92,8 +93,20 @@
     if (this.leg === undefined || this.facts === undefined) {
       return undefined;
     }
-    const { produced, facts } = this;
-    return { facts, instance: this.leg.instance.identity, produced, started: this.leg.events > 0 };
+    const { produced, facts, leg } = this;
+    const backup = this.liveBackup(leg)?.identity;
+    return { facts, instance: leg.instance.identity, backup, produced, started: leg.events > 0 };
+  }
+
+  isLeaving(): boolean {
+    return this.leg !== undefined && this.context.instances.isLeaving(this.leg.instance.identity);
+  }
+
+  /** The engine with a copy of a leg's memory, while it has not given notice itself. */
+  private liveBackup(leg: Leg): instanceView.Instance | undefined {
+    const { instances } = this.context;
+    const gone = leg.backup === undefined || instances.isLeaving(leg.backup.identity);
+    return gone ? undefined : leg.backup;
   }
 
   private get resumable(): boolean {
@@ -109,7 +122,8 @@
     }
     const now = timers.now();
     const left = answerBy - now;
-    const needed = lengthForecast.expectedOutput(this.facts, 0) * TOKEN_TIME;
+    const { lengthHint, outputLimit } = this.facts;
+    const needed = Math.min(lengthHint, outputLimit) * TOKEN_TIME;
     const ejected = choice.ejectedOf(instances.readyOf(service.name), now);
     const question: placementClient.PlaceQuestion = {
       facts: this.facts,
@@ -135,7 +149,8 @@
       if (instance === undefined || this.excluded.has(instance.identity)) {
         this.chooseAlone();
       } else {
-        this.send(instance, undefined);
+        const backup = outcome.backup === undefined ? undefined : this.context.instances.get(outcome.backup);
+        this.send(instance, undefined, backup);
       }
     }
   }
@@ -163,7 +178,11 @@
     }
   }
 
-  private send(instance: instanceView.Instance, copy: types.MemoryCopy | undefined): void {
+  private send(
+    instance: instanceView.Instance,
+    copy: types.MemoryCopy | undefined,
+    backup?: instanceView.Instance,
+  ): void {
     const { upstreams, choice, timers, placement, log } = this.context;
     const { request, account, rank, answerBy } = this.routed;
     const now = timers.now();
@@ -173,6 +192,7 @@
       cancel: () => undefined,
       failure: undefined,
       copy,
+      backup,
       events: 0,
     };
     this.leg = leg;
@@ -196,6 +216,7 @@
       urgency,
       lastEvent: this.lastEvent,
       copy,
+      backup: backup?.address,
     };
     leg.cancel = upstreams.send(call, this.listen(leg));
     this.watchSilence();
@@ -409,6 +430,8 @@
     this.excluded.add(leg.instance.identity);
     if (failure === 'notSent') {
       this.onNotSent(leg);
+    } else if (leg.events > 0 && this.liveBackup(leg) !== undefined) {
+      this.goOnFromBackup(leg);
     } else if (move?.handle !== undefined) {
       // The source is gone between its two copies: the first holds all but the last moments.
       this.activeMove = undefined;
@@ -422,6 +445,18 @@
     }
   }
 
+  /** The engine is gone; another holds all but the last moments of the memory. */
+  private goOnFromBackup(leg: Leg): void {
+    const backup = this.liveBackup(leg);
+    const { identity } = this.routed.request;
+    this.activeMove?.cancel();
+    this.activeMove = undefined;
+    if (backup !== undefined) {
+      this.context.log.info('backupUsed', { request: identity, upstream: backup.identity });
+      this.goOnFromCopy(backup, { address: backup.address, handle: identity });
+    }
+  }
+
   private onNotSent(leg: Leg): void {
     if (leg.copy !== undefined) {
       this.afterCopyRefused(leg);
@@ -572,7 +607,9 @@
       this.dropLeg(this.leg);
     }
     if (this.facts !== undefined) {
-      this.context.placement.closed(this.routed.request.identity);
+      const { facts, produced } = this;
+      const finished = outcome.outcome === 'answered' && this.begun ? { facts, produced } : undefined;
+      this.context.placement.closed(this.routed.request.identity, finished);
     }
     const { sends, moves, lastEvent } = this;
     const longestPause = Math.round(this.longestPause);
--- a/packages/kumquatfront/src/trafficControl/controlWatch.ts
+++ b/packages/kumquatfront/src/trafficControl/controlWatch.ts
@@ -21,7 +21,7 @@
 const FORGET_AFTER: ports.Milliseconds = 10_000;
 
 /** A leader counts while a replica has named it this recently. */
-const LEADER_LIFE: ports.Milliseconds = 1_500;
+const LEADER_LIFE: ports.Milliseconds = 900;
 
 /** What the watch is made from. */
 export interface ControlWatchOptions {
@@ -64,10 +64,17 @@
     this.addAll(seeds);
   }
 
-  /** Peer address of the coordinator; empty where none is known. */
+  /**
+   * Peer address of the coordinator: the leader, or without one the first replica that answers, which is the
+   * same for all entries that see the same replicas. Empty where none answers.
+   */
   get coordinator(): string {
     const { timers } = this.options;
-    return timers.now() - this.leader.namedAt < LEADER_LIFE ? this.leader.address : '';
+    if (timers.now() - this.leader.namedAt < LEADER_LIFE) {
+      return this.leader.address;
+    }
+    const answering = [...this.watched].filter(([, watched]) => watched.answering);
+    return answering.map(([address]) => address).sort()[0] ?? '';
   }
 
   /** Entries of the whole system, this one included. */
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -48,6 +48,9 @@
 /** How often instances are checked for silence and news goes to the other replicas. */
 const GOSSIP_INTERVAL: ports.Milliseconds = 250;
 
+/** How often a replica looks whether it has become fresh, which entries that start wait for. */
+const FRESHNESS_INTERVAL: ports.Milliseconds = 40;
+
 /** How long a change may take before its operator is told to ask again: inside a caller's second. */
 const FORWARD_TIMEOUT: ports.Milliseconds = 900;
 
@@ -74,13 +77,12 @@
 
   constructor(options: TrafficControlOptions) {
     this.options = options;
-    const { replica: own, timers, random, log, peers } = options;
+    const { timers, random, log, peers } = options;
     this.table = new instanceTable.InstanceTable(random.identity());
     this.coordinator = new coordinator.Coordinator({
       timers,
       log,
       random,
-      leads: () => own.mayLead(),
       instances: () => this.table.records(timers.now()),
       instancesRevision: () => this.table.currentRevision,
       serviceOf: (name) => this.routes()?.serviceOf(name),
@@ -91,6 +93,18 @@
       },
     });
     this.serve();
+    let wasFresh = false;
+    timers.every(
+      () => FRESHNESS_INTERVAL,
+      () => {
+        const isFresh = options.replica.isFresh();
+        if (isFresh !== wasFresh) {
+          wasFresh = isFresh;
+          log.info('freshnessChanged', { fresh: isFresh, term: options.replica.status().term });
+          this.wakeWatches();
+        }
+      },
+    );
     timers.every(
       () => GOSSIP_INTERVAL,
       () => {
@@ -123,25 +137,27 @@
       reply(results.Ok(null));
     });
     peers.serve(names.report, (parameters, reply) => {
-      this.coordinator.report(parameters as placementTypes.EntryReport);
+      this.onReport(parameters as placementTypes.EntryReport);
       reply(results.Ok(null));
     });
   }
 
-  private onPlace(request: methods.PlaceRequest, reply: ports.Reply): void {
-    if (!this.options.replica.mayLead()) {
-      reply(results.Err(this.notLeader()));
-      return;
+  /** An entry may know of a notice that went to a replica which is cut off from this one. */
+  private onReport(report: placementTypes.EntryReport): void {
+    this.coordinator.report(report);
+    for (const identity of report.leaving) {
+      if (!this.table.isLeaving(identity)) {
+        this.leave(identity);
+      }
     }
+  }
+
+  private onPlace(request: methods.PlaceRequest, reply: ports.Reply): void {
     this.coordinator.place(request, (answer) => {
       reply(results.Ok(answer));
     });
   }
 
-  private notLeader(): failures.Failure {
-    return failures.create('notLeader', 'This replica does not lead.', 'Ask the leader.');
-  }
-
   /** The configuration in force here, decoded once for each version. */
   private routes(): routeTable.RouteTable | undefined {
     const { state, decode, log } = this.options;
@@ -324,11 +340,15 @@
 
   private hasNewsFor(watch: OpenWatch, now: number): boolean {
     const { request } = watch;
-    const version = this.options.state.traffic?.version ?? 0;
+    const { state, replica: own } = this.options;
+    const version = state.traffic?.version ?? 0;
+    const { trafficVersion } = request.entry;
+    // An entry that starts takes a configuration from a fresh replica only; told earlier it would ask at once again.
+    const usable = trafficVersion > 0 || own.isFresh();
     return (
       now >= watch.closesAt ||
       request.revision !== this.table.currentRevision ||
-      request.entry.trafficVersion < version
+      (trafficVersion < version && usable)
     );
   }
 
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -81,6 +81,7 @@
       peerAddress: settings.peerAddress,
       peers,
       timers,
+      random,
       log,
       coordinator: () => this.watch.coordinator,
     });
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,6 +1,8 @@
 /**
- * Bundles the platform's program into one file, which starts several times as fast as some hundred modules.
+ * Bundles the platform's program into one file, which starts several times as fast as some hundred modules,
+ * and keeps its compiled code beside it, which saves a process most of the rest of its start.
  */
+import * as childProcess from 'node:child_process';
 import * as path from 'node:path';
 
 import * as esbuild from 'esbuild';
@@ -27,8 +29,21 @@
   platform: 'node',
   target: 'node20',
   format: 'cjs',
-  outfile: 'target/kumquatfront.cjs',
+  minifySyntax: true,
+  outfile: 'target/program.cjs',
   alias: { kumquatfront: './packages/kumquatfront/src/index.ts' },
   plugins: [tsResultsPlugin],
   legalComments: 'none',
 });
+
+await esbuild.build({
+  entryPoints: ['platform/src/loader.ts'],
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  outfile: 'target/kumquatfront.cjs',
+  legalComments: 'none',
+});
+
+childProcess.execFileSync(process.execPath, ['target/kumquatfront.cjs', 'cache'], { stdio: 'inherit' });
