Waiting for memory: urgent by what is held, shorter first, refused in time; specs of the new parts

Urgent generations waited for memory that long ones reach only seconds later; generations waited until their callers gave up, which is the dearest way to refuse; a first-come queue gave memory to the longest.

What: urgent ones count what is held until they end; the queue offers places to shorter forecasts first, with waiting making up for length; nobody waits longer than 1.6 objectives or 45 in 100 of its time.

Virtual time moves into the library, where the specs need it.

--- a/packages/benchmarks/src/slopes/dissemination.ts
+++ b/packages/benchmarks/src/slopes/dissemination.ts
@@ -114,7 +114,7 @@
 
 /** The nodes and what announces itself to them. */
 class Bench {
-  readonly time = new scenarios.virtualTime.VirtualTime();
+  readonly time = new kumquatfront.virtualTime.VirtualTime();
   readonly net: scenarios.network.Network;
   readonly nodes = new Map<string, Node>();
   private readonly random = kumquatfront.seededRandom.create(11);
--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -67,3 +67,4 @@
 export * as trafficValidation from './traffic/trafficValidation.js';
 export * as freshExchange from './adapters/freshExchange.js';
 export * as trafficHttp from './adapters/trafficHttp.js';
+export * as virtualTime from './kernel/virtualTime.js';
--- /dev/null
+++ b/packages/kumquatfront/src/instances/instances.spec.ts
@@ -0,0 +1,143 @@
+/**
+ * Which upstream instances there are, as control hears and entries believe.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as instanceTable from './instanceTable.js';
+import * as instanceView from './instanceView.js';
+import type * as types from './types.js';
+
+function announcement(identity: string, changes: Partial<types.Announcement> = {}): types.Announcement {
+  return {
+    identity,
+    service: 'llm',
+    address: '10.0.0.1:80',
+    dataCentre: 'a',
+    slots: 24,
+    state: 'ready',
+    warmUpLeft: 0,
+    sequence: 1,
+    ...changes,
+  };
+}
+
+function createView(): { view: instanceView.InstanceView; events: string[] } {
+  const events: string[] = [];
+  const view = new instanceView.InstanceView((instance, event) => {
+    events.push(`${instance.identity} ${event}`);
+  });
+  return { view, events };
+}
+
+// An announcement from before the notice arrives seconds after it. Taken at its word, the instance would get
+// new requests while it is stopping, and they would be lost with it.
+void test.test('a late announcement does not bring a leaving instance back', () => {
+  const table = new instanceTable.InstanceTable('e');
+  table.hear(announcement('i', { sequence: 4 }), 0);
+  table.hear(announcement('i', { sequence: 6, state: 'leaving' }), 100);
+  table.hear(announcement('i', { sequence: 5 }), 200);
+  table.hear(announcement('i', { sequence: 7 }), 300);
+  assert.deepEqual(
+    table.records(300).map((record) => record.state),
+    ['leaving'],
+  );
+});
+
+void test.test('a notice that names nothing but the identity makes an instance leave', () => {
+  const table = new instanceTable.InstanceTable('e');
+  table.hear(announcement('i', { sequence: 4 }), 0);
+  assert.equal(table.leave('i', 10), true);
+  assert.equal(table.records(10)[0]?.state, 'leaving');
+  assert.equal(table.isLeaving('i'), true);
+});
+
+// The notice overtakes every announcement: a replica that has just started must not take the late first
+// announcement for a new instance.
+void test.test('a notice of an unknown instance keeps it out', () => {
+  const table = new instanceTable.InstanceTable('e');
+  table.leave('i', 10);
+  assert.equal(table.hear(announcement('i', { sequence: 9 }), 20), false);
+  assert.deepEqual(table.records(20), []);
+});
+
+void test.test('a silent instance expires, and comes back when it is heard of again', () => {
+  const table = new instanceTable.InstanceTable('e', 1_000);
+  table.hear(announcement('i'), 0);
+  assert.equal(table.expire(900), false);
+  assert.equal(table.expire(1_100), true);
+  assert.deepEqual(table.newsSince('e', 2, 1_100).removed, ['i']);
+  assert.equal(table.hear(announcement('i', { sequence: 2 }), 1_200), true);
+});
+
+void test.test('news holds only what changed since, and everything for another epoch', () => {
+  const table = new instanceTable.InstanceTable('e');
+  table.hear(announcement('i'), 0);
+  const { revision } = table.newsSince('', 0, 0);
+  table.hear(announcement('j', { address: '10.0.0.2:80' }), 10);
+  assert.deepEqual(
+    table.newsSince('e', revision, 10).records.map((record) => record.identity),
+    ['j'],
+  );
+  const whole = table.newsSince('other', revision, 10);
+  assert.equal(whole.whole, true);
+  assert.equal(whole.records.length, 2);
+});
+
+// Control is killed as a whole and starts again with nothing in memory. Entries that believed the empty lists
+// would refuse every request until the instances announce themselves.
+void test.test('an entry keeps its view while control is silent or has just started', () => {
+  const { view, events } = createView();
+  const before = new instanceTable.InstanceTable('before');
+  before.hear(announcement('i'), 0);
+  view.merge('control', before.newsSince('', 0, 0), 0);
+  const after = new instanceTable.InstanceTable('after');
+  view.merge('control', after.newsSince('', 0, 10_000), 10_000);
+  assert.equal(view.readyOf('llm').length, 1);
+  view.merge('control', after.newsSince('after', 1, 14_000), 14_000);
+  assert.deepEqual(events, ['i found', 'i gone']);
+});
+
+// One replica is cut off from an instance that others still hear: the instance is sound.
+void test.test('an instance counts while any replica in contact lists it', () => {
+  const { view } = createView();
+  const one = new instanceTable.InstanceTable('one', 1_000);
+  const two = new instanceTable.InstanceTable('two', 1_000);
+  one.hear(announcement('i'), 0);
+  two.hear(announcement('i'), 0);
+  view.merge('one', one.newsSince('', 0, 0), 0);
+  view.merge('two', two.newsSince('', 0, 0), 0);
+  two.hear(announcement('i', { sequence: 2 }), 4_000);
+  one.expire(4_000);
+  view.merge('two', two.newsSince('two', 2, 4_000), 4_000);
+  view.merge('one', one.newsSince('one', 2, 4_001), 4_001);
+  assert.equal(view.readyOf('llm').length, 1);
+});
+
+// An instance crashes and a new one takes its address. An announcement of the old one was held up by a cut and
+// arrives last; requests sent in its name would be turned away by the new one.
+void test.test('of two instances at one address the newer incarnation takes requests', () => {
+  const { view } = createView();
+  const table = new instanceTable.InstanceTable('e');
+  table.hear(announcement('old', { sequence: 8 }), 0);
+  table.hear(announcement('new', { sequence: 1 }), 3_000);
+  table.hear(announcement('old', { sequence: 9 }), 3_500);
+  view.merge('control', table.newsSince('', 0, 3_500), 3_500);
+  assert.deepEqual(
+    view.readyOf('llm').map((instance) => instance.identity),
+    ['new'],
+  );
+});
+
+void test.test('a notice from any replica holds against older news of the others', () => {
+  const { view, events } = createView();
+  const one = new instanceTable.InstanceTable('one');
+  const two = new instanceTable.InstanceTable('two');
+  one.hear(announcement('i'), 0);
+  two.hear(announcement('i'), 0);
+  one.leave('i', 10);
+  view.merge('one', one.newsSince('', 0, 10), 10);
+  view.merge('two', two.newsSince('', 0, 20), 20);
+  assert.deepEqual(view.readyOf('llm'), []);
+  assert.deepEqual(events, ['i found', 'i leaving']);
+});
--- a/packages/scenarios/src/world/virtualTime.ts
+++ b/packages/kumquatfront/src/kernel/virtualTime.ts
@@ -1,7 +1,7 @@
 /**
  * Virtual time: a queue of events that run in order of time, and in order of scheduling at the same time.
  */
-import type * as kumquatfront from 'kumquatfront';
+import type * as ports from './ports.js';
 
 interface Event {
   readonly at: number;
@@ -19,7 +19,7 @@
   private time = 0;
   private scheduled = 0;
 
-  readonly clock: kumquatfront.ports.Clock = {
+  readonly clock: ports.Clock = {
     now: () => this.time,
     wall: () => WALL_START + this.time,
   };
@@ -28,7 +28,7 @@
     return this.time;
   }
 
-  after(delay: number, run: () => void): kumquatfront.ports.Cancel {
+  after(delay: number, run: () => void): ports.Cancel {
     this.scheduled += 1;
     const event: Event = { at: this.time + Math.max(0, delay), order: this.scheduled, run, cancelled: false };
     this.push(event);
--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -47,7 +47,9 @@
 export class Coordinator {
   private readonly options: CoordinatorOptions;
   private readonly pool = new enginePool.EnginePool();
-  private readonly queue = new placementQueue.PlacementQueue();
+  private readonly queue = new placementQueue.PlacementQueue((facts) =>
+    this.pool.lengths.expectedOutput(facts, 0),
+  );
   private readonly evacuation: evacuation.Evacuation;
   private activeSince: number | undefined;
   private askedAt = Number.NEGATIVE_INFINITY;
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -16,8 +16,8 @@
 export type Purpose = 'patient' | 'urgent' | 'move' | 'backup';
 
 /**
- * Shares of an engine's memory. Urgent generations are short and take what patient ones leave, less a margin
- * for error. A move may go over: what would be lost otherwise is worth more than what it may make late. Copies
+ * Shares of an engine's memory. Urgent generations are short: what counts for them is the memory that is held
+ * until they end, not the peak that the long ones reach seconds later. A move may go over: what would be lost otherwise is worth more than what it may make late. Copies
  * kept as backups only take memory that nobody is near to needing.
  */
 const MEMORY_SHARES: Readonly<Record<Purpose, number>> = {
@@ -228,7 +228,9 @@
       }
       const load = loads.get(engine.identity) ?? EMPTY;
       const { memoryTokens, slots } = engine.traits;
-      const filled = memoryPeak.peakOf([...load, growth]) / memoryTokens;
+      const all = [...load, growth];
+      const needed = purpose === 'urgent' ? memoryPeak.heldAt(all, growth.remaining) : memoryPeak.peakOf(all);
+      const filled = needed / memoryTokens;
       // An engine with nothing on it takes a generation of any size: it would wait for ever otherwise.
       const fits = filled <= MEMORY_SHARES[purpose] || (load.length === 0 && purpose !== 'backup');
       const score = (engine.dataCentre === dataCentre ? nearBonus : 0) - filled;
--- a/packages/kumquatfront/src/placement/memoryPeak.ts
+++ b/packages/kumquatfront/src/placement/memoryPeak.ts
@@ -33,3 +33,20 @@
   }
   return peak;
 }
+
+/**
+ * Memory that generations are forecast to hold at one moment.
+ *
+ * @param generations - those on one engine
+ * @param step - tokens that each of them will have made by then, unless it ends before
+ * @returns tokens
+ * @example
+ * ```ts
+ * memoryPeak.heldAt([{ held: 3000, remaining: 500 }, { held: 3200, remaining: 20 }], 30); // 3030
+ * ```
+ */
+export function heldAt(generations: readonly Growth[], step: number): number {
+  return generations
+    .filter((generation) => generation.remaining >= step)
+    .reduce((sum, generation) => sum + generation.held + step, 0);
+}
--- a/packages/kumquatfront/src/placement/placementQueue.ts
+++ b/packages/kumquatfront/src/placement/placementQueue.ts
@@ -3,7 +3,9 @@
  *
  * Pattern: under overload a first-come queue makes everybody late. Those that can still be in time go before
  * those that are late already, which lose nothing more by waiting; urgent ones go before patient ones always.
- * One large generation at the head must not be overtaken for ever by small ones, nor hold everything up.
+ * Among equals the shorter forecast goes first: a short generation earns several times as much for each token
+ * of memory and second. Waiting makes up for length, so that a long one goes first after a second or two; and
+ * one that finds no room must not be overtaken for ever, nor hold everything up.
  */
 import type * as ports from '../kernel/ports.js';
 import type * as types from './types.js';
@@ -15,6 +17,9 @@
   readonly answer: (answer: types.PlacementAnswer) => void;
 }
 
+/** Tokens of forecast output that one millisecond of waiting makes up for: the longest ones in two seconds. */
+const TOKENS_PER_WAITED_MILLISECOND = 0.8;
+
 /** Time for which smaller generations may overtake a larger one that finds no room: near one objective. */
 const OVERTAKEN_FOR: ports.Milliseconds = 1_500;
 
@@ -24,6 +29,14 @@
 /** The queue; see the module comment. */
 export class PlacementQueue {
   private readonly waiting = new Map<string, Waiting>();
+  private readonly expectedOutput: (facts: types.GenerationFacts) => number;
+
+  /**
+   * @param expectedOutput - forecast of a generation's output, in tokens
+   */
+  constructor(expectedOutput: (facts: types.GenerationFacts) => number) {
+    this.expectedOutput = expectedOutput;
+  }
 
   get size(): number {
     return this.waiting.size;
@@ -57,13 +70,16 @@
   }
 
   private inOrder(now: number): readonly Waiting[] {
-    const isLate = (entry: Waiting): number => (now - entry.since > entry.request.objectiveLeft ? 1 : 0);
-    return [...this.waiting.values()].sort(
-      (left, right) =>
-        left.request.facts.rank - right.request.facts.rank ||
-        isLate(left) - isLate(right) ||
-        left.since - right.since,
+    const keyed = [...this.waiting.values()].map((entry) => {
+      const waited = now - entry.since;
+      const late = waited > entry.request.objectiveLeft ? 1 : 0;
+      const length = this.expectedOutput(entry.request.facts) - waited * TOKENS_PER_WAITED_MILLISECOND;
+      return { entry, late, length, rank: entry.request.facts.rank };
+    });
+    keyed.sort(
+      (left, right) => left.rank - right.rank || left.late - right.late || left.length - right.length,
     );
+    return keyed.map((key) => key.entry);
   }
 
   /** Offers places in order; `place` returns true where one was found. */
--- /dev/null
+++ b/packages/kumquatfront/src/relay/relayBench.ts
@@ -0,0 +1,231 @@
+/**
+ * One exchange with hand-driven upstreams on virtual time, for the specs of the relay.
+ */
+import * as seededRandom from '../adapters/seededRandom.js';
+import * as instanceTable from '../instances/instanceTable.js';
+import * as instanceView from '../instances/instanceView.js';
+import type * as ports from '../kernel/ports.js';
+import * as results from '../kernel/results.js';
+import * as timerService from '../kernel/timerService.js';
+import * as virtualTime from '../kernel/virtualTime.js';
+import type * as placementTypes from '../placement/types.js';
+import type * as trafficTypes from '../traffic/types.js';
+import * as methods from '../trafficControl/methods.js';
+import type * as exchangeContext from './exchangeContext.js';
+import * as localChoice from './localChoice.js';
+import * as placementClient from './placementClient.js';
+import * as retryAllowance from './retryAllowance.js';
+import type * as types from './types.js';
+
+/** A request as an upstream got it. */
+export interface SentCall {
+  readonly call: types.UpstreamCall;
+  readonly listener: types.ExchangeListener;
+  cancelled: boolean;
+}
+
+/** A copy of memory as an engine was asked for it. */
+export interface AskedCopy {
+  readonly source: string;
+  readonly target: string;
+  readonly stop: boolean;
+  readonly done: (result: types.CopyResult) => void;
+}
+
+/** Head of a sound answer. */
+export const soundHead: types.UpstreamHead = {
+  status: 200,
+  notRun: false,
+  belongs: true,
+  signed: true,
+  headers: [],
+};
+
+/** Head by which an upstream states that it did not run the request. */
+export const notRunHead: types.UpstreamHead = { ...soundHead, status: 503, notRun: true, signed: false };
+
+/** An event of a stream. */
+export function event(identity: number): Uint8Array {
+  return Buffer.from(`id: ${identity}\ndata: x\n\n`);
+}
+
+const engineTraits: trafficTypes.EngineTraits = {
+  slots: 24,
+  memoryTokens: 30_000,
+  bytesPerToken: 1,
+  linkMegabitsPerSecond: 1,
+  migrations: true,
+  backups: true,
+  tokensPerEvent: 4,
+};
+
+/** The bench; see the module comment. */
+export class RelayBench {
+  readonly time = new virtualTime.VirtualTime();
+  readonly timers = timerService.create(this.time.clock, this.time);
+  readonly sent: SentCall[] = [];
+  readonly copies: AskedCopy[] = [];
+  readonly dropped: string[] = [];
+  /** What the caller got, in order. */
+  readonly got: string[] = [];
+  /** Engines that the coordinator gives, in order; without one it says nothing. */
+  readonly places: string[] = [];
+  readonly context: exchangeContext.ExchangeContext;
+  private gone: () => void = () => undefined;
+  private readonly served = new Map<string, ports.PeerHandler>();
+  private readonly table = new instanceTable.InstanceTable('e');
+
+  constructor(instances: readonly string[], slack = 100) {
+    const { timers, time } = this;
+    const random = seededRandom.create(5);
+    const nothing = (): void => undefined;
+    const log: ports.Log = { debug: nothing, info: nothing, warn: nothing, error: nothing };
+    const view = new instanceView.InstanceView(nothing);
+    for (const [index, identity] of instances.entries()) {
+      const address = `10.0.0.${index + 1}:80`;
+      const base = { service: 'llm', dataCentre: 'a', slots: 24, state: 'ready' as const, warmUpLeft: 0 };
+      this.table.hear({ ...base, identity, address, sequence: 1 }, time.now());
+    }
+    view.merge('control', this.table.newsSince('', 0, 0), 0);
+    this.context = {
+      timers,
+      log,
+      metrics: { count: nothing, gauge: nothing, timing: nothing },
+      upstreams: this.upstreams(),
+      instances: view,
+      choice: new localChoice.LocalChoice(random, 'a'),
+      allowance: new retryAllowance.RetryAllowance({ ratio: 0.2, slack, window: 10_000 }, () => 1),
+      placement: new placementClient.PlacementClient({
+        entry: 'entry',
+        dataCentre: 'a',
+        peerAddress: '10.0.1.1:1',
+        peers: this.peers(),
+        timers,
+        random,
+        log,
+        coordinator: () => 'coordinator',
+      }),
+    };
+  }
+
+  private upstreams(): types.UpstreamPort {
+    return {
+      send: (call, listener) => {
+        const sent: SentCall = { call, listener, cancelled: false };
+        this.sent.push(sent);
+        return () => {
+          sent.cancelled = true;
+        };
+      },
+      copyMemory: (source, target, _request, stop, done) => {
+        this.copies.push({ source: source.identity, target: target.identity, stop, done });
+      },
+      dropCopy: (copy) => {
+        this.dropped.push(copy.handle);
+      },
+    };
+  }
+
+  private peers(): ports.PeerTransport {
+    return {
+      request: (_address, method, _parameters, _timeout, done) => {
+        const instance = method === methods.methods.place ? this.places.shift() : undefined;
+        if (instance !== undefined) {
+          const answer: placementTypes.PlacementAnswer = { state: 'placed', instance };
+          done(results.Ok(answer));
+        }
+      },
+      notify: () => undefined,
+      serve: (method, handler) => {
+        this.served.set(method, handler);
+      },
+    };
+  }
+
+  /** Tells the entry to move the generation, as the coordinator does; gives the outcome once there is one. */
+  move(source: string, target: string): { outcome: unknown } {
+    const holder: { outcome: unknown } = { outcome: undefined };
+    const command: placementTypes.MoveCommand = { identity: 'r', source, target };
+    this.served.get(methods.methods.move)?.(command, (result) => {
+      holder.outcome = result.ok ? result.val : 'error';
+    });
+    return holder;
+  }
+
+  /** An instance gives notice. */
+  leave(identity: string): void {
+    const { revision } = this.table.newsSince('e', 0, this.time.now());
+    this.table.leave(identity, this.time.now());
+    this.context.instances.merge(
+      'control',
+      this.table.newsSince('e', revision, this.time.now()),
+      this.time.now(),
+    );
+  }
+
+  leaveByCaller(): void {
+    this.gone();
+  }
+
+  /** A request on a route, with its caller. */
+  routed(
+    kind: trafficTypes.CallKind,
+    changes: Partial<trafficTypes.Route> = {},
+  ): exchangeContext.RoutedRequest {
+    const { got } = this;
+    return {
+      request: {
+        identity: 'r',
+        host: 'h',
+        path: '/',
+        method: 'POST',
+        headers: [],
+        body: new Uint8Array(),
+        arrivedAt: this.time.now(),
+        generation: { promptTokens: 3_000, outputLimit: 2_000, lengthHint: 500 },
+      },
+      caller: {
+        refuse: (refusal) => {
+          got.push(`refused ${refusal.reason}`);
+        },
+        whole: (head, body) => {
+          got.push(`whole ${head.status} ${Buffer.from(body).toString()}`);
+        },
+        begin: () => {
+          got.push('begin');
+        },
+        write: (bytes) => {
+          got.push(/id: (\d+)/.exec(Buffer.from(bytes).toString())?.[1] ?? 'bytes');
+        },
+        end: () => {
+          got.push('end');
+        },
+        abort: () => {
+          got.push('abort');
+        },
+        onGone: (gone) => {
+          this.gone = gone;
+        },
+      },
+      route: {
+        name: 'route',
+        host: 'h',
+        pathPrefix: '/',
+        kind,
+        timeout: 10_000,
+        objective: 100,
+        priority: 1,
+        targets: [],
+        maximumAttempts: 2,
+        anonymous: true,
+        resumable: false,
+        longestPause: 180,
+        ...changes,
+      },
+      service: { name: 'llm', maximumConnections: 10, engine: kind === 'stream' ? engineTraits : undefined },
+      rank: 1,
+      answerBy: this.time.now() + 10_000,
+      version: 1,
+    };
+  }
+}
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -19,11 +19,14 @@
 /** A resumable stream that is silent for this long goes on elsewhere: seven of the pauses that callers accept. */
 const RESUME_AFTER_SILENCE: ports.Milliseconds = 1_300;
 
-/** Decoding time of one token on a busy engine, for what a waiting generation still needs. */
-const TOKEN_TIME: ports.Milliseconds = 9;
+/**
+ * How long a generation may wait for its place, in objectives. One that is late earns its caller little, and
+ * one that is refused early can come back elsewhere in time; well before its caller gives up at four.
+ */
+const WAITING_OBJECTIVES = 1.6;
 
-/** Share of the time left that a generation may wait for its place. */
-const WAITING_SHARE = 0.6;
+/** The same as share of the whole time that there is; the rest is for the answer, here or elsewhere. */
+const WAITING_SHARE = 0.45;
 
 interface Leg {
   readonly instance: instanceView.Instance;
@@ -121,15 +124,17 @@
       return;
     }
     const now = timers.now();
-    const left = answerBy - now;
-    const { lengthHint, outputLimit } = this.facts;
-    const needed = Math.min(lengthHint, outputLimit) * TOKEN_TIME;
+    const longest = Math.min(
+      route.objective * WAITING_OBJECTIVES,
+      (answerBy - request.arrivedAt) * WAITING_SHARE,
+    );
+    const waitUntil = request.arrivedAt + longest;
     const ejected = choice.ejectedOf(instances.readyOf(service.name), now);
     const question: placementClient.PlaceQuestion = {
       facts: this.facts,
       excluded: [...this.excluded, ...ejected],
       objectiveLeft: request.arrivedAt + route.objective - now,
-      patience: Math.max(0, Math.min(left * WAITING_SHARE, left - needed)),
+      patience: Math.max(0, waitUntil - now),
     };
     this.cancelPlacement = placement.place(question, (outcome) => {
       this.onPlace(outcome);
--- a/packages/scenarios/src/index.ts
+++ b/packages/scenarios/src/index.ts
@@ -5,5 +5,4 @@
 export * as host from './world/host.js';
 export * as network from './world/network.js';
 export * as session from './language/session.js';
-export * as virtualTime from './world/virtualTime.js';
 export * as world from './world/world.js';
--- a/packages/scenarios/src/world/host.ts
+++ b/packages/scenarios/src/world/host.ts
@@ -4,20 +4,18 @@
  */
 import type * as kumquatfront from 'kumquatfront';
 
-import type * as virtualTime from './virtualTime.js';
-
 /** One host. */
 export class Host {
   readonly name: string;
   readonly dataCentre: string;
-  private readonly time: virtualTime.VirtualTime;
+  private readonly time: kumquatfront.virtualTime.VirtualTime;
   private life = 0;
   private up = false;
   private frozen = false;
   private held: (() => void)[] = [];
   private readonly onDeath: (() => void)[] = [];
 
-  constructor(name: string, dataCentre: string, time: virtualTime.VirtualTime) {
+  constructor(name: string, dataCentre: string, time: kumquatfront.virtualTime.VirtualTime) {
     this.name = name;
     this.dataCentre = dataCentre;
     this.time = time;
--- a/packages/scenarios/src/world/network.ts
+++ b/packages/scenarios/src/world/network.ts
@@ -4,7 +4,6 @@
 import * as kumquatfront from 'kumquatfront';
 
 import type * as host from './host.js';
-import type * as virtualTime from './virtualTime.js';
 
 /** Latencies one way, in milliseconds. */
 export interface NetworkOptions {
@@ -23,14 +22,18 @@
   /** JSON characters sent by each host, where counting is on. */
   readonly sent = new Map<string, { messages: number; bytes: number }>();
   countBytes = false;
-  private readonly time: virtualTime.VirtualTime;
+  private readonly time: kumquatfront.virtualTime.VirtualTime;
   private readonly random: kumquatfront.ports.Random;
   private readonly options: NetworkOptions;
   private readonly lags = new Map<string, number>();
   private readonly cuts = new Set<string>();
   private readonly handlers = new Map<string, Map<string, kumquatfront.ports.PeerHandler>>();
 
-  constructor(time: virtualTime.VirtualTime, random: kumquatfront.ports.Random, options: NetworkOptions) {
+  constructor(
+    time: kumquatfront.virtualTime.VirtualTime,
+    random: kumquatfront.ports.Random,
+    options: NetworkOptions,
+  ) {
     this.time = time;
     this.random = random;
     this.options = options;
--- a/packages/scenarios/src/world/virtualCaller.ts
+++ b/packages/scenarios/src/world/virtualCaller.ts
@@ -6,7 +6,6 @@
 
 import type * as host from './host.js';
 import type * as network from './network.js';
-import type * as virtualTime from './virtualTime.js';
 
 /** An entry as callers reach it. */
 export interface ReachableEntry {
@@ -16,7 +15,7 @@
 
 /** What callers share. */
 export interface CallerWorld {
-  readonly time: virtualTime.VirtualTime;
+  readonly time: kumquatfront.virtualTime.VirtualTime;
   readonly net: network.Network;
   readonly entries: () => readonly ReachableEntry[];
   readonly record: (text: string) => void;
--- a/packages/scenarios/src/world/world.ts
+++ b/packages/scenarios/src/world/world.ts
@@ -9,7 +9,6 @@
 import * as memoryDisk from './memoryDisk.js';
 import * as network from './network.js';
 import * as virtualCaller from './virtualCaller.js';
-import * as virtualTime from './virtualTime.js';
 import * as virtualUpstreams from './virtualUpstreams.js';
 
 /** How a world is made. */
@@ -59,7 +58,7 @@
 
 /** The world; see the module comment. */
 export class World {
-  readonly time = new virtualTime.VirtualTime();
+  readonly time = new kumquatfront.virtualTime.VirtualTime();
   readonly random: kumquatfront.ports.Random;
   readonly net: network.Network;
   readonly controls = new Map<string, ControlSlot>();
