Log on standard output without blocking, page of metrics, moves avoid full targets, a coordinator hears both halves

What: bounded lines that are counted when left out; prom-client on the metrics address; targets that refused are skipped; entries vouch for instances that only the other half lists.

--- a/packages/kumquatfront/src/adapters/keyValueLog.ts
+++ b/packages/kumquatfront/src/adapters/keyValueLog.ts
@@ -4,6 +4,8 @@
 import * as loglevelModule from 'loglevel';
 
 import type * as ports from '../kernel/ports.js';
+import * as boundedOutput from './boundedOutput.js';
+import * as systemTime from './systemTime.js';
 
 /** Levels from the most to the least talkative. */
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error' | 'silent';
@@ -34,8 +36,15 @@
   return `level=${level} event=${event}${pairs.join('')}`;
 }
 
+let standardOutput: boundedOutput.BoundedOutput | undefined;
+
+function writeLine(line: string, weight: boundedOutput.LineWeight): void {
+  standardOutput ??= boundedOutput.toDescriptor(1, systemTime.clock, systemTime.scheduler);
+  standardOutput.write(line, weight);
+}
+
 /**
- * Creates a log that writes to standard error.
+ * Creates a log that writes to standard output, bounded and without ever blocking.
  *
  * @param name - the process, named in every line
  * @param level - the least level that is written
@@ -50,7 +59,8 @@
   const logger = loglevelModule.default.getLogger(name);
   logger.methodFactory = (methodName) => (event: string, fields: ports.LogFields) => {
     const line = format(methodName, event, fields);
-    process.stderr.write(`time=${new Date().toISOString()} process=${name} ${line}\n`);
+    const weight = methodName === 'warn' || methodName === 'error' ? 'important' : 'ordinary';
+    writeLine(`time=${new Date().toISOString()} process=${name} ${line}`, weight);
   };
   logger.setLevel(level, false);
   return {
--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -68,3 +68,4 @@
 export * as freshExchange from './adapters/freshExchange.js';
 export * as trafficHttp from './adapters/trafficHttp.js';
 export * as virtualTime from './kernel/virtualTime.js';
+export * as metricsPage from './adapters/metricsPage.js';
--- a/packages/kumquatfront/src/instances/instanceTable.ts
+++ b/packages/kumquatfront/src/instances/instanceTable.ts
@@ -86,6 +86,16 @@
     return changed;
   }
 
+  /** Takes over what another replica is known to list at this moment; true where it changes anything. */
+  vouch(announcement: types.Announcement, now: number): boolean {
+    const known = this.held.get(announcement.identity);
+    if (known === undefined) {
+      return this.hear(announcement, now);
+    }
+    known.heardAt = now;
+    return announcement.state === 'leaving' && this.leave(announcement.identity, now);
+  }
+
   /** Marks an instance as leaving, where only its identity is told. */
   leave(identity: string, now: number): boolean {
     const known = this.held.get(identity);
--- a/packages/kumquatfront/src/instances/instanceView.ts
+++ b/packages/kumquatfront/src/instances/instanceView.ts
@@ -2,6 +2,7 @@
  * What one entry believes of the upstream instances: the merge of what each control replica tells it.
  */
 import type * as ports from '../kernel/ports.js';
+import * as announcement from './announcement.js';
 import type * as types from './types.js';
 
 /**
@@ -14,13 +15,7 @@
 const SOURCE_SETTLES: ports.Milliseconds = 3_000;
 
 /** One instance as entries use it. */
-export interface Instance {
-  readonly identity: string;
-  readonly service: string;
-  readonly address: string;
-  readonly dataCentre: string;
-  readonly slots: number;
-  readonly state: types.InstanceState;
+export interface Instance extends types.Announcement {
   /** Entry's time at which the instance was heard of for the first time. */
   readonly firstAt: number;
 }
@@ -79,11 +74,7 @@
     const known = this.instances.get(record.identity);
     const leaving = record.state === 'leaving' || known?.state === 'leaving';
     const instance: Instance = {
-      identity: record.identity,
-      service: record.service,
-      address: record.address,
-      dataCentre: record.dataCentre,
-      slots: record.slots,
+      ...announcement.of(record),
       state: leaving ? 'leaving' : 'ready',
       firstAt: known?.firstAt ?? now - record.firstAge,
     };
@@ -118,6 +109,24 @@
     }
   }
 
+  /**
+   * Instances that some replica in contact lists and the named one does not. While control is cut in halves each
+   * hears some of them only; an entry that sees both sides can tell one of the other.
+   */
+  unlistedBy(sourceName: string, now: number): readonly types.Announcement[] {
+    const source = this.sources.get(sourceName);
+    if (source === undefined) {
+      return [];
+    }
+    const others = [...this.sources.values()].filter(
+      (other) => other !== source && now - other.heardAt < SOURCE_LEASE,
+    );
+    return [...this.instances.values()]
+      .filter(({ identity }) => !source.identities.has(identity))
+      .filter(({ identity }) => others.some((other) => other.identities.has(identity)))
+      .map(announcement.of);
+  }
+
   get(identity: string): Instance | undefined {
     return this.instances.get(identity);
   }
--- a/packages/kumquatfront/src/instances/instances.spec.ts
+++ b/packages/kumquatfront/src/instances/instances.spec.ts
@@ -141,3 +141,29 @@
   assert.deepEqual(view.readyOf('llm'), []);
   assert.deepEqual(events, ['i found', 'i leaving']);
 });
+
+// Control is cut in halves, and each half hears half of the instances. The coordinator in one half would place
+// everything on its own few engines; an entry that reaches both tells it of the others.
+void test.test('an entry knows what one replica lacks and another lists', () => {
+  const { view } = createView();
+  const one = new instanceTable.InstanceTable('one');
+  const two = new instanceTable.InstanceTable('two');
+  one.hear(announcement('i'), 0);
+  two.hear(announcement('j', { address: '10.0.0.2:80' }), 0);
+  view.merge('one', one.newsSince('', 0, 0), 0);
+  view.merge('two', two.newsSince('', 0, 0), 0);
+  const unlisted = view.unlistedBy('one', 10);
+  assert.deepEqual(
+    unlisted.map((entry) => entry.identity),
+    ['j'],
+  );
+  assert.equal(one.vouch(unlisted[0] ?? announcement('none'), 10), true);
+  assert.equal(one.records(10).length, 2);
+});
+
+void test.test('what others vouch for does not expire', () => {
+  const table = new instanceTable.InstanceTable('e', 1_000);
+  table.hear(announcement('i'), 0);
+  assert.equal(table.vouch(announcement('i'), 900), false);
+  assert.equal(table.expire(1_500), false);
+});
--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -34,6 +34,7 @@
 export interface CoordinatorOptions {
   readonly timers: timerService.TimerService;
   readonly log: ports.Log;
+  readonly metrics: ports.Metrics;
   readonly random: ports.Random;
   /** The instances as this replica knows them. */
   readonly instances: () => readonly instanceTypes.InstanceRecord[];
@@ -65,6 +66,7 @@
       move: options.move,
       now: () => options.timers.now(),
       log: options.log,
+      metrics: options.metrics,
     });
     options.timers.every(
       () => PUMP_INTERVAL,
@@ -85,6 +87,8 @@
       return;
     }
     const loads = this.pool.describe();
+    this.options.metrics.gauge('placement.waiting', this.queue.size);
+    this.options.metrics.gauge('placement.running', this.pool.placedCount);
     this.options.log.info('coordinatorState', {
       waiting: this.queue.size,
       placed: this.pool.placedCount,
@@ -172,6 +176,7 @@
   private refuse(waiting: placementQueue.Waiting, reason: string): void {
     const { facts } = waiting.request;
     const retryAfter = this.retryAfter(facts.service);
+    this.options.metrics.count('placement.answers', 1, { state: 'refused' });
     this.options.log.info('placementRefused', { request: facts.identity, reason, retryAfter });
     waiting.answer({ state: 'refused', retryAfter, reason });
   }
@@ -197,8 +202,11 @@
     const placement = { instance: engine.identity, backup: backup?.identity };
     this.pool.grant(waiting.request, placement, now);
     this.noteGrant(facts.service, now);
-    this.options.log.debug('placed', {
+    this.options.metrics.count('placement.answers', 1, { state: 'placed' });
+    this.options.metrics.timing('placement.wait', now - waiting.since, { rank: String(facts.rank) });
+    this.options.log.info('placed', {
       request: facts.identity,
+      entry: waiting.request.entry,
       engine: engine.identity,
       backup: backup?.identity,
       waited: Math.round(now - waiting.since),
--- a/packages/kumquatfront/src/placement/evacuation.ts
+++ b/packages/kumquatfront/src/placement/evacuation.ts
@@ -13,8 +13,8 @@
 /** A generation with fewer tokens left than this ends before its engine does: half a second of decoding. */
 const ENDS_BY_ITSELF = 48;
 
-/** Tries for one generation; a target that had no room a moment ago seldom has it now. */
-const MOST_TRIES = 2;
+/** Tries for one generation, each with another target. */
+const MOST_TRIES = 3;
 
 /** A move whose end is not heard by then is taken as lost: twice the copy of the largest prompt. */
 export const MOVE_TIMEOUT: ports.Milliseconds = 3_000;
@@ -32,6 +32,7 @@
   ) => void;
   readonly now: () => ports.Milliseconds;
   readonly log: ports.Log;
+  readonly metrics: ports.Metrics;
 }
 
 /** The scheduler; see the module comment. */
@@ -40,6 +41,8 @@
   /** Generation that is being moved off each source. */
   private readonly moving = new Map<string, string>();
   private readonly tries = new Map<string, number>();
+  /** Targets that had no room, by generation: their caches and copies are not in the forecast. */
+  private readonly refusedBy = new Map<string, Set<string>>();
 
   constructor(host: EvacuationHost) {
     this.host = host;
@@ -56,6 +59,7 @@
     }
     if (leaving.length === 0) {
       this.tries.clear();
+      this.refusedBy.clear();
     }
   }
 
@@ -83,7 +87,7 @@
   }
 
   private startNext(source: enginePool.Engine): void {
-    const { pool, log } = this.host;
+    const { pool, log, metrics } = this.host;
     for (const placed of this.inOrder(source)) {
       const { running, entry } = placed;
       const address = pool.addressOf(entry);
@@ -105,6 +109,11 @@
       this.host.move(address, command, (outcome) => {
         this.moving.delete(source.identity);
         pool.endMove(identity, outcome === 'moved', this.host.now());
+        metrics.count('placement.moves', 1, { outcome });
+        if (outcome === 'failed') {
+          const refused = this.refusedBy.get(identity) ?? new Set<string>();
+          this.refusedBy.set(identity, refused.add(target.identity));
+        }
         log.info('moveEnded', { request: identity, source: source.identity, outcome });
         this.pump();
       });
@@ -119,16 +128,17 @@
     const { pool } = this.host;
     const { facts, produced } = running;
     const busy = pool.engineList.filter((engine) => pool.receives(engine.identity));
-    const excluded = new Set([source.identity, ...busy.map((engine) => engine.identity)]);
-    const find = (refused: ReadonlySet<string>): enginePool.Engine | undefined =>
+    const refused = this.refusedBy.get(facts.identity) ?? new Set<string>();
+    const excluded = new Set([source.identity, ...refused, ...busy.map((engine) => engine.identity)]);
+    const find = (without: ReadonlySet<string>): enginePool.Engine | undefined =>
       pool.bestFor({
         facts,
         produced,
         purpose: 'move',
         dataCentre: source.dataCentre,
-        excluded: refused,
+        excluded: without,
         nearBonus: SAME_DATA_CENTRE_BONUS,
       });
-    return find(excluded) ?? find(new Set([source.identity]));
+    return find(excluded) ?? find(new Set([source.identity, ...refused]));
   }
 }
--- /dev/null
+++ b/packages/kumquatfront/src/placement/overload.spec.ts
@@ -0,0 +1,169 @@
+/**
+ * The coordinator under a load of many generations on few engines, on virtual time.
+ *
+ * Pattern: long generations of unknown length come faster than engines can hold them, and every few seconds an
+ * engine leaves and another takes its place. Without a bound on memory the engines preempt what they run; with
+ * a first-come queue everybody is late. Grounds of the figures: the rates, prompts and lengths of the first
+ * users' grown site (prompts of 3,000 tokens, outputs log-normal around 700, 22,000 tokens an engine).
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as seededRandom from '../adapters/seededRandom.js';
+import type * as instanceTypes from '../instances/types.js';
+import type * as ports from '../kernel/ports.js';
+import * as timerService from '../kernel/timerService.js';
+import * as virtualTime from '../kernel/virtualTime.js';
+import type * as trafficTypes from '../traffic/types.js';
+import * as coordinator from './coordinator.js';
+import type * as types from './types.js';
+
+const MEMORY = 22_000;
+const TOKEN_TIME = 8;
+const REPORT = 250;
+const OBJECTIVE = 1_800;
+
+interface Run {
+  readonly facts: types.GenerationFacts;
+  readonly length: number;
+  readonly instance: string;
+  readonly beganAt: number;
+}
+
+interface Outcome {
+  readonly inTime: number;
+  readonly late: number;
+  readonly refused: number;
+  /** Moments, one a report, at which an engine held more than its memory. */
+  readonly overfilled: number;
+  readonly urgentRefused: number;
+}
+
+/** Plays half a minute of one entry's generations over a set of engines. */
+function play(seed: number, engineCount: number, perSecond: number): Outcome {
+  const time = new virtualTime.VirtualTime();
+  const random = seededRandom.create(seed);
+  const timers = timerService.create(time.clock, time);
+  const silent = (): void => undefined;
+  const log: ports.Log = { debug: silent, info: silent, warn: silent, error: silent };
+  const metrics: ports.Metrics = { count: silent, gauge: silent, timing: silent };
+  const engine: trafficTypes.EngineTraits = {
+    slots: 24,
+    memoryTokens: MEMORY,
+    bytesPerToken: 1,
+    linkMegabitsPerSecond: 1,
+    migrations: false,
+    backups: false,
+    tokensPerEvent: 4,
+  };
+  const instances: instanceTypes.InstanceRecord[] = Array.from({ length: engineCount }, (_none, index) => ({
+    identity: `i${index}`,
+    service: 'llm',
+    address: `10.0.0.${index}:80`,
+    dataCentre: 'a',
+    slots: 24,
+    state: 'ready',
+    warmUpLeft: 0,
+    sequence: 1,
+    age: 0,
+    firstAge: 0,
+  }));
+  const service: trafficTypes.Service = { name: 'llm', maximumConnections: 100, engine };
+  const placer = new coordinator.Coordinator({
+    timers,
+    log,
+    metrics,
+    random,
+    instances: () => instances,
+    instancesRevision: () => 1,
+    serviceOf: () => service,
+    move: silent,
+  });
+  const runs = new Map<string, Run>();
+  const counts = { inTime: 0, late: 0, refused: 0, overfilled: 0, urgentRefused: 0 };
+  let finished: types.FinishedGeneration[] = [];
+  let sequence = 0;
+
+  const producedBy = (run: Run): number =>
+    Math.min(run.length, Math.floor((time.now() - run.beganAt) / TOKEN_TIME));
+  const report = (): void => {
+    const held = new Map<string, number>();
+    const generations = [...runs.values()].map((run) => {
+      const produced = producedBy(run);
+      held.set(run.instance, (held.get(run.instance) ?? 0) + run.facts.promptTokens + produced);
+      return { facts: run.facts, instance: run.instance, produced, started: true };
+    });
+    counts.overfilled += [...held.values()].filter((tokens) => tokens > MEMORY).length;
+    sequence += 1;
+    placer.report({
+      ...{ entry: 'e', address: 'e:1', epoch: 'x', sequence, leaving: [], unlisted: [] },
+      generations,
+      finished,
+    });
+    finished = [];
+    time.after(REPORT, report);
+  };
+  report();
+
+  const arrive = (index: number): void => {
+    const urgent = random.next() < 0.5;
+    const normal = Math.sqrt(-2 * Math.log(random.next() + 1e-9)) * Math.cos(2 * Math.PI * random.next());
+    const length = urgent ? 12 : Math.max(8, Math.min(2_200, Math.round(700 * Math.exp(0.84 * normal))));
+    const facts: types.GenerationFacts = {
+      identity: `g${index}`,
+      service: 'llm',
+      promptTokens: urgent ? 2_200 : 3_000,
+      outputLimit: urgent ? 44 : 2_200,
+      lengthHint: Math.max(1, Math.round(length * Math.exp((random.next() - 0.5) * 2))),
+      rank: urgent ? 0 : 1,
+      account: '',
+    };
+    const askedAt = time.now();
+    const patience = OBJECTIVE * 1.6;
+    placer.place(
+      { facts, entry: 'e', dataCentre: 'a', excluded: [], objectiveLeft: OBJECTIVE, patience },
+      (answer) => {
+        if (answer.state === 'refused') {
+          counts.refused += 1;
+          counts.urgentRefused += urgent ? 1 : 0;
+          return;
+        }
+        counts[time.now() - askedAt <= OBJECTIVE ? 'inTime' : 'late'] += 1;
+        runs.set(facts.identity, { facts, length, instance: answer.instance, beganAt: time.now() });
+        time.after(length * TOKEN_TIME, () => {
+          runs.delete(facts.identity);
+          finished.push({ facts, produced: length });
+        });
+      },
+    );
+    time.after(1_000 / perSecond, () => {
+      arrive(index + 1);
+    });
+  };
+  time.after(1_000, () => {
+    arrive(0);
+  });
+  time.advance(30_000);
+  timers.stop();
+  return counts;
+}
+
+for (const seed of [1, 2, 3]) {
+  void test.test(`with room for all nobody waits or is refused, seed ${seed}`, () => {
+    const outcome = play(seed, 12, 8);
+    assert.equal(outcome.refused, 0);
+    assert.equal(outcome.late, 0);
+    assert.equal(outcome.overfilled, 0);
+  });
+
+  // Twice as much comes as fits. Whoever is served is served in time, the rest is told early; the engines hold
+  // what they were given, so nothing is preempted; urgent ones hardly notice.
+  void test.test(`under twice the load most of what is served is in time, seed ${seed}`, () => {
+    const outcome = play(seed, 4, 10);
+    const served = outcome.inTime + outcome.late;
+    assert.ok(outcome.inTime > 0.8 * served, `in time ${outcome.inTime} of ${served}`);
+    assert.ok(outcome.refused > 20, `refused ${outcome.refused}`);
+    assert.ok(outcome.overfilled <= 4, `overfilled ${outcome.overfilled}`);
+    assert.ok(outcome.urgentRefused <= 0.1 * outcome.refused, `urgent refused ${outcome.urgentRefused}`);
+  });
+}
--- a/packages/kumquatfront/src/placement/types.ts
+++ b/packages/kumquatfront/src/placement/types.ts
@@ -2,6 +2,7 @@
  * Messages between entries and the coordinator that places and moves generations for the whole system.
  * Times are milliseconds, sizes are tokens.
  */
+import type * as instanceTypes from '../instances/types.js';
 import type * as ports from '../kernel/ports.js';
 
 /** What is known of a generation before and while it runs. */
@@ -70,6 +71,8 @@
   readonly finished: readonly FinishedGeneration[];
   /** Engines among those above that have given notice to this entry's knowledge. */
   readonly leaving: readonly string[];
+  /** Instances that other replicas list and the one that gets this report does not. */
+  readonly unlisted: readonly instanceTypes.Announcement[];
 }
 
 /** A generation that ended by itself. */
--- a/packages/kumquatfront/src/relay/placementClient.ts
+++ b/packages/kumquatfront/src/relay/placementClient.ts
@@ -2,6 +2,7 @@
  * An entry's side of placement: it asks the coordinator for places, reports what runs, and carries out moves.
  * Where no coordinator answers, the caller of this part chooses by itself.
  */
+import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
 import type * as timerService from '../kernel/timerService.js';
@@ -43,6 +44,7 @@
   readonly log: ports.Log;
   /** Peer address of the coordinator; empty where none is known. */
   readonly coordinator: () => string;
+  readonly instances: instanceView.InstanceView;
 }
 
 /** A question for a place, before the entry adds who it is. */
@@ -199,7 +201,7 @@
   }
 
   private sendReport(): void {
-    const { peers, entry, peerAddress, coordinator } = this.options;
+    const { peers, timers, entry, peerAddress, coordinator, instances } = this.options;
     const address = coordinator();
     const generations: placementTypes.RunningGeneration[] = [];
     const leaving = new Set<string>();
@@ -227,6 +229,7 @@
       generations,
       finished,
       leaving: [...leaving],
+      unlisted: instances.unlistedBy(address, timers.now()),
     };
     peers.notify(address, methods.methods.report, report);
   }
--- a/packages/kumquatfront/src/relay/relayBench.ts
+++ b/packages/kumquatfront/src/relay/relayBench.ts
@@ -104,6 +104,7 @@
         random,
         log,
         coordinator: () => 'coordinator',
+        instances: view,
       }),
     };
   }
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -9,8 +9,10 @@
 import * as answerRules from './answerRules.js';
 import * as eventSplitter from './eventSplitter.js';
 import * as exchangeContext from './exchangeContext.js';
+import * as generationFacts from './generationFacts.js';
 import * as generationMove from './generationMove.js';
 import type * as placementClient from './placementClient.js';
+import * as streamDelivery from './streamDelivery.js';
 import type * as types from './types.js';
 
 /** After the final copy the source closes its stream by itself; a silent connection must not hold up the rest. */
@@ -46,24 +48,19 @@
   private readonly context: exchangeContext.ExchangeContext;
   private readonly routed: exchangeContext.RoutedRequest;
   private readonly facts: placementTypes.GenerationFacts | undefined;
+  private readonly delivery: streamDelivery.StreamDelivery;
   private readonly excluded = new Set<string>();
   private leg: Leg | undefined;
-  private begun = false;
   private ended = false;
   /** Upstreams that may have run the request from its start or a resumption. */
   private runs = 0;
   private sends = 0;
   private moves = 0;
-  private produced = 0;
-  private lastEvent: string | undefined;
-  private lastEventAt: ports.Milliseconds;
-  private longestPause = 0;
   private activeMove: generationMove.GenerationMove | undefined;
   /** Set where the source's stream closed while its final copy was under way. */
   private closedWhileStopping: (() => void) | undefined;
   /** The leg whose source has stopped and whose last events are awaited. */
   private sourceClosing: { readonly leg: Leg; readonly closed: () => void } | undefined;
-  private firstHead: types.UpstreamHead | undefined;
   private cancelDeadline: ports.Cancel = () => undefined;
   private cancelPlacement: ports.Cancel = () => undefined;
   private cancelSilence: ports.Cancel = () => undefined;
@@ -71,9 +68,8 @@
   constructor(context: exchangeContext.ExchangeContext, routed: exchangeContext.RoutedRequest) {
     this.context = context;
     this.routed = routed;
-    this.lastEvent = routed.request.lastEvent;
-    this.lastEventAt = routed.request.arrivedAt;
-    this.facts = factsOf(routed);
+    this.facts = generationFacts.of(routed);
+    this.delivery = new streamDelivery.StreamDelivery(routed.caller, routed.request.lastEvent);
   }
 
   start(): void {
@@ -174,7 +170,7 @@
 
   /** No engine takes it: a refusal is true only where none has run it before. */
   private noPlace(reason: types.RefusalReason, message: string, retryAfter: ports.Milliseconds): void {
-    if (this.begun) {
+    if (this.delivery.begun) {
       this.breakOff(message);
     } else if (this.runs > 0 && !this.resumable) {
       this.refuse('outcomeUnknown', message);
@@ -209,7 +205,7 @@
     log.debug('streamSent', {
       request: request.identity,
       upstream: instance.identity,
-      lastEvent: this.lastEvent,
+      lastEvent: this.delivery.lastEvent,
       copy: copy?.handle,
     });
     const urgency = this.facts === undefined ? undefined : rank;
@@ -219,7 +215,7 @@
       timeLeft: answerBy - now,
       account,
       urgency,
-      lastEvent: this.lastEvent,
+      lastEvent: this.delivery.lastEvent,
       copy,
       backup: backup?.address,
     };
@@ -273,7 +269,7 @@
     } else if (head.status >= 300) {
       leg.failure = { head, chunks: [] };
     } else {
-      this.firstHead ??= head;
+      this.delivery.takeHead(head);
     }
   }
 
@@ -288,33 +284,18 @@
   }
 
   private onEvent(leg: Leg, event: eventSplitter.WholeEvent): void {
-    const { caller, service } = this.routed;
-    const now = this.context.timers.now();
+    const first = leg.events === 0;
     leg.events += 1;
-    // An engine that goes on from a copy may begin with what the caller already has.
-    if (event.identity !== undefined && !this.isNew(event.identity)) {
-      return;
-    }
-    if (event.identity !== undefined) {
-      this.lastEvent = event.identity;
-    }
-    if (!this.begun && this.firstHead !== undefined) {
-      this.begun = true;
-      caller.begin(this.firstHead);
+    this.delivery.hand(event, this.context.timers.now());
+    if (first) {
       this.context.placement.changed();
-    } else {
-      this.longestPause = Math.max(this.longestPause, now - this.lastEventAt);
     }
-    this.lastEventAt = now;
-    this.produced += service.engine?.tokensPerEvent ?? 1;
-    caller.write(event.bytes);
     this.watchSilence();
   }
 
-  private isNew(identity: string): boolean {
-    const number = Number(identity);
-    const last = Number(this.lastEvent);
-    return this.lastEvent === undefined || Number.isNaN(number) || Number.isNaN(last) || number > last;
+  /** Output tokens made so far. */
+  private get produced(): number {
+    return this.delivery.events * (this.routed.service.engine?.tokensPerEvent ?? 1);
   }
 
   /** A resumable stream does not wait for a silent upstream. */
@@ -363,17 +344,8 @@
       this.onFailureAnswer(leg, leg.failure);
       return;
     }
-    const rest = leg.splitter.takeRest();
     this.context.choice.succeeded(leg.instance.identity);
-    const { caller } = this.routed;
-    if (!this.begun && this.firstHead !== undefined) {
-      this.begun = true;
-      caller.begin(this.firstHead);
-    }
-    if (rest.length > 0) {
-      caller.write(rest);
-    }
-    caller.end();
+    this.delivery.end(leg.splitter.takeRest());
     this.dropLeg(leg);
     this.finish({ outcome: 'answered', upstream: leg.instance.identity });
   }
@@ -384,7 +356,7 @@
     choice.failed(leg.instance.identity, 'failure', timers.now());
     if (failure.head.status >= 500 && this.mayResume()) {
       this.afterBreak(leg, 'upstreamFailed');
-    } else if (this.begun) {
+    } else if (this.delivery.begun) {
       this.breakOff(`the next upstream answered ${failure.head.status}`);
     } else {
       this.routed.caller.whole(failure.head, Buffer.concat(failure.chunks));
@@ -429,7 +401,7 @@
       upstream: leg.instance.identity,
       failure,
       reason,
-      lastEvent: this.lastEvent,
+      lastEvent: this.delivery.lastEvent,
     });
     choice.failed(leg.instance.identity, failure === 'notSent' ? 'stall' : 'failure', timers.now());
     this.excluded.add(leg.instance.identity);
@@ -443,7 +415,7 @@
       this.goOnFromCopy(move.target, { address: leg.instance.address, handle: move.handle });
     } else if (this.mayResume()) {
       this.afterBreak(leg, failure);
-    } else if (this.begun) {
+    } else if (this.delivery.begun) {
       this.breakOff(reason);
     } else {
       this.refuse('outcomeUnknown', 'the upstream broke off before its first event');
@@ -476,7 +448,7 @@
     this.context.log.info('streamResumes', {
       request: this.routed.request.identity,
       cause,
-      lastEvent: this.lastEvent,
+      lastEvent: this.delivery.lastEvent,
       runs: this.runs,
     });
     this.findPlace();
@@ -579,7 +551,7 @@
   }
 
   private giveUp(): void {
-    if (this.begun) {
+    if (this.delivery.begun) {
       this.breakOff('the route allows no more time');
     } else if (this.runs === 0) {
       this.refuse('timeoutNotRun', 'no place came free in time', exchangeContext.NO_UPSTREAM_RETRY);
@@ -613,28 +585,13 @@
     }
     if (this.facts !== undefined) {
       const { facts, produced } = this;
-      const finished = outcome.outcome === 'answered' && this.begun ? { facts, produced } : undefined;
+      const finished =
+        outcome.outcome === 'answered' && this.delivery.begun ? { facts, produced } : undefined;
       this.context.placement.closed(this.routed.request.identity, finished);
     }
-    const { sends, moves, lastEvent } = this;
-    const longestPause = Math.round(this.longestPause);
+    const { sends, moves } = this;
+    const { lastEvent } = this.delivery;
+    const longestPause = Math.round(this.delivery.longestPause);
     exchangeContext.logEnd(this.context, this.routed, { ...outcome, sends, moves, lastEvent, longestPause });
   }
 }
-
-function factsOf(routed: exchangeContext.RoutedRequest): placementTypes.GenerationFacts | undefined {
-  const { request, service, rank, account } = routed;
-  if (service.engine === undefined) {
-    return undefined;
-  }
-  const { generation } = request;
-  return {
-    identity: request.identity,
-    service: service.name,
-    promptTokens: generation?.promptTokens ?? 0,
-    outputLimit: generation?.outputLimit ?? 0,
-    lengthHint: generation?.lengthHint ?? 0,
-    rank,
-    account: account ?? '',
-  };
-}
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -77,11 +77,12 @@
 
   constructor(options: TrafficControlOptions) {
     this.options = options;
-    const { timers, random, log, peers } = options;
+    const { timers, random, log, metrics, peers } = options;
     this.table = new instanceTable.InstanceTable(random.identity());
     this.coordinator = new coordinator.Coordinator({
       timers,
       log,
+      metrics,
       random,
       instances: () => this.table.records(timers.now()),
       instancesRevision: () => this.table.currentRevision,
@@ -142,8 +143,13 @@
     });
   }
 
-  /** An entry may know of a notice that went to a replica which is cut off from this one. */
+  /** An entry may know of instances and notices that only replicas know which are cut off from this one. */
   private onReport(report: placementTypes.EntryReport): void {
+    const now = this.options.timers.now();
+    const changes = report.unlisted.map((announcement) => this.table.vouch(announcement, now));
+    if (changes.includes(true)) {
+      this.wakeWatches();
+    }
     this.coordinator.report(report);
     for (const identity of report.leaving) {
       if (!this.table.isLeaving(identity)) {
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -84,6 +84,7 @@
       random,
       log,
       coordinator: () => this.watch.coordinator,
+      instances,
     });
     const { placement } = this;
     const allowance = new retryAllowance.RetryAllowance(settings.retries, () => this.watch.entryCount);
