Prompts that wait to be read count, moves spare what ends by itself, backups dropped

Cause: (1) prompts that come to one engine together are read in turns, and first events were late with memory to spare; (2) a resumable stream waited 1.3 s for a silent engine, so that the second one was late as well; (3) six or seven moves fill the notice of an engine, and some were spent on generations about to end.

What: unread prompts count when an engine is chosen; resumption after 0.62 of the objective; moves ordered by what they save; entries report also when nothing runs, so the first request of a calm minute does not wait.

Failed try, taken out: backups of long generations where under half of the memory is forecast.

--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -104,8 +104,7 @@
     const known = this.pool.placedOf(request.facts.identity);
     // The answer to an earlier question may have been lost; granting another engine would count it twice.
     if (known !== undefined && !known.reported && !request.excluded.includes(known.running.instance)) {
-      const { instance, backup } = known.running;
-      answer({ state: 'placed', instance, backup });
+      answer({ state: 'placed', instance: known.running.instance });
       return;
     }
     if (!this.queue.add(request, now, answer)) {
@@ -194,12 +193,11 @@
     const patient = facts.rank >= enginePool.PATIENT_RANK;
     const purpose = patient ? 'patient' : 'urgent';
     const search = { facts, produced: 0, purpose, dataCentre, excluded: new Set(excluded) } as const;
-    const engine = this.pool.bestFor(search);
+    const engine = this.pool.bestFor(search, now);
     if (engine === undefined) {
       return false;
     }
-    const backup = patient ? this.backupFor(facts, engine) : undefined;
-    const placement = { instance: engine.identity, backup: backup?.identity };
+    const placement = { instance: engine.identity };
     this.pool.grant(waiting.request, placement, now);
     this.noteGrant(facts.service, now);
     this.options.metrics.count('placement.answers', 1, { state: 'placed' });
@@ -208,7 +206,6 @@
       request: facts.identity,
       entry: waiting.request.entry,
       engine: engine.identity,
-      backup: backup?.identity,
       waited: Math.round(now - waiting.since),
       waiting: this.queue.size,
     });
@@ -216,19 +213,6 @@
     return true;
   }
 
-  /**
-   * An engine that keeps a copy of a long generation as it grows, where memory is to spare. It saves what no
-   * notice comes for, and takes the haste out of notices: what has a copy survives its engine.
-   */
-  private backupFor(facts: types.GenerationFacts, engine: enginePool.Engine): enginePool.Engine | undefined {
-    if (!engine.traits.backups) {
-      return undefined;
-    }
-    const { dataCentre } = engine;
-    const excluded = new Set([engine.identity]);
-    return this.pool.bestFor({ facts, produced: 0, purpose: 'backup', dataCentre, excluded });
-  }
-
   private noteGrant(service: string, now: number): void {
     const known = this.grantGap.get(service);
     const gap = known === undefined ? 100 : 0.9 * known.gap + 0.1 * (now - known.at);
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -13,21 +13,18 @@
 import type * as types from './types.js';
 
 /** What a place is wanted for; each has a bound of its own on the share of memory that is forecast to fill. */
-export type Purpose = 'patient' | 'urgent' | 'move' | 'backup';
+export type Purpose = 'patient' | 'urgent' | 'move';
 
 /**
  * Shares of an engine's memory. Urgent generations are short: what counts for them is the memory that is held
- * until they end, not the peak that the long ones reach seconds later. A move may go over: what would be lost otherwise is worth more than what it may make late. Copies
- * kept as backups only take memory that nobody is near to needing.
- */
+ * until they end, not the peak that the long ones reach seconds later. A move may go over: what would be lost otherwise is worth more than what it may make late. */
 const MEMORY_SHARES: Readonly<Record<Purpose, number>> = {
   patient: 0.85,
   urgent: 0.97,
   move: 1.02,
-  backup: 0,
 };
 
-/** Slots that patient generations and backups leave free, so that an urgent one starts at once. */
+/** Slots that patient generations leave free, so that an urgent one starts at once. */
 const SLOTS_KEPT_FREE = 2;
 
 /** A generation of this rank or above it is patient. */
@@ -56,6 +53,8 @@
   readonly running: types.RunningGeneration;
   readonly entry: string;
   readonly grantedAt: ports.Milliseconds;
+  /** When the generation was placed or first reported. */
+  readonly beganAt: ports.Milliseconds;
   readonly reported: boolean;
 }
 
@@ -77,6 +76,18 @@
   readonly nearBonus?: number;
 }
 
+/**
+ * Prompt tokens that wait to be read on an engine count against it like this share of its memory each.
+ *
+ * Pattern: prompts that come to one engine together are read in turns, and the last one's first event is late
+ * although there is memory for all. Grounds: engines read 10 to 15 tokens a millisecond, so that one long prompt
+ * holds the next up for a quarter of a second, a sixth of an objective.
+ */
+const SHARE_FOR_UNREAD_TOKEN = 0.2 / 3_000;
+
+/** A prompt counts as read after this long where no report has said so. */
+const READ_AFTER: ports.Milliseconds = 1_000;
+
 const EMPTY: readonly memoryPeak.Growth[] = [];
 
 /** The pool; see the module comment. */
@@ -113,6 +124,7 @@
       return;
     }
     this.entries.set(entry, { address, epoch, sequence, heardAt: now });
+    const former = new Map(this.placed);
     for (const [identity, placed] of this.placed) {
       const fresh = !placed.reported && now - placed.grantedAt < GRANT_HOLDS;
       if (placed.entry === entry && !fresh) {
@@ -121,7 +133,8 @@
     }
     for (const running of report.generations) {
       const { identity } = running.facts;
-      this.placed.set(identity, { running, entry, grantedAt: now, reported: true });
+      const beganAt = former.get(identity)?.beganAt ?? now;
+      this.placed.set(identity, { running, entry, grantedAt: now, beganAt, reported: true });
     }
     for (const finished of report.finished) {
       this.lengths.learn(finished.facts, finished.produced);
@@ -142,9 +155,9 @@
 
   grant(request: types.PlacementRequest, answer: types.Placement, now: number): void {
     const { facts, entry } = request;
-    const { instance, backup } = answer;
-    const running = { facts, instance, backup, produced: 0, started: false };
-    this.placed.set(facts.identity, { running, entry, grantedAt: now, reported: false });
+    const { instance } = answer;
+    const running = { facts, instance, produced: 0, started: false };
+    this.placed.set(facts.identity, { running, entry, grantedAt: now, beganAt: now, reported: false });
     this.loads = undefined;
   }
 
@@ -153,14 +166,16 @@
     this.loads = undefined;
   }
 
-  /** Notes the end of a move; where it went well the generation runs at its target from now on. */
-  endMove(identity: string, moved: boolean, now: number): void {
+  /** Notes the end of a move: the generation runs at its target from now on, or has ended, or stays. */
+  endMove(identity: string, outcome: types.MoveOutcome, now: number): void {
     const target = this.incoming.get(identity);
     const placed = this.placed.get(identity);
     this.incoming.delete(identity);
     this.loads = undefined;
-    if (moved && target !== undefined && placed !== undefined) {
-      const running = { ...placed.running, instance: target, backup: undefined };
+    if (outcome === 'ended') {
+      this.placed.delete(identity);
+    } else if (outcome === 'moved' && target !== undefined && placed !== undefined) {
+      const running = { ...placed.running, instance: target };
       this.placed.set(identity, { ...placed, running, grantedAt: now, reported: false });
     }
   }
@@ -187,7 +202,7 @@
     return { held: facts.promptTokens + produced, remaining: this.lengths.remaining(facts, produced) };
   }
 
-  /** What each engine holds: generations, copies of others, and moves that are on their way. */
+  /** What each engine holds: generations, and moves that are on their way. */
   private loadsOf(): Map<string, memoryPeak.Growth[]> {
     if (this.loads !== undefined) {
       return this.loads;
@@ -206,20 +221,31 @@
     for (const [identity, { running }] of this.placed) {
       const growth = this.growthOf(running);
       add(running.instance, growth);
-      add(running.backup, growth);
       add(this.incoming.get(identity), growth);
     }
     this.loads = loads;
     return loads;
   }
 
-  /** The engine that has the most memory to spare after taking a generation in; undefined where none has room. */
-  bestFor(search: Search): Engine | undefined {
+  /** Prompt tokens on each engine that are not read yet. */
+  private unreadPrompts(now: number): Map<string, number> {
+    const unread = new Map<string, number>();
+    for (const { running, beganAt } of this.placed.values()) {
+      if (!running.started && now - beganAt < READ_AFTER) {
+        unread.set(running.instance, (unread.get(running.instance) ?? 0) + running.facts.promptTokens);
+      }
+    }
+    return unread;
+  }
+
+  /** The engine that has the most to spare after taking a generation in; undefined where none has room. */
+  bestFor(search: Search, now: number): Engine | undefined {
     const { facts, produced, purpose, dataCentre, excluded, nearBonus = SAME_DATA_CENTRE_BONUS } = search;
     const loads = this.loadsOf();
+    const unread = this.unreadPrompts(now);
     const held = facts.promptTokens + produced;
     const growth = { held, remaining: this.lengths.remaining(facts, produced) };
-    const keptFree = purpose === 'urgent' || purpose === 'move' ? 0 : SLOTS_KEPT_FREE;
+    const keptFree = purpose === 'patient' ? SLOTS_KEPT_FREE : 0;
     let best: Engine | undefined;
     let bestScore = Number.NEGATIVE_INFINITY;
     for (const engine of this.engines.values()) {
@@ -232,8 +258,9 @@
       const needed = purpose === 'urgent' ? memoryPeak.heldAt(all, growth.remaining) : memoryPeak.peakOf(all);
       const filled = needed / memoryTokens;
       // An engine with nothing on it takes a generation of any size: it would wait for ever otherwise.
-      const fits = filled <= MEMORY_SHARES[purpose] || (load.length === 0 && purpose !== 'backup');
-      const score = (engine.dataCentre === dataCentre ? nearBonus : 0) - filled;
+      const fits = filled <= MEMORY_SHARES[purpose] || load.length === 0;
+      const reading = (unread.get(engine.identity) ?? 0) * SHARE_FOR_UNREAD_TOKEN;
+      const score = (engine.dataCentre === dataCentre ? nearBonus : 0) - filled - reading;
       if (fits && load.length < slots - keptFree && score > bestScore) {
         best = engine;
         bestScore = score;
--- a/packages/kumquatfront/src/placement/evacuation.ts
+++ b/packages/kumquatfront/src/placement/evacuation.ts
@@ -13,6 +13,12 @@
 /** A generation with fewer tokens left than this ends before its engine does: half a second of decoding. */
 const ENDS_BY_ITSELF = 48;
 
+/**
+ * Tokens that an engine still makes for each generation after its notice: a second and a half of decoding. A
+ * generation that is likely to end within them need not be moved.
+ */
+const TOKENS_AFTER_NOTICE = 180;
+
 /** Tries for one generation, each with another target. */
 const MOST_TRIES = 3;
 
@@ -64,22 +70,22 @@
   }
 
   /**
-   * What has a copy elsewhere goes last, since it survives the engine. Among the rest the most that a copied
-   * token saves goes first: worth grows with the output, cost with what is copied.
+   * What a copied token saves most goes first: worth grows with the output, cost with what is copied, and what
+   * ends before the engine does needs no saving.
    */
   private inOrder(source: enginePool.Engine): readonly enginePool.Placed[] {
     const { pool } = this.host;
     const value = ({ running }: enginePool.Placed): number => {
       const { facts, produced } = running;
       const output = pool.lengths.expectedOutput(facts, produced);
-      return (facts.promptTokens + 10 * output) / (facts.promptTokens + produced);
+      const needsSaving = Math.exp(-TOKENS_AFTER_NOTICE / Math.max(1, output - produced));
+      return (needsSaving * (facts.promptTokens + 10 * output)) / (facts.promptTokens + produced);
     };
-    const backed = ({ running }: enginePool.Placed): number => (running.backup === undefined ? 0 : 1);
     return pool
       .placedOn(source.identity)
       .filter(({ running }) => running.started && (this.tries.get(this.tryOf(running)) ?? 0) < MOST_TRIES)
       .filter(({ running }) => pool.lengths.remaining(running.facts, running.produced) >= ENDS_BY_ITSELF)
-      .sort((left, right) => backed(left) - backed(right) || value(right) - value(left));
+      .sort((left, right) => value(right) - value(left));
   }
 
   private tryOf(running: types.RunningGeneration): string {
@@ -108,7 +114,7 @@
       const command = { identity, source: source.identity, target: target.identity };
       this.host.move(address, command, (outcome) => {
         this.moving.delete(source.identity);
-        pool.endMove(identity, outcome === 'moved', this.host.now());
+        pool.endMove(identity, outcome, this.host.now());
         metrics.count('placement.moves', 1, { outcome });
         if (outcome === 'failed') {
           const refused = this.refusedBy.get(identity) ?? new Set<string>();
@@ -131,14 +137,17 @@
     const refused = this.refusedBy.get(facts.identity) ?? new Set<string>();
     const excluded = new Set([source.identity, ...refused, ...busy.map((engine) => engine.identity)]);
     const find = (without: ReadonlySet<string>): enginePool.Engine | undefined =>
-      pool.bestFor({
-        facts,
-        produced,
-        purpose: 'move',
-        dataCentre: source.dataCentre,
-        excluded: without,
-        nearBonus: SAME_DATA_CENTRE_BONUS,
-      });
+      pool.bestFor(
+        {
+          facts,
+          produced,
+          purpose: 'move',
+          dataCentre: source.dataCentre,
+          excluded: without,
+          nearBonus: SAME_DATA_CENTRE_BONUS,
+        },
+        this.host.now(),
+      );
     return find(excluded) ?? find(new Set([source.identity, ...refused]));
   }
 }
--- a/packages/kumquatfront/src/placement/types.ts
+++ b/packages/kumquatfront/src/placement/types.ts
@@ -36,8 +36,6 @@
 /** A place on an engine. */
 export interface Placement {
   readonly instance: string;
-  /** Engine that keeps a copy of the memory as it grows; undefined where there is none. */
-  readonly backup?: string;
 }
 
 /** Answers a request for a place. */
@@ -50,8 +48,6 @@
 export interface RunningGeneration {
   readonly facts: GenerationFacts;
   readonly instance: string;
-  /** Engine that keeps a copy of its memory; undefined where there is none any more. */
-  readonly backup?: string;
   /** Output tokens made so far. */
   readonly produced: number;
   /** True once the first event came, so that there is memory to move. */
--- a/packages/kumquatfront/src/relay/placementClient.ts
+++ b/packages/kumquatfront/src/relay/placementClient.ts
@@ -12,6 +12,9 @@
 /** Reports go out this often; the coordinator's forecasts are as old as this at most. */
 const REPORT_INTERVAL: ports.Milliseconds = 250;
 
+/** Where nothing runs a report goes out this often, so that the coordinator stays one that knows all entries. */
+const EMPTY_REPORT_INTERVAL: ports.Milliseconds = 1_000;
+
 /** A change is reported after this pause, which gathers changes of the same moment. */
 const REPORT_PAUSE: ports.Milliseconds = 15;
 
@@ -61,7 +64,7 @@
   private sequence = 0;
   private finished: placementTypes.FinishedGeneration[] = [];
   private reportScheduled = false;
-  private reportedEmpty = false;
+  private reportedEmptyAt = Number.NEGATIVE_INFINITY;
   /** Questions that must be asked again when another coordinator takes over. */
   private readonly askers = new Map<string, () => void>();
 
@@ -215,10 +218,12 @@
       }
     }
     const { finished, epoch } = this;
-    if (address === '' || (generations.length === 0 && this.reportedEmpty && this.finished.length === 0)) {
+    const now = timers.now();
+    const empty = generations.length === 0 && finished.length === 0;
+    if (address === '' || (empty && now - this.reportedEmptyAt < EMPTY_REPORT_INTERVAL)) {
       return;
     }
-    this.reportedEmpty = generations.length === 0;
+    this.reportedEmptyAt = empty ? now : Number.NEGATIVE_INFINITY;
     this.sequence += 1;
     this.finished = [];
     const report: placementTypes.EntryReport = {
@@ -229,7 +234,7 @@
       generations,
       finished,
       leaving: [...leaving],
-      unlisted: instances.unlistedBy(address, timers.now()),
+      unlisted: instances.unlistedBy(address, now),
     };
     peers.notify(address, methods.methods.report, report);
   }
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -18,8 +18,17 @@
 /** After the final copy the source closes its stream by itself; a silent connection must not hold up the rest. */
 const SOURCE_CLOSES_WITHIN: ports.Milliseconds = 60;
 
-/** A resumable stream that is silent for this long goes on elsewhere: seven of the pauses that callers accept. */
-const RESUME_AFTER_SILENCE: ports.Milliseconds = 1_300;
+/** A resumable stream that falls silent for this many of the pauses that callers accept goes on elsewhere. */
+const RESUME_AFTER_PAUSES = 5;
+
+/**
+ * A resumable stream without its first event for this share of its objective begins elsewhere: twice what most
+ * take, and early enough for the second engine to be in time.
+ */
+const RESUME_BEFORE_FIRST = 0.62;
+
+/** Neither is ever shorter than this. */
+const SHORTEST_SILENCE: ports.Milliseconds = 400;
 
 /**
  * How long a generation may wait for its place, in objectives. One that is late earns its caller little, and
@@ -38,8 +47,6 @@
   failure: { head: types.UpstreamHead; chunks: Uint8Array[] } | undefined;
   /** Where the memory comes from, for a leg that goes on from a copy. */
   readonly copy: types.MemoryCopy | undefined;
-  /** Engine that keeps a copy of the memory as it grows. */
-  readonly backup: instanceView.Instance | undefined;
   events: number;
 }
 
@@ -93,21 +100,13 @@
       return undefined;
     }
     const { produced, facts, leg } = this;
-    const backup = this.liveBackup(leg)?.identity;
-    return { facts, instance: leg.instance.identity, backup, produced, started: leg.events > 0 };
+    return { facts, instance: leg.instance.identity, produced, started: leg.events > 0 };
   }
 
   isLeaving(): boolean {
     return this.leg !== undefined && this.context.instances.isLeaving(this.leg.instance.identity);
   }
 
-  /** The engine with a copy of a leg's memory, while it has not given notice itself. */
-  private liveBackup(leg: Leg): instanceView.Instance | undefined {
-    const { instances } = this.context;
-    const gone = leg.backup === undefined || instances.isLeaving(leg.backup.identity);
-    return gone ? undefined : leg.backup;
-  }
-
   private get resumable(): boolean {
     return this.routed.route.resumable;
   }
@@ -150,8 +149,7 @@
       if (instance === undefined || this.excluded.has(instance.identity)) {
         this.chooseAlone();
       } else {
-        const backup = outcome.backup === undefined ? undefined : this.context.instances.get(outcome.backup);
-        this.send(instance, undefined, backup);
+        this.send(instance, undefined);
       }
     }
   }
@@ -179,11 +177,7 @@
     }
   }
 
-  private send(
-    instance: instanceView.Instance,
-    copy: types.MemoryCopy | undefined,
-    backup?: instanceView.Instance,
-  ): void {
+  private send(instance: instanceView.Instance, copy: types.MemoryCopy | undefined): void {
     const { upstreams, choice, timers, placement, log } = this.context;
     const { request, account, rank, answerBy } = this.routed;
     const now = timers.now();
@@ -193,7 +187,6 @@
       cancel: () => undefined,
       failure: undefined,
       copy,
-      backup,
       events: 0,
     };
     this.leg = leg;
@@ -217,7 +210,6 @@
       urgency,
       lastEvent: this.delivery.lastEvent,
       copy,
-      backup: backup?.address,
     };
     leg.cancel = upstreams.send(call, this.listen(leg));
     this.watchSilence();
@@ -305,7 +297,9 @@
     if (!this.resumable || leg === undefined) {
       return;
     }
-    this.cancelSilence = this.context.timers.after(RESUME_AFTER_SILENCE, () => {
+    const { objective, longestPause } = this.routed.route;
+    const patience = leg.events > 0 ? longestPause * RESUME_AFTER_PAUSES : objective * RESUME_BEFORE_FIRST;
+    this.cancelSilence = this.context.timers.after(Math.max(SHORTEST_SILENCE, patience), () => {
       if (this.leg === leg && !this.ended && this.activeMove?.stopping !== true && this.mayResume()) {
         leg.cancel();
         this.dropLeg(leg);
@@ -407,8 +401,6 @@
     this.excluded.add(leg.instance.identity);
     if (failure === 'notSent') {
       this.onNotSent(leg);
-    } else if (leg.events > 0 && this.liveBackup(leg) !== undefined) {
-      this.goOnFromBackup(leg);
     } else if (move?.handle !== undefined) {
       // The source is gone between its two copies: the first holds all but the last moments.
       this.activeMove = undefined;
@@ -422,18 +414,6 @@
     }
   }
 
-  /** The engine is gone; another holds all but the last moments of the memory. */
-  private goOnFromBackup(leg: Leg): void {
-    const backup = this.liveBackup(leg);
-    const { identity } = this.routed.request;
-    this.activeMove?.cancel();
-    this.activeMove = undefined;
-    if (backup !== undefined) {
-      this.context.log.info('backupUsed', { request: identity, upstream: backup.identity });
-      this.goOnFromCopy(backup, { address: backup.address, handle: identity });
-    }
-  }
-
   private onNotSent(leg: Leg): void {
     if (leg.copy !== undefined) {
       this.afterCopyRefused(leg);
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -55,8 +55,6 @@
   readonly urgency?: number;
   readonly lastEvent?: string;
   readonly copy?: MemoryCopy;
-  /** Address of an engine that keeps a copy of the memory as it grows: `ip:port`. */
-  readonly backup?: string;
 }
 
 /** The beginning of an upstream's answer. */
