--- /dev/null
+++ b/packages/soak/src/runners.ts
@@ -0,0 +1,117 @@
+/**
+ * Runners of a plain service and of an engine, as small servers that keep the ledger and announce themselves.
+ */
+import * as http from 'node:http';
+
+import * as ledger from './ledger.js';
+
+const HEARTBEAT_MS = 400;
+const EVENT_MS = 12;
+const WORK_MS = 15;
+
+/** What a runner is made from. */
+export interface RunnerOptions {
+  readonly identity: string;
+  readonly service: 'app' | 'llm';
+  /** Where it listens. */
+  readonly address: string;
+  /** Where it says that it listens: a proxy. */
+  readonly announced: string;
+  /** Addresses of the control processes that take announcements. */
+  readonly control: () => readonly string[];
+  readonly book: ledger.Ledger;
+}
+
+/** One runner; see the module comment. */
+export class Runner {
+  private readonly options: RunnerOptions;
+  private readonly server: http.Server;
+  private readonly timer: NodeJS.Timeout;
+  private sequence = 0;
+  private turn = 0;
+
+  constructor(options: RunnerOptions) {
+    this.options = options;
+    this.server = http.createServer((incoming, outgoing) => {
+      incoming.resume();
+      incoming.on('end', () => {
+        this.serve(incoming, outgoing);
+      });
+      incoming.on('error', () => undefined);
+    });
+    const [host = '', port = ''] = options.address.split(':');
+    this.server.listen(Number(port), host);
+    this.timer = setInterval(() => {
+      this.beat();
+    }, HEARTBEAT_MS);
+  }
+
+  private beat(): void {
+    const { identity, service, announced, control } = this.options;
+    this.sequence += 1;
+    this.turn += 1;
+    const addresses = control();
+    const address = addresses[this.turn % addresses.length] ?? '';
+    const zone = 'a';
+    const beat = { service, address: announced, zone, slots: 24, state: 'ready', sequence: this.sequence };
+    const [host = '', port = ''] = address.split(':');
+    const request = http.request({
+      host,
+      port: Number(port),
+      method: 'POST',
+      path: `/-/instances/${identity}/heartbeat`,
+      timeout: HEARTBEAT_MS,
+    });
+    request.on('timeout', () => request.destroy());
+    request.on('error', () => undefined);
+    request.on('response', (response) => response.resume());
+    request.end(JSON.stringify(beat));
+  }
+
+  private serve(incoming: http.IncomingMessage, outgoing: http.ServerResponse): void {
+    const { identity, book } = this.options;
+    const attempt = String(incoming.headers['x-attempt-id'] ?? '');
+    if (incoming.headers['x-expected-instance'] !== identity) {
+      outgoing.writeHead(421, { 'X-Not-Executed': '1' });
+      outgoing.end();
+      return;
+    }
+    const path = incoming.url ?? '';
+    book.ran(attempt, path.startsWith('/lookUp/'));
+    outgoing.on('error', () => undefined);
+    if (path.startsWith('/stream/')) {
+      this.stream(attempt, outgoing);
+      return;
+    }
+    setTimeout(() => {
+      outgoing.writeHead(200, { 'X-Attempt-Id': attempt, 'X-Upstream-Signature': 's' });
+      outgoing.end(ledger.bodyOf(attempt));
+    }, WORK_MS);
+  }
+
+  private stream(attempt: string, outgoing: http.ServerResponse): void {
+    outgoing.writeHead(200, {
+      'X-Attempt-Id': attempt,
+      'X-Upstream-Signature': 's',
+      'Content-Type': 'text/event-stream',
+    });
+    let index = 0;
+    const timer = setInterval(() => {
+      index += 1;
+      outgoing.write(ledger.eventOf(attempt, index));
+      if (index === ledger.STREAM_EVENTS) {
+        clearInterval(timer);
+        outgoing.end();
+      }
+    }, EVENT_MS);
+    outgoing.on('close', () => {
+      clearInterval(timer);
+    });
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
