--- a/packages/kumquatfront/src/placement/placementQueue.ts
+++ b/packages/kumquatfront/src/placement/placementQueue.ts
@@ -20,6 +20,18 @@
 /** Tokens of forecast output that one millisecond of waiting makes up for: the longest ones in two seconds. */
 const TOKENS_PER_WAITED_MILLISECOND = 0.8;
 
+/**
+ * Time from a place to the first event: a fixed part for admission and the first step, and one for each prompt
+ * token at the rate of an engine that decodes besides. Placed later than this before its objective ends, a
+ * generation takes memory from one that could still be in time, and is late itself.
+ */
+const FIRST_EVENT_FIXED: ports.Milliseconds = 200;
+const FIRST_EVENT_FOR_TOKEN: ports.Milliseconds = 0.1;
+
+function timeToFirstEvent(facts: types.GenerationFacts): ports.Milliseconds {
+  return FIRST_EVENT_FIXED + facts.promptTokens * FIRST_EVENT_FOR_TOKEN;
+}
+
 /** Time for which smaller generations may overtake a larger one that finds no room: near one objective. */
 const OVERTAKEN_FOR: ports.Milliseconds = 1_500;
 
@@ -72,9 +84,10 @@
   private inOrder(now: number): readonly Waiting[] {
     const keyed = [...this.waiting.values()].map((entry) => {
       const waited = now - entry.since;
-      const late = waited > entry.request.objectiveLeft ? 1 : 0;
-      const length = this.expectedOutput(entry.request.facts) - waited * TOKENS_PER_WAITED_MILLISECOND;
-      return { entry, late, length, rank: entry.request.facts.rank };
+      const { facts, objectiveLeft } = entry.request;
+      const late = waited > objectiveLeft - timeToFirstEvent(facts) ? 1 : 0;
+      const length = this.expectedOutput(facts) - waited * TOKENS_PER_WAITED_MILLISECOND;
+      return { entry, late, length, rank: facts.rank };
     });
     keyed.sort(
       (left, right) => left.rank - right.rank || left.late - right.late || left.length - right.length,
--- a/packages/soak/src/processes.ts
+++ b/packages/soak/src/processes.ts
@@ -32,6 +32,7 @@
   /** Ends that nobody asked for. */
   unaskedEnds = 0;
   private logAtStart = 0;
+  private later: object | undefined;
   private child: childProcess.ChildProcess | undefined;
   private readonly settingsFile: string;
   private readonly dataFolder: string;
@@ -74,10 +75,7 @@
     };
     this.write(settings);
     this.start();
-    // Only the very first start founds a system; whoever starts again may only join.
-    setTimeout(() => {
-      this.write({ ...settings, firstStart: false });
-    }, 1_000);
+    this.later = { ...settings, firstStart: false };
   }
 
   private write(settings: object): void {
@@ -92,6 +90,11 @@
     this.child = child;
     this.logAtStart = this.log.length;
     const keep = (bytes: Buffer): void => {
+      // Only the very first start founds a system; whoever starts again may only join.
+      if (this.later !== undefined && bytes.includes('event=started')) {
+        this.write(this.later);
+        this.later = undefined;
+      }
       this.log += bytes.toString();
       const tooLong = Math.max(0, this.log.length - LOG_KEPT);
       this.log = this.log.slice(tooLong);
