The stream's exchange in three: finding a place, moving, relaying

Cause: one file of 600 lines held the search for a place, the state of a move and the relaying; who reads one had to read all.

--- /dev/null
+++ b/packages/kumquatfront/src/relay/placeFinder.ts
@@ -0,0 +1,116 @@
+/**
+ * Finds an upstream for one stream: by the coordinator where its service has engines, else, or where no
+ * coordinator answers, by this entry's own choice.
+ */
+import type * as instanceView from '../instances/instanceView.js';
+import type * as ports from '../kernel/ports.js';
+import type * as placementTypes from '../placement/types.js';
+import * as exchangeContext from './exchangeContext.js';
+import type * as placementClient from './placementClient.js';
+import type * as types from './types.js';
+
+/**
+ * How long a generation may wait for its place, in objectives. One that is late earns its caller little, and
+ * one that is refused early can come back elsewhere in time; well before its caller gives up at four.
+ */
+const WAITING_OBJECTIVES = 1.6;
+
+/** The same as share of the whole time that there is; the rest is for the answer, here or elsewhere. */
+const WAITING_SHARE = 0.45;
+
+/** What is told of the search. */
+export interface PlaceListener {
+  readonly found: (instance: instanceView.Instance) => void;
+  readonly none: (reason: types.RefusalReason, message: string, retryAfter: ports.Milliseconds) => void;
+}
+
+/** The finder; see the module comment. */
+export class PlaceFinder {
+  /** Upstreams that were tried, or must not be. */
+  private readonly excluded = new Set<string>();
+  private readonly context: exchangeContext.ExchangeContext;
+  private readonly routed: exchangeContext.RoutedRequest;
+  private readonly facts: placementTypes.GenerationFacts | undefined;
+  private readonly listener: PlaceListener;
+  private cancelQuestion: ports.Cancel = () => undefined;
+  private cancelled = false;
+
+  constructor(
+    context: exchangeContext.ExchangeContext,
+    routed: exchangeContext.RoutedRequest,
+    facts: placementTypes.GenerationFacts | undefined,
+    listener: PlaceListener,
+  ) {
+    this.context = context;
+    this.routed = routed;
+    this.facts = facts;
+    this.listener = listener;
+  }
+
+  /** Leaves an upstream out of later searches. */
+  exclude(identity: string): void {
+    this.excluded.add(identity);
+  }
+
+  /** Searches once; the listener is told. */
+  find(): void {
+    const { placement, timers, choice, instances } = this.context;
+    const { service, answerBy, request, route } = this.routed;
+    if (this.facts === undefined) {
+      this.chooseAlone();
+      return;
+    }
+    const now = timers.now();
+    const longest = Math.min(
+      route.objective * WAITING_OBJECTIVES,
+      (answerBy - request.arrivedAt) * WAITING_SHARE,
+    );
+    const waitUntil = request.arrivedAt + longest;
+    const ejected = choice.ejectedOf(instances.readyOf(service.name), now);
+    const question: placementClient.PlaceQuestion = {
+      facts: this.facts,
+      excluded: [...this.excluded, ...ejected],
+      objectiveLeft: request.arrivedAt + route.objective - now,
+      patience: Math.max(0, waitUntil - now),
+    };
+    this.cancelQuestion = placement.place(question, (outcome) => {
+      this.onOutcome(outcome);
+    });
+  }
+
+  private onOutcome(outcome: placementClient.PlaceOutcome): void {
+    if (this.cancelled) {
+      return;
+    }
+    if (outcome.state === 'alone') {
+      this.chooseAlone();
+    } else if (outcome.state === 'refused') {
+      this.listener.none('overloaded', outcome.reason, outcome.retryAfter);
+    } else {
+      const instance = this.context.instances.get(outcome.instance);
+      if (instance === undefined || this.excluded.has(instance.identity)) {
+        this.chooseAlone();
+      } else {
+        this.listener.found(instance);
+      }
+    }
+  }
+
+  private chooseAlone(): void {
+    const { choice, instances, timers } = this.context;
+    const candidates = instances.readyOf(this.routed.service.name);
+    const instance = choice.choose(candidates, this.excluded, timers.now());
+    if (instance === undefined) {
+      const reason = 'no upstream is left to ask';
+      this.listener.none('noUpstream', reason, exchangeContext.NO_UPSTREAM_RETRY);
+    } else {
+      this.listener.found(instance);
+    }
+  }
+
+  /** Withdraws an open question. */
+  cancel(): void {
+    this.cancelled = true;
+    this.cancelQuestion();
+  }
+}
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -10,14 +10,12 @@
 import * as eventSplitter from './eventSplitter.js';
 import * as exchangeContext from './exchangeContext.js';
 import * as generationFacts from './generationFacts.js';
-import * as generationMove from './generationMove.js';
+import * as placeFinder from './placeFinder.js';
 import type * as placementClient from './placementClient.js';
 import * as streamDelivery from './streamDelivery.js';
+import * as streamMove from './streamMove.js';
 import type * as types from './types.js';
 
-/** After the final copy the source closes its stream by itself; a silent connection must not hold up the rest. */
-const SOURCE_CLOSES_WITHIN: ports.Milliseconds = 60;
-
 /** A resumable stream that falls silent for this many of the pauses that callers accept goes on elsewhere. */
 const RESUME_AFTER_PAUSES = 5;
 
@@ -30,15 +28,6 @@
 /** Neither is ever shorter than this. */
 const SHORTEST_SILENCE: ports.Milliseconds = 400;
 
-/**
- * How long a generation may wait for its place, in objectives. One that is late earns its caller little, and
- * one that is refused early can come back elsewhere in time; well before its caller gives up at four.
- */
-const WAITING_OBJECTIVES = 1.6;
-
-/** The same as share of the whole time that there is; the rest is for the answer, here or elsewhere. */
-const WAITING_SHARE = 0.45;
-
 interface Leg {
   readonly instance: instanceView.Instance;
   readonly splitter: eventSplitter.EventSplitter;
@@ -56,20 +45,15 @@
   private readonly routed: exchangeContext.RoutedRequest;
   private readonly facts: placementTypes.GenerationFacts | undefined;
   private readonly delivery: streamDelivery.StreamDelivery;
-  private readonly excluded = new Set<string>();
+  private readonly finder: placeFinder.PlaceFinder;
+  private readonly moving: streamMove.StreamMove;
   private leg: Leg | undefined;
   private ended = false;
   /** Upstreams that may have run the request from its start or a resumption. */
   private runs = 0;
   private sends = 0;
   private moves = 0;
-  private activeMove: generationMove.GenerationMove | undefined;
-  /** Set where the source's stream closed while its final copy was under way. */
-  private closedWhileStopping: (() => void) | undefined;
-  /** The leg whose source has stopped and whose last events are awaited. */
-  private sourceClosing: { readonly leg: Leg; readonly closed: () => void } | undefined;
   private cancelDeadline: ports.Cancel = () => undefined;
-  private cancelPlacement: ports.Cancel = () => undefined;
   private cancelSilence: ports.Cancel = () => undefined;
 
   constructor(context: exchangeContext.ExchangeContext, routed: exchangeContext.RoutedRequest) {
@@ -77,6 +61,23 @@
     this.routed = routed;
     this.facts = generationFacts.of(routed);
     this.delivery = new streamDelivery.StreamDelivery(routed.caller, routed.request.lastEvent);
+    this.finder = new placeFinder.PlaceFinder(context, routed, this.facts, {
+      found: (instance) => {
+        this.send(instance, undefined);
+      },
+      none: (reason, message, retryAfter) => {
+        this.noPlace(reason, message, retryAfter);
+      },
+    });
+    this.moving = new streamMove.StreamMove({
+      request: routed.request.identity,
+      upstreams: context.upstreams,
+      timers: context.timers,
+      log: context.log,
+      goOn: (next) => {
+        this.goOnFromCopy(next);
+      },
+    });
   }
 
   start(): void {
@@ -92,7 +93,7 @@
     if (this.facts !== undefined) {
       placement.opened(request.identity, this);
     }
-    this.findPlace();
+    this.finder.find();
   }
 
   describe(): placementTypes.RunningGeneration | undefined {
@@ -111,61 +112,6 @@
     return this.routed.route.resumable;
   }
 
-  private findPlace(): void {
-    const { placement, timers, choice, instances } = this.context;
-    const { service, answerBy, request, route } = this.routed;
-    if (this.facts === undefined) {
-      this.chooseAlone();
-      return;
-    }
-    const now = timers.now();
-    const longest = Math.min(
-      route.objective * WAITING_OBJECTIVES,
-      (answerBy - request.arrivedAt) * WAITING_SHARE,
-    );
-    const waitUntil = request.arrivedAt + longest;
-    const ejected = choice.ejectedOf(instances.readyOf(service.name), now);
-    const question: placementClient.PlaceQuestion = {
-      facts: this.facts,
-      excluded: [...this.excluded, ...ejected],
-      objectiveLeft: request.arrivedAt + route.objective - now,
-      patience: Math.max(0, waitUntil - now),
-    };
-    this.cancelPlacement = placement.place(question, (outcome) => {
-      this.onPlace(outcome);
-    });
-  }
-
-  private onPlace(outcome: placementClient.PlaceOutcome): void {
-    if (this.ended) {
-      return;
-    }
-    if (outcome.state === 'alone') {
-      this.chooseAlone();
-    } else if (outcome.state === 'refused') {
-      this.noPlace('overloaded', outcome.reason, outcome.retryAfter);
-    } else {
-      const instance = this.context.instances.get(outcome.instance);
-      if (instance === undefined || this.excluded.has(instance.identity)) {
-        this.chooseAlone();
-      } else {
-        this.send(instance, undefined);
-      }
-    }
-  }
-
-  private chooseAlone(): void {
-    const { choice, instances, timers } = this.context;
-    const candidates = instances.readyOf(this.routed.service.name);
-    const instance = choice.choose(candidates, this.excluded, timers.now());
-    if (instance === undefined) {
-      const reason = 'no upstream is left to ask';
-      this.noPlace('noUpstream', reason, exchangeContext.NO_UPSTREAM_RETRY);
-      return;
-    }
-    this.send(instance, undefined);
-  }
-
   /** No engine takes it: a refusal is true only where none has run it before. */
   private noPlace(reason: types.RefusalReason, message: string, retryAfter: ports.Milliseconds): void {
     if (this.delivery.begun) {
@@ -300,7 +246,7 @@
     const { objective, longestPause } = this.routed.route;
     const patience = leg.events > 0 ? longestPause * RESUME_AFTER_PAUSES : objective * RESUME_BEFORE_FIRST;
     this.cancelSilence = this.context.timers.after(Math.max(SHORTEST_SILENCE, patience), () => {
-      if (this.leg === leg && !this.ended && this.activeMove?.stopping !== true && this.mayResume()) {
+      if (this.leg === leg && !this.ended && !this.moving.isStopping && this.mayResume()) {
         leg.cancel();
         this.dropLeg(leg);
         this.afterBreak(leg, 'silent');
@@ -323,15 +269,11 @@
   }
 
   private onEnd(leg: Leg): void {
-    if (this.sourceClosing?.leg === leg) {
-      this.sourceClosing.closed();
-      return;
-    }
-    if (this.activeMove?.stopping === true) {
-      // The source closes its stream for the final copy; whether this was its true end is known with the answer.
-      this.closedWhileStopping = () => {
+    if (
+      this.moving.takesClose(() => {
         this.onEnd(leg);
-      };
+      })
+    ) {
       return;
     }
     if (leg.failure !== undefined) {
@@ -362,7 +304,7 @@
   private onNotRun(leg: Leg): void {
     const { allowance, timers, log } = this.context;
     const { service, request } = this.routed;
-    this.excluded.add(leg.instance.identity);
+    this.finder.exclude(leg.instance.identity);
     log.info('attemptNotRun', { request: request.identity, upstream: leg.instance.identity });
     if (leg.copy !== undefined) {
       this.afterCopyRefused(leg);
@@ -370,7 +312,7 @@
     }
     this.runs -= 1;
     if (allowance.take(service.name, timers.now())) {
-      this.findPlace();
+      this.finder.find();
     } else {
       this.noPlace('overloaded', 'no repeat is left', exchangeContext.NO_UPSTREAM_RETRY);
     }
@@ -378,15 +320,11 @@
 
   private onBroken(leg: Leg, failure: types.ExchangeFailure, reason: string): void {
     const { choice, timers, log } = this.context;
-    const move = this.activeMove;
-    if (this.sourceClosing?.leg === leg) {
-      this.sourceClosing.closed();
-      return;
-    }
-    if (move?.stopping === true) {
-      this.closedWhileStopping = () => {
+    if (
+      this.moving.takesClose(() => {
         this.onBroken(leg, failure, reason);
-      };
+      })
+    ) {
       return;
     }
     this.dropLeg(leg);
@@ -398,13 +336,12 @@
       lastEvent: this.delivery.lastEvent,
     });
     choice.failed(leg.instance.identity, failure === 'notSent' ? 'stall' : 'failure', timers.now());
-    this.excluded.add(leg.instance.identity);
+    this.finder.exclude(leg.instance.identity);
+    const firstCopy = this.moving.takeFirstCopy();
     if (failure === 'notSent') {
       this.onNotSent(leg);
-    } else if (move?.handle !== undefined) {
-      // The source is gone between its two copies: the first holds all but the last moments.
-      this.activeMove = undefined;
-      this.goOnFromCopy(move.target, { address: leg.instance.address, handle: move.handle });
+    } else if (firstCopy !== undefined) {
+      this.goOnFromCopy(firstCopy);
     } else if (this.mayResume()) {
       this.afterBreak(leg, failure);
     } else if (this.delivery.begun) {
@@ -420,18 +357,18 @@
       return;
     }
     this.runs -= 1;
-    this.findPlace();
+    this.finder.find();
   }
 
   private afterBreak(leg: Leg, cause: string): void {
-    this.excluded.add(leg.instance.identity);
+    this.finder.exclude(leg.instance.identity);
     this.context.log.info('streamResumes', {
       request: this.routed.request.identity,
       cause,
       lastEvent: this.delivery.lastEvent,
       runs: this.runs,
     });
-    this.findPlace();
+    this.finder.find();
   }
 
   /** The engine with the copy did not take the run over: resumable streams begin elsewhere, others are lost. */
@@ -445,89 +382,26 @@
 
   /** Moves the run to another engine; `done` is called once the source is free for the next move. */
   move(targetIdentity: string, done: (outcome: placementTypes.MoveOutcome) => void): void {
-    const { instances, upstreams, log } = this.context;
-    const { request } = this.routed;
-    const target = instances.get(targetIdentity);
+    const target = this.context.instances.get(targetIdentity);
     const { leg } = this;
     if (this.ended || leg === undefined || leg.events === 0) {
       done('ended');
-      return;
-    }
-    if (target === undefined || this.activeMove !== undefined) {
+    } else if (target === undefined || this.moving.isActive) {
       done('failed');
-      return;
+    } else {
+      this.moving.start(leg.instance, target, done);
     }
-    const move = new generationMove.GenerationMove(upstreams, leg.instance, target, request.identity);
-    this.activeMove = move;
-    const startedAt = this.context.timers.now();
-    move.run((result) => {
-      const milliseconds = Math.round(this.context.timers.now() - startedAt);
-      log.info('moveResult', {
-        request: request.identity,
-        source: leg.instance.identity,
-        target: target.identity,
-        milliseconds,
-        ...result,
-      });
-      this.onMoveResult(leg, move, result, done);
-    });
   }
 
-  private onMoveResult(
-    leg: Leg,
-    move: generationMove.GenerationMove,
-    result: generationMove.MoveResult,
-    done: (outcome: placementTypes.MoveOutcome) => void,
-  ): void {
-    const closed = this.closedWhileStopping;
-    this.closedWhileStopping = undefined;
+  private goOnFromCopy(next: streamMove.Continuation): void {
     if (this.ended) {
-      done('ended');
       return;
     }
-    if (this.activeMove !== move) {
-      // The stream broke between the copies and has gone on from the first one.
-      done('moved');
-      return;
-    }
-    if (result.state === 'unmoved') {
-      if (result.ended || closed === undefined) {
-        this.activeMove = undefined;
-      }
-      done(result.ended ? 'ended' : 'failed');
-      // The source may have stopped although its answer was lost: its closed stream is judged now.
-      closed?.();
-      return;
-    }
-    this.activeMove = undefined;
-    const next = result.at === 'target' ? move.target : leg.instance;
-    const copy = { address: leg.instance.address, handle: result.handle };
-    done(result.at === 'target' ? 'moved' : 'failed');
-    const goOn = (): void => {
-      if (this.leg === leg && !this.ended) {
-        this.dropLeg(leg);
-        this.goOnFromCopy(next, copy);
-      }
-    };
-    if (closed === undefined) {
-      // What the source made last is still on its way; its stream closes behind it.
-      const cancelWait = this.context.timers.after(SOURCE_CLOSES_WITHIN, goOn);
-      this.sourceClosing = {
-        leg,
-        closed: () => {
-          cancelWait();
-          goOn();
-        },
-      };
-    } else {
-      goOn();
+    if (this.leg !== undefined) {
+      this.dropLeg(this.leg);
     }
-  }
-
-  private goOnFromCopy(instance: instanceView.Instance, copy: types.MemoryCopy): void {
-    this.sourceClosing = undefined;
     this.moves += 1;
-    this.send(instance, copy);
+    this.send(next.instance, next.copy);
   }
 
   private giveUp(): void {
@@ -557,9 +431,9 @@
     }
     this.ended = true;
     this.cancelDeadline();
-    this.cancelPlacement();
+    this.finder.cancel();
     this.cancelSilence();
-    this.activeMove?.cancel();
+    this.moving.cancel();
     if (this.leg !== undefined) {
       this.dropLeg(this.leg);
     }
