A silent engine is kept until another has taken the stream

A resumable stream was silent for 0.9 s; the entry cancelled its run first and then found no other engine with room, so the stream broke off although its runner had been at work on it.

Ruled out: the change of configuration itself (the cut request began before it, under a route that stayed); a cancelled run by the caller (it was there until our close).

Fix: another engine is sought while the silent one is kept; only a place that is found, and within the budget, ends the old run. The spec was red before, green after.

--- a/packages/kumquatfront/src/relay/streamExchange.spec.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.spec.ts
@@ -232,6 +232,20 @@
   assert.equal(engine(1).call.lastEvent, '1');
 });
 
+// An engine pauses for a second and then goes on. No other one has room meanwhile: given up at once, the stream
+// would break off although its engine was at work on it.
+void test.test('a silent engine is kept until another has taken the stream', () => {
+  const bench = new relayBench.RelayBench(['a', 'b']);
+  bench.places.push('a');
+  const { engine } = start(bench, true);
+  begin(engine(0), 1, 1);
+  bench.time.advance(2_000);
+  assert.equal(engine(0).cancelled, false);
+  begin(engine(0), 2, 2);
+  engine(0).listener.end();
+  assert.deepEqual(bench.got, ['begin', '1', '2', 'end']);
+});
+
 // The engine is full and says that it did not run the request; another one may take it, and the first must not
 // count as a run.
 void test.test('a request that was not run goes to another engine', () => {
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -53,6 +53,8 @@
   private runs = 0;
   private sends = 0;
   private moves = 0;
+  /** Set while another upstream is sought for a leg that is silent. */
+  private silentSearch: { readonly leg: Leg; readonly events: number } | undefined;
   private cancelDeadline: ports.Cancel = () => undefined;
   private cancelSilence: ports.Cancel = () => undefined;
 
@@ -63,7 +65,7 @@
     this.delivery = new streamDelivery.StreamDelivery(routed.caller, routed.request.lastEvent);
     this.finder = new placeFinder.PlaceFinder(context, routed, this.facts, {
       found: (instance) => {
-        this.send(instance, undefined);
+        this.onPlace(instance);
       },
       none: (reason, message, retryAfter) => {
         this.noPlace(reason, message, retryAfter);
@@ -112,8 +114,28 @@
     return this.routed.route.resumable;
   }
 
+  private onPlace(instance: instanceView.Instance): void {
+    const { leg, silentSearch: search } = this;
+    this.silentSearch = undefined;
+    if (leg !== undefined) {
+      const cameBack = search?.leg !== leg || search.events !== leg.events || this.moving.isStopping;
+      if (cameBack || !this.mayResume()) {
+        // The place is given back with the next report.
+        return;
+      }
+      this.logResumption('silent');
+      this.dropLeg(leg);
+    }
+    this.send(instance, undefined);
+  }
+
   /** No engine takes it: a refusal is true only where none has run it before. */
   private noPlace(reason: types.RefusalReason, message: string, retryAfter: ports.Milliseconds): void {
+    if (this.leg !== undefined) {
+      this.silentSearch = undefined;
+      this.watchSilence();
+      return;
+    }
     if (this.delivery.begun) {
       this.breakOff(message);
     } else if (this.runs > 0 && !this.resumable) {
@@ -236,7 +258,10 @@
     return this.delivery.events * (this.routed.service.engine?.tokensPerEvent ?? 1);
   }
 
-  /** A resumable stream does not wait for a silent upstream. */
+  /**
+   * A resumable stream does not wait for a silent upstream. That one is left only when another takes the stream:
+   * it may only pause, and a stream whose engine is at work must not break off because nobody else has room.
+   */
   private watchSilence(): void {
     this.cancelSilence();
     const { leg } = this;
@@ -246,18 +271,22 @@
     const { objective, longestPause } = this.routed.route;
     const patience = leg.events > 0 ? longestPause * RESUME_AFTER_PAUSES : objective * RESUME_BEFORE_FIRST;
     this.cancelSilence = this.context.timers.after(Math.max(SHORTEST_SILENCE, patience), () => {
-      if (this.leg === leg && !this.ended && !this.moving.isStopping && this.mayResume()) {
-        leg.cancel();
-        this.dropLeg(leg);
-        this.afterBreak(leg, 'silent');
+      if (this.leg === leg && !this.ended && !this.moving.isStopping && this.hasAttemptsLeft) {
+        this.silentSearch = { leg, events: leg.events };
+        this.finder.exclude(leg.instance.identity);
+        this.finder.find();
       }
     });
   }
 
+  private get hasAttemptsLeft(): boolean {
+    return this.resumable && this.runs < this.routed.route.maximumAttempts;
+  }
+
+  /** True where the stream may be sent once more, which draws on the shared budget. */
   private mayResume(): boolean {
     const { allowance, timers } = this.context;
-    const { route, service } = this.routed;
-    return this.resumable && this.runs < route.maximumAttempts && allowance.take(service.name, timers.now());
+    return this.hasAttemptsLeft && allowance.take(this.routed.service.name, timers.now());
   }
 
   private dropLeg(leg: Leg): void {
@@ -362,13 +391,17 @@
 
   private afterBreak(leg: Leg, cause: string): void {
     this.finder.exclude(leg.instance.identity);
+    this.logResumption(cause);
+    this.finder.find();
+  }
+
+  private logResumption(cause: string): void {
     this.context.log.info('streamResumes', {
       request: this.routed.request.identity,
       cause,
       lastEvent: this.delivery.lastEvent,
       runs: this.runs,
     });
-    this.finder.find();
   }
 
   /** The engine with the copy did not take the run over: resumable streams begin elsewhere, others are lost. */
