--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -6,6 +6,7 @@
 
 import * as yargs from 'yargs';
 
+import * as knownSeeds from './knownSeeds.js';
 import * as loopbackProxy from './loopbackProxy.js';
 import * as soakRun from './soakRun.js';
 
@@ -15,6 +16,7 @@
   .option('seeds', { type: 'number', default: 5, describe: 'How many seeds to play, from the first' })
   .option('first', { type: 'number', default: 1, describe: 'The first seed' })
   .option('seed', { type: 'number', describe: 'One seed alone' })
+  .option('known', { type: 'boolean', default: false, describe: 'The seeds that failed once' })
   .option('seconds', { type: 'number', default: 10, describe: 'Length of the trouble' })
   .option('entries', { type: 'number', default: 3, describe: 'Entries; with three control processes' })
   .option('clients', { type: 'number', default: 12, describe: 'Clients' })
@@ -22,10 +24,16 @@
   .strict()
   .parseSync();
 
-const seeds =
-  parsed.seed === undefined
+function wantedSeeds(): readonly number[] {
+  if (parsed.known) {
+    return knownSeeds.knownSeeds.map((known) => known.seed);
+  }
+  return parsed.seed === undefined
     ? Array.from({ length: parsed.seeds }, (_none, index) => parsed.first + index)
     : [parsed.seed];
+}
+
+const seeds = wantedSeeds();
 let failed = 0;
 for (const seed of seeds) {
   const outcome = await soakRun.play(
