One read of the whole change: twins and dead code

Cause: pairing raw headers stood in both HTTP adapters; a coordinator option and a getter of the pool were read by nobody; the bench of control searched for its leader twice; the soak wrote the platform's header names itself.

What: adapters/rawHeaders serves both; the unused pieces are gone; the soak takes its names from platform/.

--- a/packages/kumquatfront/src/adapters/freshExchange.ts
+++ b/packages/kumquatfront/src/adapters/freshExchange.ts
@@ -10,6 +10,7 @@
 
 import type * as ports from '../kernel/ports.js';
 import type * as relayTypes from '../relay/types.js';
+import * as rawHeaders from './rawHeaders.js';
 
 /**
  * A connection that is not open by then is given up: nothing was sent, so another upstream can be asked. Far
@@ -38,14 +39,6 @@
   readonly failed: (failure: relayTypes.ExchangeFailure, reason: string) => void;
 }
 
-function pairs(raw: readonly string[]): readonly relayTypes.Header[] {
-  const headers: relayTypes.Header[] = [];
-  for (let index = 0; index + 1 < raw.length; index += 2) {
-    headers.push([raw[index] ?? '', raw[index + 1] ?? '']);
-  }
-  return headers;
-}
-
 /**
  * Learns, when a connection ends, whether it was reset in truth.
  *
@@ -185,7 +178,7 @@
         fail('broken', 'the connection closed before the answer was whole');
       }
     });
-    listener.head(incoming.statusCode ?? 0, pairs(incoming.rawHeaders));
+    listener.head(incoming.statusCode ?? 0, rawHeaders.pairs(incoming.rawHeaders));
   });
   outgoing.on('close', () => {
     if (response === undefined) {
--- a/packages/kumquatfront/src/adapters/trafficHttp.ts
+++ b/packages/kumquatfront/src/adapters/trafficHttp.ts
@@ -7,6 +7,7 @@
 import type * as ports from '../kernel/ports.js';
 import type * as relayTypes from '../relay/types.js';
 import type * as trafficTypes from '../traffic/types.js';
+import * as rawHeaders from './rawHeaders.js';
 
 /** Limits before the first configuration: those of common HTTP servers. */
 const FIRST_LIMITS: trafficTypes.CallerLimits = {
@@ -92,14 +93,6 @@
   return { server, refreshLimits };
 }
 
-function pairs(raw: readonly string[]): readonly relayTypes.Header[] {
-  const headers: relayTypes.Header[] = [];
-  for (let index = 0; index + 1 < raw.length; index += 2) {
-    headers.push([raw[index] ?? '', raw[index + 1] ?? '']);
-  }
-  return headers;
-}
-
 function refuseEarly(outgoing: http.ServerResponse, status: number, message: string): void {
   outgoing.writeHead(status, { Connection: 'close', 'Content-Type': 'application/json' });
   outgoing.end(JSON.stringify({ error: message }));
@@ -141,7 +134,7 @@
     const request = options.decode({
       method: incoming.method ?? 'GET',
       url: incoming.url ?? '/',
-      headers: pairs(incoming.rawHeaders),
+      headers: rawHeaders.pairs(incoming.rawHeaders),
       body: Buffer.concat(chunks),
       arrivedAt,
     });
--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -38,8 +38,6 @@
   readonly random: ports.Random;
   /** The instances as this replica knows them. */
   readonly instances: () => readonly instanceTypes.InstanceRecord[];
-  /** Changes whenever `instances` does. */
-  readonly instancesRevision: () => number;
   readonly serviceOf: (name: string) => trafficTypes.Service | undefined;
   readonly move: evacuation.EvacuationHost['move'];
 }
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -104,10 +104,6 @@
     this.engines = new Map(engines.map((engine) => [engine.identity, engine]));
   }
 
-  engineOf(identity: string): Engine | undefined {
-    return this.engines.get(identity);
-  }
-
   get engineList(): readonly Engine[] {
     return [...this.engines.values()];
   }
--- a/packages/kumquatfront/src/placement/overload.spec.ts
+++ b/packages/kumquatfront/src/placement/overload.spec.ts
@@ -75,7 +75,6 @@
     metrics,
     random,
     instances: () => instances,
-    instancesRevision: () => 1,
     serviceOf: () => service,
     move: silent,
   });
--- a/packages/kumquatfront/src/trafficControl/controlBench.ts
+++ b/packages/kumquatfront/src/trafficControl/controlBench.ts
@@ -227,14 +227,11 @@
 
   /** Names of the voters that the leader counts; empty where nobody leads. */
   voters(): readonly string[] {
-    const leader = [...this.nodes].find(
-      ([address, node]) => this.lives.get(address)?.alive === true && node.services.find('replica').mayLead(),
-    );
-    const members = leader?.[1].services.find('replica').status().members ?? [];
+    const members = this.nodes.get(this.leader())?.services.find('replica').status().members ?? [];
     return members.filter((member) => member.role === 'voter').map((member) => member.name);
   }
 
-  /** Addresses of the replica that leads. */
+  /** Address of the replica that leads; empty where none does. */
   leader(): string {
     const found = [...this.nodes].find(
       ([address, node]) => this.lives.get(address)?.alive === true && node.services.find('replica').mayLead(),
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -85,7 +85,6 @@
       metrics,
       random,
       instances: () => this.table.records(timers.now()),
-      instancesRevision: () => this.table.currentRevision,
       serviceOf: (name) => this.routes()?.serviceOf(name),
       move: (entryAddress, command, done) => {
         peers.request(entryAddress, methods.methods.move, command, evacuation.MOVE_TIMEOUT, (result) => {
--- a/packages/soak/src/clients.ts
+++ b/packages/soak/src/clients.ts
@@ -5,6 +5,7 @@
 import * as http from 'node:http';
 
 import type * as kumquatfront from 'kumquatfront';
+import * as platform from 'kumquatfront-platform';
 
 import type * as ledger from './ledger.js';
 
@@ -92,9 +93,9 @@
         agent: this.random.next() < 0.7 ? this.agent : undefined,
         headers: {
           Host: 'soak.example',
-          'X-Attempt-Id': identity,
-          'X-Deadline-Ms': String(PATIENCE_MS),
-          'X-Token-Usage': '300,160',
+          [platform.names.headers.attempt]: identity,
+          [platform.names.headers.timeLeft]: String(PATIENCE_MS),
+          [platform.names.headers.tokens]: '300,160',
           Authorization: 'Token key',
         },
       },
--- a/packages/soak/src/runners.ts
+++ b/packages/soak/src/runners.ts
@@ -3,8 +3,12 @@
  */
 import * as http from 'node:http';
 
+import * as platform from 'kumquatfront-platform';
+
 import * as ledger from './ledger.js';
 
+const { headers } = platform.names;
+
 const HEARTBEAT_MS = 400;
 const EVENT_MS = 12;
 const WORK_MS = 15;
@@ -70,9 +74,9 @@
 
   private serve(incoming: http.IncomingMessage, outgoing: http.ServerResponse): void {
     const { identity, book } = this.options;
-    const attempt = String(incoming.headers['x-attempt-id'] ?? '');
-    if (incoming.headers['x-expected-instance'] !== identity) {
-      outgoing.writeHead(421, { 'X-Not-Executed': '1' });
+    const attempt = String(incoming.headers[headers.attempt] ?? '');
+    if (incoming.headers[headers.expectedInstance] !== identity) {
+      outgoing.writeHead(421, { [headers.notRun]: '1' });
       outgoing.end();
       return;
     }
@@ -84,15 +88,15 @@
       return;
     }
     setTimeout(() => {
-      outgoing.writeHead(200, { 'X-Attempt-Id': attempt, 'X-Upstream-Signature': 's' });
+      outgoing.writeHead(200, { [headers.attempt]: attempt, [headers.signature]: 's' });
       outgoing.end(ledger.bodyOf(attempt));
     }, WORK_MS);
   }
 
   private stream(attempt: string, outgoing: http.ServerResponse): void {
     outgoing.writeHead(200, {
-      'X-Attempt-Id': attempt,
-      'X-Upstream-Signature': 's',
+      [headers.attempt]: attempt,
+      [headers.signature]: 's',
       'Content-Type': 'text/event-stream',
     });
     let index = 0;
