Generations are placed by the time to their first event; late ones only where there is slack

Cause: on the grown sites a third of the long generations that were served had their first event after its objective. The logs (first event, wait and pauses are in the last line of a stream now) show two reasons: an engine that has just started got every new prompt, and the fourth waited behind three others; and generations that were late already, or whose callers had come back after a refusal, took the memory of others in time. Besides, callers were held for up to 1.6 objectives before a refusal.

Changed: time to the first event is forecast for each engine (pace of reading learned from those that had nothing before them); callers that come back are known by what they ask for; late ones get a place under 40 in 100 of memory only; a refusal comes within an eighth of the objective; patient work is bounded at 78 in 100 and moves at 95.

--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -57,6 +57,8 @@
 export * as instanceTable from './instances/instanceTable.js';
 export type * as instanceTypes from './instances/types.js';
 export * as instanceView from './instances/instanceView.js';
+export * as placementCoordinator from './placement/coordinator.js';
+export * as waitingRules from './placement/waitingRules.js';
 export type * as placementTypes from './placement/types.js';
 export type * as relayTypes from './relay/types.js';
 export * as routeTable from './traffic/routeTable.js';
--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -10,7 +10,10 @@
 import * as enginePool from './enginePool.js';
 import * as evacuation from './evacuation.js';
 import * as placementQueue from './placementQueue.js';
+import * as returningCallers from './returningCallers.js';
+import * as timeliness from './timeliness.js';
 import type * as types from './types.js';
+import * as waitingRules from './waitingRules.js';
 
 /** How often places are offered anew; a step of an engine takes as long. */
 const PUMP_INTERVAL: ports.Milliseconds = 20;
@@ -46,9 +49,11 @@
 export class Coordinator {
   private readonly options: CoordinatorOptions;
   private readonly pool = new enginePool.EnginePool();
-  private readonly queue = new placementQueue.PlacementQueue((facts) =>
-    this.pool.lengths.expectedOutput(facts, 0),
-  );
+  private readonly returning = new returningCallers.ReturningCallers();
+  private readonly queue = new placementQueue.PlacementQueue({
+    expectedOutput: (facts) => this.pool.lengths.expectedOutput(facts, 0),
+    timelinessOf: (waiting, now) => this.timelinessOf(waiting, now),
+  });
   private readonly evacuation: evacuation.Evacuation;
   private activeSince: number | undefined;
   private askedAt = Number.NEGATIVE_INFINITY;
@@ -105,13 +110,39 @@
       answer({ state: 'placed', instance: known.running.instance });
       return;
     }
-    if (!this.queue.add(request, now, answer)) {
+    if (!this.queue.add(this.countedFromFirst(request, now), now, answer)) {
       answer({ state: 'refused', retryAfter: LONGEST_RETRY_AFTER, reason: 'the queue is full' });
       return;
     }
     this.pump();
   }
 
+  /** A caller that comes back has waited before; its objective counts from its first question. */
+  private countedFromFirst(request: types.PlacementRequest, now: number): types.PlacementRequest {
+    const firstAskedAt = this.returning.take(request.likeness, now);
+    if (firstAskedAt === undefined) {
+      return request;
+    }
+    const objectiveLeft = Math.min(request.objectiveLeft, firstAskedAt + request.objective - now);
+    this.options.log.info('callerReturned', {
+      request: request.facts.identity,
+      firstAsked: Math.round(now - firstAskedAt),
+      objectiveLeft: Math.round(objectiveLeft),
+    });
+    const returned = { ...request, objectiveLeft };
+    const late = this.timelinessOf({ request: returned, since: now }, now) === 'late';
+    return late ? { ...returned, patience: Math.min(request.patience, waitingRules.LATE_WAIT) } : returned;
+  }
+
+  private timelinessOf(
+    waiting: Pick<placementQueue.Waiting, 'request' | 'since'>,
+    now: number,
+  ): timeliness.Timeliness {
+    const { request, since } = waiting;
+    const needed = this.pool.pace.timeToFirstEvent(request.facts.service, request.facts.promptTokens);
+    return timeliness.judge(request, now - since, needed);
+  }
+
   /** Withdraws a question. */
   withdraw(identity: string): void {
     this.queue.remove(identity);
@@ -156,23 +187,27 @@
       return;
     }
     this.activeSince ??= now;
+    if (now - this.activeSince < LEARNING) {
+      return;
+    }
+    if (this.changed || now - this.servedAt >= SERVE_INTERVAL) {
+      this.changed = false;
+      this.servedAt = now;
+      this.refreshEngines();
+      this.pool.expire(now);
+      this.evacuation.pump();
+      this.queue.serve(now, (waiting) => this.tryPlace(waiting, now));
+    }
     for (const expired of this.queue.takeExpired(now)) {
       this.refuse(expired, 'no place came free in time');
     }
-    if (now - this.activeSince < LEARNING || (!this.changed && now - this.servedAt < SERVE_INTERVAL)) {
-      return;
-    }
-    this.changed = false;
-    this.servedAt = now;
-    this.refreshEngines();
-    this.pool.expire(now);
-    this.evacuation.pump();
-    this.queue.serve(now, (waiting) => this.tryPlace(waiting, now));
   }
 
   private refuse(waiting: placementQueue.Waiting, reason: string): void {
-    const { facts } = waiting.request;
+    const { facts, likeness, objective, objectiveLeft } = waiting.request;
     const retryAfter = this.retryAfter(facts.service);
+    const now = this.options.timers.now();
+    this.returning.refused(likeness, waiting.since + objectiveLeft - objective, now);
     this.options.metrics.count('placement.answers', 1, { state: 'refused' });
     this.options.log.info('placementRefused', { request: facts.identity, reason, retryAfter });
     waiting.answer({ state: 'refused', retryAfter, reason });
@@ -187,11 +222,19 @@
   }
 
   private tryPlace(waiting: placementQueue.Waiting, now: number): boolean {
-    const { facts, dataCentre, excluded } = waiting.request;
-    const patient = facts.rank >= enginePool.PATIENT_RANK;
-    const purpose = patient ? 'patient' : 'urgent';
-    const search = { facts, produced: 0, purpose, dataCentre, excluded: new Set(excluded) } as const;
-    const engine = this.pool.bestFor(search, now);
+    const { facts, dataCentre, excluded, objectiveLeft } = waiting.request;
+    const verdict = this.timelinessOf(waiting, now);
+    const engine = this.pool.bestFor(
+      {
+        facts,
+        produced: 0,
+        purpose: purposeOf(facts, verdict),
+        dataCentre,
+        excluded: new Set(excluded),
+        ...(verdict === 'inTime' && { firstEventWithin: objectiveLeft - (now - waiting.since) }),
+      },
+      now,
+    );
     if (engine === undefined) {
       return false;
     }
@@ -217,3 +260,10 @@
     this.grantGap.set(service, { at: now, gap });
   }
 }
+
+function purposeOf(facts: types.GenerationFacts, verdict: timeliness.Timeliness): enginePool.Purpose {
+  if (facts.rank < enginePool.PATIENT_RANK) {
+    return 'urgent';
+  }
+  return verdict === 'late' ? 'late' : 'patient';
+}
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -10,18 +10,22 @@
 import type * as trafficTypes from '../traffic/types.js';
 import * as lengthForecast from './lengthForecast.js';
 import * as memoryPeak from './memoryPeak.js';
+import * as readingPace from './readingPace.js';
 import type * as types from './types.js';
 
 /** What a place is wanted for; each has a bound of its own on the share of memory that is forecast to fill. */
-export type Purpose = 'patient' | 'urgent' | 'move';
+export type Purpose = 'patient' | 'late' | 'urgent' | 'move';
 
 /**
  * Shares of an engine's memory. Urgent generations are short: what counts for them is the memory that is held
- * until they end, not the peak that the long ones reach seconds later. A move may go over: what would be lost otherwise is worth more than what it may make late. */
+ * until they end, not the peak that the long ones reach seconds later. Patient ones leave room for what moves off
+ * engines that leave. Late ones earn a seventh of the others, so they get what nobody in time is about to need.
+ */
 const MEMORY_SHARES: Readonly<Record<Purpose, number>> = {
-  patient: 0.85,
+  patient: 0.78,
+  late: 0.4,
   urgent: 0.97,
-  move: 1.02,
+  move: 0.95,
 };
 
 /** Slots that patient generations leave free, so that an urgent one starts at once. */
@@ -56,6 +60,8 @@
   /** When the generation was placed or first reported. */
   readonly beganAt: ports.Milliseconds;
   readonly reported: boolean;
+  /** Prompt tokens that had to be read before its first event when it was placed, its own among them. */
+  readonly toRead: number;
 }
 
 interface KnownEntry {
@@ -74,25 +80,27 @@
   readonly excluded: ReadonlySet<string>;
   /** What being in the data centre is worth, as share of memory. */
   readonly nearBonus?: number;
+  /** Engines that would need longer than this to the first event are left out. */
+  readonly firstEventWithin?: ports.Milliseconds;
 }
 
 /**
- * Prompt tokens that wait to be read on an engine count against it like this share of its memory each.
- *
- * Pattern: prompts that come to one engine together are read in turns, and the last one's first event is late
- * although there is memory for all. Grounds: engines read 10 to 15 tokens a millisecond, so that one long prompt
- * holds the next up for a quarter of a second, a sixth of an objective.
+ * Time to the first event counts against an engine like this share of its memory a millisecond: half a second,
+ * one long prompt, like four fifths. So an engine that has just started, with its memory empty, gets one prompt
+ * after another and not all that come. At a quarter of it long generations on stand-in engines are late half as
+ * often again.
  */
-const SHARE_FOR_UNREAD_TOKEN = 0.2 / 3_000;
+const SHARE_FOR_MILLISECOND = 0.8 / 500;
 
-/** A prompt counts as read after this long where no report has said so. */
-const READ_AFTER: ports.Milliseconds = 1_000;
+/** A prompt counts as read after this long where no report has said so: its entry may be gone. */
+const READ_AFTER: ports.Milliseconds = 3_000;
 
 const EMPTY: readonly memoryPeak.Growth[] = [];
 
 /** The pool; see the module comment. */
 export class EnginePool {
   readonly lengths = new lengthForecast.LengthForecast();
+  readonly pace = new readingPace.ReadingPace();
   private engines = new Map<string, Engine>();
   private readonly placed = new Map<string, Placed>();
   private readonly entries = new Map<string, KnownEntry>();
@@ -129,8 +137,14 @@
     }
     for (const running of report.generations) {
       const { identity } = running.facts;
-      const beganAt = former.get(identity)?.beganAt ?? now;
-      this.placed.set(identity, { running, entry, grantedAt: now, beganAt, reported: true });
+      const known = former.get(identity);
+      const { beganAt, toRead } = known ?? { beganAt: now, toRead: running.facts.promptTokens };
+      this.placed.set(identity, { running, entry, grantedAt: now, beganAt, reported: true, toRead });
+      // Those with others before them tell less: how far the others had been read is not known.
+      const alone = toRead === running.facts.promptTokens;
+      if (known !== undefined && alone && running.started && !known.running.started) {
+        this.pace.learn(running.facts.service, toRead, now - beganAt);
+      }
     }
     for (const finished of report.finished) {
       this.lengths.learn(finished.facts, finished.produced);
@@ -153,7 +167,15 @@
     const { facts, entry } = request;
     const { instance } = answer;
     const running = { facts, instance, produced: 0, started: false };
-    this.placed.set(facts.identity, { running, entry, grantedAt: now, beganAt: now, reported: false });
+    const toRead = facts.promptTokens + (this.unreadPrompts(now).get(instance) ?? 0);
+    this.placed.set(facts.identity, {
+      running,
+      entry,
+      grantedAt: now,
+      beganAt: now,
+      reported: false,
+      toRead,
+    });
     this.loads = undefined;
   }
 
@@ -237,11 +259,13 @@
   /** The engine that has the most to spare after taking a generation in; undefined where none has room. */
   bestFor(search: Search, now: number): Engine | undefined {
     const { facts, produced, purpose, dataCentre, excluded, nearBonus = SAME_DATA_CENTRE_BONUS } = search;
+    const { firstEventWithin = Number.POSITIVE_INFINITY } = search;
+    const ownPrompt = purpose === 'move' ? 0 : facts.promptTokens;
     const loads = this.loadsOf();
     const unread = this.unreadPrompts(now);
     const held = facts.promptTokens + produced;
     const growth = { held, remaining: this.lengths.remaining(facts, produced) };
-    const keptFree = purpose === 'patient' ? SLOTS_KEPT_FREE : 0;
+    const keptFree = purpose === 'patient' || purpose === 'late' ? SLOTS_KEPT_FREE : 0;
     let best: Engine | undefined;
     let bestScore = Number.NEGATIVE_INFINITY;
     for (const engine of this.engines.values()) {
@@ -255,9 +279,12 @@
       const filled = needed / memoryTokens;
       // An engine with nothing on it takes a generation of any size: it would wait for ever otherwise.
       const fits = filled <= MEMORY_SHARES[purpose] || load.length === 0;
-      const reading = (unread.get(engine.identity) ?? 0) * SHARE_FOR_UNREAD_TOKEN;
-      const score = (engine.dataCentre === dataCentre ? nearBonus : 0) - filled - reading;
-      if (fits && load.length < slots - keptFree && score > bestScore) {
+      const toRead = ownPrompt + (unread.get(engine.identity) ?? 0);
+      const firstEvent = this.pace.timeToFirstEvent(facts.service, toRead);
+      const near = engine.dataCentre === dataCentre ? nearBonus : 0;
+      const score = near - filled - firstEvent * SHARE_FOR_MILLISECOND;
+      const takes = fits && load.length < slots - keptFree && firstEvent <= firstEventWithin;
+      if (takes && score > bestScore) {
         best = engine;
         bestScore = score;
       }
--- a/packages/kumquatfront/src/placement/overload.spec.ts
+++ b/packages/kumquatfront/src/placement/overload.spec.ts
@@ -120,7 +120,10 @@
     const askedAt = time.now();
     const patience = OBJECTIVE * 1.6;
     placer.place(
-      { facts, entry: 'e', dataCentre: 'a', excluded: [], objectiveLeft: OBJECTIVE, patience },
+      {
+        ...{ facts, entry: 'e', dataCentre: 'a', excluded: [], likeness: facts.identity, patience },
+        ...{ objective: OBJECTIVE, objectiveLeft: OBJECTIVE },
+      },
       (answer) => {
         if (answer.state === 'refused') {
           counts.refused += 1;
--- a/packages/kumquatfront/src/placement/placementQueue.ts
+++ b/packages/kumquatfront/src/placement/placementQueue.ts
@@ -8,6 +8,7 @@
  * one that finds no room must not be overtaken for ever, nor hold everything up.
  */
 import type * as ports from '../kernel/ports.js';
+import type * as timeliness from './timeliness.js';
 import type * as types from './types.js';
 
 /** One that waits. */
@@ -20,34 +21,29 @@
 /** Tokens of forecast output that one millisecond of waiting makes up for: the longest ones in two seconds. */
 const TOKENS_PER_WAITED_MILLISECOND = 0.8;
 
-/**
- * Time from a place to the first event: a fixed part for admission and the first step, and one for each prompt
- * token at the rate of an engine that decodes besides. Placed later than this before its objective ends, a
- * generation takes memory from one that could still be in time, and is late itself.
- */
-const FIRST_EVENT_FIXED: ports.Milliseconds = 200;
-const FIRST_EVENT_FOR_TOKEN: ports.Milliseconds = 0.1;
-
-function timeToFirstEvent(facts: types.GenerationFacts): ports.Milliseconds {
-  return FIRST_EVENT_FIXED + facts.promptTokens * FIRST_EVENT_FOR_TOKEN;
-}
-
 /** Time for which smaller generations may overtake a larger one that finds no room: near one objective. */
 const OVERTAKEN_FOR: ports.Milliseconds = 1_500;
 
 /** Generations that may wait at once; with a hundred bytes each, far below what control may use. */
 const MOST_WAITING = 2_000;
 
+/** What the queue asks of those who forecast. */
+export interface QueueForecasts {
+  /** Forecast of a generation's output, in tokens. */
+  readonly expectedOutput: (facts: types.GenerationFacts) => number;
+  readonly timelinessOf: (
+    waiting: Pick<Waiting, 'request' | 'since'>,
+    now: ports.Milliseconds,
+  ) => timeliness.Timeliness;
+}
+
 /** The queue; see the module comment. */
 export class PlacementQueue {
   private readonly waiting = new Map<string, Waiting>();
-  private readonly expectedOutput: (facts: types.GenerationFacts) => number;
+  private readonly forecasts: QueueForecasts;
 
-  /**
-   * @param expectedOutput - forecast of a generation's output, in tokens
-   */
-  constructor(expectedOutput: (facts: types.GenerationFacts) => number) {
-    this.expectedOutput = expectedOutput;
+  constructor(forecasts: QueueForecasts) {
+    this.forecasts = forecasts;
   }
 
   get size(): number {
@@ -72,21 +68,29 @@
     return [...this.waiting.values()].filter((entry) => entry.request.facts.service === service).length;
   }
 
-  /** Takes out all whose patience is over. */
+  /** Takes out all whose patience is over, and those that became late while they waited. */
   takeExpired(now: number): readonly Waiting[] {
-    const expired = [...this.waiting.values()].filter((entry) => now - entry.since >= entry.request.patience);
+    const expired = [...this.waiting.values()].filter(
+      (entry) => now - entry.since >= entry.request.patience || this.becameLate(entry, now),
+    );
     for (const entry of expired) {
       this.waiting.delete(entry.request.facts.identity);
     }
     return expired;
   }
 
+  /** Whoever was late when it came waits for slack; who could have been in time is better told at once. */
+  private becameLate(entry: Waiting, now: number): boolean {
+    const { timelinessOf } = this.forecasts;
+    return timelinessOf(entry, now) === 'late' && timelinessOf(entry, entry.since) === 'inTime';
+  }
+
   private inOrder(now: number): readonly Waiting[] {
     const keyed = [...this.waiting.values()].map((entry) => {
       const waited = now - entry.since;
-      const { facts, objectiveLeft } = entry.request;
-      const late = waited > objectiveLeft - timeToFirstEvent(facts) ? 1 : 0;
-      const length = this.expectedOutput(facts) - waited * TOKENS_PER_WAITED_MILLISECOND;
+      const { facts } = entry.request;
+      const late = this.forecasts.timelinessOf(entry, now) === 'late' ? 1 : 0;
+      const length = this.forecasts.expectedOutput(facts) - waited * TOKENS_PER_WAITED_MILLISECOND;
       return { entry, late, length, rank: facts.rank };
     });
     keyed.sort(
--- a/packages/kumquatfront/src/placement/types.ts
+++ b/packages/kumquatfront/src/placement/types.ts
@@ -27,7 +27,11 @@
   readonly dataCentre: string;
   /** Identities of engines that the asker does not want. */
   readonly excluded: readonly string[];
-  /** Time to the first event that the caller expects, counted from now. */
+  /** What this question and the next one of the same caller, after a refusal, have in common. */
+  readonly likeness: string;
+  /** Time to the first event that the route promises, counted from the caller's first question. */
+  readonly objective: ports.Milliseconds;
+  /** What is left of it, counted from now. */
   readonly objectiveLeft: ports.Milliseconds;
   /** Time after which a place is of no use any more. */
   readonly patience: ports.Milliseconds;
--- /dev/null
+++ b/packages/kumquatfront/src/placement/waitingRules.ts
@@ -0,0 +1,36 @@
+/**
+ * How long a generation may wait for its place before its caller is told that there is none.
+ */
+import type * as ports from '../kernel/ports.js';
+
+/**
+ * How long a generation may wait for its place, in objectives: an eighth. Places come free at random, so a short
+ * wait finds most of what a long one would; whoever is told early comes back while its first event can still be in
+ * time. On stand-in engines under one and a half times the load that fits, waiting six times as long earns callers
+ * nothing more, and those who end without a place have then waited in vain for most of their objective.
+ */
+const WAITING_OBJECTIVES = 0.12;
+
+/** A caller that comes back too late to be in time has waited before: it is placed at once, or told at once. */
+export const LATE_WAIT: ports.Milliseconds = 50;
+
+/** The same as share of the whole time that there is; the rest is for the answer, here or elsewhere. */
+const WAITING_SHARE = 0.45;
+
+/**
+ * Longest time to wait for a place.
+ *
+ * @param objective - milliseconds to the first event that the route promises
+ * @param wholeTime - milliseconds from the question to the caller's final answer
+ * @returns milliseconds from the question
+ * @example
+ * ```ts
+ * waitingRules.longestWait(1800, 39000); // 216
+ * ```
+ */
+export function longestWait(
+  objective: ports.Milliseconds,
+  wholeTime: ports.Milliseconds,
+): ports.Milliseconds {
+  return Math.max(0, Math.min(objective * WAITING_OBJECTIVES, wholeTime * WAITING_SHARE));
+}
--- a/packages/kumquatfront/src/relay/placeFinder.ts
+++ b/packages/kumquatfront/src/relay/placeFinder.ts
@@ -5,19 +5,12 @@
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import type * as placementTypes from '../placement/types.js';
+import * as waitingRules from '../placement/waitingRules.js';
 import * as exchangeContext from './exchangeContext.js';
+import * as generationFacts from './generationFacts.js';
 import type * as placementClient from './placementClient.js';
 import type * as types from './types.js';
 
-/**
- * How long a generation may wait for its place, in objectives. One that is late earns its caller little, and
- * one that is refused early can come back elsewhere in time; well before its caller gives up at four.
- */
-const WAITING_OBJECTIVES = 1.6;
-
-/** The same as share of the whole time that there is; the rest is for the answer, here or elsewhere. */
-const WAITING_SHARE = 0.45;
-
 /** What is told of the search. */
 export interface PlaceListener {
   readonly found: (instance: instanceView.Instance) => void;
@@ -61,16 +54,15 @@
       return;
     }
     const now = timers.now();
-    const longest = Math.min(
-      route.objective * WAITING_OBJECTIVES,
-      (answerBy - request.arrivedAt) * WAITING_SHARE,
-    );
-    const waitUntil = request.arrivedAt + longest;
+    const { objective } = route;
+    const waitUntil = request.arrivedAt + waitingRules.longestWait(objective, answerBy - request.arrivedAt);
     const ejected = choice.ejectedOf(instances.readyOf(service.name), now);
     const question: placementClient.PlaceQuestion = {
       facts: this.facts,
       excluded: [...this.excluded, ...ejected],
-      objectiveLeft: request.arrivedAt + route.objective - now,
+      likeness: generationFacts.likenessOf(this.routed),
+      objective,
+      objectiveLeft: request.arrivedAt + objective - now,
       patience: Math.max(0, waitUntil - now),
     };
     this.cancelQuestion = placement.place(question, (outcome) => {
--- a/packages/kumquatfront/src/relay/relayBench.ts
+++ b/packages/kumquatfront/src/relay/relayBench.ts
@@ -183,7 +183,7 @@
         headers: [],
         body: new Uint8Array(),
         arrivedAt: this.time.now(),
-        generation: { promptTokens: 3_000, outputLimit: 2_000, lengthHint: 500 },
+        generation: { promptTokens: 3_000, outputLimit: 2_000, lengthHint: 500, prompt: 'p:100' },
       },
       caller: {
         refuse: (refusal) => {
--- a/packages/kumquatfront/src/relay/streamDelivery.ts
+++ b/packages/kumquatfront/src/relay/streamDelivery.ts
@@ -13,6 +13,8 @@
   lastEvent: string | undefined;
   /** Events handed over. */
   events = 0;
+  /** When the first event was handed over; undefined before. */
+  firstEventAt: ports.Milliseconds | undefined;
   /** Longest time between two events. */
   longestPause: ports.Milliseconds = 0;
   private head: types.UpstreamHead | undefined;
@@ -42,6 +44,7 @@
       return false;
     }
     this.lastEvent = event.identity ?? this.lastEvent;
+    this.firstEventAt ??= now;
     if (this.begun) {
       this.longestPause = Math.max(this.longestPause, now - this.lastAt);
     }
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -458,6 +458,26 @@
     this.finish({ outcome: 'interrupted', reason });
   }
 
+  /** What its last log line tells besides the outcome: what decided where it ran, and how its caller saw it. */
+  private story(): ports.LogFields {
+    const { sends, moves, facts, produced } = this;
+    const { lastEvent, firstEventAt } = this.delivery;
+    return {
+      rank: facts?.rank,
+      patience: this.routed.request.patience,
+      promptTokens: facts?.promptTokens,
+      outputLimit: facts?.outputLimit,
+      lengthHint: facts?.lengthHint,
+      produced,
+      sends,
+      moves,
+      lastEvent,
+      firstEvent:
+        firstEventAt === undefined ? undefined : Math.round(firstEventAt - this.routed.request.arrivedAt),
+      longestPause: Math.round(this.delivery.longestPause),
+    };
+  }
+
   private finish(outcome: ports.LogFields): void {
     if (this.ended) {
       return;
@@ -476,9 +496,6 @@
         outcome.outcome === 'answered' && this.delivery.begun ? { facts, produced } : undefined;
       this.context.placement.closed(this.routed.request.identity, finished);
     }
-    const { sends, moves } = this;
-    const { lastEvent } = this.delivery;
-    const longestPause = Math.round(this.delivery.longestPause);
-    exchangeContext.logEnd(this.context, this.routed, { ...outcome, sends, moves, lastEvent, longestPause });
+    exchangeContext.logEnd(this.context, this.routed, { ...outcome, ...this.story() });
   }
 }
--- a/packages/kumquatfront/src/relay/trafficRelay.ts
+++ b/packages/kumquatfront/src/relay/trafficRelay.ts
@@ -10,8 +10,12 @@
 import * as streamExchange from './streamExchange.js';
 import type * as types from './types.js';
 
-/** Time to come back where the entry has no configuration yet: about the time of a first watch. */
-const NO_CONFIGURATION_RETRY: ports.Milliseconds = 300;
+/**
+ * Time to come back where the entry has no configuration yet. Where only this entry has started it has one within
+ * a tenth of a second and hardly refuses; where everything has, an election and the first announcements come first:
+ * 1.2 to 1.6 s in runs with all processes killed. Sooner, a caller would use up its last try for another refusal.
+ */
+const NO_CONFIGURATION_RETRY: ports.Milliseconds = 1_500;
 
 /** Time to come back, to another entry, from one that is stopping. */
 const DRAINING_RETRY: ports.Milliseconds = 20;
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -14,6 +14,8 @@
   readonly outputLimit: number;
   /** 0 where the caller gave none. */
   readonly lengthHint: number;
+  /** Names of the prompt's parts, as the caller gave them; empty where it gave none. */
+  readonly prompt: string;
 }
 
 /** One attempt of a caller, read in whole. */
--- a/packages/standIns/src/engine/engineModel.ts
+++ b/packages/standIns/src/engine/engineModel.ts
@@ -48,12 +48,12 @@
   start(order: types.EngineOrder, reader: types.EngineReader): void {
     const generation: types.Generation = {
       order,
-      produced: 0,
-      toCompute: this.cache.has(order.prefix) ? Math.ceil(order.promptTokens / 10) : order.promptTokens,
+      produced: order.copiedOutput ?? 0,
+      toCompute: this.unreadOf(order),
       state: 'waiting',
       arrival: (this.arrivals += 1),
       reader,
-      sent: 0,
+      sent: order.copiedOutput ?? 0,
       paused: false,
       endedAt: 0,
     };
@@ -63,6 +63,29 @@
     this.scheduleStep();
   }
 
+  /** Prompt tokens of an order that must be read before its first token. */
+  private unreadOf(order: types.EngineOrder): number {
+    if (order.copiedOutput !== undefined) {
+      return 0;
+    }
+    return this.cache.has(order.prefix) ? Math.ceil(order.promptTokens / 10) : order.promptTokens;
+  }
+
+  /** Sets memory aside for a copy that is on its way; false where there is no room. */
+  hold(tokens: number): boolean {
+    if (this.usedTokens + tokens > this.options.memoryTokens) {
+      return false;
+    }
+    this.usedTokens += tokens;
+    return true;
+  }
+
+  /** Gives back what was set aside. */
+  release(tokens: number): void {
+    this.usedTokens -= tokens;
+    this.scheduleStep();
+  }
+
   private enqueue(generation: types.Generation): void {
     const { priority } = generation.order;
     const position = this.waiting.findIndex(
--- a/packages/standIns/src/engine/types.ts
+++ b/packages/standIns/src/engine/types.ts
@@ -28,6 +28,8 @@
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly prefix: string;
+  /** Tokens that were made elsewhere, whose memory was copied here; the prompt is not read again then. */
+  readonly copiedOutput?: number;
 }
 
 /** Whoever reads a generation. */
