explain: why a request ended as it did, from the logs of many processes

kumquatfront explain REQUEST LOGFILE... puts the lines of a request together with those that tell what its processes believed, and says the cause in a sentence; table or JSON, exit code 1 where no log names it.

--- /dev/null
+++ b/packages/command/src/explain/explain.spec.ts
@@ -0,0 +1,84 @@
+/**
+ * Requests explained from logs, on lines as entries and control write them.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as cause from './cause.js';
+import * as logLine from './logLine.js';
+import * as requestStory from './requestStory.js';
+
+const at = (second: number): string => `time=2026-01-01T00:00:${second.toFixed(3).padStart(6, '0')}Z`;
+
+const CONTROL = [
+  `${at(1)} process=control-1 level=info event=coordinatorState waiting=4 placed=9 engines="i-a:8:90% i-b:1:20%:leaving"`,
+  `${at(1.2)} process=control-1 level=info event=placementRefused request=r1 reason="no place came free in time" retryAfter=700`,
+  `${at(2)} process=control-1 level=info event=instanceHeard instance=i-a service=llm address=10.0.0.1:80 state=leaving sequence=8`,
+  `${at(2.1)} process=control-1 level=info event=moveStarted request=r2 source=i-a target=i-b produced=30`,
+].join('\n');
+
+const ENTRY = [
+  `${at(0.1)} process=entry-1 level=info event=trafficInForce version=7 control=10.0.0.9:7000`,
+  `${at(1.21)} process=entry-1 level=info event=requestEnded request=r1 route=r service=llm version=7 outcome=overloaded reason="no place came free in time" sends=0 milliseconds=216`,
+  `${at(2.2)} process=entry-1 level=info event=moveResult request=r2 source=i-a target=i-b milliseconds=5 state=unmoved reason=noRoom ended=false`,
+  `${at(3.9)} process=entry-1 level=info event=streamBroken request=r2 upstream=i-a failure=broken reason=aborted lastEvent=9`,
+  `${at(3.9)} process=entry-1 level=info event=requestEnded request=r2 route=r service=llm version=7 outcome=interrupted reason=aborted sends=1 milliseconds=2900`,
+  `${at(4)} process=entry-1 level=info event=requestRefused request=r3 reason=noRoute message="no route for h/x in version 7"`,
+  `${at(5)} process=entry-1 level=info event=streamBroken request=r4 upstream=i-b failure=broken reason=aborted lastEvent=3`,
+  `${at(5)} process=entry-1 level=info event=requestEnded request=r4 route=r service=llm version=7 outcome=interrupted reason=aborted sends=1 milliseconds=900`,
+].join('\n');
+
+function explain(request: string): string {
+  return cause.of(requestStory.collect(request, [ENTRY, CONTROL]));
+}
+
+void test.test('a refusal is explained by what the coordinator believed', () => {
+  const sentence = explain('r1');
+  assert.match(sentence, /nothing ran/);
+  assert.match(sentence, /Of 2 engines 1 could be used, 4 generations waited/);
+});
+
+void test.test('a broken stream is explained by the notice and the move that failed', () => {
+  const sentence = explain('r2');
+  assert.match(sentence, /i-a gave notice at 2026-01-01T00:00:02.000Z/);
+  assert.match(sentence, /unmoved \(noRoom\)/);
+});
+
+void test.test('an engine that crashed is told from one that left', () => {
+  assert.match(explain('r4'), /i-b broke off without notice after event 3/);
+});
+
+// The entry saw the notice; the replica that took it logged it elsewhere.
+void test.test('a notice that only the entry logged counts', () => {
+  const seen = `${at(4.5)} process=entry-1 level=info event=instanceSeen instance=i-b service=llm address=a change=leaving`;
+  const sentence = cause.of(requestStory.collect('r4', [ENTRY, seen]));
+  assert.match(sentence, /i-b gave notice at .*04.500Z .*no move off it was begun/);
+});
+
+void test.test('a missing route is explained by the version in force', () => {
+  assert.match(explain('r3'), /version 7, has no such route/);
+});
+
+void test.test('the story holds the lines of both processes in order, and no others', () => {
+  const { lines } = requestStory.collect('r2', [ENTRY, CONTROL]);
+  const events = lines.map((line) => line.event);
+  assert.deepEqual(events.slice(-5), [
+    'instanceHeard',
+    'moveStarted',
+    'moveResult',
+    'streamBroken',
+    'requestEnded',
+  ]);
+  assert.ok(!events.includes('requestRefused'));
+});
+
+void test.test('a request that no log names has no lines', () => {
+  assert.equal(requestStory.collect('r9', [ENTRY, CONTROL]).lines.length, 0);
+});
+
+// A process was killed while it wrote: the last line ends in the middle of a value.
+void test.test('a line that was cut off still tells what it has', () => {
+  const line = logLine.parse(`${at(1)} process=e level=info event=requestRefused request=r reason="no rou`);
+  assert.equal(line?.fields.request, 'r');
+  assert.equal(logLine.parse('not one of ours'), undefined);
+});
--- a/packages/command/src/main.ts
+++ b/packages/command/src/main.ts
@@ -6,6 +6,7 @@
 
 import * as commandRunner from './commandRunner.js';
 import * as configurationCommands from './configurationCommands.js';
+import * as explain from './explain/explain.js';
 import * as localCommands from './localCommands.js';
 import * as systemCommands from './systemCommands.js';
 
@@ -152,6 +153,17 @@
       commandRunner.runWithoutControl(parsed, () => localCommands.hash(parsed.key));
     },
   )
+  .command(
+    'explain <request> <logs..>',
+    'Say why a request ended as it did, from the logs of entries and control',
+    (builder) =>
+      builder
+        .positional('request', { type: 'string', demandOption: true, describe: 'Identity of the attempt' })
+        .positional('logs', { type: 'string', array: true, demandOption: true, describe: 'Log files' }),
+    (parsed) => {
+      commandRunner.runWithoutControl(parsed, () => explain.run(parsed.request, parsed.logs));
+    },
+  )
   .completion('completion', 'Print a completion script for the shell')
   .demandCommand(1, 'Name a command; --help lists them.')
   .strict()
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -69,7 +69,7 @@
         instance: instance.identity,
         service: instance.service,
         address: instance.address,
-        event,
+        change: event,
       });
       if (event === 'gone') {
         choice.forget(instance.identity);
