Fetching asks a second replica only for what is not on its way; lateness and fetching proved

A large configuration takes longer than the pause between fetches, and every further replica that told of the same version would have been asked for it as well.

--- a/packages/kumquatfront/src/trafficControl/trafficFetch.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficFetch.ts
@@ -32,13 +32,19 @@
   readonly onTraffic: (traffic: trafficTypes.VersionedText) => void;
 }
 
+interface Asked {
+  /** Version that the replica had told of. */
+  readonly version: number;
+  readonly at: ports.Milliseconds;
+}
+
 /** The fetch; see the module comment. */
 export class TrafficFetch {
   private readonly options: TrafficFetchOptions;
   /** Highest version that each replica has told of. */
   private readonly told = new Map<string, number>();
   /** Replicas that have been asked and not answered yet. */
-  private readonly asked = new Set<string>();
+  private readonly asked = new Map<string, Asked>();
   private version = 0;
   private fetchedAt = Number.NEGATIVE_INFINITY;
   private next = { at: Number.POSITIVE_INFINITY, cancel: (): void => undefined };
@@ -81,23 +87,36 @@
     this.next = { at, cancel };
   }
 
-  /** The replica that has told of the newest version, of those that were not asked yet. */
-  private best(): string | undefined {
-    const newer = [...this.told].filter(
-      ([address, version]) => version > this.version && !this.asked.has(address),
-    );
-    newer.sort(([, left], [, right]) => right - left);
-    return newer[0]?.[0];
+  /** Version that is in force, or on its way from a replica that may still answer in time. */
+  private expected(now: number): number {
+    const underway = [...this.asked.values()].filter(({ at }) => now - at < SECOND_AFTER);
+    return Math.max(this.version, ...underway.map(({ version }) => version));
+  }
+
+  /** The replica that has told of the newest version, of those that are not being asked. */
+  private best(): readonly [address: string, version: number] | undefined {
+    const free = [...this.told].filter(([address]) => !this.asked.has(address));
+    free.sort(([, left], [, right]) => right - left);
+    return free[0];
   }
 
+  /** Asks the best replica, and looks again when it should have answered. */
   private fetch(): void {
-    const { timers, peers, log } = this.options;
-    const address = this.best();
-    if (address === undefined) {
+    const now = this.options.timers.now();
+    const [address, version] = this.best() ?? ['', 0];
+    if (version <= this.version) {
       return;
     }
-    this.asked.add(address);
-    this.fetchedAt = timers.now();
+    if (version > this.expected(now)) {
+      this.ask(address, version, now);
+    }
+    this.fetchSoon(this.fetchedAt + SECOND_AFTER - now);
+  }
+
+  private ask(address: string, version: number, now: ports.Milliseconds): void {
+    const { peers, log } = this.options;
+    this.asked.set(address, { version, at: now });
+    this.fetchedAt = now;
     const request: methods.FetchRequest = { above: this.version };
     peers.request(address, methods.methods.fetch, request, TIMEOUT, (result) => {
       this.asked.delete(address);
@@ -110,7 +129,6 @@
       }
       this.take(address, result.val as trafficTypes.VersionedText | null);
     });
-    this.fetchSoon(SECOND_AFTER);
   }
 
   private take(address: string, traffic: trafficTypes.VersionedText | null): void {
--- a/packages/scenarios/src/scripts/relaySafeguards.ts
+++ b/packages/scenarios/src/scripts/relaySafeguards.ts
@@ -8,6 +8,7 @@
 const INSTANCES = 'spec:instances/instances';
 const CONTROL = 'spec:trafficControl/trafficControl';
 const OVERLOAD = 'spec:placement/overload';
+const LATENESS = 'spec:placement/lateness';
 
 /** Each with the spec that must fail without it. */
 export const relaySafeguards: readonly safeguards.Safeguard[] = [
@@ -117,11 +118,11 @@
     scenario: OVERLOAD,
   },
   {
-    name: 'those that can be in time go first',
+    name: 'urgent ones go first, then those that can be in time',
     file: 'placement/placementQueue.js',
     find: 'left.rank - right.rank || left.late - right.late || left.length - right.length',
     replace: 'left.entry.since - right.entry.since',
-    scenario: OVERLOAD,
+    scenario: LATENESS,
   },
   {
     name: 'a read is confirmed by answers to messages sent after it',
@@ -158,6 +159,55 @@
     replace: 'true',
     scenario: CONTROL,
   },
+  {
+    name: 'a caller that comes back counts from its first question',
+    file: 'placement/coordinator.js',
+    find: 'if (firstAskedAt === undefined) {',
+    replace: 'if (true) {',
+    scenario: LATENESS,
+  },
+  {
+    name: 'a late generation leaves the last place to one in time',
+    file: 'placement/coordinator.js',
+    find: 'purpose: purposeOf(facts, verdict),',
+    replace: "purpose: 'patient',",
+    scenario: LATENESS,
+  },
+  {
+    name: 'prompts go where they are read in time',
+    file: 'placement/enginePool.js',
+    find: 'firstEvent * SHARE_FOR_MILLISECOND',
+    replace: '0',
+    scenario: LATENESS,
+  },
+  {
+    name: 'a refusal comes early',
+    file: 'placement/waitingRules.js',
+    find: 'const WAITING_OBJECTIVES = 0.12;',
+    replace: 'const WAITING_OBJECTIVES = 1.6;',
+    scenario: LATENESS,
+  },
+  {
+    name: 'configurations are fetched with a pause between',
+    file: 'trafficControl/trafficFetch.js',
+    find: 'const PAUSE = 200;',
+    replace: 'const PAUSE = 0;',
+    scenario: CONTROL,
+  },
+  {
+    name: 'a silent replica is not the only one that is asked for a configuration',
+    file: 'trafficControl/trafficFetch.js',
+    find: 'this.fetchSoon(this.fetchedAt + SECOND_AFTER - now);',
+    replace: '',
+    scenario: CONTROL,
+  },
+  {
+    name: 'a replica that did not send a configuration may be asked again',
+    file: 'trafficControl/trafficFetch.js',
+    find: 'this.asked.delete(address);',
+    replace: '',
+    scenario: CONTROL,
+  },
   {
     name: 'a log never waits for its reader',
     file: 'adapters/boundedOutput.js',
