A new coordinator places as soon as every entry has told it what runs

Cause: after a change of leader generations waited 0.45 s for entries' reports that were there after some tens of milliseconds, and entries without work reported once a second only. Now it begins once every entry that its replica hears has reported; an entry reports at once, also that nothing runs. A silent entry is waited for as before. Specs; taken out, the spec is red.

--- a/packages/benchmarks/src/fleet/fleetRun.ts
+++ b/packages/benchmarks/src/fleet/fleetRun.ts
@@ -124,6 +124,7 @@
       random: kumquatfront.seededRandom.create(options.seed + 2_000),
       instances: () => this.instances(),
       serviceOf: () => service,
+      entries: () => ['e'],
       move: (_address, command, done) => {
         this.move(command, done);
       },
--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -21,8 +21,13 @@
 /** How often the coordinator logs what it believes. */
 const STATE_INTERVAL: ports.Milliseconds = 1_000;
 
-/** A coordinator that is asked for the first time grants nothing for this long: until all entries have reported. */
-const LEARNING: ports.Milliseconds = 450;
+/**
+ * A coordinator that is asked for the first time grants nothing until it knows what runs: until every entry that its
+ * replica hears has reported, between these two bounds. Most report within a round trip of hearing of it; without
+ * the early end every change of leader would keep all generations waiting for the longest time.
+ */
+const LEAST_LEARNING: ports.Milliseconds = 60;
+const LONGEST_LEARNING: ports.Milliseconds = 450;
 
 /** Without a report for this long nobody takes this replica for the coordinator. */
 const IDLE_AFTER: ports.Milliseconds = 1_500;
@@ -42,6 +47,8 @@
   /** The instances as this replica knows them. */
   readonly instances: () => readonly instanceTypes.InstanceRecord[];
   readonly serviceOf: (name: string) => trafficTypes.Service | undefined;
+  /** Names of the entries that this replica hears. */
+  readonly entries: () => readonly string[];
   readonly move: evacuation.EvacuationHost['move'];
 }
 
@@ -187,7 +194,7 @@
       return;
     }
     this.activeSince ??= now;
-    if (now - this.activeSince < LEARNING) {
+    if (this.isLearning(now, this.activeSince)) {
       return;
     }
     if (this.changed || now - this.servedAt >= SERVE_INTERVAL) {
@@ -203,6 +210,15 @@
     }
   }
 
+  private isLearning(now: number, since: number): boolean {
+    const taken = now - since;
+    if (taken < LEAST_LEARNING || taken >= LONGEST_LEARNING) {
+      return taken < LEAST_LEARNING;
+    }
+    const entries = this.options.entries();
+    return entries.length === 0 || !entries.every((entry) => this.pool.hasHeardFrom(entry, since));
+  }
+
   private refuse(waiting: placementQueue.Waiting, reason: string): void {
     const { facts, likeness, objective, objectiveLeft } = waiting.request;
     const retryAfter = this.retryAfter(facts.service);
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -120,6 +120,11 @@
     return this.entries.get(entry)?.address;
   }
 
+  /** True where an entry has reported since a moment. */
+  hasHeardFrom(entry: string, since: number): boolean {
+    return (this.entries.get(entry)?.heardAt ?? Number.NEGATIVE_INFINITY) >= since;
+  }
+
   /** Replaces what an entry has running by its newest report. */
   report(report: types.EntryReport, now: number): void {
     const { entry, epoch, sequence, address } = report;
--- a/packages/kumquatfront/src/placement/overload.spec.ts
+++ b/packages/kumquatfront/src/placement/overload.spec.ts
@@ -77,6 +77,7 @@
     random,
     instances: () => instances,
     serviceOf: () => service,
+    entries: () => ['e'],
     move: silent,
   });
   const runs = new Map<string, Run>();
--- a/packages/kumquatfront/src/relay/placementClient.ts
+++ b/packages/kumquatfront/src/relay/placementClient.ts
@@ -100,6 +100,8 @@
     for (const ask of [...this.askers.values()]) {
       ask();
     }
+    // It grants nothing before it knows what runs here, were it nothing.
+    this.reportedEmptyAt = Number.NEGATIVE_INFINITY;
     this.changed();
   }
 
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -86,6 +86,7 @@
       random,
       instances: () => this.table.records(timers.now()),
       serviceOf: (name) => this.routes()?.serviceOf(name),
+      entries: () => [...this.entries.keys()],
       move: (entryAddress, command, done) => {
         peers.request(entryAddress, methods.methods.move, command, evacuation.MOVE_TIMEOUT, (result) => {
           done(result.ok ? (result.val as placementTypes.MoveOutcome) : 'failed');
--- a/packages/scenarios/src/scripts/relaySafeguards.ts
+++ b/packages/scenarios/src/scripts/relaySafeguards.ts
@@ -173,6 +173,13 @@
     replace: "purpose: 'patient',",
     scenario: LATENESS,
   },
+  {
+    name: 'a new coordinator waits for those that have not reported',
+    file: 'placement/coordinator.js',
+    find: 'return entries.length === 0 || !entries.every((entry) => this.pool.hasHeardFrom(entry, since));',
+    replace: 'return false;',
+    scenario: 'spec:placement/coordinator',
+  },
   {
     name: 'prompts go where they are read in time',
     file: 'placement/enginePool.js',
