--- a/packages/kumquatfront/src/relay/trafficRelay.ts
+++ b/packages/kumquatfront/src/relay/trafficRelay.ts
@@ -7,6 +7,7 @@
 import type * as trafficTypes from '../traffic/types.js';
 import type * as exchangeContext from './exchangeContext.js';
 import * as plainExchange from './plainExchange.js';
+import * as startingHold from './startingHold.js';
 import * as streamExchange from './streamExchange.js';
 import type * as types from './types.js';
 
@@ -37,21 +38,25 @@
 /** The relay; see the module comment. */
 export class TrafficRelay {
   private readonly options: TrafficRelayOptions;
+  private readonly starting: startingHold.StartingHold;
 
   constructor(options: TrafficRelayOptions) {
     this.options = options;
+    this.starting = new startingHold.StartingHold(options.context.timers);
+  }
+
+  /** Called once there is a configuration: serves what came before it. */
+  configured(): void {
+    this.starting.release((request, caller) => {
+      this.handle(request, caller);
+    });
   }
 
   /** Serves one request. */
   handle(request: types.TrafficRequest, caller: types.CallerPort): void {
     const routes = this.options.routes();
     if (routes === undefined) {
-      const message = 'this entry has no configuration yet';
-      this.refuse(request, caller, {
-        reason: 'noConfiguration',
-        message,
-        retryAfter: NO_CONFIGURATION_RETRY,
-      });
+      this.holdOrRefuse(request, caller);
       return;
     }
     const admitted = this.admit(routes, request, caller);
@@ -84,6 +89,19 @@
     });
   }
 
+  private holdOrRefuse(request: types.TrafficRequest, caller: types.CallerPort): void {
+    const refuse = (): void => {
+      const message = 'this entry has no configuration yet';
+      const retryAfter = NO_CONFIGURATION_RETRY;
+      this.refuse(request, caller, { reason: 'noConfiguration', message, retryAfter });
+    };
+    if (this.options.draining() || !this.starting.hold(request, caller, refuse)) {
+      refuse();
+      return;
+    }
+    this.options.context.log.info('requestHeld', { request: request.identity, reason: 'noConfiguration' });
+  }
+
   private start(routed: exchangeContext.RoutedRequest): void {
     const { context } = this.options;
     const exchange =
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -144,6 +144,7 @@
     this.routes = new routeTable.RouteTable(decoded.val);
     if (first) {
       this.watch.tellNow();
+      this.relay.configured();
     }
   }
 
