--- a/packages/kumquatfront/src/placement/enginePool.spec.ts
+++ b/packages/kumquatfront/src/placement/enginePool.spec.ts
@@ -55,11 +55,3 @@
 void test.test('with room to spare the emptier engine gets a generation', () => {
   assert.equal(bestFor(poolWith(6_000, 3_000), 1_000), 'second');
 });
-
-// Memory is short. A short prompt comes, then a long one. Had the short one gone to the emptier engine, no engine
-// would have room for the long one, although together they have twice as much as it needs.
-void test.test('where memory is short a generation goes where it leaves room elsewhere whole', () => {
-  const pool = poolWith(14_000, 11_500);
-  assert.equal(bestFor(pool, 1_000), 'first');
-  assert.equal(bestFor(pool, 4_000), 'second');
-});
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -89,19 +89,6 @@
  */
 const SHARE_FOR_MILLISECOND = 0.25 / 500;
 
-/**
- * How much an engine's memory counts against it, by the share of all engines' memory that is held.
- *
- * Pattern: with room to spare, generations are best spread evenly, so that no engine holds more than can be moved off
- * it. Where memory is short, spreading leaves a little room on every engine and on none enough for a long prompt; then
- * the fuller of two engines is better, and the room on the other stays whole. Grounds: on the grown site of the first
- * users spreading refused 287 long generations in twenty seconds of a crowded day, 212 where memory hardly counted; on
- * stand-in engines a preference for fuller ones earns 77 to 78 in place of 76 in 100.
- */
-const SPREAD_UNTIL = 0.45;
-const PACKED_FROM = 0.62;
-const PACKED_WEIGHT = -0.4;
-
 /** A prompt counts as read after this long where no report has said so: its entry may be gone. */
 const READ_AFTER: ports.Milliseconds = 3_000;
 
@@ -271,21 +258,6 @@
     return unread;
   }
 
-  /** Weight of an engine's memory in a placement: 1 where there is room to spare, below zero where there is none. */
-  private memoryWeight(service: string): number {
-    const loads = this.loadsOf();
-    let held = 0;
-    let memory = 0;
-    for (const engine of this.engines.values()) {
-      if (engine.service === service && !engine.leaving) {
-        held += memoryPeak.heldAt(loads.get(engine.identity) ?? EMPTY, 0);
-        memory += engine.traits.memoryTokens;
-      }
-    }
-    const crowded = (held / Math.max(1, memory) - SPREAD_UNTIL) / (PACKED_FROM - SPREAD_UNTIL);
-    return 1 + Math.min(1, Math.max(0, crowded)) * (PACKED_WEIGHT - 1);
-  }
-
   /** The engine that has the most to spare after taking a generation in; undefined where none has room. */
   bestFor(search: Search, now: number): Engine | undefined {
     const { facts, produced, purpose, dataCentre, excluded, nearBonus = SAME_DATA_CENTRE_BONUS } = search;
@@ -296,7 +268,6 @@
     const held = facts.promptTokens + produced;
     const growth = { held, remaining: this.lengths.remaining(facts, produced) };
     const keptFree = purpose === 'patient' || purpose === 'late' ? SLOTS_KEPT_FREE : 0;
-    const memoryWeight = purpose === 'move' ? 1 : this.memoryWeight(facts.service);
     let best: Engine | undefined;
     let bestScore = Number.NEGATIVE_INFINITY;
     for (const engine of this.engines.values()) {
@@ -313,7 +284,7 @@
       const toRead = ownPrompt + (unread.get(engine.identity) ?? 0);
       const firstEvent = this.pace.timeToFirstEvent(facts.service, toRead);
       const near = engine.dataCentre === dataCentre ? nearBonus : 0;
-      const score = near - filled * memoryWeight - firstEvent * SHARE_FOR_MILLISECOND;
+      const score = near - filled - firstEvent * SHARE_FOR_MILLISECOND;
       const takes = fits && load.length < slots - keptFree && firstEvent <= firstEventWithin;
       if (takes && score > bestScore) {
         best = engine;
--- a/packages/scenarios/src/scripts/relaySafeguards.ts
+++ b/packages/scenarios/src/scripts/relaySafeguards.ts
@@ -180,13 +180,6 @@
     replace: 'return false;',
     scenario: 'spec:placement/coordinator',
   },
-  {
-    name: 'short memory is packed',
-    file: 'placement/enginePool.js',
-    find: 'filled * memoryWeight',
-    replace: 'filled',
-    scenario: 'spec:placement/enginePool',
-  },
   {
     name: 'prompts go where they are read in time',
     file: 'placement/enginePool.js',
