--- a/packages/benchmarks/src/fleet/fleetRun.ts
+++ b/packages/benchmarks/src/fleet/fleetRun.ts
@@ -6,6 +6,7 @@
 import * as kumquatfront from 'kumquatfront';
 
 import * as fleetEngines from './fleetEngines.js';
+import * as fleetLedger from './fleetLedger.js';
 import * as fleetWorkload from './fleetWorkload.js';
 
 /** What is played. */
@@ -15,47 +16,16 @@
   readonly classes: readonly fleetWorkload.GenerationClass[];
 }
 
-/** What callers of one class got. */
-export interface ClassFigures {
-  asked: number;
-  inTime: number;
-  /** First event after the objective. */
-  lateFirst: number;
-  /** A pause that callers notice. */
-  paused: number;
-  refused: number;
-  lost: number;
-  /** Share of the worth asked for that was earned. */
-  earned: number;
-}
-
-/** What a run shows. */
-export interface FleetFigures {
-  readonly long: ClassFigures;
-  readonly short: ClassFigures;
-  /** Share of all worth that was earned. */
-  readonly earned: number;
-  /** What callers pay for refusals that come late, and for second ones, as share of all worth. */
-  readonly lateRefusals: number;
-  readonly secondRefusals: number;
-  readonly preemptions: number;
-  readonly moves: Readonly<Record<kumquatfront.placementTypes.MoveOutcome, number>>;
-}
-
 const REPORT_INTERVAL = 250;
 const REPORT_PAUSE = 15;
 /** From an entry to an engine and back, with a new connection. */
 const ROUND_TRIP = 8;
 const TOKENS_PER_EVENT = 4;
-const NOTICEABLE_PAUSE = 180;
 const SERVICE = 'llm';
 /** Callers wait no more than this share of their time left before they come back. */
 const HONOURED_SHARE = 1 / 3;
-/** Held for less than this share of the objective, a refusal costs nothing; for three quarters of it, all. */
-const FREE_HOLD_SHARE = 1 / 8;
-const COSTLY_HOLD_SHARE = 3 / 4;
-const LATE_REFUSAL_PRICE = 0.7;
-const SECOND_REFUSAL_PRICE = 0.3;
+/** What comes so late that it may not end within the play is not counted, but fills the engines. */
+const UNCOUNTED_END = 15_000;
 
 interface Run {
   readonly wanted: fleetWorkload.WantedGeneration;
@@ -82,16 +52,12 @@
   private sequence = 0;
   private reportScheduled = false;
   private asked = 0;
-  private lateRefusals = 0;
-  private secondRefusals = 0;
-  private worthAsked = 0;
-  private worthEarned = 0;
-  private readonly classWorth = { long: [0, 0], short: [0, 0] } as Record<'long' | 'short', [number, number]>;
-  private readonly figures = { long: noFigures(), short: noFigures() };
+  private readonly ledger: fleetLedger.FleetLedger;
   private readonly moves = { moved: 0, ended: 0, failed: 0 };
 
   constructor(options: FleetRunOptions) {
     this.options = options;
+    this.ledger = new fleetLedger.FleetLedger(options.duration - UNCOUNTED_END);
     const { time } = this;
     this.random = kumquatfront.seededRandom.create(options.seed);
     this.timers = kumquatfront.timerService.create(time.clock, time);
@@ -138,7 +104,7 @@
     }));
   }
 
-  play(): FleetFigures {
+  play(): fleetLedger.FleetFigures {
     const { time, timers } = this;
     this.reportRegularly();
     // The coordinator learns who runs what before it places anything.
@@ -153,15 +119,7 @@
       (sum, engine) => sum + engine.model.counts.preemptions,
       0,
     );
-    for (const name of ['long', 'short'] as const) {
-      const [earned, worth] = this.classWorth[name];
-      this.figures[name].earned = earned / Math.max(1, worth);
-    }
-    const { long, short } = this.figures;
-    const earned = this.worthEarned / this.worthAsked;
-    const lateRefusals = this.lateRefusals / this.worthAsked;
-    const secondRefusals = this.secondRefusals / this.worthAsked;
-    return { long, short, earned, lateRefusals, secondRefusals, preemptions, moves: this.moves };
+    return this.ledger.figures(preemptions, this.moves);
   }
 
   private arriveNext(kind: fleetWorkload.GenerationClass): void {
@@ -169,21 +127,12 @@
     time.after(fleetWorkload.nextArrival(random, kind.perSecond, time.now()), () => {
       this.asked += 1;
       const wanted = fleetWorkload.drawGeneration(random, kind, `g${this.asked}`, time.now());
-      // What comes too late to end within the play is not counted, but fills the engines.
-      if (time.now() < this.options.duration - 15_000) {
-        this.figures[kind.name].asked += 1;
-        this.worthAsked += worthOf(wanted);
-        this.classWorth[kind.name][1] += worthOf(wanted);
-      }
+      this.ledger.asked(wanted);
       this.ask(wanted, 0);
       this.arriveNext(kind);
     });
   }
 
-  private isCounted(wanted: fleetWorkload.WantedGeneration): boolean {
-    return wanted.firstAskedAt < this.options.duration - 15_000;
-  }
-
   private ask(wanted: fleetWorkload.WantedGeneration, returned: number): void {
     const { kind, firstAskedAt } = wanted;
     const now = this.time.now();
@@ -219,13 +168,8 @@
     const now = this.time.now();
     const { kind, firstAskedAt } = wanted;
     wanted.held += now - askedAt;
-    if (this.isCounted(wanted) && returned > 0) {
-      const free = kind.objective * FREE_HOLD_SHARE;
-      const costly = kind.objective * COSTLY_HOLD_SHARE;
-      const share = Math.min(1, Math.max(0, (wanted.held - free) / (costly - free)));
-      this.lateRefusals += LATE_REFUSAL_PRICE * share * worthOf(wanted);
-      this.secondRefusals += SECOND_REFUSAL_PRICE * worthOf(wanted);
-      this.figures[kind.name].refused += 1;
+    if (returned > 0) {
+      this.ledger.refusedAgain(wanted);
     }
     if (returned === 0) {
       const timeLeft = firstAskedAt + kind.deadline - now;
@@ -242,7 +186,7 @@
   ): void {
     const engine = this.fleet.engines.get(instance);
     if (engine === undefined) {
-      this.figures[wanted.kind.name].lost += 1;
+      this.ledger.lost(wanted);
       return;
     }
     const run: Run = {
@@ -304,27 +248,15 @@
       return;
     }
     run.ended = true;
-    const { wanted, facts, produced, firstEventAt = Number.POSITIVE_INFINITY } = run;
-    const { kind, firstAskedAt } = wanted;
+    const { wanted, facts, produced, firstEventAt = Number.POSITIVE_INFINITY, longestPause } = run;
     this.runs.delete(facts.identity);
-    if (outcome === 'answered') {
-      this.finished.push({ facts, produced });
-    }
     this.reportSoon();
-    if (!this.isCounted(wanted)) {
-      return;
-    }
-    const figures = this.figures[kind.name];
-    const lateFirst = firstEventAt - firstAskedAt > kind.objective;
-    const paused = run.longestPause > NOTICEABLE_PAUSE;
     if (outcome === 'lost') {
-      figures.lost += 1;
+      this.ledger.lost(wanted);
       return;
     }
-    figures[lateFirst ? 'lateFirst' : paused ? 'paused' : 'inTime'] += 1;
-    const earned = worthOf(wanted) * (lateFirst || paused ? kind.lateShare : 1);
-    this.worthEarned += earned;
-    this.classWorth[kind.name][0] += earned;
+    this.finished.push({ facts, produced });
+    this.ledger.answered(wanted, { firstEvent: firstEventAt - wanted.firstAskedAt, longestPause });
   }
 
   private loseRunsOf(engine: fleetEngines.FleetEngine): void {
@@ -406,18 +338,6 @@
   }
 }
 
-function noFigures(): ClassFigures {
-  return { asked: 0, inTime: 0, lateFirst: 0, paused: 0, refused: 0, lost: 0, earned: 0 };
-}
-
-/** What an answer is worth: a part for itself, and one that grows with its size. */
-function worthOf(wanted: fleetWorkload.WantedGeneration): number {
-  const { kind, promptTokens, outputTokens } = wanted;
-  const mean = kind.prompt.median + 10 * kind.output.median * Math.exp(kind.output.sigma ** 2 / 2);
-  const size = (promptTokens + 10 * outputTokens) / mean;
-  return kind.worth * Math.min(4, 0.3 + 0.7 * size);
-}
-
 /**
  * Plays one fleet.
  *
@@ -428,6 +348,6 @@
  * const figures = fleetRun.play({ ...fleetCases.grown, seed: 1 });
  * ```
  */
-export function play(options: FleetRunOptions): FleetFigures {
+export function play(options: FleetRunOptions): fleetLedger.FleetFigures {
   return new FleetRun(options).play();
 }
--- a/packages/benchmarks/src/measureFleet.ts
+++ b/packages/benchmarks/src/measureFleet.ts
@@ -2,6 +2,7 @@
  * `npm run measure:fleet`: what callers of crowded fleets earn, on stand-in engines and virtual time, as a table.
  */
 import * as fleetCases from './fleet/fleetCases.js';
+import type * as fleetLedger from './fleet/fleetLedger.js';
 import * as fleetRun from './fleet/fleetRun.js';
 
 /** Plays of each fleet; what they show differs by two or three in a hundred from seed to seed. */
@@ -23,10 +24,10 @@
   return (100 * value).toFixed(1);
 }
 
-function rowOf(name: string, runs: readonly fleetRun.FleetFigures[]): readonly string[] {
-  const mean = (of: (figures: fleetRun.FleetFigures) => number): number =>
+function rowOf(name: string, runs: readonly fleetLedger.FleetFigures[]): readonly string[] {
+  const mean = (of: (figures: fleetLedger.FleetFigures) => number): number =>
     runs.reduce((sum, figures) => sum + of(figures), 0) / runs.length;
-  const shareOfLong = (of: (figures: fleetRun.ClassFigures) => number): string =>
+  const shareOfLong = (of: (figures: fleetLedger.ClassFigures) => number): string =>
     inHundred(mean(({ long }) => of(long) / long.asked));
   return [
     name,
