--- /dev/null
+++ b/packages/benchmarks/src/measureLogging.ts
@@ -0,0 +1,53 @@
+/**
+ * `npm run measure:logging`: processor time of a line of the log, formatted and written as a process writes it.
+ */
+import * as fs from 'node:fs';
+import * as timersPromises from 'node:timers/promises';
+
+import * as kumquatfront from 'kumquatfront';
+
+/** Lines of one batch, written before the next begins. */
+const BATCH = 1_000;
+const WARM_UP_BATCHES = 5;
+const BATCHES = 50;
+
+/** A request's last line as entries write it, the longest of the usual ones. */
+const FIELDS = {
+  ...{ request: 'a0799d8d4825298e', route: 'r-x9ewfaw', service: 'loka48a', version: 3, outcome: 'answered' },
+  ...{ upstream: 'i-dca9383aa7', rank: 1, patience: 35241, promptTokens: 3079, outputLimit: 1756 },
+  ...{ lengthHint: 436, produced: 744, sends: 1, moves: 0, lastEvent: '186', firstEvent: 478 },
+  ...{ longestPause: 65, milliseconds: 7655 },
+};
+
+const sink = fs.openSync('/dev/null', 'w');
+const output = new kumquatfront.boundedOutput.BoundedOutput(
+  kumquatfront.systemTime.clock,
+  kumquatfront.systemTime.scheduler,
+  (bytes, done) => {
+    fs.write(sink, bytes, (error, written) => {
+      done(error, error === null ? written : 0);
+    });
+  },
+  { linesPerSecond: 10_000_000, burst: 10 * BATCH, waiting: 100_000_000 },
+);
+
+async function writeBatch(): Promise<void> {
+  for (let line = 0; line < BATCH; line += 1) {
+    const text = kumquatfront.keyValueLog.format('info', 'requestEnded', FIELDS);
+    output.write(`time=${new Date().toISOString()} process=entry-1 ${text}`, 'ordinary');
+  }
+  await timersPromises.setTimeout(5);
+}
+
+async function writeBatches(count: number): Promise<void> {
+  for (let batch = 0; batch < count; batch += 1) {
+    await writeBatch();
+  }
+}
+
+await writeBatches(WARM_UP_BATCHES);
+const before = process.cpuUsage();
+await writeBatches(BATCHES);
+const { user, system } = process.cpuUsage(before);
+const perLine = (user + system) / (BATCHES * BATCH);
+process.stdout.write(`${perLine.toFixed(1)} us of processor time a line, ${BATCHES * BATCH} lines\n`);
--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -4,6 +4,7 @@
 export * as addressList from './addresses/addressList.js';
 export * as agreedState from './agreedState/agreedState.js';
 export type * as agreedTypes from './agreedState/types.js';
+export * as boundedOutput from './adapters/boundedOutput.js';
 export * as burnRecorder from './burn/burnRecorder.js';
 export * as callerClient from './client/callerClient.js';
 export type * as callerTypes from './client/types.js';
