--- a/packages/kumquatfront/src/placement/waitingRules.ts
+++ b/packages/kumquatfront/src/placement/waitingRules.ts
@@ -24,7 +24,7 @@
 /** A caller that comes back too late to be in time has waited before: it is placed at once, or told at once. */
 export const LATE_WAIT: ports.Milliseconds = 50;
 
-/** The same as share of the whole time that there is; the rest is for the answer, here or elsewhere. */
+/** No wait for a place takes more than this share of a caller's whole time; the rest is for the answer. */
 const WAITING_SHARE = 0.45;
 
 /**
