An instance that starts again under its name is a new one; announcements of others name nobody

The directory knew an instance by its id alone: a restarted one looked late (its count begins anew) and stayed leaving if it had been. Change: identity is name and start; the name alone goes to the runner. A newer start drops the older one everywhere, a late beat, notice or list of the older one changes nothing, streams on it end or go on elsewhere at once. No policy changed.

--- a/packages/benchmarks/src/fleet/fleetRun.ts
+++ b/packages/benchmarks/src/fleet/fleetRun.ts
@@ -99,7 +99,15 @@
 
   private instances(): readonly kumquatfront.instanceTypes.InstanceRecord[] {
     return [...this.fleet.engines.values()].map(({ identity, dataCentre, state }) => ({
-      ...{ identity, dataCentre, service: SERVICE, address: `${identity}:80`, slots: 24 },
+      ...{
+        identity,
+        name: identity,
+        born: 0,
+        dataCentre,
+        service: SERVICE,
+        address: `${identity}:80`,
+        slots: 24,
+      },
       ...{ state: state === 'ready' ? 'ready' : 'leaving', warmUpLeft: 0, sequence: 1, age: 0, firstAge: 0 },
     }));
   }
--- a/packages/kumquatfront/src/instances/instanceTable.ts
+++ b/packages/kumquatfront/src/instances/instanceTable.ts
@@ -3,6 +3,7 @@
  * other replicas heard; read by entries as news since a revision.
  */
 import type * as ports from '../kernel/ports.js';
+import * as announcements from './announcement.js';
 import type * as types from './types.js';
 
 /** Silence after which an instance counts as gone: three announcements lost in a row, and a late fourth. */
@@ -14,6 +15,18 @@
 /** Removed identities are remembered this long: well past the seconds by which an announcement may be late. */
 const REMOVED_KEPT: ports.Milliseconds = 60_000;
 
+/**
+ * A notice of a name that is not known here concerns whatever is heard of under it for this long: announcements come
+ * seconds late at most. What is heard later has started anew.
+ */
+const NOTICE_AWAITS: ports.Milliseconds = 5_000;
+
+/** The newest start that was heard of under a name, and when it was heard of last. */
+interface NewestStart {
+  readonly born: number;
+  readonly at: number;
+}
+
 interface Held {
   announcement: types.Announcement;
   heardAt: number;
@@ -33,6 +46,10 @@
 export class InstanceTable {
   private readonly held = new Map<string, Held>();
   private removed: Removed[] = [];
+  /** By name. Kept as long as removed identities, so that an older start stays out after the newer one has gone. */
+  private readonly newestStarts = new Map<string, NewestStart>();
+  /** Names of which a notice came before any announcement, with its moment. */
+  private readonly noticed = new Map<string, number>();
   private revision = 1;
   private readonly epoch: string;
   private readonly lease: ports.Milliseconds;
@@ -54,7 +71,14 @@
   hear(announcement: types.Announcement, now: number, age = 0, firstAge = age): boolean {
     const { identity } = announcement;
     const known = this.held.get(identity);
+    if (!this.isNewestStart(announcement, now)) {
+      return false;
+    }
     if (known === undefined) {
+      if (this.isNoticed(announcement.name, now)) {
+        this.forgetForGood(identity, now);
+        return false;
+      }
       if (this.removed.some((entry) => entry.identity === identity && entry.final)) {
         return false;
       }
@@ -67,6 +91,9 @@
       this.removed = this.removed.filter((entry) => entry.identity !== identity);
       return true;
     }
+    if (announcements.isForeign(known.announcement, announcement)) {
+      return false;
+    }
     if (announcement.sequence <= known.announcement.sequence && announcement.state === 'ready') {
       return false;
     }
@@ -86,6 +113,41 @@
     return changed;
   }
 
+  /**
+   * False for an incarnation that another one has followed under the same name. The first announcement of a newer
+   * start drops the older incarnation: it holds nothing any more, whatever is still on its way from it.
+   */
+  private isNewestStart({ name, born }: types.Announcement, now: number): boolean {
+    const newest = this.newestStarts.get(name);
+    if (newest !== undefined && born < newest.born) {
+      return false;
+    }
+    this.newestStarts.set(name, { born, at: now });
+    if (newest !== undefined && born > newest.born) {
+      this.dropOlder(name, born, now);
+    }
+    return true;
+  }
+
+  private dropOlder(name: string, born: number, now: number): void {
+    for (const [identity, { announcement }] of this.held) {
+      if (announcement.name === name && announcement.born < born) {
+        this.held.delete(identity);
+        this.forgetForGood(identity, now);
+      }
+    }
+  }
+
+  private forgetForGood(identity: string, now: number): void {
+    this.revision += 1;
+    this.removed.push({ identity, at: now, revision: this.revision, final: true });
+  }
+
+  private isNoticed(name: string, now: number): boolean {
+    const at = this.noticed.get(name);
+    return at !== undefined && now - at < NOTICE_AWAITS;
+  }
+
   /** Takes over what another replica is known to list at this moment; true where it changes anything. */
   vouch(announcement: types.Announcement, now: number): boolean {
     const known = this.held.get(announcement.identity);
@@ -96,6 +158,23 @@
     return announcement.state === 'leaving' && this.leave(announcement.identity, now);
   }
 
+  /**
+   * Marks an instance as leaving, where only its name is told, and perhaps its start.
+   *
+   * @param born - start of the incarnation that leaves; undefined means the one that is known by the name
+   * @returns the identity of the instance where entries must know of it
+   */
+  leaveByName(name: string, born: number | undefined, now: number): string | undefined {
+    const newest = this.newestStarts.get(name)?.born;
+    const meant = born ?? newest;
+    if (meant === undefined) {
+      this.noticed.set(name, now);
+      return undefined;
+    }
+    const identity = announcements.identityOf(name, meant);
+    return this.leave(identity, now) ? identity : undefined;
+  }
+
   /** Marks an instance as leaving, where only its identity is told. */
   leave(identity: string, now: number): boolean {
     const known = this.held.get(identity);
@@ -128,9 +207,24 @@
       }
     }
     this.removed = this.removed.filter((entry) => now - entry.at < REMOVED_KEPT);
+    this.forgetNames(now);
     return dropped;
   }
 
+  private forgetNames(now: number): void {
+    const held = new Set([...this.held.values()].map(({ announcement }) => announcement.name));
+    for (const [name, { at }] of this.newestStarts) {
+      if (!held.has(name) && now - at >= REMOVED_KEPT) {
+        this.newestStarts.delete(name);
+      }
+    }
+    for (const [name, at] of this.noticed) {
+      if (now - at >= NOTICE_AWAITS) {
+        this.noticed.delete(name);
+      }
+    }
+  }
+
   /** All records, or only those of which `wanted` says so. */
   records(now: number, wanted: (identity: string) => boolean = () => true): readonly types.InstanceRecord[] {
     return [...this.held.values()]
--- a/packages/kumquatfront/src/instances/instanceView.ts
+++ b/packages/kumquatfront/src/instances/instanceView.ts
@@ -14,6 +14,9 @@
 /** A replica that started this recently has not heard of every instance yet: two announcement intervals. */
 const SOURCE_SETTLES: ports.Milliseconds = 3_000;
 
+/** What happens to an instance; `replaced` where it has started again under its name, so that nothing of it is left. */
+export type InstanceEvent = 'found' | 'leaving' | 'gone' | 'replaced';
+
 /** One instance as entries use it. */
 export interface Instance extends types.Announcement {
   /** Entry's time at which the instance was heard of for the first time. */
@@ -33,9 +36,9 @@
   private readonly sources = new Map<string, Source>();
   private readonly instances = new Map<string, Instance>();
   private byService = new Map<string, Instance[]>();
-  private readonly onChange: (instance: Instance, event: 'found' | 'leaving' | 'gone') => void;
+  private readonly onChange: (instance: Instance, event: InstanceEvent) => void;
 
-  constructor(onChange: (instance: Instance, event: 'found' | 'leaving' | 'gone') => void) {
+  constructor(onChange: (instance: Instance, event: InstanceEvent) => void) {
     this.onChange = onChange;
   }
 
@@ -72,6 +75,10 @@
 
   private take(record: types.InstanceRecord, now: number): void {
     const known = this.instances.get(record.identity);
+    const newest = this.newestStartOf(record.name);
+    if (newest !== undefined && newest.born > record.born) {
+      return;
+    }
     const leaving = record.state === 'leaving' || known?.state === 'leaving';
     const instance: Instance = {
       ...announcement.of(record),
@@ -80,6 +87,10 @@
     };
     this.instances.set(record.identity, instance);
     this.byService.clear();
+    if (newest !== undefined && newest.born < record.born) {
+      this.instances.delete(newest.identity);
+      this.onChange(newest, 'replaced');
+    }
     if (known === undefined) {
       this.onChange(instance, 'found');
     }
@@ -88,6 +99,10 @@
     }
   }
 
+  private newestStartOf(name: string): Instance | undefined {
+    return [...this.instances.values()].find((instance) => instance.name === name);
+  }
+
   /**
    * Drops instances that no settled source in contact lists any more. With no such source (control is down,
    * or just started and still empty) nothing is dropped: the last view is better than none.
--- a/packages/kumquatfront/src/instances/instances.spec.ts
+++ b/packages/kumquatfront/src/instances/instances.spec.ts
@@ -11,6 +11,8 @@
 function announcement(identity: string, changes: Partial<types.Announcement> = {}): types.Announcement {
   return {
     identity,
+    name: identity,
+    born: 0,
     service: 'llm',
     address: '10.0.0.1:80',
     dataCentre: 'a',
--- a/packages/kumquatfront/src/instances/types.ts
+++ b/packages/kumquatfront/src/instances/types.ts
@@ -8,8 +8,12 @@
 
 /** What an instance says of itself. */
 export interface Announcement {
-  /** New at each start of the instance. */
+  /** New at each start of the instance: its name together with the moment of its start. */
   readonly identity: string;
+  /** What the instance calls itself; the same again after a restart. */
+  readonly name: string;
+  /** When it started, in Unix milliseconds by its own clock; 0 where it does not say. Orders starts of one name. */
+  readonly born: number;
   readonly service: string;
   /** `ip:port` */
   readonly address: string;
--- a/packages/kumquatfront/src/placement/coordinatorBench.ts
+++ b/packages/kumquatfront/src/placement/coordinatorBench.ts
@@ -65,7 +65,7 @@
     const index = this.instances.length;
     this.instances.push({
       ...{ identity: `i${index}`, service: 'llm', address: `10.0.0.${index}:80`, dataCentre: 'a', slots: 24 },
-      ...{ state: 'ready', warmUpLeft: 0, sequence: 1, age: 0, firstAge: 0 },
+      ...{ name: `i${index}`, born: 0, state: 'ready', warmUpLeft: 0, sequence: 1, age: 0, firstAge: 0 },
     });
   }
 
--- a/packages/kumquatfront/src/placement/overload.spec.ts
+++ b/packages/kumquatfront/src/placement/overload.spec.ts
@@ -59,6 +59,8 @@
   };
   const instances: instanceTypes.InstanceRecord[] = Array.from({ length: engineCount }, (_none, index) => ({
     identity: `i${index}`,
+    name: `i${index}`,
+    born: 0,
     service: 'llm',
     address: `10.0.0.${index}:80`,
     dataCentre: 'a',
--- a/packages/kumquatfront/src/relay/placementClient.ts
+++ b/packages/kumquatfront/src/relay/placementClient.ts
@@ -34,6 +34,8 @@
   /** True where its engine has given notice. */
   readonly isLeaving: () => boolean;
   readonly move: (target: string, done: (outcome: placementTypes.MoveOutcome) => void) => void;
+  /** An instance has started anew; what it ran before is lost. */
+  readonly onRestart: (instance: string) => void;
 }
 
 /** What the client is made from. */
@@ -174,6 +176,16 @@
     };
   }
 
+  /**
+   * Called when an instance has started anew under its name. Its connections from before may stay silent for good
+   * behind a cut; without this a caller would wait for its whole time for a stream that nobody makes any more.
+   */
+  onRestart(instance: string): void {
+    for (const generation of [...this.open.values()]) {
+      generation.onRestart(instance);
+    }
+  }
+
   /** Adds a generation to the reports. */
   opened(identity: string, generation: OpenGeneration): void {
     this.open.set(identity, generation);
--- a/packages/kumquatfront/src/relay/relayBench.ts
+++ b/packages/kumquatfront/src/relay/relayBench.ts
@@ -84,7 +84,7 @@
     for (const [index, identity] of instances.entries()) {
       const address = `10.0.0.${index + 1}:80`;
       const base = { service: 'llm', dataCentre: 'a', slots: 24, state: 'ready' as const, warmUpLeft: 0 };
-      this.table.hear({ ...base, identity, address, sequence: 1 }, time.now());
+      this.table.hear({ ...base, identity, name: identity, born: 0, address, sequence: 1 }, time.now());
     }
     view.merge('control', this.table.newsSince('', 0, 0), 0);
     this.context = {
--- a/packages/kumquatfront/src/relay/streamExchange.spec.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.spec.ts
@@ -274,3 +274,30 @@
   bench.time.advance(10_001);
   assert.deepEqual(bench.got, ['refused timeoutNotRun']);
 });
+
+// The engine crashes behind a cut and starts again under its name; its connection from before stays silent. The
+// caller would wait for its whole time for a stream that nobody makes any more.
+void test.test('a stream on an engine that has started anew breaks off at once', () => {
+  const bench = new relayBench.RelayBench(['a', 'b']);
+  bench.places.push('a');
+  const { engine } = start(bench);
+  begin(engine(0), 1, 2);
+  bench.context.placement.onRestart('b');
+  assert.deepEqual(bench.got, ['begin', '1', '2']);
+  bench.context.placement.onRestart('a');
+  assert.deepEqual(bench.got, ['begin', '1', '2', 'abort']);
+  assert.equal(engine(0).cancelled, true);
+});
+
+// The same with a route that lets a stream go on elsewhere: the caller notices nothing.
+void test.test('a resumable stream on an engine that has started anew goes on elsewhere', () => {
+  const bench = new relayBench.RelayBench(['a', 'b']);
+  bench.places.push('a', 'b');
+  const { engine } = start(bench, true);
+  begin(engine(0), 1, 2);
+  bench.context.placement.onRestart('a');
+  begin(engine(1), 3, 3);
+  engine(1).listener.end();
+  assert.equal(engine(1).call.lastEvent, '2');
+  assert.deepEqual(bench.got, ['begin', '1', '2', '3', 'end']);
+});
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -381,6 +381,14 @@
     }
   }
 
+  /** The engine's new start holds nothing of this run, and a move off it has nothing to copy. */
+  onRestart(instance: string): void {
+    const { leg } = this;
+    if (!this.ended && leg?.instance.identity === instance) {
+      this.onBroken(leg, 'broken', 'the upstream has started anew');
+    }
+  }
+
   private goOnFromCopy(next: streamMove.Continuation): void {
     if (this.ended) {
       return;
--- a/packages/kumquatfront/src/trafficControl/controlBench.ts
+++ b/packages/kumquatfront/src/trafficControl/controlBench.ts
@@ -65,7 +65,7 @@
 /** An announcement of an instance. */
 export function announcementOf(identity: string, sequence: number): instanceTypes.Announcement {
   const base = { service: 'llm', address: `${identity}:80`, dataCentre: 'a', slots: 24, warmUpLeft: 0 };
-  return { ...base, identity, sequence, state: 'ready' };
+  return { ...base, identity, name: identity, born: 0, sequence, state: 'ready' };
 }
 
 /** The bench; see the module comment. */
--- a/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
@@ -176,7 +176,7 @@
   bench.time.advance(500);
   assert.equal(entry.view.readyOf('llm').length, 1);
   bench.cut('e1', 'c1');
-  bench.trafficOf('c1').leave('i1');
+  bench.trafficOf('c1').leave('i1', undefined);
   bench.time.advance(500);
   assert.equal(entry.view.readyOf('llm').length, 0);
 });
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -157,8 +157,8 @@
     }
     this.coordinator.report(report);
     for (const identity of report.leaving) {
-      if (!this.table.isLeaving(identity)) {
-        this.leave(identity);
+      if (!this.table.isLeaving(identity) && this.table.leave(identity, now)) {
+        this.spreadLeaving(identity);
       }
     }
   }
@@ -277,15 +277,20 @@
     }
   }
 
-  /** Takes an instance's notice that it leaves, which names nothing but its identity. */
-  leave(identity: string): void {
-    if (this.table.leave(identity, this.options.timers.now())) {
-      this.options.log.info('instanceLeaves', { instance: identity });
-      this.unsent.add(identity);
-      this.spread();
+  /** Takes an instance's notice that it leaves, which gives its name and perhaps its start. */
+  leave(name: string, born: number | undefined): void {
+    const identity = this.table.leaveByName(name, born, this.options.timers.now());
+    if (identity !== undefined) {
+      this.spreadLeaving(identity);
     }
   }
 
+  private spreadLeaving(identity: string): void {
+    this.options.log.info('instanceLeaves', { instance: identity });
+    this.unsent.add(identity);
+    this.spread();
+  }
+
   private onGossip(gossip: methods.Gossip): void {
     const now = this.options.timers.now();
     let changed = false;
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -71,9 +71,12 @@
         address: instance.address,
         change: event,
       });
-      if (event === 'gone') {
+      if (event === 'gone' || event === 'replaced') {
         choice.forget(instance.identity);
       }
+      if (event === 'replaced') {
+        this.placement.onRestart(instance.identity);
+      }
     });
     this.placement = new placementClient.PlacementClient({
       entry: settings.name,
