--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
@@ -29,7 +29,17 @@
 }
 
 const FAILURE_CODE = -32_000;
-const CONNECT_TIMEOUT = 1_000;
+
+/**
+ * A connection that is not open by then is given up, and the next message opens another. A VM without power answers
+ * nothing, and the kernel repeats a lost opening packet only after a second: after a loss of all power every process
+ * would wait that long for those that started a little later than itself. Round trips between data centres take a few
+ * milliseconds, between regions a hundred.
+ */
+const CONNECT_TIMEOUT = 250;
+
+/** From the opening of a connection to its first message: a busy process needs its time for both proofs. */
+const GREETING_TIMEOUT = 1_000;
 const AUTHENTICATION_TIMEOUT = 2_000;
 
 /** How often a connection in use is checked for life. */
@@ -87,6 +97,7 @@
   private sentSinceProbe = false;
   private bytesAtProbe = 0;
   private cancelProbe: ports.Cancel = () => undefined;
+  private cancelOpening: ports.Cancel = () => undefined;
 
   constructor(address: string, clusterKey: string, scheduler: ports.Scheduler, onClose: () => void) {
     this.clusterKey = clusterKey;
@@ -98,14 +109,19 @@
     this.lines = new lineSocket.LineSocket(this.socket, (line) => {
       this.onLine(line);
     });
-    this.socket.setTimeout(CONNECT_TIMEOUT, () => {
-      if (!this.ready) {
+    this.cancelOpening = scheduler.after(CONNECT_TIMEOUT, () => {
+      this.socket.destroy();
+    });
+    this.socket.on('connect', () => {
+      this.cancelOpening();
+      this.cancelOpening = scheduler.after(GREETING_TIMEOUT, () => {
         this.socket.destroy();
-      }
+      });
     });
     this.socket.on('error', () => undefined);
     this.probeLater();
     this.socket.on('close', () => {
+      this.cancelOpening();
       this.cancelProbe();
       this.client.rejectAllPendingRequests('the connection was closed');
       onClose();
@@ -163,6 +179,7 @@
       return;
     }
     this.ready = true;
+    this.cancelOpening();
     const { waiting } = this;
     this.waiting = [];
     for (const text of waiting) {
--- a/packages/kumquatfront/src/consensus/election.ts
+++ b/packages/kumquatfront/src/consensus/election.ts
@@ -7,7 +7,7 @@
 import type * as types from './types.js';
 
 /**
- * A replica that has just started asks this often, for one election timeout, whether all voters are without a leader.
+ * A replica that has just started asks this often whether all voters are without a leader.
  *
  * Pattern: everything is killed at once, and callers are back before control is. A voter that has restarted does not
  * know what it promised a leader and refuses its vote for one election timeout, so that all of them wait for nobody:
@@ -16,6 +16,9 @@
  */
 const ASKED_AFTER_START: ports.Milliseconds = 60;
 
+/** Election timeouts for which it asks: VMs that lost power come back over a second, not all at once. */
+const ASKED_FOR_TIMEOUTS = 3;
+
 /** What an election asks of its replica. */
 export interface ElectionHost {
   readonly role: () => types.ReplicaRole;
@@ -68,7 +71,7 @@
   /** Called once, at the start of a replica that was a voter before. */
   askAfterStart(): void {
     const { timers, random, timing } = this.options;
-    const until = timers.now() + timing.electionTimeout;
+    const until = timers.now() + timing.electionTimeout * ASKED_FOR_TIMEOUTS;
     this.asksAfterStart = true;
     const ask = (): void => {
       if (timers.now() >= until || this.host.knowsLeader()) {
@@ -76,7 +79,7 @@
         return;
       }
       if (this.isVoter() && this.host.role() === 'follower') {
-        this.requestVotes(true, true);
+        this.askForLeaders();
       }
       timers.after(ASKED_AFTER_START * (1 + random.next()), ask);
     };
@@ -119,10 +122,22 @@
 
   private requestVotes(preVote: boolean, afterRestart = false): void {
     const { store } = this.options;
-    const { lastIndex, lastTerm } = store;
     this.votes = new Set([store.identity]);
+    this.postRequests(preVote, afterRestart);
+    this.countVotes(preVote);
+  }
+
+  private askForLeaders(): void {
+    const { store } = this.options;
     this.leaderless = new Set([store.identity]);
     this.askedInTerm = store.hardState.term;
+    this.postRequests(true, true);
+    this.countLeaderless();
+  }
+
+  private postRequests(preVote: boolean, afterRestart: boolean): void {
+    const { store } = this.options;
+    const { lastIndex, lastTerm } = store;
     const term = preVote ? store.hardState.term + 1 : store.hardState.term;
     const answerTo = store.members().find((member) => member.identity === store.identity)?.address ?? '';
     for (const member of this.otherVoters()) {
@@ -137,7 +152,6 @@
       } as const;
       this.host.post(member, request);
     }
-    this.countVotes(preVote);
   }
 
   private countLeaderless(): void {
@@ -192,7 +206,8 @@
       this.restartTimer();
     }
     const term = granted ? message.term : store.hardState.term;
-    const leaderless = !this.host.leaderHeard();
+    // A candidate may have won already by the time its answer counts.
+    const leaderless = !this.host.leaderHeard() && this.host.role() !== 'candidate';
     const { preVote } = message;
     store.whenDurable(() => {
       this.host.answer(message.from, { type: 'voteAnswer', preVote, granted, term, leaderless });
--- a/packages/kumquatfront/src/consensus/replica.ts
+++ b/packages/kumquatfront/src/consensus/replica.ts
@@ -282,9 +282,10 @@
     if (message.to === store.identity || this.leading !== undefined || this.leaderHeard()) {
       return;
     }
-    const { clusterIdentity, to: from, from: to, term } = message;
+    const { clusterIdentity, to: from, from: to } = message;
     const answer = { type: 'voteAnswer', preVote: true, granted: false, leaderless: true } as const;
-    send(message.answerTo, { ...answer, clusterIdentity, from, to, term });
+    // The asker's own term: it named the next one, which a refusal must not make it take.
+    send(message.answerTo, { ...answer, clusterIdentity, from, to, term: message.term - 1 });
   }
 
   private isPreVote(message: types.ConsensusMessage): boolean {
--- a/packages/kumquatfront/src/trafficControl/controlWatch.ts
+++ b/packages/kumquatfront/src/trafficControl/controlWatch.ts
@@ -15,8 +15,11 @@
 /** A watch without an answer for this long has lost its replica: twice the longest time it stays open. */
 const WATCH_TIMEOUT: ports.Milliseconds = 1_400;
 
-/** Pause after a watch that failed. */
-const FAILED_PAUSE: ports.Milliseconds = 250;
+/**
+ * Pause after a watch that failed. After a fault of everything an entry serves nobody before its first answer; three
+ * lost replicas cost it twenty small messages a second.
+ */
+const FAILED_PAUSE: ports.Milliseconds = 120;
 
 /** A replica that neither settings nor news name any more is asked for this long yet. */
 const FORGET_AFTER: ports.Milliseconds = 10_000;
