Engines weighed by the pace that they are seen to decode at; patient callers come back after one residence

(2) a refused patient caller was told to come back within 0.15 to 0.7 s, by the rate at which places come free, and was refused for the second time. Change: pace learned from reports, a later end counts like a later first event; times to come back are spread around the time of one generation, within the share of its time that a caller honours. Both can be switched off by the settings.

--- a/packages/benchmarks/src/fleet/fleetRun.ts
+++ b/packages/benchmarks/src/fleet/fleetRun.ts
@@ -11,6 +11,8 @@
 
 /** What is played. */
 export interface FleetRunOptions extends fleetEngines.FleetOptions {
+  /** Mechanisms of placement in use; all of them where absent. */
+  readonly isOn?: kumquatfront.mechanisms.IsOn;
   readonly seed: number;
   readonly duration: number;
   readonly classes: readonly fleetWorkload.GenerationClass[];
@@ -91,6 +93,7 @@
       instances: () => this.instances(),
       serviceOf: () => service,
       entries: () => ['e'],
+      ...(options.isOn !== undefined && { isOn: options.isOn }),
       move: (_address, command, done) => {
         this.move(command, done);
       },
--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -18,6 +18,7 @@
 import * as entryOrderPort from '../orders/entryOrderPort.js';
 import * as orderDesk from '../orders/orderDesk.js';
 import type * as orders from '../orders/types.js';
+import type * as mechanisms from '../placement/mechanisms.js';
 import * as trafficControl from '../trafficControl/trafficControl.js';
 import * as membership from './membership.js';
 import * as methods from './methods.js';
@@ -39,6 +40,8 @@
   readonly mayFound?: boolean;
   /** Control VMs that may be lost at once; 1 where absent. */
   readonly toleratedLosses?: number;
+  /** Mechanisms of placement in use; all of them where absent. */
+  readonly isOn?: mechanisms.IsOn;
 }
 
 /** Ports of a control replica. */
@@ -161,7 +164,7 @@
     decode: trafficControl.DecodeTraffic,
   ): trafficControl.TrafficControl {
     const { peers, random, log, metrics } = outside;
-    const { peerAddress, control, toleratedLosses = 1 } = this.settings;
+    const { peerAddress, control, toleratedLosses = 1, isOn } = this.settings;
     return new trafficControl.TrafficControl({
       replica: this.replica,
       state: this.state,
@@ -173,6 +176,7 @@
       peerAddress,
       decode,
       leastVoters: Math.min(2 * toleratedLosses + 1, control.length),
+      ...(isOn !== undefined && { isOn }),
     });
   }
 
--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -59,6 +59,7 @@
 export * as instanceTable from './instances/instanceTable.js';
 export type * as instanceTypes from './instances/types.js';
 export * as instanceView from './instances/instanceView.js';
+export * as mechanisms from './placement/mechanisms.js';
 export * as placementCoordinator from './placement/coordinator.js';
 export * as waitingRules from './placement/waitingRules.js';
 export type * as placementTypes from './placement/types.js';
--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -7,8 +7,10 @@
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
 import type * as trafficTypes from '../traffic/types.js';
+import * as comingBack from './comingBack.js';
 import * as enginePool from './enginePool.js';
 import * as evacuation from './evacuation.js';
+import * as mechanisms from './mechanisms.js';
 import * as placementQueue from './placementQueue.js';
 import * as returningCallers from './returningCallers.js';
 import * as timeliness from './timeliness.js';
@@ -35,7 +37,7 @@
 /** The queue is offered places this often even where nothing changed. */
 const SERVE_INTERVAL: ports.Milliseconds = 100;
 
-/** Longest time to come back that is told: a caller honours a third of its time left at most. */
+/** Longest time to come back that is told to an urgent caller, whose places come free within a second. */
 const LONGEST_RETRY_AFTER: ports.Milliseconds = 4_000;
 
 /** What the coordinator is made from. */
@@ -50,15 +52,18 @@
   /** Names of the entries that this replica hears. */
   readonly entries: () => readonly string[];
   readonly move: evacuation.EvacuationHost['move'];
+  /** Which mechanisms are in use; all of them where this is left out. */
+  readonly isOn?: mechanisms.IsOn;
 }
 
 /** The coordinator; see the module comment. */
 export class Coordinator {
   private readonly options: CoordinatorOptions;
-  private readonly pool = new enginePool.EnginePool();
+  private readonly isOn: mechanisms.IsOn;
+  private readonly pool: enginePool.EnginePool;
   private readonly returning = new returningCallers.ReturningCallers();
   private readonly queue = new placementQueue.PlacementQueue({
-    expectedOutput: (facts) => this.pool.lengths.expectedOutput(facts, 0),
+    expectedOutput: (facts) => (this.isOn('shorterFirst') ? this.pool.lengths.expectedOutput(facts, 0) : 0),
     timelinessOf: (waiting, now) => this.timelinessOf(waiting, now),
   });
   private readonly evacuation: evacuation.Evacuation;
@@ -71,6 +76,8 @@
 
   constructor(options: CoordinatorOptions) {
     this.options = options;
+    this.isOn = options.isOn ?? mechanisms.allOn;
+    this.pool = new enginePool.EnginePool(this.isOn);
     this.evacuation = new evacuation.Evacuation({
       pool: this.pool,
       move: options.move,
@@ -127,7 +134,7 @@
   /** A caller that comes back has waited before; its objective counts from its first question. */
   private countedFromFirst(request: types.PlacementRequest, now: number): types.PlacementRequest {
     const firstAskedAt = this.returning.take(request.likeness, now);
-    if (firstAskedAt === undefined) {
+    if (firstAskedAt === undefined || !this.isOn('returningCallers')) {
       return request;
     }
     const objectiveLeft = Math.min(request.objectiveLeft, firstAskedAt + request.objective - now);
@@ -147,6 +154,9 @@
     now: number,
   ): timeliness.Timeliness {
     const { request, since } = waiting;
+    if (!this.isOn('lateLast')) {
+      return 'inTime';
+    }
     const needed = this.pool.pace.timeToFirstEvent(request.facts.service, request.facts.promptTokens);
     return timeliness.judge(request, now - since, needed);
   }
@@ -203,7 +213,9 @@
       this.servedAt = now;
       this.refreshEngines();
       this.pool.expire(now);
-      this.evacuation.pump();
+      if (this.isOn('evacuation')) {
+        this.evacuation.pump();
+      }
       this.queue.serve(now, (waiting) => this.tryPlace(waiting, now));
     }
     for (const expired of this.queue.takeExpired(now)) {
@@ -222,7 +234,7 @@
 
   private refuse(waiting: placementQueue.Waiting, reason: string): void {
     const { facts, likeness, objective, objectiveLeft } = waiting.request;
-    const retryAfter = this.retryAfter(facts.service);
+    const retryAfter = this.retryAfter(facts);
     const now = this.options.timers.now();
     this.returning.refused(likeness, waiting.since + objectiveLeft - objective, now);
     this.options.metrics.count('placement.answers', 1, { state: 'refused' });
@@ -230,8 +242,16 @@
     waiting.answer({ state: 'refused', retryAfter, reason });
   }
 
+  private retryAfter(facts: types.GenerationFacts): number {
+    if (facts.rank >= waitingRules.PATIENT_RANK && this.isOn('returnWithSlack')) {
+      const residence = this.pool.residence(facts);
+      return Math.round(comingBack.afterResidence(residence, this.options.random.next()));
+    }
+    return this.drainTime(facts.service);
+  }
+
   /** From the rate at which places come free and the queue's length, spread so that callers do not return at once. */
-  private retryAfter(service: string): number {
+  private drainTime(service: string): number {
     const gap = this.grantGap.get(service)?.gap ?? 100;
     const drained = gap * (this.queue.waitingOf(service) + 1);
     const spread = 1 + this.options.random.next() * 0.5;
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -13,6 +13,7 @@
 import type * as timerService from '../kernel/timerService.js';
 import * as coordinator from '../placement/coordinator.js';
 import * as evacuation from '../placement/evacuation.js';
+import type * as mechanisms from '../placement/mechanisms.js';
 import type * as placementTypes from '../placement/types.js';
 import * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
@@ -37,6 +38,8 @@
   readonly decode: DecodeTraffic;
   /** Voters that must stand before the first change is taken. */
   readonly leastVoters: number;
+  /** Mechanisms of placement in use; all of them where this is left out. */
+  readonly isOn?: mechanisms.IsOn;
 }
 
 /** Longest time for which a watch stays open: well inside an entry's timeout for it. */
@@ -86,6 +89,7 @@
       metrics,
       random,
       instances: () => this.table.records(timers.now()),
+      ...(options.isOn !== undefined && { isOn: options.isOn }),
       serviceOf: (name) => this.routes()?.serviceOf(name),
       entries: () => [...this.entries.keys()],
       move: (entryAddress, command, done) => {
