ledger: what an evening asked and how it ended, added up from the logs

Cause: after a bad evening the logs told of single requests only (explain); where worth went had to be counted by hand. Change: kumquatfront ledger LOGFILE...: by service and rank, by cause, by second; each attempt in one column, sums checked by its spec; generations whose entry started again are lost with it. Reading several files is shared with explain. Ruled out: an objective for each route from a configuration file (logs of an evening may have several versions); two options say what counts as late.

--- a/packages/command/src/explain/explain.ts
+++ b/packages/command/src/explain/explain.ts
@@ -30,14 +30,13 @@
   request: string,
   files: readonly string[],
 ): kumquatfront.results.Result<commandRunner.Shown, kumquatfront.failures.Failure> {
-  const texts: string[] = [];
-  for (const file of files) {
-    const read = inputFile.read(file);
-    if (read.err) {
-      return kumquatfront.results.Err(read.val);
-    }
-    texts.push(read.val);
-  }
+  return inputFile.readAll(files).andThen((texts) => tell(request, texts));
+}
+
+function tell(
+  request: string,
+  texts: readonly string[],
+): kumquatfront.results.Result<commandRunner.Shown, kumquatfront.failures.Failure> {
   const story = requestStory.collect(request, texts);
   if (story.lines.length === 0) {
     const remedy =
--- /dev/null
+++ b/packages/command/src/ledger/ledger.spec.ts
@@ -0,0 +1,68 @@
+/**
+ * An evening added up from lines as entries and control write them.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as accounts from './accounts.js';
+
+const at = (second: number): string => `time=2026-01-01T00:00:${second.toFixed(3).padStart(6, '0')}Z`;
+const ended = (second: number, request: string, rest: string): string =>
+  `${at(second)} process=entry-1 level=info event=requestEnded request=${request} route=r service=llm version=7 ${rest}`;
+const placed = (second: number, request: string, entry: string): string =>
+  `${at(second)} process=control-1 level=info event=placed request=${request} entry=${entry} engine=i-a waited=0 waiting=0`;
+
+const CONTROL = [
+  `${at(0)} process=control-1 level=info event=instanceHeard instance=i-a service=llm address=10.0.0.1:80 state=ready sequence=1`,
+  placed(1, 'soon', 'entry-1'),
+  placed(3, 'with-its-entry', 'entry-2'),
+  placed(9, 'still-running', 'entry-1'),
+].join('\n');
+
+const ENTRIES = [
+  `${at(0)} process=entry-2 level=info event=started role=entry peers=10.0.1.2:1`,
+  ended(2, 'soon', 'outcome=answered rank=1 firstEvent=500 longestPause=20 milliseconds=1000'),
+  ended(4, 'late-begin', 'outcome=answered rank=1 firstEvent=1900 longestPause=20 milliseconds=2000'),
+  ended(4, 'paused', 'outcome=answered rank=1 firstEvent=300 longestPause=400 milliseconds=2000'),
+  ended(5, 'no-place', 'outcome=overloaded reason="no place came free in time" rank=1 milliseconds=216'),
+  ended(5, 'broken', 'outcome=interrupted reason="the upstream broke off" rank=1 milliseconds=900'),
+  ended(5, 'own-failure', 'outcome=answered status=500 milliseconds=90'),
+  ended(5, 'gone', 'outcome=callerGone milliseconds=90'),
+  `${at(6)} process=entry-1 level=info event=requestRefused request=unknown-path reason=noRoute message="no route"`,
+  `${at(7)} process=entry-2 level=info event=started role=entry peers=10.0.1.2:1`,
+].join('\n');
+
+const sums = accounts.of([ENTRIES, CONTROL], { firstEvent: 1_800, pause: 180 });
+
+void test.test('every attempt stands in one column, and they sum to what was asked', () => {
+  assert.equal(sums.asked, 10);
+  const total = sums.kinds.reduce((sum, kind) => sum + kind.asked, 0);
+  const bySecond = sums.seconds.reduce((sum, second) => sum + second.asked, 0);
+  assert.deepEqual([total, bySecond], [10, 10]);
+  const longOnes = sums.kinds.find((kind) => kind.name === 'llm rank 1');
+  assert.deepEqual(longOnes?.counts, {
+    ...{ answered: 1, late: 2, failed: 0, refused: 1, lost: 1, callerLeft: 0, open: 0 },
+  });
+});
+
+// The entry dies with what it serves and says nothing of it; only the coordinator's line tells that it was placed.
+void test.test('a generation whose entry started again is lost with it, one without an end is open', () => {
+  const other = sums.kinds.find((kind) => kind.name === 'llm');
+  assert.deepEqual(
+    [other?.counts.lost, other?.counts.open, other?.counts.failed, other?.counts.callerLeft],
+    [1, 1, 1, 1],
+  );
+  assert.ok(sums.causes.some(({ ending, cause }) => ending === 'lost' && cause === 'its entry ended'));
+});
+
+void test.test('attempts count in the second in which they came', () => {
+  const names = sums.seconds.map((second) => second.name.slice(-2));
+  assert.deepEqual(names, ['01', '02', '03', '04', '06', '09']);
+});
+
+void test.test('causes are named, most frequent first', () => {
+  const named = sums.causes.map(({ ending, cause }) => `${ending}: ${cause}`);
+  assert.ok(named.includes('refused: overloaded: no place came free in time'));
+  assert.ok(named.includes('refused: noRoute'));
+  assert.ok(named.includes('late: a pause between two events'));
+});
--- a/packages/command/src/main.ts
+++ b/packages/command/src/main.ts
@@ -7,6 +7,7 @@
 import * as commandRunner from './commandRunner.js';
 import * as configurationCommands from './configurationCommands.js';
 import * as explain from './explain/explain.js';
+import * as ledger from './ledger/ledger.js';
 import * as localCommands from './localCommands.js';
 import * as systemCommands from './systemCommands.js';
 
@@ -164,6 +165,27 @@
       commandRunner.runWithoutControl(parsed, () => explain.run(parsed.request, parsed.logs));
     },
   )
+  .command(
+    'ledger <logs..>',
+    'Add up what was asked and how it ended, from the logs of entries and control',
+    (builder) =>
+      builder
+        .positional('logs', { type: 'string', array: true, demandOption: true, describe: 'Log files' })
+        .option('first-event', {
+          type: 'number',
+          default: 1_800,
+          describe: 'Streams whose first event took longer are late, in milliseconds',
+        })
+        .option('pause', {
+          type: 'number',
+          default: 180,
+          describe: 'Streams with a longer pause between two events are late, in milliseconds',
+        }),
+    (parsed) => {
+      const rules = { firstEvent: parsed.firstEvent, pause: parsed.pause };
+      commandRunner.runWithoutControl(parsed, () => ledger.run(parsed.logs, rules));
+    },
+  )
   .completion('completion', 'Print a completion script for the shell')
   .demandCommand(1, 'Name a command; --help lists them.')
   .strict()
