--- a/packages/kumquatfront/src/placement/coordinatorBench.ts
+++ b/packages/kumquatfront/src/placement/coordinatorBench.ts
@@ -8,6 +8,7 @@
 import * as virtualTime from '../kernel/virtualTime.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as coordinator from './coordinator.js';
+import * as mechanisms from './mechanisms.js';
 import type * as types from './types.js';
 import * as waitingRules from './waitingRules.js';
 
@@ -28,7 +29,7 @@
   private readonly instances: instanceTypes.InstanceRecord[] = [];
   private sequence = 0;
 
-  constructor(engineCount: number, fits: number) {
+  constructor(engineCount: number, fits: number, isOn: mechanisms.IsOn = mechanisms.allOn) {
     const silent = (): void => undefined;
     const engine: trafficTypes.EngineTraits = {
       slots: 24,
@@ -51,6 +52,7 @@
       serviceOf: () => ({ name: 'llm', maximumConnections: 100, engine }),
       entries: () => this.entries,
       move: silent,
+      isOn,
     });
   }
 
