--- a/packages/benchmarks/src/fleet/fleetCases.ts
+++ b/packages/benchmarks/src/fleet/fleetCases.ts
@@ -58,3 +58,6 @@
 
 /** The small fleet after two of its engines have gone for good: half of the load fits. */
 export const depleted: Omit<fleetRun.FleetRunOptions, 'seed'> = { ...small, engines: 4 };
+
+/** The small fleet where every third engine is slower by three tenths. */
+export const uneven: Omit<fleetRun.FleetRunOptions, 'seed'> = { ...small, slowness: [1, 1, 1.3] };
--- a/packages/benchmarks/src/fleet/fleetEngines.ts
+++ b/packages/benchmarks/src/fleet/fleetEngines.ts
@@ -14,6 +14,8 @@
   readonly leaveTogether: number;
   /** Time between two such moments. */
   readonly leaveEvery: number;
+  /** Factors on the time of a step, given to engines in turn as they start; all alike where absent. */
+  readonly slowness?: readonly number[];
 }
 
 const SLOTS = 24;
@@ -78,6 +80,8 @@
   }
 
   private startEngine(dataCentre: string): void {
+    const { slowness = [1] } = this.options;
+    const factor = slowness[this.started % slowness.length] ?? 1;
     this.started += 1;
     const identity = `engine${this.started}`;
     const model = new standIns.engineModel.EngineModel(
@@ -85,9 +89,9 @@
         name: identity,
         memoryTokens: this.options.memoryTokens,
         slots: SLOTS,
-        stepBase: STEP_BASE,
-        stepPerRunning: STEP_PER_RUNNING,
-        prefillPerToken: 1 / PREFILL_TOKENS_PER_MILLISECOND,
+        stepBase: STEP_BASE * factor,
+        stepPerRunning: STEP_PER_RUNNING * factor,
+        prefillPerToken: factor / PREFILL_TOKENS_PER_MILLISECOND,
         prefillPerStep: PREFILL_PER_STEP,
         cachedPrefixes: 0,
       },
