--- a/packages/scenarios/src/scripts/controlSafeguards.ts
+++ b/packages/scenarios/src/scripts/controlSafeguards.ts
@@ -184,6 +184,20 @@
     replace: 'const all = this.otherVoters().some(',
     scenario: 'spec:consensus/replica',
   },
+  {
+    name: 'answers from before a vote elect nobody',
+    file: 'consensus/election.js',
+    find: 'if (store.hardState.term !== this.askedInTerm) {',
+    replace: 'if (false) {',
+    scenario: 'spec:consensus/replica',
+  },
+  {
+    name: 'a candidate says nothing of leaders',
+    file: 'consensus/election.js',
+    find: "!this.host.leaderHeard() && this.host.role() !== 'candidate'",
+    replace: '!this.host.leaderHeard()',
+    scenario: 'spec:consensus/replica',
+  },
   {
     name: 'who follows a leader does not answer for its predecessor',
     file: 'consensus/replica.js',
--- a/packages/scenarios/src/scripts/relaySafeguards.ts
+++ b/packages/scenarios/src/scripts/relaySafeguards.ts
@@ -6,6 +6,7 @@
 const RELAY = 'spec:relay/streamExchange';
 const PLAIN = 'spec:relay/plainExchange';
 const INSTANCES = 'spec:instances/instances';
+const RESTART = 'spec:instances/restart';
 const CONTROL = 'spec:trafficControl/trafficControl';
 const OVERLOAD = 'spec:placement/overload';
 const LATENESS = 'spec:placement/lateness';
@@ -103,6 +104,69 @@
     replace: 'if (false) {',
     scenario: INSTANCES,
   },
+  {
+    name: 'an older start of an instance is left out',
+    file: 'instances/instanceTable.js',
+    find: 'if (newest !== undefined && born < newest.born) {',
+    replace: 'if (false) {',
+    scenario: RESTART,
+  },
+  {
+    name: 'a newer start drops the older one',
+    file: 'instances/instanceTable.js',
+    find: 'if (newest !== undefined && born > newest.born) {',
+    replace: 'if (false) {',
+    scenario: RESTART,
+  },
+  {
+    name: 'a notice of an unknown name keeps out what is heard next',
+    file: 'instances/instanceTable.js',
+    find: 'if (this.isNoticed(announcement.name, now)) {',
+    replace: 'if (false) {',
+    scenario: RESTART,
+  },
+  {
+    name: 'an announcement from elsewhere does not move an instance',
+    file: 'instances/instanceTable.js',
+    find: 'if (announcements.isForeign(known.announcement, announcement)) {',
+    replace: 'if (false) {',
+    scenario: RESTART,
+  },
+  {
+    name: 'an entry leaves the older start out',
+    file: 'instances/instanceView.js',
+    find: 'if (newest !== undefined && newest.born > record.born) {',
+    replace: 'if (false) {',
+    scenario: RESTART,
+  },
+  {
+    name: 'a stream ends with the start that made it',
+    file: 'relay/streamExchange.js',
+    find: 'if (!this.ended && leg?.instance.identity === instance) {',
+    replace: 'if (false) {',
+    scenario: 'spec:relay/streamExchange',
+  },
+  {
+    name: 'a connection that does not open is given up',
+    file: 'adapters/jsonRpcTransport.js',
+    find: 'scheduler.after(CONNECT_TIMEOUT, ',
+    replace: 'scheduler.after(CONNECT_TIMEOUT * 100, ',
+    scenario: 'spec:adapters/peerConnecting',
+  },
+  {
+    name: 'engines that make tokens slowly are weighed so',
+    file: 'placement/enginePool.js',
+    find: 'this.decoding.laterThanCommon(facts.service, engine.identity, growth.remaining)',
+    replace: '0',
+    scenario: 'spec:placement/decodingPace',
+  },
+  {
+    name: 'a patient caller comes back after one residence',
+    file: 'placement/coordinator.js',
+    find: 'comingBack.afterResidence(residence, this.options.random.next())',
+    replace: 'residence * 0',
+    scenario: 'spec:placement/comingBack',
+  },
   {
     name: 'one generation at a time leaves an engine',
     file: 'placement/evacuation.js',
