--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -7,7 +7,6 @@
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
 import type * as trafficTypes from '../traffic/types.js';
-import * as comingBack from './comingBack.js';
 import * as enginePool from './enginePool.js';
 import * as evacuation from './evacuation.js';
 import * as mechanisms from './mechanisms.js';
@@ -37,7 +36,7 @@
 /** The queue is offered places this often even where nothing changed. */
 const SERVE_INTERVAL: ports.Milliseconds = 100;
 
-/** Longest time to come back that is told to an urgent caller, whose places come free within a second. */
+/** Longest time to come back that is told: a caller honours a third of its time left at most. */
 const LONGEST_RETRY_AFTER: ports.Milliseconds = 4_000;
 
 /** What the coordinator is made from. */
@@ -234,7 +233,7 @@
 
   private refuse(waiting: placementQueue.Waiting, reason: string): void {
     const { facts, likeness, objective, objectiveLeft } = waiting.request;
-    const retryAfter = this.retryAfter(facts);
+    const retryAfter = this.retryAfter(facts.service);
     const now = this.options.timers.now();
     this.returning.refused(likeness, waiting.since + objectiveLeft - objective, now);
     this.options.metrics.count('placement.answers', 1, { state: 'refused' });
@@ -242,16 +241,8 @@
     waiting.answer({ state: 'refused', retryAfter, reason });
   }
 
-  private retryAfter(facts: types.GenerationFacts): number {
-    if (facts.rank >= waitingRules.PATIENT_RANK && this.isOn('returnWithSlack')) {
-      const residence = this.pool.residence(facts);
-      return Math.round(comingBack.afterResidence(residence, this.options.random.next()));
-    }
-    return this.drainTime(facts.service);
-  }
-
   /** From the rate at which places come free and the queue's length, spread so that callers do not return at once. */
-  private drainTime(service: string): number {
+  private retryAfter(service: string): number {
     const gap = this.grantGap.get(service)?.gap ?? 100;
     const drained = gap * (this.queue.waitingOf(service) + 1);
     const spread = 1 + this.options.random.next() * 0.5;
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -8,7 +8,6 @@
  */
 import type * as ports from '../kernel/ports.js';
 import type * as trafficTypes from '../traffic/types.js';
-import * as decodingPace from './decodingPace.js';
 import * as lengthForecast from './lengthForecast.js';
 import * as mechanisms from './mechanisms.js';
 import * as memoryPeak from './memoryPeak.js';
@@ -61,8 +60,6 @@
   readonly reported: boolean;
   /** Prompt tokens that had to be read before its first event when it was placed, its own among them. */
   readonly toRead: number;
-  /** From where the engine's pace is measured: tokens made, and when that was reported. */
-  readonly paceFrom?: { readonly produced: number; readonly at: ports.Milliseconds };
 }
 
 interface KnownEntry {
@@ -90,8 +87,6 @@
  * long prompt, like a quarter. So an engine that has just started, with its memory empty, gets one prompt after
  * another and not all that come. Three times as much leaves generations unevenly spread: on a quiet day of the
  * users' first site three or four were lost with engines that held more than could be moved off them, one otherwise.
- * A later end counts as much as a later first event: both are time in which a process may die. Two and a half times
- * as much for the end gained no more (played days of the users: 0.464 against 0.473, within noise).
  */
 const SHARE_FOR_MILLISECOND = 0.25 / 500;
 
@@ -104,7 +99,6 @@
 export class EnginePool {
   readonly lengths = new lengthForecast.LengthForecast();
   readonly pace = new readingPace.ReadingPace();
-  readonly decoding = new decodingPace.DecodingPace();
   private readonly isOn: mechanisms.IsOn;
   private engines = new Map<string, Engine>();
   private readonly placed = new Map<string, Placed>();
@@ -119,7 +113,6 @@
 
   setEngines(engines: readonly Engine[]): void {
     this.engines = new Map(engines.map((engine) => [engine.identity, engine]));
-    this.decoding.keepOnly(new Set(this.engines.keys()));
   }
 
   get engineList(): readonly Engine[] {
@@ -154,16 +147,7 @@
       const { identity } = running.facts;
       const known = former.get(identity);
       const { beganAt, toRead } = known ?? { beganAt: now, toRead: running.facts.promptTokens };
-      const paceFrom = this.measurePace(running, known, now);
-      this.placed.set(identity, {
-        running,
-        entry,
-        grantedAt: now,
-        beganAt,
-        reported: true,
-        toRead,
-        paceFrom,
-      });
+      this.placed.set(identity, { running, entry, grantedAt: now, beganAt, reported: true, toRead });
       // Those with others before them tell less: how far the others had been read is not known.
       const alone = toRead === running.facts.promptTokens;
       if (known !== undefined && alone && running.started && !known.running.started) {
@@ -176,26 +160,6 @@
     this.loads = undefined;
   }
 
-  private measurePace(
-    running: types.RunningGeneration,
-    known: Placed | undefined,
-    now: number,
-  ): Placed['paceFrom'] {
-    const { facts, instance, produced, started } = running;
-    if (!started) {
-      return undefined;
-    }
-    const from = known?.running.instance === instance ? known.paceFrom : undefined;
-    if (from === undefined) {
-      return { produced, at: now };
-    }
-    if (produced - from.produced < decodingPace.SAMPLE_TOKENS) {
-      return from;
-    }
-    this.decoding.learn(facts.service, instance, produced - from.produced, now - from.at);
-    return { produced, at: now };
-  }
-
   /** Drops what entries ran that are silent, and grants that were never taken up. */
   expire(now: number): void {
     for (const [identity, placed] of this.placed) {
@@ -326,11 +290,7 @@
       const toRead = ownPrompt + (unread.get(engine.identity) ?? 0);
       const firstEvent = this.isOn('readingPace') ? this.pace.timeToFirstEvent(facts.service, toRead) : 0;
       const near = engine.dataCentre === dataCentre ? nearBonus : 0;
-      const laterEnd = this.isOn('decodingPace')
-        ? this.decoding.laterThanCommon(facts.service, engine.identity, growth.remaining)
-        : 0;
-      const delay = firstEvent + laterEnd;
-      const score = near - filled - delay * SHARE_FOR_MILLISECOND;
+      const score = near - filled - firstEvent * SHARE_FOR_MILLISECOND;
       const takes =
         (fits || !this.isOn('memoryBound')) &&
         load.length < slots - keptFree &&
@@ -343,13 +303,6 @@
     return best;
   }
 
-  /** Time from a place to the last event, as generations of a kind take on average. */
-  residence(facts: types.GenerationFacts): ports.Milliseconds {
-    const { service, promptTokens } = facts;
-    const output = this.lengths.meanOutput(facts);
-    return this.pace.timeToFirstEvent(service, promptTokens) + output * this.decoding.paceOf(service, '');
-  }
-
   /** One word for each engine: identity, generations, forecast share of its memory, and whether it leaves. */
   describe(): readonly string[] {
     const loads = this.loadsOf();
--- a/packages/kumquatfront/src/placement/lengthForecast.ts
+++ b/packages/kumquatfront/src/placement/lengthForecast.ts
@@ -81,11 +81,6 @@
     return Math.min(Math.max(outputLimit, 1), Math.max(guess, least));
   }
 
-  /** Output tokens of generations of its kind, whatever this one's caller expects. */
-  meanOutput(facts: types.GenerationFacts): number {
-    return this.learnedOutput(facts, 0) ?? this.expectedOutput(facts, 0);
-  }
-
   /** Output tokens that are still to come. */
   remaining(facts: types.GenerationFacts, produced: number): number {
     return Math.max(0, this.expectedOutput(facts, produced) - produced);
--- a/packages/kumquatfront/src/placement/mechanisms.ts
+++ b/packages/kumquatfront/src/placement/mechanisms.ts
@@ -7,8 +7,6 @@
 
 /** Names of the mechanisms; see the module that each stands in. */
 export const NAMES = [
-  /** Long generations go to engines that decode fast, by learned pace. */
-  'decodingPace',
   /** Time to the first event by what is read before counts in a placement. */
   'readingPace',
   /** The forecast of memory bounds what an engine takes. */
@@ -19,8 +17,6 @@
   'returningCallers',
   /** Those that can be in time go before late ones, which only get slack. */
   'lateLast',
-  /** Patient callers without a place come back after the time of one generation, not as soon as one may be free. */
-  'returnWithSlack',
   /** Among equals the shorter forecast goes first. */
   'shorterFirst',
 ] as const;
--- a/packages/kumquatfront/src/placement/readingPace.ts
+++ b/packages/kumquatfront/src/placement/readingPace.ts
@@ -42,12 +42,7 @@
    * ```
    */
   timeToFirstEvent(service: string, tokens: number): ports.Milliseconds {
-    return FIXED + this.timeFor(service, tokens);
-  }
-
-  /** Time of the reading alone. */
-  timeFor(service: string, tokens: number): ports.Milliseconds {
-    return tokens * this.paceOf(service);
+    return FIXED + tokens * this.paceOf(service);
   }
 
   /** Learns from a first event that came after `taken`, where `tokens` had to be read before it. */
--- a/packages/kumquatfront/src/relay/placeFinder.ts
+++ b/packages/kumquatfront/src/relay/placeFinder.ts
@@ -11,9 +11,6 @@
 import type * as placementClient from './placementClient.js';
 import type * as types from './types.js';
 
-/** Share of its time left up to which a caller waits as it is told: a third, with a little to spare for the way. */
-const HONOURED_SHARE = 0.32;
-
 /** What is told of the search. */
 export interface PlaceListener {
   readonly found: (instance: instanceView.Instance) => void;
@@ -81,7 +78,7 @@
     if (outcome.state === 'alone') {
       this.chooseAlone();
     } else if (outcome.state === 'refused') {
-      this.listener.none('overloaded', outcome.reason, this.withinReach(outcome.retryAfter));
+      this.listener.none('overloaded', outcome.reason, outcome.retryAfter);
     } else {
       const instance = this.context.instances.get(outcome.instance);
       if (instance === undefined || this.excluded.has(instance.identity)) {
@@ -92,12 +89,6 @@
     }
   }
 
-  /** A caller that is told more than a share of its time left comes back when it likes. */
-  private withinReach(retryAfter: ports.Milliseconds): ports.Milliseconds {
-    const left = this.routed.answerBy - this.context.timers.now();
-    return Math.min(retryAfter, Math.max(0, left * HONOURED_SHARE));
-  }
-
   private chooseAlone(): void {
     const { choice, instances, timers } = this.context;
     const candidates = instances.readyOf(this.routed.service.name);
