After a loss of all power one voter asks for votes, and a vote given is waited for

Cause: voters that restart ask each other whether any knows a leader. Several of them had all answers at nearly the same moment and each began an election in the same term; their questions were granted like pre-votes, which made yet others candidates; and a voter whose election timer ran out while votes were being counted raised the term, so that the leader just elected stepped down.

Ruled out: longer election timeouts (they only move the collision), a shorter question interval (the answers of a slow start come later than it).

Change: answers carry the end of the voter's log and whether it asks too. All name the same voter, the one with the longest log, and only that one asks for votes. A question after a start is no pre-vote. A voter that has given its vote refuses other pre-votes for one election timeout. Answers count by the term they were given in.

--- a/packages/kumquatfront/src/consensus/election.ts
+++ b/packages/kumquatfront/src/consensus/election.ts
@@ -12,13 +12,49 @@
  * Pattern: everything is killed at once, and callers are back before control is. A voter that has restarted does not
  * know what it promised a leader and refuses its vote for one election timeout, so that all of them wait for nobody:
  * half a second in which no entry has a configuration. Where every voter says that it knows no leader there is none
- * with a lease: it would be one of them. Then the votes of this one term are free at once.
+ * with a lease: it would be one of them. Then the votes of this one term are free at once, and the voter with the
+ * longest log asks for them (see `isFirstAmong`).
  */
 const ASKED_AFTER_START: ports.Milliseconds = 60;
 
 /** Election timeouts for which it asks: VMs that lost power come back over a second, not all at once. */
 const ASKED_FOR_TIMEOUTS = 3;
 
+/** The end of a voter's log. */
+interface LogEnd {
+  readonly lastIndex: number;
+  readonly lastTerm: number;
+}
+
+interface VoterLog extends LogEnd {
+  readonly identity: string;
+}
+
+/** A voter that knows no leader, with its term when it said so, and whether it has just started too. */
+interface LeaderlessVoter extends VoterLog {
+  readonly term: number;
+  readonly asks: boolean;
+}
+
+/** True where the first log holds all that the second one does, as votes are given by. */
+function isUpToDate(log: LogEnd, than: LogEnd): boolean {
+  return log.lastTerm > than.lastTerm || (log.lastTerm === than.lastTerm && log.lastIndex >= than.lastIndex);
+}
+
+/**
+ * True for the one voter that asks for votes, of those that have just started: the longest log, then the lowest
+ * identity.
+ *
+ * Several voters have everybody's answer at nearly the same time. If each asked for votes, none would get most of
+ * them, or a second one would depose the first as soon as it stood. All of them name the same voter from the same
+ * answers, and the others follow; if it fails to ask, their election timers run as ever.
+ */
+function isFirstAmong(own: VoterLog, others: readonly VoterLog[]): boolean {
+  return others.every(
+    (other) => isUpToDate(own, other) && (!isUpToDate(other, own) || own.identity < other.identity),
+  );
+}
+
 /** What an election asks of its replica. */
 export interface ElectionHost {
   readonly role: () => types.ReplicaRole;
@@ -41,13 +77,13 @@
   private readonly options: replica.ReplicaOptions;
   private readonly host: ElectionHost;
   private votes = new Set<string>();
-  /** Voters that know no leader, by their answers since this replica started. */
-  private leaderless = new Set<string>();
+  /** The other voters that know no leader, by their last answers since this replica started. */
+  private leaderless = new Map<string, LeaderlessVoter>();
   private asksAfterStart = false;
-  /** The term in which they were asked. Once it has passed, one of them may have been elected since it answered. */
-  private askedInTerm = 0;
   /** The term for which all voters have said so. */
   private unopposedTerm: number | undefined;
+  /** When this replica gave its vote last, its own candidacy included. */
+  private votedAt = Number.NEGATIVE_INFINITY;
   private cancelTimer: ports.Cancel = () => undefined;
 
   constructor(options: replica.ReplicaOptions, host: ElectionHost) {
@@ -111,6 +147,7 @@
     const { store, log } = this.options;
     this.host.becomeCandidate();
     store.setHardState({ ...store.hardState, term: store.hardState.term + 1, votedFor: store.identity });
+    this.votedAt = this.options.timers.now();
     log.info('electionStarted', { term: store.hardState.term });
     this.restartTimer();
     store.whenDurable(() => {
@@ -128,9 +165,6 @@
   }
 
   private askForLeaders(): void {
-    const { store } = this.options;
-    this.leaderless = new Set([store.identity]);
-    this.askedInTerm = store.hardState.term;
     this.postRequests(true, true);
     this.countLeaderless();
   }
@@ -156,13 +190,17 @@
 
   private countLeaderless(): void {
     const { store } = this.options;
-    if (store.hardState.term !== this.askedInTerm) {
-      return;
-    }
-    const all = this.otherVoters().every((member) => this.leaderless.has(member.identity));
-    if (all && this.host.role() === 'follower' && !this.host.leaderHeard()) {
-      this.options.log.info('allVotersLeaderless', { voters: this.leaderless.size });
-      this.unopposedTerm = store.hardState.term + 1;
+    const { term } = store.hardState;
+    const others = this.otherVoters();
+    // An answer from an earlier term says nothing: its voter may have been elected since, in this one.
+    const voters = [...this.leaderless.values()].filter((voter) => voter.term === term);
+    const all = others.every((member) => voters.some((voter) => voter.identity === member.identity));
+    const asking = voters.filter((voter) => voter.asks);
+    const { identity, lastIndex, lastTerm } = store;
+    const first = isFirstAmong({ identity, lastIndex, lastTerm }, asking);
+    if (all && first && this.host.role() === 'follower' && !this.host.leaderHeard()) {
+      this.options.log.info('allVotersLeaderless', { voters: others.length + 1 });
+      this.unopposedTerm = term + 1;
       this.startElection();
     }
   }
@@ -178,18 +216,19 @@
     }
   }
 
-  private onLeaderless(voter: string): void {
-    if (this.host.role() === 'follower' && this.asksAfterStart) {
-      this.leaderless.add(voter);
+  private noteLeaderless(answer: types.VoteAnswer): void {
+    const { from: identity, lastIndex, lastTerm, term, asks } = answer;
+    if (!answer.leaderless) {
+      this.leaderless.delete(identity);
+    } else if (this.host.role() === 'follower' && this.asksAfterStart) {
+      this.leaderless.set(identity, { identity, lastIndex, lastTerm, term, asks });
       this.countLeaderless();
     }
   }
 
   onRequest(message: types.VoteRequest): void {
     const { store } = this.options;
-    const upToDate =
-      message.lastTerm > store.lastTerm ||
-      (message.lastTerm === store.lastTerm && message.lastIndex >= store.lastIndex);
+    const upToDate = isUpToDate(message, store);
     // Whoever hears from a leader, or is one with its lease, refuses without looking at the term: this is
     // what makes the leader's lease worth trusting.
     const unopposed = message.afterRestart && !message.preVote;
@@ -198,25 +237,57 @@
       this.host.raiseTerm(message.term);
     }
     const free = store.hardState.votedFor === '' || store.hardState.votedFor === message.from;
+    // What a voter asks after its start is only a question: counted as pre-votes, the answers would make several
+    // voters candidates at the same moment.
     const granted = message.preVote
-      ? !leaderAlive && upToDate && message.term > store.hardState.term
+      ? !message.afterRestart &&
+        !leaderAlive &&
+        !this.mayHaveElected(message.from) &&
+        upToDate &&
+        message.term > store.hardState.term
       : !leaderAlive && upToDate && message.term === store.hardState.term && free;
     if (granted && !message.preVote) {
       store.setHardState({ ...store.hardState, votedFor: message.from });
+      this.votedAt = this.options.timers.now();
       this.restartTimer();
     }
     const term = granted ? message.term : store.hardState.term;
-    // A candidate may have won already by the time its answer counts.
-    const leaderless = !this.host.leaderHeard() && this.host.role() !== 'candidate';
+    const leaderless = !this.host.leaderHeard() && !this.mayHaveElected(message.from);
     const { preVote } = message;
+    const { asksAfterStart: asks } = this;
+    const { lastIndex, lastTerm } = store;
     store.whenDurable(() => {
-      this.host.answer(message.from, { type: 'voteAnswer', preVote, granted, term, leaderless });
+      const body = {
+        type: 'voteAnswer',
+        preVote,
+        granted,
+        term,
+        leaderless,
+        asks,
+        lastIndex,
+        lastTerm,
+      } as const;
+      this.host.answer(message.from, body);
     });
   }
 
+  /**
+   * True where this replica has given its vote to another candidate, itself included, that may have been elected with
+   * it and not been heard from yet.
+   *
+   * Pattern: processes that start answer late, so that votes are counted for longer than an election timer runs. A
+   * second candidate would raise the term, and the leader just elected would step down: a second without one. The
+   * voters of the first one say no to it for one election timeout, after which that leader would have been heard.
+   */
+  private mayHaveElected(asker: string): boolean {
+    const { store, timers, timing } = this.options;
+    const { votedFor } = store.hardState;
+    return votedFor !== '' && votedFor !== asker && timers.now() - this.votedAt < timing.electionTimeout;
+  }
+
   onAnswer(message: types.VoteAnswer): void {
-    if (message.preVote && message.leaderless) {
-      this.onLeaderless(message.from);
+    if (message.preVote) {
+      this.noteLeaderless(message);
     }
     const { term } = this.options.store.hardState;
     const expectedTerm = message.preVote ? term + 1 : term;
--- a/packages/kumquatfront/src/consensus/replica.spec.ts
+++ b/packages/kumquatfront/src/consensus/replica.spec.ts
@@ -112,17 +112,25 @@
     this.advance(ELECTION_TIMEOUT * 2);
     const term = this.store.hardState.term + 1;
     const address = { clusterIdentity: CLUSTER, from: 'b', to: 'a', term };
-    const granted = { granted: true, leaderless: true };
+    const granted = { granted: true, leaderless: true, asks: false, lastIndex: 1, lastTerm: 1 };
     this.replica.receive({ type: 'voteAnswer', preVote: true, ...granted, ...address });
     this.replica.receive({ type: 'voteAnswer', preVote: false, ...granted, ...address });
     assert.equal(this.replica.role, 'leader');
   }
 
   /** A voter says, without giving its vote, whether it knows a leader. */
-  answerLeaderless(from: string, leaderless: boolean): void {
+  answerLeaderless(from: string, leaderless: boolean, lastIndex = 1): void {
     const { term } = this.store.hardState;
     this.replica.receive({
-      ...{ type: 'voteAnswer', preVote: true, granted: false, leaderless },
+      ...{
+        type: 'voteAnswer',
+        preVote: true,
+        granted: false,
+        leaderless,
+        asks: true,
+        lastIndex,
+        lastTerm: 1,
+      },
       ...{ clusterIdentity: CLUSTER, from, to: 'a', term },
     });
   }
@@ -287,6 +295,43 @@
   );
 });
 
+// All voters have each other's answers at nearly the same moment. If each asked for votes, nobody would get most.
+void test.test('of voters that have just started, only the one with the longest log asks for votes', () => {
+  const behind = new Bench([], 3);
+  behind.advance(100);
+  behind.answerLeaderless('b', true, 2);
+  behind.answerLeaderless('c', true);
+  assert.equal(behind.replica.role, 'follower');
+  assert.equal(behind.store.hardState.term, 3);
+});
+
+// A candidate has this replica's vote and is being counted. Another one whose timer runs out meanwhile would raise the
+// term: the leader just elected would step down, and callers would be refused for another second.
+void test.test('a voter that has given its vote refuses other pre-votes for one election timeout', () => {
+  const bench = new Bench([], 3);
+  bench.advance(ELECTION_TIMEOUT + 1);
+  bench.takeSent('voteRequest');
+  const preVote = (from: string, afterRestart = false): readonly types.VoteAnswer[] => {
+    bench.replica.receive({
+      ...{ type: 'voteRequest', preVote: true, clusterIdentity: CLUSTER, from, to: 'a' },
+      ...{ term: 5, lastIndex: 1, lastTerm: 1, afterRestart, answerTo: from },
+    });
+    return bench.takeSent('voteAnswer');
+  };
+  assert.equal(bench.askVote(4, 1, 1), true);
+  bench.takeSent('voteAnswer');
+  assert.deepEqual(
+    preVote('c').map(({ granted, leaderless }) => ({ granted, leaderless })),
+    [{ granted: false, leaderless: false }],
+  );
+  assert.equal(preVote('b')[0]?.granted, true);
+  bench.advance(ELECTION_TIMEOUT - 10);
+  assert.equal(preVote('c')[0]?.granted, false);
+  bench.advance(11);
+  assert.equal(preVote('c', true)[0]?.granted, false);
+  assert.equal(preVote('c')[0]?.granted, true);
+});
+
 // One voter still hears from its leader, whose lease may rest on what this replica promised before its restart.
 void test.test('a restarted voter waits where any voter knows a leader or does not answer', () => {
   const bench = new Bench([], 3);
--- a/packages/kumquatfront/src/consensus/replica.ts
+++ b/packages/kumquatfront/src/consensus/replica.ts
@@ -283,7 +283,14 @@
       return;
     }
     const { clusterIdentity, to: from, from: to } = message;
-    const answer = { type: 'voteAnswer', preVote: true, granted: false, leaderless: true } as const;
+    const nothing = { asks: false, lastIndex: 0, lastTerm: 0 };
+    const answer = {
+      type: 'voteAnswer',
+      preVote: true,
+      granted: false,
+      leaderless: true,
+      ...nothing,
+    } as const;
     // The asker's own term: it named the next one, which a refusal must not make it take.
     send(message.answerTo, { ...answer, clusterIdentity, from, to, term: message.term - 1 });
   }
--- a/packages/kumquatfront/src/consensus/types.ts
+++ b/packages/kumquatfront/src/consensus/types.ts
@@ -71,8 +71,16 @@
   readonly type: 'voteAnswer';
   readonly preVote: boolean;
   readonly granted: boolean;
-  /** True where the answerer neither leads nor has heard from a leader, a restart of its own not counted. */
+  /**
+   * True where the answerer neither leads nor has heard from a leader, a restart of its own not counted, and has
+   * given no vote that may still elect one.
+   */
   readonly leaderless: boolean;
+  /** True where the answerer has just started too, and asks the same. */
+  readonly asks: boolean;
+  /** End of the answerer's log. */
+  readonly lastIndex: number;
+  readonly lastTerm: number;
 }
 
 /** Sends entries, or only a heartbeat. */
