Instances are told at once by the nearest replica, notices, configurations and leaders by all

Cause: every change of an instance went to every entry from each replica, four of five in other data centres, with a new question after each. On the large deployment that is a thousand answers a change, and most of the bytes between data centres; after a loss of all power, when instances are heard of anew, control answered little else. Besides, a table in which something had gone more than 30 s ago sent itself whole in every answer, and an entry learned of a new leader only when a watch closed, up to a second later.

Ruled out: versions only from the other replicas (the entry would need a way to fetch records by version, and a second table format); entries that pass news on (a lost entry would hide news of its data centre).

Change: an entry names one replica its nearest (own data centre first, spread by rendezvous). That one tells of instances at once, in waves 50 ms apart; the others tell them when their watches close. A notice of leaving, a newer configuration and a new leader are told by all at once. Configurations are fetched from the nearest where it has them. Only a reader that missed removals which are forgotten gets the whole table. A replica that has just dropped an instance is not told by entries that others list it yet: with news a second apart they would have kept it alive.

--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -164,7 +164,7 @@
     decode: trafficControl.DecodeTraffic,
   ): trafficControl.TrafficControl {
     const { peers, random, log, metrics } = outside;
-    const { peerAddress, control, toleratedLosses = 1, isOn } = this.settings;
+    const { peerAddress, dataCentre, control, toleratedLosses = 1, isOn } = this.settings;
     return new trafficControl.TrafficControl({
       replica: this.replica,
       state: this.state,
@@ -174,6 +174,7 @@
       log,
       metrics,
       peerAddress,
+      dataCentre,
       decode,
       leastVoters: Math.min(2 * toleratedLosses + 1, control.length),
       ...(isOn !== undefined && { isOn }),
--- a/packages/kumquatfront/src/instances/instanceTable.ts
+++ b/packages/kumquatfront/src/instances/instanceTable.ts
@@ -51,7 +51,10 @@
   /** Names of which a notice came before any announcement, with its moment. */
   private readonly noticed = new Map<string, number>();
   private revision = 1;
-  private readonly epoch: string;
+  private lastNotice = 0;
+  /** Removals up to this revision are forgotten: a reader that is further behind needs the whole table. */
+  private forgottenRevision = 0;
+  readonly epoch: string;
   private readonly lease: ports.Milliseconds;
 
   constructor(epoch: string, lease: ports.Milliseconds = INSTANCE_LEASE) {
@@ -63,6 +66,11 @@
     return this.revision;
   }
 
+  /** Revision at which an instance gave notice last. */
+  get noticeRevision(): number {
+    return this.lastNotice;
+  }
+
   /**
    * Takes an announcement in.
    *
@@ -85,7 +93,7 @@
       if (age > this.lease && announcement.state === 'ready') {
         return false;
       }
-      this.revision += 1;
+      this.advance(announcement.state);
       const firstAt = now - firstAge;
       this.held.set(identity, { announcement, heardAt: now - age, firstAt, revision: this.revision });
       this.removed = this.removed.filter((entry) => entry.identity !== identity);
@@ -107,12 +115,19 @@
       sequence: Math.max(announcement.sequence, known.announcement.sequence),
     };
     if (changed) {
-      this.revision += 1;
+      this.advance(state);
       known.revision = this.revision;
     }
     return changed;
   }
 
+  private advance(state: types.InstanceState): void {
+    this.revision += 1;
+    if (state === 'leaving') {
+      this.lastNotice = this.revision;
+    }
+  }
+
   /**
    * False for an incarnation that another one has followed under the same name. The first announcement of a newer
    * start drops the older incarnation: it holds nothing any more, whatever is still on its way from it.
@@ -206,11 +221,17 @@
         dropped = true;
       }
     }
-    this.removed = this.removed.filter((entry) => now - entry.at < REMOVED_KEPT);
+    this.forgetRemoved(now);
     this.forgetNames(now);
     return dropped;
   }
 
+  private forgetRemoved(now: number): void {
+    const forgotten = this.removed.filter((entry) => now - entry.at >= REMOVED_KEPT);
+    this.forgottenRevision = Math.max(this.forgottenRevision, ...forgotten.map(({ revision }) => revision));
+    this.removed = this.removed.filter((entry) => now - entry.at < REMOVED_KEPT);
+  }
+
   private forgetNames(now: number): void {
     const held = new Set([...this.held.values()].map(({ announcement }) => announcement.name));
     for (const [name, { at }] of this.newestStarts) {
@@ -236,9 +257,9 @@
       }));
   }
 
-  /** What changed since a revision; everything where the reader's epoch is another one. */
+  /** What changed since a revision; everything where the reader's epoch is another one, or it is far behind. */
   newsSince(epoch: string, revision: number, now: number): types.InstanceNews {
-    const whole = epoch !== this.epoch || this.removed.some((entry) => now - entry.at > REMOVED_KEPT / 2);
+    const whole = epoch !== this.epoch || revision < this.forgottenRevision;
     return {
       epoch: this.epoch,
       revision: this.revision,
--- a/packages/kumquatfront/src/instances/instanceView.ts
+++ b/packages/kumquatfront/src/instances/instanceView.ts
@@ -14,6 +14,13 @@
 /** A replica that started this recently has not heard of every instance yet: two announcement intervals. */
 const SOURCE_SETTLES: ports.Milliseconds = 3_000;
 
+/**
+ * Replicas drop a silent instance at nearly the same moment, but an entry hears of it from each at another one, up to a
+ * second apart. Within this time after one has dropped it, that others still list it says nothing: told to the first,
+ * which would take it back, an instance that is gone would live on by hearsay.
+ */
+const REMOVAL_SPREADS: ports.Milliseconds = 1_500;
+
 /** What happens to an instance; `replaced` where it has started again under its name, so that nothing of it is left. */
 export type InstanceEvent = 'found' | 'leaving' | 'gone' | 'replaced';
 
@@ -29,12 +36,25 @@
   since: number;
   heardAt: number;
   readonly identities: Set<string>;
+  /** When it told that an instance is gone. */
+  readonly removedAt: Map<string, ports.Milliseconds>;
+}
+
+function isFreshlyRemoved(source: Source, identity: string, now: ports.Milliseconds): boolean {
+  const at = source.removedAt.get(identity);
+  return at !== undefined && now - at < REMOVAL_SPREADS;
+}
+
+function createSource(epoch: string, now: ports.Milliseconds): Source {
+  return { epoch, revision: 0, since: now, heardAt: now, identities: new Set(), removedAt: new Map() };
 }
 
 /** The view; see the module comment. */
 export class InstanceView {
   private readonly sources = new Map<string, Source>();
   private readonly instances = new Map<string, Instance>();
+  /** The newest start of each name. */
+  private readonly byName = new Map<string, Instance>();
   private byService = new Map<string, Instance[]>();
   private readonly onChange: (instance: Instance, event: InstanceEvent) => void;
 
@@ -53,10 +73,7 @@
   /** Takes a source's news in. */
   merge(sourceName: string, news: types.InstanceNews, now: number): void {
     const known = this.sources.get(sourceName);
-    const source =
-      known?.epoch === news.epoch
-        ? known
-        : { epoch: news.epoch, revision: 0, since: now, heardAt: now, identities: new Set<string>() };
+    const source = known?.epoch === news.epoch ? known : createSource(news.epoch, now);
     this.sources.set(sourceName, source);
     source.heardAt = now;
     source.revision = news.revision;
@@ -68,14 +85,21 @@
       this.take(record, now);
     }
     for (const identity of news.removed) {
-      source.identities.delete(identity);
+      if (source.identities.delete(identity)) {
+        source.removedAt.set(identity, now);
+      }
+    }
+    for (const [identity, at] of source.removedAt) {
+      if (now - at >= REMOVAL_SPREADS) {
+        source.removedAt.delete(identity);
+      }
     }
     this.dropUnheard(now);
   }
 
   private take(record: types.InstanceRecord, now: number): void {
     const known = this.instances.get(record.identity);
-    const newest = this.newestStartOf(record.name);
+    const newest = this.byName.get(record.name);
     if (newest !== undefined && newest.born > record.born) {
       return;
     }
@@ -86,6 +110,7 @@
       firstAt: known?.firstAt ?? now - record.firstAge,
     };
     this.instances.set(record.identity, instance);
+    this.byName.set(record.name, instance);
     this.byService.clear();
     if (newest !== undefined && newest.born < record.born) {
       this.instances.delete(newest.identity);
@@ -99,10 +124,6 @@
     }
   }
 
-  private newestStartOf(name: string): Instance | undefined {
-    return [...this.instances.values()].find((instance) => instance.name === name);
-  }
-
   /**
    * Drops instances that no settled source in contact lists any more. With no such source (control is down,
    * or just started and still empty) nothing is dropped: the last view is better than none.
@@ -118,6 +139,7 @@
     for (const instance of this.instances.values()) {
       if (!inContact.some((source) => source.identities.has(instance.identity))) {
         this.instances.delete(instance.identity);
+        this.byName.delete(instance.name);
         this.byService.clear();
         this.onChange(instance, 'gone');
       }
@@ -137,7 +159,7 @@
       (other) => other !== source && now - other.heardAt < SOURCE_LEASE,
     );
     return [...this.instances.values()]
-      .filter(({ identity }) => !source.identities.has(identity))
+      .filter(({ identity }) => !source.identities.has(identity) && !isFreshlyRemoved(source, identity, now))
       .filter(({ identity }) => others.some((other) => other.identities.has(identity)))
       .map(announcement.of);
   }
--- a/packages/kumquatfront/src/instances/instances.spec.ts
+++ b/packages/kumquatfront/src/instances/instances.spec.ts
@@ -169,3 +169,46 @@
   assert.equal(table.vouch(announcement('i'), 900), false);
   assert.equal(table.expire(1_500), false);
 });
+
+// Somewhere an instance goes every few seconds. If one that went half a minute ago made every answer a whole table, a
+// fleet of hundreds would send each entry a hundred kilobytes several times a second, for ever.
+void test.test('a reader that is up to date is told changes only, however long ago an instance went', () => {
+  const table = new instanceTable.InstanceTable('e', 1_000);
+  table.hear(announcement('gone'), 0);
+  table.hear(announcement('i', { address: '10.0.0.2:80' }), 0);
+  table.hear(announcement('i', { address: '10.0.0.2:80', sequence: 2 }), 40_000);
+  table.expire(40_000);
+  const revision = table.currentRevision;
+  const news = table.newsSince('e', revision, 75_000);
+  assert.equal(news.whole, false);
+  assert.deepEqual([news.records, news.removed], [[], []]);
+});
+
+// An entry comes back after minutes. Who went meanwhile is forgotten here, so only the whole table tells it.
+void test.test('a reader that missed removals which are forgotten is told everything', () => {
+  const table = new instanceTable.InstanceTable('e', 1_000);
+  table.hear(announcement('gone'), 0);
+  const revision = table.currentRevision;
+  table.expire(2_000);
+  table.expire(70_000);
+  assert.equal(table.newsSince('e', revision, 70_000).whole, true);
+});
+
+// An instance crashed. One replica has just dropped it, and the other will within a second. Told that the other still
+// lists it, the first would take it back, and the two would keep it alive by hearsay.
+void test.test('an instance that a replica has just dropped is not told to it again', () => {
+  const { view } = createView();
+  const one = new instanceTable.InstanceTable('one', 1_000);
+  const two = new instanceTable.InstanceTable('two', 1_000);
+  for (const table of [one, two]) {
+    table.hear(announcement('i'), 0);
+    view.merge(table.epoch, table.newsSince('', 0, 0), 0);
+  }
+  const revision = one.currentRevision;
+  one.expire(1_100);
+  view.merge('one', one.newsSince('one', revision, 1_100), 1_100);
+  view.merge('two', two.newsSince('two', two.currentRevision, 1_100), 1_100);
+  assert.deepEqual(view.unlistedBy('one', 1_200), []);
+  view.merge('two', two.newsSince('two', two.currentRevision, 2_700), 2_700);
+  assert.equal(view.unlistedBy('one', 2_700).length, 1);
+});
--- a/packages/kumquatfront/src/trafficControl/controlBench.ts
+++ b/packages/kumquatfront/src/trafficControl/controlBench.ts
@@ -265,6 +265,7 @@
       peers: base.peers,
       log: this.log,
       seeds: this.seeds,
+      dataCentre: 'a',
       describe: () => ({
         name,
         dataCentre: 'a',
--- a/packages/kumquatfront/src/trafficControl/controlWatch.ts
+++ b/packages/kumquatfront/src/trafficControl/controlWatch.ts
@@ -1,7 +1,7 @@
 /**
  * An entry's watch over control: it asks every replica that it can find for news, all at the same time, and
  * takes the newest. A leader that is cut off from the others may still reach entries, so no single replica
- * is trusted to know.
+ * is trusted to know. One of them, the nearest, tells of every instance at once; see `openWatches`.
  */
 import type * as instanceView from '../instances/instanceView.js';
 import type * as failures from '../kernel/failures.js';
@@ -9,6 +9,7 @@
 import type * as results from '../kernel/results.js';
 import type * as timerService from '../kernel/timerService.js';
 import type * as trafficTypes from '../traffic/types.js';
+import * as rendezvous from '../utils/rendezvous.js';
 import * as methods from './methods.js';
 import * as trafficFetch from './trafficFetch.js';
 
@@ -33,6 +34,7 @@
   readonly peers: ports.PeerTransport;
   readonly log: ports.Log;
   readonly seeds: readonly string[];
+  readonly dataCentre: string;
   readonly describe: () => methods.EntryNews;
   readonly instances: instanceView.InstanceView;
   /** Takes a configuration in; called with ever higher versions only. */
@@ -43,6 +45,8 @@
 interface Watched {
   namedAt: ports.Milliseconds;
   answering: boolean;
+  /** Where the replica is; undefined before its first answer. */
+  dataCentre: string | undefined;
   /** Counts questions, so that the answer to a former one starts no second loop. */
   round: number;
 }
@@ -55,10 +59,12 @@
   private readonly fetch: trafficFetch.TrafficFetch;
   private leader = { term: 0, address: '', namedAt: Number.NEGATIVE_INFINITY };
   private lastEntryCount = 1;
+  /** Address of the replica that tells of every instance at once; empty where none answers. */
+  private nearest = '';
 
   constructor(options: ControlWatchOptions) {
     this.options = options;
-    this.fetch = new trafficFetch.TrafficFetch(options);
+    this.fetch = new trafficFetch.TrafficFetch({ ...options, preferred: () => this.nearest });
     this.seeds = options.seeds;
     this.addAll(options.seeds);
   }
@@ -99,7 +105,7 @@
     for (const address of addresses) {
       const known = this.watched.get(address);
       if (known === undefined) {
-        const watched: Watched = { namedAt: now, answering: false, round: 0 };
+        const watched: Watched = { namedAt: now, answering: false, dataCentre: undefined, round: 0 };
         this.watched.set(address, watched);
         this.ask(address, watched);
       } else {
@@ -117,6 +123,8 @@
       entry: describe(),
       ...instances.positionOf(address),
       toldVersion,
+      toldTerm: this.leader.term,
+      isNearest: address === this.nearest,
     };
     peers.request(address, methods.methods.watch, request, WATCH_TIMEOUT, (result) => {
       this.onAnswer(address, watched, round, result);
@@ -130,14 +138,19 @@
     result: results.Result<unknown, failures.Failure>,
   ): void {
     if (result.ok) {
-      if (!watched.answering) {
-        watched.answering = true;
+      const answer = result.val as methods.WatchAnswer;
+      watched.dataCentre = answer.dataCentre;
+      const found = !watched.answering;
+      watched.answering = true;
+      this.take(address, answer);
+      if (found) {
         this.options.log.info('controlFound', { control: address });
+        this.chooseNearest();
       }
-      this.take(address, result.val as methods.WatchAnswer);
     } else if (watched.answering) {
       watched.answering = false;
       this.options.log.warn('controlLost', { control: address, reason: result.val.message });
+      this.chooseNearest();
     }
     if (round !== watched.round) {
       return;
@@ -159,6 +172,27 @@
     });
   }
 
+  /**
+   * Of the replicas that answer, one in this data centre if there is any. Entries spread over several by hashing, so
+   * that none of them tells all. A lost one is replaced at once; until that is noticed the others tell within the
+   * time that a watch stays open.
+   */
+  private chooseNearest(): void {
+    const { dataCentre, describe } = this.options;
+    const answering = [...this.watched].filter(([, watched]) => watched.answering);
+    const near = answering.filter(([, watched]) => watched.dataCentre === dataCentre);
+    const candidates = (near.length > 0 ? near : answering).map(([address]) => address);
+    const nearest = rendezvous.pick(describe().name, candidates) ?? '';
+    if (nearest === this.nearest) {
+      return;
+    }
+    this.nearest = nearest;
+    const watched = this.watched.get(nearest);
+    if (watched !== undefined) {
+      this.ask(nearest, watched);
+    }
+  }
+
   private take(address: string, answer: methods.WatchAnswer): void {
     const { instances, timers } = this.options;
     const now = timers.now();
--- a/packages/kumquatfront/src/trafficControl/methods.ts
+++ b/packages/kumquatfront/src/trafficControl/methods.ts
@@ -41,6 +41,10 @@
   readonly revision: number;
   /** Version of a configuration that this replica has told of already. */
   readonly toldVersion: number;
+  /** Term of the newest leader that the entry has been told of, by any replica. */
+  readonly toldTerm: number;
+  /** True for the one replica that tells this entry of every instance at once. */
+  readonly isNearest: boolean;
 }
 
 /** Asks for the configuration in force, where it is newer than a version. */
@@ -50,6 +54,8 @@
 
 /** News for an entry. */
 export interface WatchAnswer {
+  /** Where the answerer is. */
+  readonly dataCentre: string;
   readonly instances: instanceTypes.InstanceNews;
   /** Version of the configuration in force here; 0 where there is none. */
   readonly trafficVersion: number;
--- /dev/null
+++ b/packages/kumquatfront/src/trafficControl/openWatches.ts
@@ -0,0 +1,111 @@
+/**
+ * The watches of entries that one control replica holds open, and when each of them is answered.
+ *
+ * Pattern: every entry watches every replica, so that no cut hides news. With two hundred entries and five replicas a
+ * thousand watches are open, four fifths of them across data centres. Told at once by each, an instance that comes
+ * costs a thousand answers of half a kilobyte; after a loss of all power, when every instance is heard of anew, a
+ * replica would answer nothing else for seconds. So what may wait is told at once by the replica that is nearest to an
+ * entry, and by the others when their watches close. What must not wait is told by all: a notice that an instance
+ * leaves, a newer configuration, a new leader.
+ */
+import type * as instanceTable from '../instances/instanceTable.js';
+import type * as ports from '../kernel/ports.js';
+import * as results from '../kernel/results.js';
+import type * as timerService from '../kernel/timerService.js';
+import type * as methods from './methods.js';
+
+/** Longest time for which a watch stays open: well inside an entry's timeout for it. */
+export const WATCH_OPEN: ports.Milliseconds = 700;
+
+/**
+ * Time between two waves of answers that tell of instances found or gone. Services are released one instance after
+ * another and restart together: a wave tells of several. A place found this much later is no loss beside the second
+ * in which instances announce themselves.
+ */
+const WAVE_PAUSE: ports.Milliseconds = 50;
+
+/** What a replica knows that an entry may have to be told at once. */
+export interface WatchedState {
+  /** Version of the configuration in force here; 0 where there is none. */
+  readonly trafficVersion: number;
+  readonly fresh: boolean;
+  /** Term of the leader that this replica follows; 0 where it knows none. */
+  readonly leaderTerm: number;
+}
+
+/** What the watches are made from. */
+export interface OpenWatchesOptions {
+  readonly timers: timerService.TimerService;
+  readonly table: instanceTable.InstanceTable;
+  readonly state: () => WatchedState;
+  readonly answer: (request: methods.WatchRequest) => methods.WatchAnswer;
+}
+
+interface OpenWatch {
+  readonly request: methods.WatchRequest;
+  readonly reply: ports.Reply;
+  readonly closesAt: ports.Milliseconds;
+}
+
+/** The watches; see the module comment. */
+export class OpenWatches {
+  private readonly options: OpenWatchesOptions;
+  private watches: OpenWatch[] = [];
+  private nextWaveAt: ports.Milliseconds = 0;
+  private waveScheduled = false;
+
+  constructor(options: OpenWatchesOptions) {
+    this.options = options;
+  }
+
+  /** Takes a watch, and answers it where there is news already. */
+  open(request: methods.WatchRequest, reply: ports.Reply): void {
+    const now = this.options.timers.now();
+    this.watches.push({ request, reply, closesAt: now + WATCH_OPEN });
+    this.wake();
+  }
+
+  /** Answers every watch that has news; called whenever there may be some. */
+  wake(): void {
+    const now = this.options.timers.now();
+    const state = this.options.state();
+    const tellsWave = now >= this.nextWaveAt;
+    const due = this.watches.filter((watch) => {
+      return this.isDue(watch, state, now) || (tellsWave && this.isInWave(watch));
+    });
+    if (tellsWave && due.some((watch) => this.isInWave(watch))) {
+      this.nextWaveAt = now + WAVE_PAUSE;
+    }
+    const answered = new Set(due);
+    this.watches = this.watches.filter((watch) => !answered.has(watch));
+    for (const { request, reply } of due) {
+      reply(results.Ok(this.options.answer(request)));
+    }
+    this.scheduleWave(now);
+  }
+
+  private scheduleWave(now: ports.Milliseconds): void {
+    if (this.waveScheduled || !this.watches.some((watch) => this.isInWave(watch))) {
+      return;
+    }
+    this.waveScheduled = true;
+    this.options.timers.after(this.nextWaveAt - now, () => {
+      this.waveScheduled = false;
+      this.wake();
+    });
+  }
+
+  private isDue({ request, closesAt }: OpenWatch, state: WatchedState, now: ports.Milliseconds): boolean {
+    const { table } = this.options;
+    const knowsTable = request.epoch === table.epoch && request.revision >= table.noticeRevision;
+    // An entry that starts takes a configuration from a fresh replica only; told earlier it would ask at once again.
+    const usable = request.entry.trafficVersion > 0 || state.fresh;
+    const newTraffic = usable && request.toldVersion < state.trafficVersion;
+    const newLeader = state.fresh && request.toldTerm < state.leaderTerm;
+    return now >= closesAt || !knowsTable || newTraffic || newLeader;
+  }
+
+  private isInWave({ request }: OpenWatch): boolean {
+    return request.isNearest && request.revision !== this.options.table.currentRevision;
+  }
+}
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -19,6 +19,7 @@
 import type * as trafficTypes from '../traffic/types.js';
 import * as trafficValidation from '../traffic/trafficValidation.js';
 import * as methods from './methods.js';
+import * as openWatches from './openWatches.js';
 
 /** Turns an operator's text into a configuration; the format is the adapter's. */
 export type DecodeTraffic = (
@@ -35,6 +36,7 @@
   readonly log: ports.Log;
   readonly metrics: ports.Metrics;
   readonly peerAddress: string;
+  readonly dataCentre: string;
   readonly decode: DecodeTraffic;
   /** Voters that must stand before the first change is taken. */
   readonly leastVoters: number;
@@ -42,9 +44,6 @@
   readonly isOn?: mechanisms.IsOn;
 }
 
-/** Longest time for which a watch stays open: well inside an entry's timeout for it. */
-const WATCH_OPEN: ports.Milliseconds = 700;
-
 /** An entry that asks for nothing this long is not given to callers any more. */
 const ENTRY_LEASE: ports.Milliseconds = 2_000;
 
@@ -58,12 +57,6 @@
 /** How long a change may take before its operator is told to ask again: inside a caller's second. */
 const FORWARD_TIMEOUT: ports.Milliseconds = 900;
 
-interface OpenWatch {
-  readonly request: methods.WatchRequest;
-  readonly reply: ports.Reply;
-  readonly closesAt: ports.Milliseconds;
-}
-
 interface KnownEntry {
   readonly news: methods.EntryNews;
   readonly heardAt: ports.Milliseconds;
@@ -75,7 +68,7 @@
   private readonly table: instanceTable.InstanceTable;
   private readonly coordinator: coordinator.Coordinator;
   private readonly entries = new Map<string, KnownEntry>();
-  private watches: OpenWatch[] = [];
+  private readonly watches: openWatches.OpenWatches;
   private readonly unsent = new Set<string>();
   private decoded: routeTable.RouteTable | undefined;
 
@@ -98,6 +91,12 @@
         });
       },
     });
+    this.watches = new openWatches.OpenWatches({
+      timers,
+      table: this.table,
+      state: () => this.watchedState(),
+      answer: (request) => this.watchAnswer(request),
+    });
     this.serve();
     let wasFresh = false;
     timers.every(
@@ -351,42 +350,29 @@
       this.options.log.info('entryFound', { entry: entry.name, state: entry.state });
     }
     this.entries.set(entry.name, { news: entry, heardAt: now });
-    const watch = { request, reply, closesAt: now + WATCH_OPEN };
-    if (this.hasNewsFor(watch, now)) {
-      this.answerWatch(watch);
-    } else {
-      this.watches.push(watch);
-    }
-  }
-
-  private hasNewsFor(watch: OpenWatch, now: number): boolean {
-    const { request } = watch;
-    const { state, replica: own } = this.options;
-    const version = state.traffic?.version ?? 0;
-    // An entry that starts takes a configuration from a fresh replica only; told earlier it would ask at once again.
-    const usable = request.entry.trafficVersion > 0 || own.isFresh();
-    return (
-      now >= watch.closesAt ||
-      request.revision !== this.table.currentRevision ||
-      (request.toldVersion < version && usable)
-    );
+    this.watches.open(request, reply);
   }
 
   /** Answers every watch that has news; called whenever there may be some. */
   wakeWatches(): void {
-    const now = this.options.timers.now();
-    const due = this.watches.filter((watch) => this.hasNewsFor(watch, now));
-    this.watches = this.watches.filter((watch) => !due.includes(watch));
-    for (const watch of due) {
-      this.answerWatch(watch);
-    }
+    this.watches.wake();
+  }
+
+  private watchedState(): openWatches.WatchedState {
+    const { replica: own, state } = this.options;
+    const { fresh, term, leader } = own.status();
+    return {
+      trafficVersion: state.traffic?.version ?? 0,
+      fresh,
+      leaderTerm: leader === undefined ? 0 : term,
+    };
   }
 
-  private answerWatch(watch: OpenWatch): void {
-    const { replica: own, state, timers } = this.options;
-    const { request } = watch;
+  private watchAnswer(request: methods.WatchRequest): methods.WatchAnswer {
+    const { replica: own, state, timers, dataCentre } = this.options;
     const status = own.status();
-    const answer: methods.WatchAnswer = {
+    return {
+      dataCentre,
       instances: this.table.newsSince(request.epoch, request.revision, timers.now()),
       trafficVersion: state.traffic?.version ?? 0,
       fresh: status.fresh,
@@ -395,7 +381,6 @@
       control: status.members.map((member) => member.address),
       entryCount: this.entries.size,
     };
-    watch.reply(results.Ok(answer));
   }
 
   /**
--- a/packages/kumquatfront/src/trafficControl/trafficFetch.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficFetch.ts
@@ -14,6 +14,9 @@
 /** Time between two fetches; short beside the two seconds in which a change must be in force. */
 const PAUSE: ports.Milliseconds = 200;
 
+/** The preferred replica tells of a version within this time of the first one, unless it is cut off. */
+const PREFERRED_WAIT: ports.Milliseconds = 25;
+
 /**
  * A replica that has not answered by then may be cut off: another one is asked besides. The largest configurations
  * seen, of 1,400 routes, take half a second over an entry's link.
@@ -28,6 +31,8 @@
   readonly timers: timerService.TimerService;
   readonly peers: ports.PeerTransport;
   readonly log: ports.Log;
+  /** The replica that is asked where several have the same version; empty for any. */
+  readonly preferred: () => string;
   /** Takes a configuration in; called with ever higher versions only. */
   readonly onTraffic: (traffic: trafficTypes.VersionedText) => void;
 }
@@ -69,7 +74,9 @@
       return;
     }
     this.told.set(address, version);
-    this.fetchSoon(this.fetchedAt + PAUSE - this.options.timers.now());
+    const preferred = this.options.preferred();
+    const wait = preferred === '' || preferred === address ? 0 : PREFERRED_WAIT;
+    this.fetchSoon(Math.max(wait, this.fetchedAt + PAUSE - this.options.timers.now()));
   }
 
   /** Fetches after a while, or at an earlier moment that was asked for before. */
@@ -93,10 +100,16 @@
     return Math.max(this.version, ...underway.map(({ version }) => version));
   }
 
-  /** The replica that has told of the newest version, of those that are not being asked. */
+  /**
+   * The replica that has told of the newest version, of those that are not being asked. The preferred one comes first
+   * among equals: a configuration of twenty kilobytes to each of two hundred entries had better stay in its data centre.
+   */
   private best(): readonly [address: string, version: number] | undefined {
+    const preferred = this.options.preferred();
     const free = [...this.told].filter(([address]) => !this.asked.has(address));
-    free.sort(([, left], [, right]) => right - left);
+    free.sort(([leftAddress, left], [rightAddress, right]) => {
+      return right - left || Number(rightAddress === preferred) - Number(leftAddress === preferred);
+    });
     return free[0];
   }
 
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -102,6 +102,7 @@
       peers,
       log,
       seeds: settings.seeds,
+      dataCentre: settings.dataCentre,
       describe: () => this.describe(),
       instances,
       onTraffic: (traffic) => {
