One line for all that an answer of control changed; the ledger tells tries from losses

The ledger counted 3,751 attempts on routes that no configuration has as refused, and 103 that ended at their route's timeout as lost, among 139 that were; its table put the causes into a column of numbers, 60 wide.

Ruled out: sampling (explain needs each notice); debug level (a notice changes what an entry believes).

Change: instancesSeen, at most thirty instances a line, with the replica and its revisions before and after; explain and ledger read it as one line an instance through one reader, which both had of their own. Ledger: timedOut and notOwed are columns of their own, causes stand in the first column. The view of instances tells changes in one call per answer; its lookup by name is an index.

A caller's tries are still separate attempts: nothing in the logs joins them.

--- a/packages/command/src/explain/requestStory.ts
+++ b/packages/command/src/explain/requestStory.ts
@@ -22,10 +22,6 @@
 /** Events about a process of which the last before the request's end counts. */
 const STATE_EVENTS = new Set(['coordinatorState', 'trafficInForce', 'controlLost', 'coordinatorChanged']);
 
-function byTime(left: logLine.LogLine, right: logLine.LogLine): number {
-  return left.time < right.time ? -1 : left.time > right.time ? 1 : 0;
-}
-
 /** The last line of each process and event before a moment. */
 function lastStates(lines: readonly logLine.LogLine[], before: string): readonly logLine.LogLine[] {
   const last = new Map<string, logLine.LogLine>();
@@ -49,11 +45,7 @@
  * ```
  */
 export function collect(request: string, texts: readonly string[]): RequestStory {
-  const all = texts
-    .flatMap((text) => text.split('\n'))
-    .map(logLine.parse)
-    .filter((line) => line !== undefined)
-    .sort(byTime);
+  const all = logLine.readAll(texts);
   const own = all.filter((line) => line.fields.request === request);
   const processes = new Set(own.map((line) => line.process));
   const upstreams = new Set(
@@ -70,6 +62,7 @@
   const leftOut = near
     .filter((line) => line.event === 'linesLeftOut')
     .reduce((sum, line) => sum + Number(line.fields.count ?? 0), 0);
-  const lines = own.length === 0 ? [] : [...own, ...ofUpstreams, ...lastStates(near, end)].sort(byTime);
+  const lines =
+    own.length === 0 ? [] : [...own, ...ofUpstreams, ...lastStates(near, end)].sort(logLine.byTime);
   return { request, lines, leftOut };
 }
--- a/packages/command/src/ledger/accounts.ts
+++ b/packages/command/src/ledger/accounts.ts
@@ -27,12 +27,17 @@
 }
 
 function emptyCounts(): Counts {
-  return { answered: 0, late: 0, failed: 0, refused: 0, lost: 0, callerLeft: 0, open: 0 };
-}
-
-/** Sorts by time without reading it, as ISO 8601 allows. */
-function byTime(left: logLine.LogLine, right: logLine.LogLine): number {
-  return left.time < right.time ? -1 : left.time > right.time ? 1 : 0;
+  return {
+    answered: 0,
+    late: 0,
+    failed: 0,
+    refused: 0,
+    lost: 0,
+    timedOut: 0,
+    callerLeft: 0,
+    notOwed: 0,
+    open: 0,
+  };
 }
 
 function accountsBy(
@@ -105,11 +110,7 @@
  * ```
  */
 export function of(texts: readonly string[], rules: requestEnding.LateRules): Accounts {
-  const lines = texts
-    .flatMap((text) => text.split('\n'))
-    .map(logLine.parse)
-    .filter((line) => line !== undefined)
-    .sort(byTime);
+  const lines = logLine.readAll(texts);
   const ended = new Map<string, requestEnding.RequestEnding>();
   for (const line of lines) {
     const ending = requestEnding.of(line, rules);
--- a/packages/command/src/ledger/ledger.ts
+++ b/packages/command/src/ledger/ledger.ts
@@ -34,8 +34,9 @@
     ...sums.kinds.map(rowOf),
     ['WORST SECOND', ...COLUMNS],
     ...worstOf(sums.seconds).map(rowOf),
-    ['ENDING', 'COUNT', 'CAUSE'],
-    ...sums.causes.map(({ ending, cause, count }) => [ending, String(count), cause]),
+    // The cause stands in the first column, which is wide already: in another it would push all numbers apart.
+    ['ENDING AND CAUSE', 'COUNT'],
+    ...sums.causes.map(({ ending, cause, count }) => [`${ending}: ${cause}`, String(count)]),
   ];
 }
 
--- a/packages/command/src/ledger/requestEnding.ts
+++ b/packages/command/src/ledger/requestEnding.ts
@@ -3,8 +3,15 @@
  */
 import type * as logLine from '../explain/logLine.js';
 
-/** `open` where the logs end before the request does. */
-export type Ending = 'answered' | 'late' | 'failed' | 'refused' | 'lost' | 'callerLeft' | 'open';
+/**
+ * `timedOut` where the route's timeout ended a request that was running, `notOwed` where the configuration has no such
+ * route or key, `open` where the logs end before the request does.
+ *
+ * The two first are apart from what was lost and refused: operators try changed timeouts, routes and keys out, and
+ * thousands of such tries would hide the few requests that the system itself did not serve.
+ */
+export type Ending =
+  'answered' | 'late' | 'failed' | 'refused' | 'lost' | 'timedOut' | 'callerLeft' | 'notOwed' | 'open';
 
 /** All of them, in the order of the table. */
 export const ENDINGS: readonly Ending[] = [
@@ -13,7 +20,9 @@
   'failed',
   'refused',
   'lost',
+  'timedOut',
   'callerLeft',
+  'notOwed',
   'open',
 ];
 
@@ -40,17 +49,13 @@
 }
 
 /** Outcomes that say that nothing ran. */
-const NOT_RUN = new Set([
-  'overloaded',
-  'noUpstream',
-  'draining',
-  'timeoutNotRun',
-  'noConfiguration',
-  'noRoute',
-]);
+const NOT_RUN = new Set(['overloaded', 'noUpstream', 'draining', 'timeoutNotRun', 'noConfiguration']);
+
+/** Outcomes and reasons by which the configuration in force does not allow the request. */
+const NOT_OWED = new Set(['noRoute', 'unknownKey']);
 
 /** Outcomes after which nobody knows whether it ran, or a part of the answer is missing. */
-const LOST = new Set(['interrupted', 'outcomeUnknown', 'timeoutUnknown']);
+const LOST = new Set(['interrupted', 'outcomeUnknown']);
 
 const FIRST_FAILURE_STATUS = 500;
 
@@ -64,6 +69,12 @@
   if (outcome === 'callerGone') {
     return { ending: 'callerLeft', cause: 'the caller went away' };
   }
+  if (NOT_OWED.has(outcome)) {
+    return { ending: 'notOwed', cause: outcome };
+  }
+  if (outcome === 'timeoutUnknown') {
+    return { ending: 'timedOut', cause: reason === '' ? outcome : reason };
+  }
   if (NOT_RUN.has(outcome)) {
     return { ending: 'refused', cause: reason === '' ? outcome : `${outcome}: ${reason}` };
   }
@@ -102,7 +113,8 @@
   }
   if (event === 'requestRefused') {
     const cause = fields.reason ?? 'refused';
-    return { request, service, rank, second: secondOf(time, 0), ending: 'refused', cause };
+    const ending = NOT_OWED.has(cause) ? 'notOwed' : 'refused';
+    return { request, service, rank, second: secondOf(time, 0), ending, cause };
   }
   return undefined;
 }
--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -56,6 +56,7 @@
 export * as upstreamTable from './directory/upstreamTable.js';
 export * as wholeAnswer from './streams/wholeAnswer.js';
 export * as announcement from './instances/announcement.js';
+export * as instanceLog from './instances/instanceLog.js';
 export * as instanceTable from './instances/instanceTable.js';
 export type * as instanceTypes from './instances/types.js';
 export * as instanceView from './instances/instanceView.js';
--- a/packages/kumquatfront/src/instances/instanceView.ts
+++ b/packages/kumquatfront/src/instances/instanceView.ts
@@ -30,6 +30,20 @@
   readonly firstAt: number;
 }
 
+/** One change that an entry takes in. */
+export interface InstanceChange {
+  readonly instance: Instance;
+  readonly event: InstanceEvent;
+}
+
+/** What one answer of a replica changed, with the revisions that tell how far it was behind. */
+export interface ViewNews {
+  readonly source: string;
+  readonly revisionBefore: number;
+  readonly revision: number;
+  readonly changes: readonly InstanceChange[];
+}
+
 interface Source {
   epoch: string;
   revision: number;
@@ -56,10 +70,15 @@
   /** The newest start of each name. */
   private readonly byName = new Map<string, Instance>();
   private byService = new Map<string, Instance[]>();
-  private readonly onChange: (instance: Instance, event: InstanceEvent) => void;
+  private readonly onNews: (news: ViewNews) => void;
+  /** What the answer that is being merged has changed so far. */
+  private changes: InstanceChange[] = [];
 
-  constructor(onChange: (instance: Instance, event: InstanceEvent) => void) {
-    this.onChange = onChange;
+  /**
+   * @param onNews - called after each answer that changed anything
+   */
+  constructor(onNews: (news: ViewNews) => void) {
+    this.onNews = onNews;
   }
 
   /** Where the news of a source should go on from. */
@@ -75,6 +94,7 @@
     const known = this.sources.get(sourceName);
     const source = known?.epoch === news.epoch ? known : createSource(news.epoch, now);
     this.sources.set(sourceName, source);
+    const revisionBefore = source.revision;
     source.heardAt = now;
     source.revision = news.revision;
     if (news.whole) {
@@ -95,6 +115,15 @@
       }
     }
     this.dropUnheard(now);
+    const { changes } = this;
+    this.changes = [];
+    if (changes.length > 0) {
+      this.onNews({ source: sourceName, revisionBefore, revision: news.revision, changes });
+    }
+  }
+
+  private note(instance: Instance, event: InstanceEvent): void {
+    this.changes.push({ instance, event });
   }
 
   private take(record: types.InstanceRecord, now: number): void {
@@ -114,13 +143,13 @@
     this.byService.clear();
     if (newest !== undefined && newest.born < record.born) {
       this.instances.delete(newest.identity);
-      this.onChange(newest, 'replaced');
+      this.note(newest, 'replaced');
     }
     if (known === undefined) {
-      this.onChange(instance, 'found');
+      this.note(instance, 'found');
     }
     if (leaving && known?.state !== 'leaving') {
-      this.onChange(instance, 'leaving');
+      this.note(instance, 'leaving');
     }
   }
 
@@ -141,7 +170,7 @@
         this.instances.delete(instance.identity);
         this.byName.delete(instance.name);
         this.byService.clear();
-        this.onChange(instance, 'gone');
+        this.note(instance, 'gone');
       }
     }
   }
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -2,6 +2,7 @@
  * An entry that relays requests under a whole traffic configuration, made of services that find each other by
  * name. All outside comes through ports.
  */
+import * as instanceLog from '../instances/instanceLog.js';
 import * as instanceView from '../instances/instanceView.js';
 import * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
@@ -64,18 +65,15 @@
     this.timers = timerService.create(outside.clock, outside.scheduler);
     const { timers } = this;
     const choice = new localChoice.LocalChoice(random, settings.dataCentre);
-    const instances = new instanceView.InstanceView((instance, event) => {
-      log.info('instanceSeen', {
-        instance: instance.identity,
-        service: instance.service,
-        address: instance.address,
-        change: event,
-      });
-      if (event === 'gone' || event === 'replaced') {
-        choice.forget(instance.identity);
-      }
-      if (event === 'replaced') {
-        this.placement.onRestart(instance.identity);
+    const instances = new instanceView.InstanceView((news) => {
+      instanceLog.write(log, news);
+      for (const { instance, event } of news.changes) {
+        if (event === 'gone' || event === 'replaced') {
+          choice.forget(instance.identity);
+        }
+        if (event === 'replaced') {
+          this.placement.onRestart(instance.identity);
+        }
       }
     });
     this.placement = new placementClient.PlacementClient({
