Two replicas tell an entry of news at once; shares of the retry budget are rounded at random

(2) 191 entries have 2.0 repeats each in ten seconds: rounded down, 8 of 264 repeats were refused in a model of them while hundreds were left. (3) An entry took the last answer's number of entries: a replica that has just started counts from one, and each entry would have used a large share of the whole budget.

Ruled out: fewer probes of idle connections (they come to 3 MB, and a silent connection was found 0.4 s later).

Change: the nearest replica tells everything at once, a second one in another data centre notices and configurations, all a new leader; the rest within a second. Answers leave out what the entry has. The share of free repeats goes by the replica that hears from most entries, is 0 for the first 1.5 s, and is rounded by a draw that only a repeat renews.

--- a/packages/kumquatfront/src/relay/relayBench.ts
+++ b/packages/kumquatfront/src/relay/relayBench.ts
@@ -94,7 +94,7 @@
       upstreams: this.upstreams(),
       instances: view,
       choice: new localChoice.LocalChoice(random, 'a'),
-      allowance: new retryAllowance.RetryAllowance({ ratio: 0.2, slack, window: 10_000 }, () => 1),
+      allowance: new retryAllowance.RetryAllowance({ ratio: 0.2, slack, window: 10_000 }, () => 1, random),
       placement: new placementClient.PlacementClient({
         entry: 'entry',
         dataCentre: 'a',
--- a/packages/kumquatfront/src/relay/retryAllowance.ts
+++ b/packages/kumquatfront/src/relay/retryAllowance.ts
@@ -22,21 +22,30 @@
 interface Counts {
   requests: number[];
   repeats: number[];
+  /** Below 1; drawn anew for each repeat. */
+  dither: number;
 }
 
 /** The allowance; see the module comment. */
 export class RetryAllowance {
   private readonly settings: AllowanceSettings;
-  private readonly entryCount: () => number;
+  private readonly shareOfSlack: () => number;
+  private readonly random: ports.Random;
   private readonly counts = new Map<string, Counts>();
 
-  constructor(settings: AllowanceSettings, entryCount: () => number) {
+  /**
+   * @param settings - bounds that all entries share
+   * @param shareOfSlack - this entry's share of the free repeats, from 0 to 1
+   * @param random - rounds the share of an entry, which is rarely a whole number
+   */
+  constructor(settings: AllowanceSettings, shareOfSlack: () => number, random: ports.Random) {
     this.settings = settings;
-    this.entryCount = entryCount;
+    this.random = random;
+    this.shareOfSlack = shareOfSlack;
   }
 
   private countsOf(service: string, now: number): Counts {
-    const counts = this.counts.get(service) ?? { requests: [], repeats: [] };
+    const counts = this.counts.get(service) ?? { requests: [], repeats: [], dither: this.random.next() };
     this.counts.set(service, counts);
     const oldest = now - this.settings.window;
     for (const times of [counts.requests, counts.repeats]) {
@@ -51,15 +60,22 @@
     this.countsOf(service, now).requests.push(now);
   }
 
-  /** Takes one repeat from the budget; false where none is left. */
+  /**
+   * Takes one repeat from the budget; false where none is left.
+   *
+   * Of two hundred entries each has a share of two or so. Rounded down, a share of 1.96 would refuse 3 in 100 repeats
+   * while hundreds are left; rounded up, entries would exceed the bound together. Rounded at random, by a draw that
+   * only a repeat renews, they use their share on average.
+   */
   take(service: string, now: number): boolean {
     const { ratio, slack } = this.settings;
     const counts = this.countsOf(service, now);
-    const allowed = USED_SHARE * (ratio * counts.requests.length + slack / Math.max(1, this.entryCount()));
-    if (counts.repeats.length + 1 > allowed) {
+    const allowed = USED_SHARE * (ratio * counts.requests.length + slack * this.shareOfSlack());
+    if (counts.repeats.length + counts.dither >= allowed) {
       return false;
     }
     counts.repeats.push(now);
+    counts.dither = this.random.next();
     return true;
   }
 }
--- a/packages/kumquatfront/src/trafficControl/controlBench.ts
+++ b/packages/kumquatfront/src/trafficControl/controlBench.ts
@@ -255,6 +255,7 @@
   watch(name: string): {
     readonly taken: trafficTypes.VersionedText[];
     readonly view: instanceView.InstanceView;
+    readonly watch: controlWatch.ControlWatch;
   } {
     const life = this.live(name);
     const base = this.basePorts(life);
@@ -278,9 +279,6 @@
       onTraffic: (traffic) => taken.push(traffic),
       onCoordinator: () => undefined,
     });
-    this.watches.push(watch);
-    return { taken, view };
+    return { taken, view, watch };
   }
-
-  private readonly watches: controlWatch.ControlWatch[] = [];
 }
--- a/packages/kumquatfront/src/trafficControl/controlWatch.ts
+++ b/packages/kumquatfront/src/trafficControl/controlWatch.ts
@@ -1,8 +1,9 @@
 /**
  * An entry's watch over control: it asks every replica that it can find for news, all at the same time, and
  * takes the newest. A leader that is cut off from the others may still reach entries, so no single replica
- * is trusted to know. One of them, the nearest, tells of every instance at once; see `openWatches`.
+ * is trusted to know. Two of them tell of news at once, the others within a second; see `openWatches`.
  */
+import type * as instanceTypes from '../instances/types.js';
 import type * as instanceView from '../instances/instanceView.js';
 import type * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
@@ -25,6 +26,9 @@
 /** A replica that neither settings nor news name any more is asked for this long yet. */
 const FORGET_AFTER: ports.Milliseconds = 10_000;
 
+/** Until this long after the first answer replicas that started together may not have heard from all entries. */
+const COUNT_SETTLES: ports.Milliseconds = 1_500;
+
 /** A leader counts while a replica has named it this recently. */
 const LEADER_LIFE: ports.Milliseconds = 900;
 
@@ -47,10 +51,39 @@
   answering: boolean;
   /** Where the replica is; undefined before its first answer. */
   dataCentre: string | undefined;
+  /** Control replicas that it has told of. */
+  control: readonly string[];
+  /** Entries that it hears from. */
+  entryCount: number;
   /** Counts questions, so that the answer to a former one starts no second loop. */
   round: number;
 }
 
+function createWatched(namedAt: ports.Milliseconds): Watched {
+  return { namedAt, answering: false, dataCentre: undefined, control: [], entryCount: 0, round: 0 };
+}
+
+type WatchedReplica = readonly [address: string, watched: Watched];
+
+/** One of the preferred replicas by rendezvous, or of all where none is preferred; empty where there is none. */
+function pickFirst(
+  key: string,
+  replicas: readonly WatchedReplica[],
+  isPreferred: (watched: Watched) => boolean,
+): string {
+  const preferred = replicas.filter(([, watched]) => isPreferred(watched));
+  const candidates = preferred.length > 0 ? preferred : replicas;
+  const addresses = candidates.map(([address]) => address);
+  return rendezvous.pick(key, addresses) ?? '';
+}
+
+function nothingNew(position: {
+  readonly epoch: string;
+  readonly revision: number;
+}): instanceTypes.InstanceNews {
+  return { ...position, whole: false, records: [], removed: [] };
+}
+
 /** The watch; see the module comment. */
 export class ControlWatch {
   private readonly options: ControlWatchOptions;
@@ -58,9 +91,11 @@
   private seeds: readonly string[];
   private readonly fetch: trafficFetch.TrafficFetch;
   private leader = { term: 0, address: '', namedAt: Number.NEGATIVE_INFINITY };
-  private lastEntryCount = 1;
-  /** Address of the replica that tells of every instance at once; empty where none answers. */
+  private firstAnswerAt = Number.POSITIVE_INFINITY;
+  /** Address of the replica that tells of everything at once; empty where none answers. */
   private nearest = '';
+  /** Address of the one that tells of notices and configurations at once too; empty where only one answers. */
+  private second = '';
 
   constructor(options: ControlWatchOptions) {
     this.options = options;
@@ -88,9 +123,19 @@
     return answering.map(([address]) => address).sort()[0] ?? '';
   }
 
-  /** Entries of the whole system, this one included. */
-  get entryCount(): number {
-    return Math.max(1, this.lastEntryCount);
+  /**
+   * This entry as a share of all, by the replica that hears from most; 0 while that is not known yet.
+   *
+   * A replica that has just started hears from one entry after another. Taken at its word, each of two hundred
+   * entries would think that it is one of a few, and use for itself what is meant for all.
+   */
+  get shareOfEntries(): number {
+    const now = this.options.timers.now();
+    if (now - this.firstAnswerAt < COUNT_SETTLES) {
+      return 0;
+    }
+    const counts = [...this.watched.values()].filter(({ answering }) => answering);
+    return 1 / Math.max(1, ...counts.map(({ entryCount }) => entryCount));
   }
 
   /** Asks every replica at once: this entry has something to tell, such as that it stops. */
@@ -105,7 +150,7 @@
     for (const address of addresses) {
       const known = this.watched.get(address);
       if (known === undefined) {
-        const watched: Watched = { namedAt: now, answering: false, dataCentre: undefined, round: 0 };
+        const watched = createWatched(now);
         this.watched.set(address, watched);
         this.ask(address, watched);
       } else {
@@ -124,7 +169,8 @@
       ...instances.positionOf(address),
       toldVersion,
       toldTerm: this.leader.term,
-      isNearest: address === this.nearest,
+      toldAtOnce: this.toldAtOnceBy(address),
+      controlDigest: watched.control.length === 0 ? 0 : methods.digestOf(watched.control),
     };
     peers.request(address, methods.methods.watch, request, WATCH_TIMEOUT, (result) => {
       this.onAnswer(address, watched, round, result);
@@ -142,15 +188,16 @@
       watched.dataCentre = answer.dataCentre;
       const found = !watched.answering;
       watched.answering = true;
-      this.take(address, answer);
+      watched.control = answer.control ?? watched.control;
+      this.take(address, watched, answer);
       if (found) {
         this.options.log.info('controlFound', { control: address });
-        this.chooseNearest();
+        this.choose();
       }
     } else if (watched.answering) {
       watched.answering = false;
       this.options.log.warn('controlLost', { control: address, reason: result.val.message });
-      this.chooseNearest();
+      this.choose();
     }
     if (round !== watched.round) {
       return;
@@ -172,38 +219,56 @@
     });
   }
 
+  private toldAtOnceBy(address: string): methods.ToldAtOnce {
+    if (address === this.nearest) {
+      return 'instances';
+    }
+    return address === this.second ? 'notices' : 'leaders';
+  }
+
   /**
-   * Of the replicas that answer, one in this data centre if there is any. Entries spread over several by hashing, so
-   * that none of them tells all. A lost one is replaced at once; until that is noticed the others tell within the
-   * time that a watch stays open.
+   * Chooses the two replicas that tell of news at once: of those that answer, the nearest in this data centre if there
+   * is any, the second in another one. Entries spread over several by hashing, so that none of them tells all.
    */
-  private chooseNearest(): void {
+  private choose(): void {
     const { dataCentre, describe } = this.options;
+    const { name } = describe();
     const answering = [...this.watched].filter(([, watched]) => watched.answering);
-    const near = answering.filter(([, watched]) => watched.dataCentre === dataCentre);
-    const candidates = (near.length > 0 ? near : answering).map(([address]) => address);
-    const nearest = rendezvous.pick(describe().name, candidates) ?? '';
-    if (nearest === this.nearest) {
-      return;
-    }
+    const nearest = pickFirst(name, answering, (watched) => watched.dataCentre === dataCentre);
+    const others = answering.filter(([address]) => address !== nearest);
+    const nearestDataCentre = this.watched.get(nearest)?.dataCentre;
+    const second = pickFirst(name, others, (watched) => watched.dataCentre !== nearestDataCentre);
+    const former = [this.nearest, this.second];
     this.nearest = nearest;
-    const watched = this.watched.get(nearest);
+    this.second = second;
+    // Their open watches were asked for less.
+    if (nearest !== former[0]) {
+      this.askAgain(nearest);
+    }
+    if (!former.includes(second)) {
+      this.askAgain(second);
+    }
+  }
+
+  private askAgain(address: string): void {
+    const watched = this.watched.get(address);
     if (watched !== undefined) {
-      this.ask(nearest, watched);
+      this.ask(address, watched);
     }
   }
 
-  private take(address: string, answer: methods.WatchAnswer): void {
+  private take(address: string, watched: Watched, answer: methods.WatchAnswer): void {
     const { instances, timers } = this.options;
     const now = timers.now();
-    instances.merge(address, answer.instances, now);
-    this.lastEntryCount = answer.entryCount;
+    instances.merge(address, answer.instances ?? nothingNew(instances.positionOf(address)), now);
+    watched.entryCount = answer.entryCount;
+    this.firstAnswerAt = Math.min(this.firstAnswerAt, now);
     // A replica that may be behind is no reason to begin: others could have moved on long ago.
     if (answer.fresh || this.fetch.inForce > 0) {
       this.fetch.hear(address, answer.trafficVersion);
     }
     this.noteLeader(answer, now);
-    this.addAll(answer.control);
+    this.addAll(watched.control);
   }
 
   private noteLeader(answer: methods.WatchAnswer, now: number): void {
--- a/packages/kumquatfront/src/trafficControl/methods.ts
+++ b/packages/kumquatfront/src/trafficControl/methods.ts
@@ -4,6 +4,7 @@
  */
 import type * as instanceTypes from '../instances/types.js';
 import type * as placementTypes from '../placement/types.js';
+import * as rendezvous from '../utils/rendezvous.js';
 
 /** Names of the methods. */
 export const methods = {
@@ -34,6 +35,12 @@
   readonly trafficVersion: number;
 }
 
+/**
+ * What a replica tells an entry as soon as it knows it; the rest is told when a watch closes. `instances` is
+ * everything, `notices` leaves out instances that are found or gone, `leaders` is a new leader only.
+ */
+export type ToldAtOnce = 'instances' | 'notices' | 'leaders';
+
 /** Asks for news; the answer comes when there is some, or after a while without. */
 export interface WatchRequest {
   readonly entry: EntryNews;
@@ -43,8 +50,9 @@
   readonly toldVersion: number;
   /** Term of the newest leader that the entry has been told of, by any replica. */
   readonly toldTerm: number;
-  /** True for the one replica that tells this entry of every instance at once. */
-  readonly isNearest: boolean;
+  readonly toldAtOnce: ToldAtOnce;
+  /** Digest of the control replicas that this one has told of; 0 before the first answer. */
+  readonly controlDigest: number;
 }
 
 /** Asks for the configuration in force, where it is newer than a version. */
@@ -56,7 +64,8 @@
 export interface WatchAnswer {
   /** Where the answerer is. */
   readonly dataCentre: string;
-  readonly instances: instanceTypes.InstanceNews;
+  /** Left out where the entry is up to date. */
+  readonly instances?: instanceTypes.InstanceNews;
   /** Version of the configuration in force here; 0 where there is none. */
   readonly trafficVersion: number;
   /** False where the answerer may be behind; what it tells is then no reason to begin serving. */
@@ -64,8 +73,8 @@
   /** Term of the leader that the answerer follows, and its address; empty where it knows none. */
   readonly leaderTerm: number;
   readonly leaderAddress: string;
-  /** Peer addresses of all control replicas. */
-  readonly control: readonly string[];
+  /** Peer addresses of all control replicas; left out where they are those of the digest asked with. */
+  readonly control?: readonly string[];
   /** Entries that this replica hears from. */
   readonly entryCount: number;
 }
@@ -82,3 +91,17 @@
 
 /** A question for a place as it travels. */
 export type PlaceRequest = placementTypes.PlacementRequest;
+
+/**
+ * A number that stands for a list of control replicas, in any order.
+ *
+ * @param control - peer addresses
+ * @returns the digest; never 0
+ * @example
+ * ```ts
+ * methods.digestOf(['10.0.0.1:7300', '10.0.0.2:7300']);
+ * ```
+ */
+export function digestOf(control: readonly string[]): number {
+  return Math.max(1, rendezvous.hash([...control].sort().join(' ')));
+}
--- a/packages/kumquatfront/src/trafficControl/openWatches.ts
+++ b/packages/kumquatfront/src/trafficControl/openWatches.ts
@@ -4,9 +4,10 @@
  * Pattern: every entry watches every replica, so that no cut hides news. With two hundred entries and five replicas a
  * thousand watches are open, four fifths of them across data centres. Told at once by each, an instance that comes
  * costs a thousand answers of half a kilobyte; after a loss of all power, when every instance is heard of anew, a
- * replica would answer nothing else for seconds. So what may wait is told at once by the replica that is nearest to an
- * entry, and by the others when their watches close. What must not wait is told by all: a notice that an instance
- * leaves, a newer configuration, a new leader.
+ * replica would answer nothing else for seconds. So an entry is told of everything at once by the replica that is
+ * nearest to it, of notices and configurations by a second one as well, which stands in another data centre, and of
+ * a new leader by all. The others tell the rest when their watches close: within a second even where both of an
+ * entry's own are cut off, which is half of the time in which a notice must be heeded.
  */
 import type * as instanceTable from '../instances/instanceTable.js';
 import type * as ports from '../kernel/ports.js';
@@ -95,17 +96,26 @@
     });
   }
 
-  private isDue({ request, closesAt }: OpenWatch, state: WatchedState, now: ports.Milliseconds): boolean {
-    const { table } = this.options;
-    const knowsTable = request.epoch === table.epoch && request.revision >= table.noticeRevision;
-    // An entry that starts takes a configuration from a fresh replica only; told earlier it would ask at once again.
-    const usable = request.entry.trafficVersion > 0 || state.fresh;
-    const newTraffic = usable && request.toldVersion < state.trafficVersion;
+  private isDue(watch: OpenWatch, state: WatchedState, now: ports.Milliseconds): boolean {
+    const { request, closesAt } = watch;
     const newLeader = state.fresh && request.toldTerm < state.leaderTerm;
-    return now >= closesAt || !knowsTable || newTraffic || newLeader;
+    return now >= closesAt || newLeader || this.hasUrgentNews(request, state);
+  }
+
+  private hasUrgentNews(request: methods.WatchRequest, state: WatchedState): boolean {
+    const { table } = this.options;
+    const newTraffic = request.toldVersion < state.trafficVersion;
+    if (request.entry.trafficVersion === 0 && newTraffic) {
+      // An entry that starts takes a configuration from a fresh replica only; told earlier it would ask at once again.
+      return state.fresh;
+    }
+    if (request.epoch !== table.epoch) {
+      return true;
+    }
+    return request.toldAtOnce !== 'leaders' && (newTraffic || request.revision < table.noticeRevision);
   }
 
   private isInWave({ request }: OpenWatch): boolean {
-    return request.isNearest && request.revision !== this.options.table.currentRevision;
+    return request.toldAtOnce === 'instances' && request.revision !== this.options.table.currentRevision;
   }
 }
--- a/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
@@ -257,3 +257,23 @@
   bench.time.advance(2_500);
   assert.equal(entry.taken.at(-1)?.version, 9);
 });
+
+// Everything has been killed, and replicas hear from one entry after another again. An entry that took itself for one
+// of three would use a third of the repeats that are meant for all.
+void test.test(
+  'an entry takes no share of what all entries share before replicas have heard from them',
+  () => {
+    const bench = founded();
+    const entries = Array.from({ length: 8 }, (_, index) => bench.watch(`e${index}`));
+    bench.time.advance(1_000);
+    assert.deepEqual(
+      entries.map(({ watch }) => watch.shareOfEntries),
+      entries.map(() => 0),
+    );
+    bench.time.advance(2_000);
+    assert.deepEqual(
+      entries.map(({ watch }) => watch.shareOfEntries),
+      entries.map(() => 1 / 8),
+    );
+  },
+);
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -371,14 +371,18 @@
   private watchAnswer(request: methods.WatchRequest): methods.WatchAnswer {
     const { replica: own, state, timers, dataCentre } = this.options;
     const status = own.status();
+    const control = status.members.map((member) => member.address);
+    const isCurrent = request.epoch === this.table.epoch && request.revision === this.table.currentRevision;
     return {
       dataCentre,
-      instances: this.table.newsSince(request.epoch, request.revision, timers.now()),
+      ...(!isCurrent && {
+        instances: this.table.newsSince(request.epoch, request.revision, timers.now()),
+      }),
+      ...(methods.digestOf(control) !== request.controlDigest && { control }),
       trafficVersion: state.traffic?.version ?? 0,
       fresh: status.fresh,
       leaderTerm: status.term,
       leaderAddress: status.fresh ? (status.leader?.address ?? '') : '',
-      control: status.members.map((member) => member.address),
       entryCount: this.entries.size,
     };
   }
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -88,7 +88,11 @@
       instances,
     });
     const { placement } = this;
-    const allowance = new retryAllowance.RetryAllowance(settings.retries, () => this.watch.entryCount);
+    const allowance = new retryAllowance.RetryAllowance(
+      settings.retries,
+      () => this.watch.shareOfEntries,
+      random,
+    );
     this.relay = new trafficRelay.TrafficRelay({
       context: { timers, log, metrics, upstreams, instances, choice, allowance, placement },
       random,
