A call that two upstreams fail alike counts against neither

Change: failures of a call are counted when it is known that the call is not at fault: another upstream answered it, or nobody else was asked.

Before and after (plainExchange.spec): three such calls put two of four upstreams out of use, now none; an upstream that fails what others answer is out of use after two calls, as before.

--- a/packages/kumquatfront/src/relay/plainExchange.spec.ts
+++ b/packages/kumquatfront/src/relay/plainExchange.spec.ts
@@ -84,6 +84,38 @@
   assert.deepEqual(bench.got, ['whole 500 two']);
 });
 
+// Some calls fail wherever they run: their data is bad. If each of them counted against both upstreams that it was
+// sent to, two such calls would put two healthy upstreams out of use, and callers would wait for the others.
+void test.test('a call that fails on two upstreams says nothing of either', () => {
+  const bench = new relayBench.RelayBench(['a', 'b', 'c', 'd']);
+  const failure = { ...relayBench.soundHead, status: 500 };
+  for (let call = 0; call < 3; call += 1) {
+    start(bench, 'idempotent');
+    answer(bench.sent.at(-1), failure);
+    answer(bench.sent.at(-1), failure);
+  }
+  assert.equal(bench.sent.length, 6);
+  const { choice, instances, timers } = bench.context;
+  assert.deepEqual(choice.ejectedOf(instances.readyOf('llm'), timers.now()), []);
+});
+
+// One upstream fails what others answer. It must be out of use after two calls.
+void test.test('a call that another upstream answers counts against the one that failed it', () => {
+  const bench = new relayBench.RelayBench(['a', 'b', 'c', 'd']);
+  const { choice, instances, timers } = bench.context;
+  let calls = 0;
+  while (choice.ejectedOf(instances.readyOf('llm'), timers.now()).length === 0 && calls < 20) {
+    start(bench, 'idempotent');
+    const sent = bench.sent.at(-1);
+    if (sent?.call.instance.identity === 'a') {
+      answer(sent, { ...relayBench.soundHead, status: 500 });
+    }
+    answer(bench.sent.at(-1), relayBench.soundHead);
+    calls += 1;
+  }
+  assert.deepEqual(choice.ejectedOf(instances.readyOf('llm'), timers.now()), ['a']);
+});
+
 // An upstream hangs. The second one is asked after most of the objective, and whoever answers first counts;
 // the other is cancelled.
 void test.test('an idempotent call is hedged against an upstream that hangs', () => {
--- a/packages/kumquatfront/src/relay/plainExchange.ts
+++ b/packages/kumquatfront/src/relay/plainExchange.ts
@@ -33,6 +33,8 @@
   private sends = 0;
   private ended = false;
   private lastFailure: { head: types.UpstreamHead; body: Uint8Array } | undefined;
+  /** Upstreams that answered with a failure of their own. */
+  private readonly failedOn: string[] = [];
   private cancelDeadline: ports.Cancel = () => undefined;
   private cancelHedge: ports.Cancel = () => undefined;
 
@@ -140,15 +142,24 @@
     }
     const body = Buffer.concat(attempt.chunks);
     if (head.status >= 500) {
-      choice.failed(instance.identity, 'failure', timers.now());
+      this.failedOn.push(instance.identity);
       this.lastFailure = { head, body };
       this.tryAgain('upstreamFailed');
       return;
     }
     choice.succeeded(instance.identity);
+    this.blame();
     this.hand(head, body, instance);
   }
 
+  /** Counts this call against the upstreams that failed it, once it is known that the call is not at fault. */
+  private blame(): void {
+    const { choice, timers } = this.context;
+    for (const identity of this.failedOn) {
+      choice.failed(identity, 'failure', timers.now());
+    }
+  }
+
   private hand(head: types.UpstreamHead, body: Uint8Array, instance?: instanceView.Instance): void {
     this.routed.caller.whole(head, body);
     this.finish({
@@ -206,6 +217,10 @@
 
   private failUnknown(): void {
     if (this.lastFailure !== undefined) {
+      // Two upstreams failed it alike: the call is at fault, and neither of them is to be avoided.
+      if (this.failedOn.length === 1) {
+        this.blame();
+      }
       this.hand(this.lastFailure.head, this.lastFailure.body);
       return;
     }
