--- a/packages/kumquatfront/src/trafficControl/controlBench.ts
+++ b/packages/kumquatfront/src/trafficControl/controlBench.ts
@@ -83,7 +83,14 @@
   lastTextFrom = '';
   private readonly textsSent = new Map<string, number>();
 
-  constructor(seeds: readonly string[]) {
+  /**
+   * @param seeds - addresses of the replicas that all start new
+   * @param toleratedLosses - how many of them may be lost at once
+   */
+  constructor(
+    seeds: readonly string[],
+    private readonly toleratedLosses = 1,
+  ) {
     const silent = (): void => undefined;
     this.log = { debug: silent, info: silent, warn: silent, error: silent };
     this.seeds = seeds;
@@ -178,7 +185,7 @@
         peerAddress: address,
         control: this.seeds,
         mayFound: firstStart,
-        toleratedLosses: 1,
+        toleratedLosses: this.toleratedLosses,
       },
       { ...this.basePorts(life), disk, decodeTraffic: decode },
     );
