Soak: ports of a run are drawn together, so that no two are the same

Ruled out: connections that take a listening port as their source (the programs listen on addresses of their own, connections leave from another). Change: all are held until the last is drawn; a spec draws 400.

--- a/packages/soak/src/soak.spec.ts
+++ b/packages/soak/src/soak.spec.ts
@@ -6,6 +6,7 @@
 
 import * as ledger from './ledger.js';
 import * as loopbackProxy from './loopbackProxy.js';
+import * as portDraw from './portDraw.js';
 import * as soakRun from './soakRun.js';
 
 // Processes are killed, frozen, stopped and cut off while clients call and an operator changes the configuration.
@@ -19,6 +20,12 @@
   assert.ok(outcome.counts.served > 0);
 });
 
+// Two programs of one run on one port: the second ends at its start, and the run fails for nothing that it tests.
+void test.test('ports that are drawn together are different', async () => {
+  const ports = await portDraw.draw(400);
+  assert.equal(new Set(ports).size, 400);
+});
+
 void test.test('the ledger sees a second run, a false "not run" and an answer of another', () => {
   const book = new ledger.Ledger();
   book.ran('a1', false);
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -3,7 +3,6 @@
  * everything must work again.
  */
 import * as fs from 'node:fs';
-import * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
 
@@ -12,6 +11,7 @@
 import * as clients from './clients.js';
 import * as ledger from './ledger.js';
 import type * as loopbackProxy from './loopbackProxy.js';
+import * as portDraw from './portDraw.js';
 import * as processes from './processes.js';
 import * as runners from './runners.js';
 
@@ -43,27 +43,10 @@
 const pause = (milliseconds: number): Promise<void> =>
   new Promise((resolve) => setTimeout(resolve, milliseconds));
 
-async function freePort(): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>((resolve) => server.listen(0, '0.0.0.0', resolve));
-  const { port } = server.address() as net.AddressInfo;
-  await new Promise<void>((resolve) => {
-    server.close(() => {
-      resolve();
-    });
-  });
-  return port;
-}
-
-async function freePorts(): Promise<processes.Ports> {
-  return {
-    peer: await freePort(),
-    caller: await freePort(),
-    ready: await freePort(),
-    operator: await freePort(),
-    registry: await freePort(),
-    metrics: await freePort(),
-  };
+async function freePorts(): Promise<processes.Ports & { readonly runner: number }> {
+  const [peer = 0, caller = 0, ready = 0, operator = 0, registry = 0, metrics = 0, runner = 0] =
+    await portDraw.draw(7);
+  return { peer, caller, ready, operator, registry, metrics, runner };
 }
 
 /** A running system with everything around it. */
@@ -79,7 +62,7 @@
 
   constructor(
     options: SoakOptions,
-    readonly ports: processes.Ports,
+    readonly ports: processes.Ports & { readonly runner: number },
   ) {
     this.random = kumquatfront.seededRandom.create(options.seed);
     this.folder = fs.mkdtempSync(path.join(os.tmpdir(), 'kumquatfront-soak-'));
@@ -96,8 +79,8 @@
     return [...this.control, ...this.entries];
   }
 
-  async startRunners(proxyOf: (from: string, to: string) => loopbackProxy.LoopbackProxy): Promise<void> {
-    const port = await freePort();
+  startRunners(proxyOf: (from: string, to: string) => loopbackProxy.LoopbackProxy): void {
+    const port = this.ports.runner;
     for (const [position, service] of (['app', 'llm'] as const).entries()) {
       for (let index = 1; index <= RUNNERS_OF_EACH; index += 1) {
         const address = `127.0.25.${position * 10 + index}:${port}`;
@@ -258,7 +241,7 @@
   proxyOf: (from: string, to: string) => loopbackProxy.LoopbackProxy,
 ): Promise<SoakOutcome> {
   const soak = new Soak(options, await freePorts());
-  await soak.startRunners(proxyOf);
+  soak.startRunners(proxyOf);
   const control = soak.control.map((program) => program.host);
   const entries = soak.entries.map((program) => program.host);
   const operator = new clients.Operator(control, soak.ports.operator, soak.random, soak.book);
