--- a/packages/kumquatfront/src/consensus/applier.ts
+++ b/packages/kumquatfront/src/consensus/applier.ts
@@ -4,22 +4,22 @@
  */
 import * as failures from '../kernel/failures.js';
 import * as results from '../kernel/results.js';
-import type * as replica from './replica.js';
+import type * as replicaOptions from './replicaOptions.js';
 import type * as types from './types.js';
 
 interface PendingProposal {
   readonly term: number;
-  readonly done: replica.ProposalDone;
+  readonly done: replicaOptions.ProposalDone;
 }
 
 /** The applier of one replica. */
 export class Applier {
   commitIndex: number;
   appliedIndex: number;
-  private readonly options: replica.ReplicaOptions;
+  private readonly options: replicaOptions.ReplicaOptions;
   private readonly pending = new Map<number, PendingProposal>();
 
-  constructor(options: replica.ReplicaOptions) {
+  constructor(options: replicaOptions.ReplicaOptions) {
     const { store, machine } = options;
     this.options = options;
     this.commitIndex = store.snapshot.index;
@@ -30,7 +30,7 @@
   }
 
   /** Remembers whom to tell once the entry at an index is applied. */
-  expect(index: number, done: replica.ProposalDone): void {
+  expect(index: number, done: replicaOptions.ProposalDone): void {
     this.pending.set(index, { term: this.options.store.hardState.term, done });
   }
 
--- a/packages/kumquatfront/src/consensus/election.ts
+++ b/packages/kumquatfront/src/consensus/election.ts
@@ -3,7 +3,7 @@
  */
 import type * as ports from '../kernel/ports.js';
 import type * as leadership from './leadership.js';
-import type * as replica from './replica.js';
+import type * as replicaOptions from './replicaOptions.js';
 import type * as types from './types.js';
 
 /**
@@ -74,7 +74,7 @@
 
 /** Elections; see the module comment. */
 export class Election {
-  private readonly options: replica.ReplicaOptions;
+  private readonly options: replicaOptions.ReplicaOptions;
   private readonly host: ElectionHost;
   private votes = new Set<string>();
   /** The other voters that know no leader, by their last answers since this replica started. */
@@ -86,7 +86,7 @@
   private votedAt = Number.NEGATIVE_INFINITY;
   private cancelTimer: ports.Cancel = () => undefined;
 
-  constructor(options: replica.ReplicaOptions, host: ElectionHost) {
+  constructor(options: replicaOptions.ReplicaOptions, host: ElectionHost) {
     this.options = options;
     this.host = host;
   }
--- a/packages/kumquatfront/src/consensus/leadership.ts
+++ b/packages/kumquatfront/src/consensus/leadership.ts
@@ -3,7 +3,7 @@
  * committed, and how long the leader may trust its lease.
  */
 import type * as ports from '../kernel/ports.js';
-import type * as replica from './replica.js';
+import type * as replicaOptions from './replicaOptions.js';
 import type * as types from './types.js';
 
 type WithoutAddress<Message> = Message extends unknown
@@ -44,7 +44,7 @@
 
 /** One term of leading; dropped when the replica steps down. */
 export class Leadership {
-  private readonly options: replica.ReplicaOptions;
+  private readonly options: replicaOptions.ReplicaOptions;
   private readonly host: LeadershipHost;
   private readonly progress = new Map<string, Progress>();
   private readonly startIndex: number;
@@ -58,7 +58,7 @@
   private snapshotText: { index: number; text: string } | undefined;
   private cancelHeartbeat: ports.Cancel = () => undefined;
 
-  constructor(options: replica.ReplicaOptions, host: LeadershipHost) {
+  constructor(options: replicaOptions.ReplicaOptions, host: LeadershipHost) {
     this.options = options;
     this.host = host;
     this.startIndex = options.store.lastIndex + 1;
--- a/packages/kumquatfront/src/consensus/replica.ts
+++ b/packages/kumquatfront/src/consensus/replica.ts
@@ -6,56 +6,39 @@
 import * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
-import type * as timerService from '../kernel/timerService.js';
 import * as applier from './applier.js';
 import * as election from './election.js';
 import * as leadership from './leadership.js';
-import type * as logStore from './logStore.js';
-import * as snapshotTransfer from './snapshotTransfer.js';
+import type * as replicaOptions from './replicaOptions.js';
+import * as replication from './replication.js';
 import type * as types from './types.js';
 
-/** The state machine behind the log, as functions. */
-export interface StateMachine {
-  /** Applies a committed command and returns its result; must be deterministic. */
-  readonly apply: (command: unknown, index: number, stamp: number) => unknown;
-  readonly takeSnapshot: () => unknown;
-  readonly restore: (state: unknown) => void;
-}
-
-/** What a replica is made from. */
-export interface ReplicaOptions {
-  readonly store: logStore.LogStore;
-  readonly timers: timerService.TimerService;
-  readonly clock: ports.Clock;
-  readonly random: ports.Random;
-  readonly log: ports.Log;
-  readonly timing: types.ConsensusTiming;
-  readonly machine: StateMachine;
-  /** Sends a message to a member's address; it may be lost. */
-  readonly send: (address: string, message: types.ConsensusMessage) => void;
-}
-
-/** Receives the result of a proposal, or why there is none. */
-export type ProposalDone = (result: results.Result<unknown, failures.Failure>) => void;
-
 /** A replica of the log; see the module comment. */
 export class Replica {
-  readonly options: ReplicaOptions;
+  readonly options: replicaOptions.ReplicaOptions;
   role: types.ReplicaRole = 'uninitialized';
   private readonly applier: applier.Applier;
   private readonly election: election.Election;
+  private readonly replication: replication.Replication;
   private leaderIdentity = '';
   private heardLeaderAt: number;
   private hasHeardLeader = false;
   private leaderCommit = 0;
   private leading: leadership.Leadership | undefined;
-  private readonly receiver = new snapshotTransfer.SnapshotReceiver();
 
-  constructor(options: ReplicaOptions) {
+  constructor(options: replicaOptions.ReplicaOptions) {
     this.options = options;
     const { store, timers } = options;
     this.applier = new applier.Applier(options);
     this.election = new election.Election(options, this.electionHost());
+    this.replication = new replication.Replication(store, this.applier, {
+      followLeader: (identity, commitIndex) => {
+        this.followLeader(identity, commitIndex);
+      },
+      answer: (identity, body) => {
+        this.answer(identity, body);
+      },
+    });
     // A restarted voter has forgotten how recently it promised a leader its lease. Counting the restart as
     // news of a leader makes it refuse votes for one election timeout, which outlasts any lease it gave.
     this.heardLeaderAt = timers.now();
@@ -137,10 +120,10 @@
         this.election.onAnswer(message);
         break;
       case 'appendRequest':
-        this.onAppendRequest(message);
+        this.replication.onAppendRequest(message);
         break;
       case 'snapshotPiece':
-        this.onSnapshotPiece(message);
+        this.replication.onSnapshotPiece(message);
         break;
       case 'appendAnswer':
       case 'snapshotAnswer':
@@ -152,12 +135,12 @@
   }
 
   /** Proposes a command; `done` gets what the state machine returned once it is committed and applied. */
-  propose(command: unknown, done: ProposalDone): void {
+  propose(command: unknown, done: replicaOptions.ProposalDone): void {
     this.appendAsLeader({ type: 'command', command }, done);
   }
 
   /** Replaces the members by a list that differs in one replica; refused while another change is open. */
-  changeMembers(members: readonly types.Member[], done: ProposalDone): void {
+  changeMembers(members: readonly types.Member[], done: replicaOptions.ProposalDone): void {
     const { store } = this.options;
     // Two open changes, or one before this term has committed anything, could leave majorities of the old
     // and the new members that do not overlap: two leaders. One at a time after a commit of this term is enough.
@@ -169,7 +152,7 @@
     this.appendAsLeader({ type: 'members', members }, done);
   }
 
-  private appendAsLeader(payload: types.LogPayload, done: ProposalDone): void {
+  private appendAsLeader(payload: types.LogPayload, done: replicaOptions.ProposalDone): void {
     const { store, clock } = this.options;
     if (this.leading === undefined) {
       done(results.Err(this.notLeader()));
@@ -365,83 +348,6 @@
     this.election.restartTimer();
   }
 
-  private onAppendRequest(message: types.AppendRequest): void {
-    const { store } = this.options;
-    if (message.term < store.hardState.term) {
-      this.answerAppend(message, false, 0);
-      return;
-    }
-    this.followLeader(message.from, message.commitIndex);
-    const previousTerm = store.termAt(message.previousIndex);
-    if (message.previousIndex > store.snapshot.index && previousTerm !== message.previousTerm) {
-      this.answerAppend(message, false, Math.min(store.lastIndex, message.previousIndex - 1));
-      return;
-    }
-    if (message.previousIndex < store.snapshot.index && message.entries.length === 0) {
-      this.answerAppend(message, true, store.snapshot.index);
-      return;
-    }
-    for (const entry of message.entries) {
-      this.storeEntry(entry);
-    }
-    const matchIndex = message.previousIndex + message.entries.length;
-    this.applier.commitTo(Math.min(message.commitIndex, matchIndex));
-    this.answerAppend(message, true, matchIndex);
-  }
-
-  private storeEntry(entry: types.LogEntry): void {
-    const { store } = this.options;
-    if (entry.index <= store.snapshot.index || store.termAt(entry.index) === entry.term) {
-      return;
-    }
-    if (entry.index <= store.lastIndex) {
-      store.truncateFrom(entry.index);
-    }
-    store.append(entry);
-  }
-
-  private answerAppend(message: types.AppendRequest, success: boolean, matchIndex: number): void {
-    const { store } = this.options;
-    const { term } = store.hardState;
-    const { sentAt, round } = message;
-    store.whenDurable(() => {
-      this.answer(message.from, { type: 'appendAnswer', term, success, matchIndex, sentAt, round });
-    });
-  }
-
-  private onSnapshotPiece(message: types.SnapshotPiece): void {
-    const { store } = this.options;
-    if (message.term < store.hardState.term) {
-      return;
-    }
-    this.followLeader(message.from, message.index);
-    const answer = (received: number, installed: boolean): void => {
-      const { index, sentAt, round } = message;
-      this.answer(message.from, {
-        type: 'snapshotAnswer',
-        term: message.term,
-        index,
-        received,
-        installed,
-        sentAt,
-        round,
-      });
-    };
-    if (message.index <= this.applier.appliedIndex) {
-      answer(message.total, true);
-      return;
-    }
-    const snapshot = this.receiver.receive(message);
-    if (snapshot === undefined) {
-      answer(this.receiver.received, false);
-      return;
-    }
-    this.applier.restore(snapshot);
-    store.install(snapshot, () => {
-      answer(message.total, true);
-    });
-  }
-
   private answer(identity: string, body: leadership.MessageBody): void {
     const member = this.options.store.members().find((candidate) => candidate.identity === identity);
     const address = member?.address ?? this.replyAddresses.get(identity);
