--- a/packages/kumquatfront/src/trafficControl/openWatches.ts
+++ b/packages/kumquatfront/src/trafficControl/openWatches.ts
@@ -51,7 +51,7 @@
 /** The watches; see the module comment. */
 export class OpenWatches {
   private readonly options: OpenWatchesOptions;
-  private watches: OpenWatch[] = [];
+  private readonly watches = new Set<OpenWatch>();
   private nextWaveAt: ports.Milliseconds = 0;
   private waveScheduled = false;
 
@@ -59,36 +59,36 @@
     this.options = options;
   }
 
-  /** Takes a watch, and answers it where there is news already. */
+  /** Takes a watch, and answers it where there is news already. The others are not looked at: nothing is new to them. */
   open(request: methods.WatchRequest, reply: ports.Reply): void {
     const now = this.options.timers.now();
-    this.watches.push({ request, reply, closesAt: now + WATCH_OPEN });
-    this.wake();
+    const watch: OpenWatch = { request, reply, closesAt: now + WATCH_OPEN };
+    this.watches.add(watch);
+    this.answerDue([watch], now);
   }
 
   /** Answers every watch that has news; called whenever there may be some. */
   wake(): void {
-    const now = this.options.timers.now();
+    this.answerDue([...this.watches], this.options.timers.now());
+  }
+
+  private answerDue(watches: readonly OpenWatch[], now: ports.Milliseconds): void {
     const state = this.options.state();
-    const tellsWave = now >= this.nextWaveAt;
-    const due = this.watches.filter((watch) => {
-      return this.isDue(watch, state, now) || (tellsWave && this.isInWave(watch));
-    });
-    if (tellsWave && due.some((watch) => this.isInWave(watch))) {
+    const due = watches.filter((watch) => this.isDue(watch, state, now));
+    if (now >= this.nextWaveAt && due.some((watch) => this.isInWave(watch))) {
       this.nextWaveAt = now + WAVE_PAUSE;
     }
-    const answered = new Set(due);
-    this.watches = this.watches.filter((watch) => !answered.has(watch));
-    for (const { request, reply } of due) {
-      reply(results.Ok(this.options.answer(request)));
+    for (const watch of due) {
+      this.watches.delete(watch);
+      watch.reply(results.Ok(this.options.answer(watch.request)));
+    }
+    const waits = watches.some((watch) => this.watches.has(watch) && this.isInWave(watch));
+    if (waits && !this.waveScheduled) {
+      this.scheduleWave(now);
     }
-    this.scheduleWave(now);
   }
 
   private scheduleWave(now: ports.Milliseconds): void {
-    if (this.waveScheduled || !this.watches.some((watch) => this.isInWave(watch))) {
-      return;
-    }
     this.waveScheduled = true;
     this.options.timers.after(this.nextWaveAt - now, () => {
       this.waveScheduled = false;
@@ -99,14 +99,16 @@
   private isDue(watch: OpenWatch, state: WatchedState, now: ports.Milliseconds): boolean {
     const { request, closesAt } = watch;
     const newLeader = state.fresh && request.toldTerm < state.leaderTerm;
-    return now >= closesAt || newLeader || this.hasUrgentNews(request, state);
+    const inWave = now >= this.nextWaveAt && this.isInWave(watch);
+    return now >= closesAt || newLeader || inWave || this.hasUrgentNews(request, state);
   }
 
   private hasUrgentNews(request: methods.WatchRequest, state: WatchedState): boolean {
     const { table } = this.options;
     const newTraffic = request.toldVersion < state.trafficVersion;
     if (request.entry.trafficVersion === 0 && newTraffic) {
-      // An entry that starts takes a configuration from a fresh replica only; told earlier it would ask at once again.
+      // An entry that starts serves nobody before it has a configuration, and takes one from a fresh replica only. Told
+      // anything earlier it would ask again at once.
       return state.fresh;
     }
     if (request.epoch !== table.epoch) {
