No change is acknowledged while replicas that the tolerated losses need are joining

Only three seeds are told to anyone; where two losses are to be borne five voters must stand, but a change was taken by three.

Ruled out: always five (a deployment with fewer control VMs than its tolerated losses need could never be changed).

Change: while somebody asks to join or receives the log, two for each tolerated loss and one more must stand.

Before and after (fiveReplicas.spec): a change was taken with three voters while two were joining, now refused until five stand; where nobody else joins the seeds take it. With one tolerated loss nothing changes: three either way.

--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -177,6 +177,8 @@
       dataCentre,
       decode,
       leastVoters: Math.min(2 * toleratedLosses + 1, control.length),
+      wantedVoters: 2 * toleratedLosses + 1,
+      isGathering: () => this.services.find('membership').isGathering(),
       ...(isOn !== undefined && { isOn }),
     });
   }
--- a/packages/kumquatfront/src/controlNode/membership.ts
+++ b/packages/kumquatfront/src/controlNode/membership.ts
@@ -44,9 +44,13 @@
 /** Entries a learner may lack when it is promoted; it receives them within a heartbeat. */
 const PROMOTION_LAG = 16;
 
+/** Who asked to join this recently asks again: six times its pause, as a busy process answers late. */
+const JOINING_WITHIN = 6 * JOIN_INTERVAL;
+
 /** Membership of one replica; see the module comment. */
 export class Membership {
   private readonly options: MembershipOptions;
+  private joinAskedAt = Number.NEGATIVE_INFINITY;
   private control: readonly string[];
 
   constructor(options: MembershipOptions) {
@@ -90,6 +94,15 @@
     return members.some((member) => member.identity === this.options.identity);
   }
 
+  /** True where a replica that is no voter yet is about to become one: it asks to join, or receives the log. */
+  isGathering(): boolean {
+    const { replica: own, timers } = this.options;
+    const hasLearner = own
+      .status()
+      .members.some((member) => member.role === 'learner' && this.silenceOf(member) < SILENT_LEARNER);
+    return hasLearner || timers.now() - this.joinAskedAt < JOINING_WITHIN;
+  }
+
   /** Replaces the addresses under which others are looked for. */
   setControl(control: readonly string[]): void {
     this.control = control;
@@ -195,6 +208,7 @@
       reply(results.Ok(answer));
       return;
     }
+    this.joinAskedAt = this.options.timers.now();
     const former = status.members.find((member) => member.name === request.name);
     // One address is one process: whoever asks from a member's address under a new identity has replaced it.
     if (former !== undefined && former.address !== request.address && this.isAlive(former)) {
--- a/packages/kumquatfront/src/trafficControl/fiveReplicas.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/fiveReplicas.spec.ts
@@ -107,3 +107,26 @@
   assert.equal(bench.replace(bench.leader(), 9), true);
   assertInForce(system, 9);
 });
+
+// Two losses are to be borne, which takes five voters; only three seeds are told to anyone. Two replicas are still about
+// to join when an operator sends a change. Acknowledged on two of three disks, it would be gone with them.
+void test.test('no change is taken while replicas that the tolerated losses need are still joining', () => {
+  const bench = new controlBench.ControlBench(['c1', 'c2', 'c3'], 2);
+  bench.start('c4', true);
+  bench.start('c5', true);
+  while (bench.voters().length < 3) {
+    bench.time.advance(5);
+  }
+  assert.equal(bench.replace(bench.leader(), 7), false);
+  bench.time.advance(4_000);
+  assert.equal(bench.voters().length, 5);
+  assert.equal(bench.replace(bench.leader(), 7), true);
+});
+
+// Fewer replicas than the tolerated losses need are all that there are: nobody else is joining, and operators must be
+// able to change the configuration.
+void test.test('a change is taken by the replicas of the seeds where no other joins', () => {
+  const bench = new controlBench.ControlBench(['c1', 'c2', 'c3'], 2);
+  bench.time.advance(6_000);
+  assert.equal(bench.replace(bench.leader(), 7), true);
+});
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -41,6 +41,10 @@
   readonly decode: DecodeTraffic;
   /** Voters that must stand before the first change is taken. */
   readonly leastVoters: number;
+  /** Voters that must stand where others are about to join. */
+  readonly wantedVoters: number;
+  /** True where a replica is about to become a voter. */
+  readonly isGathering: () => boolean;
   /** Mechanisms of placement in use; all of them where this is left out. */
   readonly isOn?: mechanisms.IsOn;
 }
@@ -220,12 +224,15 @@
   }
 
   private replaceHere(proposal: trafficTypes.VersionedText, done: ports.Reply): void {
-    const { replica: own, leastVoters } = this.options;
+    const { replica: own, leastVoters, wantedVoters, isGathering } = this.options;
     const voters = own.status().members.filter((member) => member.role === 'voter').length;
-    // Right after the founding fewer replicas hold the log than must be there to lose some.
-    if (voters < leastVoters) {
+    // Right after the founding fewer replicas hold the log than must be there to lose some. Only seeds are told to
+    // anyone, and the tolerated losses may need more: a change on two of three disks would be gone with two of five.
+    // Whoever is about to join is waited for; where nobody is, the seeds are all that there are.
+    const needed = isGathering() ? wantedVoters : leastVoters;
+    if (voters < needed) {
       const remedy = 'Send it again in a second.';
-      const message = `Only ${voters} of ${leastVoters} replicas have joined.`;
+      const message = `Only ${voters} of ${needed} replicas have joined.`;
       done(results.Err(failures.create('noQuorum', message, remedy)));
       return;
     }
--- a/packages/scenarios/src/scripts/relaySafeguards.ts
+++ b/packages/scenarios/src/scripts/relaySafeguards.ts
@@ -335,4 +335,11 @@
     replace: 'left.splice(0, 1)',
     scenario: 'spec:trafficControl/entryDirectory',
   },
+  {
+    name: 'no change is taken while the replicas that the tolerated losses need are joining',
+    file: 'trafficControl/trafficControl.js',
+    find: 'isGathering() ? wantedVoters : leastVoters',
+    replace: 'leastVoters',
+    scenario: 'spec:trafficControl/fiveReplicas',
+  },
 ];
