Specs of instances build announcements and kept logs in one place

Cause: the bench of control built the same announcement as the bench of instances, and one spec its log twice. Change: one calls the other; spec code only, assertions as they were.

--- a/packages/kumquatfront/src/instances/instanceLog.spec.ts
+++ b/packages/kumquatfront/src/instances/instanceLog.spec.ts
@@ -13,14 +13,20 @@
 const INSTANCES = 600;
 const REPLICAS = ['c1', 'c2', 'c3', 'c4', 'c5'];
 
-/** Lines of an entry that hears of a whole fleet from every replica. */
-function linesOfFleet(): readonly ports.LogFields[] {
+/** A log that keeps the fields of its lines. */
+function keptLog(): { readonly log: ports.Log; readonly lines: ports.LogFields[] } {
   const lines: ports.LogFields[] = [];
   const silent = (): void => undefined;
   const log: ports.Log = {
     ...{ debug: silent, warn: silent, error: silent },
     info: (_event, fields) => lines.push(fields ?? {}),
   };
+  return { log, lines };
+}
+
+/** Lines of an entry that hears of a whole fleet from every replica. */
+function linesOfFleet(): readonly ports.LogFields[] {
+  const { log, lines } = keptLog();
   const view = new instanceView.InstanceView((news) => {
     instanceLog.write(log, news);
   });
@@ -43,12 +49,7 @@
 });
 
 void test.test('what leaves and what is gone are told apart, with the revisions of the replica', () => {
-  const lines: ports.LogFields[] = [];
-  const silent = (): void => undefined;
-  const log: ports.Log = {
-    ...{ debug: silent, warn: silent, error: silent },
-    info: (_event, fields) => lines.push(fields ?? {}),
-  };
+  const { log, lines } = keptLog();
   const instance = { ...controlBench.announcementOf('i1', 1), firstAt: 0 };
   const other = { ...controlBench.announcementOf('i2', 1), firstAt: 0 };
   const changes = [
--- a/packages/kumquatfront/src/trafficControl/controlBench.ts
+++ b/packages/kumquatfront/src/trafficControl/controlBench.ts
@@ -3,6 +3,7 @@
  */
 import * as seededRandom from '../adapters/seededRandom.js';
 import * as controlNode from '../controlNode/controlNode.js';
+import * as instanceBench from '../instances/instanceBench.js';
 import * as instanceView from '../instances/instanceView.js';
 import type * as instanceTypes from '../instances/types.js';
 import * as failures from '../kernel/failures.js';
@@ -64,8 +65,7 @@
 
 /** An announcement of an instance. */
 export function announcementOf(identity: string, sequence: number): instanceTypes.Announcement {
-  const base = { service: 'llm', address: `${identity}:80`, dataCentre: 'a', slots: 24, warmUpLeft: 0 };
-  return { ...base, identity, name: identity, born: 0, sequence, state: 'ready' };
+  return instanceBench.announcement(identity, { address: `${identity}:80`, sequence });
 }
 
 /** The bench; see the module comment. */
