Lines of failed attempts name the content of their request

Cause: the incident's logs tell attempts by their own identity and by sizes, so that one request brought again by its caller at another entry looks like another one; whether one content or many ended the upstreams cannot be told. No logic changed.

--- /dev/null
+++ b/packages/kumquatfront/src/quarantine/contentDigest.spec.ts
@@ -0,0 +1,45 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import type * as relayTypes from '../relay/types.js';
+import * as contentDigest from './contentDigest.js';
+
+function request(changes: Partial<relayTypes.TrafficRequest> = {}): relayTypes.TrafficRequest {
+  return {
+    identity: 'r1',
+    host: 'market.example',
+    path: '/reports/1?page=2',
+    method: 'POST',
+    headers: [],
+    body: Buffer.from('receipts'),
+    arrivedAt: 0,
+    ...changes,
+  };
+}
+
+const digest = contentDigest.of(request(), 'school-1');
+
+void test.test('a request that is brought again has the same digest', () => {
+  const again = request({ identity: 'r2', arrivedAt: 900, headers: [['X-Guess', '12']], patience: 5 });
+  assert.equal(contentDigest.of(again, 'school-1'), digest);
+  assert.match(digest, /^[0-9a-f]{32}$/);
+});
+
+void test.test('another path, query, body, method, host or account gives another digest', () => {
+  const others = [
+    contentDigest.of(request({ path: '/reports/2?page=2' }), 'school-1'),
+    contentDigest.of(request({ path: '/reports/1?page=3' }), 'school-1'),
+    contentDigest.of(request({ body: Buffer.from('receipt') }), 'school-1'),
+    contentDigest.of(request({ method: 'PUT' }), 'school-1'),
+    contentDigest.of(request({ host: 'other.example' }), 'school-1'),
+    contentDigest.of(request(), 'school-2'),
+  ];
+  assert.equal(new Set([digest, ...others]).size, others.length + 1);
+});
+
+// The parts are framed: what one of them ends with cannot be moved into the next.
+void test.test('parts that join to the same text give other digests', () => {
+  const one = request({ path: '/a', body: Buffer.from('') });
+  const other = request({ path: '/', body: Buffer.from('a') });
+  assert.notEqual(contentDigest.of(one, ''), contentDigest.of(other, ''));
+});
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -4,6 +4,7 @@
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
+import * as contentDigest from '../quarantine/contentDigest.js';
 import type * as trafficTypes from '../traffic/types.js';
 import type * as localChoice from './localChoice.js';
 import type * as placementClient from './placementClient.js';
@@ -41,6 +42,20 @@
 /** Time to come back where no upstream of a service is known: about one announcement. */
 export const NO_UPSTREAM_RETRY: ports.Milliseconds = 500;
 
+/**
+ * Digest of what a request asks for: the same for every attempt at it, so that on-call can follow one over entries.
+ *
+ * @param routed - the request
+ * @returns the digest
+ * @example
+ * ```ts
+ * log.info('attemptFailed', { request: routed.request.identity, content: exchangeContext.contentOf(routed) });
+ * ```
+ */
+export function contentOf(routed: RoutedRequest): string {
+  return contentDigest.of(routed.request, routed.account ?? '');
+}
+
 /**
  * Logs how a request ended.
  *
--- a/packages/kumquatfront/src/relay/plainExchange.ts
+++ b/packages/kumquatfront/src/relay/plainExchange.ts
@@ -177,7 +177,13 @@
       return;
     }
     const { identity } = attempt.instance;
-    log.info('attemptFailed', { request: this.routed.request.identity, upstream: identity, failure, reason });
+    log.info('attemptFailed', {
+      request: this.routed.request.identity,
+      content: exchangeContext.contentOf(this.routed),
+      upstream: identity,
+      failure,
+      reason,
+    });
     choice.failed(identity, failure === 'notSent' ? 'stall' : 'failure', timers.now());
     if (failure === 'notSent') {
       this.runs -= 1;
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -314,6 +314,7 @@
     this.dropLeg(leg);
     log.info('streamBroken', {
       request: this.routed.request.identity,
+      content: exchangeContext.contentOf(this.routed),
       upstream: leg.instance.identity,
       failure,
       reason,
