--- a/packages/kumquatfront/src/relay/relayBench.ts
+++ b/packages/kumquatfront/src/relay/relayBench.ts
@@ -49,7 +49,8 @@
   return Buffer.from(`id: ${identity}\ndata: x\n\n`);
 }
 
-const engineTraits: trafficTypes.EngineTraits = {
+/** Traits of the engines on the bench. */
+export const engineTraits: trafficTypes.EngineTraits = {
   slots: 24,
   memoryTokens: 30_000,
   bytesPerToken: 1,
--- a/packages/kumquatfront/src/trafficControl/controlBench.ts
+++ b/packages/kumquatfront/src/trafficControl/controlBench.ts
@@ -11,8 +11,10 @@
 import * as results from '../kernel/results.js';
 import * as timerService from '../kernel/timerService.js';
 import * as virtualTime from '../kernel/virtualTime.js';
+import type * as relayTypes from '../relay/types.js';
 import * as defaultConfig from '../settings/defaultConfig.js';
 import type * as trafficTypes from '../traffic/types.js';
+import * as trafficEntry from '../trafficEntry/trafficEntry.js';
 import * as controlWatch from './controlWatch.js';
 import type * as trafficControl from './trafficControl.js';
 
@@ -54,14 +56,19 @@
   return String(version);
 }
 
-const decode: trafficControl.DecodeTraffic = (text) => {
-  const version = Number(text);
-  if (!Number.isInteger(version)) {
-    return results.Err(failures.create('badInput', 'It is no number.', 'Send a number.'));
-  }
-  const limits = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 };
-  return results.Ok({ version, routes: [], services: [], limits });
-};
+/** What every configuration on the bench has beside its version. */
+export type Configured = Pick<trafficTypes.TrafficConfiguration, 'routes' | 'services' | 'accounts'>;
+
+function createDecoder(configured: Configured): trafficControl.DecodeTraffic {
+  return (text) => {
+    const version = Number(text);
+    if (!Number.isInteger(version)) {
+      return results.Err(failures.create('badInput', 'It is no number.', 'Send a number.'));
+    }
+    const limits = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 };
+    return results.Ok({ version, limits, ...configured });
+  };
+}
 
 /** An announcement of an instance. */
 export function announcementOf(identity: string, sequence: number): instanceTypes.Announcement {
@@ -79,6 +86,7 @@
   private readonly nodes = new Map<string, controlNode.ControlNode>();
   private readonly random = seededRandom.create(3);
   private readonly log: ports.Log;
+  private readonly decode: trafficControl.DecodeTraffic;
   /** Replica that sent a configuration last. */
   lastTextFrom = '';
   private readonly textsSent = new Map<string, number>();
@@ -86,11 +94,14 @@
   /**
    * @param seeds - addresses of the replicas that all start new
    * @param toleratedLosses - how many of them may be lost at once
+   * @param configured - routes, services and accounts of all configurations
    */
   constructor(
     seeds: readonly string[],
     private readonly toleratedLosses = 1,
+    configured: Configured = { routes: [], services: [] },
   ) {
+    this.decode = createDecoder(configured);
     const silent = (): void => undefined;
     this.log = { debug: silent, info: silent, warn: silent, error: silent };
     this.seeds = seeds;
@@ -187,7 +198,7 @@
         mayFound: firstStart,
         toleratedLosses: this.toleratedLosses,
       },
-      { ...this.basePorts(life), disk, decodeTraffic: decode },
+      { ...this.basePorts(life), disk, decodeTraffic: this.decode },
     );
     this.nodes.set(address, created.unwrap());
   }
@@ -212,6 +223,11 @@
     this.cuts.clear();
   }
 
+  /** A replica that runs. */
+  aliveSeed(): string {
+    return this.seeds.find((seed) => this.lives.get(seed)?.alive === true) ?? '';
+  }
+
   private node(address: string): controlNode.ControlNode {
     const node = this.nodes.get(address);
     if (node === undefined) {
@@ -258,6 +274,21 @@
     return found?.[0] ?? '';
   }
 
+  /** Starts a whole entry; one that ran under its name is gone. */
+  startEntry(name: string, upstreams: relayTypes.UpstreamPort): trafficEntry.TrafficEntry {
+    this.kill(name);
+    const base = this.basePorts(this.live(name));
+    const settings: trafficEntry.TrafficEntrySettings = {
+      name,
+      dataCentre: 'a',
+      callerAddress: `${name}:1`,
+      peerAddress: name,
+      seeds: this.seeds,
+      retries: { ratio: 0.2, slack: 54, window: 10_000 },
+    };
+    return new trafficEntry.TrafficEntry(settings, { ...base, upstreams, decodeTraffic: this.decode });
+  }
+
   /** An entry that watches control. */
   watch(name: string): {
     readonly taken: trafficTypes.VersionedText[];
