A request under which three upstreams have ended is quarantined: known at every entry, kept by control

Every exchange judged by its own attempt alone. Change: a gate in front of all sends of an entry. A run that breaks off is held against its content once its instance is known to have ended without notice (nothing listens at its address, it started anew, or fell silent towards control). Three ends without an answer between quarantine the content: entries tell every control replica, which tell entries like notices; the replicas agree on it, so that it outlives the loss of everything. Generations under which an engine may have ended run apart. Where a content is suspected already, an exchange hears of a break once the instance has been checked.

--- /dev/null
+++ b/packages/kumquatfront/src/adapters/connectionCheck.spec.ts
@@ -0,0 +1,28 @@
+import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
+import * as test from 'node:test';
+
+import * as connectionCheck from './connectionCheck.js';
+import * as systemTime from './systemTime.js';
+
+async function listen(): Promise<{ server: net.Server; address: string }> {
+  const server = net.createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as net.AddressInfo;
+  return { server, address: `127.0.0.1:${port}` };
+}
+
+function check(address: string): Promise<string> {
+  return new Promise((resolve) => {
+    connectionCheck.run(address, systemTime.scheduler, resolve);
+  });
+}
+
+void test.test('an address where something listens accepts, and refuses once that has ended', async () => {
+  const { server, address } = await listen();
+  assert.equal(await check(address), 'accepted');
+  await new Promise((resolve) => server.close(resolve));
+  assert.equal(await check(address), 'refused');
+});
--- a/packages/kumquatfront/src/agreedState/agreedState.ts
+++ b/packages/kumquatfront/src/agreedState/agreedState.ts
@@ -33,6 +33,8 @@
   readonly orders: readonly types.Order[];
   /** Absent until an operator has sent a whole traffic configuration. */
   readonly traffic?: trafficTypes.VersionedText;
+  /** Contents kept from upstreams, oldest first; absent where there is none. */
+  readonly quarantined?: readonly string[];
 }
 
 /** Bounds used where the settings give none. */
@@ -42,6 +44,8 @@
   claimsPerAccount: 20_000,
   tombstones: 1_000,
   finishedOrders: 500,
+  // Forty bytes each: no snapshot grows by more than ten kilobytes, and so many faults at once are another kind of day.
+  quarantined: 256,
 };
 
 /** The agreed state; see the module comment. */
@@ -53,6 +57,7 @@
   private answers = new Map<string, RememberedAnswer>();
   private orders = new Map<string, types.Order>();
   private heldTraffic: trafficTypes.VersionedText | undefined;
+  private heldQuarantined: readonly string[] = [];
   private readonly claims: claimTable.ClaimTable;
   private readonly limits: types.AgreedStateLimits;
 
@@ -75,6 +80,16 @@
     return this.heldTraffic;
   }
 
+  /** Contents that may be quarantined at once; a further one displaces the oldest. */
+  get mostQuarantined(): number {
+    return this.limits.quarantined;
+  }
+
+  /** Contents kept from upstreams; another list after each change. */
+  get quarantined(): readonly string[] {
+    return this.heldQuarantined;
+  }
+
   /** Applies one committed command. */
   apply(command: types.Command, index: number, stamp: number): unknown {
     switch (command.type) {
@@ -91,9 +106,22 @@
         return this.settleOrder(command);
       case 'replaceTraffic':
         return this.replaceTraffic(command);
+      case 'quarantine':
+        return this.setQuarantined([...this.quarantinedWithout(command.content), command.content]);
+      case 'release':
+        return this.setQuarantined(this.quarantinedWithout(command.content));
     }
   }
 
+  private quarantinedWithout(content: string): readonly string[] {
+    return this.heldQuarantined.filter((held) => held !== content);
+  }
+
+  private setQuarantined(contents: readonly string[]): null {
+    this.heldQuarantined = contents.slice(-this.limits.quarantined);
+    return null;
+  }
+
   /**
    * Only a higher version takes effect. An operator whose answer was lost sends the same one again, perhaps
    * after a higher one: taking it would put the older configuration back in force.
@@ -232,6 +260,7 @@
       claims: this.claims.toJson(),
       orders: [...this.orders.values()],
       ...(this.heldTraffic === undefined ? {} : { traffic: this.heldTraffic }),
+      ...(this.heldQuarantined.length === 0 ? {} : { quarantined: this.heldQuarantined }),
     };
   }
 
@@ -246,6 +275,7 @@
     this.claims.restore(json.claims);
     this.orders = new Map(json.orders.map((order) => [order.orderId, order]));
     this.heldTraffic = json.traffic;
+    this.heldQuarantined = json.quarantined ?? [];
   }
 }
 
--- a/packages/kumquatfront/src/agreedState/types.ts
+++ b/packages/kumquatfront/src/agreedState/types.ts
@@ -81,8 +81,23 @@
   readonly version: number;
 }
 
+/** Keeps a content from every upstream, also after all processes have ended. */
+export interface QuarantineCommand {
+  readonly type: 'quarantine';
+  /** Digest of the content. */
+  readonly content: string;
+}
+
+/** Lets a content go again. */
+export interface ReleaseCommand {
+  readonly type: 'release';
+  readonly content: string;
+}
+
 /** Every command. */
 export type Command =
+  | QuarantineCommand
+  | ReleaseCommand
   | ReplaceTrafficCommand
   | ConfigureCommand
   | ClaimCommand
@@ -138,4 +153,6 @@
   readonly tombstones: number;
   /** Finished orders remembered. */
   readonly finishedOrders: number;
+  /** Contents kept from upstreams at once; beyond them the oldest is let go. */
+  readonly quarantined: number;
 }
--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -71,6 +71,7 @@
 export * as trafficEntry from './trafficEntry/trafficEntry.js';
 export type * as trafficTypes from './traffic/types.js';
 export * as trafficValidation from './traffic/trafficValidation.js';
+export * as connectionCheck from './adapters/connectionCheck.js';
 export * as freshExchange from './adapters/freshExchange.js';
 export * as trafficHttp from './adapters/trafficHttp.js';
 export * as virtualTime from './kernel/virtualTime.js';
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -78,6 +78,8 @@
   readonly excluded: ReadonlySet<string>;
   /** What being in the data centre is worth, as share of memory. */
   readonly nearBonus?: number;
+  /** True where no engine will do that runs another one of its kind. */
+  readonly apart?: boolean;
   /** Engines that would need longer than this to the first event are left out. */
   readonly firstEventWithin?: ports.Milliseconds;
 }
@@ -94,6 +96,7 @@
 const READ_AFTER: ports.Milliseconds = 3_000;
 
 const EMPTY: readonly memoryPeak.Growth[] = [];
+const NONE: ReadonlySet<string> = new Set();
 
 /** The pool; see the module comment. */
 export class EnginePool {
@@ -172,9 +175,9 @@
   }
 
   grant(request: types.PlacementRequest, answer: types.Placement, now: number): void {
-    const { facts, entry } = request;
+    const { facts, entry, apart = false } = request;
     const { instance } = answer;
-    const running = { facts, instance, produced: 0, started: false };
+    const running = { facts, instance, produced: 0, started: false, apart };
     const toRead = facts.promptTokens + (this.unreadPrompts(now).get(instance) ?? 0);
     this.placed.set(facts.identity, {
       running,
@@ -264,6 +267,18 @@
     return unread;
   }
 
+  /**
+   * Engines that hold a generation under which another engine may have ended.
+   *
+   * Failure: what ran beside a request that ends its engine is resumed like that request; both are placed on the same
+   * next engine, and on the one after it, and soon the same ends stand against both. Run apart, the sound one is
+   * answered, which clears it, and the other is alone with its third end.
+   */
+  private enginesWithSuspects(): ReadonlySet<string> {
+    const suspects = [...this.placed.values()].filter(({ running }) => running.apart === true);
+    return new Set(suspects.map(({ running }) => running.instance));
+  }
+
   /** The engine that has the most to spare after taking a generation in; undefined where none has room. */
   bestFor(search: Search, now: number): Engine | undefined {
     const { facts, produced, purpose, dataCentre, excluded, nearBonus = SAME_DATA_CENTRE_BONUS } = search;
@@ -271,6 +286,7 @@
     const ownPrompt = purpose === 'move' ? 0 : facts.promptTokens;
     const loads = this.loadsOf();
     const unread = this.unreadPrompts(now);
+    const avoided = search.apart === true ? this.enginesWithSuspects() : NONE;
     const held = facts.promptTokens + produced;
     const growth = { held, remaining: this.lengths.remaining(facts, produced) };
     const keptFree = purpose === 'patient' || purpose === 'late' ? SLOTS_KEPT_FREE : 0;
@@ -280,6 +296,9 @@
       if (engine.service !== facts.service || engine.leaving || excluded.has(engine.identity)) {
         continue;
       }
+      if (avoided.has(engine.identity)) {
+        continue;
+      }
       const load = loads.get(engine.identity) ?? EMPTY;
       const { memoryTokens, slots } = engine.traits;
       const all = [...load, growth];
--- a/packages/kumquatfront/src/quarantine/crashBench.ts
+++ b/packages/kumquatfront/src/quarantine/crashBench.ts
@@ -194,6 +194,12 @@
   private upstreamsOf(entry: string): relayTypes.UpstreamPort {
     return {
       send: (call, listener) => this.send(entry, call, listener),
+      check: (instance, done) => {
+        this.time.after(ROUND_TRIP, () => {
+          const found = this.upstreams.find(({ announcement }) => announcement.address === instance.address);
+          done(found?.alive === true ? 'accepted' : 'refused');
+        });
+      },
       copyMemory: (_source, _target, _request, _stop, done) => {
         done({ state: 'failed', reason: 'no copies on this bench' });
       },
--- /dev/null
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -0,0 +1,131 @@
+/**
+ * The one gate between an entry and its upstreams: first sends, repeats, hedges, resumed streams and generations that
+ * go on elsewhere from a copy all pass it. It sends nothing of a content that is quarantined, and tells the detector
+ * how every run ends.
+ *
+ * An exchange whose run breaks off sends it on within a millisecond, before anybody knows whether its upstream has
+ * ended. Where ends are held against its content already, it hears of the break once that is known: the end that
+ * quarantines a content would be followed by one more otherwise.
+ */
+import type * as ports from '../kernel/ports.js';
+import type * as timerService from '../kernel/timerService.js';
+import type * as relayTypes from '../relay/types.js';
+import * as contentDigest from './contentDigest.js';
+import type * as crashDetector from './crashDetector.js';
+import type * as types from './types.js';
+
+/** What the caller is told, and the log. */
+export const QUARANTINED =
+  'upstreams ended under this content, one after another; sending it again will not help';
+
+/** What the gate is made from. */
+export interface GuardOptions {
+  readonly upstreams: relayTypes.UpstreamPort;
+  readonly timers: timerService.TimerService;
+  readonly detector: crashDetector.CrashDetector;
+  readonly verdictOf: (content: string) => types.Verdict;
+  /** Called when an upstream has answered a content in whole. */
+  readonly onAnswered: (content: string) => void;
+}
+
+/** A run as the gate watches it. */
+class WatchedRun {
+  private over = false;
+  private readonly run: number;
+  private succeeded = false;
+
+  constructor(
+    private readonly options: GuardOptions,
+    private readonly call: relayTypes.UpstreamCall,
+    private readonly content: string,
+  ) {
+    const { instance, request } = call;
+    this.run = options.detector.begun(instance.identity, content, request.identity);
+  }
+
+  /** The listener that watches on the way to another one. */
+  listen(listener: relayTypes.ExchangeListener): relayTypes.ExchangeListener {
+    return {
+      head: (head) => {
+        this.succeeded = head.signed && head.status >= 200 && head.status < 300;
+        listener.head(head);
+      },
+      data: listener.data,
+      end: () => {
+        this.endWhole();
+        listener.end();
+      },
+      failed: (failure, reason) => {
+        this.settle(failure === 'broken', () => {
+          listener.failed(failure, reason);
+        });
+      },
+    };
+  }
+
+  private endWhole(): void {
+    this.settle(false);
+    if (this.succeeded) {
+      this.options.onAnswered(this.content);
+    }
+  }
+
+  /**
+   * Ends the watch.
+   *
+   * @param broke - true where the upstream may have ended under the run
+   * @param then - goes on with the exchange
+   */
+  settle(broke: boolean, then: () => void = () => undefined): void {
+    if (this.over) {
+      then();
+      return;
+    }
+    this.over = true;
+    const { detector, verdictOf } = this.options;
+    const { instance } = this.call;
+    if (!broke) {
+      detector.ended(instance.identity, this.run);
+      then();
+    } else if (verdictOf(this.content) === 'free') {
+      detector.broke(instance, this.run, () => undefined);
+      then();
+    } else {
+      detector.broke(instance, this.run, then);
+    }
+  }
+}
+
+/**
+ * Creates the gate.
+ *
+ * @param options - the upstreams behind it, and who decides
+ * @returns upstreams that pass the gate
+ * @example
+ * ```ts
+ * const upstreams = guardedUpstreams.create({ upstreams: port, timers, detector, verdictOf, onAnswered });
+ * ```
+ */
+export function create(options: GuardOptions): relayTypes.UpstreamPort {
+  const { upstreams, timers, verdictOf } = options;
+  const send: relayTypes.UpstreamPort['send'] = (call, listener) => {
+    const content = contentDigest.of(call.request, call.account ?? '');
+    if (verdictOf(content) === 'quarantined') {
+      return refuseSoon(timers, listener);
+    }
+    const watched = new WatchedRun(options, call, content);
+    const cancel = upstreams.send(call, watched.listen(listener));
+    return (why) => {
+      watched.settle(why === 'silent');
+      cancel(why);
+    };
+  };
+  return { ...upstreams, send };
+}
+
+/** Exchanges learn of a failure after their call has returned, as they do from a real upstream. */
+function refuseSoon(timers: timerService.TimerService, listener: relayTypes.ExchangeListener): ports.Cancel {
+  return timers.after(0, () => {
+    listener.failed('quarantined', QUARANTINED);
+  });
+}
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -5,6 +5,8 @@
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
 import * as contentDigest from '../quarantine/contentDigest.js';
+import type * as quarantine from '../quarantine/quarantine.js';
+import type * as quarantineTypes from '../quarantine/types.js';
 import type * as trafficTypes from '../traffic/types.js';
 import type * as localChoice from './localChoice.js';
 import type * as placementClient from './placementClient.js';
@@ -21,6 +23,8 @@
   readonly choice: localChoice.LocalChoice;
   readonly allowance: retryAllowance.RetryAllowance;
   readonly placement: placementClient.PlacementClient;
+  /** Its gate is in front of `upstreams`. */
+  readonly quarantine: quarantine.Quarantine;
 }
 
 /** One request with all that its route says of it. */
@@ -56,6 +60,41 @@
   return contentDigest.of(routed.request, routed.account ?? '');
 }
 
+/**
+ * What is held against the content of a request.
+ *
+ * @param context - the entry's parts
+ * @param routed - the request
+ * @returns the verdict
+ * @example
+ * ```ts
+ * if (exchangeContext.verdictOf(context, routed) === 'quarantined') refuse();
+ * ```
+ */
+export function verdictOf(context: ExchangeContext, routed: RoutedRequest): quarantineTypes.Verdict {
+  return context.quarantine.verdictOf(routed.request, routed.account ?? '');
+}
+
+/**
+ * Calls back once the content of a request is quarantined.
+ *
+ * @param context - the entry's parts
+ * @param routed - the request
+ * @param run - called then
+ * @returns cancels it
+ * @example
+ * ```ts
+ * const cancel = exchangeContext.whenQuarantined(context, routed, () => refuse());
+ * ```
+ */
+export function whenQuarantined(
+  context: ExchangeContext,
+  routed: RoutedRequest,
+  run: () => void,
+): ports.Cancel {
+  return context.quarantine.whenQuarantined(routed.request, routed.account ?? '', run);
+}
+
 /**
  * Logs how a request ended.
  *
--- a/packages/kumquatfront/src/relay/plainExchange.ts
+++ b/packages/kumquatfront/src/relay/plainExchange.ts
@@ -4,6 +4,7 @@
  */
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
+import * as guardedUpstreams from '../quarantine/guardedUpstreams.js';
 import * as answerRules from './answerRules.js';
 import * as exchangeContext from './exchangeContext.js';
 import type * as types from './types.js';
@@ -37,6 +38,7 @@
   private readonly failedOn: string[] = [];
   private cancelDeadline: ports.Cancel = () => undefined;
   private cancelHedge: ports.Cancel = () => undefined;
+  private cancelQuarantine: ports.Cancel = () => undefined;
 
   constructor(context: exchangeContext.ExchangeContext, routed: exchangeContext.RoutedRequest) {
     this.context = context;
@@ -57,6 +59,9 @@
     this.cancelDeadline = timers.after(answerBy - timers.now(), () => {
       this.giveUp();
     });
+    this.cancelQuarantine = exchangeContext.whenQuarantined(this.context, this.routed, () => {
+      this.refuseQuarantined();
+    });
     this.sendNext();
     if (this.repeatable && route.maximumAttempts > 1) {
       this.cancelHedge = timers.after(Math.max(SHORTEST_HEDGE, route.objective * HEDGE_SHARE), () => {
@@ -66,12 +71,16 @@
   }
 
   private hedge(): void {
-    if (!this.ended && this.open.size === 1 && this.mayRepeat()) {
+    if (!this.ended && this.open.size === 1 && !this.isQuarantined && this.mayRepeat()) {
       this.context.log.debug('hedged', { request: this.routed.request.identity });
       this.sendNext();
     }
   }
 
+  private get isQuarantined(): boolean {
+    return exchangeContext.verdictOf(this.context, this.routed) === 'quarantined';
+  }
+
   /** True where another upstream may be sent the request, which draws on the shared budget. */
   private mayRepeat(): boolean {
     const { allowance, timers } = this.context;
@@ -184,6 +193,11 @@
       failure,
       reason,
     });
+    if (failure === 'quarantined') {
+      this.runs -= 1;
+      this.refuseQuarantined();
+      return;
+    }
     choice.failed(identity, failure === 'notSent' ? 'stall' : 'failure', timers.now());
     if (failure === 'notSent') {
       this.runs -= 1;
@@ -198,6 +212,10 @@
     if (this.open.size > 0) {
       return;
     }
+    if (this.isQuarantined) {
+      this.refuseQuarantined();
+      return;
+    }
     if ((cause === 'notRun' || this.repeatable) && this.mayRepeat()) {
       this.sendNext();
       return;
@@ -209,6 +227,12 @@
     this.failUnknown();
   }
 
+  /** Upstreams end under this content: whatever still runs is cancelled, so that it may not end one more. */
+  private refuseQuarantined(): void {
+    const reason = this.runs === 0 ? 'quarantined' : 'outcomeUnknown';
+    this.refuse(reason, guardedUpstreams.QUARANTINED);
+  }
+
   private noUpstreamLeft(): void {
     if (this.open.size > 0) {
       return;
@@ -240,6 +264,7 @@
       const { choice, timers } = this.context;
       for (const attempt of this.open) {
         choice.failed(attempt.instance.identity, 'stall', timers.now());
+        attempt.cancel('silent');
       }
       this.refuse('timeoutUnknown', 'the upstream did not answer in time');
     }
@@ -257,6 +282,7 @@
     this.ended = true;
     this.cancelDeadline();
     this.cancelHedge();
+    this.cancelQuarantine();
     for (const attempt of [...this.open]) {
       attempt.cancel();
       this.close(attempt);
--- a/packages/kumquatfront/src/relay/relayBench.ts
+++ b/packages/kumquatfront/src/relay/relayBench.ts
@@ -9,6 +9,7 @@
 import * as timerService from '../kernel/timerService.js';
 import * as virtualTime from '../kernel/virtualTime.js';
 import type * as placementTypes from '../placement/types.js';
+import * as quarantine from '../quarantine/quarantine.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as methods from '../trafficControl/methods.js';
 import type * as exchangeContext from './exchangeContext.js';
@@ -88,11 +89,22 @@
       this.table.hear({ ...base, identity, name: identity, born: 0, address, sequence: 1 }, time.now());
     }
     view.merge('control', this.table.newsSince('', 0, 0), 0);
-    this.context = {
+    const metrics = { count: nothing, gauge: nothing, timing: nothing };
+    const guard = new quarantine.Quarantine({
       timers,
+      peers: this.peers(),
       log,
-      metrics: { count: nothing, gauge: nothing, timing: nothing },
+      metrics,
       upstreams: this.upstreams(),
+      hasGivenNotice: (identity) => view.get(identity)?.state === 'leaving',
+      replicas: () => [],
+    });
+    this.context = {
+      timers,
+      log,
+      metrics,
+      quarantine: guard,
+      upstreams: guard.upstreams,
       instances: view,
       choice: new localChoice.LocalChoice(random, 'a'),
       allowance: new retryAllowance.RetryAllowance({ ratio: 0.2, slack, window: 10_000 }, () => 1, random),
@@ -119,6 +131,9 @@
           sent.cancelled = true;
         };
       },
+      check: (_instance, done) => {
+        done('accepted');
+      },
       copyMemory: (source, target, _request, stop, done) => {
         this.copies.push({ source: source.identity, target: target.identity, stop, done });
       },
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -6,6 +6,7 @@
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import type * as placementTypes from '../placement/types.js';
+import * as guardedUpstreams from '../quarantine/guardedUpstreams.js';
 import type * as eventSplitter from './eventSplitter.js';
 import * as exchangeContext from './exchangeContext.js';
 import * as generationFacts from './generationFacts.js';
@@ -42,10 +43,13 @@
   private runs = 0;
   private sends = 0;
   private moves = 0;
+  /** True once an upstream may have ended under it: it runs beside no other one of its kind. */
+  private apart = false;
   /** Set while another upstream is sought for a leg that is silent. */
   private silentSearch: { readonly leg: streamLeg.StreamLeg; readonly events: number } | undefined;
   private cancelDeadline: ports.Cancel = () => undefined;
   private cancelSilence: ports.Cancel = () => undefined;
+  private cancelQuarantine: ports.Cancel = () => undefined;
 
   constructor(context: exchangeContext.ExchangeContext, routed: exchangeContext.RoutedRequest) {
     this.context = context;
@@ -81,18 +85,46 @@
     this.cancelDeadline = timers.after(answerBy - timers.now(), () => {
       this.giveUp();
     });
+    this.cancelQuarantine = exchangeContext.whenQuarantined(this.context, this.routed, () => {
+      this.onQuarantined();
+    });
     if (this.facts !== undefined) {
       placement.opened(request.identity, this);
     }
-    this.finder.find();
+    this.findPlace();
+  }
+
+  private findPlace(): void {
+    const isSuspected = exchangeContext.verdictOf(this.context, this.routed) !== 'free';
+    this.apart = this.runs > 0 || isSuspected;
+    this.finder.find(this.apart);
+  }
+
+  /**
+   * Upstreams end under this content. A run that has made an event is not one of those that end theirs at the begin,
+   * and may prove the content sound; any other is cancelled before it does.
+   */
+  private onQuarantined(): void {
+    if (this.leg === undefined || this.leg.events === 0) {
+      this.endQuarantined();
+    }
+  }
+
+  private endQuarantined(): void {
+    if (this.delivery.begun) {
+      this.breakOff(guardedUpstreams.QUARANTINED);
+    } else {
+      const reason = this.runs === 0 ? 'quarantined' : 'outcomeUnknown';
+      this.refuse(reason, guardedUpstreams.QUARANTINED);
+    }
   }
 
   describe(): placementTypes.RunningGeneration | undefined {
     if (this.leg === undefined || this.facts === undefined) {
       return undefined;
     }
-    const { produced, facts, leg } = this;
-    return { facts, instance: leg.instance.identity, produced, started: leg.events > 0 };
+    const { produced, facts, leg, apart } = this;
+    return { facts, instance: leg.instance.identity, produced, started: leg.events > 0, apart };
   }
 
   isLeaving(): boolean {
@@ -113,7 +145,7 @@
         return;
       }
       this.logResumption('silent');
-      this.dropLeg(leg);
+      this.dropLeg(leg, 'silent');
     }
     this.send(instance, undefined);
   }
@@ -224,7 +256,7 @@
       if (this.leg === leg && !this.ended && !this.moving.isStopping && this.hasAttemptsLeft) {
         this.silentSearch = { leg, events: leg.events };
         this.finder.exclude(leg.instance.identity);
-        this.finder.find();
+        this.findPlace();
       }
     });
   }
@@ -236,12 +268,13 @@
   /** True where the stream may be sent once more, which draws on the shared budget. */
   private mayResume(): boolean {
     const { allowance, timers } = this.context;
-    return this.hasAttemptsLeft && allowance.take(this.routed.service.name, timers.now());
+    const isQuarantined = exchangeContext.verdictOf(this.context, this.routed) === 'quarantined';
+    return this.hasAttemptsLeft && !isQuarantined && allowance.take(this.routed.service.name, timers.now());
   }
 
-  private dropLeg(leg: streamLeg.StreamLeg): void {
+  private dropLeg(leg: streamLeg.StreamLeg, why?: 'silent'): void {
     if (this.leg === leg) {
-      leg.close();
+      leg.close(why);
       this.leg = undefined;
       this.context.choice.ended(leg.instance.identity);
     }
@@ -296,7 +329,7 @@
     }
     this.runs -= 1;
     if (allowance.take(service.name, timers.now())) {
-      this.finder.find();
+      this.findPlace();
     } else {
       this.noPlace('overloaded', 'no repeat is left', exchangeContext.NO_UPSTREAM_RETRY);
     }
@@ -312,6 +345,11 @@
       return;
     }
     this.dropLeg(leg);
+    if (failure === 'quarantined') {
+      this.runs -= leg.copy === undefined ? 1 : 0;
+      this.endQuarantined();
+      return;
+    }
     log.info('streamBroken', {
       request: this.routed.request.identity,
       content: exchangeContext.contentOf(this.routed),
@@ -342,13 +380,13 @@
       return;
     }
     this.runs -= 1;
-    this.finder.find();
+    this.findPlace();
   }
 
   private afterBreak(leg: streamLeg.StreamLeg, cause: string): void {
     this.finder.exclude(leg.instance.identity);
     this.logResumption(cause);
-    this.finder.find();
+    this.findPlace();
   }
 
   private logResumption(cause: string): void {
@@ -450,6 +488,7 @@
     this.cancelDeadline();
     this.finder.cancel();
     this.cancelSilence();
+    this.cancelQuarantine();
     this.moving.cancel();
     if (this.leg !== undefined) {
       this.dropLeg(this.leg);
--- a/packages/kumquatfront/src/relay/streamLeg.ts
+++ b/packages/kumquatfront/src/relay/streamLeg.ts
@@ -85,11 +85,15 @@
     }
   }
 
-  /** Ends the leg; the upstream is told that nobody listens. */
-  close(): void {
+  /**
+   * Ends the leg; the upstream is told that nobody listens.
+   *
+   * @param why - `silent` where the leg is given up because nothing came of it
+   */
+  close(why?: 'silent'): void {
     if (this.open) {
       this.open = false;
-      this.cancel();
+      this.cancel(why);
     }
   }
 
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -74,8 +74,11 @@
   readonly load?: { readonly running: number; readonly waiting: number };
 }
 
-/** How an exchange ended without a whole answer; `notSent` means that the upstream cannot have seen it. */
-export type ExchangeFailure = 'notSent' | 'broken' | 'garbled';
+/**
+ * How an exchange ended without a whole answer; `notSent` means that the upstream cannot have seen it, `quarantined`
+ * that it was not sent because upstreams end under its content.
+ */
+export type ExchangeFailure = 'notSent' | 'broken' | 'garbled' | 'quarantined';
 
 /** Hears of one exchange. `end` or `failed` is called last, once, unless the exchange is cancelled. */
 export interface ExchangeListener {
@@ -86,8 +89,11 @@
   readonly failed: (failure: ExchangeFailure, reason: string) => void;
 }
 
-/** Cancels an exchange: its connection closes at once. */
-export type CancelExchange = () => void;
+/** Cancels an exchange: its connection closes at once. `silent` says that its upstream had stopped answering. */
+export type CancelExchange = (why?: 'silent') => void;
+
+/** What a try to connect to an upstream shows; `unknown` where nothing comes back, as behind a cut. */
+export type ConnectionSign = 'accepted' | 'refused' | 'unknown';
 
 /** How a copy of a generation's memory ended. */
 export type CopyResult =
@@ -101,6 +107,8 @@
 /** Speaks to upstreams. */
 export interface UpstreamPort {
   readonly send: (call: UpstreamCall, listener: ExchangeListener) => CancelExchange;
+  /** Tries whether anything listens at an instance's address; sends nothing. */
+  readonly check: (instance: instanceView.Instance, done: (sign: ConnectionSign) => void) => void;
   /** Copies a generation's memory; with `stop` the source ends its run first. */
   readonly copyMemory: (
     source: instanceView.Instance,
@@ -120,6 +128,7 @@
   | 'unknownKey'
   | 'overloaded'
   | 'noUpstream'
+  | 'quarantined'
   | 'draining'
   | 'timeoutNotRun'
   | 'timeoutUnknown'
--- a/packages/kumquatfront/src/settings/generatedSettings.ts
+++ b/packages/kumquatfront/src/settings/generatedSettings.ts
@@ -272,6 +272,10 @@
      * Finished orders remembered
      */
     finishedOrders?: number;
+    /**
+     * Contents kept from upstreams at once
+     */
+    quarantined?: number;
   };
   orders?: {
     /**
--- a/packages/kumquatfront/src/settings/settingsSchema.ts
+++ b/packages/kumquatfront/src/settings/settingsSchema.ts
@@ -191,7 +191,8 @@
             "claimLife": { "$ref": "#/definitions/Milliseconds", "description": "Time for which a claim is kept" },
             "claimsPerAccount": { "type": "integer", "minimum": 1, "description": "Claims kept for one client account" },
             "tombstones": { "type": "integer", "minimum": 1, "description": "Deleted objects remembered for partial pulls" },
-            "finishedOrders": { "type": "integer", "minimum": 0, "description": "Finished orders remembered" }
+            "finishedOrders": { "type": "integer", "minimum": 0, "description": "Finished orders remembered" },
+            "quarantined": { "type": "integer", "minimum": 1, "description": "Contents kept from upstreams at once" }
           }
         },
         "orders": {
--- a/packages/kumquatfront/src/trafficControl/controlBench.ts
+++ b/packages/kumquatfront/src/trafficControl/controlBench.ts
@@ -316,6 +316,8 @@
       instances: view,
       onTraffic: (traffic) => taken.push(traffic),
       onCoordinator: () => undefined,
+      onCases: () => undefined,
+      onReplicaStarted: () => undefined,
     });
     return { taken, view, watch };
   }
--- a/packages/kumquatfront/src/trafficControl/controlWatch.ts
+++ b/packages/kumquatfront/src/trafficControl/controlWatch.ts
@@ -9,6 +9,7 @@
 import type * as ports from '../kernel/ports.js';
 import type * as results from '../kernel/results.js';
 import type * as timerService from '../kernel/timerService.js';
+import type * as quarantineTypes from '../quarantine/types.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as rendezvous from '../utils/rendezvous.js';
 import * as methods from './methods.js';
@@ -44,6 +45,10 @@
   /** Takes a configuration in; called with ever higher versions only. */
   readonly onTraffic: (traffic: trafficTypes.VersionedText) => void;
   readonly onCoordinator: (address: string) => void;
+  /** Takes in what a replica knows of contents under which upstreams ended. */
+  readonly onCases: (cases: readonly quarantineTypes.CaseRecord[]) => void;
+  /** A replica answers for the first time since it started. */
+  readonly onReplicaStarted: (address: string) => void;
 }
 
 interface Watched {
@@ -55,12 +60,25 @@
   control: readonly string[];
   /** Entries that it hears from. */
   entryCount: number;
+  /** Its start that this entry has heard of; empty before its first answer. */
+  epoch: string;
+  /** Revision of the cases that it has told of in this epoch. */
+  caseRevision: number;
   /** Counts questions, so that the answer to a former one starts no second loop. */
   round: number;
 }
 
 function createWatched(namedAt: ports.Milliseconds): Watched {
-  return { namedAt, answering: false, dataCentre: undefined, control: [], entryCount: 0, round: 0 };
+  return {
+    namedAt,
+    answering: false,
+    dataCentre: undefined,
+    control: [],
+    entryCount: 0,
+    epoch: '',
+    caseRevision: 0,
+    round: 0,
+  };
 }
 
 type WatchedReplica = readonly [address: string, watched: Watched];
@@ -138,6 +156,11 @@
     return 1 / Math.max(1, ...counts.map(({ entryCount }) => entryCount));
   }
 
+  /** Addresses of the replicas that are watched. */
+  replicas(): readonly string[] {
+    return [...this.watched.keys()];
+  }
+
   /** Asks every replica at once: this entry has something to tell, such as that it stops. */
   tellNow(): void {
     for (const [address, watched] of this.watched) {
@@ -171,6 +194,7 @@
       toldTerm: this.leader.term,
       toldAtOnce: this.toldAtOnceBy(address),
       controlDigest: watched.control.length === 0 ? 0 : methods.digestOf(watched.control),
+      caseRevision: watched.caseRevision,
     };
     peers.request(address, methods.methods.watch, request, WATCH_TIMEOUT, (result) => {
       this.onAnswer(address, watched, round, result);
@@ -262,6 +286,7 @@
     const now = timers.now();
     instances.merge(address, answer.instances ?? nothingNew(instances.positionOf(address)), now);
     watched.entryCount = answer.entryCount;
+    this.takeCases(address, watched, answer);
     this.firstAnswerAt = Math.min(this.firstAnswerAt, now);
     // A replica that may be behind is no reason to begin: others could have moved on long ago.
     if (answer.fresh || this.fetch.inForce > 0) {
@@ -271,6 +296,26 @@
     this.addAll(watched.control);
   }
 
+  /**
+   * Cases are taken before a configuration: an entry that starts serves nobody before it knows what is quarantined.
+   */
+  private takeCases(address: string, watched: Watched, { cases }: methods.WatchAnswer): void {
+    const { instances, onCases, onReplicaStarted } = this.options;
+    const { epoch } = instances.positionOf(address);
+    const started = watched.epoch !== epoch;
+    if (started) {
+      watched.epoch = epoch;
+      watched.caseRevision = 0;
+    }
+    if (cases !== undefined) {
+      watched.caseRevision = Math.max(watched.caseRevision, cases.revision);
+      onCases(cases.cases);
+    }
+    if (started) {
+      onReplicaStarted(address);
+    }
+  }
+
   private noteLeader(answer: methods.WatchAnswer, now: number): void {
     const { leaderTerm: term, leaderAddress } = answer;
     if (leaderAddress === '' || term < this.leader.term) {
--- a/packages/kumquatfront/src/trafficControl/methods.ts
+++ b/packages/kumquatfront/src/trafficControl/methods.ts
@@ -4,6 +4,7 @@
  */
 import type * as instanceTypes from '../instances/types.js';
 import type * as placementTypes from '../placement/types.js';
+import type * as quarantineTypes from '../quarantine/types.js';
 import * as rendezvous from '../utils/rendezvous.js';
 
 /** Names of the methods. */
@@ -13,6 +14,7 @@
   replace: 'traffic.replace',
   read: 'traffic.read',
   gossip: 'traffic.gossip',
+  cases: 'traffic.cases',
   place: 'placement.place',
   withdraw: 'placement.withdraw',
   report: 'placement.report',
@@ -53,6 +55,8 @@
   readonly toldAtOnce: ToldAtOnce;
   /** Digest of the control replicas that this one has told of; 0 before the first answer. */
   readonly controlDigest: number;
+  /** Revision up to which this replica, in this epoch, has told of contents under which upstreams ended. */
+  readonly caseRevision: number;
 }
 
 /** Asks for the configuration in force, where it is newer than a version. */
@@ -77,6 +81,8 @@
   readonly control?: readonly string[];
   /** Entries that this replica hears from. */
   readonly entryCount: number;
+  /** Contents under which upstreams ended; left out where the entry is up to date. */
+  readonly cases?: quarantineTypes.CaseNews;
 }
 
 /** News of instances between control replicas. */
@@ -84,6 +90,11 @@
   readonly records: readonly instanceTypes.InstanceRecord[];
 }
 
+/** What an entry holds against contents. */
+export interface CaseReport {
+  readonly cases: readonly quarantineTypes.CaseRecord[];
+}
+
 /** Withdraws a question for a place. */
 export interface Withdrawal {
   readonly identity: string;
--- a/packages/kumquatfront/src/trafficControl/openWatches.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/openWatches.spec.ts
@@ -16,7 +16,7 @@
 class Bench {
   readonly time = new virtualTime.VirtualTime();
   readonly table = new instanceTable.InstanceTable('epoch');
-  state: openWatches.WatchedState = { trafficVersion: 1, fresh: true, leaderTerm: 1 };
+  state: openWatches.WatchedState = { trafficVersion: 1, fresh: true, leaderTerm: 1, caseRevision: 0 };
   readonly watches = new openWatches.OpenWatches({
     timers: timerService.create(this.time.clock, this.time),
     table: this.table,
@@ -57,6 +57,7 @@
         toldTerm: told.term,
         toldAtOnce,
         controlDigest: 0,
+        caseRevision: 0,
       };
       this.watches.open(request, (result) => {
         const answer = result.unwrap() as methods.WatchAnswer;
--- a/packages/kumquatfront/src/trafficControl/openWatches.ts
+++ b/packages/kumquatfront/src/trafficControl/openWatches.ts
@@ -7,7 +7,8 @@
  * replica would answer nothing else for seconds. So an entry is told of everything at once by the replica that is
  * nearest to it, of notices and configurations by a second one as well, which stands in another data centre, and of
  * a new leader by all. The others tell the rest when their watches close: within a second even where both of an
- * entry's own are cut off, which is half of the time in which a notice must be heeded.
+ * entry's own are cut off, which is half of the time in which a notice must be heeded. Contents under which upstreams
+ * end are told like notices: an entry that learns of one late may send it on once more.
  */
 import type * as instanceTable from '../instances/instanceTable.js';
 import type * as ports from '../kernel/ports.js';
@@ -30,6 +31,8 @@
   /** Version of the configuration in force here; 0 where there is none. */
   readonly trafficVersion: number;
   readonly fresh: boolean;
+  /** Grows with every change of what is held against contents. */
+  readonly caseRevision: number;
   /** Term of the leader that this replica follows; 0 where it knows none. */
   readonly leaderTerm: number;
 }
@@ -114,7 +117,10 @@
     if (request.epoch !== table.epoch) {
       return true;
     }
-    return request.toldAtOnce !== 'leaders' && (newTraffic || request.revision < table.noticeRevision);
+    const newCases = request.caseRevision < state.caseRevision;
+    return (
+      request.toldAtOnce !== 'leaders' && (newTraffic || newCases || request.revision < table.noticeRevision)
+    );
   }
 
   private isInWave({ request }: OpenWatch): boolean {
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -15,6 +15,7 @@
 import * as evacuation from '../placement/evacuation.js';
 import type * as mechanisms from '../placement/mechanisms.js';
 import type * as placementTypes from '../placement/types.js';
+import * as caseBook from '../quarantine/caseBook.js';
 import * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as trafficValidation from '../traffic/trafficValidation.js';
@@ -66,6 +67,7 @@
   private readonly coordinator: coordinator.Coordinator;
   private readonly entries: entryDirectory.EntryDirectory;
   private readonly watches: openWatches.OpenWatches;
+  private readonly cases: caseBook.CaseBook;
   private readonly unsent = new Set<string>();
   private decoded: routeTable.RouteTable | undefined;
 
@@ -89,6 +91,17 @@
         });
       },
     });
+    this.cases = new caseBook.CaseBook({
+      now: () => timers.now(),
+      log,
+      metrics,
+      agreed: () => options.state.quarantined,
+      mayLead: () => options.replica.mayLead(),
+      mostAgreed: options.state.mostQuarantined,
+      propose: (command) => {
+        this.proposeCase(command);
+      },
+    });
     this.watches = new openWatches.OpenWatches({
       timers,
       table: this.table,
@@ -137,6 +150,12 @@
       this.onGossip(parameters as methods.Gossip);
       reply(results.Ok(null));
     });
+    peers.serve(names.cases, (parameters, reply) => {
+      if (this.cases.hear((parameters as methods.CaseReport).cases)) {
+        this.wakeWatches();
+      }
+      reply(results.Ok(null));
+    });
     peers.serve(names.place, (parameters, reply) => {
       this.onPlace(parameters as methods.PlaceRequest, reply);
     });
@@ -150,6 +169,14 @@
     });
   }
 
+  private proposeCase(command: agreedTypes.QuarantineCommand | agreedTypes.ReleaseCommand): void {
+    const { replica: own, log } = this.options;
+    own.propose(command, (result) => {
+      const outcome = result.ok ? 'agreed' : failures.describe(result.val);
+      log.info('caseAgreed', { content: command.content, change: command.type, outcome });
+    });
+  }
+
   /** An entry may know of instances and notices that only replicas know which are cut off from this one. */
   private onReport(report: placementTypes.EntryReport): void {
     const now = this.options.timers.now();
@@ -338,6 +365,7 @@
     for (const entry of this.entries.expire(now)) {
       this.options.log.info('entryLost', { entry });
     }
+    this.cases.beat();
     this.wakeWatches();
   }
 
@@ -361,6 +389,7 @@
     return {
       trafficVersion: state.traffic?.version ?? 0,
       fresh,
+      caseRevision: this.cases.revision,
       leaderTerm: leader === undefined ? 0 : term,
     };
   }
@@ -370,6 +399,7 @@
     const status = own.status();
     const control = status.members.map((member) => member.address);
     const isCurrent = request.epoch === this.table.epoch && request.revision === this.table.currentRevision;
+    const cases = this.cases.newsSince(request.epoch === this.table.epoch ? request.caseRevision : 0);
     return {
       dataCentre,
       ...(!isCurrent && {
@@ -381,6 +411,7 @@
       leaderTerm: status.term,
       leaderAddress: status.fresh ? (status.leader?.address ?? '') : '',
       entryCount: this.entries.size,
+      ...(cases !== undefined && { cases }),
     };
   }
 
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -13,6 +13,7 @@
 import * as retryAllowance from '../relay/retryAllowance.js';
 import * as trafficRelay from '../relay/trafficRelay.js';
 import type * as relayTypes from '../relay/types.js';
+import * as quarantine from '../quarantine/quarantine.js';
 import * as routeTable from '../traffic/routeTable.js';
 import * as controlWatch from '../trafficControl/controlWatch.js';
 import type * as methods from '../trafficControl/methods.js';
@@ -44,6 +45,7 @@
   readonly placement: placementClient.PlacementClient;
   readonly relay: trafficRelay.TrafficRelay;
   readonly watch: controlWatch.ControlWatch;
+  readonly quarantine: quarantine.Quarantine;
 }
 
 /** An entry; see the module comment. */
@@ -55,6 +57,7 @@
   private readonly watch: controlWatch.ControlWatch;
   private readonly relay: trafficRelay.TrafficRelay;
   private readonly placement: placementClient.PlacementClient;
+  private readonly quarantine: quarantine.Quarantine;
   private routes: routeTable.RouteTable | undefined;
   private draining = false;
 
@@ -67,7 +70,9 @@
     const choice = new localChoice.LocalChoice(random, settings.dataCentre);
     const instances = new instanceView.InstanceView((news) => {
       instanceLog.write(log, news);
-      for (const { instance, event } of news.changes) {
+      for (const change of news.changes) {
+        const { instance, event } = change;
+        this.quarantine.onInstance(change);
         if (event === 'gone' || event === 'replaced') {
           choice.forget(instance.identity);
         }
@@ -87,14 +92,33 @@
       coordinator: () => this.watch.coordinator,
       instances,
     });
-    const { placement } = this;
+    this.quarantine = new quarantine.Quarantine({
+      timers,
+      peers,
+      log,
+      metrics,
+      upstreams,
+      hasGivenNotice: (identity) => instances.get(identity)?.state === 'leaving',
+      replicas: () => this.watch.replicas(),
+    });
+    const { placement, quarantine: guard } = this;
     const allowance = new retryAllowance.RetryAllowance(
       settings.retries,
       () => this.watch.shareOfEntries,
       random,
     );
     this.relay = new trafficRelay.TrafficRelay({
-      context: { timers, log, metrics, upstreams, instances, choice, allowance, placement },
+      context: {
+        timers,
+        log,
+        metrics,
+        upstreams: guard.upstreams,
+        instances,
+        choice,
+        allowance,
+        placement,
+        quarantine: guard,
+      },
       random,
       routes: () => this.routes,
       draining: () => this.draining,
@@ -113,12 +137,19 @@
       onCoordinator: () => {
         placement.coordinatorChanged();
       },
+      onCases: (cases) => {
+        guard.take(cases);
+      },
+      onReplicaStarted: (address) => {
+        guard.onReplicaStarted(address);
+      },
     });
     this.services.register('timers', timers);
     this.services.register('instances', instances);
     this.services.register('placement', placement);
     this.services.register('relay', this.relay);
     this.services.register('watch', this.watch);
+    this.services.register('quarantine', guard);
   }
 
   private describe(): methods.EntryNews {
