The product's own interface passes the same gate; entries tell each other what is held against contents

The entries of the product's own interface run a request again on up to three engines, and each attempt of its caller starts anew: a scenario let five engines end under one request, red before. Orders were looked at: each names one upstream and is given five times at most, so none goes on to others. Change: places of a request pass the quarantine; cases are pushed among entries like notices and repeated for newcomers. A refusal is 422 there, since client libraries repeat a 503 by themselves.

--- a/packages/daemons/src/entryDaemon.ts
+++ b/packages/daemons/src/entryDaemon.ts
@@ -28,6 +28,7 @@
     metrics: kumquatfront.statsdMetrics.create(settings.metrics, settings.entry.name),
     engines: kumquatfront.httpUpstreams.createEngines(),
     services: kumquatfront.httpUpstreams.createServices(),
+    checkUpstream: kumquatfront.httpUpstreams.createCheck(kumquatfront.systemTime.scheduler),
     orders: kumquatfront.httpUpstreams.createOrders(),
     onDrainRequest,
   };
--- a/packages/kumquatfront/src/adapters/httpUpstreams.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.ts
@@ -9,8 +9,10 @@
 
 import * as failures from '../kernel/failures.js';
 import * as results from '../kernel/results.js';
+import type * as ports from '../kernel/ports.js';
 import type * as orders from '../orders/types.js';
 import type * as streams from '../streams/types.js';
+import * as connectionCheck from './connectionCheck.js';
 
 const CONNECT_TIMEOUT = 1_000;
 const ANSWER_LIMIT = 4 * 1024 * 1024;
@@ -222,6 +224,22 @@
   };
 }
 
+/**
+ * Creates the check of upstreams' addresses.
+ *
+ * @param scheduler - for its timeout
+ * @returns the check
+ * @example
+ * ```ts
+ * const ports = { checkUpstream: httpUpstreams.createCheck(systemTime.scheduler) };
+ * ```
+ */
+export function createCheck(scheduler: ports.Scheduler): streams.CheckUpstream {
+  return (address, done) => {
+    connectionCheck.run(new URL(address).host, scheduler, done);
+  };
+}
+
 async function readLimited(body: undici.Dispatcher.ResponseData['body']): Promise<string> {
   const chunks: Buffer[] = [];
   let length = 0;
--- a/packages/kumquatfront/src/adapters/strangers.spec.ts
+++ b/packages/kumquatfront/src/adapters/strangers.spec.ts
@@ -118,6 +118,7 @@
     engines: httpUpstreams.createEngines(),
     services: httpUpstreams.createServices(),
     orders: httpUpstreams.createOrders(),
+    checkUpstream: silent,
     onDrainRequest: silent,
   });
   const server: http.Server = entryHttp.createServer(settings, node);
--- a/packages/kumquatfront/src/directory/directory.ts
+++ b/packages/kumquatfront/src/directory/directory.ts
@@ -6,6 +6,8 @@
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
 import type * as timerService from '../kernel/timerService.js';
+import * as caseAge from '../quarantine/caseAge.js';
+import type * as quarantineTypes from '../quarantine/types.js';
 import * as publicationStore from './publicationStore.js';
 import type * as types from './types.js';
 import * as upstreamTable from './upstreamTable.js';
@@ -61,6 +63,7 @@
   private presenceAt = Number.NEGATIVE_INFINITY;
   private readonly listeners: (() => void)[] = [];
   private readonly goneListeners: ((name: string) => void)[] = [];
+  private readonly caseListeners: ((record: quarantineTypes.CaseRecord) => void)[] = [];
 
   constructor(options: DirectoryOptions) {
     this.options = options;
@@ -112,6 +115,18 @@
     this.goneListeners.push(listener);
   }
 
+  /** Calls back with what other entries hold against contents. */
+  onCase(listener: (record: quarantineTypes.CaseRecord) => void): void {
+    this.caseListeners.push(listener);
+  }
+
+  /** Tells every entry at once what is held against a content. */
+  publishCase(record: quarantineTypes.CaseRecord): void {
+    const { name, incarnation } = this.options;
+    const value: types.PublishedValue = { type: 'case', record };
+    this.push([this.store.publish(name, incarnation, keyOf(value), value, this.now())]);
+  }
+
   /** Takes news that an upstream posted to this entry. */
   takeNews(news: types.UpstreamNews): boolean {
     const fresh = this.apply(news, 0);
@@ -171,6 +186,11 @@
         this.remember(value.presence.peerAddress);
         this.peersByName.set(value.presence.name, { presence: value.presence, heardAt: this.now() - age });
         return true;
+      case 'case':
+        for (const listener of this.caseListeners) {
+          listener(caseAge.after(value.record, age));
+        }
+        return true;
     }
   }
 
@@ -303,6 +323,8 @@
   switch (news.type) {
     case 'presence':
       return 'presence';
+    case 'case':
+      return `case/${news.record.content}`;
     case 'renewal':
       return `renewal/${news.renewal.name}`;
     case 'announce':
--- a/packages/kumquatfront/src/directory/types.ts
+++ b/packages/kumquatfront/src/directory/types.ts
@@ -2,6 +2,7 @@
  * What entries know of upstreams and of each other. This is soft state: it is announced, leased and
  * repeated, never agreed on.
  */
+import type * as quarantineTypes from '../quarantine/types.js';
 import type * as labelSelector from '../selectors/labelSelector.js';
 
 /** A model engine, or a service that is only called. */
@@ -80,7 +81,9 @@
   | { readonly type: 'renewal'; readonly renewal: Renewal }
   | { readonly type: 'load'; readonly report: LoadReport }
   | { readonly type: 'cache'; readonly event: CacheEvent }
-  | { readonly type: 'presence'; readonly presence: EntryPresence };
+  | { readonly type: 'presence'; readonly presence: EntryPresence }
+  /** What is held against a content under which upstreams have ended. */
+  | { readonly type: 'case'; readonly record: quarantineTypes.CaseRecord };
 
 /** A published value on its way between entries. */
 export interface PublishedItem {
--- a/packages/kumquatfront/src/entryNode/entryNode.ts
+++ b/packages/kumquatfront/src/entryNode/entryNode.ts
@@ -17,13 +17,16 @@
 import * as serviceRegistry from '../kernel/serviceRegistry.js';
 import * as timerService from '../kernel/timerService.js';
 import * as entryOrderPort from '../orders/entryOrderPort.js';
+import * as quarantine from '../quarantine/quarantine.js';
 import * as choice from '../routing/choice.js';
 import * as health from '../routing/health.js';
 import * as retryBudget from '../routing/retryBudget.js';
 import type * as routing from '../routing/types.js';
 import * as trafficResolver from '../selectors/trafficResolver.js';
 import * as requestFront from './requestFront.js';
+import * as rendezvous from '../utils/rendezvous.js';
 import type * as types from './types.js';
+import * as watchedPlacement from './watchedPlacement.js';
 
 /** Services of an entry, by name. */
 export interface EntryServices {
@@ -37,6 +40,7 @@
   readonly retries: retryBudget.RetryBudget;
   readonly claims: claimClient.ClaimClient;
   readonly burn: burnRecorder.BurnRecorder;
+  readonly quarantine: quarantine.Quarantine;
   readonly requests: requestFront.RequestFront;
 }
 
@@ -117,6 +121,7 @@
     presence,
   });
   services.register('directory', known);
+  services.register('quarantine', quarantineOver(known, settings, ports, timers));
 
   const control = new controlClient.ControlClient({
     addresses: settings.control,
@@ -213,6 +218,44 @@
   };
 }
 
+/** Quarantine among entries: what one of them finds out is pushed to all, and kept in what they tell newcomers. */
+function quarantineOver(
+  known: directory.Directory,
+  settings: types.EntrySettings,
+  ports: types.EntryPorts,
+  timers: timerService.TimerService,
+): quarantine.Quarantine {
+  const { log, metrics, checkUpstream } = ports;
+  const publish = (content: string): void => {
+    const record = held.caseOf(content);
+    if (record !== undefined) {
+      known.publishCase(record);
+    }
+  };
+  const held: quarantine.Quarantine = new quarantine.Quarantine({
+    timers,
+    log,
+    metrics,
+    check: checkUpstream,
+    hasGivenNotice: (identity) =>
+      known.table.all().some((record) => record.leaving && watchedPlacement.identityOf(record) === identity),
+    tell: publish,
+  });
+  known.onCase((record) => {
+    held.take([record]);
+  });
+  // Publications end long before a quarantine does; one entry for each content repeats it for those that start.
+  timers.every(
+    () => settings.directory.keepFor / 3,
+    () => {
+      const names = known.entries().map(({ name }) => name);
+      const own = held.quarantined.filter((content) => rendezvous.pick(content, names) === settings.name);
+      own.forEach(publish);
+    },
+  );
+  return held;
+}
+
 function boundsOf(configuration: configurationReplica.ConfigurationReplica): fairQueue.QueueBounds {
   const limits = configuration.find('limits', 'default');
   return {
--- a/packages/kumquatfront/src/entryNode/requestFront.ts
+++ b/packages/kumquatfront/src/entryNode/requestFront.ts
@@ -4,6 +4,7 @@
 import type * as configurationTypes from '../configuration/types.js';
 import type * as ports from '../kernel/ports.js';
 import type * as serviceRegistry from '../kernel/serviceRegistry.js';
+import * as contentDigest from '../quarantine/contentDigest.js';
 import type * as routing from '../routing/types.js';
 import * as trafficResolver from '../selectors/trafficResolver.js';
 import * as generationRelay from '../streams/generationRelay.js';
@@ -16,6 +17,7 @@
 import * as promptFacts from './promptFacts.js';
 import * as refusals from './refusals.js';
 import type * as types from './types.js';
+import * as watchedPlacement from './watchedPlacement.js';
 
 /** What the front is made from. */
 export interface RequestFrontOptions {
@@ -171,7 +173,11 @@
       timers: services.find('timers'),
       settings: settings.relay,
       caller: this.measured(selector.urgency, caller),
-      host: this.relayHost(placementRequest, request.path),
+      host: this.relayHost(
+        placementRequest,
+        request.path,
+        contentDigest.ofParts([request.path, account.name], canonicalJson.stringify(request.body)),
+      ),
     });
     this.active += 1;
     services.find('retries').requested(account.name);
@@ -197,11 +203,20 @@
   private relayHost(
     request: Omit<routing.PlacementRequest, 'exclude'>,
     path: string,
+    content: string,
   ): generationRelay.RelayHost {
     const { services, ports: outside, settings } = this.options;
     const placement = services.find('placement');
+    const quarantine = services.find('quarantine');
+    const places = new watchedPlacement.WatchedPlacement({
+      request,
+      content,
+      placement,
+      quarantine,
+      log: this.log,
+    });
     return {
-      place: (exclude, done) => placement.place({ ...request, exclude }, done),
+      place: (exclude, done) => places.place(exclude, done),
       issueToken: (target, generation) =>
         resumeToken.issue(
           {
@@ -219,6 +234,7 @@
         placement.progressed(request.requestId, produced);
       },
       left: (upstream, produced, reason) => {
+        places.left(reason);
         this.onLeft(request.requestId, upstream, produced, reason);
       },
       stalled: (milliseconds) => {
@@ -246,8 +262,8 @@
     services.find('placement').finished(requestId, produced, reason === 'whole');
     if (reason === 'whole') {
       health.succeeded(upstream);
-    } else if (reason === 'failure' || reason === 'stall') {
-      health.failed(upstream, reason, outside.clock.now());
+    } else if (reason === 'failure' || reason === 'neverSent' || reason === 'stall') {
+      health.failed(upstream, reason === 'stall' ? 'stall' : 'failure', outside.clock.now());
       outside.metrics.count('upstream.failures', 1, { reason });
       this.log.warn('upstreamFailed', { upstream, reason, request: requestId });
     }
@@ -291,7 +307,8 @@
       settings: settings.relay,
       caller,
       host: {
-        ...this.relayHost(placementRequest, claims.path),
+        // It is not placed again: only the engine that runs it is asked.
+        ...this.relayHost(placementRequest, claims.path, ''),
         // The token that is issued again must name the request, not this one resumption of it.
         issueToken: (target, generation) =>
           resumeToken.issue(
@@ -348,6 +365,7 @@
         estimateKeys: [],
       },
       path,
+      contentDigest.ofParts([request.service, method, path, account.name], body),
     );
     const digest = canonicalJson.digest([request.service, method, path, body]);
     this.active += 1;
--- a/packages/kumquatfront/src/entryNode/types.ts
+++ b/packages/kumquatfront/src/entryNode/types.ts
@@ -41,6 +41,7 @@
 export interface EntryPorts extends ports.BasePorts {
   readonly engines: streams.GenerationPort;
   readonly services: streams.ServicePort;
+  readonly checkUpstream: streams.CheckUpstream;
   /** Gives orders of control to upstreams, which only entries know. */
   readonly orders: orders.OrderPort;
   /** Called when an operator asks this entry to drain; the daemon drains and ends. */
--- a/packages/kumquatfront/src/quarantine/crashBench.ts
+++ b/packages/kumquatfront/src/quarantine/crashBench.ts
@@ -221,9 +221,9 @@
   private upstreamsOf(entry: string): relayTypes.UpstreamPort {
     return {
       send: (call, listener) => this.send(entry, call, listener),
-      check: (instance, done) => {
+      check: (address, done) => {
         this.time.after(ROUND_TRIP, () => {
-          const found = this.upstreams.find(({ announcement }) => announcement.address === instance.address);
+          const found = this.upstreams.find(({ announcement }) => announcement.address === address);
           done(found?.alive === true ? 'accepted' : 'refused');
         });
       },
--- a/packages/kumquatfront/src/quarantine/crashDetector.spec.ts
+++ b/packages/kumquatfront/src/quarantine/crashDetector.spec.ts
@@ -20,7 +20,7 @@
   checks = 0;
   readonly detector = new crashDetector.CrashDetector({
     timers: timerService.create(this.time.clock, this.time),
-    check: (_instance, done) => {
+    check: (_address, done) => {
       this.checks += 1;
       const { sign } = this;
       this.time.after(2, () => {
--- a/packages/kumquatfront/src/quarantine/crashDetector.ts
+++ b/packages/kumquatfront/src/quarantine/crashDetector.ts
@@ -39,10 +39,17 @@
   readonly request: string;
 }
 
+/** An upstream as far as the detector needs it. */
+export interface CheckedInstance {
+  /** New at each start of the upstream. */
+  readonly identity: string;
+  readonly address: string;
+}
+
 /** What the detector is made from. */
 export interface CrashDetectorOptions {
   readonly timers: timerService.TimerService;
-  readonly check: relayTypes.UpstreamPort['check'];
+  readonly check: (address: string, done: (sign: relayTypes.ConnectionSign) => void) => void;
   /** True where an instance is known to have given notice. */
   readonly hasGivenNotice: (identity: string) => boolean;
   readonly onCrash: (crash: DetectedCrash) => void;
@@ -105,7 +112,7 @@
    *
    * @param done - called once that is known, or at once where it need not be asked
    */
-  broke(instance: instanceView.Instance, run: number, done: () => void): void {
+  broke(instance: CheckedInstance, run: number, done: () => void): void {
     const { identity } = instance;
     const known = this.runs.get(identity)?.get(run);
     if (known === undefined || this.options.hasGivenNotice(identity)) {
@@ -117,7 +124,7 @@
     this.checkSoon(instance, once(this.options.timers, done));
   }
 
-  private checkSoon(instance: instanceView.Instance, done: () => void): void {
+  private checkSoon(instance: CheckedInstance, done: () => void): void {
     const { timers, check } = this.options;
     const { identity } = instance;
     const waiting = this.checking.get(identity);
@@ -127,7 +134,7 @@
     }
     this.checking.set(identity, [done]);
     timers.after(CHECK_AFTER, () => {
-      check(instance, (sign) => {
+      check(instance.address, (sign) => {
         const told = this.checking.get(identity) ?? [];
         this.checking.delete(identity);
         if (sign === 'refused') {
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -11,8 +11,7 @@
 import type * as timerService from '../kernel/timerService.js';
 import type * as relayTypes from '../relay/types.js';
 import * as contentDigest from './contentDigest.js';
-import type * as crashDetector from './crashDetector.js';
-import type * as types from './types.js';
+import * as quarantine from './quarantine.js';
 
 /** What the caller is told, and the log. */
 export const QUARANTINED =
@@ -22,10 +21,7 @@
 export interface GuardOptions {
   readonly upstreams: relayTypes.UpstreamPort;
   readonly timers: timerService.TimerService;
-  readonly detector: crashDetector.CrashDetector;
-  readonly verdictOf: (content: string) => types.Verdict;
-  /** Called when an upstream has answered a content in whole. */
-  readonly onAnswered: (content: string) => void;
+  readonly quarantine: quarantine.Quarantine;
 }
 
 /** A run as the gate watches it. */
@@ -40,7 +36,7 @@
     private readonly content: string,
   ) {
     const { instance, request } = call;
-    this.run = options.detector.begun(instance.identity, content, request.identity);
+    this.run = options.quarantine.detector.begun(instance.identity, content, request.identity);
   }
 
   /** The listener that watches on the way to another one. */
@@ -66,7 +62,7 @@
   private endWhole(): void {
     this.settle(false);
     if (this.succeeded) {
-      this.options.onAnswered(this.content);
+      this.options.quarantine.answered(this.content);
     }
   }
 
@@ -82,12 +78,13 @@
       return;
     }
     this.over = true;
-    const { detector, verdictOf } = this.options;
+    const { quarantine: held } = this.options;
+    const { detector } = held;
     const { instance } = this.call;
     if (!broke) {
       detector.ended(instance.identity, this.run);
       then();
-    } else if (verdictOf(this.content) === 'free') {
+    } else if (held.verdictOf(this.content) === 'free') {
       detector.broke(instance, this.run, () => undefined);
       then();
     } else {
@@ -103,14 +100,14 @@
  * @returns upstreams that pass the gate
  * @example
  * ```ts
- * const upstreams = guardedUpstreams.create({ upstreams: port, timers, detector, verdictOf, onAnswered });
+ * const upstreams = guardedUpstreams.create({ upstreams: port, timers, quarantine });
  * ```
  */
 export function create(options: GuardOptions): relayTypes.UpstreamPort {
-  const { upstreams, timers, verdictOf } = options;
+  const { upstreams, timers, quarantine: held } = options;
   const send: relayTypes.UpstreamPort['send'] = (call, listener) => {
     const content = contentDigest.of(call.request, call.account ?? '');
-    if (verdictOf(content) === 'quarantined') {
+    if (held.verdictOf(content) === 'quarantined') {
       return refuseSoon(timers, listener);
     }
     const watched = new WatchedRun(options, call, content);
@@ -126,6 +123,6 @@
 /** Exchanges learn of a failure after their call has returned, as they do from a real upstream. */
 function refuseSoon(timers: timerService.TimerService, listener: relayTypes.ExchangeListener): ports.Cancel {
   return timers.after(0, () => {
-    listener.failed('quarantined', QUARANTINED);
+    listener.failed('quarantined', quarantine.QUARANTINED);
   });
 }
--- a/packages/kumquatfront/src/quarantine/quarantine.ts
+++ b/packages/kumquatfront/src/quarantine/quarantine.ts
@@ -1,71 +1,49 @@
 /**
- * An entry's part in keeping requests that end upstreams away from them: it finds out what ended under what, tells
- * control, takes in what others found out, and gates everything that is sent.
+ * An entry's part in keeping requests that end upstreams away from them: it finds out what ended under what, has others
+ * told, takes in what they found out, and answers what may be sent. How entries tell each other is up to the node.
  */
-import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
-import type * as relayTypes from '../relay/types.js';
-import * as caseReporter from './caseReporter.js';
-import * as contentDigest from './contentDigest.js';
 import * as crashDetector from './crashDetector.js';
 import * as crashLedger from './crashLedger.js';
-import * as guardedUpstreams from './guardedUpstreams.js';
 import type * as types from './types.js';
 
+/** What callers are told. */
+export const QUARANTINED =
+  'upstreams ended under this content, one after another; sending it again will not help';
+
 /** How often what has run out is let go. */
 const EXPIRY_INTERVAL: ports.Milliseconds = 1_000;
 
 /** What the part is made from. */
-export interface QuarantineOptions {
+export interface QuarantineOptions extends Omit<crashDetector.CrashDetectorOptions, 'onCrash'> {
   readonly timers: timerService.TimerService;
-  readonly peers: ports.PeerTransport;
   readonly log: ports.Log;
   readonly metrics: ports.Metrics;
-  readonly upstreams: relayTypes.UpstreamPort;
-  readonly hasGivenNotice: (identity: string) => boolean;
-  readonly replicas: () => readonly string[];
+  /** Has others told what is held against a content. */
+  readonly tell: (content: string) => void;
 }
 
 /** The part; see the module comment. */
 export class Quarantine {
-  /** Upstreams behind the gate; everything that an entry sends to upstreams goes through it. */
-  readonly upstreams: relayTypes.UpstreamPort;
+  /** To be told how every run on an upstream begins and ends. */
+  readonly detector: crashDetector.CrashDetector;
   private readonly options: QuarantineOptions;
   private readonly ledger: crashLedger.CrashLedger;
-  private readonly detector: crashDetector.CrashDetector;
-  private readonly reporter: caseReporter.CaseReporter;
   private readonly listeners = new Map<string, Set<() => void>>();
 
   constructor(options: QuarantineOptions) {
     this.options = options;
-    const { timers, peers, upstreams, hasGivenNotice, replicas } = options;
+    const { timers } = options;
     this.ledger = new crashLedger.CrashLedger((change) => {
       this.onVerdictChange(change);
     });
     this.detector = new crashDetector.CrashDetector({
-      timers,
-      check: upstreams.check,
-      hasGivenNotice,
+      ...options,
       onCrash: (crash) => {
         this.onCrash(crash);
       },
     });
-    this.reporter = new caseReporter.CaseReporter({
-      timers,
-      peers,
-      replicas,
-      caseOf: (content) => this.ledger.caseOf(content, timers.now()),
-    });
-    this.upstreams = guardedUpstreams.create({
-      upstreams,
-      timers,
-      detector: this.detector,
-      verdictOf: (content) => this.ledger.verdictOf(content),
-      onAnswered: (content) => {
-        this.onAnswered(content);
-      },
-    });
     timers.every(
       () => EXPIRY_INTERVAL,
       () => {
@@ -75,14 +53,13 @@
     );
   }
 
-  /** What is held against the content of a request. */
-  verdictOf(request: relayTypes.TrafficRequest, account: string): types.Verdict {
-    return this.ledger.verdictOf(contentDigest.of(request, account));
+  /** What is held against a content. */
+  verdictOf(content: string): types.Verdict {
+    return this.ledger.verdictOf(content);
   }
 
-  /** Facts of a content's case for the log: its digest, and the instances that ended under it. */
-  describe(request: relayTypes.TrafficRequest, account: string): ports.LogFields {
-    const content = contentDigest.of(request, account);
+  /** Facts of a content for the log: its digest, the instances that ended under it, and how long it is held. */
+  describe(content: string): ports.LogFields {
     return {
       content,
       ended: this.ledger.instancesOf(content).join(' '),
@@ -90,9 +67,8 @@
     };
   }
 
-  /** Calls back once the content of a request is quarantined, until it is cancelled. */
-  whenQuarantined(request: relayTypes.TrafficRequest, account: string, run: () => void): ports.Cancel {
-    const content = contentDigest.of(request, account);
+  /** Calls back once a content is quarantined, until it is cancelled. */
+  whenQuarantined(content: string, run: () => void): ports.Cancel {
     const listeners = this.listeners.get(content) ?? new Set();
     this.listeners.set(content, listeners);
     listeners.add(run);
@@ -104,35 +80,42 @@
     };
   }
 
-  /** Called with news of an instance. */
-  onInstance(change: instanceView.InstanceChange): void {
-    this.detector.onInstance(change);
+  /** Notes that an upstream has answered a content in whole. */
+  answered(content: string): void {
+    if (this.ledger.answered(content, this.options.timers.now())) {
+      this.options.log.info('crashesVoid', { content, cause: 'answered' });
+      this.options.tell(content);
+    }
   }
 
-  /** Takes in what a control replica knows. */
+  /** Takes in what others know. */
   take(cases: readonly types.CaseRecord[]): void {
     for (const record of cases) {
       this.ledger.merge(record, this.options.timers.now());
     }
   }
 
-  /** A replica has started, and knows only what the disks of control kept. */
-  onReplicaStarted(address: string): void {
-    const { cases } = this.ledger.newsSince(0, this.options.timers.now());
-    if (cases.length > 0) {
-      this.reporter.tell(
-        address,
-        cases.map(({ content }) => content),
-      );
-    }
+  /** Everything that is held against a content; undefined where nothing is. */
+  caseOf(content: string): types.CaseRecord | undefined {
+    return this.ledger.caseOf(content, this.options.timers.now());
+  }
+
+  /** Contents against which anything is held. */
+  contents(): readonly string[] {
+    return this.ledger.newsSince(0, this.options.timers.now()).cases.map(({ content }) => content);
+  }
+
+  /** Contents that are quarantined. */
+  get quarantined(): readonly string[] {
+    return this.ledger.quarantined;
   }
 
   private onCrash({ content, instance, sign, request }: crashDetector.DetectedCrash): void {
-    const { timers, log, metrics } = this.options;
+    const { timers, log, metrics, tell } = this.options;
     if (!this.ledger.hold(content, instance, timers.now())) {
       return;
     }
-    log.warn('crashHeld', {
+    log.info('crashHeld', {
       request,
       content,
       upstream: instance,
@@ -141,14 +124,7 @@
       verdict: this.ledger.verdictOf(content),
     });
     metrics.count('quarantine.crashes', 1, { sign });
-    this.reporter.tellAll([content]);
-  }
-
-  private onAnswered(content: string): void {
-    if (this.ledger.answered(content, this.options.timers.now())) {
-      this.options.log.info('crashesVoid', { content, cause: 'answered' });
-      this.reporter.tellAll([content]);
-    }
+    tell(content);
   }
 
   private onVerdictChange({ content, change, instances }: crashLedger.VerdictChange): void {
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -23,7 +23,7 @@
   readonly choice: localChoice.LocalChoice;
   readonly allowance: retryAllowance.RetryAllowance;
   readonly placement: placementClient.PlacementClient;
-  /** Its gate is in front of `upstreams`. */
+  /** Its gate stands before `upstreams`. */
   readonly quarantine: quarantine.Quarantine;
 }
 
@@ -72,7 +72,7 @@
  * ```
  */
 export function verdictOf(context: ExchangeContext, routed: RoutedRequest): quarantineTypes.Verdict {
-  return context.quarantine.verdictOf(routed.request, routed.account ?? '');
+  return context.quarantine.verdictOf(contentOf(routed));
 }
 
 /**
@@ -92,7 +92,7 @@
   routed: RoutedRequest,
   run: () => void,
 ): ports.Cancel {
-  return context.quarantine.whenQuarantined(routed.request, routed.account ?? '', run);
+  return context.quarantine.whenQuarantined(contentOf(routed), run);
 }
 
 /**
--- a/packages/kumquatfront/src/relay/plainExchange.ts
+++ b/packages/kumquatfront/src/relay/plainExchange.ts
@@ -4,7 +4,7 @@
  */
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
-import * as guardedUpstreams from '../quarantine/guardedUpstreams.js';
+import * as quarantine from '../quarantine/quarantine.js';
 import * as answerRules from './answerRules.js';
 import * as exchangeContext from './exchangeContext.js';
 import type * as types from './types.js';
@@ -230,7 +230,7 @@
   /** Upstreams end under this content: whatever still runs is cancelled, so that it may not end one more. */
   private refuseQuarantined(): void {
     const reason = this.runs === 0 ? 'quarantined' : 'outcomeUnknown';
-    this.refuse(reason, guardedUpstreams.QUARANTINED);
+    this.refuse(reason, quarantine.QUARANTINED);
   }
 
   private noUpstreamLeft(): void {
--- a/packages/kumquatfront/src/relay/relayBench.ts
+++ b/packages/kumquatfront/src/relay/relayBench.ts
@@ -9,6 +9,7 @@
 import * as timerService from '../kernel/timerService.js';
 import * as virtualTime from '../kernel/virtualTime.js';
 import type * as placementTypes from '../placement/types.js';
+import * as guardedUpstreams from '../quarantine/guardedUpstreams.js';
 import * as quarantine from '../quarantine/quarantine.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as methods from '../trafficControl/methods.js';
@@ -92,19 +93,20 @@
     const metrics = { count: nothing, gauge: nothing, timing: nothing };
     const guard = new quarantine.Quarantine({
       timers,
-      peers: this.peers(),
       log,
       metrics,
-      upstreams: this.upstreams(),
+      check: (_address, done) => {
+        done('accepted');
+      },
       hasGivenNotice: (identity) => view.get(identity)?.state === 'leaving',
-      replicas: () => [],
+      tell: nothing,
     });
     this.context = {
       timers,
       log,
       metrics,
       quarantine: guard,
-      upstreams: guard.upstreams,
+      upstreams: guardedUpstreams.create({ upstreams: this.upstreams(), timers, quarantine: guard }),
       instances: view,
       choice: new localChoice.LocalChoice(random, 'a'),
       allowance: new retryAllowance.RetryAllowance({ ratio: 0.2, slack, window: 10_000 }, () => 1, random),
@@ -131,7 +133,7 @@
           sent.cancelled = true;
         };
       },
-      check: (_instance, done) => {
+      check: (_address, done) => {
         done('accepted');
       },
       copyMemory: (source, target, _request, stop, done) => {
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -6,7 +6,7 @@
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import type * as placementTypes from '../placement/types.js';
-import * as guardedUpstreams from '../quarantine/guardedUpstreams.js';
+import * as quarantine from '../quarantine/quarantine.js';
 import type * as eventSplitter from './eventSplitter.js';
 import * as exchangeContext from './exchangeContext.js';
 import * as generationFacts from './generationFacts.js';
@@ -112,10 +112,10 @@
 
   private endQuarantined(): void {
     if (this.delivery.begun) {
-      this.breakOff(guardedUpstreams.QUARANTINED);
+      this.breakOff(quarantine.QUARANTINED);
     } else {
       const reason = this.runs === 0 ? 'quarantined' : 'outcomeUnknown';
-      this.refuse(reason, guardedUpstreams.QUARANTINED);
+      this.refuse(reason, quarantine.QUARANTINED);
     }
   }
 
--- a/packages/kumquatfront/src/relay/trafficRelay.ts
+++ b/packages/kumquatfront/src/relay/trafficRelay.ts
@@ -5,7 +5,8 @@
 import type * as ports from '../kernel/ports.js';
 import type * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
-import * as guardedUpstreams from '../quarantine/guardedUpstreams.js';
+import * as contentDigest from '../quarantine/contentDigest.js';
+import * as quarantine from '../quarantine/quarantine.js';
 import type * as exchangeContext from './exchangeContext.js';
 import * as plainExchange from './plainExchange.js';
 import * as startingHold from './startingHold.js';
@@ -65,7 +66,6 @@
       return;
     }
     const { route, account } = admitted;
-    const { quarantine } = this.options.context;
     const service = routes.serviceOf(routes.pickService(route, this.options.random.next()));
     if (service === undefined) {
       const message = `route ${route.name} has no service`;
@@ -78,9 +78,9 @@
       this.refuse(request, caller, { reason: 'draining', message, retryAfter: DRAINING_RETRY });
       return;
     }
-    const isQuarantined = quarantine.verdictOf(request, account?.name ?? '') === 'quarantined';
-    if (isQuarantined) {
-      this.refuseQuarantined(request, caller, account?.name ?? '');
+    const content = contentDigest.of(request, account?.name ?? '');
+    if (this.options.context.quarantine.verdictOf(content) === 'quarantined') {
+      this.refuseQuarantined(request, caller, content);
       return;
     }
     const limit = Math.min(request.patience ?? Number.POSITIVE_INFINITY, route.timeout);
@@ -97,13 +97,10 @@
   }
 
   /** No time to come back is told: whoever comes back with the same content is turned away again. */
-  private refuseQuarantined(request: types.TrafficRequest, caller: types.CallerPort, account: string): void {
-    const { log, quarantine } = this.options.context;
-    log.info('requestQuarantined', {
-      request: request.identity,
-      ...quarantine.describe(request, account),
-    });
-    this.refuse(request, caller, { reason: 'quarantined', message: guardedUpstreams.QUARANTINED });
+  private refuseQuarantined(request: types.TrafficRequest, caller: types.CallerPort, content: string): void {
+    const { log, quarantine: held } = this.options.context;
+    log.info('requestQuarantined', { request: request.identity, ...held.describe(content) });
+    this.refuse(request, caller, { reason: 'quarantined', message: quarantine.QUARANTINED });
   }
 
   private holdOrRefuse(request: types.TrafficRequest, caller: types.CallerPort): void {
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -107,8 +107,8 @@
 /** Speaks to upstreams. */
 export interface UpstreamPort {
   readonly send: (call: UpstreamCall, listener: ExchangeListener) => CancelExchange;
-  /** Tries whether anything listens at an instance's address; sends nothing. */
-  readonly check: (instance: instanceView.Instance, done: (sign: ConnectionSign) => void) => void;
+  /** Tries whether anything listens at an address, `ip:port`; sends nothing. */
+  readonly check: (address: string, done: (sign: ConnectionSign) => void) => void;
   /** Copies a generation's memory; with `stop` the source ends its run first. */
   readonly copyMemory: (
     source: instanceView.Instance,
--- a/packages/kumquatfront/src/routing/types.ts
+++ b/packages/kumquatfront/src/routing/types.ts
@@ -34,9 +34,9 @@
 
 /** Why a request got no place; it has not been run. */
 export interface PlacementRefusal {
-  readonly reason: 'noUpstream' | 'queueFull';
-  /** Milliseconds after which it is worth coming back. */
-  readonly retryAfter: number;
+  readonly reason: 'noUpstream' | 'queueFull' | 'quarantined';
+  /** Milliseconds after which it is worth coming back; absent where that does not help. */
+  readonly retryAfter?: number;
 }
 
 /** A place, or a refusal. */
--- a/packages/kumquatfront/src/streams/serviceRelay.ts
+++ b/packages/kumquatfront/src/streams/serviceRelay.ts
@@ -4,6 +4,7 @@
  */
 import type * as agreedState from '../agreedState/types.js';
 import type * as claimClient from '../claims/claimClient.js';
+import * as quarantine from '../quarantine/quarantine.js';
 import type * as generationRelay from './generationRelay.js';
 import type * as types from './types.js';
 
@@ -26,10 +27,17 @@
 const OUTCOME_KEPT_LENGTH = 16_384;
 const PENDING_RETRY_AFTER = 200;
 
+/** Client libraries send again after a 503 by themselves; after this one they do not. */
+const QUARANTINED_STATUS = 422;
+
+const LEAVE_REASONS = { neverSent: 'neverSent', broken: 'failure', timeout: 'stall' } as const;
+
 /** One call; see the module comment. */
 export class ServiceRelay {
   private readonly options: ServiceRelayOptions;
   private readonly exclude = new Set<string>();
+  /** Upstreams that may have run the call. */
+  private sends = 0;
 
   constructor(options: ServiceRelayOptions) {
     this.options = options;
@@ -125,6 +133,10 @@
         this.dispatch({ name, address });
         return;
       }
+      if (placement.refusal.reason === 'quarantined') {
+        this.refuseQuarantined();
+        return;
+      }
       this.settle('notRun', null);
       this.refuse({
         kind: 'notRun',
@@ -136,6 +148,19 @@
     });
   }
 
+  /** No time to come back is told: whoever comes back with the same content is turned away again. */
+  private refuseQuarantined(): void {
+    const message = `The call is not sent on: ${quarantine.QUARANTINED}.`;
+    if (this.sends > 0) {
+      this.settle('unknown', null);
+      this.refuseUnknown(message);
+      return;
+    }
+    this.settle('notRun', null);
+    const remedy = 'Change the call, or ask the operators what it does to their service.';
+    this.refuse({ kind: 'notRun', status: QUARANTINED_STATUS, message, remedy });
+  }
+
   private settle(
     result: agreedState.SettleClaimCommand['result'],
     outcome: agreedState.RecordedOutcome | null,
@@ -149,6 +174,7 @@
 
   private dispatch(target: types.UpstreamTarget): void {
     const { services, call, timeout, host, caller } = this.options;
+    this.sends += 1;
     services.call(target, call, timeout, {
       answered: (answer) => {
         host.left(target.name, 0, 'whole');
@@ -157,8 +183,9 @@
         host.finished();
       },
       failed: (reason) => {
-        host.left(target.name, 0, reason === 'timeout' ? 'stall' : 'failure');
+        host.left(target.name, 0, LEAVE_REASONS[reason]);
         this.exclude.add(target.name);
+        this.sends -= reason === 'neverSent' ? 1 : 0;
         this.onFailed(reason);
       },
     });
--- a/packages/kumquatfront/src/streams/types.ts
+++ b/packages/kumquatfront/src/streams/types.ts
@@ -2,6 +2,7 @@
  * Streams between an upstream and a caller. A generation is one run of a request on one engine; its tokens
  * are numbered from 0.
  */
+import type * as relayTypes from '../relay/types.js';
 
 /** Where an upstream is. */
 export interface UpstreamTarget {
@@ -116,6 +117,9 @@
   readonly generationLimit: number;
 }
 
+/** Tries whether anything listens at an upstream's address; sends nothing. */
+export type CheckUpstream = (address: string, done: (sign: relayTypes.ConnectionSign) => void) => void;
+
 /** A call to a plain service. */
 export interface ServiceCall {
   readonly method: string;
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -13,6 +13,8 @@
 import * as retryAllowance from '../relay/retryAllowance.js';
 import * as trafficRelay from '../relay/trafficRelay.js';
 import type * as relayTypes from '../relay/types.js';
+import * as caseReporter from '../quarantine/caseReporter.js';
+import * as guardedUpstreams from '../quarantine/guardedUpstreams.js';
 import * as quarantine from '../quarantine/quarantine.js';
 import * as routeTable from '../traffic/routeTable.js';
 import * as controlWatch from '../trafficControl/controlWatch.js';
@@ -72,7 +74,7 @@
       instanceLog.write(log, news);
       for (const change of news.changes) {
         const { instance, event } = change;
-        this.quarantine.onInstance(change);
+        this.quarantine.detector.onInstance(change);
         if (event === 'gone' || event === 'replaced') {
           choice.forget(instance.identity);
         }
@@ -92,14 +94,21 @@
       coordinator: () => this.watch.coordinator,
       instances,
     });
-    this.quarantine = new quarantine.Quarantine({
+    const reporter = new caseReporter.CaseReporter({
       timers,
       peers,
+      replicas: () => this.watch.replicas(),
+      caseOf: (content) => this.quarantine.caseOf(content),
+    });
+    this.quarantine = new quarantine.Quarantine({
+      timers,
       log,
       metrics,
-      upstreams,
+      check: upstreams.check,
       hasGivenNotice: (identity) => instances.get(identity)?.state === 'leaving',
-      replicas: () => this.watch.replicas(),
+      tell: (content) => {
+        reporter.tellAll([content]);
+      },
     });
     const { placement, quarantine: guard } = this;
     const allowance = new retryAllowance.RetryAllowance(
@@ -112,7 +121,7 @@
         timers,
         log,
         metrics,
-        upstreams: guard.upstreams,
+        upstreams: guardedUpstreams.create({ upstreams, timers, quarantine: guard }),
         instances,
         choice,
         allowance,
@@ -141,7 +150,8 @@
         guard.take(cases);
       },
       onReplicaStarted: (address) => {
-        guard.onReplicaStarted(address);
+        // It knows only what the disks of control kept.
+        reporter.tell(address, guard.contents());
       },
     });
     this.services.register('timers', timers);
--- a/packages/scenarios/src/language/actions.ts
+++ b/packages/scenarios/src/language/actions.ts
@@ -28,6 +28,8 @@
     pool: line.options.pool ?? 'llm',
     reportLag: numberOption(line, 'lag', 200),
     checksFencing: line.options.fencing !== 'ignored',
+    endsUnderTokens:
+      line.options['ends-under'] === undefined ? undefined : numberOption(line, 'ends-under', 0),
     options: {
       memoryTokens: numberOption(line, 'memory', 6_000),
       slots: numberOption(line, 'slots', 8),
@@ -45,6 +47,7 @@
   const traffic = line.options.traffic ?? 'report';
   const wish = {
     name: word(line, 0),
+    subject: line.options.subject,
     key: baseConfiguration.accountKeys[account],
     labels: `traffic=${traffic}`,
     tokens: numberOption(line, 'tokens', 100),
--- a/packages/scenarios/src/world/virtualCaller.ts
+++ b/packages/scenarios/src/world/virtualCaller.ts
@@ -28,6 +28,8 @@
   readonly labels: string;
   readonly tokens: number;
   readonly promptLength: number;
+  /** What the prompt begins with, its own name where absent: requests with the same one, sent alike, are the same. */
+  readonly subject?: string;
   readonly acceptsRestart: boolean;
   /** Whether the caller goes on elsewhere when its connection is lost or it is told to come back. */
   readonly persistent: boolean;
@@ -95,7 +97,7 @@
     entry: ReachableEntry,
     caller: kumquatfront.streamTypes.GenerationCaller,
   ): kumquatfront.streamTypes.StreamHandle {
-    const { key, labels, tokens, promptLength, acceptsRestart, name } = this.wish;
+    const { key, labels, tokens, promptLength, acceptsRestart, name, subject = name } = this.wish;
     if (this.token !== '') {
       const payload = Buffer.from(this.token.split('.')[0] ?? '', 'base64url').toString();
       const { requestId } = JSON.parse(payload) as { requestId: string };
@@ -104,7 +106,7 @@
         caller,
       );
     }
-    const prompt = `${name} `.padEnd(promptLength * 4, 'x');
+    const prompt = `${subject} `.padEnd(promptLength * 4, 'x');
     const body = { model: 'any', prompt, stand_in_output_tokens: tokens };
     return entry.node.requests.generate(
       { bearerKey: key, labelsHeader: labels, path: '/v1/completions', body, acceptsRestart },
--- a/packages/scenarios/src/world/virtualUpstreams.ts
+++ b/packages/scenarios/src/world/virtualUpstreams.ts
@@ -13,6 +13,8 @@
   readonly host: host.Host;
   model: standIns.engineModel.EngineModel;
   readonly orders: standIns.orderBook.OrderBook;
+  /** Called with every generation that begins. */
+  readonly onStart: (order: standIns.engineTypes.EngineOrder) => void;
 }
 
 /** A service with the host it runs on. */
@@ -184,7 +186,9 @@
     start: (target, order, listener) =>
       connect(target, order.generation, listener, (engine, connection) => {
         connection.accept();
-        engine.model.start(standIns.orderReader.read(order), connection);
+        const read = standIns.orderReader.read(order);
+        engine.model.start(read, connection);
+        engine.onStart(read);
       }),
     resume: (target, generation, fromIndex, listener) =>
       connect(target, generation, listener, (engine, connection) => {
@@ -273,3 +277,40 @@
     },
   };
 }
+
+/**
+ * The check of upstreams' addresses for one life of an entry.
+ *
+ * @param net - the network
+ * @param own - the entry's host
+ * @returns the check
+ * @example
+ * ```ts
+ * const checkUpstream = virtualUpstreams.createCheck(net, host);
+ * ```
+ */
+export function createCheck(net: network.Network, own: host.Host): kumquatfront.streamTypes.CheckUpstream {
+  const life = own.currentLife;
+  return (address, done) => {
+    const name = hostOf({ name: '', address });
+    const tell = (sign: kumquatfront.relayTypes.ConnectionSign): void => {
+      own.enter(life, () => {
+        done(sign);
+      });
+    };
+    net.deliver(
+      own.name,
+      name,
+      () => {
+        net.deliver(name, own.name, () => {
+          tell('accepted');
+        });
+      },
+      (outcome) => {
+        if (outcome !== 'delivered') {
+          tell(outcome === 'dead' ? 'refused' : 'unknown');
+        }
+      },
+    );
+  };
+}
--- a/packages/scenarios/src/world/world.ts
+++ b/packages/scenarios/src/world/world.ts
@@ -34,6 +34,8 @@
   readonly options: Omit<standIns.engineTypes.EngineOptions, 'name'>;
   readonly reportLag: number;
   readonly checksFencing: boolean;
+  /** The engine ends under generations of so many tokens, and is back seconds later. */
+  readonly endsUnderTokens?: number;
   /** Told the duration of every step, for measurements. */
   readonly onStep?: (duration: number) => void;
 }
@@ -53,6 +55,9 @@
 const ANNOUNCE_EVERY = 1_000;
 const REPORT_EVERY = 500;
 const LEASE = 4_000;
+/** From the begin of a generation to the end of an engine under it, and on to its next start. */
+const ENDS_AFTER = 50;
+const BACK_AFTER = 3_000;
 const CACHE_LOSS = 0.1;
 const WEIGHT_LOADS_PER_MINUTE = kumquatfront.defaultConfig.controlDefaults.orders.weightLoadsPerMinute;
 
@@ -210,6 +215,7 @@
           (service) => this.services.get(service),
           this.time,
         ),
+        checkUpstream: virtualUpstreams.createCheck(this.net, slot.host),
         orders: this.ordersOf(slot.host),
         onDrainRequest: () => undefined,
       };
@@ -232,6 +238,11 @@
       host: own,
       model: create(),
       orders: new standIns.orderBook.OrderBook(wish.checksFencing),
+      onStart: (order) => {
+        if (order.outputTokens === wish.endsUnderTokens) {
+          this.endSoon(name);
+        }
+      },
     };
     this.engines.set(name, slot);
     const boot = (): void => {
@@ -244,6 +255,19 @@
     boot();
   }
 
+  private endSoon(name: string): void {
+    const { currentLife } = this.hostOf(name);
+    this.time.after(ENDS_AFTER, () => {
+      if (this.hostOf(name).currentLife === currentLife) {
+        this.record(`-- ${name} ends under what it runs`);
+        this.kill(name);
+        this.time.after(BACK_AFTER, () => {
+          this.boot(name);
+        });
+      }
+    });
+  }
+
   /** Adds a plain service and starts it. */
   addService(name: string, pool: string, delay: number): void {
     const own = this.createHost(name);
