An instance at whose address nothing listens is dropped at once, not after its lease

Change: the check that a broken run, or a connection that could not be opened, brings about tells every replica; an announcement brings the instance back.

--- a/packages/kumquatfront/src/entryNode/entryNode.ts
+++ b/packages/kumquatfront/src/entryNode/entryNode.ts
@@ -240,6 +240,8 @@
     hasGivenNotice: (identity) =>
       known.table.all().some((record) => record.leaving && watchedPlacement.identityOf(record) === identity),
     tell: publish,
+    // Health and lease keep requests off it: directories of entries have no word for an end yet.
+    onEnded: () => undefined,
   });
   known.onCase((record) => {
     held.take([record]);
--- a/packages/kumquatfront/src/instances/instanceTable.ts
+++ b/packages/kumquatfront/src/instances/instanceTable.ts
@@ -201,6 +201,28 @@
     return this.hear({ ...announcement, state: 'leaving', sequence: announcement.sequence + 1 }, now);
   }
 
+  /**
+   * Drops an instance at whose address nothing listens any more, instead of after its lease: until then every entry
+   * would send it work first. An announcement that comes after all brings it back.
+   *
+   * @returns true where it was listed
+   */
+  end(identity: string, now: number): boolean {
+    const known = this.held.get(identity);
+    if (known === undefined) {
+      return false;
+    }
+    this.drop(identity, known, now);
+    return true;
+  }
+
+  private drop(identity: string, { announcement }: Held, now: number): void {
+    this.held.delete(identity);
+    this.revision += 1;
+    const final = announcement.state === 'leaving';
+    this.removed.push({ identity, at: now, revision: this.revision, final });
+  }
+
   /** True where an instance is known to leave, or to be gone. */
   isLeaving(identity: string): boolean {
     const known = this.held.get(identity);
@@ -215,9 +237,7 @@
     for (const [identity, known] of this.held) {
       const leaving = known.announcement.state === 'leaving';
       if (now - known.heardAt > (leaving ? LEAVING_KEPT : this.lease)) {
-        this.held.delete(identity);
-        this.revision += 1;
-        this.removed.push({ identity, at: now, revision: this.revision, final: leaving });
+        this.drop(identity, known, now);
         dropped = true;
       }
     }
--- a/packages/kumquatfront/src/instances/instances.spec.ts
+++ b/packages/kumquatfront/src/instances/instances.spec.ts
@@ -189,3 +189,14 @@
   view.merge('two', two.newsSince('two', two.currentRevision, 2_700), 2_700);
   assert.equal(view.unlistedBy('one', 2_700).length, 1);
 });
+
+// Its port is closed: an entry found out, and told every replica. A heartbeat from before may still be on its way, or
+// the instance may have been there after all.
+void test.test('an instance that has ended is dropped at once, and comes back with an announcement', () => {
+  const table = new instanceTable.InstanceTable('e');
+  table.hear(instanceBench.announcement('a'), 0);
+  assert.equal(table.end('a', 100), true);
+  assert.equal(table.end('a', 100), false);
+  assert.deepEqual(table.newsSince('e', 2, 100).removed, ['a']);
+  assert.equal(table.hear(instanceBench.announcement('a', { sequence: 2 }), 200), true);
+});
--- a/packages/kumquatfront/src/quarantine/crashDetector.spec.ts
+++ b/packages/kumquatfront/src/quarantine/crashDetector.spec.ts
@@ -15,6 +15,7 @@
 class Bench {
   readonly time = new virtualTime.VirtualTime();
   readonly crashes: string[] = [];
+  readonly ended: string[] = [];
   sign: relayTypes.ConnectionSign = 'refused';
   hasGivenNotice = false;
   checks = 0;
@@ -31,6 +32,7 @@
     onCrash: ({ content, instance, sign }) => {
       this.crashes.push(`${content} ${instance} ${sign}`);
     },
+    onEnded: (instance) => this.ended.push(instance),
   });
 
   instance(identity = 'a'): instanceView.Instance {
@@ -133,6 +135,14 @@
   assert.deepEqual([bench.checks, bench.crashes.length, told], [1, 8, 8]);
 });
 
+// Requests find its port closed, with nothing of theirs running there.
+void test.test('an instance that cannot be reached is checked, and told as ended', () => {
+  const bench = new Bench();
+  bench.detector.unreachable(bench.instance());
+  bench.time.advance(100);
+  assert.deepEqual([bench.ended, bench.crashes], [['a'], []]);
+});
+
 // Behind a cut the check has no answer for a long time; an exchange does not wait for it.
 void test.test('nobody waits long for a check', () => {
   const bench = new Bench();
@@ -142,6 +152,7 @@
     check: () => undefined,
     hasGivenNotice: () => false,
     onCrash: () => undefined,
+    onEnded: () => undefined,
   });
   slow.broke(bench.instance(), slow.begun('a', 'x', 'r'), () => {
     toldAt = bench.time.now();
--- a/packages/kumquatfront/src/quarantine/crashDetector.ts
+++ b/packages/kumquatfront/src/quarantine/crashDetector.ts
@@ -53,6 +53,8 @@
   /** True where an instance is known to have given notice. */
   readonly hasGivenNotice: (identity: string) => boolean;
   readonly onCrash: (crash: DetectedCrash) => void;
+  /** Nothing listens at an instance's address any more. */
+  readonly onEnded: (instance: string) => void;
 }
 
 interface Run {
@@ -124,6 +126,11 @@
     this.checkSoon(instance, once(this.options.timers, done));
   }
 
+  /** Looks whether an instance lives that could not be reached: it may have ended while nothing ran there. */
+  unreachable(instance: CheckedInstance): void {
+    this.checkSoon(instance, () => undefined);
+  }
+
   private checkSoon(instance: CheckedInstance, done: () => void): void {
     const { timers, check } = this.options;
     const { identity } = instance;
@@ -138,6 +145,7 @@
         const told = this.checking.get(identity) ?? [];
         this.checking.delete(identity);
         if (sign === 'refused') {
+          this.options.onEnded(identity);
           this.confirm(identity, 'refusesConnections');
         } else if (sign === 'accepted') {
           this.dropBroken(identity);
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -52,6 +52,9 @@
         listener.end();
       },
       failed: (failure, reason) => {
+        if (failure === 'notSent') {
+          this.options.quarantine.detector.unreachable(this.call.instance);
+        }
         this.settle(failure === 'broken', () => {
           listener.failed(failure, reason);
         });
--- a/packages/kumquatfront/src/relay/relayBench.ts
+++ b/packages/kumquatfront/src/relay/relayBench.ts
@@ -100,6 +100,7 @@
       },
       hasGivenNotice: (identity) => view.get(identity)?.state === 'leaving',
       tell: nothing,
+      onEnded: nothing,
     });
     this.context = {
       timers,
--- a/packages/kumquatfront/src/trafficControl/methods.ts
+++ b/packages/kumquatfront/src/trafficControl/methods.ts
@@ -15,6 +15,7 @@
   read: 'traffic.read',
   gossip: 'traffic.gossip',
   cases: 'traffic.cases',
+  ended: 'traffic.ended',
   place: 'placement.place',
   withdraw: 'placement.withdraw',
   report: 'placement.report',
@@ -90,6 +91,11 @@
   readonly records: readonly instanceTypes.InstanceRecord[];
 }
 
+/** Instances at whose addresses an entry found that nothing listens any more. */
+export interface EndedInstances {
+  readonly instances: readonly string[];
+}
+
 /** What an entry holds against contents. */
 export interface CaseReport {
   readonly cases: readonly quarantineTypes.CaseRecord[];
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -156,6 +156,10 @@
       }
       reply(results.Ok(null));
     });
+    peers.serve(names.ended, (parameters, reply) => {
+      this.onEnded((parameters as methods.EndedInstances).instances);
+      reply(results.Ok(null));
+    });
     peers.serve(names.place, (parameters, reply) => {
       this.onPlace(parameters as methods.PlaceRequest, reply);
     });
@@ -192,6 +196,16 @@
     }
   }
 
+  private onEnded(instances: readonly string[]): void {
+    const now = this.options.timers.now();
+    const dropped = instances.filter((identity) => this.table.end(identity, now));
+    if (dropped.length > 0) {
+      this.options.log.info('instancesEnded', { instances: dropped.join(' ') });
+      this.wakeWatches();
+      this.coordinator.instancesChanged();
+    }
+  }
+
   private onPlace(request: methods.PlaceRequest, reply: ports.Reply): void {
     this.coordinator.place(request, (answer) => {
       reply(results.Ok(answer));
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -18,7 +18,7 @@
 import * as quarantine from '../quarantine/quarantine.js';
 import * as routeTable from '../traffic/routeTable.js';
 import * as controlWatch from '../trafficControl/controlWatch.js';
-import type * as methods from '../trafficControl/methods.js';
+import * as methods from '../trafficControl/methods.js';
 import type * as trafficControl from '../trafficControl/trafficControl.js';
 
 /** Settings of an entry. Times are milliseconds. */
@@ -109,6 +109,13 @@
       tell: (content) => {
         reporter.tellAll([content]);
       },
+      onEnded: (instance) => {
+        for (const replica of this.watch.replicas()) {
+          peers.notify(replica, methods.methods.ended, {
+            instances: [instance],
+          } satisfies methods.EndedInstances);
+        }
+      },
     });
     const { placement, quarantine: guard } = this;
     const allowance = new retryAllowance.RetryAllowance(
