--- a/packages/kumquatfront/src/entryNode/measuredCaller.ts
+++ b/packages/kumquatfront/src/entryNode/measuredCaller.ts
@@ -6,13 +6,13 @@
 import type * as ports from '../kernel/ports.js';
 import type * as streams from '../streams/types.js';
 
-/** What the measuring needs. */
-export interface MeasuredCallerOptions {
+/** What the measuring needs; `Caller` is who is measured. */
+export interface MeasuredCallerOptions<Caller = streams.GenerationCaller> {
   readonly now: () => number;
   readonly burn: burnRecorder.BurnRecorder;
   readonly metrics: ports.Metrics;
   readonly urgency: configuration.Urgency;
-  readonly caller: streams.GenerationCaller;
+  readonly caller: Caller;
 }
 
 /**
@@ -66,3 +66,31 @@
     },
   };
 }
+
+/**
+ * Wraps the caller of a plain service: the whole answer is what it stalls for.
+ *
+ * @param options - the caller and where its figures go
+ * @returns a caller that measures and passes everything on
+ * @example
+ * ```ts
+ * const caller = measuredCaller.createForCall({ now, burn, metrics, urgency: 'urgent', caller: front });
+ * ```
+ */
+export function createForCall(options: MeasuredCallerOptions<streams.ServiceCaller>): streams.ServiceCaller {
+  const { now, burn, metrics, urgency, caller } = options;
+  const startedAt = now();
+  return {
+    answered: (answer, repeated) => {
+      const elapsed = now() - startedAt;
+      burn.record('stall', urgency, elapsed);
+      burn.record('whole', urgency, elapsed);
+      metrics.timing('call.whole', elapsed, { urgency });
+      caller.answered(answer, repeated);
+    },
+    refused: (refusal) => {
+      metrics.count('refusals', 1, { kind: refusal.kind });
+      caller.refused(refusal);
+    },
+  };
+}
--- a/packages/kumquatfront/src/entryNode/requestFront.ts
+++ b/packages/kumquatfront/src/entryNode/requestFront.ts
@@ -378,30 +378,14 @@
       claims: services.find('claims'),
       services: outside.services,
       timeout: settings.serviceTimeout,
-      caller: this.timedCall(route.selector.urgency, caller),
+      caller: measuredCaller.createForCall({
+        now: () => outside.clock.now(),
+        burn: services.find('burn'),
+        metrics: outside.metrics,
+        urgency: route.selector.urgency,
+        caller,
+      }),
       host,
     }).start();
   }
-
-  private timedCall(
-    urgency: configurationTypes.Urgency,
-    caller: streams.ServiceCaller,
-  ): streams.ServiceCaller {
-    const { clock, metrics } = this.options.ports;
-    const burn = this.options.services.find('burn');
-    const startedAt = clock.now();
-    return {
-      answered: (answer, repeated) => {
-        const elapsed = clock.now() - startedAt;
-        burn.record('stall', urgency, elapsed);
-        burn.record('whole', urgency, elapsed);
-        metrics.timing('call.whole', elapsed, { urgency });
-        caller.answered(answer, repeated);
-      },
-      refused: (refusal) => {
-        metrics.count('refusals', 1, { kind: refusal.kind });
-        caller.refused(refusal);
-      },
-    };
-  }
 }
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -12,23 +12,13 @@
 import * as generationFacts from './generationFacts.js';
 import * as placeFinder from './placeFinder.js';
 import type * as placementClient from './placementClient.js';
+import * as silencePatience from './silencePatience.js';
 import * as streamDelivery from './streamDelivery.js';
 import * as streamLeg from './streamLeg.js';
 import * as streamMove from './streamMove.js';
+import * as streamStory from './streamStory.js';
 import type * as types from './types.js';
 
-/** A resumable stream that falls silent for this many of the pauses that callers accept goes on elsewhere. */
-const RESUME_AFTER_PAUSES = 5;
-
-/**
- * A resumable stream without its first event for this share of its objective begins elsewhere: twice what most
- * take, and early enough for the second engine to be in time.
- */
-const RESUME_BEFORE_FIRST = 0.62;
-
-/** Neither is ever shorter than this. */
-const SHORTEST_SILENCE: ports.Milliseconds = 400;
-
 /** One stream; see the module comment. */
 export class StreamExchange implements placementClient.OpenGeneration {
   private readonly context: exchangeContext.ExchangeContext;
@@ -41,8 +31,8 @@
   private ended = false;
   /** Upstreams that may have run the request from its start or a resumption. */
   private runs = 0;
-  private sends = 0;
-  private moves = 0;
+  sends = 0;
+  moves = 0;
   /** True once an upstream may have ended under it: others of its kind run elsewhere where they can. */
   private apart = false;
   /** Set while another upstream is sought for a leg that is silent. */
@@ -211,21 +201,34 @@
         this.onEvent(leg, event);
       },
       ended: (rest) => {
-        this.onEnd(leg, rest);
+        this.onClose(() => {
+          this.onEnd(leg, rest);
+        });
       },
       failureAnswered: (failure) => {
-        this.onFailureAnswer(leg, failure);
+        this.onClose(() => {
+          this.onFailureAnswer(leg, failure);
+        });
       },
       notRun: () => {
         this.dropLeg(leg);
         this.onNotRun(leg);
       },
       broken: (failure, reason) => {
-        this.onBroken(leg, failure, reason);
+        this.onClose(() => {
+          this.onBroken(leg, failure, reason);
+        });
       },
     };
   }
 
+  /** Judges how a leg's stream closed, unless a move decides what that means. */
+  private onClose(judge: () => void): void {
+    if (!this.moving.takesClose(judge)) {
+      judge();
+    }
+  }
+
   private onEvent(leg: streamLeg.StreamLeg, event: eventSplitter.WholeEvent): void {
     const first = leg.events === 1;
     this.delivery.hand(event, this.context.timers.now());
@@ -236,7 +239,7 @@
   }
 
   /** Output tokens made so far. */
-  private get produced(): number {
+  get produced(): number {
     return this.delivery.events * (this.routed.service.engine?.tokensPerEvent ?? 1);
   }
 
@@ -250,9 +253,8 @@
     if (!this.resumable || leg === undefined) {
       return;
     }
-    const { objective, longestPause } = this.routed.route;
-    const patience = leg.events > 0 ? longestPause * RESUME_AFTER_PAUSES : objective * RESUME_BEFORE_FIRST;
-    this.cancelSilence = this.context.timers.after(Math.max(SHORTEST_SILENCE, patience), () => {
+    const patience = silencePatience.of(this.routed.route, leg.events > 0);
+    this.cancelSilence = this.context.timers.after(patience, () => {
       if (this.leg === leg && !this.ended && !this.moving.isStopping && this.hasAttemptsLeft) {
         this.silentSearch = { leg, events: leg.events };
         this.finder.exclude(leg.instance.identity);
@@ -281,13 +283,6 @@
   }
 
   private onEnd(leg: streamLeg.StreamLeg, rest: Uint8Array): void {
-    if (
-      this.moving.takesClose(() => {
-        this.onEnd(leg, rest);
-      })
-    ) {
-      return;
-    }
     this.context.choice.succeeded(leg.instance.identity);
     this.delivery.end(rest);
     this.dropLeg(leg);
@@ -295,13 +290,6 @@
   }
 
   private onFailureAnswer(leg: streamLeg.StreamLeg, failure: streamLeg.FailureAnswer): void {
-    if (
-      this.moving.takesClose(() => {
-        this.onFailureAnswer(leg, failure);
-      })
-    ) {
-      return;
-    }
     const { choice, timers } = this.context;
     const { head, body } = failure;
     const { identity } = leg.instance;
@@ -337,13 +325,6 @@
 
   private onBroken(leg: streamLeg.StreamLeg, failure: types.ExchangeFailure, reason: string): void {
     const { choice, timers, log } = this.context;
-    if (
-      this.moving.takesClose(() => {
-        this.onBroken(leg, failure, reason);
-      })
-    ) {
-      return;
-    }
     this.dropLeg(leg);
     if (failure === 'quarantined') {
       this.runs -= leg.copy === undefined ? 1 : 0;
@@ -424,7 +405,9 @@
   onRestart(instance: string): void {
     const { leg } = this;
     if (!this.ended && leg?.instance.identity === instance) {
-      this.onBroken(leg, 'broken', 'the upstream has started anew');
+      this.onClose(() => {
+        this.onBroken(leg, 'broken', 'the upstream has started anew');
+      });
     }
   }
 
@@ -460,26 +443,6 @@
     this.finish({ outcome: 'interrupted', reason });
   }
 
-  /** What its last log line tells besides the outcome: what decided where it ran, and how its caller saw it. */
-  private story(): ports.LogFields {
-    const { sends, moves, facts, produced } = this;
-    const { lastEvent, firstEventAt } = this.delivery;
-    return {
-      rank: facts?.rank,
-      patience: this.routed.request.patience,
-      promptTokens: facts?.promptTokens,
-      outputLimit: facts?.outputLimit,
-      lengthHint: facts?.lengthHint,
-      produced,
-      sends,
-      moves,
-      lastEvent,
-      firstEvent:
-        firstEventAt === undefined ? undefined : Math.round(firstEventAt - this.routed.request.arrivedAt),
-      longestPause: Math.round(this.delivery.longestPause),
-    };
-  }
-
   private finish(outcome: ports.LogFields): void {
     if (this.ended) {
       return;
@@ -499,6 +462,9 @@
         outcome.outcome === 'answered' && this.delivery.begun ? { facts, produced } : undefined;
       this.context.placement.closed(this.routed.request.identity, finished);
     }
-    exchangeContext.logEnd(this.context, this.routed, { ...outcome, ...this.story() });
+    exchangeContext.logEnd(this.context, this.routed, {
+      ...outcome,
+      ...streamStory.of(this.routed, this.facts, this.delivery, this),
+    });
   }
 }
--- a/packages/kumquatfront/src/streams/generationRelay.ts
+++ b/packages/kumquatfront/src/streams/generationRelay.ts
@@ -5,8 +5,8 @@
  */
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
-import * as quarantine from '../quarantine/quarantine.js';
 import type * as routing from '../routing/types.js';
+import * as quarantineRefusals from './quarantineRefusals.js';
 import type * as types from './types.js';
 
 /** Why a relay leaves an upstream; `neverSent` where no byte of the request can have arrived there. */
@@ -48,10 +48,6 @@
 const PROGRESS_EVERY = 16;
 const RETRY_AFTER = 1_000;
 
-/** Client libraries send again after a 503 by themselves; after this one they do not. */
-const QUARANTINED_STATUS = 422;
-const INTERRUPTED_STATUS = 502;
-
 /** One relay; see the module comment. */
 export class GenerationRelay implements types.StreamHandle {
   private readonly options: RelayOptions;
@@ -124,7 +120,7 @@
 
   private refusePlacement(refusal: routing.PlacementRefusal): void {
     if (refusal.reason === 'quarantined') {
-      this.refuseQuarantined();
+      this.finish(this.generationCount === 0 ? quarantineRefusals.notRun : quarantineRefusals.interrupted);
       return;
     }
     const full = refusal.reason === 'queueFull';
@@ -139,17 +135,6 @@
     });
   }
 
-  /** No time to come back is told: whoever comes back with the same content is turned away again. */
-  private refuseQuarantined(): void {
-    const ranNowhere = this.generationCount === 0;
-    this.finish({
-      kind: ranNowhere ? 'notRun' : 'interrupted',
-      status: ranNowhere ? QUARANTINED_STATUS : INTERRUPTED_STATUS,
-      message: `Not sent on: ${quarantine.QUARANTINED}.`,
-      remedy: 'Change the request, or ask the operators what it does to their engines.',
-    });
-  }
-
   private dispatch(target: types.UpstreamTarget): void {
     const { order, requestId, host, engines, caller } = this.options;
     if (order === undefined) {
@@ -379,7 +364,7 @@
     }
     this.finish({
       kind: 'interrupted',
-      status: INTERRUPTED_STATUS,
+      status: 502,
       message: `The engine was lost after ${this.nextIndex} tokens of this generation.`,
       remedy: 'Send the request again; what was received so far belongs to no whole answer.',
       retryAfter: RETRY_AFTER,
--- a/packages/kumquatfront/src/streams/serviceRelay.ts
+++ b/packages/kumquatfront/src/streams/serviceRelay.ts
@@ -4,8 +4,8 @@
  */
 import type * as agreedState from '../agreedState/types.js';
 import type * as claimClient from '../claims/claimClient.js';
-import * as quarantine from '../quarantine/quarantine.js';
 import type * as generationRelay from './generationRelay.js';
+import * as quarantineRefusals from './quarantineRefusals.js';
 import type * as types from './types.js';
 
 /** The claim of a call that is not idempotent. */
@@ -27,9 +27,6 @@
 const OUTCOME_KEPT_LENGTH = 16_384;
 const PENDING_RETRY_AFTER = 200;
 
-/** Client libraries send again after a 503 by themselves; after this one they do not. */
-const QUARANTINED_STATUS = 422;
-
 const LEAVE_REASONS = { neverSent: 'neverSent', broken: 'failure', timeout: 'stall' } as const;
 
 /** One call; see the module comment. */
@@ -148,17 +145,10 @@
     });
   }
 
-  /** No time to come back is told: whoever comes back with the same content is turned away again. */
   private refuseQuarantined(): void {
-    const message = `The call is not sent on: ${quarantine.QUARANTINED}.`;
-    if (this.sends > 0) {
-      this.settle('unknown', null);
-      this.refuseUnknown(message);
-      return;
-    }
-    this.settle('notRun', null);
-    const remedy = 'Change the call, or ask the operators what it does to their service.';
-    this.refuse({ kind: 'notRun', status: QUARANTINED_STATUS, message, remedy });
+    const mayHaveRun = this.sends > 0;
+    this.settle(mayHaveRun ? 'unknown' : 'notRun', null);
+    this.refuse(mayHaveRun ? quarantineRefusals.outcomeUnknown : quarantineRefusals.notRun);
   }
 
   private settle(
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -20,6 +20,7 @@
 import type * as trafficTypes from '../traffic/types.js';
 import * as trafficValidation from '../traffic/trafficValidation.js';
 import * as entryDirectory from './entryDirectory.js';
+import * as instanceSpread from './instanceSpread.js';
 import * as methods from './methods.js';
 import * as openWatches from './openWatches.js';
 
@@ -68,7 +69,7 @@
   private readonly entries: entryDirectory.EntryDirectory;
   private readonly watches: openWatches.OpenWatches;
   private readonly cases: caseBook.CaseBook;
-  private readonly unsent = new Set<string>();
+  private readonly instances: instanceSpread.InstanceSpread;
   private decoded: routeTable.RouteTable | undefined;
 
   constructor(options: TrafficControlOptions) {
@@ -108,6 +109,20 @@
       state: () => this.watchedState(),
       answer: (request) => this.watchAnswer(request),
     });
+    this.instances = new instanceSpread.InstanceSpread({
+      table: this.table,
+      timers,
+      log,
+      peers,
+      peerAddress: options.peerAddress,
+      members: () => options.replica.status().members.map((member) => member.address),
+      wakeEntries: () => {
+        this.wakeWatches();
+      },
+      wakeCoordinator: () => {
+        this.coordinator.instancesChanged();
+      },
+    });
     this.serve();
     let wasFresh = false;
     timers.every(
@@ -147,7 +162,7 @@
       this.readHere(reply);
     });
     peers.serve(names.gossip, (parameters, reply) => {
-      this.onGossip(parameters as methods.Gossip);
+      this.instances.hear((parameters as methods.Gossip).records);
       reply(results.Ok(null));
     });
     peers.serve(names.cases, (parameters, reply) => {
@@ -157,7 +172,7 @@
       reply(results.Ok(null));
     });
     peers.serve(names.ended, (parameters, reply) => {
-      this.onEnded((parameters as methods.EndedInstances).instances);
+      this.instances.end((parameters as methods.EndedInstances).instances);
       reply(results.Ok(null));
     });
     peers.serve(names.place, (parameters, reply) => {
@@ -181,29 +196,10 @@
     });
   }
 
-  /** An entry may know of instances and notices that only replicas know which are cut off from this one. */
   private onReport(report: placementTypes.EntryReport): void {
-    const now = this.options.timers.now();
-    const changes = report.unlisted.map((announcement) => this.table.vouch(announcement, now));
-    if (changes.includes(true)) {
-      this.wakeWatches();
-    }
+    this.instances.vouch(report.unlisted);
     this.coordinator.report(report);
-    for (const identity of report.leaving) {
-      if (!this.table.isLeaving(identity) && this.table.leave(identity, now)) {
-        this.spreadLeaving(identity);
-      }
-    }
-  }
-
-  private onEnded(instances: readonly string[]): void {
-    const now = this.options.timers.now();
-    const dropped = instances.filter((identity) => this.table.end(identity, now));
-    if (dropped.length > 0) {
-      this.options.log.info('instancesEnded', { instances: dropped.join(' ') });
-      this.wakeWatches();
-      this.coordinator.instancesChanged();
-    }
+    this.instances.leave(report.leaving);
   }
 
   private onPlace(request: methods.PlaceRequest, reply: ports.Reply): void {
@@ -308,74 +304,17 @@
 
   /** Takes an announcement of an instance; it is on its way to all entries when this returns. */
   announce(announcement: instanceTypes.Announcement): void {
-    const now = this.options.timers.now();
-    const changed = this.table.hear(announcement, now);
-    this.unsent.add(announcement.identity);
-    if (changed) {
-      this.options.log.info('instanceHeard', {
-        instance: announcement.identity,
-        service: announcement.service,
-        address: announcement.address,
-        state: announcement.state,
-        sequence: announcement.sequence,
-      });
-      this.spread();
-    }
+    this.instances.announce(announcement);
   }
 
   /** Takes an instance's notice that it leaves, which gives its name and perhaps its start. */
   leave(name: string, born: number | undefined): void {
-    const identity = this.table.leaveByName(name, born, this.options.timers.now());
-    if (identity !== undefined) {
-      this.spreadLeaving(identity);
-    }
-  }
-
-  private spreadLeaving(identity: string): void {
-    this.options.log.info('instanceLeaves', { instance: identity });
-    this.unsent.add(identity);
-    this.spread();
-  }
-
-  private onGossip(gossip: methods.Gossip): void {
-    const now = this.options.timers.now();
-    let changed = false;
-    for (const record of gossip.records) {
-      changed = this.table.hear(record, now, record.age, record.firstAge) || changed;
-    }
-    if (changed) {
-      this.wakeWatches();
-      this.coordinator.instancesChanged();
-    }
-  }
-
-  private spread(): void {
-    this.sendGossip();
-    this.wakeWatches();
-    this.coordinator.instancesChanged();
-  }
-
-  private sendGossip(): void {
-    const { peers, replica: own, peerAddress, timers } = this.options;
-    if (this.unsent.size === 0) {
-      return;
-    }
-    const records = this.table.records(timers.now(), (identity) => this.unsent.has(identity));
-    this.unsent.clear();
-    for (const member of own.status().members) {
-      if (member.address !== peerAddress) {
-        peers.notify(member.address, methods.methods.gossip, { records } satisfies methods.Gossip);
-      }
-    }
+    this.instances.leaveByName(name, born);
   }
 
   private beat(): void {
     const now = this.options.timers.now();
-    this.sendGossip();
-    const expired = this.table.expire(now);
-    if (expired) {
-      this.options.log.info('instancesExpired', { revision: this.table.currentRevision });
-    }
+    this.instances.beat();
     for (const entry of this.entries.expire(now)) {
       this.options.log.info('entryLost', { entry });
     }
