explain tells the ends held against a request's content, found by whom, when and how

Cause: a caller that is turned away asks why; the ends were found by other entries under other attempts. Change: explain follows the content over all logs; the last line of a request against whose content anything is held names it; ledger counts it as refused. Two specs on lines as processes write them.

--- a/packages/command/src/explain/cause.ts
+++ b/packages/command/src/explain/cause.ts
@@ -30,8 +30,25 @@
   return ` Of ${engines.length} engines ${usable} could be used, ${state.fields.waiting ?? '?'} generations waited.`;
 }
 
+/** The ends that were held against the request's content, by whom and when. */
+function ofQuarantine(lines: Lines, ran: boolean): string {
+  const held = lines.filter((line) => line.event === 'crashHeld');
+  const ends = held.map(
+    ({ fields, process, time }) =>
+      `${fields.upstream ?? '?'} (found by ${process} at ${time}, ${fields.sign ?? '?'})`,
+  );
+  const since = lines.find((line) => line.event === 'quarantined')?.time;
+  const told = ends.length === 0 ? 'none of these logs tells of them' : ends.join(', ');
+  const when = since === undefined ? '' : ` Quarantined at ${since}.`;
+  const own = ran ? 'It had run before; it was not sent on.' : 'It was turned away; nothing ran.';
+  return `Upstreams have ended under the same content: ${told}.${when} ${own}`;
+}
+
 function ofRefusal(lines: Lines, end: logLine.LogLine): string {
   const { reason = '', message = '' } = end.fields;
+  if (reason === 'quarantined') {
+    return ofQuarantine(lines, false);
+  }
   const version = last(lines, 'trafficInForce')?.fields.version ?? 'none';
   const causes: Record<string, string> = {
     noConfiguration: 'The entry had just started and had no configuration yet.',
@@ -128,6 +145,12 @@
   if (outcome === 'overloaded') {
     return ofOverload(lines, end);
   }
+  if (
+    outcome === 'quarantined' ||
+    (outcome === 'outcomeUnknown' && last(lines, 'quarantined') !== undefined)
+  ) {
+    return ofQuarantine(lines, outcome === 'outcomeUnknown');
+  }
   if (outcome === 'interrupted') {
     return ofInterruption(lines, end);
   }
--- a/packages/command/src/explain/explain.spec.ts
+++ b/packages/command/src/explain/explain.spec.ts
@@ -82,3 +82,35 @@
   assert.equal(line?.fields.request, 'r');
   assert.equal(logLine.parse('not one of ours'), undefined);
 });
+
+// Its caller asks why it was turned away: the ends were found by two other entries, under other attempts.
+void test.test('a request that is quarantined is explained by the ends held against its content', () => {
+  const others = [
+    `${at(6)} process=entry-2 level=info event=crashHeld request=r7 content=c1 upstream=i-a sign=refusesConnections ends=1 verdict=suspected`,
+    `${at(7)} process=entry-3 level=info event=crashHeld request=r8 content=c1 upstream=i-b sign=fellSilent ends=3 verdict=quarantined`,
+    `${at(7)} process=entry-3 level=info event=crashHeld request=r8 content=c2 upstream=i-b sign=fellSilent ends=1 verdict=suspected`,
+    `${at(7.1)} process=entry-1 level=warn event=quarantined content=c1 ended="i-a i-b"`,
+  ];
+  const own = [
+    `${at(8)} process=entry-1 level=info event=requestQuarantined request=r6 content=c1 ended="i-a i-b" timeLeft=3599000`,
+    `${at(8)} process=entry-1 level=info event=requestRefused request=r6 reason=quarantined message="upstreams ended"`,
+  ];
+  const story = requestStory.collect('r6', [own.join('\n'), others.join('\n')]);
+  const sentence = cause.of(story);
+  assert.match(sentence, /i-a \(found by entry-2 at 2026-01-01T00:00:06.000Z, refusesConnections\), i-b/);
+  assert.match(sentence, /Quarantined at 2026-01-01T00:00:07.100Z. It was turned away; nothing ran./);
+  assert.equal(story.lines.filter((line) => line.fields.content === 'c2').length, 0);
+});
+
+// Its own run was under the last of those ends.
+void test.test('an attempt that ran before the quarantine says so', () => {
+  const own = [
+    `${at(7)} process=entry-1 level=info event=crashHeld request=r8 content=c1 upstream=i-b sign=refusesConnections ends=3 verdict=quarantined`,
+    `${at(7)} process=entry-1 level=warn event=quarantined content=c1 ended="i-a i-b i-c"`,
+    `${at(7)} process=entry-1 level=info event=requestEnded request=r8 content=c1 outcome=outcomeUnknown reason="upstreams ended" sends=2 milliseconds=1100`,
+  ];
+  assert.match(
+    cause.of(requestStory.collect('r8', [own.join('\n')])),
+    /It had run before; it was not sent on/,
+  );
+});
--- a/packages/command/src/explain/requestStory.ts
+++ b/packages/command/src/explain/requestStory.ts
@@ -19,6 +19,9 @@
 /** Events about an upstream that say why something on it went wrong. */
 const UPSTREAM_EVENTS = new Set(['instanceHeard', 'instanceLeaves', 'instanceSeen']);
 
+/** Events about what is held against a content, whichever process found it out. */
+const CONTENT_EVENTS = new Set(['crashHeld', 'crashesVoid', 'quarantined', 'quarantineLifted', 'caseAgreed']);
+
 /** Events about a process of which the last before the request's end counts. */
 const STATE_EVENTS = new Set(['coordinatorState', 'trafficInForce', 'controlLost', 'coordinatorChanged']);
 
@@ -53,16 +56,25 @@
       .flatMap((line) => UPSTREAM_FIELDS.map((field) => line.fields[field] ?? ''))
       .filter((name) => name !== ''),
   );
+  const contents = new Set(own.map((line) => line.fields.content ?? '').filter((content) => content !== ''));
   const end = own.at(-1)?.time ?? '';
   const near = all.filter((line) => processes.has(line.process));
   const ofUpstreams = near.filter(
     (line) =>
       UPSTREAM_EVENTS.has(line.event) && line.time <= end && upstreams.has(line.fields.instance ?? ''),
   );
+  const ofContents = all.filter(
+    (line) =>
+      CONTENT_EVENTS.has(line.event) &&
+      line.fields.request !== request &&
+      contents.has(line.fields.content ?? ''),
+  );
   const leftOut = near
     .filter((line) => line.event === 'linesLeftOut')
     .reduce((sum, line) => sum + Number(line.fields.count ?? 0), 0);
   const lines =
-    own.length === 0 ? [] : [...own, ...ofUpstreams, ...lastStates(near, end)].sort(logLine.byTime);
+    own.length === 0
+      ? []
+      : [...own, ...ofUpstreams, ...ofContents, ...lastStates(near, end)].sort(logLine.byTime);
   return { request, lines, leftOut };
 }
--- a/packages/command/src/ledger/requestEnding.ts
+++ b/packages/command/src/ledger/requestEnding.ts
@@ -49,7 +49,14 @@
 }
 
 /** Outcomes that say that nothing ran. */
-const NOT_RUN = new Set(['overloaded', 'noUpstream', 'draining', 'timeoutNotRun', 'noConfiguration']);
+const NOT_RUN = new Set([
+  'overloaded',
+  'noUpstream',
+  'quarantined',
+  'draining',
+  'timeoutNotRun',
+  'noConfiguration',
+]);
 
 /** Outcomes and reasons by which the configuration in force does not allow the request. */
 const NOT_OWED = new Set(['noRoute', 'unknownKey']);
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -109,11 +109,14 @@
 export function logEnd(context: ExchangeContext, routed: RoutedRequest, outcome: ports.LogFields): void {
   const { request, route, service, version } = routed;
   const milliseconds = Math.round(context.timers.now() - request.arrivedAt);
+  // On-call finds what was held against it by its content.
+  const isHeld = verdictOf(context, routed) !== 'free';
   context.log.info('requestEnded', {
     request: request.identity,
     route: route.name,
     service: service.name,
     version,
+    ...(isHeld && { content: contentOf(routed) }),
     ...outcome,
     milliseconds,
   });
