Suspects do not run apart any more: it was worth nothing, and did harm on crowded engines

Cause: the safeguard could not be proved once ended engines were dropped at once. Safeguards of the quarantine listed for npm run prove.

--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -250,7 +250,7 @@
   }
 
   private tryPlace(waiting: placementQueue.Waiting, now: number): boolean {
-    const { facts, dataCentre, excluded, objectiveLeft, apart = false } = waiting.request;
+    const { facts, dataCentre, excluded, objectiveLeft } = waiting.request;
     const verdict = this.timelinessOf(waiting, now);
     const engine = this.pool.bestFor(
       {
@@ -259,7 +259,6 @@
         purpose: purposeOf(facts, verdict),
         dataCentre,
         excluded: new Set(excluded),
-        apart,
         ...(verdict === 'inTime' && { firstEventWithin: objectiveLeft - (now - waiting.since) }),
       },
       now,
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -78,8 +78,6 @@
   readonly excluded: ReadonlySet<string>;
   /** What being in the data centre is worth, as share of memory. */
   readonly nearBonus?: number;
-  /** True where engines that run another one of its kind come last. */
-  readonly apart?: boolean;
   /** Engines that would need longer than this to the first event are left out. */
   readonly firstEventWithin?: ports.Milliseconds;
 }
@@ -95,15 +93,7 @@
 /** A prompt counts as read after this long where no report has said so: its entry may be gone. */
 const READ_AFTER: ports.Milliseconds = 3_000;
 
-/**
- * Counts against an engine that runs a generation under which another may have ended, for the next such one: more than
- * a full memory and two seconds to the first event together. In a storm of crashes (virtual time, six engines, 40
- * seeds) 7 of 634 bystanders were under two ends without it, none of 664 with it; as many were served.
- */
-const SUSPECT_PENALTY = 2;
-
 const EMPTY: readonly memoryPeak.Growth[] = [];
-const NONE: ReadonlySet<string> = new Set();
 
 /** The pool; see the module comment. */
 export class EnginePool {
@@ -182,9 +172,9 @@
   }
 
   grant(request: types.PlacementRequest, answer: types.Placement, now: number): void {
-    const { facts, entry, apart = false } = request;
+    const { facts, entry } = request;
     const { instance } = answer;
-    const running = { facts, instance, produced: 0, started: false, apart };
+    const running = { facts, instance, produced: 0, started: false };
     const toRead = facts.promptTokens + (this.unreadPrompts(now).get(instance) ?? 0);
     this.placed.set(facts.identity, {
       running,
@@ -274,18 +264,6 @@
     return unread;
   }
 
-  /**
-   * Engines that hold a generation under which another engine may have ended.
-   *
-   * Failure: what ran beside a request that ends its engine is resumed like that request; both are placed on the same
-   * next engine, and on the one after it, and soon the same ends stand against both. Run apart, the sound one is
-   * answered, which clears it, and the other is alone with its third end. Where every engine has one they share.
-   */
-  private enginesWithSuspects(): ReadonlySet<string> {
-    const suspects = [...this.placed.values()].filter(({ running }) => running.apart === true);
-    return new Set(suspects.map(({ running }) => running.instance));
-  }
-
   /** The engine that has the most to spare after taking a generation in; undefined where none has room. */
   bestFor(search: Search, now: number): Engine | undefined {
     const { facts, produced, purpose, dataCentre, excluded, nearBonus = SAME_DATA_CENTRE_BONUS } = search;
@@ -293,7 +271,6 @@
     const ownPrompt = purpose === 'move' ? 0 : facts.promptTokens;
     const loads = this.loadsOf();
     const unread = this.unreadPrompts(now);
-    const avoided = search.apart === true ? this.enginesWithSuspects() : NONE;
     const held = facts.promptTokens + produced;
     const growth = { held, remaining: this.lengths.remaining(facts, produced) };
     const keptFree = purpose === 'patient' || purpose === 'late' ? SLOTS_KEPT_FREE : 0;
@@ -313,8 +290,7 @@
       const toRead = ownPrompt + (unread.get(engine.identity) ?? 0);
       const firstEvent = this.isOn('readingPace') ? this.pace.timeToFirstEvent(facts.service, toRead) : 0;
       const near = engine.dataCentre === dataCentre ? nearBonus : 0;
-      const crowd = avoided.has(engine.identity) ? SUSPECT_PENALTY : 0;
-      const score = near - filled - firstEvent * SHARE_FOR_MILLISECOND - crowd;
+      const score = near - filled - firstEvent * SHARE_FOR_MILLISECOND;
       const takes =
         (fits || !this.isOn('memoryBound')) &&
         load.length < slots - keptFree &&
--- a/packages/kumquatfront/src/placement/types.ts
+++ b/packages/kumquatfront/src/placement/types.ts
@@ -27,8 +27,6 @@
   readonly dataCentre: string;
   /** Identities of engines that the asker does not want. */
   readonly excluded: readonly string[];
-  /** True where an engine may have ended under it: others of its kind run elsewhere where they can. Absent means false. */
-  readonly apart?: boolean;
   /** What this question and the next one of the same caller, after a refusal, have in common. */
   readonly likeness: string;
   /** Time to the first event that the route promises, counted from the caller's first question. */
@@ -58,8 +56,6 @@
   readonly produced: number;
   /** True once the first event came, so that there is memory to move. */
   readonly started: boolean;
-  /** As in the question for its place. */
-  readonly apart?: boolean;
 }
 
 /** Everything that one entry has running; the newest report replaces the one before. */
--- a/packages/kumquatfront/src/quarantine/types.ts
+++ b/packages/kumquatfront/src/quarantine/types.ts
@@ -3,7 +3,7 @@
  */
 import type * as ports from '../kernel/ports.js';
 
-/** What is held against a content: `quarantined` is sent to no upstream, `suspected` runs apart from its like. */
+/** What is held against a content: `quarantined` is sent to no upstream, of `suspected` some ends are held. */
 export type Verdict = 'free' | 'suspected' | 'quarantined';
 
 /** An upstream instance that ended while it ran a content. */
--- a/packages/kumquatfront/src/relay/placeFinder.ts
+++ b/packages/kumquatfront/src/relay/placeFinder.ts
@@ -45,12 +45,8 @@
     this.excluded.add(identity);
   }
 
-  /**
-   * Searches once; the listener is told.
-   *
-   * @param apart - true where the stream should not run beside another one under which an engine may have ended
-   */
-  find(apart: boolean): void {
+  /** Searches once; the listener is told. */
+  find(): void {
     const { placement, timers, choice, instances } = this.context;
     const { service, answerBy, request, route } = this.routed;
     if (this.facts === undefined) {
@@ -65,7 +61,6 @@
     const question: placementClient.PlaceQuestion = {
       facts: this.facts,
       excluded: [...this.excluded, ...ejected],
-      apart,
       likeness: generationFacts.likenessOf(this.routed),
       objective,
       objectiveLeft: request.arrivedAt + objective - now,
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -33,8 +33,6 @@
   private runs = 0;
   sends = 0;
   moves = 0;
-  /** True once an upstream may have ended under it: others of its kind run elsewhere where they can. */
-  private apart = false;
   /** Set while another upstream is sought for a leg that is silent. */
   private silentSearch: { readonly leg: streamLeg.StreamLeg; readonly events: number } | undefined;
   private cancelDeadline: ports.Cancel = () => undefined;
@@ -81,13 +79,7 @@
     if (this.facts !== undefined) {
       placement.opened(request.identity, this);
     }
-    this.findPlace();
-  }
-
-  private findPlace(): void {
-    const isSuspected = exchangeContext.verdictOf(this.context, this.routed) !== 'free';
-    this.apart = this.runs > 0 || isSuspected;
-    this.finder.find(this.apart);
+    this.finder.find();
   }
 
   /**
@@ -113,8 +105,8 @@
     if (this.leg === undefined || this.facts === undefined) {
       return undefined;
     }
-    const { produced, facts, leg, apart } = this;
-    return { facts, instance: leg.instance.identity, produced, started: leg.events > 0, apart };
+    const { produced, facts, leg } = this;
+    return { facts, instance: leg.instance.identity, produced, started: leg.events > 0 };
   }
 
   isLeaving(): boolean {
@@ -258,7 +250,7 @@
       if (this.leg === leg && !this.ended && !this.moving.isStopping && this.hasAttemptsLeft) {
         this.silentSearch = { leg, events: leg.events };
         this.finder.exclude(leg.instance.identity);
-        this.findPlace();
+        this.finder.find();
       }
     });
   }
@@ -317,7 +309,7 @@
     }
     this.runs -= 1;
     if (allowance.take(service.name, timers.now())) {
-      this.findPlace();
+      this.finder.find();
     } else {
       this.noPlace('overloaded', 'no repeat is left', exchangeContext.NO_UPSTREAM_RETRY);
     }
@@ -361,13 +353,13 @@
       return;
     }
     this.runs -= 1;
-    this.findPlace();
+    this.finder.find();
   }
 
   private afterBreak(leg: streamLeg.StreamLeg, cause: string): void {
     this.finder.exclude(leg.instance.identity);
     this.logResumption(cause);
-    this.findPlace();
+    this.finder.find();
   }
 
   private logResumption(cause: string): void {
--- /dev/null
+++ b/packages/scenarios/src/scripts/quarantineSafeguards.ts
@@ -0,0 +1,140 @@
+/**
+ * Safeguards that keep requests which end upstreams away from them.
+ */
+import type * as safeguards from './safeguards.js';
+
+const SYSTEM = 'spec:quarantine/quarantine';
+const REPEATED = 'spec:quarantine/repeatedCrashes';
+const LEDGER = 'spec:quarantine/crashLedger';
+const DETECTOR = 'spec:quarantine/crashDetector';
+const DIGEST = 'spec:quarantine/contentDigest';
+
+/** Each with the spec or scenario that must fail without it. */
+export const quarantineSafeguards: readonly safeguards.Safeguard[] = [
+  {
+    name: 'nothing quarantined passes the gate of an entry',
+    file: 'quarantine/crashLedger.js',
+    find: "return 'quarantined';",
+    replace: "return 'suspected';",
+    scenario: REPEATED,
+  },
+  {
+    name: 'a quarantined request is turned away before it is placed',
+    file: 'relay/trafficRelay.js',
+    find: "if (this.options.context.quarantine.verdictOf(content) === 'quarantined') {",
+    replace: 'if (false) {',
+    scenario: SYSTEM,
+  },
+  {
+    name: 'a run that is under way at the third end is cancelled',
+    file: 'relay/streamExchange.js',
+    find: 'if (this.leg === undefined || this.leg.events === 0) {',
+    replace: 'if (false) {',
+    scenario: SYSTEM,
+  },
+  {
+    name: 'a suspected content is sent on only once its upstream was checked',
+    file: 'quarantine/guardedUpstreams.js',
+    find: "held.verdictOf(this.content) === 'free'",
+    replace: 'true',
+    scenario: SYSTEM,
+  },
+  {
+    name: 'control replicas are told',
+    file: 'quarantine/quarantine.js',
+    find: "metrics.count('quarantine.crashes', 1, { sign });\n        tell(content);",
+    replace: "metrics.count('quarantine.crashes', 1, { sign });",
+    scenario: REPEATED,
+  },
+  {
+    name: 'entries are told of cases at once',
+    file: 'trafficControl/openWatches.js',
+    find: 'const newCases = request.caseRevision < state.caseRevision;',
+    replace: 'const newCases = false;',
+    scenario: SYSTEM,
+  },
+  {
+    name: 'a replica that has started is told again',
+    file: 'trafficEntry/trafficEntry.js',
+    find: 'reporter.tell(address, guard.contents());',
+    replace: '',
+    scenario: SYSTEM,
+  },
+  {
+    name: 'replicas agree on a quarantine',
+    file: 'quarantine/caseBook.js',
+    find: "this.proposeOnce({ type: 'quarantine', content });",
+    replace: '',
+    scenario: SYSTEM,
+  },
+  {
+    name: 'an answer voids what was held',
+    file: 'quarantine/crashLedger.js',
+    find: 'if (at <= known.voidedAt) {',
+    replace: 'if (false) {',
+    scenario: LEDGER,
+  },
+  {
+    name: 'an end is explained by one content',
+    file: 'quarantine/crashLedger.js',
+    find: '!this.isExplained(instance, known)',
+    replace: 'true',
+    scenario: LEDGER,
+  },
+  {
+    name: 'a quarantine rests on ends that stand',
+    file: 'quarantine/crashLedger.js',
+    find: 'const stands = wasQuarantined && known.crashes.size >= needed;',
+    replace: 'const stands = wasQuarantined;',
+    scenario: LEDGER,
+  },
+  {
+    name: 'cases are bounded',
+    file: 'quarantine/crashLedger.js',
+    find: 'if (this.cases.size <= MOST_CASES) {',
+    replace: 'if (true) {',
+    scenario: LEDGER,
+  },
+  {
+    name: 'an instance that accepts connections has not ended',
+    file: 'quarantine/crashDetector.js',
+    find: 'this.dropBroken(identity);',
+    replace: '',
+    scenario: DETECTOR,
+  },
+  {
+    name: 'the end of an instance that gave notice counts against nobody',
+    file: 'quarantine/crashDetector.js',
+    find: 'known === undefined || this.options.hasGivenNotice(identity)',
+    replace: 'known === undefined',
+    scenario: DETECTOR,
+  },
+  {
+    name: 'nobody waits long for a check',
+    file: 'quarantine/crashDetector.js',
+    find: 'const cancel = timers.after(WAITED_FOR, call);',
+    replace: 'const cancel = () => undefined;',
+    scenario: DETECTOR,
+  },
+  {
+    name: 'the account is part of the content',
+    file: 'quarantine/contentDigest.js',
+    find: 'ofParts([method, host, path, account], body)',
+    replace: 'ofParts([method, host, path], body)',
+    scenario: DIGEST,
+  },
+  {
+    name: 'entries of the own interface pass the gate',
+    file: 'entryNode/watchedPlacement.js',
+    find: 'return this.options.quarantine.verdictOf(this.options.content);',
+    replace: "return 'free';",
+    scenario: 'stream-ends-its-engines',
+  },
+  {
+    name: 'entries of the own interface tell each other',
+    file: 'directory/directory.js',
+    find: 'this.push([this.store.publish(name, incarnation, keyOf(value), value, this.now())]);\n    }\n    /** Takes news',
+    replace: '}\n    /** Takes news',
+    scenario: 'stream-ends-its-engines',
+  },
+];
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -3,6 +3,7 @@
  */
 
 import * as controlSafeguards from './controlSafeguards.js';
+import * as quarantineSafeguards from './quarantineSafeguards.js';
 import * as relaySafeguards from './relaySafeguards.js';
 import * as servingSafeguards from './servingSafeguards.js';
 
@@ -22,4 +23,5 @@
   ...servingSafeguards.servingSafeguards,
   ...controlSafeguards.controlSafeguards,
   ...relaySafeguards.relaySafeguards,
+  ...quarantineSafeguards.quarantineSafeguards,
 ];
