Soak: a service that ends under one request, with real processes and sockets

Cause: specs end upstreams on virtual time; whether a real port closes with its connections, and whether a quarantine gets through signals, cuts and lost disks of real processes, no test showed. Change: four runners that end under a path and are back two seconds later under another identity, a caller that brings it again and again; once all is quiet no entry may send it on, and each says not run. It draws from a generator of its own.

--- a/packages/soak/src/clients.ts
+++ b/packages/soak/src/clients.ts
@@ -141,9 +141,11 @@
       route('payment', 'non_idempotent', 'app', 1),
       route('lookUp', 'idempotent', 'app', 2),
       route('stream', 'streaming', 'llm', 1),
+      route('fragile', 'idempotent', 'fragile', 2),
     ],
     services: [
       { name: 'app', max_connections: 100 },
+      { name: 'fragile', max_connections: 100 },
       { name: 'llm', max_connections: 100, inference_engine: engine },
     ],
     limits: {
--- a/packages/soak/src/runners.ts
+++ b/packages/soak/src/runners.ts
@@ -16,7 +16,7 @@
 /** What a runner is made from. */
 export interface RunnerOptions {
   readonly identity: string;
-  readonly service: 'app' | 'llm';
+  readonly service: 'app' | 'llm' | 'fragile';
   /** Where it listens. */
   readonly address: string;
   /** Where it says that it listens: a proxy. */
@@ -24,6 +24,8 @@
   /** Addresses of the control processes that take announcements. */
   readonly control: () => readonly string[];
   readonly book: ledger.Ledger;
+  /** Called with the path of each request that it begins to run. */
+  readonly onBegin?: (path: string) => void;
 }
 
 /** One runner; see the module comment. */
@@ -50,6 +52,10 @@
     }, HEARTBEAT_MS);
   }
 
+  get identity(): string {
+    return this.options.identity;
+  }
+
   private beat(): void {
     const { identity, service, announced, control } = this.options;
     this.sequence += 1;
@@ -81,7 +87,8 @@
       return;
     }
     const path = incoming.url ?? '';
-    book.ran(attempt, path.startsWith('/lookUp/'));
+    book.ran(attempt, path.startsWith('/lookUp/') || path.startsWith('/fragile/'));
+    this.options.onBegin?.(path);
     outgoing.on('error', () => undefined);
     if (path.startsWith('/stream/')) {
       this.stream(attempt, outgoing);
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -9,6 +9,7 @@
 import * as kumquatfront from 'kumquatfront';
 
 import * as clients from './clients.js';
+import * as fragileRunners from './fragileRunners.js';
 import * as ledger from './ledger.js';
 import type * as loopbackProxy from './loopbackProxy.js';
 import * as portDraw from './portDraw.js';
@@ -257,6 +258,14 @@
   if (!(await servesAgain(soak))) {
     faults.push('nothing was served before the first trouble');
   }
+  const fragile = new fragileRunners.FragileService({
+    entries,
+    callerPort: soak.ports.caller,
+    runnerPort: soak.ports.runner,
+    control: () => control.map((host) => `${host}:${soak.ports.operator}`),
+    book: soak.book,
+    random: kumquatfront.seededRandom.create(options.seed + 1_000_000),
+  });
   void operator.run();
   const endsAt = Date.now() + options.troubleSeconds * 1_000;
   const open: Promise<void>[] = [];
@@ -275,6 +284,8 @@
   if (!(await servesAgain(soak))) {
     faults.push('nothing was served after the trouble');
   }
+  await fragile.settle();
+  fragile.stop();
   for (const caller of callers) {
     caller.stop();
   }
