--- a/packages/kumquatfront/src/consensus/replica.spec.ts
+++ b/packages/kumquatfront/src/consensus/replica.spec.ts
@@ -4,184 +4,25 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
-import type * as ports from '../kernel/ports.js';
-import * as timerService from '../kernel/timerService.js';
-import * as logStore from './logStore.js';
-import * as replica from './replica.js';
+import * as replicaBench from './replicaBench.js';
 import type * as types from './types.js';
 
-const CLUSTER = 'cluster';
-const ELECTION_TIMEOUT = 1_000;
-
-function member(identity: string): types.Member {
-  return { identity, name: identity, address: identity, role: 'voter' };
-}
-
-const MEMBERS = ['a', 'b', 'c'].map(member);
-
-/** Replica `a` of three, whose clock is set by hand and whose timers fire only when told to. */
-class Bench {
-  now = 0;
-  readonly sent: types.ConsensusMessage[] = [];
-  readonly applied: unknown[] = [];
-  readonly store: logStore.LogStore;
-  readonly replica: replica.Replica;
-  private readonly timers: { readonly at: number; readonly run: () => void; live: boolean }[] = [];
-
-  constructor(entries: readonly types.LogEntry[], term: number) {
-    const disk: ports.Disk = {
-      read: (file) => (file === 'identity' ? Buffer.from('a') : undefined),
-      append: () => undefined,
-      sync: (_file, done) => {
-        done();
-      },
-      replace: (_file, _bytes, done) => {
-        done();
-      },
-    };
-    const random: ports.Random = { next: () => 0, identity: () => 'a' };
-    const clock: ports.Clock = { now: () => this.now, wall: () => this.now };
-    this.store = logStore.LogStore.open(disk, random).unwrap();
-    this.store.setHardState({ clusterIdentity: CLUSTER, term, votedFor: '' });
-    this.store.append({ index: 1, term: 1, stamp: 0, payload: { type: 'members', members: MEMBERS } });
-    for (const entry of entries) {
-      this.store.append(entry);
-    }
-    const silent = (): void => undefined;
-    this.replica = new replica.Replica({
-      store: this.store,
-      clock,
-      random,
-      timers: timerService.create(clock, { after: (delay, run) => this.schedule(delay, run) }),
-      log: { debug: silent, info: silent, warn: silent, error: silent },
-      timing: {
-        heartbeat: 100,
-        electionTimeout: ELECTION_TIMEOUT,
-        leaseShare: 0.8,
-        snapshotEvery: 1_000,
-        snapshotPieceLength: 1_000,
-        appendLimit: 10,
-      },
-      machine: {
-        apply: (command) => this.applied.push(command),
-        takeSnapshot: () => null,
-        restore: silent,
-      },
-      send: (_address, message) => this.sent.push(message),
-    });
-  }
-
-  private schedule(delay: number, run: () => void): ports.Cancel {
-    const timer = { at: this.now + delay, run, live: true };
-    this.timers.push(timer);
-    return () => {
-      timer.live = false;
-    };
-  }
-
-  advance(duration: number): void {
-    this.now += duration;
-    for (const timer of this.timers.splice(0)) {
-      if (timer.live && timer.at <= this.now) {
-        timer.run();
-      } else if (timer.live) {
-        this.timers.push(timer);
-      }
-    }
-  }
-
-  askVote(term: number, lastIndex: number, lastTerm: number, afterRestart = false): boolean {
-    this.replica.receive({
-      ...{ type: 'voteRequest', preVote: false, clusterIdentity: CLUSTER, from: 'b', to: 'a' },
-      ...{ term, lastIndex, lastTerm, afterRestart, answerTo: 'b' },
-    });
-    const answer = this.sent.at(-1);
-    return answer?.type === 'voteAnswer' && answer.granted;
-  }
-
-  heartbeat(term: number): void {
-    this.replica.receive({
-      ...{ type: 'appendRequest', clusterIdentity: CLUSTER, from: 'c', to: 'a', term },
-      ...{ previousIndex: this.store.lastIndex, previousTerm: this.store.lastTerm, entries: [] },
-      ...{ commitIndex: 1, sentAt: 0, round: 1 },
-    });
-  }
-
-  /** Wins an election with the vote of `b`. */
-  win(): void {
-    this.advance(ELECTION_TIMEOUT * 2);
-    const term = this.store.hardState.term + 1;
-    const address = { clusterIdentity: CLUSTER, from: 'b', to: 'a', term };
-    const granted = { granted: true, leaderless: true, asks: false, lastIndex: 1, lastTerm: 1 };
-    this.replica.receive({ type: 'voteAnswer', preVote: true, ...granted, ...address });
-    this.replica.receive({ type: 'voteAnswer', preVote: false, ...granted, ...address });
-    assert.equal(this.replica.role, 'leader');
-  }
-
-  /** A voter says, without giving its vote, whether it knows a leader. */
-  answerLeaderless(from: string, leaderless: boolean, lastIndex = 1): void {
-    const { term } = this.store.hardState;
-    this.replica.receive({
-      ...{
-        type: 'voteAnswer',
-        preVote: true,
-        granted: false,
-        leaderless,
-        asks: true,
-        lastIndex,
-        lastTerm: 1,
-      },
-      ...{ clusterIdentity: CLUSTER, from, to: 'a', term },
-    });
-  }
-
-  /** Messages of a kind that went out since the last call. */
-  takeSent<Type extends types.ConsensusMessage['type']>(
-    type: Type,
-  ): readonly Extract<types.ConsensusMessage, { type: Type }>[] {
-    const sent = this.sent.splice(0);
-    return sent.filter((message): message is Extract<types.ConsensusMessage, { type: Type }> => {
-      return message.type === type;
-    });
-  }
-
-  private lastRound(): number {
-    const last = this.sent.filter((message) => message.type === 'appendRequest').at(-1);
-    return last?.type === 'appendRequest' ? last.round : 0;
-  }
-
-  acknowledge(matchIndex: number, answeredRound?: number): void {
-    const { term } = this.store.hardState;
-    const address = { clusterIdentity: CLUSTER, from: 'b', to: 'a', term };
-    this.advance(1);
-    const round = answeredRound ?? this.lastRound();
-    this.replica.receive({
-      ...{ type: 'appendAnswer', success: true, matchIndex, sentAt: this.now, round },
-      ...address,
-    });
-  }
-}
-
-function command(index: number, term: number): types.LogEntry {
-  return { index, term, stamp: 0, payload: { type: 'command', command: index } };
-}
-
 // A candidate that lacks an entry this voter holds could lead and overwrite it. If the entry is committed, an
 // operator's accepted change would be gone.
 void test.test('a voter refuses a candidate whose log is behind its own', () => {
-  const bench = new Bench([command(2, 2)], 2);
-  bench.advance(ELECTION_TIMEOUT);
+  const bench = new replicaBench.Bench([replicaBench.command(2, 2)], 2);
+  bench.advance(replicaBench.ELECTION_TIMEOUT);
   assert.equal(bench.askVote(3, 1, 1), false);
   assert.equal(bench.askVote(4, 2, 2), true);
 });
 
 // A voter that gave its vote away a second time in the same term would make two leaders possible.
 void test.test('a voter gives one vote a term', () => {
-  const bench = new Bench([], 1);
-  bench.advance(ELECTION_TIMEOUT);
+  const bench = new replicaBench.Bench([], 1);
+  bench.advance(replicaBench.ELECTION_TIMEOUT);
   assert.equal(bench.askVote(2, 1, 1), true);
   bench.replica.receive({
-    ...{ type: 'voteRequest', preVote: false, clusterIdentity: CLUSTER, from: 'c', to: 'a' },
+    ...{ type: 'voteRequest', preVote: false, clusterIdentity: replicaBench.CLUSTER, from: 'c', to: 'a' },
     ...{ term: 2, lastIndex: 1, lastTerm: 1, afterRestart: false, answerTo: 'c' },
   });
   assert.equal(bench.sent.at(-1)?.type === 'voteAnswer' && bench.sent.at(-1)?.to === 'c', true);
@@ -192,11 +33,11 @@
 // The leader's lease rests on this: whoever heard from it refuses others for an election timeout. A restart
 // forgets when that was, so it counts as news of a leader.
 void test.test('a voter refuses everyone while a leader may hold its lease, also after a restart', () => {
-  const bench = new Bench([], 1);
+  const bench = new replicaBench.Bench([], 1);
   assert.equal(bench.askVote(2, 1, 1), false);
-  bench.advance(ELECTION_TIMEOUT);
+  bench.advance(replicaBench.ELECTION_TIMEOUT);
   bench.heartbeat(1);
-  bench.advance(ELECTION_TIMEOUT - 1);
+  bench.advance(replicaBench.ELECTION_TIMEOUT - 1);
   assert.equal(bench.askVote(2, 9, 9), false);
   bench.advance(1);
   assert.equal(bench.askVote(2, 9, 9), true);
@@ -205,7 +46,7 @@
 // An entry of an older term on a majority can still be overwritten by a later leader (figure 8 of the Raft
 // paper). Only an entry of the leader's own term commits by counting, and the older ones with it.
 void test.test('a leader commits an older entry only together with one of its own term', () => {
-  const bench = new Bench([command(2, 1)], 1);
+  const bench = new replicaBench.Bench([replicaBench.command(2, 1)], 1);
   bench.win();
   bench.acknowledge(2);
   assert.equal(bench.replica.commitIndex, 0);
@@ -217,11 +58,11 @@
 // Two changes of members at once, or one before this term has committed, could leave an old and a new majority
 // that do not overlap.
 void test.test('members change one at a time, and only after this term has committed', () => {
-  const bench = new Bench([], 1);
+  const bench = new replicaBench.Bench([], 1);
   bench.win();
   const outcomes: boolean[] = [];
   const change = (identities: readonly string[]): void => {
-    bench.replica.changeMembers(identities.map(member), (result) => outcomes.push(result.ok));
+    bench.replica.changeMembers(identities.map(replicaBench.member), (result) => outcomes.push(result.ok));
   };
   change(['a', 'b']);
   assert.deepEqual(outcomes, [false]);
@@ -236,11 +77,11 @@
 // A frozen leader wakes up after its lease is over. Until its timers run it still believes that it leads; it
 // must refuse operators on the clock alone.
 void test.test('a leader past its lease refuses before anything is written', () => {
-  const bench = new Bench([], 1);
+  const bench = new replicaBench.Bench([], 1);
   bench.win();
   bench.acknowledge(2);
   assert.equal(bench.replica.mayLead(), true);
-  bench.now += ELECTION_TIMEOUT;
+  bench.now += replicaBench.ELECTION_TIMEOUT;
   assert.equal(bench.replica.mayLead(), false);
   const before = bench.store.lastIndex;
   bench.replica.propose('late', (result) => {
@@ -252,7 +93,7 @@
 // A VM was suspended and its steady clock stood still: its lease looks valid although the others have elected a
 // successor and changed the state. Only an answer to a message that was sent after the read tells the truth.
 void test.test('a read waits for an answer to a message that was sent after it', () => {
-  const bench = new Bench([], 1);
+  const bench = new replicaBench.Bench([], 1);
   bench.win();
   bench.acknowledge(2);
   const outcomes: boolean[] = [];
@@ -265,7 +106,7 @@
 });
 
 void test.test('a read is refused when its leader steps down', () => {
-  const bench = new Bench([], 1);
+  const bench = new replicaBench.Bench([], 1);
   bench.win();
   bench.acknowledge(2);
   const outcomes: boolean[] = [];
@@ -277,7 +118,7 @@
 // Everything is killed at once. Each voter refuses its vote for an election timeout after its start, as it may have
 // promised a leader its lease; all of them wait for nobody, and no entry gets a configuration meanwhile.
 void test.test('voters that all know no leader elect one right after their start', () => {
-  const bench = new Bench([], 3);
+  const bench = new replicaBench.Bench([], 3);
   bench.advance(100);
   const asked = bench.takeSent('voteRequest');
   assert.deepEqual(
@@ -297,7 +138,7 @@
 
 // All voters have each other's answers at nearly the same moment. If each asked for votes, nobody would get most.
 void test.test('of voters that have just started, only the one with the longest log asks for votes', () => {
-  const behind = new Bench([], 3);
+  const behind = new replicaBench.Bench([], 3);
   behind.advance(100);
   behind.answerLeaderless('b', true, 2);
   behind.answerLeaderless('c', true);
@@ -308,12 +149,12 @@
 // A candidate has this replica's vote and is being counted. Another one whose timer runs out meanwhile would raise the
 // term: the leader just elected would step down, and callers would be refused for another second.
 void test.test('a voter that has given its vote refuses other pre-votes for one election timeout', () => {
-  const bench = new Bench([], 3);
-  bench.advance(ELECTION_TIMEOUT + 1);
+  const bench = new replicaBench.Bench([], 3);
+  bench.advance(replicaBench.ELECTION_TIMEOUT + 1);
   bench.takeSent('voteRequest');
   const preVote = (from: string, afterRestart = false): readonly types.VoteAnswer[] => {
     bench.replica.receive({
-      ...{ type: 'voteRequest', preVote: true, clusterIdentity: CLUSTER, from, to: 'a' },
+      ...{ type: 'voteRequest', preVote: true, clusterIdentity: replicaBench.CLUSTER, from, to: 'a' },
       ...{ term: 5, lastIndex: 1, lastTerm: 1, afterRestart, answerTo: from },
     });
     return bench.takeSent('voteAnswer');
@@ -325,7 +166,7 @@
     [{ granted: false, leaderless: false }],
   );
   assert.equal(preVote('b')[0]?.granted, true);
-  bench.advance(ELECTION_TIMEOUT - 10);
+  bench.advance(replicaBench.ELECTION_TIMEOUT - 10);
   assert.equal(preVote('c')[0]?.granted, false);
   bench.advance(11);
   assert.equal(preVote('c', true)[0]?.granted, false);
@@ -334,7 +175,7 @@
 
 // One voter still hears from its leader, whose lease may rest on what this replica promised before its restart.
 void test.test('a restarted voter waits where any voter knows a leader or does not answer', () => {
-  const bench = new Bench([], 3);
+  const bench = new replicaBench.Bench([], 3);
   bench.advance(100);
   bench.answerLeaderless('b', true);
   bench.answerLeaderless('c', false);
@@ -347,7 +188,7 @@
 // Two ask at the same time. The first is elected with the vote of the second, which must not depose it by answers
 // from before: entries would get their configuration later, not sooner.
 void test.test('a restarted voter that has voted meanwhile does not count answers from before', () => {
-  const bench = new Bench([], 3);
+  const bench = new replicaBench.Bench([], 3);
   bench.advance(50);
   bench.answerLeaderless('c', true);
   assert.equal(bench.askVote(4, 1, 1, true), true);
@@ -358,14 +199,14 @@
 
 // Two ask at the same time, and the one that is a candidate already is about to win.
 void test.test('a candidate does not say that there is no leader', () => {
-  const bench = new Bench([], 3);
+  const bench = new replicaBench.Bench([], 3);
   bench.advance(50);
   bench.answerLeaderless('b', true);
   bench.answerLeaderless('c', true);
   assert.equal(bench.replica.role, 'candidate');
   bench.takeSent('voteRequest');
   bench.replica.receive({
-    ...{ type: 'voteRequest', preVote: true, clusterIdentity: CLUSTER, from: 'b', to: 'a' },
+    ...{ type: 'voteRequest', preVote: true, clusterIdentity: replicaBench.CLUSTER, from: 'b', to: 'a' },
     ...{ term: 4, lastIndex: 1, lastTerm: 1, afterRestart: true, answerTo: 'b' },
   });
   assert.deepEqual(
@@ -377,10 +218,10 @@
 void test.test(
   'a restarted voter gives its vote at once where all know no leader, unless it hears from one',
   () => {
-    const restarted = new Bench([], 3);
+    const restarted = new replicaBench.Bench([], 3);
     assert.equal(restarted.askVote(4, 1, 1), false);
     assert.equal(restarted.askVote(4, 1, 1, true), true);
-    const led = new Bench([], 3);
+    const led = new replicaBench.Bench([], 3);
     led.heartbeat(3);
     assert.equal(led.askVote(4, 1, 1, true), false);
     assert.equal(led.store.hardState.term, 3);
@@ -391,15 +232,21 @@
 void test.test(
   'a replica without a leader answers for the one that was at its address; one with a leader does not',
   () => {
-    const ask = (bench: Bench): readonly types.VoteAnswer[] => {
+    const ask = (bench: replicaBench.Bench): readonly types.VoteAnswer[] => {
       bench.takeSent('voteAnswer');
       bench.replica.receive({
-        ...{ type: 'voteRequest', preVote: true, clusterIdentity: CLUSTER, from: 'b', to: 'lost' },
+        ...{
+          type: 'voteRequest',
+          preVote: true,
+          clusterIdentity: replicaBench.CLUSTER,
+          from: 'b',
+          to: 'lost',
+        },
         ...{ term: 4, lastIndex: 1, lastTerm: 1, afterRestart: true, answerTo: 'b' },
       });
       return bench.takeSent('voteAnswer');
     };
-    const bench = new Bench([], 3);
+    const bench = new replicaBench.Bench([], 3);
     assert.deepEqual(
       ask(bench).map(({ from, granted, leaderless, term }) => ({ from, granted, leaderless, term })),
       [{ from: 'lost', granted: false, leaderless: true, term: 3 }],
--- /dev/null
+++ b/packages/kumquatfront/src/consensus/replicaBench.ts
@@ -0,0 +1,169 @@
+/**
+ * One replica of three, driven by messages and timers alone, for the specs.
+ */
+import * as assert from 'node:assert/strict';
+
+import type * as ports from '../kernel/ports.js';
+import * as timerService from '../kernel/timerService.js';
+import * as logStore from './logStore.js';
+import * as replica from './replica.js';
+import type * as types from './types.js';
+
+/** Identity of the cluster on the bench. */
+export const CLUSTER = 'cluster';
+export const ELECTION_TIMEOUT = 1_000;
+
+/** A voter whose name and address are its identity. */
+export function member(identity: string): types.Member {
+  return { identity, name: identity, address: identity, role: 'voter' };
+}
+
+const MEMBERS = ['a', 'b', 'c'].map(member);
+
+/** Replica `a` of three, whose clock is set by hand and whose timers fire only when told to. */
+export class Bench {
+  now = 0;
+  readonly sent: types.ConsensusMessage[] = [];
+  readonly applied: unknown[] = [];
+  readonly store: logStore.LogStore;
+  readonly replica: replica.Replica;
+  private readonly timers: { readonly at: number; readonly run: () => void; live: boolean }[] = [];
+
+  constructor(entries: readonly types.LogEntry[], term: number) {
+    const disk: ports.Disk = {
+      read: (file) => (file === 'identity' ? Buffer.from('a') : undefined),
+      append: () => undefined,
+      sync: (_file, done) => {
+        done();
+      },
+      replace: (_file, _bytes, done) => {
+        done();
+      },
+    };
+    const random: ports.Random = { next: () => 0, identity: () => 'a' };
+    const clock: ports.Clock = { now: () => this.now, wall: () => this.now };
+    this.store = logStore.LogStore.open(disk, random).unwrap();
+    this.store.setHardState({ clusterIdentity: CLUSTER, term, votedFor: '' });
+    this.store.append({ index: 1, term: 1, stamp: 0, payload: { type: 'members', members: MEMBERS } });
+    for (const entry of entries) {
+      this.store.append(entry);
+    }
+    const silent = (): void => undefined;
+    this.replica = new replica.Replica({
+      store: this.store,
+      clock,
+      random,
+      timers: timerService.create(clock, { after: (delay, run) => this.schedule(delay, run) }),
+      log: { debug: silent, info: silent, warn: silent, error: silent },
+      timing: {
+        heartbeat: 100,
+        electionTimeout: ELECTION_TIMEOUT,
+        leaseShare: 0.8,
+        snapshotEvery: 1_000,
+        snapshotPieceLength: 1_000,
+        appendLimit: 10,
+      },
+      machine: {
+        apply: (command) => this.applied.push(command),
+        takeSnapshot: () => null,
+        restore: silent,
+      },
+      send: (_address, message) => this.sent.push(message),
+    });
+  }
+
+  private schedule(delay: number, run: () => void): ports.Cancel {
+    const timer = { at: this.now + delay, run, live: true };
+    this.timers.push(timer);
+    return () => {
+      timer.live = false;
+    };
+  }
+
+  advance(duration: number): void {
+    this.now += duration;
+    for (const timer of this.timers.splice(0)) {
+      if (timer.live && timer.at <= this.now) {
+        timer.run();
+      } else if (timer.live) {
+        this.timers.push(timer);
+      }
+    }
+  }
+
+  askVote(term: number, lastIndex: number, lastTerm: number, afterRestart = false): boolean {
+    this.replica.receive({
+      ...{ type: 'voteRequest', preVote: false, clusterIdentity: CLUSTER, from: 'b', to: 'a' },
+      ...{ term, lastIndex, lastTerm, afterRestart, answerTo: 'b' },
+    });
+    const answer = this.sent.at(-1);
+    return answer?.type === 'voteAnswer' && answer.granted;
+  }
+
+  heartbeat(term: number): void {
+    this.replica.receive({
+      ...{ type: 'appendRequest', clusterIdentity: CLUSTER, from: 'c', to: 'a', term },
+      ...{ previousIndex: this.store.lastIndex, previousTerm: this.store.lastTerm, entries: [] },
+      ...{ commitIndex: 1, sentAt: 0, round: 1 },
+    });
+  }
+
+  /** Wins an election with the vote of `b`. */
+  win(): void {
+    this.advance(ELECTION_TIMEOUT * 2);
+    const term = this.store.hardState.term + 1;
+    const address = { clusterIdentity: CLUSTER, from: 'b', to: 'a', term };
+    const granted = { granted: true, leaderless: true, asks: false, lastIndex: 1, lastTerm: 1 };
+    this.replica.receive({ type: 'voteAnswer', preVote: true, ...granted, ...address });
+    this.replica.receive({ type: 'voteAnswer', preVote: false, ...granted, ...address });
+    assert.equal(this.replica.role, 'leader');
+  }
+
+  /** A voter says, without giving its vote, whether it knows a leader. */
+  answerLeaderless(from: string, leaderless: boolean, lastIndex = 1): void {
+    const { term } = this.store.hardState;
+    this.replica.receive({
+      ...{
+        type: 'voteAnswer',
+        preVote: true,
+        granted: false,
+        leaderless,
+        asks: true,
+        lastIndex,
+        lastTerm: 1,
+      },
+      ...{ clusterIdentity: CLUSTER, from, to: 'a', term },
+    });
+  }
+
+  /** Messages of a kind that went out since the last call. */
+  takeSent<Type extends types.ConsensusMessage['type']>(
+    type: Type,
+  ): readonly Extract<types.ConsensusMessage, { type: Type }>[] {
+    const sent = this.sent.splice(0);
+    return sent.filter((message): message is Extract<types.ConsensusMessage, { type: Type }> => {
+      return message.type === type;
+    });
+  }
+
+  private lastRound(): number {
+    const last = this.sent.filter((message) => message.type === 'appendRequest').at(-1);
+    return last?.type === 'appendRequest' ? last.round : 0;
+  }
+
+  acknowledge(matchIndex: number, answeredRound?: number): void {
+    const { term } = this.store.hardState;
+    const address = { clusterIdentity: CLUSTER, from: 'b', to: 'a', term };
+    this.advance(1);
+    const round = answeredRound ?? this.lastRound();
+    this.replica.receive({
+      ...{ type: 'appendAnswer', success: true, matchIndex, sentAt: this.now, round },
+      ...address,
+    });
+  }
+}
+
+/** An entry of the log. */
+export function command(index: number, term: number): types.LogEntry {
+  return { index, term, stamp: 0, payload: { type: 'command', command: index } };
+}
