--- a/packages/kumquatfront/src/quarantine/quarantine.spec.ts
+++ b/packages/kumquatfront/src/quarantine/quarantine.spec.ts
@@ -130,10 +130,8 @@
   assertTurnedAwayEverywhere(bench);
 });
 
-// All of control is killed and comes back: a replica has only what it had on its disk, and what entries tell it.
-void test.test('a control that was killed and an entry that starts then know', () => {
-  const bench = create();
-  quarantine(bench);
+/** Kills all of control, and starts it again on the disks that it had. */
+function restartControl(bench: crashBench.CrashBench): void {
   crashBench.REPLICAS.forEach((replica) => {
     bench.control.kill(replica);
   });
@@ -141,28 +139,37 @@
   crashBench.REPLICAS.forEach((replica) => {
     bench.control.start(replica);
   });
+}
+
+// All of control is killed and comes back: a replica has only what it had on its disk, and what entries tell it.
+void test.test('a control that was killed and an entry that starts then know', () => {
+  const bench = create();
+  quarantine(bench);
+  restartControl(bench);
   bench.startEntry('e8');
   bench.time.advance(STARTS_WITHIN);
   assertTurnedAwayEverywhere(bench);
 });
 
-// Everything loses power: no process remembers anything. The same request would end three upstreams anew, and go on
-// from there, if the replicas had not agreed on it.
-void test.test('a quarantine outlives the loss of all processes', () => {
-  const bench = create();
-  quarantine(bench);
+/** Kills every process, and starts all again on the disks that they had. */
+function restartAll(bench: crashBench.CrashBench): void {
   const { entryNames } = bench;
-  [...crashBench.REPLICAS, ...entryNames].forEach((name) => {
-    bench.control.kill(name);
-  });
-  bench.time.advance(500);
-  crashBench.REPLICAS.forEach((replica) => {
-    bench.control.start(replica);
+  entryNames.forEach((entry) => {
+    bench.control.kill(entry);
   });
+  restartControl(bench);
   entryNames.forEach((entry) => {
     bench.startEntry(entry);
   });
   bench.time.advance(STARTS_WITHIN);
+}
+
+// Everything loses power: no process remembers anything. The same request would end three upstreams anew, and go on
+// from there, if the replicas had not agreed on it.
+void test.test('a quarantine outlives the loss of all processes', () => {
+  const bench = create();
+  quarantine(bench);
+  restartAll(bench);
   assertTurnedAwayEverywhere(bench);
 });
 
@@ -170,20 +177,8 @@
 void test.test('a quarantine outlives the loss of a disk', () => {
   const bench = create();
   quarantine(bench);
-  const { entryNames } = bench;
-  const lost = bench.control.leader();
-  bench.control.loseDisk(lost);
-  [...crashBench.REPLICAS, ...entryNames].forEach((name) => {
-    bench.control.kill(name);
-  });
-  bench.time.advance(500);
-  crashBench.REPLICAS.forEach((replica) => {
-    bench.control.start(replica);
-  });
-  entryNames.forEach((entry) => {
-    bench.startEntry(entry);
-  });
-  bench.time.advance(STARTS_WITHIN);
+  bench.control.loseDisk(bench.control.leader());
+  restartAll(bench);
   assertTurnedAwayEverywhere(bench);
 });
 
@@ -207,13 +202,7 @@
   bench.ask('e1', 'llm', KILLER);
   bench.time.advance(1_500);
   assert.equal(bench.crashes.length, 2);
-  crashBench.REPLICAS.forEach((replica) => {
-    bench.control.kill(replica);
-  });
-  bench.time.advance(500);
-  crashBench.REPLICAS.forEach((replica) => {
-    bench.control.start(replica);
-  });
+  restartControl(bench);
   bench.startEntry('e8');
   bench.time.advance(STARTS_WITHIN);
   bench.ask('e8', 'llm', KILLER);
--- a/packages/soak/src/clients.ts
+++ b/packages/soak/src/clients.ts
@@ -8,6 +8,7 @@
 import * as platform from 'kumquatfront-platform';
 
 import type * as ledger from './ledger.js';
+import * as pause from './pause.js';
 
 const PATIENCE_MS = 4_000;
 
@@ -76,7 +77,7 @@
   private async run(): Promise<void> {
     while (!this.stopped) {
       await this.callOnce();
-      await new Promise((resolve) => setTimeout(resolve, 20 + this.random.next() * 60));
+      await pause.of(20 + this.random.next() * 60);
     }
   }
 
@@ -201,7 +202,7 @@
   async run(): Promise<void> {
     while (!this.stopped) {
       await (this.random.next() < 0.4 ? this.replace() : this.read());
-      await new Promise((resolve) => setTimeout(resolve, 150));
+      await pause.of(150);
     }
   }
 
--- a/packages/soak/src/fragileRunners.ts
+++ b/packages/soak/src/fragileRunners.ts
@@ -6,6 +6,7 @@
 
 import * as clients from './clients.js';
 import type * as ledger from './ledger.js';
+import * as pause from './pause.js';
 import * as runners from './runners.js';
 
 /** Path of the request that ends its runner. */
@@ -23,9 +24,6 @@
 const KNOWN_AFTER = 3;
 const KNOWN_WITHIN_MS = 3_000;
 
-const pause = (milliseconds: number): Promise<void> =>
-  new Promise((resolve) => setTimeout(resolve, milliseconds));
-
 /** What the runners and their caller are made from. */
 export interface FragileOptions {
   readonly entries: readonly string[];
@@ -101,7 +99,7 @@
     const { entries, random } = this.options;
     while (!this.stopped) {
       await this.ask(entries[Math.floor(random.next() * entries.length)] ?? '');
-      await pause(ASKS_EVERY_MS);
+      await pause.of(ASKS_EVERY_MS);
     }
   }
 
@@ -110,12 +108,12 @@
     const { entries, book } = this.options;
     const endsAt = Date.now() + 20_000;
     while (this.ends < KNOWN_AFTER && Date.now() < endsAt) {
-      await pause(ASKS_EVERY_MS);
+      await pause.of(ASKS_EVERY_MS);
     }
-    await pause(KNOWN_WITHIN_MS);
+    await pause.of(KNOWN_WITHIN_MS);
     const before = this.arrivals;
     const answers = await Promise.all(entries.map((host) => this.ask(host)));
-    await pause(ASKS_EVERY_MS);
+    await pause.of(ASKS_EVERY_MS);
     if (this.ends < KNOWN_AFTER) {
       book.faults.push(`only ${this.ends} runners ended under the killer`);
     }
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -12,6 +12,7 @@
 import * as fragileRunners from './fragileRunners.js';
 import * as ledger from './ledger.js';
 import type * as loopbackProxy from './loopbackProxy.js';
+import * as pause from './pause.js';
 import * as portDraw from './portDraw.js';
 import * as processes from './processes.js';
 import * as runners from './runners.js';
@@ -41,9 +42,6 @@
 /** Time in which a replica that lost its disk must be a voter again, from its kill; a part is its start. */
 const CATCH_UP_MS = 4_600;
 
-const pause = (milliseconds: number): Promise<void> =>
-  new Promise((resolve) => setTimeout(resolve, milliseconds));
-
 async function freePorts(): Promise<processes.Ports & { readonly runner: number }> {
   const [peer = 0, caller = 0, ready = 0, operator = 0, registry = 0, metrics = 0, runner = 0] =
     await portDraw.draw(7);
@@ -127,23 +125,23 @@
         break;
       case 'freeze':
         program.signal('SIGSTOP');
-        await pause(length);
+        await pause.of(length);
         program.signal('SIGCONT');
         break;
       case 'term':
         program.signal('SIGTERM');
-        await pause(length);
+        await pause.of(length);
         program.signal('SIGKILL');
         break;
       case 'cut':
         program.proxy.state = state;
-        await pause(length);
+        await pause.of(length);
         program.proxy.heal();
         break;
       case 'runnerLink': {
         const proxy = this.pick(this.runnerProxies);
         proxy.state = state;
-        await pause(length);
+        await pause.of(length);
         proxy.heal();
         break;
       }
@@ -170,7 +168,7 @@
     await this.untilWhole();
     this.pick(this.control).loseDisk();
     // The next loss may come right after the time in which a replica must be repaired.
-    await pause(CATCH_UP_MS);
+    await pause.of(CATCH_UP_MS);
     await this.untilWhole();
     this.losingDisk = false;
   }
@@ -183,7 +181,7 @@
       if (answers.every((answer) => answer)) {
         return;
       }
-      await pause(200);
+      await pause.of(200);
     }
   }
 
@@ -203,7 +201,7 @@
     for (const proxy of this.runnerProxies) {
       proxy.close();
     }
-    await pause(300);
+    await pause.of(300);
     fs.rmSync(this.folder, { recursive: true, force: true });
   }
 }
@@ -215,7 +213,7 @@
     if (await holds()) {
       return true;
     }
-    await pause(150);
+    await pause.of(150);
   }
   return false;
 }
@@ -271,7 +269,7 @@
   const open: Promise<void>[] = [];
   while (Date.now() < endsAt) {
     open.push(soak.trouble());
-    await pause(200 + soak.random.next() * 900);
+    await pause.of(200 + soak.random.next() * 900);
   }
   await Promise.all(open);
   operator.stop();
@@ -289,7 +287,7 @@
   for (const caller of callers) {
     caller.stop();
   }
-  await pause(500);
+  await pause.of(500);
   for (const program of soak.programs) {
     if (program.unaskedEnds > 0) {
       faults.push(`${program.name} ended by itself ${program.unaskedEnds} times`);
