--- a/packages/kumquatfront/src/quarantine/crashLedger.ts
+++ b/packages/kumquatfront/src/quarantine/crashLedger.ts
@@ -42,10 +42,12 @@
   readonly content: string;
   /** Moments by instance. */
   readonly crashes: Map<string, ports.Milliseconds>;
+  /** Everything up to this moment is void. */
   voidedAt: ports.Milliseconds;
   quarantinedAt: ports.Milliseconds | undefined;
   /** When it was quarantined by what replicas had agreed on; before all time where it was not. */
   imposedAt: ports.Milliseconds;
+  /** Quarantines that have run out. */
   lapses: number;
   revision: number;
   touchedAt: ports.Milliseconds;
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -13,10 +13,6 @@
 import * as contentDigest from './contentDigest.js';
 import * as quarantine from './quarantine.js';
 
-/** What the caller is told, and the log. */
-export const QUARANTINED =
-  'upstreams ended under this content, one after another; sending it again will not help';
-
 /** What the gate is made from. */
 export interface GuardOptions {
   readonly upstreams: relayTypes.UpstreamPort;
