A data centre is evacuated by an order: agreed, told to every entry at once, obeyed by all that send

Weighed: one more object of the configuration (overtaken by whole replacements), a flag in announcements (lost with the replica), a command of its own in the log: chosen. Of orders that overtake each other the later in the log holds.

--- a/packages/benchmarks/src/fleet/fleetRun.ts
+++ b/packages/benchmarks/src/fleet/fleetRun.ts
@@ -91,6 +91,7 @@
       metrics: { count: silent, gauge: silent, timing: silent },
       random: kumquatfront.seededRandom.create(options.seed + 2_000),
       instances: () => this.instances(),
+      isEvacuated: () => false,
       serviceOf: () => service,
       entries: () => ['e'],
       ...(options.isOn !== undefined && { isOn: options.isOn }),
--- a/packages/kumquatfront/src/agreedState/agreedState.ts
+++ b/packages/kumquatfront/src/agreedState/agreedState.ts
@@ -35,8 +35,12 @@
   readonly traffic?: trafficTypes.VersionedText;
   /** Contents kept from upstreams, oldest first; absent where there is none. */
   readonly quarantined?: readonly string[];
+  /** Absent until an operator has evacuated a data centre for the first time. */
+  readonly evacuations?: types.Evacuations;
 }
 
+const NO_EVACUATIONS: types.Evacuations = { revision: 0, dataCentres: [] };
+
 /** Bounds used where the settings give none. */
 export const defaultLimits: types.AgreedStateLimits = {
   changeIdLife: 24 * 3_600_000,
@@ -58,6 +62,7 @@
   private orders = new Map<string, types.Order>();
   private heldTraffic: trafficTypes.VersionedText | undefined;
   private heldQuarantined: readonly string[] = [];
+  private heldEvacuations = NO_EVACUATIONS;
   private readonly claims: claimTable.ClaimTable;
   private readonly limits: types.AgreedStateLimits;
 
@@ -90,6 +95,11 @@
     return this.heldQuarantined;
   }
 
+  /** Data centres whose upstreams get nothing new; another value after each change. */
+  get evacuations(): types.Evacuations {
+    return this.heldEvacuations;
+  }
+
   /** Applies one committed command. */
   apply(command: types.Command, index: number, stamp: number): unknown {
     switch (command.type) {
@@ -106,6 +116,10 @@
         return this.settleOrder(command);
       case 'replaceTraffic':
         return this.replaceTraffic(command);
+      case 'evacuate':
+        return this.evacuate(command.dataCentre, index, stamp);
+      case 'restore':
+        return this.restoreDataCentre(command.dataCentre, index);
       case 'quarantine':
         return this.setQuarantined([...this.quarantinedWithout(command.content), command.content]);
       case 'release':
@@ -113,6 +127,27 @@
     }
   }
 
+  /**
+   * An order that changes nothing is acknowledged like any other: its operator has lost the first answer. Of an
+   * evacuation and a restoration that overtake each other the one that is later in the log holds.
+   */
+  private evacuate(dataCentre: string, index: number, since: number): types.Evacuations {
+    const { dataCentres } = this.heldEvacuations;
+    if (!dataCentres.some((held) => held.dataCentre === dataCentre)) {
+      this.heldEvacuations = { revision: index, dataCentres: [...dataCentres, { dataCentre, since }] };
+    }
+    return this.heldEvacuations;
+  }
+
+  private restoreDataCentre(dataCentre: string, index: number): types.Evacuations {
+    const { dataCentres } = this.heldEvacuations;
+    const left = dataCentres.filter((held) => held.dataCentre !== dataCentre);
+    if (left.length < dataCentres.length) {
+      this.heldEvacuations = { revision: index, dataCentres: left };
+    }
+    return this.heldEvacuations;
+  }
+
   private quarantinedWithout(content: string): readonly string[] {
     return this.heldQuarantined.filter((held) => held !== content);
   }
@@ -261,6 +296,7 @@
       orders: [...this.orders.values()],
       ...(this.heldTraffic === undefined ? {} : { traffic: this.heldTraffic }),
       ...(this.heldQuarantined.length === 0 ? {} : { quarantined: this.heldQuarantined }),
+      ...(this.heldEvacuations.revision === 0 ? {} : { evacuations: this.heldEvacuations }),
     };
   }
 
@@ -276,6 +312,7 @@
     this.orders = new Map(json.orders.map((order) => [order.orderId, order]));
     this.heldTraffic = json.traffic;
     this.heldQuarantined = json.quarantined ?? [];
+    this.heldEvacuations = json.evacuations ?? NO_EVACUATIONS;
   }
 }
 
--- a/packages/kumquatfront/src/agreedState/types.ts
+++ b/packages/kumquatfront/src/agreedState/types.ts
@@ -94,8 +94,38 @@
   readonly content: string;
 }
 
+/** Keeps new work from every upstream of a data centre until it is restored. */
+export interface EvacuateCommand {
+  readonly type: 'evacuate';
+  readonly dataCentre: string;
+}
+
+/** Gives the upstreams of a data centre work again. */
+export interface RestoreCommand {
+  readonly type: 'restore';
+  readonly dataCentre: string;
+}
+
+/** An operator's order on one data centre. */
+export type DataCentreCommand = EvacuateCommand | RestoreCommand;
+
+/** A data centre whose upstreams get nothing new. */
+export interface EvacuatedDataCentre {
+  readonly dataCentre: string;
+  /** Wall-clock milliseconds of the leader that took the order. */
+  readonly since: number;
+}
+
+/** All evacuated data centres, as one value that entries replace whole. */
+export interface Evacuations {
+  /** Index in the log of the newest change; 0 before the first. A higher one is newer, on any replica. */
+  readonly revision: number;
+  readonly dataCentres: readonly EvacuatedDataCentre[];
+}
+
 /** Every command. */
 export type Command =
+  | DataCentreCommand
   | QuarantineCommand
   | ReleaseCommand
   | ReplaceTrafficCommand
--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -19,6 +19,7 @@
 import * as orderDesk from '../orders/orderDesk.js';
 import type * as orders from '../orders/types.js';
 import type * as mechanisms from '../placement/mechanisms.js';
+import type * as trafficTypes from '../traffic/types.js';
 import * as trafficControl from '../trafficControl/trafficControl.js';
 import * as membership from './membership.js';
 import * as methods from './methods.js';
@@ -40,6 +41,8 @@
   readonly mayFound?: boolean;
   /** Control VMs that may be lost at once; 1 where absent. */
   readonly toleratedLosses?: number;
+  /** Names of all data centres; any may be evacuated where absent. */
+  readonly dataCentres?: readonly string[];
   /** Mechanisms of placement in use; all of them where absent. */
   readonly isOn?: mechanisms.IsOn;
 }
@@ -50,7 +53,7 @@
   /** How orders reach upstreams; through the entries where absent. */
   readonly orders?: orders.OrderPort;
   /** Reads whole traffic configurations; without it this replica serves none. */
-  readonly decodeTraffic?: trafficControl.DecodeTraffic;
+  readonly decodeTraffic?: trafficTypes.DecodeTraffic;
 }
 
 /** Services of a control replica, by name. */
@@ -161,10 +164,10 @@
 
   private createTrafficControl(
     outside: ControlPorts,
-    decode: trafficControl.DecodeTraffic,
+    decode: trafficTypes.DecodeTraffic,
   ): trafficControl.TrafficControl {
     const { peers, random, log, metrics } = outside;
-    const { peerAddress, dataCentre, control, toleratedLosses = 1, isOn } = this.settings;
+    const { peerAddress, dataCentre, dataCentres = [], control, toleratedLosses = 1, isOn } = this.settings;
     return new trafficControl.TrafficControl({
       replica: this.replica,
       state: this.state,
@@ -176,6 +179,7 @@
       peerAddress,
       dataCentre,
       decode,
+      dataCentres,
       leastVoters: Math.min(2 * toleratedLosses + 1, control.length),
       wantedVoters: 2 * toleratedLosses + 1,
       isGathering: () => this.services.find('membership').isGathering(),
--- a/packages/kumquatfront/src/instances/instanceView.ts
+++ b/packages/kumquatfront/src/instances/instanceView.ts
@@ -21,6 +21,9 @@
  */
 const REMOVAL_SPREADS: ports.Milliseconds = 1_500;
 
+/** Why nothing is sent to an instance that could take it. */
+export const EVACUATED = 'every upstream that could take it is in an evacuated data centre';
+
 /** What happens to an instance; `replaced` where it has started again under its name, so that nothing of it is left. */
 export type InstanceEvent = 'found' | 'leaving' | 'gone' | 'replaced';
 
@@ -71,6 +74,7 @@
   private readonly byName = new Map<string, Instance>();
   private byService = new Map<string, Instance[]>();
   private readonly onNews: (news: ViewNews) => void;
+  private evacuated: ReadonlySet<string> = new Set();
   /** What the answer that is being merged has changed so far. */
   private changes: InstanceChange[] = [];
 
@@ -202,6 +206,24 @@
     return this.instances.get(identity)?.state !== 'ready';
   }
 
+  /** Replaces the data centres whose instances are to get nothing new. */
+  setEvacuated(dataCentres: readonly string[]): void {
+    this.evacuated = new Set(dataCentres);
+    this.byService.clear();
+  }
+
+  /** True where an instance is to get nothing new because its data centre is evacuated. */
+  isEvacuated({ dataCentre }: types.Announcement): boolean {
+    return this.evacuated.has(dataCentre);
+  }
+
+  /** Why a service has no instance that takes requests. */
+  whyNoneOf(service: string): string {
+    const known = [...this.instances.values()].filter((instance) => instance.service === service);
+    const isHeld = known.some((instance) => instance.state === 'ready' && this.isEvacuated(instance));
+    return isHeld ? EVACUATED : 'no upstream is known';
+  }
+
   /** Instances of a service that take requests; of two at one address only the newer incarnation. */
   readyOf(service: string): readonly Instance[] {
     const cached = this.byService.get(service);
@@ -216,7 +238,7 @@
       }
     }
     const ready = [...newest.values()].filter(
-      (instance) => instance.service === service && instance.state === 'ready',
+      (instance) => instance.service === service && instance.state === 'ready' && !this.isEvacuated(instance),
     );
     this.byService.set(service, ready);
     return ready;
--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -48,6 +48,8 @@
   /** The instances as this replica knows them. */
   readonly instances: () => readonly instanceTypes.InstanceRecord[];
   readonly serviceOf: (name: string) => trafficTypes.Service | undefined;
+  /** True where the engines of a data centre are to get nothing new. */
+  readonly isEvacuated: (dataCentre: string) => boolean;
   /** Names of the entries that this replica hears. */
   readonly entries: () => readonly string[];
   readonly move: evacuation.EvacuationHost['move'];
@@ -80,6 +82,7 @@
     this.evacuation = new evacuation.Evacuation({
       pool: this.pool,
       move: options.move,
+      movesOffEvacuated: this.isOn('moveOffEvacuated'),
       now: () => options.timers.now(),
       log: options.log,
       metrics: options.metrics,
@@ -180,7 +183,7 @@
   }
 
   private refreshEngines(): void {
-    const { instances, serviceOf } = this.options;
+    const { instances, serviceOf, isEvacuated } = this.options;
     const engines: enginePool.Engine[] = [];
     for (const record of instances()) {
       const traits = serviceOf(record.service)?.engine;
@@ -190,6 +193,7 @@
           service: record.service,
           dataCentre: record.dataCentre,
           leaving: record.state === 'leaving',
+          evacuated: isEvacuated(record.dataCentre),
           traits: { ...traits, slots: record.slots > 0 ? record.slots : traits.slots },
         });
       }
--- a/packages/kumquatfront/src/placement/coordinatorBench.ts
+++ b/packages/kumquatfront/src/placement/coordinatorBench.ts
@@ -27,6 +27,8 @@
   private readonly placer: coordinator.Coordinator;
   private readonly running: types.RunningGeneration[] = [];
   private readonly instances: instanceTypes.InstanceRecord[] = [];
+  /** Data centres whose engines are to get nothing new. */
+  readonly evacuated = new Set<string>();
   private sequence = 0;
 
   constructor(engineCount: number, fits: number, isOn: mechanisms.IsOn = mechanisms.allOn) {
@@ -49,6 +51,7 @@
       metrics: { count: silent, gauge: silent, timing: silent },
       random: seededRandom.create(1),
       instances: () => this.instances,
+      isEvacuated: (dataCentre) => this.evacuated.has(dataCentre),
       serviceOf: () => ({ name: 'llm', maximumConnections: 100, engine }),
       entries: () => this.entries,
       move: silent,
--- a/packages/kumquatfront/src/placement/enginePool.spec.ts
+++ b/packages/kumquatfront/src/placement/enginePool.spec.ts
@@ -22,7 +22,7 @@
     ...{ slots: 24, memoryTokens: MEMORY, bytesPerToken: 1, linkMegabitsPerSecond: 1 },
     ...{ migrations: true, backups: false, tokensPerEvent: 4 },
   };
-  const base = { service: 'llm', dataCentre: 'a', leaving: false, traits };
+  const base = { service: 'llm', dataCentre: 'a', leaving: false, evacuated: false, traits };
   pool.setEngines([
     { ...base, identity: 'first' },
     { ...base, identity: 'second' },
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -47,6 +47,8 @@
   readonly service: string;
   readonly dataCentre: string;
   readonly leaving: boolean;
+  /** True where its data centre is evacuated: what runs there goes on, and nothing else is placed there. */
+  readonly evacuated: boolean;
   readonly traits: trafficTypes.EngineTraits;
 }
 
@@ -277,7 +279,8 @@
     let best: Engine | undefined;
     let bestScore = Number.NEGATIVE_INFINITY;
     for (const engine of this.engines.values()) {
-      if (engine.service !== facts.service || engine.leaving || excluded.has(engine.identity)) {
+      const isClosed = engine.leaving || engine.evacuated || excluded.has(engine.identity);
+      if (engine.service !== facts.service || isClosed) {
         continue;
       }
       const load = loads.get(engine.identity) ?? EMPTY;
@@ -309,7 +312,7 @@
     return [...this.engines.values()].map((engine) => {
       const load = loads.get(engine.identity) ?? EMPTY;
       const share = Math.round((100 * memoryPeak.peakOf(load)) / engine.traits.memoryTokens);
-      return `${engine.identity}:${load.length}:${share}%${engine.leaving ? ':leaving' : ''}`;
+      return `${engine.identity}:${load.length}:${share}%${engine.leaving ? ':leaving' : ''}${engine.evacuated ? ':evacuated' : ''}`;
     });
   }
 }
--- a/packages/kumquatfront/src/placement/evacuation.spec.ts
+++ b/packages/kumquatfront/src/placement/evacuation.spec.ts
@@ -20,7 +20,7 @@
 };
 
 function engine(identity: string, dataCentre: string, leaving = false): enginePool.Engine {
-  return { identity, service: 'llm', dataCentre, leaving, traits };
+  return { identity, service: 'llm', dataCentre, leaving, evacuated: false, traits };
 }
 
 interface Asked {
@@ -45,6 +45,7 @@
 function evacuate(
   engines: readonly enginePool.Engine[],
   generations: readonly types.RunningGeneration[],
+  movesOffEvacuated = true,
 ): { asked: Asked[]; pump: () => void } {
   const silent = (): void => undefined;
   const log: ports.Log = { debug: silent, info: silent, warn: silent, error: silent };
@@ -67,6 +68,7 @@
     move: (_address, command, done) => {
       asked.push({ command, done });
     },
+    movesOffEvacuated,
     now: () => 0,
     log,
     metrics,
@@ -127,3 +129,13 @@
   const { asked } = evacuate([engine('a', 'x', true), engine('b', 'x', true)], [running('1')]);
   assert.equal(asked.length, 0);
 });
+
+// A data centre is evacuated: its engines go on, but are no place for what must leave another one.
+void test.test('an engine of an evacuated data centre is no target', () => {
+  const closed = { ...engine('b', 'x'), evacuated: true };
+  const { asked } = evacuate([engine('a', 'x', true), closed, engine('c', 'y')], [running('1')]);
+  assert.deepEqual(
+    asked.map((move) => move.command.target),
+    ['c'],
+  );
+});
--- a/packages/kumquatfront/src/placement/evacuation.ts
+++ b/packages/kumquatfront/src/placement/evacuation.ts
@@ -36,6 +36,8 @@
     command: types.MoveCommand,
     done: (outcome: types.MoveOutcome) => void,
   ) => void;
+  /** True where generations are moved off engines of an evacuated data centre too. */
+  readonly movesOffEvacuated: boolean;
   readonly now: () => ports.Milliseconds;
   readonly log: ports.Log;
   readonly metrics: ports.Metrics;
@@ -56,8 +58,10 @@
 
   /** Starts the next move of each leaving engine that has none under way. */
   pump(): void {
-    const { pool } = this.host;
-    const leaving = pool.engineList.filter((engine) => engine.leaving && engine.traits.migrations);
+    const { pool, movesOffEvacuated } = this.host;
+    const leaving = pool.engineList.filter(
+      (engine) => engine.traits.migrations && (engine.leaving || (engine.evacuated && movesOffEvacuated)),
+    );
     for (const engine of leaving) {
       if (!this.moving.has(engine.identity)) {
         this.startNext(engine);
--- a/packages/kumquatfront/src/placement/overload.spec.ts
+++ b/packages/kumquatfront/src/placement/overload.spec.ts
@@ -78,6 +78,7 @@
     metrics,
     random,
     instances: () => instances,
+    isEvacuated: () => false,
     serviceOf: () => service,
     entries: () => ['e'],
     move: silent,
--- a/packages/kumquatfront/src/quarantine/crashBench.ts
+++ b/packages/kumquatfront/src/quarantine/crashBench.ts
@@ -41,6 +41,7 @@
 export interface Arrival {
   readonly content: string;
   readonly upstream: string;
+  readonly dataCentre: string;
   readonly entry: string;
   readonly at: ports.Milliseconds;
 }
@@ -130,12 +131,14 @@
    * @param upstreamCounts - instances of each service
    * @param effectOf - what a content does to its upstream
    * @param seed - of what is drawn at random
+   * @param dataCentres - where the instances of each service are, in turn
    */
   constructor(
     entryCount: number,
     upstreamCounts: Readonly<Record<ServiceName, number>>,
     private readonly effectOf: (content: string) => Effect,
     seed = 3,
+    private readonly dataCentres: readonly string[] = ['a'],
   ) {
     this.control = new controlBench.ControlBench(REPLICAS, 1, { routes, services, accounts }, seed);
     this.time = this.control.time;
@@ -143,7 +146,7 @@
     this.control.replace('c1', 1);
     for (const service of ['llm', 'app'] as const) {
       for (let index = 1; index <= upstreamCounts[service]; index += 1) {
-        this.addUpstream(service, `${service}-${index}`);
+        this.addUpstream(service, `${service}-${index}`, this.dataCentres[index % this.dataCentres.length]);
       }
     }
     for (let index = 1; index <= entryCount; index += 1) {
@@ -167,9 +170,9 @@
     return [...this.entries.keys()];
   }
 
-  private addUpstream(service: ServiceName, name: string): void {
+  private addUpstream(service: ServiceName, name: string, dataCentre = 'a'): void {
     const address = `${name}:80`;
-    const announcement = instanceBench.announcement(name, { service, address });
+    const announcement = instanceBench.announcement(name, { service, address, dataCentre });
     const upstream: Upstream = { announcement, starts: 1, alive: true, runs: new Set() };
     this.upstreams.push(upstream);
     this.announce(upstream);
@@ -211,8 +214,8 @@
     this.time.after(DOWN_FOR, () => {
       upstream.starts += 1;
       const name = `${upstream.announcement.address.split(':')[0] ?? service}.${upstream.starts}`;
-      const { address } = upstream.announcement;
-      upstream.announcement = instanceBench.announcement(name, { service, address });
+      const { address, dataCentre } = upstream.announcement;
+      upstream.announcement = instanceBench.announcement(name, { service, address, dataCentre });
       upstream.alive = true;
       this.announce(upstream);
     });
@@ -249,7 +252,8 @@
       if (found?.alive !== true) {
         listener.failed('notSent', 'connection refused');
       } else if (found.announcement.identity === call.instance.identity) {
-        this.arrivals.push({ content, upstream: call.instance.identity, entry, at: this.time.now() });
+        const { identity: upstream, dataCentre } = call.instance;
+        this.arrivals.push({ content, upstream, dataCentre, entry, at: this.time.now() });
         this.run(found, run);
       } else {
         listener.head({ ...relayBench.notRunHead, status: 421 });
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -1,12 +1,13 @@
 /**
  * The one gate between an entry and its upstreams: first sends, repeats, hedges, resumed streams and generations that
- * go on elsewhere from a copy all pass it. It sends nothing of a content that is quarantined, and tells the detector
- * how every run ends.
+ * go on elsewhere from a copy all pass it. It sends nothing of a content that is quarantined and nothing to an upstream
+ * whose data centre is evacuated, and tells the detector how every run ends.
  *
  * An exchange whose run breaks off sends it on within a millisecond, before anybody knows whether its upstream has
  * ended. Where ends are held against its content already, it hears of the break once that is known: the end that
  * quarantines a content would be followed by one more otherwise.
  */
+import * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
 import type * as relayTypes from '../relay/types.js';
@@ -18,6 +19,8 @@
   readonly upstreams: relayTypes.UpstreamPort;
   readonly timers: timerService.TimerService;
   readonly quarantine: quarantine.Quarantine;
+  /** True where an upstream is to get nothing, whoever has chosen it, and however long ago. */
+  readonly isEvacuated: (instance: instanceView.Instance) => boolean;
 }
 
 /** A run as the gate watches it. */
@@ -103,11 +106,14 @@
  * ```
  */
 export function create(options: GuardOptions): relayTypes.UpstreamPort {
-  const { upstreams, timers, quarantine: held } = options;
+  const { upstreams, timers, quarantine: held, isEvacuated } = options;
   const send: relayTypes.UpstreamPort['send'] = (call, listener) => {
     const content = contentDigest.of(call.request, call.account ?? '');
     if (held.verdictOf(content) === 'quarantined') {
-      return refuseSoon(timers, listener);
+      return failSoon(timers, listener, 'quarantined', quarantine.QUARANTINED);
+    }
+    if (isEvacuated(call.instance)) {
+      return failSoon(timers, listener, 'withheld', instanceView.EVACUATED);
     }
     const watched = new WatchedRun(options, call, content);
     const cancel = upstreams.send(call, watched.listen(listener));
@@ -120,8 +126,13 @@
 }
 
 /** Exchanges learn of a failure after their call has returned, as they do from a real upstream. */
-function refuseSoon(timers: timerService.TimerService, listener: relayTypes.ExchangeListener): ports.Cancel {
+function failSoon(
+  timers: timerService.TimerService,
+  listener: relayTypes.ExchangeListener,
+  failure: relayTypes.ExchangeFailure,
+  reason: string,
+): ports.Cancel {
   return timers.after(0, () => {
-    listener.failed('quarantined', quarantine.QUARANTINED);
+    listener.failed(failure, reason);
   });
 }
--- a/packages/kumquatfront/src/relay/placeFinder.ts
+++ b/packages/kumquatfront/src/relay/placeFinder.ts
@@ -49,7 +49,7 @@
   find(): void {
     const { placement, timers, choice, instances } = this.context;
     const { service, answerBy, request, route } = this.routed;
-    if (this.facts === undefined) {
+    if (this.facts === undefined || instances.readyOf(service.name).length === 0) {
       this.chooseAlone();
       return;
     }
@@ -94,7 +94,8 @@
     const candidates = instances.readyOf(this.routed.service.name);
     const instance = choice.choose(candidates, this.excluded, timers.now());
     if (instance === undefined) {
-      const reason = 'no upstream is left to ask';
+      const { name } = this.routed.service;
+      const reason = candidates.length === 0 ? instances.whyNoneOf(name) : 'no upstream is left to ask';
       this.listener.none('noUpstream', reason, exchangeContext.NO_UPSTREAM_RETRY);
     } else {
       this.listener.found(instance);
--- a/packages/kumquatfront/src/relay/plainExchange.ts
+++ b/packages/kumquatfront/src/relay/plainExchange.ts
@@ -198,8 +198,10 @@
       this.refuseQuarantined();
       return;
     }
-    choice.failed(identity, failure === 'notSent' ? 'stall' : 'failure', timers.now());
-    if (failure === 'notSent') {
+    if (failure !== 'withheld') {
+      choice.failed(identity, failure === 'notSent' ? 'stall' : 'failure', timers.now());
+    }
+    if (failure === 'notSent' || failure === 'withheld') {
       this.runs -= 1;
       this.sendNext();
       return;
@@ -238,7 +240,9 @@
       return;
     }
     if (this.runs === 0 || (this.repeatable && this.lastFailure === undefined)) {
-      const reason = this.sends === 0 ? 'no upstream is known' : 'no upstream took it';
+      const { instances } = this.context;
+      const { name } = this.routed.service;
+      const reason = this.sends === 0 ? instances.whyNoneOf(name) : 'no upstream took it';
       this.refuse('noUpstream', reason, exchangeContext.NO_UPSTREAM_RETRY);
       return;
     }
--- a/packages/kumquatfront/src/relay/relayBench.ts
+++ b/packages/kumquatfront/src/relay/relayBench.ts
@@ -107,7 +107,12 @@
       log,
       metrics,
       quarantine: guard,
-      upstreams: guardedUpstreams.create({ upstreams: this.upstreams(), timers, quarantine: guard }),
+      upstreams: guardedUpstreams.create({
+        upstreams: this.upstreams(),
+        timers,
+        quarantine: guard,
+        isEvacuated: (instance) => view.isEvacuated(instance),
+      }),
       instances: view,
       choice: new localChoice.LocalChoice(random, 'a'),
       allowance: new retryAllowance.RetryAllowance({ ratio: 0.2, slack, window: 10_000 }, () => 1, random),
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -331,10 +331,12 @@
       reason,
       lastEvent: this.delivery.lastEvent,
     });
-    choice.failed(leg.instance.identity, failure === 'notSent' ? 'stall' : 'failure', timers.now());
+    if (failure !== 'withheld') {
+      choice.failed(leg.instance.identity, failure === 'notSent' ? 'stall' : 'failure', timers.now());
+    }
     this.finder.exclude(leg.instance.identity);
     const firstCopy = this.moving.takeFirstCopy();
-    if (failure === 'notSent') {
+    if (failure === 'notSent' || failure === 'withheld') {
       this.onNotSent(leg);
     } else if (firstCopy !== undefined) {
       this.goOnFromCopy(firstCopy);
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -76,9 +76,10 @@
 
 /**
  * How an exchange ended without a whole answer; `notSent` means that the upstream cannot have seen it, `quarantined`
- * that it was not sent because upstreams end under its content.
+ * that it was not sent because upstreams end under its content, `withheld` that it was not sent because its upstream is
+ * to get nothing at this moment.
  */
-export type ExchangeFailure = 'notSent' | 'broken' | 'garbled' | 'quarantined';
+export type ExchangeFailure = 'notSent' | 'broken' | 'garbled' | 'quarantined' | 'withheld';
 
 /** Hears of one exchange. `end` or `failed` is called last, once, unless the exchange is cancelled. */
 export interface ExchangeListener {
--- a/packages/kumquatfront/src/traffic/types.ts
+++ b/packages/kumquatfront/src/traffic/types.ts
@@ -2,7 +2,9 @@
  * The traffic configuration: routes, services, limits and client accounts that operators replace as a whole.
  * Times are milliseconds.
  */
+import type * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
+import type * as results from '../kernel/results.js';
 
 /** What may be repeated: a `stream` may not, unless its route says that it is resumable. */
 export type CallKind = 'idempotent' | 'nonIdempotent' | 'stream';
@@ -86,6 +88,9 @@
   readonly accounts?: readonly Account[];
 }
 
+/** Turns an operator's text into a configuration; the format is the adapter's. */
+export type DecodeTraffic = (text: string) => results.Result<TrafficConfiguration, failures.Failure>;
+
 /** A traffic configuration as it was accepted: its version, and the text that the operator sent. */
 export interface VersionedText {
   readonly version: number;
--- a/packages/kumquatfront/src/trafficControl/controlBench.ts
+++ b/packages/kumquatfront/src/trafficControl/controlBench.ts
@@ -2,6 +2,7 @@
  * Control replicas and entries' watches on virtual time, over peers and disks in memory, for the specs.
  */
 import * as seededRandom from '../adapters/seededRandom.js';
+import type * as agreedTypes from '../agreedState/types.js';
 import * as controlNode from '../controlNode/controlNode.js';
 import * as instanceBench from '../instances/instanceBench.js';
 import * as instanceView from '../instances/instanceView.js';
@@ -44,6 +45,9 @@
   }
 }
 
+/** Names of the data centres that the bench's settings tell. */
+export const DATA_CENTRES: readonly string[] = ['a', 'b', 'c'];
+
 /** A process on the bench: its life ends when it is killed, and its messages with it. */
 interface Life {
   readonly address: string;
@@ -59,7 +63,7 @@
 /** What every configuration on the bench has beside its version. */
 export type Configured = Pick<trafficTypes.TrafficConfiguration, 'routes' | 'services' | 'accounts'>;
 
-function createDecoder(configured: Configured): trafficControl.DecodeTraffic {
+function createDecoder(configured: Configured): trafficTypes.DecodeTraffic {
   return (text) => {
     const version = Number(text);
     if (!Number.isInteger(version)) {
@@ -86,7 +90,7 @@
   private readonly nodes = new Map<string, controlNode.ControlNode>();
   private readonly random: ports.Random;
   private readonly log: ports.Log;
-  private readonly decode: trafficControl.DecodeTraffic;
+  private readonly decode: trafficTypes.DecodeTraffic;
   /** Replica that sent a configuration last. */
   lastTextFrom = '';
   private readonly textsSent = new Map<string, number>();
@@ -200,6 +204,7 @@
         control: this.seeds,
         mayFound: firstStart,
         toleratedLosses: this.toleratedLosses,
+        dataCentres: DATA_CENTRES,
       },
       { ...this.basePorts(life), disk, decodeTraffic: this.decode },
     );
@@ -253,6 +258,22 @@
     return acknowledged;
   }
 
+  /** Orders a replica to evacuate or restore a data centre; true where it is acknowledged within a second. */
+  order(address: string, type: agreedTypes.DataCentreCommand['type'], dataCentre: string): boolean {
+    let acknowledged = false;
+    this.trafficOf(address).orderDataCentre({ type, dataCentre }, (result) => {
+      acknowledged = result.ok;
+    });
+    this.time.advance(1_000);
+    return acknowledged;
+  }
+
+  /** Data centres that are evacuated to the knowledge of a replica. */
+  evacuatedAt(address: string): readonly string[] {
+    const { evacuations } = this.node(address).services.find('state');
+    return evacuations.dataCentres.map((held) => held.dataCentre);
+  }
+
   /** Reads from a replica; the version, or undefined where it gives none within a second. */
   read(address: string): number | undefined {
     let version: number | undefined;
@@ -295,12 +316,14 @@
   /** An entry that watches control. */
   watch(name: string): {
     readonly taken: trafficTypes.VersionedText[];
+    readonly evacuations: agreedTypes.Evacuations[];
     readonly view: instanceView.InstanceView;
     readonly watch: controlWatch.ControlWatch;
   } {
     const life = this.live(name);
     const base = this.basePorts(life);
     const taken: trafficTypes.VersionedText[] = [];
+    const evacuations: agreedTypes.Evacuations[] = [];
     const view = new instanceView.InstanceView(() => undefined);
     const watch: controlWatch.ControlWatch = new controlWatch.ControlWatch({
       timers: timerService.create(base.clock, base.scheduler),
@@ -320,8 +343,9 @@
       onTraffic: (traffic) => taken.push(traffic),
       onCoordinator: () => undefined,
       onCases: () => undefined,
+      onEvacuations: (news) => evacuations.push(news),
       onReplicaStarted: () => undefined,
     });
-    return { taken, view, watch };
+    return { taken, evacuations, view, watch };
   }
 }
--- a/packages/kumquatfront/src/trafficControl/controlWatch.ts
+++ b/packages/kumquatfront/src/trafficControl/controlWatch.ts
@@ -3,6 +3,7 @@
  * takes the newest. A leader that is cut off from the others may still reach entries, so no single replica
  * is trusted to know. Two of them tell of news at once, the others within a second; see `openWatches`.
  */
+import type * as agreedTypes from '../agreedState/types.js';
 import type * as instanceTypes from '../instances/types.js';
 import type * as instanceView from '../instances/instanceView.js';
 import type * as failures from '../kernel/failures.js';
@@ -47,6 +48,8 @@
   readonly onCoordinator: (address: string) => void;
   /** Takes in what a replica knows of contents under which upstreams ended. */
   readonly onCases: (cases: readonly quarantineTypes.CaseRecord[]) => void;
+  /** Takes in which data centres are evacuated; called with ever higher revisions only. */
+  readonly onEvacuations: (evacuations: agreedTypes.Evacuations) => void;
   /** A replica answers for the first time since it started. */
   readonly onReplicaStarted: (address: string) => void;
 }
@@ -109,6 +112,7 @@
   private seeds: readonly string[];
   private readonly fetch: trafficFetch.TrafficFetch;
   private leader = { term: 0, address: '', namedAt: Number.NEGATIVE_INFINITY };
+  private evacuationRevision = 0;
   private firstAnswerAt = Number.POSITIVE_INFINITY;
   /** Address of the replica that tells of everything at once; empty where none answers. */
   private nearest = '';
@@ -195,6 +199,7 @@
       toldAtOnce: this.toldAtOnceBy(address),
       controlDigest: watched.control.length === 0 ? 0 : methods.digestOf(watched.control),
       caseRevision: watched.caseRevision,
+      evacuationRevision: this.evacuationRevision,
     };
     peers.request(address, methods.methods.watch, request, WATCH_TIMEOUT, (result) => {
       this.onAnswer(address, watched, round, result);
@@ -287,6 +292,7 @@
     instances.merge(address, answer.instances ?? nothingNew(instances.positionOf(address)), now);
     watched.entryCount = answer.entryCount;
     this.takeCases(address, watched, answer);
+    this.takeEvacuations(answer);
     this.firstAnswerAt = Math.min(this.firstAnswerAt, now);
     // A replica that may be behind is no reason to begin: others could have moved on long ago.
     if (answer.fresh || this.fetch.inForce > 0) {
@@ -316,6 +322,14 @@
     }
   }
 
+  /** Like cases, before a configuration. A replica that is behind tells of an older state, which changes nothing. */
+  private takeEvacuations({ evacuations }: methods.WatchAnswer): void {
+    if (evacuations !== undefined && evacuations.revision > this.evacuationRevision) {
+      this.evacuationRevision = evacuations.revision;
+      this.options.onEvacuations(evacuations);
+    }
+  }
+
   private noteLeader(answer: methods.WatchAnswer, now: number): void {
     const { leaderTerm: term, leaderAddress } = answer;
     if (leaderAddress === '' || term < this.leader.term) {
--- a/packages/kumquatfront/src/trafficControl/methods.ts
+++ b/packages/kumquatfront/src/trafficControl/methods.ts
@@ -2,6 +2,7 @@
  * Methods that control serves for whole traffic configurations, upstream instances and placement, with the
  * shapes of their messages.
  */
+import type * as agreedTypes from '../agreedState/types.js';
 import type * as instanceTypes from '../instances/types.js';
 import type * as placementTypes from '../placement/types.js';
 import type * as quarantineTypes from '../quarantine/types.js';
@@ -13,6 +14,8 @@
   fetch: 'traffic.fetch',
   replace: 'traffic.replace',
   read: 'traffic.read',
+  /** Evacuates a data centre, or restores it. */
+  evacuate: 'traffic.evacuate',
   gossip: 'traffic.gossip',
   cases: 'traffic.cases',
   ended: 'traffic.ended',
@@ -58,6 +61,8 @@
   readonly controlDigest: number;
   /** Revision up to which this replica, in this epoch, has told of contents under which upstreams ended. */
   readonly caseRevision: number;
+  /** Revision of the evacuated data centres that the entry knows, from any replica. */
+  readonly evacuationRevision: number;
 }
 
 /** Asks for the configuration in force, where it is newer than a version. */
@@ -84,6 +89,8 @@
   readonly entryCount: number;
   /** Contents under which upstreams ended; left out where the entry is up to date. */
   readonly cases?: quarantineTypes.CaseNews;
+  /** Data centres whose upstreams get nothing new; left out where the entry is up to date. */
+  readonly evacuations?: agreedTypes.Evacuations;
 }
 
 /** News of instances between control replicas. */
--- a/packages/kumquatfront/src/trafficControl/openWatches.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/openWatches.spec.ts
@@ -16,7 +16,13 @@
 class Bench {
   readonly time = new virtualTime.VirtualTime();
   readonly table = new instanceTable.InstanceTable('epoch');
-  state: openWatches.WatchedState = { trafficVersion: 1, fresh: true, leaderTerm: 1, caseRevision: 0 };
+  state: openWatches.WatchedState = {
+    trafficVersion: 1,
+    fresh: true,
+    leaderTerm: 1,
+    caseRevision: 0,
+    evacuationRevision: 0,
+  };
   readonly watches = new openWatches.OpenWatches({
     timers: timerService.create(this.time.clock, this.time),
     table: this.table,
@@ -34,6 +40,7 @@
       leaderAddress: 'c1',
       control: [],
       entryCount: 1,
+      evacuations: { revision: this.state.evacuationRevision, dataCentres: [] },
     };
   }
 
@@ -46,7 +53,7 @@
   follow(toldAtOnce: methods.ToldAtOnce): ports.Milliseconds[] {
     const answeredAt: ports.Milliseconds[] = [];
     const position = { epoch: this.table.epoch, revision: this.table.currentRevision };
-    const told = { version: this.state.trafficVersion, term: this.state.leaderTerm };
+    const told = { version: this.state.trafficVersion, term: this.state.leaderTerm, evacuations: 0 };
     const place = { name: 'e', dataCentre: 'a', callerAddress: 'e:1', peerAddress: 'e' };
     const entry: methods.EntryNews = { ...place, state: 'ready', trafficVersion: 1 };
     const ask = (): void => {
@@ -58,6 +65,7 @@
         toldAtOnce,
         controlDigest: 0,
         caseRevision: 0,
+        evacuationRevision: told.evacuations,
       };
       this.watches.open(request, (result) => {
         const answer = result.unwrap() as methods.WatchAnswer;
@@ -65,6 +73,7 @@
         position.revision = answer.instances?.revision ?? position.revision;
         told.version = answer.trafficVersion;
         told.term = answer.leaderTerm;
+        told.evacuations = answer.evacuations?.revision ?? told.evacuations;
         this.time.after(2, ask);
       });
     };
--- a/packages/kumquatfront/src/trafficControl/openWatches.ts
+++ b/packages/kumquatfront/src/trafficControl/openWatches.ts
@@ -6,7 +6,7 @@
  * costs a thousand answers of half a kilobyte; after a loss of all power, when every instance is heard of anew, a
  * replica would answer nothing else for seconds. So an entry is told of everything at once by the replica that is
  * nearest to it, of notices and configurations by a second one as well, which stands in another data centre, and of
- * a new leader by all. The others tell the rest when their watches close: within a second even where both of an
+ * a new leader and of evacuated data centres by all. The others tell the rest when their watches close: within a second even where both of an
  * entry's own are cut off, which is half of the time in which a notice must be heeded. Contents under which upstreams
  * end are told like notices: an entry that learns of one late may send it on once more.
  */
@@ -33,6 +33,8 @@
   readonly fresh: boolean;
   /** Grows with every change of what is held against contents. */
   readonly caseRevision: number;
+  /** Revision of the evacuated data centres. */
+  readonly evacuationRevision: number;
   /** Term of the leader that this replica follows; 0 where it knows none. */
   readonly leaderTerm: number;
 }
@@ -102,8 +104,11 @@
   private isDue(watch: OpenWatch, state: WatchedState, now: ports.Milliseconds): boolean {
     const { request, closesAt } = watch;
     const newLeader = state.fresh && request.toldTerm < state.leaderTerm;
+    // Told by every replica, like a new leader: an operator does it rarely, and an entry that is cut off from its own
+    // two replicas must not go on sending work there.
+    const newEvacuation = request.evacuationRevision < state.evacuationRevision;
     const inWave = now >= this.nextWaveAt && this.isInWave(watch);
-    return now >= closesAt || newLeader || inWave || this.hasUrgentNews(request, state);
+    return now >= closesAt || newLeader || newEvacuation || inWave || this.hasUrgentNews(request, state);
   }
 
   private hasUrgentNews(request: methods.WatchRequest, state: WatchedState): boolean {
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -18,16 +18,11 @@
 import * as caseBook from '../quarantine/caseBook.js';
 import * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
-import * as trafficValidation from '../traffic/trafficValidation.js';
 import * as entryDirectory from './entryDirectory.js';
 import * as instanceSpread from './instanceSpread.js';
 import * as methods from './methods.js';
 import * as openWatches from './openWatches.js';
-
-/** Turns an operator's text into a configuration; the format is the adapter's. */
-export type DecodeTraffic = (
-  text: string,
-) => results.Result<trafficTypes.TrafficConfiguration, failures.Failure>;
+import * as operatorCalls from './operatorCalls.js';
 
 /** What the part is made from. */
 export interface TrafficControlOptions {
@@ -40,7 +35,9 @@
   readonly metrics: ports.Metrics;
   readonly peerAddress: string;
   readonly dataCentre: string;
-  readonly decode: DecodeTraffic;
+  readonly decode: trafficTypes.DecodeTraffic;
+  /** Names of all data centres; empty where the settings name none. */
+  readonly dataCentres: readonly string[];
   /** Voters that must stand before the first change is taken. */
   readonly leastVoters: number;
   /** Voters that must stand where others are about to join. */
@@ -58,9 +55,6 @@
 const FRESHNESS_INTERVAL: ports.Milliseconds = 40;
 const FRESHNESS_WAIT: ports.Milliseconds = 10;
 
-/** How long a change may take before its operator is told to ask again: inside a caller's second. */
-const FORWARD_TIMEOUT: ports.Milliseconds = 900;
-
 /** The part; see the module comment. */
 export class TrafficControl {
   private readonly options: TrafficControlOptions;
@@ -70,6 +64,7 @@
   private readonly watches: openWatches.OpenWatches;
   private readonly cases: caseBook.CaseBook;
   private readonly instances: instanceSpread.InstanceSpread;
+  private readonly calls: operatorCalls.OperatorCalls;
   private decoded: routeTable.RouteTable | undefined;
 
   constructor(options: TrafficControlOptions) {
@@ -85,6 +80,7 @@
       instances: () => this.table.records(timers.now()),
       ...(options.isOn !== undefined && { isOn: options.isOn }),
       serviceOf: (name) => this.routes()?.serviceOf(name),
+      isEvacuated: (dataCentre) => this.isEvacuated(dataCentre),
       entries: () => this.entries.names(),
       move: (entryAddress, command, done) => {
         peers.request(entryAddress, methods.methods.move, command, evacuation.MOVE_TIMEOUT, (result) => {
@@ -123,7 +119,14 @@
         this.coordinator.instancesChanged();
       },
     });
+    this.calls = new operatorCalls.OperatorCalls({
+      ...options,
+      changed: () => {
+        this.wakeWatches();
+      },
+    });
     this.serve();
+    this.calls.serve();
     let wasFresh = false;
     timers.every(
       () => (wasFresh ? FRESHNESS_INTERVAL : FRESHNESS_WAIT),
@@ -155,12 +158,6 @@
       const { traffic } = this.options.state;
       reply(results.Ok(traffic !== undefined && traffic.version > above ? traffic : null));
     });
-    peers.serve(names.replace, (parameters, reply) => {
-      this.replaceHere(parameters as trafficTypes.VersionedText, reply);
-    });
-    peers.serve(names.read, (_parameters, reply) => {
-      this.readHere(reply);
-    });
     peers.serve(names.gossip, (parameters, reply) => {
       this.instances.hear((parameters as methods.Gossip).records);
       reply(results.Ok(null));
@@ -188,6 +185,10 @@
     });
   }
 
+  private isEvacuated(dataCentre: string): boolean {
+    return this.options.state.evacuations.dataCentres.some((held) => held.dataCentre === dataCentre);
+  }
+
   private proposeCase(command: agreedTypes.QuarantineCommand | agreedTypes.ReleaseCommand): void {
     const { replica: own, log } = this.options;
     own.propose(command, (result) => {
@@ -224,82 +225,19 @@
     return this.decoded;
   }
 
-  /** Takes an operator's configuration: checked here, committed by the leader before it is acknowledged. */
+  /** Takes an operator's configuration; see `operatorCalls`. */
   replace(text: string, done: ports.Reply): void {
-    const { replica: own, peers, log, decode } = this.options;
-    const checked = decode(text).andThen((configuration) => trafficValidation.check(configuration));
-    if (checked.err) {
-      log.info('trafficRefused', { reason: failures.describe(checked.val) });
-      done(results.Err(checked.val));
-      return;
-    }
-    const proposal: trafficTypes.VersionedText = { version: checked.val.version, text };
-    const settle: ports.Reply = (result) => {
-      log.info('trafficSent', {
-        version: proposal.version,
-        outcome: result.ok ? 'acknowledged' : failures.describe(result.val),
-      });
-      done(result);
-    };
-    if (own.mayLead()) {
-      this.replaceHere(proposal, settle);
-      return;
-    }
-    this.askLeader((address) => {
-      peers.request(address, methods.methods.replace, proposal, FORWARD_TIMEOUT, settle);
-    }, settle);
-  }
-
-  private askLeader(ask: (address: string) => void, done: ports.Reply): void {
-    const leader = this.options.replica.leader();
-    if (leader === undefined || leader.address === this.options.peerAddress) {
-      const remedy = 'Ask again in a second, or ask another replica.';
-      done(results.Err(failures.create('noQuorum', 'No leader is known.', remedy)));
-      return;
-    }
-    ask(leader.address);
-  }
-
-  private replaceHere(proposal: trafficTypes.VersionedText, done: ports.Reply): void {
-    const { replica: own, leastVoters, wantedVoters, isGathering } = this.options;
-    const voters = own.status().members.filter((member) => member.role === 'voter').length;
-    // Right after the founding fewer replicas hold the log than must be there to lose some. Only seeds are told to
-    // anyone, and the tolerated losses may need more: a change on two of three disks would be gone with two of five.
-    // Whoever is about to join is waited for; where nobody is, the seeds are all that there are.
-    const needed = isGathering() ? wantedVoters : leastVoters;
-    if (voters < needed) {
-      const remedy = 'Send it again in a second.';
-      const message = `Only ${voters} of ${needed} replicas have joined.`;
-      done(results.Err(failures.create('noQuorum', message, remedy)));
-      return;
-    }
-    const command: agreedTypes.ReplaceTrafficCommand = { type: 'replaceTraffic', ...proposal };
-    own.propose(command, (result) => {
-      done(result);
-      this.wakeWatches();
-    });
+    this.calls.replace(text, done);
   }
 
   /** Reads the newest configuration; a failure where this cannot be certain. */
   read(done: (result: results.Result<trafficTypes.VersionedText | null, failures.Failure>) => void): void {
-    const { replica: own, peers } = this.options;
-    const settle: ports.Reply = (result) => {
-      done(result.map((value) => value as trafficTypes.VersionedText | null));
-    };
-    if (own.mayLead()) {
-      this.readHere(settle);
-      return;
-    }
-    this.askLeader((address) => {
-      peers.request(address, methods.methods.read, null, FORWARD_TIMEOUT, settle);
-    }, settle);
+    this.calls.read(done);
   }
 
-  private readHere(done: ports.Reply): void {
-    const { replica: own, state } = this.options;
-    own.confirmRead((confirmed) => {
-      done(confirmed.map(() => state.traffic ?? null));
-    });
+  /** Evacuates a data centre, or restores it. */
+  orderDataCentre(command: agreedTypes.DataCentreCommand, done: ports.Reply): void {
+    this.calls.orderDataCentre(command, done);
   }
 
   /** Takes an announcement of an instance; it is on its way to all entries when this returns. */
@@ -343,6 +281,7 @@
       trafficVersion: state.traffic?.version ?? 0,
       fresh,
       caseRevision: this.cases.revision,
+      evacuationRevision: state.evacuations.revision,
       leaderTerm: leader === undefined ? 0 : term,
     };
   }
@@ -352,6 +291,7 @@
     const status = own.status();
     const control = status.members.map((member) => member.address);
     const isCurrent = request.epoch === this.table.epoch && request.revision === this.table.currentRevision;
+    const { evacuations } = state;
     const cases = this.cases.newsSince(request.epoch === this.table.epoch ? request.caseRevision : 0);
     return {
       dataCentre,
@@ -365,6 +305,7 @@
       leaderAddress: status.fresh ? (status.leader?.address ?? '') : '',
       entryCount: this.entries.size,
       ...(cases !== undefined && { cases }),
+      ...(evacuations.revision > request.evacuationRevision && { evacuations }),
     };
   }
 
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -17,9 +17,9 @@
 import * as guardedUpstreams from '../quarantine/guardedUpstreams.js';
 import * as quarantine from '../quarantine/quarantine.js';
 import * as routeTable from '../traffic/routeTable.js';
+import type * as trafficTypes from '../traffic/types.js';
 import * as controlWatch from '../trafficControl/controlWatch.js';
 import * as methods from '../trafficControl/methods.js';
-import type * as trafficControl from '../trafficControl/trafficControl.js';
 
 /** Settings of an entry. Times are milliseconds. */
 export interface TrafficEntrySettings {
@@ -37,7 +37,7 @@
 /** Ports of an entry. */
 export interface TrafficEntryPorts extends ports.BasePorts {
   readonly upstreams: relayTypes.UpstreamPort;
-  readonly decodeTraffic: trafficControl.DecodeTraffic;
+  readonly decodeTraffic: trafficTypes.DecodeTraffic;
 }
 
 /** Services of an entry, by name. */
@@ -128,7 +128,12 @@
         timers,
         log,
         metrics,
-        upstreams: guardedUpstreams.create({ upstreams, timers, quarantine: guard }),
+        upstreams: guardedUpstreams.create({
+          upstreams,
+          timers,
+          quarantine: guard,
+          isEvacuated: (instance) => instances.isEvacuated(instance),
+        }),
         instances,
         choice,
         allowance,
@@ -156,6 +161,11 @@
       onCases: (cases) => {
         guard.take(cases);
       },
+      onEvacuations: ({ dataCentres, revision }) => {
+        const names = dataCentres.map((held) => held.dataCentre);
+        log.info('evacuationsInForce', { dataCentres: names.join(' '), revision });
+        instances.setEvacuated(names);
+      },
       onReplicaStarted: (address) => {
         // It knows only what the disks of control kept.
         reporter.tell(address, guard.contents());
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -3,6 +3,7 @@
  */
 
 import * as controlSafeguards from './controlSafeguards.js';
+import * as dataCentreSafeguards from './dataCentreSafeguards.js';
 import * as quarantineSafeguards from './quarantineSafeguards.js';
 import * as relaySafeguards from './relaySafeguards.js';
 import * as servingSafeguards from './servingSafeguards.js';
@@ -24,4 +25,5 @@
   ...controlSafeguards.controlSafeguards,
   ...relaySafeguards.relaySafeguards,
   ...quarantineSafeguards.quarantineSafeguards,
+  ...dataCentreSafeguards.dataCentreSafeguards,
 ];
