Cold upstreams get what they bear: the bound is divided between coordinators and entries

Cause: nothing read how long an upstream stays cold nor what its service bears a second meanwhile. Upstreams that come back together look idle and get all that waits. Weighed: a token from control before each send (a round trip, and nothing without control); a share of 1/N rounded down (75 entries before 31 a second: nobody sends) or up (twice the bound); a share drawn anew each second (two draws fit in one window). Chosen: the coordinator counts what it places (three tenths of the bound, since two may lead for a moment), each entry draws once for an upstream whether the broken part of its share is a request. An upstream that becomes cold again is told like a notice; a restored data centre's count as cold until they can have warmed up. Properties: no second passes the bound, for any number of entries (60 draws, and 200 upstreams at 75 entries); shares are used to over 0.8. Five safeguards proved red without.

--- a/packages/benchmarks/src/fleet/fleetRun.ts
+++ b/packages/benchmarks/src/fleet/fleetRun.ts
@@ -91,6 +91,7 @@
       metrics: { count: silent, gauge: silent, timing: silent },
       random: kumquatfront.seededRandom.create(options.seed + 2_000),
       instances: () => this.instances(),
+      warmUpTolerance: kumquatfront.warmUpBounds.strictTolerance,
       isEvacuated: () => false,
       serviceOf: () => service,
       entries: () => ['e'],
--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -21,6 +21,7 @@
 import type * as mechanisms from '../placement/mechanisms.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as trafficControl from '../trafficControl/trafficControl.js';
+import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as membership from './membership.js';
 import * as methods from './methods.js';
 
@@ -43,6 +44,8 @@
   readonly toleratedLosses?: number;
   /** Names of all data centres; any may be evacuated where absent. */
   readonly dataCentres?: readonly string[];
+  /** How far all that send may pass what a cold upstream bears; not at all where absent. */
+  readonly warmUpTolerance?: warmUpBounds.WarmUpTolerance;
   /** Mechanisms of placement in use; all of them where absent. */
   readonly isOn?: mechanisms.IsOn;
 }
@@ -130,7 +133,7 @@
       machine: {
         apply: (command, index, stamp) => {
           const answer = state.apply(command as agreedTypes.Command, index, stamp);
-          this.traffic?.wakeWatches();
+          this.traffic?.applied();
           return answer;
         },
         takeSnapshot: () => state.toJson(),
@@ -168,6 +171,7 @@
   ): trafficControl.TrafficControl {
     const { peers, random, log, metrics } = outside;
     const { peerAddress, dataCentre, dataCentres = [], control, toleratedLosses = 1, isOn } = this.settings;
+    const { warmUpTolerance = warmUpBounds.strictTolerance } = this.settings;
     return new trafficControl.TrafficControl({
       replica: this.replica,
       state: this.state,
@@ -180,6 +184,7 @@
       dataCentre,
       decode,
       dataCentres,
+      warmUpTolerance,
       leastVoters: Math.min(2 * toleratedLosses + 1, control.length),
       wantedVoters: 2 * toleratedLosses + 1,
       isGathering: () => this.services.find('membership').isGathering(),
--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -42,6 +42,7 @@
 export * as promptFacts from './entryNode/promptFacts.js';
 export * as publicationStore from './directory/publicationStore.js';
 export * as rendezvous from './utils/rendezvous.js';
+export * as warmUpBounds from './warmUp/warmUpBounds.js';
 export * as results from './kernel/results.js';
 export * as resumeToken from './streams/resumeToken.js';
 export type * as routingTypes from './routing/types.js';
--- a/packages/kumquatfront/src/instances/instanceLog.spec.ts
+++ b/packages/kumquatfront/src/instances/instanceLog.spec.ts
@@ -50,8 +50,8 @@
 
 void test.test('what leaves and what is gone are told apart, with the revisions of the replica', () => {
   const { log, lines } = keptLog();
-  const instance = { ...controlBench.announcementOf('i1', 1), firstAt: 0 };
-  const other = { ...controlBench.announcementOf('i2', 1), firstAt: 0 };
+  const instance = { ...controlBench.announcementOf('i1', 1), firstAt: 0, coldUntil: 0 };
+  const other = { ...controlBench.announcementOf('i2', 1), firstAt: 0, coldUntil: 0 };
   const changes = [
     { instance, event: 'leaving' },
     { instance: other, event: 'gone' },
--- a/packages/kumquatfront/src/instances/instanceTable.ts
+++ b/packages/kumquatfront/src/instances/instanceTable.ts
@@ -21,6 +21,9 @@
  */
 const NOTICE_AWAITS: ports.Milliseconds = 5_000;
 
+/** Announcements of the same warm-up differ by the way they took; what ends this much later is another one. */
+const SAME_WARM_UP: ports.Milliseconds = 250;
+
 /** The newest start that was heard of under a name, and when it was heard of last. */
 interface NewestStart {
   readonly born: number;
@@ -31,6 +34,8 @@
   announcement: types.Announcement;
   heardAt: number;
   readonly firstAt: number;
+  /** End of its warm-up; in the past where it is warm. */
+  coldUntil: number;
   revision: number;
 }
 
@@ -66,7 +71,7 @@
     return this.revision;
   }
 
-  /** Revision at which an instance gave notice last. */
+  /** Revision at which an instance gave notice last, or became cold. */
   get noticeRevision(): number {
     return this.lastNotice;
   }
@@ -93,9 +98,16 @@
       if (age > this.lease && announcement.state === 'ready') {
         return false;
       }
-      this.advance(announcement.state);
+      this.advance(announcement.state === 'leaving');
       const firstAt = now - firstAge;
-      this.held.set(identity, { announcement, heardAt: now - age, firstAt, revision: this.revision });
+      const coldUntil = now + announcement.warmUpLeft;
+      this.held.set(identity, {
+        announcement,
+        heardAt: now - age,
+        firstAt,
+        coldUntil,
+        revision: this.revision,
+      });
       this.removed = this.removed.filter((entry) => entry.identity !== identity);
       return true;
     }
@@ -108,22 +120,51 @@
     known.heardAt = Math.max(known.heardAt, now - age);
     // Leaving is final for an incarnation: a delayed announcement from before it must not bring it back.
     const state = known.announcement.state === 'leaving' ? 'leaving' : announcement.state;
-    const changed = state !== known.announcement.state || announcement.slots !== known.announcement.slots;
+    const becameCold = this.noteWarmUp(known, announcement.warmUpLeft, now);
+    const changed =
+      becameCold || state !== known.announcement.state || announcement.slots !== known.announcement.slots;
     known.announcement = {
       ...announcement,
       state,
       sequence: Math.max(announcement.sequence, known.announcement.sequence),
     };
     if (changed) {
-      this.advance(state);
+      this.advance(becameCold || state === 'leaving');
       known.revision = this.revision;
     }
     return changed;
   }
 
-  private advance(state: types.InstanceState): void {
+  /** Takes in how long an instance stays cold; true where that is news. */
+  private noteWarmUp(known: Held, warmUpLeft: ports.Milliseconds, now: number): boolean {
+    const coldUntil = now + warmUpLeft;
+    const becameCold = warmUpLeft > 0 && coldUntil > known.coldUntil + SAME_WARM_UP;
+    known.coldUntil = Math.max(known.coldUntil, coldUntil);
+    return becameCold;
+  }
+
+  /**
+   * Takes the instances of a data centre for cold that may be, though they have not said so yet.
+   *
+   * @param durationOf - how long the instances of a service stay cold
+   * @returns true where entries must know of it
+   */
+  assumeCold(dataCentre: string, durationOf: (service: string) => ports.Milliseconds, now: number): boolean {
+    let changed = false;
+    for (const known of this.held.values()) {
+      const { service } = known.announcement;
+      if (known.announcement.dataCentre === dataCentre && this.noteWarmUp(known, durationOf(service), now)) {
+        this.advance(true);
+        known.revision = this.revision;
+        changed = true;
+      }
+    }
+    return changed;
+  }
+
+  private advance(isNotice: boolean): void {
     this.revision += 1;
-    if (state === 'leaving') {
+    if (isNotice) {
       this.lastNotice = this.revision;
     }
   }
@@ -272,6 +313,7 @@
       .filter((known) => wanted(known.announcement.identity))
       .map((known) => ({
         ...known.announcement,
+        warmUpLeft: Math.max(0, known.coldUntil - now),
         age: now - known.heardAt,
         firstAge: now - known.firstAt,
       }));
--- a/packages/kumquatfront/src/instances/instanceView.ts
+++ b/packages/kumquatfront/src/instances/instanceView.ts
@@ -31,6 +31,8 @@
 export interface Instance extends types.Announcement {
   /** Entry's time at which the instance was heard of for the first time. */
   readonly firstAt: number;
+  /** Entry's time at which its warm-up ends; in the past where it is warm. */
+  readonly coldUntil: number;
 }
 
 /** One change that an entry takes in. */
@@ -141,6 +143,7 @@
       ...announcement.of(record),
       state: leaving ? 'leaving' : 'ready',
       firstAt: known?.firstAt ?? now - record.firstAge,
+      coldUntil: Math.max(known?.coldUntil ?? 0, now + record.warmUpLeft),
     };
     this.instances.set(record.identity, instance);
     this.byName.set(record.name, instance);
@@ -194,7 +197,10 @@
     return [...this.instances.values()]
       .filter(({ identity }) => !source.identities.has(identity) && !isFreshlyRemoved(source, identity, now))
       .filter(({ identity }) => others.some((other) => other.identities.has(identity)))
-      .map(announcement.of);
+      .map((instance) => ({
+        ...announcement.of(instance),
+        warmUpLeft: Math.max(0, instance.coldUntil - now),
+      }));
   }
 
   get(identity: string): Instance | undefined {
--- /dev/null
+++ b/packages/kumquatfront/src/instances/warmUp.spec.ts
@@ -0,0 +1,57 @@
+/**
+ * How it becomes known that an instance is cold: by its start, again later, or because it may be.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as instanceBench from './instanceBench.js';
+import * as instanceTable from './instanceTable.js';
+import * as instanceView from './instanceView.js';
+
+function tableWith(warmUpLeft: number): instanceTable.InstanceTable {
+  const table = new instanceTable.InstanceTable('e');
+  table.hear(instanceBench.announcement('i', { warmUpLeft }), 0);
+  return table;
+}
+
+function coldUntil(table: instanceTable.InstanceTable, now: number): number | undefined {
+  const view = new instanceView.InstanceView(() => undefined);
+  view.merge('control', table.newsSince('', 0, now), now);
+  return view.get('i')?.coldUntil;
+}
+
+void test.test('what is left of a warm-up runs on while news of it waits', () => {
+  assert.equal(coldUntil(tableWith(1_000), 400), 1_000);
+});
+
+// An instance is warm, and its caches are dropped. It says so with its next announcement: entries must hear of it as
+// soon as of a notice, not with the next change of something else.
+void test.test('an instance that becomes cold again is news, the same warm-up told again is none', () => {
+  const table = tableWith(0);
+  const { revision } = table.newsSince('e', 0, 0);
+  assert.equal(table.hear(instanceBench.announcement('i', { warmUpLeft: 3_000, sequence: 2 }), 1_200), true);
+  assert.ok(table.noticeRevision > revision);
+  assert.equal(table.hear(instanceBench.announcement('i', { warmUpLeft: 1_850, sequence: 3 }), 2_400), false);
+  assert.equal(coldUntil(table, 2_400), 4_250);
+});
+
+void test.test(
+  'instances of a data centre that may be cold count as cold until they can have warmed up',
+  () => {
+    const table = tableWith(0);
+    table.hear(instanceBench.announcement('other', { dataCentre: 'b', address: '10.0.0.2:80' }), 0);
+    assert.equal(
+      table.assumeCold('a', (service) => (service === 'llm' ? 1_000 : 0), 500),
+      true,
+    );
+    // An announcement that was on its way, from before it became cold.
+    table.hear(instanceBench.announcement('i', { warmUpLeft: 0, sequence: 2 }), 600);
+    assert.equal(coldUntil(table, 600), 1_500);
+    const left = table.records(600).map(({ identity, warmUpLeft }) => `${identity} ${warmUpLeft}`);
+    assert.deepEqual(left, ['i 900', 'other 0']);
+    assert.equal(
+      table.assumeCold('a', () => 0, 700),
+      false,
+    );
+  },
+);
--- a/packages/kumquatfront/src/placement/coordinator.spec.ts
+++ b/packages/kumquatfront/src/placement/coordinator.spec.ts
@@ -27,3 +27,16 @@
   bench.time.advance(200);
   assert.equal(bench.stateOf('first'), 'placed');
 });
+
+// An engine comes back cold and empty beside a full one: it looks like the best place for all that waits. Sent at once
+// they would run it down; one after another they find their places within seconds.
+void test.test('a cold engine gets what it bears in any second, and the rest as it warms up', () => {
+  const bench = new coordinatorBench.CoordinatorBench(0, 40);
+  bench.addEngine(coordinatorBench.WARM_UP.duration);
+  bench.begin();
+  for (let index = 0; index < 20; index += 1) {
+    bench.ask(`g${index}`, `g${index}`, 0);
+  }
+  bench.pass(500);
+  assert.equal(bench.placedOn('i0'), 3);
+});
--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -7,6 +7,7 @@
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
 import type * as trafficTypes from '../traffic/types.js';
+import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as enginePool from './enginePool.js';
 import * as evacuation from './evacuation.js';
 import * as mechanisms from './mechanisms.js';
@@ -50,6 +51,8 @@
   readonly serviceOf: (name: string) => trafficTypes.Service | undefined;
   /** True where the engines of a data centre are to get nothing new. */
   readonly isEvacuated: (dataCentre: string) => boolean;
+  /** How far all that send may pass what a cold engine bears. */
+  readonly warmUpTolerance: warmUpBounds.WarmUpTolerance;
   /** Names of the entries that this replica hears. */
   readonly entries: () => readonly string[];
   readonly move: evacuation.EvacuationHost['move'];
@@ -183,10 +186,12 @@
   }
 
   private refreshEngines(): void {
-    const { instances, serviceOf, isEvacuated } = this.options;
+    const { instances, serviceOf, isEvacuated, warmUpTolerance } = this.options;
     const engines: enginePool.Engine[] = [];
     for (const record of instances()) {
-      const traits = serviceOf(record.service)?.engine;
+      const service = serviceOf(record.service);
+      const traits = service?.engine;
+      const warmUp = record.warmUpLeft > 0 ? service?.warmUp : undefined;
       if (traits !== undefined) {
         engines.push({
           identity: record.identity,
@@ -194,6 +199,7 @@
           dataCentre: record.dataCentre,
           leaving: record.state === 'leaving',
           evacuated: isEvacuated(record.dataCentre),
+          ...(warmUp !== undefined && { bears: warmUpBounds.ofCoordinator(warmUp, warmUpTolerance) }),
           traits: { ...traits, slots: record.slots > 0 ? record.slots : traits.slots },
         });
       }
--- a/packages/kumquatfront/src/placement/coordinatorBench.ts
+++ b/packages/kumquatfront/src/placement/coordinatorBench.ts
@@ -7,6 +7,7 @@
 import * as timerService from '../kernel/timerService.js';
 import * as virtualTime from '../kernel/virtualTime.js';
 import type * as trafficTypes from '../traffic/types.js';
+import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as coordinator from './coordinator.js';
 import * as mechanisms from './mechanisms.js';
 import type * as types from './types.js';
@@ -18,6 +19,9 @@
 const ENTRY = 'e';
 const REPORT_INTERVAL = 250;
 
+/** What cold engines of the bench bear. */
+export const WARM_UP: warmUpBounds.WarmUp = { requestsPerSecond: 10, duration: 5_000 };
+
 /** A coordinator over engines with memory for `fits` generations each. */
 export class CoordinatorBench {
   /** Entries that the coordinator's replica hears. */
@@ -51,8 +55,9 @@
       metrics: { count: silent, gauge: silent, timing: silent },
       random: seededRandom.create(1),
       instances: () => this.instances,
+      warmUpTolerance: warmUpBounds.strictTolerance,
       isEvacuated: (dataCentre) => this.evacuated.has(dataCentre),
-      serviceOf: () => ({ name: 'llm', maximumConnections: 100, engine }),
+      serviceOf: () => ({ name: 'llm', maximumConnections: 100, warmUp: WARM_UP, engine }),
       entries: () => this.entries,
       move: silent,
       isOn,
@@ -66,11 +71,11 @@
     return this;
   }
 
-  addEngine(): void {
+  addEngine(warmUpLeft = 0): void {
     const index = this.instances.length;
     this.instances.push({
       ...{ identity: `i${index}`, service: 'llm', address: `10.0.0.${index}:80`, dataCentre: 'a', slots: 24 },
-      ...{ name: `i${index}`, born: 0, state: 'ready', warmUpLeft: 0, sequence: 1, age: 0, firstAge: 0 },
+      ...{ name: `i${index}`, born: 0, state: 'ready', warmUpLeft, sequence: 1, age: 0, firstAge: 0 },
     });
   }
 
@@ -117,6 +122,12 @@
     );
   }
 
+  /** Generations that were placed on an engine. */
+  placedOn(engine: string): number {
+    const answers = [...this.answers.values()];
+    return answers.filter((answer) => answer.state === 'placed' && answer.instance === engine).length;
+  }
+
   stateOf(identity: string): string {
     return this.answers.get(identity)?.state ?? 'waiting';
   }
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -8,6 +8,7 @@
  */
 import type * as ports from '../kernel/ports.js';
 import type * as trafficTypes from '../traffic/types.js';
+import * as recentCount from '../warmUp/recentCount.js';
 import * as lengthForecast from './lengthForecast.js';
 import * as mechanisms from './mechanisms.js';
 import * as memoryPeak from './memoryPeak.js';
@@ -49,6 +50,8 @@
   readonly leaving: boolean;
   /** True where its data centre is evacuated: what runs there goes on, and nothing else is placed there. */
   readonly evacuated: boolean;
+  /** Generations that may be placed on it in any second; left out where it is warm. */
+  readonly bears?: number;
   readonly traits: trafficTypes.EngineTraits;
 }
 
@@ -107,6 +110,8 @@
   private readonly entries = new Map<string, KnownEntry>();
   /** Generations that are being moved, with their targets: memory there that no report shows yet. */
   private readonly incoming = new Map<string, string>();
+  /** Generations that were placed on each engine or moved there. */
+  private readonly sent = new recentCount.RecentCount();
   private loads: Map<string, memoryPeak.Growth[]> | undefined;
 
   constructor(isOn: mechanisms.IsOn = mechanisms.allOn) {
@@ -164,6 +169,7 @@
 
   /** Drops what entries ran that are silent, and grants that were never taken up. */
   expire(now: number): void {
+    this.sent.prune(now);
     for (const [identity, placed] of this.placed) {
       const heardAt = this.entries.get(placed.entry)?.heardAt ?? placed.grantedAt;
       if (now - Math.max(heardAt, placed.grantedAt) > REPORT_LEASE) {
@@ -178,6 +184,7 @@
     const { instance } = answer;
     const running = { facts, instance, produced: 0, started: false };
     const toRead = facts.promptTokens + (this.unreadPrompts(now).get(instance) ?? 0);
+    this.sent.add(instance, now);
     this.placed.set(facts.identity, {
       running,
       entry,
@@ -189,8 +196,9 @@
     this.loads = undefined;
   }
 
-  expectMove(identity: string, target: string): void {
+  expectMove(identity: string, target: string, now: number): void {
     this.incoming.set(identity, target);
+    this.sent.add(target, now);
     this.loads = undefined;
   }
 
@@ -280,7 +288,8 @@
     let bestScore = Number.NEGATIVE_INFINITY;
     for (const engine of this.engines.values()) {
       const isClosed = engine.leaving || engine.evacuated || excluded.has(engine.identity);
-      if (engine.service !== facts.service || isClosed) {
+      const bearsMore = this.sent.of(engine.identity, now) < (engine.bears ?? Number.POSITIVE_INFINITY);
+      if (engine.service !== facts.service || isClosed || !bearsMore) {
         continue;
       }
       const load = loads.get(engine.identity) ?? EMPTY;
@@ -312,7 +321,7 @@
     return [...this.engines.values()].map((engine) => {
       const load = loads.get(engine.identity) ?? EMPTY;
       const share = Math.round((100 * memoryPeak.peakOf(load)) / engine.traits.memoryTokens);
-      return `${engine.identity}:${load.length}:${share}%${engine.leaving ? ':leaving' : ''}${engine.evacuated ? ':evacuated' : ''}`;
+      return `${engine.identity}:${load.length}:${share}%${engine.leaving ? ':leaving' : ''}${engine.evacuated ? ':evacuated' : ''}${engine.bears === undefined ? '' : ':cold'}`;
     });
   }
 }
--- a/packages/kumquatfront/src/placement/evacuation.ts
+++ b/packages/kumquatfront/src/placement/evacuation.ts
@@ -108,7 +108,7 @@
       const { identity } = running.facts;
       this.tries.set(this.tryOf(running), (this.tries.get(this.tryOf(running)) ?? 0) + 1);
       this.moving.set(source.identity, identity);
-      pool.expectMove(identity, target.identity);
+      pool.expectMove(identity, target.identity, this.host.now());
       log.info('moveStarted', {
         request: identity,
         source: source.identity,
--- a/packages/kumquatfront/src/placement/overload.spec.ts
+++ b/packages/kumquatfront/src/placement/overload.spec.ts
@@ -15,6 +15,7 @@
 import * as timerService from '../kernel/timerService.js';
 import * as virtualTime from '../kernel/virtualTime.js';
 import type * as trafficTypes from '../traffic/types.js';
+import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as coordinator from './coordinator.js';
 import type * as types from './types.js';
 import * as waitingRules from './waitingRules.js';
@@ -78,6 +79,7 @@
     metrics,
     random,
     instances: () => instances,
+    warmUpTolerance: warmUpBounds.strictTolerance,
     isEvacuated: () => false,
     serviceOf: () => service,
     entries: () => ['e'],
--- a/packages/kumquatfront/src/quarantine/crashBench.ts
+++ b/packages/kumquatfront/src/quarantine/crashBench.ts
@@ -10,6 +10,7 @@
 import type * as relayTypes from '../relay/types.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as controlBench from '../trafficControl/controlBench.js';
+import type * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import type * as trafficEntry from '../trafficEntry/trafficEntry.js';
 
 /** What a request does to the upstream that runs it. */
@@ -99,9 +100,12 @@
   },
 ];
 
+/** What cold upstreams of the bench bear; none of them says that it is cold. */
+export const WARM_UP: warmUpBounds.WarmUp = { requestsPerSecond: 5, duration: 1_000 };
+
 const services: readonly trafficTypes.Service[] = [
-  { name: 'llm', maximumConnections: 200, engine: relayBench.engineTraits },
-  { name: 'app', maximumConnections: 100 },
+  { name: 'llm', maximumConnections: 200, warmUp: WARM_UP, engine: relayBench.engineTraits },
+  { name: 'app', maximumConnections: 100, warmUp: WARM_UP },
 ];
 
 /** The client accounts of the bench; the key of each is its name. */
--- a/packages/kumquatfront/src/quarantine/crashDetector.spec.ts
+++ b/packages/kumquatfront/src/quarantine/crashDetector.spec.ts
@@ -36,7 +36,7 @@
   });
 
   instance(identity = 'a'): instanceView.Instance {
-    return { ...instanceBench.announcement(identity), firstAt: 0 };
+    return { ...instanceBench.announcement(identity), firstAt: 0, coldUntil: 0 };
   }
 
   /** A run of a content on instance `a` that breaks off. */
--- a/packages/kumquatfront/src/relay/localChoice.ts
+++ b/packages/kumquatfront/src/relay/localChoice.ts
@@ -5,6 +5,7 @@
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import * as health from '../routing/health.js';
+import type * as entryShare from '../warmUp/entryShare.js';
 import type * as types from './types.js';
 
 /** A load that an upstream told counts for this long; later the own count says more. */
@@ -28,17 +29,25 @@
   readonly at: ports.Milliseconds;
 }
 
+/** What the choice is made from. */
+export interface LocalChoiceOptions {
+  readonly random: ports.Random;
+  readonly dataCentre: string;
+  /** This entry's share of what cold upstreams bear. */
+  readonly coldShare: entryShare.EntryShare;
+  /** Requests a second that all entries together may send to a cold upstream of a service; undefined for any. */
+  readonly borneBy: (service: string) => number | undefined;
+}
+
 /** The choice; see the module comment. */
 export class LocalChoice {
   private readonly open = new Map<string, number>();
   private readonly told = new Map<string, ToldLoad>();
   private readonly health = new health.Health(HEALTH_SETTINGS);
-  private readonly random: ports.Random;
-  private readonly dataCentre: string;
+  private readonly options: LocalChoiceOptions;
 
-  constructor(random: ports.Random, dataCentre: string) {
-    this.random = random;
-    this.dataCentre = dataCentre;
+  constructor(options: LocalChoiceOptions) {
+    this.options = options;
   }
 
   dispatched(identity: string, now: number): void {
@@ -85,7 +94,8 @@
     const own = this.open.get(instance.identity) ?? 0;
     const told = this.told.get(instance.identity);
     const known = told !== undefined && now - told.at < LOAD_LIFE ? Math.max(own, told.total) : own;
-    return known - (instance.dataCentre === this.dataCentre ? NEAR_BONUS : 0) + this.random.next() * 0.1;
+    const { random, dataCentre } = this.options;
+    return known - (instance.dataCentre === dataCentre ? NEAR_BONUS : 0) + random.next() * 0.1;
   }
 
   /** The least loaded of the healthy ones that were not tried; sick ones only where nothing else is left. */
@@ -95,7 +105,9 @@
     now: number,
   ): instanceView.Instance | undefined {
     const ejected = new Set(this.ejectedOf(candidates, now));
-    const untried = candidates.filter((instance) => !tried.has(instance.identity));
+    const untried = candidates.filter(
+      (instance) => !tried.has(instance.identity) && this.bearsMore(instance, now),
+    );
     const healthy = untried.filter((instance) => !ejected.has(instance.identity));
     let best: instanceView.Instance | undefined;
     let bestLoad = Number.POSITIVE_INFINITY;
@@ -106,6 +118,15 @@
         bestLoad = load;
       }
     }
+    if (best !== undefined && now < best.coldUntil) {
+      this.options.coldShare.sentTo(best.identity, now);
+    }
     return best;
   }
+
+  private bearsMore(instance: instanceView.Instance, now: number): boolean {
+    const { coldShare, borneBy } = this.options;
+    const borne = now < instance.coldUntil ? borneBy(instance.service) : undefined;
+    return borne === undefined || coldShare.maySend(instance.identity, borne, now);
+  }
 }
--- a/packages/kumquatfront/src/relay/relayBench.ts
+++ b/packages/kumquatfront/src/relay/relayBench.ts
@@ -13,6 +13,7 @@
 import * as quarantine from '../quarantine/quarantine.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as methods from '../trafficControl/methods.js';
+import * as entryShare from '../warmUp/entryShare.js';
 import type * as exchangeContext from './exchangeContext.js';
 import * as localChoice from './localChoice.js';
 import * as placementClient from './placementClient.js';
@@ -114,7 +115,12 @@
         isEvacuated: (instance) => view.isEvacuated(instance),
       }),
       instances: view,
-      choice: new localChoice.LocalChoice(random, 'a'),
+      choice: new localChoice.LocalChoice({
+        random,
+        dataCentre: 'a',
+        coldShare: new entryShare.EntryShare('entry', () => 1),
+        borneBy: () => undefined,
+      }),
       allowance: new retryAllowance.RetryAllowance({ ratio: 0.2, slack, window: 10_000 }, () => 1, random),
       placement: new placementClient.PlacementClient({
         entry: 'entry',
--- a/packages/kumquatfront/src/traffic/types.ts
+++ b/packages/kumquatfront/src/traffic/types.ts
@@ -5,6 +5,7 @@
 import type * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
 import type * as results from '../kernel/results.js';
+import type * as warmUpBounds from '../warmUp/warmUpBounds.js';
 
 /** What may be repeated: a `stream` may not, unless its route says that it is resumable. */
 export type CallKind = 'idempotent' | 'nonIdempotent' | 'stream';
@@ -58,6 +59,8 @@
 export interface Service {
   readonly name: string;
   readonly maximumConnections: number;
+  /** Present where cold upstreams bear fewer requests than warm ones. */
+  readonly warmUp?: warmUpBounds.WarmUp;
   /** Present where the upstreams are engines that generate. */
   readonly engine?: EngineTraits;
 }
--- a/packages/kumquatfront/src/trafficControl/controlBench.ts
+++ b/packages/kumquatfront/src/trafficControl/controlBench.ts
@@ -16,6 +16,7 @@
 import * as defaultConfig from '../settings/defaultConfig.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as trafficEntry from '../trafficEntry/trafficEntry.js';
+import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as controlWatch from './controlWatch.js';
 import type * as trafficControl from './trafficControl.js';
 
@@ -308,6 +309,7 @@
       callerAddress: `${name}:1`,
       peerAddress: name,
       seeds: this.seeds,
+      warmUpTolerance: warmUpBounds.strictTolerance,
       retries: { ratio: 0.2, slack: 54, window: 10_000 },
     };
     return new trafficEntry.TrafficEntry(settings, { ...base, upstreams, decodeTraffic: this.decode });
--- a/packages/kumquatfront/src/trafficControl/controlWatch.ts
+++ b/packages/kumquatfront/src/trafficControl/controlWatch.ts
@@ -152,12 +152,18 @@
    * entries would think that it is one of a few, and use for itself what is meant for all.
    */
   get shareOfEntries(): number {
+    const now = this.options.timers.now();
+    return now - this.firstAnswerAt < COUNT_SETTLES ? 0 : 1 / Math.max(1, this.entryCount);
+  }
+
+  /** Entries that the replica hears from that hears from most; 0 while none answers, or all may have just started. */
+  get entryCount(): number {
     const now = this.options.timers.now();
     if (now - this.firstAnswerAt < COUNT_SETTLES) {
       return 0;
     }
-    const counts = [...this.watched.values()].filter(({ answering }) => answering);
-    return 1 / Math.max(1, ...counts.map(({ entryCount }) => entryCount));
+    const answering = [...this.watched.values()].filter((watched) => watched.answering);
+    return Math.max(0, ...answering.map(({ entryCount }) => entryCount));
   }
 
   /** Addresses of the replicas that are watched. */
--- a/packages/kumquatfront/src/trafficControl/instanceSpread.ts
+++ b/packages/kumquatfront/src/trafficControl/instanceSpread.ts
@@ -45,6 +45,7 @@
         address: announcement.address,
         state: announcement.state,
         sequence: announcement.sequence,
+        warmUpLeft: announcement.warmUpLeft,
       });
       this.spread();
     }
@@ -87,6 +88,16 @@
     }
   }
 
+  /** Takes the instances of a data centre for cold that has been restored. */
+  restored(dataCentre: string, durationOf: (service: string) => ports.Milliseconds): void {
+    const { table, log, wakeEntries, wakeCoordinator } = this.options;
+    if (table.assumeCold(dataCentre, durationOf, this.now())) {
+      log.info('assumedCold', { dataCentre, reason: 'restored' });
+      wakeEntries();
+      wakeCoordinator();
+    }
+  }
+
   /** Takes in what another replica has heard. */
   hear(records: readonly instanceTypes.InstanceRecord[]): void {
     const { table, wakeEntries, wakeCoordinator } = this.options;
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -18,6 +18,7 @@
 import * as caseBook from '../quarantine/caseBook.js';
 import * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
+import type * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as entryDirectory from './entryDirectory.js';
 import * as instanceSpread from './instanceSpread.js';
 import * as methods from './methods.js';
@@ -38,6 +39,8 @@
   readonly decode: trafficTypes.DecodeTraffic;
   /** Names of all data centres; empty where the settings name none. */
   readonly dataCentres: readonly string[];
+  /** How far all that send may pass what a cold upstream bears. */
+  readonly warmUpTolerance: warmUpBounds.WarmUpTolerance;
   /** Voters that must stand before the first change is taken. */
   readonly leastVoters: number;
   /** Voters that must stand where others are about to join. */
@@ -65,6 +68,8 @@
   private readonly cases: caseBook.CaseBook;
   private readonly instances: instanceSpread.InstanceSpread;
   private readonly calls: operatorCalls.OperatorCalls;
+  /** Data centres that were evacuated when a command was applied last. */
+  private evacuated: readonly string[] = [];
   private decoded: routeTable.RouteTable | undefined;
 
   constructor(options: TrafficControlOptions) {
@@ -81,6 +86,7 @@
       ...(options.isOn !== undefined && { isOn: options.isOn }),
       serviceOf: (name) => this.routes()?.serviceOf(name),
       isEvacuated: (dataCentre) => this.isEvacuated(dataCentre),
+      warmUpTolerance: options.warmUpTolerance,
       entries: () => this.entries.names(),
       move: (entryAddress, command, done) => {
         peers.request(entryAddress, methods.methods.move, command, evacuation.MOVE_TIMEOUT, (result) => {
@@ -185,6 +191,22 @@
     });
   }
 
+  /** Called after each command that the log applied here. */
+  applied(): void {
+    const { dataCentres } = this.options.state.evacuations;
+    const evacuated = dataCentres.map((held) => held.dataCentre);
+    // Upstreams may have become cold while nobody asked them, and say so with their next announcement only: a second
+    // later at worst. By then all that waits could have been sent there.
+    for (const dataCentre of this.evacuated.filter((former) => !evacuated.includes(former))) {
+      this.instances.restored(
+        dataCentre,
+        (service) => this.routes()?.serviceOf(service)?.warmUp?.duration ?? 0,
+      );
+    }
+    this.evacuated = evacuated;
+    this.wakeWatches();
+  }
+
   private isEvacuated(dataCentre: string): boolean {
     return this.options.state.evacuations.dataCentres.some((held) => held.dataCentre === dataCentre);
   }
--- a/packages/kumquatfront/src/trafficEntry/evacuatedDataCentre.spec.ts
+++ b/packages/kumquatfront/src/trafficEntry/evacuatedDataCentre.spec.ts
@@ -16,13 +16,13 @@
   return new crashBench.CrashBench(4, { llm: 6, app: 3 }, () => 'served', 3, DATA_CENTRES);
 }
 
-/** Callers of both services ask all entries in turn, one each 20 ms. */
-function load(bench: crashBench.CrashBench, duration: ports.Milliseconds): void {
+/** Callers of both services ask all entries in turn. */
+function load(bench: crashBench.CrashBench, duration: ports.Milliseconds, pause = 20): void {
   const until = bench.time.now() + duration;
   for (let count = 0; bench.time.now() < until; count += 1) {
     const entry = bench.entryNames[count % bench.entryNames.length] ?? '';
     bench.ask(entry, count % 2 === 0 ? 'llm' : 'app', `c${count}-${until}`);
-    bench.time.advance(20);
+    bench.time.advance(pause);
   }
 }
 
@@ -89,3 +89,26 @@
     assert.match(refusal.message, /evacuated data centre/);
   }
 });
+
+// The data centre is restored while all upstreams are busy: its own have nothing to do, and whoever waits would be sent
+// there at once. They may have become cold meanwhile, and fall over.
+void test.test('restored upstreams get what cold ones bear, until they can have warmed up', () => {
+  const bench = start();
+  assert.equal(bench.control.order('c2', 'evacuate', 'a'), true);
+  load(bench, 2_000, 4);
+  const restored = bench.time.now();
+  bench.control.trafficOf('c1').orderDataCentre({ type: 'restore', dataCentre: 'a' }, () => undefined);
+  load(bench, 4_000, 4);
+  const { requestsPerSecond, duration } = crashBench.WARM_UP;
+  const upstreams = new Set(bench.arrivals.map(({ upstream }) => upstream));
+  let afterwards = 0;
+  for (const upstream of upstreams) {
+    const arrivals = bench.arrivals.filter(
+      (arrival) => arrival.upstream === upstream && arrival.dataCentre === 'a' && arrival.at > restored,
+    );
+    const cold = arrivals.filter(({ at }) => at <= restored + duration).length;
+    assert.ok(cold <= requestsPerSecond, `${cold} while cold`);
+    afterwards += arrivals.length - cold;
+  }
+  assert.ok(afterwards > 0);
+});
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -18,6 +18,8 @@
 import * as quarantine from '../quarantine/quarantine.js';
 import * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
+import * as entryShare from '../warmUp/entryShare.js';
+import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as controlWatch from '../trafficControl/controlWatch.js';
 import * as methods from '../trafficControl/methods.js';
 
@@ -32,6 +34,8 @@
   /** Peer addresses of some control replicas. */
   readonly seeds: readonly string[];
   readonly retries: retryAllowance.AllowanceSettings;
+  /** How far all that send may pass what a cold upstream bears. */
+  readonly warmUpTolerance: warmUpBounds.WarmUpTolerance;
 }
 
 /** Ports of an entry. */
@@ -69,7 +73,12 @@
     this.outside = outside;
     this.timers = timerService.create(outside.clock, outside.scheduler);
     const { timers } = this;
-    const choice = new localChoice.LocalChoice(random, settings.dataCentre);
+    const choice = new localChoice.LocalChoice({
+      random,
+      dataCentre: settings.dataCentre,
+      coldShare: new entryShare.EntryShare(settings.name, () => this.watch.entryCount),
+      borneBy: (service) => this.borneByCold(service),
+    });
     const instances = new instanceView.InstanceView((news) => {
       instanceLog.write(log, news);
       for (const change of news.changes) {
@@ -179,6 +188,16 @@
     this.services.register('quarantine', guard);
   }
 
+  /** Requests a second that all entries together may send to a cold upstream without a coordinator's word. */
+  private borneByCold(name: string): number | undefined {
+    const service = this.routes?.serviceOf(name);
+    if (service?.warmUp === undefined) {
+      return undefined;
+    }
+    const placedBy = service.engine === undefined ? 'entries' : 'coordinator';
+    return warmUpBounds.ofEntries(service.warmUp, this.settings.warmUpTolerance, placedBy);
+  }
+
   private describe(): methods.EntryNews {
     const { name, dataCentre, callerAddress, peerAddress } = this.settings;
     const trafficVersion = this.routes?.version ?? 0;
--- /dev/null
+++ b/packages/kumquatfront/src/warmUp/warmUp.spec.ts
@@ -0,0 +1,138 @@
+/**
+ * Cold upstreams under many senders that cannot ask each other: no second holds more than the bound, and none starves.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as fastCheck from 'fast-check';
+
+import * as seededRandom from '../adapters/seededRandom.js';
+import * as entryShare from './entryShare.js';
+import * as recentCount from './recentCount.js';
+import * as warmUpBounds from './warmUpBounds.js';
+
+const WINDOW = 1_000;
+
+const bounds = fastCheck.record({
+  requestsPerSecond: fastCheck.integer({ min: 1, max: 100 }),
+  overshoot: fastCheck.double({ min: 1, max: 2, noNaN: true }),
+  tolerance: fastCheck.integer({ min: 3, max: 10 }),
+});
+
+/** Most moments of a sorted list that any one second holds. */
+function mostInWindow(times: readonly number[]): number {
+  let most = 0;
+  let first = 0;
+  for (const [index, time] of times.entries()) {
+    while (time - (times[first] ?? time) > WINDOW) {
+      first += 1;
+    }
+    most = Math.max(most, index - first + 1);
+  }
+  return most;
+}
+
+/** Every entry sends to one cold upstream whenever it may, at moments of its own; gives all moments, in order. */
+function sendAll(entryCount: number, identity: string, ofAll: number, seed: number): readonly number[] {
+  const random = seededRandom.create(seed);
+  const times: number[] = [];
+  for (let index = 0; index < entryCount; index += 1) {
+    const share = new entryShare.EntryShare(`edge-${index}`, () => entryCount);
+    for (let now = random.next() * 300; now < 4_000; now += random.next() * 200) {
+      if (share.maySend(identity, ofAll, now)) {
+        share.sentTo(identity, now);
+        times.push(now);
+      }
+    }
+  }
+  return times.sort((left, right) => left - right);
+}
+
+void test.test('what two coordinators and all entries may send stays inside the bound', () => {
+  fastCheck.assert(
+    fastCheck.property(bounds, ({ requestsPerSecond, overshoot, tolerance }) => {
+      const warmUp = { requestsPerSecond, duration: 1_000 };
+      const most = requestsPerSecond * overshoot + tolerance;
+      const coordinator = warmUpBounds.ofCoordinator(warmUp, { overshoot, tolerance });
+      const alone = warmUpBounds.ofEntries(warmUp, { overshoot, tolerance }, 'coordinator');
+      const entries = warmUpBounds.ofEntries(warmUp, { overshoot, tolerance }, 'entries');
+      assert.ok(2 * coordinator + alone + 5 * Math.sqrt(alone) <= most + 1e-9);
+      assert.ok(entries + 5 * Math.sqrt(entries) <= most + 1e-9);
+      assert.ok(coordinator >= 1 && alone > 0 && entries > 0);
+    }),
+  );
+});
+
+// Seventy-five entries before an upstream that bears 31 a second: each share is a third of a request.
+void test.test('entries whose shares are less than one neither run an upstream down nor starve it', () => {
+  const warmUp = { requestsPerSecond: 31, duration: 1_000 };
+  const tolerance = { overshoot: 1.5, tolerance: 5 };
+  const ofAll = warmUpBounds.ofEntries(warmUp, tolerance, 'entries');
+  let sum = 0;
+  const UPSTREAMS = 200;
+  for (let index = 0; index < UPSTREAMS; index += 1) {
+    const most = mostInWindow(sendAll(75, `i-${index}`, ofAll, index));
+    assert.ok(most <= 51.5, `${most} in a second`);
+    sum += most;
+  }
+  assert.ok(sum / UPSTREAMS > 0.8 * ofAll, `${sum / UPSTREAMS} in the mean`);
+});
+
+void test.test('the bound is kept for any number of entries and any upstream', () => {
+  const entryCounts = fastCheck.integer({ min: 1, max: 200 });
+  fastCheck.assert(
+    fastCheck.property(
+      bounds,
+      entryCounts,
+      fastCheck.integer(),
+      ({ requestsPerSecond, overshoot, tolerance }, count, seed) => {
+        const warmUp = { requestsPerSecond, duration: 1_000 };
+        const ofAll = warmUpBounds.ofEntries(warmUp, { overshoot, tolerance }, 'entries');
+        const times = sendAll(count, `i-${seed}`, ofAll, seed);
+        assert.ok(mostInWindow(times) <= requestsPerSecond * overshoot + tolerance);
+      },
+    ),
+    { seed: 7, numRuns: 60 },
+  );
+});
+
+// Control and half of the entries are cut off together; those on the other side hear of half as many. They must not
+// take double shares: the others still send, and on the return of the link all do.
+void test.test(
+  'an entry that hears of fewer others keeps its share for a while, and of none for good',
+  () => {
+    let entries = 40;
+    const share = new entryShare.EntryShare('edge-1', () => entries);
+    const permits = (now: number): number => {
+      const probe = 400;
+      let count = 0;
+      while (count < probe && share.maySend('i', 20 * 40, now)) {
+        share.sentTo('i', now);
+        count += 1;
+      }
+      return count;
+    };
+    assert.equal(permits(0), 20);
+    entries = 20;
+    assert.equal(permits(5_000), 20);
+    entries = 0;
+    assert.equal(permits(60_000), 20);
+    entries = 20;
+    assert.equal(permits(62_000), 40);
+  },
+);
+
+void test.test('an entry that does not know yet how many there are sends nothing to a cold upstream', () => {
+  const share = new entryShare.EntryShare('edge-1', () => 0);
+  assert.equal(share.maySend('i', 1_000, 0), false);
+});
+
+void test.test('a count holds one second and forgets keys', () => {
+  const count = new recentCount.RecentCount();
+  count.add('a', 0);
+  count.add('a', 600);
+  assert.equal(count.of('a', 1_000), 2);
+  assert.equal(count.of('a', 1_001), 1);
+  count.prune(2_000);
+  assert.equal(count.of('a', 2_000), 0);
+});
--- a/packages/scenarios/src/scripts/dataCentreSafeguards.ts
+++ b/packages/scenarios/src/scripts/dataCentreSafeguards.ts
@@ -1,5 +1,5 @@
 /**
- * Safeguards of evacuated data centres.
+ * Safeguards of evacuated data centres and of cold upstreams.
  */
 import type * as safeguards from './safeguards.js';
 
@@ -47,4 +47,39 @@
     replace: 'if (false) {',
     scenario: 'spec:quarantine/guardedUpstreams',
   },
+  {
+    name: 'restored upstreams count as cold until they can have warmed up',
+    file: 'trafficControl/trafficControl.js',
+    find: 'for (const dataCentre of this.evacuated.filter((former) => !evacuated.includes(former))) {',
+    replace: 'for (const dataCentre of []) {',
+    scenario: 'spec:trafficEntry/evacuatedDataCentre',
+  },
+  {
+    name: 'an entry chooses a cold upstream within its share only',
+    file: 'relay/localChoice.js',
+    find: 'return borne === undefined || coldShare.maySend(instance.identity, borne, now);',
+    replace: 'return true;',
+    scenario: 'spec:trafficEntry/evacuatedDataCentre',
+  },
+  {
+    name: 'the coordinator places on a cold engine what it bears',
+    file: 'placement/enginePool.js',
+    find: 'isClosed || !bearsMore',
+    replace: 'isClosed',
+    scenario: 'spec:placement/coordinator',
+  },
+  {
+    name: 'an entry keeps its share while it hears of fewer others',
+    file: 'warmUp/entryShare.js',
+    find: 'entries >= this.most.entries || isOld',
+    replace: 'true',
+    scenario: 'spec:warmUp/warmUp',
+  },
+  {
+    name: 'an instance that becomes cold again is told at once',
+    file: 'instances/instanceTable.js',
+    find: "this.advance(becameCold || state === 'leaving');",
+    replace: "this.advance(state === 'leaving');",
+    scenario: 'spec:instances/warmUp',
+  },
 ];
