Voters are spread so that a majority outlives the loss of any data centre

Cause: membership knew no data centres. A learner that had caught up became a voter wherever it was: after a repair in another data centre three of six voters stood in one, and its loss stopped every change although enough others ran. Change: members carry their data centre; a learner that would spoil a spread that bears any loss stays a learner while enough voters are alive; a voter too many in one place steps back where the rest bears any loss. status warns. Spec first, red on the code as it was (the change after the loss was never acknowledged); two safeguards proved.

--- a/packages/command/src/systemCommands.ts
+++ b/packages/command/src/systemCommands.ts
@@ -33,6 +33,13 @@
   return member?.role === 'voter' ? 'yes' : (member?.role ?? 'no');
 }
 
+/** A warning where one data centre holds too many of the voters, by the word of the leader. */
+function spreadRows(system: operatorClient.SystemStatus): readonly (readonly string[])[] {
+  const leader = system.replicas.find(({ replica }) => replica.role === 'leader');
+  const bears = leader?.bearsDataCentreLoss ?? true;
+  return bears ? [] : [['control does not outlive the loss of any one data centre: spread its VMs']];
+}
+
 function statusRows(system: operatorClient.SystemStatus): readonly (readonly string[])[] {
   const accepted = Math.max(0, ...system.replicas.map((replica) => replica.configurationVersion));
   const entries = new Map(
@@ -62,6 +69,7 @@
       entry.callerAddress,
     ]),
     [''],
+    ...spreadRows(system),
     [`accepted: version ${accepted}; in force at ${inForce} of ${entries.size} entries`],
   ];
 }
--- a/packages/kumquatfront/src/consensus/types.ts
+++ b/packages/kumquatfront/src/consensus/types.ts
@@ -13,6 +13,8 @@
   readonly identity: string;
   readonly name: string;
   readonly address: string;
+  /** Absent in members that joined before it was told. */
+  readonly dataCentre?: string;
   readonly role: MemberRole;
 }
 
--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -24,6 +24,7 @@
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as membership from './membership.js';
 import * as methods from './methods.js';
+import * as voterSpread from './voterSpread.js';
 
 /** Settings of a control replica. Times are milliseconds. */
 export interface ControlSettings {
@@ -193,11 +194,12 @@
   }
 
   private createMembership(outside: ControlPorts, identity: string): membership.Membership {
-    const { name, peerAddress, control, mayFound = true, toleratedLosses = 1 } = this.settings;
+    const { name, dataCentre, peerAddress, control, mayFound = true, toleratedLosses = 1 } = this.settings;
     const { peers, random, log } = outside;
     const own = this.replica;
     return new membership.Membership({
       name,
+      dataCentre,
       peerAddress,
       control,
       identity,
@@ -333,6 +335,7 @@
       digest: this.state.digest(),
       claims: this.state.claimCount,
       openOrders: this.state.openOrders().length,
+      bearsDataCentreLoss: voterSpread.bearsAnyLoss(this.replica.status().members),
       entries: this.liveEntries(),
     };
   }
--- a/packages/kumquatfront/src/controlNode/membership.ts
+++ b/packages/kumquatfront/src/controlNode/membership.ts
@@ -9,10 +9,12 @@
 import * as results from '../kernel/results.js';
 import type * as timerService from '../kernel/timerService.js';
 import * as methods from './methods.js';
+import * as voterSpread from './voterSpread.js';
 
 /** What membership is made from. */
 export interface MembershipOptions {
   readonly name: string;
+  readonly dataCentre: string;
   readonly peerAddress: string;
   /** Peer addresses of every control VM, this one included. */
   readonly control: readonly string[];
@@ -47,11 +49,18 @@
 /** Who asked to join this recently asks again: six times its pause, as a busy process answers late. */
 const JOINING_WITHIN = 6 * JOIN_INTERVAL;
 
+/** True for the former identity of the VM on which a learner runs. */
+function isReplaced(member: consensus.Member, learner: consensus.Member): boolean {
+  const isSameVm = member.name === learner.name || member.address === learner.address;
+  return isSameVm && member.identity !== learner.identity;
+}
+
 /** Membership of one replica; see the module comment. */
 export class Membership {
   private readonly options: MembershipOptions;
   private joinAskedAt = Number.NEGATIVE_INFINITY;
   private control: readonly string[];
+  private bearsDataCentreLoss = false;
 
   constructor(options: MembershipOptions) {
     this.options = options;
@@ -144,7 +153,7 @@
   }
 
   private decide(answers: readonly methods.HelloAnswer[], asked: number): void {
-    const { peerAddress, replica: own, random, identity, name, mayFound } = this.options;
+    const { peerAddress, replica: own, random, identity, name, dataCentre, mayFound } = this.options;
     if (this.isMember()) {
       this.rejoinIfRemoved(answers);
       return;
@@ -159,7 +168,7 @@
     const first = [...this.control].sort()[0] === peerAddress;
     if (mayFound && answers.length === asked && first && own.status().clusterIdentity === '') {
       this.options.log.info('clusterFounded', { identity });
-      own.found(random.identity(), { identity, name, address: peerAddress, role: 'voter' });
+      own.found(random.identity(), { identity, name, address: peerAddress, dataCentre, role: 'voter' });
     }
   }
 
@@ -176,12 +185,12 @@
   }
 
   private join(answers: readonly methods.HelloAnswer[]): void {
-    const { peers, name, identity, peerAddress, replica: own, log } = this.options;
+    const { peers, name, dataCentre, identity, peerAddress, replica: own, log } = this.options;
     const leader = answers.find((answer) => answer.leaderAddress !== '')?.leaderAddress;
     if (leader === undefined) {
       return;
     }
-    const request: methods.JoinRequest = { identity, name, address: peerAddress };
+    const request: methods.JoinRequest = { identity, name, address: peerAddress, dataCentre };
     peers.request(leader, methods.methods.join, request, REQUEST_TIMEOUT, (result) => {
       if (result.err) {
         log.warn('joinRefused', { reason: failures.describe(result.val) });
@@ -239,43 +248,60 @@
    * each must overlap with one after it.
    */
   private repair(): void {
-    const { replica: own } = this.options;
+    const { replica: own, identity } = this.options;
     if (!own.mayLead()) {
       return;
     }
-    const { members, commitIndex } = own.status();
-    for (const learner of members.filter((member) => member.role === 'learner')) {
-      const progress = own.progressOf(learner.identity);
-      if (
-        progress === undefined ||
-        progress.matchIndex + PROMOTION_LAG < commitIndex ||
-        progress.matchIndex === 0 ||
-        this.silenceOf(learner) > REPLACED_VOTER
-      ) {
-        continue;
+    const { members } = own.status();
+    this.noteSpread(members);
+    const ready = members.filter((member) => this.hasCaughtUp(member));
+    const isShort = this.aliveVoters(members).length < this.wantedVoters;
+    const lost = members.find((member) => ready.some((learner) => isReplaced(member, learner)));
+    const promoted = voterSpread.promotable(members, ready, isShort);
+    const surplus = voterSpread.surplus(members, this.wantedVoters, identity);
+    if (lost !== undefined) {
+      const others = members.filter((member) => member !== lost);
+      this.change(others, lost, 'lostRemoved');
+    } else if (promoted !== undefined) {
+      this.change(voterSpread.withRole(members, [promoted], 'voter'), promoted, 'promoted');
+    } else if (surplus !== undefined) {
+      this.change(voterSpread.withRole(members, [surplus], 'learner'), surplus, 'demoted');
+    } else {
+      this.removeSilent(members);
+    }
+  }
+
+  private aliveVoters(members: readonly consensus.Member[]): readonly consensus.Member[] {
+    return members.filter((member) => member.role === 'voter' && this.silenceOf(member) < REPLACED_VOTER);
+  }
+
+  private get wantedVoters(): number {
+    return 2 * this.options.toleratedLosses + 1;
+  }
+
+  /** True for a learner that lacks next to nothing and answers. */
+  private hasCaughtUp(member: consensus.Member): boolean {
+    const { replica: own } = this.options;
+    const matchIndex = own.progressOf(member.identity)?.matchIndex ?? 0;
+    const isNear = matchIndex > 0 && matchIndex + PROMOTION_LAG >= own.status().commitIndex;
+    return member.role === 'learner' && isNear && this.silenceOf(member) <= REPLACED_VOTER;
+  }
+
+  private change(members: readonly consensus.Member[], changed: consensus.Member, step: string): void {
+    const { replica: own, log } = this.options;
+    own.changeMembers(members, (result) => {
+      if (result.ok) {
+        log.info('membersChanged', { replica: changed.name, step });
       }
-      const lost = members.find(
-        (member) =>
-          (member.name === learner.name || member.address === learner.address) &&
-          member.identity !== learner.identity,
-      );
-      const next =
-        lost === undefined
-          ? members.map((member): consensus.Member =>
-              member === learner ? { ...member, role: 'voter' } : member,
-            )
-          : members.filter((member) => member !== lost);
-      own.changeMembers(next, (result) => {
-        if (result.ok) {
-          this.options.log.info('membersChanged', {
-            replica: learner.name,
-            step: lost === undefined ? 'promoted' : 'lostRemoved',
-          });
-        }
-      });
-      return;
+    });
+  }
+
+  private noteSpread(members: readonly consensus.Member[]): void {
+    const bears = voterSpread.bearsAnyLoss(members);
+    if (bears !== this.bearsDataCentreLoss) {
+      this.bearsDataCentreLoss = bears;
+      this.options.log.info('voterSpread', { bearsDataCentreLoss: bears });
     }
-    this.removeSilent(members);
   }
 
   private silenceOf(member: consensus.Member): number {
@@ -292,11 +318,11 @@
    * alive bear the tolerated losses without it, so removing one that is merely slow costs nothing.
    */
   private removeSilent(members: readonly consensus.Member[]): void {
-    const { replica: own, log, toleratedLosses } = this.options;
+    const { replica: own, log } = this.options;
     const voters = members.filter((member) => member.role === 'voter');
-    const alive = voters.filter((member) => this.silenceOf(member) < REPLACED_VOTER);
-    const limit = alive.length >= 2 * toleratedLosses + 1 ? SILENT_VOTER : Number.POSITIVE_INFINITY;
-    const replaced = alive.length >= 2 * toleratedLosses + 1 && voters.length > 2 * toleratedLosses + 1;
+    const isEnough = this.aliveVoters(members).length >= this.wantedVoters;
+    const limit = isEnough ? SILENT_VOTER : Number.POSITIVE_INFINITY;
+    const replaced = isEnough && voters.length > this.wantedVoters;
     const silent = members.find(
       (member) =>
         this.silenceOf(member) >
--- a/packages/kumquatfront/src/controlNode/methods.ts
+++ b/packages/kumquatfront/src/controlNode/methods.ts
@@ -57,6 +57,7 @@
   readonly identity: string;
   readonly name: string;
   readonly address: string;
+  readonly dataCentre: string;
 }
 
 /** Answers a request to join. */
@@ -83,6 +84,8 @@
   readonly digest: string;
   readonly claims: number;
   readonly openOrders: number;
+  /** True where the voters outside any one data centre are a majority. */
+  readonly bearsDataCentreLoss: boolean;
   /** Entries seen by this replica, with the version each has in force. */
   readonly entries: readonly directory.EntryPresence[];
 }
--- a/packages/kumquatfront/src/trafficControl/controlBench.ts
+++ b/packages/kumquatfront/src/trafficControl/controlBench.ts
@@ -80,6 +80,11 @@
   return instanceBench.announcement(identity, { address: `${identity}:80`, sequence });
 }
 
+/** A replica named `b/c4` is in data centre b, one without a slash in a. */
+function dataCentreOf(address: string): string {
+  return address.includes('/') ? (address.split('/', 1)[0] ?? '') : 'a';
+}
+
 /** The bench; see the module comment. */
 export class ControlBench {
   readonly time = new virtualTime.VirtualTime();
@@ -200,7 +205,7 @@
       {
         ...defaultConfig.controlDefaults,
         name: address,
-        dataCentre: 'a',
+        dataCentre: dataCentreOf(address),
         peerAddress: address,
         control: this.seeds,
         mayFound: firstStart,
--- a/packages/scenarios/src/scripts/dataCentreSafeguards.ts
+++ b/packages/scenarios/src/scripts/dataCentreSafeguards.ts
@@ -82,4 +82,18 @@
     replace: "this.advance(state === 'leaving');",
     scenario: 'spec:instances/warmUp',
   },
+  {
+    name: 'a voter too many in one data centre steps back',
+    file: 'controlNode/voterSpread.js',
+    find: 'if (bearsAnyLoss(members) || voters.length <= wanted) {',
+    replace: 'if (true) {',
+    scenario: 'spec:trafficControl/dataCentreLoss',
+  },
+  {
+    name: 'a replica that would spoil the spread of voters stays a learner',
+    file: 'controlNode/voterSpread.js',
+    find: 'return isShort || isHarmless ? best : undefined;',
+    replace: 'return best;',
+    scenario: 'spec:trafficControl/dataCentreLoss',
+  },
 ];
