What runs in an evacuated data centre ends there: moving it off was worth less

The engines go on, and the room elsewhere is for what they do not take any more; a copy takes room twice and pauses its stream. The switch and its code are out.

--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -85,7 +85,6 @@
     this.evacuation = new evacuation.Evacuation({
       pool: this.pool,
       move: options.move,
-      movesOffEvacuated: this.isOn('moveOffEvacuated'),
       now: () => options.timers.now(),
       log: options.log,
       metrics: options.metrics,
--- a/packages/kumquatfront/src/placement/evacuation.spec.ts
+++ b/packages/kumquatfront/src/placement/evacuation.spec.ts
@@ -45,7 +45,6 @@
 function evacuate(
   engines: readonly enginePool.Engine[],
   generations: readonly types.RunningGeneration[],
-  movesOffEvacuated = true,
 ): { asked: Asked[]; pump: () => void } {
   const silent = (): void => undefined;
   const log: ports.Log = { debug: silent, info: silent, warn: silent, error: silent };
@@ -68,7 +67,6 @@
     move: (_address, command, done) => {
       asked.push({ command, done });
     },
-    movesOffEvacuated,
     now: () => 0,
     log,
     metrics,
@@ -139,3 +137,9 @@
     ['c'],
   );
 });
+
+// The room elsewhere is needed for all that the evacuated data centre does not take any more: what runs there ends there.
+void test.test('nothing is moved off the engines of an evacuated data centre', () => {
+  const { asked } = evacuate([{ ...engine('a', 'x'), evacuated: true }, engine('b', 'y')], [running('1')]);
+  assert.equal(asked.length, 0);
+});
--- a/packages/kumquatfront/src/placement/evacuation.ts
+++ b/packages/kumquatfront/src/placement/evacuation.ts
@@ -1,5 +1,6 @@
 /**
- * Moves generations off engines that are about to leave.
+ * Moves generations off engines that are about to leave. What runs in an evacuated data centre is left to end there:
+ * its engines go on, and the room elsewhere is for what they do not take any more.
  *
  * Pattern: an engine gives one and a half to two seconds of notice, and what runs there then is lost. Copies
  * share the links of source and target, so that ten begun at once are all late. Moved one after another for
@@ -36,8 +37,6 @@
     command: types.MoveCommand,
     done: (outcome: types.MoveOutcome) => void,
   ) => void;
-  /** True where generations are moved off engines of an evacuated data centre too. */
-  readonly movesOffEvacuated: boolean;
   readonly now: () => ports.Milliseconds;
   readonly log: ports.Log;
   readonly metrics: ports.Metrics;
@@ -58,10 +57,8 @@
 
   /** Starts the next move of each leaving engine that has none under way. */
   pump(): void {
-    const { pool, movesOffEvacuated } = this.host;
-    const leaving = pool.engineList.filter(
-      (engine) => engine.traits.migrations && (engine.leaving || (engine.evacuated && movesOffEvacuated)),
-    );
+    const { pool } = this.host;
+    const leaving = pool.engineList.filter((engine) => engine.leaving && engine.traits.migrations);
     for (const engine of leaving) {
       if (!this.moving.has(engine.identity)) {
         this.startNext(engine);
--- a/packages/kumquatfront/src/placement/mechanisms.ts
+++ b/packages/kumquatfront/src/placement/mechanisms.ts
@@ -13,8 +13,6 @@
   'memoryBound',
   /** Generations are moved off engines that leave. */
   'evacuation',
-  /** Generations are moved off the engines of an evacuated data centre. */
-  'moveOffEvacuated',
   /** Callers that come back are recognised, and their objective counts from their first question. */
   'returningCallers',
   /** Those that can be in time go before late ones, which only get slack. */
