Requests run at home: routes and client accounts may name regions, and every path that sends keeps to them

Cause: nothing read the regions that routes and accounts allow; a deployment with two regions would have run requests and handed out addresses anywhere. Weighed: a filter in each exchange (four places to forget one), a filter at the coordinator only (entries place alone where none answers), the allowed data centres as part of a request's facts: chosen, checked once more by the gate. A request without an upstream at home is refused at once, truly not run; addresses are those through which bodies may pass. A home that no region matches is accepted, since an operator's valid configuration must be, and serves nobody. Three safeguards proved red without.

--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -19,6 +19,7 @@
 import * as orderDesk from '../orders/orderDesk.js';
 import type * as orders from '../orders/types.js';
 import type * as mechanisms from '../placement/mechanisms.js';
+import type * as residency from '../traffic/residency.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as trafficControl from '../trafficControl/trafficControl.js';
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
@@ -43,8 +44,8 @@
   readonly mayFound?: boolean;
   /** Control VMs that may be lost at once; 1 where absent. */
   readonly toleratedLosses?: number;
-  /** Names of all data centres; any may be evacuated where absent. */
-  readonly dataCentres?: readonly string[];
+  /** Region of each data centre, by name; any data centre may be evacuated where absent. */
+  readonly regions?: residency.Regions;
   /** How far all that send may pass what a cold upstream bears; not at all where absent. */
   readonly warmUpTolerance?: warmUpBounds.WarmUpTolerance;
   /** Mechanisms of placement in use; all of them where absent. */
@@ -171,7 +172,14 @@
     decode: trafficTypes.DecodeTraffic,
   ): trafficControl.TrafficControl {
     const { peers, random, log, metrics } = outside;
-    const { peerAddress, dataCentre, dataCentres = [], control, toleratedLosses = 1, isOn } = this.settings;
+    const {
+      peerAddress,
+      dataCentre,
+      regions = new Map<string, string>(),
+      control,
+      toleratedLosses = 1,
+      isOn,
+    } = this.settings;
     const { warmUpTolerance = warmUpBounds.strictTolerance } = this.settings;
     return new trafficControl.TrafficControl({
       replica: this.replica,
@@ -184,7 +192,7 @@
       peerAddress,
       dataCentre,
       decode,
-      dataCentres,
+      regions,
       warmUpTolerance,
       leastVoters: Math.min(2 * toleratedLosses + 1, control.length),
       wantedVoters: 2 * toleratedLosses + 1,
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -7,6 +7,7 @@
  * for patient work does away with preemptions; without it there are 20 to 200 in half a minute.
  */
 import type * as ports from '../kernel/ports.js';
+import * as residency from '../traffic/residency.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as recentCount from '../warmUp/recentCount.js';
 import * as lengthForecast from './lengthForecast.js';
@@ -288,8 +289,9 @@
     let bestScore = Number.NEGATIVE_INFINITY;
     for (const engine of this.engines.values()) {
       const isClosed = engine.leaving || engine.evacuated || excluded.has(engine.identity);
+      const isAllowed = residency.allows(engine.dataCentre, facts.dataCentres);
       const bearsMore = this.sent.of(engine.identity, now) < (engine.bears ?? Number.POSITIVE_INFINITY);
-      if (engine.service !== facts.service || isClosed || !bearsMore) {
+      if (engine.service !== facts.service || isClosed || !isAllowed || !bearsMore) {
         continue;
       }
       const load = loads.get(engine.identity) ?? EMPTY;
--- a/packages/kumquatfront/src/placement/types.ts
+++ b/packages/kumquatfront/src/placement/types.ts
@@ -18,6 +18,8 @@
   readonly rank: number;
   /** Client account; empty where there is none. */
   readonly account: string;
+  /** Data centres in which it may run; absent where any will do. */
+  readonly dataCentres?: readonly string[];
 }
 
 /** Asks for a place on an engine. */
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.spec.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.spec.ts
@@ -7,11 +7,15 @@
 import type * as instanceView from '../instances/instanceView.js';
 import * as relayBench from '../relay/relayBench.js';
 
-function send(bench: relayBench.RelayBench, instance: instanceView.Instance): string[] {
+function send(
+  bench: relayBench.RelayBench,
+  instance: instanceView.Instance,
+  dataCentres?: readonly string[],
+): string[] {
   const told: string[] = [];
   const { request } = bench.routed('stream');
   bench.context.upstreams.send(
-    { request, instance, timeLeft: 1_000 },
+    { request, instance, timeLeft: 1_000, dataCentres },
     {
       head: () => told.push('head'),
       data: () => told.push('data'),
@@ -38,3 +42,16 @@
   send(bench, instance);
   assert.equal(bench.sent.length, 1);
 });
+
+// The homes of a route changed while a place was sought: the engine that was found is not at home any more.
+void test.test('nothing is sent to a region where the request may not run', () => {
+  const bench = new relayBench.RelayBench(['a']);
+  const instance = bench.context.instances.get('a');
+  assert.ok(instance);
+  const told = send(bench, instance, ['elsewhere']);
+  bench.time.advance(1);
+  assert.deepEqual(told, ['withheld']);
+  assert.equal(bench.sent.length, 0);
+  send(bench, instance, [instance.dataCentre]);
+  assert.equal(bench.sent.length, 1);
+});
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -1,7 +1,7 @@
 /**
  * The one gate between an entry and its upstreams: first sends, repeats, hedges, resumed streams and generations that
  * go on elsewhere from a copy all pass it. It sends nothing of a content that is quarantined and nothing to an upstream
- * whose data centre is evacuated, and tells the detector how every run ends.
+ * whose data centre is evacuated or in a region where the request may not run, and tells the detector how every run ends.
  *
  * An exchange whose run breaks off sends it on within a millisecond, before anybody knows whether its upstream has
  * ended. Where ends are held against its content already, it hears of the break once that is known: the end that
@@ -11,6 +11,7 @@
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
 import type * as relayTypes from '../relay/types.js';
+import * as residency from '../traffic/residency.js';
 import * as contentDigest from './contentDigest.js';
 import * as quarantine from './quarantine.js';
 
@@ -115,6 +116,14 @@
     if (isEvacuated(call.instance)) {
       return failSoon(timers, listener, 'withheld', instanceView.EVACUATED);
     }
+    if (!residency.allows(call.instance.dataCentre, call.dataCentres)) {
+      return failSoon(
+        timers,
+        listener,
+        'withheld',
+        'the upstream is in a region where the request may not run',
+      );
+    }
     const watched = new WatchedRun(options, call, content);
     const cancel = upstreams.send(call, watched.listen(listener));
     return (why) => {
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -37,6 +37,8 @@
   readonly account?: string;
   /** Rank: that of the account, else that of the route. */
   readonly rank: number;
+  /** Data centres in which it may run; undefined where any will do. */
+  readonly dataCentres?: readonly string[];
   /** Moment at which the caller must have its final answer. */
   readonly answerBy: ports.Milliseconds;
   /** Version of the configuration that decided. */
@@ -60,6 +62,43 @@
   return contentDigest.of(routed.request, routed.account ?? '');
 }
 
+/**
+ * Instances that may be sent a request.
+ *
+ * @param context - the entry's parts
+ * @param routed - the request
+ * @returns ready instances of its service in data centres in which it may run
+ * @example
+ * ```ts
+ * const instance = context.choice.choose(exchangeContext.candidatesOf(context, routed), tried, now);
+ * ```
+ */
+export function candidatesOf(
+  { instances }: ExchangeContext,
+  { service, dataCentres }: RoutedRequest,
+): readonly instanceView.Instance[] {
+  const ready = instances.readyOf(service.name);
+  return dataCentres === undefined
+    ? ready
+    : ready.filter((instance) => dataCentres.includes(instance.dataCentre));
+}
+
+/**
+ * Why no instance may be sent a request, where `candidatesOf` gives none.
+ *
+ * @param context - the entry's parts
+ * @param routed - the request
+ * @returns a phrase for the caller
+ * @example
+ * ```ts
+ * refuse('noUpstream', exchangeContext.whyNone(context, routed));
+ * ```
+ */
+export function whyNone({ instances }: ExchangeContext, { service, dataCentres }: RoutedRequest): string {
+  const isElsewhere = dataCentres !== undefined && instances.readyOf(service.name).length > 0;
+  return isElsewhere ? 'no upstream is in a region where it may run' : instances.whyNoneOf(service.name);
+}
+
 /**
  * What is held against the content of a request.
  *
--- a/packages/kumquatfront/src/relay/generationFacts.ts
+++ b/packages/kumquatfront/src/relay/generationFacts.ts
@@ -18,7 +18,7 @@
  * ```
  */
 export function of(routed: exchangeContext.RoutedRequest): placementTypes.GenerationFacts | undefined {
-  const { request, service, rank, account } = routed;
+  const { request, service, rank, account, dataCentres } = routed;
   if (service.engine === undefined) {
     return undefined;
   }
@@ -31,6 +31,7 @@
     lengthHint: generation?.lengthHint ?? 0,
     rank,
     account: account ?? '',
+    ...(dataCentres !== undefined && { dataCentres }),
   };
 }
 
--- a/packages/kumquatfront/src/relay/placeFinder.ts
+++ b/packages/kumquatfront/src/relay/placeFinder.ts
@@ -47,9 +47,10 @@
 
   /** Searches once; the listener is told. */
   find(): void {
-    const { placement, timers, choice, instances } = this.context;
-    const { service, answerBy, request, route } = this.routed;
-    if (this.facts === undefined || instances.readyOf(service.name).length === 0) {
+    const { placement, timers, choice } = this.context;
+    const { answerBy, request, route } = this.routed;
+    const candidates = exchangeContext.candidatesOf(this.context, this.routed);
+    if (this.facts === undefined || candidates.length === 0) {
       this.chooseAlone();
       return;
     }
@@ -57,7 +58,7 @@
     const { objective } = route;
     const wholeTime = answerBy - request.arrivedAt;
     const waitUntil = request.arrivedAt + waitingRules.longestWait(objective, wholeTime, this.facts.rank);
-    const ejected = choice.ejectedOf(instances.readyOf(service.name), now);
+    const ejected = choice.ejectedOf(candidates, now);
     const question: placementClient.PlaceQuestion = {
       facts: this.facts,
       excluded: [...this.excluded, ...ejected],
@@ -90,12 +91,14 @@
   }
 
   private chooseAlone(): void {
-    const { choice, instances, timers } = this.context;
-    const candidates = instances.readyOf(this.routed.service.name);
+    const { choice, timers } = this.context;
+    const candidates = exchangeContext.candidatesOf(this.context, this.routed);
     const instance = choice.choose(candidates, this.excluded, timers.now());
     if (instance === undefined) {
-      const { name } = this.routed.service;
-      const reason = candidates.length === 0 ? instances.whyNoneOf(name) : 'no upstream is left to ask';
+      const isNone = candidates.length === 0;
+      const reason = isNone
+        ? exchangeContext.whyNone(this.context, this.routed)
+        : 'no upstream is left to ask';
       this.listener.none('noUpstream', reason, exchangeContext.NO_UPSTREAM_RETRY);
     } else {
       this.listener.found(instance);
--- a/packages/kumquatfront/src/relay/plainExchange.ts
+++ b/packages/kumquatfront/src/relay/plainExchange.ts
@@ -89,10 +89,10 @@
   }
 
   private sendNext(): void {
-    const { instances, choice, timers, upstreams } = this.context;
-    const { request, service, account, answerBy } = this.routed;
+    const { choice, timers, upstreams } = this.context;
+    const { request, account, answerBy, dataCentres } = this.routed;
     const now = timers.now();
-    const instance = choice.choose(instances.readyOf(service.name), this.tried, now);
+    const instance = choice.choose(exchangeContext.candidatesOf(this.context, this.routed), this.tried, now);
     if (instance === undefined) {
       this.noUpstreamLeft();
       return;
@@ -117,7 +117,7 @@
       },
     };
     const timeLeft = answerBy - now;
-    const cancel = upstreams.send({ request, instance, timeLeft, account }, listener);
+    const cancel = upstreams.send({ request, instance, timeLeft, account, dataCentres }, listener);
     const attempt: Attempt = { instance, cancel, head: undefined, chunks };
     this.open.add(attempt);
   }
@@ -240,9 +240,8 @@
       return;
     }
     if (this.runs === 0 || (this.repeatable && this.lastFailure === undefined)) {
-      const { instances } = this.context;
-      const { name } = this.routed.service;
-      const reason = this.sends === 0 ? instances.whyNoneOf(name) : 'no upstream took it';
+      const reason =
+        this.sends === 0 ? exchangeContext.whyNone(this.context, this.routed) : 'no upstream took it';
       this.refuse('noUpstream', reason, exchangeContext.NO_UPSTREAM_RETRY);
       return;
     }
--- a/packages/kumquatfront/src/relay/startingHold.spec.ts
+++ b/packages/kumquatfront/src/relay/startingHold.spec.ts
@@ -15,6 +15,7 @@
   private routes: routeTable.RouteTable | undefined;
   private readonly relay = new trafficRelay.TrafficRelay({
     context: this.bench.context,
+    regions: new Map(),
     random: seededRandom.create(1),
     routes: () => this.routes,
     draining: () => false,
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -150,7 +150,7 @@
 
   private send(instance: instanceView.Instance, copy: types.MemoryCopy | undefined): void {
     const { upstreams, choice, timers, placement, log } = this.context;
-    const { request, account, rank, answerBy } = this.routed;
+    const { request, account, rank, answerBy, dataCentres } = this.routed;
     const now = timers.now();
     const leg = new streamLeg.StreamLeg(instance, copy);
     this.leg = leg;
@@ -174,6 +174,7 @@
       urgency,
       lastEvent: this.delivery.lastEvent,
       copy,
+      dataCentres,
     };
     leg.start(upstreams, call, this.resumable, this.listen(leg));
     this.watchSilence();
--- a/packages/kumquatfront/src/relay/trafficRelay.ts
+++ b/packages/kumquatfront/src/relay/trafficRelay.ts
@@ -3,6 +3,7 @@
  * Whatever cannot be served is refused here at once.
  */
 import type * as ports from '../kernel/ports.js';
+import * as residency from '../traffic/residency.js';
 import type * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as contentDigest from '../quarantine/contentDigest.js';
@@ -27,6 +28,8 @@
 export interface TrafficRelayOptions {
   readonly context: exchangeContext.ExchangeContext;
   readonly random: ports.Random;
+  /** Region of each data centre. */
+  readonly regions: residency.Regions;
   readonly routes: () => routeTable.RouteTable | undefined;
   /** True once this entry has been told to stop. */
   readonly draining: () => boolean;
@@ -91,6 +94,7 @@
       service,
       account: account?.name,
       rank: account?.priority ?? route.priority,
+      dataCentres: residency.dataCentresIn(residency.regionsOf(route, account), this.options.regions),
       answerBy: request.arrivedAt + limit,
       version: routes.version,
     });
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -57,6 +57,8 @@
   readonly urgency?: number;
   readonly lastEvent?: string;
   readonly copy?: MemoryCopy;
+  /** Data centres in which the request may run; undefined where any will do. */
+  readonly dataCentres?: readonly string[];
 }
 
 /** The beginning of an upstream's answer. */
--- a/packages/kumquatfront/src/traffic/routeTable.ts
+++ b/packages/kumquatfront/src/traffic/routeTable.ts
@@ -4,6 +4,11 @@
  */
 import type * as types from './types.js';
 
+/** A host as it is looked up: in lower case, without its port. */
+function hostKey(host: string): string {
+  return host.toLowerCase().replace(/:\d+$/, '');
+}
+
 /** The look-up tables of one configuration; see the module comment. */
 export class RouteTable {
   readonly version: number;
@@ -36,7 +41,7 @@
 
   /** The route with the longest prefix that begins the path; `host` may carry a port. */
   routeOf(host: string, path: string): types.Route | undefined {
-    const prefixes = this.hosts.get(host.toLowerCase().replace(/:\d+$/, ''));
+    const prefixes = this.hosts.get(hostKey(host));
     if (prefixes === undefined) {
       return undefined;
     }
@@ -49,6 +54,12 @@
     return undefined;
   }
 
+  /** Homes of the routes of a host that have any. */
+  homesOf(host: string): readonly (readonly string[])[] {
+    const routes = [...(this.hosts.get(hostKey(host))?.values() ?? [])];
+    return routes.flatMap(({ homes }) => (homes === undefined ? [] : [homes]));
+  }
+
   serviceOf(name: string): types.Service | undefined {
     return this.services.get(name);
   }
--- a/packages/kumquatfront/src/traffic/types.ts
+++ b/packages/kumquatfront/src/traffic/types.ts
@@ -38,6 +38,8 @@
   readonly resumable: boolean;
   /** Longest pause between two events of a stream that callers accept. */
   readonly longestPause: ports.Milliseconds;
+  /** Regions in which its requests may run and their bodies be; absent where any will do. */
+  readonly homes?: readonly string[];
 }
 
 /** What the engines of a service can do. */
@@ -79,6 +81,8 @@
   readonly keys: readonly string[];
   /** Goes before the priority of the route where it is present. */
   readonly priority?: number;
+  /** Regions in which its requests may run and their bodies be; absent where any will do. */
+  readonly homes?: readonly string[];
 }
 
 /** One whole traffic configuration. */
--- a/packages/kumquatfront/src/trafficControl/controlBench.ts
+++ b/packages/kumquatfront/src/trafficControl/controlBench.ts
@@ -14,6 +14,7 @@
 import * as virtualTime from '../kernel/virtualTime.js';
 import type * as relayTypes from '../relay/types.js';
 import * as defaultConfig from '../settings/defaultConfig.js';
+import type * as residency from '../traffic/residency.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as trafficEntry from '../trafficEntry/trafficEntry.js';
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
@@ -49,6 +50,13 @@
 /** Names of the data centres that the bench's settings tell. */
 export const DATA_CENTRES: readonly string[] = ['a', 'b', 'c'];
 
+/** Region of each of them. */
+export const REGIONS: residency.Regions = new Map([
+  ['a', 'west'],
+  ['b', 'west'],
+  ['c', 'east'],
+]);
+
 /** A process on the bench: its life ends when it is killed, and its messages with it. */
 interface Life {
   readonly address: string;
@@ -210,7 +218,7 @@
         control: this.seeds,
         mayFound: firstStart,
         toleratedLosses: this.toleratedLosses,
-        dataCentres: DATA_CENTRES,
+        regions: REGIONS,
       },
       { ...this.basePorts(life), disk, decodeTraffic: this.decode },
     );
@@ -314,6 +322,7 @@
       callerAddress: `${name}:1`,
       peerAddress: name,
       seeds: this.seeds,
+      regions: REGIONS,
       warmUpTolerance: warmUpBounds.strictTolerance,
       retries: { ratio: 0.2, slack: 54, window: 10_000 },
     };
--- a/packages/kumquatfront/src/trafficControl/entryDirectory.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/entryDirectory.spec.ts
@@ -71,6 +71,14 @@
   },
 );
 
+// Bodies of a route that has a home may pass through entries at home or in the caller's own region, and no others.
+void test.test('a caller is given entries through which its bodies may pass, where there are any', () => {
+  const directory = directoryOf({ a: 3, b: 3, c: 30 });
+  const given = directory.choose('a', MOST, 0, (dataCentre) => dataCentre !== 'c');
+  assert.deepEqual([...new Set(given.map((entry) => entry.dataCentre))].sort(), ['a', 'b']);
+  assert.ok(directory.choose('a', MOST, 0, () => false).length > 0);
+});
+
 void test.test('an entry that drains, starts or is silent is given to nobody', () => {
   const directory = directoryOf({ a: 1 });
   directory.hear(news('draining', 'a', 'draining'), 0);
--- a/packages/kumquatfront/src/trafficControl/entryDirectory.ts
+++ b/packages/kumquatfront/src/trafficControl/entryDirectory.ts
@@ -61,13 +61,23 @@
    *
    * Which others, and which of too many near ones, is drawn anew for each caller: always the same few would carry
    * the far calls of all data centres.
+   *
+   * @param mayPass - true for data centres through which the caller's bodies may pass
    */
-  choose(dataCentre: string, most: number, now: ports.Milliseconds): readonly methods.EntryNews[] {
+  choose(
+    dataCentre: string,
+    most: number,
+    now: ports.Milliseconds,
+    mayPass: (dataCentre: string) => boolean = () => true,
+  ): readonly methods.EntryNews[] {
     const ready = [...this.entries.values()]
       .filter((entry) => entry.news.state === 'ready' && now - entry.heardAt <= ENTRY_LEASE)
       .map((entry) => entry.news);
-    const near = ready.filter((entry) => entry.dataCentre === dataCentre);
-    const far = ready.filter((entry) => entry.dataCentre !== dataCentre);
+    const passed = ready.filter((entry) => mayPass(entry.dataCentre));
+    // With none where the bodies may be, a caller is better told so by an entry than given no address.
+    const usable = passed.length > 0 ? passed : ready;
+    const near = usable.filter((entry) => entry.dataCentre === dataCentre);
+    const far = usable.filter((entry) => entry.dataCentre !== dataCentre);
     const nearGiven = this.draw(near, most - Math.min(FAR_ADDRESSES, far.length));
     const farCount = Math.max(FAR_ADDRESSES, LEAST_ADDRESSES - nearGiven.length);
     return [...nearGiven, ...this.draw(far, Math.min(farCount, most - nearGiven.length))];
--- a/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
@@ -196,10 +196,10 @@
   const bench = founded();
   bench.watch('e1');
   bench.time.advance(1_000);
-  assert.equal(bench.trafficOf('c1').entriesFor('a', 10).length, 1);
+  assert.equal(bench.trafficOf('c1').entriesFor({ host: 'h', dataCentre: 'a', region: '' }, 10).length, 1);
   bench.kill('e1');
   bench.time.advance(3_000);
-  assert.equal(bench.trafficOf('c1').entriesFor('a', 10).length, 0);
+  assert.equal(bench.trafficOf('c1').entriesFor({ host: 'h', dataCentre: 'a', region: '' }, 10).length, 0);
 });
 
 // Changes follow each other twenty times a second. If each replica sent each of them to every entry, the entries'
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -16,6 +16,7 @@
 import type * as mechanisms from '../placement/mechanisms.js';
 import type * as placementTypes from '../placement/types.js';
 import * as caseBook from '../quarantine/caseBook.js';
+import type * as residency from '../traffic/residency.js';
 import * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
 import type * as warmUpBounds from '../warmUp/warmUpBounds.js';
@@ -37,8 +38,8 @@
   readonly peerAddress: string;
   readonly dataCentre: string;
   readonly decode: trafficTypes.DecodeTraffic;
-  /** Names of all data centres; empty where the settings name none. */
-  readonly dataCentres: readonly string[];
+  /** Region of each data centre, by name; empty where the settings name none. */
+  readonly regions: residency.Regions;
   /** How far all that send may pass what a cold upstream bears. */
   readonly warmUpTolerance: warmUpBounds.WarmUpTolerance;
   /** Voters that must stand before the first change is taken. */
@@ -58,6 +59,14 @@
 const FRESHNESS_INTERVAL: ports.Milliseconds = 40;
 const FRESHNESS_WAIT: ports.Milliseconds = 10;
 
+/** Where a caller is, and where it wants to go. */
+export interface CallerPlace {
+  readonly host: string;
+  readonly dataCentre: string;
+  /** Empty where the caller does not say. */
+  readonly region: string;
+}
+
 /** The part; see the module comment. */
 export class TrafficControl {
   private readonly options: TrafficControlOptions;
@@ -127,6 +136,7 @@
     });
     this.calls = new operatorCalls.OperatorCalls({
       ...options,
+      dataCentres: [...options.regions.keys()],
       changed: () => {
         this.wakeWatches();
       },
@@ -339,8 +349,18 @@
     return this.options.replica.isFresh() && this.entries.size > 0;
   }
 
-  /** Entries that callers of a data centre may be given, as this replica hears from them. */
-  entriesFor(dataCentre: string, most: number): readonly methods.EntryNews[] {
-    return this.entries.choose(dataCentre, most, this.options.timers.now());
+  /**
+   * Entries that callers may be given, as this replica hears from them. Bodies that must stay at home pass through
+   * entries at home or in the caller's region.
+   */
+  entriesFor(caller: CallerPlace, most: number): readonly methods.EntryNews[] {
+    const { regions, timers } = this.options;
+    const homes = this.routes()?.homesOf(caller.host) ?? [];
+    const region = regions.get(caller.dataCentre) ?? caller.region;
+    const mayPass = (dataCentre: string): boolean => {
+      const there = regions.get(dataCentre) ?? '';
+      return homes.length === 0 || there === region || homes.every((home) => home.includes(there));
+    };
+    return this.entries.choose(caller.dataCentre, most, timers.now(), mayPass);
   }
 }
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -16,6 +16,7 @@
 import * as caseReporter from '../quarantine/caseReporter.js';
 import * as guardedUpstreams from '../quarantine/guardedUpstreams.js';
 import * as quarantine from '../quarantine/quarantine.js';
+import type * as residency from '../traffic/residency.js';
 import * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as entryShare from '../warmUp/entryShare.js';
@@ -33,6 +34,8 @@
   readonly peerAddress: string;
   /** Peer addresses of some control replicas. */
   readonly seeds: readonly string[];
+  /** Region of each data centre, by name. */
+  readonly regions: residency.Regions;
   readonly retries: retryAllowance.AllowanceSettings;
   /** How far all that send may pass what a cold upstream bears. */
   readonly warmUpTolerance: warmUpBounds.WarmUpTolerance;
@@ -150,6 +153,7 @@
         quarantine: guard,
       },
       random,
+      regions: settings.regions,
       routes: () => this.routes,
       draining: () => this.draining,
     });
--- a/packages/scenarios/src/scripts/dataCentreSafeguards.ts
+++ b/packages/scenarios/src/scripts/dataCentreSafeguards.ts
@@ -1,5 +1,5 @@
 /**
- * Safeguards of evacuated data centres and of cold upstreams.
+ * Safeguards of evacuated data centres, cold upstreams and homes.
  */
 import type * as safeguards from './safeguards.js';
 
@@ -96,4 +96,25 @@
     replace: 'return best;',
     scenario: 'spec:trafficControl/dataCentreLoss',
   },
+  {
+    name: 'the gate keeps a request out of regions where it may not run',
+    file: 'quarantine/guardedUpstreams.js',
+    find: 'if (!residency.allows(call.instance.dataCentre, call.dataCentres)) {',
+    replace: 'if (false) {',
+    scenario: 'spec:quarantine/guardedUpstreams',
+  },
+  {
+    name: 'an entry chooses among upstreams at home only',
+    file: 'relay/exchangeContext.js',
+    find: 'return dataCentres === undefined',
+    replace: 'return true',
+    scenario: 'spec:traffic/residency',
+  },
+  {
+    name: 'a caller is given entries through which its bodies may pass',
+    file: 'trafficControl/entryDirectory.js',
+    find: 'const usable = passed.length > 0 ? passed : ready;',
+    replace: 'const usable = ready;',
+    scenario: 'spec:trafficControl/entryDirectory',
+  },
 ];
