Operators evacuate and restore a data centre by the command and the own interface; status shows it

A data centre is known where anything of the system runs. Scenario with a killed leader and a restarted entry, two safeguards proved red without; the command over real processes in the demo's spec.

--- a/packages/command/src/main.ts
+++ b/packages/command/src/main.ts
@@ -100,6 +100,24 @@
       builder.positional('entry', { type: 'string', demandOption: true, describe: 'Name of the entry' }),
     (parsed) => commandRunner.run(parsed, (context) => systemCommands.drain(context, parsed.entry)),
   )
+  .command(
+    'evacuate <dataCentre>',
+    'Give the upstreams of a data centre nothing new until it is restored',
+    (builder) => builder.positional('dataCentre', { type: 'string', demandOption: true }),
+    (parsed) =>
+      commandRunner.run(parsed, (context) =>
+        systemCommands.orderDataCentre(context, 'evacuate', parsed.dataCentre),
+      ),
+  )
+  .command(
+    'restore <dataCentre>',
+    'Give the upstreams of an evacuated data centre work again',
+    (builder) => builder.positional('dataCentre', { type: 'string', demandOption: true }),
+    (parsed) =>
+      commandRunner.run(parsed, (context) =>
+        systemCommands.orderDataCentre(context, 'restore', parsed.dataCentre),
+      ),
+  )
   .command(
     'order <upstream> <action> <target>',
     'Order an upstream to load a model or an adapter, or to change its role',
--- a/packages/command/src/operatorClient.ts
+++ b/packages/command/src/operatorClient.ts
@@ -120,6 +120,16 @@
     return this.request('POST', '/v1/orders', order);
   }
 
+  /** Evacuates a data centre or restores it; an answer that was lost is asked for again. */
+  async orderDataCentre(
+    command: kumquatfront.agreedTypes.DataCentreCommand,
+  ): Promise<Outcome<kumquatfront.agreedTypes.Evacuations>> {
+    const method = command.type === 'evacuate' ? 'PUT' : 'DELETE';
+    const path = `/v1/evacuations/${encodeURIComponent(command.dataCentre)}`;
+    const result = await this.request(method, path);
+    return result.map((answer) => answer as kumquatfront.agreedTypes.Evacuations);
+  }
+
   /** Has an entry drain and end. */
   async drain(entry: string): Promise<Outcome<unknown>> {
     return this.request('POST', '/v1/drains', { entry });
--- a/packages/command/src/systemCommands.ts
+++ b/packages/command/src/systemCommands.ts
@@ -33,6 +33,32 @@
   return member?.role === 'voter' ? 'yes' : (member?.role ?? 'no');
 }
 
+/** The newest that any replica knows. */
+function latestEvacuations(system: operatorClient.SystemStatus): kumquatfront.agreedTypes.Evacuations {
+  const known = system.replicas.map((replica) => replica.evacuations);
+  return known.reduce((newest, other) => (other.revision > newest.revision ? other : newest), {
+    revision: 0,
+    dataCentres: [],
+  });
+}
+
+function evacuationRows({
+  dataCentres,
+  revision,
+}: kumquatfront.agreedTypes.Evacuations): readonly (readonly string[])[] {
+  return dataCentres.length === 0
+    ? []
+    : [
+        ['EVACUATED', 'SINCE', 'REVISION'],
+        ...dataCentres.map(({ dataCentre, since }) => [
+          dataCentre,
+          new Date(since).toISOString(),
+          String(revision),
+        ]),
+        [''],
+      ];
+}
+
 /** A warning where one data centre holds too many of the voters, by the word of the leader. */
 function spreadRows(system: operatorClient.SystemStatus): readonly (readonly string[])[] {
   const leader = system.replicas.find(({ replica }) => replica.role === 'leader');
@@ -69,6 +95,7 @@
       entry.callerAddress,
     ]),
     [''],
+    ...evacuationRows(latestEvacuations(system)),
     ...spreadRows(system),
     [`accepted: version ${accepted}; in force at ${inForce} of ${entries.size} entries`],
   ];
@@ -158,6 +185,30 @@
   }));
 }
 
+/**
+ * `evacuate DATACENTRE`, `restore DATACENTRE`
+ *
+ * @param context - client and output
+ * @param type - which of the two
+ * @param dataCentre - name of the data centre
+ * @returns the data centres that are evacuated afterwards
+ * @example
+ * ```ts
+ * await systemCommands.orderDataCentre(context, 'evacuate', 'perth-a');
+ * ```
+ */
+export async function orderDataCentre(
+  context: commandRunner.CommandContext,
+  type: kumquatfront.agreedTypes.DataCentreCommand['type'],
+  dataCentre: string,
+): commandRunner.CommandResult {
+  const result = await context.client.orderDataCentre({ type, dataCentre });
+  return result.map((value) => {
+    const rows = evacuationRows(value);
+    return { rows: rows.length > 0 ? rows : [['no data centre is evacuated']], value };
+  });
+}
+
 /**
  * `order UPSTREAM ACTION TARGET`
  *
--- a/packages/demo/src/operators.spec.ts
+++ b/packages/demo/src/operators.spec.ts
@@ -135,3 +135,19 @@
   assert.equal(sound.status, 0, sound.errors);
   fs.rmSync(folder, { recursive: true });
 });
+
+void test.test('a data centre is evacuated and restored by name, and the status shows it', async () => {
+  await withDeployment(async (running) => {
+    const refused = await command(running, 'evacuate', 'nowhere');
+    assert.notEqual(refused.status, 0);
+    assert.match(refused.errors, /There is no data centre "nowhere".*Name one of: /s);
+    const [, known = ''] = /Name one of: ([^,.\s]+)/.exec(refused.errors) ?? [];
+    assert.equal((await command(running, 'evacuate', known)).status, 0);
+    const again = await command(running, 'evacuate', known);
+    assert.equal(again.status, 0);
+    const status = await command(running, 'status');
+    assert.match(status.output, new RegExp(`EVACUATED.*${known}`, 's'));
+    const restored = await command(running, 'restore', known);
+    assert.match(restored.output, /no data centre is evacuated/);
+  });
+});
--- a/packages/kumquatfront/src/adapters/controlHttp.ts
+++ b/packages/kumquatfront/src/adapters/controlHttp.ts
@@ -25,6 +25,7 @@
 }
 
 const OBJECT_PATH = /^\/v1\/configuration\/([A-Za-z]+)(?:\/([A-Za-z0-9._-]{1,63}))?$/;
+const EVACUATION_PATH = /^\/v1\/evacuations\/([^/]{1,200})$/;
 const FORWARD_TIMEOUT = 5_000;
 const STATUS_TIMEOUT = 1_000;
 
@@ -60,6 +61,7 @@
 ): void {
   const url = new URL(request.url ?? '/', 'http://control');
   const [, kind, name] = OBJECT_PATH.exec(url.pathname) ?? [];
+  const [, dataCentre] = EVACUATION_PATH.exec(url.pathname) ?? [];
   if (request.method === 'GET' && url.pathname === '/v1/status') {
     sendStatus(options, response);
   } else if (request.method === 'GET' && url.pathname === '/v1/burn') {
@@ -68,6 +70,9 @@
     drainEntry(options, request, response);
   } else if (request.method === 'POST' && url.pathname === '/v1/orders') {
     placeOrder(options, request, response);
+  } else if ((request.method === 'PUT' || request.method === 'DELETE') && dataCentre !== undefined) {
+    const type = request.method === 'PUT' ? 'evacuate' : 'restore';
+    orderDataCentre(options, { type, dataCentre }, response);
   } else if (request.method === 'GET' && kind !== undefined) {
     finish(response, options.node.read(kind, name), (objects) => ({ objects }));
   } else if (
@@ -194,6 +199,18 @@
   });
 }
 
+function orderDataCentre(
+  options: ControlHttpOptions,
+  command: agreedState.DataCentreCommand,
+  response: http.ServerResponse,
+): void {
+  options.node.orderDataCentre(command, (result) => {
+    forwardToLeader(options, methods.methods.evacuate, command, result, (final) => {
+      finish(response, final, (evacuations) => evacuations);
+    });
+  });
+}
+
 function parseOrder(
   body: Record<string, unknown>,
 ): results.Result<agreedState.OrderCommand, failures.Failure> {
--- a/packages/kumquatfront/src/configuration/configurationReplica.spec.ts
+++ b/packages/kumquatfront/src/configuration/configurationReplica.spec.ts
@@ -49,6 +49,7 @@
         configurationVersion: 0,
       }),
       entries: () => [],
+      onEvacuations: () => undefined,
     });
   }
 
--- a/packages/kumquatfront/src/configuration/configurationReplica.ts
+++ b/packages/kumquatfront/src/configuration/configurationReplica.ts
@@ -2,6 +2,7 @@
  * The configuration as one entry has it in force. It pulls from control replicas, and from other entries
  * where it cannot reach control; what it applies only ever gets newer.
  */
+import type * as agreedTypes from '../agreedState/types.js';
 import type * as controlClient from '../controlClient/controlClient.js';
 import * as methods from '../controlNode/methods.js';
 import type * as directory from '../directory/types.js';
@@ -28,6 +29,8 @@
   readonly random: ports.Random;
   readonly log: ports.Log;
   readonly presence: () => directory.EntryPresence;
+  /** Takes in which data centres are evacuated; called with ever higher revisions only. */
+  readonly onEvacuations: (evacuations: agreedTypes.Evacuations) => void;
   /** Other entries, as the directory knows them. */
   readonly entries: () => readonly directory.EntryPresence[];
 }
@@ -42,6 +45,7 @@
   private version = -1;
   private clusterIdentity = '';
   private freshAt = Number.NEGATIVE_INFINITY;
+  private evacuations: agreedTypes.Evacuations = { revision: 0, dataCentres: [] };
   private readonly listeners: (() => void)[] = [];
 
   constructor(options: ConfigurationReplicaOptions) {
@@ -96,6 +100,7 @@
     const { settings, control } = this.options;
     const request: methods.PullRequest = {
       version: this.version,
+      evacuationRevision: this.evacuations.revision,
       leaderOnly: !this.isReady(),
       presence: this.options.presence(),
     };
@@ -153,6 +158,8 @@
     if (!answer.fresh) {
       return false;
     }
+    // Before the configuration: with the first one this entry begins to serve.
+    this.takeEvacuations(answer);
     if (answer.delta !== undefined && !this.apply(answer.delta)) {
       return false;
     }
@@ -160,6 +167,13 @@
     return true;
   }
 
+  private takeEvacuations({ evacuations }: methods.PullAnswer): void {
+    if (evacuations !== undefined && evacuations.revision > this.evacuations.revision) {
+      this.evacuations = evacuations;
+      this.options.onEvacuations(evacuations);
+    }
+  }
+
   private apply(delta: types.ConfigurationDelta): boolean {
     const { log } = this.options;
     // Control that was founded anew counts from the beginning; taking its word would revert everything that
@@ -193,11 +207,16 @@
     const fresh = this.isReady() && this.isFresh() && !request.leaderOnly;
     // The age travels along: without it two entries that are both cut off would vouch for each other for ever.
     const age = this.options.timers.now() - this.freshAt;
-    if (!fresh || request.version >= this.version) {
+    if (!fresh) {
       return { fresh, age };
     }
-    const { clusterIdentity, version } = this;
+    const { clusterIdentity, version, evacuations } = this;
     const delta = { clusterIdentity, version, whole: true, objects: this.all(), deleted: [] };
-    return { fresh, age, delta };
+    return {
+      fresh,
+      age,
+      ...(request.version < version && { delta }),
+      ...(request.evacuationRevision < evacuations.revision && { evacuations }),
+    };
   }
 }
--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -23,6 +23,7 @@
 import type * as trafficTypes from '../traffic/types.js';
 import * as trafficControl from '../trafficControl/trafficControl.js';
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
+import * as evacuationFailures from '../agreedState/evacuationFailures.js';
 import * as membership from './membership.js';
 import * as methods from './methods.js';
 import * as voterSpread from './voterSpread.js';
@@ -74,6 +75,8 @@
 /** What a control replica offers to the adapters around it. */
 export interface ControlNode {
   readonly services: serviceRegistry.ServiceRegistry<ControlServices>;
+  /** Evacuates a data centre or restores it; only the leader does. */
+  orderDataCentre(command: agreedTypes.DataCentreCommand, done: ports.Reply): void;
   /** Changes the configuration; only the leader does. */
   configure(command: agreedTypes.ConfigureCommand, done: ports.Reply): void;
   /** Reads an object; only a fresh replica answers. */
@@ -239,6 +242,9 @@
     peers.serve(names.order, (parameters, reply) => {
       this.replica.propose(parameters, reply);
     });
+    peers.serve(names.evacuate, (parameters, reply) => {
+      this.replica.propose(parameters, reply);
+    });
     peers.serve(names.pull, (parameters, reply) => {
       this.onPull(parameters as methods.PullRequest, reply);
     });
@@ -258,6 +264,26 @@
     this.replica.propose(command, done);
   }
 
+  /**
+   * A data centre counts as known where anything of the system runs, or where it is evacuated already: nobody tells
+   * control a list, and upstreams announce themselves to entries.
+   */
+  orderDataCentre(command: agreedTypes.DataCentreCommand, done: ports.Reply): void {
+    const { dataCentre } = command;
+    const known = new Set([
+      this.settings.dataCentre,
+      ...this.liveEntries().map((entry) => entry.dataCentre),
+      ...this.replica.status().members.map((member) => member.dataCentre ?? ''),
+      ...this.state.evacuations.dataCentres.map((held) => held.dataCentre),
+    ]);
+    if (dataCentre === '' || !known.has(dataCentre)) {
+      const names = [...known].filter((name) => name !== '').sort();
+      done(results.Err(evacuationFailures.unknownDataCentre(dataCentre, names)));
+      return;
+    }
+    this.replica.propose(command, done);
+  }
+
   private onClaims(request: methods.ClaimsRequest, reply: ports.Reply): void {
     const answers: agreedTypes.ClaimAnswer[] = [];
     let open = request.claims.length;
@@ -299,11 +325,16 @@
     if (!this.replica.isFresh()) {
       return { fresh: false, age: 0 };
     }
-    if (request.version >= this.state.configurationVersion) {
-      return { fresh: true, age: 0 };
-    }
+    const { evacuations, configurationVersion } = this.state;
     const { clusterIdentity } = this.replica.status();
-    return { fresh: true, age: 0, delta: this.state.deltaSince(request.version, clusterIdentity) };
+    return {
+      fresh: true,
+      age: 0,
+      ...(request.version < configurationVersion && {
+        delta: this.state.deltaSince(request.version, clusterIdentity),
+      }),
+      ...(request.evacuationRevision < evacuations.revision && { evacuations }),
+    };
   }
 
   private liveEntries(): readonly directory.EntryPresence[] {
@@ -343,6 +374,7 @@
       digest: this.state.digest(),
       claims: this.state.claimCount,
       openOrders: this.state.openOrders().length,
+      evacuations: this.state.evacuations,
       bearsDataCentreLoss: voterSpread.bearsAnyLoss(this.replica.status().members),
       entries: this.liveEntries(),
     };
--- a/packages/kumquatfront/src/controlNode/methods.ts
+++ b/packages/kumquatfront/src/controlNode/methods.ts
@@ -17,6 +17,8 @@
   pull: 'configuration.pull',
   status: 'control.status',
   order: 'control.order',
+  /** Evacuates a data centre, or restores it. */
+  evacuate: 'control.evacuate',
   entryBurn: 'entry.burn',
   entryDrain: 'entry.drain',
   entryOrder: 'entry.order',
@@ -25,6 +27,8 @@
 /** Asks for the configuration after a version. */
 export interface PullRequest {
   readonly version: number;
+  /** Revision of the evacuated data centres that the puller knows. */
+  readonly evacuationRevision: number;
   /** True where only the leader under its lease may answer. */
   readonly leaderOnly: boolean;
   /** The entry that pulls; its version shows how far a change is in force. */
@@ -39,6 +43,8 @@
   readonly age: number;
   /** Absent where nothing changed or the answerer is not fresh. */
   readonly delta?: configuration.ConfigurationDelta;
+  /** Absent where the puller is up to date or the answerer is not fresh. */
+  readonly evacuations?: agreedState.Evacuations;
 }
 
 /** Asks a replica who it is, before it is told to join or to found a cluster. */
@@ -86,6 +92,8 @@
   readonly openOrders: number;
   /** True where the voters outside any one data centre are a majority. */
   readonly bearsDataCentreLoss: boolean;
+  /** Data centres whose upstreams get nothing new. */
+  readonly evacuations: agreedState.Evacuations;
   /** Entries seen by this replica, with the version each has in force. */
   readonly entries: readonly directory.EntryPresence[];
 }
--- a/packages/kumquatfront/src/directory/upstreamTable.ts
+++ b/packages/kumquatfront/src/directory/upstreamTable.ts
@@ -31,6 +31,7 @@
   private readonly contents = new Map<string, types.Announcement>();
   private readonly caches = new Map<string, CacheView>();
   private version = 0;
+  private evacuated: ReadonlySet<string> = new Set();
   private readonly bySelector = new Map<string, { version: number; records: readonly UpstreamRecord[] }>();
 
   /** Takes an announcement that is `age` milliseconds old; true when it is news. */
@@ -147,7 +148,17 @@
     return [...this.records.values()];
   }
 
-  /** Upstreams of a label selector that may get new work: leased and not leaving. */
+  /** Replaces the data centres whose upstreams are to get nothing new. */
+  setEvacuated(dataCentres: readonly string[]): void {
+    this.evacuated = new Set(dataCentres);
+    this.version += 1;
+  }
+
+  private takesWork(record: UpstreamRecord): boolean {
+    return !record.leaving && !this.evacuated.has(record.announcement.dataCentre);
+  }
+
+  /** Upstreams of a label selector that may get new work: leased, not leaving, in no evacuated data centre. */
   candidates(selectorText: string): readonly UpstreamRecord[] {
     const cached = this.bySelector.get(selectorText);
     if (cached?.version === this.version) {
@@ -157,7 +168,7 @@
     const records = parsed.err
       ? []
       : this.all().filter(
-          (record) => !record.leaving && labelSelector.matches(parsed.val, record.announcement.labels),
+          (record) => this.takesWork(record) && labelSelector.matches(parsed.val, record.announcement.labels),
         );
     this.bySelector.set(selectorText, { version: this.version, records });
     return records;
--- a/packages/kumquatfront/src/entryNode/entryNode.ts
+++ b/packages/kumquatfront/src/entryNode/entryNode.ts
@@ -138,6 +138,11 @@
     log,
     presence,
     entries: () => known.entries(),
+    onEvacuations: ({ dataCentres, revision }) => {
+      const names = dataCentres.map((held) => held.dataCentre);
+      log.info('evacuationsInForce', { dataCentres: names.join(' '), revision });
+      known.table.setEvacuated(names);
+    },
   });
   services.register('configuration', configuration);
   services.register('claims', new claimClient.ClaimClient(control, timers, settings.claims));
--- a/packages/kumquatfront/src/trafficControl/operatorCalls.ts
+++ b/packages/kumquatfront/src/trafficControl/operatorCalls.ts
@@ -2,6 +2,7 @@
  * What operators ask of control: to replace the configuration, to read it, to evacuate a data centre and to restore
  * it. Any replica takes a call; the leader has it committed on a quorum before it is acknowledged.
  */
+import * as evacuationFailures from '../agreedState/evacuationFailures.js';
 import type * as agreedState from '../agreedState/agreedState.js';
 import type * as agreedTypes from '../agreedState/types.js';
 import type * as replica from '../consensus/replica.js';
@@ -88,8 +89,7 @@
     const { log, dataCentres } = this.options;
     const { type: order, dataCentre } = command;
     if (dataCentre === '' || (dataCentres.length > 0 && !dataCentres.includes(dataCentre))) {
-      const remedy = `Name one of: ${dataCentres.join(', ')}.`;
-      const failure = failures.create('notFound', `There is no data centre "${dataCentre}".`, remedy);
+      const failure = evacuationFailures.unknownDataCentre(dataCentre, dataCentres);
       log.info('dataCentreOrderRefused', { order, dataCentre, reason: failures.describe(failure) });
       done(results.Err(failure));
       return;
--- a/packages/scenarios/src/language/actions.ts
+++ b/packages/scenarios/src/language/actions.ts
@@ -109,6 +109,18 @@
   replica?.propose(command, () => undefined);
 };
 
+/** `evacuate centre-1`, `restore centre-1`: an operator's order at the leader. */
+function orderDataCentre(type: kumquatfront.agreedTypes.DataCentreCommand['type']): Action {
+  return (current, line) => {
+    const dataCentre = word(line, 0);
+    const [leader = ''] = current.world.leaders();
+    current.world.controls.get(leader)?.node?.orderDataCentre({ type, dataCentre }, (result) => {
+      const outcome = result.ok ? 'acknowledged' : kumquatfront.failures.describe(result.val);
+      current.world.record(`operator: ${type} ${dataCentre} ${outcome}`);
+    });
+  };
+}
+
 const UNTIL_LIMIT = 10_000;
 
 /** `until change c1 accepted`: runs a millisecond at a time, so that what follows comes right after it. */
@@ -164,6 +176,8 @@
   change,
   changes,
   order,
+  evacuate: orderDataCentre('evacuate'),
+  restore: orderDataCentre('restore'),
   kill: (current, line) => {
     const name = named(current, word(line, 0));
     current.world.record(`-- ${name} is killed`);
--- a/packages/scenarios/src/scripts/dataCentreSafeguards.ts
+++ b/packages/scenarios/src/scripts/dataCentreSafeguards.ts
@@ -33,6 +33,20 @@
     replace: "instance.state === 'ready');",
     scenario: 'spec:trafficEntry/evacuatedDataCentre',
   },
+  {
+    name: 'an entry of the own interface gives an evacuated data centre nothing',
+    file: 'directory/upstreamTable.js',
+    find: 'return !record.leaving && !this.evacuated.has(record.announcement.dataCentre);',
+    replace: 'return !record.leaving;',
+    scenario: 'data-centre-evacuated',
+  },
+  {
+    name: 'an entry that starts learns of evacuated data centres with its first answer',
+    file: 'configuration/configurationReplica.js',
+    find: 'this.takeEvacuations(answer);',
+    replace: '',
+    scenario: 'data-centre-evacuated',
+  },
   {
     name: 'the coordinator places nothing in an evacuated data centre',
     file: 'placement/enginePool.js',
