--- a/packages/command/src/explain/cause.ts
+++ b/packages/command/src/explain/cause.ts
@@ -25,9 +25,15 @@
     return '';
   }
   const engines = (state.fields.engines ?? '').split(' ').filter((engine) => engine !== '');
-  const leaving = engines.filter((engine) => engine.endsWith(':leaving')).length;
-  const usable = engines.length - leaving;
-  return ` Of ${engines.length} engines ${usable} could be used, ${state.fields.waiting ?? '?'} generations waited.`;
+  const usable = engines.filter((engine) => !/:(leaving|evacuated)\b/.test(engine)).length;
+  const evacuated = engines.filter((engine) => /:evacuated\b/.test(engine)).length;
+  const cold = engines.filter((engine) => /:cold\b/.test(engine)).length;
+  const waiting = state.fields.waiting ?? '?';
+  return (
+    ` Of ${engines.length} engines ${usable} could be used, ${waiting} generations waited.` +
+    (evacuated === 0 ? '' : ` ${evacuated} are in an evacuated data centre.`) +
+    (cold === 0 ? '' : ` ${cold} were cold and got no more than they bear.`)
+  );
 }
 
 /** The ends that were held against the request's content, by whom and when. */
@@ -113,7 +119,6 @@
 
 const OTHER_OUTCOMES: Readonly<Record<string, string>> = {
   callerGone: 'The caller went away before the answer was complete.',
-  noUpstream: 'No instance of the service was known or left to try; nothing ran.',
   timeoutNotRun: 'The time was over before there was a place; nothing ran.',
   timeoutUnknown: 'The time was over and the upstream had not answered; whether it ran is unknown.',
   outcomeUnknown: 'The upstream broke off before it answered; it may have run, so it was not sent again.',
@@ -145,6 +150,9 @@
   if (outcome === 'overloaded') {
     return ofOverload(lines, end);
   }
+  if (outcome === 'noUpstream') {
+    return `No instance of the service could be sent it: ${end.fields.reason ?? 'no reason logged'}.`;
+  }
   if (
     outcome === 'quarantined' ||
     (outcome === 'outcomeUnknown' && last(lines, 'quarantined') !== undefined)
--- a/packages/command/src/explain/explain.spec.ts
+++ b/packages/command/src/explain/explain.spec.ts
@@ -114,3 +114,24 @@
     /It had run before; it was not sent on/,
   );
 });
+
+// A data centre is evacuated and the engines of another one have come back cold: the rest is not room enough.
+void test.test('a refusal tells of evacuated data centres and cold engines', () => {
+  const state = `${at(1)} process=control-1 level=info event=coordinatorState waiting=4 placed=9 engines="i-a:8:90% i-b:1:20%:leaving i-c:2:9%:evacuated i-d:1:5%:cold"`;
+  const refused = `${at(1.2)} process=control-1 level=info event=placementRefused request=r5 reason="no place came free in time" retryAfter=700`;
+  const end = `${at(1.21)} process=entry-1 level=info event=requestEnded request=r5 route=r service=llm version=7 outcome=overloaded reason="no place came free in time" sends=0 milliseconds=216`;
+  const sentence = cause.of(
+    requestStory.collect(
+      'r5',
+      [state, refused, end].map((line) => `${line}\n`),
+    ),
+  );
+  assert.match(sentence, /Of 4 engines 2 could be used/);
+  assert.match(sentence, /1 are in an evacuated data centre/);
+  assert.match(sentence, /1 were cold and got no more than they bear/);
+});
+
+void test.test('a call without an upstream tells why there was none', () => {
+  const end = `${at(1.21)} process=entry-1 level=info event=requestEnded request=r6 route=r service=app version=7 outcome=noUpstream reason="every upstream that could take it is in an evacuated data centre" sends=0 milliseconds=1`;
+  assert.match(cause.of(requestStory.collect('r6', [end])), /in an evacuated data centre/);
+});
