--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -12,6 +12,7 @@
 import * as evacuation from './evacuation.js';
 import * as mechanisms from './mechanisms.js';
 import * as placementQueue from './placementQueue.js';
+import * as ranks from './ranks.js';
 import * as returningCallers from './returningCallers.js';
 import * as timeliness from './timeliness.js';
 import type * as types from './types.js';
@@ -148,7 +149,7 @@
       objectiveLeft: Math.round(objectiveLeft),
     });
     const returned = { ...request, objectiveLeft };
-    const patient = request.facts.rank >= waitingRules.PATIENT_RANK;
+    const patient = ranks.isPatient(request.facts.rank);
     const late = patient && this.timelinessOf({ request: returned, since: now }, now) === 'late';
     return late ? { ...returned, patience: Math.min(request.patience, waitingRules.LATE_WAIT) } : returned;
   }
@@ -299,7 +300,7 @@
 }
 
 function purposeOf(facts: types.GenerationFacts, verdict: timeliness.Timeliness): enginePool.Purpose {
-  if (facts.rank < waitingRules.PATIENT_RANK) {
+  if (!ranks.isPatient(facts.rank)) {
     return 'urgent';
   }
   return verdict === 'late' ? 'late' : 'patient';
--- a/packages/kumquatfront/src/placement/coordinatorBench.ts
+++ b/packages/kumquatfront/src/placement/coordinatorBench.ts
@@ -9,6 +9,7 @@
 import type * as trafficTypes from '../traffic/types.js';
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as coordinator from './coordinator.js';
+import * as enginePool from './enginePool.js';
 import * as mechanisms from './mechanisms.js';
 import type * as types from './types.js';
 import * as waitingRules from './waitingRules.js';
@@ -39,7 +40,7 @@
     const silent = (): void => undefined;
     const engine: trafficTypes.EngineTraits = {
       slots: 24,
-      memoryTokens: Math.round((fits * (PROMPT + 600)) / 0.78),
+      memoryTokens: Math.round((fits * (PROMPT + 600)) / enginePool.MEMORY_SHARES.patient),
       bytesPerToken: 1,
       linkMegabitsPerSecond: 1,
       migrations: false,
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -24,8 +24,8 @@
  * until they end, not the peak that the long ones reach seconds later. Patient ones leave room for what moves off
  * engines that leave. Late ones earn a seventh of the others, so they get what nobody in time is about to need.
  */
-const MEMORY_SHARES: Readonly<Record<Purpose, number>> = {
-  patient: 0.78,
+export const MEMORY_SHARES: Readonly<Record<Purpose, number>> = {
+  patient: 0.9,
   late: 0.4,
   urgent: 0.97,
   move: 0.95,
--- a/packages/kumquatfront/src/placement/evacuation.spec.ts
+++ b/packages/kumquatfront/src/placement/evacuation.spec.ts
@@ -143,3 +143,14 @@
   const { asked } = evacuate([{ ...engine('a', 'x'), evacuated: true }, engine('b', 'y')], [running('1')]);
   assert.equal(asked.length, 0);
 });
+
+// The nearest engine with room is abroad: the generation stays at home, also when it must move.
+void test.test('a generation with a home is moved within it', () => {
+  const engines = [engine('a', 'x', true), engine('b', 'x'), engine('c', 'y')];
+  const { facts } = running('1');
+  const { asked } = evacuate(engines, [running('1', { facts: { ...facts, dataCentres: ['y'] } })]);
+  assert.deepEqual(
+    asked.map((move) => move.command.target),
+    ['c'],
+  );
+});
--- a/packages/kumquatfront/src/placement/waitingRules.ts
+++ b/packages/kumquatfront/src/placement/waitingRules.ts
@@ -2,6 +2,7 @@
  * How long a generation may wait for its place before its caller is told that there is none.
  */
 import type * as ports from '../kernel/ports.js';
+import * as ranks from './ranks.js';
 
 /**
  * How long a generation may wait for its place, in objectives: an eighth. Places come free at random, so a short
@@ -18,9 +19,6 @@
  */
 const URGENT_WAITING_OBJECTIVES = 0.35;
 
-/** A generation of this rank or above it is patient. */
-export const PATIENT_RANK = 1;
-
 /** A caller that comes back too late to be in time has waited before: it is placed at once, or told at once. */
 export const LATE_WAIT: ports.Milliseconds = 50;
 
@@ -44,6 +42,6 @@
   wholeTime: ports.Milliseconds,
   rank: number,
 ): ports.Milliseconds {
-  const objectives = rank < PATIENT_RANK ? URGENT_WAITING_OBJECTIVES : WAITING_OBJECTIVES;
+  const objectives = ranks.isPatient(rank) ? WAITING_OBJECTIVES : URGENT_WAITING_OBJECTIVES;
   return Math.max(0, Math.min(objective * objectives, wholeTime * WAITING_SHARE));
 }
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -35,7 +35,9 @@
   readonly service: trafficTypes.Service;
   /** Name of the client account; undefined where none is needed. */
   readonly account?: string;
-  /** Rank: that of the account, else that of the route. */
+  /** Priority of the client account; undefined where it has none. */
+  readonly accountPriority?: number;
+  /** Priority towards upstreams: that of the account, else that of the route. */
   readonly rank: number;
   /** Data centres in which it may run; undefined where any will do. */
   readonly dataCentres?: readonly string[];
--- a/packages/kumquatfront/src/relay/generationFacts.ts
+++ b/packages/kumquatfront/src/relay/generationFacts.ts
@@ -1,6 +1,7 @@
 /**
  * What the coordinator is told of a request for a generation.
  */
+import * as ranks from '../placement/ranks.js';
 import type * as placementTypes from '../placement/types.js';
 import * as rendezvous from '../utils/rendezvous.js';
 import type * as exchangeContext from './exchangeContext.js';
@@ -18,7 +19,7 @@
  * ```
  */
 export function of(routed: exchangeContext.RoutedRequest): placementTypes.GenerationFacts | undefined {
-  const { request, service, rank, account, dataCentres } = routed;
+  const { request, service, route, account, accountPriority, dataCentres } = routed;
   if (service.engine === undefined) {
     return undefined;
   }
@@ -29,7 +30,7 @@
     promptTokens: generation?.promptTokens ?? 0,
     outputLimit: generation?.outputLimit ?? 0,
     lengthHint: generation?.lengthHint ?? 0,
-    rank,
+    rank: ranks.of(route.priority, accountPriority),
     account: account ?? '',
     ...(dataCentres !== undefined && { dataCentres }),
   };
--- a/packages/kumquatfront/src/relay/trafficRelay.ts
+++ b/packages/kumquatfront/src/relay/trafficRelay.ts
@@ -93,6 +93,7 @@
       route,
       service,
       account: account?.name,
+      accountPriority: account?.priority,
       rank: account?.priority ?? route.priority,
       dataCentres: residency.dataCentresIn(residency.regionsOf(route, account), this.options.regions),
       answerBy: request.arrivedAt + limit,
--- a/packages/kumquatfront/src/traffic/residency.spec.ts
+++ b/packages/kumquatfront/src/traffic/residency.spec.ts
@@ -6,6 +6,7 @@
 
 import * as seededRandom from '../adapters/seededRandom.js';
 import type * as exchangeContext from '../relay/exchangeContext.js';
+import * as generationFacts from '../relay/generationFacts.js';
 import * as plainExchange from '../relay/plainExchange.js';
 import * as relayBench from '../relay/relayBench.js';
 import * as streamExchange from '../relay/streamExchange.js';
@@ -94,3 +95,10 @@
   abroad.time.advance(5);
   assert.equal(abroad.sent.length, 0);
 });
+
+// The coordinator places and moves by what the entry tells of a generation; it knows neither route nor account.
+void test.test('what the coordinator is told of a generation says where it may run', () => {
+  const routed = new relayBench.RelayBench(['x']).routed('stream');
+  assert.equal(generationFacts.of(routed)?.dataCentres, undefined);
+  assert.deepEqual(generationFacts.of({ ...routed, dataCentres: ['c'] })?.dataCentres, ['c']);
+});
--- a/packages/scenarios/src/scripts/dataCentreSafeguards.ts
+++ b/packages/scenarios/src/scripts/dataCentreSafeguards.ts
@@ -131,4 +131,11 @@
     replace: 'const usable = ready;',
     scenario: 'spec:trafficControl/entryDirectory',
   },
+  {
+    name: 'the coordinator keeps a generation within its home',
+    file: 'placement/enginePool.js',
+    find: '!isAllowed || ',
+    replace: '',
+    scenario: 'spec:placement/evacuation',
+  },
 ];
