--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -3,6 +3,7 @@
  * comes through ports.
  */
 import * as agreedState from '../agreedState/agreedState.js';
+import * as evacuationFailures from '../agreedState/evacuationFailures.js';
 import type * as agreedTypes from '../agreedState/types.js';
 import * as validation from '../configuration/validation.js';
 import type * as configuration from '../configuration/types.js';
@@ -23,7 +24,6 @@
 import type * as trafficTypes from '../traffic/types.js';
 import * as trafficControl from '../trafficControl/trafficControl.js';
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
-import * as evacuationFailures from '../agreedState/evacuationFailures.js';
 import * as membership from './membership.js';
 import * as methods from './methods.js';
 import * as voterSpread from './voterSpread.js';
--- a/packages/kumquatfront/src/quarantine/crashBench.ts
+++ b/packages/kumquatfront/src/quarantine/crashBench.ts
@@ -10,8 +10,8 @@
 import type * as relayTypes from '../relay/types.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as controlBench from '../trafficControl/controlBench.js';
-import type * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import type * as trafficEntry from '../trafficEntry/trafficEntry.js';
+import type * as warmUpBounds from '../warmUp/warmUpBounds.js';
 
 /** What a request does to the upstream that runs it. */
 export type Effect = 'served' | 'crashes';
--- a/packages/kumquatfront/src/trafficControl/operatorCalls.ts
+++ b/packages/kumquatfront/src/trafficControl/operatorCalls.ts
@@ -2,15 +2,15 @@
  * What operators ask of control: to replace the configuration, to read it, to evacuate a data centre and to restore
  * it. Any replica takes a call; the leader has it committed on a quorum before it is acknowledged.
  */
-import * as evacuationFailures from '../agreedState/evacuationFailures.js';
 import type * as agreedState from '../agreedState/agreedState.js';
+import * as evacuationFailures from '../agreedState/evacuationFailures.js';
 import type * as agreedTypes from '../agreedState/types.js';
 import type * as replica from '../consensus/replica.js';
 import * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
-import type * as trafficTypes from '../traffic/types.js';
 import * as trafficValidation from '../traffic/trafficValidation.js';
+import type * as trafficTypes from '../traffic/types.js';
 import * as methods from './methods.js';
 
 /** What the calls are made from. */
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -19,10 +19,10 @@
 import type * as residency from '../traffic/residency.js';
 import * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
-import * as entryShare from '../warmUp/entryShare.js';
-import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as controlWatch from '../trafficControl/controlWatch.js';
 import * as methods from '../trafficControl/methods.js';
+import * as entryShare from '../warmUp/entryShare.js';
+import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 
 /** Settings of an entry. Times are milliseconds. */
 export interface TrafficEntrySettings {
