--- a/packages/kumquatfront/src/instances/instanceView.ts
+++ b/packages/kumquatfront/src/instances/instanceView.ts
@@ -207,9 +207,12 @@
     return this.instances.get(identity);
   }
 
-  /** True where an instance has given notice, or is gone. */
-  isLeaving(identity: string): boolean {
-    return this.instances.get(identity)?.state !== 'ready';
+  /**
+   * True where an instance has given notice. One that is not heard of any more has not: behind a cut that is said of
+   * instances that are well, and a notice is final.
+   */
+  hasGivenNotice(identity: string): boolean {
+    return this.instances.get(identity)?.state === 'leaving';
   }
 
   /** Replaces the data centres whose instances are to get nothing new. */
--- a/packages/kumquatfront/src/instances/instances.spec.ts
+++ b/packages/kumquatfront/src/instances/instances.spec.ts
@@ -200,3 +200,23 @@
   assert.deepEqual(table.newsSince('e', 2, 100).removed, ['a']);
   assert.equal(table.hear(instanceBench.announcement('a', { sequence: 2 }), 200), true);
 });
+
+// A data centre is cut off. Replicas and entries there hear nothing of the engines elsewhere and drop them, while streams
+// on them are still open. Taken for notices, which are final, those engines would be lost for good once the cut heals:
+// half of them stood idle until the end, and every second generation was refused.
+void test.test('an instance that is not heard of any more has given no notice', () => {
+  const { view } = instanceBench.createView();
+  const table = new instanceTable.InstanceTable('e');
+  table.hear(instanceBench.announcement('i'), 0);
+  view.merge('control', table.newsSince('', 0, 0), 0);
+  assert.equal(view.hasGivenNotice('i'), false);
+  table.expire(6_000);
+  view.merge('control', table.newsSince('e', 2, 6_000), 6_000);
+  assert.equal(view.get('i'), undefined);
+  assert.equal(view.hasGivenNotice('i'), false);
+  const other = new instanceTable.InstanceTable('f');
+  other.hear(instanceBench.announcement('i', { sequence: 2 }), 7_000);
+  other.leave('i', 7_100);
+  view.merge('other', other.newsSince('', 0, 7_100), 7_100);
+  assert.equal(view.hasGivenNotice('i'), true);
+});
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -110,7 +110,7 @@
   }
 
   isLeaving(): boolean {
-    return this.leg !== undefined && this.context.instances.isLeaving(this.leg.instance.identity);
+    return this.leg !== undefined && this.context.instances.hasGivenNotice(this.leg.instance.identity);
   }
 
   private get resumable(): boolean {
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -117,7 +117,7 @@
       log,
       metrics,
       check: upstreams.check,
-      hasGivenNotice: (identity) => instances.get(identity)?.state === 'leaving',
+      hasGivenNotice: (identity) => instances.hasGivenNotice(identity),
       tell: (content) => {
         reporter.tellAll([content]);
       },
--- a/packages/scenarios/src/scripts/dataCentreSafeguards.ts
+++ b/packages/scenarios/src/scripts/dataCentreSafeguards.ts
@@ -138,4 +138,11 @@
     replace: '',
     scenario: 'spec:placement/evacuation',
   },
+  {
+    name: 'an instance that is not heard of any more is not reported as leaving',
+    file: 'instances/instanceView.js',
+    find: "return this.instances.get(identity)?.state === 'leaving';",
+    replace: "return this.instances.get(identity)?.state !== 'ready';",
+    scenario: 'spec:instances/instances',
+  },
 ];
