--- a/packages/scenarios/src/safeguards.spec.ts
+++ b/packages/scenarios/src/safeguards.spec.ts
@@ -1,5 +1,5 @@
 /**
- * The list of safeguards against the built library: a text that stands there no longer takes nothing out, and its
+ * The list of safeguards against the built library: a text that no longer stands there takes nothing out, and its
  * scenario would prove nothing.
  */
 import * as assert from 'node:assert/strict';
