Entries read what upstreams say of rate limits, pauses and notice, and log it; nothing obeys it yet

The signals are decoded once, in platform/, and the gate before all upstreams notes them: a line when one begins, changes or ends, and gauges of those in force. A plain call that was turned away logs by whom, as streams do. What cannot be read is logged once for each upstream and header. No request goes another way for this.

--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -7,6 +7,7 @@
  * ended. Where ends are held against its content already, it hears of the break once that is known: the end that
  * quarantines a content would be followed by one more otherwise.
  */
+import type * as signalBook from '../backPressure/signalBook.js';
 import * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
@@ -20,6 +21,8 @@
   readonly upstreams: relayTypes.UpstreamPort;
   readonly timers: timerService.TimerService;
   readonly quarantine: quarantine.Quarantine;
+  /** Told what upstreams say of themselves with their answers. */
+  readonly signals: signalBook.SignalBook;
   /** True where an upstream is to get nothing, whoever has chosen it, and however long ago. */
   readonly isEvacuated: (instance: instanceView.Instance) => boolean;
 }
@@ -27,6 +30,7 @@
 /** A run as the gate watches it. */
 class WatchedRun {
   private over = false;
+  private readonly sentAt: ports.Milliseconds;
   private readonly run: number;
   private succeeded = false;
 
@@ -36,6 +40,7 @@
     private readonly content: string,
   ) {
     const { instance, request } = call;
+    this.sentAt = options.timers.now();
     this.run = options.quarantine.detector.begun(instance.identity, content, request.identity);
   }
 
@@ -44,6 +49,9 @@
     return {
       head: (head) => {
         this.succeeded = head.signed && head.status >= 200 && head.status < 300;
+        if (head.signals !== undefined) {
+          this.options.signals.take(this.call.instance, head.signals, this.sentAt);
+        }
         listener.head(head);
       },
       data: listener.data,
@@ -103,7 +111,7 @@
  * @returns upstreams that pass the gate
  * @example
  * ```ts
- * const upstreams = guardedUpstreams.create({ upstreams: port, timers, quarantine });
+ * const upstreams = guardedUpstreams.create({ upstreams: port, timers, quarantine, signals, isEvacuated });
  * ```
  */
 export function create(options: GuardOptions): relayTypes.UpstreamPort {
--- a/packages/kumquatfront/src/relay/plainExchange.ts
+++ b/packages/kumquatfront/src/relay/plainExchange.ts
@@ -145,7 +145,7 @@
   }
 
   private onWhole(attempt: Attempt): void {
-    const { choice, timers } = this.context;
+    const { choice, timers, log } = this.context;
     const { head, instance } = attempt;
     this.close(attempt);
     if (this.ended || head === undefined) {
@@ -157,6 +157,12 @@
     const verdict = answerRules.judge(head, this.repeatable);
     if (verdict === 'notRun') {
       this.runs -= 1;
+      log.info('attemptNotRun', {
+        request: this.routed.request.identity,
+        upstream: instance.identity,
+        status: head.status,
+        pause: head.signals?.pause,
+      });
       this.tryAgain('notRun');
       return;
     }
--- a/packages/kumquatfront/src/relay/relayBench.ts
+++ b/packages/kumquatfront/src/relay/relayBench.ts
@@ -2,6 +2,7 @@
  * One exchange with hand-driven upstreams on virtual time, for the specs of the relay.
  */
 import * as seededRandom from '../adapters/seededRandom.js';
+import * as signalBook from '../backPressure/signalBook.js';
 import * as instanceTable from '../instances/instanceTable.js';
 import * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
@@ -112,6 +113,7 @@
         upstreams: this.upstreams(),
         timers,
         quarantine: guard,
+        signals: new signalBook.SignalBook({ timers, log, metrics }),
         isEvacuated: (instance) => view.isEvacuated(instance),
       }),
       instances: view,
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -2,6 +2,7 @@
  * Requests that entries relay as they are: what callers ask, what upstreams are sent, and the ports between.
  * Times are milliseconds.
  */
+import type * as backPressureTypes from '../backPressure/types.js';
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 
@@ -74,6 +75,8 @@
   readonly headers: readonly Header[];
   /** Requests running and waiting at the upstream, where it says so. */
   readonly load?: { readonly running: number; readonly waiting: number };
+  /** What it says about being sent more; undefined where the answer says nothing about the upstream that was meant. */
+  readonly signals?: backPressureTypes.UpstreamSignals;
 }
 
 /**
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -2,6 +2,7 @@
  * An entry that relays requests under a whole traffic configuration, made of services that find each other by
  * name. All outside comes through ports.
  */
+import * as signalBook from '../backPressure/signalBook.js';
 import * as instanceLog from '../instances/instanceLog.js';
 import * as instanceView from '../instances/instanceView.js';
 import * as failures from '../kernel/failures.js';
@@ -82,6 +83,7 @@
       coldShare: new entryShare.EntryShare(settings.name, () => this.watch.entryCount),
       borneBy: (service) => this.borneByCold(service),
     });
+    const signals = new signalBook.SignalBook({ timers, log, metrics });
     const instances = new instanceView.InstanceView((news) => {
       instanceLog.write(log, news);
       for (const change of news.changes) {
@@ -91,6 +93,7 @@
           choice.forget(instance.identity);
         }
         if (event === 'replaced') {
+          signals.forget(instance.identity);
           this.placement.onRestart(instance.identity);
         }
       }
@@ -144,6 +147,7 @@
           upstreams,
           timers,
           quarantine: guard,
+          signals,
           isEvacuated: (instance) => instances.isEvacuated(instance),
         }),
         instances,
