Rate-limited upstreams reproduced, red: entries send an upstream its usual share whatever rate it names

What callers and upstreams saw: an upstream that takes 1.9 requests a second from all senders together got 28 in four seconds; 16 are allowed. Reproduced on virtual time with control, seven entries and four upstreams of one service, two of which begin to name a limit: 28 in four seconds, for plain calls and for generations. Ruled out by it: losses, restarts and changes of configuration, of which the test has none.

--- /dev/null
+++ b/packages/kumquatfront/src/backPressure/rateLimitedUpstream.spec.ts
@@ -0,0 +1,84 @@
+/**
+ * Upstreams that begin to name a rate limit in their answers.
+ *
+ * Seen: two of four upstreams of a service named limits of 1.9 and 1.4 requests a second for all senders together. Each
+ * went on getting 6 a second from seven entries, as before. Caused by: entries handed the header on to callers and read
+ * nothing from it, so that the choice of an upstream did not depend on it. Proved by the arrivals at those upstreams,
+ * the same before and after, and by this system, where entries are sent the same answers and nothing else is wrong.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as seededRandom from '../adapters/seededRandom.js';
+import type * as ports from '../kernel/ports.js';
+import * as crashBench from '../quarantine/crashBench.js';
+import * as relayBench from '../relay/relayBench.js';
+import type * as relayTypes from '../relay/types.js';
+
+/** From this time after a limit was named first it is kept. */
+const KEPT_AFTER: ports.Milliseconds = 3_000;
+/** An entry that was told less than this before has requests under way still. */
+const TOLD_BEFORE: ports.Milliseconds = 500;
+/** What may arrive in any window of this length: one and a half times the limit, and some requests. */
+const WINDOW: ports.Milliseconds = 4_000;
+const OVERSHOOT = 1.5;
+const SPARE_REQUESTS = 5;
+
+function naming(rateLimit: number): relayTypes.UpstreamHead {
+  return { ...relayBench.soundHead, signals: { rateLimit, leaving: false, unreadable: [] } };
+}
+
+/** Asks at random entries, at a steady rate. */
+function drive(
+  bench: crashBench.CrashBench,
+  service: crashBench.ServiceName,
+  perSecond: number,
+  length: ports.Milliseconds,
+): void {
+  const random = seededRandom.create(11);
+  const { entryNames } = bench;
+  for (let at = 0; at < length; at += 1_000 / perSecond) {
+    bench.time.after(at, () => {
+      const entry = entryNames[Math.floor(random.next() * entryNames.length)] ?? '';
+      bench.ask(entry, service, `request ${at}`);
+    });
+  }
+  bench.time.advance(length);
+}
+
+/** The most arrivals in any window at an upstream that names a limit, from entries that it had told. */
+function mostArrivals(bench: crashBench.CrashBench, upstream: string): number {
+  const toldAt = new Map<string, ports.Milliseconds>();
+  for (const { head, upstream: from, entry, at } of bench.answers) {
+    if (from === upstream && head.signals?.rateLimit !== undefined && !toldAt.has(entry)) {
+      toldAt.set(entry, at);
+    }
+  }
+  const from = Math.min(...toldAt.values()) + KEPT_AFTER;
+  const counted = bench.arrivals
+    .filter((arrival) => arrival.upstream === upstream && arrival.at >= from)
+    .filter(({ entry, at }) => at >= (toldAt.get(entry) ?? Number.POSITIVE_INFINITY) + TOLD_BEFORE)
+    .map(({ at }) => at);
+  return Math.max(
+    0,
+    ...counted.map((at) => counted.filter((other) => other >= at && other - at < WINDOW).length),
+  );
+}
+
+for (const service of ['app', 'llm'] as const) {
+  void test.test(`entries together keep to the rate limit that an upstream names (${service})`, () => {
+    const bench = new crashBench.CrashBench(7, { llm: 4, app: 4 }, () => 'served');
+    const limits = new Map([
+      [`${service}-1`, 1.9],
+      [`${service}-2`, 1.4],
+    ]);
+    drive(bench, service, 24, 4_000);
+    bench.headOf = (upstream) => naming(limits.get(upstream) ?? 1_000);
+    drive(bench, service, 24, 16_000);
+    for (const [upstream, limit] of limits) {
+      const most = mostArrivals(bench, upstream);
+      const allowed = OVERSHOOT * limit * (WINDOW / 1_000) + SPARE_REQUESTS;
+      assert.ok(most <= allowed, `${upstream} names ${limit} a second and got ${most} in four seconds`);
+    }
+  });
+}
--- a/packages/kumquatfront/src/quarantine/crashBench.ts
+++ b/packages/kumquatfront/src/quarantine/crashBench.ts
@@ -1,6 +1,7 @@
 /**
- * A whole system on virtual time for the specs of crashes: control replicas, entries, and upstreams that end under
- * certain requests and are back seconds later as new instances.
+ * A whole system on virtual time for the specs of what upstreams do to those that send to them: control replicas,
+ * entries, and upstreams that end under certain requests and are back seconds later as new instances, or that say in
+ * their answers how much they want to be sent.
  */
 import * as instanceBench from '../instances/instanceBench.js';
 import type * as instanceTypes from '../instances/types.js';
@@ -47,6 +48,14 @@
   readonly at: ports.Milliseconds;
 }
 
+/** The head of an upstream's answer on its way to an entry. */
+export interface Answer {
+  readonly head: relayTypes.UpstreamHead;
+  readonly upstream: string;
+  readonly entry: string;
+  readonly at: ports.Milliseconds;
+}
+
 /** The end of an upstream. */
 export interface Crash {
   /** Content under which it ended; empty where it ended of itself. */
@@ -59,6 +68,7 @@
 
 interface Run {
   readonly content: string;
+  readonly entry: string;
   readonly listener: relayTypes.ExchangeListener;
   cancelled: boolean;
 }
@@ -126,6 +136,9 @@
   readonly arrivals: Arrival[] = [];
   readonly crashes: Crash[] = [];
   readonly attempts: Attempt[] = [];
+  readonly answers: Answer[] = [];
+  /** What an upstream answers with; one that did not run the request says so at once. */
+  headOf: (upstream: string, entry: string) => relayTypes.UpstreamHead = () => relayBench.soundHead;
   private readonly entries = new Map<string, trafficEntry.TrafficEntry>();
   private readonly upstreams: Upstream[] = [];
   private asked = 0;
@@ -247,7 +260,7 @@
     listener: relayTypes.ExchangeListener,
   ): relayTypes.CancelExchange {
     const content = Buffer.from(call.request.body).toString();
-    const run: Run = { content, listener, cancelled: false };
+    const run: Run = { content, entry, listener, cancelled: false };
     const found = this.upstreams.find(({ announcement }) => announcement.address === call.instance.address);
     this.time.after(ROUND_TRIP, () => {
       if (run.cancelled) {
@@ -272,7 +285,17 @@
 
   private run(upstream: Upstream, run: Run): void {
     const service = upstream.announcement.service as ServiceName;
-    const { content, listener } = run;
+    const { content, entry, listener } = run;
+    const { identity } = upstream.announcement;
+    const answer = (head: relayTypes.UpstreamHead): void => {
+      upstream.runs.delete(run);
+      this.answers.push({ head, upstream: identity, entry, at: this.time.now() });
+      listener.head(head);
+      if (!head.notRun) {
+        listener.data(relayBench.event(1));
+      }
+      listener.end();
+    };
     upstream.runs.add(run);
     const whileRunning = (delay: ports.Milliseconds, then: () => void): void => {
       this.time.after(delay, () => {
@@ -287,11 +310,14 @@
       });
       return;
     }
+    if (this.headOf(identity, entry).notRun) {
+      whileRunning(ROUND_TRIP / 2, () => {
+        answer(this.headOf(identity, entry));
+      });
+      return;
+    }
     whileRunning(BEGINS_AFTER[service] + RUNS_FOR[service], () => {
-      upstream.runs.delete(run);
-      listener.head(relayBench.soundHead);
-      listener.data(relayBench.event(1));
-      listener.end();
+      answer(this.headOf(identity, entry));
     });
   }
 
