Upstreams that name a rate limit get no more than that from all entries together

Callers and upstreams saw: an upstream that takes 1.9 requests a second from all senders together got 28 in four seconds from seven entries that it had told; 16 are allowed. Cause: the header was handed on to callers, and nothing that chooses or sends read it. The class: a word of an upstream that the adapter drops without a trace. Ruled out: that entries keep the whole limit each (nothing read it), repeats and hedges (344 of 360 calls sent once). Change: one module of rules (backPressure/sendRules) says why an upstream may be sent nothing at this moment, and is asked by whoever chooses, by the question for a place and by the gate before all upstreams; evacuated, cold and rate-limited upstreams are its first three reasons. Each entry takes a drawn share of a limit, as of cold upstreams, over windows of four and a half seconds that count what was sent before the limit was named. A limit ends with the answer to a request that was sent after it was named last. Entries tell each other by way of control, and one without a share finds out now and then. Nobody is moved to an engine that may be sent nothing. A caller is told at once when to come back where every upstream is held; a plain call whose upstreams were all cold was told that no upstream is known.

--- a/packages/kumquatfront/src/backPressure/rateLimitedUpstream.spec.ts
+++ b/packages/kumquatfront/src/backPressure/rateLimitedUpstream.spec.ts
@@ -46,6 +46,19 @@
   bench.time.advance(length);
 }
 
+/** The most arrivals of these in any window. */
+function mostInWindow(arrivals: readonly crashBench.Arrival[]): number {
+  const times = arrivals.map(({ at }) => at);
+  return Math.max(
+    0,
+    ...times.map((at) => times.filter((other) => other >= at && other - at < WINDOW).length),
+  );
+}
+
+function allowedBy(limit: number): number {
+  return OVERSHOOT * limit * (WINDOW / 1_000) + SPARE_REQUESTS;
+}
+
 /** The most arrivals in any window at an upstream that names a limit, from entries that it had told. */
 function mostArrivals(bench: crashBench.CrashBench, upstream: string): number {
   const toldAt = new Map<string, ports.Milliseconds>();
@@ -77,8 +90,51 @@
     drive(bench, service, 24, 16_000);
     for (const [upstream, limit] of limits) {
       const most = mostArrivals(bench, upstream);
-      const allowed = OVERSHOOT * limit * (WINDOW / 1_000) + SPARE_REQUESTS;
-      assert.ok(most <= allowed, `${upstream} names ${limit} a second and got ${most} in four seconds`);
+      assert.ok(
+        most <= allowedBy(limit),
+        `${upstream} names ${limit} a second and got ${most} in four seconds`,
+      );
     }
   });
 }
+
+// Each of seventy-five entries hears of the limit with an answer of its own. Did none tell the others, the upstream would
+// get one request from each of them first, twenty times what it takes.
+void test.test('many entries keep to a limit that a few of them have heard', () => {
+  const bench = new crashBench.CrashBench(75, { llm: 1, app: 4 }, () => 'served');
+  drive(bench, 'app', 100, 3_000);
+  bench.headOf = (upstream) => naming(upstream === 'app-1' ? 2 : 1_000);
+  const namedAt = bench.time.now();
+  drive(bench, 'app', 100, 12_000);
+  const later = bench.arrivals.filter(
+    ({ upstream, at }) => upstream === 'app-1' && at >= namedAt + KEPT_AFTER,
+  );
+  assert.ok(mostInWindow(later) <= allowedBy(2), `${mostInWindow(later)} in four seconds`);
+  assert.ok(later.length > 0, 'the upstream gets nothing at all');
+});
+
+void test.test('once an upstream names no limit any more, all entries send to it again', () => {
+  const bench = new crashBench.CrashBench(7, { llm: 1, app: 2 }, () => 'served');
+  bench.headOf = (upstream) => naming(upstream === 'app-1' ? 1 : 1_000);
+  drive(bench, 'app', 24, 8_000);
+  bench.headOf = () => ({ ...relayBench.soundHead, signals: { leaving: false, unreadable: [] } });
+  drive(bench, 'app', 24, 8_000);
+  const liftedAt = bench.time.now();
+  drive(bench, 'app', 24, 4_000);
+  const after = bench.arrivals.filter(({ upstream, at }) => upstream === 'app-1' && at > liftedAt);
+  assert.equal(new Set(after.map(({ entry }) => entry)).size, 7);
+});
+
+// Nothing else is left to send to. Callers hear at once, and when to come back.
+void test.test('callers beyond the limit of every upstream are turned away at once', () => {
+  const bench = new crashBench.CrashBench(7, { llm: 1, app: 1 }, () => 'served');
+  bench.headOf = () => naming(2);
+  drive(bench, 'app', 10, 10_000);
+  const refused = bench.attempts.filter(({ refusal }) => refusal !== undefined);
+  assert.ok(refused.length > 50);
+  for (const { refusal } of refused) {
+    assert.equal(refusal?.reason, 'overloaded');
+    assert.ok((refusal.retryAfter ?? 0) > 0 && (refusal.retryAfter ?? 0) <= 5_000);
+  }
+  assert.ok(bench.attempts.every(({ outcome }) => outcome === 'served' || outcome === 'overloaded'));
+});
--- a/packages/kumquatfront/src/backPressure/signalBook.ts
+++ b/packages/kumquatfront/src/backPressure/signalBook.ts
@@ -12,30 +12,51 @@
 /** How often pauses that are over are let go. */
 const EXPIRY_INTERVAL: ports.Milliseconds = 1_000;
 
+/**
+ * What an upstream said is kept this long after control has dropped it: behind a cut an upstream that is well is dropped,
+ * and is back with all that it has said.
+ */
+const GONE_KEPT: ports.Milliseconds = 60_000;
+
 /** Upstreams whose unreadable signals are remembered, so that each is logged once. */
 const MOST_UNREADABLE = 1_000;
 
-/** A rate limit that an upstream has named. */
-export interface NamedRateLimit {
-  /** Requests a second from all senders together. */
-  readonly perSecond: number;
-  readonly heardAt: ports.Milliseconds;
-}
+/**
+ * Others are told of a limit only where it differs from what they were told last by more than this share: upstreams may
+ * name another one with every answer.
+ */
+const TOLD_DIFFERENCE = 0.1;
+
+/** Shortest time between two tellings of one upstream's limit. */
+const TELL_PAUSE: ports.Milliseconds = 1_000;
 
 /** What the book is made from. */
 export interface SignalBookOptions {
   readonly timers: timerService.TimerService;
   readonly log: ports.Log;
   readonly metrics: ports.Metrics;
+  /** What other entries have heard of an upstream's limit, as control tells it. */
+  readonly toldOf: (identity: string) => types.RateLimitWord | undefined;
+  /** Tells the other entries of an upstream's limit; undefined where there is none any more. */
+  readonly tell: (identity: string, perSecond: number | undefined) => void;
+}
+
+function isAlike(one: number | undefined, other: number | undefined): boolean {
+  if (one === undefined || other === undefined) {
+    return one === other;
+  }
+  return Math.abs(one - other) <= TOLD_DIFFERENCE * Math.max(one, other);
 }
 
 /** The book; see the module comment. */
 export class SignalBook {
   private readonly options: SignalBookOptions;
-  private readonly pausedUntil = new Map<string, ports.Milliseconds>();
-  private readonly rateLimits = new Map<string, NamedRateLimit>();
+  private readonly pauses = new Map<string, ports.Milliseconds>();
+  private readonly rateLimits = new Map<string, types.RateLimitWord>();
+  private readonly toldAt = new Map<string, ports.Milliseconds>();
   private readonly leaving = new Set<string>();
   private readonly unreadable = new Set<string>();
+  private readonly goneSince = new Map<string, ports.Milliseconds>();
 
   constructor(options: SignalBookOptions) {
     this.options = options;
@@ -64,46 +85,88 @@
     } else {
       this.takeNoRateLimit(instance, sentAt);
     }
+    this.tellOthers(instance.identity);
     if (leaving && !this.leaving.has(instance.identity)) {
       this.leaving.add(instance.identity);
-      this.tell(instance, 'upstreamLeaving', {});
+      this.write(instance, 'upstreamLeaving', {});
     }
     for (const signal of unreadable) {
       this.noteUnreadable(instance, signal);
     }
   }
 
-  /** Forgets an upstream that has started anew: nothing that it said counts for the new start. */
-  forget(identity: string): void {
-    this.pausedUntil.delete(identity);
+  /** Requests a second that an upstream takes from all senders; undefined where it names no limit. */
+  rateLimitOf(identity: string): number | undefined {
+    return this.newestWord(identity)?.perSecond;
+  }
+
+  /** The newest of what this entry and the others have heard. */
+  private newestWord(identity: string): types.RateLimitWord | undefined {
+    const heard = this.rateLimits.get(identity);
+    const told = this.options.toldOf(identity);
+    const isToldNewer = told !== undefined && (heard === undefined || told.heardAt > heard.heardAt);
+    return isToldNewer ? told : heard;
+  }
+
+  /** Takes in what becomes of an upstream. One that has started anew is not bound by what its former start said. */
+  onInstance({ instance, event }: instanceView.InstanceChange): void {
+    const { identity } = instance;
+    if (event === 'replaced') {
+      this.forget(identity);
+    } else if (event === 'gone') {
+      this.goneSince.set(identity, this.options.timers.now());
+    } else if (event === 'found') {
+      this.goneSince.delete(identity);
+    }
+  }
+
+  private forget(identity: string): void {
+    this.goneSince.delete(identity);
+    this.pauses.delete(identity);
     this.rateLimits.delete(identity);
+    this.toldAt.delete(identity);
     this.leaving.delete(identity);
   }
 
   private takePause(instance: instanceView.Instance, pause: ports.Milliseconds): void {
     const { identity } = instance;
-    const known = this.pausedUntil.get(identity);
+    const known = this.pauses.get(identity);
     const length = Math.min(pause, LONGEST_PAUSE);
-    this.pausedUntil.set(identity, Math.max(known ?? 0, this.options.timers.now() + length));
+    this.pauses.set(identity, Math.max(known ?? 0, this.options.timers.now() + length));
     if (known === undefined) {
-      this.tell(instance, 'upstreamPaused', { for: Math.round(length), asked: Math.round(pause) });
+      this.write(instance, 'upstreamPaused', { for: Math.round(length), asked: Math.round(pause) });
     }
   }
 
   private takeRateLimit(instance: instanceView.Instance, perSecond: number): void {
-    const before = this.rateLimits.get(instance.identity)?.perSecond;
+    const before = this.rateLimitOf(instance.identity);
     this.rateLimits.set(instance.identity, { perSecond, heardAt: this.options.timers.now() });
     if (perSecond !== before) {
-      this.tell(instance, 'upstreamRateLimited', { perSecond, before });
+      this.write(instance, 'upstreamRateLimited', { perSecond, before });
     }
   }
 
   /** Only the answer to a request that was sent after the limit was named last says for certain that it is over. */
   private takeNoRateLimit(instance: instanceView.Instance, sentAt: ports.Milliseconds): void {
-    const known = this.rateLimits.get(instance.identity);
-    if (known !== undefined && sentAt >= known.heardAt) {
-      this.rateLimits.delete(instance.identity);
-      this.tell(instance, 'upstreamRateLimitLifted', { before: known.perSecond });
+    const known = this.newestWord(instance.identity);
+    if (known?.perSecond !== undefined && sentAt >= known.heardAt) {
+      this.rateLimits.set(instance.identity, { perSecond: undefined, heardAt: this.options.timers.now() });
+      this.write(instance, 'upstreamRateLimitLifted', { before: known.perSecond });
+    }
+  }
+
+  /** An entry with no share of its own would not hear otherwise that the limit has changed, or is over. */
+  private tellOthers(identity: string): void {
+    const { timers, toldOf, tell } = this.options;
+    const heard = this.rateLimits.get(identity);
+    const told = toldOf(identity)?.perSecond;
+    const now = timers.now();
+    if (heard === undefined || isAlike(heard.perSecond, told)) {
+      return;
+    }
+    if (now - (this.toldAt.get(identity) ?? Number.NEGATIVE_INFINITY) >= TELL_PAUSE) {
+      this.toldAt.set(identity, now);
+      tell(identity, heard.perSecond);
     }
   }
 
@@ -116,20 +179,26 @@
     this.options.log.warn('upstreamSignalUnreadable', { upstream: instance.identity, name, value });
   }
 
-  private tell(instance: instanceView.Instance, event: string, fields: ports.LogFields): void {
+  private write(instance: instanceView.Instance, event: string, fields: ports.LogFields): void {
     const { log } = this.options;
     log.info(event, { upstream: instance.identity, service: instance.service, ...fields });
   }
 
   private expire(): void {
     const { timers, log, metrics } = this.options;
-    for (const [identity, until] of this.pausedUntil) {
+    for (const [identity, until] of this.pauses) {
       if (until <= timers.now()) {
-        this.pausedUntil.delete(identity);
+        this.pauses.delete(identity);
         log.info('upstreamPauseOver', { upstream: identity });
       }
     }
-    metrics.gauge('upstreams.paused', this.pausedUntil.size);
-    metrics.gauge('upstreams.rate_limited', this.rateLimits.size);
+    for (const [identity, since] of this.goneSince) {
+      if (timers.now() - since >= GONE_KEPT) {
+        this.forget(identity);
+      }
+    }
+    const limited = [...this.rateLimits.values()].filter(({ perSecond }) => perSecond !== undefined);
+    metrics.gauge('upstreams.paused', this.pauses.size);
+    metrics.gauge('upstreams.rate_limited', limited.length);
   }
 }
--- a/packages/kumquatfront/src/backPressure/types.ts
+++ b/packages/kumquatfront/src/backPressure/types.ts
@@ -19,3 +19,10 @@
   readonly leaving: boolean;
   readonly unreadable: readonly UnreadableSignal[];
 }
+
+/** What an upstream was heard to say of its rate limit. */
+export interface RateLimitWord {
+  /** Requests a second from all senders together; undefined where it named a limit before and does not any more. */
+  readonly perSecond: number | undefined;
+  readonly heardAt: ports.Milliseconds;
+}
--- a/packages/kumquatfront/src/instances/instanceLog.ts
+++ b/packages/kumquatfront/src/instances/instanceLog.ts
@@ -14,7 +14,10 @@
 export const PART_SEPARATOR = '|';
 
 function describe({ instance, event }: instanceView.InstanceChange): string {
-  const { identity, service, address } = instance;
+  const { identity, service, address, rateLimit } = instance;
+  if (event === 'rateLimitTold') {
+    return [identity, rateLimit?.perSecond ?? 'none'].join(PART_SEPARATOR);
+  }
   return event === 'found' ? [identity, service, address].join(PART_SEPARATOR) : identity;
 }
 
@@ -46,6 +49,7 @@
       revision,
       ...listed(part, 'found'),
       ...listed(part, 'leaving'),
+      ...listed(part, 'rateLimitTold'),
       ...listed(part, 'gone'),
       ...listed(part, 'replaced'),
     });
--- a/packages/kumquatfront/src/instances/instanceTable.ts
+++ b/packages/kumquatfront/src/instances/instanceTable.ts
@@ -2,6 +2,7 @@
  * Soft state of one control replica: which upstream instances there are. Fed by announcements and by what
  * other replicas heard; read by entries as news since a revision.
  */
+import type * as backPressureTypes from '../backPressure/types.js';
 import type * as ports from '../kernel/ports.js';
 import * as announcements from './announcement.js';
 import type * as types from './types.js';
@@ -36,6 +37,8 @@
   readonly firstAt: number;
   /** End of its warm-up; in the past where it is warm. */
   coldUntil: number;
+  /** What entries have heard of its rate limit. */
+  rateLimit?: backPressureTypes.RateLimitWord;
   revision: number;
 }
 
@@ -71,7 +74,7 @@
     return this.revision;
   }
 
-  /** Revision at which an instance gave notice last, or became cold. */
+  /** Revision at which an instance gave notice last, became cold, or was heard to name another rate limit. */
   get noticeRevision(): number {
     return this.lastNotice;
   }
@@ -162,6 +165,27 @@
     return changed;
   }
 
+  /**
+   * Takes in what an entry has heard of an instance's rate limit.
+   *
+   * @param perSecond - requests a second; undefined where the instance does not name a limit any more
+   * @param heardAt - when it was heard
+   * @returns true where entries must know of it
+   */
+  noteRateLimit(identity: string, perSecond: number | undefined, heardAt: number): boolean {
+    const known = this.held.get(identity);
+    if (known === undefined || heardAt <= (known.rateLimit?.heardAt ?? Number.NEGATIVE_INFINITY)) {
+      return false;
+    }
+    const changed = perSecond !== known.rateLimit?.perSecond;
+    known.rateLimit = { perSecond, heardAt };
+    if (changed) {
+      this.advance(true);
+      known.revision = this.revision;
+    }
+    return changed;
+  }
+
   private advance(isNotice: boolean): void {
     this.revision += 1;
     if (isNotice) {
@@ -316,6 +340,9 @@
         warmUpLeft: Math.max(0, known.coldUntil - now),
         age: now - known.heardAt,
         firstAge: now - known.firstAt,
+        ...(known.rateLimit !== undefined && {
+          rateLimit: { perSecond: known.rateLimit.perSecond, age: now - known.rateLimit.heardAt },
+        }),
       }));
   }
 
--- a/packages/kumquatfront/src/instances/instanceView.ts
+++ b/packages/kumquatfront/src/instances/instanceView.ts
@@ -1,6 +1,7 @@
 /**
  * What one entry believes of the upstream instances: the merge of what each control replica tells it.
  */
+import type * as backPressureTypes from '../backPressure/types.js';
 import type * as ports from '../kernel/ports.js';
 import * as announcement from './announcement.js';
 import type * as types from './types.js';
@@ -25,7 +26,7 @@
 export const EVACUATED = 'every upstream that could take it is in an evacuated data centre';
 
 /** What happens to an instance; `replaced` where it has started again under its name, so that nothing of it is left. */
-export type InstanceEvent = 'found' | 'leaving' | 'gone' | 'replaced';
+export type InstanceEvent = 'found' | 'leaving' | 'rateLimitTold' | 'gone' | 'replaced';
 
 /** One instance as entries use it. */
 export interface Instance extends types.Announcement {
@@ -33,6 +34,8 @@
   readonly firstAt: number;
   /** Entry's time at which its warm-up ends; in the past where it is warm. */
   readonly coldUntil: number;
+  /** Its rate limit as other entries have heard it; undefined where none of them has. */
+  readonly rateLimit?: backPressureTypes.RateLimitWord;
 }
 
 /** One change that an entry takes in. */
@@ -68,6 +71,18 @@
   return { epoch, revision: 0, since: now, heardAt: now, identities: new Set(), removedAt: new Map() };
 }
 
+/** The newer of a rate limit that is known and one that a record tells. */
+function newestRateLimit(
+  known: backPressureTypes.RateLimitWord | undefined,
+  { rateLimit: told }: types.InstanceRecord,
+  now: number,
+): backPressureTypes.RateLimitWord | undefined {
+  const heardAt = told === undefined ? Number.NEGATIVE_INFINITY : now - told.age;
+  return known !== undefined && known.heardAt >= heardAt
+    ? known
+    : told && { perSecond: told.perSecond, heardAt };
+}
+
 /** The view; see the module comment. */
 export class InstanceView {
   private readonly sources = new Map<string, Source>();
@@ -144,6 +159,7 @@
       state: leaving ? 'leaving' : 'ready',
       firstAt: known?.firstAt ?? now - record.firstAge,
       coldUntil: Math.max(known?.coldUntil ?? 0, now + record.warmUpLeft),
+      rateLimit: newestRateLimit(known?.rateLimit, record, now),
     };
     this.instances.set(record.identity, instance);
     this.byName.set(record.name, instance);
@@ -158,6 +174,9 @@
     if (leaving && known?.state !== 'leaving') {
       this.note(instance, 'leaving');
     }
+    if (instance.rateLimit?.perSecond !== known?.rateLimit?.perSecond) {
+      this.note(instance, 'rateLimitTold');
+    }
   }
 
   /**
--- a/packages/kumquatfront/src/instances/types.ts
+++ b/packages/kumquatfront/src/instances/types.ts
@@ -26,12 +26,22 @@
   readonly sequence: number;
 }
 
+/** A rate limit that an instance names in its answers, as it goes between processes. */
+export interface ToldRateLimit {
+  /** Requests a second from all senders together; absent where it named a limit before and does not any more. */
+  readonly perSecond?: number;
+  /** Time since it was heard. */
+  readonly age: number;
+}
+
 /** One record as it goes between processes. */
 export interface InstanceRecord extends Announcement {
   /** Time since the instance was heard of. */
   readonly age: number;
   /** Time since the instance was heard of for the first time. */
   readonly firstAge: number;
+  /** Its rate limit as entries have heard it; absent where none has. */
+  readonly rateLimit?: ToldRateLimit;
 }
 
 /** News since a revision of one publisher. */
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -10,6 +10,7 @@
 import * as residency from '../traffic/residency.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as recentCount from '../warmUp/recentCount.js';
+import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as lengthForecast from './lengthForecast.js';
 import * as mechanisms from './mechanisms.js';
 import * as memoryPeak from './memoryPeak.js';
@@ -112,7 +113,7 @@
   /** Generations that are being moved, with their targets: memory there that no report shows yet. */
   private readonly incoming = new Map<string, string>();
   /** Generations that were placed on each engine or moved there. */
-  private readonly sent = new recentCount.RecentCount();
+  private readonly sent = new recentCount.RecentCount(warmUpBounds.COLD_WINDOW);
   private loads: Map<string, memoryPeak.Growth[]> | undefined;
 
   constructor(isOn: mechanisms.IsOn = mechanisms.allOn) {
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -1,14 +1,15 @@
 /**
  * The one gate between an entry and its upstreams: first sends, repeats, hedges, resumed streams and generations that
- * go on elsewhere from a copy all pass it. It sends nothing of a content that is quarantined and nothing to an upstream
- * whose data centre is evacuated or in a region where the request may not run, and tells the detector how every run ends.
+ * go on elsewhere from a copy all pass it. It sends nothing of a content that is quarantined, nothing to an upstream that
+ * is to get nothing at this moment or is in a region where the request may not run, and tells the detector how every run
+ * ends.
  *
  * An exchange whose run breaks off sends it on within a millisecond, before anybody knows whether its upstream has
  * ended. Where ends are held against its content already, it hears of the break once that is known: the end that
  * quarantines a content would be followed by one more otherwise.
  */
+import type * as sendRules from '../backPressure/sendRules.js';
 import type * as signalBook from '../backPressure/signalBook.js';
-import * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
 import type * as relayTypes from '../relay/types.js';
@@ -20,11 +21,12 @@
 export interface GuardOptions {
   readonly upstreams: relayTypes.UpstreamPort;
   readonly timers: timerService.TimerService;
+  readonly log: ports.Log;
   readonly quarantine: quarantine.Quarantine;
   /** Told what upstreams say of themselves with their answers. */
   readonly signals: signalBook.SignalBook;
-  /** True where an upstream is to get nothing, whoever has chosen it, and however long ago. */
-  readonly isEvacuated: (instance: instanceView.Instance) => boolean;
+  /** Say what may be sent, whoever has chosen it, and however long ago. */
+  readonly rules: sendRules.SendRules;
 }
 
 /** A run as the gate watches it. */
@@ -111,18 +113,26 @@
  * @returns upstreams that pass the gate
  * @example
  * ```ts
- * const upstreams = guardedUpstreams.create({ upstreams: port, timers, quarantine, signals, isEvacuated });
+ * const upstreams = guardedUpstreams.create({ upstreams: port, timers, log, quarantine, signals, rules });
  * ```
  */
 export function create(options: GuardOptions): relayTypes.UpstreamPort {
-  const { upstreams, timers, quarantine: held, isEvacuated } = options;
+  const { upstreams, timers, quarantine: held, rules } = options;
   const send: relayTypes.UpstreamPort['send'] = (call, listener) => {
     const content = contentDigest.of(call.request, call.account ?? '');
     if (held.verdictOf(content) === 'quarantined') {
       return failSoon(timers, listener, 'quarantined', quarantine.QUARANTINED);
     }
-    if (isEvacuated(call.instance)) {
-      return failSoon(timers, listener, 'withheld', instanceView.EVACUATED);
+    const now = timers.now();
+    const hold = rules.holdOf(call.instance, now);
+    if (hold !== undefined && !mayGoOn(call, hold)) {
+      options.log.info('withheld', {
+        request: call.request.identity,
+        upstream: call.instance.identity,
+        reason: hold.reason,
+        for: hold.until === undefined ? undefined : Math.round(hold.until - now),
+      });
+      return failSoon(timers, listener, 'withheld', rules.messageOf(hold));
     }
     if (!residency.allows(call.instance.dataCentre, call.dataCentres)) {
       return failSoon(
@@ -132,6 +142,7 @@
         'the upstream is in a region where the request may not run',
       );
     }
+    rules.sentTo(call.instance, now);
     const watched = new WatchedRun(options, call, content);
     const cancel = upstreams.send(call, watched.listen(listener));
     return (why) => {
@@ -142,6 +153,14 @@
   return { ...upstreams, send };
 }
 
+/**
+ * A generation that goes on from a copy of its memory is lost where it is not sent: its source has stopped. Only an
+ * evacuation keeps it back. Whoever moves it asks the rules before the source stops.
+ */
+function mayGoOn({ copy }: relayTypes.UpstreamCall, { reason }: sendRules.Hold): boolean {
+  return copy !== undefined && reason !== 'evacuated';
+}
+
 /** Exchanges learn of a failure after their call has returned, as they do from a real upstream. */
 function failSoon(
   timers: timerService.TimerService,
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -1,6 +1,7 @@
 /**
  * What every exchange of one entry shares.
  */
+import type * as sendRules from '../backPressure/sendRules.js';
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
@@ -20,6 +21,8 @@
   readonly metrics: ports.Metrics;
   readonly upstreams: types.UpstreamPort;
   readonly instances: instanceView.InstanceView;
+  /** Say which upstreams may be sent something at this moment. */
+  readonly rules: sendRules.SendRules;
   readonly choice: localChoice.LocalChoice;
   readonly allowance: retryAllowance.RetryAllowance;
   readonly placement: placementClient.PlacementClient;
@@ -86,17 +89,37 @@
 }
 
 /**
- * Why no instance may be sent a request, where `candidatesOf` gives none.
+ * What a caller is told where no instance is left that may be sent its request.
  *
  * @param context - the entry's parts
  * @param routed - the request
- * @returns a phrase for the caller
+ * @param otherwise - a phrase for the caller where the instances could be sent something
+ * @returns why, and when to come back
  * @example
  * ```ts
- * refuse('noUpstream', exchangeContext.whyNone(context, routed));
+ * const refusal = exchangeContext.noneLeft(context, routed, 'no upstream took it');
  * ```
  */
-export function whyNone({ instances }: ExchangeContext, { service, dataCentres }: RoutedRequest): string {
+export function noneLeft(
+  context: ExchangeContext,
+  routed: RoutedRequest,
+  otherwise: string,
+): types.Refusal & { readonly retryAfter: ports.Milliseconds } {
+  const now = context.timers.now();
+  const candidates = candidatesOf(context, routed);
+  const hold = context.rules.holdOfAll(candidates, now);
+  if (hold === undefined) {
+    const message = candidates.length === 0 ? whyNone(context, routed) : otherwise;
+    return { reason: 'noUpstream', message, retryAfter: NO_UPSTREAM_RETRY };
+  }
+  return {
+    reason: hold.until === undefined ? 'noUpstream' : 'overloaded',
+    message: context.rules.messageOf(hold),
+    retryAfter: context.rules.retryAfter(hold, now, NO_UPSTREAM_RETRY),
+  };
+}
+
+function whyNone({ instances }: ExchangeContext, { service, dataCentres }: RoutedRequest): string {
   const isElsewhere = dataCentres !== undefined && instances.readyOf(service.name).length > 0;
   return isElsewhere ? 'no upstream is in a region where it may run' : instances.whyNoneOf(service.name);
 }
--- a/packages/kumquatfront/src/relay/localChoice.ts
+++ b/packages/kumquatfront/src/relay/localChoice.ts
@@ -2,10 +2,10 @@
  * Chooses an upstream from what this entry alone knows: its own open requests, loads that upstreams told with
  * their answers, and their health as felt here.
  */
+import type * as sendRules from '../backPressure/sendRules.js';
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import * as health from '../routing/health.js';
-import type * as entryShare from '../warmUp/entryShare.js';
 import type * as types from './types.js';
 
 /** A load that an upstream told counts for this long; later the own count says more. */
@@ -33,10 +33,7 @@
 export interface LocalChoiceOptions {
   readonly random: ports.Random;
   readonly dataCentre: string;
-  /** This entry's share of what cold upstreams bear. */
-  readonly coldShare: entryShare.EntryShare;
-  /** Requests a second that all entries together may send to a cold upstream of a service; undefined for any. */
-  readonly borneBy: (service: string) => number | undefined;
+  readonly rules: sendRules.SendRules;
 }
 
 /** The choice; see the module comment. */
@@ -50,10 +47,7 @@
     this.options = options;
   }
 
-  dispatched({ identity, coldUntil }: instanceView.Instance, now: number): void {
-    if (now < coldUntil) {
-      this.options.coldShare.sentTo(identity, now);
-    }
+  dispatched({ identity }: instanceView.Instance, now: number): void {
     this.open.set(identity, (this.open.get(identity) ?? 0) + 1);
     this.health.dispatched(identity, now);
   }
@@ -101,15 +95,16 @@
     return known - (instance.dataCentre === dataCentre ? NEAR_BONUS : 0) + random.next() * 0.1;
   }
 
-  /** The least loaded of the healthy ones that were not tried; sick ones only where nothing else is left. */
+  /** The least loaded of the healthy ones that may be sent something and were not tried; sick ones as a last resort. */
   choose(
     candidates: readonly instanceView.Instance[],
     tried: ReadonlySet<string>,
     now: number,
   ): instanceView.Instance | undefined {
     const ejected = new Set(this.ejectedOf(candidates, now));
+    const { rules } = this.options;
     const untried = candidates.filter(
-      (instance) => !tried.has(instance.identity) && this.bearsMore(instance, now),
+      (instance) => !tried.has(instance.identity) && rules.holdOfChoice(instance, now) === undefined,
     );
     const healthy = untried.filter((instance) => !ejected.has(instance.identity));
     let best: instanceView.Instance | undefined;
@@ -123,10 +118,4 @@
     }
     return best;
   }
-
-  private bearsMore(instance: instanceView.Instance, now: number): boolean {
-    const { coldShare, borneBy } = this.options;
-    const borne = now < instance.coldUntil ? borneBy(instance.service) : undefined;
-    return borne === undefined || coldShare.maySend(instance.identity, borne, now);
-  }
 }
--- a/packages/kumquatfront/src/relay/placeFinder.ts
+++ b/packages/kumquatfront/src/relay/placeFinder.ts
@@ -47,7 +47,7 @@
 
   /** Searches once; the listener is told. */
   find(): void {
-    const { placement, timers, choice } = this.context;
+    const { placement, timers, choice, rules } = this.context;
     const { answerBy, request, route } = this.routed;
     const candidates = exchangeContext.candidatesOf(this.context, this.routed);
     if (this.facts === undefined || candidates.length === 0) {
@@ -55,13 +55,18 @@
       return;
     }
     const now = timers.now();
+    const held = candidates.filter((instance) => rules.holdOf(instance, now) !== undefined);
+    if (held.length === candidates.length) {
+      this.tellNone();
+      return;
+    }
     const { objective } = route;
     const wholeTime = answerBy - request.arrivedAt;
     const waitUntil = request.arrivedAt + waitingRules.longestWait(objective, wholeTime, this.facts.rank);
     const ejected = choice.ejectedOf(candidates, now);
     const question: placementClient.PlaceQuestion = {
       facts: this.facts,
-      excluded: [...this.excluded, ...ejected],
+      excluded: [...this.excluded, ...ejected, ...held.map((instance) => instance.identity)],
       likeness: generationFacts.likenessOf(this.routed),
       objective,
       objectiveLeft: request.arrivedAt + objective - now,
@@ -95,16 +100,21 @@
     const candidates = exchangeContext.candidatesOf(this.context, this.routed);
     const instance = choice.choose(candidates, this.excluded, timers.now());
     if (instance === undefined) {
-      const isNone = candidates.length === 0;
-      const reason = isNone
-        ? exchangeContext.whyNone(this.context, this.routed)
-        : 'no upstream is left to ask';
-      this.listener.none('noUpstream', reason, exchangeContext.NO_UPSTREAM_RETRY);
+      this.tellNone();
     } else {
       this.listener.found(instance);
     }
   }
 
+  private tellNone(): void {
+    const { reason, message, retryAfter } = exchangeContext.noneLeft(
+      this.context,
+      this.routed,
+      'no upstream is left to ask',
+    );
+    this.listener.none(reason, message, retryAfter);
+  }
+
   /** Withdraws an open question. */
   cancel(): void {
     this.cancelled = true;
--- a/packages/kumquatfront/src/relay/plainExchange.ts
+++ b/packages/kumquatfront/src/relay/plainExchange.ts
@@ -268,9 +268,12 @@
       return;
     }
     if (this.runs === 0 || (this.repeatable && this.lastFailure === undefined)) {
-      const reason =
-        this.sends === 0 ? exchangeContext.whyNone(this.context, this.routed) : 'no upstream took it';
-      this.refuse('noUpstream', reason, exchangeContext.NO_UPSTREAM_RETRY);
+      const { reason, message, retryAfter } = exchangeContext.noneLeft(
+        this.context,
+        this.routed,
+        'no upstream took it',
+      );
+      this.refuse(reason, message, retryAfter);
       return;
     }
     this.failUnknown();
--- a/packages/kumquatfront/src/relay/relayBench.ts
+++ b/packages/kumquatfront/src/relay/relayBench.ts
@@ -2,6 +2,8 @@
  * One exchange with hand-driven upstreams on virtual time, for the specs of the relay.
  */
 import * as seededRandom from '../adapters/seededRandom.js';
+import * as rateLimitShare from '../backPressure/rateLimitShare.js';
+import * as sendRules from '../backPressure/sendRules.js';
 import * as signalBook from '../backPressure/signalBook.js';
 import * as instanceTable from '../instances/instanceTable.js';
 import * as instanceView from '../instances/instanceView.js';
@@ -15,6 +17,7 @@
 import type * as trafficTypes from '../traffic/types.js';
 import * as methods from '../trafficControl/methods.js';
 import * as entryShare from '../warmUp/entryShare.js';
+import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import type * as exchangeContext from './exchangeContext.js';
 import * as localChoice from './localChoice.js';
 import * as placementClient from './placementClient.js';
@@ -71,6 +74,10 @@
   readonly sent: SentCall[] = [];
   readonly copies: AskedCopy[] = [];
   readonly dropped: string[] = [];
+  /** Questions for places, in order. */
+  readonly asked: placementTypes.PlacementRequest[] = [];
+  /** Refusals that the caller got. */
+  readonly refusals: types.Refusal[] = [];
   /** What the caller got, in order. */
   readonly got: string[] = [];
   /** Engines that the coordinator gives, in order; without one it says nothing. */
@@ -104,6 +111,22 @@
       tell: nothing,
       onEnded: nothing,
     });
+    const signals = new signalBook.SignalBook({
+      timers,
+      log,
+      metrics,
+      toldOf: (identity) => view.get(identity)?.rateLimit,
+      tell: nothing,
+    });
+    const rules = new sendRules.SendRules({
+      entry: 'entry',
+      random,
+      instances: view,
+      signals,
+      rateShare: new entryShare.EntryShare('entry', () => 1, rateLimitShare.RATE_WINDOW),
+      coldShare: new entryShare.EntryShare('entry', () => 1, warmUpBounds.COLD_WINDOW),
+      toleratedBy: () => undefined,
+    });
     this.context = {
       timers,
       log,
@@ -113,16 +136,13 @@
         upstreams: this.upstreams(),
         timers,
         quarantine: guard,
-        signals: new signalBook.SignalBook({ timers, log, metrics }),
-        isEvacuated: (instance) => view.isEvacuated(instance),
+        signals,
+        rules,
+        log,
       }),
       instances: view,
-      choice: new localChoice.LocalChoice({
-        random,
-        dataCentre: 'a',
-        coldShare: new entryShare.EntryShare('entry', () => 1),
-        borneBy: () => undefined,
-      }),
+      rules,
+      choice: new localChoice.LocalChoice({ random, dataCentre: 'a', rules }),
       allowance: new retryAllowance.RetryAllowance({ ratio: 0.2, slack, window: 10_000 }, () => 1, random),
       placement: new placementClient.PlacementClient({
         entry: 'entry',
@@ -161,7 +181,10 @@
 
   private peers(): ports.PeerTransport {
     return {
-      request: (_address, method, _parameters, _timeout, done) => {
+      request: (_address, method, parameters, _timeout, done) => {
+        if (method === methods.methods.place) {
+          this.asked.push(parameters as placementTypes.PlacementRequest);
+        }
         const instance = method === methods.methods.place ? this.places.shift() : undefined;
         if (instance !== undefined) {
           const answer: placementTypes.PlacementAnswer = { state: 'placed', instance };
@@ -220,6 +243,7 @@
       caller: {
         refuse: (refusal) => {
           got.push(`refused ${refusal.reason}`);
+          this.refusals.push(refusal);
         },
         whole: (head, body) => {
           got.push(`whole ${head.status} ${Buffer.from(body).toString()}`);
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -389,13 +389,19 @@
     const { leg } = this;
     if (this.ended || leg === undefined || leg.events === 0) {
       done('ended');
-    } else if (target === undefined || this.moving.isActive) {
+    } else if (target === undefined || this.moving.isActive || this.isHeld(target)) {
       done('failed');
     } else {
       this.moving.start(leg.instance, target, done);
     }
   }
 
+  /** Asked before the source stops: what goes on from a copy is lost where it is not sent. */
+  private isHeld(target: instanceView.Instance): boolean {
+    const { rules, timers } = this.context;
+    return rules.holdOf(target, timers.now()) !== undefined;
+  }
+
   /** The engine's new start holds nothing of this run, and a move off it has nothing to copy. */
   onRestart(instance: string): void {
     const { leg } = this;
--- a/packages/kumquatfront/src/trafficControl/instanceSpread.ts
+++ b/packages/kumquatfront/src/trafficControl/instanceSpread.ts
@@ -88,6 +88,15 @@
     }
   }
 
+  /** Takes what an entry has heard of an instance's rate limit. */
+  hearRateLimit({ instance, perSecond }: methods.HeardRateLimit): void {
+    const { table, log, wakeEntries } = this.options;
+    if (table.noteRateLimit(instance, perSecond, this.now())) {
+      log.info('rateLimitHeard', { instance, perSecond });
+      wakeEntries();
+    }
+  }
+
   /** Takes the instances of a data centre for cold that has been restored. */
   restored(dataCentre: string, durationOf: (service: string) => ports.Milliseconds): void {
     const { table, log, wakeEntries, wakeCoordinator } = this.options;
@@ -101,7 +110,14 @@
   /** Takes in what another replica has heard. */
   hear(records: readonly instanceTypes.InstanceRecord[]): void {
     const { table, wakeEntries, wakeCoordinator } = this.options;
-    const changes = records.map((record) => table.hear(record, this.now(), record.age, record.firstAge));
+    const changes = records.map((record) => {
+      const { identity, rateLimit } = record;
+      const isNews = table.hear(record, this.now(), record.age, record.firstAge);
+      const isLimitNews =
+        rateLimit !== undefined &&
+        table.noteRateLimit(identity, rateLimit.perSecond, this.now() - rateLimit.age);
+      return isNews || isLimitNews;
+    });
     if (changes.includes(true)) {
       wakeEntries();
       wakeCoordinator();
--- a/packages/kumquatfront/src/trafficControl/methods.ts
+++ b/packages/kumquatfront/src/trafficControl/methods.ts
@@ -19,6 +19,7 @@
   gossip: 'traffic.gossip',
   cases: 'traffic.cases',
   ended: 'traffic.ended',
+  rateLimit: 'traffic.rateLimit',
   place: 'placement.place',
   withdraw: 'placement.withdraw',
   report: 'placement.report',
@@ -103,6 +104,13 @@
   readonly instances: readonly string[];
 }
 
+/** What an entry has heard of an instance's rate limit. */
+export interface HeardRateLimit {
+  readonly instance: string;
+  /** Requests a second from all senders together; absent where the instance does not name a limit any more. */
+  readonly perSecond?: number;
+}
+
 /** What an entry holds against contents. */
 export interface CaseReport {
   readonly cases: readonly quarantineTypes.CaseRecord[];
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -188,6 +188,10 @@
       this.instances.end((parameters as methods.EndedInstances).instances);
       reply(results.Ok(null));
     });
+    peers.serve(names.rateLimit, (parameters, reply) => {
+      this.instances.hearRateLimit(parameters as methods.HeardRateLimit);
+      reply(results.Ok(null));
+    });
     peers.serve(names.place, (parameters, reply) => {
       this.onPlace(parameters as methods.PlaceRequest, reply);
     });
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -2,6 +2,8 @@
  * An entry that relays requests under a whole traffic configuration, made of services that find each other by
  * name. All outside comes through ports.
  */
+import * as rateLimitShare from '../backPressure/rateLimitShare.js';
+import * as sendRules from '../backPressure/sendRules.js';
 import * as signalBook from '../backPressure/signalBook.js';
 import * as instanceLog from '../instances/instanceLog.js';
 import * as instanceView from '../instances/instanceView.js';
@@ -77,27 +79,44 @@
     this.outside = outside;
     this.timers = timerService.create(outside.clock, outside.scheduler);
     const { timers } = this;
-    const choice = new localChoice.LocalChoice({
-      random,
-      dataCentre: settings.dataCentre,
-      coldShare: new entryShare.EntryShare(settings.name, () => this.watch.entryCount),
-      borneBy: (service) => this.borneByCold(service),
+    const signals = new signalBook.SignalBook({
+      timers,
+      log,
+      metrics,
+      toldOf: (identity) => instances.get(identity)?.rateLimit,
+      tell: (identity, perSecond) => {
+        this.notifyControl(methods.methods.rateLimit, {
+          instance: identity,
+          perSecond,
+        } satisfies methods.HeardRateLimit);
+      },
     });
-    const signals = new signalBook.SignalBook({ timers, log, metrics });
     const instances = new instanceView.InstanceView((news) => {
       instanceLog.write(log, news);
       for (const change of news.changes) {
         const { instance, event } = change;
         this.quarantine.detector.onInstance(change);
+        signals.onInstance(change);
         if (event === 'gone' || event === 'replaced') {
           choice.forget(instance.identity);
+          rules.forget(instance.identity);
         }
         if (event === 'replaced') {
-          signals.forget(instance.identity);
           this.placement.onRestart(instance.identity);
         }
       }
     });
+    const entryCount = (): number => this.watch.entryCount;
+    const rules = new sendRules.SendRules({
+      entry: settings.name,
+      random,
+      instances,
+      signals,
+      rateShare: new entryShare.EntryShare(settings.name, entryCount, rateLimitShare.RATE_WINDOW),
+      coldShare: new entryShare.EntryShare(settings.name, entryCount, warmUpBounds.COLD_WINDOW),
+      toleratedBy: (service) => this.toleratedByCold(service),
+    });
+    const choice = new localChoice.LocalChoice({ random, dataCentre: settings.dataCentre, rules });
     this.placement = new placementClient.PlacementClient({
       entry: settings.name,
       dataCentre: settings.dataCentre,
@@ -125,11 +144,7 @@
         reporter.tellAll([content]);
       },
       onEnded: (instance) => {
-        for (const replica of this.watch.replicas()) {
-          peers.notify(replica, methods.methods.ended, {
-            instances: [instance],
-          } satisfies methods.EndedInstances);
-        }
+        this.notifyControl(methods.methods.ended, { instances: [instance] } satisfies methods.EndedInstances);
       },
     });
     const { placement, quarantine: guard } = this;
@@ -148,9 +163,11 @@
           timers,
           quarantine: guard,
           signals,
-          isEvacuated: (instance) => instances.isEvacuated(instance),
+          rules,
+          log,
         }),
         instances,
+        rules,
         choice,
         allowance,
         placement,
@@ -196,8 +213,14 @@
     this.services.register('quarantine', guard);
   }
 
+  private notifyControl(method: string, parameters: unknown): void {
+    for (const replica of this.watch.replicas()) {
+      this.outside.peers.notify(replica, method, parameters);
+    }
+  }
+
   /** Requests a second that all entries together may send to a cold upstream without a coordinator's word. */
-  private borneByCold(name: string): number | undefined {
+  private toleratedByCold(name: string): number | undefined {
     const service = this.routes?.serviceOf(name);
     if (service?.warmUp === undefined) {
       return undefined;
--- a/packages/kumquatfront/src/warmUp/warmUp.spec.ts
+++ b/packages/kumquatfront/src/warmUp/warmUp.spec.ts
@@ -37,7 +37,7 @@
   const random = seededRandom.create(seed);
   const times: number[] = [];
   for (let index = 0; index < entryCount; index += 1) {
-    const share = new entryShare.EntryShare(`edge-${index}`, () => entryCount);
+    const share = new entryShare.EntryShare(`edge-${index}`, () => entryCount, WINDOW);
     for (let now = random.next() * 300; now < 4_000; now += random.next() * 200) {
       if (share.maySend(identity, ofAll, now)) {
         share.sentTo(identity, now);
@@ -102,7 +102,7 @@
   'an entry that hears of fewer others keeps its share for a while, and of none for good',
   () => {
     let entries = 40;
-    const share = new entryShare.EntryShare('edge-1', () => entries);
+    const share = new entryShare.EntryShare('edge-1', () => entries, WINDOW);
     const permits = (now: number): number => {
       const probe = 400;
       let count = 0;
@@ -123,12 +123,12 @@
 );
 
 void test.test('an entry that does not know yet how many there are sends nothing to a cold upstream', () => {
-  const share = new entryShare.EntryShare('edge-1', () => 0);
+  const share = new entryShare.EntryShare('edge-1', () => 0, WINDOW);
   assert.equal(share.maySend('i', 1_000, 0), false);
 });
 
 void test.test('a count holds one second and forgets keys', () => {
-  const count = new recentCount.RecentCount();
+  const count = new recentCount.RecentCount(WINDOW);
   count.add('a', 0);
   count.add('a', 600);
   assert.equal(count.of('a', 1_000), 2);
--- a/packages/kumquatfront/src/warmUp/warmUpBounds.ts
+++ b/packages/kumquatfront/src/warmUp/warmUpBounds.ts
@@ -6,6 +6,11 @@
  * other before each request: so it is divided beforehand.
  */
 
+import type * as ports from '../kernel/ports.js';
+
+/** Requests to cold upstreams are counted over any span of this length. */
+export const COLD_WINDOW: ports.Milliseconds = 1_000;
+
 /** What a service says of its cold upstreams. */
 export interface WarmUp {
   /** Requests a second that a cold upstream bears; above 0. */
--- /dev/null
+++ b/packages/scenarios/src/scripts/backPressureSafeguards.ts
@@ -0,0 +1,57 @@
+/**
+ * Safeguards of upstreams that tell their senders to send less.
+ */
+import type * as safeguards from './safeguards.js';
+
+/** Each with what must fail without it. */
+export const backPressureSafeguards: readonly safeguards.Safeguard[] = [
+  {
+    name: 'an upstream is sent no more than its rate limit',
+    file: 'backPressure/sendRules.js',
+    find: 'return this.rateHoldOf(instance, now);',
+    replace: 'return undefined;',
+    scenario: 'spec:backPressure/rateLimitedUpstream',
+  },
+  {
+    name: 'entries share a rate limit',
+    file: 'backPressure/sendRules.js',
+    find: 'rateLimitShare.ofEntries(perSecond, entries)',
+    replace: 'entries * rateLimitShare.ofEntries(perSecond, 1)',
+    scenario: 'spec:backPressure/rateLimitedUpstream',
+  },
+  {
+    name: 'entries without a share find out whether a limit is over',
+    file: 'backPressure/sendRules.js',
+    find: ' || this.mayProbe(identity, entries, now)',
+    replace: '',
+    scenario: 'spec:backPressure/sendRules',
+  },
+  {
+    name: 'an answer to an earlier request does not lift a limit',
+    file: 'backPressure/signalBook.js',
+    find: 'known?.perSecond !== undefined && sentAt >= known.heardAt',
+    replace: 'known?.perSecond !== undefined',
+    scenario: 'spec:backPressure/signalBook',
+  },
+  {
+    name: 'entries tell each other of rate limits',
+    file: 'backPressure/signalBook.js',
+    find: 'tell(identity, heard.perSecond);',
+    replace: '',
+    scenario: 'spec:backPressure/rateLimitedUpstream',
+  },
+  {
+    name: 'a coordinator is told which engines this entry may send nothing',
+    file: 'relay/placeFinder.js',
+    find: '...held.map((instance) => instance.identity)',
+    replace: '',
+    scenario: 'spec:backPressure/sendRules',
+  },
+  {
+    name: 'no generation is moved to an engine that may be sent nothing',
+    file: 'relay/streamExchange.js',
+    find: ' || this.isHeld(target)',
+    replace: '',
+    scenario: 'spec:backPressure/sendRules',
+  },
+];
--- a/packages/scenarios/src/scripts/dataCentreSafeguards.ts
+++ b/packages/scenarios/src/scripts/dataCentreSafeguards.ts
@@ -57,7 +57,7 @@
   {
     name: 'the gate withholds what was chosen before the evacuation was known',
     file: 'quarantine/guardedUpstreams.js',
-    find: 'if (isEvacuated(call.instance)) {',
+    find: 'if (hold !== undefined && !mayGoOn(call, hold)) {',
     replace: 'if (false) {',
     scenario: 'spec:quarantine/guardedUpstreams',
   },
@@ -70,9 +70,9 @@
   },
   {
     name: 'an entry chooses a cold upstream within its share only',
-    file: 'relay/localChoice.js',
-    find: 'return borne === undefined || coldShare.maySend(instance.identity, borne, now);',
-    replace: 'return true;',
+    file: 'backPressure/sendRules.js',
+    find: 'return this.holdOf(instance, now) ?? this.coldHoldOf(instance, now);',
+    replace: 'return this.holdOf(instance, now);',
     scenario: 'spec:trafficEntry/evacuatedDataCentre',
   },
   {
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -2,6 +2,7 @@
  * The safeguards that `npm run prove` takes out one at a time, each with the scenario that must then fail.
  */
 
+import * as backPressureSafeguards from './backPressureSafeguards.js';
 import * as controlSafeguards from './controlSafeguards.js';
 import * as dataCentreSafeguards from './dataCentreSafeguards.js';
 import * as quarantineSafeguards from './quarantineSafeguards.js';
@@ -26,4 +27,5 @@
   ...relaySafeguards.relaySafeguards,
   ...quarantineSafeguards.quarantineSafeguards,
   ...dataCentreSafeguards.dataCentreSafeguards,
+  ...backPressureSafeguards.backPressureSafeguards,
 ];
