Upstreams that ask for a pause are left alone for so long, and those that say they leave get nothing more

Callers saw 503 from an upstream that had asked for a pause of three seconds; it got up to ten requests from one entry within that, and twice its usual share from all. A pause was taken in for the one request that was turned away. What made it worse: nothing is open at an upstream that turns work away at once, so for the next request it was the least loaded of all. Ruled out: that the pause was kept by some paths only; 6 requests came as first sends of plain calls, 10 of generations. A pause runs by this entry's clock from the answer on, half a minute at most. An upstream that says in an answer that it leaves is one that has given notice: it is chosen no more, its generations are moved, control hears of it with the reports, and a list that still has it as ready does not bring it back.

--- a/packages/kumquatfront/src/backPressure/sendRules.spec.ts
+++ b/packages/kumquatfront/src/backPressure/sendRules.spec.ts
@@ -72,6 +72,56 @@
   assert.ok((refusal.retryAfter ?? 0) >= rateLimitShare.RATE_WINDOW);
 });
 
+// The coordinator does not know yet; the exchange learns that nothing was sent, and goes elsewhere.
+void test.test('nothing is sent to an engine that has given notice meanwhile', () => {
+  const bench = new relayBench.RelayBench(['a', 'b']);
+  new streamExchange.StreamExchange(bench.context, bench.routed('stream')).start();
+  bench.places.push('a', 'b');
+  say(bench, 'a', { ...quiet, leaving: true });
+  new streamExchange.StreamExchange(bench.context, bench.routed('stream')).start();
+  bench.time.advance(10);
+  assert.deepEqual(
+    bench.sent.map(({ call }) => call.instance.identity),
+    ['b'],
+  );
+});
+
+// Its source has stopped: not sent on, the generation would be lost.
+void test.test('a generation goes on from its copy at an engine that has asked for a pause meanwhile', () => {
+  const bench = new relayBench.RelayBench(['a', 'b']);
+  bench.places.push('a');
+  new streamExchange.StreamExchange(bench.context, bench.routed('stream')).start();
+  bench.sent[0]?.listener.head(relayBench.soundHead);
+  bench.sent[0]?.listener.data(relayBench.event(1));
+  bench.move('a', 'b');
+  bench.copies[0]?.done({ state: 'copied', handle: 'first' });
+  bench.sent[0]?.listener.failed('broken', 'stopped');
+  say(bench, 'b', { ...quiet, pause: 3_000 });
+  bench.copies[1]?.done({ state: 'copied', handle: 'last' });
+  assert.equal(bench.sent[1]?.call.instance.identity, 'b');
+});
+
+void test.test(
+  'of several pauses the one that ends last counts, and none is longer than half a minute',
+  () => {
+    const bench = new relayBench.RelayBench(['a']);
+    const { rules, instances, timers } = bench.context;
+    const instance = instances.get('a');
+    assert.ok(instance);
+    say(bench, 'a', { ...quiet, pause: 2_000 });
+    bench.time.advance(100);
+    bench.context.upstreams.send(
+      { request: bench.routed('stream').request, instance, timeLeft: 1_000 },
+      { head: () => undefined, data: () => undefined, end: () => undefined, failed: () => undefined },
+    );
+    assert.equal(rules.holdOf(instance, timers.now())?.until, 2_000);
+    bench.time.advance(1_900);
+    assert.equal(rules.holdOf(instance, timers.now()), undefined);
+    say(bench, 'a', { ...quiet, pause: 31_536_000_000 });
+    assert.equal(rules.holdOf(instance, timers.now())?.until, 32_000);
+  },
+);
+
 /** The rules of one of many entries, before an upstream that names a limit. */
 function rulesOf(entry: string, entryCount: number, time: virtualTime.VirtualTime): sendRules.SendRules {
   const nothing = (): void => undefined;
@@ -84,6 +134,7 @@
       timers: timerService.create(time.clock, time),
       log: { debug: nothing, info: nothing, warn: nothing, error: nothing },
       metrics: { count: nothing, gauge: nothing, timing: nothing },
+      noteNotice: () => true,
       toldOf: () => ({ perSecond: 0, heardAt: 0 }),
       tell: nothing,
     }),
--- a/packages/kumquatfront/src/backPressure/sendRules.ts
+++ b/packages/kumquatfront/src/backPressure/sendRules.ts
@@ -11,7 +11,7 @@
 import type * as signalBook from './signalBook.js';
 
 /** Why an upstream is sent nothing. */
-export type HoldReason = 'evacuated' | 'rateLimited' | 'cold';
+export type HoldReason = 'evacuated' | 'leaving' | 'paused' | 'rateLimited' | 'cold';
 
 /** An upstream is sent nothing until a moment, as far as is known. */
 export interface Hold {
@@ -23,6 +23,8 @@
 /** What callers are told where one of these keeps a request from every upstream. */
 const MESSAGES: Readonly<Record<HoldReason, string>> = {
   evacuated: instanceView.EVACUATED,
+  leaving: 'every upstream that could take it is leaving',
+  paused: 'every upstream that could take it has asked for a pause',
   rateLimited: 'every upstream that could take it is at its rate limit',
   cold: 'every upstream that could take it is cold and gets as much as it tolerates',
 };
@@ -63,9 +65,17 @@
 
   /** Why an upstream must not be sent anything, whoever has chosen it; undefined where it may. */
   holdOf(instance: instanceView.Instance, now: ports.Milliseconds): Hold | undefined {
-    if (this.options.instances.isEvacuated(instance)) {
+    const { instances, signals } = this.options;
+    if (instances.isEvacuated(instance)) {
       return { reason: 'evacuated' };
     }
+    if (instances.hasGivenNotice(instance.identity)) {
+      return { reason: 'leaving' };
+    }
+    const pausedUntil = signals.pausedUntil(instance.identity);
+    if (now < pausedUntil) {
+      return { reason: 'paused', until: pausedUntil };
+    }
     return this.rateHoldOf(instance, now);
   }
 
--- a/packages/kumquatfront/src/backPressure/signalBook.spec.ts
+++ b/packages/kumquatfront/src/backPressure/signalBook.spec.ts
@@ -39,6 +39,7 @@
     timers: timerService.create(time.clock, time),
     log,
     metrics: { count: nothing, gauge: nothing, timing: nothing },
+    noteNotice: () => true,
     toldOf: () => others.told,
     tell: (_identity, perSecond) => tellings.push(perSecond),
   });
--- a/packages/kumquatfront/src/backPressure/signalBook.ts
+++ b/packages/kumquatfront/src/backPressure/signalBook.ts
@@ -35,6 +35,8 @@
   readonly timers: timerService.TimerService;
   readonly log: ports.Log;
   readonly metrics: ports.Metrics;
+  /** Takes in that an upstream leaves; true where that is news. */
+  readonly noteNotice: (identity: string) => boolean;
   /** What other entries have heard of an upstream's limit, as control tells it. */
   readonly toldOf: (identity: string) => types.RateLimitWord | undefined;
   /** Tells the other entries of an upstream's limit; undefined where there is none any more. */
@@ -54,7 +56,6 @@
   private readonly pauses = new Map<string, ports.Milliseconds>();
   private readonly rateLimits = new Map<string, types.RateLimitWord>();
   private readonly toldAt = new Map<string, ports.Milliseconds>();
-  private readonly leaving = new Set<string>();
   private readonly unreadable = new Set<string>();
   private readonly goneSince = new Map<string, ports.Milliseconds>();
 
@@ -86,8 +87,7 @@
       this.takeNoRateLimit(instance, sentAt);
     }
     this.tellOthers(instance.identity);
-    if (leaving && !this.leaving.has(instance.identity)) {
-      this.leaving.add(instance.identity);
+    if (leaving && this.options.noteNotice(instance.identity)) {
       this.write(instance, 'upstreamLeaving', {});
     }
     for (const signal of unreadable) {
@@ -95,6 +95,11 @@
     }
   }
 
+  /** When an upstream wants to be sent something again; in the past where it has asked for no pause. */
+  pausedUntil(identity: string): ports.Milliseconds {
+    return this.pauses.get(identity) ?? Number.NEGATIVE_INFINITY;
+  }
+
   /** Requests a second that an upstream takes from all senders; undefined where it names no limit. */
   rateLimitOf(identity: string): number | undefined {
     return this.newestWord(identity)?.perSecond;
@@ -125,7 +130,6 @@
     this.pauses.delete(identity);
     this.rateLimits.delete(identity);
     this.toldAt.delete(identity);
-    this.leaving.delete(identity);
   }
 
   private takePause(instance: instanceView.Instance, pause: ports.Milliseconds): void {
--- a/packages/kumquatfront/src/instances/instanceView.ts
+++ b/packages/kumquatfront/src/instances/instanceView.ts
@@ -22,6 +22,12 @@
  */
 const REMOVAL_SPREADS: ports.Milliseconds = 1_500;
 
+/**
+ * Instances that said themselves that they leave are remembered this long: one that control has dropped meanwhile and
+ * hears of again is listed as ready by whoever has not heard of its notice.
+ */
+const NOTICE_KEPT: ports.Milliseconds = 600_000;
+
 /** Why nothing is sent to an instance that could take it. */
 export const EVACUATED = 'every upstream that could take it is in an evacuated data centre';
 
@@ -90,6 +96,8 @@
   /** The newest start of each name. */
   private readonly byName = new Map<string, Instance>();
   private byService = new Map<string, Instance[]>();
+  /** When instances said in their answers that they leave. */
+  private readonly notices = new Map<string, ports.Milliseconds>();
   private readonly onNews: (news: ViewNews) => void;
   private evacuated: ReadonlySet<string> = new Set();
   /** What the answer that is being merged has changed so far. */
@@ -136,6 +144,7 @@
       }
     }
     this.dropUnheard(now);
+    this.forgetNotices(now);
     const { changes } = this;
     this.changes = [];
     if (changes.length > 0) {
@@ -153,7 +162,8 @@
     if (newest !== undefined && newest.born > record.born) {
       return;
     }
-    const leaving = record.state === 'leaving' || known?.state === 'leaving';
+    const hasLeft = known?.state === 'leaving' || this.notices.has(record.identity);
+    const leaving = record.state === 'leaving' || hasLeft;
     const instance: Instance = {
       ...announcement.of(record),
       state: leaving ? 'leaving' : 'ready',
@@ -234,6 +244,31 @@
     return this.instances.get(identity)?.state === 'leaving';
   }
 
+  /**
+   * Takes in that an instance said itself that it leaves, before control tells of it or instead.
+   *
+   * @returns true where that is news
+   */
+  noteNotice(identity: string, now: number): boolean {
+    const known = this.instances.get(identity);
+    const isNews = known?.state === 'ready';
+    this.notices.set(identity, now);
+    if (isNews) {
+      this.instances.set(identity, { ...known, state: 'leaving' });
+      this.byName.set(known.name, { ...known, state: 'leaving' });
+      this.byService.clear();
+    }
+    return isNews;
+  }
+
+  private forgetNotices(now: number): void {
+    for (const [identity, at] of this.notices) {
+      if (now - at >= NOTICE_KEPT) {
+        this.notices.delete(identity);
+      }
+    }
+  }
+
   /** Replaces the data centres whose instances are to get nothing new. */
   setEvacuated(dataCentres: readonly string[]): void {
     this.evacuated = new Set(dataCentres);
--- /dev/null
+++ b/packages/kumquatfront/src/instances/notices.spec.ts
@@ -0,0 +1,49 @@
+/**
+ * Instances that say themselves that they leave, whatever control lists.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as instanceBench from './instanceBench.js';
+import type * as types from './types.js';
+
+function newsOf(
+  epoch: string,
+  records: readonly string[],
+  removed: readonly string[] = [],
+): types.InstanceNews {
+  return {
+    epoch,
+    revision: records.length + removed.length,
+    whole: false,
+    records: records.map((identity) => ({
+      ...instanceBench.announcement(identity, { address: `${identity}:80` }),
+      age: 0,
+      firstAge: 0,
+    })),
+    removed,
+  };
+}
+
+void test.test('an instance that has said that it leaves takes no requests any more', () => {
+  const { view } = instanceBench.createView();
+  view.merge('c1', newsOf('e', ['a', 'b']), 0);
+  assert.equal(view.noteNotice('a', 10), true);
+  assert.equal(view.noteNotice('a', 20), false);
+  assert.equal(view.hasGivenNotice('a'), true);
+  assert.deepEqual(
+    view.readyOf('llm').map(({ identity }) => identity),
+    ['b'],
+  );
+});
+
+// Control has dropped it and hears a late announcement from before its notice.
+void test.test('an instance that has said that it leaves stays so when control lists it again', () => {
+  const { view } = instanceBench.createView();
+  view.merge('c1', newsOf('e', ['a', 'b']), 0);
+  view.noteNotice('a', 10);
+  view.merge('c1', newsOf('e', ['b'], ['a']), 5_000);
+  assert.equal(view.get('a'), undefined);
+  view.merge('c1', newsOf('e', ['a', 'b']), 5_500);
+  assert.equal(view.hasGivenNotice('a'), true);
+});
--- a/packages/kumquatfront/src/relay/relayBench.ts
+++ b/packages/kumquatfront/src/relay/relayBench.ts
@@ -115,6 +115,7 @@
       timers,
       log,
       metrics,
+      noteNotice: (identity) => view.noteNotice(identity, time.now()),
       toldOf: (identity) => view.get(identity)?.rateLimit,
       tell: nothing,
     });
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -83,6 +83,7 @@
       timers,
       log,
       metrics,
+      noteNotice: (identity) => instances.noteNotice(identity, timers.now()),
       toldOf: (identity) => instances.get(identity)?.rateLimit,
       tell: (identity, perSecond) => {
         this.notifyControl(methods.methods.rateLimit, {
