--- a/packages/kumquatfront/src/backPressure/signalBook.ts
+++ b/packages/kumquatfront/src/backPressure/signalBook.ts
@@ -28,7 +28,7 @@
 const TOLD_DIFFERENCE = 0.1;
 
 /** Shortest time between two tellings of one upstream's limit. */
-const TELL_PAUSE: ports.Milliseconds = 1_000;
+const TELL_PAUSE: ports.Milliseconds = 2_000;
 
 /** What the book is made from. */
 export interface SignalBookOptions {
--- a/packages/kumquatfront/src/instances/instanceTable.ts
+++ b/packages/kumquatfront/src/instances/instanceTable.ts
@@ -177,13 +177,16 @@
     if (known === undefined || heardAt <= (known.rateLimit?.heardAt ?? Number.NEGATIVE_INFINITY)) {
       return false;
     }
-    const changed = perSecond !== known.rateLimit?.perSecond;
+    const former = known.rateLimit?.perSecond;
     known.rateLimit = { perSecond, heardAt };
-    if (changed) {
-      this.advance(true);
-      known.revision = this.revision;
+    if (perSecond === former) {
+      return false;
     }
-    return changed;
+    // Entries hear at once that a limit begins or ends. An upstream that names another one with every answer must not
+    // wake all of them each time.
+    this.advance(perSecond === undefined || former === undefined);
+    known.revision = this.revision;
+    return true;
   }
 
   private advance(isNotice: boolean): void {
