--- a/packages/command/src/explain/cause.ts
+++ b/packages/command/src/explain/cause.ts
@@ -6,6 +6,9 @@
 
 type Lines = readonly logLine.LogLine[];
 
+/** Signals of upstreams that a cause names; the latest decide. */
+const MOST_SIGNALS = 5;
+
 function last(lines: Lines, event: string): logLine.LogLine | undefined {
   return lines.filter((line) => line.event === event).at(-1);
 }
@@ -65,11 +68,29 @@
   return causes[reason] ?? `Refused before a service was chosen: ${message}.`;
 }
 
+/** What upstreams of the service had asked of the entry before it turned the request away. */
+function signals(lines: Lines): string {
+  const told = lines.flatMap(({ event, fields, time }) => {
+    const upstream = fields.upstream ?? '?';
+    switch (event) {
+      case 'upstreamPaused':
+        return [`${upstream} asked for a pause of ${seconds(fields.for)} at ${time}`];
+      case 'upstreamRateLimited':
+        return [`${upstream} named a limit of ${fields.perSecond ?? '?'} a second at ${time}`];
+      case 'upstreamRateLimitLifted':
+        return [`${upstream} named no limit any more at ${time}`];
+      default:
+        return [];
+    }
+  });
+  return told.length === 0 ? '' : ` Before that ${told.slice(-MOST_SIGNALS).join(', ')}.`;
+}
+
 function ofOverload(lines: Lines, end: logLine.LogLine): string {
   const refused = last(lines, 'placementRefused');
   const returned = last(lines, 'callerReturned');
   if (refused === undefined) {
-    return `Refused: ${end.fields.reason ?? 'no reason logged'}. Nothing ran.`;
+    return `Refused: ${end.fields.reason ?? 'no reason logged'}. Nothing ran.${signals(lines)}`;
   }
   const again =
     returned === undefined
--- a/packages/command/src/explain/explain.spec.ts
+++ b/packages/command/src/explain/explain.spec.ts
@@ -135,3 +135,17 @@
   const end = `${at(1.21)} process=entry-1 level=info event=requestEnded request=r6 route=r service=app version=7 outcome=noUpstream reason="every upstream that could take it is in an evacuated data centre" sends=0 milliseconds=1`;
   assert.match(cause.of(requestStory.collect('r6', [end])), /in an evacuated data centre/);
 });
+
+void test.test('a refusal is explained by what upstreams had asked of the entry', () => {
+  const log = [
+    `${at(1)} process=entry-1 level=info event=upstreamPaused upstream=i-a service=app for=3000 asked=3000`,
+    `${at(1.5)} process=entry-1 level=info event=upstreamRateLimited upstream=i-b service=app perSecond=1.9`,
+    `${at(1.6)} process=entry-1 level=info event=upstreamPaused upstream=i-z service=other for=9000 asked=9000`,
+    `${at(2)} process=entry-1 level=info event=requestEnded request=r5 route=r service=app outcome=overloaded reason="every upstream that could take it has asked for a pause" sends=0 milliseconds=1`,
+  ].join('\n');
+  const sentence = cause.of(requestStory.collect('r5', [log]));
+  assert.match(sentence, /has asked for a pause. Nothing ran/);
+  assert.match(sentence, /i-a asked for a pause of 3.00 s/);
+  assert.match(sentence, /i-b named a limit of 1.9 a second/);
+  assert.doesNotMatch(sentence, /i-z/);
+});
--- a/packages/command/src/explain/requestStory.ts
+++ b/packages/command/src/explain/requestStory.ts
@@ -19,6 +19,14 @@
 /** Events about an upstream that say why something on it went wrong. */
 const UPSTREAM_EVENTS = new Set(['instanceHeard', 'instanceLeaves', 'instanceSeen']);
 
+/** Events about what an upstream has asked of this entry, which keeps requests from it. */
+const SIGNAL_EVENTS = new Set([
+  'upstreamPaused',
+  'upstreamRateLimited',
+  'upstreamRateLimitLifted',
+  'upstreamLeaving',
+]);
+
 /** Events about what is held against a content, whichever process found it out. */
 const CONTENT_EVENTS = new Set(['crashHeld', 'crashesVoid', 'quarantined', 'quarantineLifted', 'caseAgreed']);
 
@@ -63,6 +71,10 @@
     (line) =>
       UPSTREAM_EVENTS.has(line.event) && line.time <= end && upstreams.has(line.fields.instance ?? ''),
   );
+  const service = own.map((line) => line.fields.service).find((name) => name !== undefined);
+  const ofSignals = near.filter(
+    (line) => SIGNAL_EVENTS.has(line.event) && line.time <= end && line.fields.service === service,
+  );
   const ofContents = all.filter(
     (line) =>
       CONTENT_EVENTS.has(line.event) &&
@@ -75,6 +87,6 @@
   const lines =
     own.length === 0
       ? []
-      : [...own, ...ofUpstreams, ...ofContents, ...lastStates(near, end)].sort(logLine.byTime);
+      : [...own, ...ofUpstreams, ...ofSignals, ...ofContents, ...lastStates(near, end)].sort(logLine.byTime);
   return { request, lines, leftOut };
 }
--- a/packages/scenarios/src/scripts/dataCentreSafeguards.ts
+++ b/packages/scenarios/src/scripts/dataCentreSafeguards.ts
@@ -27,11 +27,11 @@
     scenario: 'spec:trafficControl/evacuations',
   },
   {
-    name: 'an entry chooses no upstream in an evacuated data centre',
-    file: 'instances/instanceView.js',
-    find: "instance.state === 'ready' && !this.isEvacuated(instance));",
-    replace: "instance.state === 'ready');",
-    scenario: 'spec:trafficEntry/evacuatedDataCentre',
+    name: 'the rules of sending hold whatever is in an evacuated data centre',
+    file: 'backPressure/sendRules.js',
+    find: 'if (instances.isEvacuated(instance)) {',
+    replace: 'if (false) {',
+    scenario: 'spec:quarantine/guardedUpstreams',
   },
   {
     name: 'an entry of the own interface gives an evacuated data centre nothing',
--- a/packages/soak/src/runners.ts
+++ b/packages/soak/src/runners.ts
@@ -40,6 +40,10 @@
   arrivals = 0;
   /** Most requests in one second since it became cold. */
   mostWhileCold = 0;
+  /** Headers that it adds to its answers. */
+  extraHeaders: Readonly<Record<string, string>> = {};
+  /** True while it turns every request away. */
+  turnsAway = false;
   private coldUntil = 0;
   private readonly coldArrivals: number[] = [];
   private turn = 0;
@@ -118,6 +122,11 @@
     }
     const path = incoming.url ?? '';
     this.noteArrival();
+    if (this.turnsAway) {
+      outgoing.writeHead(503, { [headers.attempt]: attempt, [headers.notRun]: '1', ...this.extraHeaders });
+      outgoing.end();
+      return;
+    }
     book.ran(attempt, path.startsWith('/lookUp/') || path.startsWith('/fragile/'));
     this.options.onBegin?.(path);
     outgoing.on('error', () => undefined);
@@ -126,7 +135,11 @@
       return;
     }
     setTimeout(() => {
-      outgoing.writeHead(200, { [headers.attempt]: attempt, [headers.signature]: 's' });
+      outgoing.writeHead(200, {
+        [headers.attempt]: attempt,
+        [headers.signature]: 's',
+        ...this.extraHeaders,
+      });
       outgoing.end(ledger.bodyOf(attempt));
     }, WORK_MS);
   }
@@ -136,6 +149,7 @@
       [headers.attempt]: attempt,
       [headers.signature]: 's',
       'Content-Type': 'text/event-stream',
+      ...this.extraHeaders,
     });
     let index = 0;
     const timer = setInterval(() => {
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -8,6 +8,7 @@
 
 import * as kumquatfront from 'kumquatfront';
 
+import * as backPressure from './backPressure.js';
 import * as clients from './clients.js';
 import * as evacuation from './evacuation.js';
 import * as fragileRunners from './fragileRunners.js';
@@ -291,6 +292,7 @@
     faults.push('nothing was served after the trouble');
   }
   await evacuated.check();
+  await backPressure.check({ book, runners: all, entryCount: entries.length, until });
   await fragile.settle();
   fragile.stop();
   for (const caller of callers) {
