An upstream tolerates, and so does a quorum: names and comments in the field's words

Renamed, with the field of the status call. Two specs of back pressure drive the bench by one method.

--- a/packages/command/src/explain/cause.ts
+++ b/packages/command/src/explain/cause.ts
@@ -35,7 +35,7 @@
   return (
     ` Of ${engines.length} engines ${usable} could be used, ${waiting} generations waited.` +
     (evacuated === 0 ? '' : ` ${evacuated} are in an evacuated data centre.`) +
-    (cold === 0 ? '' : ` ${cold} were cold and got no more than they bear.`)
+    (cold === 0 ? '' : ` ${cold} were cold and got no more than they tolerate.`)
   );
 }
 
--- a/packages/command/src/explain/explain.spec.ts
+++ b/packages/command/src/explain/explain.spec.ts
@@ -128,7 +128,7 @@
   );
   assert.match(sentence, /Of 4 engines 2 could be used/);
   assert.match(sentence, /1 are in an evacuated data centre/);
-  assert.match(sentence, /1 were cold and got no more than they bear/);
+  assert.match(sentence, /1 were cold and got no more than they tolerate/);
 });
 
 void test.test('a call without an upstream tells why there was none', () => {
--- a/packages/command/src/systemCommands.ts
+++ b/packages/command/src/systemCommands.ts
@@ -62,8 +62,8 @@
 /** A warning where one data centre holds too many of the voters, by the word of the leader. */
 function spreadRows(system: operatorClient.SystemStatus): readonly (readonly string[])[] {
   const leader = system.replicas.find(({ replica }) => replica.role === 'leader');
-  const bears = leader?.bearsDataCentreLoss ?? true;
-  return bears ? [] : [['control does not outlive the loss of any one data centre: spread its VMs']];
+  const tolerates = leader?.toleratesDataCentreLoss ?? true;
+  return tolerates ? [] : [['control does not outlive the loss of any one data centre: spread its VMs']];
 }
 
 function statusRows(system: operatorClient.SystemStatus): readonly (readonly string[])[] {
--- a/packages/kumquatfront/src/backPressure/pausedUpstream.spec.ts
+++ b/packages/kumquatfront/src/backPressure/pausedUpstream.spec.ts
@@ -10,7 +10,6 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
-import * as seededRandom from '../adapters/seededRandom.js';
 import type * as ports from '../kernel/ports.js';
 import * as crashBench from '../quarantine/crashBench.js';
 import * as relayBench from '../relay/relayBench.js';
@@ -34,24 +33,6 @@
   signals: { leaving: true, unreadable: [] },
 };
 
-/** Asks at random entries, at a steady rate. */
-function drive(
-  bench: crashBench.CrashBench,
-  service: crashBench.ServiceName,
-  perSecond: number,
-  length: ports.Milliseconds,
-): void {
-  const random = seededRandom.create(11);
-  const { entryNames } = bench;
-  for (let at = 0; at < length; at += 1_000 / perSecond) {
-    bench.time.after(at, () => {
-      const entry = entryNames[Math.floor(random.next() * entryNames.length)] ?? '';
-      bench.ask(entry, service, `request ${at}`);
-    });
-  }
-  bench.time.advance(length);
-}
-
 /** The most requests that reach an upstream from one entry within a pause that it has asked that entry for. */
 function mostWithinPause(bench: crashBench.CrashBench, upstream: string): number {
   const asked = bench.answers.filter(({ head, upstream: from }) => from === upstream && head.notRun);
@@ -68,9 +49,9 @@
 for (const service of ['app', 'llm'] as const) {
   void test.test(`an upstream that asks for a pause is left alone for so long (${service})`, () => {
     const bench = new crashBench.CrashBench(7, { llm: 4, app: 4 }, () => 'served');
-    drive(bench, service, 24, 4_000);
+    bench.drive(service, 24, 4_000);
     bench.headOf = (upstream) => (upstream === `${service}-1` ? turnedAway : relayBench.soundHead);
-    drive(bench, service, 24, 12_000);
+    bench.drive(service, 24, 12_000);
     const most = mostWithinPause(bench, `${service}-1`);
     assert.ok(most <= MOST_WITHIN_PAUSE, `${most} requests within a pause`);
   });
@@ -80,7 +61,7 @@
 void test.test('an upstream that says in an answer that it leaves gets nothing more', () => {
   const bench = new crashBench.CrashBench(7, { llm: 1, app: 4 }, () => 'served');
   bench.headOf = (upstream) => (upstream === 'app-1' ? leaving : relayBench.soundHead);
-  drive(bench, 'app', 24, 12_000);
+  bench.drive('app', 24, 12_000);
   const toldAt = new Map<string, ports.Milliseconds>();
   for (const { entry, upstream, at } of bench.answers) {
     if (upstream === 'app-1' && !toldAt.has(entry)) {
--- a/packages/kumquatfront/src/backPressure/rateLimitedUpstream.spec.ts
+++ b/packages/kumquatfront/src/backPressure/rateLimitedUpstream.spec.ts
@@ -9,7 +9,6 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
-import * as seededRandom from '../adapters/seededRandom.js';
 import type * as ports from '../kernel/ports.js';
 import * as crashBench from '../quarantine/crashBench.js';
 import * as relayBench from '../relay/relayBench.js';
@@ -28,24 +27,6 @@
   return { ...relayBench.soundHead, signals: { rateLimit, leaving: false, unreadable: [] } };
 }
 
-/** Asks at random entries, at a steady rate. */
-function drive(
-  bench: crashBench.CrashBench,
-  service: crashBench.ServiceName,
-  perSecond: number,
-  length: ports.Milliseconds,
-): void {
-  const random = seededRandom.create(11);
-  const { entryNames } = bench;
-  for (let at = 0; at < length; at += 1_000 / perSecond) {
-    bench.time.after(at, () => {
-      const entry = entryNames[Math.floor(random.next() * entryNames.length)] ?? '';
-      bench.ask(entry, service, `request ${at}`);
-    });
-  }
-  bench.time.advance(length);
-}
-
 /** The most arrivals of these in any window. */
 function mostInWindow(arrivals: readonly crashBench.Arrival[]): number {
   const times = arrivals.map(({ at }) => at);
@@ -85,9 +66,9 @@
       [`${service}-1`, 1.9],
       [`${service}-2`, 1.4],
     ]);
-    drive(bench, service, 24, 4_000);
+    bench.drive(service, 24, 4_000);
     bench.headOf = (upstream) => naming(limits.get(upstream) ?? 1_000);
-    drive(bench, service, 24, 16_000);
+    bench.drive(service, 24, 16_000);
     for (const [upstream, limit] of limits) {
       const most = mostArrivals(bench, upstream);
       assert.ok(
@@ -102,10 +83,10 @@
 // get one request from each of them first, twenty times what it takes.
 void test.test('many entries keep to a limit that a few of them have heard', () => {
   const bench = new crashBench.CrashBench(75, { llm: 1, app: 4 }, () => 'served');
-  drive(bench, 'app', 100, 3_000);
+  bench.drive('app', 100, 3_000);
   bench.headOf = (upstream) => naming(upstream === 'app-1' ? 2 : 1_000);
   const namedAt = bench.time.now();
-  drive(bench, 'app', 100, 12_000);
+  bench.drive('app', 100, 12_000);
   const later = bench.arrivals.filter(
     ({ upstream, at }) => upstream === 'app-1' && at >= namedAt + KEPT_AFTER,
   );
@@ -116,11 +97,11 @@
 void test.test('once an upstream names no limit any more, all entries send to it again', () => {
   const bench = new crashBench.CrashBench(7, { llm: 1, app: 2 }, () => 'served');
   bench.headOf = (upstream) => naming(upstream === 'app-1' ? 1 : 1_000);
-  drive(bench, 'app', 24, 8_000);
+  bench.drive('app', 24, 8_000);
   bench.headOf = () => ({ ...relayBench.soundHead, signals: { leaving: false, unreadable: [] } });
-  drive(bench, 'app', 24, 8_000);
+  bench.drive('app', 24, 8_000);
   const liftedAt = bench.time.now();
-  drive(bench, 'app', 24, 4_000);
+  bench.drive('app', 24, 4_000);
   const after = bench.arrivals.filter(({ upstream, at }) => upstream === 'app-1' && at > liftedAt);
   assert.equal(new Set(after.map(({ entry }) => entry)).size, 7);
 });
@@ -129,7 +110,7 @@
 void test.test('callers beyond the limit of every upstream are turned away at once', () => {
   const bench = new crashBench.CrashBench(7, { llm: 1, app: 1 }, () => 'served');
   bench.headOf = () => naming(2);
-  drive(bench, 'app', 10, 10_000);
+  bench.drive('app', 10, 10_000);
   const refused = bench.attempts.filter(({ refusal }) => refusal !== undefined);
   assert.ok(refused.length > 50);
   for (const { refusal } of refused) {
--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -47,7 +47,7 @@
   readonly toleratedLosses?: number;
   /** Region of each data centre, by name; any data centre may be evacuated where absent. */
   readonly regions?: residency.Regions;
-  /** How far all that send may pass what a cold upstream bears; not at all where absent. */
+  /** How far all that send may pass what a cold upstream tolerates; not at all where absent. */
   readonly warmUpTolerance?: warmUpBounds.WarmUpTolerance;
   /** Mechanisms of placement in use; all of them where absent. */
   readonly isOn?: mechanisms.IsOn;
@@ -375,7 +375,7 @@
       claims: this.state.claimCount,
       openOrders: this.state.openOrders().length,
       evacuations: this.state.evacuations,
-      bearsDataCentreLoss: voterSpread.bearsAnyLoss(this.replica.status().members),
+      toleratesDataCentreLoss: voterSpread.toleratesAnyLoss(this.replica.status().members),
       entries: this.liveEntries(),
     };
   }
--- a/packages/kumquatfront/src/controlNode/membership.ts
+++ b/packages/kumquatfront/src/controlNode/membership.ts
@@ -26,7 +26,7 @@
   readonly log: ports.Log;
   /** False where the system has started before: a new replica may only join then. */
   readonly mayFound: boolean;
-  /** Losses that the voters must bear at once; 2 n + 1 of them are kept where there are as many. */
+  /** Losses that the voters must tolerate at once; 2 n + 1 of them are kept where there are as many. */
   readonly toleratedLosses: number;
 }
 
@@ -60,7 +60,7 @@
   private readonly options: MembershipOptions;
   private joinAskedAt = Number.NEGATIVE_INFINITY;
   private control: readonly string[];
-  private bearsDataCentreLoss = false;
+  private toleratesDataCentreLoss = false;
 
   constructor(options: MembershipOptions) {
     this.options = options;
@@ -297,10 +297,10 @@
   }
 
   private noteSpread(members: readonly consensus.Member[]): void {
-    const bears = voterSpread.bearsAnyLoss(members);
-    if (bears !== this.bearsDataCentreLoss) {
-      this.bearsDataCentreLoss = bears;
-      this.options.log.info('voterSpread', { bearsDataCentreLoss: bears });
+    const tolerates = voterSpread.toleratesAnyLoss(members);
+    if (tolerates !== this.toleratesDataCentreLoss) {
+      this.toleratesDataCentreLoss = tolerates;
+      this.options.log.info('voterSpread', { toleratesDataCentreLoss: tolerates });
     }
   }
 
@@ -315,7 +315,7 @@
   /**
    * Removes a member that is silent, one at a time. A voter that is gone for good still raises the quorum:
    * with four voters, one gone, the next loss would stop every change. It goes only where the voters that are
-   * alive bear the tolerated losses without it, so removing one that is merely slow costs nothing.
+   * alive survive the tolerated losses without it, so removing one that is merely slow costs nothing.
    */
   private removeSilent(members: readonly consensus.Member[]): void {
     const { replica: own, log } = this.options;
--- a/packages/kumquatfront/src/controlNode/methods.ts
+++ b/packages/kumquatfront/src/controlNode/methods.ts
@@ -91,7 +91,7 @@
   readonly claims: number;
   readonly openOrders: number;
   /** True where the voters outside any one data centre are a majority. */
-  readonly bearsDataCentreLoss: boolean;
+  readonly toleratesDataCentreLoss: boolean;
   /** Data centres whose upstreams get nothing new. */
   readonly evacuations: agreedState.Evacuations;
   /** Entries seen by this replica, with the version each has in force. */
--- a/packages/kumquatfront/src/controlNode/voterSpread.ts
+++ b/packages/kumquatfront/src/controlNode/voterSpread.ts
@@ -24,10 +24,10 @@
  * @returns false too where all voters are in one data centre
  * @example
  * ```ts
- * voterSpread.bearsAnyLoss(replica.status().members);
+ * voterSpread.toleratesAnyLoss(replica.status().members);
  * ```
  */
-export function bearsAnyLoss(members: readonly consensus.Member[]): boolean {
+export function toleratesAnyLoss(members: readonly consensus.Member[]): boolean {
   const voters = votersOf(members);
   const largest = Math.max(0, ...countByDataCentre(voters).values());
   return voters.length - largest > voters.length / 2;
@@ -54,7 +54,7 @@
 }
 
 /**
- * Finds a learner to make a voter, where that does no harm: of voters that bear the loss of any data centre one more in
+ * Finds a learner to make a voter, where that does no harm: of voters that tolerate the loss of any data centre one more in
  * the wrong place may make a set that does not. Members change one at a time, so a set on the way may be such one, if
  * the learners that are ready now end it.
  *
@@ -72,18 +72,18 @@
   ready: readonly consensus.Member[],
   isShort: boolean,
 ): consensus.Member | undefined {
-  const bearsAfter = (learners: readonly consensus.Member[]): boolean =>
-    bearsAnyLoss(withRole(members, learners, 'voter'));
-  const best = ready.find((learner) => bearsAfter([learner])) ?? ready[0];
+  const toleratesAfter = (learners: readonly consensus.Member[]): boolean =>
+    toleratesAnyLoss(withRole(members, learners, 'voter'));
+  const best = ready.find((learner) => toleratesAfter([learner])) ?? ready[0];
   if (best === undefined) {
     return undefined;
   }
-  const isHarmless = !bearsAnyLoss(members) || bearsAfter([best]) || bearsAfter(ready);
+  const isHarmless = !toleratesAnyLoss(members) || toleratesAfter([best]) || toleratesAfter(ready);
   return isShort || isHarmless ? best : undefined;
 }
 
 /**
- * Finds a voter to make a learner, so that the others bear the loss of any data centre, where they do not now.
+ * Finds a voter to make a learner, so that the others tolerate the loss of any data centre, where they do not now.
  *
  * Failure: a repair has put another replica into a data centre that held two already. With the replica that was missed
  * back in its own, three of six voters are in one place; its loss stops every change although enough others run.
@@ -103,9 +103,9 @@
   spared: string,
 ): consensus.Member | undefined {
   const voters = votersOf(members);
-  if (bearsAnyLoss(members) || voters.length <= wanted) {
+  if (toleratesAnyLoss(members) || voters.length <= wanted) {
     return undefined;
   }
   const candidates = voters.filter((voter) => voter.identity !== spared);
-  return candidates.find((voter) => bearsAnyLoss(withRole(members, [voter], 'learner')));
+  return candidates.find((voter) => toleratesAnyLoss(withRole(members, [voter], 'learner')));
 }
--- a/packages/kumquatfront/src/instances/types.ts
+++ b/packages/kumquatfront/src/instances/types.ts
@@ -20,7 +20,7 @@
   readonly dataCentre: string;
   readonly slots: number;
   readonly state: InstanceState;
-  /** How much longer the instance is cold: it bears few requests, and falls over under many. 0 where it is warm. */
+  /** How much longer the instance is cold: it tolerates few requests, and falls over under many. 0 where it is warm. */
   readonly warmUpLeft: number;
   /** Goes up with each announcement, so that a late one can be told. */
   readonly sequence: number;
--- a/packages/kumquatfront/src/placement/coordinator.spec.ts
+++ b/packages/kumquatfront/src/placement/coordinator.spec.ts
@@ -30,7 +30,7 @@
 
 // An engine comes back cold and empty beside a full one: it looks like the best place for all that waits. Sent at once
 // they would run it down; one after another they find their places within seconds.
-void test.test('a cold engine gets what it bears in any second, and the rest as it warms up', () => {
+void test.test('a cold engine gets what it tolerates in any second, and the rest as it warms up', () => {
   const bench = new coordinatorBench.CoordinatorBench(0, 40);
   bench.addEngine(coordinatorBench.WARM_UP.duration);
   bench.begin();
--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -52,7 +52,7 @@
   readonly serviceOf: (name: string) => trafficTypes.Service | undefined;
   /** True where the engines of a data centre are to get nothing new. */
   readonly isEvacuated: (dataCentre: string) => boolean;
-  /** How far all that send may pass what a cold engine bears. */
+  /** How far all that send may pass what a cold engine tolerates. */
   readonly warmUpTolerance: warmUpBounds.WarmUpTolerance;
   /** Names of the entries that this replica hears. */
   readonly entries: () => readonly string[];
@@ -199,7 +199,7 @@
           dataCentre: record.dataCentre,
           leaving: record.state === 'leaving',
           evacuated: isEvacuated(record.dataCentre),
-          ...(warmUp !== undefined && { bears: warmUpBounds.ofCoordinator(warmUp, warmUpTolerance) }),
+          ...(warmUp !== undefined && { tolerated: warmUpBounds.ofCoordinator(warmUp, warmUpTolerance) }),
           traits: { ...traits, slots: record.slots > 0 ? record.slots : traits.slots },
         });
       }
--- a/packages/kumquatfront/src/placement/coordinatorBench.ts
+++ b/packages/kumquatfront/src/placement/coordinatorBench.ts
@@ -20,7 +20,7 @@
 const ENTRY = 'e';
 const REPORT_INTERVAL = 250;
 
-/** What cold engines of the bench bear. */
+/** What cold engines of the bench tolerate. */
 export const WARM_UP: warmUpBounds.WarmUp = { requestsPerSecond: 10, duration: 5_000 };
 
 /** A coordinator over engines with memory for `fits` generations each. */
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -53,7 +53,7 @@
   /** True where its data centre is evacuated: what runs there goes on, and nothing else is placed there. */
   readonly evacuated: boolean;
   /** Generations that may be placed on it in any second; left out where it is warm. */
-  readonly bears?: number;
+  readonly tolerated?: number;
   readonly traits: trafficTypes.EngineTraits;
 }
 
@@ -291,8 +291,9 @@
     for (const engine of this.engines.values()) {
       const isClosed = engine.leaving || engine.evacuated || excluded.has(engine.identity);
       const isAllowed = residency.allows(engine.dataCentre, facts.dataCentres);
-      const bearsMore = this.sent.of(engine.identity, now) < (engine.bears ?? Number.POSITIVE_INFINITY);
-      if (engine.service !== facts.service || isClosed || !isAllowed || !bearsMore) {
+      const toleratesMore =
+        this.sent.of(engine.identity, now) < (engine.tolerated ?? Number.POSITIVE_INFINITY);
+      if (engine.service !== facts.service || isClosed || !isAllowed || !toleratesMore) {
         continue;
       }
       const load = loads.get(engine.identity) ?? EMPTY;
@@ -324,7 +325,7 @@
     return [...this.engines.values()].map((engine) => {
       const load = loads.get(engine.identity) ?? EMPTY;
       const share = Math.round((100 * memoryPeak.peakOf(load)) / engine.traits.memoryTokens);
-      return `${engine.identity}:${load.length}:${share}%${engine.leaving ? ':leaving' : ''}${engine.evacuated ? ':evacuated' : ''}${engine.bears === undefined ? '' : ':cold'}`;
+      return `${engine.identity}:${load.length}:${share}%${engine.leaving ? ':leaving' : ''}${engine.evacuated ? ':evacuated' : ''}${engine.tolerated === undefined ? '' : ':cold'}`;
     });
   }
 }
--- a/packages/kumquatfront/src/quarantine/crashBench.ts
+++ b/packages/kumquatfront/src/quarantine/crashBench.ts
@@ -3,6 +3,7 @@
  * entries, and upstreams that end under certain requests and are back seconds later as new instances, or that say in
  * their answers how much they want to be sent.
  */
+import * as seededRandom from '../adapters/seededRandom.js';
 import * as instanceBench from '../instances/instanceBench.js';
 import type * as instanceTypes from '../instances/types.js';
 import type * as ports from '../kernel/ports.js';
@@ -110,7 +111,7 @@
   },
 ];
 
-/** What cold upstreams of the bench bear; none of them says that it is cold. */
+/** What cold upstreams of the bench tolerate; none of them says that it is cold. */
 export const WARM_UP: warmUpBounds.WarmUp = { requestsPerSecond: 5, duration: 1_000 };
 
 const services: readonly trafficTypes.Service[] = [
@@ -375,6 +376,19 @@
     return attempt;
   }
 
+  /** Callers ask at random entries, at a steady rate. */
+  drive(service: ServiceName, perSecond: number, length: ports.Milliseconds): void {
+    const random = seededRandom.create(11);
+    const { entryNames } = this;
+    for (let at = 0; at < length; at += 1_000 / perSecond) {
+      this.time.after(at, () => {
+        const entry = entryNames[Math.floor(random.next() * entryNames.length)] ?? '';
+        this.ask(entry, service, `request ${at}`);
+      });
+    }
+    this.time.advance(length);
+  }
+
   private request(service: ServiceName, content: string, account: string): relayTypes.TrafficRequest {
     const generation = { promptTokens: 900, outputLimit: 44, lengthHint: 2, prompt: content };
     return {
--- a/packages/kumquatfront/src/traffic/types.ts
+++ b/packages/kumquatfront/src/traffic/types.ts
@@ -61,7 +61,7 @@
 export interface Service {
   readonly name: string;
   readonly maximumConnections: number;
-  /** Present where cold upstreams bear fewer requests than warm ones. */
+  /** Present where cold upstreams tolerate fewer requests than warm ones. */
   readonly warmUp?: warmUpBounds.WarmUp;
   /** Present where the upstreams are engines that generate. */
   readonly engine?: EngineTraits;
--- a/packages/kumquatfront/src/trafficControl/dataCentreLoss.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/dataCentreLoss.spec.ts
@@ -25,7 +25,7 @@
   assert.equal(bench.replace(left, 9), true);
 }
 
-void test.test('two replicas in each of three data centres bear the loss of any of them', () => {
+void test.test('two replicas in each of three data centres tolerate the loss of any of them', () => {
   for (const lost of ['a', 'b', 'c']) {
     const seeds = ['a/1', 'a/2', 'b/1', 'b/2', 'c/1', 'c/2'];
     const bench = founded(seeds, 2);
@@ -56,7 +56,7 @@
   },
 );
 
-// Three voters bear the loss of one data centre, four of which two are in one place do not: the fourth is kept as a
+// Three voters tolerate the loss of one data centre, four of which two are in one place do not: the fourth is kept as a
 // learner, which has everything and takes over for a voter that is lost.
 void test.test('a replica that would spoil the spread stays a learner, and replaces a lost voter', () => {
   const bench = founded(['a/1', 'b/1', 'c/1'], 1);
--- a/packages/kumquatfront/src/trafficControl/fiveReplicas.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/fiveReplicas.spec.ts
@@ -108,7 +108,7 @@
   assertInForce(system, 9);
 });
 
-// Two losses are to be borne, which takes five voters; only three seeds are told to anyone. Two replicas are still about
+// Two losses are to be tolerated, which takes five voters; only three seeds are told to anyone. Two replicas are still about
 // to join when an operator sends a change. Acknowledged on two of three disks, it would be gone with them.
 void test.test('no change is taken while replicas that the tolerated losses need are still joining', () => {
   const bench = new controlBench.ControlBench(['c1', 'c2', 'c3'], 2);
--- a/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
@@ -94,7 +94,7 @@
 });
 
 // A VM is gone for good and an empty one comes at another address, which no setting names. It takes the lost one's
-// place without an operator, and the next loss is borne.
+// place without an operator, and the next loss is tolerated.
 void test.test('a VM at another address takes the place of one that is gone for good', () => {
   const bench = founded();
   bench.replace('c1', 7);
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -40,7 +40,7 @@
   readonly decode: trafficTypes.DecodeTraffic;
   /** Region of each data centre, by name; empty where the settings name none. */
   readonly regions: residency.Regions;
-  /** How far all that send may pass what a cold upstream bears. */
+  /** How far all that send may pass what a cold upstream tolerates. */
   readonly warmUpTolerance: warmUpBounds.WarmUpTolerance;
   /** Voters that must stand before the first change is taken. */
   readonly leastVoters: number;
--- a/packages/kumquatfront/src/trafficEntry/evacuatedDataCentre.spec.ts
+++ b/packages/kumquatfront/src/trafficEntry/evacuatedDataCentre.spec.ts
@@ -92,7 +92,7 @@
 
 // The data centre is restored while all upstreams are busy: its own have nothing to do, and whoever waits would be sent
 // there at once. They may have become cold meanwhile, and fall over.
-void test.test('restored upstreams get what cold ones bear, until they can have warmed up', () => {
+void test.test('restored upstreams get what cold ones tolerate, until they can have warmed up', () => {
   const bench = start();
   assert.equal(bench.control.order('c2', 'evacuate', 'a'), true);
   load(bench, 2_000, 4);
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -40,7 +40,7 @@
   /** Region of each data centre, by name. */
   readonly regions: residency.Regions;
   readonly retries: retryAllowance.AllowanceSettings;
-  /** How far all that send may pass what a cold upstream bears. */
+  /** How far all that send may pass what a cold upstream tolerates. */
   readonly warmUpTolerance: warmUpBounds.WarmUpTolerance;
 }
 
--- a/packages/kumquatfront/src/warmUp/entryShare.ts
+++ b/packages/kumquatfront/src/warmUp/entryShare.ts
@@ -2,7 +2,7 @@
  * One entry's share of what all entries together may send to an upstream in any span of some length.
  *
  * With seventy entries before an upstream that takes thirty requests a second the share of each is less than one.
- * Rounded down nobody would ever send, rounded up all of them together twice as much as it bears. So each entry draws
+ * Rounded down nobody would ever send, rounded up all of them together twice as much as it tolerates. So each entry draws
  * whether the broken part of its share is one request for it, by its own name and the upstream's identity: the same
  * entries have one in every second, so that no window holds the draws of two, and others have one at the next upstream.
  */
--- a/packages/kumquatfront/src/warmUp/warmUp.spec.ts
+++ b/packages/kumquatfront/src/warmUp/warmUp.spec.ts
@@ -63,7 +63,7 @@
   );
 });
 
-// Seventy-five entries before an upstream that bears 31 a second: each share is a third of a request.
+// Seventy-five entries before an upstream that tolerates 31 a second: each share is a third of a request.
 void test.test('entries whose shares are less than one neither run an upstream down nor starve it', () => {
   const warmUp = { requestsPerSecond: 31, duration: 1_000 };
   const tolerance = { overshoot: 1.5, tolerance: 5 };
--- a/packages/kumquatfront/src/warmUp/warmUpBounds.ts
+++ b/packages/kumquatfront/src/warmUp/warmUpBounds.ts
@@ -1,5 +1,5 @@
 /**
- * What an upstream bears while it is cold, and how the bound is divided among all that send to it.
+ * What an upstream tolerates while it is cold, and how the bound is divided among all that send to it.
  *
  * Failure: upstreams come back cold, look idle, and get everything that waits at once. Each of them then falls over
  * again, and the next ones get its share too. The bound holds over all entries and coordinators, which cannot ask each
@@ -13,20 +13,20 @@
 
 /** What a service says of its cold upstreams. */
 export interface WarmUp {
-  /** Requests a second that a cold upstream bears; above 0. */
+  /** Requests a second that a cold upstream tolerates; above 0. */
   readonly requestsPerSecond: number;
   /** Milliseconds for which an upstream is cold after its start. */
   readonly duration: number;
 }
 
-/** How far all that send together may pass what a cold upstream bears: in any second, rate x overshoot + tolerance. */
+/** How far all that send together may pass what a cold upstream tolerates: in any second, rate x overshoot + tolerance. */
 export interface WarmUpTolerance {
   readonly overshoot: number;
   /** Requests. */
   readonly tolerance: number;
 }
 
-/** Where nothing is said an upstream gets what it bears, and no more. */
+/** Where nothing is said an upstream gets what it tolerates, and no more. */
 export const strictTolerance: WarmUpTolerance = { overshoot: 1, tolerance: 0 };
 
 /** Who places requests for a service: a coordinator, beside entries that place alone where none answers, or entries. */
--- a/packages/scenarios/src/scripts/dataCentreSafeguards.ts
+++ b/packages/scenarios/src/scripts/dataCentreSafeguards.ts
@@ -76,9 +76,9 @@
     scenario: 'spec:trafficEntry/evacuatedDataCentre',
   },
   {
-    name: 'the coordinator places on a cold engine what it bears',
+    name: 'the coordinator places on a cold engine what it tolerates',
     file: 'placement/enginePool.js',
-    find: ' || !bearsMore',
+    find: ' || !toleratesMore',
     replace: '',
     scenario: 'spec:placement/coordinator',
   },
@@ -99,7 +99,7 @@
   {
     name: 'a voter too many in one data centre steps back',
     file: 'controlNode/voterSpread.js',
-    find: 'if (bearsAnyLoss(members) || voters.length <= wanted) {',
+    find: 'if (toleratesAnyLoss(members) || voters.length <= wanted) {',
     replace: 'if (true) {',
     scenario: 'spec:trafficControl/dataCentreLoss',
   },
--- a/packages/scenarios/src/scripts/soakRun.ts
+++ b/packages/scenarios/src/scripts/soakRun.ts
@@ -78,7 +78,7 @@
 
   /**
    * True while every running replica votes under its present identity: a second disk may be lost right after
-   * a repair, but not before it, since two lost disks of three are more than any quorum can bear.
+   * a repair, but not before it, since two lost disks of three are more than any quorum can tolerate.
    */
   private mayLoseDisk(name: string): boolean {
     const { world } = this.current;
--- a/packages/soak/src/clients.ts
+++ b/packages/soak/src/clients.ts
@@ -111,8 +111,8 @@
   }
 }
 
-/** Requests a second that a cold runner bears. */
-export const COLD_BEARS = 2;
+/** Requests a second that a cold runner tolerates. */
+export const COLD_TOLERATES = 2;
 
 /** The configuration of a soak, at a version. */
 export function configurationText(version: number): string {
@@ -139,7 +139,7 @@
     backups: false,
     stride: 4,
   };
-  const cold = { cold_start_s: 1, cold_per_s: COLD_BEARS };
+  const cold = { cold_start_s: 1, cold_per_s: COLD_TOLERATES };
   return JSON.stringify({
     version,
     routes: [
--- a/packages/soak/src/evacuation.ts
+++ b/packages/soak/src/evacuation.ts
@@ -71,7 +71,7 @@
       book.faults.push('nothing reached runners of a restored data centre');
     }
     await pause.of(COLD_MS);
-    for (const runner of this.there.filter((candidate) => candidate.mostWhileCold > clients.COLD_BEARS)) {
+    for (const runner of this.there.filter((candidate) => candidate.mostWhileCold > clients.COLD_TOLERATES)) {
       book.faults.push(`${runner.identity} was cold and got ${runner.mostWhileCold} requests in a second`);
     }
   }
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -165,7 +165,7 @@
 
   private losingDisk = false;
 
-  /** One disk at a time: that is what three replicas bear. */
+  /** One disk at a time: that is what three replicas tolerate. */
   private async loseDisk(): Promise<void> {
     if (this.losingDisk) {
       return;
