Every pause is logged, and a limit that wavers is logged once

What on-call saw: an upstream that is still overloaded turns the first request after a pause away again, and the new pause was not in the log, since the former one is let go within a second only; a limit that differs by a little with every answer wrote a line for each. Only log lines change; what is sent is the same. The type of a heard limit is named after what it is.

--- a/packages/kumquatfront/src/backPressure/signalBook.spec.ts
+++ b/packages/kumquatfront/src/backPressure/signalBook.spec.ts
@@ -1,5 +1,5 @@
 /**
- * Which of several words of an upstream counts: answers overtake each other, and other entries hear, too.
+ * Which of several signals of an upstream counts: answers overtake each other, and other entries hear, too.
  */
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
@@ -26,12 +26,12 @@
   time: virtualTime.VirtualTime;
   events: string[];
   tellings: (number | undefined)[];
-  others: { told: types.RateLimitWord | undefined };
+  others: { told: types.KnownRateLimit | undefined };
 } {
   const time = new virtualTime.VirtualTime();
   const events: string[] = [];
   const tellings: (number | undefined)[] = [];
-  const others: { told: types.RateLimitWord | undefined } = { told: undefined };
+  const others: { told: types.KnownRateLimit | undefined } = { told: undefined };
   const nothing = (): void => undefined;
   const write = (event: string): number => events.push(event);
   const log: ports.Log = { debug: nothing, info: write, warn: write, error: write };
@@ -58,7 +58,7 @@
   assert.deepEqual(events, ['upstreamRateLimited', 'upstreamRateLimitLifted']);
 });
 
-void test.test('of what was heard here and elsewhere the newer word counts', () => {
+void test.test('of what was heard here and elsewhere the newer signal counts', () => {
   const { book, time, others } = createBook();
   time.advance(1_000);
   others.told = { perSecond: 3, heardAt: 500 };
@@ -89,6 +89,30 @@
   assert.deepEqual(tellings, [2, 1, undefined]);
 });
 
+// The first request after a pause is turned away again, within the second in which the former pause is let go.
+void test.test('each pause is logged, also one that follows another at once', () => {
+  const { book, time, events } = createBook();
+  time.advance(100);
+  book.take(instance, { ...quiet, pause: 2_000 }, 0);
+  time.advance(1_000);
+  book.take(instance, { ...quiet, pause: 500 }, 1_000);
+  time.advance(1_100);
+  book.take(instance, { ...quiet, pause: 2_000 }, 2_150);
+  assert.deepEqual(
+    events.filter((event) => event === 'upstreamPaused'),
+    ['upstreamPaused', 'upstreamPaused'],
+  );
+  assert.equal(book.pausedUntil('a'), 4_200);
+});
+
+void test.test('a limit that wavers is logged once', () => {
+  const { book, events } = createBook();
+  for (const perSecond of [2, 1.95, 2.05, 1.9]) {
+    book.take(instance, naming(perSecond), 0);
+  }
+  assert.deepEqual(events, ['upstreamRateLimited']);
+});
+
 void test.test('nobody is told of an upstream that never named a limit', () => {
   const { book, tellings, events } = createBook();
   book.take(instance, quiet, 0);
--- a/packages/kumquatfront/src/backPressure/signalBook.ts
+++ b/packages/kumquatfront/src/backPressure/signalBook.ts
@@ -22,10 +22,10 @@
 const MOST_UNREADABLE = 1_000;
 
 /**
- * Others are told of a limit only where it differs from what they were told last by more than this share: upstreams may
- * name another one with every answer.
+ * Limits that differ by less than this share are alike: an upstream may name another one with every answer, which is no
+ * reason to log or to tell others of each.
  */
-const TOLD_DIFFERENCE = 0.1;
+const ALIKE_WITHIN = 0.1;
 
 /** Shortest time between two tellings of one upstream's limit. */
 const TELL_PAUSE: ports.Milliseconds = 2_000;
@@ -38,7 +38,7 @@
   /** Takes in that an upstream leaves; true where that is news. */
   readonly noteNotice: (identity: string) => boolean;
   /** What other entries have heard of an upstream's limit, as control tells it. */
-  readonly toldOf: (identity: string) => types.RateLimitWord | undefined;
+  readonly toldOf: (identity: string) => types.KnownRateLimit | undefined;
   /** Tells the other entries of an upstream's limit; undefined where there is none any more. */
   readonly tell: (identity: string, perSecond: number | undefined) => void;
 }
@@ -47,14 +47,14 @@
   if (one === undefined || other === undefined) {
     return one === other;
   }
-  return Math.abs(one - other) <= TOLD_DIFFERENCE * Math.max(one, other);
+  return Math.abs(one - other) <= ALIKE_WITHIN * Math.max(one, other);
 }
 
 /** The book; see the module comment. */
 export class SignalBook {
   private readonly options: SignalBookOptions;
   private readonly pauses = new Map<string, ports.Milliseconds>();
-  private readonly rateLimits = new Map<string, types.RateLimitWord>();
+  private readonly rateLimits = new Map<string, types.KnownRateLimit>();
   private readonly toldAt = new Map<string, ports.Milliseconds>();
   private readonly unreadable = new Set<string>();
   private readonly goneSince = new Map<string, ports.Milliseconds>();
@@ -102,11 +102,11 @@
 
   /** Requests a second that an upstream takes from all senders; undefined where it names no limit. */
   rateLimitOf(identity: string): number | undefined {
-    return this.newestWord(identity)?.perSecond;
+    return this.latestRateLimit(identity)?.perSecond;
   }
 
   /** The newest of what this entry and the others have heard. */
-  private newestWord(identity: string): types.RateLimitWord | undefined {
+  private latestRateLimit(identity: string): types.KnownRateLimit | undefined {
     const heard = this.rateLimits.get(identity);
     const told = this.options.toldOf(identity);
     const isToldNewer = told !== undefined && (heard === undefined || told.heardAt > heard.heardAt);
@@ -134,10 +134,11 @@
 
   private takePause(instance: instanceView.Instance, pause: ports.Milliseconds): void {
     const { identity } = instance;
-    const known = this.pauses.get(identity);
+    const now = this.options.timers.now();
+    const until = this.pausedUntil(identity);
     const length = Math.min(pause, LONGEST_PAUSE);
-    this.pauses.set(identity, Math.max(known ?? 0, this.options.timers.now() + length));
-    if (known === undefined) {
+    this.pauses.set(identity, Math.max(until, now + length));
+    if (until <= now) {
       this.write(instance, 'upstreamPaused', { for: Math.round(length), asked: Math.round(pause) });
     }
   }
@@ -145,14 +146,14 @@
   private takeRateLimit(instance: instanceView.Instance, perSecond: number): void {
     const before = this.rateLimitOf(instance.identity);
     this.rateLimits.set(instance.identity, { perSecond, heardAt: this.options.timers.now() });
-    if (perSecond !== before) {
+    if (!isAlike(perSecond, before)) {
       this.write(instance, 'upstreamRateLimited', { perSecond, before });
     }
   }
 
   /** Only the answer to a request that was sent after the limit was named last says for certain that it is over. */
   private takeNoRateLimit(instance: instanceView.Instance, sentAt: ports.Milliseconds): void {
-    const known = this.newestWord(instance.identity);
+    const known = this.latestRateLimit(instance.identity);
     if (known?.perSecond !== undefined && sentAt >= known.heardAt) {
       this.rateLimits.set(instance.identity, { perSecond: undefined, heardAt: this.options.timers.now() });
       this.write(instance, 'upstreamRateLimitLifted', { before: known.perSecond });
--- a/packages/kumquatfront/src/backPressure/types.ts
+++ b/packages/kumquatfront/src/backPressure/types.ts
@@ -20,8 +20,8 @@
   readonly unreadable: readonly UnreadableSignal[];
 }
 
-/** What an upstream was heard to say of its rate limit. */
-export interface RateLimitWord {
+/** A rate limit, and when an upstream was heard to name it. */
+export interface KnownRateLimit {
   /** Requests a second from all senders together; undefined where it named a limit before and does not any more. */
   readonly perSecond: number | undefined;
   readonly heardAt: ports.Milliseconds;
--- a/packages/kumquatfront/src/instances/instanceTable.ts
+++ b/packages/kumquatfront/src/instances/instanceTable.ts
@@ -38,7 +38,7 @@
   /** End of its warm-up; in the past where it is warm. */
   coldUntil: number;
   /** What entries have heard of its rate limit. */
-  rateLimit?: backPressureTypes.RateLimitWord;
+  rateLimit?: backPressureTypes.KnownRateLimit;
   revision: number;
 }
 
@@ -74,7 +74,7 @@
     return this.revision;
   }
 
-  /** Revision at which an instance gave notice last, became cold, or was heard to name another rate limit. */
+  /** Revision at which an instance gave notice last, became cold, or was heard to name a rate limit or none any more. */
   get noticeRevision(): number {
     return this.lastNotice;
   }
--- a/packages/kumquatfront/src/instances/instanceView.ts
+++ b/packages/kumquatfront/src/instances/instanceView.ts
@@ -41,7 +41,7 @@
   /** Entry's time at which its warm-up ends; in the past where it is warm. */
   readonly coldUntil: number;
   /** Its rate limit as other entries have heard it; undefined where none of them has. */
-  readonly rateLimit?: backPressureTypes.RateLimitWord;
+  readonly rateLimit?: backPressureTypes.KnownRateLimit;
 }
 
 /** One change that an entry takes in. */
@@ -79,10 +79,10 @@
 
 /** The newer of a rate limit that is known and one that a record tells. */
 function newestRateLimit(
-  known: backPressureTypes.RateLimitWord | undefined,
+  known: backPressureTypes.KnownRateLimit | undefined,
   { rateLimit: told }: types.InstanceRecord,
   now: number,
-): backPressureTypes.RateLimitWord | undefined {
+): backPressureTypes.KnownRateLimit | undefined {
   const heardAt = told === undefined ? Number.NEGATIVE_INFINITY : now - told.age;
   return known !== undefined && known.heardAt >= heardAt
     ? known
