--- a/packages/scenarios/src/world/world.ts
+++ b/packages/scenarios/src/world/world.ts
@@ -9,6 +9,7 @@
 import * as memoryDisk from './memoryDisk.js';
 import * as network from './network.js';
 import * as virtualCaller from './virtualCaller.js';
+import * as virtualOrders from './virtualOrders.js';
 import * as virtualUpstreams from './virtualUpstreams.js';
 
 /** How a world is made. */
@@ -154,39 +155,15 @@
   }
 
   private ordersOf(own: host.Host): kumquatfront.orderTypes.OrderPort {
-    return {
-      give: (order, _address, timeout, done) => {
-        const engine = this.engines.get(order.upstream);
-        const life = own.currentLife;
-        let open = true;
-        const finish = (result: Parameters<typeof done>[0]): void => {
-          own.enter(life, () => {
-            if (open) {
-              open = false;
-              done(result);
-            }
-          });
-        };
-        this.time.after(timeout, () => {
-          finish(
-            kumquatfront.results.Err(
-              kumquatfront.failures.create('timeout', 'No answer.', 'It is tried again.'),
-            ),
-          );
-        });
-        this.net.deliver(own.name, order.upstream, () => {
-          if (order.order.action !== 'changeRole' && !this.weightStore.load()) {
-            this.record(`the weight store refuses a load for ${order.upstream}`);
-          }
-          const taken = engine?.orders.take(order.fencingNumber, order.order.target) === true;
-          const verb = taken ? 'takes' : 'refuses';
-          this.record(`${order.upstream} ${verb} order ${order.orderId} of ${own.name}`);
-          this.net.deliver(order.upstream, own.name, () => {
-            finish(kumquatfront.results.Ok(engine?.orders.receipt() ?? { fencingNumber: 0, target: '' }));
-          });
-        });
+    return virtualOrders.create(own, {
+      time: this.time,
+      network: this.net,
+      engineOf: (name) => this.engines.get(name),
+      weightStore: this.weightStore,
+      record: (text) => {
+        this.record(text);
       },
-    };
+    });
   }
 
   private addEntry(name: string): void {
