Safeguards: the shape of an entry has a module of its own, so that no list imports the list of lists

Each list of safeguards took its type from the module that imports all lists: a circle of seven files.

--- a/packages/scenarios/src/scripts/backPressureSafeguards.ts
+++ b/packages/scenarios/src/scripts/backPressureSafeguards.ts
@@ -1,10 +1,10 @@
 /**
  * Safeguards of upstreams that tell their senders to send less.
  */
-import type * as safeguards from './safeguards.js';
+import type * as types from './types.js';
 
 /** Each with what must fail without it. */
-export const backPressureSafeguards: readonly safeguards.Safeguard[] = [
+export const backPressureSafeguards: readonly types.Safeguard[] = [
   {
     name: 'an upstream is sent no more than its rate limit',
     file: 'backPressure/sendRules.js',
--- a/packages/scenarios/src/scripts/controlSafeguards.ts
+++ b/packages/scenarios/src/scripts/controlSafeguards.ts
@@ -1,14 +1,14 @@
 /**
  * Safeguards of control: the log, the agreed state, claims and orders.
  */
-import type * as safeguards from './safeguards.js';
+import type * as types from './types.js';
 
 const CLAIMS = 'agreedState/claimTable.js';
 const STATE = 'agreedState/agreedState.js';
 const ELECTION = 'consensus/election.js';
 
 /** Each with what must fail without it. */
-export const controlSafeguards: readonly safeguards.Safeguard[] = [
+export const controlSafeguards: readonly types.Safeguard[] = [
   {
     name: 'a claim is granted once',
     file: CLAIMS,
--- a/packages/scenarios/src/scripts/dataCentreSafeguards.ts
+++ b/packages/scenarios/src/scripts/dataCentreSafeguards.ts
@@ -1,10 +1,10 @@
 /**
  * Safeguards of evacuated data centres, cold upstreams and homes.
  */
-import type * as safeguards from './safeguards.js';
+import type * as types from './types.js';
 
 /** Each with what must fail without it. */
-export const dataCentreSafeguards: readonly safeguards.Safeguard[] = [
+export const dataCentreSafeguards: readonly types.Safeguard[] = [
   {
     name: 'an evacuation is part of snapshots',
     file: 'agreedState/agreedState.js',
--- a/packages/scenarios/src/scripts/prove.ts
+++ b/packages/scenarios/src/scripts/prove.ts
@@ -6,6 +6,7 @@
 import * as fs from 'node:fs';
 
 import * as safeguards from './safeguards.js';
+import type * as types from './types.js';
 
 const LIBRARY = new URL('../../../kumquatfront/dist/', import.meta.url).pathname;
 const RUNNER = new URL('./runScenario.js', import.meta.url).pathname;
@@ -40,7 +41,7 @@
   return { red: result.status !== 0, detail: failed?.trim() ?? '' };
 }
 
-function prove(safeguard: safeguards.Safeguard): Verdict {
+function prove(safeguard: types.Safeguard): Verdict {
   const file = LIBRARY + safeguard.file;
   const original = fs.readFileSync(file, 'utf8');
   if (original.split(safeguard.find).length !== 2) {
--- a/packages/scenarios/src/scripts/quarantineSafeguards.ts
+++ b/packages/scenarios/src/scripts/quarantineSafeguards.ts
@@ -1,7 +1,7 @@
 /**
  * Safeguards that keep requests which end upstreams away from them.
  */
-import type * as safeguards from './safeguards.js';
+import type * as types from './types.js';
 
 const SYSTEM = 'spec:quarantine/quarantine';
 const REPEATED = 'spec:quarantine/repeatedCrashes';
@@ -10,7 +10,7 @@
 const DIGEST = 'spec:quarantine/contentDigest';
 
 /** Each with the spec or scenario that must fail without it. */
-export const quarantineSafeguards: readonly safeguards.Safeguard[] = [
+export const quarantineSafeguards: readonly types.Safeguard[] = [
   {
     name: 'nothing quarantined passes the gate of an entry',
     file: 'quarantine/crashLedger.js',
--- a/packages/scenarios/src/scripts/relaySafeguards.ts
+++ b/packages/scenarios/src/scripts/relaySafeguards.ts
@@ -1,7 +1,7 @@
 /**
  * Safeguards of relayed requests, instances, placement and whole configurations.
  */
-import type * as safeguards from './safeguards.js';
+import type * as types from './types.js';
 
 const RELAY = 'spec:relay/streamExchange';
 const PLAIN = 'spec:relay/plainExchange';
@@ -12,7 +12,7 @@
 const LATENESS = 'spec:placement/lateness';
 
 /** Each with the spec that must fail without it. */
-export const relaySafeguards: readonly safeguards.Safeguard[] = [
+export const relaySafeguards: readonly types.Safeguard[] = [
   {
     name: 'the last events of a stopped source are awaited',
     file: 'relay/streamMove.js',
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -8,20 +8,10 @@
 import * as quarantineSafeguards from './quarantineSafeguards.js';
 import * as relaySafeguards from './relaySafeguards.js';
 import * as servingSafeguards from './servingSafeguards.js';
-
-/** One safeguard: replacing `find` by `replace` in a built file of the library takes it out. */
-export interface Safeguard {
-  readonly name: string;
-  /** File below the library's `dist`. */
-  readonly file: string;
-  readonly find: string;
-  readonly replace: string;
-  /** Name of a scenario, `soak:COUNT` for so many runs of random faults, or `spec:FILE`. */
-  readonly scenario: string;
-}
+import type * as types from './types.js';
 
 /** Every safeguard that `npm run prove` takes out. */
-export const safeguards: readonly Safeguard[] = [
+export const safeguards: readonly types.Safeguard[] = [
   ...servingSafeguards.servingSafeguards,
   ...controlSafeguards.controlSafeguards,
   ...relaySafeguards.relaySafeguards,
--- a/packages/scenarios/src/scripts/servingSafeguards.ts
+++ b/packages/scenarios/src/scripts/servingSafeguards.ts
@@ -1,12 +1,12 @@
 /**
  * Safeguards of serving: streams, calls, placement, the directory and the entry's configuration.
  */
-import type * as safeguards from './safeguards.js';
+import type * as types from './types.js';
 
 const RELAY = 'streams/generationRelay.js';
 
 /** Each with what must fail without it. */
-export const servingSafeguards: readonly safeguards.Safeguard[] = [
+export const servingSafeguards: readonly types.Safeguard[] = [
   {
     name: 'silence of an engine is noticed',
     file: RELAY,
