--- a/packages/kumquatfront/src/backPressure/sendRules.ts
+++ b/packages/kumquatfront/src/backPressure/sendRules.ts
@@ -1,7 +1,7 @@
 /**
  * The one place that says whether an upstream may be sent something at this moment, whatever the reason. The choice of an
  * upstream and the search for a place ask it, so that nobody goes on choosing what will not be sent; the gate before all
- * upstreams asks it again, since what was chosen a moment ago may not be sent any more.
+ * upstreams asks it again, since an upstream picked a moment ago may be held by now.
  */
 import * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
--- a/packages/kumquatfront/src/quarantine/crashBench.ts
+++ b/packages/kumquatfront/src/quarantine/crashBench.ts
@@ -10,10 +10,9 @@
 import type * as virtualTime from '../kernel/virtualTime.js';
 import * as relayBench from '../relay/relayBench.js';
 import type * as relayTypes from '../relay/types.js';
-import type * as trafficTypes from '../traffic/types.js';
 import * as controlBench from '../trafficControl/controlBench.js';
 import type * as trafficEntry from '../trafficEntry/trafficEntry.js';
-import type * as warmUpBounds from '../warmUp/warmUpBounds.js';
+import * as crashBenchTraffic from './crashBenchTraffic.js';
 
 /** What a request does to the upstream that runs it. */
 export type Effect = 'served' | 'crashes';
@@ -81,50 +80,6 @@
   readonly runs: Set<Run>;
 }
 
-const routeBase = {
-  host: 'market.example',
-  timeout: 10_000,
-  objective: 1_500,
-  priority: 1,
-  maximumAttempts: 2,
-  anonymous: false,
-  resumable: true,
-  longestPause: 180,
-};
-
-const routes: readonly trafficTypes.Route[] = [
-  {
-    ...routeBase,
-    name: 'notes',
-    pathPrefix: '/notes/',
-    kind: 'stream',
-    targets: [{ service: 'llm', weight: 1 }],
-  },
-  {
-    ...routeBase,
-    name: 'stock',
-    pathPrefix: '/stock/',
-    kind: 'idempotent',
-    objective: 120,
-    timeout: 1_000,
-    targets: [{ service: 'app', weight: 1 }],
-  },
-];
-
-/** What cold upstreams of the bench tolerate; none of them says that it is cold. */
-export const WARM_UP: warmUpBounds.WarmUp = { requestsPerSecond: 5, duration: 1_000 };
-
-const services: readonly trafficTypes.Service[] = [
-  { name: 'llm', maximumConnections: 200, warmUp: WARM_UP, engine: relayBench.engineTraits },
-  { name: 'app', maximumConnections: 100, warmUp: WARM_UP },
-];
-
-/** The client accounts of the bench; the key of each is its name. */
-export const accounts: readonly trafficTypes.Account[] = ['school-1', 'school-2'].map((name) => ({
-  name,
-  keys: [name],
-}));
-
 const PATHS: Readonly<Record<ServiceName, string>> = { llm: '/notes/', app: '/stock/' };
 
 /** The control replicas of the bench. */
@@ -158,7 +113,7 @@
     seed = 3,
     private readonly dataCentres: readonly string[] = ['a'],
   ) {
-    this.control = new controlBench.ControlBench(REPLICAS, 1, { routes, services, accounts }, seed);
+    this.control = new controlBench.ControlBench(REPLICAS, 1, crashBenchTraffic, seed);
     this.time = this.control.time;
     this.time.advance(6_000);
     this.control.replace('c1', 1);
@@ -393,7 +348,7 @@
     const generation = { promptTokens: 900, outputLimit: 44, lengthHint: 2, prompt: content };
     return {
       identity: `r${this.asked}`,
-      host: routeBase.host,
+      host: crashBenchTraffic.HOST,
       path: PATHS[service] + 'x',
       method: 'POST',
       headers: [],
--- a/packages/kumquatfront/src/trafficEntry/evacuatedDataCentre.spec.ts
+++ b/packages/kumquatfront/src/trafficEntry/evacuatedDataCentre.spec.ts
@@ -6,6 +6,7 @@
 
 import type * as ports from '../kernel/ports.js';
 import * as crashBench from '../quarantine/crashBench.js';
+import * as crashBenchTraffic from '../quarantine/crashBenchTraffic.js';
 
 const DATA_CENTRES = ['a', 'b', 'c'];
 
@@ -99,7 +100,7 @@
   const restored = bench.time.now();
   bench.control.trafficOf('c1').orderDataCentre({ type: 'restore', dataCentre: 'a' }, () => undefined);
   load(bench, 4_000, 4);
-  const { requestsPerSecond, duration } = crashBench.WARM_UP;
+  const { requestsPerSecond, duration } = crashBenchTraffic.WARM_UP;
   const upstreams = new Set(bench.arrivals.map(({ upstream }) => upstream));
   let afterwards = 0;
   for (const upstream of upstreams) {
