Retry budget: an entry without control no longer takes the whole of it

Cause: the entry's share of the slack was one divided by the number of entries that control reports, at least one. With no replica in reach the number was 0, so that each entry cut off took the whole slack (110 of 158) as its own. Ruled out: repeats after a restart alone (the spec with two kills passes without the change).

Change: one module gives the share of a windowed limit. The last known number of entries is remembered for 30 s; an entry without control keeps its share for 20 s and has none after that, so that the others, which go on dividing by the former number, cannot add to it; a new process has no share for one window, as its predecessor may have spent it. The number that a minority of the replicas reports is not used. Rate limits and warm-up limits use the same memory of the number.

--- a/packages/kumquatfront/src/placement/placementFeatures.ts
+++ b/packages/kumquatfront/src/placement/placementFeatures.ts
@@ -1,6 +1,6 @@
 /**
- * Feature flags of the placement coordinator. Control's `switchedOff` setting disables features by name, so that their
- * effect can be evaluated.
+ * Feature flags of entries and of the placement coordinator. The `switchedOff` setting of a process disables features
+ * by name, so that their effect can be evaluated.
  */
 import * as failures from '../kernel/failures.js';
 import * as results from '../kernel/results.js';
@@ -19,6 +19,16 @@
   'lateLast',
   /** Among requests of equal priority, the shortest forecast output goes first. */
   'shorterFirst',
+  /** Prefill is forecast for each engine, and capacity is kept for urgent generations. */
+  'prefillScheduling',
+  /** Capacity that is short is divided between client accounts by weight. */
+  'accountShares',
+  /** Upstreams are chosen by their own pace and their current slowdown. */
+  'upstreamPace',
+  /** Callers are directed to entries in proportion to their free capacity. */
+  'entryCapacity',
+  /** Entries lend each other unused shares of common limits. */
+  'sharedLimits',
 ] as const;
 
 /** Name of a placement feature. */
--- a/packages/kumquatfront/src/relay/serviceRetryBudget.ts
+++ b/packages/kumquatfront/src/relay/serviceRetryBudget.ts
@@ -29,16 +29,20 @@
 /** Retry budget of one entry; see the module comment. */
 export class ServiceRetryBudget {
   private readonly settings: RetryBudgetSettings;
-  private readonly slackShare: () => number;
+  private readonly slackShare: (now: ports.Milliseconds) => number;
   private readonly random: ports.Random;
   private readonly counts = new Map<string, RetryCounts>();
 
   /**
    * @param settings - limits that all entries share
-   * @param slackShare - this entry's share of `settings.slack`, from 0 to 1
+   * @param slackShare - returns this entry's share of `settings.slack`, from 0 to 1
    * @param random - source of the random rounding
    */
-  constructor(settings: RetryBudgetSettings, slackShare: () => number, random: ports.Random) {
+  constructor(
+    settings: RetryBudgetSettings,
+    slackShare: (now: ports.Milliseconds) => number,
+    random: ports.Random,
+  ) {
     this.settings = settings;
     this.random = random;
     this.slackShare = slackShare;
@@ -69,7 +73,7 @@
   take(service: string, now: number): boolean {
     const { ratio, slack } = this.settings;
     const counts = this.countsOf(service, now);
-    const allowed = BUDGET_UTILIZATION * (ratio * counts.requests.length + slack * this.slackShare());
+    const allowed = BUDGET_UTILIZATION * (ratio * counts.requests.length + slack * this.slackShare(now));
     if (counts.retries.length + counts.dither >= allowed) {
       return false;
     }
--- a/packages/kumquatfront/src/trafficControl/controlWatch.ts
+++ b/packages/kumquatfront/src/trafficControl/controlWatch.ts
@@ -152,23 +152,18 @@
   }
 
   /**
-   * This entry's share of limits that all entries divide, as a fraction; 0 while the number of entries is unknown.
-   *
-   * A recently started replica knows only some of the entries. With its count each entry would take a share that is
-   * too large.
+   * Highest entry count that a replica reports; 0 while the counts have not settled, or if no majority of the known
+   * replicas responds. A minority may know few of the entries.
    */
-  get shareOfEntries(): number {
-    const now = this.options.timers.now();
-    return now - this.firstAnswerAt < ENTRY_COUNT_SETTLING_DELAY ? 0 : 1 / Math.max(1, this.entryCount);
-  }
-
-  /** Highest entry count that a replica reports; 0 while no replica responds or the counts have not settled. */
   get entryCount(): number {
     const now = this.options.timers.now();
     if (now - this.firstAnswerAt < ENTRY_COUNT_SETTLING_DELAY) {
       return 0;
     }
     const responding = [...this.watched.values()].filter((watched) => watched.isResponding);
+    if (responding.length <= this.watched.size / 2) {
+      return 0;
+    }
     return Math.max(0, ...responding.map(({ entryCount }) => entryCount));
   }
 
--- a/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
@@ -258,12 +258,29 @@
   const entries = Array.from({ length: 8 }, (_, index) => harness.watch(`e${index}`));
   harness.time.advance(1_000);
   assert.deepEqual(
-    entries.map(({ watch }) => watch.shareOfEntries),
+    entries.map(({ watch }) => watch.entryCount),
     entries.map(() => 0),
   );
   harness.time.advance(2_000);
   assert.deepEqual(
-    entries.map(({ watch }) => watch.shareOfEntries),
-    entries.map(() => 1 / 8),
+    entries.map(({ watch }) => watch.entryCount),
+    entries.map(() => 8),
   );
 });
+
+// A replica in the minority of a partition may know few entries. An entry that used its count would take too large a
+// share of the limits that all entries divide.
+void test.test('the number of entries is unknown to an entry that reaches a minority of the replicas', () => {
+  const harness = createCluster();
+  const [first] = Array.from({ length: 8 }, (_, index) => harness.watch(`e${index}`));
+  harness.time.advance(3_000);
+  assert.equal(first?.watch.entryCount, 8);
+  for (const seed of SEEDS.slice(1)) {
+    harness.partition(seed, 'e0');
+  }
+  harness.time.advance(3_000);
+  assert.equal(first.watch.entryCount, 0);
+  harness.heal();
+  harness.time.advance(3_000);
+  assert.equal(first.watch.entryCount, 8);
+});
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -11,6 +11,7 @@
 import type * as ports from '../kernel/ports.js';
 import * as serviceRegistry from '../kernel/serviceRegistry.js';
 import * as timerService from '../kernel/timerService.js';
+import type * as placementFeatures from '../placement/placementFeatures.js';
 import * as localBalancer from '../relay/localBalancer.js';
 import * as placementClient from '../relay/placementClient.js';
 import * as serviceRetryBudget from '../relay/serviceRetryBudget.js';
@@ -19,6 +20,7 @@
 import * as crashReporter from '../quarantine/crashReporter.js';
 import * as guardedUpstreams from '../quarantine/guardedUpstreams.js';
 import * as quarantine from '../quarantine/quarantine.js';
+import * as windowedShare from '../sharedLimits/windowedShare.js';
 import type * as residency from '../traffic/residency.js';
 import * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
@@ -27,6 +29,9 @@
 import * as entryShare from '../warmUp/entryShare.js';
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 
+/** Interval at which the shares of common limits follow the number of entries. */
+const SHARE_UPDATE_INTERVAL: ports.Milliseconds = 500;
+
 /** Settings of an entry. Times are milliseconds. */
 export interface TrafficEntrySettings {
   readonly name: string;
@@ -42,6 +47,8 @@
   readonly retries: serviceRetryBudget.RetryBudgetSettings;
   /** How far the combined traffic of all senders may exceed the request limit of a cold upstream. */
   readonly warmUpTolerance: warmUpBounds.WarmUpTolerance;
+  /** Returns whether a feature is enabled; by default all are. */
+  readonly isEnabled?: placementFeatures.IsEnabled;
 }
 
 /** Ports through which an entry accesses its environment. */
@@ -155,9 +162,17 @@
       },
     });
     const { placement, quarantine: quarantineState } = this;
+    const slackShare = new windowedShare.WindowedShare(entryCount, settings.retries.window);
+    // Retries may be rare; without regular updates an entry would not notice when control was reached first and last.
+    timers.every(
+      () => SHARE_UPDATE_INTERVAL,
+      () => {
+        slackShare.at(timers.now());
+      },
+    );
     const budget = new serviceRetryBudget.ServiceRetryBudget(
       settings.retries,
-      () => this.watch.shareOfEntries,
+      (now) => slackShare.at(now),
       random,
     );
     this.relay = new trafficRelay.TrafficRelay({
--- a/packages/kumquatfront/src/warmUp/entryShare.ts
+++ b/packages/kumquatfront/src/warmUp/entryShare.ts
@@ -7,22 +7,17 @@
  * shares.
  */
 import type * as ports from '../kernel/ports.js';
+import * as entryCountHistory from '../sharedLimits/entryCountHistory.js';
 import * as rendezvousHashing from '../utils/rendezvousHashing.js';
 import * as slidingWindowCounter from './slidingWindowCounter.js';
 
-/**
- * How long a higher number of entries is used after it has decreased: entries that are temporarily cut off from control
- * still send requests.
- */
-const COUNT_RETENTION: ports.Milliseconds = 30_000;
-
 /** Range of the hash that decides the rounding. */
 const HASH_RANGE = 2 ** 32;
 
 /** Sending share of one entry; see the module comment. */
 export class EntryShare {
   private readonly sentCounter: slidingWindowCounter.SlidingWindowCounter;
-  private recentMaximum = { entries: 0, at: Number.NEGATIVE_INFINITY };
+  private readonly entryCount: entryCountHistory.EntryCountHistory;
 
   /**
    * @param entry - name of this entry
@@ -31,9 +26,10 @@
    */
   constructor(
     private readonly entry: string,
-    private readonly currentEntryCount: () => number,
+    currentEntryCount: () => number,
     window: ports.Milliseconds,
   ) {
+    this.entryCount = new entryCountHistory.EntryCountHistory(currentEntryCount);
     this.sentCounter = new slidingWindowCounter.SlidingWindowCounter(window);
   }
 
@@ -78,11 +74,6 @@
 
   /** Number of entries that share the total; 0 while unknown. */
   entryCountAt(now: ports.Milliseconds): number {
-    const entries = this.currentEntryCount();
-    const isOld = now - this.recentMaximum.at > COUNT_RETENTION;
-    if (entries > 0 && (entries >= this.recentMaximum.entries || isOld)) {
-      this.recentMaximum = { entries, at: now };
-    }
-    return this.recentMaximum.entries;
+    return this.entryCount.countAt(now);
   }
 }
--- a/packages/scenarios/src/scripts/dataCentreSafeguards.ts
+++ b/packages/scenarios/src/scripts/dataCentreSafeguards.ts
@@ -84,8 +84,8 @@
   },
   {
     name: 'an entry keeps its warm-up share while the number of known entries drops briefly',
-    file: 'warmUp/entryShare.js',
-    find: 'entries >= this.recentMaximum.entries || isOld',
+    file: 'sharedLimits/entryCountHistory.js',
+    find: 'entries >= this.maximum.entries || isOld',
     replace: 'true',
     scenario: 'spec:warmUp/warmUp',
   },
--- a/packages/scenarios/src/scripts/relaySafeguards.ts
+++ b/packages/scenarios/src/scripts/relaySafeguards.ts
@@ -308,10 +308,10 @@
     scenario: 'spec:instances/instances',
   },
   {
-    name: 'an entry uses no share of the retry budget before the number of entries is known',
+    name: 'an entry does not use the number of entries before replicas know all of them',
     file: 'trafficControl/controlWatch.js',
-    find: 'return now - this.firstAnswerAt < ENTRY_COUNT_SETTLING_DELAY ? 0 : 1',
-    replace: 'return 1',
+    find: 'if (now - this.firstAnswerAt < ENTRY_COUNT_SETTLING_DELAY) {',
+    replace: 'if (false) {',
     scenario: 'spec:trafficControl/trafficControl',
   },
   {
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -8,6 +8,7 @@
 import * as quarantineSafeguards from './quarantineSafeguards.js';
 import * as relaySafeguards from './relaySafeguards.js';
 import * as servingSafeguards from './servingSafeguards.js';
+import * as sharedLimitsSafeguards from './sharedLimitsSafeguards.js';
 import type * as types from './types.js';
 
 /** All safeguards. */
@@ -18,4 +19,5 @@
   ...quarantineSafeguards.quarantineSafeguards,
   ...dataCentreSafeguards.dataCentreSafeguards,
   ...backPressureSafeguards.backPressureSafeguards,
+  ...sharedLimitsSafeguards.sharedLimitsSafeguards,
 ];
