Prompts are kept away from engines where they would pause running streams for too long

Placement knew nothing of pauses. Change: entries report the longest pause of each stream and its limit; the coordinator forecasts the pause of each engine beside a prompt and adds the streams that a placement would make late to its cost. Tried without effect: averages of the pauses, which stay under the limit since few prompts cause the longest pause.

--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -8,6 +8,8 @@
 import type * as trafficTypes from '../traffic/types.js';
 import * as slidingWindowCounter from '../warmUp/slidingWindowCounter.js';
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
+import * as interference from '../streamPauses/interference.js';
+import * as pauseForecast from '../streamPauses/pauseForecast.js';
 import * as lengthForecast from './lengthForecast.js';
 import * as placementFeatures from './placementFeatures.js';
 import * as memoryPeak from './memoryPeak.js';
@@ -96,12 +98,16 @@
 /** Time after which a prompt counts as processed even if no report confirms it, since its entry may have crashed. */
 const PREFILL_TIMEOUT: ports.Milliseconds = 3_000;
 
+/** Time after a placement during which its prompt may have paused the streams on its engine. */
+const PROMPT_BESIDE_TIME: ports.Milliseconds = 1_500;
+
 const NO_GENERATIONS: readonly memoryPeak.GenerationMemory[] = [];
 
 /** Engines, the generations placed on them, and their forecast load. */
 export class EnginePool {
   readonly lengths = new lengthForecast.LengthForecast();
   readonly prefillEstimator = new prefillEstimator.PrefillEstimator();
+  readonly pauseForecast = new pauseForecast.PauseForecast();
   private readonly isEnabled: placementFeatures.IsEnabled;
   private engines = new Map<string, Engine>();
   private readonly placed = new Map<string, PlacedGeneration>();
@@ -118,6 +124,7 @@
 
   setEngines(engines: readonly Engine[]): void {
     this.engines = new Map(engines.map((engine) => [engine.identity, engine]));
+    this.pauseForecast.retain((engine) => this.engines.has(engine));
   }
 
   get engineList(): readonly Engine[] {
@@ -142,6 +149,7 @@
     }
     this.entries.set(entry, { address, epoch, sequence, lastReportAt: now });
     const previous = new Map(this.placed);
+    this.observePauses(report, now);
     for (const [identity, placed] of this.placed) {
       const isRecentGrant = !placed.reported && now - placed.grantedAt < UNREPORTED_GRANT_TIMEOUT;
       if (placed.entry === entry && !isRecentGrant) {
@@ -160,6 +168,8 @@
       const hadNoneAhead = prefillTokens === running.facts.promptTokens;
       if (known !== undefined && hadNoneAhead && running.started && !known.running.started) {
         this.prefillEstimator.observe(running.facts.service, prefillTokens, now - placedAt);
+        const pace = (now - placedAt) / Math.max(1, prefillTokens);
+        this.pauseForecast.observePrefill(running.instance, running.facts.service, pace);
       }
     }
     for (const finished of report.finished) {
@@ -168,6 +178,55 @@
     this.loads = undefined;
   }
 
+  /** Learns the pauses of engines from streams that had a longer pause since the last report, beside a prompt. */
+  private observePauses(report: types.EntryReport, now: number): void {
+    for (const { facts, instance, longestPause } of report.generations) {
+      const previous = this.placed.get(facts.identity)?.running;
+      const isLonger = (longestPause ?? 0) > (previous?.longestPause ?? 0);
+      if (
+        longestPause !== undefined &&
+        previous?.instance === instance &&
+        isLonger &&
+        this.hadPrompt(instance, now)
+      ) {
+        this.pauseForecast.observePause(instance, facts.service, longestPause, now);
+      }
+    }
+  }
+
+  /** True if an engine has processed a prompt during the last report interval. */
+  private hadPrompt(instance: string, now: number): boolean {
+    return this.placedOn(instance).some(
+      ({ running, placedAt }) => !running.started || now - placedAt < PROMPT_BESIDE_TIME,
+    );
+  }
+
+  /** Cost of a generation on an engine for the streams there; 0 where the pauses of the engine are unknown. */
+  private interferenceOf(engine: Engine, query: EngineQuery, remaining: number, now: number): number {
+    const expectedPause = this.isEnabled('pauseProtection')
+      ? this.pauseForecast.expectedPause(engine.identity, now)
+      : undefined;
+    if (expectedPause === undefined) {
+      return 0;
+    }
+    const running = this.placedOn(engine.identity).map((placed) => this.streamOf(placed));
+    const hasPrompt = query.purpose !== 'move';
+    return interference.costOf(
+      expectedPause,
+      { pauseLimit: query.facts.pauseLimit, remaining, hasPrompt },
+      running,
+    );
+  }
+
+  private streamOf({ running }: PlacedGeneration): interference.RunningStream {
+    const { facts, produced, longestPause = 0 } = running;
+    return {
+      pauseLimit: facts.pauseLimit,
+      longestPause,
+      remaining: this.lengths.remainingOutput(facts, produced),
+    };
+  }
+
   /** Removes generations of entries that stopped reporting, and grants that were never used. */
   removeExpired(now: number): void {
     this.recentStarts.prune(now);
@@ -313,7 +372,8 @@
         ? this.prefillEstimator.timeToFirstEvent(facts.service, prefillTokens)
         : 0;
       const locality = engine.dataCentre === dataCentre ? localityBonus : 0;
-      const score = locality - memoryShare - timeToFirstEvent * FIRST_EVENT_DELAY_WEIGHT;
+      const pauseCost = this.interferenceOf(engine, query, newGeneration.remaining, now);
+      const score = locality - memoryShare - timeToFirstEvent * FIRST_EVENT_DELAY_WEIGHT - pauseCost;
       const isEligible =
         (fits || !this.isEnabled('memoryBound')) &&
         load.length < slots - reservedSlots &&
--- a/packages/kumquatfront/src/placement/placementFeatures.ts
+++ b/packages/kumquatfront/src/placement/placementFeatures.ts
@@ -25,6 +25,8 @@
   'accountShares',
   /** Upstreams are chosen by their own pace and their current slowdown. */
   'upstreamPace',
+  /** Prompts are kept away from engines where they would pause running streams for too long. */
+  'pauseProtection',
   /** Callers are directed to entries in proportion to their free capacity. */
   'entryCapacity',
   /** Entries lend each other unused shares of common limits. */
--- a/packages/kumquatfront/src/placement/types.ts
+++ b/packages/kumquatfront/src/placement/types.ts
@@ -17,6 +17,8 @@
   readonly rank: number;
   /** Client account; empty for anonymous callers. */
   readonly account: string;
+  /** Longest pause between events that its route accepts; absent if it states none. */
+  readonly pauseLimit?: ports.Milliseconds;
   /** Data centres in which it may run; absent if unrestricted. */
   readonly dataCentres?: readonly string[];
 }
@@ -57,6 +59,8 @@
   readonly produced: number;
   /** True after the first event, when the engine holds memory that can be moved. */
   readonly started: boolean;
+  /** Longest pause between two events from its present engine; absent before the second event. */
+  readonly longestPause?: ports.Milliseconds;
 }
 
 /** All running generations of one entry; each report replaces the previous one. */
--- a/packages/kumquatfront/src/relay/generationAttributes.ts
+++ b/packages/kumquatfront/src/relay/generationAttributes.ts
@@ -34,6 +34,7 @@
     lengthHint: generation?.lengthHint ?? 0,
     rank: ranks.fromPriorities(route.priority, accountPriority),
     account: account ?? '',
+    ...(route.longestPause > 0 && { pauseLimit: route.longestPause }),
     ...(dataCentres !== undefined && { dataCentres }),
   };
 }
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -117,6 +117,7 @@
       instance: segment.instance.identity,
       produced,
       started: segment.eventCount > 0,
+      ...(segment.eventCount > 1 && { longestPause: Math.round(segment.longestPause) }),
     };
   }
 
@@ -239,7 +240,9 @@
 
   private onEvent(segment: streamSegment.StreamSegment, event: eventSplitter.CompleteEvent): void {
     const isFirst = segment.eventCount === 1;
-    this.delivery.deliver(event, this.context.timers.now());
+    const now = this.context.timers.now();
+    segment.recordEvent(now);
+    this.delivery.deliver(event, now);
     if (isFirst) {
       this.context.placement.scheduleReport();
     }
--- a/packages/kumquatfront/src/relay/streamSegment.ts
+++ b/packages/kumquatfront/src/relay/streamSegment.ts
@@ -2,6 +2,7 @@
  * One segment of a stream: the complete events that one upstream sends. A closed segment reports nothing more, so
  * that late data never mixes with the next segment.
  */
+import type * as ports from '../kernel/ports.js';
 import type * as instanceView from '../instances/instanceView.js';
 import * as responseClassification from './responseClassification.js';
 import * as eventSplitter from './eventSplitter.js';
@@ -34,6 +35,9 @@
   readonly copy: types.MemoryCopy | undefined;
   /** Number of received events. */
   eventCount = 0;
+  /** Longest time between two of its events. */
+  longestPause: ports.Milliseconds = 0;
+  private lastEventAt: ports.Milliseconds | undefined;
   private readonly splitter = new eventSplitter.EventSplitter();
   private errorResponse: { readonly head: types.ResponseHead; readonly chunks: Uint8Array[] } | undefined;
   private open = true;
@@ -85,6 +89,12 @@
     }
   }
 
+  /** Records the arrival of an event. */
+  recordEvent(now: ports.Milliseconds): void {
+    this.longestPause = Math.max(this.longestPause, now - (this.lastEventAt ?? now));
+    this.lastEventAt = now;
+  }
+
   /**
    * Closes the segment and cancels its request.
    *
