Learn paces of upstreams and choose plain upstreams by predicted completion time

Cause: plain upstreams whose paces differ by 2.4 to 1 receive equal numbers of calls, and a VM that is slow for some hundred milliseconds keeps receiving them.

Change: entries learn a pace for each plain upstream, share sums with the coordinator in their reports and get the merged table back.

--- a/packages/kumquatfront/src/instances/instanceTable.ts
+++ b/packages/kumquatfront/src/instances/instanceTable.ts
@@ -344,6 +344,11 @@
     }
   }
 
+  /** Returns the service of an instance; undefined if it is not in the table. */
+  serviceOf(identity: string): string | undefined {
+    return this.entries.get(identity)?.announcement.service;
+  }
+
   /** Returns all records, or only those that `isIncluded` selects. */
   records(
     now: number,
--- a/packages/kumquatfront/src/placement/types.ts
+++ b/packages/kumquatfront/src/placement/types.ts
@@ -3,6 +3,7 @@
  */
 import type * as instanceTypes from '../instances/types.js';
 import type * as ports from '../kernel/ports.js';
+import type * as paceTypes from '../upstreamPace/types.js';
 
 /** Attributes of a generation that determine its placement; they do not change while it runs. */
 export interface GenerationAttributes {
@@ -74,6 +75,8 @@
   readonly leaving: readonly string[];
   /** Instances listed by other replicas but not by the recipient of this report. */
   readonly unlisted: readonly instanceTypes.Announcement[];
+  /** Sums of plain calls since the last report. If present, the report is a request that returns the merged paces. */
+  readonly paces?: readonly paceTypes.PaceSum[];
 }
 
 /** A completed generation. */
--- a/packages/kumquatfront/src/relay/bufferedExchange.ts
+++ b/packages/kumquatfront/src/relay/bufferedExchange.ts
@@ -16,6 +16,7 @@
 interface Attempt {
   readonly instance: instanceView.Instance;
   readonly cancel: types.CancelExchange;
+  readonly sentAt: ports.Milliseconds;
   head: types.ResponseHead | undefined;
   readonly chunks: Uint8Array[];
 }
@@ -136,7 +137,7 @@
     };
     const timeLeft = deadline - now;
     const cancel = upstreams.send({ request, instance, timeLeft, account, dataCentres }, listener);
-    const attempt: Attempt = { instance, cancel, head: undefined, chunks };
+    const attempt: Attempt = { instance, cancel, sentAt: now, head: undefined, chunks };
     this.openAttempts.add(attempt);
   }
 
@@ -159,6 +160,7 @@
     const responseClass = responseClassification.classify(head, this.isIdempotent);
     if (responseClass === 'notRun') {
       this.possibleRuns -= 1;
+      balancer.recordTurnedAway(instance);
       log.info('attemptNotRun', {
         request: this.routed.request.identity,
         upstream: instance.identity,
@@ -181,6 +183,10 @@
       return;
     }
     balancer.recordSuccess(instance.identity);
+    // Responses to invalid requests need no work and would make the upstream look fast.
+    if (head.status < 300) {
+      balancer.recordAnswerTime(instance, timers.now() - attempt.sentAt, head.load);
+    }
     this.recordUpstreamFailures();
     this.deliver(head, body, instance);
   }
--- a/packages/kumquatfront/src/relay/localBalancer.ts
+++ b/packages/kumquatfront/src/relay/localBalancer.ts
@@ -1,11 +1,12 @@
 /**
- * Load balancer that uses only local state of the entry: its open requests, the loads that upstreams report with
- * their responses, and passive health checks.
+ * Load balancer that uses local state of the entry: its open requests, the loads that upstreams report with their
+ * responses, and passive health checks; where paces of upstreams are known, also their predicted completion times.
  */
 import type * as sendPolicy from '../backPressure/sendPolicy.js';
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import * as outlierDetector from '../routing/outlierDetector.js';
+import type * as upstreamPaces from '../upstreamPace/upstreamPaces.js';
 import type * as types from './types.js';
 
 /** Reported loads expire after this time; the count of open requests is then more accurate. */
@@ -34,6 +35,8 @@
   readonly random: ports.Random;
   readonly dataCentre: string;
   readonly sendPolicy: sendPolicy.SendPolicy;
+  /** Paces of plain upstreams; undefined if the feature is disabled. */
+  readonly paces?: upstreamPaces.UpstreamPaces;
 }
 
 /** Local load balancer; see the module comment. */
@@ -68,6 +71,20 @@
     this.reportedLoads.set(identity, { total: load.running + load.waiting, at: now });
   }
 
+  /** Records the time of a successful call to a plain upstream, with the load that its response reports. */
+  recordAnswerTime(
+    instance: instanceView.Instance,
+    elapsed: ports.Milliseconds,
+    load: types.ResponseHead['load'],
+  ): void {
+    this.options.paces?.recordAnswer(instance, elapsed, load);
+  }
+
+  /** Records a call that a plain upstream turned away, so that it does not look idle. */
+  recordTurnedAway(instance: instanceView.Instance): void {
+    this.options.paces?.recordTurnedAway(instance);
+  }
+
   /** Records a successful request for the passive health check. */
   recordSuccess(identity: string): void {
     this.health.recordSuccess(identity);
@@ -83,6 +100,7 @@
     this.openRequests.delete(identity);
     this.reportedLoads.delete(identity);
     this.health.removeUpstream(identity);
+    this.options.paces?.removeInstance(identity);
   }
 
   /** Identities of ejected upstreams, limited to a share of the candidates. */
@@ -104,21 +122,27 @@
     return load - (instance.dataCentre === dataCentre ? SAME_DATA_CENTRE_BONUS : 0) + random.next() * 0.1;
   }
 
-  /** Selects the least loaded healthy candidate that was not tried and is not excluded; falls back to ejected ones. */
+  /**
+   * Selects the least loaded healthy candidate that was not tried and is not excluded, of those whose predicted completion
+   * time is near the least; falls back to ejected ones.
+   */
   choose(
     candidates: readonly instanceView.Instance[],
     tried: ReadonlySet<string>,
     now: number,
   ): instanceView.Instance | undefined {
     const ejected = new Set(this.ejectedOf(candidates, now));
-    const { sendPolicy: policy } = this.options;
+    const { sendPolicy: policy, paces } = this.options;
     const untried = candidates.filter(
       (instance) => !tried.has(instance.identity) && policy.exclusionFromChoice(instance, now) === undefined,
     );
     const healthy = untried.filter((instance) => !ejected.has(instance.identity));
+    const pool = healthy.length > 0 ? healthy : untried;
+    const openCountOf = (identity: string): number => this.openRequests.get(identity) ?? 0;
+    const near = paces?.nearLeast(pool, openCountOf, tried.size === 0) ?? pool;
     let best: instanceView.Instance | undefined;
     let bestLoad = Number.POSITIVE_INFINITY;
-    for (const instance of healthy.length > 0 ? healthy : untried) {
+    for (const instance of near) {
       const load = this.effectiveLoadOf(instance, now);
       if (load < bestLoad) {
         best = instance;
--- a/packages/kumquatfront/src/relay/placementClient.ts
+++ b/packages/kumquatfront/src/relay/placementClient.ts
@@ -8,6 +8,8 @@
 import type * as timerService from '../kernel/timerService.js';
 import type * as placementTypes from '../placement/types.js';
 import * as methods from '../trafficControl/methods.js';
+import type * as paceTypes from '../upstreamPace/types.js';
+import type * as upstreamPaces from '../upstreamPace/upstreamPaces.js';
 
 /** Interval between reports to the coordinator. */
 const REPORT_INTERVAL: ports.Milliseconds = 250;
@@ -15,6 +17,15 @@
 /** Interval between empty reports, which keep the coordinator's view of all entries complete. */
 const EMPTY_REPORT_INTERVAL: ports.Milliseconds = 1_000;
 
+/** Interval at which an entry without own observations asks for the merged paces of plain upstreams. */
+const PACE_REQUEST_INTERVAL: ports.Milliseconds = 1_000;
+
+/** Interval between reports of own observations of plain calls. */
+const PACE_SUM_INTERVAL: ports.Milliseconds = 250;
+
+/** Timeout of a report whose response returns the merged paces; a later response would be outdated. */
+const PACE_RESPONSE_TIMEOUT: ports.Milliseconds = 1_000;
+
 /** Delay before a change is reported, to batch changes. */
 const REPORT_DELAY: ports.Milliseconds = 15;
 
@@ -51,6 +62,8 @@
   /** Peer address of the coordinator; empty if unknown. */
   readonly coordinator: () => string;
   readonly instances: instanceView.InstanceView;
+  /** Paces of plain upstreams; undefined if the feature is disabled. */
+  readonly paces?: upstreamPaces.UpstreamPaces;
 }
 
 /** A placement request without the fields that identify the entry. */
@@ -68,6 +81,7 @@
   private finished: placementTypes.FinishedGeneration[] = [];
   private reportScheduled = false;
   private emptyReportSentAt = Number.NEGATIVE_INFINITY;
+  private pacesRequestedAt = Number.NEGATIVE_INFINITY;
   /** Senders of pending placement requests, by request; each is sent again to a new coordinator. */
   private readonly pendingRequests = new Map<string, () => void>();
 
@@ -229,6 +243,18 @@
     return this.openGenerations.size;
   }
 
+  /** True if the next report is to carry sums of plain calls, and its response the merged paces. */
+  private arePacesDue(now: ports.Milliseconds): boolean {
+    const { paces } = this.options;
+    if (paces === undefined) {
+      return false;
+    }
+    const elapsed = Math.abs(now - this.pacesRequestedAt);
+    return paces.hasSums
+      ? elapsed >= PACE_SUM_INTERVAL
+      : paces.isInterested && elapsed >= PACE_REQUEST_INTERVAL;
+  }
+
   private sendReport(): void {
     const { peers, timers, entry, peerAddress, coordinator, instances } = this.options;
     const coordinatorAddress = coordinator();
@@ -246,7 +272,9 @@
     const { finished, epoch } = this;
     const now = timers.now();
     const isEmpty = generations.length === 0 && finished.length === 0;
-    if (coordinatorAddress === '' || (isEmpty && now - this.emptyReportSentAt < EMPTY_REPORT_INTERVAL)) {
+    const arePacesDue = this.arePacesDue(now);
+    const isRecent = now - this.emptyReportSentAt < EMPTY_REPORT_INTERVAL;
+    if (coordinatorAddress === '' || (isEmpty && isRecent && !arePacesDue)) {
       return;
     }
     this.emptyReportSentAt = isEmpty ? now : Number.NEGATIVE_INFINITY;
@@ -262,6 +290,18 @@
       leaving: [...drainingInstances],
       unlisted: instances.unlistedBy(coordinatorAddress, now),
     };
-    peers.notify(coordinatorAddress, methods.methods.report, report);
+    const { paces } = this.options;
+    if (!arePacesDue || paces === undefined) {
+      peers.notify(coordinatorAddress, methods.methods.report, report);
+      return;
+    }
+    this.pacesRequestedAt = now;
+    const reportWithSums = { ...report, paces: paces.takeSums() };
+    const { report: method } = methods.methods;
+    peers.request(coordinatorAddress, method, reportWithSums, PACE_RESPONSE_TIMEOUT, (result) => {
+      // A process without this feature answers null.
+      const answer = result.ok ? (result.val as paceTypes.PaceAnswer | null) : null;
+      paces.adopt(answer?.paces);
+    });
   }
 }
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -73,8 +73,15 @@
   readonly signed: boolean;
   /** Headers that are forwarded to the caller. */
   readonly headers: readonly Header[];
-  /** Numbers of running and queued requests, if the upstream reports them. */
-  readonly load?: { readonly running: number; readonly waiting: number };
+  /** Load as the upstream reports it, with values that may be implausible; undefined if it reports none. */
+  readonly load?: {
+    readonly running: number;
+    readonly waiting: number;
+    /** Requests that it runs at the same time; undefined if it reports none. */
+    readonly slots?: number;
+    /** How long work takes at this moment, where 1 is normal; undefined if it reports none. */
+    readonly slowdown?: number;
+  };
   /** Back-pressure signals; undefined if the response carries none for the addressed upstream. */
   readonly signals?: backPressureTypes.UpstreamSignals;
 }
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -19,6 +19,8 @@
 import type * as residency from '../traffic/residency.js';
 import * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
+import * as paceTable from '../upstreamPace/paceTable.js';
+import type * as paceTypes from '../upstreamPace/types.js';
 import type * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as entryDirectory from './entryDirectory.js';
 import * as instanceGossip from './instanceGossip.js';
@@ -71,6 +73,7 @@
 export class TrafficControl {
   private readonly options: TrafficControlOptions;
   private readonly table: instanceTable.InstanceTable;
+  private readonly paces: paceTable.PaceTable;
   private readonly coordinator: coordinator.Coordinator;
   private readonly entries: entryDirectory.EntryDirectory;
   private readonly watches: openWatches.OpenWatches;
@@ -86,6 +89,10 @@
     const { timers, random, log, metrics, peers } = options;
     this.entries = new entryDirectory.EntryDirectory(random);
     this.table = new instanceTable.InstanceTable(random.identity());
+    this.paces = new paceTable.PaceTable(
+      () => timers.now(),
+      (upstream) => this.table.serviceOf(upstream),
+    );
     this.coordinator = new coordinator.Coordinator({
       timers,
       log,
@@ -200,8 +207,7 @@
       reply(results.Ok(null));
     });
     peers.serve(names.report, (parameters, reply) => {
-      this.onReport(parameters as placementTypes.EntryReport);
-      reply(results.Ok(null));
+      reply(results.Ok(this.onReport(parameters as placementTypes.EntryReport)));
     });
   }
 
@@ -233,10 +239,16 @@
     });
   }
 
-  private onReport(report: placementTypes.EntryReport): void {
+  /** Applies a report; the result answers a report that carries sums of plain calls. */
+  private onReport(report: placementTypes.EntryReport): paceTypes.PaceAnswer | null {
     this.gossip.addReported(report.unlisted);
     this.coordinator.applyReport(report);
     this.gossip.markDraining(report.leaving);
+    if (report.paces === undefined || this.options.isEnabled?.('upstreamPace') === false) {
+      return null;
+    }
+    this.paces.merge(report.paces);
+    return { paces: this.paces.rows() };
   }
 
   private onPlace(request: methods.PlaceRequest, reply: ports.Reply): void {
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -24,6 +24,7 @@
 import type * as residency from '../traffic/residency.js';
 import * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
+import * as upstreamPaces from '../upstreamPace/upstreamPaces.js';
 import * as controlWatch from '../trafficControl/controlWatch.js';
 import * as methods from '../trafficControl/methods.js';
 import * as entryShare from '../warmUp/entryShare.js';
@@ -124,10 +125,19 @@
       coldShare: new entryShare.EntryShare(settings.name, entryCount, warmUpBounds.COLD_WINDOW),
       warmUpLimitOf: (service) => this.coldRequestLimitOf(service),
     });
+    const paces =
+      settings.isEnabled?.('upstreamPace') === false
+        ? undefined
+        : new upstreamPaces.UpstreamPaces({
+            now: () => timers.now(),
+            ...{ random, log, metrics },
+            serviceOf: (identity) => instances.get(identity)?.service,
+          });
     const balancer = new localBalancer.LocalBalancer({
       random,
       dataCentre: settings.dataCentre,
       sendPolicy: policy,
+      ...(paces !== undefined && { paces }),
     });
     this.placement = new placementClient.PlacementClient({
       entry: settings.name,
@@ -139,6 +149,7 @@
       log,
       coordinator: () => this.watch.coordinator,
       instances,
+      ...(paces !== undefined && { paces }),
     });
     const reporter = new crashReporter.CrashReporter({
       timers,
