--- a/packages/kumquatfront/src/upstreamPace/enginePaces.ts
+++ b/packages/kumquatfront/src/upstreamPace/enginePaces.ts
@@ -10,6 +10,9 @@
 /** Prefill time per prompt token before the first observation. */
 const INITIAL_PREFILL_PACE = 1 / 6;
 
+/** An engine processes about one prompt a second, and its pace is a property of its hardware. */
+const EVIDENCE_HALF_LIFE: ports.Milliseconds = 30_000;
+
 /** Running generations are grouped, because the time for an event grows slowly with their number. */
 const RUNNING_GROUP = 8;
 
@@ -27,8 +30,8 @@
    * @param now - the time
    */
   constructor(now: () => ports.Milliseconds) {
-    this.prefill = new paceEstimator.PaceEstimator(now, INITIAL_PREFILL_PACE);
-    this.decoding = new paceEstimator.PaceEstimator(now);
+    this.prefill = new paceEstimator.PaceEstimator(now, EVIDENCE_HALF_LIFE, INITIAL_PREFILL_PACE);
+    this.decoding = new paceEstimator.PaceEstimator(now, EVIDENCE_HALF_LIFE);
   }
 
   /**
--- a/packages/kumquatfront/src/upstreamPace/paceEstimator.ts
+++ b/packages/kumquatfront/src/upstreamPace/paceEstimator.ts
@@ -7,22 +7,25 @@
  */
 import type * as ports from '../kernel/ports.js';
 
+/**
+ * Half-life of evidence on plain upstreams. An upstream that is avoided gets one or two probes a second; with this
+ * half-life, five of them outweigh what was known, so that its recovery is noticed within seconds.
+ */
+export const PLAIN_EVIDENCE_HALF_LIFE: ports.Milliseconds = 2_000;
+
 /** Observations that an estimate remembers; with 30 calls a second, a change of pace shows within half a second. */
 const MAXIMUM_WEIGHT = 16;
 
 /** Observations that a batch counts as at most, so that one report cannot replace an estimate. */
 const MAXIMUM_BATCH_WEIGHT = 8;
 
-/** Time after which half of the evidence is forgotten, so that an upstream that is not used returns to the mean. */
-const EVIDENCE_HALF_LIFE: ports.Milliseconds = 30_000;
-
 /** Limit on how far one observation can differ from the estimate, so that one stall does not distort it. */
 const MAXIMUM_CHANGE_FACTOR = 2;
 
 /** Variance of single observations relative to the pace, before any is known: a standard deviation of one half. */
 const INITIAL_NOISE = 0.25;
 const MINIMUM_NOISE = 0.0025;
-const NOISE_SMOOTHING = 1 / 16;
+const NOISE_SMOOTHING = 1 / 8;
 
 /** Variance between upstreams below which they count as equal: paces that differ by 2 in 100. */
 const MINIMUM_SPREAD = 0.000_4;
@@ -79,14 +82,18 @@
 export class PaceEstimator {
   private readonly services = new Map<string, ServiceState>();
   private readonly now: () => ports.Milliseconds;
+  private readonly evidenceHalfLife: ports.Milliseconds;
   private readonly initialPace: number | undefined;
 
   /**
    * @param now - the time
+   * @param evidenceHalfLife - time after which half of the evidence is forgotten, so that an upstream that is not used
+   *   returns to the mean
    * @param initialPace - pace before the first observation of a service; undefined if there is none
    */
-  constructor(now: () => ports.Milliseconds, initialPace?: number) {
+  constructor(now: () => ports.Milliseconds, evidenceHalfLife: ports.Milliseconds, initialPace?: number) {
     this.now = now;
+    this.evidenceHalfLife = evidenceHalfLife;
     this.initialPace = initialPace;
   }
 
@@ -102,7 +109,7 @@
   private weightOf(sample: Sample | undefined): number {
     return sample === undefined
       ? 0
-      : sample.weight * 2 ** (-Math.max(0, this.now() - sample.at) / EVIDENCE_HALF_LIFE);
+      : sample.weight * 2 ** (-Math.max(0, this.now() - sample.at) / this.evidenceHalfLife);
   }
 
   private summaryOf(state: ServiceState): Summary | undefined {
--- a/packages/kumquatfront/src/upstreamPace/paceTable.ts
+++ b/packages/kumquatfront/src/upstreamPace/paceTable.ts
@@ -33,7 +33,7 @@
    * @param serviceOf - service of an upstream; undefined if no such upstream is known
    */
   constructor(now: () => ports.Milliseconds, serviceOf: (upstream: string) => string | undefined) {
-    this.paces = new paceEstimator.PaceEstimator(now);
+    this.paces = new paceEstimator.PaceEstimator(now, paceEstimator.PLAIN_EVIDENCE_HALF_LIFE);
     this.outcomes = new callOutcomes.CallOutcomes(now);
     this.loads = new loadReports.LoadReports(now);
     this.serviceOf = serviceOf;
--- a/packages/kumquatfront/src/upstreamPace/paceTestHarness.ts
+++ b/packages/kumquatfront/src/upstreamPace/paceTestHarness.ts
@@ -102,12 +102,15 @@
   readonly upstreams: readonly Upstream[];
   private readonly traits: FleetTraits;
   private readonly random: ports.Random;
+  /** Separate, so that all choosers get the same calls. */
+  private readonly reportRandom: ports.Random;
   private readonly entries: readonly Entry[];
   private table: paceTable.PaceTable;
 
   constructor(traits: FleetTraits) {
     this.traits = traits;
     this.random = seededRandom.create(traits.seed ?? 1);
+    this.reportRandom = seededRandom.create((traits.seed ?? 1) + 1_000);
     this.upstreams = traits.paces.map((pace, index) => new Upstream(index, pace));
     this.table = this.createTable();
     this.entries = Array.from({ length: traits.entries ?? 64 }, (_unused, index) => this.createEntry(index));
@@ -166,7 +169,7 @@
       ...(paces !== undefined && { paces }),
     });
     if (paces !== undefined) {
-      time.after(random.next() * 250, () => {
+      time.after(this.reportRandom.next() * 250, () => {
         this.report(paces, Number.NEGATIVE_INFINITY);
       });
     }
--- a/packages/kumquatfront/src/upstreamPace/slowdown.ts
+++ b/packages/kumquatfront/src/upstreamPace/slowdown.ts
@@ -8,8 +8,11 @@
 /** The figure changes many times a second, so a report says little after about half a second. */
 export const SLOWDOWN_HALF_LIFE: ports.Milliseconds = 300;
 
-/** Bounds of plausible slowdowns; a false report can make an upstream look at most this much faster or slower. */
-export const MINIMUM_SLOWDOWN = 0.5;
+/**
+ * Bounds of plausible slowdowns. Values below normal are not believed, because an upstream that reports a false one would
+ * attract the calls of all entries.
+ */
+export const MINIMUM_SLOWDOWN = 1;
 export const MAXIMUM_SLOWDOWN = 10;
 
 /** Slowdowns above this value count as slow; below it, callers notice no difference. */
--- a/packages/kumquatfront/src/upstreamPace/upstreamPaces.ts
+++ b/packages/kumquatfront/src/upstreamPace/upstreamPaces.ts
@@ -22,6 +22,9 @@
 /** Difference of two paces, in standard errors, from which they count as different. */
 const SIGNIFICANT_ERRORS = 3;
 
+/** Paces within this factor count as equal: queueing makes equal upstreams look different by up to a fifth. */
+const EQUAL_FACTOR = 1.25;
+
 /** Share of the calls sent to an upstream that is avoided, so that its recovery is noticed. */
 const PROBE_SHARE = 0.02;
 
@@ -73,7 +76,7 @@
 
   constructor(options: UpstreamPacesOptions) {
     this.options = options;
-    this.paces = new paceEstimator.PaceEstimator(options.now);
+    this.paces = new paceEstimator.PaceEstimator(options.now, paceEstimator.PLAIN_EVIDENCE_HALF_LIFE);
     this.outcomes = new callOutcomes.CallOutcomes(options.now);
     this.loads = new loadReports.LoadReports(options.now);
   }
@@ -95,11 +98,13 @@
   ): void {
     this.lastObservedAt = this.options.now();
     const sum = this.pendingSumOf(identity);
+    // The slowdown may have ended while the call ran.
+    const wasSlow = this.minimumSlowdownOf(identity) > 0;
     this.outcomes.record(identity, 1, 0);
     if (load !== undefined) {
       this.loads.record(identity, load);
     }
-    if (slowdown.bounded(load?.slowdown) <= slowdown.SLOW_THRESHOLD) {
+    if (!wasSlow && slowdown.bounded(load?.slowdown) <= slowdown.SLOW_THRESHOLD) {
       const slots = Math.max(1, load?.slots ?? 1);
       const waiting = load?.slots === undefined ? 0 : completionForecast.plausibleCount(load.waiting);
       const time = elapsed / (1 + waiting / slots);
@@ -183,7 +188,9 @@
     const fastest = estimates.reduce((best, pace) => (pace.pace < best.pace ? pace : best));
     return estimates.map(({ pace, uncertainty }) => {
       const error = Math.hypot(uncertainty, fastest.uncertainty);
-      return pace <= fastest.pace * (1 + SIGNIFICANT_ERRORS * error) ? fastest.pace : pace;
+      return pace <= fastest.pace * Math.max(EQUAL_FACTOR, 1 + SIGNIFICANT_ERRORS * error)
+        ? fastest.pace
+        : pace;
     });
   }
 
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -10,6 +10,7 @@
 import * as servingSafeguards from './servingSafeguards.js';
 import * as sharedLimitsSafeguards from './sharedLimitsSafeguards.js';
 import type * as types from './types.js';
+import * as upstreamPaceSafeguards from './upstreamPaceSafeguards.js';
 
 /** All safeguards. */
 export const safeguards: readonly types.Safeguard[] = [
@@ -20,4 +21,5 @@
   ...dataCentreSafeguards.dataCentreSafeguards,
   ...backPressureSafeguards.backPressureSafeguards,
   ...sharedLimitsSafeguards.sharedLimitsSafeguards,
+  ...upstreamPaceSafeguards.upstreamPaceSafeguards,
 ];
