--- a/packages/kumquatfront/src/relay/bufferedExchange.ts
+++ b/packages/kumquatfront/src/relay/bufferedExchange.ts
@@ -333,7 +333,9 @@
     this.cancelDeadline();
     this.cancelHedge();
     this.cancelQuarantine();
+    const { balancer, timers } = this.context;
     for (const attempt of [...this.openAttempts]) {
+      balancer.recordGivenUp(attempt.instance, timers.now() - attempt.sentAt);
       attempt.cancel();
       this.close(attempt);
     }
--- a/packages/kumquatfront/src/relay/localBalancer.ts
+++ b/packages/kumquatfront/src/relay/localBalancer.ts
@@ -80,6 +80,11 @@
     this.options.paces?.recordAnswer(instance, elapsed, load);
   }
 
+  /** Records a call to a plain upstream that was given up without a response, as after a hedge or a timeout. */
+  recordGivenUp(instance: instanceView.Instance, elapsed: ports.Milliseconds): void {
+    this.options.paces?.recordGivenUp(instance, elapsed);
+  }
+
   /** Records a call that a plain upstream turned away, so that it does not look idle. */
   recordTurnedAway(instance: instanceView.Instance): void {
     this.options.paces?.recordTurnedAway(instance);
--- a/packages/kumquatfront/src/relay/plainCallTimes.spec.ts
+++ b/packages/kumquatfront/src/relay/plainCallTimes.spec.ts
@@ -73,6 +73,39 @@
   assert.deepEqual(paces.takeSums(), [['a', 0, 0, 1, null]]);
 });
 
+// Guards against a slow upstream keeping the pace of its fast responses, because the late ones are never received.
+void test.test(
+  'a call that a hedge overtook or that timed out counts, a caller who left at once does not',
+  () => {
+    const { harness, paces, call } = createSystem(['a', 'b']);
+    for (let count = 0; count < 4; count += 1) {
+      call('idempotent');
+      harness.time.advance(30);
+      answer(harness.sentCalls.at(-1), { ...relayTestHarness.okHead, load });
+    }
+    paces.takeSums();
+    call('idempotent');
+    harness.time.advance(75);
+    answer(harness.sentCalls.at(-1), { ...relayTestHarness.okHead, load });
+    const [slow, fast] = harness.sentCalls.slice(-2).map((sent) => sent.call.instance.identity);
+    const sums = paces.takeSums();
+    assert.deepEqual(
+      [slow, fast].map((identity) => sums.find(([upstream]) => upstream === identity)?.slice(1, 3)),
+      [
+        [1, 75],
+        [1, 5],
+      ],
+    );
+    call('nonIdempotent');
+    harness.time.advance(20);
+    harness.disconnectCaller();
+    assert.deepEqual(paces.takeSums(), []);
+    call('nonIdempotent');
+    harness.time.advance(10_001);
+    assert.equal(paces.takeSums()[0]?.[1], 1);
+  },
+);
+
 interface SentReport {
   readonly kind: 'request' | 'notify';
   readonly report: placementTypes.EntryReport;
--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -100,6 +100,8 @@
 
 /** Runs control replicas and entries as simulated processes. */
 export class ControlTestHarness {
+  /** Features of entries that are started from now on. */
+  entryFeatures: trafficEntry.TrafficEntrySettings['isEnabled'];
   readonly time = new virtualTime.VirtualTime();
   readonly seeds: readonly string[];
   /** Pairs of addresses that cannot reach each other, each sorted and joined by a space. */
@@ -355,6 +357,7 @@
       regions: REGIONS,
       warmUpTolerance: warmUpBounds.strictTolerance,
       retries: { ratio: 0.2, slack: 54, window: 10_000 },
+      isEnabled: this.entryFeatures,
     };
     return new trafficEntry.TrafficEntry(settings, { ...base, upstreams, decodeTraffic: this.decode });
   }
--- a/packages/kumquatfront/src/upstreamPace/paceTestHarness.ts
+++ b/packages/kumquatfront/src/upstreamPace/paceTestHarness.ts
@@ -174,10 +174,12 @@
     const entry: Entry = { balancer, paces, reportedAt: Number.NEGATIVE_INFINITY };
     if (paces !== undefined) {
       paces.onObserved(() => {
+        this.tellTruth(paces);
         time.after(15, () => {
           this.report(entry, paces);
         });
       });
+      this.tellTruth(paces);
       time.after(this.reportRandom.next() * 250, () => {
         this.reportRegularly(entry, paces);
       });
--- a/packages/kumquatfront/src/upstreamPace/upstreamPaces.ts
+++ b/packages/kumquatfront/src/upstreamPace/upstreamPaces.ts
@@ -37,6 +37,9 @@
 /** Slowdown of an upstream that was slow when it was last heard; above the margin of near equals. */
 const SUSPECTED_SLOWDOWN = 1.3;
 
+/** A call that was given up counts if it took longer than this factor of the pace; shorter ones may have waited. */
+const GIVEN_UP_FACTOR = 2;
+
 /** Time without an observed call after which the entry no longer asks for the merged table. */
 const INTEREST_TIME: ports.Milliseconds = 30_000;
 
@@ -64,6 +67,17 @@
   readonly time: ports.Milliseconds;
 }
 
+/** Time of a call without the time that it waited for a slot, by the queue that the upstream reports. */
+function withoutQueue(
+  elapsed: ports.Milliseconds,
+  load: completionForecast.LoadReport | undefined,
+): ports.Milliseconds {
+  if (load?.slots === undefined) {
+    return elapsed;
+  }
+  return elapsed / (1 + completionForecast.plausibleCount(load.waiting) / Math.max(1, load.slots));
+}
+
 /** Paces of plain upstreams at one entry; see the module comment. */
 export class UpstreamPaces {
   private readonly options: UpstreamPacesOptions;
@@ -106,9 +120,7 @@
       this.loads.record(identity, load);
     }
     if (!wasSlow && slowdown.bounded(load?.slowdown) <= slowdown.SLOW_THRESHOLD) {
-      const slots = Math.max(1, load?.slots ?? 1);
-      const waiting = load?.slots === undefined ? 0 : completionForecast.plausibleCount(load.waiting);
-      const time = elapsed / (1 + waiting / slots);
+      const time = withoutQueue(elapsed, load);
       this.paces.observe(identity, service, time);
       sum.answered += 1;
       sum.time += time;
@@ -116,6 +128,25 @@
     this.notifyObserved();
   }
 
+  /**
+   * Records a call that was given up without a response.
+   *
+   * Failure: an upstream that has become slow keeps its pace, because its late responses are cancelled after a hedge was
+   * answered or at the deadline, and only its fast ones are observed.
+   */
+  recordGivenUp({ identity, service }: instanceView.Instance, elapsed: ports.Milliseconds): void {
+    const pace = this.paces.paceOf(identity, service)?.pace;
+    const time = withoutQueue(elapsed, this.loads.get(identity)?.load);
+    if (pace === undefined || time <= pace * GIVEN_UP_FACTOR || this.minimumSlowdownOf(identity) > 0) {
+      return;
+    }
+    this.paces.observe(identity, service, time);
+    const sum = this.pendingSumOf(identity);
+    sum.answered += 1;
+    sum.time += time;
+    this.notifyObserved();
+  }
+
   /** Records a call that the upstream turned away; its time and the load that it reports say nothing about its pace. */
   recordTurnedAway({ identity }: instanceView.Instance): void {
     this.lastObservedAt = this.options.now();
--- a/packages/scenarios/src/scripts/upstreamPaceSafeguards.ts
+++ b/packages/scenarios/src/scripts/upstreamPaceSafeguards.ts
@@ -68,6 +68,13 @@
     replace: 'if (true) {',
     scenario: 'spec:relay/plainCallTimes',
   },
+  {
+    name: 'calls that are given up count for the pace of their upstream',
+    file: 'relay/bufferedExchange.js',
+    find: 'balancer.recordGivenUp(attempt.instance, timers.now() - attempt.sentAt);',
+    replace: '',
+    scenario: 'spec:relay/plainCallTimes',
+  },
   {
     name: 'entries learn paces from each other',
     file: 'relay/placementClient.js',
