--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -11,6 +11,7 @@
 import * as servingSafeguards from './servingSafeguards.js';
 import * as sharedLimitsSafeguards from './sharedLimitsSafeguards.js';
 import type * as types from './types.js';
+import * as upstreamPaceSafeguards from './upstreamPaceSafeguards.js';
 
 /** All safeguards. */
 export const safeguards: readonly types.Safeguard[] = [
@@ -22,4 +23,5 @@
   ...backPressureSafeguards.backPressureSafeguards,
   ...sharedLimitsSafeguards.sharedLimitsSafeguards,
   ...heavyLoadSafeguards.heavyLoadSafeguards,
+  ...upstreamPaceSafeguards.upstreamPaceSafeguards,
 ];
