Prefill scheduling: forecast for each engine, headroom, admission and retry reservations

Change: the coordinator forecasts the serial prefill queue of each engine, places urgent generations by the earliest first event or refuses them at once, keeps headroom from urgent arrivals, and reserves a time for refused callers. Its answer carries the forecast, which the entry uses for the idle timeout before the first event.

--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -7,6 +7,8 @@
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
 import type * as trafficTypes from '../traffic/types.js';
+import type * as prefillBacklog from '../prefill/prefillBacklog.js';
+import * as prefillScheduler from '../prefill/prefillScheduler.js';
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as enginePool from './enginePool.js';
 import * as evacuation from './evacuation.js';
@@ -59,6 +61,8 @@
   readonly move: evacuation.EvacuationOptions['move'];
   /** Returns whether a placement feature is enabled; by default all are. */
   readonly isEnabled?: placementFeatures.IsEnabled;
+  /** Prefill pace of each engine; by default that of its service, learned from first events. */
+  readonly paceOf?: prefillBacklog.PrefillPace;
 }
 
 /** Placement coordinator of one control replica. */
@@ -70,7 +74,10 @@
   private readonly queue = new placementQueue.PlacementQueue({
     expectedOutput: (facts) => (this.isEnabled('shorterFirst') ? this.pool.lengths.totalOutput(facts, 0) : 0),
     timelinessOf: (queued, now) => this.timelinessOf(queued, now),
+    mayWaitLonger: (queued, now) =>
+      this.isScheduled && this.scheduler.mayWaitLonger(queued.request, now - queued.since),
   });
+  private readonly scheduler: prefillScheduler.PrefillScheduler;
   private readonly evacuation: evacuation.EvacuationScheduler;
   private activeSince: number | undefined;
   private lastActivityAt = Number.NEGATIVE_INFINITY;
@@ -82,7 +89,15 @@
   constructor(options: CoordinatorOptions) {
     this.options = options;
     this.isEnabled = options.isEnabled ?? placementFeatures.allEnabled;
-    this.pool = new enginePool.EnginePool(this.isEnabled);
+    this.pool = new enginePool.EnginePool(this.isEnabled, options.paceOf);
+    this.scheduler = new prefillScheduler.PrefillScheduler({
+      metrics: options.metrics,
+      random: options.random,
+      meanPaceOf: (service) => this.pool.prefillEstimator.millisecondsPerTokenOf(service),
+      fixedDelayOf: (service) => this.pool.prefillEstimator.timeToFirstEvent(service, 0),
+      engineCountOf: (service) => this.pool.availableEnginesOf(service).length,
+      shortestWaitOf: (service, now) => this.pool.shortestWaitOf(service, now),
+    });
     this.evacuation = new evacuation.EvacuationScheduler({
       pool: this.pool,
       move: options.move,
@@ -104,6 +119,10 @@
     );
   }
 
+  private get isScheduled(): boolean {
+    return this.isEnabled('prefillScheduling');
+  }
+
   private logState(): void {
     if (this.activeSince === undefined || (this.queue.size === 0 && this.pool.placedCount === 0)) {
       return;
@@ -111,9 +130,11 @@
     const loads = this.pool.describeLoads();
     this.options.metrics.gauge('placement.waiting', this.queue.size);
     this.options.metrics.gauge('placement.running', this.pool.placedCount);
+    this.options.metrics.gauge('placement.retry_reservations', this.scheduler.reservationCount);
     this.options.log.info('coordinatorState', {
       waiting: this.queue.size,
       placed: this.pool.placedCount,
+      reservations: this.scheduler.reservationCount,
       engines: loads.join(' '),
     });
   }
@@ -126,9 +147,12 @@
     const placed = this.pool.placedOf(request.facts.identity);
     // The response to an earlier request may have been lost; a second grant would count the generation twice.
     if (placed !== undefined && !placed.reported && !request.excluded.includes(placed.running.instance)) {
-      respond({ state: 'placed', instance: placed.running.instance });
+      respond({ state: 'placed', ...this.placementOn(placed.running.instance, request, now) });
       return;
     }
+    if (this.isScheduled && !this.queue.has(request.facts.identity)) {
+      this.scheduler.recordArrival(request, now);
+    }
     if (!this.queue.add(this.withOriginalDeadline(request, now), now, respond)) {
       respond({ state: 'refused', retryAfter: MAXIMUM_RETRY_AFTER, reason: 'the queue is full' });
       return;
@@ -172,6 +196,7 @@
   /** Removes a request from the queue. */
   withdraw(identity: string): void {
     this.queue.remove(identity);
+    this.scheduler.forget(identity);
   }
 
   /** Applies an entry's report of its running generations. */
@@ -226,7 +251,7 @@
       this.stateChanged = false;
       this.lastDispatchAt = now;
       this.refreshEngines();
-      this.pool.removeExpired(now);
+      this.removeExpired(now);
       if (this.isEnabled('evacuation')) {
         this.evacuation.startMoves();
       }
@@ -237,6 +262,13 @@
     }
   }
 
+  private removeExpired(now: number): void {
+    for (const { identity, engine } of this.pool.removeExpired(now)) {
+      this.options.log.warn('prefillExpired', { request: identity, engine });
+    }
+    this.scheduler.removeExpired(now);
+  }
+
   private isRecovering(now: number, since: number): boolean {
     const elapsed = now - since;
     if (elapsed < MINIMUM_RECOVERY_TIME || elapsed >= MAXIMUM_RECOVERY_TIME) {
@@ -248,53 +280,98 @@
 
   private refuse(queued: placementQueue.QueuedRequest, reason: string): void {
     const { facts, likeness, objective, objectiveLeft } = queued.request;
-    const retryAfter = this.retryAfter(facts.service);
     const now = this.options.timers.now();
+    const retryAfter = this.retryAfter(queued.request, now);
+    this.scheduler.recordResult(queued.request, false, now);
+    this.scheduler.forget(facts.identity);
     this.retryTracker.recordRefusal(likeness, queued.since + objectiveLeft - objective, now);
     this.options.metrics.count('placement.answers', 1, { state: 'refused' });
     this.options.log.info('placementRefused', { request: facts.identity, reason, retryAfter });
     queued.respond({ state: 'refused', retryAfter, reason });
   }
 
-  /** Estimates the time to drain the queue of a service, with jitter so that callers do not retry simultaneously. */
-  private retryAfter(service: string): number {
+  /**
+   * Forecasts when capacity is free for a refused request: from prefill while prompts wait on all engines, else from
+   * the time to drain the queue; with jitter so that callers do not retry simultaneously.
+   */
+  private retryAfter(request: types.PlacementRequest, now: number): number {
+    const { service, identity } = request.facts;
+    // A generation that runs elsewhere continues there when its second placement is refused.
+    const mayReserve = this.isScheduled && this.pool.placedOf(identity) === undefined;
+    const reservedTime = mayReserve ? this.scheduler.reserveRetry(request, now) : undefined;
+    if (reservedTime !== undefined) {
+      return Math.ceil(reservedTime);
+    }
     const grantInterval = this.grantIntervals.get(service)?.interval ?? 100;
     const drainTime = grantInterval * (this.queue.countForService(service) + 1);
     const jitter = 1 + this.options.random.next() * 0.5;
     return Math.round(Math.min(MAXIMUM_RETRY_AFTER, drainTime * jitter));
   }
 
+  /** Places a request or refuses it at once; returns false if it remains in the queue. */
   private tryPlace(queued: placementQueue.QueuedRequest, now: number): boolean {
-    const { facts, dataCentre, excluded, objectiveLeft } = queued.request;
+    const { request, since } = queued;
+    const { facts, dataCentre, excluded, objectiveLeft } = request;
     const deadlineStatus = this.timelinessOf(queued, now);
-    const engine = this.pool.selectEngine(
-      {
-        facts,
-        produced: 0,
-        purpose: purposeOf(facts, deadlineStatus),
-        dataCentre,
-        excluded: new Set(excluded),
-        ...(deadlineStatus === 'inTime' && { maximumTimeToFirstEvent: objectiveLeft - (now - queued.since) }),
-      },
-      now,
-    );
-    if (engine === undefined) {
+    const scheduled = { request, since, timeliness: deadlineStatus };
+    const query: enginePool.EngineQuery = {
+      facts,
+      produced: 0,
+      purpose: purposeOf(facts, deadlineStatus),
+      dataCentre,
+      excluded: new Set(excluded),
+    };
+    const prefillLimits = this.isScheduled
+      ? {
+          acceptsForecast: this.scheduler.conditionFor(scheduled, now),
+          earliestFirst: !ranks.isPatient(facts.rank),
+        }
+      : deadlineStatus === 'inTime' && { maximumTimeToFirstEvent: objectiveLeft - (now - since) };
+    const engine = this.pool.selectEngine({ ...query, ...prefillLimits }, now);
+    if (engine !== undefined) {
+      this.place(queued, engine, now);
+      return true;
+    }
+    if (!this.isScheduled) {
+      return false;
+    }
+    const isPrefillCause = this.pool.selectEngine(query, now) !== undefined;
+    if (this.scheduler.decideWithoutEngine(scheduled, isPrefillCause) === 'wait') {
       return false;
     }
-    const placement = { instance: engine.identity };
+    this.refuse(queued, 'no engine would produce the first event in time');
+    return true;
+  }
+
+  private place(queued: placementQueue.QueuedRequest, engine: enginePool.Engine, now: number): void {
+    const { facts, entry } = queued.request;
+    const placement = this.placementOn(engine.identity, queued.request, now);
     this.pool.recordGrant(queued.request, placement, now);
+    this.scheduler.recordResult(queued.request, true, now);
+    this.scheduler.forget(facts.identity);
     this.recordGrantInterval(facts.service, now);
     this.options.metrics.count('placement.answers', 1, { state: 'placed' });
     this.options.metrics.timing('placement.wait', now - queued.since, { rank: String(facts.rank) });
+    if (placement.firstEventIn !== undefined) {
+      this.options.metrics.timing('placement.first_event_in', placement.firstEventIn, {
+        rank: String(facts.rank),
+      });
+    }
     this.options.log.info('placed', {
       request: facts.identity,
-      entry: queued.request.entry,
+      entry,
       engine: engine.identity,
       waited: Math.round(now - queued.since),
       waiting: this.queue.size,
+      firstEventIn: placement.firstEventIn,
     });
     queued.respond({ state: 'placed', ...placement });
-    return true;
+  }
+
+  private placementOn(instance: string, request: types.PlacementRequest, now: number): types.Placement {
+    return this.isScheduled
+      ? { instance, firstEventIn: this.pool.firstEventIn(instance, request.facts, now) }
+      : { instance };
   }
 
   private recordGrantInterval(service: string, now: number): void {
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -4,6 +4,9 @@
  * preempting generations, whose prompts would have to be processed again.
  */
 import type * as ports from '../kernel/ports.js';
+import type * as prefillAdmission from '../prefill/prefillAdmission.js';
+import type * as prefillBacklog from '../prefill/prefillBacklog.js';
+import * as prefillForecaster from '../prefill/prefillForecaster.js';
 import * as residency from '../traffic/residency.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as slidingWindowCounter from '../warmUp/slidingWindowCounter.js';
@@ -85,6 +88,10 @@
   readonly localityBonus?: number;
   /** Engines with a longer estimated time to the first event are excluded. */
   readonly maximumTimeToFirstEvent?: ports.Milliseconds;
+  /** Condition on the prefill forecast of an engine. */
+  readonly acceptsForecast?: prefillAdmission.AcceptsForecast;
+  /** Prefers the engine with the earliest first event; the score decides among near equals. */
+  readonly earliestFirst?: boolean;
 }
 
 /**
@@ -93,15 +100,23 @@
  */
 const FIRST_EVENT_DELAY_WEIGHT = 0.25 / 500;
 
+/** Difference of first events below which engines are near equals: about one decoding step. */
+const EARLIER_STEP: ports.Milliseconds = 25;
+
+/** Score penalty that outweighs all other terms of the score. */
+const SCORE_PER_STEP = 1_000;
+
 /** Time after which a prompt counts as processed even if no report confirms it, since its entry may have crashed. */
 const PREFILL_TIMEOUT: ports.Milliseconds = 3_000;
 
+const NO_TOKENS: ReadonlyMap<string, number> = new Map();
 const NO_GENERATIONS: readonly memoryPeak.GenerationMemory[] = [];
 
 /** Engines, the generations placed on them, and their forecast load. */
 export class EnginePool {
   readonly lengths = new lengthForecast.LengthForecast();
   readonly prefillEstimator = new prefillEstimator.PrefillEstimator();
+  readonly prefill: prefillForecaster.PrefillForecaster;
   private readonly isEnabled: placementFeatures.IsEnabled;
   private engines = new Map<string, Engine>();
   private readonly placed = new Map<string, PlacedGeneration>();
@@ -112,8 +127,13 @@
   private readonly recentStarts = new slidingWindowCounter.SlidingWindowCounter(warmUpBounds.COLD_WINDOW);
   private loads: Map<string, memoryPeak.GenerationMemory[]> | undefined;
 
-  constructor(isEnabled: placementFeatures.IsEnabled = placementFeatures.allEnabled) {
+  /** @param paceOf - prefill pace of one engine; by default that of its service, learned from first events */
+  constructor(
+    isEnabled: placementFeatures.IsEnabled = placementFeatures.allEnabled,
+    paceOf?: prefillBacklog.PrefillPace,
+  ) {
     this.isEnabled = isEnabled;
+    this.prefill = new prefillForecaster.PrefillForecaster(this.prefillEstimator, paceOf);
   }
 
   setEngines(engines: readonly Engine[]): void {
@@ -157,27 +177,62 @@
       };
       this.placed.set(identity, { running, entry, grantedAt: now, placedAt, reported: true, prefillTokens });
       // Only generations without others ahead are observed, as the progress of the others' prefill is unknown.
+      const isScheduled = this.isEnabled('prefillScheduling');
       const hadNoneAhead = prefillTokens === running.facts.promptTokens;
-      if (known !== undefined && hadNoneAhead && running.started && !known.running.started) {
+      if (!isScheduled && known !== undefined && hadNoneAhead && running.started && !known.running.started) {
         this.prefillEstimator.observe(running.facts.service, prefillTokens, now - placedAt);
       }
     }
+    if (this.isEnabled('prefillScheduling')) {
+      this.prefill.applyReport(report, now);
+      for (const identity of previous.keys()) {
+        if (!this.placed.has(identity)) {
+          this.prefill.remove(identity, now);
+        }
+      }
+    }
     for (const finished of report.finished) {
       this.lengths.observe(finished.facts, finished.produced);
     }
     this.loads = undefined;
   }
 
-  /** Removes generations of entries that stopped reporting, and grants that were never used. */
-  removeExpired(now: number): void {
+  /** Forecast time to the first event on an engine, of a generation that may already be placed there. */
+  firstEventIn(instance: string, facts: types.GenerationAttributes, now: number): ports.Milliseconds {
+    const isPlaced = this.placed.get(facts.identity)?.running.instance === instance;
+    const tokens = isPlaced ? 0 : facts.promptTokens;
+    const forecast = this.prefill.forecastOf(instance, facts.service, tokens, now);
+    return Math.round(this.prefill.timeToFirstEvent(facts.service, forecast));
+  }
+
+  /** Shortest forecast wait on the engines of a service. */
+  shortestWaitOf(service: string, now: number): ports.Milliseconds {
+    const waits = this.availableEnginesOf(service).map(
+      (engine) => this.prefill.forecastOf(engine.identity, service, 0, now).wait,
+    );
+    return waits.length === 0 ? 0 : Math.min(...waits);
+  }
+
+  /** Engines of a service that may receive generations. */
+  availableEnginesOf(service: string): readonly Engine[] {
+    return this.engineList.filter(
+      (engine) => engine.service === service && !engine.draining && !engine.evacuated,
+    );
+  }
+
+  /** Removes generations of entries that stopped reporting; returns prompts that never reported a first event. */
+  removeExpired(now: number): readonly prefillBacklog.Prompt[] {
     this.recentStarts.prune(now);
+    const expired = this.prefill.removeExpired((engine) => this.engines.has(engine), now);
     for (const [identity, placed] of this.placed) {
       const lastReportAt = this.entries.get(placed.entry)?.lastReportAt ?? placed.grantedAt;
       if (now - Math.max(lastReportAt, placed.grantedAt) > REPORT_LEASE) {
         this.placed.delete(identity);
+        this.prefill.remove(identity, now);
         this.loads = undefined;
       }
     }
+    return expired;
   }
 
   /** Counts a granted generation on its engine until the entry's reports confirm it. */
@@ -187,6 +242,7 @@
     const running = { facts, instance, produced: 0, started: false };
     const prefillTokens = facts.promptTokens + (this.pendingPrefillTokens(now).get(instance) ?? 0);
     this.recentStarts.add(instance, now);
+    this.prefill.recordGrant(facts, instance, now);
     this.placed.set(facts.identity, {
       running,
       entry,
@@ -213,6 +269,7 @@
     this.loads = undefined;
     if (outcome === 'ended') {
       this.placed.delete(identity);
+      this.prefill.remove(identity, now);
     } else if (outcome === 'moved' && target !== undefined && placed !== undefined) {
       const running = { ...placed.running, instance: target };
       this.placed.set(identity, { ...placed, running, grantedAt: now, reported: false });
@@ -280,10 +337,11 @@
   /** Selects the engine with the most free capacity after accepting the generation; undefined if none fits. */
   selectEngine(query: EngineQuery, now: number): Engine | undefined {
     const { facts, produced, purpose, dataCentre, excluded, localityBonus = SAME_DATA_CENTRE_BONUS } = query;
-    const { maximumTimeToFirstEvent = Number.POSITIVE_INFINITY } = query;
+    const { maximumTimeToFirstEvent = Number.POSITIVE_INFINITY, acceptsForecast, earliestFirst } = query;
+    const isScheduled = this.isEnabled('prefillScheduling');
     const ownPrefillTokens = purpose === 'move' ? 0 : facts.promptTokens;
     const loads = this.engineLoads();
-    const pendingPrefill = this.pendingPrefillTokens(now);
+    const pendingPrefill = isScheduled ? NO_TOKENS : this.pendingPrefillTokens(now);
     const heldTokens = facts.promptTokens + produced;
     const newGeneration = { held: heldTokens, remaining: this.lengths.remainingOutput(facts, produced) };
     const reservedSlots = purpose === 'patient' || purpose === 'late' ? RESERVED_SLOTS : 0;
@@ -298,6 +356,10 @@
       if (engine.service !== facts.service || isExcluded || !isAllowed || !isUnderRateLimit) {
         continue;
       }
+      const forecast = this.prefill.forecastOf(engine.identity, facts.service, ownPrefillTokens, now);
+      if (isScheduled && acceptsForecast?.(forecast) === false) {
+        continue;
+      }
       const load = loads.get(engine.identity) ?? NO_GENERATIONS;
       const { memoryTokens, slots } = engine.traits;
       const generations = [...load, newGeneration];
@@ -309,11 +371,14 @@
       // An idle engine accepts a generation of any size, which would otherwise never be placed.
       const fits = memoryShare <= MEMORY_LIMITS[purpose] || load.length === 0;
       const prefillTokens = ownPrefillTokens + (pendingPrefill.get(engine.identity) ?? 0);
-      const timeToFirstEvent = this.isEnabled('readingPace')
-        ? this.prefillEstimator.timeToFirstEvent(facts.service, prefillTokens)
-        : 0;
+      const forecastTime = isScheduled
+        ? this.prefill.timeToFirstEvent(facts.service, forecast)
+        : this.prefillEstimator.timeToFirstEvent(facts.service, prefillTokens);
+      const timeToFirstEvent = this.isEnabled('readingPace') ? forecastTime : 0;
       const locality = engine.dataCentre === dataCentre ? localityBonus : 0;
-      const score = locality - memoryShare - timeToFirstEvent * FIRST_EVENT_DELAY_WEIGHT;
+      const steps = earliestFirst === true ? Math.round(timeToFirstEvent / EARLIER_STEP) : 0;
+      const score =
+        locality - memoryShare - timeToFirstEvent * FIRST_EVENT_DELAY_WEIGHT - steps * SCORE_PER_STEP;
       const isEligible =
         (fits || !this.isEnabled('memoryBound')) &&
         load.length < slots - reservedSlots &&
--- a/packages/kumquatfront/src/placement/placementQueue.ts
+++ b/packages/kumquatfront/src/placement/placementQueue.ts
@@ -31,6 +31,8 @@
     queued: Pick<QueuedRequest, 'request' | 'since'>,
     now: ports.Milliseconds,
   ) => timeliness.Timeliness;
+  /** True for a request that may wait beyond its patience. */
+  readonly mayWaitLonger: (queued: QueuedRequest, now: ports.Milliseconds) => boolean;
 }
 
 /** Queue of the requests that are not placed yet. */
@@ -56,6 +58,10 @@
     return true;
   }
 
+  has(identity: string): boolean {
+    return this.requests.has(identity);
+  }
+
   remove(identity: string): void {
     this.requests.delete(identity);
   }
@@ -67,7 +73,7 @@
   /** Removes and returns requests that exceeded their maximum wait or became late in the queue. */
   takeExpired(now: number): readonly QueuedRequest[] {
     const expired = [...this.requests.values()].filter(
-      (queued) => now - queued.since >= queued.request.patience || this.becameLateWhileQueued(queued, now),
+      (queued) => this.hasExceededWait(queued, now) || this.becameLateWhileQueued(queued, now),
     );
     for (const queued of expired) {
       this.requests.delete(queued.request.facts.identity);
@@ -75,6 +81,10 @@
     return expired;
   }
 
+  private hasExceededWait(queued: QueuedRequest, now: number): boolean {
+    return now - queued.since >= queued.request.patience && !this.forecasts.mayWaitLonger(queued, now);
+  }
+
   /** True if the objective could be met on arrival but no longer can; requests late on arrival keep waiting. */
   private becameLateWhileQueued(queued: QueuedRequest, now: number): boolean {
     const { timelinessOf } = this.forecasts;
--- a/packages/kumquatfront/src/placement/prefillEstimator.ts
+++ b/packages/kumquatfront/src/placement/prefillEstimator.ts
@@ -21,7 +21,8 @@
   /** Prefill time of one prompt token, by service. */
   private readonly millisecondsPerToken = new Map<string, number>();
 
-  private millisecondsPerTokenOf(service: string): number {
+  /** Prefill time of one prompt token on the engines of a service. */
+  millisecondsPerTokenOf(service: string): number {
     return this.millisecondsPerToken.get(service) ?? INITIAL_MILLISECONDS_PER_TOKEN;
   }
 
--- a/packages/kumquatfront/src/placement/types.ts
+++ b/packages/kumquatfront/src/placement/types.ts
@@ -36,17 +36,21 @@
   readonly objectiveLeft: ports.Milliseconds;
   /** Maximum time to wait in the queue. */
   readonly patience: ports.Milliseconds;
+  /** Maximum wait where only headroom for urgent work is missing; absent from entries that do not support it. */
+  readonly longestWait?: ports.Milliseconds;
 }
 
 /** The engine selected for a generation. */
 export interface Placement {
   readonly instance: string;
+  /** Forecast time to the first event; absent from coordinators without a forecast. */
+  readonly firstEventIn?: ports.Milliseconds;
 }
 
 /** Response to a placement request. */
 export type PlacementAnswer =
   | ({ readonly state: 'placed' } & Placement)
-  /** Nothing was started; `retryAfter` is the estimated time until an engine has free capacity. */
+  /** Nothing was started; `retryAfter` is the forecast time until an engine has free capacity. */
   | { readonly state: 'refused'; readonly retryAfter: ports.Milliseconds; readonly reason: string };
 
 /** State of a running generation as reported by its entry. */
--- a/packages/kumquatfront/src/placement/waitLimits.ts
+++ b/packages/kumquatfront/src/placement/waitLimits.ts
@@ -39,3 +39,21 @@
   const objectiveShare = ranks.isPatient(rank) ? PATIENT_OBJECTIVE_SHARE : URGENT_OBJECTIVE_SHARE;
   return Math.max(0, Math.min(objective * objectiveShare, totalTimeout * TOTAL_TIMEOUT_SHARE));
 }
+
+/**
+ * Computes the maximum wait of a patient generation while only headroom for urgent work is missing.
+ *
+ * @param objective - the route's objective for the time to the first event, in milliseconds
+ * @param totalTimeout - milliseconds from the request to the end of the answer
+ * @returns milliseconds from the request
+ * @example
+ * ```ts
+ * waitLimits.longestWait(4000, 39000); // 4000
+ * ```
+ */
+export function longestWait(
+  objective: ports.Milliseconds,
+  totalTimeout: ports.Milliseconds,
+): ports.Milliseconds {
+  return Math.max(0, Math.min(objective, totalTimeout * TOTAL_TIMEOUT_SHARE));
+}
--- /dev/null
+++ b/packages/kumquatfront/src/prefill/prefillForecaster.ts
@@ -0,0 +1,85 @@
+/**
+ * Keeps the prefill forecast of the engines up to date with grants and with the entries' reports, and learns the pace
+ * of each service from all reported first events, including those of prompts that had others ahead.
+ */
+import type * as ports from '../kernel/ports.js';
+import type * as prefillEstimator from '../placement/prefillEstimator.js';
+import type * as types from '../placement/types.js';
+import type * as prefillAdmission from './prefillAdmission.js';
+import * as prefillBacklog from './prefillBacklog.js';
+
+/** Prefill forecast of one coordinator. */
+export class PrefillForecaster {
+  private readonly backlog: prefillBacklog.PrefillBacklog;
+  private readonly estimator: prefillEstimator.PrefillEstimator;
+  private readonly paceOf: prefillBacklog.PrefillPace;
+
+  /** @param paceOf - prefill pace of one engine; by default that of its service */
+  constructor(estimator: prefillEstimator.PrefillEstimator, paceOf?: prefillBacklog.PrefillPace) {
+    this.estimator = estimator;
+    this.paceOf = paceOf ?? ((_engine, service) => estimator.millisecondsPerTokenOf(service));
+    this.backlog = new prefillBacklog.PrefillBacklog(this.paceOf);
+  }
+
+  /** Adds the prompt of a granted placement. */
+  recordGrant(facts: types.GenerationAttributes, engine: string, now: ports.Milliseconds): void {
+    const { identity, service, promptTokens } = facts;
+    this.backlog.add({ identity, engine, service, tokens: promptTokens }, now, true);
+  }
+
+  /** Applies the first events and ends of generations that an entry reports. */
+  applyReport(report: types.EntryReport, now: ports.Milliseconds): void {
+    for (const { facts, instance, started } of report.generations) {
+      const { identity, service, promptTokens } = facts;
+      if (started) {
+        this.complete(identity, now);
+      } else {
+        this.backlog.add({ identity, engine: instance, service, tokens: promptTokens }, now, false);
+      }
+    }
+    for (const { facts } of report.finished) {
+      this.complete(facts.identity, now);
+    }
+  }
+
+  private complete(identity: string, now: ports.Milliseconds): void {
+    const observed = this.backlog.complete(identity, now);
+    if (observed !== undefined) {
+      const { service, tokens, elapsed } = observed;
+      this.estimator.observe(service, tokens, this.estimator.timeToFirstEvent(service, 0) + elapsed);
+    }
+  }
+
+  /** Removes the prompt of a generation that no longer runs. */
+  remove(identity: string, now: ports.Milliseconds): void {
+    this.backlog.remove(identity, now);
+  }
+
+  /** Drops prompts that never reported a first event and the queues of engines that no longer exist. */
+  removeExpired(
+    isKnownEngine: (engine: string) => boolean,
+    now: ports.Milliseconds,
+  ): readonly prefillBacklog.Prompt[] {
+    return this.backlog.removeExpired(isKnownEngine, now);
+  }
+
+  /** Forecasts a prompt of a service on one of its engines. */
+  forecastOf(
+    engine: string,
+    service: string,
+    tokens: number,
+    now: ports.Milliseconds,
+  ): prefillAdmission.PrefillForecast {
+    return { wait: this.backlog.waitOf(engine, now), work: tokens * this.paceOf(engine, service) };
+  }
+
+  /** Time to the first event on one engine, from placement. */
+  timeToFirstEvent(service: string, { wait, work }: prefillAdmission.PrefillForecast): ports.Milliseconds {
+    return this.estimator.timeToFirstEvent(service, 0) + wait + work;
+  }
+
+  /** Number of prompts that an engine has not processed. */
+  countOf(engine: string): number {
+    return this.backlog.countOf(engine);
+  }
+}
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -6,6 +6,7 @@
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
 import * as contentDigest from '../quarantine/contentDigest.js';
+import type * as placementFeatures from '../placement/placementFeatures.js';
 import type * as quarantine from '../quarantine/quarantine.js';
 import type * as quarantineTypes from '../quarantine/types.js';
 import type * as trafficTypes from '../traffic/types.js';
@@ -28,6 +29,8 @@
   readonly placement: placementClient.PlacementClient;
   /** Consulted by `upstreams` before each send. */
   readonly quarantine: quarantine.Quarantine;
+  /** Returns whether a placement feature is enabled; by default all are. */
+  readonly isEnabled?: placementFeatures.IsEnabled;
 }
 
 /** A request together with its route, service and client account. */
--- a/packages/kumquatfront/src/relay/idleTimeout.ts
+++ b/packages/kumquatfront/src/relay/idleTimeout.ts
@@ -10,6 +10,13 @@
 /** Timeout of the first event, as a share of the objective; the rest lets a second engine meet the objective. */
 const FIRST_EVENT_OBJECTIVE_SHARE = 0.62;
 
+/**
+ * Margin on the coordinator's forecast of the first event, as a factor and a minimum. Paces of engines differ by up to
+ * 1.3 from that of their service, and a stream sent twice delays all prompts behind it.
+ */
+const FORECAST_FACTOR = 1.3;
+const MINIMUM_FORECAST_MARGIN: ports.Milliseconds = 250;
+
 /** Lower bound of both timeouts. */
 const MINIMUM_IDLE_TIMEOUT: ports.Milliseconds = 400;
 
@@ -18,14 +25,25 @@
  *
  * @param route - the route with its objective and longest accepted pause
  * @param started - true if the first event has been received
+ * @param firstEventIn - the coordinator's forecast from the placement to the first event; undefined if there is none
  * @returns the timeout in milliseconds
  * @example
  * ```ts
- * timers.after(idleTimeout.forRoute(route, false), selectReplacement);
+ * timers.after(idleTimeout.forRoute(route, false, 900), selectReplacement);
  * ```
  */
-export function forRoute(route: trafficTypes.Route, started: boolean): ports.Milliseconds {
+export function forRoute(
+  route: trafficTypes.Route,
+  started: boolean,
+  firstEventIn?: ports.Milliseconds,
+): ports.Milliseconds {
   const { objective, longestPause } = route;
-  const timeout = started ? longestPause * IDLE_TIMEOUT_PAUSES : objective * FIRST_EVENT_OBJECTIVE_SHARE;
-  return Math.max(MINIMUM_IDLE_TIMEOUT, timeout);
+  if (started) {
+    return Math.max(MINIMUM_IDLE_TIMEOUT, longestPause * IDLE_TIMEOUT_PAUSES);
+  }
+  const forecastTimeout =
+    firstEventIn === undefined
+      ? 0
+      : Math.max(firstEventIn * FORECAST_FACTOR, firstEventIn + MINIMUM_FORECAST_MARGIN);
+  return Math.max(MINIMUM_IDLE_TIMEOUT, objective * FIRST_EVENT_OBJECTIVE_SHARE, forecastTimeout);
 }
--- a/packages/kumquatfront/src/relay/placementClient.ts
+++ b/packages/kumquatfront/src/relay/placementClient.ts
@@ -148,6 +148,8 @@
       }
       const elapsed = timers.now() - startedAt;
       const waitLeft = Math.max(0, request.patience - elapsed);
+      const longestWait =
+        request.longestWait === undefined ? undefined : Math.max(0, request.longestWait - elapsed);
       const objectiveLeft = request.objectiveLeft - elapsed;
       const { entry, dataCentre } = this.options;
       const parameters: methods.PlaceRequest = {
@@ -156,8 +158,10 @@
         dataCentre,
         patience: waitLeft,
         objectiveLeft,
+        ...(longestWait !== undefined && { longestWait }),
       };
-      peers.request(coordinator, methods.methods.place, parameters, waitLeft + 500, (result) => {
+      const timeout = Math.max(waitLeft, longestWait ?? 0) + 500;
+      peers.request(coordinator, methods.methods.place, parameters, timeout, (result) => {
         if (settled || attempt !== latestAttempt) {
           return;
         }
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -39,6 +39,8 @@
   /** Set while a replacement for an idle segment is being selected. */
   private idleSearch:
     { readonly segment: streamSegment.StreamSegment; readonly eventCount: number } | undefined;
+  /** Forecast time from the last placement to the first event. */
+  private firstEventIn: ports.Milliseconds | undefined;
   private cancelDeadline: ports.Cancel = () => undefined;
   private cancelIdleTimer: ports.Cancel = () => undefined;
   private cancelQuarantine: ports.Cancel = () => undefined;
@@ -49,8 +51,8 @@
     this.attributes = generationAttributes.forRequest(routed);
     this.delivery = new streamDelivery.StreamDelivery(routed.caller, routed.request.lastEvent);
     this.selector = new upstreamSelector.UpstreamSelector(context, routed, this.attributes, {
-      selected: (instance) => {
-        this.onUpstreamSelected(instance);
+      selected: (instance, firstEventIn) => {
+        this.onUpstreamSelected(instance, firstEventIn);
       },
       unavailable: (reason, message, retryAfter) => {
         this.onNoUpstream(reason, message, retryAfter);
@@ -129,7 +131,7 @@
     return this.routed.route.resumable;
   }
 
-  private onUpstreamSelected(instance: instanceView.Instance): void {
+  private onUpstreamSelected(instance: instanceView.Instance, firstEventIn?: ports.Milliseconds): void {
     const { active: segment, idleSearch } = this;
     this.idleSearch = undefined;
     if (segment !== undefined) {
@@ -144,6 +146,7 @@
       this.logResumption('silent');
       this.closeSegment(segment, 'silent');
     }
+    this.firstEventIn = firstEventIn;
     this.send(instance, undefined);
   }
 
@@ -261,7 +264,9 @@
     if (!this.resumable || segment === undefined) {
       return;
     }
-    const timeout = idleTimeout.forRoute(this.routed.route, segment.eventCount > 0);
+    // A segment that resumes from a memory copy has no prefill.
+    const firstEventIn = segment.copy === undefined ? this.firstEventIn : undefined;
+    const timeout = idleTimeout.forRoute(this.routed.route, segment.eventCount > 0, firstEventIn);
     this.cancelIdleTimer = this.context.timers.after(timeout, () => {
       if (this.active === segment && !this.ended && !this.moveController.isStopping && this.hasAttemptsLeft) {
         this.idleSearch = { segment, eventCount: segment.eventCount };
--- a/packages/kumquatfront/src/relay/upstreamSelector.ts
+++ b/packages/kumquatfront/src/relay/upstreamSelector.ts
@@ -5,6 +5,7 @@
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import type * as placementTypes from '../placement/types.js';
+import * as ranks from '../placement/ranks.js';
 import * as waitLimits from '../placement/waitLimits.js';
 import * as exchangeContext from './exchangeContext.js';
 import * as generationAttributes from './generationAttributes.js';
@@ -13,7 +14,8 @@
 
 /** Callbacks for the result of a selection. */
 export interface UpstreamSelectionListener {
-  readonly selected: (instance: instanceView.Instance) => void;
+  /** `firstEventIn` is the coordinator's forecast of the time to the first event; undefined if there is none. */
+  readonly selected: (instance: instanceView.Instance, firstEventIn?: ports.Milliseconds) => void;
   readonly unavailable: (
     reason: types.RefusalReason,
     message: string,
@@ -81,12 +83,20 @@
       objective,
       objectiveLeft: request.arrivedAt + objective - now,
       patience: Math.max(0, waitUntil - now),
+      ...(this.isScheduled &&
+        ranks.isPatient(this.attributes.rank) && {
+          longestWait: waitLimits.longestWait(objective, totalTime) - (now - request.arrivedAt),
+        }),
     };
     this.cancelPlacement = placement.place(placementRequest, (outcome) => {
       this.onPlacementOutcome(outcome);
     });
   }
 
+  private get isScheduled(): boolean {
+    return this.context.isEnabled?.('prefillScheduling') ?? true;
+  }
+
   private onPlacementOutcome(outcome: placementClient.PlacementOutcome): void {
     if (this.cancelled) {
       return;
@@ -100,7 +110,7 @@
       if (instance === undefined || this.excludedUpstreams.has(instance.identity)) {
         this.selectLocally();
       } else {
-        this.listener.selected(instance);
+        this.listener.selected(instance, this.isScheduled ? outcome.firstEventIn : undefined);
       }
     }
   }
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -194,6 +194,7 @@
         retryBudget: budget,
         placement,
         quarantine: quarantineState,
+        ...(settings.isEnabled !== undefined && { isEnabled: settings.isEnabled }),
       },
       random,
       regions: settings.regions,
