--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -64,6 +64,7 @@
 export * as placementFeatures from './placement/placementFeatures.js';
 export * as placementCoordinator from './placement/coordinator.js';
 export * as waitLimits from './placement/waitLimits.js';
+export type * as prefillBacklog from './prefill/prefillBacklog.js';
 export type * as placementTypes from './placement/types.js';
 export type * as relayTypes from './relay/types.js';
 export * as routeTable from './traffic/routeTable.js';
--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -96,7 +96,10 @@
       meanPaceOf: (service) => this.pool.prefillEstimator.millisecondsPerTokenOf(service),
       fixedDelayOf: (service) => this.pool.prefillEstimator.timeToFirstEvent(service, 0),
       engineCountOf: (service) => this.pool.availableEnginesOf(service).length,
-      shortestWaitOf: (service, now) => this.pool.shortestWaitOf(service, now),
+      shortestWaitOf: (service, now) => {
+        const engines = this.pool.availableEnginesOf(service).map((engine) => engine.identity);
+        return this.pool.prefill.shortestWaitOf(engines, now);
+      },
     });
     this.evacuation = new evacuation.EvacuationScheduler({
       pool: this.pool,
--- a/packages/kumquatfront/src/placement/coordinatorTestHarness.ts
+++ b/packages/kumquatfront/src/placement/coordinatorTestHarness.ts
@@ -33,6 +33,8 @@
   private readonly instances: instanceTypes.InstanceRecord[] = [];
   /** Evacuated data centres. */
   readonly evacuated = new Set<string>();
+  /** Longest wait that the entry names in its requests. */
+  longestWait: number | undefined;
   private sequence = 0;
 
   constructor(
@@ -118,7 +120,11 @@
       ...{ rank, account: '' },
     };
     const patience = waitLimits.maximumWait(OBJECTIVE, 39_000, rank);
-    const times = { objective: OBJECTIVE, objectiveLeft: OBJECTIVE, patience };
+    const { longestWait } = this;
+    const times = {
+      ...{ objective: OBJECTIVE, objectiveLeft: OBJECTIVE, patience },
+      ...(longestWait !== undefined && { longestWait }),
+    };
     this.coordinator.requestPlacement(
       { facts: attributes, entry: ENTRY, dataCentre: 'a', excluded: [], likeness: fingerprint, ...times },
       (answer) => {
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -205,14 +205,6 @@
     return Math.round(this.prefill.timeToFirstEvent(facts.service, forecast));
   }
 
-  /** Shortest forecast wait on the engines of a service. */
-  shortestWaitOf(service: string, now: number): ports.Milliseconds {
-    const waits = this.availableEnginesOf(service).map(
-      (engine) => this.prefill.forecastOf(engine.identity, service, 0, now).wait,
-    );
-    return waits.length === 0 ? 0 : Math.min(...waits);
-  }
-
   /** Engines of a service that may receive generations. */
   availableEnginesOf(service: string): readonly Engine[] {
     return this.engineList.filter(
--- a/packages/kumquatfront/src/prefill/prefillBacklog.ts
+++ b/packages/kumquatfront/src/prefill/prefillBacklog.ts
@@ -183,9 +183,4 @@
     const overdue = Math.max(0, elapsed - this.workOf(head) - OVERDUE_TOLERANCE);
     return Math.max(0, total - (elapsed - overdue)) + OVERDUE_SHARE * overdue;
   }
-
-  /** Number of prompts that an engine has not processed. */
-  countOf(engine: string): number {
-    return this.queues.get(engine)?.prompts.length ?? 0;
-  }
 }
--- a/packages/kumquatfront/src/prefill/prefillForecaster.ts
+++ b/packages/kumquatfront/src/prefill/prefillForecaster.ts
@@ -73,13 +73,13 @@
     return { wait: this.backlog.waitOf(engine, now), work: tokens * this.paceOf(engine, service) };
   }
 
+  /** Shortest forecast wait on some engines; 0 if there are none. */
+  shortestWaitOf(engines: readonly string[], now: ports.Milliseconds): ports.Milliseconds {
+    return engines.length === 0 ? 0 : Math.min(...engines.map((engine) => this.backlog.waitOf(engine, now)));
+  }
+
   /** Time to the first event on one engine, from placement. */
   timeToFirstEvent(service: string, { wait, work }: prefillAdmission.PrefillForecast): ports.Milliseconds {
     return this.estimator.timeToFirstEvent(service, 0) + wait + work;
   }
-
-  /** Number of prompts that an engine has not processed. */
-  countOf(engine: string): number {
-    return this.backlog.countOf(engine);
-  }
 }
--- a/packages/kumquatfront/src/relay/relayTestHarness.ts
+++ b/packages/kumquatfront/src/relay/relayTestHarness.ts
@@ -85,6 +85,8 @@
   readonly callerEvents: string[] = [];
   /** Engines that the coordinator grants, in order; it does not respond if the list is empty. */
   readonly placements: string[] = [];
+  /** Forecast of the first event in the coordinator's answers. */
+  firstEventIn: ports.Milliseconds | undefined;
   readonly context: exchangeContext.ExchangeContext;
   private notifyCallerGone: () => void = () => undefined;
   private readonly peerHandlers = new Map<string, ports.PeerHandler>();
@@ -198,7 +200,11 @@
         }
         const instance = method === methods.methods.place ? this.placements.shift() : undefined;
         if (instance !== undefined) {
-          const answer: placementTypes.PlacementAnswer = { state: 'placed', instance };
+          const { firstEventIn } = this;
+          const answer: placementTypes.PlacementAnswer = {
+            ...{ state: 'placed', instance },
+            ...(firstEventIn !== undefined && { firstEventIn }),
+          };
           done(results.Ok(answer));
         }
       },
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -5,6 +5,7 @@
 import * as backPressureSafeguards from './backPressureSafeguards.js';
 import * as controlSafeguards from './controlSafeguards.js';
 import * as dataCentreSafeguards from './dataCentreSafeguards.js';
+import * as prefillSafeguards from './prefillSafeguards.js';
 import * as quarantineSafeguards from './quarantineSafeguards.js';
 import * as relaySafeguards from './relaySafeguards.js';
 import * as servingSafeguards from './servingSafeguards.js';
@@ -19,5 +20,6 @@
   ...quarantineSafeguards.quarantineSafeguards,
   ...dataCentreSafeguards.dataCentreSafeguards,
   ...backPressureSafeguards.backPressureSafeguards,
+  ...prefillSafeguards.prefillSafeguards,
   ...sharedLimitsSafeguards.sharedLimitsSafeguards,
 ];
