--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -4,12 +4,14 @@
  * preempting generations, whose prompts would have to be processed again.
  */
 import type * as ports from '../kernel/ports.js';
+import type * as prefillAdmission from '../prefill/prefillAdmission.js';
+import type * as prefillBacklog from '../prefill/prefillBacklog.js';
+import * as prefillForecaster from '../prefill/prefillForecaster.js';
 import * as residency from '../traffic/residency.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as slidingWindowCounter from '../warmUp/slidingWindowCounter.js';
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
-import * as interference from '../streamPauses/interference.js';
-import * as pauseForecast from '../streamPauses/pauseForecast.js';
+import * as pauseProtection from '../streamPauses/pauseProtection.js';
 import * as lengthForecast from './lengthForecast.js';
 import * as placementFeatures from './placementFeatures.js';
 import * as memoryPeak from './memoryPeak.js';
@@ -87,6 +89,10 @@
   readonly localityBonus?: number;
   /** Engines with a longer estimated time to the first event are excluded. */
   readonly maximumTimeToFirstEvent?: ports.Milliseconds;
+  /** Condition on the prefill forecast of an engine. */
+  readonly acceptsForecast?: prefillAdmission.AcceptsForecast;
+  /** Prefers the engine with the earliest first event; the score decides among near equals. */
+  readonly earliestFirst?: boolean;
 }
 
 /**
@@ -95,19 +101,42 @@
  */
 const FIRST_EVENT_DELAY_WEIGHT = 0.25 / 500;
 
+/** Difference of first events below which engines are near equals: about one decoding step. */
+const EARLIER_STEP: ports.Milliseconds = 25;
+
+/** Score penalty that outweighs all other terms of the score. */
+const SCORE_PER_STEP = 1_000;
+
 /** Time after which a prompt counts as processed even if no report confirms it, since its entry may have crashed. */
 const PREFILL_TIMEOUT: ports.Milliseconds = 3_000;
 
-/** Time after a placement during which its prompt may have paused the streams on its engine. */
-const PROMPT_BESIDE_TIME: ports.Milliseconds = 1_500;
+/** Later first event of an urgent generation that is accepted to keep a running stream in time. */
+const PAUSE_COST_DELAY: ports.Milliseconds = 400;
 
+const NO_TOKENS: ReadonlyMap<string, number> = new Map();
 const NO_GENERATIONS: readonly memoryPeak.GenerationMemory[] = [];
 
+/** Prefill paces of single engines; where they are absent, the pace of the service is used. */
+export interface EnginePaceSource {
+  readonly paceOf?: prefillBacklog.PrefillPace;
+  /** Pace of an engine relative to its service, if `paceOf` is absent; 1 for all by default. */
+  readonly relativePaceOf?: (engine: string, service: string) => number;
+  /** Receives the time in milliseconds that an engine took for a prompt. */
+  readonly observe?: (engine: string, service: string, tokens: number, elapsed: ports.Milliseconds) => void;
+  /** Called for an engine that is no longer listed. */
+  readonly remove?: (engine: string) => void;
+}
+
 /** Engines, the generations placed on them, and their forecast load. */
 export class EnginePool {
   readonly lengths = new lengthForecast.LengthForecast();
   readonly prefillEstimator = new prefillEstimator.PrefillEstimator();
-  readonly pauseForecast = new pauseForecast.PauseForecast();
+  private readonly pauses = new pauseProtection.PauseProtection({
+    placedOn: (engine) => this.placedOn(engine),
+    placedOf: (identity) => this.placed.get(identity),
+    remainingOutput: (facts, produced) => this.lengths.remainingOutput(facts, produced),
+  });
+  readonly prefill: prefillForecaster.PrefillForecaster;
   private readonly isEnabled: placementFeatures.IsEnabled;
   private engines = new Map<string, Engine>();
   private readonly placed = new Map<string, PlacedGeneration>();
@@ -118,13 +147,43 @@
   private readonly recentStarts = new slidingWindowCounter.SlidingWindowCounter(warmUpBounds.COLD_WINDOW);
   private loads: Map<string, memoryPeak.GenerationMemory[]> | undefined;
 
-  constructor(isEnabled: placementFeatures.IsEnabled = placementFeatures.allEnabled) {
+  /** @param paces - prefill paces of single engines, learned elsewhere */
+  constructor(
+    isEnabled: placementFeatures.IsEnabled = placementFeatures.allEnabled,
+    private readonly paces: EnginePaceSource = {},
+  ) {
     this.isEnabled = isEnabled;
+    this.prefill = new prefillForecaster.PrefillForecaster(
+      this.prefillEstimator,
+      paces.paceOf ?? ((engine, service) => this.learnedPaceOf(engine, service)),
+      (observation) => {
+        this.observePrefill(observation);
+      },
+    );
+  }
+
+  private learnedPaceOf(engine: string, service: string): number {
+    const relativePace = this.paces.relativePaceOf?.(engine, service) ?? 1;
+    return this.prefillEstimator.millisecondsPerTokenOf(service) * relativePace;
+  }
+
+  private observePrefill(observation: prefillBacklog.PrefillObservation): void {
+    const { engine, service } = observation;
+    const tokens = Math.max(1, observation.tokens);
+    const elapsed = Math.max(1, observation.elapsed);
+    this.paces.observe?.(engine, service, tokens, elapsed);
+    this.pauses.forecast.observePrefill(engine, service, elapsed / tokens);
   }
 
   setEngines(engines: readonly Engine[]): void {
-    this.engines = new Map(engines.map((engine) => [engine.identity, engine]));
-    this.pauseForecast.retain((engine) => this.engines.has(engine));
+    const listed = new Map(engines.map((engine) => [engine.identity, engine]));
+    for (const engine of this.engines.keys()) {
+      if (!listed.has(engine)) {
+        this.paces.remove?.(engine);
+      }
+    }
+    this.engines = listed;
+    this.pauses.forecast.retain((engine) => listed.has(engine));
   }
 
   get engineList(): readonly Engine[] {
@@ -149,7 +208,7 @@
     }
     this.entries.set(entry, { address, epoch, sequence, lastReportAt: now });
     const previous = new Map(this.placed);
-    this.observePauses(report, now);
+    this.pauses.observeReport(report, now);
     for (const [identity, placed] of this.placed) {
       const isRecentGrant = !placed.reported && now - placed.grantedAt < UNREPORTED_GRANT_TIMEOUT;
       if (placed.entry === entry && !isRecentGrant) {
@@ -165,11 +224,18 @@
       };
       this.placed.set(identity, { running, entry, grantedAt: now, placedAt, reported: true, prefillTokens });
       // Only generations without others ahead are observed, as the progress of the others' prefill is unknown.
+      const isScheduled = this.isEnabled('prefillScheduling');
       const hadNoneAhead = prefillTokens === running.facts.promptTokens;
-      if (known !== undefined && hadNoneAhead && running.started && !known.running.started) {
+      if (!isScheduled && known !== undefined && hadNoneAhead && running.started && !known.running.started) {
         this.prefillEstimator.observe(running.facts.service, prefillTokens, now - placedAt);
-        const pace = (now - placedAt) / Math.max(1, prefillTokens);
-        this.pauseForecast.observePrefill(running.instance, running.facts.service, pace);
+      }
+    }
+    if (this.isEnabled('prefillScheduling')) {
+      this.prefill.applyReport(report, now);
+      for (const identity of previous.keys()) {
+        if (!this.placed.has(identity)) {
+          this.prefill.remove(identity, now);
+        }
       }
     }
     for (const finished of report.finished) {
@@ -178,65 +244,34 @@
     this.loads = undefined;
   }
 
-  /** Learns the pauses of engines from streams that had a longer pause since the last report, beside a prompt. */
-  private observePauses(report: types.EntryReport, now: number): void {
-    for (const { facts, instance, longestPause } of report.generations) {
-      const previous = this.placed.get(facts.identity)?.running;
-      const isLonger = (longestPause ?? 0) > (previous?.longestPause ?? 0);
-      if (
-        longestPause !== undefined &&
-        previous?.instance === instance &&
-        isLonger &&
-        this.hadPrompt(instance, now)
-      ) {
-        this.pauseForecast.observePause(instance, facts.service, longestPause, now);
-      }
-    }
+  /** Forecast time to the first event on an engine, of a generation that may already be placed there. */
+  firstEventIn(instance: string, facts: types.GenerationAttributes, now: number): ports.Milliseconds {
+    const isPlaced = this.placed.get(facts.identity)?.running.instance === instance;
+    const tokens = isPlaced ? 0 : facts.promptTokens;
+    const forecast = this.prefill.forecastOf(instance, facts.service, tokens, now);
+    return Math.round(this.prefill.timeToFirstEvent(facts.service, forecast));
   }
 
-  /** True if an engine has processed a prompt during the last report interval. */
-  private hadPrompt(instance: string, now: number): boolean {
-    return this.placedOn(instance).some(
-      ({ running, placedAt }) => !running.started || now - placedAt < PROMPT_BESIDE_TIME,
-    );
-  }
-
-  /** Cost of a generation on an engine for the streams there; 0 where the pauses of the engine are unknown. */
-  private interferenceOf(engine: Engine, query: EngineQuery, remaining: number, now: number): number {
-    const expectedPause = this.isEnabled('pauseProtection')
-      ? this.pauseForecast.expectedPause(engine.identity, now)
-      : undefined;
-    if (expectedPause === undefined) {
-      return 0;
-    }
-    const running = this.placedOn(engine.identity).map((placed) => this.streamOf(placed));
-    const hasPrompt = query.purpose !== 'move';
-    return interference.costOf(
-      expectedPause,
-      { pauseLimit: query.facts.pauseLimit, remaining, hasPrompt },
-      running,
+  /** Engines of a service that may receive generations. */
+  availableEnginesOf(service: string): readonly Engine[] {
+    return this.engineList.filter(
+      (engine) => engine.service === service && !engine.draining && !engine.evacuated,
     );
   }
 
-  private streamOf({ running }: PlacedGeneration): interference.RunningStream {
-    const { facts, produced, longestPause = 0 } = running;
-    return {
-      pauseLimit: facts.pauseLimit,
-      longestPause,
-      remaining: this.lengths.remainingOutput(facts, produced),
-    };
-  }
-
-  /** Removes generations of entries that stopped reporting, and grants that were never used. */
-  removeExpired(now: number): void {
+  /** Removes generations of entries that stopped reporting; returns prompts that never reported a first event. */
+  removeExpired(now: number): readonly prefillBacklog.Prompt[] {
     this.recentStarts.prune(now);
+    const expired = this.prefill.removeExpired((engine) => this.engines.has(engine), now);
     for (const [identity, placed] of this.placed) {
       const lastReportAt = this.entries.get(placed.entry)?.lastReportAt ?? placed.grantedAt;
       if (now - Math.max(lastReportAt, placed.grantedAt) > REPORT_LEASE) {
         this.placed.delete(identity);
+        this.prefill.remove(identity, now);
         this.loads = undefined;
       }
     }
+    return expired;
   }
 
   /** Counts a granted generation on its engine until the entry's reports confirm it. */
@@ -246,6 +281,7 @@
     const running = { facts, instance, produced: 0, started: false };
     const prefillTokens = facts.promptTokens + (this.pendingPrefillTokens(now).get(instance) ?? 0);
     this.recentStarts.add(instance, now);
+    this.prefill.recordGrant(facts, instance, now);
     this.placed.set(facts.identity, {
       running,
       entry,
@@ -272,6 +308,7 @@
     this.loads = undefined;
     if (outcome === 'ended') {
       this.placed.delete(identity);
+      this.prefill.remove(identity, now);
     } else if (outcome === 'moved' && target !== undefined && placed !== undefined) {
       const running = { ...placed.running, instance: target };
       this.placed.set(identity, { ...placed, running, grantedAt: now, reported: false });
@@ -339,10 +376,11 @@
   /** Selects the engine with the most free capacity after accepting the generation; undefined if none fits. */
   selectEngine(query: EngineQuery, now: number): Engine | undefined {
     const { facts, produced, purpose, dataCentre, excluded, localityBonus = SAME_DATA_CENTRE_BONUS } = query;
-    const { maximumTimeToFirstEvent = Number.POSITIVE_INFINITY } = query;
+    const { maximumTimeToFirstEvent = Number.POSITIVE_INFINITY, acceptsForecast, earliestFirst } = query;
+    const isScheduled = this.isEnabled('prefillScheduling');
     const ownPrefillTokens = purpose === 'move' ? 0 : facts.promptTokens;
     const loads = this.engineLoads();
-    const pendingPrefill = this.pendingPrefillTokens(now);
+    const pendingPrefill = isScheduled ? NO_TOKENS : this.pendingPrefillTokens(now);
     const heldTokens = facts.promptTokens + produced;
     const newGeneration = { held: heldTokens, remaining: this.lengths.remainingOutput(facts, produced) };
     const reservedSlots = purpose === 'patient' || purpose === 'late' ? RESERVED_SLOTS : 0;
@@ -357,6 +395,10 @@
       if (engine.service !== facts.service || isExcluded || !isAllowed || !isUnderRateLimit) {
         continue;
       }
+      const forecast = this.prefill.forecastOf(engine.identity, facts.service, ownPrefillTokens, now);
+      if (isScheduled && acceptsForecast?.(forecast) === false) {
+        continue;
+      }
       const load = loads.get(engine.identity) ?? NO_GENERATIONS;
       const { memoryTokens, slots } = engine.traits;
       const generations = [...load, newGeneration];
@@ -368,12 +410,28 @@
       // An idle engine accepts a generation of any size, which would otherwise never be placed.
       const fits = memoryShare <= MEMORY_LIMITS[purpose] || load.length === 0;
       const prefillTokens = ownPrefillTokens + (pendingPrefill.get(engine.identity) ?? 0);
-      const timeToFirstEvent = this.isEnabled('readingPace')
-        ? this.prefillEstimator.timeToFirstEvent(facts.service, prefillTokens)
-        : 0;
+      const forecastTime = isScheduled
+        ? this.prefill.timeToFirstEvent(facts.service, forecast)
+        : this.prefillEstimator.timeToFirstEvent(facts.service, prefillTokens);
+      const timeToFirstEvent = this.isEnabled('readingPace') ? forecastTime : 0;
       const locality = engine.dataCentre === dataCentre ? localityBonus : 0;
-      const pauseCost = this.interferenceOf(engine, query, newGeneration.remaining, now);
-      const score = locality - memoryShare - timeToFirstEvent * FIRST_EVENT_DELAY_WEIGHT - pauseCost;
+      const pauseCost = this.isEnabled('pauseProtection')
+        ? this.pauses.costOf(
+            {
+              engine: engine.identity,
+              facts,
+              remaining: newGeneration.remaining,
+              hasPrompt: purpose !== 'move',
+            },
+            now,
+          )
+        : 0;
+      const steps =
+        earliestFirst === true
+          ? Math.round((timeToFirstEvent + pauseCost * PAUSE_COST_DELAY) / EARLIER_STEP)
+          : pauseCost / SCORE_PER_STEP;
+      const score =
+        locality - memoryShare - timeToFirstEvent * FIRST_EVENT_DELAY_WEIGHT - steps * SCORE_PER_STEP;
       const isEligible =
         (fits || !this.isEnabled('memoryBound')) &&
         load.length < slots - reservedSlots &&
--- /dev/null
+++ b/packages/kumquatfront/src/streamPauses/pauseProtection.ts
@@ -0,0 +1,90 @@
+/**
+ * Protects running streams from prompts on engines where they would pause for too long: learns the pauses of engines
+ * from the entries' reports, and gives the cost of each placement for the streams on an engine.
+ */
+import type * as ports from '../kernel/ports.js';
+import type * as types from '../placement/types.js';
+import * as interference from './interference.js';
+import * as pauseForecast from './pauseForecast.js';
+
+/** Time after a placement during which its prompt may have paused the streams on its engine. */
+const PROMPT_BESIDE_TIME: ports.Milliseconds = 1_500;
+
+/** A generation on an engine. */
+export interface PlacedStream {
+  readonly running: types.RunningGeneration;
+  readonly placedAt: ports.Milliseconds;
+}
+
+/** What the protection knows of the generations on engines. */
+export interface PauseProtectionOptions {
+  readonly placedOn: (engine: string) => readonly PlacedStream[];
+  readonly placedOf: (identity: string) => PlacedStream | undefined;
+  /** Forecast of the remaining output of a generation, in tokens. */
+  readonly remainingOutput: (facts: types.GenerationAttributes, produced: number) => number;
+}
+
+/** A placement to evaluate. */
+export interface EvaluatedPlacement {
+  readonly engine: string;
+  readonly facts: types.GenerationAttributes;
+  /** Forecast of its output in tokens. */
+  readonly remaining: number;
+  /** False for a move, which brings its memory along. */
+  readonly hasPrompt: boolean;
+}
+
+/** Pause protection of one coordinator; see the module comment. */
+export class PauseProtection {
+  readonly forecast = new pauseForecast.PauseForecast();
+
+  constructor(private readonly options: PauseProtectionOptions) {}
+
+  /** Learns from streams with a longer pause than in the last report; called before the report is applied. */
+  observeReport(report: types.EntryReport, now: ports.Milliseconds): void {
+    for (const { facts, instance, longestPause } of report.generations) {
+      const previous = this.options.placedOf(facts.identity)?.running;
+      const isLonger = (longestPause ?? 0) > (previous?.longestPause ?? 0);
+      if (longestPause !== undefined && previous?.instance === instance && isLonger) {
+        this.observePause(instance, facts.service, longestPause, now);
+      }
+    }
+  }
+
+  private observePause(
+    engine: string,
+    service: string,
+    pause: ports.Milliseconds,
+    now: ports.Milliseconds,
+  ): void {
+    const hadPrompt = this.options
+      .placedOn(engine)
+      .some(({ running, placedAt }) => !running.started || now - placedAt < PROMPT_BESIDE_TIME);
+    if (hadPrompt) {
+      this.forecast.observePause(engine, service, pause, now);
+    }
+  }
+
+  /** Cost of a placement for the streams on its engine and for itself; 0 where the pauses of the engine are unknown. */
+  costOf({ engine, facts, remaining, hasPrompt }: EvaluatedPlacement, now: ports.Milliseconds): number {
+    const expectedPause = this.forecast.expectedPause(engine, now);
+    if (expectedPause === undefined) {
+      return 0;
+    }
+    const running = this.options.placedOn(engine).map((placed) => this.streamOf(placed));
+    return interference.costOf(
+      expectedPause,
+      { pauseLimit: facts.pauseLimit, remaining, hasPrompt },
+      running,
+    );
+  }
+
+  private streamOf({ running }: PlacedStream): interference.RunningStream {
+    const { facts, produced, longestPause = 0 } = running;
+    return {
+      pauseLimit: facts.pauseLimit,
+      longestPause,
+      remaining: this.options.remainingOutput(facts, produced),
+    };
+  }
+}
--- a/packages/kumquatfront/src/upstreamPace/enginePaces.ts
+++ b/packages/kumquatfront/src/upstreamPace/enginePaces.ts
@@ -13,6 +13,9 @@
 /** An engine processes about one prompt a second, and its pace is a property of its hardware. */
 const EVIDENCE_HALF_LIFE: ports.Milliseconds = 30_000;
 
+/** Identity without observations, whose estimate is the mean of its service. */
+const UNKNOWN_ENGINE = '';
+
 /** Running generations are grouped, because the time for an event grows slowly with their number. */
 const RUNNING_GROUP = 8;
 
@@ -49,6 +52,21 @@
     return this.prefill.paceOf(engine, service)?.pace ?? INITIAL_PREFILL_PACE;
   }
 
+  /**
+   * Prefill pace of an engine relative to its service, so that engines without a difference are treated alike.
+   *
+   * @param engine - identity of the engine
+   * @param service - its service
+   * @returns a factor; 1 for an engine without observations
+   * @example
+   * ```ts
+   * const pace = pacesOfServices.paceOf(service) * paces.relativePrefillPaceOf(engine, service);
+   * ```
+   */
+  relativePrefillPaceOf(engine: string, service: string): number {
+    return this.prefillPaceOf(engine, service) / this.prefillPaceOf(UNKNOWN_ENGINE, service);
+  }
+
   /** Relative standard error of the prefill pace of an engine. */
   prefillUncertaintyOf(engine: string, service: string): number {
     return this.prefill.paceOf(engine, service)?.uncertainty ?? 1;
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -6,6 +6,7 @@
 import * as controlSafeguards from './controlSafeguards.js';
 import * as dataCentreSafeguards from './dataCentreSafeguards.js';
 import * as heavyLoadSafeguards from './heavyLoadSafeguards.js';
+import * as prefillSafeguards from './prefillSafeguards.js';
 import * as quarantineSafeguards from './quarantineSafeguards.js';
 import * as relaySafeguards from './relaySafeguards.js';
 import * as servingSafeguards from './servingSafeguards.js';
@@ -21,6 +22,7 @@
   ...quarantineSafeguards.quarantineSafeguards,
   ...dataCentreSafeguards.dataCentreSafeguards,
   ...backPressureSafeguards.backPressureSafeguards,
+  ...prefillSafeguards.prefillSafeguards,
   ...sharedLimitsSafeguards.sharedLimitsSafeguards,
   ...heavyLoadSafeguards.heavyLoadSafeguards,
   ...upstreamPaceSafeguards.upstreamPaceSafeguards,
