Retry budget: entries lend each other unused slack through the coordinator

Cause: each entry had a fixed share of the slack.

Change: limits.lease. The coordinator lends a small part of its own and what entries offer of their entitlement; an entry that offers keeps a whole number, so that no margin for rounding is needed. Leases count until one window after expiry or report, a holder that starts waits for that time, offers outlast every lease they back. The rounding offset is drawn again after one window if leases are in use. Switched off by sharedLimits, entries behave as before.

Checks and limits are unchanged.

--- a/packages/kumquatfront/src/relay/serviceRetryBudget.ts
+++ b/packages/kumquatfront/src/relay/serviceRetryBudget.ts
@@ -2,9 +2,12 @@
  * This entry's share of the retry budget of a service.
  *
  * Failure: retries double the load of overloaded upstreams, which then never recover. The budget limits the retries
- * of all entries in a sliding window. Each entry uses a fixed share of it, so that retries need no coordination.
+ * of all entries in a sliding window. Each entry uses a fixed share of it, so that retries need no coordination; with
+ * leases, it borrows more slack from the coordinator and offers what it leaves unused.
  */
 import type * as ports from '../kernel/ports.js';
+import type * as leaseClient from '../sharedLimits/leaseClient.js';
+import * as limitParts from '../sharedLimits/limitParts.js';
 
 /** Limits of retries, summed over all entries. */
 export interface RetryBudgetSettings {
@@ -16,14 +19,19 @@
   readonly window: ports.Milliseconds;
 }
 
-/** Share of the budget that is used; the margin compensates for the unaligned windows of entries. */
-const BUDGET_UTILIZATION = 0.7;
+/** Share of the ratio part that is used; the margin compensates for the unaligned windows of entries. */
+const RATIO_UTILIZATION = 0.7;
 
 interface RetryCounts {
   requests: number[];
   retries: number[];
   /** Random rounding offset in [0, 1); drawn again after each retry. */
   dither: number;
+  ditherDrawnAt: ports.Milliseconds;
+}
+
+function leaseKeyOf(service: string): string {
+  return `retries:${service}`;
 }
 
 /** Retry budget of one entry; see the module comment. */
@@ -31,26 +39,38 @@
   private readonly settings: RetryBudgetSettings;
   private readonly slackShare: (now: ports.Milliseconds) => number;
   private readonly random: ports.Random;
+  private readonly leases: leaseClient.LeaseClient | undefined;
   private readonly counts = new Map<string, RetryCounts>();
 
   /**
    * @param settings - limits that all entries share
    * @param slackShare - returns this entry's share of `settings.slack`, from 0 to 1
    * @param random - source of the random rounding
+   * @param leases - lends slack of other entries; undefined if leases are not used
    */
   constructor(
     settings: RetryBudgetSettings,
     slackShare: (now: ports.Milliseconds) => number,
     random: ports.Random,
+    leases?: leaseClient.LeaseClient,
   ) {
+    this.leases = leases;
     this.settings = settings;
     this.random = random;
     this.slackShare = slackShare;
   }
 
   private countsOf(service: string, now: number): RetryCounts {
-    const counts = this.counts.get(service) ?? { requests: [], retries: [], dither: this.random.next() };
+    const counts = this.counts.get(service) ?? {
+      ...{ requests: [], retries: [] },
+      ...{ dither: this.random.next(), ditherDrawnAt: now },
+    };
     this.counts.set(service, counts);
+    // A share below one would otherwise be lost for good at an entry that has drawn a high offset.
+    if (this.leases !== undefined && now - counts.ditherDrawnAt > this.settings.window) {
+      counts.dither = this.random.next();
+      counts.ditherDrawnAt = now;
+    }
     const oldest = now - this.settings.window;
     for (const times of [counts.requests, counts.retries]) {
       const first = times.findIndex((time) => time > oldest);
@@ -62,6 +82,38 @@
   /** Records a caller's request to a service. */
   recordRequest(service: string, now: number): void {
     this.countsOf(service, now).requests.push(now);
+    const { slack, window } = this.settings;
+    if (slack > 0) {
+      this.leases?.track(leaseKeyOf(service), { amount: slack, window }, (at) => this.slackUse(service, at));
+    }
+  }
+
+  private ratioPart({ requests }: RetryCounts): number {
+    return RATIO_UTILIZATION * this.settings.ratio * requests.length;
+  }
+
+  /** Part of the slack that this entry may use without a lease. */
+  private slackPart(service: string, now: number): number {
+    const share = this.slackShare(now);
+    if (share <= 0) {
+      return 0;
+    }
+    return (
+      this.leases?.staticShare(leaseKeyOf(service), 1 / share, now) ??
+      limitParts.STATIC_PART * this.settings.slack * share
+    );
+  }
+
+  private slackUse(service: string, now: number): leaseClient.StaticUse {
+    const counts = this.countsOf(service, now);
+    const share = this.slackShare(now);
+    const ratioPart = this.ratioPart(counts);
+    return {
+      entries: share > 0 ? Math.round(1 / share) : 0,
+      used: Math.max(0, counts.retries.length - ratioPart),
+      isActive: counts.requests.length > 0,
+      variance: limitParts.roundingVariance(ratioPart),
+    };
   }
 
   /**
@@ -71,14 +123,14 @@
    * budget is unused, and rounding it up would exceed the budget. Random rounding uses the share on average.
    */
   take(service: string, now: number): boolean {
-    const { ratio, slack } = this.settings;
     const counts = this.countsOf(service, now);
-    const allowed = BUDGET_UTILIZATION * (ratio * counts.requests.length + slack * this.slackShare(now));
+    const allowed = this.ratioPart(counts) + this.slackPart(service, now);
     if (counts.retries.length + counts.dither >= allowed) {
-      return false;
+      return this.leases?.take(leaseKeyOf(service), now) ?? false;
     }
     counts.retries.push(now);
     counts.dither = this.random.next();
+    counts.ditherDrawnAt = now;
     return true;
   }
 }
--- a/packages/kumquatfront/src/trafficControl/methods.ts
+++ b/packages/kumquatfront/src/trafficControl/methods.ts
@@ -23,6 +23,8 @@
   place: 'placement.place',
   withdraw: 'placement.withdraw',
   report: 'placement.report',
+  /** Lends parts of limits that entries share; see `sharedLimits/leaseMessages`. */
+  lease: 'limits.lease',
   /** Served by entries. */
   move: 'placement.move',
 } as const;
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -13,9 +13,11 @@
 import type * as timerService from '../kernel/timerService.js';
 import * as coordinator from '../placement/coordinator.js';
 import * as evacuation from '../placement/evacuation.js';
-import type * as placementFeatures from '../placement/placementFeatures.js';
+import * as placementFeatures from '../placement/placementFeatures.js';
 import type * as placementTypes from '../placement/types.js';
 import * as quarantineRegistry from '../quarantine/quarantineRegistry.js';
+import * as leaseLedger from '../sharedLimits/leaseLedger.js';
+import type * as leaseMessages from '../sharedLimits/leaseMessages.js';
 import type * as residency from '../traffic/residency.js';
 import * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
@@ -143,6 +145,9 @@
     });
     this.serve();
     this.operatorCalls.serve();
+    if ((options.isEnabled ?? placementFeatures.allEnabled)('sharedLimits')) {
+      this.serveLeases();
+    }
     let wasFresh = false;
     timers.every(
       () => (wasFresh ? FRESHNESS_CHECK_INTERVAL : STALE_CHECK_INTERVAL),
@@ -205,6 +210,18 @@
     });
   }
 
+  private serveLeases(): void {
+    const { peers, replica: own } = this.options;
+    const ledger = new leaseLedger.LeaseLedger({
+      ...this.options,
+      mayLend: () => own.mayLead(),
+      entryCount: () => this.entries.size,
+    });
+    peers.serve(methods.methods.lease, (parameters, reply) => {
+      reply(results.Ok(ledger.lend(parameters as leaseMessages.LeaseRequest)));
+    });
+  }
+
   /** Called after each log command that is applied at this replica. */
   onCommandApplied(): void {
     const { dataCentres } = this.options.state.evacuations;
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -11,7 +11,7 @@
 import type * as ports from '../kernel/ports.js';
 import * as serviceRegistry from '../kernel/serviceRegistry.js';
 import * as timerService from '../kernel/timerService.js';
-import type * as placementFeatures from '../placement/placementFeatures.js';
+import * as placementFeatures from '../placement/placementFeatures.js';
 import * as localBalancer from '../relay/localBalancer.js';
 import * as placementClient from '../relay/placementClient.js';
 import * as serviceRetryBudget from '../relay/serviceRetryBudget.js';
@@ -20,6 +20,8 @@
 import * as crashReporter from '../quarantine/crashReporter.js';
 import * as guardedUpstreams from '../quarantine/guardedUpstreams.js';
 import * as quarantine from '../quarantine/quarantine.js';
+import * as leaseClient from '../sharedLimits/leaseClient.js';
+import type * as leaseMessages from '../sharedLimits/leaseMessages.js';
 import * as windowedShare from '../sharedLimits/windowedShare.js';
 import type * as residency from '../traffic/residency.js';
 import * as routeTable from '../traffic/routeTable.js';
@@ -174,6 +176,7 @@
       settings.retries,
       (now) => slackShare.at(now),
       random,
+      (settings.isEnabled ?? placementFeatures.allEnabled)('sharedLimits') ? this.createLeases() : undefined,
     );
     this.relay = new trafficRelay.TrafficRelay({
       context: {
@@ -235,6 +238,25 @@
     this.services.register('quarantine', quarantineState);
   }
 
+  private createLeases(): leaseClient.LeaseClient {
+    const { peers } = this.entryPorts;
+    return new leaseClient.LeaseClient({
+      ...this.entryPorts,
+      entry: this.settings.name,
+      timers: this.timers,
+      send: (request, timeout, done) => {
+        const { coordinator } = this.watch;
+        if (coordinator === '') {
+          done(undefined);
+          return;
+        }
+        peers.request(coordinator, methods.methods.lease, request, timeout, (result) => {
+          done(result.ok ? (result.val as leaseMessages.LeaseAnswer) : undefined);
+        });
+      },
+    });
+  }
+
   private notifyControl(method: string, parameters: unknown): void {
     for (const replica of this.watch.replicas()) {
       this.entryPorts.peers.notify(replica, method, parameters);
