--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -12,6 +12,7 @@
 import * as results from '../kernel/results.js';
 import * as timerService from '../kernel/timerService.js';
 import * as virtualTime from '../kernel/virtualTime.js';
+import * as placementFeatures from '../placement/placementFeatures.js';
 import type * as relayTypes from '../relay/types.js';
 import * as defaultConfig from '../settings/defaultConfig.js';
 import type * as residency from '../traffic/residency.js';
@@ -110,6 +111,8 @@
   private readonly random: ports.Random;
   private readonly log: ports.Log;
   private readonly decode: trafficTypes.DecodeTraffic;
+  /** Features of processes that are started from now on. */
+  isEnabled: placementFeatures.IsEnabled = placementFeatures.allEnabled;
   /** Address of the replica that sent a configuration last. */
   lastConfigurationFrom = '';
   private readonly configurationsSent = new Map<string, number>();
@@ -244,6 +247,7 @@
         mayBootstrap: firstStart,
         toleratedLosses: this.toleratedLosses,
         regions: REGIONS,
+        isEnabled: this.isEnabled,
       },
       { ...this.basePorts(testProcess), disk, decodeTraffic: this.decode },
     );
@@ -355,6 +359,7 @@
       regions: REGIONS,
       warmUpTolerance: warmUpBounds.strictTolerance,
       retries: { ratio: 0.2, slack: 54, window: 10_000 },
+      isEnabled: this.isEnabled,
     };
     return new trafficEntry.TrafficEntry(settings, { ...base, upstreams, decodeTraffic: this.decode });
   }
--- a/packages/kumquatfront/src/trafficEntry/borrowedRetries.spec.ts
+++ b/packages/kumquatfront/src/trafficEntry/borrowedRetries.spec.ts
@@ -5,6 +5,7 @@
 import * as test from 'node:test';
 
 import type * as ports from '../kernel/ports.js';
+import * as placementFeatures from '../placement/placementFeatures.js';
 import * as crashTestHarness from '../quarantine/crashTestHarness.js';
 import * as relayTestHarness from '../relay/relayTestHarness.js';
 
@@ -77,6 +78,28 @@
   assertBudget(harness);
 });
 
+for (const process of ['entries', 'control replicas'] as const) {
+  void test.test(`with the feature switched off at ${process}, every entry uses its fixed share`, () => {
+    const harness = start();
+    harness.control.isEnabled = placementFeatures.withDisabled(['sharedLimits']).unwrap();
+    for (const name of process === 'entries' ? harness.entryNames : crashTestHarness.REPLICAS) {
+      if (process === 'entries') {
+        harness.startEntry(name);
+      } else {
+        harness.control.kill(name);
+        harness.control.start(name);
+        harness.time.advance(3_000);
+      }
+    }
+    load(harness, 30_000);
+    const from = harness.time.now() - WINDOW;
+    const count = retriesOf(harness).filter(({ at }) => at >= from).length;
+    // One more than the share, because it is rounded at random.
+    const share = Math.ceil(0.7 * ((RATIO * BUSY_RATE * WINDOW) / 1_000 + SLACK / ENTRIES));
+    assert.ok(count <= share && count >= share - 4, `${count} retries, ${share} without leases`);
+  });
+}
+
 // The new leader does not know what the former one has lent and what entries have spent.
 void test.test('the budget holds when the coordinator crashes, restarts and is cut off', () => {
   const harness = start();
