Draw entries for callers by capacity and utilization

Cause: callers pick uniformly from the addresses of a look-up, so that in a fleet with entries of different capacity the weak ones are used most.

Change: entries state capacity and utilization in their status; control draws them with inclusion probabilities by weight and sends callers to other data centres when their own is short. Entries near a limit close some connections after complete responses, refuse new generations while memory grows close to its limit, and disconnect callers that leave more than 1 MB of a stream unread. Equal entries with low utilization are drawn with the same code and random numbers as before.

--- /dev/null
+++ b/packages/kumquatfront/src/adapters/trafficHttp.spec.ts
@@ -0,0 +1,186 @@
+/**
+ * Responses of an entry near its limits and to slow readers, over loopback connections.
+ */
+import * as assert from 'node:assert/strict';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as test from 'node:test';
+
+import * as entryLoad from '../entryLoad/entryLoad.js';
+import type * as ports from '../kernel/ports.js';
+import * as timerService from '../kernel/timerService.js';
+import * as virtualTime from '../kernel/virtualTime.js';
+import type * as relayTypes from '../relay/types.js';
+import * as seededRandom from './seededRandom.js';
+import * as trafficHttp from './trafficHttp.js';
+
+const HEAD: relayTypes.ResponseHead = {
+  ...{ status: 200, headers: [], notRun: false, matchesRequest: true, signed: false },
+};
+const PIECE = Buffer.alloc(256 * 1_024, 'x');
+
+interface Running {
+  readonly port: number;
+  readonly time: virtualTime.VirtualTime;
+  readonly measured: { lag: number };
+  readonly load: entryLoad.EntryLoad;
+  readonly lines: string[];
+  readonly disconnected: string[];
+  readonly close: () => void;
+}
+
+/** Starts a server: `/call` is answered completely, `/stream` in two writes, `/flood` in many, `/refuse` refused. */
+function start(): Promise<Running> {
+  const time = new virtualTime.VirtualTime();
+  const lines: string[] = [];
+  const disconnected: string[] = [];
+  const write = (event: string): void => {
+    lines.push(event);
+  };
+  const noop = (): void => undefined;
+  const log: ports.Log = { debug: noop, info: write, warn: write, error: write };
+  const measured = { lag: 0 };
+  const load = new entryLoad.EntryLoad({
+    timers: timerService.create(time.clock, time),
+    log,
+    metrics: { count: noop, gauge: noop, timing: noop },
+    random: seededRandom.create(1),
+    capacity: { memoryMegabytes: 178 },
+    probe: { takeLag: () => measured.lag, residentBytes: () => 1 },
+  });
+  const flood = (caller: relayTypes.CallerPort): void => {
+    let isConnected = true;
+    caller.onDisconnect(() => {
+      isConnected = false;
+      disconnected.push('/flood');
+    });
+    caller.begin(HEAD);
+    const next = (count: number): void => {
+      if (isConnected && count < 200) {
+        caller.write(PIECE);
+        setImmediate(next, count + 1);
+      }
+    };
+    next(0);
+  };
+  const { server } = trafficHttp.create({
+    clock: time.clock,
+    log,
+    load,
+    limits: () => undefined,
+    isDraining: () => false,
+    decode: (raw) => ({
+      ...{ identity: 'r', host: 'h', path: raw.url, method: raw.method, headers: [], body: raw.body },
+      arrivedAt: raw.arrivedAt,
+    }),
+    encodeRefusal: () => ({ status: 503, headers: [], body: '{}' }),
+    handle: (request, caller) => {
+      if (request.path === '/call') {
+        caller.respond(HEAD, Buffer.from('ok'));
+      } else if (request.path === '/refuse') {
+        caller.refuse({ reason: 'overloaded', message: '', closesConnection: true });
+      } else if (request.path === '/flood') {
+        flood(caller);
+      } else {
+        caller.begin(HEAD);
+        caller.write(Buffer.from('a'));
+        caller.end();
+      }
+    },
+  });
+  return new Promise((resolve) => {
+    server.listen(0, '127.0.0.1', () => {
+      const close = (): void => {
+        server.closeAllConnections();
+        server.close();
+      };
+      const { port } = server.address() as net.AddressInfo;
+      resolve({ port, time, measured, load, lines, disconnected, close });
+    });
+  });
+}
+
+function connectionHeader(port: number, path: string, agent: http.Agent): Promise<string> {
+  return new Promise((resolve, reject) => {
+    http
+      .get({ host: '127.0.0.1', port, path, agent }, (response) => {
+        response.resume();
+        response.on('end', () => {
+          resolve(response.headers.connection ?? '');
+        });
+      })
+      .on('error', reject);
+  });
+}
+
+async function countClosed(port: number, path: string, agent: http.Agent): Promise<number> {
+  let closed = 0;
+  for (let request = 0; request < 60; request += 1) {
+    closed += (await connectionHeader(port, path, agent)) === 'close' ? 1 : 0;
+  }
+  return closed;
+}
+
+// Closing the connection of a stream would cut the work of a caller short.
+void test.test('near a limit, some complete responses close their connection, streams never do', async () => {
+  const running = await start();
+  const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+  try {
+    running.time.advance(1_000);
+    assert.equal(await countClosed(running.port, '/call', agent), 0);
+    running.measured.lag = 300;
+    running.time.advance(6_000);
+    const closed = await countClosed(running.port, '/call', agent);
+    assert.ok(closed > 5 && closed < 55, `${closed} of 60 closed`);
+    assert.equal(await countClosed(running.port, '/stream', agent), 0);
+  } finally {
+    agent.destroy();
+    running.close();
+  }
+});
+
+void test.test('a refusal that closes the connection says so', async () => {
+  const running = await start();
+  const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+  try {
+    assert.equal(await connectionHeader(running.port, '/refuse', agent), 'close');
+    assert.equal(await connectionHeader(running.port, '/call', agent), 'keep-alive');
+  } finally {
+    agent.destroy();
+    running.close();
+  }
+});
+
+// 50 MB that are not read would otherwise stay in the memory of the entry.
+void test.test('a caller that does not read its stream is disconnected, and no other is', async () => {
+  const running = await start();
+  const agent = new http.Agent({ keepAlive: true });
+  const slow = net.connect(running.port, '127.0.0.1');
+  try {
+    slow.on('error', () => undefined);
+    slow.pause();
+    slow.write('GET /flood HTTP/1.1\r\nHost: h\r\n\r\n');
+    await new Promise<void>((resolve, reject) => {
+      const deadline = setTimeout(() => {
+        reject(new Error('the caller was not disconnected'));
+      }, 5_000);
+      const poll = (): void => {
+        if (running.disconnected.length > 0) {
+          clearTimeout(deadline);
+          resolve();
+        } else {
+          setTimeout(poll, 5);
+        }
+      };
+      poll();
+    });
+    assert.deepEqual(running.lines, ['slowReaderDisconnected']);
+    assert.equal(await connectionHeader(running.port, '/stream', agent), 'keep-alive');
+    running.time.advance(200);
+    assert.deepEqual(running.load.status().utilization, [0, null, null, 0]);
+  } finally {
+    slow.destroy();
+    agent.destroy();
+    running.close();
+  }
+});
--- a/packages/kumquatfront/src/adapters/trafficHttp.ts
+++ b/packages/kumquatfront/src/adapters/trafficHttp.ts
@@ -4,6 +4,7 @@
  */
 import * as http from 'node:http';
 
+import type * as entryLoad from '../entryLoad/entryLoad.js';
 import type * as ports from '../kernel/ports.js';
 import type * as relayTypes from '../relay/types.js';
 import type * as trafficTypes from '../traffic/types.js';
@@ -52,6 +53,8 @@
     refusal: relayTypes.Refusal,
   ) => RefusalResponse;
   readonly handle: (request: relayTypes.TrafficRequest, caller: relayTypes.CallerPort) => void;
+  /** Load of the entry; undefined if it is not measured. */
+  readonly load?: entryLoad.EntryLoad | undefined;
 }
 
 /** An HTTP server whose limits can be updated from the configuration. */
@@ -76,6 +79,12 @@
   const server = http.createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES }, (incoming, outgoing) => {
     receiveRequest(options, incoming, outgoing);
   });
+  server.on('connection', (socket) => {
+    const closed = options.load?.openConnection();
+    if (closed !== undefined) {
+      socket.once('close', closed);
+    }
+  });
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     if (error.code === 'ECONNRESET' || !socket.writable) {
       socket.destroy();
@@ -134,6 +143,7 @@
     if (outgoing.headersSent || outgoing.destroyed) {
       return;
     }
+    options.load?.addBytes(headerBytes + length);
     const request = options.decode({
       method: incoming.method ?? 'GET',
       url: incoming.url ?? '/',
@@ -150,9 +160,25 @@
   request: relayTypes.TrafficRequest,
   outgoing: http.ServerResponse,
 ): relayTypes.CallerPort {
-  const writeHead = (status: number, headers: readonly relayTypes.Header[]): void => {
+  const { load } = options;
+  const reader = load?.readers.track({
+    request: request.identity,
+    unreadBytes: () => outgoing.writableLength,
+    disconnect: () => {
+      outgoing.destroy();
+    },
+  });
+  const ended = load?.openRequest();
+  outgoing.once('close', () => {
+    reader?.remove();
+    ended?.();
+  });
+  const writeHead = (status: number, headers: readonly relayTypes.Header[], isComplete = true): void => {
     // Must be set before the headers are written, since Node.js then decides whether to keep the connection open.
     outgoing.shouldKeepAlive = outgoing.shouldKeepAlive && !options.isDraining();
+    if (isComplete && outgoing.shouldKeepAlive && load?.shouldClose() === true) {
+      outgoing.shouldKeepAlive = false;
+    }
     for (const [name, value] of headers) {
       outgoing.appendHeader(name, value);
     }
@@ -163,7 +189,9 @@
   return {
     refuse: (refusal) => {
       const { status, headers, body } = options.encodeRefusal(request, refusal);
+      outgoing.shouldKeepAlive = outgoing.shouldKeepAlive && refusal.closesConnection !== true;
       writeHead(status, [...headers, ['Content-Length', String(Buffer.byteLength(body))]]);
+      load?.addBytes(body.length);
       outgoing.end(body);
     },
     respond: (head, body) => {
@@ -173,14 +201,17 @@
         return;
       }
       writeHead(head.status, [...withoutLength(head.headers), ['Content-Length', String(body.length)]]);
+      load?.addBytes(body.length);
       outgoing.end(body);
     },
     begin: (head) => {
-      writeHead(head.status, withoutLength(head.headers));
+      writeHead(head.status, withoutLength(head.headers), false);
       outgoing.flushHeaders();
     },
     write: (bytes) => {
+      load?.addBytes(bytes.length);
       outgoing.write(bytes);
+      reader?.onWrite();
     },
     end: () => {
       outgoing.end();
--- /dev/null
+++ b/packages/kumquatfront/src/entryLoad/entryWeights.ts
@@ -0,0 +1,204 @@
+/**
+ * Weights by which control returns entries to callers. They serve fleets of entries of different capacity, and entries
+ * that are slower than their stated capacity.
+ *
+ * The weight of an entry is its strength times a factor of at most 1, which falls while the entry is under more pressure
+ * than the others. No entry is preferred because it is free at the moment, so that callers do not herd to it.
+ */
+import type * as ports from '../kernel/ports.js';
+import type * as entryCapacity from './entryCapacity.js';
+import * as capacities from './entryCapacity.js';
+import * as entryUtilization from './entryUtilization.js';
+
+/** Pressure below which a weight is never reduced; at a lag of 35 ms a plain call still meets its objective. */
+export const HIGH_PRESSURE = 0.7;
+
+/**
+ * Ratio of an entry's pressure to that of the others above which its weight falls, and below which it rises. At 1.1,
+ * chance fluctuations of equal entries reduced weights (trials: 1.24 of the mean became 1.39 at a mean of 0.9).
+ */
+const REDUCE_ABOVE = 1.2;
+const RESTORE_BELOW = 0.85;
+
+/** Interval at which entries usually send their status. */
+const STATUS_INTERVAL: ports.Milliseconds = 600;
+
+/**
+ * Largest change of a factor in one status interval. Weights rise more slowly than they fall, since callers keep addresses
+ * for up to 6 s and their effect shows late. Faster changes oscillated (trials with the square of the pressure).
+ */
+const MAXIMUM_REDUCTION = 1.5;
+const MAXIMUM_INCREASE = 1.2;
+
+/** Least factor: the entry still gets some callers, which show when it has recovered. */
+const MINIMUM_FACTOR = 0.1;
+
+/** Weight of an entry that has just started, as a share of its full weight, and the time to reach the full weight. */
+const STARTING_SHARE = 0.1;
+export const STARTING_TIME: ports.Milliseconds = 3_000;
+
+/** Age of a status after which an entry loses weight, and time in which it loses half: silence may be a failure. */
+const FRESH_STATUS: ports.Milliseconds = 1_000;
+const STALE_HALF_LIFE: ports.Milliseconds = 500;
+
+/** Ratio of strengths that counts as different; stated capacities are rounded. */
+const STRENGTH_TOLERANCE = 1.05;
+
+/** Fields of an entry's status that determine its weight. */
+export interface WeightedStatus {
+  readonly name: string;
+  readonly capacity?: entryCapacity.CapacityFigures | undefined;
+  readonly utilization?: entryUtilization.UtilizationFigures | undefined;
+  readonly readyFor?: ports.Milliseconds | undefined;
+}
+
+interface EntryWeight {
+  capacity: entryCapacity.CapacityFigures | undefined;
+  /** Undefined if the entry reports no utilization. */
+  pressure: number | undefined;
+  factor: number;
+  /** Time since the entry became ready when its status was recorded; infinite if it does not state it. */
+  readyFor: ports.Milliseconds;
+  recordedAt: ports.Milliseconds;
+  /** True while the factor is low, and until it has been full for some time. */
+  isReduced: boolean;
+  /** Last time at which the factor was below 1. */
+  limitedAt: ports.Milliseconds;
+  /** Last time at which the factor was not below {@link REDUCED_FACTOR}. */
+  sufficientAt: ports.Milliseconds;
+}
+
+/** Factor below which an entry counts as reduced, and the time for which it must be below, or full again. */
+const REDUCED_FACTOR = 0.5;
+const CHANGE_CONFIRMED_AFTER: ports.Milliseconds = 3_000;
+
+/** Least time between two reports of reduced entries; chance reduces a few entries of a well used fleet at any time. */
+const REPORT_INTERVAL: ports.Milliseconds = 5_000;
+
+/** Weights of the entries known to one control replica; see the module comment. */
+export class EntryWeights {
+  private readonly entries = new Map<string, EntryWeight>();
+  private strengths: ReadonlyMap<string, number> | undefined;
+  private reported: readonly string[] = [];
+  private reportedAt = Number.NEGATIVE_INFINITY;
+
+  /** Records the figures of a status message. */
+  record(status: WeightedStatus, now: ports.Milliseconds): void {
+    const known = this.entries.get(status.name);
+    const { name, capacity, utilization, readyFor } = status;
+    if (known === undefined || String(known.capacity) !== String(capacity)) {
+      this.strengths = undefined;
+    }
+    const entry: EntryWeight = {
+      capacity,
+      pressure: utilization === undefined ? undefined : entryUtilization.pressure(utilization),
+      factor: known?.factor ?? 1,
+      readyFor:
+        typeof readyFor === 'number' && readyFor >= 0 && readyFor < STARTING_TIME
+          ? readyFor
+          : Number.POSITIVE_INFINITY,
+      recordedAt: now,
+      isReduced: known?.isReduced ?? false,
+      limitedAt: known?.limitedAt ?? Number.NEGATIVE_INFINITY,
+      sufficientAt: known?.sufficientAt ?? now,
+    };
+    this.entries.set(name, entry);
+    const elapsed = now - (known?.recordedAt ?? now);
+    entry.factor = this.nextFactor(entry, Math.min(2, elapsed / STATUS_INTERVAL));
+    confirmChange(entry);
+  }
+
+  /** Removes an entry whose lease has expired. */
+  remove(name: string): void {
+    this.entries.delete(name);
+    this.strengths = undefined;
+  }
+
+  /** Mean pressure on some entries, weighted by strength; 0 if none reports it. */
+  meanPressure(names: Iterable<string>): number {
+    let sum = 0;
+    let total = 0;
+    for (const name of names) {
+      const pressure = this.entries.get(name)?.pressure;
+      if (pressure !== undefined) {
+        const strength = this.strengthOf(name);
+        sum += pressure * strength;
+        total += strength;
+      }
+    }
+    return total === 0 ? 0 : sum / total;
+  }
+
+  /** Whether some entries are to be drawn by weight: capacities differ, or one of the entries is under high pressure. */
+  areNeeded(names: readonly string[]): boolean {
+    const strengths = names.map((name) => this.strengthOf(name));
+    if (Math.max(...strengths) > STRENGTH_TOLERANCE * Math.min(...strengths)) {
+      return true;
+    }
+    return names.some((name) => {
+      const entry = this.entries.get(name);
+      return entry !== undefined && (entry.factor < 1 || (entry.pressure ?? 0) >= HIGH_PRESSURE);
+    });
+  }
+
+  /** Weight of an entry; above 0 for every entry. */
+  weightOf(name: string, now: ports.Milliseconds): number {
+    const entry = this.entries.get(name);
+    if (entry === undefined) {
+      return 1;
+    }
+    const age = Math.max(0, now - entry.recordedAt);
+    const started = Math.min(1, (entry.readyFor + age) / STARTING_TIME);
+    const freshness = Math.min(1, 2 ** ((FRESH_STATUS - age) / STALE_HALF_LIFE));
+    const factor = Math.max(MINIMUM_FACTOR, entry.factor * freshness);
+    return this.strengthOf(name) * factor * (STARTING_SHARE + (1 - STARTING_SHARE) * started);
+  }
+
+  private strengthOf(name: string): number {
+    this.strengths ??= capacities.strengths(
+      new Map([...this.entries].map(([entry, { capacity }]) => [entry, capacity])),
+    );
+    return this.strengths.get(name) ?? 1;
+  }
+
+  private nextFactor(entry: EntryWeight, intervals: number): number {
+    const reference = Math.max(HIGH_PRESSURE, this.meanPressure(this.entries.keys()));
+    const ratio = (entry.pressure ?? 0) / reference;
+    if (ratio > REDUCE_ABOVE) {
+      const reduction = Math.min(MAXIMUM_REDUCTION, ratio);
+      return Math.max(MINIMUM_FACTOR, entry.factor / reduction ** intervals);
+    }
+    if (ratio >= RESTORE_BELOW) {
+      return entry.factor;
+    }
+    const increase = Math.min(MAXIMUM_INCREASE, RESTORE_BELOW / ratio);
+    return Math.min(1, entry.factor * increase ** intervals);
+  }
+
+  /** Entries with a reduced weight if they have changed since the last report; at most one report in 5 s. */
+  takeReport(now: ports.Milliseconds): readonly string[] | undefined {
+    if (now - this.reportedAt < REPORT_INTERVAL) {
+      return undefined;
+    }
+    const reduced = [...this.entries].filter(([, entry]) => entry.isReduced).map(([name]) => name);
+    if (reduced.join(' ') === this.reported.join(' ')) {
+      return undefined;
+    }
+    this.reported = reduced;
+    this.reportedAt = now;
+    return reduced;
+  }
+}
+
+function confirmChange(entry: EntryWeight): void {
+  const now = entry.recordedAt;
+  if (entry.factor < 1) {
+    entry.limitedAt = now;
+  }
+  if (entry.factor >= REDUCED_FACTOR) {
+    entry.sufficientAt = now;
+  }
+  entry.isReduced = entry.isReduced
+    ? now - entry.limitedAt < CHANGE_CONFIRMED_AFTER
+    : now - entry.sufficientAt >= CHANGE_CONFIRMED_AFTER;
+}
--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -77,3 +77,5 @@
 export * as trafficHttp from './adapters/trafficHttp.js';
 export * as virtualTime from './kernel/virtualTime.js';
 export * as prometheusMetrics from './adapters/prometheusMetrics.js';
+export type * as entryCapacity from './entryLoad/entryCapacity.js';
+export * as processLoad from './adapters/processLoad.js';
--- a/packages/kumquatfront/src/relay/trafficRelay.ts
+++ b/packages/kumquatfront/src/relay/trafficRelay.ts
@@ -32,6 +32,8 @@
   readonly routes: () => routeTable.RouteTable | undefined;
   /** True while the entry drains before it stops. */
   readonly isDraining: () => boolean;
+  /** Refusal of new generations while the entry would run out of memory; undefined while it would not. */
+  readonly generationRefusal?: () => types.Refusal | undefined;
 }
 
 interface AdmittedRequest {
@@ -80,6 +82,11 @@
       this.refuse(request, caller, { reason: 'draining', message, retryAfter: DRAINING_RETRY_DELAY });
       return;
     }
+    const refusal = service.engine === undefined ? undefined : this.options.generationRefusal?.();
+    if (refusal !== undefined) {
+      this.refuse(request, caller, refusal);
+      return;
+    }
     const content = contentDigest.forRequest(request, account?.name ?? '');
     if (this.options.context.quarantine.verdictOf(content) === 'quarantined') {
       this.refuseQuarantined(request, caller, content);
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -150,6 +150,8 @@
   readonly message: string;
   /** Delay before a retry; undefined if a retry cannot succeed. */
   readonly retryAfter?: ports.Milliseconds;
+  /** True if the caller's connection is closed, so that a retry reaches another entry. */
+  readonly closesConnection?: boolean;
 }
 
 /** Sends the response to a caller. Exactly one of `refuse`, `respond` or `begin` is called first. */
--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -343,20 +343,23 @@
   }
 
   /** Starts a complete entry, and kills a running one of the same name. */
-  startEntry(name: string, upstreams: relayTypes.UpstreamPort): trafficEntry.TrafficEntry {
+  startEntry(
+    name: string,
+    upstreams: relayTypes.UpstreamPort,
+    changes: Partial<trafficEntry.TrafficEntrySettings & trafficEntry.TrafficEntryPorts> = {},
+  ): trafficEntry.TrafficEntry {
     this.kill(name);
     const base = this.basePorts(this.startProcess(name));
     const settings: trafficEntry.TrafficEntrySettings = {
-      name,
-      dataCentre: 'a',
-      callerAddress: `${name}:1`,
-      peerAddress: name,
+      ...{ name, dataCentre: 'a', callerAddress: `${name}:1`, peerAddress: name },
       seeds: this.seeds,
       regions: REGIONS,
       warmUpTolerance: warmUpBounds.strictTolerance,
       retries: { ratio: 0.2, slack: 54, window: 10_000 },
+      ...changes,
     };
-    return new trafficEntry.TrafficEntry(settings, { ...base, upstreams, decodeTraffic: this.decode });
+    const { decode: decodeTraffic } = this;
+    return new trafficEntry.TrafficEntry(settings, { ...base, upstreams, decodeTraffic, ...changes });
   }
 
   /** Starts an entry that only watches the control replicas, and records what it receives. */
--- a/packages/kumquatfront/src/trafficControl/entryDirectory.ts
+++ b/packages/kumquatfront/src/trafficControl/entryDirectory.ts
@@ -1,6 +1,9 @@
 /**
  * Directory of the entries that watch a control replica, and selection of the entries returned to callers.
  */
+import * as addressSampling from '../entryLoad/addressSampling.js';
+import * as dataCentreDemand from '../entryLoad/dataCentreDemand.js';
+import * as entryWeights from '../entryLoad/entryWeights.js';
 import type * as ports from '../kernel/ports.js';
 import type * as methods from './methods.js';
 
@@ -21,13 +24,23 @@
   readonly lastSeenAt: ports.Milliseconds;
 }
 
+/** Optional dependencies of {@link EntryDirectory}. */
+export interface EntryDirectoryOptions {
+  /** False if entries are always drawn uniformly; true by default. */
+  readonly usesWeights?: boolean;
+}
+
 /** Entries known to one control replica, by name. */
 export class EntryDirectory {
   private readonly random: ports.Random;
   private readonly entries = new Map<string, KnownEntry>();
+  private readonly usesWeights: boolean;
+  private readonly weights = new entryWeights.EntryWeights();
+  private readonly demand = new dataCentreDemand.DataCentreDemand();
 
-  constructor(random: ports.Random) {
+  constructor(random: ports.Random, options: EntryDirectoryOptions = {}) {
     this.random = random;
+    this.usesWeights = options.usesWeights ?? true;
   }
 
   get size(): number {
@@ -43,14 +56,23 @@
   recordStatus(status: methods.EntryStatus, now: ports.Milliseconds): boolean {
     const isNew = !this.entries.has(status.name);
     this.entries.set(status.name, { status, lastSeenAt: now });
+    if (this.usesWeights) {
+      this.weights.record(status, now);
+    }
     return isNew;
   }
 
+  /** Entries with a reduced weight, if they have changed since the last report. */
+  takeWeightReport(now: ports.Milliseconds): readonly string[] | undefined {
+    return this.weights.takeReport(now);
+  }
+
   /** Removes entries whose lease has expired; returns their names. */
   expire(now: ports.Milliseconds): readonly string[] {
     const expired = [...this.entries].filter(([, entry]) => now - entry.lastSeenAt > ENTRY_LEASE);
     for (const [name] of expired) {
       this.entries.delete(name);
+      this.weights.remove(name);
     }
     return expired.map(([name]) => name);
   }
@@ -59,6 +81,7 @@
    * Selects entries for a caller: those of its data centre, and a few of others.
    *
    * Entries are sampled at random for each caller, so that no few entries carry the remote calls of all data centres.
+   * They are sampled by weight where their capacities differ or one of them is under high pressure, else uniformly.
    *
    * @param mayPass - true for data centres through which the caller's request bodies may pass
    */
@@ -76,11 +99,56 @@
     const usable = allowed.length > 0 ? allowed : ready;
     const local = usable.filter((entry) => entry.dataCentre === dataCentre);
     const remote = usable.filter((entry) => entry.dataCentre !== dataCentre);
+    if (this.usesWeights) {
+      if (local.length > 0) {
+        this.demand.countLookup(dataCentre, now);
+      }
+      if (this.weights.areNeeded(usable.map(({ name }) => name))) {
+        return this.chooseByWeight(dataCentre, local, remote, limit, now);
+      }
+    }
     const chosenLocal = this.sample(local, limit - Math.min(REMOTE_ADDRESSES, remote.length));
     const remoteCount = Math.max(REMOTE_ADDRESSES, MINIMUM_ADDRESSES - chosenLocal.length);
     return [...chosenLocal, ...this.sample(remote, Math.min(remoteCount, limit - chosenLocal.length))];
   }
 
+  private chooseByWeight(
+    dataCentre: string,
+    local: readonly methods.EntryStatus[],
+    remote: readonly methods.EntryStatus[],
+    limit: number,
+    now: ports.Milliseconds,
+  ): readonly methods.EntryStatus[] {
+    const weigh = (entry: methods.EntryStatus): addressSampling.Weighted<methods.EntryStatus> => ({
+      item: entry,
+      weight: this.weights.weightOf(entry.name, now),
+    });
+    const weighedLocal = local.map(weigh);
+    const weighedRemote = remote.map(weigh);
+    const capacities = new Map<string, number>();
+    for (const { item, weight } of [...weighedLocal, ...weighedRemote]) {
+      capacities.set(item.dataCentre, (capacities.get(item.dataCentre) ?? 0) + weight);
+    }
+    const spare = new Map(
+      [...capacities.keys()].map((name) => [name, this.demand.spareShare(name, capacities, now)]),
+    );
+    const pressure = this.weights.meanPressure(local.map(({ name }) => name));
+    return addressSampling.select(
+      {
+        local: weighedLocal,
+        remote: weighedRemote.map(({ item, weight }) => ({
+          item,
+          weight: weight * (spare.get(item.dataCentre) ?? 1),
+        })),
+        limit,
+        minimum: MINIMUM_ADDRESSES,
+        usualRemote: REMOTE_ADDRESSES,
+        localShare: this.demand.localShare(dataCentre, capacities, pressure, now),
+      },
+      this.random,
+    );
+  }
+
   /** Draws items from a list uniformly at random, without replacement. */
   private sample<Item>(items: readonly Item[], count: number): readonly Item[] {
     const remaining = [...items];
--- a/packages/kumquatfront/src/trafficControl/methods.ts
+++ b/packages/kumquatfront/src/trafficControl/methods.ts
@@ -3,7 +3,10 @@
  * their messages.
  */
 import type * as agreedTypes from '../agreedState/types.js';
+import type * as entryCapacity from '../entryLoad/entryCapacity.js';
+import type * as entryUtilization from '../entryLoad/entryUtilization.js';
 import type * as instanceTypes from '../instances/types.js';
+import type * as ports from '../kernel/ports.js';
 import type * as placementTypes from '../placement/types.js';
 import type * as quarantineTypes from '../quarantine/types.js';
 import * as rendezvousHashing from '../utils/rendezvousHashing.js';
@@ -40,6 +43,12 @@
   readonly state: EntryState;
   /** Version of the traffic configuration in force at the entry; 0 before the first one. */
   readonly trafficVersion: number;
+  /** Stated limits of the entry's VM; absent if none is stated. */
+  readonly capacity?: entryCapacity.CapacityFigures;
+  /** Utilization of the entry; absent if it does not measure it. */
+  readonly utilization?: entryUtilization.UtilizationFigures;
+  /** Time since the entry became ready; absent after the first seconds. */
+  readonly readyFor?: ports.Milliseconds;
 }
 
 /**
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -59,6 +59,9 @@
 const FRESHNESS_CHECK_INTERVAL: ports.Milliseconds = 40;
 const STALE_CHECK_INTERVAL: ports.Milliseconds = 10;
 
+/** Maximum number of entries in one log line. */
+const MAXIMUM_LOGGED_ENTRIES = 20;
+
 /** Location of a caller and the host it requests. */
 export interface CallerLocation {
   readonly host: string;
@@ -84,7 +87,9 @@
   constructor(options: TrafficControlOptions) {
     this.options = options;
     const { timers, random, log, metrics, peers } = options;
-    this.entries = new entryDirectory.EntryDirectory(random);
+    this.entries = new entryDirectory.EntryDirectory(random, {
+      usesWeights: options.isEnabled?.('entryCapacity') ?? true,
+    });
     this.table = new instanceTable.InstanceTable(random.identity());
     this.coordinator = new coordinator.Coordinator({
       timers,
@@ -292,10 +297,21 @@
     for (const entry of this.entries.expire(now)) {
       this.options.log.info('entryLost', { entry });
     }
+    this.logReducedEntries(now);
     this.crashRecords.tick();
     this.wakeWatches();
   }
 
+  private logReducedEntries(now: ports.Milliseconds): void {
+    const reduced = this.entries.takeWeightReport(now);
+    if (reduced !== undefined) {
+      const { log, metrics } = this.options;
+      const names = reduced.slice(0, MAXIMUM_LOGGED_ENTRIES).join(' ');
+      log.info('entryWeightsReduced', { count: reduced.length, entries: names });
+      metrics.gauge('entries.reduced', reduced.length);
+    }
+  }
+
   private onWatch(request: methods.WatchRequest, reply: ports.Reply): void {
     const now = this.options.timers.now();
     const { entry } = request;
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -5,6 +5,9 @@
 import * as rateLimitShare from '../backPressure/rateLimitShare.js';
 import * as sendPolicy from '../backPressure/sendPolicy.js';
 import * as signalRegistry from '../backPressure/signalRegistry.js';
+import type * as entryCapacity from '../entryLoad/entryCapacity.js';
+import * as entryLoad from '../entryLoad/entryLoad.js';
+import * as entryWeights from '../entryLoad/entryWeights.js';
 import * as instanceLog from '../instances/instanceLog.js';
 import * as instanceView from '../instances/instanceView.js';
 import * as failures from '../kernel/failures.js';
@@ -49,12 +52,16 @@
   readonly warmUpTolerance: warmUpBounds.WarmUpTolerance;
   /** Returns whether a feature is enabled; by default all are. */
   readonly isEnabled?: placementFeatures.IsEnabled;
+  /** Limits of the VM, as far as they are known. */
+  readonly capacity?: entryCapacity.EntryCapacity;
 }
 
 /** Ports through which an entry accesses its environment. */
 export interface TrafficEntryPorts extends ports.BasePorts {
   readonly upstreams: relayTypes.UpstreamPort;
   readonly decodeTraffic: trafficTypes.DecodeTraffic;
+  /** Measures the process; without it, the entry reports no utilization. */
+  readonly loadProbe?: entryLoad.LoadProbe;
 }
 
 /** Services of an entry, by name. */
@@ -79,6 +86,9 @@
   private readonly quarantine: quarantine.Quarantine;
   private routes: routeTable.RouteTable | undefined;
   private isDraining = false;
+  private readyAt: ports.Milliseconds = 0;
+  /** Load of the entry; undefined if it is not measured. */
+  readonly load: entryLoad.EntryLoad | undefined;
 
   constructor(settings: TrafficEntrySettings, entryPorts: TrafficEntryPorts) {
     const { random, log, metrics, peers, upstreams } = entryPorts;
@@ -86,6 +96,13 @@
     this.entryPorts = entryPorts;
     this.timers = timerService.create(entryPorts.clock, entryPorts.scheduler);
     const { timers } = this;
+    const { capacity = {}, isEnabled } = settings;
+    const { loadProbe: probe } = entryPorts;
+    const measuresLoad = isEnabled?.('entryCapacity') ?? true;
+    this.load =
+      probe !== undefined && measuresLoad
+        ? new entryLoad.EntryLoad({ timers, log, metrics, random, capacity, probe })
+        : undefined;
     const signals = new signalRegistry.SignalRegistry({
       timers,
       log,
@@ -199,6 +216,7 @@
       regions: settings.regions,
       routes: () => this.routes,
       isDraining: () => this.isDraining,
+      generationRefusal: () => this.load?.generationRefusal(),
     });
     this.watch = new controlWatch.ControlWatch({
       timers,
@@ -254,7 +272,13 @@
   private describe(): methods.EntryStatus {
     const { name, dataCentre, callerAddress, peerAddress } = this.settings;
     const trafficVersion = this.routes?.version ?? 0;
-    return { name, dataCentre, callerAddress, peerAddress, state: this.state, trafficVersion };
+    const status = { name, dataCentre, callerAddress, peerAddress, state: this.state, trafficVersion };
+    if (this.load === undefined) {
+      return status;
+    }
+    const readyFor = Math.round(this.timers.now() - this.readyAt);
+    const isStarting = status.state === 'ready' && readyFor < entryWeights.STARTING_TIME;
+    return { ...status, ...this.load.status(), ...(isStarting && { readyFor }) };
   }
 
   /** Whether this entry accepts new callers. */
@@ -279,6 +303,7 @@
     const isFirst = this.routes === undefined;
     this.routes = new routeTable.RouteTable(decoded.val);
     if (isFirst) {
+      this.readyAt = this.timers.now();
       this.watch.reportStatusNow();
       this.relay.onConfigured();
     }
