--- a/packages/kumquatfront/src/entryLoad/entryWeights.ts
+++ b/packages/kumquatfront/src/entryLoad/entryWeights.ts
@@ -15,7 +15,7 @@
 
 /**
  * Ratio of an entry's pressure to that of the others above which its weight falls, and below which it rises. At 1.1,
- * chance fluctuations of equal entries reduced weights (trials: 1.24 of the mean became 1.39 at a mean of 0.9).
+ * chance reduced weights (trials at a mean of 0.9: highest utilization 1.17 to 1.39 instead of 1.07 to 1.21).
  */
 const REDUCE_ABOVE = 1.2;
 const RESTORE_BELOW = 0.85;
--- a/packages/kumquatfront/src/entryLoad/fleet.spec.ts
+++ b/packages/kumquatfront/src/entryLoad/fleet.spec.ts
@@ -115,7 +115,6 @@
   (context) => {
     const fleet = new fleetTestHarness.Fleet({ seed: 5 });
     const started = fleet.entries.slice(0, 3);
-    const before = started.map((entry) => entry.opened);
     for (const entry of started) {
       entry.state = 'starting';
       fleet.announce(entry);
@@ -133,7 +132,7 @@
       perSecond.push(started.reduce((sum, entry) => sum + entry.opened, 0) - previous);
     }
     context.diagnostic(`connections of three entries in each second: ${perSecond.join(' ')}`);
-    assert.ok(before.length === 3 && (perSecond[0] ?? 0) + (perSecond[1] ?? 0) > 0, perSecond.join(' '));
+    assert.ok((perSecond[0] ?? 0) + (perSecond[1] ?? 0) > 0, perSecond.join(' '));
     const full = started.map((entry) => entry.opened);
     assert.ok(Math.min(...full) > 20, full.join(' '));
     assert.ok((perSecond[0] ?? 0) < (perSecond[6] ?? 0), 'the weight does not rise');
