--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -7,6 +7,7 @@
 import * as dataCentreSafeguards from './dataCentreSafeguards.js';
 import * as heavyLoadSafeguards from './heavyLoadSafeguards.js';
 import * as prefillSafeguards from './prefillSafeguards.js';
+import * as entryLoadSafeguards from './entryLoadSafeguards.js';
 import * as quarantineSafeguards from './quarantineSafeguards.js';
 import * as relaySafeguards from './relaySafeguards.js';
 import * as servingSafeguards from './servingSafeguards.js';
@@ -26,4 +27,5 @@
   ...sharedLimitsSafeguards.sharedLimitsSafeguards,
   ...heavyLoadSafeguards.heavyLoadSafeguards,
   ...upstreamPaceSafeguards.upstreamPaceSafeguards,
+  ...entryLoadSafeguards.entryLoadSafeguards,
 ];
