Prefill scheduling: a late retry of a patient request does not wait for headroom

Cause: a request that could only be late and found no idle engine was treated as waiting for headroom, and stayed in the queue for its longest wait. Change: only patient requests that can still be in time wait longer; the fleet benchmark sends the longest wait as entries do. Result: the new spec failed before the change and passes with it; fleetRun.spec passes.

--- a/packages/benchmarks/src/fleet/fleetRun.ts
+++ b/packages/benchmarks/src/fleet/fleetRun.ts
@@ -172,6 +172,7 @@
       excluded: [],
       objective,
       patience: maximumWait,
+      ...(kind.rank > 0 && { longestWait: kumquatfront.waitLimits.longestWait(objective, timeLeft) }),
     };
     const placementRequest = { ...common, likeness: request.identity, objectiveLeft: objective };
     this.coordinator.requestPlacement(placementRequest, (answer) => {
--- a/packages/kumquatfront/src/prefill/prefillPlacement.spec.ts
+++ b/packages/kumquatfront/src/prefill/prefillPlacement.spec.ts
@@ -78,6 +78,19 @@
   assert.equal(older.stateOf('patient'), 'refused');
 });
 
+// Guards against a late retry that occupies the queue for the whole objective again.
+void test.test('a late retry of a patient request is answered almost immediately', () => {
+  const harness = createHarness();
+  harness.longestWait = coordinatorTestHarness.OBJECTIVE;
+  fillEngine(harness);
+  harness.requestPlacement('patient/1', 'patient');
+  harness.time.advance(1_400);
+  assert.equal(harness.stateOf('patient/1'), 'refused');
+  harness.requestPlacement('patient/2', 'patient');
+  harness.time.advance(100);
+  assert.equal(harness.stateOf('patient/2'), 'refused');
+});
+
 // Guards against a change of behaviour where the feature is disabled.
 void test.test('with the feature disabled an urgent request waits, and answers have no forecast', () => {
   const harness = createHarness(placementFeatures.withDisabled(['prefillScheduling']).unwrap());
--- a/packages/kumquatfront/src/prefill/prefillScheduler.ts
+++ b/packages/kumquatfront/src/prefill/prefillScheduler.ts
@@ -109,12 +109,13 @@
   /** Decides on a request that no engine accepts; `isPrefillCause` is true if only the forecast prevents it. */
   decideWithoutEngine(scheduled: ScheduledRequest, isPrefillCause: boolean): prefillAdmission.Decision {
     const { identity } = scheduled.request.facts;
-    if (isPrefillCause) {
+    const requestClass = this.classOf(scheduled);
+    if (isPrefillCause && requestClass === 'patient') {
       this.waiting.add(identity);
     } else {
       this.waiting.delete(identity);
     }
-    return prefillAdmission.withoutEngine(this.classOf(scheduled), isPrefillCause);
+    return prefillAdmission.withoutEngine(requestClass, isPrefillCause);
   }
 
   /** True while a request may wait beyond its normal limit because it only waits for headroom. */
