--- a/packages/kumquatfront/src/upstreamPace/enginePaces.spec.ts
+++ b/packages/kumquatfront/src/upstreamPace/enginePaces.spec.ts
@@ -1,5 +1,5 @@
 /**
- * Prefill and decoding paces of engines.
+ * Prefill paces of engines.
  */
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
@@ -60,16 +60,3 @@
   paces.observePrefill('e0', 'llm', 100, -5);
   assert.equal(paces.prefillPaceOf('e0', 'llm'), before);
 });
-
-void test.test('decoding paces are learned by the number of running generations', () => {
-  const paces = new enginePaces.EnginePaces(() => 0);
-  assert.equal(paces.decodingPaceOf('e0', 'llm', 4), undefined);
-  for (let count = 0; count < 20; count += 1) {
-    paces.observeDecoding('e0', 'llm', 4, 10, 400);
-    paces.observeDecoding('e0', 'llm', 20, 10, 800);
-    paces.observeDecoding('e1', 'llm', 4, 10, 970);
-  }
-  assert.ok(Math.abs((paces.decodingPaceOf('e0', 'llm', 6) ?? 0) - 40) < 4);
-  assert.ok(Math.abs((paces.decodingPaceOf('e0', 'llm', 24) ?? 0) - 80) < 8);
-  assert.ok(Math.abs((paces.decodingPaceOf('e1', 'llm', 1) ?? 0) - 97) < 10);
-});
--- a/packages/kumquatfront/src/upstreamPace/enginePaces.ts
+++ b/packages/kumquatfront/src/upstreamPace/enginePaces.ts
@@ -1,6 +1,5 @@
 /**
- * Paces of engines as the coordinator learns them from reports: prefill by prompt token, and decoding by event and number
- * of running generations.
+ * Prefill paces of engines as the coordinator learns them from reported first events.
  *
  * Load: engines whose paces differ by 2.4 to 1.
  */
@@ -16,25 +15,15 @@
 /** Identity without observations, whose estimate is the mean of its service. */
 const UNKNOWN_ENGINE = '';
 
-/** Running generations are grouped, because the time for an event grows slowly with their number. */
-const RUNNING_GROUP = 8;
-
-function groupOf(service: string, running: number): string {
-  const group = Math.floor(Math.max(0, running - 1) / RUNNING_GROUP);
-  return `${service} ${group}`;
-}
-
 /** Paces of engines; see the module comment. */
 export class EnginePaces {
   private readonly prefill: paceEstimator.PaceEstimator;
-  private readonly decoding: paceEstimator.PaceEstimator;
 
   /**
    * @param now - the time
    */
   constructor(now: () => ports.Milliseconds) {
     this.prefill = new paceEstimator.PaceEstimator(now, EVIDENCE_HALF_LIFE, INITIAL_PREFILL_PACE);
-    this.decoding = new paceEstimator.PaceEstimator(now, EVIDENCE_HALF_LIFE);
   }
 
   /**
@@ -77,36 +66,8 @@
     this.prefill.observe(engine, service, elapsed / tokens);
   }
 
-  /**
-   * Decoding pace of an engine.
-   *
-   * @param engine - identity of the engine
-   * @param service - its service
-   * @param running - generations that the engine runs
-   * @returns milliseconds per event; undefined if none was observed for a similar number of running generations
-   * @example
-   * ```ts
-   * const remaining = events * (paces.decodingPaceOf(engine, service, 12) ?? 60);
-   * ```
-   */
-  decodingPaceOf(engine: string, service: string, running: number): ports.Milliseconds | undefined {
-    return this.decoding.paceOf(engine, groupOf(service, running))?.pace;
-  }
-
-  /** Records that a generation received events in a time, on an engine with a number of running generations. */
-  observeDecoding(
-    engine: string,
-    service: string,
-    running: number,
-    events: number,
-    elapsed: ports.Milliseconds,
-  ): void {
-    this.decoding.observe(engine, groupOf(service, running), elapsed / events);
-  }
-
   /** Removes an engine that has ended or restarted. */
   remove(engine: string): void {
     this.prefill.remove(engine);
-    this.decoding.remove(engine);
   }
 }
