Findings of the reviews of prefill scheduling, paces, shared limits and stream pauses

Each part was read by someone who did not write it. Mended, by what callers or operators would have seen: - With prefill scheduling switched off the queues of prompts grew without bound and slowed each placement. - A patient request waiting for headroom blocked all later ones, which were refused after 480 ms. - A refusal named 10 to 30 ms while an engine without prompts had no room; the wait of the engine that would take the request counts now. Times without requests no longer lengthen it. - A first event of the former engine of a stream counted as the prompt of the new one and taught a false pace; a moved generation counted as a prompt on its target; short prompts are not observed. - A request sent again was counted from its repetition with the time of its first arrival. - A stall was neither bounded nor forgotten in the forecast of pauses; the observed stream itself counted as a prompt beside it; streams about to end were protected. Streams of an engine are collected once for each change. - A coordinator that entries had left kept its queue and granted from it later. - An entry went on offering its share to a lease holder that no longer answers; after a partition of more than 30 s it used its share in a window in which others had used it; an entry that drew again in the same window had two chances; a faulty number of entries kept the holder busy. - Calls that were open when their upstream ended created its state anew; a false queue made an upstream look fast; a new coordinator's few observations replaced those of entries. Open, in docs/design/hard-load.md: reservations hold nothing against urgent work, some specs are weaker than their titles.

--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -40,6 +40,9 @@
 /** Maximum time between two passes over the queue while nothing changes. */
 const DISPATCH_INTERVAL: ports.Milliseconds = 100;
 
+/** Upper bound of an observed time between two grants; longer ones come from times without requests. */
+const MAXIMUM_GRANT_INTERVAL: ports.Milliseconds = 1_000;
+
 /** Upper bound of the `retryAfter` in refusals, since callers do not honour longer delays. */
 const MAXIMUM_RETRY_AFTER: ports.Milliseconds = 4_000;
 
@@ -175,6 +178,7 @@
       this.scheduler.recordArrival(request, now);
     }
     if (!this.queue.add(this.withOriginalDeadline(request, now), now, respond)) {
+      this.scheduler.forget(request.facts.identity);
       respond({ state: 'refused', retryAfter: MAXIMUM_RETRY_AFTER, reason: 'the queue is full' });
       return;
     }
@@ -262,6 +266,10 @@
     const now = this.options.timers.now();
     if (now - this.lastActivityAt > IDLE_TIMEOUT) {
       this.activeSince = undefined;
+      // Entries have sent these requests to another coordinator.
+      for (const identity of this.queue.clear()) {
+        this.scheduler.forget(identity);
+      }
       return;
     }
     this.activeSince ??= now;
@@ -299,10 +307,15 @@
     return entryNames.length === 0 || !entryNames.every((entry) => this.pool.hasReportedSince(entry, since));
   }
 
-  private refuse(queued: placementQueue.QueuedRequest, reason: string): void {
+  /** @param prefillWait - forecast wait on the engine that would take the request first, if prefill is the cause */
+  private refuse(
+    queued: placementQueue.QueuedRequest,
+    reason: string,
+    prefillWait?: ports.Milliseconds,
+  ): void {
     const { facts, likeness, objective, objectiveLeft } = queued.request;
     const now = this.options.timers.now();
-    const retryAfter = this.retryAfter(queued.request, now);
+    const retryAfter = this.retryAfter(queued.request, now, prefillWait);
     this.scheduler.recordResult(queued.request, false, now);
     this.scheduler.forget(facts.identity);
     this.retryTracker.recordRefusal(likeness, queued.since + objectiveLeft - objective, now);
@@ -315,11 +328,11 @@
    * Forecasts when capacity is free for a refused request: from prefill while prompts wait on all engines, else from
    * the time to drain the queue; with jitter so that callers do not retry simultaneously.
    */
-  private retryAfter(request: types.PlacementRequest, now: number): number {
+  private retryAfter(request: types.PlacementRequest, now: number, prefillWait?: ports.Milliseconds): number {
     const { service, identity } = request.facts;
     // A generation that runs elsewhere continues there when its second placement is refused.
     const mayReserve = this.isScheduled && this.pool.placedOf(identity) === undefined;
-    const reservedTime = mayReserve ? this.scheduler.reserveRetry(request, now) : undefined;
+    const reservedTime = mayReserve ? this.scheduler.reserveRetry(request, now, prefillWait) : undefined;
     if (reservedTime !== undefined) {
       return Math.ceil(reservedTime);
     }
@@ -356,11 +369,13 @@
     if (!this.isScheduled) {
       return false;
     }
-    const isPrefillCause = this.pool.selectEngine(query, now) !== undefined;
-    if (this.scheduler.decideWithoutEngine(scheduled, isPrefillCause) === 'wait') {
+    // The engine that would take it first if its prefill forecast were no obstacle.
+    const available = this.pool.selectEngine({ ...query, earliestFirst: true }, now);
+    if (this.scheduler.decideWithoutEngine(scheduled, available !== undefined) === 'wait') {
       return false;
     }
-    this.refuse(queued, 'no engine would produce the first event in time');
+    const wait = available && this.pool.prefill.forecastOf(available.identity, facts.service, 0, now).wait;
+    this.refuse(queued, 'no engine would produce the first event in time', wait);
     return true;
   }
 
@@ -397,7 +412,10 @@
 
   private recordGrantInterval(service: string, now: number): void {
     const previous = this.grantIntervals.get(service);
-    const interval = previous === undefined ? 100 : 0.9 * previous.interval + 0.1 * (now - previous.at);
+    const interval =
+      previous === undefined
+        ? 100
+        : 0.9 * previous.interval + 0.1 * Math.min(now - previous.at, MAXIMUM_GRANT_INTERVAL);
     this.grantIntervals.set(service, { at: now, interval });
   }
 }
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -11,6 +11,7 @@
 import type * as trafficTypes from '../traffic/types.js';
 import * as slidingWindowCounter from '../warmUp/slidingWindowCounter.js';
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
+import type * as interference from '../streamPauses/interference.js';
 import * as pauseProtection from '../streamPauses/pauseProtection.js';
 import * as lengthForecast from './lengthForecast.js';
 import * as placementFeatures from './placementFeatures.js';
@@ -134,7 +135,7 @@
   private readonly pauses = new pauseProtection.PauseProtection({
     placedOn: (engine) => this.placedOn(engine),
     placedOf: (identity) => this.placed.get(identity),
-    remainingOutput: (facts, produced) => this.lengths.remainingOutput(facts, produced),
+    streamsOn: (engine) => this.streamsOn(engine),
   });
   readonly prefill: prefillForecaster.PrefillForecaster;
   private readonly isEnabled: placementFeatures.IsEnabled;
@@ -146,6 +147,8 @@
   /** Recent starts on each engine, by placement or move. */
   private readonly recentStarts = new slidingWindowCounter.SlidingWindowCounter(warmUpBounds.COLD_WINDOW);
   private loads: Map<string, memoryPeak.GenerationMemory[]> | undefined;
+  /** Streams on each engine; valid as long as `loads`. */
+  private streams = new Map<string, interference.RunningStream[]>();
 
   /** @param paces - prefill paces of single engines, learned elsewhere */
   constructor(
@@ -227,7 +230,10 @@
       const isScheduled = this.isEnabled('prefillScheduling');
       const hadNoneAhead = prefillTokens === running.facts.promptTokens;
       if (!isScheduled && known !== undefined && hadNoneAhead && running.started && !known.running.started) {
-        this.prefillEstimator.observe(running.facts.service, prefillTokens, now - placedAt);
+        const { service } = running.facts;
+        this.prefillEstimator.observe(service, prefillTokens, now - placedAt);
+        const elapsed = now - placedAt - this.prefillEstimator.timeToFirstEvent(service, 0);
+        this.observePrefill({ engine: running.instance, service, tokens: prefillTokens, elapsed });
       }
     }
     if (this.isEnabled('prefillScheduling')) {
@@ -281,7 +287,9 @@
     const running = { facts, instance, produced: 0, started: false };
     const prefillTokens = facts.promptTokens + (this.pendingPrefillTokens(now).get(instance) ?? 0);
     this.recentStarts.add(instance, now);
-    this.prefill.recordGrant(facts, instance, now);
+    if (this.isEnabled('prefillScheduling')) {
+      this.prefill.recordGrant(facts, instance, now);
+    }
     this.placed.set(facts.identity, {
       running,
       entry,
@@ -343,6 +351,7 @@
       return this.loads;
     }
     const loads = new Map<string, memoryPeak.GenerationMemory[]>();
+    this.streams = new Map();
     const add = (instance: string | undefined, memory: memoryPeak.GenerationMemory): void => {
       if (instance !== undefined) {
         const generations = loads.get(instance);
@@ -356,12 +365,24 @@
     for (const [identity, { running }] of this.placed) {
       const memory = this.memoryOf(running);
       add(running.instance, memory);
+      this.addStream(running, memory.remaining);
       add(this.moveTargets.get(identity), memory);
     }
     this.loads = loads;
     return loads;
   }
 
+  private addStream({ facts, instance, longestPause = 0 }: types.RunningGeneration, remaining: number): void {
+    const streams = this.streams.get(instance) ?? [];
+    this.streams.set(instance, streams);
+    streams.push({ pauseLimit: facts.pauseLimit, longestPause, remaining });
+  }
+
+  private streamsOn(instance: string): readonly interference.RunningStream[] {
+    this.engineLoads();
+    return this.streams.get(instance) ?? [];
+  }
+
   /** Prompt tokens on each engine that are not processed yet. */
   private pendingPrefillTokens(now: number): Map<string, number> {
     const pending = new Map<string, number>();
@@ -395,8 +416,10 @@
       if (engine.service !== facts.service || isExcluded || !isAllowed || !isUnderRateLimit) {
         continue;
       }
-      const forecast = this.prefill.forecastOf(engine.identity, facts.service, ownPrefillTokens, now);
-      if (isScheduled && acceptsForecast?.(forecast) === false) {
+      const forecast = isScheduled
+        ? this.prefill.forecastOf(engine.identity, facts.service, ownPrefillTokens, now)
+        : undefined;
+      if (forecast !== undefined && acceptsForecast?.(forecast) === false) {
         continue;
       }
       const load = loads.get(engine.identity) ?? NO_GENERATIONS;
@@ -410,10 +433,18 @@
       // An idle engine accepts a generation of any size, which would otherwise never be placed.
       const fits = memoryShare <= MEMORY_LIMITS[purpose] || load.length === 0;
       const prefillTokens = ownPrefillTokens + (pendingPrefill.get(engine.identity) ?? 0);
-      const forecastTime = isScheduled
-        ? this.prefill.timeToFirstEvent(facts.service, forecast)
-        : this.prefillEstimator.timeToFirstEvent(facts.service, prefillTokens);
+      const forecastTime =
+        forecast !== undefined
+          ? this.prefill.timeToFirstEvent(facts.service, forecast)
+          : this.prefillEstimator.timeToFirstEvent(facts.service, prefillTokens);
       const timeToFirstEvent = this.isEnabled('readingPace') ? forecastTime : 0;
+      const isEligible =
+        (fits || !this.isEnabled('memoryBound')) &&
+        load.length < slots - reservedSlots &&
+        timeToFirstEvent <= maximumTimeToFirstEvent;
+      if (!isEligible) {
+        continue;
+      }
       const locality = engine.dataCentre === dataCentre ? localityBonus : 0;
       const pauseCost = this.isEnabled('pauseProtection')
         ? this.pauses.costOf(
@@ -432,11 +463,7 @@
           : pauseCost / SCORE_PER_STEP;
       const score =
         locality - memoryShare - timeToFirstEvent * FIRST_EVENT_DELAY_WEIGHT - steps * SCORE_PER_STEP;
-      const isEligible =
-        (fits || !this.isEnabled('memoryBound')) &&
-        load.length < slots - reservedSlots &&
-        timeToFirstEvent <= maximumTimeToFirstEvent;
-      if (isEligible && score > bestScore) {
+      if (score > bestScore) {
         best = engine;
         bestScore = score;
       }
--- a/packages/kumquatfront/src/placement/lengthForecast.ts
+++ b/packages/kumquatfront/src/placement/lengthForecast.ts
@@ -18,7 +18,7 @@
 const UNSEEN_LENGTH_FACTOR = 1.3;
 
 /** Minimum remaining output of a running generation, so that none is forecast as complete. */
-const MINIMUM_REMAINING_TOKENS = 48;
+export const MINIMUM_REMAINING_TOKENS = 48;
 
 /** Share of the output limit that is assumed without observations and without a hint. */
 const DEFAULT_LIMIT_SHARE = 0.5;
--- a/packages/kumquatfront/src/placement/placementQueue.ts
+++ b/packages/kumquatfront/src/placement/placementQueue.ts
@@ -54,7 +54,9 @@
     if (previous === undefined && this.requests.size >= MAXIMUM_QUEUE_SIZE) {
       return false;
     }
-    this.requests.set(request.facts.identity, { request, since: previous?.since ?? now, respond });
+    // A request that is sent again states what is left of its times since then; the queue counts from the first arrival.
+    const queued = previous ?? { request, since: now };
+    this.requests.set(request.facts.identity, { ...queued, respond });
     return true;
   }
 
@@ -66,6 +68,13 @@
     this.requests.delete(identity);
   }
 
+  /** Removes all requests; returns the identities of their generations. */
+  clear(): readonly string[] {
+    const identities = [...this.requests.keys()];
+    this.requests.clear();
+    return identities;
+  }
+
   countForService(service: string): number {
     return [...this.requests.values()].filter((queued) => queued.request.facts.service === service).length;
   }
@@ -116,7 +125,7 @@
       }
       if (tryPlace(queued)) {
         this.requests.delete(identity);
-      } else if (now - queued.since > OVERTAKING_LIMIT) {
+      } else if (now - queued.since > OVERTAKING_LIMIT && !this.forecasts.mayWaitLonger(queued, now)) {
         blockedServices.set(service, rank);
       }
     }
--- a/packages/kumquatfront/src/placement/types.ts
+++ b/packages/kumquatfront/src/placement/types.ts
@@ -64,6 +64,8 @@
   readonly produced: number;
   /** True after the first event, when the engine holds memory that can be moved. */
   readonly started: boolean;
+  /** True if it continues from a copy of its memory, so that its engine has no prompt to process. */
+  readonly resumedFromCopy?: boolean;
   /** Longest pause between two events from its present engine; absent before the second event. */
   readonly longestPause?: ports.Milliseconds;
 }
--- a/packages/kumquatfront/src/prefill/prefillBacklog.ts
+++ b/packages/kumquatfront/src/prefill/prefillBacklog.ts
@@ -88,17 +88,27 @@
    * Applies a reported first event. Reports out of order keep earlier prompts queued, since engines and entries may
    * swap neighbours.
    *
+   * @param reportedEngine - engine that sent the first event; undefined if the report does not tell
    * @returns the time that the engine took for the prompt; undefined where its begin is not known
    * @example
    * ```ts
    * const observation = backlog.complete('r1', now);
    * ```
    */
-  complete(identity: string, now: ports.Milliseconds): PrefillObservation | undefined {
+  complete(
+    identity: string,
+    now: ports.Milliseconds,
+    reportedEngine?: string,
+  ): PrefillObservation | undefined {
     const queue = this.queueOf(identity);
     if (queue === undefined) {
       return undefined;
     }
+    // The former engine of a stream that was placed again may still send an event; the new one has not begun then.
+    if (reportedEngine !== undefined && this.engineOfPrompt.get(identity) !== reportedEngine) {
+      this.remove(identity, now);
+      return undefined;
+    }
     const index = queue.prompts.findIndex((prompt) => prompt.identity === identity);
     const { engine = '', service = '', tokens = 0, addedAt = now } = queue.prompts[index] ?? {};
     const { beganAt } = queue;
--- a/packages/kumquatfront/src/prefill/prefillForecaster.ts
+++ b/packages/kumquatfront/src/prefill/prefillForecaster.ts
@@ -8,6 +8,9 @@
 import type * as prefillAdmission from './prefillAdmission.js';
 import * as prefillBacklog from './prefillBacklog.js';
 
+/** Shorter prompts say little about the pace: their time is mostly that of the first decoding step. */
+const MINIMUM_OBSERVED_TOKENS = 200;
+
 /** Prefill forecast of one coordinator. */
 export class PrefillForecaster {
   private readonly backlog: prefillBacklog.PrefillBacklog;
@@ -36,22 +39,24 @@
 
   /** Applies the first events and ends of generations that an entry reports. */
   applyReport(report: types.EntryReport, now: ports.Milliseconds): void {
-    for (const { facts, instance, started } of report.generations) {
+    for (const { facts, instance, started, resumedFromCopy } of report.generations) {
       const { identity, service, promptTokens } = facts;
       if (started) {
-        this.complete(identity, now);
+        this.complete(identity, instance, now);
+      } else if (resumedFromCopy === true) {
+        this.backlog.remove(identity, now);
       } else {
         this.backlog.add({ identity, engine: instance, service, tokens: promptTokens }, now, false);
       }
     }
     for (const { facts } of report.finished) {
-      this.complete(facts.identity, now);
+      this.complete(facts.identity, undefined, now);
     }
   }
 
-  private complete(identity: string, now: ports.Milliseconds): void {
-    const observed = this.backlog.complete(identity, now);
-    if (observed !== undefined) {
+  private complete(identity: string, engine: string | undefined, now: ports.Milliseconds): void {
+    const observed = this.backlog.complete(identity, now, engine);
+    if (observed !== undefined && observed.tokens >= MINIMUM_OBSERVED_TOKENS) {
       this.onObserved(observed);
       const { service, tokens, elapsed } = observed;
       this.estimator.observe(service, tokens, this.estimator.timeToFirstEvent(service, 0) + elapsed);
--- a/packages/kumquatfront/src/prefill/prefillScheduler.ts
+++ b/packages/kumquatfront/src/prefill/prefillScheduler.ts
@@ -146,10 +146,14 @@
    * const retryAfter = scheduler.reserveRetry(request, now) ?? drainTime;
    * ```
    */
-  reserveRetry(request: types.PlacementRequest, now: ports.Milliseconds): ports.Milliseconds | undefined {
+  reserveRetry(
+    request: types.PlacementRequest,
+    now: ports.Milliseconds,
+    prefillWait?: ports.Milliseconds,
+  ): ports.Milliseconds | undefined {
     const { shortestWaitOf, meanPaceOf, engineCountOf, random } = this.options;
     const { service, promptTokens } = request.facts;
-    const earliest = shortestWaitOf(service, now);
+    const earliest = prefillWait ?? shortestWaitOf(service, now);
     if (earliest <= 0 || engineCountOf(service) === 0) {
       return undefined;
     }
--- a/packages/kumquatfront/src/relay/serviceRetryBudget.ts
+++ b/packages/kumquatfront/src/relay/serviceRetryBudget.ts
@@ -30,7 +30,7 @@
   retries: number[];
   /** Random rounding offset in [0, 1); drawn again after each retry. */
   dither: number;
-  ditherDrawnAt: ports.Milliseconds;
+  refusedAt: ports.Milliseconds | undefined;
 }
 
 function leaseKeyOf(service: string): string {
@@ -66,13 +66,18 @@
   private countsOf(service: string, now: number): RetryCounts {
     const counts = this.counts.get(service) ?? {
       ...{ requests: [], retries: [] },
-      ...{ dither: this.random.next(), ditherDrawnAt: now },
+      ...{ dither: this.random.next(), refusedAt: undefined },
     };
     this.counts.set(service, counts);
-    // A share below one would otherwise be lost for good at an entry that has drawn a high offset.
-    if (this.leases !== undefined && now - counts.ditherDrawnAt > this.settings.window) {
+    // A share below one would otherwise never be used at an entry that has drawn a high offset. One window passes
+    // from the refusal on, so that an entry draws once in each window.
+    if (
+      this.leases !== undefined &&
+      counts.refusedAt !== undefined &&
+      now - counts.refusedAt > this.settings.window
+    ) {
       counts.dither = this.random.next();
-      counts.ditherDrawnAt = now;
+      counts.refusedAt = undefined;
     }
     const oldest = now - this.settings.window;
     for (const times of [counts.requests, counts.retries]) {
@@ -130,11 +135,14 @@
     const counts = this.countsOf(service, now);
     const allowed = this.ratioPart(counts) + this.slackPart(service, now);
     if (counts.retries.length + counts.dither >= allowed) {
+      if (counts.retries.length < allowed) {
+        counts.refusedAt ??= now;
+      }
       return this.leases?.take(leaseKeyOf(service), now) ?? false;
     }
     counts.retries.push(now);
     counts.dither = this.random.next();
-    counts.ditherDrawnAt = now;
+    counts.refusedAt = undefined;
     return true;
   }
 }
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -119,6 +119,7 @@
       instance: segment.instance.identity,
       produced,
       started: segment.eventCount > 0,
+      ...(segment.copy !== undefined && { resumedFromCopy: true }),
       ...(segment.eventCount > 1 && { longestPause: Math.round(segment.longestPause) }),
     };
   }
--- a/packages/kumquatfront/src/sharedLimits/entryCountHistory.ts
+++ b/packages/kumquatfront/src/sharedLimits/entryCountHistory.ts
@@ -9,6 +9,9 @@
 /** How long a higher number of entries is used after it has decreased. */
 export const COUNT_RETENTION: ports.Milliseconds = 30_000;
 
+/** Time for which an entry without control keeps its share; below `COUNT_RETENTION`. */
+export const CONTACT_RETENTION: ports.Milliseconds = 20_000;
+
 /** Remembers the highest recent number of entries and when it was last confirmed. */
 export class EntryCountHistory {
   private maximum = { entries: 0, at: Number.NEGATIVE_INFINITY };
@@ -22,7 +25,10 @@
   countAt(now: ports.Milliseconds): number {
     const entries = this.currentCount();
     if (entries > 0) {
-      this.firstKnownAt = Math.min(this.firstKnownAt, now);
+      // After a long silence the others may have divided this entry's share, and used it in the present window.
+      if (now - this.lastKnownAt > CONTACT_RETENTION) {
+        this.firstKnownAt = now;
+      }
       this.lastKnownAt = now;
     }
     const isOld = now - this.maximum.at > COUNT_RETENTION;
@@ -32,7 +38,7 @@
     return this.maximum.entries;
   }
 
-  /** Time since the number of entries was known for the first time; negative before. */
+  /** Time since the number of entries was known for the first time, or again after a long silence. */
   timeSinceFirstKnown(now: ports.Milliseconds): ports.Milliseconds {
     return now - this.firstKnownAt;
   }
--- a/packages/kumquatfront/src/sharedLimits/leaseClient.ts
+++ b/packages/kumquatfront/src/sharedLimits/leaseClient.ts
@@ -102,7 +102,7 @@
   private lastNow: ports.Milliseconds;
   /** Requests without an answer since the last answer. */
   private unanswered = 0;
-  private newest: { readonly holder: string; readonly stamp: number; readonly at: number } | undefined;
+  private newest: { readonly holder: string; readonly stamp: number } | undefined;
 
   constructor(options: LeaseClientOptions) {
     this.options = options;
@@ -315,7 +315,9 @@
     const { newest } = this;
     const { amount, window } = limit.limit;
     const least = entries < 1 ? 0 : limitParts.minimumKept(amount, entries);
-    if (newest === undefined || least === 0 || !isActive || this.isNew(window, now)) {
+    // Offers to a holder that no longer answers would keep the share from being used.
+    const isHolderSilent = this.unanswered >= UNANSWERED_LIMIT;
+    if (newest === undefined || isHolderSilent || least === 0 || !isActive || this.isNew(window, now)) {
       return undefined;
     }
     const available = limitParts.entitlement(amount, entries) - this.offeredOf(limit, now, newest.holder);
@@ -346,7 +348,7 @@
       this.options.log.info('limitHolderFound', { holder: answer.holder });
     }
     this.unanswered = 0;
-    this.newest = { holder: answer.holder, stamp: answer.stamp, at: now };
+    this.newest = { holder: answer.holder, stamp: answer.stamp };
     for (const { key, granted, ttl } of answer.leases) {
       const limit = this.limits.get(key);
       if (limit !== undefined) {
--- a/packages/kumquatfront/src/sharedLimits/leaseLedger.ts
+++ b/packages/kumquatfront/src/sharedLimits/leaseLedger.ts
@@ -73,6 +73,9 @@
   summary: { asked: number; granted: number; at: ports.Milliseconds };
 }
 
+/** Highest number of entries that a request may state; bounds the work of one request. */
+const MAXIMUM_ENTRIES = 10_000;
+
 function isAmount(value: unknown): value is number {
   return typeof value === 'number' && Number.isFinite(value) && value >= 0;
 }
@@ -83,7 +86,8 @@
     typeof demand.key === 'string' &&
     [limit, window, wanted, used, offered, entries, variance, margin].every(isAmount) &&
     limit > 0 &&
-    window > 0
+    window > 0 &&
+    entries <= MAXIMUM_ENTRIES
   );
 }
 
--- a/packages/kumquatfront/src/sharedLimits/windowedShare.spec.ts
+++ b/packages/kumquatfront/src/sharedLimits/windowedShare.spec.ts
@@ -31,8 +31,8 @@
   const state = establishedShare(50);
   assert.equal(state.share.at(WINDOW), 1 / 50);
   state.entries.count = 0;
-  assert.equal(state.share.at(WINDOW + windowedShare.CONTACT_RETENTION), 1 / 50);
-  assert.equal(state.share.at(WINDOW + windowedShare.CONTACT_RETENTION + 1), 0);
+  assert.equal(state.share.at(WINDOW + entryCountHistory.CONTACT_RETENTION), 1 / 50);
+  assert.equal(state.share.at(WINDOW + entryCountHistory.CONTACT_RETENTION + 1), 0);
 });
 
 // Guards against entries that divide the limit by a lower count while those cut off still use their shares.
@@ -50,5 +50,21 @@
 });
 
 void test.test('an entry without control loses its share before the others can take it', () => {
-  assert.ok(windowedShare.CONTACT_RETENTION < entryCountHistory.COUNT_RETENTION);
+  assert.ok(entryCountHistory.CONTACT_RETENTION < entryCountHistory.COUNT_RETENTION);
 });
+
+// Guards against entries that use their share at once after a long partition, in a window in which the others have used it.
+void test.test(
+  'an entry has no share for one window after a partition that was longer than its retention heals',
+  () => {
+    const state = establishedShare(60);
+    assert.equal(state.share.at(WINDOW), 1 / 60);
+    state.entries.count = 0;
+    const healedAt = WINDOW + entryCountHistory.CONTACT_RETENTION + 20_000;
+    assert.equal(state.share.at(healedAt - 1), 0);
+    state.entries.count = 60;
+    assert.equal(state.share.at(healedAt), 0);
+    assert.equal(state.share.at(healedAt + WINDOW - 1), 0);
+    assert.equal(state.share.at(healedAt + WINDOW), 1 / 60);
+  },
+);
--- a/packages/kumquatfront/src/sharedLimits/windowedShare.ts
+++ b/packages/kumquatfront/src/sharedLimits/windowedShare.ts
@@ -9,9 +9,6 @@
 import type * as ports from '../kernel/ports.js';
 import * as entryCountHistory from './entryCountHistory.js';
 
-/** Time for which an entry without control keeps its share; below `entryCountHistory.COUNT_RETENTION`. */
-export const CONTACT_RETENTION: ports.Milliseconds = 20_000;
-
 /** Share of one entry; see the module comment. */
 export class WindowedShare {
   private readonly history: entryCountHistory.EntryCountHistory;
@@ -41,7 +38,7 @@
   at(now: ports.Milliseconds): number {
     const count = this.history.countAt(now);
     const isNew = this.history.timeSinceFirstKnown(now) < this.window;
-    const isOutOfContact = this.history.timeSinceLastKnown(now) > CONTACT_RETENTION;
+    const isOutOfContact = this.history.timeSinceLastKnown(now) > entryCountHistory.CONTACT_RETENTION;
     return count === 0 || isNew || isOutOfContact ? 0 : 1 / count;
   }
 }
--- a/packages/kumquatfront/src/streamPauses/interference.ts
+++ b/packages/kumquatfront/src/streamPauses/interference.ts
@@ -5,6 +5,7 @@
  * over its route's limit is late, so one prompt on a slow engine can make every stream on it late.
  */
 import type * as ports from '../kernel/ports.js';
+import * as lengthForecast from '../placement/lengthForecast.js';
 
 /** A stream that runs on the engine. */
 export interface RunningStream {
@@ -25,8 +26,8 @@
   readonly hasPrompt: boolean;
 }
 
-/** Streams with fewer remaining tokens end before or during the next prompt. */
-const SHORT_OUTPUT_TOKENS = 40;
+/** Streams with no more remaining tokens end before or during the next prompt. */
+const SHORT_OUTPUT_TOKENS = lengthForecast.MINIMUM_REMAINING_TOKENS;
 
 /** Cost of one running stream that becomes late, as a share of engine memory; outweighs any difference in free memory. */
 const LATE_STREAM_COST = 1;
@@ -43,7 +44,7 @@
   return (
     exceeds(pause, stream.pauseLimit) &&
     !exceeds(stream.longestPause, stream.pauseLimit) &&
-    stream.remaining >= SHORT_OUTPUT_TOKENS
+    stream.remaining > SHORT_OUTPUT_TOKENS
   );
 }
 
@@ -71,6 +72,6 @@
     ? running.filter((stream) => wouldBecomeLate(stream, expectedPause)).length
     : 0;
   const isExposed =
-    generation.remaining >= SHORT_OUTPUT_TOKENS && exceeds(expectedPause, generation.pauseLimit);
+    generation.remaining > SHORT_OUTPUT_TOKENS && exceeds(expectedPause, generation.pauseLimit);
   return late * LATE_STREAM_COST + (isExposed ? EXPOSED_STREAM_COST : 0);
 }
--- a/packages/kumquatfront/src/streamPauses/pauseForecast.ts
+++ b/packages/kumquatfront/src/streamPauses/pauseForecast.ts
@@ -15,6 +15,9 @@
 /** Limit on how far one observation raises a forecast, so that a stalled connection does not distort it. */
 const MAXIMUM_INCREASE_FACTOR = 3;
 
+/** Bound of the first observed pause; longer ones come from stalled connections or VMs. */
+const MAXIMUM_FIRST_PAUSE: ports.Milliseconds = 1_000;
+
 /** Time after which an observed pause is no longer used, so that an engine that was slow for a time is tried again. */
 const OBSERVATION_LIFETIME: ports.Milliseconds = 20_000;
 
@@ -52,13 +55,16 @@
   observePrefill(engine: string, service: string, millisecondsPerToken: number): void {
     const state = this.stateOf(engine, service);
     const previous = state.prefillPace ?? millisecondsPerToken;
-    state.prefillPace = previous + PACE_SMOOTHING_FACTOR * (millisecondsPerToken - previous);
+    const observed = Math.min(previous * 2, Math.max(previous / 2, millisecondsPerToken));
+    state.prefillPace = previous + PACE_SMOOTHING_FACTOR * (observed - previous);
   }
 
   /** Records the longest pause of a stream while a prompt was processed beside it. */
   observePause(engine: string, service: string, pause: ports.Milliseconds, now: ports.Milliseconds): void {
     const state = this.stateOf(engine, service);
-    state.pause = { value: followMaximum(state.pause?.value, pause), at: now };
+    const previous = this.expectedPause(engine, now);
+    const bounded = previous === undefined ? Math.min(pause, MAXIMUM_FIRST_PAUSE) : pause;
+    state.pause = { value: followMaximum(previous, bounded), at: now };
     if (state.prefillPace !== undefined) {
       this.ratios.set(service, followMaximum(this.ratios.get(service), pause / state.prefillPace));
     }
--- a/packages/kumquatfront/src/streamPauses/pauseProtection.ts
+++ b/packages/kumquatfront/src/streamPauses/pauseProtection.ts
@@ -20,8 +20,7 @@
 export interface PauseProtectionOptions {
   readonly placedOn: (engine: string) => readonly PlacedStream[];
   readonly placedOf: (identity: string) => PlacedStream | undefined;
-  /** Forecast of the remaining output of a generation, in tokens. */
-  readonly remainingOutput: (facts: types.GenerationAttributes, produced: number) => number;
+  readonly streamsOn: (engine: string) => readonly interference.RunningStream[];
 }
 
 /** A placement to evaluate. */
@@ -46,19 +45,20 @@
       const previous = this.options.placedOf(facts.identity)?.running;
       const isLonger = (longestPause ?? 0) > (previous?.longestPause ?? 0);
       if (longestPause !== undefined && previous?.instance === instance && isLonger) {
-        this.observePause(instance, facts.service, longestPause, now);
+        this.observePause(facts, instance, longestPause, now);
       }
     }
   }
 
   private observePause(
+    { identity, service }: types.GenerationAttributes,
     engine: string,
-    service: string,
     pause: ports.Milliseconds,
     now: ports.Milliseconds,
   ): void {
     const hadPrompt = this.options
       .placedOn(engine)
+      .filter(({ running }) => running.facts.identity !== identity)
       .some(({ running, placedAt }) => !running.started || now - placedAt < PROMPT_BESIDE_TIME);
     if (hadPrompt) {
       this.forecast.observePause(engine, service, pause, now);
@@ -71,20 +71,7 @@
     if (expectedPause === undefined) {
       return 0;
     }
-    const running = this.options.placedOn(engine).map((placed) => this.streamOf(placed));
-    return interference.costOf(
-      expectedPause,
-      { pauseLimit: facts.pauseLimit, remaining, hasPrompt },
-      running,
-    );
-  }
-
-  private streamOf({ running }: PlacedStream): interference.RunningStream {
-    const { facts, produced, longestPause = 0 } = running;
-    return {
-      pauseLimit: facts.pauseLimit,
-      longestPause,
-      remaining: this.options.remainingOutput(facts, produced),
-    };
+    const generation = { pauseLimit: facts.pauseLimit, remaining, hasPrompt };
+    return interference.costOf(expectedPause, generation, this.options.streamsOn(engine));
   }
 }
--- a/packages/kumquatfront/src/upstreamPace/paceEstimator.ts
+++ b/packages/kumquatfront/src/upstreamPace/paceEstimator.ts
@@ -215,12 +215,16 @@
       : { mean: sample.mean, weight: this.weightOf(sample), noise: state.noise };
   }
 
-  /** Replaces the evidence on an upstream by that of a process that has more observations. */
+  /** Replaces the evidence on an upstream by that of all entries, unless that is much weaker. */
   adopt(upstream: string, service: string, { mean, weight, noise }: Evidence): void {
     if (!isPlausible(mean) || !(weight > 0) || !(noise > 0)) {
       return;
     }
     const state = this.stateOf(service);
+    // A new coordinator knows little at first; half lets its table still replace few observations of an entry.
+    if (weight < this.weightOf(state.samples.get(upstream)) / 2) {
+      return;
+    }
     state.samples.set(upstream, { mean, weight: Math.min(MAXIMUM_WEIGHT, weight), at: this.now() });
     state.noise = Math.min(1, Math.max(MINIMUM_NOISE, noise));
     state.summary = undefined;
--- a/packages/kumquatfront/src/upstreamPace/upstreamPaces.ts
+++ b/packages/kumquatfront/src/upstreamPace/upstreamPaces.ts
@@ -67,6 +67,9 @@
   readonly time: ports.Milliseconds;
 }
 
+/** Calls ahead for each slot; a longer queue would outlast the timeout of a plain call, so such a report is false. */
+const MAXIMUM_QUEUE_ROUNDS = 20;
+
 /** Time of a call without the time that it waited for a slot, by the queue that the upstream reports. */
 function withoutQueue(
   elapsed: ports.Milliseconds,
@@ -75,7 +78,8 @@
   if (load?.slots === undefined) {
     return elapsed;
   }
-  return elapsed / (1 + completionForecast.plausibleCount(load.waiting) / Math.max(1, load.slots));
+  const rounds = completionForecast.plausibleCount(load.waiting) / Math.max(1, load.slots);
+  return elapsed / (1 + Math.min(MAXIMUM_QUEUE_ROUNDS, rounds));
 }
 
 /** Paces of plain upstreams at one entry; see the module comment. */
@@ -96,6 +100,11 @@
     this.loads = new loadReports.LoadReports(options.now);
   }
 
+  /** False for an upstream that has ended: calls that were open then would create its state anew. */
+  private isListed(identity: string): boolean {
+    return this.options.serviceOf(identity) !== undefined;
+  }
+
   private pendingSumOf(upstream: string): PendingSum {
     const known = this.pendingSums.get(upstream) ?? { answered: 0, time: 0, turnedAway: 0 };
     this.pendingSums.set(upstream, known);
@@ -111,6 +120,9 @@
     elapsed: ports.Milliseconds,
     load: completionForecast.LoadReport | undefined,
   ): void {
+    if (!this.isListed(identity)) {
+      return;
+    }
     this.lastObservedAt = this.options.now();
     const sum = this.pendingSumOf(identity);
     // The slowdown may have ended while the call ran.
@@ -135,6 +147,9 @@
    * answered or at the deadline, and only its fast ones are observed.
    */
   recordGivenUp({ identity, service }: instanceView.Instance, elapsed: ports.Milliseconds): void {
+    if (!this.isListed(identity)) {
+      return;
+    }
     const pace = this.paces.paceOf(identity, service)?.pace;
     const time = withoutQueue(elapsed, this.loads.get(identity)?.load);
     if (pace === undefined || time <= pace * GIVEN_UP_FACTOR || this.minimumSlowdownOf(identity) > 0) {
@@ -149,6 +164,9 @@
 
   /** Records a call that the upstream turned away; its time and the load that it reports say nothing about its pace. */
   recordTurnedAway({ identity }: instanceView.Instance): void {
+    if (!this.isListed(identity)) {
+      return;
+    }
     this.lastObservedAt = this.options.now();
     this.outcomes.record(identity, 0, 1);
     this.pendingSumOf(identity).turnedAway += 1;
