--- a/packages/kumquatfront/src/relay/idleTimeout.ts
+++ b/packages/kumquatfront/src/relay/idleTimeout.ts
@@ -11,8 +11,8 @@
 const FIRST_EVENT_OBJECTIVE_SHARE = 0.62;
 
 /**
- * Margin on the coordinator's forecast of the first event, as a factor and a minimum. Paces of engines differ by up to
- * 1.3 from that of their service, and a stream sent twice delays all prompts behind it.
+ * Margin on the coordinator's forecast of the first event, as a factor and a minimum. The forecast of a
+ * new engine may be off by the spread of paces, and a stream sent twice delays all prompts behind it.
  */
 const FORECAST_FACTOR = 1.3;
 const MINIMUM_FORECAST_MARGIN: ports.Milliseconds = 250;
