Placement: the account furthest below its share goes first

Cause: the queue of the coordinator ordered requests by rank and forecast length only, so one account that asks for most of the capacity received it. Change: use of each account in token milliseconds, weighted max-min level, order by it where several accounts wait, and an engine kept for a request of an account below its share that does not fit.

--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -258,6 +258,9 @@
     peers.serve(names.status, (_parameters, reply) => {
       reply(results.Ok(this.status()));
     });
+    peers.serve(names.accounts, (_parameters, reply) => {
+      reply(results.Ok(this.traffic?.accountStatus() ?? []));
+    });
   }
 
   configure(command: agreedTypes.ConfigureCommand, done: ports.Reply): void {
--- a/packages/kumquatfront/src/controlNode/methods.ts
+++ b/packages/kumquatfront/src/controlNode/methods.ts
@@ -16,6 +16,7 @@
   settleClaim: 'control.settleClaim',
   pull: 'configuration.pull',
   status: 'control.status',
+  accounts: 'control.accounts',
   order: 'control.order',
   /** Evacuates a data centre, or restores it. */
   evacuate: 'control.evacuate',
--- /dev/null
+++ b/packages/kumquatfront/src/fairShare/engineReservations.ts
@@ -0,0 +1,143 @@
+/**
+ * Keeps an engine for a queued request of an account below its share that fits on none yet. Without this, smaller
+ * requests of accounts above their shares take the memory as it becomes free, and accounts with large requests never
+ * reach their share. The number of reserved engines is bounded, so that little capacity stays unused.
+ */
+import type * as ports from '../kernel/ports.js';
+import * as memoryPeak from '../placement/memoryPeak.js';
+
+/** An engine on which the request may run. */
+export interface ReservableEngine {
+  readonly identity: string;
+  /** Tokens that generations of the request's class may fill. */
+  readonly usableTokens: number;
+  readonly generations: readonly memoryPeak.GenerationMemory[];
+}
+
+/**
+ * Maximum share of the engines of a service that is reserved. An engine with a reservation leaves about one generation
+ * of 8 unused, so that at most 3 in 100 of the memory is unused.
+ */
+const MAXIMUM_RESERVED_SHARE = 0.25;
+
+/**
+ * Time after which the engine of a reservation is selected again, since forecasts of lengths are inaccurate. The
+ * selection sorts the generations of every engine, which is too costly for every pass over the queue.
+ */
+const RESELECTION_INTERVAL: ports.Milliseconds = 100;
+
+/** Steps of decoding until the request fits; undefined if it does not even fit on the idle engine. */
+function stepsUntilFit(engine: ReservableEngine, added: memoryPeak.GenerationMemory): number | undefined {
+  const byRemaining = [...engine.generations].sort((left, right) => left.remaining - right.remaining);
+  for (let ended = 0; ended <= byRemaining.length; ended += 1) {
+    const steps = byRemaining[ended - 1]?.remaining ?? 0;
+    const running = byRemaining.slice(ended).map(({ held, remaining }) => ({
+      held: held + steps,
+      remaining: remaining - steps,
+    }));
+    if (running.length === 0 || memoryPeak.peakOf([...running, added]) <= engine.usableTokens) {
+      return steps;
+    }
+  }
+  return undefined;
+}
+
+/**
+ * Selects the engine on which a request will fit first.
+ *
+ * @param engines - engines on which it may run
+ * @param added - memory of its generation
+ * @returns identity of the engine; undefined if there is none, or the request fits on one already and waits for
+ * something other than memory
+ * @example
+ * ```ts
+ * engineReservations.earliestFit(engines, { held: 6000, remaining: 700 });
+ * ```
+ */
+export function earliestFit(
+  engines: readonly ReservableEngine[],
+  added: memoryPeak.GenerationMemory,
+): string | undefined {
+  let earliest: string | undefined;
+  let earliestSteps = Number.POSITIVE_INFINITY;
+  for (const engine of engines) {
+    const steps = stepsUntilFit(engine, added) ?? Number.POSITIVE_INFINITY;
+    if (steps < earliestSteps) {
+      earliest = engine.identity;
+      earliestSteps = steps;
+    }
+  }
+  return earliestSteps > 0 ? earliest : undefined;
+}
+
+interface Reservation {
+  readonly service: string;
+  readonly engine: string;
+  readonly selectedAt: ports.Milliseconds;
+}
+
+/**
+ * Reservations of queued requests.
+ *
+ * @example
+ * ```ts
+ * reservations.engineFor(request, () => engines, now);
+ * ```
+ */
+export class EngineReservations {
+  private readonly reserved = new Map<string, Reservation>();
+
+  /** Removes reservations of requests that no longer wait. */
+  removeUnless(waits: (identity: string) => boolean): void {
+    for (const identity of this.reserved.keys()) {
+      if (!waits(identity)) {
+        this.reserved.delete(identity);
+      }
+    }
+  }
+
+  release(identity: string): void {
+    this.reserved.delete(identity);
+  }
+
+  has(identity: string): boolean {
+    return this.reserved.has(identity);
+  }
+
+  /** Returns the engine reserved for a request, after reserving one if it has none and the bound permits. */
+  engineFor(
+    request: {
+      readonly identity: string;
+      readonly service: string;
+      readonly memory: memoryPeak.GenerationMemory;
+    },
+    engines: () => readonly ReservableEngine[],
+    now: ports.Milliseconds,
+  ): string | undefined {
+    const { identity, service, memory } = request;
+    const known = this.reserved.get(identity);
+    if (known !== undefined && now - known.selectedAt < RESELECTION_INTERVAL) {
+      return known.engine;
+    }
+    const taken = new Set<string>();
+    for (const [other, reservation] of this.reserved) {
+      if (other !== identity && reservation.service === service) {
+        taken.add(reservation.engine);
+      }
+    }
+    const all = engines();
+    if (known === undefined && taken.size + 1 > Math.max(1, all.length * MAXIMUM_RESERVED_SHARE)) {
+      return undefined;
+    }
+    const engine = earliestFit(
+      all.filter((candidate) => !taken.has(candidate.identity)),
+      memory,
+    );
+    if (engine === undefined) {
+      this.reserved.delete(identity);
+    } else {
+      this.reserved.set(identity, { service, engine, selectedAt: now });
+    }
+    return engine;
+  }
+}
--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -3,6 +3,7 @@
  * control replica; entries use the leader, or a replica reachable by all entries when there is no leader. State is
  * rebuilt from the entries' reports after a failover; two active coordinators only make placement less efficient.
  */
+import * as placementShares from '../fairShare/placementShares.js';
 import type * as instanceTypes from '../instances/types.js';
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
@@ -57,6 +58,8 @@
   readonly entryNames: () => readonly string[];
   /** Sends a move command to an entry. */
   readonly move: evacuation.EvacuationOptions['move'];
+  /** Weight of a client account; by default all have the weight 1. */
+  readonly weightOf?: (account: string) => number;
   /** Returns whether a placement feature is enabled; by default all are. */
   readonly isEnabled?: placementFeatures.IsEnabled;
 }
@@ -67,10 +70,23 @@
   private readonly isEnabled: placementFeatures.IsEnabled;
   private readonly pool: enginePool.EnginePool;
   private readonly retryTracker = new retryTracker.RetryTracker();
-  private readonly queue = new placementQueue.PlacementQueue({
-    expectedOutput: (facts) => (this.isEnabled('shorterFirst') ? this.pool.lengths.totalOutput(facts, 0) : 0),
-    timelinessOf: (queued, now) => this.timelinessOf(queued, now),
-  });
+  private readonly queue = new placementQueue.PlacementQueue(
+    {
+      expectedOutput: (facts) =>
+        this.isEnabled('shorterFirst') ? this.pool.lengths.totalOutput(facts, 0) : 0,
+      timelinessOf: (queued, now) => this.timelinessOf(queued, now),
+    },
+    () => (this.isEnabled('accountShares') ? this.accountOrder : undefined),
+  );
+  private readonly shares: placementShares.PlacementShares;
+  private readonly accountOrder: placementQueue.AccountOrder = {
+    keyOf: (service, account) => this.shares.keyOf(service, account),
+    recordOvertaken: (facts) => {
+      this.shares.recordOvertaken(facts);
+    },
+    reservedEngineOf: (request, now) => this.shares.reservedEngineOf(request, this.pool, now),
+    extraWaitOf: (identity) => this.shares.extraWaitOf(identity),
+  };
   private readonly evacuation: evacuation.EvacuationScheduler;
   private activeSince: number | undefined;
   private lastActivityAt = Number.NEGATIVE_INFINITY;
@@ -83,6 +99,8 @@
     this.options = options;
     this.isEnabled = options.isEnabled ?? placementFeatures.allEnabled;
     this.pool = new enginePool.EnginePool(this.isEnabled);
+    const { log, metrics, weightOf = (): number => 1 } = options;
+    this.shares = new placementShares.PlacementShares({ log, metrics, weightOf });
     this.evacuation = new evacuation.EvacuationScheduler({
       pool: this.pool,
       move: options.move,
@@ -108,6 +126,9 @@
     if (this.activeSince === undefined || (this.queue.size === 0 && this.pool.placedCount === 0)) {
       return;
     }
+    if (this.isEnabled('accountShares')) {
+      this.shares.report();
+    }
     const loads = this.pool.describeLoads();
     this.options.metrics.gauge('placement.waiting', this.queue.size);
     this.options.metrics.gauge('placement.running', this.pool.placedCount);
@@ -129,13 +150,34 @@
       respond({ state: 'placed', instance: placed.running.instance });
       return;
     }
-    if (!this.queue.add(this.withOriginalDeadline(request, now), now, respond)) {
+    const pending = this.withOriginalDeadline(request, now);
+    if (!this.queue.add(pending, now, respond) && !this.addInstead(pending, now, respond)) {
       respond({ state: 'refused', retryAfter: MAXIMUM_RETRY_AFTER, reason: 'the queue is full' });
       return;
     }
     this.tick();
   }
 
+  /** Refuses a queued request of the account furthest above its share, and adds the new one in its place. */
+  private addInstead(
+    request: types.PlacementRequest,
+    now: number,
+    respond: placementQueue.QueuedRequest['respond'],
+  ): boolean {
+    const refused = this.queue.takeForRoom(request, now);
+    if (refused === undefined) {
+      return false;
+    }
+    this.shares.recordOvertaken(refused.request.facts);
+    this.refuse(refused, 'the queue is full');
+    return this.queue.add(request, now, respond);
+  }
+
+  /** Share, use, debt and refusals of the client accounts; empty while this replica is not the coordinator. */
+  accountStatus(): readonly placementShares.AccountStatus[] {
+    return this.activeSince === undefined ? [] : this.shares.status();
+  }
+
   /** For a retry, reduces the remaining objective by the time since the caller's first attempt. */
   private withOriginalDeadline(request: types.PlacementRequest, now: number): types.PlacementRequest {
     const firstRequestedAt = this.retryTracker.takeFirstRequestTime(request.likeness, now);
@@ -172,6 +214,7 @@
   /** Removes a request from the queue. */
   withdraw(identity: string): void {
     this.queue.remove(identity);
+    this.shares.recordWithdrawal(identity);
   }
 
   /** Applies an entry's report of its running generations. */
@@ -230,7 +273,10 @@
       if (this.isEnabled('evacuation')) {
         this.evacuation.startMoves();
       }
-      this.queue.dispatch(now, (queued) => this.tryPlace(queued, now));
+      if (this.isEnabled('accountShares')) {
+        this.shares.update(this.pool.placedGenerations(), this.queue.values(), now);
+      }
+      this.queue.dispatch(now, (queued, reserved) => this.tryPlace(queued, now, reserved));
     }
     for (const expired of this.queue.takeExpired(now)) {
       this.refuse(expired, 'no place came free in time');
@@ -252,7 +298,11 @@
     const now = this.options.timers.now();
     this.retryTracker.recordRefusal(likeness, queued.since + objectiveLeft - objective, now);
     this.options.metrics.count('placement.answers', 1, { state: 'refused' });
-    this.options.log.info('placementRefused', { request: facts.identity, reason, retryAfter });
+    const shareCause = this.shares.recordRefusal(facts);
+    this.options.log.info('placementRefused', {
+      ...{ request: facts.identity, reason, retryAfter },
+      ...shareCause,
+    });
     queued.respond({ state: 'refused', retryAfter, reason });
   }
 
@@ -264,7 +314,7 @@
     return Math.round(Math.min(MAXIMUM_RETRY_AFTER, drainTime * jitter));
   }
 
-  private tryPlace(queued: placementQueue.QueuedRequest, now: number): boolean {
+  private tryPlace(queued: placementQueue.QueuedRequest, now: number, reserved: readonly string[]): boolean {
     const { facts, dataCentre, excluded, objectiveLeft } = queued.request;
     const deadlineStatus = this.timelinessOf(queued, now);
     const engine = this.pool.selectEngine(
@@ -273,7 +323,7 @@
         produced: 0,
         purpose: purposeOf(facts, deadlineStatus),
         dataCentre,
-        excluded: new Set(excluded),
+        excluded: new Set([...excluded, ...reserved]),
         ...(deadlineStatus === 'inTime' && { maximumTimeToFirstEvent: objectiveLeft - (now - queued.since) }),
       },
       now,
@@ -284,6 +334,7 @@
     const placement = { instance: engine.identity };
     this.pool.recordGrant(queued.request, placement, now);
     this.recordGrantInterval(facts.service, now);
+    this.shares.recordGrant(facts);
     this.options.metrics.count('placement.answers', 1, { state: 'placed' });
     this.options.metrics.timing('placement.wait', now - queued.since, { rank: String(facts.rank) });
     this.options.log.info('placed', {
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -232,6 +232,16 @@
     return this.placed.get(identity);
   }
 
+  /** Memory of the generations on an engine, including moves to it. */
+  memoryOn(instance: string): readonly memoryPeak.GenerationMemory[] {
+    return this.engineLoads().get(instance) ?? NO_GENERATIONS;
+  }
+
+  /** All placed generations, including grants that are not reported yet. */
+  placedGenerations(): Iterable<PlacedGeneration> {
+    return this.placed.values();
+  }
+
   get placedCount(): number {
     return this.placed.size;
   }
--- a/packages/kumquatfront/src/placement/placementQueue.ts
+++ b/packages/kumquatfront/src/placement/placementQueue.ts
@@ -1,8 +1,11 @@
 /**
  * Priority queue of placement requests, ordered by rank, then by whether the objective can still be met, then by
  * forecast output length (shortest job first, with aging). A first-come queue would make every request late under
- * overload. A request that does not fit may be overtaken by smaller ones, but only for a limited time.
+ * overload. A request that does not fit may be overtaken by smaller ones, but only for a limited time. Where client
+ * accounts compete, the account furthest below its share goes before forecast length.
  */
+import * as refusalOrder from '../fairShare/refusalOrder.js';
+import * as shareOrder from '../fairShare/shareOrder.js';
 import type * as ports from '../kernel/ports.js';
 import type * as timeliness from './timeliness.js';
 import type * as types from './types.js';
@@ -33,13 +36,64 @@
   ) => timeliness.Timeliness;
 }
 
+/** Shares of client accounts, which determine the order among requests of one rank. */
+export interface AccountOrder {
+  /** Sort key of an account; lowest for the one furthest below its share. */
+  readonly keyOf: shareOrder.ShareKeyOf;
+  readonly recordOvertaken: (facts: types.GenerationAttributes) => void;
+  /** Engine that is kept for a request that fits on none yet; undefined if none is. */
+  readonly reservedEngineOf: (request: types.PlacementRequest, now: ports.Milliseconds) => string | undefined;
+  /** Time for which a request waits beyond its patience. */
+  readonly extraWaitOf: (identity: string) => ports.Milliseconds;
+}
+
+/** Attempts to place a request on an engine that is not in `reserved`; returns true if it was placed. */
+export type TryPlace = (queued: QueuedRequest, reserved: readonly string[]) => boolean;
+
+/** A queued request with the keys that determine its position. */
+interface KeyedRequest extends shareOrder.OrderedRequest {
+  readonly queued: QueuedRequest;
+}
+
 /** Queue of the requests that are not placed yet. */
 export class PlacementQueue {
   private readonly requests = new Map<string, QueuedRequest>();
   private readonly forecasts: RequestForecasts;
+  private readonly accountOrder: () => AccountOrder | undefined;
 
-  constructor(forecasts: RequestForecasts) {
+  /** `accountOrder` returns undefined while the order ignores accounts. */
+  constructor(
+    forecasts: RequestForecasts,
+    accountOrder: () => AccountOrder | undefined = (): undefined => undefined,
+  ) {
     this.forecasts = forecasts;
+    this.accountOrder = accountOrder;
+  }
+
+  has(identity: string): boolean {
+    return this.requests.has(identity);
+  }
+
+  /** All queued requests, in order of arrival. */
+  values(): Iterable<QueuedRequest> {
+    return this.requests.values();
+  }
+
+  /** Removes and returns a request to refuse in favour of a new one; undefined if the new one is to be refused. */
+  takeForRoom({ facts }: types.PlacementRequest, now: number): QueuedRequest | undefined {
+    const order = this.accountOrder();
+    if (order === undefined) {
+      return undefined;
+    }
+    const candidates = [...this.requests.values()].map((queued) => {
+      const { service, account, rank } = queued.request.facts;
+      return { queued, service, account, rank, waited: now - queued.since };
+    });
+    const selected = refusalOrder.select(candidates, { ...facts, waited: 0 }, order.keyOf)?.queued;
+    if (selected !== undefined) {
+      this.requests.delete(selected.request.facts.identity);
+    }
+    return selected;
   }
 
   get size(): number {
@@ -66,9 +120,11 @@
 
   /** Removes and returns requests that exceeded their maximum wait or became late in the queue. */
   takeExpired(now: number): readonly QueuedRequest[] {
-    const expired = [...this.requests.values()].filter(
-      (queued) => now - queued.since >= queued.request.patience || this.becameLateWhileQueued(queued, now),
-    );
+    const order = this.accountOrder();
+    const expired = [...this.requests.values()].filter((queued) => {
+      const maximumWait = queued.request.patience + (order?.extraWaitOf(queued.request.facts.identity) ?? 0);
+      return now - queued.since >= maximumWait || this.becameLateWhileQueued(queued, now);
+    });
     for (const queued of expired) {
       this.requests.delete(queued.request.facts.identity);
     }
@@ -81,34 +137,53 @@
     return timelinessOf(queued, now) === 'late' && timelinessOf(queued, queued.since) === 'inTime';
   }
 
-  private sortedRequests(now: number): readonly QueuedRequest[] {
+  private sortedRequests(now: number): readonly KeyedRequest[] {
     const keyedRequests = [...this.requests.values()].map((queued) => {
       const waited = now - queued.since;
       const { facts } = queued.request;
       const late = this.forecasts.timelinessOf(queued, now) === 'late' ? 1 : 0;
       const length = this.forecasts.expectedOutput(facts) - waited * AGING_TOKENS_PER_MILLISECOND;
-      return { queued, late, length, rank: facts.rank };
+      const { rank, service, account } = facts;
+      return { queued, late, length, rank, service, account, orderClass: `${rank} ${late}` };
     });
     keyedRequests.sort(
       (left, right) => left.rank - right.rank || left.late - right.late || left.length - right.length,
     );
-    return keyedRequests.map((key) => key.queued);
+    return keyedRequests;
   }
 
-  /** Attempts to place requests in order; `tryPlace` returns true if one was placed. */
-  dispatch(now: number, tryPlace: (queued: QueuedRequest) => boolean): void {
+  /** Attempts to place requests in order. */
+  dispatch(now: number, tryPlace: TryPlace): void {
+    const order = this.accountOrder();
     const blockedServices = new Map<string, number>();
-    for (const queued of this.sortedRequests(now)) {
+    const reserved: string[] = [];
+    const attempt = ({ queued }: KeyedRequest, competes: boolean): boolean => {
       const { service, rank, identity } = queued.request.facts;
       const blockingRank = blockedServices.get(service);
       if (blockingRank !== undefined && blockingRank <= rank) {
-        continue;
+        return false;
       }
-      if (tryPlace(queued)) {
+      if (tryPlace(queued, reserved)) {
         this.requests.delete(identity);
-      } else if (now - queued.since > OVERTAKING_LIMIT) {
+        return true;
+      }
+      if (now - queued.since > OVERTAKING_LIMIT) {
         blockedServices.set(service, rank);
       }
+      const engine = competes ? order?.reservedEngineOf(queued.request, now) : undefined;
+      if (engine !== undefined) {
+        reserved.push(engine);
+      }
+      return false;
+    };
+    const sorted = this.sortedRequests(now);
+    if (order === undefined) {
+      sorted.forEach((item) => attempt(item, false));
+      return;
     }
+    const overtaken = ({ queued }: KeyedRequest): void => {
+      order.recordOvertaken(queued.request.facts);
+    };
+    shareOrder.visit(sorted, order.keyOf, { attempt, overtaken });
   }
 }
--- a/packages/kumquatfront/src/traffic/routeTable.ts
+++ b/packages/kumquatfront/src/traffic/routeTable.ts
@@ -18,6 +18,7 @@
   private readonly hosts = new Map<string, Map<string, types.Route>>();
   private readonly services = new Map<string, types.Service>();
   private readonly accounts = new Map<string, types.Account>();
+  private readonly weights = new Map<string, number>();
 
   constructor(configuration: types.TrafficConfiguration) {
     this.version = configuration.version;
@@ -33,6 +34,7 @@
       this.services.set(service.name, service);
     }
     for (const account of configuration.accounts ?? []) {
+      this.weights.set(account.name, account.weight ?? 1);
       for (const key of account.keys) {
         this.accounts.set(key, account);
       }
@@ -68,6 +70,11 @@
     return this.accounts.get(key);
   }
 
+  /** Weight of a client account by name; 1 if it is unknown or has none. */
+  weightOf(account: string): number {
+    return this.weights.get(account) ?? 1;
+  }
+
   /** Selects one of a route's services by weight; `draw` is a random number in [0, 1). */
   pickService(route: types.Route, draw: number): string {
     const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
--- a/packages/kumquatfront/src/traffic/trafficValidation.ts
+++ b/packages/kumquatfront/src/traffic/trafficValidation.ts
@@ -73,6 +73,16 @@
   return undefined;
 }
 
+function checkWeights(accounts: readonly types.Account[]): ValidationResult | undefined {
+  const invalid = accounts.find(({ weight = 1 }) => !(weight > 0 && Number.isFinite(weight)));
+  return invalid === undefined
+    ? undefined
+    : reject(
+        `Client account "${invalid.name}" has the invalid weight ${invalid.weight ?? 1}.`,
+        'Set a finite weight above 0, or leave it out for 1.',
+      );
+}
+
 /**
  * Checks the consistency of a configuration.
  *
@@ -94,6 +104,7 @@
   return (
     checkDuplicateRoutes(configuration.routes) ??
     checkSharedKeys(configuration.accounts ?? []) ??
+    checkWeights(configuration.accounts ?? []) ??
     results.Ok(configuration)
   );
 }
--- a/packages/kumquatfront/src/traffic/types.ts
+++ b/packages/kumquatfront/src/traffic/types.ts
@@ -81,6 +81,8 @@
   readonly keys: readonly string[];
   /** Overrides the priority of the route if present. */
   readonly priority?: number;
+  /** Share of capacity that is short, relative to other accounts; 1 if absent. */
+  readonly weight?: number;
   /** Home regions that its requests and their bodies are restricted to; absent if unrestricted. */
   readonly homes?: readonly string[];
 }
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -5,6 +5,7 @@
 import type * as agreedState from '../agreedState/agreedState.js';
 import type * as agreedTypes from '../agreedState/types.js';
 import type * as replica from '../consensus/replica.js';
+import type * as placementShares from '../fairShare/placementShares.js';
 import * as instanceTable from '../instances/instanceTable.js';
 import type * as instanceTypes from '../instances/types.js';
 import * as failures from '../kernel/failures.js';
@@ -94,6 +95,7 @@
       instances: () => this.table.records(timers.now()),
       ...(options.isEnabled !== undefined && { isEnabled: options.isEnabled }),
       serviceOf: (name) => this.routes()?.serviceOf(name),
+      weightOf: (account) => this.routes()?.weightOf(account) ?? 1,
       isEvacuated: (dataCentre) => this.isEvacuated(dataCentre),
       warmUpTolerance: options.warmUpTolerance,
       entryNames: () => this.entries.names(),
@@ -261,6 +263,11 @@
     return this.cachedRoutes;
   }
 
+  /** Shares of the client accounts at this replica; empty while it is not the placement coordinator. */
+  accountStatus(): readonly placementShares.AccountStatus[] {
+    return this.coordinator.accountStatus();
+  }
+
   /** Validates and commits an operator's configuration; see `operatorCalls`. */
   replace(text: string, done: ports.Reply): void {
     this.operatorCalls.replace(text, done);
