Shares: an engine is kept only for requests that are in time

Cause: late requests may fill 0.4 of an engine only, so an engine kept for one of them stayed unused. Change: only requests in time reserve an engine.

--- a/packages/kumquatfront/src/fairShare/engineReservations.ts
+++ b/packages/kumquatfront/src/fairShare/engineReservations.ts
@@ -70,8 +70,17 @@
   return earliestSteps > 0 ? earliest : undefined;
 }
 
+/** A request that an engine may be kept for. */
+export interface ReservationRequest {
+  readonly identity: string;
+  readonly service: string;
+  readonly rank: number;
+  readonly memory: memoryPeak.GenerationMemory;
+}
+
 interface Reservation {
   readonly service: string;
+  readonly rank: number;
   readonly engine: string;
   readonly selectedAt: ports.Milliseconds;
 }
@@ -81,7 +90,7 @@
  *
  * @example
  * ```ts
- * reservations.engineFor(request, () => engines, now);
+ * reservations.reserve(request, () => engines, now);
  * ```
  */
 export class EngineReservations {
@@ -104,29 +113,32 @@
     return this.reserved.has(identity);
   }
 
+  /** Engines that are reserved for other requests of the same service, unless those are less urgent. */
+  enginesOfOthers(service: string, identity: string, rank = Number.POSITIVE_INFINITY): readonly string[] {
+    const engines: string[] = [];
+    for (const [other, reservation] of this.reserved) {
+      if (other !== identity && reservation.service === service && reservation.rank <= rank) {
+        engines.push(reservation.engine);
+      }
+    }
+    return engines;
+  }
+
   /** Returns the engine reserved for a request, after reserving one if it has none and the bound permits. */
-  engineFor(
-    request: {
-      readonly identity: string;
-      readonly service: string;
-      readonly memory: memoryPeak.GenerationMemory;
-    },
+  reserve(
+    request: ReservationRequest,
     engines: () => readonly ReservableEngine[],
     now: ports.Milliseconds,
   ): string | undefined {
-    const { identity, service, memory } = request;
+    const { identity, service, rank, memory } = request;
     const known = this.reserved.get(identity);
     if (known !== undefined && now - known.selectedAt < RESELECTION_INTERVAL) {
       return known.engine;
     }
-    const taken = new Set<string>();
-    for (const [other, reservation] of this.reserved) {
-      if (other !== identity && reservation.service === service) {
-        taken.add(reservation.engine);
-      }
-    }
     const all = engines();
-    if (known === undefined && taken.size + 1 > Math.max(1, all.length * MAXIMUM_RESERVED_SHARE)) {
+    const maximum = Math.max(1, Math.floor(all.length * MAXIMUM_RESERVED_SHARE));
+    const taken = new Set(this.enginesOfOthers(service, identity));
+    if (known === undefined && taken.size >= maximum) {
       return undefined;
     }
     const engine = earliestFit(
@@ -136,7 +148,7 @@
     if (engine === undefined) {
       this.reserved.delete(identity);
     } else {
-      this.reserved.set(identity, { service, engine, selectedAt: now });
+      this.reserved.set(identity, { service, rank, engine, selectedAt: now });
     }
     return engine;
   }
--- a/packages/kumquatfront/src/fairShare/placementShares.ts
+++ b/packages/kumquatfront/src/fairShare/placementShares.ts
@@ -104,6 +104,7 @@
 
   recordGrant({ identity, service, account, promptTokens }: types.GenerationAttributes): void {
     this.overtaken.delete(identity);
+    this.reservations.release(identity);
     this.shares.recordGrant(service, account, promptTokens);
   }
 
@@ -112,18 +113,23 @@
     return this.reservations.has(identity) ? RESERVED_EXTRA_WAIT : 0;
   }
 
-  /** Engine that is kept for a request of an account below its share; undefined if the account is above it. */
-  reservedEngineOf(
+  /** Engines that are kept for other requests of the same service. */
+  reservedForOthers({ identity, service, rank }: types.GenerationAttributes): readonly string[] {
+    return this.reservations.enginesOfOthers(service, identity, rank);
+  }
+
+  /** Keeps an engine for a request that fits on none yet, while its account is below its share. */
+  reserveEngine(
     { facts, excluded }: types.PlacementRequest,
     pool: Pick<enginePool.EnginePool, 'engineList' | 'memoryOn' | 'lengths'>,
     now: ports.Milliseconds,
-  ): string | undefined {
-    const { identity, service, account, promptTokens } = facts;
+  ): void {
+    const { identity, service, account, rank, promptTokens } = facts;
     if (!this.shares.isBelowShare(service, account)) {
       this.reservations.release(identity);
-      return undefined;
+      return;
     }
-    const limit = enginePool.MEMORY_LIMITS[ranks.isPatient(facts.rank) ? 'patient' : 'urgent'];
+    const limit = enginePool.MEMORY_LIMITS[ranks.isPatient(rank) ? 'patient' : 'urgent'];
     const usableEngines = (): readonly engineReservations.ReservableEngine[] =>
       pool.engineList
         .filter((engine) => engine.service === service && !engine.draining && !engine.evacuated)
@@ -135,7 +141,7 @@
           generations: pool.memoryOn(engine.identity),
         }));
     const memory = { held: promptTokens, remaining: pool.lengths.remainingOutput(facts, 0) };
-    return this.reservations.engineFor({ identity, service, memory }, usableEngines, now);
+    this.reservations.reserve({ identity, service, rank, memory }, usableEngines, now);
   }
 
   /** Records that a later request of another account was placed first because of the shares. */
--- a/packages/kumquatfront/src/fairShare/shareOrder.spec.ts
+++ b/packages/kumquatfront/src/fairShare/shareOrder.spec.ts
@@ -101,9 +101,15 @@
   assert.equal(engineReservations.earliestFit(engines, { held: 10, remaining: 10 }), undefined);
   const reservations = new engineReservations.EngineReservations();
   const reserve = (identity: string, now: number): string | undefined =>
-    reservations.engineFor({ identity, service: 'llm', memory }, () => engines, now);
+    reservations.reserve({ identity, service: 'llm', rank: 1, memory }, () => engines, now);
   assert.equal(reserve('g1', 0), 'i1');
   assert.equal(reserve('g2', 0), undefined, 'one engine of four may be reserved');
+  assert.deepEqual(
+    reservations.enginesOfOthers('llm', 'urgent', 0),
+    [],
+    'urgent requests may use the engine',
+  );
+  assert.deepEqual(reservations.enginesOfOthers('llm', 'patient', 1), ['i1']);
   reservations.removeUnless((identity) => identity !== 'g1');
   assert.equal(reserve('g2', 10), 'i1');
 });
--- a/packages/kumquatfront/src/fairShare/sharesTestHarness.ts
+++ b/packages/kumquatfront/src/fairShare/sharesTestHarness.ts
@@ -14,7 +14,7 @@
 import type * as trafficTypes from '../traffic/types.js';
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 
-const ENGINES = 31;
+const DEFAULT_ENGINES = 12;
 const MEMORY = 26_876;
 /** Share of the memory that patient generations fill in practice. */
 const USABLE_SHARE = 0.8;
@@ -46,6 +46,10 @@
 export interface RunOptions {
   readonly loads: readonly AccountLoad[];
   readonly seed: number;
+  /** Number of engines; by default 12, where the number does not matter. */
+  readonly engineCount?: number;
+  /** Maximum wait of a request at the coordinator; by default that of today's entries. */
+  readonly patience?: ports.Milliseconds;
   readonly isEnabled?: placementFeatures.IsEnabled;
 }
 
@@ -96,6 +100,7 @@
   readonly samples: ReadonlyMap<string, number>[] = [];
   private readonly options: RunOptions;
   private readonly random: ports.Random;
+  private readonly engineCount: number;
   private readonly coordinators = new Map<string, RunningCoordinator>();
   private readonly running = new Map<string, Generation>();
   private readonly pending = new Map<string, Pending>();
@@ -114,7 +119,8 @@
   constructor(options: RunOptions) {
     this.options = options;
     this.random = seededRandom.create(options.seed);
-    this.instances = Array.from({ length: ENGINES }, (_none, index) => ({
+    this.engineCount = options.engineCount ?? DEFAULT_ENGINES;
+    this.instances = Array.from({ length: this.engineCount }, (_none, index) => ({
       ...{ identity: `i${index}`, name: `i${index}`, born: 0, service: 'llm' },
       ...{ address: `10.0.0.${index}:80`, dataCentre: 'a', slots: 24, state: 'ready' as const },
       ...{ warmUpLeft: 0, sequence: 1, age: 0, firstAge: 0 },
@@ -276,11 +282,11 @@
       ...{ account, promptTokens: prompt, requestedAt: this.time.now(), inTime: false, refused: false },
     };
     this.outcomes.push(outcome);
-    const patience = waitLimits.maximumWait(OBJECTIVE, TIMEOUT, 1);
+    const { patience = waitLimits.maximumWait(OBJECTIVE, TIMEOUT, 1) } = this.options;
     const request = { facts, entry, dataCentre: 'a', excluded: [], likeness: identity, patience };
     const times = { objective: OBJECTIVE, objectiveLeft: OBJECTIVE };
     this.send({ request: { ...request, ...times }, outcome, length, isRetry: false });
-    const perSecond = (demand * ENGINES * MEMORY * USABLE_SHARE) / MEAN_TOKEN_SECONDS;
+    const perSecond = (demand * this.engineCount * MEMORY * USABLE_SHARE) / MEAN_TOKEN_SECONDS;
     this.time.after((-Math.log(1 - this.random.next()) * 1_000) / perSecond, () => {
       this.arrive(load);
     });
--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -84,7 +84,10 @@
     recordOvertaken: (facts) => {
       this.shares.recordOvertaken(facts);
     },
-    reservedEngineOf: (request, now) => this.shares.reservedEngineOf(request, this.pool, now),
+    reservedForOthers: (facts) => this.shares.reservedForOthers(facts),
+    reserveEngine: (request, now) => {
+      this.shares.reserveEngine(request, this.pool, now);
+    },
     extraWaitOf: (identity) => this.shares.extraWaitOf(identity),
   };
   private readonly evacuation: evacuation.EvacuationScheduler;
--- a/packages/kumquatfront/src/placement/placementQueue.ts
+++ b/packages/kumquatfront/src/placement/placementQueue.ts
@@ -41,8 +41,10 @@
   /** Sort key of an account; lowest for the one furthest below its share. */
   readonly keyOf: shareOrder.ShareKeyOf;
   readonly recordOvertaken: (facts: types.GenerationAttributes) => void;
-  /** Engine that is kept for a request that fits on none yet; undefined if none is. */
-  readonly reservedEngineOf: (request: types.PlacementRequest, now: ports.Milliseconds) => string | undefined;
+  /** Engines that are kept for other requests of the same service. */
+  readonly reservedForOthers: (facts: types.GenerationAttributes) => readonly string[];
+  /** Keeps an engine for a request that fits on none yet, if its account is below its share. */
+  readonly reserveEngine: (request: types.PlacementRequest, now: ports.Milliseconds) => void;
   /** Time for which a request waits beyond its patience. */
   readonly extraWaitOf: (identity: string) => ports.Milliseconds;
 }
@@ -53,6 +55,8 @@
 /** A queued request with the keys that determine its position. */
 interface KeyedRequest extends shareOrder.OrderedRequest {
   readonly queued: QueuedRequest;
+  /** 1 if it can no longer meet its objective, otherwise 0. */
+  readonly late: number;
 }
 
 /** Queue of the requests that are not placed yet. */
@@ -156,23 +160,21 @@
   dispatch(now: number, tryPlace: TryPlace): void {
     const order = this.accountOrder();
     const blockedServices = new Map<string, number>();
-    const reserved: string[] = [];
-    const attempt = ({ queued }: KeyedRequest, competes: boolean): boolean => {
+    const attempt = ({ queued, late }: KeyedRequest, competes: boolean): boolean => {
       const { service, rank, identity } = queued.request.facts;
       const blockingRank = blockedServices.get(service);
       if (blockingRank !== undefined && blockingRank <= rank) {
         return false;
       }
-      if (tryPlace(queued, reserved)) {
+      if (tryPlace(queued, order?.reservedForOthers(queued.request.facts) ?? [])) {
         this.requests.delete(identity);
         return true;
       }
       if (now - queued.since > OVERTAKING_LIMIT) {
         blockedServices.set(service, rank);
       }
-      const engine = competes ? order?.reservedEngineOf(queued.request, now) : undefined;
-      if (engine !== undefined) {
-        reserved.push(engine);
+      if (competes && late === 0) {
+        order?.reserveEngine(queued.request, now);
       }
       return false;
     };
