--- a/packages/command/src/explain/cause.ts
+++ b/packages/command/src/explain/cause.ts
@@ -88,6 +88,15 @@
   return signals.length === 0 ? '' : ` Before that ${signals.slice(-MAXIMUM_SIGNALS).join(', ')}.`;
 }
 
+/** Names the share of the client account if it was the cause of the refusal. */
+function describeShare(refusal: logLine.LogLine): string {
+  const { cause, account = '', debt } = refusal.fields;
+  const name = account === '' ? 'Callers without a client account' : `Client account ${account}`;
+  return cause === 'share'
+    ? ` The share was the cause: ${name} had used ${formatSeconds(debt)} of its share too much, and requests of accounts below their shares went first.`
+    : '';
+}
+
 function describeOverload(lines: Lines, end: logLine.LogLine): string {
   const refusal = lastLineOf(lines, 'placementRefused');
   const retry = lastLineOf(lines, 'callerReturned');
@@ -98,7 +107,7 @@
     retry === undefined
       ? ''
       : ` The caller had already been refused, ${formatSeconds(retry.fields.firstAsked)} earlier.`;
-  return `No engine could accept the request within ${formatSeconds(end.fields.milliseconds)}; nothing ran.${earlierRefusal}${describeLoad(lines)}`;
+  return `No engine could accept the request within ${formatSeconds(end.fields.milliseconds)}; nothing ran.${describeShare(refusal)}${earlierRefusal}${describeLoad(lines)}`;
 }
 
 function describeMoves(lines: Lines): string {
--- a/packages/command/src/explain/explain.spec.ts
+++ b/packages/command/src/explain/explain.spec.ts
@@ -134,6 +134,18 @@
   assert.match(sentence, /1 were cold and received no more load than a cold engine accepts/);
 });
 
+// Guards against an operator who takes a refusal for a lack of engines where another account had the greater claim.
+void test.test('a refusal because of the share of the client account is explained', () => {
+  const refused = (cause: string): string =>
+    `${at(1.2)} process=control-1 level=info event=placementRefused request=r7 reason="no place came free in time" retryAfter=700${cause}`;
+  const end = `${at(1.21)} process=entry-1 level=info event=requestEnded request=r7 route=r service=llm version=7 outcome=overloaded reason="no place came free in time" sends=0 milliseconds=216`;
+  const describe = (line: string): string =>
+    cause.describe(requestTimeline.collect('r7', [`${line}\n`, `${end}\n`]));
+  const sentence = describe(refused(' cause=share account=school-1 debt=1500'));
+  assert.match(sentence, /Client account school-1 had used 1.50 s of its share too much/);
+  assert.doesNotMatch(describe(refused('')), /share/);
+});
+
 void test.test('a request without an available upstream is explained by the logged reason', () => {
   const end = `${at(1.21)} process=entry-1 level=info event=requestEnded request=r6 route=r service=app version=7 outcome=noUpstream reason="every upstream that could take it is in an evacuated data centre" sends=0 milliseconds=1`;
   assert.match(cause.describe(requestTimeline.collect('r6', [end])), /in an evacuated data centre/);
--- a/packages/command/src/main.ts
+++ b/packages/command/src/main.ts
@@ -4,6 +4,7 @@
  */
 import * as yargs from 'yargs';
 
+import * as accountCommands from './accountCommands.js';
 import * as commandRunner from './commandRunner.js';
 import * as configurationCommands from './configurationCommands.js';
 import * as explain from './explain/explain.js';
@@ -79,6 +80,12 @@
     (builder) => builder,
     (parsed) => commandRunner.run(parsed, systemCommands.status),
   )
+  .command(
+    'accounts',
+    'Show share, use, debt and refusals of each client account that uses or waits for engines',
+    (builder) => builder,
+    (parsed) => commandRunner.run(parsed, accountCommands.accounts),
+  )
   .command(
     'watch',
     'Show the status repeatedly until interrupted',
--- a/packages/command/src/operatorClient.ts
+++ b/packages/command/src/operatorClient.ts
@@ -27,6 +27,13 @@
   readonly silent: readonly string[];
 }
 
+/** Shares of client accounts, as collected by one replica. */
+export interface SystemAccounts {
+  readonly accounts: readonly kumquatfront.placementShares.AccountStatus[];
+  /** Addresses of replicas that did not respond. */
+  readonly silent: readonly string[];
+}
+
 const REQUEST_TIMEOUT = 5_000;
 const MAXIMUM_ATTEMPTS = 12;
 const RETRY_DELAY = 300;
@@ -154,6 +161,12 @@
     );
   }
 
+  /** Reads the shares, use, debts and refusals of client accounts. */
+  async accounts(): Promise<ClientResult<SystemAccounts>> {
+    const result = await this.sendWithRetries('GET', '/v1/accounts');
+    return result.map((answer) => answer as SystemAccounts);
+  }
+
   /** Closes all connections. */
   async close(): Promise<void> {
     await this.agent.destroy();
--- a/packages/demo/src/operators.spec.ts
+++ b/packages/demo/src/operators.spec.ts
@@ -70,6 +70,7 @@
     assert.equal((await runCommand(running, 'diff', '-f', file)).status, 0);
     assert.match((await runCommand(running, 'get', 'market', 'wa-geraldton')).output, /north/);
     assert.match((await runCommand(running, 'status')).output, /in force at \d of 4 entries/);
+    assert.match((await runCommand(running, 'accounts')).output, /^no client account uses/);
     assert.equal((await runCommand(running, 'delete', 'market', 'wa-geraldton')).status, 0);
     const refused = await runCommand(running, 'delete', 'market', 'wa-perth');
     assert.equal(refused.status, 1);
--- a/packages/kumquatfront/src/adapters/controlHttp.ts
+++ b/packages/kumquatfront/src/adapters/controlHttp.ts
@@ -67,6 +67,8 @@
     sendStatus(options, response);
   } else if (request.method === 'GET' && url.pathname === '/v1/burn') {
     sendBurn(options, response);
+  } else if (request.method === 'GET' && url.pathname === '/v1/accounts') {
+    sendAccounts(options, response);
   } else if (request.method === 'POST' && url.pathname === '/v1/drains') {
     drainEntry(options, request, response);
   } else if (request.method === 'POST' && url.pathname === '/v1/orders') {
@@ -273,6 +275,13 @@
   });
 }
 
+/** Collects the accounts of all replicas; only the placement coordinator knows any. */
+function sendAccounts(options: ControlHttpOptions, response: http.ServerResponse): void {
+  requestFromAll(options, options.controlAddresses, methods.methods.accounts, (answers, unresponsive) => {
+    httpMessages.sendJson(response, 200, { accounts: answers.flat(), silent: unresponsive });
+  });
+}
+
 /** Maps the names of all entries known to any replica to their peer addresses. */
 function entryAddresses(replicas: readonly methods.ControlStatus[]): ReadonlyMap<string, string> {
   return new Map(
--- a/packages/kumquatfront/src/traffic/traffic.spec.ts
+++ b/packages/kumquatfront/src/traffic/traffic.spec.ts
@@ -99,8 +99,24 @@
       ],
     ),
   ],
+  ['an account of weight 0', configuration([], [{ name: 'one', keys: ['k'], weight: 0 }])],
+  ['an account of negative weight', configuration([], [{ name: 'one', keys: ['k'], weight: -1 }])],
+  ['an account whose weight is no number', configuration([], [{ name: 'one', keys: ['k'], weight: NaN }])],
+  ['an account of infinite weight', configuration([], [{ name: 'one', keys: ['k'], weight: Infinity }])],
 ];
 
+void test.test('an account without a weight has the weight 1', () => {
+  const accounts = [
+    { name: 'one', keys: ['k1'], weight: 2.5 },
+    { name: 'two', keys: ['k2'] },
+  ];
+  const table = new routeTable.RouteTable(configuration([], accounts));
+  assert.deepEqual(
+    ['one', 'two', 'unknown'].map((name) => table.weightOf(name)),
+    [2.5, 1, 1],
+  );
+});
+
 for (const [name, inconsistent] of inconsistentConfigurations) {
   void test.test(`${name} is rejected with a remedy`, () => {
     const checked = trafficValidation.check(inconsistent);
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -5,6 +5,7 @@
 import * as backPressureSafeguards from './backPressureSafeguards.js';
 import * as controlSafeguards from './controlSafeguards.js';
 import * as dataCentreSafeguards from './dataCentreSafeguards.js';
+import * as fairShareSafeguards from './fairShareSafeguards.js';
 import * as quarantineSafeguards from './quarantineSafeguards.js';
 import * as relaySafeguards from './relaySafeguards.js';
 import * as servingSafeguards from './servingSafeguards.js';
@@ -20,4 +21,5 @@
   ...dataCentreSafeguards.dataCentreSafeguards,
   ...backPressureSafeguards.backPressureSafeguards,
   ...sharedLimitsSafeguards.sharedLimitsSafeguards,
+  ...fairShareSafeguards.fairShareSafeguards,
 ];
