--- a/packages/kumquatfront/src/fairShare/accountShares.spec.ts
+++ b/packages/kumquatfront/src/fairShare/accountShares.spec.ts
@@ -59,7 +59,8 @@
 void test.test('debt is bounded and decays', () => {
   const shares = new accountShares.AccountShares(() => 1);
   const alone = hold(shares, use({ alone: 100_000 }), 0, 60_000);
-  const both = use({ alone: 10_000, other: 90_000 }, { alone: 90_000, other: 90_000 });
+  const others = Object.fromEntries(Array.from({ length: 9 }, (_none, index) => [`other-${index}`, 10_500]));
+  const both = use({ alone: 5_500, ...others }, { alone: 90_000, ...others });
   shares.update('llm', both, alone + STEP);
   const debt = shares.debtOf('llm', 'alone');
   assert.ok(debt > 0 && debt <= accountShares.MAXIMUM_DEBT, `debt ${debt}`);
