Shares: a full queue refuses the longest queue first while nobody uses anything

Cause: before anything runs all accounts are equally far from their shares, and the newcomer was refused. Change: of equally far accounts the one with more queued requests gives up its latest one; a spec fills the queue.

--- a/packages/kumquatfront/src/fairShare/refusalOrder.ts
+++ b/packages/kumquatfront/src/fairShare/refusalOrder.ts
@@ -19,7 +19,7 @@
  * @param newcomer - the new request
  * @param keyOf - sort key of an account, highest furthest above its share
  * @returns a request of the same service that is not more urgent and whose account is further above its share than
- * the newcomer's; undefined if the newcomer is to be refused
+ * the newcomer's, or equally far with more requests in the queue; undefined if the newcomer is to be refused
  * @example
  * ```ts
  * refusalOrder.select(queued, newcomer, (service, account) => shares.furthestBelowShare(service, account));
@@ -30,23 +30,32 @@
   newcomer: RefusalCandidate,
   keyOf: (service: string, account: string) => number,
 ): Candidate | undefined {
-  let selected: Candidate | undefined;
-  let selectedKey = keyOf(newcomer.service, newcomer.account);
-  for (const candidate of queued) {
-    const mayBeRefused = candidate.service === newcomer.service && candidate.rank >= newcomer.rank;
-    if (!mayBeRefused || candidate.account === newcomer.account) {
-      continue;
+  const { service, account: ownAccount, rank } = newcomer;
+  const byAccount = new Map<string, Candidate[]>();
+  for (const candidate of queued.filter((other) => other.service === service && other.rank >= rank)) {
+    const candidates = byAccount.get(candidate.account);
+    if (candidates === undefined) {
+      byAccount.set(candidate.account, [candidate]);
+    } else {
+      candidates.push(candidate);
     }
-    const key = keyOf(candidate.service, candidate.account);
-    const isLaterOfSameAccount =
-      selected !== undefined &&
-      key === selectedKey &&
-      (candidate.rank > selected.rank ||
-        (candidate.rank === selected.rank && candidate.waited < selected.waited));
-    if (key > selectedKey || isLaterOfSameAccount) {
-      selected = candidate;
+  }
+  let selected = ownAccount;
+  let selectedKey = keyOf(service, ownAccount);
+  let selectedCount = (byAccount.get(ownAccount)?.length ?? 0) + 1;
+  for (const [account, { length }] of byAccount) {
+    const key = keyOf(service, account);
+    if (key > selectedKey || (key === selectedKey && length > selectedCount)) {
+      selected = account;
       selectedKey = key;
+      selectedCount = length;
     }
   }
-  return selected;
+  return selected === ownAccount ? undefined : leastUrgentAndLatest(byAccount.get(selected) ?? []);
+}
+
+function leastUrgentAndLatest<Candidate extends RefusalCandidate>(
+  candidates: readonly Candidate[],
+): Candidate | undefined {
+  return [...candidates].sort((left, right) => right.rank - left.rank || left.waited - right.waited)[0];
 }
--- a/packages/kumquatfront/src/fairShare/shareOrder.spec.ts
+++ b/packages/kumquatfront/src/fairShare/shareOrder.spec.ts
@@ -84,6 +84,10 @@
   assert.equal(refusedFor('small'), 'l-last');
   assert.equal(refusedFor('large'), undefined);
   assert.equal(refusedFor('small', 2), undefined);
+  // Before anything runs, the account with the longest queue is refused first.
+  const { name } =
+    refusalOrder.select(queued, { service: 'llm', account: 'small', rank: 1, waited: 0 }, () => 0) ?? {};
+  assert.equal(name, 'l-last');
 });
 
 void test.test('the engine on which a request fits first is reserved, within the bound', () => {
--- a/packages/scenarios/src/scripts/fairShareSafeguards.ts
+++ b/packages/scenarios/src/scripts/fairShareSafeguards.ts
@@ -36,7 +36,7 @@
   {
     name: 'a full queue refuses the account furthest above its share',
     file: 'fairShare/refusalOrder.js',
-    find: 'if (key > selectedKey || isLaterOfSameAccount) {',
+    find: 'if (key > selectedKey || (key === selectedKey && length > selectedCount)) {',
     replace: 'if (false) {',
     scenario: 'spec:fairShare/shareOrder',
   },
