--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -3,6 +3,7 @@
  * control replica; entries use the leader, or a replica reachable by all entries when there is no leader. State is
  * rebuilt from the entries' reports after a failover; two active coordinators only make placement less efficient.
  */
+import * as placementShares from '../fairShare/placementShares.js';
 import type * as instanceTypes from '../instances/types.js';
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
@@ -60,6 +61,8 @@
   readonly entryNames: () => readonly string[];
   /** Sends a move command to an entry. */
   readonly move: evacuation.EvacuationOptions['move'];
+  /** Weight of a client account; by default all have the weight 1. */
+  readonly weightOf?: (account: string) => number;
   /** Returns whether a placement feature is enabled; by default all are. */
   readonly isEnabled?: placementFeatures.IsEnabled;
   /** Prefill pace of each engine; by default learned from first events. */
@@ -72,12 +75,28 @@
   private readonly isEnabled: placementFeatures.IsEnabled;
   private readonly pool: enginePool.EnginePool;
   private readonly retryTracker = new retryTracker.RetryTracker();
-  private readonly queue = new placementQueue.PlacementQueue({
-    expectedOutput: (facts) => (this.isEnabled('shorterFirst') ? this.pool.lengths.totalOutput(facts, 0) : 0),
-    timelinessOf: (queued, now) => this.timelinessOf(queued, now),
-    mayWaitLonger: (queued, now) =>
-      this.isScheduled && this.scheduler.mayWaitLonger(queued.request, now - queued.since),
-  });
+  private readonly queue = new placementQueue.PlacementQueue(
+    {
+      expectedOutput: (facts) =>
+        this.isEnabled('shorterFirst') ? this.pool.lengths.totalOutput(facts, 0) : 0,
+      timelinessOf: (queued, now) => this.timelinessOf(queued, now),
+      mayWaitLonger: (queued, now) =>
+        this.isScheduled && this.scheduler.mayWaitLonger(queued.request, now - queued.since),
+    },
+    () => (this.isEnabled('accountShares') ? this.accountOrder : undefined),
+  );
+  private readonly shares: placementShares.PlacementShares;
+  private readonly accountOrder: placementQueue.AccountOrder = {
+    keyOf: (service, account) => this.shares.keyOf(service, account),
+    recordOvertaken: (facts) => {
+      this.shares.recordOvertaken(facts);
+    },
+    reservedForOthers: (facts) => this.shares.reservedForOthers(facts),
+    reserveEngine: (request, now) => {
+      this.shares.reserveEngine(request, this.pool, now);
+    },
+    extraWaitOf: (identity) => this.shares.extraWaitOf(identity),
+  };
   private readonly scheduler: prefillScheduler.PrefillScheduler;
   private readonly evacuation: evacuation.EvacuationScheduler;
   private activeSince: number | undefined;
@@ -102,6 +121,8 @@
         return this.pool.prefill.shortestWaitOf(engines, now);
       },
     });
+    const { log, metrics, weightOf = (): number => 1 } = options;
+    this.shares = new placementShares.PlacementShares({ log, metrics, weightOf });
     this.evacuation = new evacuation.EvacuationScheduler({
       pool: this.pool,
       move: options.move,
@@ -148,6 +169,9 @@
     if (this.activeSince === undefined || (this.queue.size === 0 && this.pool.placedCount === 0)) {
       return;
     }
+    if (this.isEnabled('accountShares')) {
+      this.shares.report();
+    }
     const loads = this.pool.describeLoads();
     this.options.metrics.gauge('placement.waiting', this.queue.size);
     this.options.metrics.gauge('placement.running', this.pool.placedCount);
@@ -174,13 +198,34 @@
     if (this.isScheduled && !this.queue.has(request.facts.identity)) {
       this.scheduler.recordArrival(request, now);
     }
-    if (!this.queue.add(this.withOriginalDeadline(request, now), now, respond)) {
+    const pending = this.withOriginalDeadline(request, now);
+    if (!this.queue.add(pending, now, respond) && !this.addInstead(pending, now, respond)) {
       respond({ state: 'refused', retryAfter: MAXIMUM_RETRY_AFTER, reason: 'the queue is full' });
       return;
     }
     this.tick();
   }
 
+  /** Refuses a queued request of the account furthest above its share, and adds the new one in its place. */
+  private addInstead(
+    request: types.PlacementRequest,
+    now: number,
+    respond: placementQueue.QueuedRequest['respond'],
+  ): boolean {
+    const refused = this.queue.takeForRoom(request, now);
+    if (refused === undefined) {
+      return false;
+    }
+    this.shares.recordOvertaken(refused.request.facts);
+    this.refuse(refused, 'the queue is full');
+    return this.queue.add(request, now, respond);
+  }
+
+  /** Share, use, debt and refusals of the client accounts; empty while this replica is not the coordinator. */
+  accountStatus(): readonly placementShares.AccountStatus[] {
+    return this.activeSince === undefined ? [] : this.shares.status();
+  }
+
   /** For a retry, reduces the remaining objective by the time since the caller's first attempt. */
   private withOriginalDeadline(request: types.PlacementRequest, now: number): types.PlacementRequest {
     const firstRequestedAt = this.retryTracker.takeFirstRequestTime(request.likeness, now);
@@ -218,6 +263,7 @@
   withdraw(identity: string): void {
     this.queue.remove(identity);
     this.scheduler.forget(identity);
+    this.shares.recordWithdrawal(identity);
   }
 
   /** Applies an entry's report of its running generations. */
@@ -276,7 +322,10 @@
       if (this.isEnabled('evacuation')) {
         this.evacuation.startMoves();
       }
-      this.queue.dispatch(now, (queued) => this.tryPlace(queued, now));
+      if (this.isEnabled('accountShares')) {
+        this.shares.update(this.pool.placedGenerations(), this.queue.values(), now);
+      }
+      this.queue.dispatch(now, (queued, reserved) => this.tryPlace(queued, now, reserved));
     }
     for (const expired of this.queue.takeExpired(now)) {
       this.refuse(expired, 'no place came free in time');
@@ -307,7 +356,11 @@
     this.scheduler.forget(facts.identity);
     this.retryTracker.recordRefusal(likeness, queued.since + objectiveLeft - objective, now);
     this.options.metrics.count('placement.answers', 1, { state: 'refused' });
-    this.options.log.info('placementRefused', { request: facts.identity, reason, retryAfter });
+    const shareCause = this.shares.recordRefusal(facts);
+    this.options.log.info('placementRefused', {
+      ...{ request: facts.identity, reason, retryAfter },
+      ...shareCause,
+    });
     queued.respond({ state: 'refused', retryAfter, reason });
   }
 
@@ -330,7 +383,7 @@
   }
 
   /** Places a request or refuses it at once; returns false if it remains in the queue. */
-  private tryPlace(queued: placementQueue.QueuedRequest, now: number): boolean {
+  private tryPlace(queued: placementQueue.QueuedRequest, now: number, reserved: readonly string[]): boolean {
     const { request, since } = queued;
     const { facts, dataCentre, excluded, objectiveLeft } = request;
     const deadlineStatus = this.timelinessOf(queued, now);
@@ -340,7 +393,7 @@
       produced: 0,
       purpose: purposeOf(facts, deadlineStatus),
       dataCentre,
-      excluded: new Set(excluded),
+      excluded: new Set([...excluded, ...reserved]),
     };
     const prefillLimits = this.isScheduled
       ? {
@@ -371,6 +424,7 @@
     this.scheduler.recordResult(queued.request, true, now);
     this.scheduler.forget(facts.identity);
     this.recordGrantInterval(facts.service, now);
+    this.shares.recordGrant(facts);
     this.options.metrics.count('placement.answers', 1, { state: 'placed' });
     this.options.metrics.timing('placement.wait', now - queued.since, { rank: String(facts.rank) });
     if (placement.firstEventIn !== undefined) {
