--- a/packages/kumquatfront/src/fairShare/accountShares.ts
+++ b/packages/kumquatfront/src/fairShare/accountShares.ts
@@ -21,12 +21,6 @@
 /** Average in tokens below which an account that neither holds memory nor waits is removed. */
 const NEGLIGIBLE_USE = 1;
 
-/**
- * Use relative to the share up to which an account keeps the order without shares. Shortest first serves more requests
- * in time than an order by accounts, so only accounts clearly above their share go behind others.
- */
-const SHARE_TOLERANCE = 1.25;
-
 /** Tokens by account. */
 export type TokensByAccount = ReadonlyMap<string, number>;
 
@@ -144,21 +138,6 @@
     return known === undefined ? 0 : (known.average + known.held) / known.weight;
   }
 
-  /**
-   * Sort key that tells only accounts above their share apart, so that the others keep the order without shares.
-   *
-   * @returns 0 up to the share and a tolerance, above it the use
-   * @example
-   * ```ts
-   * shares.excessOf('llm', 'school-1'); // 0 while the account uses about its share
-   * ```
-   */
-  excessOf(service: string, account: string): number {
-    const use = this.furthestBelowShare(service, account);
-    const level = this.services.get(service)?.level ?? 0;
-    return use <= SHARE_TOLERANCE * 2 * level ? 0 : use;
-  }
-
   /** True if the account uses less than its share, counting what it holds now. */
   isBelowShare(service: string, account: string): boolean {
     const level = this.services.get(service)?.level ?? 0;
--- a/packages/kumquatfront/src/fairShare/placementShares.ts
+++ b/packages/kumquatfront/src/fairShare/placementShares.ts
@@ -99,7 +99,7 @@
 
   /** Sort key of an account; lowest for the one furthest below its share. */
   keyOf(service: string, account: string): number {
-    return this.shares.excessOf(service, account);
+    return this.shares.furthestBelowShare(service, account);
   }
 
   recordGrant({ identity, service, account, promptTokens }: types.GenerationAttributes): void {
