--- a/packages/kumquatfront/src/fairShare/sharesTestHarness.ts
+++ b/packages/kumquatfront/src/fairShare/sharesTestHarness.ts
@@ -51,6 +51,8 @@
   /** Maximum wait of a request at the coordinator; by default that of today's entries. */
   readonly patience?: ports.Milliseconds;
   readonly isEnabled?: placementFeatures.IsEnabled;
+  /** Whether the configuration in force states weights; by default it does. */
+  readonly sharesEnabled?: () => boolean;
 }
 
 /** What became of one request. */
@@ -146,7 +148,7 @@
   /** Starts a coordinator without state; entries use it once they are directed to it. */
   startCoordinator(name: string): void {
     const noop = (): void => undefined;
-    const { isEnabled = placementFeatures.allEnabled, loads } = this.options;
+    const { isEnabled = placementFeatures.allEnabled, sharesEnabled = () => true, loads } = this.options;
     const timers = timerService.create(this.time.clock, this.time);
     const engine: trafficTypes.EngineTraits = {
       ...{ slots: 24, memoryTokens: MEMORY, bytesPerToken: 1, linkMegabitsPerSecond: 1 },
@@ -168,6 +170,7 @@
       move: noop,
       weightOf: (account) => loads.find((load) => load.account === account)?.weight ?? 1,
       isEnabled,
+      sharesEnabled,
     });
     this.coordinators.set(name, { coordinator: started, timers });
   }
--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -63,6 +63,8 @@
   readonly move: evacuation.EvacuationOptions['move'];
   /** Weight of a client account; by default all have the weight 1. */
   readonly weightOf?: (account: string) => number;
+  /** Returns whether the shares of client accounts decide; by default they do. */
+  readonly sharesEnabled?: () => boolean;
   /** Returns whether a placement feature is enabled; by default all are. */
   readonly isEnabled?: placementFeatures.IsEnabled;
   /** Prefill pace of each engine; by default learned from first events. */
@@ -83,7 +85,7 @@
       mayWaitLonger: (queued, now) =>
         this.isScheduled && this.scheduler.mayWaitLonger(queued.request, now - queued.since),
     },
-    () => (this.isEnabled('accountShares') ? this.accountOrder : undefined),
+    () => (this.usesShares ? this.accountOrder : undefined),
   );
   private readonly shares: placementShares.PlacementShares;
   private readonly accountOrder: placementQueue.AccountOrder = {
@@ -148,6 +150,10 @@
     return this.isEnabled('prefillScheduling');
   }
 
+  private get usesShares(): boolean {
+    return this.isEnabled('accountShares') && (this.options.sharesEnabled?.() ?? true);
+  }
+
   private paceSource(): enginePool.EnginePaceSource {
     const { paceOf, timers } = this.options;
     if (paceOf !== undefined || !this.isEnabled('upstreamPace')) {
@@ -169,7 +175,7 @@
     if (this.activeSince === undefined || (this.queue.size === 0 && this.pool.placedCount === 0)) {
       return;
     }
-    if (this.isEnabled('accountShares')) {
+    if (this.usesShares) {
       this.shares.report();
     }
     const loads = this.pool.describeLoads();
@@ -221,9 +227,9 @@
     return this.queue.add(request, now, respond);
   }
 
-  /** Share, use, debt and refusals of the client accounts; empty while this replica is not the coordinator. */
+  /** Share, use, debt and refusals of the client accounts; empty unless shares decide at this replica. */
   accountStatus(): readonly placementShares.AccountStatus[] {
-    return this.activeSince === undefined ? [] : this.shares.status();
+    return this.activeSince === undefined || !this.usesShares ? [] : this.shares.status();
   }
 
   /** For a retry, reduces the remaining objective by the time since the caller's first attempt. */
@@ -322,7 +328,7 @@
       if (this.isEnabled('evacuation')) {
         this.evacuation.startMoves();
       }
-      if (this.isEnabled('accountShares')) {
+      if (this.usesShares) {
         this.shares.update(this.pool.placedGenerations(), this.queue.values(), now);
       }
       this.queue.dispatch(now, (queued, reserved) => this.tryPlace(queued, now, reserved));
@@ -356,7 +362,7 @@
     this.scheduler.forget(facts.identity);
     this.retryTracker.recordRefusal(likeness, queued.since + objectiveLeft - objective, now);
     this.options.metrics.count('placement.answers', 1, { state: 'refused' });
-    const shareCause = this.shares.recordRefusal(facts);
+    const shareCause = this.usesShares ? this.shares.recordRefusal(facts) : {};
     this.options.log.info('placementRefused', {
       ...{ request: facts.identity, reason, retryAfter },
       ...shareCause,
--- a/packages/kumquatfront/src/traffic/routeTable.ts
+++ b/packages/kumquatfront/src/traffic/routeTable.ts
@@ -15,6 +15,8 @@
   readonly limits: types.CallerLimits;
   /** True if requests must carry the key of a client account. */
   readonly requiresKeys: boolean;
+  /** True if at least one client account states a weight, so that capacity is divided by shares. */
+  readonly hasWeights: boolean;
   private readonly hosts = new Map<string, Map<string, types.Route>>();
   private readonly services = new Map<string, types.Service>();
   private readonly accounts = new Map<string, types.Account>();
@@ -24,6 +26,7 @@
     this.version = configuration.version;
     this.limits = configuration.limits;
     this.requiresKeys = configuration.accounts !== undefined;
+    this.hasWeights = configuration.accounts?.some(({ weight }) => weight !== undefined) ?? false;
     for (const route of configuration.routes) {
       const host = route.host.toLowerCase();
       const prefixes = this.hosts.get(host) ?? new Map<string, types.Route>();
--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -289,6 +289,11 @@
     return node;
   }
 
+  /** Delivers a message of an entry to a replica; the reply is ignored. */
+  send(address: string, method: string, parameters: unknown): void {
+    this.processes.get(address)?.handlers.get(method)?.(parameters, () => undefined);
+  }
+
   trafficOf(address: string): trafficControl.TrafficControl {
     return this.node(address).services.find('traffic');
   }
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -110,6 +110,7 @@
       ...(options.isEnabled !== undefined && { isEnabled: options.isEnabled }),
       serviceOf: (name) => this.routes()?.serviceOf(name),
       weightOf: (account) => this.routes()?.weightOf(account) ?? 1,
+      sharesEnabled: () => this.routes()?.hasWeights ?? false,
       isEvacuated: (dataCentre) => this.isEvacuated(dataCentre),
       warmUpTolerance: options.warmUpTolerance,
       entryNames: () => this.entries.names(),
