Shares: a kept engine changes only for one that is clearly earlier

The trace shows memory as the cause, not prefill: the kept engine changed six times within 0.8 s, and others took the memory that had become free.

--- a/packages/kumquatfront/src/fairShare/engineReservations.ts
+++ b/packages/kumquatfront/src/fairShare/engineReservations.ts
@@ -26,6 +26,12 @@
  */
 const RESELECTION_INTERVAL: ports.Milliseconds = 100;
 
+/**
+ * Factor on the steps until a request fits on the engine that is kept for it already. A change of the engine gives the
+ * memory that became free on the former one to others, so that another engine must be earlier by a clear margin.
+ */
+const PREFERENCE = 0.5;
+
 /** Steps of decoding until the request fits; undefined if it does not even fit on the idle engine. */
 function stepsUntilFit(engine: ReservableEngine, added: memoryPeak.GenerationMemory): number | undefined {
   const byRemaining = [...engine.generations].sort((left, right) => left.remaining - right.remaining);
@@ -47,6 +53,7 @@
  *
  * @param engines - engines on which it may run
  * @param added - memory of its generation
+ * @param preferred - engine that is kept for it already
  * @returns identity of the engine; undefined if there is none, or the request fits on one already and waits for
  * something other than memory
  * @example
@@ -57,11 +64,13 @@
 export function earliestFit(
   engines: readonly ReservableEngine[],
   added: memoryPeak.GenerationMemory,
+  preferred?: string,
 ): string | undefined {
   let earliest: string | undefined;
   let earliestSteps = Number.POSITIVE_INFINITY;
   for (const engine of engines) {
-    const steps = stepsUntilFit(engine, added) ?? Number.POSITIVE_INFINITY;
+    const factor = engine.identity === preferred ? PREFERENCE : 1;
+    const steps = factor * (stepsUntilFit(engine, added) ?? Number.POSITIVE_INFINITY);
     if (steps < earliestSteps) {
       earliest = engine.identity;
       earliestSteps = steps;
@@ -144,6 +153,7 @@
     const engine = earliestFit(
       all.filter((candidate) => !taken.has(candidate.identity)),
       memory,
+      known?.engine,
     );
     if (engine === undefined) {
       this.reserved.delete(identity);
--- a/packages/scenarios/src/scripts/fairShareSafeguards.ts
+++ b/packages/scenarios/src/scripts/fairShareSafeguards.ts
@@ -47,4 +47,25 @@
     replace: 'if (false) {',
     scenario: 'spec:fairShare/largeRequests',
   },
+  {
+    name: 'the engine that is kept changes only for one that is clearly earlier',
+    file: 'fairShare/engineReservations.js',
+    find: 'const PREFERENCE = 0.5;',
+    replace: 'const PREFERENCE = 1;',
+    scenario: 'spec:fairShare/largeRequests',
+  },
+  {
+    name: 'shares decide only where the configuration states a weight',
+    file: 'placement/coordinator.js',
+    find: "return this.isEnabled('accountShares') && (this.options.sharesEnabled?.() ?? true);",
+    replace: "return this.isEnabled('accountShares');",
+    scenario: 'spec:fairShare/sharesActivation',
+  },
+  {
+    name: 'a control replica takes the weights from the configuration in force',
+    file: 'traffic/routeTable.js',
+    find: 'this.hasWeights = configuration.accounts?.some(({ weight }) => weight !== undefined) ?? false;',
+    replace: 'this.hasWeights = true;',
+    scenario: 'spec:fairShare/sharesActivation',
+  },
 ];
