--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -8,6 +8,7 @@
 import * as heavyLoadSafeguards from './heavyLoadSafeguards.js';
 import * as prefillSafeguards from './prefillSafeguards.js';
 import * as entryLoadSafeguards from './entryLoadSafeguards.js';
+import * as fairShareSafeguards from './fairShareSafeguards.js';
 import * as quarantineSafeguards from './quarantineSafeguards.js';
 import * as relaySafeguards from './relaySafeguards.js';
 import * as servingSafeguards from './servingSafeguards.js';
@@ -28,4 +29,5 @@
   ...heavyLoadSafeguards.heavyLoadSafeguards,
   ...upstreamPaceSafeguards.upstreamPaceSafeguards,
   ...entryLoadSafeguards.entryLoadSafeguards,
+  ...fairShareSafeguards.fairShareSafeguards,
 ];
