Entry load: memory, slow readers, starting entries and pauses reduce less

Memory that Node.js keeps reduced a weight for good; callers that read slowly were disconnected; the starting ramp and the factor multiplied to a hundredth; a pause of a second and a data centre under pressure counted too much.

Change: pressure leaves memory out; closing for memory needs growth within 3 s, and refusals a hysteresis. Complete responses are never cut, a stream only after 5 s in which its caller read nothing. The product of all reductions is at least a tenth, a restart begins with factor 1, an expired lease keeps the factor for 30 s. Lag samples are bounded. Capacity of a data centre is at least 0.4 of its strengths, and a strength between 0.1 and 10. One draw decides on closing. The reference is computed at most every 250 ms.

--- a/packages/kumquatfront/src/adapters/processLoad.ts
+++ b/packages/kumquatfront/src/adapters/processLoad.ts
@@ -8,7 +8,7 @@
 const TIMER_INTERVAL: ports.Milliseconds = 25;
 
 /** Largest lag of one timer that counts; a process that was suspended is not judged by that alone. */
-const MAXIMUM_LAG: ports.Milliseconds = 1_000;
+const MAXIMUM_LAG: ports.Milliseconds = 250;
 
 /**
  * Creates the probe. The lag is the time by which timers are late; a throttled processor shows in nothing else. It is
--- a/packages/kumquatfront/src/adapters/trafficHttp.spec.ts
+++ b/packages/kumquatfront/src/adapters/trafficHttp.spec.ts
@@ -165,6 +165,8 @@
         reject(new Error('the caller was not disconnected'));
       }, 5_000);
       const poll = (): void => {
+        // Virtual time passes while the loopback connection fills.
+        running.time.advance(200);
         if (running.disconnected.length > 0) {
           clearTimeout(deadline);
           resolve();
--- a/packages/kumquatfront/src/adapters/trafficHttp.ts
+++ b/packages/kumquatfront/src/adapters/trafficHttp.ts
@@ -3,6 +3,7 @@
  * requests and an encoder formats refusals; this module handles HTTP only.
  */
 import * as http from 'node:http';
+import type * as net from 'node:net';
 
 import type * as entryLoad from '../entryLoad/entryLoad.js';
 import type * as ports from '../kernel/ports.js';
@@ -151,19 +152,33 @@
       body: Buffer.concat(chunks),
       arrivedAt,
     });
-    options.handle(request, createCaller(options, request, outgoing));
+    options.handle(request, createCaller(options, request, incoming, outgoing));
   });
 }
 
+/**
+ * Bytes of the current write that the operating system has not taken. Only the handle of the socket tells: Node.js counts
+ * a write as unread until all of it is taken, which may be megabytes.
+ */
+function queuedBytes(socket: net.Socket): number {
+  const { _handle: handle } = socket as unknown as {
+    readonly _handle?: { readonly writeQueueSize?: number } | null;
+  };
+  return handle?.writeQueueSize ?? 0;
+}
+
 function createCaller(
   options: TrafficHttpOptions,
   request: relayTypes.TrafficRequest,
+  incoming: http.IncomingMessage,
   outgoing: http.ServerResponse,
 ): relayTypes.CallerPort {
   const { load } = options;
+  const { socket } = incoming;
   const reader = load?.readers.track({
     request: request.identity,
     unreadBytes: () => outgoing.writableLength,
+    queuedBytes: () => queuedBytes(socket),
     disconnect: () => {
       outgoing.destroy();
     },
@@ -210,8 +225,14 @@
     },
     write: (bytes) => {
       load?.addBytes(bytes.length);
-      outgoing.write(bytes);
-      reader?.onWrite();
+      const send = (): void => {
+        outgoing.write(bytes);
+      };
+      if (reader === undefined) {
+        send();
+      } else {
+        reader.write(send);
+      }
     },
     end: () => {
       outgoing.end();
--- a/packages/kumquatfront/src/entryLoad/entryCapacity.ts
+++ b/packages/kumquatfront/src/entryLoad/entryCapacity.ts
@@ -12,6 +12,10 @@
   readonly linkMegabitsPerSecond?: number;
 }
 
+/** Bounds of a strength: a wrong setting must neither draw all callers to one entry nor take all from it. */
+const MINIMUM_STRENGTH = 0.1;
+const MAXIMUM_STRENGTH = 10;
+
 /** Capacity in a status message: cores, megabytes, descriptors and megabits per second; null where none is stated. */
 export type CapacityFigures = readonly (number | null)[];
 
@@ -48,7 +52,7 @@
  * Memory and descriptors limit how much is open at once, not the rate, and count as utilization only.
  *
  * @param capacities - stated capacity of each entry by name; undefined for an entry that states none
- * @returns the strength by name; 1 for an entry that states neither figure
+ * @returns the strength by name; from 0.1 to 10, and 1 for an entry that states neither figure
  * @example
  * ```ts
  * entryCapacity.strengths(new Map([['e1', [0.243, 186, 2212, 5.25]], ['e2', undefined]]));
@@ -70,7 +74,8 @@
         cores === undefined ? Number.POSITIVE_INFINITY : cores / medianCores,
         link === undefined ? Number.POSITIVE_INFINITY : link / medianLink,
       );
-      return [name, Number.isFinite(strength) ? strength : 1];
+      const bounded = Math.min(MAXIMUM_STRENGTH, Math.max(MINIMUM_STRENGTH, strength));
+      return [name, Number.isFinite(strength) ? bounded : 1];
     }),
   );
 }
--- a/packages/kumquatfront/src/entryLoad/entryUtilization.ts
+++ b/packages/kumquatfront/src/entryLoad/entryUtilization.ts
@@ -14,17 +14,18 @@
 /** Time constant of the smoothing; a garbage collection alone must not change where callers are sent. */
 const SMOOTHING_TIME: ports.Milliseconds = 1_000;
 
+/**
+ * Largest lag and largest elapsed time of one sample that count, so that a single pause of a second, of the VM or of a
+ * garbage collection, does not reduce the weight of the entry for seconds.
+ */
+const MAXIMUM_SAMPLE_LAG: ports.Milliseconds = 250;
+const MAXIMUM_SAMPLE_TIME: ports.Milliseconds = 200;
+
 const BYTES_PER_MEGABYTE = 1_048_576;
 
 /** Bytes per millisecond in one megabit per second. */
 const BYTES_PER_MILLISECOND = 125;
 
-/**
- * Share of the memory below which its utilization does not count as pressure. A Node.js process holds over half of its
- * memory when it is idle, and rarely returns memory after a burst.
- */
-const MEMORY_PRESSURE_START = 0.85;
-
 /** Largest share that is reported; the event-loop lag has no natural maximum. */
 const MAXIMUM_SHARE = 2;
 
@@ -70,8 +71,8 @@
   add(sample: LoadSample, now: ports.Milliseconds): void {
     const elapsed = Math.max(1, now - this.sampledAt);
     this.sampledAt = now;
-    const share = 1 - Math.exp(-elapsed / SMOOTHING_TIME);
-    this.lag += share * (Math.max(0, sample.lag) - this.lag);
+    const share = 1 - Math.exp(-Math.min(MAXIMUM_SAMPLE_TIME, elapsed) / SMOOTHING_TIME);
+    this.lag += share * (Math.min(MAXIMUM_SAMPLE_LAG, Math.max(0, sample.lag)) - this.lag);
     this.rate += share * (sample.bytes / elapsed - this.rate);
     // Descriptors and memory fail at their limit at once, so that smoothing would hide a failure.
     this.descriptorCount = sample.openConnections + sample.openStreams;
@@ -116,7 +117,10 @@
 }
 
 /**
- * Computes the pressure on an entry: the highest of its shares, where memory counts only close to its limit.
+ * Computes the pressure on an entry: the highest of its shares of the event loop, the link and the descriptors.
+ *
+ * Memory is no part of it. Node.js keeps memory after a burst, so that an entry would lose weight although it is idle;
+ * an entry whose memory grows close to its limit closes connections and refuses generations instead.
  *
  * @param figures - utilization as received; implausible figures are ignored or bounded
  * @returns the pressure, from 0 to 2
@@ -126,11 +130,10 @@
  * ```
  */
 export function pressure(figures: UtilizationFigures): number {
-  const [eventLoop = 0, link = 0, descriptors = 0, memory = 0] = figures.map((figure) =>
+  const [eventLoop = 0, link = 0, descriptors = 0] = figures.map((figure) =>
     typeof figure === 'number' && Number.isFinite(figure)
       ? Math.min(MAXIMUM_SHARE, Math.max(0, figure / 100))
       : 0,
   );
-  const memoryPressure = (memory - MEMORY_PRESSURE_START) / (1 - MEMORY_PRESSURE_START);
-  return Math.min(MAXIMUM_SHARE, Math.max(eventLoop, link, descriptors, memoryPressure));
+  return Math.max(eventLoop, link, descriptors);
 }
--- a/packages/kumquatfront/src/entryLoad/entryWeights.spec.ts
+++ b/packages/kumquatfront/src/entryLoad/entryWeights.spec.ts
@@ -34,6 +34,16 @@
     ]),
   );
   assert.ok(Math.abs((strengths.get('strong') ?? 0) - 3.333) < 0.01);
+  const extremes = entryCapacity.strengths(
+    new Map([
+      ['w1', WEAK],
+      ['w2', WEAK],
+      ['w3', WEAK],
+      ['huge', [1e6, 1, 1, 1e9]],
+      ['tiny', [1e-6, 1, 1, 1e-6]],
+    ]),
+  );
+  assert.deepEqual([extremes.get('huge'), extremes.get('tiny')], [10, 0.1]);
   for (const name of ['w1', 'slowLink', 'old', 'implausible']) {
     assert.equal(strengths.get(name), 1, name);
   }
@@ -107,6 +117,64 @@
   assert.equal(weights.weightOf('new', 4_000), 1);
 });
 
+/** Weights of five entries after the entry `slow` has been saturated for 30 s. */
+function withSlowEntry(): entryWeights.EntryWeights {
+  const weights = new entryWeights.EntryWeights();
+  for (let now = 0; now <= 30_000; now += 600) {
+    for (const name of ['a', 'b', 'c', 'd']) {
+      weights.record({ name, utilization: IDLE }, now);
+    }
+    weights.record({ name: 'slow', utilization: SATURATED }, now);
+  }
+  assert.equal(weights.weightOf('slow', 30_000), 0.1);
+  return weights;
+}
+
+// A product of a hundredth would leave a starting entry without callers for seconds.
+void test.test('no reduction together with another takes the weight below a tenth', () => {
+  const weights = new entryWeights.EntryWeights();
+  for (let now = 0; now <= 2_400; now += 600) {
+    weights.record({ name: 'a', utilization: IDLE }, now);
+    weights.record({ name: 'new', utilization: SATURATED, readyFor: now / 10 }, now);
+    assert.ok(weights.weightOf('new', now) >= 0.1, `${weights.weightOf('new', now)}`);
+  }
+});
+
+void test.test(
+  'a restarted process does not inherit the factor, and one that was away keeps it for 30 s',
+  () => {
+    const restarted = withSlowEntry();
+    restarted.record({ name: 'slow', utilization: IDLE, readyFor: 0 }, 30_600);
+    assert.ok(restarted.weightOf('slow', 31_600) > 0.39);
+    restarted.record({ name: 'slow', utilization: IDLE, readyFor: 2_999 }, 33_599);
+    assert.ok(restarted.weightOf('slow', 33_600) > 0.99);
+    restarted.record({ name: 'slow', utilization: SATURATED, readyFor: 10 }, 33_700);
+    assert.ok(restarted.weightOf('slow', 34_700) > 0.3);
+
+    for (const [away, readyFor, expected] of [
+      [25_000, undefined, 0.1],
+      [31_000, undefined, 1],
+      [25_000, 2_999, 1],
+    ] as const) {
+      const weights = withSlowEntry();
+      weights.remove('slow', 32_000);
+      weights.record({ name: 'slow', utilization: IDLE, readyFor }, 32_000 + away);
+      const weight = weights.weightOf('slow', 32_000 + away);
+      assert.ok(Math.abs(weight - expected) < 0.01, `${weight} after ${away} ms`);
+    }
+  },
+);
+
+void test.test('the utilization of an entry that is not ready does not count', () => {
+  const weights = new entryWeights.EntryWeights();
+  for (let now = 0; now <= 6_000; now += 600) {
+    weights.record({ name: 'a', utilization: IDLE }, now);
+    weights.record({ name: 'new', utilization: SATURATED, state: 'starting' }, now);
+  }
+  assert.equal(weights.weightOf('new', 6_000), 1);
+  assert.ok(weights.meanPressure(['a', 'new']) < 0.6);
+});
+
 void test.test('an entry loses weight with the age of its status, which a new status restores', () => {
   const weights = new entryWeights.EntryWeights();
   weights.record({ name: 'e', capacity: WEAK, utilization: IDLE }, 0);
@@ -156,6 +224,29 @@
   assert.deepEqual([...drawn].sort(), ['strong', 'weak']);
 });
 
+// Its pressure already sends callers elsewhere; with the reduced weights as capacity, 0.9 of them left.
+void test.test('the pressure on a data centre is not counted a second time by its capacity', (context) => {
+  const directory = new entryDirectory.EntryDirectory(seededRandom.create(4));
+  let local = 0;
+  let total = 0;
+  for (let now = 0; now <= 30_000; now += 600) {
+    for (let index = 0; index < 50; index += 1) {
+      const dataCentre = index < 10 ? 'a' : 'b';
+      const utilization = dataCentre === 'a' ? SATURATED : IDLE;
+      directory.recordStatus(statusOf(`e${index}`, { capacity: WEAK, utilization, dataCentre }), now);
+    }
+    for (let lookup = 0; lookup < 100; lookup += 1) {
+      const chosen = directory.choose(lookup < 20 ? 'a' : 'b', 64, now);
+      if (lookup < 20 && now > 15_000) {
+        local += chosen.filter(({ dataCentre }) => dataCentre === 'a').length;
+        total += chosen.length;
+      }
+    }
+  }
+  context.diagnostic(`${(local / total).toFixed(2)} of the addresses are local`);
+  assert.ok(local / total > 0.35, `only ${local / total} of the addresses are local`);
+});
+
 // The status goes to every replica about twice a second.
 void test.test('the figures in a status message take less than 100 bytes', (context) => {
   const capacity = entryCapacity.encode({
--- a/packages/kumquatfront/src/entryLoad/entryWeights.ts
+++ b/packages/kumquatfront/src/entryLoad/entryWeights.ts
@@ -10,7 +10,10 @@
 import * as capacities from './entryCapacity.js';
 import * as entryUtilization from './entryUtilization.js';
 
-/** Pressure below which a weight is never reduced; at a lag of 35 ms a plain call still meets its objective. */
+/**
+ * Least reference with which the pressure on an entry is compared; it is also the pressure from which weights are used at
+ * all. No factor falls while the pressure is at most {@link REDUCE_ABOVE} times it: 0.84, an event-loop lag of 79 ms.
+ */
 export const HIGH_PRESSURE = 0.7;
 
 /**
@@ -30,9 +33,18 @@
 const MAXIMUM_REDUCTION = 1.5;
 const MAXIMUM_INCREASE = 1.2;
 
-/** Least factor: the entry still gets some callers, which show when it has recovered. */
+/**
+ * Least share of its strength that an entry has as weight, whatever reduces it: it still gets some callers, which show
+ * when it has recovered.
+ */
 const MINIMUM_FACTOR = 0.1;
 
+/** Time for which the factor of an entry is kept after its lease has expired; it may only have been unreachable. */
+const RETENTION_TIME: ports.Milliseconds = 30_000;
+
+/** Least time between two computations of the mean pressure on all entries; several status messages share one. */
+const REFERENCE_INTERVAL: ports.Milliseconds = 250;
+
 /** Weight of an entry that has just started, as a share of its full weight, and the time to reach the full weight. */
 const STARTING_SHARE = 0.1;
 export const STARTING_TIME: ports.Milliseconds = 3_000;
@@ -41,7 +53,7 @@
 const FRESH_STATUS: ports.Milliseconds = 1_000;
 const STALE_HALF_LIFE: ports.Milliseconds = 500;
 
-/** Ratio of strengths that counts as different; stated capacities are rounded. */
+/** Ratio of the strongest to the weakest entry above which strengths count as different; capacities are rounded. */
 const STRENGTH_TOLERANCE = 1.05;
 
 /** Fields of an entry's status that determine its weight. */
@@ -50,6 +62,8 @@
   readonly capacity?: entryCapacity.CapacityFigures | undefined;
   readonly utilization?: entryUtilization.UtilizationFigures | undefined;
   readonly readyFor?: ports.Milliseconds | undefined;
+  /** The utilization counts only of an entry that is ready, which an entry without a state is. */
+  readonly state?: string | undefined;
 }
 
 interface EntryWeight {
@@ -78,38 +92,58 @@
 /** Weights of the entries known to one control replica; see the module comment. */
 export class EntryWeights {
   private readonly entries = new Map<string, EntryWeight>();
+  /** Entries whose lease has expired, with the time of that. */
+  private readonly removed = new Map<
+    string,
+    { readonly entry: EntryWeight; readonly at: ports.Milliseconds }
+  >();
   private strengths: ReadonlyMap<string, number> | undefined;
+  private reference: { readonly value: number; readonly at: ports.Milliseconds } | undefined;
   private reported: readonly string[] = [];
   private reportedAt = Number.NEGATIVE_INFINITY;
 
   /** Records the figures of a status message. */
   record(status: WeightedStatus, now: ports.Milliseconds): void {
-    const known = this.entries.get(status.name);
-    const { name, capacity, utilization, readyFor } = status;
-    if (known === undefined || String(known.capacity) !== String(capacity)) {
+    const { name, capacity, utilization } = status;
+    const current = this.entries.get(name);
+    if (current === undefined || String(current.capacity) !== String(capacity)) {
       this.strengths = undefined;
     }
+    const readyFor = plausibleReadyFor(status.readyFor);
+    const predecessor = current ?? this.takeRemoved(name, now);
+    // A process that restarted under the same name does not inherit the factor of its predecessor.
+    const known = predecessor !== undefined && readyFor < predecessor.readyFor ? undefined : predecessor;
+    const isReady = (status.state ?? 'ready') === 'ready';
     const entry: EntryWeight = {
       capacity,
-      pressure: utilization === undefined ? undefined : entryUtilization.pressure(utilization),
+      pressure: utilization === undefined || !isReady ? undefined : entryUtilization.pressure(utilization),
       factor: known?.factor ?? 1,
-      readyFor:
-        typeof readyFor === 'number' && readyFor >= 0 && readyFor < STARTING_TIME
-          ? readyFor
-          : Number.POSITIVE_INFINITY,
+      readyFor,
       recordedAt: now,
       isReduced: known?.isReduced ?? false,
       limitedAt: known?.limitedAt ?? Number.NEGATIVE_INFINITY,
       sufficientAt: known?.sufficientAt ?? now,
     };
     this.entries.set(name, entry);
-    const elapsed = now - (known?.recordedAt ?? now);
-    entry.factor = this.nextFactor(entry, Math.min(2, elapsed / STATUS_INTERVAL));
+    if (isReady) {
+      // The time for which an entry was away neither reduces nor restores its factor.
+      const elapsed = known === undefined || current === undefined ? 0 : now - known.recordedAt;
+      entry.factor = this.nextFactor(entry, Math.min(2, elapsed / STATUS_INTERVAL));
+    }
     confirmChange(entry);
   }
 
-  /** Removes an entry whose lease has expired. */
-  remove(name: string): void {
+  /** Removes an entry whose lease has expired; its factor is kept for a while. */
+  remove(name: string, now: ports.Milliseconds): void {
+    for (const [other, { at }] of this.removed) {
+      if (now - at > RETENTION_TIME) {
+        this.removed.delete(other);
+      }
+    }
+    const entry = this.entries.get(name);
+    if (entry !== undefined && entry.factor < 1) {
+      this.removed.set(name, { entry, at: now });
+    }
     this.entries.delete(name);
     this.strengths = undefined;
   }
@@ -150,11 +184,12 @@
     const age = Math.max(0, now - entry.recordedAt);
     const started = Math.min(1, (entry.readyFor + age) / STARTING_TIME);
     const freshness = Math.min(1, 2 ** ((FRESH_STATUS - age) / STALE_HALF_LIFE));
-    const factor = Math.max(MINIMUM_FACTOR, entry.factor * freshness);
-    return this.strengthOf(name) * factor * (STARTING_SHARE + (1 - STARTING_SHARE) * started);
+    const startingFactor = STARTING_SHARE + (1 - STARTING_SHARE) * started;
+    return this.strengthOf(name) * Math.max(MINIMUM_FACTOR, entry.factor * freshness * startingFactor);
   }
 
-  private strengthOf(name: string): number {
+  /** Strength of an entry; see {@link capacities.strengths}. */
+  strengthOf(name: string): number {
     this.strengths ??= capacities.strengths(
       new Map([...this.entries].map(([entry, { capacity }]) => [entry, capacity])),
     );
@@ -162,8 +197,7 @@
   }
 
   private nextFactor(entry: EntryWeight, intervals: number): number {
-    const reference = Math.max(HIGH_PRESSURE, this.meanPressure(this.entries.keys()));
-    const ratio = (entry.pressure ?? 0) / reference;
+    const ratio = (entry.pressure ?? 0) / this.referenceAt(entry.recordedAt);
     if (ratio > REDUCE_ABOVE) {
       const reduction = Math.min(MAXIMUM_REDUCTION, ratio);
       return Math.max(MINIMUM_FACTOR, entry.factor / reduction ** intervals);
@@ -175,6 +209,21 @@
     return Math.min(1, entry.factor * increase ** intervals);
   }
 
+  /** Pressure with which that on each entry is compared. */
+  private referenceAt(now: ports.Milliseconds): number {
+    if (this.reference === undefined || now - this.reference.at >= REFERENCE_INTERVAL) {
+      const value = Math.max(HIGH_PRESSURE, this.meanPressure(this.entries.keys()));
+      this.reference = { value, at: now };
+    }
+    return this.reference.value;
+  }
+
+  private takeRemoved(name: string, now: ports.Milliseconds): EntryWeight | undefined {
+    const removed = this.removed.get(name);
+    this.removed.delete(name);
+    return removed !== undefined && now - removed.at <= RETENTION_TIME ? removed.entry : undefined;
+  }
+
   /** Entries with a reduced weight if they have changed since the last report; at most one report in 5 s. */
   takeReport(now: ports.Milliseconds): readonly string[] | undefined {
     if (now - this.reportedAt < REPORT_INTERVAL) {
@@ -190,6 +239,12 @@
   }
 }
 
+function plausibleReadyFor(readyFor: ports.Milliseconds | undefined): ports.Milliseconds {
+  return typeof readyFor === 'number' && readyFor >= 0 && readyFor < STARTING_TIME
+    ? readyFor
+    : Number.POSITIVE_INFINITY;
+}
+
 function confirmChange(entry: EntryWeight): void {
   const now = entry.recordedAt;
   if (entry.factor < 1) {
--- a/packages/kumquatfront/src/entryLoad/fleet.spec.ts
+++ b/packages/kumquatfront/src/entryLoad/fleet.spec.ts
@@ -59,7 +59,7 @@
   },
 );
 
-// Cuts that feed on chance fluctuations would make the load of equal entries less even than without weights.
+// Without a reduction of their weights, slow entries stay saturated; one that is too fast overloads the others instead.
 void test.test('a tenth of the entries five times slower do not overload the others', (context) => {
   for (const seed of SEEDS) {
     const fleet = new fleetTestHarness.Fleet({ seed });
@@ -102,6 +102,7 @@
   }
 });
 
+// Reductions that follow chance fluctuations would make the load of equal entries less even than without weights.
 void test.test('equal entries at a high mean utilization stay as even as they are by chance', (context) => {
   const weighted = steadyRatio({ seed: 4, isUniform: true, meanUtilization: 0.75 });
   const uniform = steadyRatio({ seed: 4, isUniform: true, meanUtilization: 0.75, usesWeights: false });
--- a/packages/kumquatfront/src/entryLoad/overloadResponse.ts
+++ b/packages/kumquatfront/src/entryLoad/overloadResponse.ts
@@ -27,6 +27,9 @@
 /** Growth of the memory, as a share of it, that counts as a new maximum. */
 const MEMORY_GROWTH = 0.005;
 
+/** Time after the last growth of the memory for which connections are closed; callers take some seconds to move. */
+const CLOSE_AFTER_GROWTH: ports.Milliseconds = 3_000;
+
 /**
  * Time after the last growth of the memory for which generations are refused. A process that no longer grows does not
  * fail, and Node.js may keep memory for long that it no longer uses.
@@ -39,13 +42,41 @@
  */
 export const MEMORY_RETRY_DELAY: ports.Milliseconds = 50;
 
+/**
+ * Last growth of the memory above a limit. It is forgotten only well below the limit, since memory that swings around the
+ * limit does not grow.
+ */
+class MemoryGrowth {
+  private readonly from: number;
+  private maximum = 0;
+  private grownAt = Number.NEGATIVE_INFINITY;
+
+  constructor(from: number) {
+    this.from = from;
+  }
+
+  update(memory: number, now: ports.Milliseconds): void {
+    if (memory < this.from - HYSTERESIS) {
+      this.maximum = 0;
+      this.grownAt = Number.NEGATIVE_INFINITY;
+    } else if (memory >= this.from && memory >= this.maximum + MEMORY_GROWTH) {
+      this.maximum = memory;
+      this.grownAt = now;
+    }
+  }
+
+  hasGrownWithin(time: ports.Milliseconds, now: ports.Milliseconds): boolean {
+    return now - this.grownAt < time;
+  }
+}
+
 /** Reacts to the utilization of one entry; see the module comment. */
 export class OverloadResponse {
   private readonly random: ports.Random;
   private utilization: entryUtilization.Utilization | undefined;
   private limits: readonly NearLimit[] = [];
-  private memoryMaximum = 0;
-  private memoryGrownAt = Number.NEGATIVE_INFINITY;
+  private readonly growthToClose = new MemoryGrowth(CLOSE_FROM.memory);
+  private readonly growthToRefuse = new MemoryGrowth(REFUSE_FROM);
 
   constructor(random: ports.Random) {
     this.random = random;
@@ -60,15 +91,13 @@
   update(utilization: entryUtilization.Utilization, now: ports.Milliseconds): boolean {
     this.utilization = utilization;
     const memory = utilization.memory ?? 0;
-    if (memory < REFUSE_FROM) {
-      this.memoryMaximum = 0;
-      this.memoryGrownAt = Number.NEGATIVE_INFINITY;
-    } else if (memory >= this.memoryMaximum + MEMORY_GROWTH) {
-      this.memoryMaximum = memory;
-      this.memoryGrownAt = now;
-    }
+    this.growthToClose.update(memory, now);
+    this.growthToRefuse.update(memory, now);
     const previous = this.limits;
     this.limits = (['eventLoop', 'descriptors', 'memory'] as const).filter((limit) => {
+      if (limit === 'memory') {
+        return this.growthToClose.hasGrownWithin(CLOSE_AFTER_GROWTH, now);
+      }
       const from = previous.includes(limit) ? CLOSE_FROM[limit] - HYSTERESIS : CLOSE_FROM[limit];
       return (utilization[limit] ?? 0) >= from;
     });
@@ -77,19 +106,25 @@
 
   /** Decides whether the connection of a complete response is to be closed; returns the limit that is the reason. */
   limitToCloseFor(): NearLimit | undefined {
+    let highest: { readonly limit: NearLimit; readonly share: number } | undefined;
     for (const limit of this.limits) {
-      const from = CLOSE_FROM[limit];
-      const progress = Math.min(1, Math.max(0, ((this.utilization?.[limit] ?? 0) - from) / (1 - from)));
-      const share = LEAST_CLOSED_SHARE + (MOST_CLOSED_SHARE - LEAST_CLOSED_SHARE) * progress;
-      if (this.random.next() < share) {
-        return limit;
+      const share = this.closedShare(limit);
+      if (highest === undefined || share > highest.share) {
+        highest = { limit, share };
       }
     }
-    return undefined;
+    // One draw for all limits, since a draw for each would close more than the intended share.
+    return highest !== undefined && this.random.next() < highest.share ? highest.limit : undefined;
+  }
+
+  private closedShare(limit: NearLimit): number {
+    const from = CLOSE_FROM[limit];
+    const progress = Math.min(1, Math.max(0, ((this.utilization?.[limit] ?? 0) - from) / (1 - from)));
+    return LEAST_CLOSED_SHARE + (MOST_CLOSED_SHARE - LEAST_CLOSED_SHARE) * progress;
   }
 
   /** Whether new generations are to be refused because the entry would run out of memory. */
   mustRefuseGenerations(now: ports.Milliseconds): boolean {
-    return now - this.memoryGrownAt < REFUSE_AFTER_GROWTH;
+    return this.growthToRefuse.hasGrownWithin(REFUSE_AFTER_GROWTH, now);
   }
 }
--- a/packages/kumquatfront/src/entryLoad/slowReaders.ts
+++ b/packages/kumquatfront/src/entryLoad/slowReaders.ts
@@ -4,32 +4,38 @@
  */
 import type * as ports from '../kernel/ports.js';
 
-/**
- * Unread bytes of one streamed response above which its caller is disconnected. A stream of 10 kB per second fills it in
- * 100 s, so that a caller that only pauses is not affected.
- */
+/** Unread bytes of one streamed response above which its caller is disconnected, once it has stalled. */
 export const CALLER_BOUND = 1_048_576;
 
+const BYTES_PER_MEGABYTE = 1_048_576;
+
 /** Share of the entry's memory that unread bytes of all callers may hold; a Node.js process needs the rest itself. */
 const ENTRY_SHARE = 0.2;
 
 /** Memory assumed for an entry that states none. */
 const DEFAULT_MEMORY_MEGABYTES = 256;
 
-/** Time without progress after which a caller counts as stalled. */
-const STALLED_AFTER: ports.Milliseconds = 1_000;
+/** Time for which a caller must have read nothing before it is disconnected; one that reads slowly is kept. */
+const STALLED_AFTER: ports.Milliseconds = 5_000;
 
 /** A response that is being sent to a caller. */
 export interface Reader {
   readonly request: string;
   /** Bytes that have been written and that the caller has not read. */
   readonly unreadBytes: () => number;
+  /**
+   * Bytes of the write in progress on the connection that the operating system has not taken. They fall while the caller
+   * reads, whereas the unread bytes fall only when a write is complete.
+   */
+  readonly queuedBytes: () => number;
   readonly disconnect: () => void;
 }
 
 interface TrackedReader {
   readonly reader: Reader;
+  isStream: boolean;
   unread: number;
+  queued: number;
   progressAt: ports.Milliseconds;
 }
 
@@ -50,28 +56,33 @@
 
   constructor(options: SlowReadersOptions) {
     this.options = options;
-    this.entryBound = (options.memoryMegabytes ?? DEFAULT_MEMORY_MEGABYTES) * CALLER_BOUND * ENTRY_SHARE;
+    this.entryBound =
+      (options.memoryMegabytes ?? DEFAULT_MEMORY_MEGABYTES) * BYTES_PER_MEGABYTE * ENTRY_SHARE;
   }
 
   /**
    * Tracks a response.
    *
    * @param reader - the response
-   * @returns `onWrite`, to be called after each write to a stream, and `remove`, to be called when the response ends
+   * @returns `write`, which must run each write to a stream, and `remove`, to be called when the response ends
    * @example
    * ```ts
-   * const { onWrite, remove } = readers.track({ request, unreadBytes, disconnect });
+   * const { write, remove } = readers.track({ request, unreadBytes, queuedBytes, disconnect });
+   * write(() => outgoing.write(bytes));
    * ```
    */
-  track(reader: Reader): { readonly onWrite: () => void; readonly remove: () => void } {
-    const tracked: TrackedReader = { reader, unread: 0, progressAt: this.options.now() };
+  track(reader: Reader): { readonly write: (send: () => void) => void; readonly remove: () => void } {
+    const progressAt = this.options.now();
+    const tracked: TrackedReader = { reader, isStream: false, unread: 0, queued: 0, progressAt };
     this.tracked.add(tracked);
     return {
-      onWrite: () => {
-        const unread = reader.unreadBytes();
-        if (unread > CALLER_BOUND) {
-          this.disconnect(tracked, unread, 'caller');
-        }
+      write: (send) => {
+        // Measured before the write too: a caller that reads less than is written would otherwise never show progress.
+        this.measure(tracked);
+        send();
+        tracked.isStream = true;
+        tracked.unread = reader.unreadBytes();
+        tracked.queued = reader.queuedBytes();
       },
       remove: () => {
         this.tracked.delete(tracked);
@@ -80,39 +91,43 @@
   }
 
   /**
-   * Disconnects callers until the unread bytes of all are within the bound of the entry: stalled ones first, of those the
-   * one with the most unread bytes. Complete responses count here only, because they must be delivered if memory allows.
+   * Disconnects callers of streams that have stalled: those above their own bound, then those with the most unread bytes
+   * until the unread bytes of all are within the bound of the entry. Complete responses count but are never cut, since
+   * they must be delivered.
    */
   check(): void {
     const now = this.options.now();
     let total = 0;
     for (const tracked of this.tracked) {
-      const unread = tracked.reader.unreadBytes();
-      if (unread < tracked.unread || unread === 0) {
-        tracked.progressAt = now;
-      }
-      tracked.unread = unread;
-      total += unread;
-    }
-    if (total <= this.entryBound) {
-      return;
+      this.measure(tracked);
+      total += tracked.unread;
     }
-    const isStalled = (tracked: TrackedReader): boolean => now - tracked.progressAt >= STALLED_AFTER;
-    const candidates = [...this.tracked].sort(
-      (left, right) => Number(isStalled(right)) - Number(isStalled(left)) || right.unread - left.unread,
-    );
-    for (const candidate of candidates) {
-      if (total <= this.entryBound) {
-        return;
+    const stalled = [...this.tracked]
+      .filter(({ isStream, progressAt }) => isStream && now - progressAt >= STALLED_AFTER)
+      .sort((left, right) => right.unread - left.unread);
+    for (const tracked of stalled) {
+      const isOverOwnBound = tracked.unread > CALLER_BOUND;
+      if (isOverOwnBound || total > this.entryBound) {
+        total -= tracked.unread;
+        this.disconnect(tracked, isOverOwnBound ? 'caller' : 'entry');
       }
-      total -= candidate.unread;
-      this.disconnect(candidate, candidate.unread, 'entry');
     }
   }
 
-  private disconnect(tracked: TrackedReader, unread: number, bound: 'caller' | 'entry'): void {
+  private measure(tracked: TrackedReader): void {
+    const unread = tracked.reader.unreadBytes();
+    const queued = tracked.reader.queuedBytes();
+    if (unread < tracked.unread || queued < tracked.queued || unread === 0) {
+      tracked.progressAt = this.options.now();
+    }
+    tracked.unread = unread;
+    tracked.queued = queued;
+  }
+
+  private disconnect(tracked: TrackedReader, bound: 'caller' | 'entry'): void {
     if (this.tracked.delete(tracked)) {
       const { log, metrics } = this.options;
+      const { unread } = tracked;
       log.warn('slowReaderDisconnected', { request: tracked.reader.request, unread, bound });
       metrics.count('entry.slow_readers', 1, { bound });
       tracked.reader.disconnect();
--- a/packages/kumquatfront/src/trafficControl/entryDirectory.ts
+++ b/packages/kumquatfront/src/trafficControl/entryDirectory.ts
@@ -19,6 +19,12 @@
 /** Minimum number of entries returned to a caller, if that many exist; a data centre may have only a few. */
 const MINIMUM_ADDRESSES = 8;
 
+/**
+ * Least capacity of a data centre as a share of the strengths of its entries. Its pressure sends callers elsewhere by
+ * itself; without this bound, the weights that the same pressure reduces would do so a second time.
+ */
+const MINIMUM_CAPACITY_SHARE = 0.4;
+
 interface KnownEntry {
   readonly status: methods.EntryStatus;
   readonly lastSeenAt: ports.Milliseconds;
@@ -72,7 +78,7 @@
     const expired = [...this.entries].filter(([, entry]) => now - entry.lastSeenAt > ENTRY_LEASE);
     for (const [name] of expired) {
       this.entries.delete(name);
-      this.weights.remove(name);
+      this.weights.remove(name, now);
     }
     return expired.map(([name]) => name);
   }
@@ -125,10 +131,19 @@
     });
     const weighedLocal = local.map(weigh);
     const weighedRemote = remote.map(weigh);
-    const capacities = new Map<string, number>();
+    const weightSums = new Map<string, number>();
+    const strengthSums = new Map<string, number>();
     for (const { item, weight } of [...weighedLocal, ...weighedRemote]) {
-      capacities.set(item.dataCentre, (capacities.get(item.dataCentre) ?? 0) + weight);
+      const { name, dataCentre: place } = item;
+      weightSums.set(place, (weightSums.get(place) ?? 0) + weight);
+      strengthSums.set(place, (strengthSums.get(place) ?? 0) + this.weights.strengthOf(name));
     }
+    const capacities = new Map(
+      [...weightSums].map(([place, sum]) => [
+        place,
+        Math.max(sum, MINIMUM_CAPACITY_SHARE * (strengthSums.get(place) ?? 0)),
+      ]),
+    );
     const spare = new Map(
       [...capacities.keys()].map((name) => [name, this.demand.spareShare(name, capacities, now)]),
     );
--- a/packages/scenarios/src/scripts/entryLoadSafeguards.ts
+++ b/packages/scenarios/src/scripts/entryLoadSafeguards.ts
@@ -15,7 +15,7 @@
   {
     name: 'entries are drawn in proportion to their stated capacity',
     file: 'entryLoad/entryCapacity.js',
-    find: 'return [name, Number.isFinite(strength) ? strength : 1];',
+    find: 'return [name, Number.isFinite(strength) ? bounded : 1];',
     replace: 'return [name, 1];',
     scenario: 'spec:entryLoad/entryWeights',
   },
@@ -57,8 +57,8 @@
   {
     name: 'a caller that leaves too much unread is disconnected',
     file: 'adapters/trafficHttp.js',
-    find: 'reader?.onWrite();',
-    replace: '',
+    find: 'reader.write(send);',
+    replace: 'send();',
     scenario: 'spec:adapters/trafficHttp',
   },
   {
@@ -78,8 +78,22 @@
   {
     name: 'generations are not refused for memory that no longer grows',
     file: 'entryLoad/overloadResponse.js',
-    find: 'return now - this.memoryGrownAt < REFUSE_AFTER_GROWTH;',
-    replace: 'return this.memoryMaximum > 0;',
+    find: 'return this.growthToRefuse.hasGrownWithin(REFUSE_AFTER_GROWTH, now);',
+    replace: 'return this.growthToRefuse.maximum > 0;',
     scenario: 'spec:entryLoad/entryLoad',
   },
+  {
+    name: 'the capacity of a data centre under pressure is bounded from below',
+    file: 'trafficControl/entryDirectory.js',
+    find: 'Math.max(sum, MINIMUM_CAPACITY_SHARE * (strengthSums.get(place) ?? 0))',
+    replace: 'sum',
+    scenario: 'spec:entryLoad/entryWeights',
+  },
+  {
+    name: 'a restarted process does not inherit the factor of its predecessor',
+    file: 'entryLoad/entryWeights.js',
+    find: 'readyFor < predecessor.readyFor ? undefined : predecessor',
+    replace: 'false ? undefined : predecessor',
+    scenario: 'spec:entryLoad/entryWeights',
+  },
 ];
