Safeguards: three whose specs no longer failed without them

`npm run prove` on the whole list found three unproved. The limit of starts on cold engines was hidden by the prefill forecast: a second test without the forecast shows it. The cost of late streams was covered by the cost of exposed ones: the safeguard takes out both. The third named a line that a review had changed.

--- a/packages/kumquatfront/src/placement/coordinator.spec.ts
+++ b/packages/kumquatfront/src/placement/coordinator.spec.ts
@@ -5,6 +5,7 @@
 import * as test from 'node:test';
 
 import * as coordinatorTestHarness from './coordinatorTestHarness.js';
+import type * as placementFeatures from './placementFeatures.js';
 
 // Guards against delaying all requests for the maximum recovery time after a failover.
 void test.test('a new coordinator starts placing as soon as every entry has reported', () => {
@@ -41,3 +42,17 @@
   harness.advance(500);
   assert.equal(harness.placedCount('i0'), 3);
 });
+
+// With the prefill forecast few of these prompts are in time on one engine, so that it hides a missing limit.
+void test.test('starts on a cold engine are limited per second without a prefill forecast', () => {
+  const isEnabled = (feature: placementFeatures.Feature): boolean =>
+    feature !== 'prefillScheduling' && feature !== 'readingPace' && feature !== 'lateLast';
+  const harness = new coordinatorTestHarness.CoordinatorTestHarness(0, 40, isEnabled);
+  harness.addEngine(coordinatorTestHarness.WARM_UP.duration);
+  harness.start();
+  for (let index = 0; index < 20; index += 1) {
+    harness.requestPlacement(`g${index}`, `g${index}`, 0);
+  }
+  harness.advance(500);
+  assert.equal(harness.placedCount('i0'), 3);
+});
--- a/packages/scenarios/src/scripts/heavyLoadSafeguards.ts
+++ b/packages/scenarios/src/scripts/heavyLoadSafeguards.ts
@@ -8,7 +8,7 @@
   {
     name: 'prompts are kept away from engines where they would make running streams late',
     file: 'streamPauses/interference.js',
-    find: 'late * LATE_STREAM_COST',
+    find: 'late * LATE_STREAM_COST + (isExposed ? EXPOSED_STREAM_COST : 0)',
     replace: '0',
     scenario: 'spec:placement/streamPauses',
   },
--- a/packages/scenarios/src/scripts/sharedLimitsSafeguards.ts
+++ b/packages/scenarios/src/scripts/sharedLimitsSafeguards.ts
@@ -106,8 +106,8 @@
   {
     name: 'a share below one is used on average',
     file: 'relay/serviceRetryBudget.js',
-    find: 'if (this.leases !== undefined && now - counts.ditherDrawnAt > this.settings.window) {',
-    replace: 'if (false) {',
+    find: 'now - counts.refusedAt > this.settings.window',
+    replace: 'false',
     scenario: 'spec:sharedLimits/sharedLimits',
   },
   {
