Coordinator: bounded passes over a long queue, so that control keeps its leader

Patient requests wait longer since prefill scheduling, so the queue is long; each report of an entry and each arrival started a pass over all of it with two choices of an engine for each request, on 0.4 of a core; the leader missed its heartbeats. Change: a pass tries at most 30 requests of a service in vain; passes over a queue of 8 or more are 60 ms apart.

--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -41,6 +41,13 @@
 /** Maximum time between two passes over the queue while nothing changes. */
 const DISPATCH_INTERVAL: ports.Milliseconds = 100;
 
+/**
+ * With this many queued requests, passes over the queue are at least `BUSY_DISPATCH_INTERVAL` apart: every report of an
+ * entry would start one otherwise, and the control replica would miss heartbeats of the consensus.
+ */
+const BUSY_QUEUE_SIZE = 8;
+const BUSY_DISPATCH_INTERVAL: ports.Milliseconds = 60;
+
 /** Upper bound of an observed time between two grants; longer ones come from times without requests. */
 const MAXIMUM_GRANT_INTERVAL: ports.Milliseconds = 1_000;
 
@@ -328,7 +335,7 @@
     if (this.isRecovering(now, this.activeSince)) {
       return;
     }
-    if (this.stateChanged || now - this.lastDispatchAt >= DISPATCH_INTERVAL) {
+    if (this.isDispatchDue(now)) {
       this.stateChanged = false;
       this.lastDispatchAt = now;
       this.refreshEngines();
@@ -353,6 +360,14 @@
     this.scheduler.removeExpired(now);
   }
 
+  private isDispatchDue(now: number): boolean {
+    const elapsed = now - this.lastDispatchAt;
+    const isBusy = this.queue.size >= BUSY_QUEUE_SIZE;
+    return (
+      elapsed >= DISPATCH_INTERVAL || (this.stateChanged && (!isBusy || elapsed >= BUSY_DISPATCH_INTERVAL))
+    );
+  }
+
   private isRecovering(now: number, since: number): boolean {
     const elapsed = now - since;
     if (elapsed < MINIMUM_RECOVERY_TIME || elapsed >= MAXIMUM_RECOVERY_TIME) {
--- a/packages/kumquatfront/src/placement/lateness.spec.ts
+++ b/packages/kumquatfront/src/placement/lateness.spec.ts
@@ -5,6 +5,7 @@
 import * as test from 'node:test';
 
 import * as coordinatorTestHarness from './coordinatorTestHarness.js';
+import * as placementQueue from './placementQueue.js';
 
 // Guards against refusing a request only after its objective has passed.
 void test.test('a request is refused early when no capacity becomes free', () => {
@@ -96,3 +97,27 @@
   assert.equal(harness.stateOf('urgent'), 'placed');
   assert.equal(harness.stateOf('patient'), 'waiting');
 });
+
+// Guards against a pass over a long queue that takes longer than the interval between passes.
+void test.test('a pass over the queue tries a bounded number of requests in vain', () => {
+  const queue = new placementQueue.PlacementQueue({
+    expectedOutput: () => 0,
+    timelinessOf: () => 'inTime',
+    mayWaitLonger: () => false,
+  });
+  for (let index = 0; index < 500; index += 1) {
+    const facts = {
+      ...{ identity: `g${index}`, service: 'llm', promptTokens: 3_000, outputLimit: 600 },
+      ...{ lengthHint: 600, rank: 1, account: '' },
+    };
+    const times = { objective: 1_800, objectiveLeft: 1_800, patience: 400 };
+    const request = { facts, entry: 'e', dataCentre: 'a', excluded: [], likeness: facts.identity, ...times };
+    queue.add(request, 0, () => undefined);
+  }
+  let attempts = 0;
+  queue.dispatch(100, () => {
+    attempts += 1;
+    return false;
+  });
+  assert.ok(attempts <= 20, `${attempts} attempts`);
+});
--- a/packages/kumquatfront/src/placement/placementQueue.ts
+++ b/packages/kumquatfront/src/placement/placementQueue.ts
@@ -23,6 +23,12 @@
 /** Time for which other requests may overtake one that does not fit on any engine. */
 const OVERTAKING_LIMIT: ports.Milliseconds = 1_500;
 
+/**
+ * Requests of a service that one pass tries in vain before it leaves the later ones queued. Long queues of patient
+ * requests would otherwise occupy the control replica, which then misses heartbeats of the consensus.
+ */
+const MAXIMUM_FAILED_ATTEMPTS = 30;
+
 /** Maximum number of queued requests. */
 const MAXIMUM_QUEUE_SIZE = 2_000;
 
@@ -175,16 +181,19 @@
   dispatch(now: number, tryPlace: TryPlace): void {
     const order = this.accountOrder();
     const blockedServices = new Map<string, number>();
+    const failedAttempts = new Map<string, number>();
     const attempt = ({ queued, late }: KeyedRequest, competes: boolean): boolean => {
       const { service, rank, identity } = queued.request.facts;
       const blockingRank = blockedServices.get(service);
-      if (blockingRank !== undefined && blockingRank <= rank) {
+      const failed = failedAttempts.get(service) ?? 0;
+      if ((blockingRank !== undefined && blockingRank <= rank) || failed >= MAXIMUM_FAILED_ATTEMPTS) {
         return false;
       }
       if (tryPlace(queued, order?.reservedForOthers(queued.request.facts) ?? [])) {
         this.requests.delete(identity);
         return true;
       }
+      failedAttempts.set(service, failed + 1);
       if (now - queued.since > OVERTAKING_LIMIT && !this.forecasts.mayWaitLonger(queued, now)) {
         blockedServices.set(service, rank);
       }
