Fetches of the configuration log what arrived, control logs the entries that are behind

What an operator could not see: an entry logged that a replica "did not answer in time", which is the same line for a replica that is busy, a configuration too large for the link, and fetches that share it. Change: the start of a fetch is logged; its end says version, time waited, bytes received from all replicas in that time and fetches in flight. Control names the entries whose reported version is older than its newest, at most once a second, and counts them in a gauge. The acknowledgement of a configuration says its size and duration. No decision is changed.

--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
@@ -356,6 +356,10 @@
     };
   }
 
+  bytesReceived(): number {
+    return this.byteCounts().received;
+  }
+
   close(): void {
     this.server?.close();
     for (const socket of this.inboundSockets) {
--- a/packages/kumquatfront/src/kernel/ports.ts
+++ b/packages/kumquatfront/src/kernel/ports.ts
@@ -46,6 +46,8 @@
   notify(address: string, method: string, parameters: unknown): void;
   /** Registers the handler of a method. */
   serve(method: string, handler: PeerHandler): void;
+  /** Bytes received from all peers so far; absent if the transport does not count them. */
+  bytesReceived?(): number;
 }
 
 /**
--- a/packages/kumquatfront/src/trafficControl/entryDirectory.ts
+++ b/packages/kumquatfront/src/trafficControl/entryDirectory.ts
@@ -68,6 +68,12 @@
     return isNew;
   }
 
+  /** Names of the entries whose last reported configuration is older than a version. */
+  behind(version: number): readonly string[] {
+    const older = [...this.entries].filter(([, { status }]) => status.trafficVersion < version);
+    return older.map(([name]) => name);
+  }
+
   /** Entries with a reduced weight, if they have changed since the last report. */
   takeWeightReport(now: ports.Milliseconds): readonly string[] | undefined {
     return this.weights.takeReport(now);
--- a/packages/kumquatfront/src/trafficControl/operatorCalls.ts
+++ b/packages/kumquatfront/src/trafficControl/operatorCalls.ts
@@ -9,6 +9,7 @@
 import * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
+import type * as timerService from '../kernel/timerService.js';
 import * as trafficValidation from '../traffic/trafficValidation.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as methods from './methods.js';
@@ -18,6 +19,7 @@
   readonly replica: replica.Replica;
   readonly state: agreedState.AgreedState;
   readonly peers: ports.PeerTransport;
+  readonly timers: timerService.TimerService;
   readonly log: ports.Log;
   readonly peerAddress: string;
   readonly decode: trafficTypes.DecodeTraffic;
@@ -62,7 +64,8 @@
 
   /** Replaces the configuration: validated at this replica, committed by the leader before it is acknowledged. */
   replace(text: string, done: ports.Reply): void {
-    const { log, decode } = this.options;
+    const { log, decode, timers } = this.options;
+    const receivedAt = timers.now();
     const checked = decode(text).andThen((configuration) => trafficValidation.check(configuration));
     if (checked.err) {
       log.info('trafficRefused', { reason: failures.describe(checked.val) });
@@ -71,7 +74,9 @@
     }
     const proposal: trafficTypes.VersionedText = { version: checked.val.version, text };
     const settle: ports.Reply = (result) => {
-      log.info('trafficSent', { version: proposal.version, outcome: outcomeOf(result) });
+      const milliseconds = Math.round(timers.now() - receivedAt);
+      const size = { characters: text.length, milliseconds };
+      log.info('trafficSent', { version: proposal.version, outcome: outcomeOf(result), ...size });
       done(result);
     };
     this.runAtLeader(
--- a/packages/kumquatfront/src/trafficControl/trafficConfigurationFetcher.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficConfigurationFetcher.ts
@@ -37,6 +37,8 @@
   /** Version that the replica had announced. */
   readonly version: number;
   readonly startedAt: ports.Milliseconds;
+  /** Bytes that the entry had received from all peers when the fetch started. */
+  readonly receivedBefore: number;
 }
 
 /** Fetches announced configuration versions from one replica at a time. */
@@ -124,29 +126,58 @@
 
   private requestFrom(address: string, version: number, now: ports.Milliseconds): void {
     const { peers, log } = this.options;
-    this.pending.set(address, { version, startedAt: now });
+    const fetch: PendingFetch = { version, startedAt: now, receivedBefore: peers.bytesReceived?.() ?? 0 };
+    this.pending.set(address, fetch);
     this.lastFetchAt = now;
+    log.info('trafficFetchStarted', {
+      version,
+      control: address,
+      above: this.version,
+      inFlight: this.pending.size,
+    });
     const request: methods.FetchRequest = { above: this.version };
     peers.request(address, methods.methods.fetch, request, FETCH_TIMEOUT, (result) => {
       this.pending.delete(address);
       if (result.err) {
-        log.warn('trafficNotFetched', { control: address, reason: result.val.message });
+        const reason = result.val.message;
+        log.warn('trafficNotFetched', { version, control: address, ...this.effort(fetch), reason });
         // The replica announces the version again with its next watch answer.
         this.announcedVersions.delete(address);
         this.scheduleFetch(0);
         return;
       }
-      this.applyResponse(address, result.val as trafficTypes.VersionedText | null);
+      this.applyResponse(address, fetch, result.val as trafficTypes.VersionedText | null);
     });
   }
 
-  private applyResponse(address: string, traffic: trafficTypes.VersionedText | null): void {
+  /** Time since the start of a fetch, and what the entry has received from all peers in that time. */
+  private effort(fetch: PendingFetch): ports.LogFields {
+    const { peers, timers } = this.options;
+    return {
+      waited: Math.round(timers.now() - fetch.startedAt),
+      bytesReceived: (peers.bytesReceived?.() ?? 0) - fetch.receivedBefore,
+      inFlight: this.pending.size,
+    };
+  }
+
+  private applyResponse(
+    address: string,
+    fetch: PendingFetch,
+    traffic: trafficTypes.VersionedText | null,
+  ): void {
     if (traffic === null || traffic.version <= this.version) {
       this.announcedVersions.delete(address);
       return;
     }
     this.version = traffic.version;
-    this.options.log.info('trafficInForce', { version: traffic.version, control: address });
+    const { version, text } = traffic;
+    const effort = this.effort(fetch);
+    this.options.log.info('trafficInForce', {
+      version,
+      control: address,
+      characters: text.length,
+      ...effort,
+    });
     this.options.onTraffic(traffic);
   }
 }
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -67,6 +67,9 @@
 /** Maximum number of entries in one log line. */
 const MAXIMUM_LOGGED_ENTRIES = 20;
 
+/** Minimum time between two log lines about entries with an older configuration. */
+const BEHIND_LOG_INTERVAL: ports.Milliseconds = 1_000;
+
 /** Location of a caller and the host it requests. */
 export interface CallerLocation {
   readonly host: string;
@@ -89,6 +92,7 @@
   /** Data centres that were evacuated after the last applied command. */
   private evacuated: readonly string[] = [];
   private cachedRoutes: routeTable.RouteTable | undefined;
+  private nextBehindLogAt: ports.Milliseconds = 0;
 
   constructor(options: TrafficControlOptions) {
     this.options = options;
@@ -335,6 +339,7 @@
       this.options.log.info('entryLost', { entry });
     }
     this.logReducedEntries(now);
+    this.reportEntriesBehind(now);
     this.crashRecords.tick();
     this.wakeWatches();
   }
@@ -349,6 +354,20 @@
     }
   }
 
+  /** Entries that have not reported the newest configuration; an operator sees them while they remain. */
+  private reportEntriesBehind(now: ports.Milliseconds): void {
+    const { state, log, metrics } = this.options;
+    const version = state.traffic?.version ?? 0;
+    const behind = this.entries.behind(version);
+    metrics.gauge('traffic.entries_behind', behind.length);
+    if (behind.length === 0 || now < this.nextBehindLogAt) {
+      return;
+    }
+    this.nextBehindLogAt = now + BEHIND_LOG_INTERVAL;
+    const names = behind.slice(0, MAXIMUM_LOGGED_ENTRIES).join(' ');
+    log.info('entriesBehind', { version, count: behind.length, known: this.entries.size, entries: names });
+  }
+
   private onWatch(request: methods.WatchRequest, reply: ports.Reply): void {
     const now = this.options.timers.now();
     const { entry } = request;
