Large configurations over narrow links reproduced, red

What callers saw: requests handled by an old version at three quarters of the entries, for as long as a minute. The spec runs three replicas and an entry on virtual time behind a link of 5.25 Mbit/s, idle and shared with ten streams.

--- /dev/null
+++ b/packages/kumquatfront/src/trafficControl/configurationDelivery.spec.ts
@@ -0,0 +1,121 @@
+/**
+ * Large configurations reach entries in time over narrow links that streams use in full.
+ */
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import type * as ports from '../kernel/ports.js';
+import * as controlTestHarness from './controlTestHarness.js';
+
+const SEEDS = ['a/c1', 'b/c2', 'c/c3'];
+
+/** Bytes per second of the narrowest link of an entry, 5.25 Mbit/s. */
+const NARROW_LINK = 656_250;
+
+/** Numbers of streams that use as much of the link as they get. */
+const COMPETING_STREAMS: readonly number[] = [0, 10];
+
+/** Maximum time from the acknowledgement of a version until an entry no longer acts on an older one. */
+const IN_FORCE_WITHIN: ports.Milliseconds = 2_000;
+
+/** A cluster with an entry behind a narrow link, and the times of what both do. */
+class DeliveryTest {
+  readonly harness = new controlTestHarness.ControlTestHarness(SEEDS);
+  private readonly acknowledgedAt = new Map<number, ports.Milliseconds>();
+  private readonly entry: ReturnType<controlTestHarness.ControlTestHarness['watch']>;
+  private readonly inForceAt: { readonly version: number; readonly at: ports.Milliseconds }[] = [];
+
+  constructor(competingStreams: number) {
+    const { harness } = this;
+    harness.time.advance(3_000);
+    harness.limitLink('e', NARROW_LINK, competingStreams);
+    this.entry = harness.watch('e');
+    harness.time.advance(2_000);
+  }
+
+  send(version: number, routeCount: number): void {
+    const { harness } = this;
+    const text = controlTestHarness.largeConfigurationText(version, routeCount);
+    harness.sendConfiguration(harness.leader(), text, () => {
+      this.acknowledgedAt.set(version, harness.time.now());
+    });
+  }
+
+  advance(duration: ports.Milliseconds): void {
+    const { time } = this.harness;
+    const end = time.now() + duration;
+    while (time.now() < end) {
+      time.advance(5);
+      const version = this.entry.configurations.at(-1)?.version ?? 0;
+      if (version !== (this.inForceAt.at(-1)?.version ?? 0)) {
+        this.inForceAt.push({ version, at: time.now() });
+      }
+    }
+  }
+
+  /** Longest time from an acknowledgement until the version or a newer one is in force at the entry. */
+  private longestDelay(): ports.Milliseconds {
+    const delays = [...this.acknowledgedAt].map(([version, acknowledgedAt]) => {
+      const inForce = this.inForceAt.find((applied) => applied.version >= version);
+      return (inForce?.at ?? Number.POSITIVE_INFINITY) - acknowledgedAt;
+    });
+    assert.ok(delays.length > 0);
+    return Math.max(...delays);
+  }
+
+  assertInForceInTime(): void {
+    const delay = this.longestDelay();
+    assert.ok(delay <= IN_FORCE_WITHIN, `in force after ${delay} ms`);
+  }
+}
+
+function testOverNarrowLink(name: string, run: (delivery: DeliveryTest) => void): void {
+  void test.test(name, () => {
+    for (const competingStreams of COMPETING_STREAMS) {
+      const delivery = new DeliveryTest(competingStreams);
+      run(delivery);
+      delivery.assertInForceInTime();
+    }
+  });
+}
+
+// Whole copies of a configuration that had outgrown the link were fetched again and again, filled it, and none arrived.
+testOverNarrowLink(
+  'a configuration that grows under load is in force in time over a narrow link',
+  (delivery) => {
+    let version = 1;
+    for (const routeCount of [1_400, 2_800, 4_200]) {
+      delivery.send(version, routeCount);
+      delivery.advance(500);
+      delivery.send(version + 1, routeCount);
+      delivery.advance(6_000);
+      version += 2;
+    }
+  },
+);
+
+// Each change started another fetch of the whole configuration while the previous one was on its way.
+testOverNarrowLink(
+  'changes in quick succession to a large configuration are in force in time',
+  (delivery) => {
+    delivery.send(1, 1_400);
+    delivery.advance(8_000);
+    for (let version = 2; version <= 16; version += 1) {
+      delivery.send(version, 1_400);
+      delivery.advance(300);
+    }
+    delivery.advance(8_000);
+  },
+);
+
+// What had arrived from a replica was discarded when the replica crashed, and the fetch began anew.
+testOverNarrowLink(
+  'a large configuration is in force in time if the replica that sends it crashes',
+  (delivery) => {
+    const { harness } = delivery;
+    delivery.send(1, 1_400);
+    delivery.advance(250);
+    harness.kill(harness.lastConfigurationFrom);
+    delivery.advance(8_000);
+  },
+);
--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -19,7 +19,9 @@
 import type * as trafficTypes from '../traffic/types.js';
 import * as trafficEntry from '../trafficEntry/trafficEntry.js';
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
+import * as canonicalJson from '../utils/canonicalJson.js';
 import * as controlWatch from './controlWatch.js';
+import * as sharedLink from './sharedLink.js';
 import type * as trafficControl from './trafficControl.js';
 
 const LATENCY: ports.Milliseconds = 1;
@@ -65,11 +67,29 @@
   isRunning: boolean;
 }
 
-/** Encodes a configuration for the harness decoder, which accepts a version number. */
+/** Encodes a configuration for the harness decoder, which reads the version number in the first line. */
 export function configurationText(version: number): string {
   return String(version);
 }
 
+/** Encodes a configuration that is followed by routes, as large as they are on the wire and the same in each version. */
+export function largeConfigurationText(version: number, routeCount: number): string {
+  const routes = Array.from({ length: routeCount }, (_, index) => routeText(index));
+  return `${version}\n{"routes":[${routes.join(',')}]}`;
+}
+
+function routeText(index: number): string {
+  const name = (part: string): string => canonicalJson.digest([part, index]);
+  return JSON.stringify({
+    name: `r-${name('name').slice(0, 7)}`,
+    host: `${name('host').slice(0, 6)}.example`,
+    path_prefix: `/${name('path').slice(0, 8)}/`,
+    ...{ route_type: 'idempotent', timeout_ms: 800, target_latency_ms: 150, priority: 2, max_attempts: 2 },
+    ...{ anonymous: false, session_affinity: false, stream_resume: false, target_itl_ms: 180 },
+    weighted_services: [{ service: name('service').slice(0, 6), weight: 100 }],
+  });
+}
+
 /** Parts that all configurations of a harness have in common. */
 export type ConfigurationFixture = Pick<
   trafficTypes.TrafficConfiguration,
@@ -78,7 +98,7 @@
 
 function createDecoder(fixture: ConfigurationFixture): trafficTypes.DecodeTraffic {
   return (text) => {
-    const version = Number(text);
+    const version = Number(text.split('\n', 1)[0]);
     if (!Number.isInteger(version)) {
       return results.Err(
         failures.create('badInput', 'The configuration is not a version number.', 'Send a number.'),
@@ -118,6 +138,8 @@
   /** Address of the replica that sent a configuration last. */
   lastConfigurationFrom = '';
   private readonly configurationsSent = new Map<string, number>();
+  /** Incoming links of processes, by address; other processes receive messages without delay. */
+  private readonly links = new Map<string, sharedLink.SharedLink>();
 
   /**
    * @param seeds - addresses of the replicas that are started, all with empty disks
@@ -159,7 +181,7 @@
                 this.configurationsSentTo(testProcess.address) + 1,
               );
             }
-            this.time.after(LATENCY, () => {
+            this.transmit(address, testProcess.address, result, () => {
               if (
                 testProcess.isRunning &&
                 receiver.isRunning &&
@@ -194,9 +216,32 @@
       serve: (method, handler) => {
         testProcess.handlers.set(method, handler);
       },
+      bytesReceived: () => this.bytesReceivedBy(testProcess.address),
     };
   }
 
+  /** Calls back when a message has arrived over the incoming link of its receiver. */
+  private transmit(from: string, to: string, message: unknown, delivered: () => void): void {
+    const link = this.links.get(to);
+    this.time.after(LATENCY, () => {
+      if (link === undefined) {
+        delivered();
+      } else {
+        link.send(from, JSON.stringify(message).length, delivered);
+      }
+    });
+  }
+
+  /** Limits the incoming link of a process, which competing streams share. */
+  limitLink(address: string, bytesPerSecond: number, competingStreams: number): void {
+    this.links.set(address, new sharedLink.SharedLink(this.time, bytesPerSecond, competingStreams));
+  }
+
+  /** Bytes that a process with a limited link has received. */
+  bytesReceivedBy(address: string): number {
+    return this.links.get(address)?.bytesReceived ?? 0;
+  }
+
   /** Number of configurations sent to an entry. */
   configurationsSentTo(name: string): number {
     return this.configurationsSent.get(name) ?? 0;
@@ -301,13 +346,22 @@
   /** Sends a configuration to a replica; returns true if it is acknowledged within a second. */
   replace(address: string, version: number): boolean {
     let acknowledged = false;
-    this.trafficOf(address).replace(configurationText(version), (result) => {
-      acknowledged = result.ok;
+    this.sendConfiguration(address, configurationText(version), () => {
+      acknowledged = true;
     });
     this.time.advance(1_000);
     return acknowledged;
   }
 
+  /** Sends a configuration to a replica, and calls back when it is acknowledged. */
+  sendConfiguration(address: string, text: string, acknowledged: () => void): void {
+    this.trafficOf(address).replace(text, (result) => {
+      if (result.ok) {
+        acknowledged();
+      }
+    });
+  }
+
   /** Sends an evacuate or restore call to a replica; returns true if it is acknowledged within a second. */
   evacuateOrRestore(
     address: string,
