Configurations reach entries as changes, in pieces that survive a failed replica

Cause: each fetch carried the whole configuration, with a timeout of 2 s. Once a text took longer than that, or several fetches shared the link (a newer version every 0.2 s, a second replica after 0.8 s), none arrived; what had come was thrown away and requested again, so that the link stayed full without progress. A congestion collapse by retries. Change: an entry fetches one package at a time, complete or as changes from the version that it has, compressed, in pieces of 1 to 64 KB. A package that is begun is finished, by any replica. Why it works: what is in flight is bounded, each piece that arrives is kept, and a small change is a small package however large the configuration is.

--- a/packages/kumquatfront/src/trafficControl/configurationDelivery.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/configurationDelivery.spec.ts
@@ -54,7 +54,7 @@
   }
 
   /** Longest time from an acknowledgement until the version or a newer one is in force at the entry. */
-  private longestDelay(): ports.Milliseconds {
+  longestDelay(): ports.Milliseconds {
     const delays = [...this.acknowledgedAt].map(([version, acknowledgedAt]) => {
       const inForce = this.inForceAt.find((applied) => applied.version >= version);
       return (inForce?.at ?? Number.POSITIVE_INFINITY) - acknowledgedAt;
@@ -119,3 +119,11 @@
     delivery.advance(8_000);
   },
 );
+
+// Pieces that took longer than their timeout were requested again and again, and none arrived.
+void test.test('a large configuration arrives over a link that carries a few kilobytes per second', () => {
+  const delivery = new DeliveryTest(200);
+  delivery.send(1, 1_400);
+  delivery.advance(60_000);
+  assert.ok(delivery.longestDelay() <= 60_000, `in force after ${delivery.longestDelay()} ms`);
+});
--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -21,6 +21,7 @@
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as canonicalJson from '../utils/canonicalJson.js';
 import * as controlWatch from './controlWatch.js';
+import * as methods from './methods.js';
 import * as sharedLink from './sharedLink.js';
 import type * as trafficControl from './trafficControl.js';
 
@@ -135,9 +136,9 @@
   private readonly decode: trafficTypes.DecodeTraffic;
   /** Features of processes that are started from now on. */
   isEnabled: placementFeatures.IsEnabled = placementFeatures.allEnabled;
-  /** Address of the replica that sent a configuration last. */
+  /** Address of the replica that sent a piece of a configuration last. */
   lastConfigurationFrom = '';
-  private readonly configurationsSent = new Map<string, number>();
+  private readonly piecesSent = new Map<string, number>();
   /** Incoming links of processes, by address; other processes receive messages without delay. */
   private readonly links = new Map<string, sharedLink.SharedLink>();
 
@@ -174,12 +175,9 @@
         ) {
           // Serialized like on the wire, so that processes share no objects.
           receiver.handlers.get(method)?.(JSON.parse(JSON.stringify(parameters)), (result) => {
-            if (JSON.stringify(result).includes('"text"')) {
+            if (method === methods.methods.fetchPiece && result.ok && result.val !== null) {
               this.lastConfigurationFrom = address;
-              this.configurationsSent.set(
-                testProcess.address,
-                this.configurationsSentTo(testProcess.address) + 1,
-              );
+              this.piecesSent.set(testProcess.address, this.piecesSentTo(testProcess.address) + 1);
             }
             this.transmit(address, testProcess.address, result, () => {
               if (
@@ -242,9 +240,9 @@
     return this.links.get(address)?.bytesReceived ?? 0;
   }
 
-  /** Number of configurations sent to an entry. */
-  configurationsSentTo(name: string): number {
-    return this.configurationsSent.get(name) ?? 0;
+  /** Number of pieces of configurations sent to an entry. */
+  piecesSentTo(name: string): number {
+    return this.piecesSent.get(name) ?? 0;
   }
 
   private isPartitioned(one: string, other: string): boolean {
--- a/packages/kumquatfront/src/trafficControl/methods.ts
+++ b/packages/kumquatfront/src/trafficControl/methods.ts
@@ -14,7 +14,8 @@
 /** RPC method names. */
 export const methods = {
   watch: 'traffic.watch',
-  fetch: 'traffic.fetch',
+  /** Sends a piece of the configuration in force; see `configurationTransfer/types`. */
+  fetchPiece: 'traffic.fetchPiece',
   replace: 'traffic.replace',
   read: 'traffic.read',
   /** Evacuates or restores a data centre. */
@@ -78,11 +79,6 @@
   readonly evacuationRevision: number;
 }
 
-/** Requests the configuration in force if it is newer than version `above`. */
-export interface FetchRequest {
-  readonly above: number;
-}
-
 /** Updates for an entry. */
 export interface WatchAnswer {
   /** Data centre of the answering replica. */
--- a/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
@@ -210,7 +210,7 @@
   }
   harness.time.advance(400);
   assert.equal(entry.configurations.at(-1)?.version, 40);
-  assert.ok(harness.configurationsSentTo('e') <= 14, `${harness.configurationsSentTo('e')} sent`);
+  assert.ok(harness.piecesSentTo('e') <= 14, `${harness.piecesSentTo('e')} sent`);
 });
 
 /** Creates an entry to which a replica is sending version 9. */
@@ -222,7 +222,7 @@
   const entry = harness.watch('e');
   harness.time.advance(100);
   harness.trafficOf('c1').replace(controlTestHarness.configurationText(9), () => undefined);
-  while (harness.configurationsSentTo('e') === 0) {
+  while (harness.piecesSentTo('e') === 0) {
     harness.time.advance(0.25);
   }
   return { harness, entry };
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -4,6 +4,8 @@
  */
 import type * as agreedState from '../agreedState/agreedState.js';
 import type * as agreedTypes from '../agreedState/types.js';
+import * as packagePublisher from '../configurationTransfer/packagePublisher.js';
+import type * as transferTypes from '../configurationTransfer/types.js';
 import type * as replica from '../consensus/replica.js';
 import type * as placementShares from '../fairShare/placementShares.js';
 import * as instanceTable from '../instances/instanceTable.js';
@@ -89,6 +91,7 @@
   private readonly crashRecords: quarantineRegistry.QuarantineRegistry;
   private readonly gossip: instanceGossip.InstanceGossip;
   private readonly operatorCalls: operatorCalls.OperatorCalls;
+  private readonly publisher = new packagePublisher.PackagePublisher();
   /** Data centres that were evacuated after the last applied command. */
   private evacuated: readonly string[] = [];
   private cachedRoutes: routeTable.RouteTable | undefined;
@@ -193,10 +196,9 @@
     peers.serve(names.watch, (parameters, reply) => {
       this.onWatch(parameters as methods.WatchRequest, reply);
     });
-    peers.serve(names.fetch, (parameters, reply) => {
-      const { above } = parameters as methods.FetchRequest;
-      const { traffic } = this.options.state;
-      reply(results.Ok(traffic !== undefined && traffic.version > above ? traffic : null));
+    peers.serve(names.fetchPiece, (parameters, reply) => {
+      this.publisher.record(this.options.state.traffic);
+      reply(results.Ok(this.publisher.answer(parameters as transferTypes.PieceRequest)));
     });
     peers.serve(names.gossip, (parameters, reply) => {
       this.gossip.mergeGossip((parameters as methods.Gossip).records);
@@ -242,6 +244,7 @@
 
   /** Called after each log command that is applied at this replica. */
   onCommandApplied(): void {
+    this.publisher.record(this.options.state.traffic);
     const { dataCentres } = this.options.state.evacuations;
     const evacuated = dataCentres.map((record) => record.dataCentre);
     // Upstreams may have turned cold while they received no requests, and report it only with their next announcement.
--- /dev/null
+++ b/packages/scenarios/src/scripts/configurationDeliverySafeguards.ts
@@ -0,0 +1,77 @@
+/**
+ * Safeguards of the delivery of traffic configurations to entries.
+ */
+import type * as types from './types.js';
+
+const CONTROL = 'spec:trafficControl/trafficControl';
+const DELIVERY = 'spec:trafficControl/configurationDelivery';
+const PACKAGES = 'spec:configurationTransfer/packages';
+const REQUESTS = 'spec:trafficControl/trafficConfigurationFetcher';
+const FETCHER = 'trafficControl/trafficConfigurationFetcher.js';
+
+/** Safeguards, each with the spec that must fail without it. */
+export const configurationDeliverySafeguards: readonly types.Safeguard[] = [
+  {
+    name: 'configurations are fetched at a limited rate',
+    file: FETCHER,
+    find: 'const PACKAGE_INTERVAL = 200;',
+    replace: 'const PACKAGE_INTERVAL = 0;',
+    scenario: CONTROL,
+  },
+  {
+    name: 'a piece that does not arrive is requested from another replica',
+    file: FETCHER,
+    find: 'this.scheduleNext(HEDGE_DELAY);',
+    replace: '',
+    scenario: REQUESTS,
+  },
+  {
+    name: 'a request that was answered or has timed out is repeated if necessary',
+    file: FETCHER,
+    find: 'this.pending.delete(address);',
+    replace: '',
+    scenario: REQUESTS,
+  },
+  {
+    name: 'a package continues where it was interrupted',
+    file: FETCHER,
+    find: '...(fetch.receiver !== undefined && {',
+    replace: '...(false && {',
+    scenario: DELIVERY,
+  },
+  {
+    name: 'a package that no replica can continue is given up',
+    file: FETCHER,
+    find: 'piece.offset === 0 && this.shouldReplace(fetch, piece)',
+    replace: 'fetch.receiver === undefined',
+    scenario: REQUESTS,
+  },
+  {
+    name: 'a complete configuration is requested after changes that do not apply',
+    file: FETCHER,
+    find: 'base: this.isBaseUsable ? this.versionInForce : 0',
+    replace: 'base: this.versionInForce',
+    scenario: REQUESTS,
+  },
+  {
+    name: 'an entry that has a recent version receives only the changes',
+    file: 'configurationTransfer/packagePublisher.js',
+    find: 'this.packageFor(request.base, newest.version) ??',
+    replace: '',
+    scenario: DELIVERY,
+  },
+  {
+    name: 'pieces become shorter while they do not arrive in time',
+    file: 'trafficControl/pieceLength.js',
+    find: 'this.length / 2',
+    replace: 'this.length',
+    scenario: DELIVERY,
+  },
+  {
+    name: 'changes are applied only to the text that they were computed from',
+    file: 'configurationTransfer/transferPackage.js',
+    find: 'digestOf(text) === result ? text : undefined',
+    replace: 'text',
+    scenario: PACKAGES,
+  },
+];
--- a/packages/scenarios/src/scripts/relaySafeguards.ts
+++ b/packages/scenarios/src/scripts/relaySafeguards.ts
@@ -244,27 +244,6 @@
     replace: 'const PATIENT_OBJECTIVE_SHARE = 1.6;',
     scenario: LATENESS,
   },
-  {
-    name: 'configuration fetches are spaced by a minimum interval',
-    file: 'trafficControl/trafficConfigurationFetcher.js',
-    find: 'const FETCH_INTERVAL = 200;',
-    replace: 'const FETCH_INTERVAL = 0;',
-    scenario: CONTROL,
-  },
-  {
-    name: 'a configuration fetch is hedged when a replica does not respond',
-    file: 'trafficControl/trafficConfigurationFetcher.js',
-    find: 'this.scheduleFetch(this.lastFetchAt + HEDGE_DELAY - now);',
-    replace: '',
-    scenario: CONTROL,
-  },
-  {
-    name: 'a replica that did not deliver a configuration may be fetched from again',
-    file: 'trafficControl/trafficConfigurationFetcher.js',
-    find: 'this.pending.delete(address);',
-    replace: '',
-    scenario: CONTROL,
-  },
   {
     name: 'writing the log never blocks on a slow reader',
     file: 'adapters/boundedOutput.js',
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -3,6 +3,7 @@
  */
 
 import * as backPressureSafeguards from './backPressureSafeguards.js';
+import * as configurationDeliverySafeguards from './configurationDeliverySafeguards.js';
 import * as controlSafeguards from './controlSafeguards.js';
 import * as dataCentreSafeguards from './dataCentreSafeguards.js';
 import * as heavyLoadSafeguards from './heavyLoadSafeguards.js';
@@ -20,6 +21,7 @@
 export const safeguards: readonly types.Safeguard[] = [
   ...servingSafeguards.servingSafeguards,
   ...controlSafeguards.controlSafeguards,
+  ...configurationDeliverySafeguards.configurationDeliverySafeguards,
   ...relaySafeguards.relaySafeguards,
   ...quarantineSafeguards.quarantineSafeguards,
   ...dataCentreSafeguards.dataCentreSafeguards,
