Entries stop acting on a configuration that was superseded too long ago

Cause: nothing bounded the use of a configuration that is known to be old. Change: a replica says how long ago it applied its version. It serves on when no replica has answered for 3 s, since then it is partitioned; one that hears of an old change has 0.8 s to fetch it. Without the safeguard the spec fails (npm run prove).

--- a/packages/command/src/explain/cause.ts
+++ b/packages/command/src/explain/cause.ts
@@ -63,6 +63,7 @@
   const version = lastLineOf(lines, 'trafficInForce')?.fields.version ?? 'none';
   const causes: Record<string, string> = {
     noConfiguration: 'The entry had just started and had no configuration yet.',
+    supersededConfiguration: `A newer configuration than version ${version} had not arrived at the entry in time.`,
     draining: 'The entry was draining and accepted no generation that might not finish before it stops.',
     noRoute: `The configuration in force at the entry, version ${version}, has no such route.`,
     unknownKey: `The configuration in force at the entry, version ${version}, has no such key.`,
--- a/packages/command/src/ledger/requestEnding.ts
+++ b/packages/command/src/ledger/requestEnding.ts
@@ -56,6 +56,7 @@
   'draining',
   'timeoutNotRun',
   'noConfiguration',
+  'supersededConfiguration',
 ]);
 
 /** Logged outcomes and reasons of requests for which the configuration has no route or key. */
--- a/packages/kumquatfront/src/relay/trafficRelay.ts
+++ b/packages/kumquatfront/src/relay/trafficRelay.ts
@@ -20,9 +20,25 @@
  */
 const NO_CONFIGURATION_RETRY_DELAY: ports.Milliseconds = 1_500;
 
+/** Retry delay while the entry waits for a configuration that other entries have. */
+const SUPERSEDED_RETRY_DELAY: ports.Milliseconds = 200;
+
 /** Retry delay of an entry that is draining; another entry can serve the retry. */
 const DRAINING_RETRY_DELAY: ports.Milliseconds = 20;
 
+const NO_CONFIGURATION: types.Refusal = {
+  reason: 'noConfiguration',
+  message: 'this entry has no configuration yet',
+  retryAfter: NO_CONFIGURATION_RETRY_DELAY,
+};
+
+const SUPERSEDED: types.Refusal = {
+  reason: 'supersededConfiguration',
+  message: 'this entry has not received a configuration that was acknowledged',
+  retryAfter: SUPERSEDED_RETRY_DELAY,
+  closesConnection: true,
+};
+
 /** Dependencies of the relay. */
 export interface TrafficRelayOptions {
   readonly context: exchangeContext.ExchangeContext;
@@ -30,6 +46,8 @@
   /** Region of each data centre. */
   readonly regions: residency.Regions;
   readonly routes: () => routeTable.RouteTable | undefined;
+  /** True while the routes must not be used, because newer ones were accepted too long ago; never if absent. */
+  readonly isSuperseded?: () => boolean;
   /** True while the entry drains before it stops. */
   readonly isDraining: () => boolean;
   /** Refusal of new generations while the entry would run out of memory; undefined while it would not. */
@@ -62,7 +80,11 @@
   handle(request: types.TrafficRequest, caller: types.CallerPort): void {
     const routes = this.options.routes();
     if (routes === undefined) {
-      this.queueOrRefuse(request, caller);
+      this.queueOrRefuse(request, caller, NO_CONFIGURATION);
+      return;
+    }
+    if (this.options.isSuperseded?.() === true) {
+      this.queueOrRefuse(request, caller, SUPERSEDED);
       return;
     }
     const admitted = this.admit(routes, request, caller);
@@ -114,17 +136,19 @@
     this.refuse(request, caller, { reason: 'quarantined', message: quarantine.QUARANTINED_MESSAGE });
   }
 
-  private queueOrRefuse(request: types.TrafficRequest, caller: types.CallerPort): void {
+  private queueOrRefuse(
+    request: types.TrafficRequest,
+    caller: types.CallerPort,
+    refusal: types.Refusal,
+  ): void {
     const refuse = (): void => {
-      const message = 'this entry has no configuration yet';
-      const retryAfter = NO_CONFIGURATION_RETRY_DELAY;
-      this.refuse(request, caller, { reason: 'noConfiguration', message, retryAfter });
+      this.refuse(request, caller, refusal);
     };
     if (this.options.isDraining() || !this.startupQueue.enqueue(request, caller, refuse)) {
       refuse();
       return;
     }
-    this.options.context.log.info('requestHeld', { request: request.identity, reason: 'noConfiguration' });
+    this.options.context.log.info('requestHeld', { request: request.identity, reason: refusal.reason });
   }
 
   private start(routed: exchangeContext.RoutedRequest): void {
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -141,6 +141,7 @@
 /** Why a request was refused or ended without a response. */
 export type RefusalReason =
   | 'noConfiguration'
+  | 'supersededConfiguration'
   | 'noRoute'
   | 'unknownKey'
   | 'overloaded'
--- a/packages/kumquatfront/src/trafficControl/controlWatch.ts
+++ b/packages/kumquatfront/src/trafficControl/controlWatch.ts
@@ -13,6 +13,7 @@
 import type * as quarantineTypes from '../quarantine/types.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as rendezvousHashing from '../utils/rendezvousHashing.js';
+import * as acceptedVersions from './acceptedVersions.js';
 import * as methods from './methods.js';
 import * as trafficConfigurationFetcher from './trafficConfigurationFetcher.js';
 
@@ -31,6 +32,15 @@
 /** Time for which a reported leader remains valid without being reported again. */
 const LEADER_TTL: ports.Milliseconds = 900;
 
+/**
+ * Time without an answer of any replica after which an entry counts as partitioned from control; it then serves on with
+ * the configuration that it has.
+ */
+const CONTACT_TIMEOUT: ports.Milliseconds = 3_000;
+
+/** Interval at which an entry checks whether its configuration may still be used. */
+const SUPERSEDED_CHECK_INTERVAL: ports.Milliseconds = 50;
+
 /** Settings, dependencies and callbacks of {@link ControlWatch}. */
 export interface ControlWatchOptions {
   readonly timers: timerService.TimerService;
@@ -40,8 +50,12 @@
   readonly dataCentre: string;
   readonly entryStatus: () => methods.EntryStatus;
   readonly instances: instanceView.InstanceView;
+  /** Time from the acknowledgement of a configuration within which no entry acts on an older one. */
+  readonly inForceWithin: ports.Milliseconds;
   /** Called with each new configuration, in increasing order of version. */
   readonly onTraffic: (traffic: trafficTypes.VersionedText) => void;
+  /** Called when {@link ControlWatch.isSuperseded} has changed. */
+  readonly onSupersededChanged: () => void;
   readonly onCoordinatorChanged: (address: string) => void;
   /** Called with the crash records that a replica sends. */
   readonly onCrashRecords: (records: readonly quarantineTypes.CrashRecord[]) => void;
@@ -112,6 +126,9 @@
   private seeds: readonly string[];
   private readonly fetcher: trafficConfigurationFetcher.TrafficConfigurationFetcher;
   private leader = { term: 0, address: '', reportedAt: Number.NEGATIVE_INFINITY };
+  private readonly accepted: acceptedVersions.AcceptedVersions;
+  private wasSuperseded = false;
+  private lastAnswerAt = Number.NEGATIVE_INFINITY;
   private evacuationRevision = 0;
   private firstAnswerAt = Number.POSITIVE_INFINITY;
   /** Address of the replica that sends all updates immediately; empty if no replica responds. */
@@ -124,10 +141,22 @@
 
   constructor(options: ControlWatchOptions) {
     this.options = options;
+    this.accepted = new acceptedVersions.AcceptedVersions(options.inForceWithin);
     this.fetcher = new trafficConfigurationFetcher.TrafficConfigurationFetcher({
       ...options,
       preferredReplica: () => this.nearest,
+      onTraffic: (traffic) => {
+        this.accepted.onInForce(traffic.version);
+        options.onTraffic(traffic);
+        this.checkSuperseded();
+      },
     });
+    options.timers.every(
+      () => SUPERSEDED_CHECK_INTERVAL,
+      () => {
+        this.checkSuperseded();
+      },
+    );
     this.seeds = options.seeds;
     this.watchAll(options.seeds);
   }
@@ -167,6 +196,30 @@
     return Math.max(0, ...responding.map(({ entryCount }) => entryCount));
   }
 
+  /**
+   * True if the entry must not act on its configuration, because a newer one was acknowledged too long ago. False while
+   * the entry is partitioned from control.
+   */
+  get isSuperseded(): boolean {
+    const now = this.options.timers.now();
+    return now >= this.accepted.deadline && now - this.lastAnswerAt < CONTACT_TIMEOUT;
+  }
+
+  private checkSuperseded(): void {
+    const { isSuperseded } = this;
+    if (isSuperseded !== this.wasSuperseded) {
+      this.wasSuperseded = isSuperseded;
+      const version = this.fetcher.versionInForce;
+      this.options.log.warn('configurationSuperseded', { version, superseded: isSuperseded });
+      this.options.onSupersededChanged();
+    }
+  }
+
+  /** Version of the configuration in force; 0 before the first. */
+  get versionInForce(): number {
+    return this.fetcher.versionInForce;
+  }
+
   /** Addresses of the watched replicas. */
   replicas(): readonly string[] {
     return [...this.watched.keys()];
@@ -306,6 +359,10 @@
     if (answer.fresh || this.fetcher.versionInForce > 0) {
       this.fetcher.recordVersion(address, answer.trafficVersion);
     }
+    this.lastAnswerAt = now;
+    if (answer.trafficVersion > this.fetcher.versionInForce) {
+      this.accepted.record(answer.trafficVersion, answer.trafficAge, now);
+    }
     this.recordLeader(answer, now);
     this.watchAll(watched.control);
   }
--- a/packages/kumquatfront/src/trafficControl/methods.ts
+++ b/packages/kumquatfront/src/trafficControl/methods.ts
@@ -33,8 +33,11 @@
   move: 'placement.move',
 } as const;
 
-/** Lifecycle state of an entry; only entries that are `ready` are returned to callers. */
-export type EntryState = 'starting' | 'ready' | 'draining';
+/**
+ * Lifecycle state of an entry; only entries that are `ready` are returned to callers. A `superseded` entry lacks a
+ * configuration that was acknowledged too long ago.
+ */
+export type EntryState = 'starting' | 'ready' | 'superseded' | 'draining';
 
 /** Attributes and status of an entry, sent with each watch request. */
 export interface EntryStatus {
@@ -87,6 +90,8 @@
   readonly instances?: instanceTypes.InstanceUpdate;
   /** Version of the configuration in force at the replica; 0 if there is none. */
   readonly trafficVersion: number;
+  /** Time since the replica has applied that version. */
+  readonly trafficAge: ports.Milliseconds;
   /** False when the replica's state may be stale; an entry must not start serving on the basis of a stale answer. */
   readonly fresh: boolean;
   /** Term and address of the leader that the replica follows; the address is empty if no leader is known. */
--- a/packages/kumquatfront/src/trafficControl/openWatches.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/openWatches.spec.ts
@@ -35,6 +35,7 @@
       dataCentre: 'a',
       instances: this.table.updatesSince(request.epoch, request.revision, this.time.now()),
       trafficVersion: this.state.trafficVersion,
+      trafficAge: 0,
       fresh: this.state.fresh,
       leaderTerm: this.state.leaderTerm,
       leaderAddress: 'c1',
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -96,6 +96,7 @@
   private evacuated: readonly string[] = [];
   private cachedRoutes: routeTable.RouteTable | undefined;
   private nextBehindLogAt: ports.Milliseconds = 0;
+  private appliedTraffic = { version: 0, appliedAt: 0 };
 
   constructor(options: TrafficControlOptions) {
     this.options = options;
@@ -197,7 +198,7 @@
       this.onWatch(parameters as methods.WatchRequest, reply);
     });
     peers.serve(names.fetchPiece, (parameters, reply) => {
-      this.publisher.record(this.options.state.traffic);
+      this.recordTraffic();
       reply(results.Ok(this.publisher.answer(parameters as transferTypes.PieceRequest)));
     });
     peers.serve(names.gossip, (parameters, reply) => {
@@ -244,7 +245,7 @@
 
   /** Called after each log command that is applied at this replica. */
   onCommandApplied(): void {
-    this.publisher.record(this.options.state.traffic);
+    this.recordTraffic();
     const { dataCentres } = this.options.state.evacuations;
     const evacuated = dataCentres.map((record) => record.dataCentre);
     // Upstreams may have turned cold while they received no requests, and report it only with their next announcement.
@@ -259,6 +260,16 @@
     this.wakeWatches();
   }
 
+  /** Notes a configuration that has been applied, also by the installation of a snapshot. */
+  private recordTraffic(): void {
+    const { state, timers } = this.options;
+    const version = state.traffic?.version ?? 0;
+    if (version !== this.appliedTraffic.version) {
+      this.appliedTraffic = { version, appliedAt: timers.now() };
+      this.publisher.record(state.traffic);
+    }
+  }
+
   private isEvacuated(dataCentre: string): boolean {
     return this.options.state.evacuations.dataCentres.some((record) => record.dataCentre === dataCentre);
   }
@@ -398,6 +409,7 @@
   }
 
   private watchAnswer(request: methods.WatchRequest): methods.WatchAnswer {
+    this.recordTraffic();
     const { replica: own, state, timers, dataCentre } = this.options;
     const status = own.status();
     const control = status.members.map((member) => member.address);
@@ -412,7 +424,8 @@
         instances: this.table.updatesSince(request.epoch, request.revision, timers.now()),
       }),
       ...(methods.replicaSetDigest(control) !== request.controlDigest && { control }),
-      trafficVersion: state.traffic?.version ?? 0,
+      trafficVersion: this.appliedTraffic.version,
+      trafficAge: timers.now() - this.appliedTraffic.appliedAt,
       fresh: status.fresh,
       leaderTerm: status.term,
       leaderAddress: status.fresh ? (status.leader?.address ?? '') : '',
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -38,6 +38,9 @@
 /** Interval at which the shares of common limits follow the number of entries. */
 const SHARE_UPDATE_INTERVAL: ports.Milliseconds = 500;
 
+/** Time from the acknowledgement of a configuration within which no entry acts on an older one, unless stated. */
+export const DEFAULT_IN_FORCE_WITHIN: ports.Milliseconds = 2_000;
+
 /** Settings of an entry. Times are milliseconds. */
 export interface TrafficEntrySettings {
   readonly name: string;
@@ -55,6 +58,8 @@
   readonly warmUpTolerance: warmUpBounds.WarmUpTolerance;
   /** Returns whether a feature is enabled; by default all are. */
   readonly isEnabled?: placementFeatures.IsEnabled;
+  /** Time from the acknowledgement of a configuration within which no entry acts on an older one. */
+  readonly inForceWithin?: ports.Milliseconds;
   /** Limits of the VM, as far as they are known. */
   readonly capacity?: entryCapacity.EntryCapacity;
 }
@@ -230,6 +235,7 @@
       random,
       regions: settings.regions,
       routes: () => this.routes,
+      isSuperseded: () => this.watch.isSuperseded,
       isDraining: () => this.isDraining,
       generationRefusal: () => this.load?.generationRefusal(),
     });
@@ -241,9 +247,13 @@
       dataCentre: settings.dataCentre,
       entryStatus: () => this.describe(),
       instances,
+      inForceWithin: settings.inForceWithin ?? DEFAULT_IN_FORCE_WITHIN,
       onTraffic: (traffic) => {
         this.applyTraffic(traffic.text);
       },
+      onSupersededChanged: () => {
+        this.onSupersededChanged();
+      },
       onCoordinatorChanged: () => {
         placement.onCoordinatorChange();
       },
@@ -320,7 +330,17 @@
     if (this.isDraining) {
       return 'draining';
     }
-    return this.routes === undefined ? 'starting' : 'ready';
+    if (this.routes === undefined) {
+      return 'starting';
+    }
+    return this.watch.isSuperseded ? 'superseded' : 'ready';
+  }
+
+  private onSupersededChanged(): void {
+    this.watch.reportStatusNow();
+    if (!this.watch.isSuperseded) {
+      this.relay.onConfigured();
+    }
   }
 
   /** Limits of requests from callers; undefined before the first configuration. */
--- a/packages/scenarios/src/scripts/configurationDeliverySafeguards.ts
+++ b/packages/scenarios/src/scripts/configurationDeliverySafeguards.ts
@@ -7,6 +7,7 @@
 const DELIVERY = 'spec:trafficControl/configurationDelivery';
 const PACKAGES = 'spec:configurationTransfer/packages';
 const REQUESTS = 'spec:trafficControl/trafficConfigurationFetcher';
+const SUPERSEDED = 'spec:trafficEntry/supersededConfiguration';
 const FETCHER = 'trafficControl/trafficConfigurationFetcher.js';
 
 /** Safeguards, each with the spec that must fail without it. */
@@ -74,4 +75,32 @@
     replace: 'text',
     scenario: PACKAGES,
   },
+  {
+    name: 'an entry stops acting on a configuration that was superseded too long ago',
+    file: 'relay/trafficRelay.js',
+    find: 'this.options.isSuperseded?.() === true',
+    replace: 'false',
+    scenario: SUPERSEDED,
+  },
+  {
+    name: 'an entry that lacks a configuration is not returned to callers',
+    file: 'trafficEntry/trafficEntry.js',
+    find: "this.watch.isSuperseded ? 'superseded' : 'ready'",
+    replace: "'ready'",
+    scenario: SUPERSEDED,
+  },
+  {
+    name: 'an entry without control serves on with the configuration that it has',
+    file: 'trafficControl/controlWatch.js',
+    find: 'now - this.lastAnswerAt < CONTACT_TIMEOUT',
+    replace: 'true',
+    scenario: SUPERSEDED,
+  },
+  {
+    name: 'an entry that hears of an old change has time to fetch it',
+    file: 'trafficControl/acceptedVersions.js',
+    find: 'const MINIMUM_FETCH_TIME = 800;',
+    replace: 'const MINIMUM_FETCH_TIME = 0;',
+    scenario: SUPERSEDED,
+  },
 ];
