--- a/packages/kumquatfront/src/consensus/applier.ts
+++ b/packages/kumquatfront/src/consensus/applier.ts
@@ -7,6 +7,9 @@
 import type * as replicaOptions from './replicaOptions.js';
 import type * as types from './types.js';
 
+/** Size of the log above which a snapshot is taken; bounds the memory and the disk that large entries take. */
+const MAXIMUM_LOG_BYTES = 16 * 1_048_576;
+
 interface PendingProposal {
   readonly term: number;
   readonly done: replicaOptions.ProposalCallback;
@@ -48,7 +51,8 @@
     while (this.appliedIndex < this.commitIndex) {
       this.applyNext();
     }
-    if (this.appliedIndex - store.snapshot.index >= timing.snapshotEvery) {
+    const applied = this.appliedIndex - store.snapshot.index;
+    if (applied >= timing.snapshotEvery || (applied > 0 && store.entriesSize > MAXIMUM_LOG_BYTES)) {
       this.takeSnapshot();
     }
   }
--- a/packages/kumquatfront/src/consensus/logStore.ts
+++ b/packages/kumquatfront/src/consensus/logStore.ts
@@ -25,6 +25,8 @@
   snapshot: types.Snapshot = EMPTY_SNAPSHOT;
   hardState: types.HardState = EMPTY_HARD_STATE;
   private entries: types.LogEntry[] = [];
+  /** Size of each entry in the log file, in bytes. */
+  private readonly sizes = new WeakMap<types.LogEntry, number>();
   private readonly disk: ports.Disk;
   private syncing = false;
   private pendingCallbacks: (() => void)[] = [];
@@ -93,6 +95,7 @@
       this.discardFrom(record.fromIndex);
     } else if (record.entry.index === this.lastIndex + 1) {
       this.entries.push(record.entry);
+      this.sizes.set(record.entry, logFile.encode(record).length);
     }
   }
 
@@ -131,6 +134,11 @@
     return this.entries.slice(offset, offset + limit);
   }
 
+  /** Size in bytes of the entries that are not in the snapshot. */
+  get entriesSize(): number {
+    return this.entries.reduce((sum, entry) => sum + (this.sizes.get(entry) ?? 0), 0);
+  }
+
   /** Current members: those of the newest membership entry, committed or not, else those of the snapshot. */
   members(): readonly types.Member[] {
     return this.membersEntry()?.members ?? this.snapshot.members;
@@ -153,8 +161,10 @@
 
   /** Appends an entry; it is durable after the next sync. */
   append(entry: types.LogEntry): void {
+    const record = logFile.encode({ type: 'entry', entry });
     this.entries.push(entry);
-    this.disk.append(LOG_FILE, logFile.encode({ type: 'entry', entry }));
+    this.sizes.set(entry, record.length);
+    this.disk.append(LOG_FILE, record);
   }
 
   /** Discards the entries from an index on, which a newer leader has overwritten. */
--- a/packages/scenarios/src/scripts/configurationDeliverySafeguards.ts
+++ b/packages/scenarios/src/scripts/configurationDeliverySafeguards.ts
@@ -8,6 +8,7 @@
 const PACKAGES = 'spec:configurationTransfer/packages';
 const REQUESTS = 'spec:trafficControl/trafficConfigurationFetcher';
 const SUPERSEDED = 'spec:trafficEntry/supersededConfiguration';
+const LARGE_ENTRIES = 'spec:consensus/largeEntries';
 const FETCHER = 'trafficControl/trafficConfigurationFetcher.js';
 
 /** Safeguards, each with the spec that must fail without it. */
@@ -103,4 +104,11 @@
     replace: 'const MINIMUM_FETCH_TIME = 0;',
     scenario: SUPERSEDED,
   },
+  {
+    name: 'a snapshot is taken when the log has become large',
+    file: 'consensus/applier.js',
+    find: 'store.entriesSize > MAXIMUM_LOG_BYTES',
+    replace: 'false',
+    scenario: LARGE_ENTRIES,
+  },
 ];
