--- a/packages/kumquatfront/src/consensus/leadership.ts
+++ b/packages/kumquatfront/src/consensus/leadership.ts
@@ -13,6 +13,13 @@
 /** A message without cluster, sender and receiver, which are added when it is sent. */
 export type MessageBody = WithoutAddress<types.ConsensusMessage>;
 
+/** A message with entries or a piece of a snapshot that is not answered yet. */
+interface InFlightMessage {
+  readonly sentAt: ports.Milliseconds;
+  readonly round: number;
+  readonly bytes: number;
+}
+
 /** Replication progress of one member, as known to the leader. */
 export interface Progress {
   readonly member: types.Member;
@@ -20,8 +27,8 @@
   matchIndex: number;
   /** Send time of the newest acknowledged message, on the leader's clock. */
   acknowledgedAt: number;
-  /** Send time of the message that is not acknowledged yet; undefined if there is none. */
-  inFlightSince: number | undefined;
+  /** The last message with entries or a piece of a snapshot, if it is not answered yet. */
+  inFlight: InFlightMessage | undefined;
   /** Number of characters of the current snapshot that the member has received. */
   snapshotReceived: number;
   /** Sequence number of the newest acknowledged message. */
@@ -42,9 +49,15 @@
   readonly send: (member: types.Member, body: MessageBody) => void;
 }
 
-/** Heartbeat intervals after which unacknowledged entries are sent again. */
+/** Heartbeat intervals after which unacknowledged entries are sent again, in addition to the time that their size takes. */
 const RESEND_AFTER_HEARTBEATS = 2;
 
+/** Bytes per millisecond at which a busy follower receives, stores and answers entries at least. */
+const MINIMUM_REPLICATION_RATE = 2_000;
+
+/** Maximum size of the entries in one message, unless a single one is larger. */
+const MAXIMUM_APPEND_BYTES = 1_048_576;
+
 /** State of a leader during one term; discarded when the replica steps down. */
 export class Leadership {
   private readonly options: replicaOptions.ReplicaOptions;
@@ -175,7 +188,10 @@
     peer.acknowledgedAt = Math.max(peer.acknowledgedAt, message.sentAt);
     peer.acknowledgedRound = Math.max(peer.acknowledgedRound, message.round);
     this.completeConfirmations();
-    peer.inFlightSince = undefined;
+    // Answers arrive in the order of the messages, so a later answer means that the message in flight was lost.
+    if (peer.inFlight !== undefined && message.round >= peer.inFlight.round) {
+      peer.inFlight = undefined;
+    }
     if (message.type === 'snapshotAnswer') {
       this.onSnapshotAnswer(peer, message);
     } else if (message.success) {
@@ -185,7 +201,7 @@
     } else {
       peer.nextIndex = Math.max(1, Math.min(peer.nextIndex - 1, message.matchIndex + 1));
     }
-    if (peer.nextIndex <= this.options.store.lastIndex) {
+    if (peer.nextIndex <= this.options.store.lastIndex && this.mayTransfer(peer)) {
       this.sendTo(peer);
     }
   }
@@ -221,7 +237,7 @@
         nextIndex: previous?.nextIndex ?? store.lastIndex + 1,
         matchIndex: previous?.matchIndex ?? 0,
         acknowledgedAt: previous?.acknowledgedAt ?? Number.NEGATIVE_INFINITY,
-        inFlightSince: previous?.inFlightSince,
+        inFlight: previous?.inFlight,
         snapshotReceived: previous?.snapshotReceived ?? 0,
         acknowledgedRound: previous?.acknowledgedRound ?? 0,
         member,
@@ -240,16 +256,20 @@
     }
     this.refreshMembers();
     for (const peer of this.progress.values()) {
-      const inFlight = peer.inFlightSince !== undefined && !this.isOverdue(peer.inFlightSince);
-      if (heartbeat || (!inFlight && peer.nextIndex <= this.options.store.lastIndex)) {
+      if (heartbeat || (this.mayTransfer(peer) && peer.nextIndex <= this.options.store.lastIndex)) {
         this.sendTo(peer);
       }
     }
   }
 
-  private isOverdue(sentAt: number): boolean {
+  /** Whether entries or a piece of a snapshot may be sent: nothing is in flight, or it counts as lost. */
+  private mayTransfer({ inFlight }: Progress): boolean {
     const { timers, timing } = this.options;
-    return timers.now() - sentAt > timing.heartbeat * RESEND_AFTER_HEARTBEATS;
+    if (inFlight === undefined) {
+      return true;
+    }
+    const allowed = timing.heartbeat * RESEND_AFTER_HEARTBEATS + inFlight.bytes / MINIMUM_REPLICATION_RATE;
+    return timers.now() - inFlight.sentAt > allowed;
   }
 
   private sendTo(peer: Progress): void {
@@ -264,14 +284,13 @@
     }
     // While entries are in flight, only heartbeats are sent: one append at a time per member bounds the memory that
     // a slow member takes, and batches new entries.
-    const limit =
-      peer.inFlightSince === undefined || this.isOverdue(peer.inFlightSince) ? timing.appendLimit : 0;
-    const entries = store.slice(peer.nextIndex, limit);
-    if (entries.length > 0) {
-      peer.inFlightSince = now;
-    }
+    const limit = this.mayTransfer(peer) ? timing.appendLimit : 0;
+    const { entries, bytes } = store.slice(peer.nextIndex, limit, MAXIMUM_APPEND_BYTES);
     const commitIndex = this.host.commitIndex();
     this.lastRound += 1;
+    if (entries.length > 0) {
+      peer.inFlight = { sentAt: now, round: this.lastRound, bytes };
+    }
     this.host.send(peer.member, {
       type: 'appendRequest',
       term,
@@ -284,15 +303,20 @@
     });
   }
 
+  /** Sends the next piece of a snapshot; one at a time, because each answer requests the next one. */
   private sendSnapshot(peer: Progress, now: number): void {
     const { store, timing } = this.options;
+    if (!this.mayTransfer(peer)) {
+      return;
+    }
     if (this.serializedSnapshot?.index !== store.snapshot.index) {
       this.serializedSnapshot = { index: store.snapshot.index, text: JSON.stringify(store.snapshot) };
       peer.snapshotReceived = 0;
     }
     const { text } = this.serializedSnapshot;
-    peer.inFlightSince = now;
+    const data = text.slice(peer.snapshotReceived, peer.snapshotReceived + timing.snapshotPieceLength);
     this.lastRound += 1;
+    peer.inFlight = { sentAt: now, round: this.lastRound, bytes: data.length };
     this.host.send(peer.member, {
       type: 'snapshotPiece',
       term: store.hardState.term,
@@ -300,7 +324,7 @@
       snapshotTerm: store.snapshot.term,
       offset: peer.snapshotReceived,
       total: text.length,
-      data: text.slice(peer.snapshotReceived, peer.snapshotReceived + timing.snapshotPieceLength),
+      data,
       sentAt: now,
       round: this.lastRound,
     });
--- a/packages/kumquatfront/src/consensus/logStore.ts
+++ b/packages/kumquatfront/src/consensus/logStore.ts
@@ -128,10 +128,24 @@
     return offset < 0 ? undefined : this.entries[offset];
   }
 
-  /** At most `limit` entries, starting at an index. */
-  slice(fromIndex: number, limit: number): readonly types.LogEntry[] {
+  /** At most `limit` entries, starting at an index, and their size; several only if it is at most `maximumBytes`. */
+  slice(
+    fromIndex: number,
+    limit: number,
+    maximumBytes: number,
+  ): { readonly entries: readonly types.LogEntry[]; readonly bytes: number } {
     const offset = fromIndex - this.snapshot.index - 1;
-    return this.entries.slice(offset, offset + limit);
+    let bytes = 0;
+    let count = 0;
+    for (const entry of this.entries.slice(offset, offset + limit)) {
+      const size = this.sizes.get(entry) ?? 0;
+      if (count > 0 && bytes + size > maximumBytes) {
+        break;
+      }
+      bytes += size;
+      count += 1;
+    }
+    return { entries: this.entries.slice(offset, offset + count), bytes };
   }
 
   /** Size in bytes of the entries that are not in the snapshot. */
--- a/packages/kumquatfront/src/consensus/replicaTestHarness.ts
+++ b/packages/kumquatfront/src/consensus/replicaTestHarness.ts
@@ -66,7 +66,7 @@
       },
       machine: {
         apply: (command) => this.applied.push(command),
-        takeSnapshot: () => null,
+        takeSnapshot: () => 'state'.repeat(2_000),
         restore: ignore,
       },
       send: (_address, message) => this.sent.push(message),
@@ -166,6 +166,15 @@
       ...address,
     });
   }
+
+  /** Delivers the answer of a member that has stored a piece of a snapshot. */
+  receiveSnapshotAnswer(from: string, piece: types.SnapshotPiece): void {
+    const { index, term, sentAt, round, offset, data } = piece;
+    this.replica.receive({
+      ...{ type: 'snapshotAnswer', index, received: offset + data.length, installed: false, sentAt, round },
+      ...{ clusterIdentity: CLUSTER, from, to: 'a', term },
+    });
+  }
 }
 
 /** A log entry with a command. */
