Control accepts configurations of at most 4 MB, which every process can hold and replicate

What operators would see: a configuration of 8 to 16 MB was accepted by the server and never acknowledged, since no message between replicas carries it; one somewhat smaller ended entries for want of memory. Cause: the limit of the operators' server (16 MB) was above that of a line between processes (8 MB, with the text escaped in it). Change: 4 MB (some 15,000 routes) at the server and where a configuration is validated, with an error that names both sizes; a line may have 10 MB, so that the largest configuration fits even if every character is escaped.

--- a/packages/kumquatfront/src/adapters/lineSocket.ts
+++ b/packages/kumquatfront/src/adapters/lineSocket.ts
@@ -4,7 +4,8 @@
 import type * as net from 'node:net';
 import * as stringDecoder from 'node:string_decoder';
 
-const MAXIMUM_LINE_LENGTH = 8 * 1024 * 1024;
+/** Above the largest configuration as a JSON string, in which each character may be escaped. */
+const MAXIMUM_LINE_LENGTH = 10 * 1024 * 1024;
 const MAXIMUM_UNSENT_BYTES = 8 * 1024 * 1024;
 
 /** Splits received data into lines and sends lines. */
--- a/packages/kumquatfront/src/traffic/trafficValidation.ts
+++ b/packages/kumquatfront/src/traffic/trafficValidation.ts
@@ -6,6 +6,12 @@
 import * as results from '../kernel/results.js';
 import type * as types from './types.js';
 
+/**
+ * Maximum size of a configuration, some fifteen thousand routes. Its text and its routes fit in the memory of every process
+ * of the system, and a log entry with it in one message between control replicas.
+ */
+export const MAXIMUM_CONFIGURATION_BYTES = 4 * 1024 * 1024;
+
 type ValidationResult = results.Result<types.TrafficConfiguration, failures.Failure>;
 
 function reject(message: string, remedy: string): ValidationResult {
@@ -83,6 +89,25 @@
       );
 }
 
+/**
+ * Checks the size of a configuration before it is decoded.
+ *
+ * @param text - the text sent by the operator
+ * @returns a `badInput` failure if it is too large
+ * @example
+ * ```ts
+ * const checked = trafficValidation.checkSize(text).andThen(() => decode(text));
+ * ```
+ */
+export function checkSize(text: string): results.Result<null, failures.Failure> {
+  const bytes = Buffer.byteLength(text);
+  if (bytes <= MAXIMUM_CONFIGURATION_BYTES) {
+    return results.Ok(null);
+  }
+  const message = `The configuration has ${bytes} bytes; at most ${MAXIMUM_CONFIGURATION_BYTES} are accepted.`;
+  return results.Err(failures.create('badInput', message, 'Remove routes that are not needed.'));
+}
+
 /**
  * Checks the consistency of a configuration.
  *
--- a/packages/kumquatfront/src/trafficControl/operatorCalls.ts
+++ b/packages/kumquatfront/src/trafficControl/operatorCalls.ts
@@ -66,7 +66,10 @@
   replace(text: string, done: ports.Reply): void {
     const { log, decode, timers } = this.options;
     const receivedAt = timers.now();
-    const checked = decode(text).andThen((configuration) => trafficValidation.check(configuration));
+    const checked = trafficValidation
+      .checkSize(text)
+      .andThen(() => decode(text))
+      .andThen((configuration) => trafficValidation.check(configuration));
     if (checked.err) {
       log.info('trafficRefused', { reason: failures.describe(checked.val) });
       done(results.Err(checked.val));
--- a/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
@@ -5,6 +5,7 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
+import * as trafficValidation from '../traffic/trafficValidation.js';
 import * as controlTestHarness from './controlTestHarness.js';
 
 const SEEDS = ['c1', 'c2', 'c3'];
@@ -56,6 +57,16 @@
   assert.equal(refused, 'badInput');
 });
 
+void test.test('a configuration above the maximum size is refused', () => {
+  const harness = createCluster();
+  let refused = '';
+  const text = `7\n${' '.repeat(trafficValidation.MAXIMUM_CONFIGURATION_BYTES)}`;
+  harness.trafficOf('c1').replace(text, (result) => {
+    refused = result.err ? result.val.message : '';
+  });
+  assert.match(refused, /4194306 bytes; at most 4194304/);
+});
+
 // A partitioned leader that does not know of its successor must not return an older version.
 void test.test('a partitioned leader answers no read', () => {
   const harness = createCluster();
