Lines between processes are searched for their end once

Cause: with each chunk that arrived, a line was joined and searched again from its start, so the time for a line grew with the square of its length. Found while looking for other costs of large configurations; control replicas still exchange them whole. Change: only the new chunk is searched.

--- a/packages/kumquatfront/src/adapters/lineSocket.ts
+++ b/packages/kumquatfront/src/adapters/lineSocket.ts
@@ -27,13 +27,20 @@
   }
 
   private receive(text: string, onLine: (line: string) => void): void {
-    const lines = (this.partialLine + text).split('\n');
-    this.partialLine = lines.pop() ?? '';
+    // Only what is new is searched: with the rest, the time for a long line would grow with the square of its length.
+    const [continuation = '', ...rest] = text.split('\n');
+    this.partialLine += continuation;
     if (this.partialLine.length > MAXIMUM_LINE_LENGTH) {
       this.socket.destroy();
       return;
     }
-    for (const line of lines) {
+    const last = rest.pop();
+    if (last === undefined) {
+      return;
+    }
+    const completed = this.partialLine;
+    this.partialLine = last;
+    for (const line of [completed, ...rest]) {
       onLine(line);
     }
   }
