A configuration that is sent again while it is under way is replicated once

Cause: each copy was proposed, stored and sent to all replicas in full, although its version was committed or in the log already; and a replica gave up forwarding after 0.9 s however large the text was. Change: the leader acknowledges a version that is not above the committed one at once, and answers all callers with one proposal. Forwarding has a millisecond more for each kilobyte. Evidence: the test (six copies, one log entry) failed before; both safeguards are shown by npm run prove. The order of two versions in the log has a test of its own now, since the early answer hid it from the former one.

--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -396,6 +396,11 @@
     return members.filter((member) => member.role === 'voter').map((member) => member.name);
   }
 
+  /** Index of the last log entry at a replica. */
+  lastLogIndex(address: string): number {
+    return this.node(address).services.find('replica').status().lastIndex;
+  }
+
   /** Address of the leader; empty if there is none. */
   leader(): string {
     const found = [...this.nodes].find(
--- a/packages/kumquatfront/src/trafficControl/operatorCalls.ts
+++ b/packages/kumquatfront/src/trafficControl/operatorCalls.ts
@@ -35,12 +35,17 @@
   readonly onChangeSettled: () => void;
 }
 
-/** Timeout of a call forwarded to the leader. */
+/** Timeout of a call forwarded to the leader, in addition to the time that its size takes. */
 const FORWARD_TIMEOUT: ports.Milliseconds = 900;
 
+/** Characters per millisecond at which a call is forwarded, replicated and answered at least. */
+const MINIMUM_FORWARD_RATE = 1_000;
+
 /** Executes operator calls at the leader, or forwards them to it. */
 export class OperatorCalls {
   private readonly options: OperatorCallsOptions;
+  /** Callers that wait for a version that this replica has proposed as leader, by version. */
+  private readonly proposed = new Map<number, ports.Reply[]>();
 
   constructor(options: OperatorCallsOptions) {
     this.options = options;
@@ -51,8 +56,7 @@
     const { peers } = this.options;
     const { methods: names } = methods;
     peers.serve(names.replace, (parameters, reply) => {
-      const proposal = parameters as trafficTypes.VersionedText;
-      this.proposeLocally({ type: 'replaceTraffic', ...proposal }, reply);
+      this.proposeTraffic(parameters as trafficTypes.VersionedText, reply);
     });
     peers.serve(names.evacuate, (parameters, reply) => {
       this.proposeLocally(parameters as agreedTypes.DataCentreCommand, reply);
@@ -84,11 +88,12 @@
     };
     this.runAtLeader(
       () => {
-        this.proposeLocally({ type: 'replaceTraffic', ...proposal }, settle);
+        this.proposeTraffic(proposal, settle);
       },
       methods.methods.replace,
       proposal,
       settle,
+      FORWARD_TIMEOUT + text.length / MINIMUM_FORWARD_RATE,
     );
   }
 
@@ -132,7 +137,13 @@
   }
 
   /** Runs a call at this replica if it leads, and otherwise forwards it to the leader by an RPC method. */
-  private runAtLeader(runLocally: () => void, method: string, parameters: unknown, done: ports.Reply): void {
+  private runAtLeader(
+    runLocally: () => void,
+    method: string,
+    parameters: unknown,
+    done: ports.Reply,
+    timeout: ports.Milliseconds = FORWARD_TIMEOUT,
+  ): void {
     const { replica: own, peers, peerAddress } = this.options;
     if (own.mayLead()) {
       runLocally();
@@ -144,7 +155,32 @@
       done(results.Err(failures.create('noQuorum', 'No leader is known.', remedy)));
       return;
     }
-    peers.request(leader.address, method, parameters, FORWARD_TIMEOUT, done);
+    peers.request(leader.address, method, parameters, timeout, done);
+  }
+
+  /**
+   * Proposes a configuration unless it is committed or under way: an operator without an answer sends it again, and each
+   * copy would be replicated in full.
+   */
+  private proposeTraffic({ version, text }: trafficTypes.VersionedText, done: ports.Reply): void {
+    const { state } = this.options;
+    if (version <= (state.traffic?.version ?? 0)) {
+      done(results.Ok({ version: state.traffic?.version ?? 0 } satisfies agreedTypes.ReplaceTrafficAnswer));
+      return;
+    }
+    const waiting = this.proposed.get(version);
+    if (waiting !== undefined) {
+      waiting.push(done);
+      return;
+    }
+    const callers = [done];
+    this.proposed.set(version, callers);
+    this.proposeLocally({ type: 'replaceTraffic', version, text }, (result) => {
+      this.proposed.delete(version);
+      for (const caller of callers) {
+        caller(result);
+      }
+    });
   }
 
   private proposeLocally(command: agreedTypes.Command, done: ports.Reply): void {
--- a/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
@@ -48,6 +48,20 @@
   assert.equal(harness.read('c1'), 7);
 });
 
+// Two operators send at the same time, so that the lower version is committed after the higher one.
+void test.test('the highest version is in force if a lower one is committed after it', () => {
+  const harness = createCluster();
+  let acknowledged = 0;
+  for (const version of [9, 7]) {
+    harness.sendConfiguration(harness.leader(), controlTestHarness.configurationText(version), () => {
+      acknowledged += 1;
+    });
+  }
+  harness.time.advance(1_000);
+  assert.equal(acknowledged, 2);
+  assert.equal(harness.read('c1'), 9);
+});
+
 void test.test('an invalid configuration is refused, whatever its version', () => {
   const harness = createCluster();
   let refused = '';
@@ -57,6 +71,43 @@
   assert.equal(refused, 'badInput');
 });
 
+// An operator without an answer sends a configuration again, also to other replicas; each copy was replicated in full.
+void test.test(
+  'a configuration that is sent several times is replicated once and acknowledged each time',
+  () => {
+    const harness = createCluster();
+    const before = harness.lastLogIndex(harness.leader());
+    let acknowledged = 0;
+    for (let repetition = 0; repetition < 2; repetition += 1) {
+      for (const seed of SEEDS) {
+        harness.sendConfiguration(seed, controlTestHarness.configurationText(7), () => {
+          acknowledged += 1;
+        });
+      }
+      harness.time.advance(1_000);
+    }
+    assert.equal(acknowledged, 6);
+    assert.equal(harness.lastLogIndex(harness.leader()) - before, 1);
+  },
+);
+
+// The outcome of a proposal is unknown when its leader fails; the version must not stay blocked.
+void test.test('a configuration whose proposal failed can be sent again', () => {
+  const harness = createCluster();
+  const leader = harness.leader();
+  const others = SEEDS.filter((seed) => seed !== leader);
+  others.forEach((other) => {
+    harness.partition(leader, other);
+  });
+  assert.equal(harness.replace(leader, 7), false);
+  harness.time.advance(3_000);
+  harness.heal();
+  harness.time.advance(3_000);
+  for (const seed of SEEDS) {
+    assert.equal(harness.replace(seed, 7), true);
+  }
+});
+
 void test.test('a configuration above the maximum size is refused', () => {
   const harness = createCluster();
   let refused = '';
--- a/packages/scenarios/src/scripts/configurationDeliverySafeguards.ts
+++ b/packages/scenarios/src/scripts/configurationDeliverySafeguards.ts
@@ -139,4 +139,18 @@
     replace: 'false',
     scenario: LARGE_ENTRIES,
   },
+  {
+    name: 'a configuration that is under way is not proposed again',
+    file: 'trafficControl/operatorCalls.js',
+    find: 'if (waiting !== undefined) {',
+    replace: 'if (false) {',
+    scenario: CONTROL,
+  },
+  {
+    name: 'a version whose proposal has failed can be proposed again',
+    file: 'trafficControl/operatorCalls.js',
+    find: 'this.proposed.delete(version);',
+    replace: '',
+    scenario: CONTROL,
+  },
 ];
