Instances and crash records reach entries in pages

What callers would see: an entry that starts, or that follows a restarted replica, does not learn of upstreams, or does not start at all. Cause: a replica sent its complete list of instances, or all of its crash records, in one answer: 600 instances are 0.17 MB, 2,000 crash records 1 MB, from each replica at the same time. Over a link of 5.25 Mbit/s in use none arrives within the 1.4 s of a watch, what has come is lost, and the whole is sent again. Change: at most 60 instances or 32 crash records in an answer. A page of a list says where the next begins; what a replica listed before stays listed until the last page. The nearest and the backup replica send the next page at once. A starting entry takes its configuration only from a replica whose crash records it has in full. Leases, evacuations, paces (32 rows) and directory answers (64 addresses) are bounded already.

--- a/packages/kumquatfront/src/instances/instanceTable.ts
+++ b/packages/kumquatfront/src/instances/instanceTable.ts
@@ -28,6 +28,9 @@
  */
 const WARM_UP_END_TOLERANCE: ports.Milliseconds = 250;
 
+/** Maximum number of records in an update, so that it arrives over a narrow link within the timeout of a watch. */
+export const MAXIMUM_RECORDS = 60;
+
 /** The newest incarnation of a name, and the time of its last announcement. */
 interface NewestIncarnation {
   readonly born: number;
@@ -367,20 +370,54 @@
       }));
   }
 
-  /** Returns the changes since a revision, or the complete table for another epoch or a reader too far behind. */
-  updatesSince(epoch: string, revision: number, now: number): types.InstanceUpdate {
-    const isComplete = epoch !== this.epoch || revision < this.discardedRevision;
+  /**
+   * Returns the changes since a revision, or a page of the complete table for another epoch or a reader too far behind.
+   *
+   * @param listing - where the next page begins, for a reader that is receiving the complete table
+   */
+  updatesSince(
+    epoch: string,
+    revision: number,
+    now: number,
+    listing?: types.ListingPosition,
+  ): types.InstanceUpdate {
+    const isListing =
+      listing !== undefined && epoch === this.epoch && listing.revision >= this.discardedRevision;
+    if (isListing) {
+      return this.pageAfter(listing, now);
+    }
+    if (epoch !== this.epoch || revision < this.discardedRevision) {
+      return this.pageAfter({ revision: this.revision, after: '' }, now);
+    }
+    return this.changesSince(revision, now);
+  }
+
+  private pageAfter({ revision, after }: types.ListingPosition, now: number): types.InstanceUpdate {
+    const remaining = [...this.entries.keys()].filter((identity) => identity > after).sort();
+    const page = new Set(remaining.slice(0, MAXIMUM_RECORDS));
+    const last = remaining[MAXIMUM_RECORDS - 1];
+    const isLast = last === undefined || remaining.length === MAXIMUM_RECORDS;
+    return {
+      ...{ epoch: this.epoch, revision, whole: true },
+      records: this.records(now, (identity) => page.has(identity)),
+      removed: [],
+      ...(!isLast && { listing: { revision, after: last } }),
+    };
+  }
+
+  private changesSince(revision: number, now: number): types.InstanceUpdate {
+    const revisions = [...this.entries.values()].map((known) => known.revision);
+    const changed = revisions.filter((changedAt) => changedAt > revision).sort((left, right) => left - right);
+    const hasMore = changed.length > MAXIMUM_RECORDS;
+    const upTo = hasMore ? (changed[MAXIMUM_RECORDS - 1] ?? 0) : this.revision;
+    const isIncluded = (changedAt: number): boolean => changedAt > revision && changedAt <= upTo;
     return {
-      epoch: this.epoch,
-      revision: this.revision,
-      whole: isComplete,
-      records: this.records(
-        now,
-        (identity) => isComplete || (this.entries.get(identity)?.revision ?? 0) > revision,
-      ),
+      ...{ epoch: this.epoch, revision: upTo, whole: false },
+      records: this.records(now, (identity) => isIncluded(this.entries.get(identity)?.revision ?? 0)),
       removed: this.removed
-        .filter((removal) => removal.revision > revision)
+        .filter((removal) => isIncluded(removal.revision))
         .map((removal) => removal.identity),
+      ...(hasMore && { hasMore }),
     };
   }
 }
--- a/packages/kumquatfront/src/instances/instanceView.ts
+++ b/packages/kumquatfront/src/instances/instanceView.ts
@@ -54,12 +54,22 @@
   readonly changes: readonly InstanceChange[];
 }
 
+/** Up to where the updates of a source have been received. */
+export interface SourcePosition {
+  readonly epoch: string;
+  readonly revision: number;
+  /** Present while the complete list is being received. */
+  readonly listing?: types.ListingPosition;
+}
+
 interface Source {
   epoch: string;
   revision: number;
   firstSeenAt: number;
   lastSeenAt: number;
-  readonly identities: Set<string>;
+  identities: Set<string>;
+  /** The complete list while its pages are being received; what was listed before stays listed until then. */
+  listing: { readonly position: types.ListingPosition; readonly identities: Set<string> } | undefined;
   /** Times at which it reported instances as removed. */
   readonly removedAt: Map<string, ports.Milliseconds>;
 }
@@ -76,6 +86,7 @@
     firstSeenAt: now,
     lastSeenAt: now,
     identities: new Set(),
+    listing: undefined,
     removedAt: new Map(),
   };
 }
@@ -92,6 +103,23 @@
     : reported && { perSecond: reported.perSecond, receivedAt };
 }
 
+/** Adds a page of the complete list; the last page replaces what the source listed before. */
+function addPage(source: Source, update: types.InstanceUpdate): void {
+  const { listing } = source;
+  const isContinued = listing?.position.revision === update.revision;
+  const identities = isContinued ? listing.identities : new Set<string>();
+  for (const record of update.records) {
+    identities.add(record.identity);
+  }
+  if (update.listing === undefined) {
+    source.identities = identities;
+    source.revision = update.revision;
+    source.listing = undefined;
+  } else {
+    source.listing = { position: update.listing, identities };
+  }
+}
+
 /** Merged view of the upstream instances; see the module comment. */
 export class InstanceView {
   private readonly sources = new Map<string, Source>();
@@ -114,11 +142,13 @@
   }
 
   /** Returns the position from which to request the next update of a source. */
-  positionOf(source: string): { readonly epoch: string; readonly revision: number } {
+  positionOf(source: string): SourcePosition {
     const known = this.sources.get(source);
-    return known === undefined
-      ? { epoch: '', revision: 0 }
-      : { epoch: known.epoch, revision: known.revision };
+    if (known === undefined) {
+      return { epoch: '', revision: 0 };
+    }
+    const { epoch, revision, listing } = known;
+    return { epoch, revision, ...(listing !== undefined && { listing: listing.position }) };
   }
 
   /** Merges an update of a source. */
@@ -128,14 +158,16 @@
     this.sources.set(sourceName, source);
     const revisionBefore = source.revision;
     source.lastSeenAt = now;
-    source.revision = update.revision;
-    if (update.whole) {
-      source.identities.clear();
+    if (!update.whole) {
+      source.revision = update.revision;
     }
     for (const record of update.records) {
       source.identities.add(record.identity);
       this.applyRecord(record, now);
     }
+    if (update.whole) {
+      addPage(source, update);
+    }
     for (const identity of update.removed) {
       if (source.identities.delete(identity)) {
         source.removedAt.set(identity, now);
@@ -198,7 +230,10 @@
    */
   private removeUnlisted(now: number): void {
     const settled = [...this.sources.values()].filter(
-      (source) => now - source.lastSeenAt < SOURCE_LEASE && now - source.firstSeenAt > SOURCE_SETTLING_DELAY,
+      (source) =>
+        now - source.lastSeenAt < SOURCE_LEASE &&
+        now - source.firstSeenAt > SOURCE_SETTLING_DELAY &&
+        source.listing === undefined,
     );
     if (settled.length === 0) {
       return;
@@ -220,7 +255,7 @@
    */
   unlistedBy(sourceName: string, now: number): readonly types.Announcement[] {
     const source = this.sources.get(sourceName);
-    if (source === undefined) {
+    if (source === undefined || source.listing !== undefined) {
       return [];
     }
     const others = [...this.sources.values()].filter(
--- a/packages/kumquatfront/src/instances/types.ts
+++ b/packages/kumquatfront/src/instances/types.ts
@@ -44,13 +44,25 @@
   readonly rateLimit?: ReportedRateLimit;
 }
 
-/** Changes since a revision of one publisher. */
+/** How far the complete list of a publisher has been received, in pages sorted by identity. */
+export interface ListingPosition {
+  /** Revision at which the first page was sent; later changes are requested when the list is complete. */
+  readonly revision: number;
+  /** Last identity received. */
+  readonly after: string;
+}
+
+/** Changes since a revision of one publisher, or a page of its complete list. */
 export interface InstanceUpdate {
   /** Unique for each start of the publisher; revisions of different epochs are not comparable. */
   readonly epoch: string;
   readonly revision: number;
-  /** True if `records` is the complete list: instances that are not in it have been removed. */
+  /** True for a page of the complete list: instances that are on no page have been removed. */
   readonly whole: boolean;
+  /** Where the next page of the complete list begins; absent on the last one. */
+  readonly listing?: ListingPosition;
+  /** True if there were more changes than fit in the update; the others have higher revisions. */
+  readonly hasMore?: boolean;
   readonly records: readonly InstanceRecord[];
   /** Identities removed since the requested revision. */
   readonly removed: readonly string[];
--- a/packages/kumquatfront/src/quarantine/crashRecordStore.ts
+++ b/packages/kumquatfront/src/quarantine/crashRecordStore.ts
@@ -273,12 +273,24 @@
     return stored === undefined ? undefined : this.toCrashRecord(stored, now);
   }
 
-  /** Crash records that changed after a revision. */
-  updatesSince(revision: number, now: number): types.CrashRecordUpdate {
+  /**
+   * Crash records that changed after a revision, oldest change first.
+   *
+   * @param limit - maximum number of records
+   */
+  updatesSince(
+    revision: number,
+    now: number,
+    limit: number = Number.POSITIVE_INFINITY,
+  ): types.CrashRecordUpdate {
     const changed = [...this.records.values()].filter((stored) => stored.revision > revision);
+    changed.sort((left, right) => left.revision - right.revision);
+    const included = changed.slice(0, limit);
+    const hasMore = included.length < changed.length;
     return {
-      revision: this.currentRevision,
-      cases: changed.map((stored) => this.toCrashRecord(stored, now)),
+      revision: hasMore ? (included.at(-1)?.revision ?? revision) : this.currentRevision,
+      cases: included.map((stored) => this.toCrashRecord(stored, now)),
+      ...(hasMore && { hasMore }),
     };
   }
 }
--- a/packages/kumquatfront/src/quarantine/quarantineRegistry.ts
+++ b/packages/kumquatfront/src/quarantine/quarantineRegistry.ts
@@ -10,6 +10,9 @@
 import * as crashRecordStore from './crashRecordStore.js';
 import type * as types from './types.js';
 
+/** Maximum number of records in an update, so that it arrives over a narrow link within the timeout of a watch. */
+export const MAXIMUM_RECORDS_PER_UPDATE = 32;
+
 /** Dependencies and limits of the registry. */
 export interface QuarantineRegistryOptions {
   readonly now: () => ports.Milliseconds;
@@ -54,7 +57,7 @@
     this.applyAgreedQuarantines();
     return revision >= this.store.revision
       ? undefined
-      : this.store.updatesSince(revision, this.options.now());
+      : this.store.updatesSince(revision, this.options.now(), MAXIMUM_RECORDS_PER_UPDATE);
   }
 
   /** Merges crash records from an entry; returns true if any of them changed the stored state. */
--- a/packages/kumquatfront/src/quarantine/types.ts
+++ b/packages/kumquatfront/src/quarantine/types.ts
@@ -30,4 +30,6 @@
 export interface CrashRecordUpdate {
   readonly revision: number;
   readonly cases: readonly CrashRecord[];
+  /** True if there were more records than fit in the update; the others have higher revisions. */
+  readonly hasMore?: boolean;
 }
--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -435,6 +435,8 @@
   watch(name: string): {
     readonly configurations: trafficTypes.VersionedText[];
     readonly evacuations: agreedTypes.Evacuations[];
+    /** Contents of which crash records have arrived. */
+    readonly crashedContents: Set<string>;
     readonly view: instanceView.InstanceView;
     readonly watch: controlWatch.ControlWatch;
   } {
@@ -442,6 +444,7 @@
     const base = this.basePorts(testProcess);
     const configurations: trafficTypes.VersionedText[] = [];
     const evacuations: agreedTypes.Evacuations[] = [];
+    const crashedContents = new Set<string>();
     const view = new instanceView.InstanceView(() => undefined);
     const watch: controlWatch.ControlWatch = new controlWatch.ControlWatch({
       timers: timerService.create(base.clock, base.scheduler),
@@ -462,10 +465,14 @@
       onTraffic: (traffic) => configurations.push(traffic),
       onSupersededChanged: () => undefined,
       onCoordinatorChanged: () => undefined,
-      onCrashRecords: () => undefined,
+      onCrashRecords: (records) => {
+        for (const { content } of records) {
+          crashedContents.add(content);
+        }
+      },
       onEvacuations: (update) => evacuations.push(update),
       onReplicaStarted: () => undefined,
     });
-    return { configurations, evacuations, view, watch };
+    return { configurations, evacuations, crashedContents, view, watch };
   }
 }
--- a/packages/kumquatfront/src/trafficControl/controlWatch.ts
+++ b/packages/kumquatfront/src/trafficControl/controlWatch.ts
@@ -76,6 +76,8 @@
   entryCount: number;
   /** Epoch of the replica in its last answer; empty before its first answer. */
   epoch: string;
+  /** True if the last answer left out updates that the replica had. */
+  awaitsMore: boolean;
   /** Revision of the crash records received from the replica in this epoch. */
   crashRecordRevision: number;
   /** Incremented with each request, so that the answer to a superseded one starts no second request loop. */
@@ -90,6 +92,7 @@
     control: [],
     entryCount: 0,
     epoch: '',
+    awaitsMore: false,
     crashRecordRevision: 0,
     round: 0,
   };
@@ -254,6 +257,7 @@
     const request: methods.WatchRequest = {
       entry: entryStatus(),
       ...instances.positionOf(address),
+      ...(watched.awaitsMore && { awaitsMore: true }),
       toldVersion: knownVersion,
       toldTerm: this.leader.term,
       toldAtOnce: this.immediateUpdatesFrom(address),
@@ -352,11 +356,15 @@
     const now = timers.now();
     instances.merge(address, answer.instances ?? emptyUpdate(instances.positionOf(address)), now);
     watched.entryCount = answer.entryCount;
+    const hasMoreCrashRecords = answer.cases?.hasMore === true;
+    watched.awaitsMore =
+      hasMoreCrashRecords || answer.instances?.hasMore === true || answer.instances?.listing !== undefined;
     this.applyCrashRecords(address, watched, answer);
     this.applyEvacuations(answer);
     this.firstAnswerAt = Math.min(this.firstAnswerAt, now);
-    // An entry must not start on the configuration of a stale replica, which others may have superseded.
-    if (answer.fresh || this.fetcher.versionInForce > 0) {
+    // An entry must not start on the configuration of a stale replica, which others may have superseded, nor before it
+    // knows all quarantined contents.
+    if ((answer.fresh && !hasMoreCrashRecords) || this.fetcher.versionInForce > 0) {
       this.fetcher.recordVersion(address, answer.trafficVersion);
     }
     this.lastAnswerAt = now;
--- a/packages/kumquatfront/src/trafficControl/methods.ts
+++ b/packages/kumquatfront/src/trafficControl/methods.ts
@@ -69,6 +69,10 @@
   readonly entry: EntryStatus;
   readonly epoch: string;
   readonly revision: number;
+  /** Where the next page of the instances begins; absent unless the complete list is being received. */
+  readonly listing?: instanceTypes.ListingPosition;
+  /** True if the last answer left out updates that the replica had. */
+  readonly awaitsMore?: boolean;
   /** Highest configuration version that the entry has in force or that this replica has announced to it. */
   readonly toldVersion: number;
   /** Highest leader term that any replica has reported to the entry. */
--- a/packages/kumquatfront/src/trafficControl/openWatches.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/openWatches.spec.ts
@@ -168,3 +168,34 @@
   harness.watches.wake();
   assert.deepEqual(other, []);
 });
+
+// The pages of a long list took a watch each, so that an entry learned a large fleet only after many seconds.
+void test.test(
+  'the next page of a long update is sent at once, except by replicas that are not preferred',
+  () => {
+    const answered = (toldAtOnce: methods.ImmediateUpdates): boolean => {
+      const harness = new WatchTestHarness();
+      const attributes = { name: 'e', dataCentre: 'a', callerAddress: 'e:1', peerAddress: 'e' };
+      let isAnswered = false;
+      harness.watches.open(
+        {
+          entry: { ...attributes, state: 'ready', trafficVersion: 1 },
+          ...{ epoch: 'epoch', revision: harness.table.currentRevision, awaitsMore: true },
+          ...{
+            toldVersion: 1,
+            toldTerm: 1,
+            toldAtOnce,
+            controlDigest: 0,
+            caseRevision: 0,
+            evacuationRevision: 0,
+          },
+        },
+        () => {
+          isAnswered = true;
+        },
+      );
+      return isAnswered;
+    };
+    assert.deepEqual([answered('instances'), answered('notices'), answered('leaders')], [true, true, false]);
+  },
+);
--- a/packages/kumquatfront/src/trafficControl/openWatches.ts
+++ b/packages/kumquatfront/src/trafficControl/openWatches.ts
@@ -4,7 +4,7 @@
  * Every entry watches every replica so that a network partition hides no update. If all replicas answered all watches
  * on every change, announcements of a whole fleet after a restart would saturate the replicas. Therefore the replica
  * nearest to an entry sends all updates immediately, a backup replica in another data centre sends termination notices,
- * crash records and configurations immediately, and all replicas send leader changes and evacuations immediately. All
+ * crash records, configurations and the next page of a long update immediately, and all replicas send leader changes and evacuations immediately. All
  * other updates are sent when the watch closes.
  */
 import type * as instanceTable from '../instances/instanceTable.js';
@@ -118,10 +118,11 @@
     if (request.epoch !== table.epoch) {
       return true;
     }
+    const moreUpdates = request.awaitsMore === true;
     const newCrashRecords = request.caseRevision < state.crashRecordRevision;
     return (
       request.toldAtOnce !== 'leaders' &&
-      (newTraffic || newCrashRecords || request.revision < table.immediateRevision)
+      (newTraffic || newCrashRecords || moreUpdates || request.revision < table.immediateRevision)
     );
   }
 
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -413,15 +413,17 @@
     const { replica: own, state, timers, dataCentre } = this.options;
     const status = own.status();
     const control = status.members.map((member) => member.address);
-    const isCurrent = request.epoch === this.table.epoch && request.revision === this.table.currentRevision;
+    const { epoch, revision, listing } = request;
+    const isCurrent =
+      listing === undefined && epoch === this.table.epoch && revision === this.table.currentRevision;
     const { evacuations } = state;
     const crashRecords = this.crashRecords.updatesSince(
-      request.epoch === this.table.epoch ? request.caseRevision : 0,
+      epoch === this.table.epoch ? request.caseRevision : 0,
     );
     return {
       dataCentre,
       ...(!isCurrent && {
-        instances: this.table.updatesSince(request.epoch, request.revision, timers.now()),
+        instances: this.table.updatesSince(epoch, revision, timers.now(), listing),
       }),
       ...(methods.replicaSetDigest(control) !== request.controlDigest && { control }),
       trafficVersion: this.appliedTraffic.version,
--- a/packages/scenarios/src/scripts/configurationDeliverySafeguards.ts
+++ b/packages/scenarios/src/scripts/configurationDeliverySafeguards.ts
@@ -9,6 +9,8 @@
 const REQUESTS = 'spec:trafficControl/trafficConfigurationFetcher';
 const SUPERSEDED = 'spec:trafficEntry/supersededConfiguration';
 const LARGE_ENTRIES = 'spec:consensus/largeEntries';
+const PAGES = 'spec:instances/pages';
+const LARGE_UPDATES = 'spec:trafficControl/largeUpdates';
 const FETCHER = 'trafficControl/trafficConfigurationFetcher.js';
 
 /** Safeguards, each with the spec that must fail without it. */
@@ -153,4 +155,39 @@
     replace: '',
     scenario: CONTROL,
   },
+  {
+    name: 'instances on a later page stay listed until the last page has arrived',
+    file: 'instances/instanceView.js',
+    find: 'source.listing === undefined);',
+    replace: 'true);',
+    scenario: PAGES,
+  },
+  {
+    name: 'the list of a large fleet is sent in pages',
+    file: 'instances/instanceTable.js',
+    find: 'MAXIMUM_RECORDS = 60;',
+    replace: 'MAXIMUM_RECORDS = 100_000;',
+    scenario: LARGE_UPDATES,
+  },
+  {
+    name: 'crash records are sent in pages',
+    file: 'quarantine/quarantineRegistry.js',
+    find: 'MAXIMUM_RECORDS_PER_UPDATE = 32;',
+    replace: 'MAXIMUM_RECORDS_PER_UPDATE = 100_000;',
+    scenario: LARGE_UPDATES,
+  },
+  {
+    name: 'an entry starts only when it knows all quarantined contents',
+    file: 'trafficControl/controlWatch.js',
+    find: 'answer.fresh && !hasMoreCrashRecords',
+    replace: 'answer.fresh',
+    scenario: LARGE_UPDATES,
+  },
+  {
+    name: 'the next page of a long update is sent at once',
+    file: 'trafficControl/openWatches.js',
+    find: 'moreUpdates ||',
+    replace: '',
+    scenario: 'spec:trafficControl/openWatches',
+  },
 ];
