--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -332,9 +332,9 @@
     return node;
   }
 
-  /** Delivers a message of an entry to a replica; the reply is ignored. */
-  send(address: string, method: string, parameters: unknown): void {
-    this.processes.get(address)?.handlers.get(method)?.(parameters, () => undefined);
+  /** Delivers a message of an entry to a replica; by default the reply is ignored. */
+  send(address: string, method: string, parameters: unknown, reply: ports.Reply = () => undefined): void {
+    this.processes.get(address)?.handlers.get(method)?.(parameters, reply);
   }
 
   trafficOf(address: string): trafficControl.TrafficControl {
--- a/packages/kumquatfront/src/trafficControl/methods.ts
+++ b/packages/kumquatfront/src/trafficControl/methods.ts
@@ -14,6 +14,8 @@
 /** RPC method names. */
 export const methods = {
   watch: 'traffic.watch',
+  /** Sends the complete configuration; for entries of earlier releases, while control is upgraded before them. */
+  fetch: 'traffic.fetch',
   /** Sends a piece of the configuration in force; see `configurationTransfer/types`. */
   fetchPiece: 'traffic.fetchPiece',
   replace: 'traffic.replace',
@@ -86,6 +88,11 @@
   readonly evacuationRevision: number;
 }
 
+/** Requests the complete configuration in force if it is newer than version `above`. */
+export interface FetchRequest {
+  readonly above: number;
+}
+
 /** Updates for an entry. */
 export interface WatchAnswer {
   /** Data centre of the answering replica. */
--- a/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
@@ -7,6 +7,7 @@
 
 import * as trafficValidation from '../traffic/trafficValidation.js';
 import * as controlTestHarness from './controlTestHarness.js';
+import * as methods from './methods.js';
 
 const SEEDS = ['c1', 'c2', 'c3'];
 
@@ -261,6 +262,17 @@
   assert.equal(harness.trafficOf('c1').entriesFor({ host: 'h', dataCentre: 'a', region: '' }, 10).length, 0);
 });
 
+// Control is upgraded before the entries, which know only complete configurations until then.
+void test.test('an entry of an earlier release fetches the complete configuration', () => {
+  const harness = createCluster();
+  harness.replace('c1', 7);
+  const fetched: unknown[] = [];
+  for (const above of [0, 7]) {
+    harness.send('c1', methods.methods.fetch, { above }, (result) => fetched.push(result.val));
+  }
+  assert.deepEqual(fetched, [{ version: 7, text: controlTestHarness.configurationText(7) }, null]);
+});
+
 // If every replica sent every change to every entry, configurations would saturate the entries' links and delay calls.
 void test.test('frequent changes are sent to an entry at a limited rate, and the last one soon', () => {
   const harness = createCluster();
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -197,6 +197,11 @@
     peers.serve(names.watch, (parameters, reply) => {
       this.onWatch(parameters as methods.WatchRequest, reply);
     });
+    peers.serve(names.fetch, (parameters, reply) => {
+      const { above } = parameters as methods.FetchRequest;
+      const { traffic } = this.options.state;
+      reply(results.Ok(traffic !== undefined && traffic.version > above ? traffic : null));
+    });
     peers.serve(names.fetchPiece, (parameters, reply) => {
       this.recordTraffic();
       reply(results.Ok(this.publisher.answer(parameters as transferTypes.PieceRequest)));
