Entries check their configuration only while they lack a newer one

A timer of 50 ms at every entry woke it twenty times a second for nothing; the check is due at a deadline that is known. Control names entries that are behind only when the version is a second old, since every change passes through that state.

--- a/packages/kumquatfront/src/configurationTransfer/packagePublisher.ts
+++ b/packages/kumquatfront/src/configurationTransfer/packagePublisher.ts
@@ -24,12 +24,15 @@
     if (traffic === undefined || traffic.version <= (this.history.at(-1)?.version ?? 0)) {
       return;
     }
-    let length = 0;
-    const newestFirst = [traffic, ...[...this.history].reverse()].filter(({ text }, index) => {
-      length += text.length;
-      return index === 0 || (index < MAXIMUM_HISTORY_VERSIONS && length <= MAXIMUM_HISTORY_LENGTH);
-    });
-    this.history = newestFirst.reverse();
+    this.history = [...this.history, traffic];
+    while (this.history.length > 1 && this.isHistoryFull()) {
+      this.history = this.history.slice(1);
+    }
+  }
+
+  private isHistoryFull(): boolean {
+    const length = this.history.reduce((sum, { text }) => sum + text.length, 0);
+    return this.history.length > MAXIMUM_HISTORY_VERSIONS || length > MAXIMUM_HISTORY_LENGTH;
   }
 
   /** Answers a request of an entry; null if there is no version above the one that it has. */
--- a/packages/kumquatfront/src/trafficControl/controlWatch.ts
+++ b/packages/kumquatfront/src/trafficControl/controlWatch.ts
@@ -38,8 +38,8 @@
  */
 const CONTACT_TIMEOUT: ports.Milliseconds = 3_000;
 
-/** Interval at which an entry checks whether its configuration may still be used. */
-const SUPERSEDED_CHECK_INTERVAL: ports.Milliseconds = 50;
+/** Interval at which an entry whose configuration is superseded checks whether it has lost control. */
+const SUPERSEDED_CHECK_INTERVAL: ports.Milliseconds = 100;
 
 /** Settings, dependencies and callbacks of {@link ControlWatch}. */
 export interface ControlWatchOptions {
@@ -131,6 +131,7 @@
   private leader = { term: 0, address: '', reportedAt: Number.NEGATIVE_INFINITY };
   private readonly accepted: acceptedVersions.AcceptedVersions;
   private wasSuperseded = false;
+  private cancelSupersededCheck: ports.Cancel = () => undefined;
   private lastAnswerAt = Number.NEGATIVE_INFINITY;
   private evacuationRevision = 0;
   private firstAnswerAt = Number.POSITIVE_INFINITY;
@@ -154,12 +155,6 @@
         this.checkSuperseded();
       },
     });
-    options.timers.every(
-      () => SUPERSEDED_CHECK_INTERVAL,
-      () => {
-        this.checkSuperseded();
-      },
-    );
     this.seeds = options.seeds;
     this.watchAll(options.seeds);
   }
@@ -208,13 +203,25 @@
     return now >= this.accepted.deadline && now - this.lastAnswerAt < CONTACT_TIMEOUT;
   }
 
+  /** Reports a change of `isSuperseded`, and checks again when it may change next. */
   private checkSuperseded(): void {
+    const { timers, log, onSupersededChanged } = this.options;
     const { isSuperseded } = this;
     if (isSuperseded !== this.wasSuperseded) {
       this.wasSuperseded = isSuperseded;
-      const version = this.fetcher.versionInForce;
-      this.options.log.warn('configurationSuperseded', { version, superseded: isSuperseded });
-      this.options.onSupersededChanged();
+      log.warn('configurationSuperseded', {
+        version: this.fetcher.versionInForce,
+        superseded: isSuperseded,
+      });
+      onSupersededChanged();
+    }
+    this.cancelSupersededCheck();
+    const { deadline } = this.accepted;
+    if (Number.isFinite(deadline)) {
+      const delay = Math.max(SUPERSEDED_CHECK_INTERVAL, deadline - timers.now());
+      this.cancelSupersededCheck = timers.after(delay, () => {
+        this.checkSuperseded();
+      });
     }
   }
 
@@ -370,6 +377,7 @@
     this.lastAnswerAt = now;
     if (answer.trafficVersion > this.fetcher.versionInForce) {
       this.accepted.record(answer.trafficVersion, answer.trafficAge, now);
+      this.checkSuperseded();
     }
     this.recordLeader(answer, now);
     this.watchAll(watched.control);
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -69,7 +69,7 @@
 /** Maximum number of entries in one log line. */
 const MAXIMUM_LOGGED_ENTRIES = 20;
 
-/** Minimum time between two log lines about entries with an older configuration. */
+/** Age of a configuration, and time between two log lines, from which entries without it are logged. */
 const BEHIND_LOG_INTERVAL: ports.Milliseconds = 1_000;
 
 /** Location of a caller and the host it requests. */
@@ -379,7 +379,8 @@
     const version = state.traffic?.version ?? 0;
     const behind = this.entries.behind(version);
     metrics.gauge('traffic.entries_behind', behind.length);
-    if (behind.length === 0 || now < this.nextBehindLogAt) {
+    const isDelayed = now - this.appliedTraffic.appliedAt >= BEHIND_LOG_INTERVAL;
+    if (behind.length === 0 || !isDelayed || now < this.nextBehindLogAt) {
       return;
     }
     this.nextBehindLogAt = now + BEHIND_LOG_INTERVAL;
