--- a/packages/kumquatfront/src/trafficControl/controlWatch.ts
+++ b/packages/kumquatfront/src/trafficControl/controlWatch.ts
@@ -13,8 +13,8 @@
 import type * as quarantineTypes from '../quarantine/types.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as rendezvousHashing from '../utils/rendezvousHashing.js';
-import * as acceptedVersions from './acceptedVersions.js';
 import * as methods from './methods.js';
+import * as supersededCheck from './supersededCheck.js';
 import * as trafficConfigurationFetcher from './trafficConfigurationFetcher.js';
 
 /** Timeout of a watch request; twice the maximum time a replica keeps a watch open. */
@@ -32,15 +32,6 @@
 /** Time for which a reported leader remains valid without being reported again. */
 const LEADER_TTL: ports.Milliseconds = 900;
 
-/**
- * Time without an answer of any replica after which an entry counts as partitioned from control; it then serves on with
- * the configuration that it has.
- */
-const CONTACT_TIMEOUT: ports.Milliseconds = 3_000;
-
-/** Interval at which an entry whose configuration is superseded checks whether it has lost control. */
-const SUPERSEDED_CHECK_INTERVAL: ports.Milliseconds = 100;
-
 /** Settings, dependencies and callbacks of {@link ControlWatch}. */
 export interface ControlWatchOptions {
   readonly timers: timerService.TimerService;
@@ -129,10 +120,7 @@
   private seeds: readonly string[];
   private readonly fetcher: trafficConfigurationFetcher.TrafficConfigurationFetcher;
   private leader = { term: 0, address: '', reportedAt: Number.NEGATIVE_INFINITY };
-  private readonly accepted: acceptedVersions.AcceptedVersions;
-  private wasSuperseded = false;
-  private cancelSupersededCheck: ports.Cancel = () => undefined;
-  private lastAnswerAt = Number.NEGATIVE_INFINITY;
+  private readonly supersededCheck: supersededCheck.SupersededCheck;
   private evacuationRevision = 0;
   private firstAnswerAt = Number.POSITIVE_INFINITY;
   /** Address of the replica that sends all updates immediately; empty if no replica responds. */
@@ -145,14 +133,13 @@
 
   constructor(options: ControlWatchOptions) {
     this.options = options;
-    this.accepted = new acceptedVersions.AcceptedVersions(options.inForceWithin);
+    this.supersededCheck = new supersededCheck.SupersededCheck(options);
     this.fetcher = new trafficConfigurationFetcher.TrafficConfigurationFetcher({
       ...options,
       preferredReplica: () => this.nearest,
       onTraffic: (traffic) => {
-        this.accepted.onInForce(traffic.version);
         options.onTraffic(traffic);
-        this.checkSuperseded();
+        this.supersededCheck.onInForce(traffic.version);
       },
     });
     this.seeds = options.seeds;
@@ -194,35 +181,9 @@
     return Math.max(0, ...responding.map(({ entryCount }) => entryCount));
   }
 
-  /**
-   * True if the entry must not act on its configuration, because a newer one was acknowledged too long ago. False while
-   * the entry is partitioned from control.
-   */
+  /** True if the entry must not act on its configuration; see `supersededCheck`. */
   get isSuperseded(): boolean {
-    const now = this.options.timers.now();
-    return now >= this.accepted.deadline && now - this.lastAnswerAt < CONTACT_TIMEOUT;
-  }
-
-  /** Reports a change of `isSuperseded`, and checks again when it may change next. */
-  private checkSuperseded(): void {
-    const { timers, log, onSupersededChanged } = this.options;
-    const { isSuperseded } = this;
-    if (isSuperseded !== this.wasSuperseded) {
-      this.wasSuperseded = isSuperseded;
-      log.warn('configurationSuperseded', {
-        version: this.fetcher.versionInForce,
-        superseded: isSuperseded,
-      });
-      onSupersededChanged();
-    }
-    this.cancelSupersededCheck();
-    const { deadline } = this.accepted;
-    if (Number.isFinite(deadline)) {
-      const delay = Math.max(SUPERSEDED_CHECK_INTERVAL, deadline - timers.now());
-      this.cancelSupersededCheck = timers.after(delay, () => {
-        this.checkSuperseded();
-      });
-    }
+    return this.supersededCheck.isSuperseded;
   }
 
   /** Version of the configuration in force; 0 before the first. */
@@ -374,11 +335,7 @@
     if ((answer.fresh && !hasMoreCrashRecords) || this.fetcher.versionInForce > 0) {
       this.fetcher.recordVersion(address, answer.trafficVersion);
     }
-    this.lastAnswerAt = now;
-    if (answer.trafficVersion > this.fetcher.versionInForce) {
-      this.accepted.record(answer.trafficVersion, answer.trafficAge, now);
-      this.checkSuperseded();
-    }
+    this.supersededCheck.onAnswer(answer.trafficVersion, answer.trafficAge);
     this.recordLeader(answer, now);
     this.watchAll(watched.control);
   }
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -4,8 +4,6 @@
  */
 import type * as agreedState from '../agreedState/agreedState.js';
 import type * as agreedTypes from '../agreedState/types.js';
-import * as packagePublisher from '../configurationTransfer/packagePublisher.js';
-import type * as transferTypes from '../configurationTransfer/types.js';
 import type * as replica from '../consensus/replica.js';
 import type * as placementShares from '../fairShare/placementShares.js';
 import * as instanceTable from '../instances/instanceTable.js';
@@ -27,6 +25,7 @@
 import * as paceTable from '../upstreamPace/paceTable.js';
 import type * as paceTypes from '../upstreamPace/types.js';
 import type * as warmUpBounds from '../warmUp/warmUpBounds.js';
+import * as appliedConfiguration from './appliedConfiguration.js';
 import * as entryDirectory from './entryDirectory.js';
 import * as instanceGossip from './instanceGossip.js';
 import * as methods from './methods.js';
@@ -69,9 +68,6 @@
 /** Maximum number of entries in one log line. */
 const MAXIMUM_LOGGED_ENTRIES = 20;
 
-/** Age of a configuration, and time between two log lines, from which entries without it are logged. */
-const BEHIND_LOG_INTERVAL: ports.Milliseconds = 1_000;
-
 /** Location of a caller and the host it requests. */
 export interface CallerLocation {
   readonly host: string;
@@ -91,12 +87,10 @@
   private readonly crashRecords: quarantineRegistry.QuarantineRegistry;
   private readonly gossip: instanceGossip.InstanceGossip;
   private readonly operatorCalls: operatorCalls.OperatorCalls;
-  private readonly publisher = new packagePublisher.PackagePublisher();
+  private readonly configuration: appliedConfiguration.AppliedConfiguration;
   /** Data centres that were evacuated after the last applied command. */
   private evacuated: readonly string[] = [];
   private cachedRoutes: routeTable.RouteTable | undefined;
-  private nextBehindLogAt: ports.Milliseconds = 0;
-  private appliedTraffic = { version: 0, appliedAt: 0 };
 
   constructor(options: TrafficControlOptions) {
     this.options = options;
@@ -104,6 +98,7 @@
     this.entries = new entryDirectory.EntryDirectory(random, {
       usesWeights: options.isEnabled?.('entryCapacity') ?? true,
     });
+    this.configuration = new appliedConfiguration.AppliedConfiguration({ ...options, entries: this.entries });
     this.table = new instanceTable.InstanceTable(random.identity());
     this.paces = new paceTable.PaceTable(
       () => timers.now(),
@@ -168,6 +163,7 @@
     });
     this.serve();
     this.operatorCalls.serve();
+    this.configuration.serve();
     if ((options.isEnabled ?? placementFeatures.allEnabled)('sharedLimits')) {
       this.serveLeases();
     }
@@ -197,15 +193,6 @@
     peers.serve(names.watch, (parameters, reply) => {
       this.onWatch(parameters as methods.WatchRequest, reply);
     });
-    peers.serve(names.fetch, (parameters, reply) => {
-      const { above } = parameters as methods.FetchRequest;
-      const { traffic } = this.options.state;
-      reply(results.Ok(traffic !== undefined && traffic.version > above ? traffic : null));
-    });
-    peers.serve(names.fetchPiece, (parameters, reply) => {
-      this.recordTraffic();
-      reply(results.Ok(this.publisher.answer(parameters as transferTypes.PieceRequest)));
-    });
     peers.serve(names.gossip, (parameters, reply) => {
       this.gossip.mergeGossip((parameters as methods.Gossip).records);
       reply(results.Ok(null));
@@ -250,7 +237,7 @@
 
   /** Called after each log command that is applied at this replica. */
   onCommandApplied(): void {
-    this.recordTraffic();
+    this.configuration.update();
     const { dataCentres } = this.options.state.evacuations;
     const evacuated = dataCentres.map((record) => record.dataCentre);
     // Upstreams may have turned cold while they received no requests, and report it only with their next announcement.
@@ -265,16 +252,6 @@
     this.wakeWatches();
   }
 
-  /** Notes a configuration that has been applied, also by the installation of a snapshot. */
-  private recordTraffic(): void {
-    const { state, timers } = this.options;
-    const version = state.traffic?.version ?? 0;
-    if (version !== this.appliedTraffic.version) {
-      this.appliedTraffic = { version, appliedAt: timers.now() };
-      this.publisher.record(state.traffic);
-    }
-  }
-
   private isEvacuated(dataCentre: string): boolean {
     return this.options.state.evacuations.dataCentres.some((record) => record.dataCentre === dataCentre);
   }
@@ -358,7 +335,7 @@
       this.options.log.info('entryLost', { entry });
     }
     this.logReducedEntries(now);
-    this.reportEntriesBehind(now);
+    this.configuration.reportEntriesBehind();
     this.crashRecords.tick();
     this.wakeWatches();
   }
@@ -373,21 +350,6 @@
     }
   }
 
-  /** Entries that have not reported the newest configuration; an operator sees them while they remain. */
-  private reportEntriesBehind(now: ports.Milliseconds): void {
-    const { state, log, metrics } = this.options;
-    const version = state.traffic?.version ?? 0;
-    const behind = this.entries.behind(version);
-    metrics.gauge('traffic.entries_behind', behind.length);
-    const isDelayed = now - this.appliedTraffic.appliedAt >= BEHIND_LOG_INTERVAL;
-    if (behind.length === 0 || !isDelayed || now < this.nextBehindLogAt) {
-      return;
-    }
-    this.nextBehindLogAt = now + BEHIND_LOG_INTERVAL;
-    const names = behind.slice(0, MAXIMUM_LOGGED_ENTRIES).join(' ');
-    log.info('entriesBehind', { version, count: behind.length, known: this.entries.size, entries: names });
-  }
-
   private onWatch(request: methods.WatchRequest, reply: ports.Reply): void {
     const now = this.options.timers.now();
     const { entry } = request;
@@ -415,7 +377,6 @@
   }
 
   private watchAnswer(request: methods.WatchRequest): methods.WatchAnswer {
-    this.recordTraffic();
     const { replica: own, state, timers, dataCentre } = this.options;
     const status = own.status();
     const control = status.members.map((member) => member.address);
@@ -423,6 +384,7 @@
     const isCurrent =
       listing === undefined && epoch === this.table.epoch && revision === this.table.currentRevision;
     const { evacuations } = state;
+    const applied = this.configuration.current();
     const crashRecords = this.crashRecords.updatesSince(
       epoch === this.table.epoch ? request.caseRevision : 0,
     );
@@ -432,8 +394,8 @@
         instances: this.table.updatesSince(epoch, revision, timers.now(), listing),
       }),
       ...(methods.replicaSetDigest(control) !== request.controlDigest && { control }),
-      trafficVersion: this.appliedTraffic.version,
-      trafficAge: timers.now() - this.appliedTraffic.appliedAt,
+      trafficVersion: applied.version,
+      trafficAge: applied.age,
       fresh: status.fresh,
       leaderTerm: status.term,
       leaderAddress: status.fresh ? (status.leader?.address ?? '') : '',
--- a/packages/scenarios/src/scripts/configurationDeliverySafeguards.ts
+++ b/packages/scenarios/src/scripts/configurationDeliverySafeguards.ts
@@ -94,7 +94,7 @@
   },
   {
     name: 'an entry without control serves on with the configuration that it has',
-    file: 'trafficControl/controlWatch.js',
+    file: 'trafficControl/supersededCheck.js',
     find: 'now - this.lastAnswerAt < CONTACT_TIMEOUT',
     replace: 'true',
     scenario: SUPERSEDED,
