--- a/packages/kumquatfront/src/trafficControl/appliedConfiguration.ts
+++ b/packages/kumquatfront/src/trafficControl/appliedConfiguration.ts
@@ -81,7 +81,7 @@
   reportEntriesBehind(): void {
     const { log, metrics, entries, timers } = this.options;
     const { version, age } = this.current();
-    const behind = entries.behind(version);
+    const behind = entries.namesBehind(version);
     metrics.gauge('traffic.entries_behind', behind.length);
     const now = timers.now();
     if (behind.length === 0 || age < BEHIND_LOG_INTERVAL || now < this.nextLogAt) {
--- a/packages/kumquatfront/src/trafficControl/entryDirectory.ts
+++ b/packages/kumquatfront/src/trafficControl/entryDirectory.ts
@@ -69,7 +69,7 @@
   }
 
   /** Names of the entries whose last reported configuration is older than a version. */
-  behind(version: number): readonly string[] {
+  namesBehind(version: number): readonly string[] {
     const older = [...this.entries].filter(([, { status }]) => status.trafficVersion < version);
     return older.map(([name]) => name);
   }
--- a/packages/kumquatfront/src/trafficControl/trafficConfigurationFetcher.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficConfigurationFetcher.ts
@@ -212,7 +212,7 @@
   private onFailure(address: string, fetch: PackageFetch, reason: string): void {
     const { log } = this.options;
     const version = fetch.receiver?.version ?? this.announcedVersions.get(address);
-    log.warn('trafficNotFetched', { version, control: address, ...this.effort(fetch), reason });
+    log.warn('trafficNotFetched', { version, control: address, ...this.progressOf(fetch), reason });
     this.pieceLength.onSlow();
     // The replica announces the version again with its next watch answer.
     this.announcedVersions.delete(address);
@@ -220,7 +220,7 @@
   }
 
   /** Progress of a fetch, and what the entry has received from all peers since its start. */
-  private effort(fetch: PackageFetch): ports.LogFields {
+  private progressOf(fetch: PackageFetch): ports.LogFields {
     const { peers, timers } = this.options;
     return {
       waited: Math.round(timers.now() - fetch.startedAt),
@@ -280,7 +280,7 @@
     const { log, onTraffic } = this.options;
     const packed = receiver.assemble();
     const unpacked = transferPackage.unpack(packed, this.inForce.text);
-    const effort = this.effort(fetch);
+    const progress = this.progressOf(fetch);
     this.fetch = undefined;
     // Requests that repeat a piece of this package must not delay the next one.
     this.pending.clear();
@@ -296,7 +296,7 @@
     this.inForce = unpacked.val;
     const { version, text } = unpacked.val;
     const size = { characters: text.length, base: packed.base, packed: packed.data.length };
-    log.info('trafficInForce', { version, control: address, ...size, ...effort });
+    log.info('trafficInForce', { version, control: address, ...size, ...progress });
     onTraffic(unpacked.val);
   }
 }
