Soak: the configuration grows to 4,200 routes

Every fourth change adds 700 routes, so that a run has several megabytes of log and pieces while processes are killed, frozen and cut off.

--- a/packages/soak/src/clients.ts
+++ b/packages/soak/src/clients.ts
@@ -12,6 +12,11 @@
 
 const CALL_TIMEOUT_MS = 4_000;
 
+/** Number of changes after which the configuration grows, and by how many routes. */
+const CHANGES_PER_GROWTH = 4;
+const ROUTES_PER_GROWTH = 700;
+const MAXIMUM_UNUSED_ROUTES = 4_200;
+
 /** Result of an HTTP call; status 0 means that no complete response head was received. */
 export interface CallResult {
   readonly status: number;
@@ -147,6 +152,9 @@
       route('lookUp', 'idempotent', 'app', 2),
       route('stream', 'streaming', 'llm', 1),
       route('fragile', 'idempotent', 'fragile', 2),
+      ...Array.from({ length: unusedRouteCount(version) }, (_, index) =>
+        route(`unused${index}`, 'idempotent', 'app', 2),
+      ),
     ],
     services: [
       { name: 'app', max_connections: 100, ...cold },
@@ -163,6 +171,11 @@
   });
 }
 
+/** Number of routes that no client uses; the configuration grows with its versions as those of operators do. */
+function unusedRouteCount(version: number): number {
+  return Math.min(MAXIMUM_UNUSED_ROUTES, Math.floor(version / CHANGES_PER_GROWTH) * ROUTES_PER_GROWTH);
+}
+
 /** Replaces the configuration and reads it from random control replicas. */
 export class Operator {
   private stopped = false;
