--- a/packages/kumquatfront/src/trafficControl/configurationDelivery.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/configurationDelivery.spec.ts
@@ -6,6 +6,7 @@
 
 import type * as ports from '../kernel/ports.js';
 import * as controlTestHarness from './controlTestHarness.js';
+import * as testConfigurations from './testConfigurations.js';
 
 const SEEDS = ['a/c1', 'b/c2', 'c/c3'];
 
@@ -36,7 +37,7 @@
 
   send(version: number, routeCount: number): void {
     const { harness } = this;
-    const text = controlTestHarness.largeConfigurationText(version, routeCount);
+    const text = testConfigurations.largeConfigurationText(version, routeCount);
     harness.sendConfiguration(harness.leader(), text, () => {
       this.acknowledgedAt.set(version, harness.time.now());
     });
--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -19,10 +19,10 @@
 import type * as trafficTypes from '../traffic/types.js';
 import * as trafficEntry from '../trafficEntry/trafficEntry.js';
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
-import * as canonicalJson from '../utils/canonicalJson.js';
 import * as controlWatch from './controlWatch.js';
 import * as methods from './methods.js';
 import * as sharedLink from './sharedLink.js';
+import * as testConfigurations from './testConfigurations.js';
 import type * as trafficControl from './trafficControl.js';
 
 const LATENCY: ports.Milliseconds = 1;
@@ -68,48 +68,6 @@
   isRunning: boolean;
 }
 
-/** Encodes a configuration for the harness decoder, which reads the version number in the first line. */
-export function configurationText(version: number): string {
-  return String(version);
-}
-
-/** Encodes a configuration that is followed by routes, as large as they are on the wire and the same in each version. */
-export function largeConfigurationText(version: number, routeCount: number): string {
-  const routes = Array.from({ length: routeCount }, (_, index) => routeText(index));
-  return `${version}\n{"routes":[${routes.join(',')}]}`;
-}
-
-function routeText(index: number): string {
-  const name = (part: string): string => canonicalJson.digest([part, index]);
-  return JSON.stringify({
-    name: `r-${name('name').slice(0, 7)}`,
-    host: `${name('host').slice(0, 6)}.example`,
-    path_prefix: `/${name('path').slice(0, 8)}/`,
-    ...{ route_type: 'idempotent', timeout_ms: 800, target_latency_ms: 150, priority: 2, max_attempts: 2 },
-    ...{ anonymous: false, session_affinity: false, stream_resume: false, target_itl_ms: 180 },
-    weighted_services: [{ service: name('service').slice(0, 6), weight: 100 }],
-  });
-}
-
-/** Parts that all configurations of a harness have in common. */
-export type ConfigurationFixture = Pick<
-  trafficTypes.TrafficConfiguration,
-  'routes' | 'services' | 'accounts'
->;
-
-function createDecoder(fixture: ConfigurationFixture): trafficTypes.DecodeTraffic {
-  return (text) => {
-    const version = Number(text.split('\n', 1)[0]);
-    if (!Number.isInteger(version)) {
-      return results.Err(
-        failures.create('badInput', 'The configuration is not a version number.', 'Send a number.'),
-      );
-    }
-    const limits = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 };
-    return results.Ok({ version, limits, ...fixture });
-  };
-}
-
 /** Creates an announcement of an instance. */
 export function announcementOf(identity: string, sequence: number): instanceTypes.Announcement {
   return instanceTestHarness.announcement(identity, { address: `${identity}:80`, sequence });
@@ -151,11 +109,11 @@
   constructor(
     seeds: readonly string[],
     private readonly toleratedLosses = 1,
-    fixture: ConfigurationFixture = { routes: [], services: [] },
+    fixture: testConfigurations.ConfigurationFixture = { routes: [], services: [] },
     seed = 3,
   ) {
     this.random = seededRandom.create(seed);
-    this.decode = createDecoder(fixture);
+    this.decode = testConfigurations.createDecoder(fixture);
     const noop = (): void => undefined;
     this.log = { debug: noop, info: noop, warn: noop, error: noop };
     this.seeds = seeds;
@@ -344,7 +302,7 @@
   /** Sends a configuration to a replica; returns true if it is acknowledged within a second. */
   replace(address: string, version: number): boolean {
     let acknowledged = false;
-    this.sendConfiguration(address, configurationText(version), () => {
+    this.sendConfiguration(address, testConfigurations.configurationText(version), () => {
       acknowledged = true;
     });
     this.time.advance(1_000);
--- a/packages/kumquatfront/src/trafficControl/evacuations.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/evacuations.spec.ts
@@ -6,6 +6,7 @@
 import * as test from 'node:test';
 
 import * as controlTestHarness from './controlTestHarness.js';
+import * as testConfigurations from './testConfigurations.js';
 
 const SEEDS = ['c1', 'c2', 'c3'];
 
@@ -74,7 +75,7 @@
   for (let version = 2; version <= 2_100; version += 1) {
     harness
       .trafficOf(harness.leader())
-      .replace(controlTestHarness.configurationText(version), () => undefined);
+      .replace(testConfigurations.configurationText(version), () => undefined);
     harness.time.advance(5);
   }
   harness.start('c4');
--- a/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.spec.ts
@@ -8,6 +8,7 @@
 import * as trafficValidation from '../traffic/trafficValidation.js';
 import * as controlTestHarness from './controlTestHarness.js';
 import * as methods from './methods.js';
+import * as testConfigurations from './testConfigurations.js';
 
 const SEEDS = ['c1', 'c2', 'c3'];
 
@@ -33,7 +34,7 @@
   }
   assert.equal(harness.voters().length, 1);
   let outcome = '';
-  harness.trafficOf(harness.leader()).replace(controlTestHarness.configurationText(5), (result) => {
+  harness.trafficOf(harness.leader()).replace(testConfigurations.configurationText(5), (result) => {
     outcome = result.err ? result.val.kind : 'acknowledged';
   });
   harness.time.advance(20);
@@ -54,7 +55,7 @@
   const harness = createCluster();
   let acknowledged = 0;
   for (const version of [9, 7]) {
-    harness.sendConfiguration(harness.leader(), controlTestHarness.configurationText(version), () => {
+    harness.sendConfiguration(harness.leader(), testConfigurations.configurationText(version), () => {
       acknowledged += 1;
     });
   }
@@ -81,7 +82,7 @@
     let acknowledged = 0;
     for (let repetition = 0; repetition < 2; repetition += 1) {
       for (const seed of SEEDS) {
-        harness.sendConfiguration(seed, controlTestHarness.configurationText(7), () => {
+        harness.sendConfiguration(seed, testConfigurations.configurationText(7), () => {
           acknowledged += 1;
         });
       }
@@ -270,7 +271,7 @@
   for (const above of [0, 7]) {
     harness.send('c1', methods.methods.fetch, { above }, (result) => fetched.push(result.val));
   }
-  assert.deepEqual(fetched, [{ version: 7, text: controlTestHarness.configurationText(7) }, null]);
+  assert.deepEqual(fetched, [{ version: 7, text: testConfigurations.configurationText(7) }, null]);
 });
 
 // If every replica sent every change to every entry, configurations would saturate the entries' links and delay calls.
@@ -279,7 +280,7 @@
   const entry = harness.watch('e');
   harness.time.advance(100);
   for (let version = 1; version <= 40; version += 1) {
-    harness.trafficOf('c1').replace(controlTestHarness.configurationText(version), () => undefined);
+    harness.trafficOf('c1').replace(testConfigurations.configurationText(version), () => undefined);
     harness.time.advance(50);
   }
   harness.time.advance(400);
@@ -295,7 +296,7 @@
   const harness = createCluster();
   const entry = harness.watch('e');
   harness.time.advance(100);
-  harness.trafficOf('c1').replace(controlTestHarness.configurationText(9), () => undefined);
+  harness.trafficOf('c1').replace(testConfigurations.configurationText(9), () => undefined);
   while (harness.piecesSentTo('e') === 0) {
     harness.time.advance(0.25);
   }
--- a/packages/kumquatfront/src/trafficEntry/supersededConfiguration.spec.ts
+++ b/packages/kumquatfront/src/trafficEntry/supersededConfiguration.spec.ts
@@ -7,6 +7,7 @@
 import type * as ports from '../kernel/ports.js';
 import type * as relayTypes from '../relay/types.js';
 import * as controlTestHarness from '../trafficControl/controlTestHarness.js';
+import * as testConfigurations from '../trafficControl/testConfigurations.js';
 
 const SEEDS = ['a/c1', 'b/c2', 'c/c3'];
 
@@ -46,7 +47,7 @@
   /** Sends version 2. */
   sendLargeConfiguration(routeCount: number): void {
     const { harness } = this;
-    const text = controlTestHarness.largeConfigurationText(2, routeCount);
+    const text = testConfigurations.largeConfigurationText(2, routeCount);
     harness.sendConfiguration(harness.leader(), text, () => {
       this.acknowledgedAt = harness.time.now();
     });
