--- a/packages/kumquatfront/src/entryLoad/entryWeights.ts
+++ b/packages/kumquatfront/src/entryLoad/entryWeights.ts
@@ -17,8 +17,8 @@
 export const HIGH_PRESSURE = 0.7;
 
 /**
- * Ratio of an entry's pressure to that of the others above which its weight falls, and below which it rises. At 1.1,
- * chance reduced weights (trials at a mean of 0.9: highest utilization 1.17 to 1.39 instead of 1.07 to 1.21).
+ * Ratio of an entry's pressure to that of the others above which its weight falls, and below which it rises. A lower ratio
+ * lets chance reduce weights.
  */
 const REDUCE_ABOVE = 1.2;
 const RESTORE_BELOW = 0.85;
@@ -28,7 +28,7 @@
 
 /**
  * Largest change of a factor in one status interval. Weights rise more slowly than they fall, since callers keep addresses
- * for up to 6 s and their effect shows late. Faster changes oscillated (trials with the square of the pressure).
+ * for up to 6 s and their effect shows late. Faster changes oscillate.
  */
 const MAXIMUM_REDUCTION = 1.5;
 const MAXIMUM_INCREASE = 1.2;
