Soak: no process is started after the end of a run

A process that exits shortly before the run ends is restarted after a delay, and the timer did not ask whether the run had ended, so that its child was never killed and its pipes kept the file open. Traced in the code; not reproduced by a run, and no test of its own yet.

--- a/packages/soak/src/supervisedProcess.ts
+++ b/packages/soak/src/supervisedProcess.ts
@@ -108,7 +108,10 @@
       this.exitExpected = false;
       if (!this.stopped) {
         setTimeout(() => {
-          this.start();
+          // A process started after the end of the run would never be killed, and would keep the soak from ending.
+          if (!this.stopped) {
+            this.start();
+          }
         }, RESTART_DELAY_MS);
       }
     });
