--- a/packages/kumquatfront/src/trafficControl/appliedConfiguration.ts
+++ b/packages/kumquatfront/src/trafficControl/appliedConfiguration.ts
@@ -8,15 +8,12 @@
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
 import type * as timerService from '../kernel/timerService.js';
-import type * as entryDirectory from './entryDirectory.js';
+import * as entryDirectory from './entryDirectory.js';
 import * as methods from './methods.js';
 
 /** Age of a configuration, and time between two log lines, from which entries without it are logged. */
 const BEHIND_LOG_INTERVAL: ports.Milliseconds = 1_000;
 
-/** Maximum number of entries in one log line. */
-const MAXIMUM_LOGGED_ENTRIES = 20;
-
 /** Dependencies of {@link AppliedConfiguration}. */
 export interface AppliedConfigurationOptions {
   readonly state: agreedState.AgreedState;
@@ -88,7 +85,7 @@
       return;
     }
     this.nextLogAt = now + BEHIND_LOG_INTERVAL;
-    const names = behind.slice(0, MAXIMUM_LOGGED_ENTRIES).join(' ');
+    const names = entryDirectory.formatNames(behind);
     log.info('entriesBehind', { version, count: behind.length, known: entries.size, entries: names });
   }
 }
--- a/packages/kumquatfront/src/trafficControl/entryDirectory.ts
+++ b/packages/kumquatfront/src/trafficControl/entryDirectory.ts
@@ -25,6 +25,23 @@
  */
 const MINIMUM_CAPACITY_SHARE = 0.4;
 
+/** Maximum number of entries in one log line. */
+const MAXIMUM_LOGGED_ENTRIES = 20;
+
+/**
+ * Formats names of entries for a log line, whose length it bounds.
+ *
+ * @param names - names of entries
+ * @returns the first names, separated by spaces
+ * @example
+ * ```ts
+ * entryDirectory.formatNames(['e1', 'e2']); // 'e1 e2'
+ * ```
+ */
+export function formatNames(names: readonly string[]): string {
+  return names.slice(0, MAXIMUM_LOGGED_ENTRIES).join(' ');
+}
+
 interface KnownEntry {
   readonly status: methods.EntryStatus;
   readonly lastSeenAt: ports.Milliseconds;
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -65,9 +65,6 @@
 const FRESHNESS_CHECK_INTERVAL: ports.Milliseconds = 40;
 const STALE_CHECK_INTERVAL: ports.Milliseconds = 10;
 
-/** Maximum number of entries in one log line. */
-const MAXIMUM_LOGGED_ENTRIES = 20;
-
 /** Location of a caller and the host it requests. */
 export interface CallerLocation {
   readonly host: string;
@@ -344,7 +341,7 @@
     const reduced = this.entries.takeWeightReport(now);
     if (reduced !== undefined) {
       const { log, metrics } = this.options;
-      const names = reduced.slice(0, MAXIMUM_LOGGED_ENTRIES).join(' ');
+      const names = entryDirectory.formatNames(reduced);
       log.info('entryWeightsReduced', { count: reduced.length, entries: names });
       metrics.gauge('entries.reduced', reduced.length);
     }
