Routes of test configurations use our own names

They were the platform's, outside its folder. The text is only filler of a size; no expectation depends on the names.

--- a/packages/kumquatfront/src/trafficControl/testConfigurations.ts
+++ b/packages/kumquatfront/src/trafficControl/testConfigurations.ts
@@ -22,10 +22,10 @@
   return JSON.stringify({
     name: `r-${name('name').slice(0, 7)}`,
     host: `${name('host').slice(0, 6)}.example`,
-    path_prefix: `/${name('path').slice(0, 8)}/`,
-    ...{ route_type: 'idempotent', timeout_ms: 800, target_latency_ms: 150, priority: 2, max_attempts: 2 },
-    ...{ anonymous: false, session_affinity: false, stream_resume: false, target_itl_ms: 180 },
-    weighted_services: [{ service: name('service').slice(0, 6), weight: 100 }],
+    pathPrefix: `/${name('path').slice(0, 8)}/`,
+    ...{ kind: 'idempotent', timeout: 800, objective: 150, priority: 2, maximumAttempts: 2 },
+    ...{ anonymous: false, resumable: false, longestPause: 180 },
+    targets: [{ service: name('service').slice(0, 6), weight: 100 }],
   });
 }
 
