--- a/packages/kumquatfront/src/trafficControl/configurationDelivery.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/configurationDelivery.spec.ts
@@ -6,13 +6,11 @@
 
 import type * as ports from '../kernel/ports.js';
 import * as controlTestHarness from './controlTestHarness.js';
+import * as sharedLink from './sharedLink.js';
 import * as testConfigurations from './testConfigurations.js';
 
 const SEEDS = ['a/c1', 'b/c2', 'c/c3'];
 
-/** Bytes per second of the narrowest link of an entry, 5.25 Mbit/s. */
-const NARROW_LINK = 656_250;
-
 /** Numbers of streams that use as much of the link as they get. */
 const COMPETING_STREAMS: readonly number[] = [0, 10];
 
@@ -30,7 +28,7 @@
     this.harness = new controlTestHarness.ControlTestHarness(seeds, toleratedLosses);
     const { harness } = this;
     harness.time.advance(6_000);
-    harness.limitLink('e', NARROW_LINK, competingStreams);
+    harness.limitLink('e', sharedLink.NARROWEST_LINK, competingStreams);
     this.entry = harness.watch('e');
     harness.time.advance(2_000);
   }
--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -54,6 +54,14 @@
 /** Names of the data centres in the harness settings. */
 export const DATA_CENTRES: readonly string[] = ['a', 'b', 'c'];
 
+/** Upstreams that answer nothing, for entries whose requests are not of interest. */
+export const NO_UPSTREAMS: relayTypes.UpstreamPort = {
+  send: () => () => undefined,
+  check: () => undefined,
+  copyMemory: () => undefined,
+  releaseCopy: () => undefined,
+};
+
 /** Region of each data centre. */
 export const REGIONS: residency.Regions = new Map([
   ['a', 'west'],
--- a/packages/kumquatfront/src/trafficControl/largeUpdates.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/largeUpdates.spec.ts
@@ -6,11 +6,10 @@
 
 import * as controlTestHarness from './controlTestHarness.js';
 import * as methods from './methods.js';
+import * as sharedLink from './sharedLink.js';
 
 const SEEDS = ['a/c1', 'b/c2', 'c/c3'];
 
-/** Bytes per second of the narrowest link of an entry, 5.25 Mbit/s. */
-const NARROW_LINK = 656_250;
 const COMPETING_STREAMS = 10;
 
 const INSTANCES = 600;
@@ -20,7 +19,7 @@
   const harness = new controlTestHarness.ControlTestHarness(SEEDS);
   harness.time.advance(3_000);
   assert.equal(harness.replace(harness.leader(), 1), true);
-  harness.limitLink('e', NARROW_LINK, COMPETING_STREAMS);
+  harness.limitLink('e', sharedLink.NARROWEST_LINK, COMPETING_STREAMS);
   return harness;
 }
 
--- a/packages/kumquatfront/src/trafficControl/sharedLink.ts
+++ b/packages/kumquatfront/src/trafficControl/sharedLink.ts
@@ -7,6 +7,9 @@
 
 const PACKET_BYTES = 1_460;
 
+/** Bytes per second of the narrowest link of an entry, 5.25 Mbit/s. */
+export const NARROWEST_LINK = 656_250;
+
 interface QueuedMessage {
   remainingBytes: number;
   readonly delivered: () => void;
--- a/packages/kumquatfront/src/trafficEntry/entryLoadStatus.spec.ts
+++ b/packages/kumquatfront/src/trafficEntry/entryLoadStatus.spec.ts
@@ -12,13 +12,6 @@
 
 const MEGABYTE = 1_048_576;
 
-const NO_UPSTREAMS: relayTypes.UpstreamPort = {
-  send: () => () => undefined,
-  check: () => undefined,
-  copyMemory: () => undefined,
-  releaseCopy: () => undefined,
-};
-
 function start(isEnabled = true): {
   readonly harness: controlTestHarness.ControlTestHarness;
   readonly entry: trafficEntry.TrafficEntry;
@@ -29,7 +22,7 @@
   harness.time.advance(6_000);
   harness.replace('c1', 1);
   const measured = { lag: 0, residentBytes: 89 * MEGABYTE };
-  const entry = harness.startEntry('e1', NO_UPSTREAMS, {
+  const entry = harness.startEntry('e1', controlTestHarness.NO_UPSTREAMS, {
     capacity: { cores: 0.324, memoryMegabytes: 178 },
     loadProbe: { takeLag: () => measured.lag, residentBytes: () => measured.residentBytes },
     isEnabled: (feature) => isEnabled || feature !== 'entryCapacity',
--- a/packages/kumquatfront/src/trafficEntry/supersededConfiguration.spec.ts
+++ b/packages/kumquatfront/src/trafficEntry/supersededConfiguration.spec.ts
@@ -5,26 +5,17 @@
 import * as test from 'node:test';
 
 import type * as ports from '../kernel/ports.js';
-import type * as relayTypes from '../relay/types.js';
 import * as controlTestHarness from '../trafficControl/controlTestHarness.js';
+import * as sharedLink from '../trafficControl/sharedLink.js';
 import * as testConfigurations from '../trafficControl/testConfigurations.js';
 
 const SEEDS = ['a/c1', 'b/c2', 'c/c3'];
 
-/** Bytes per second of the narrowest link of an entry, 5.25 Mbit/s. */
-const NARROW_LINK = 656_250;
 const COMPETING_STREAMS = 10;
 
 /** Time from an acknowledgement within which no entry acts on an older configuration. */
 const IN_FORCE_WITHIN: ports.Milliseconds = 2_000;
 
-const NO_UPSTREAMS: relayTypes.UpstreamPort = {
-  send: () => () => undefined,
-  check: () => undefined,
-  copyMemory: () => undefined,
-  releaseCopy: () => undefined,
-};
-
 /** How an entry treated a request: by the routes of its configuration, or not at all. */
 type Treatment = 'byConfiguration' | 'refused';
 
@@ -38,8 +29,8 @@
     const { harness } = this;
     harness.time.advance(3_000);
     assert.equal(harness.replace(harness.leader(), 1), true);
-    harness.limitLink('e', NARROW_LINK, COMPETING_STREAMS);
-    this.entry = harness.startEntry('e', NO_UPSTREAMS, { inForceWithin: IN_FORCE_WITHIN });
+    harness.limitLink('e', sharedLink.NARROWEST_LINK, COMPETING_STREAMS);
+    this.entry = harness.startEntry('e', controlTestHarness.NO_UPSTREAMS, { inForceWithin: IN_FORCE_WITHIN });
     harness.time.advance(4_000);
     assert.equal(this.treatNow(), 'byConfiguration');
   }
