--- a/packages/kumquatfront/src/trafficControl/instanceGossip.ts
+++ b/packages/kumquatfront/src/trafficControl/instanceGossip.ts
@@ -80,11 +80,11 @@
   }
 
   /** Removes instances whose addresses no longer accept connections, as found by an entry. */
-  removeCrashed(identities: readonly string[]): void {
+  removeCrashed({ instances, entry }: methods.CrashedInstances): void {
     const { table, log, notifyEntries, notifyCoordinator } = this.options;
-    const removed = identities.filter((identity) => table.removeCrashed(identity, this.now()));
+    const removed = instances.filter((identity) => table.removeCrashed(identity, this.now()));
     if (removed.length > 0) {
-      log.info('instancesEnded', { instances: removed.join(' ') });
+      log.info('instancesEnded', { instances: removed.join(' '), reportedBy: entry });
       notifyEntries();
       notifyCoordinator();
     }
--- a/packages/kumquatfront/src/trafficControl/methods.ts
+++ b/packages/kumquatfront/src/trafficControl/methods.ts
@@ -126,6 +126,8 @@
 /** Instances whose addresses no longer accept connections, as found by an entry. */
 export interface CrashedInstances {
   readonly instances: readonly string[];
+  /** Name of the entry that found it; absent from entries of earlier releases. */
+  readonly entry?: string;
 }
 
 /** Rate limit that an entry received from an instance. */
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -201,7 +201,7 @@
       reply(results.Ok(null));
     });
     peers.serve(names.crashedInstances, (parameters, reply) => {
-      this.gossip.removeCrashed((parameters as methods.CrashedInstances).instances);
+      this.gossip.removeCrashed(parameters as methods.CrashedInstances);
       reply(results.Ok(null));
     });
     peers.serve(names.rateLimit, (parameters, reply) => {
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -193,6 +193,7 @@
       onInstanceDown: (instance) => {
         this.notifyControl(methods.methods.crashedInstances, {
           instances: [instance],
+          entry: settings.name,
         } satisfies methods.CrashedInstances);
       },
     });
