Red: entries that are cut off from all upstreams serve nobody, and the others less

Links of some entries, of a data centre's and of nearly all are silent, reset, or refuse new connections. Seen: 0 of 151 first tries at three of seven entries, all of 209 at the others while the links are silent; 56 of 238 at the others while they are reset, with 438 reports of crashes in 5 s, all from the three, of upstreams that live.

The crash test harness cuts entries off and takes calls that are not idempotent; its entries are spread over data centres like its upstreams.

--- a/packages/kumquatfront/src/quarantine/crashTestHarness.ts
+++ b/packages/kumquatfront/src/quarantine/crashTestHarness.ts
@@ -1,6 +1,7 @@
 /**
  * Test harness that runs a complete system on virtual time: control replicas, entries, and upstreams that crash under
- * certain requests and restart seconds later as new instances, or send back-pressure signals in their answers.
+ * certain requests and restart seconds later as new instances, or send back-pressure signals in their answers. Entries
+ * can be cut off from upstreams.
  */
 import * as seededRandom from '../adapters/seededRandom.js';
 import * as instanceTestHarness from '../instances/instanceTestHarness.js';
@@ -28,6 +29,15 @@
 const DOWNTIME: ports.Milliseconds = 3_000;
 const ANNOUNCEMENT_INTERVAL: ports.Milliseconds = 1_200;
 
+/** Time after which a connection attempt without an answer fails. */
+const CONNECT_TIMEOUT: ports.Milliseconds = 400;
+
+/**
+ * What an entry that is cut off from upstreams observes: nothing, resets, or refusals of new connections while the open
+ * ones live on.
+ */
+export type CutForm = 'silent' | 'reset' | 'newRefused';
+
 /** An attempt of a caller and its outcome. */
 export interface Attempt {
   readonly content: string;
@@ -67,11 +77,18 @@
 
 interface Run {
   readonly content: string;
+  /** Entry that has the connection to the upstream. */
   readonly entry: string;
   readonly listener: relayTypes.ExchangeListener;
   cancelled: boolean;
 }
 
+/** A cut between an entry and some upstreams. */
+interface Cut {
+  readonly form: CutForm;
+  readonly covers: (address: string) => boolean;
+}
+
 interface Upstream {
   announcement: instanceTypes.Announcement;
   starts: number;
@@ -79,7 +96,10 @@
   readonly runs: Set<Run>;
 }
 
-const PATHS: Readonly<Record<ServiceName, string>> = { llm: '/notes/', app: '/stock/' };
+/** Routes of the harness, by their service; `orders` are calls to `app` that are not idempotent. */
+export type RouteName = ServiceName | 'orders';
+
+const PATHS: Readonly<Record<RouteName, string>> = { llm: '/notes/', app: '/stock/', orders: '/orders/' };
 
 /** Names of the control replicas. */
 export const REPLICAS: readonly string[] = ['c1', 'c2', 'c3'];
@@ -96,6 +116,7 @@
   headOf: (upstream: string, entry: string) => relayTypes.ResponseHead = () => relayTestHarness.okHead;
   private readonly entries = new Map<string, trafficEntry.TrafficEntry>();
   private readonly upstreams: Upstream[] = [];
+  private readonly cuts = new Map<string, Cut>();
   private requestCount = 0;
 
   /**
@@ -103,7 +124,7 @@
    * @param upstreamCounts - number of instances of each service
    * @param effectOf - returns the effect of a content on its upstream
    * @param seed - seed of the random numbers
-   * @param dataCentres - data centres to which the instances of each service are assigned in turn
+   * @param dataCentres - data centres to which the instances of each service, and the entries, are assigned in turn
    */
   constructor(
     entryCount: number,
@@ -129,7 +150,44 @@
 
   /** Starts an entry without any state; replaces an entry of the same name. */
   startEntry(name: string): void {
-    this.entries.set(name, this.control.startEntry(name, this.upstreamPortOf(name)));
+    const dataCentre = this.dataCentreOf(name);
+    this.entries.set(name, this.control.startEntry(name, this.upstreamPortOf(name), { dataCentre }));
+  }
+
+  /** Data centre of an entry. */
+  dataCentreOf(entry: string): string {
+    return this.dataCentres[Number(entry.slice(1)) % this.dataCentres.length] ?? 'a';
+  }
+
+  /**
+   * Cuts the links between an entry and upstreams; control and the other entries still reach both.
+   *
+   * @param covers - true for the addresses of the upstreams that are cut off; by default all
+   */
+  cutOff(entry: string, form: CutForm, covers: Cut['covers'] = () => true): void {
+    this.cuts.set(entry, { form, covers });
+    if (form !== 'reset') {
+      return;
+    }
+    for (const { announcement, runs } of this.upstreams) {
+      for (const run of [...runs]) {
+        if (run.entry === entry && covers(announcement.address)) {
+          run.listener.failed('broken', 'connection reset');
+          run.cancelled = true;
+          runs.delete(run);
+        }
+      }
+    }
+  }
+
+  /** Restores the links between an entry and its upstreams. */
+  healCut(entry: string): void {
+    this.cuts.delete(entry);
+  }
+
+  private cutFormOf(entry: string, address: string): CutForm | undefined {
+    const cut = this.cuts.get(entry);
+    return cut?.covers(address) === true ? cut.form : undefined;
   }
 
   /** Kills an entry; its state is lost. */
@@ -197,6 +255,13 @@
     return {
       send: (call, listener) => this.send(entry, call, listener),
       check: (address, done) => {
+        const form = this.cutFormOf(entry, address);
+        if (form !== undefined) {
+          this.time.after(form === 'silent' ? CONNECT_TIMEOUT : ROUND_TRIP, () => {
+            done(form === 'silent' ? 'unknown' : 'refused');
+          });
+          return;
+        }
         this.time.after(ROUND_TRIP, () => {
           const found = this.upstreams.find(({ announcement }) => announcement.address === address);
           done(found?.alive === true ? 'accepted' : 'refused');
@@ -217,11 +282,14 @@
     const content = Buffer.from(call.request.body).toString();
     const run: Run = { content, entry, listener, cancelled: false };
     const found = this.upstreams.find(({ announcement }) => announcement.address === call.instance.address);
-    this.time.after(ROUND_TRIP, () => {
+    const form = this.cutFormOf(entry, call.instance.address);
+    this.time.after(form === 'silent' ? CONNECT_TIMEOUT : ROUND_TRIP, () => {
       if (run.cancelled) {
         return;
       }
-      if (found?.alive !== true) {
+      if (form !== undefined) {
+        listener.failed('notSent', form === 'silent' ? 'connection timed out' : 'connection refused');
+      } else if (found?.alive !== true) {
         listener.failed('notSent', 'connection refused');
       } else if (found.announcement.identity === call.instance.identity) {
         const { identity: upstream, dataCentre } = call.instance;
@@ -244,6 +312,9 @@
     const { identity } = upstream.announcement;
     const answer = (head: relayTypes.ResponseHead): void => {
       upstream.runs.delete(run);
+      if (this.cutFormOf(entry, upstream.announcement.address) === 'silent') {
+        return;
+      }
       this.answers.push({ head, upstream: identity, entry, at: this.time.now() });
       listener.head(head);
       if (!head.notRun) {
@@ -291,7 +362,7 @@
    */
   sendRequest(
     entry: string,
-    service: ServiceName,
+    route: RouteName,
     content: string,
     done: (attempt: Attempt) => void = () => undefined,
     account = 'school-1',
@@ -310,7 +381,7 @@
       attempt.refusal = refusal;
       done(attempt);
     };
-    this.entries.get(entry)?.handle(this.request(service, content, account), {
+    this.entries.get(entry)?.handle(this.request(route, content, account), {
       refuse: (refusal) => {
         settle(refusal.reason, refusal);
       },
@@ -343,18 +414,18 @@
     this.time.advance(length);
   }
 
-  private request(service: ServiceName, content: string, account: string): relayTypes.TrafficRequest {
+  private request(route: RouteName, content: string, account: string): relayTypes.TrafficRequest {
     const generation = { promptTokens: 900, outputLimit: 44, lengthHint: 2, prompt: content };
     return {
       identity: `r${this.requestCount}`,
       host: crashTestTraffic.HOST,
-      path: PATHS[service] + 'x',
+      path: PATHS[route] + 'x',
       method: 'POST',
       headers: [],
       body: Buffer.from(content),
       key: account,
       arrivedAt: this.time.now(),
-      ...(service === 'llm' && { generation }),
+      ...(route === 'llm' && { generation }),
     };
   }
 }
--- a/packages/kumquatfront/src/quarantine/crashTestTraffic.ts
+++ b/packages/kumquatfront/src/quarantine/crashTestTraffic.ts
@@ -35,6 +35,15 @@
     timeout: 1_000,
     targets: [{ service: 'app', weight: 1 }],
   },
+  {
+    ...routeBase,
+    name: 'orders',
+    pathPrefix: '/orders/',
+    kind: 'nonIdempotent',
+    objective: 120,
+    timeout: 1_000,
+    targets: [{ service: 'app', weight: 1 }],
+  },
 ];
 
 /** Warm-up settings of the services; none of their upstreams reports that it is cold. */
--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -105,6 +105,8 @@
   /** Address of the replica that sent a piece of a configuration last. */
   lastConfigurationFrom = '';
   private readonly piecesSent = new Map<string, number>();
+  /** Reports of entries that instances have crashed. */
+  readonly crashReports: methods.CrashedInstances[] = [];
   /** Incoming links of processes, by address; other processes receive messages without delay. */
   private readonly links = new Map<string, sharedLink.SharedLink>();
 
@@ -139,6 +141,9 @@
           receiver?.isRunning === true &&
           !this.isPartitioned(testProcess.address, address)
         ) {
+          if (method === methods.methods.crashedInstances) {
+            this.crashReports.push(parameters as methods.CrashedInstances);
+          }
           // Serialized like on the wire, so that processes share no objects.
           receiver.handlers.get(method)?.(JSON.parse(JSON.stringify(parameters)), (result) => {
             if (method === methods.methods.fetchPiece && result.ok && result.val !== null) {
