An upstream counts as crashed when other entries are refused as well

An entry whose connection was refused told control that the upstream had crashed, and control removed it for all. One that is cut off is refused by every upstream.

Cause: one entry's "I cannot connect" was taken for "it is gone". Ruled out: load (upstreams got less than before and turned nothing away), expired leases (each removal followed a report, 438 in 5 s, all of cut-off entries; no upstream had crashed).

An upstream counts as crashed if one of them is refused and none is accepted; the word of an entry counts only if it reaches another upstream at that moment. A single entry is believed. Entries learn of each other from any replica, and keep the list for the loss of control.

--- a/packages/kumquatfront/src/instances/instanceView.ts
+++ b/packages/kumquatfront/src/instances/instanceView.ts
@@ -327,6 +327,13 @@
     return hasEvacuated ? EVACUATED_MESSAGE : 'no upstream is known';
   }
 
+  /** Returns the instances of all services that take requests. */
+  ready(): readonly Instance[] {
+    return [...this.instances.values()].filter(
+      (instance) => instance.state === 'ready' && !this.isEvacuated(instance),
+    );
+  }
+
   /** Returns the instances of a service that take requests; of two at one address only the newer one. */
   readyOf(service: string): readonly Instance[] {
     const cached = this.readyByService.get(service);
--- a/packages/kumquatfront/src/trafficControl/entryDirectory.ts
+++ b/packages/kumquatfront/src/trafficControl/entryDirectory.ts
@@ -25,6 +25,9 @@
  */
 const MINIMUM_CAPACITY_SHARE = 0.4;
 
+/** Entries that are named to an entry that looks for others to send requests through. */
+const PEERS = 8;
+
 /** Maximum number of entries in one log line. */
 const MAXIMUM_LOGGED_ENTRIES = 20;
 
@@ -141,6 +144,22 @@
     return [...chosenLocal, ...this.sample(remote, Math.min(remoteCount, limit - chosenLocal.length))];
   }
 
+  /**
+   * Entries through which another one may send requests: ready ones that reach upstreams, drawn at random, half of them
+   * in its data centre if there are as many. A cut often takes a whole data centre.
+   */
+  peersFor(entry: string, dataCentre: string, now: ports.Milliseconds): readonly methods.EntryStatus[] {
+    const usable = [...this.entries.values()]
+      .filter((known) => known.status.state === 'ready' && now - known.lastSeenAt <= ENTRY_LEASE)
+      .map((known) => known.status)
+      .filter((status) => status.name !== entry);
+    const local = usable.filter((status) => status.dataCentre === dataCentre);
+    const remote = usable.filter((status) => status.dataCentre !== dataCentre);
+    const localCount = Math.max(Math.ceil(PEERS / 2), PEERS - remote.length);
+    const chosenLocal = this.sample(local, localCount);
+    return [...chosenLocal, ...this.sample(remote, PEERS - chosenLocal.length)];
+  }
+
   private chooseByWeight(
     dataCentre: string,
     local: readonly methods.EntryStatus[],
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -14,6 +14,7 @@
 import type * as timerService from '../kernel/timerService.js';
 import * as coordinator from '../placement/coordinator.js';
 import * as evacuation from '../placement/evacuation.js';
+import * as relayMessages from '../peerRelay/messages.js';
 import * as placementFeatures from '../placement/placementFeatures.js';
 import type * as placementTypes from '../placement/types.js';
 import * as quarantineRegistry from '../quarantine/quarantineRegistry.js';
@@ -204,6 +205,9 @@
       this.gossip.removeCrashed(parameters as methods.CrashedInstances);
       reply(results.Ok(null));
     });
+    peers.serve(relayMessages.methods.peers, (parameters, reply) => {
+      reply(results.Ok(this.peersFor(parameters as relayMessages.PeersRequest)));
+    });
     peers.serve(names.rateLimit, (parameters, reply) => {
       this.gossip.recordRateLimit(parameters as methods.RateLimitUpdate);
       reply(results.Ok(null));
@@ -220,6 +224,17 @@
     });
   }
 
+  private peersFor({ entry, dataCentre }: relayMessages.PeersRequest): relayMessages.PeersAnswer {
+    const found = this.entries.peersFor(entry, dataCentre, this.options.timers.now());
+    return {
+      peers: found.map((status) => ({
+        name: status.name,
+        address: status.peerAddress,
+        dataCentre: status.dataCentre,
+      })),
+    };
+  }
+
   private serveLeases(): void {
     const { peers, replica: own } = this.options;
     const ledger = new leaseLedger.LeaseLedger({
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -14,6 +14,8 @@
 import type * as ports from '../kernel/ports.js';
 import * as serviceRegistry from '../kernel/serviceRegistry.js';
 import * as timerService from '../kernel/timerService.js';
+import * as peerList from '../peerRelay/peerList.js';
+import * as witnesses from '../peerRelay/witnesses.js';
 import * as placementFeatures from '../placement/placementFeatures.js';
 import * as localBalancer from '../relay/localBalancer.js';
 import * as placementClient from '../relay/placementClient.js';
@@ -92,6 +94,7 @@
   private readonly relay: trafficRelay.TrafficRelay;
   private readonly placement: placementClient.PlacementClient;
   private readonly quarantine: quarantine.Quarantine;
+  private readonly witnesses: witnesses.Witnesses;
   private routes: routeTable.RouteTable | undefined;
   private isDraining = false;
   private readyAt: ports.Milliseconds = 0;
@@ -185,7 +188,9 @@
       timers,
       log,
       metrics,
-      check: upstreams.check,
+      check: (address, done) => {
+        this.witnesses.check(address, done);
+      },
       isTerminating: (identity) => instances.isTerminating(identity),
       report: (content) => {
         reporter.reportToAll([content]);
@@ -198,6 +203,19 @@
       },
     });
     const { placement, quarantine: quarantineState } = this;
+    const list = new peerList.PeerList({
+      ...{ timers, random, log, peers },
+      entry: settings.name,
+      dataCentre: settings.dataCentre,
+      replicas: () => this.watch.replicas(),
+    });
+    this.witnesses = new witnesses.Witnesses({
+      ...{ timers, random, log, peers, entryCount },
+      peerList: list,
+      check: upstreams.check,
+      instances: () => instances.ready(),
+      onAccepted: () => undefined,
+    });
     const slackShare = new windowedShare.WindowedShare(entryCount, settings.retries.window);
     // Retries may be rare; without regular updates an entry would not notice when control was reached first and last.
     timers.every(
