Entries that are cut off from upstreams send requests through other entries

A request left an entry only over the entry's own connections, and the entry stayed on the lists of addresses.

An entry that cannot connect to two upstreams, and has reached none since, takes itself to be cut off and sends through entries that control names and that accept. All decisions stay at the first entry: the other one only holds the connection. Of a request whose message may have arrived the other one is asked, and one that it does not know it declines from then on, so that nothing runs twice and "not run" stays true. Probes lead back. A single upstream that others reach is reached through them as well. Answers through others and calls given up while cut off count for no pace, since the coordinator merges paces for all entries.

--- a/packages/kumquatfront/src/backPressure/sendPolicy.ts
+++ b/packages/kumquatfront/src/backPressure/sendPolicy.ts
@@ -64,6 +64,11 @@
 
   /** Exclusion that applies to every send to an upstream, whoever chose it; undefined if requests may be sent. */
   exclusionOf(instance: instanceView.Instance, now: ports.Milliseconds): Exclusion | undefined {
+    return this.exclusionFromRelay(instance, now) ?? this.rateLimitExclusionOf(instance, now);
+  }
+
+  /** Exclusion that applies to requests of other entries, whose limits those entries count themselves. */
+  exclusionFromRelay(instance: instanceView.Instance, now: ports.Milliseconds): Exclusion | undefined {
     const { instances, signals } = this.options;
     if (instances.isEvacuated(instance)) {
       return { reason: 'evacuated' };
@@ -75,7 +80,7 @@
     if (now < pausedUntil) {
       return { reason: 'paused', until: pausedUntil };
     }
-    return this.rateLimitExclusionOf(instance, now);
+    return undefined;
   }
 
   /**
--- a/packages/kumquatfront/src/peerRelay/cutOffEntries.spec.ts
+++ b/packages/kumquatfront/src/peerRelay/cutOffEntries.spec.ts
@@ -3,10 +3,14 @@
 import * as test from 'node:test';
 
 import * as seededRandom from '../adapters/seededRandom.js';
+import type * as relayTypes from '../relay/types.js';
 import * as crashTestHarness from '../quarantine/crashTestHarness.js';
 
 const UPSTREAMS = { llm: 4, app: 9 };
 
+/** Refusals that do not state that the request has not run. */
+const MAY_HAVE_RUN: readonly relayTypes.RefusalReason[] = ['outcomeUnknown', 'timeoutUnknown'];
+
 /** Time from the start of a cut to the first request that counts. */
 const DETECTION_TIME = 3_000;
 
@@ -113,3 +117,199 @@
     assert.deepEqual(system.control.crashReports, [], form);
   }
 });
+
+/** Attempts that were refused as not run although their content reached an upstream, and calls that arrived twice. */
+function brokenPromises(system: crashTestHarness.CrashTestHarness): readonly string[] {
+  const arrivals = new Map<string, number>();
+  for (const { content } of system.arrivals) {
+    arrivals.set(content, (arrivals.get(content) ?? 0) + 1);
+  }
+  const orders = system.attempts.filter(({ route }) => route === 'orders');
+  const repeated = orders.filter(({ content }) => (arrivals.get(content) ?? 0) > 1);
+  const untrue = orders.filter(
+    ({ content, refusal }) =>
+      refusal !== undefined && !MAY_HAVE_RUN.includes(refusal.reason) && (arrivals.get(content) ?? 0) > 0,
+  );
+  return [
+    ...repeated.map(({ content }) => `${content} ran twice`),
+    ...untrue.map(({ content, outcome }) => `${content} ran: ${outcome ?? ''}`),
+  ];
+}
+
+/** Requests of callers at an entry that reached upstreams over the connections of another one. */
+function relayedOf(system: crashTestHarness.CrashTestHarness, entry: string, from: number): number {
+  const sent = new Set(
+    system.attempts
+      .filter((attempt) => attempt.entry === entry && attempt.startedAt >= from)
+      .map(({ content }) => content),
+  );
+  return system.arrivals.filter(({ content, entry: sender }) => sent.has(content) && sender !== entry).length;
+}
+
+// Guards against entries that send through others, at the cost of both, after they reach upstreams again.
+void test.test('an entry uses its own links again a second after its cut has ended', () => {
+  for (const form of FORMS) {
+    const system = createSystem();
+    system.cutOff('e1', form);
+    sendLoad(system, 5_000);
+    assert.ok(relayedOf(system, 'e1', 0) > 10, form);
+    system.healCut('e1');
+    system.time.advance(1_000);
+    const healedAt = system.time.now();
+    sendLoad(system, 4_000, 12);
+    system.time.advance(5_000);
+    assert.equal(relayedOf(system, 'e1', healedAt), 0, form);
+    assert.deepEqual(brokenPromises(system), []);
+  }
+});
+
+// Guards against callers that wait to their deadlines when no entry reaches an upstream.
+void test.test(
+  'entries that are all cut off refuse at once, with the reason, and serve once the cut has ended',
+  () => {
+    const system = createSystem();
+    for (const entry of system.entryNames) {
+      system.cutOff(entry, 'reset');
+    }
+    sendLoad(system, 3_000);
+    const from = system.time.now();
+    const attempt = system.sendRequest('e1', 'orders', 'refused');
+    system.time.advance(300);
+    assert.equal(attempt.outcome, 'noUpstream');
+    assert.match(attempt.refusal?.message ?? '', /reaches no upstream/);
+    assert.equal(attempt.refusal?.closesConnection, true);
+    for (const entry of system.entryNames) {
+      system.healCut(entry);
+    }
+    system.time.advance(2_000);
+    const healedAt = system.time.now();
+    sendLoad(system, 3_000, 12);
+    system.time.advance(5_000);
+    const { served, all } = servedShare(system, healedAt, system.time.now(), () => true);
+    assert.equal(served, all);
+    assert.deepEqual(system.control.crashReports, []);
+    assert.ok(system.attempts.every(({ startedAt, outcome }) => startedAt < from || outcome !== undefined));
+    assert.deepEqual(brokenPromises(system), []);
+  },
+);
+
+// Guards against a crash that nobody reports, because an entry that is cut off cannot confirm it.
+void test.test('an upstream that crashes while entries are cut off is still removed at once', () => {
+  const system = createSystem();
+  for (const entry of EXTENTS.some ?? []) {
+    system.cutOff(entry, 'reset');
+  }
+  sendLoad(system, 3_000);
+  system.crashOne('app');
+  sendLoad(system, 1_000, 12);
+  const crashed = system.crashes.map(({ upstream }) => upstream);
+  const reported = new Set(system.control.crashReports.flatMap(({ instances }) => instances));
+  assert.deepEqual([...reported], crashed);
+});
+
+// Guards against a request that crashes upstreams without end because it is sent through other entries.
+void test.test(
+  'a request through other entries is not sent any more after it has crashed three upstreams',
+  () => {
+    const isDeadly = (content: string): boolean => content.startsWith('deadly');
+    const system = new crashTestHarness.CrashTestHarness(7, UPSTREAMS, (content) =>
+      isDeadly(content) ? 'crashes' : 'served',
+    );
+    for (const entry of ['e1', 'e2', 'e3']) {
+      system.cutOff(entry, 'newRefused');
+    }
+    sendLoad(system, 3_000);
+    for (let round = 0; round < 30; round += 1) {
+      system.sendRequest(`e${1 + (round % 3)}`, 'app', 'deadly');
+      sendLoad(system, 500, 20 + round);
+    }
+    const crashes = system.crashes.filter(({ content }) => isDeadly(content));
+    assert.ok(crashes.length === 3, `${crashes.length} crashes`);
+  },
+);
+
+// Guards against work in an evacuated data centre that comes through another entry.
+void test.test('nothing is sent into an evacuated data centre through another entry', () => {
+  const system = createSystem();
+  system.cutOff('e1', 'silent');
+  sendLoad(system, 2_000);
+  system.control.evacuateOrRestore(system.control.leader(), 'evacuate', 'b');
+  const from = system.time.now();
+  sendLoad(system, 4_000, 12);
+  const arrived = system.arrivals.filter(({ at, dataCentre }) => at > from && dataCentre === 'b');
+  assert.equal(arrived.length, 0);
+  assert.ok(relayedOf(system, 'e1', from) > 10);
+});
+
+// Guards against an entry that takes itself to be cut off because it does not reach one upstream, or a few.
+void test.test('an entry that does not reach one upstream sends only its requests through others', () => {
+  for (const form of FORMS) {
+    const system = createSystem();
+    system.cutOff('e1', form, (address) => address.startsWith('app-1:'));
+    sendLoad(system, 3_000);
+    const from = system.time.now();
+    sendLoad(system, 6_000, 12);
+    system.time.advance(3_000);
+    const { served, all } = servedShare(system, from, system.time.now(), (entry) => entry === 'e1');
+    assert.equal(served, all, form);
+    const relayed = system.arrivals.filter(
+      ({ at, entry, content }) =>
+        at > from && entry !== 'e1' && system.attempts.some((a) => a.content === content && a.entry === 'e1'),
+    );
+    assert.ok(relayed.length > 5, `${form}: ${relayed.length} through others`);
+    assert.ok(
+      relayed.every(({ upstream }) => upstream === 'app-1'),
+      form,
+    );
+    assert.deepEqual(system.control.crashReports, [], form);
+  }
+});
+
+// Guards against faults that come together with a cut: bursts, crashes, a leader, a peer and a cut-off entry that are killed.
+void test.test('a day of cuts amid other faults keeps every promise', () => {
+  for (const [seed, form] of [...FORMS.entries(), ...FORMS.entries()].map(
+    ([index, each], run) => [run * 3 + index + 1, each] as const,
+  )) {
+    const system = createSystem(seed);
+    sendLoad(system, 1_000, seed);
+    const cutOff = ['e1', 'e2', 'e4', 'e7'];
+    const cutAll = (): void => {
+      for (const entry of cutOff) {
+        system.cutOff(entry, form);
+      }
+    };
+    const healAll = (): void => {
+      for (const entry of cutOff) {
+        system.healCut(entry);
+      }
+    };
+    cutAll();
+    system.time.after(3_500, () => {
+      system.crashOne('app');
+      system.crashOne('llm');
+    });
+    system.time.after(5_000, () => {
+      system.control.kill(system.control.leader());
+    });
+    system.time.after(6_500, () => {
+      system.killEntry('e3');
+    });
+    system.time.after(7_000, () => {
+      system.startEntry('e1');
+    });
+    system.time.after(9_000, healAll);
+    system.time.after(10_500, cutAll);
+    system.time.after(14_000, healAll);
+    sendLoad(system, 6_000, 100 + seed);
+    sendLoad(system, 12_000, 200 + seed);
+    system.time.advance(10_000);
+    assert.deepEqual(brokenPromises(system), [], `seed ${seed}, ${form}`);
+    const { served, all } = servedShare(
+      system,
+      0,
+      system.time.now(),
+      (entry) => entry !== 'e3' && entry !== 'e1',
+    );
+    assert.ok(served / all > 0.95, `seed ${seed}, ${form}: ${served} of ${all}`);
+  }
+});
--- /dev/null
+++ b/packages/kumquatfront/src/peerRelay/relayedExchange.ts
@@ -0,0 +1,265 @@
+/**
+ * One request that this entry sends through another entry. The other entry holds the connection to the upstream; all
+ * decisions stay here.
+ *
+ * A request whose message may have arrived is never sent again: the peer is asked what became of it, and a peer that says
+ * that it does not know the request declines it from then on.
+ */
+import type * as failures from '../kernel/failures.js';
+import type * as ports from '../kernel/ports.js';
+import type * as results from '../kernel/results.js';
+import type * as timerService from '../kernel/timerService.js';
+import type * as relayTypes from '../relay/types.js';
+import * as messages from './messages.js';
+import type * as peerList from './peerList.js';
+
+/** Timeout of a message; more than a peer waits for events. */
+const MESSAGE_TIMEOUT: ports.Milliseconds = 900;
+
+/** Delay before a peer that did not answer is asked again. */
+const REPEAT_DELAY: ports.Milliseconds = 30;
+
+/** Time without an answer after which the connection to the upstream counts as lost; the peer has then closed it. */
+const CONTACT_TIMEOUT: ports.Milliseconds = 2_500;
+
+/**
+ * Failures to connect within this time are tried through another peer, which may reach what this one does not. After a
+ * slow one too little time is left.
+ */
+export const QUICK_FAILURE: ports.Milliseconds = 100;
+
+/** Peers through which one request is tried; each but the last has declined it. */
+const MAXIMUM_PEERS = 3;
+
+/** Dependencies of a relayed exchange. */
+export interface RelayedExchangeOptions {
+  readonly timers: timerService.TimerService;
+  readonly random: ports.Random;
+  readonly log: ports.Log;
+  readonly metrics: ports.Metrics;
+  readonly peers: ports.PeerTransport;
+  readonly peerList: peerList.PeerList;
+  /** Name of this entry. */
+  readonly entry: string;
+  /** Called when the upstream has answered through a peer. */
+  readonly onReached: (identity: string) => void;
+}
+
+/** One relayed request; see the module comment. */
+export class RelayedExchange {
+  private readonly options: RelayedExchangeOptions;
+  private readonly call: relayTypes.UpstreamCall;
+  private readonly listener: relayTypes.ExchangeListener;
+  private readonly startedAt: ports.Milliseconds;
+  private readonly triedPeers = new Set<string>();
+  private id = '';
+  private peer: peerList.ChosenPeer | undefined;
+  /** Number of the next event. */
+  private next = 0;
+  private sentAt: ports.Milliseconds = 0;
+  private lastAnswerAt: ports.Milliseconds = 0;
+  private ended = false;
+  private closePeer: () => void = () => undefined;
+
+  /**
+   * @param startedAt - time at which `call` was created, from which its time left counts
+   */
+  constructor(
+    options: RelayedExchangeOptions,
+    call: relayTypes.UpstreamCall,
+    listener: relayTypes.ExchangeListener,
+    startedAt: ports.Milliseconds,
+  ) {
+    this.options = options;
+    this.call = call;
+    this.listener = listener;
+    this.startedAt = startedAt;
+  }
+
+  /** Sends the request through the first peer that accepts it. */
+  start(): void {
+    this.tryNextPeer('no other entry can relay the request');
+  }
+
+  /** Cancels the request at the peer. */
+  cancel(reason?: 'silent'): void {
+    if (this.ended) {
+      return;
+    }
+    this.end();
+    if (this.peer !== undefined) {
+      const request: messages.CancelRequest = { id: this.id, silent: reason === 'silent' };
+      this.options.peers.notify(this.peer.address, messages.methods.cancel, request);
+    }
+  }
+
+  private end(): void {
+    this.ended = true;
+    this.closePeer();
+  }
+
+  private fail(failure: relayTypes.ExchangeFailure, reason: string): void {
+    this.end();
+    this.listener.failed(failure, reason);
+  }
+
+  /** Fails asynchronously, like a connection, since no peer may be known when the request starts. */
+  private failAsNotSent(reason: string): void {
+    this.options.timers.after(0, () => {
+      if (!this.ended) {
+        this.fail('notSent', reason);
+      }
+    });
+  }
+
+  private tryNextPeer(reason: string): void {
+    if (this.triedPeers.size >= MAXIMUM_PEERS) {
+      this.failAsNotSent(reason);
+      return;
+    }
+    const { dataCentres } = this.call;
+    const isEligible: peerList.IsEligible = ({ address, dataCentre }) =>
+      !this.triedPeers.has(address) && (dataCentres?.includes(dataCentre) ?? true);
+    this.options.peerList.choose(isEligible, (chosen) => {
+      if (this.ended) {
+        return;
+      }
+      if (chosen === undefined) {
+        this.failAsNotSent(reason);
+      } else {
+        this.sendThrough(chosen);
+      }
+    });
+  }
+
+  private sendThrough(peer: peerList.ChosenPeer): void {
+    const { timers, random, log, metrics, peers, peerList: list, entry } = this.options;
+    const { call } = this;
+    const now = timers.now();
+    this.triedPeers.add(peer.address);
+    this.closePeer();
+    this.closePeer = list.open(peer.address);
+    this.peer = peer;
+    this.id = random.identity();
+    this.next = 0;
+    this.sentAt = now;
+    this.lastAnswerAt = now;
+    log.info('attemptRelayed', {
+      request: call.request.identity,
+      upstream: call.instance.identity,
+      peer: peer.name,
+      relay: this.id,
+    });
+    metrics.count('relay.through_peer');
+    const { id } = this;
+    const timeLeft = call.timeLeft - (now - this.startedAt);
+    const request: messages.SendRequest = {
+      ...{ id, entry, epoch: peer.epoch },
+      call: messages.encodeCall(call, timeLeft, now),
+    };
+    peers.request(peer.address, messages.methods.send, request, MESSAGE_TIMEOUT, (result) => {
+      this.onResult(id, result);
+    });
+  }
+
+  private askForEvents(): void {
+    const { peer, id, next: from } = this;
+    if (this.ended || peer === undefined) {
+      return;
+    }
+    const request: messages.EventsRequest = { id, epoch: peer.epoch, from };
+    this.options.peers.request(peer.address, messages.methods.events, request, MESSAGE_TIMEOUT, (result) => {
+      this.onResult(id, result);
+    });
+  }
+
+  private onResult(id: string, result: results.Result<unknown, failures.Failure>): void {
+    const { peer } = this;
+    if (this.ended || id !== this.id || peer === undefined) {
+      return;
+    }
+    const { timers, peerList: list } = this.options;
+    const now = timers.now();
+    if (result.ok) {
+      this.lastAnswerAt = now;
+      list.recordAnswer(peer.address);
+      this.onAnswer(peer, result.val as messages.RelayAnswer);
+    } else if (now - this.lastAnswerAt >= CONTACT_TIMEOUT) {
+      list.recordDeclined(peer.address, result.val.message);
+      this.fail('broken', `contact with the relaying entry was lost: ${result.val.message}`);
+    } else {
+      timers.after(REPEAT_DELAY, () => {
+        if (id === this.id) {
+          this.askForEvents();
+        }
+      });
+    }
+  }
+
+  private onAnswer(peer: peerList.ChosenPeer, answer: messages.RelayAnswer): void {
+    switch (answer.state) {
+      case 'open':
+        this.onEvents(answer.from, answer.events);
+        break;
+      case 'declined':
+        this.onDeclined(peer, answer.reason);
+        break;
+      case 'unknown':
+        if (this.next === 0) {
+          this.onDeclined(peer, 'the message was lost');
+        } else {
+          this.fail('broken', 'the relaying entry has closed the connection to the upstream');
+        }
+        break;
+      case 'lost':
+        this.fail('broken', 'the relaying entry no longer has the response');
+        break;
+    }
+  }
+
+  private onDeclined(peer: peerList.ChosenPeer, reason: string): void {
+    this.options.peerList.recordDeclined(peer.address, reason);
+    this.tryNextPeer(`no other entry can relay the request: ${reason}`);
+  }
+
+  private onEvents(from: number, events: readonly messages.RelayEvent[]): void {
+    const { id } = this;
+    for (const event of events.slice(this.next - from)) {
+      this.next += 1;
+      this.onEvent(event);
+      if (this.ended || id !== this.id) {
+        return;
+      }
+    }
+    this.askForEvents();
+  }
+
+  private onEvent(event: messages.RelayEvent): void {
+    const { listener } = this;
+    switch (event.kind) {
+      case 'head':
+        this.options.onReached(this.call.instance.identity);
+        listener.head({ ...event.head, relayed: true });
+        break;
+      case 'data':
+        listener.data(Buffer.from(event.bytes, 'base64'));
+        break;
+      case 'end':
+        this.end();
+        listener.end();
+        break;
+      case 'failed':
+        this.onFailed(event.failure, event.reason);
+        break;
+    }
+  }
+
+  private onFailed(failure: relayTypes.ExchangeFailure, reason: string): void {
+    const wasQuick = this.options.timers.now() - this.sentAt < QUICK_FAILURE;
+    if (failure === 'notSent' && wasQuick) {
+      this.tryNextPeer(`neither this entry nor another could connect: ${reason}`);
+    } else {
+      this.fail(failure, reason);
+    }
+  }
+}
--- a/packages/kumquatfront/src/quarantine/crashTestHarness.ts
+++ b/packages/kumquatfront/src/quarantine/crashTestHarness.ts
@@ -41,6 +41,7 @@
 /** An attempt of a caller and its outcome. */
 export interface Attempt {
   readonly content: string;
+  readonly route: RouteName;
   readonly entry: string;
   readonly startedAt: ports.Milliseconds;
   /** `served`, `broken`, or the reason for a refusal; undefined while it runs. */
@@ -370,6 +371,7 @@
     this.requestCount += 1;
     const attempt: Attempt = {
       content,
+      route,
       entry,
       startedAt: this.time.now(),
       outcome: undefined,
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -24,7 +24,7 @@
   /** Receives the back-pressure signals in answers of upstreams. */
   readonly signals: signalRegistry.SignalRegistry;
   /** Decides whether an upstream may be sent a request now. */
-  readonly policy: sendPolicy.SendPolicy;
+  readonly policy: Pick<sendPolicy.SendPolicy, 'exclusionOf' | 'recordSent' | 'messageOf'>;
 }
 
 /** Reports the outcome of one run to the crash detector. */
--- a/packages/kumquatfront/src/relay/bufferedExchange.ts
+++ b/packages/kumquatfront/src/relay/bufferedExchange.ts
@@ -183,8 +183,8 @@
       return;
     }
     balancer.recordSuccess(instance.identity);
-    // Responses to invalid requests need no work and would make the upstream look fast.
-    if (head.status < 300) {
+    // Responses to invalid requests need no work and would make the upstream look fast, those through another entry slow.
+    if (head.status < 300 && head.relayed !== true) {
       balancer.recordAnswerTime(instance, timers.now() - attempt.sentAt, head.load);
     }
     this.recordUpstreamFailures();
@@ -280,12 +280,9 @@
       return;
     }
     if (this.possibleRuns === 0 || (this.isIdempotent && this.lastFailure === undefined)) {
-      const { reason, message, retryAfter } = exchangeContext.noUpstreamRefusal(
-        this.context,
-        this.routed,
-        'no upstream accepted the request',
+      this.refuseWith(
+        exchangeContext.noUpstreamRefusal(this.context, this.routed, 'no upstream accepted the request'),
       );
-      this.refuse(reason, message, retryAfter);
       return;
     }
     this.finishFailed();
@@ -321,8 +318,12 @@
   }
 
   private refuse(reason: types.RefusalReason, message: string, retryAfter?: ports.Milliseconds): void {
-    this.routed.caller.refuse({ reason, message, retryAfter });
-    this.finish({ outcome: reason, reason: message, sends: this.sendCount });
+    this.refuseWith({ reason, message, retryAfter });
+  }
+
+  private refuseWith(refusal: types.Refusal): void {
+    this.routed.caller.refuse(refusal);
+    this.finish({ outcome: refusal.reason, reason: refusal.message, sends: this.sendCount });
   }
 
   private finish(outcome: ports.LogFields): void {
@@ -333,9 +334,12 @@
     this.cancelDeadline();
     this.cancelHedge();
     this.cancelQuarantine();
-    const { balancer, timers } = this.context;
+    const { balancer, timers, isCutOff } = this.context;
     for (const attempt of [...this.openAttempts]) {
-      balancer.recordGivenUp(attempt.instance, timers.now() - attempt.sentAt);
+      // The silence of a cut-off entry's links says nothing about upstreams.
+      if (isCutOff?.() !== true) {
+        balancer.recordGivenUp(attempt.instance, timers.now() - attempt.sentAt);
+      }
       attempt.cancel();
       this.close(attempt);
     }
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -31,6 +31,8 @@
   readonly quarantine: quarantine.Quarantine;
   /** Returns whether a placement feature is enabled; by default all are. */
   readonly isEnabled?: placementFeatures.IsEnabled;
+  /** True while this entry reaches no upstream by its own links; never if absent. */
+  readonly isCutOff?: () => boolean;
 }
 
 /** A request together with its route, service and client account. */
@@ -56,6 +58,14 @@
 /** Retry delay if a service has no ready upstream; about one announcement interval. */
 export const NO_UPSTREAM_RETRY_DELAY: ports.Milliseconds = 500;
 
+/** Refusal of an entry that is cut off while no other entry relays; the retry reaches another one. */
+const CUT_OFF: types.Refusal & { readonly retryAfter: ports.Milliseconds } = {
+  reason: 'noUpstream',
+  message: 'this entry reaches no upstream, and no other entry relays its requests',
+  retryAfter: NO_UPSTREAM_RETRY_DELAY,
+  closesConnection: true,
+};
+
 /**
  * Digest of a request's content. It is the same for every attempt, so that logs of several entries can be correlated.
  *
@@ -111,6 +121,9 @@
   const now = context.timers.now();
   const candidates = candidatesOf(context, routed);
   const exclusion = context.sendPolicy.exclusionOfAll(candidates, now);
+  if (exclusion === undefined && candidates.length > 0 && context.isCutOff?.() === true) {
+    return CUT_OFF;
+  }
   if (exclusion === undefined) {
     const message = candidates.length === 0 ? describeNoUpstream(context, routed) : defaultMessage;
     return { reason: 'noUpstream', message, retryAfter: NO_UPSTREAM_RETRY_DELAY };
--- a/packages/kumquatfront/src/relay/plainCallTimes.spec.ts
+++ b/packages/kumquatfront/src/relay/plainCallTimes.spec.ts
@@ -24,7 +24,7 @@
   readonly call: (kind: 'idempotent' | 'nonIdempotent') => void;
 }
 
-function createSystem(instances: readonly string[]): TestSystem {
+function createSystem(instances: readonly string[], isCutOff = false): TestSystem {
   const harness = new relayTestHarness.RelayTestHarness(instances);
   const { log, metrics, sendPolicy, instances: view } = harness.context;
   const random = seededRandom.create(2);
@@ -35,7 +35,7 @@
   });
   const balancer = new localBalancer.LocalBalancer({ random, dataCentre: 'a', sendPolicy, paces });
   const call = (kind: 'idempotent' | 'nonIdempotent'): void => {
-    const context = { ...harness.context, balancer };
+    const context = { ...harness.context, balancer, isCutOff: () => isCutOff };
     new bufferedExchange.BufferedExchange(context, harness.createRoutedRequest(kind)).start();
   };
   return { harness, paces, call };
@@ -73,6 +73,28 @@
   assert.deepEqual(paces.takeSums(), [['a', 0, 0, 1, null]]);
 });
 
+// Guards against entries that are cut off making all upstreams look slow to every entry.
+void test.test(
+  'calls through another entry, and those given up while the entry is cut off, count for no pace',
+  () => {
+    const relayed = createSystem(['a']);
+    relayed.call('idempotent');
+    relayed.harness.time.advance(430);
+    answer(relayed.harness.sentCalls[0], { ...relayTestHarness.okHead, load, relayed: true });
+    assert.deepEqual(relayed.paces.takeSums(), []);
+    for (const isCutOff of [false, true]) {
+      const silent = createSystem(['a'], isCutOff);
+      silent.call('idempotent');
+      silent.harness.time.advance(30);
+      answer(silent.harness.sentCalls[0], { ...relayTestHarness.okHead, load });
+      silent.paces.takeSums();
+      silent.call('nonIdempotent');
+      silent.harness.time.advance(10_001);
+      assert.equal(silent.paces.takeSums().length, isCutOff ? 0 : 1);
+    }
+  },
+);
+
 // Guards against a slow upstream keeping the pace of its fast responses, because the late ones are never received.
 void test.test(
   'a call that a hedge overtook or that timed out counts, a caller who left at once does not',
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -82,6 +82,8 @@
     /** How long work takes at this moment, where 1 is normal; undefined if it reports none. */
     readonly slowdown?: number;
   };
+  /** True if the response came through another entry, which adds to its time. */
+  readonly relayed?: boolean;
   /** Back-pressure signals; undefined if the response carries none for the addressed upstream. */
   readonly signals?: backPressureTypes.UpstreamSignals;
 }
--- a/packages/kumquatfront/src/trafficControl/entryDirectory.ts
+++ b/packages/kumquatfront/src/trafficControl/entryDirectory.ts
@@ -152,7 +152,7 @@
     const usable = [...this.entries.values()]
       .filter((known) => known.status.state === 'ready' && now - known.lastSeenAt <= ENTRY_LEASE)
       .map((known) => known.status)
-      .filter((status) => status.name !== entry);
+      .filter((status) => status.name !== entry && status.cutOff !== true);
     const local = usable.filter((status) => status.dataCentre === dataCentre);
     const remote = usable.filter((status) => status.dataCentre !== dataCentre);
     const localCount = Math.max(Math.ceil(PEERS / 2), PEERS - remote.length);
--- a/packages/kumquatfront/src/trafficControl/methods.ts
+++ b/packages/kumquatfront/src/trafficControl/methods.ts
@@ -57,6 +57,8 @@
   readonly utilization?: entryUtilization.UtilizationFigures;
   /** Time since the entry became ready; absent after the first seconds. */
   readonly readyFor?: ports.Milliseconds;
+  /** True while the entry reaches no upstream by its own links; otherwise absent. */
+  readonly cutOff?: boolean;
 }
 
 /**
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -14,8 +14,9 @@
 import type * as ports from '../kernel/ports.js';
 import * as serviceRegistry from '../kernel/serviceRegistry.js';
 import * as timerService from '../kernel/timerService.js';
-import * as peerList from '../peerRelay/peerList.js';
-import * as witnesses from '../peerRelay/witnesses.js';
+import type * as relayMessages from '../peerRelay/messages.js';
+import * as peerRelay from '../peerRelay/peerRelay.js';
+import * as relayServer from '../peerRelay/relayServer.js';
 import * as placementFeatures from '../placement/placementFeatures.js';
 import * as localBalancer from '../relay/localBalancer.js';
 import * as placementClient from '../relay/placementClient.js';
@@ -82,6 +83,7 @@
   readonly relay: trafficRelay.TrafficRelay;
   readonly watch: controlWatch.ControlWatch;
   readonly quarantine: quarantine.Quarantine;
+  readonly relayServer: relayServer.RelayServer;
 }
 
 /** An entry; see the module comment. */
@@ -94,7 +96,7 @@
   private readonly relay: trafficRelay.TrafficRelay;
   private readonly placement: placementClient.PlacementClient;
   private readonly quarantine: quarantine.Quarantine;
-  private readonly witnesses: witnesses.Witnesses;
+  private readonly peerRelay: peerRelay.PeerRelay;
   private routes: routeTable.RouteTable | undefined;
   private isDraining = false;
   private readyAt: ports.Milliseconds = 0;
@@ -135,6 +137,7 @@
         signals.onInstanceChange(change);
         if (event === 'gone' || event === 'replaced') {
           balancer.removeInstance(instance.identity);
+          this.peerRelay.removeUpstream(instance.identity);
           policy.removeUpstream(instance.identity);
         }
         if (event === 'replaced') {
@@ -189,7 +192,7 @@
       log,
       metrics,
       check: (address, done) => {
-        this.witnesses.check(address, done);
+        this.peerRelay.upstreams.check(address, done);
       },
       isTerminating: (identity) => instances.isTerminating(identity),
       report: (content) => {
@@ -203,18 +206,30 @@
       },
     });
     const { placement, quarantine: quarantineState } = this;
-    const list = new peerList.PeerList({
-      ...{ timers, random, log, peers },
+    this.peerRelay = new peerRelay.PeerRelay({
+      ...{ timers, random, log, metrics, peers, instances, entryCount },
       entry: settings.name,
       dataCentre: settings.dataCentre,
+      upstreams,
       replicas: () => this.watch.replicas(),
+      onCutOffChanged: () => {
+        this.watch.reportStatusNow();
+      },
     });
-    this.witnesses = new witnesses.Witnesses({
-      ...{ timers, random, log, peers, entryCount },
-      peerList: list,
-      check: upstreams.check,
-      instances: () => instances.ready(),
-      onAccepted: () => undefined,
+    const guardOptions = { timers, quarantine: quarantineState, signals, log };
+    const server = new relayServer.RelayServer({
+      ...{ timers, log, metrics, peers },
+      epoch: random.identity(),
+      upstreams: guardedUpstreams.create({
+        ...guardOptions,
+        upstreams: this.peerRelay.direct,
+        policy: {
+          exclusionOf: (instance, now) => policy.exclusionFromRelay(instance, now),
+          recordSent: () => undefined,
+          messageOf: (exclusion) => policy.messageOf(exclusion),
+        },
+      }),
+      declineReason: () => this.relayDeclineReason(),
     });
     const slackShare = new windowedShare.WindowedShare(entryCount, settings.retries.window);
     // Retries may be rare; without regular updates an entry would not notice when control was reached first and last.
@@ -236,12 +251,9 @@
         log,
         metrics,
         upstreams: guardedUpstreams.create({
-          upstreams,
-          timers,
-          quarantine: quarantineState,
-          signals,
+          ...guardOptions,
+          upstreams: this.peerRelay.upstreams,
           policy,
-          log,
         }),
         instances,
         sendPolicy: policy,
@@ -249,6 +261,7 @@
         retryBudget: budget,
         placement,
         quarantine: quarantineState,
+        isCutOff: () => this.peerRelay.isCutOff,
         ...(settings.isEnabled !== undefined && { isEnabled: settings.isEnabled }),
       },
       random,
@@ -295,6 +308,7 @@
     this.services.register('relay', this.relay);
     this.services.register('watch', this.watch);
     this.services.register('quarantine', quarantineState);
+    this.services.register('relayServer', server);
   }
 
   private createLeases(): leaseClient.LeaseClient {
@@ -335,7 +349,11 @@
   private describe(): methods.EntryStatus {
     const { name, dataCentre, callerAddress, peerAddress } = this.settings;
     const trafficVersion = this.routes?.version ?? 0;
-    const status = { name, dataCentre, callerAddress, peerAddress, state: this.state, trafficVersion };
+    const isCutOff = this.peerRelay.isCutOff;
+    const status = {
+      ...{ name, dataCentre, callerAddress, peerAddress, state: this.state, trafficVersion },
+      ...(isCutOff && { cutOff: true }),
+    };
     if (this.load === undefined) {
       return status;
     }
@@ -344,6 +362,20 @@
     return { ...status, ...this.load.status(), ...(isStarting && { readyFor }) };
   }
 
+  /** Reason for which this entry relays nothing for others; undefined if it relays. */
+  private relayDeclineReason(): relayMessages.DeclineReason | undefined {
+    if (this.isDraining) {
+      return 'draining';
+    }
+    if (this.state !== 'ready') {
+      return 'notReady';
+    }
+    if (this.peerRelay.isCutOff) {
+      return 'cutOff';
+    }
+    return this.load?.generationRefusal() === undefined ? undefined : 'overloaded';
+  }
+
   /** Whether this entry accepts new callers. */
   get state(): methods.EntryState {
     if (this.isDraining) {
--- a/packages/scenarios/src/scripts/backPressureSafeguards.ts
+++ b/packages/scenarios/src/scripts/backPressureSafeguards.ts
@@ -8,8 +8,8 @@
   {
     name: 'requests to an upstream stay within its rate limit',
     file: 'backPressure/sendPolicy.js',
-    find: 'return this.rateLimitExclusionOf(instance, now);',
-    replace: 'return undefined;',
+    find: 'return this.exclusionFromRelay(instance, now) ?? this.rateLimitExclusionOf(instance, now);',
+    replace: 'return this.exclusionFromRelay(instance, now);',
     scenario: 'spec:backPressure/rateLimitedUpstream',
   },
   {
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -7,6 +7,7 @@
 import * as controlSafeguards from './controlSafeguards.js';
 import * as dataCentreSafeguards from './dataCentreSafeguards.js';
 import * as heavyLoadSafeguards from './heavyLoadSafeguards.js';
+import * as peerRelaySafeguards from './peerRelaySafeguards.js';
 import * as prefillSafeguards from './prefillSafeguards.js';
 import * as entryLoadSafeguards from './entryLoadSafeguards.js';
 import * as fairShareSafeguards from './fairShareSafeguards.js';
@@ -26,6 +27,7 @@
   ...quarantineSafeguards.quarantineSafeguards,
   ...dataCentreSafeguards.dataCentreSafeguards,
   ...backPressureSafeguards.backPressureSafeguards,
+  ...peerRelaySafeguards.peerRelaySafeguards,
   ...prefillSafeguards.prefillSafeguards,
   ...sharedLimitsSafeguards.sharedLimitsSafeguards,
   ...heavyLoadSafeguards.heavyLoadSafeguards,
--- a/packages/scenarios/src/scripts/upstreamPaceSafeguards.ts
+++ b/packages/scenarios/src/scripts/upstreamPaceSafeguards.ts
@@ -64,8 +64,8 @@
   {
     name: 'calls that an upstream rejects as invalid do not make it look fast',
     file: 'relay/bufferedExchange.js',
-    find: 'if (head.status < 300) {',
-    replace: 'if (true) {',
+    find: 'if (head.status < 300 && head.relayed !== true) {',
+    replace: 'if (head.relayed !== true) {',
     scenario: 'spec:relay/plainCallTimes',
   },
   {
