Soak: entries are cut off from upstreams that the others reach

Its proxies stand before an upstream for all entries at once, so that no run cut off a single entry. A module that is loaded before the program now cuts an entry's links: silent, reset, or new ones refused; at random among the other faults, and in each form in a check after them, in which all entries but one are cut off.

--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -17,6 +17,7 @@
 import * as sleep from './sleep.js';
 import * as freePorts from './freePorts.js';
 import * as supervisedProcess from './supervisedProcess.js';
+import * as upstreamCuts from './upstreamCuts.js';
 import * as stubInstance from './stubInstance.js';
 
 /** Size and duration of a run. */
@@ -285,15 +286,23 @@
   });
   const { checker, instances } = environment;
   const evacuation = new evacuationCheck.EvacuationCheck({ operator, checker, instances, waitUntil });
+  const cuts = new upstreamCuts.UpstreamCuts({
+    entries: environment.entries,
+    callerPort: environment.ports.caller,
+    random: kumquatfront.seededRandom.create(options.seed + 2_000_000),
+    checker,
+  });
   await evacuation.begin();
   void operator.run();
+  const cutsEnded = cuts.run();
   const endsAt = Date.now() + options.faultSeconds * 1_000;
   const pendingFaults: Promise<void>[] = [];
   while (Date.now() < endsAt) {
     pendingFaults.push(environment.injectFault());
     await sleep.forMilliseconds(200 + environment.random.next() * 900);
   }
-  await Promise.all(pendingFaults);
+  cuts.stop();
+  await Promise.all([...pendingFaults, cutsEnded]);
   operator.stop();
   if (!(await waitUntil(() => operator.replaceConfiguration()))) {
     violations.push('no configuration was acknowledged after the fault phase');
@@ -305,6 +314,7 @@
     violations.push('no request was served after the fault phase');
   }
   await evacuation.check();
+  await cuts.check();
   await backPressure.check({ checker, instances, entryCount: entryHosts.length, waitUntil });
   await crashing.checkQuarantine();
   crashing.stop();
--- a/packages/soak/src/supervisedProcess.ts
+++ b/packages/soak/src/supervisedProcess.ts
@@ -7,9 +7,15 @@
 import * as path from 'node:path';
 import * as url from 'node:url';
 
+import * as linkCut from './linkCut.js';
 import * as loopbackProxy from './loopbackProxy.js';
 
 const PROGRAM_FILE = url.fileURLToPath(import.meta.resolve('kumquatfront-platform/program'));
+const LINK_CUT_FILE = url.fileURLToPath(new URL('./linkCut.js', import.meta.url));
+
+/** Hosts of the upstreams and of the proxies in front of them. */
+const UPSTREAM_HOSTS = '127.0.25.,127.0.26.';
+
 const RESTART_DELAY_MS = 150;
 const MAXIMUM_LOG_LENGTH = 400_000;
 
@@ -37,6 +43,7 @@
   private child: childProcess.ChildProcess | undefined;
   private readonly settingsFile: string;
   private readonly dataFolder: string;
+  private readonly cutFile: string;
   private exitExpected = false;
   private stopped = false;
 
@@ -54,6 +61,8 @@
     this.proxy = new loopbackProxy.LoopbackProxy(`${proxyHost}:${ports.peer}`, `${this.host}:${ports.peer}`);
     this.dataFolder = path.join(folder, this.name);
     this.settingsFile = path.join(folder, `${this.name}.json`);
+    this.cutFile = path.join(folder, `${this.name}.cut`);
+    this.setUpstreamCut('');
     const settings = {
       name: this.name,
       role,
@@ -84,8 +93,14 @@
   }
 
   private start(): void {
-    const child = childProcess.spawn(process.execPath, ['--max-old-space-size=90', PROGRAM_FILE], {
-      env: { ...process.env, KUMQUATFRONT_CONFIG: this.settingsFile },
+    const nodeOptions = ['--max-old-space-size=90', '--import', LINK_CUT_FILE];
+    const child = childProcess.spawn(process.execPath, [...nodeOptions, PROGRAM_FILE], {
+      env: {
+        ...process.env,
+        KUMQUATFRONT_CONFIG: this.settingsFile,
+        [linkCut.FILE_VARIABLE]: this.cutFile,
+        [linkCut.HOSTS_VARIABLE]: UPSTREAM_HOSTS,
+      },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.child = child;
@@ -127,6 +142,14 @@
     this.child?.kill(signal);
   }
 
+  /** Cuts the links of the process to all upstreams; an empty form restores them. */
+  setUpstreamCut(form: linkCut.CutForm | ''): void {
+    // Renamed into place: the process must not read a file that is half written.
+    const newFile = `${this.cutFile}.new`;
+    fs.writeFileSync(newFile, form);
+    fs.renameSync(newFile, this.cutFile);
+  }
+
   /** Simulates a disk loss: kills the process and deletes its data folder before the restart. */
   loseDisk(): void {
     this.signal('SIGKILL');
