A started stream waits for an upstream that is silent for a second

A sound upstream may fall silent for a second and go on. After 900 ms (five pauses of 180 ms) its streams were sent again elsewhere: the prompt was read twice, the retry budget of the service used, and the engine given up though it went on. The spec was red: two sends after 1.2 s of silence. Now a started stream waits 1.3 s at least; callers give up after two seconds at the earliest.

--- a/packages/kumquatfront/src/relay/idleTimeout.spec.ts
+++ b/packages/kumquatfront/src/relay/idleTimeout.spec.ts
@@ -52,6 +52,21 @@
   assert.equal(idleTimeout.forRoute(route, true, 5_000), idleTimeout.forRoute(route, true));
 });
 
+// Guards against a stream that is sent again, at the cost of its prompt, because a sound engine is silent for a second.
+void test.test('a stream waits for an engine that falls silent for a second', () => {
+  const harness = start();
+  const [sent] = harness.sentCalls;
+  sent?.listener.head(relayTestHarness.okHead);
+  sent?.listener.data(relayTestHarness.streamEvent(1));
+  harness.time.advance(1_200);
+  assert.equal(harness.sentCalls.length, 1);
+  sent?.listener.data(relayTestHarness.streamEvent(2));
+  harness.time.advance(1_200);
+  assert.equal(harness.sentCalls.length, 1);
+  harness.time.advance(300);
+  assert.equal(harness.sentCalls.length, 2);
+});
+
 // Guards against a patient request that is refused although only headroom for urgent work is missing.
 void test.test('the placement request of a patient generation names its longest wait', () => {
   const harness = start();
--- a/packages/kumquatfront/src/relay/idleTimeout.ts
+++ b/packages/kumquatfront/src/relay/idleTimeout.ts
@@ -17,9 +17,15 @@
 const FORECAST_FACTOR = 1.3;
 const MINIMUM_FORECAST_MARGIN: ports.Milliseconds = 250;
 
-/** Lower bound of both timeouts. */
+/** Lower bound of the timeout of the first event. */
 const MINIMUM_IDLE_TIMEOUT: ports.Milliseconds = 400;
 
+/**
+ * Lower bound of the timeout of a started stream: a sound upstream may be silent for a second, and callers wait for two
+ * seconds at least.
+ */
+const MINIMUM_STARTED_TIMEOUT: ports.Milliseconds = 1_300;
+
 /**
  * Idle timeout of a stream.
  *
@@ -39,7 +45,7 @@
 ): ports.Milliseconds {
   const { objective, longestPause } = route;
   if (started) {
-    return Math.max(MINIMUM_IDLE_TIMEOUT, longestPause * IDLE_TIMEOUT_PAUSES);
+    return Math.max(MINIMUM_STARTED_TIMEOUT, longestPause * IDLE_TIMEOUT_PAUSES);
   }
   const forecastTimeout =
     firstEventIn === undefined
--- a/packages/scenarios/src/scripts/relaySafeguards.ts
+++ b/packages/scenarios/src/scripts/relaySafeguards.ts
@@ -328,4 +328,11 @@
     replace: 'minimumVoters',
     scenario: 'spec:trafficControl/fiveReplicas',
   },
+  {
+    name: 'a started stream waits for an upstream that is silent for a second',
+    file: 'relay/idleTimeout.js',
+    find: 'Math.max(MINIMUM_STARTED_TIMEOUT, longestPause * IDLE_TIMEOUT_PAUSES)',
+    replace: 'longestPause * IDLE_TIMEOUT_PAUSES',
+    scenario: 'spec:relay/idleTimeout',
+  },
 ];
