Specs: connections between processes that fall silent, and who sets options of TCP

Nothing in the library sets keep-alive or a user timeout of TCP, so a dead connection is found by the probes of the transport and the idle timeouts of streams; a spec now says so, and another shows that a silent connection is replaced.

--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.spec.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.spec.ts
@@ -1,15 +1,18 @@
 /**
- * Connect timeout of the peer transport.
+ * Connections of the peer transport that do not open, or fall silent.
  */
 import * as assert from 'node:assert/strict';
 import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
 import * as net from 'node:net';
 import type * as stream from 'node:stream';
 import * as test from 'node:test';
 import * as timersPromises from 'node:timers/promises';
 
+import * as results from '../kernel/results.js';
 import * as virtualTime from '../kernel/virtualTime.js';
 import * as jsonRpcTransport from './jsonRpcTransport.js';
+import * as systemTime from './systemTime.js';
 
 const noop = (): void => undefined;
 const log = { debug: noop, info: noop, warn: noop, error: noop };
@@ -67,3 +70,83 @@
     child.kill('SIGKILL');
   }
 });
+
+/** Forwards connections to a port; once it is silent, nothing passes any more on those that are open. */
+async function startForwarder(port: number): Promise<{
+  readonly port: number;
+  readonly silence: () => void;
+  readonly close: () => void;
+}> {
+  const open = new Set<net.Socket>();
+  const server = net.createServer((inbound) => {
+    const outbound = net.connect(port, '127.0.0.1');
+    for (const socket of [inbound, outbound]) {
+      open.add(socket);
+      socket.on('error', noop);
+    }
+    inbound.pipe(outbound);
+    outbound.pipe(inbound);
+  });
+  const ownPort = await new Promise<number>((resolve) => {
+    server.listen(0, '127.0.0.1', () => {
+      resolve((server.address() as net.AddressInfo).port);
+    });
+  });
+  return {
+    port: ownPort,
+    silence: () => {
+      for (const socket of open) {
+        socket.unpipe();
+        socket.pause();
+      }
+    },
+    close: () => {
+      server.close();
+      for (const socket of open) {
+        socket.destroy();
+      }
+    },
+  };
+}
+
+// Guards against messages that wait on a connection that fell silent. Nothing here sets keep-alive or a timeout of TCP, so
+// only the probes of the transport find out.
+void test.test('a connection that falls silent is closed, and the next message opens a new one', async () => {
+  const { scheduler } = systemTime;
+  const server = jsonRpcTransport.create({ clusterKey: 'key', scheduler, log });
+  server.serve('echo', (parameters, reply) => {
+    reply(results.Ok(parameters));
+  });
+  const port = await new Promise<number>((resolve) => {
+    server.listen('127.0.0.1:0', resolve);
+  });
+  const forwarder = await startForwarder(port);
+  const client = jsonRpcTransport.create({ clusterKey: 'key', scheduler, log });
+  const ask = (): Promise<boolean> =>
+    new Promise((resolve) => {
+      client.request(`127.0.0.1:${forwarder.port}`, 'echo', [1], 60_000, (result) => {
+        resolve(result.ok);
+      });
+    });
+  try {
+    assert.equal(await ask(), true);
+    forwarder.silence();
+    assert.equal(await ask(), false);
+    assert.equal(await ask(), true);
+  } finally {
+    client.close();
+    server.close();
+    forwarder.close();
+  }
+});
+
+// Guards against a library or a change that leaves dead connections to the operating system: a TCP user timeout also decides
+// when keep-alive probes give up, whatever their number.
+void test.test('no module of the library sets keep-alive or a user timeout of TCP', () => {
+  const library = new URL('../', import.meta.url);
+  const files = fs.readdirSync(library, { recursive: true, encoding: 'utf8' });
+  const modules = files.filter((file) => file.endsWith('.js') && !file.endsWith('.spec.js'));
+  const setting = /setKeepAlive|keepAliveInitialDelay|TCP_USER_TIMEOUT/;
+  const found = modules.filter((file) => setting.test(fs.readFileSync(new URL(file, library), 'utf8')));
+  assert.deepEqual(found, []);
+});
