Calls to fragile upstreams take a slot that all entries share

Upstreams may state in all their answers that they crash when they have to reject more than N requests in a second for want of room (Server-Brittle on the users' platform).

A service whose answers say so is known to all entries within a watch of control. Each call then takes a slot from the coordinator, which counts the calls that all entries have in flight; one that finds no slot, and no prospect of one, is refused at once.

--- a/packages/kumquatfront/src/backPressure/types.ts
+++ b/packages/kumquatfront/src/backPressure/types.ts
@@ -15,6 +15,8 @@
   readonly rateLimit?: number;
   /** Time for which it asks this sender to send nothing; undefined if it asks for no pause. */
   readonly pause?: ports.Milliseconds;
+  /** Requests that it can reject in a second without crashing; undefined if it does not state that it is fragile. */
+  readonly maximumRejections?: number;
   /** True if the upstream is shutting down. */
   readonly leaving: boolean;
   readonly unreadable: readonly UnreadableSignal[];
--- a/packages/kumquatfront/src/quarantine/crashTestHarness.ts
+++ b/packages/kumquatfront/src/quarantine/crashTestHarness.ts
@@ -26,6 +26,8 @@
 /** Time from the start of a run to the crash that it causes. */
 const CRASH_DELAY: Readonly<Record<ServiceName, ports.Milliseconds>> = { llm: 80, app: 10 };
 const RUN_DURATION: Readonly<Record<ServiceName, ports.Milliseconds>> = { llm: 300, app: 25 };
+/** Requests that an instance announces to run at the same time. */
+const SLOTS: Readonly<Record<ServiceName, number>> = { llm: 24, app: 6 };
 const DOWNTIME: ports.Milliseconds = 3_000;
 const ANNOUNCEMENT_INTERVAL: ports.Milliseconds = 1_200;
 
@@ -84,6 +86,13 @@
   cancelled: boolean;
 }
 
+/** Upstreams that crash when they reject more than some requests in a second for want of room. */
+export interface Fragility {
+  readonly maximumRejections: number;
+  /** Requests that an upstream runs at the same time; none wait. */
+  readonly slots: number;
+}
+
 /** A cut between an entry and some upstreams. */
 interface Cut {
   readonly form: CutForm;
@@ -95,6 +104,8 @@
   starts: number;
   alive: boolean;
   readonly runs: Set<Run>;
+  /** Times at which it rejected requests for want of room. */
+  rejections: ports.Milliseconds[];
 }
 
 /** Routes of the harness, by their service; `orders` are calls to `app` that are not idempotent. */
@@ -105,6 +116,13 @@
 /** Names of the control replicas. */
 export const REPLICAS: readonly string[] = ['c1', 'c2', 'c3'];
 
+function withFragility(
+  head: relayTypes.ResponseHead,
+  { maximumRejections }: Fragility,
+): relayTypes.ResponseHead {
+  return { ...head, signals: { leaving: false, unreadable: [], ...head.signals, maximumRejections } };
+}
+
 /** Simulated system with crashing upstreams; see the module comment. */
 export class CrashTestHarness {
   readonly control: controlTestHarness.ControlTestHarness;
@@ -115,6 +133,8 @@
   readonly answers: Answer[] = [];
   /** Response head of an upstream; a head with `notRun` is sent immediately. */
   headOf: (upstream: string, entry: string) => relayTypes.ResponseHead = () => relayTestHarness.okHead;
+  /** Fragility of the plain upstreams, which all their answers state; undefined if they are not fragile. */
+  fragility: Fragility | undefined;
   private readonly entries = new Map<string, trafficEntry.TrafficEntry>();
   private readonly upstreams: Upstream[] = [];
   private readonly cuts = new Map<string, Cut>();
@@ -203,8 +223,11 @@
 
   private addUpstream(service: ServiceName, name: string, dataCentre = 'a'): void {
     const address = `${name}:80`;
-    const announcement = instanceTestHarness.announcement(name, { service, address, dataCentre });
-    const upstream: Upstream = { announcement, starts: 1, alive: true, runs: new Set() };
+    const announcement = instanceTestHarness.announcement(name, {
+      ...{ service, address, dataCentre },
+      slots: SLOTS[service],
+    });
+    const upstream: Upstream = { announcement, starts: 1, alive: true, runs: new Set(), rejections: [] };
     this.upstreams.push(upstream);
     this.announce(upstream);
   }
@@ -246,7 +269,10 @@
       upstream.starts += 1;
       const name = `${upstream.announcement.address.split(':')[0] ?? service}.${upstream.starts}`;
       const { address, dataCentre } = upstream.announcement;
-      upstream.announcement = instanceTestHarness.announcement(name, { service, address, dataCentre });
+      upstream.announcement = instanceTestHarness.announcement(name, {
+        ...{ service, address, dataCentre },
+        slots: upstream.announcement.slots,
+      });
       upstream.alive = true;
       this.announce(upstream);
     });
@@ -311,7 +337,10 @@
     const service = upstream.announcement.service as ServiceName;
     const { content, entry, listener } = run;
     const { identity } = upstream.announcement;
-    const answer = (head: relayTypes.ResponseHead): void => {
+    const { fragility } = this;
+    const isFragile = fragility !== undefined && service === 'app';
+    const answer = (plainHead: relayTypes.ResponseHead): void => {
+      const head = isFragile ? withFragility(plainHead, fragility) : plainHead;
       upstream.runs.delete(run);
       if (this.cutFormOf(entry, upstream.announcement.address) === 'silent') {
         return;
@@ -323,6 +352,11 @@
       }
       listener.end();
     };
+    if (isFragile && upstream.runs.size >= fragility.slots) {
+      answer(relayTestHarness.notRunHead);
+      this.recordRejection(upstream, fragility);
+      return;
+    }
     upstream.runs.add(run);
     const whileRunning = (delay: ports.Milliseconds, then: () => void): void => {
       this.time.after(delay, () => {
@@ -348,6 +382,15 @@
     });
   }
 
+  private recordRejection(upstream: Upstream, { maximumRejections }: Fragility): void {
+    const now = this.time.now();
+    upstream.rejections = [...upstream.rejections.filter((at) => now - at < 1_000), now];
+    if (upstream.rejections.length > maximumRejections) {
+      upstream.rejections = [];
+      this.crash(upstream, '');
+    }
+  }
+
   /** Crashes one running upstream of a service, together with all runs on it. */
   crashOne(service: ServiceName): void {
     const found = this.upstreams.find(({ announcement, alive }) => announcement.service === service && alive);
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -6,6 +6,7 @@
  * If a run of a suspected content breaks, its failure is passed on only after the connection check: an exchange would
  * otherwise resend it before the crash that quarantines the content is recorded.
  */
+import type * as slotClient from '../callSlots/slotClient.js';
 import type * as sendPolicy from '../backPressure/sendPolicy.js';
 import type * as signalRegistry from '../backPressure/signalRegistry.js';
 import type * as ports from '../kernel/ports.js';
@@ -23,6 +24,8 @@
   readonly quarantine: quarantine.Quarantine;
   /** Receives the back-pressure signals in answers of upstreams. */
   readonly signals: signalRegistry.SignalRegistry;
+  /** Receives what answers state of fragile services; nothing if absent. */
+  readonly slots?: slotClient.SlotClient;
   /** Decides whether an upstream may be sent a request now. */
   readonly policy: Pick<sendPolicy.SendPolicy, 'exclusionOf' | 'recordSent' | 'messageOf'>;
 }
@@ -51,6 +54,8 @@
         this.succeeded = head.signed && head.status >= 200 && head.status < 300;
         if (head.signals !== undefined) {
           this.options.signals.applySignals(this.call.instance, head.signals, this.sentAt);
+          const { service } = this.call.instance;
+          this.options.slots?.recordAnswer(service, head.signals.maximumRejections, this.sentAt);
         }
         listener.head(head);
       },
--- a/packages/kumquatfront/src/relay/bufferedExchange.ts
+++ b/packages/kumquatfront/src/relay/bufferedExchange.ts
@@ -2,6 +2,7 @@
  * Relays one request with a buffered response. Idempotent requests may run on several upstreams; any other request
  * is retried only if it certainly did not run.
  */
+import type * as slotClient from '../callSlots/slotClient.js';
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import * as quarantine from '../quarantine/quarantine.js';
@@ -13,10 +14,15 @@
 const HEDGE_DELAY_SHARE = 0.7;
 const MINIMUM_HEDGE_DELAY: ports.Milliseconds = 60;
 
+/** Share of the objective for which a call waits for a slot of a fragile upstream. */
+const SLOT_WAIT_SHARE = 0.5;
+
 interface Attempt {
   readonly instance: instanceView.Instance;
   readonly cancel: types.CancelExchange;
   readonly sentAt: ports.Milliseconds;
+  /** Returns the slot that the attempt holds at a fragile upstream. */
+  readonly release: slotClient.ReleaseSlot;
   head: types.ResponseHead | undefined;
   readonly chunks: Uint8Array[];
 }
@@ -37,6 +43,8 @@
   private cancelDeadline: ports.Cancel = () => undefined;
   private cancelHedge: ports.Cancel = () => undefined;
   private cancelQuarantine: ports.Cancel = () => undefined;
+  /** Withdraws the request for a slot of a fragile upstream. */
+  private cancelSlot: ports.Cancel = () => undefined;
 
   constructor(context: exchangeContext.ExchangeContext, routed: exchangeContext.RoutedRequest) {
     this.context = context;
@@ -74,7 +82,11 @@
 
   private sendHedge(): void {
     const canHedge =
-      !this.ended && this.openAttempts.size === 1 && !this.isQuarantined && this.hasAttemptsLeft;
+      !this.ended &&
+      this.openAttempts.size === 1 &&
+      !this.isQuarantined &&
+      this.hasAttemptsLeft &&
+      !this.needsSlot;
     const instance = canHedge ? this.nextUpstream() : undefined;
     if (instance !== undefined && this.takeRetry()) {
       this.context.log.debug('hedged', { request: this.routed.request.identity });
@@ -103,7 +115,52 @@
     return balancer.choose(candidates, this.triedUpstreams, timers.now());
   }
 
+  /** True if the upstreams of the service are fragile: a call goes only where the coordinator knows room. */
+  private get needsSlot(): boolean {
+    return this.context.slots?.isNeeded(this.routed.service.name) === true;
+  }
+
+  /** Sends the request once a slot is granted. */
+  private sendWithSlot(slots: slotClient.SlotClient): void {
+    const { sendPolicy: policy, timers } = this.context;
+    const { service, dataCentres, deadline, route } = this.routed;
+    const now = timers.now();
+    const excluded = exchangeContext
+      .candidatesOf(this.context, this.routed)
+      .filter((instance) => policy.exclusionFromChoice(instance, now) !== undefined)
+      .map(({ identity }) => identity);
+    this.cancelSlot = slots.take(
+      {
+        service: service.name,
+        excluded: [...this.triedUpstreams, ...excluded],
+        dataCentres,
+        holdFor: deadline - now,
+        patience: Math.min(route.objective * SLOT_WAIT_SHARE, deadline - now),
+      },
+      {
+        granted: (instance, release) => {
+          this.send(instance, release);
+        },
+        refused: (retryAfter) => {
+          this.onNoSlot(retryAfter);
+        },
+      },
+    );
+  }
+
+  private onNoSlot(retryAfter: ports.Milliseconds): void {
+    if (this.possibleRuns === 0) {
+      this.refuse('overloaded', 'every upstream of this service is at capacity', retryAfter);
+    } else {
+      this.finishFailed();
+    }
+  }
+
   private sendNext(): void {
+    if (this.needsSlot && this.context.slots !== undefined) {
+      this.sendWithSlot(this.context.slots);
+      return;
+    }
     const instance = this.nextUpstream();
     if (instance === undefined) {
       this.onNoUpstreamLeft();
@@ -112,7 +169,7 @@
     }
   }
 
-  private send(instance: instanceView.Instance): void {
+  private send(instance: instanceView.Instance, release: slotClient.ReleaseSlot = () => undefined): void {
     const { balancer, timers, upstreams } = this.context;
     const { request, account, deadline, dataCentres } = this.routed;
     const now = timers.now();
@@ -137,12 +194,13 @@
     };
     const timeLeft = deadline - now;
     const cancel = upstreams.send({ request, instance, timeLeft, account, dataCentres }, listener);
-    const attempt: Attempt = { instance, cancel, sentAt: now, head: undefined, chunks };
+    const attempt: Attempt = { instance, cancel, sentAt: now, release, head: undefined, chunks };
     this.openAttempts.add(attempt);
   }
 
   private close(attempt: Attempt): void {
     if (this.openAttempts.delete(attempt)) {
+      attempt.release(attempt.head?.notRun === true);
       this.context.balancer.recordCompletion(attempt.instance.identity);
     }
   }
@@ -249,6 +307,10 @@
       return;
     }
     const mayRetry = (cause === 'notRun' || this.isIdempotent) && this.hasAttemptsLeft;
+    if (mayRetry && this.needsSlot && this.takeRetry()) {
+      this.sendNext();
+      return;
+    }
     const instance = mayRetry ? this.nextUpstream() : undefined;
     if (mayRetry && instance === undefined) {
       this.onNoUpstreamLeft();
@@ -334,6 +396,7 @@
     this.cancelDeadline();
     this.cancelHedge();
     this.cancelQuarantine();
+    this.cancelSlot();
     const { balancer, timers, isCutOff } = this.context;
     for (const attempt of [...this.openAttempts]) {
       // The silence of a cut-off entry's links says nothing about upstreams.
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -2,6 +2,7 @@
  * Dependencies and helper functions that all exchanges of an entry share.
  */
 import type * as sendPolicy from '../backPressure/sendPolicy.js';
+import type * as slotClient from '../callSlots/slotClient.js';
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
@@ -31,6 +32,8 @@
   readonly quarantine: quarantine.Quarantine;
   /** Returns whether a placement feature is enabled; by default all are. */
   readonly isEnabled?: placementFeatures.IsEnabled;
+  /** Slots of fragile upstreams; absent if all may be sent to at any time. */
+  readonly slots?: slotClient.SlotClient;
   /** True while this entry reaches no upstream by its own links; never if absent. */
   readonly isCutOff?: () => boolean;
 }
--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -441,6 +441,7 @@
           crashedContents.add(content);
         }
       },
+      onFragileServices: () => undefined,
       onEvacuations: (update) => evacuations.push(update),
       onReplicaStarted: () => undefined,
     });
--- a/packages/kumquatfront/src/trafficControl/controlWatch.ts
+++ b/packages/kumquatfront/src/trafficControl/controlWatch.ts
@@ -4,6 +4,7 @@
  * entries. Two preferred replicas send updates immediately, the others when the watch closes; see `openWatches`.
  */
 import type * as agreedTypes from '../agreedState/types.js';
+import type * as slotMessages from '../callSlots/messages.js';
 import type * as instanceTypes from '../instances/types.js';
 import type * as instanceView from '../instances/instanceView.js';
 import type * as failures from '../kernel/failures.js';
@@ -50,6 +51,8 @@
   readonly onCoordinatorChanged: (address: string) => void;
   /** Called with the crash records that a replica sends. */
   readonly onCrashRecords: (records: readonly quarantineTypes.CrashRecord[]) => void;
+  /** Called with what a replica knows of fragile services. */
+  readonly onFragileServices: (records: readonly slotMessages.FragilityRecord[]) => void;
   /** Called when the set of evacuated data centres changes, in increasing order of revision. */
   readonly onEvacuations: (evacuations: agreedTypes.Evacuations) => void;
   /** Called with the first answer of a replica since the replica started. */
@@ -329,6 +332,9 @@
       hasMoreCrashRecords || answer.instances?.hasMore === true || answer.instances?.listing !== undefined;
     this.applyCrashRecords(address, watched, answer);
     this.applyEvacuations(answer);
+    if (answer.fragile !== undefined) {
+      this.options.onFragileServices(answer.fragile);
+    }
     this.firstAnswerAt = Math.min(this.firstAnswerAt, now);
     // An entry must not start on the configuration of a stale replica, which others may have superseded, nor before it
     // knows all quarantined contents.
--- a/packages/kumquatfront/src/trafficControl/methods.ts
+++ b/packages/kumquatfront/src/trafficControl/methods.ts
@@ -3,6 +3,7 @@
  * their messages.
  */
 import type * as agreedTypes from '../agreedState/types.js';
+import type * as slotMessages from '../callSlots/messages.js';
 import type * as entryCapacity from '../entryLoad/entryCapacity.js';
 import type * as entryUtilization from '../entryLoad/entryUtilization.js';
 import type * as instanceTypes from '../instances/types.js';
@@ -116,6 +117,8 @@
   readonly entryCount: number;
   /** Records of contents that crashed upstreams; omitted when the entry is up to date. */
   readonly cases?: quarantineTypes.CrashRecordUpdate;
+  /** What upstreams state of fragile services; omitted if no service is or was fragile. */
+  readonly fragile?: readonly slotMessages.FragilityRecord[];
   /** Data centres whose upstreams receive no new work; omitted when the entry is up to date. */
   readonly evacuations?: agreedTypes.Evacuations;
 }
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -15,6 +15,9 @@
 import * as coordinator from '../placement/coordinator.js';
 import * as evacuation from '../placement/evacuation.js';
 import * as relayMessages from '../peerRelay/messages.js';
+import * as fragileServices from '../callSlots/fragileServices.js';
+import * as slotMessages from '../callSlots/messages.js';
+import * as slotLedger from '../callSlots/slotLedger.js';
 import * as placementFeatures from '../placement/placementFeatures.js';
 import type * as placementTypes from '../placement/types.js';
 import * as quarantineRegistry from '../quarantine/quarantineRegistry.js';
@@ -85,6 +88,7 @@
   private readonly crashRecords: quarantineRegistry.QuarantineRegistry;
   private readonly gossip: instanceGossip.InstanceGossip;
   private readonly operatorCalls: operatorCalls.OperatorCalls;
+  private readonly fragileServices = new fragileServices.FragileServices();
   private readonly configuration: appliedConfiguration.AppliedConfiguration;
   /** Data centres that were evacuated after the last applied command. */
   private evacuated: readonly string[] = [];
@@ -160,6 +164,7 @@
       },
     });
     this.serve();
+    this.serveSlots();
     this.operatorCalls.serve();
     this.configuration.serve();
     if ((options.isEnabled ?? placementFeatures.allEnabled)('sharedLimits')) {
@@ -235,6 +240,30 @@
     };
   }
 
+  private serveSlots(): void {
+    const { timers, random, log, metrics, peers, replica: own } = this.options;
+    const ledger = new slotLedger.SlotLedger({
+      ...{ timers, random, log, metrics },
+      instances: () => this.table.records(timers.now()),
+      isEvacuated: (dataCentre) => this.isEvacuated(dataCentre),
+      mayLead: () => own.mayLead(),
+      maximumRejectionsOf: (service) => this.fragileServices.maximumRejectionsOf(service, timers.now()),
+    });
+    peers.serve(slotMessages.methods.take, (parameters, reply) => {
+      ledger.take(parameters as slotMessages.TakeRequest, (answer) => {
+        reply(results.Ok(answer));
+      });
+    });
+    peers.serve(slotMessages.methods.release, (parameters, reply) => {
+      ledger.release((parameters as slotMessages.ReleaseRequest).slots);
+      reply(results.Ok(null));
+    });
+    peers.serve(slotMessages.methods.state, (parameters, reply) => {
+      this.fragileServices.merge((parameters as slotMessages.FragilityReport).records, timers.now());
+      reply(results.Ok(null));
+    });
+  }
+
   private serveLeases(): void {
     const { peers, replica: own } = this.options;
     const ledger = new leaseLedger.LeaseLedger({
@@ -397,6 +426,7 @@
       listing === undefined && epoch === this.table.epoch && revision === this.table.currentRevision;
     const { evacuations } = state;
     const applied = this.configuration.current();
+    const fragile = this.fragileServices.records(timers.now());
     const crashRecords = this.crashRecords.updatesSince(
       epoch === this.table.epoch ? request.caseRevision : 0,
     );
@@ -413,6 +443,7 @@
       leaderAddress: status.fresh ? (status.leader?.address ?? '') : '',
       entryCount: this.entries.size,
       ...(crashRecords !== undefined && { cases: crashRecords }),
+      ...(fragile.length > 0 && { fragile }),
       ...(evacuations.revision > request.evacuationRevision && { evacuations }),
     };
   }
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -5,6 +5,7 @@
 import * as rateLimitShare from '../backPressure/rateLimitShare.js';
 import * as sendPolicy from '../backPressure/sendPolicy.js';
 import * as signalRegistry from '../backPressure/signalRegistry.js';
+import * as slotClient from '../callSlots/slotClient.js';
 import type * as entryCapacity from '../entryLoad/entryCapacity.js';
 import * as entryLoad from '../entryLoad/entryLoad.js';
 import * as entryWeights from '../entryLoad/entryWeights.js';
@@ -216,7 +217,14 @@
         this.watch.reportStatusNow();
       },
     });
-    const guardOptions = { timers, quarantine: quarantineState, signals, log };
+    const slots = new slotClient.SlotClient({
+      ...{ timers, random, log, metrics, peers, instances, entryCount },
+      entry: settings.name,
+      dataCentre: settings.dataCentre,
+      coordinator: () => this.watch.coordinator,
+      replicas: () => this.watch.replicas(),
+    });
+    const guardOptions = { timers, quarantine: quarantineState, signals, slots, log };
     const server = new relayServer.RelayServer({
       ...{ timers, log, metrics, peers },
       epoch: random.identity(),
@@ -262,6 +270,7 @@
         placement,
         quarantine: quarantineState,
         isCutOff: () => this.peerRelay.isCutOff,
+        slots,
         ...(settings.isEnabled !== undefined && { isEnabled: settings.isEnabled }),
       },
       random,
@@ -292,6 +301,9 @@
       onCrashRecords: (records) => {
         quarantineState.mergeRecords(records);
       },
+      onFragileServices: (records) => {
+        slots.merge(records);
+      },
       onEvacuations: ({ dataCentres, revision }) => {
         const names = dataCentres.map((evacuation) => evacuation.dataCentre);
         log.info('evacuationsInForce', { dataCentres: names.join(' '), revision });
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -3,6 +3,7 @@
  */
 
 import * as backPressureSafeguards from './backPressureSafeguards.js';
+import * as callSlotsSafeguards from './callSlotsSafeguards.js';
 import * as configurationDeliverySafeguards from './configurationDeliverySafeguards.js';
 import * as controlSafeguards from './controlSafeguards.js';
 import * as dataCentreSafeguards from './dataCentreSafeguards.js';
@@ -27,6 +28,7 @@
   ...quarantineSafeguards.quarantineSafeguards,
   ...dataCentreSafeguards.dataCentreSafeguards,
   ...backPressureSafeguards.backPressureSafeguards,
+  ...callSlotsSafeguards.callSlotsSafeguards,
   ...peerRelaySafeguards.peerRelaySafeguards,
   ...prefillSafeguards.prefillSafeguards,
   ...sharedLimitsSafeguards.sharedLimitsSafeguards,
