The cut links of an entry eject no upstream

An entry that reached no upstream, and had no other entry to send through, counted each refused connection against its upstream. The spec failed before: two of four ejected.

--- a/packages/kumquatfront/src/relay/bufferedExchange.spec.ts
+++ b/packages/kumquatfront/src/relay/bufferedExchange.spec.ts
@@ -174,3 +174,21 @@
   }
   assert.ok(left >= 7, `${left} retries are left`);
 });
+
+// Guards against an entry that leaves out sound upstreams for seconds after its own links were cut.
+void test.test('an entry that reaches no upstream ejects none', () => {
+  for (const isCutOff of [false, true]) {
+    const harness = new relayTestHarness.RelayTestHarness(['a', 'b', 'c', 'd']);
+    const context = { ...harness.context, isCutOff: () => isCutOff };
+    for (let call = 0; call < 4; call += 1) {
+      new bufferedExchange.BufferedExchange(context, harness.createRoutedRequest('nonIdempotent')).start();
+      for (let sent = harness.sentCalls.at(-1); sent?.cancelled === false; sent = harness.sentCalls.at(-1)) {
+        sent.cancelled = true;
+        sent.listener.failed('notSent', 'refused');
+      }
+    }
+    const candidates = harness.context.instances.readyOf('llm');
+    const ejected = harness.context.balancer.ejectedOf(candidates, harness.time.now());
+    assert.equal(ejected.length, isCutOff ? 0 : 2);
+  }
+});
--- a/packages/kumquatfront/src/relay/bufferedExchange.ts
+++ b/packages/kumquatfront/src/relay/bufferedExchange.ts
@@ -286,7 +286,7 @@
       this.refuseQuarantined();
       return;
     }
-    if (failure !== 'withheld') {
+    if (exchangeContext.countsAgainstUpstream(this.context, failure)) {
       balancer.recordFailure(identity, failure === 'notSent' ? 'stall' : 'failure', timers.now());
     }
     if (failure === 'notSent' || failure === 'withheld') {
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -145,6 +145,21 @@
     : instances.unavailabilityReason(service.name);
 }
 
+/**
+ * Decides whether a failed attempt counts against its upstream in the health checks of this entry.
+ *
+ * @param context - the shared services
+ * @param failure - why the attempt failed
+ * @returns false if nothing was sent for a reason that lies at this entry: an exclusion, or links that are cut
+ * @example
+ * ```ts
+ * if (exchangeContext.countsAgainstUpstream(context, 'notSent')) balancer.recordFailure(identity, 'stall', now);
+ * ```
+ */
+export function countsAgainstUpstream(context: ExchangeContext, failure: types.ExchangeFailure): boolean {
+  return failure !== 'withheld' && !(failure === 'notSent' && context.isCutOff?.() === true);
+}
+
 /**
  * Quarantine verdict on the content of a request.
  *
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -367,7 +367,7 @@
       reason,
       lastEvent: this.delivery.lastEvent,
     });
-    if (failure !== 'withheld') {
+    if (exchangeContext.countsAgainstUpstream(this.context, failure)) {
       balancer.recordFailure(
         segment.instance.identity,
         failure === 'notSent' ? 'stall' : 'failure',
--- a/packages/scenarios/src/scripts/peerRelaySafeguards.ts
+++ b/packages/scenarios/src/scripts/peerRelaySafeguards.ts
@@ -46,7 +46,7 @@
   {
     name: 'a cut-off entry that nobody relays for says so',
     file: 'relay/exchangeContext.js',
-    find: 'context.isCutOff?.() === true',
+    find: 'candidates.length > 0 && context.isCutOff?.() === true',
     replace: 'false',
     scenario: SYSTEM,
   },
@@ -113,4 +113,11 @@
     replace: 'if (true) {',
     scenario: 'spec:relay/plainCallTimes',
   },
+  {
+    name: 'the cut links of an entry eject no upstream',
+    file: 'relay/exchangeContext.js',
+    find: "!(failure === 'notSent' && context.isCutOff?.() === true)",
+    replace: 'true',
+    scenario: 'spec:relay/bufferedExchange',
+  },
 ];
