No circles of imports are left: services of requests, status of accounts

entryNode and requestHandler imported each other for the list of services, placementShares and shareReport for the status of an account. Syntax trees are the same otherwise. The library exports shareReport in place of placementShares, of which only that type was used.

--- a/packages/command/src/operatorClient.ts
+++ b/packages/command/src/operatorClient.ts
@@ -29,7 +29,7 @@
 
 /** Shares of client accounts, as collected by one replica. */
 export interface SystemAccounts {
-  readonly accounts: readonly kumquatfront.placementShares.AccountStatus[];
+  readonly accounts: readonly kumquatfront.shareReport.AccountStatus[];
   /** Addresses of replicas that did not respond. */
   readonly silent: readonly string[];
 }
--- a/packages/kumquatfront/src/entryNode/entryNode.ts
+++ b/packages/kumquatfront/src/entryNode/entryNode.ts
@@ -24,23 +24,13 @@
 import type * as routing from '../routing/types.js';
 import * as trafficResolver from '../selectors/trafficResolver.js';
 import * as requestHandler from './requestHandler.js';
+import type * as requestServices from './requestServices.js';
 import * as rendezvousHashing from '../utils/rendezvousHashing.js';
 import type * as types from './types.js';
 import * as guardedPlacement from './guardedPlacement.js';
 
 /** Services of an entry, by the name under which they are registered. */
-export interface EntryServices {
-  readonly timers: timerService.TimerService;
-  readonly directory: directory.Directory;
-  readonly configuration: configurationReplica.ConfigurationReplica;
-  readonly resolver: trafficResolver.TrafficResolver;
-  readonly estimates: lengthEstimator.LengthEstimator;
-  readonly health: outlierDetector.OutlierDetector;
-  readonly placement: routing.PlacementPolicy;
-  readonly retries: accountRetryBudget.AccountRetryBudget;
-  readonly claims: claimClient.ClaimClient;
-  readonly burn: burnRecorder.BurnRecorder;
-  readonly quarantine: quarantine.Quarantine;
+export interface EntryServices extends requestServices.RequestServices {
   readonly requests: requestHandler.RequestHandler;
 }
 
--- a/packages/kumquatfront/src/entryNode/requestHandler.ts
+++ b/packages/kumquatfront/src/entryNode/requestHandler.ts
@@ -12,10 +12,10 @@
 import * as serviceRelay from '../streams/serviceRelay.js';
 import type * as streams from '../streams/types.js';
 import * as canonicalJson from '../utils/canonicalJson.js';
-import type * as entryNode from './entryNode.js';
 import * as instrumentedCaller from './instrumentedCaller.js';
 import * as promptAttributes from './promptAttributes.js';
 import * as refusals from './refusals.js';
+import type * as requestServices from './requestServices.js';
 import type * as types from './types.js';
 import * as guardedPlacement from './guardedPlacement.js';
 
@@ -23,7 +23,7 @@
 export interface RequestHandlerOptions {
   readonly settings: types.EntrySettings;
   readonly ports: types.EntryPorts;
-  readonly services: serviceRegistry.ServiceRegistry<entryNode.EntryServices>;
+  readonly services: Pick<serviceRegistry.ServiceRegistry<requestServices.RequestServices>, 'find'>;
 }
 
 /** A request whose client account is known and for which a selector matched. */
--- a/packages/kumquatfront/src/fairShare/placementShares.ts
+++ b/packages/kumquatfront/src/fairShare/placementShares.ts
@@ -32,13 +32,6 @@
   readonly request: Pick<types.PlacementRequest, 'facts'>;
 }
 
-/** An operator's view of one account. */
-export interface AccountStatus extends accountShares.AccountRow {
-  /** Refusals since this replica became the coordinator for the service, and those because of the share. */
-  readonly refused: number;
-  readonly refusedForShare: number;
-}
-
 /** Cause of a refusal, as written to its log line; empty if the share was not the cause. */
 export type ShareCause =
   | Readonly<Record<string, never>>
@@ -178,7 +171,7 @@
   }
 
   /** Share, use, debt and refusals of every account. */
-  status(): readonly AccountStatus[] {
+  status(): readonly shareReport.AccountStatus[] {
     return this.shares.serviceNames.flatMap((service) =>
       this.shares.rowsOf(service).map((row) => ({
         ...row,
--- a/packages/kumquatfront/src/fairShare/shareReport.ts
+++ b/packages/kumquatfront/src/fairShare/shareReport.ts
@@ -2,12 +2,19 @@
  * Log line and metrics on the shares of client accounts, for services at which accounts compete.
  */
 import type * as ports from '../kernel/ports.js';
-import type * as placementShares from './placementShares.js';
+import type * as accountShares from './accountShares.js';
 
 /** Number of accounts in a log line and in the metrics; those furthest above and below their shares. */
 const MAXIMUM_LISTED = 24;
 
-type Rows = readonly placementShares.AccountStatus[];
+/** An operator's view of one account. */
+export interface AccountStatus extends accountShares.AccountRow {
+  /** Refusals since this replica became the coordinator for the service, and those because of the share. */
+  readonly refused: number;
+  readonly refusedForShare: number;
+}
+
+type Rows = readonly AccountStatus[];
 
 /**
  * Selects the accounts that are listed: half from those furthest above their shares, half from those furthest below.
@@ -31,7 +38,7 @@
 }
 
 /** One account of the log line: name, share and use of the tokens held, debt in seconds, refusals. */
-function formatRow(row: placementShares.AccountStatus, held: number): string {
+function formatRow(row: AccountStatus, held: number): string {
   const name = row.account === '' ? '-' : row.account;
   const amounts = `${formatPercent(row.share, held)}:${formatPercent(row.use, held)}`;
   return `${name}:${amounts}:${(row.debt / 1_000).toFixed(1)}:${row.refused}`;
--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -62,7 +62,7 @@
 export type * as instanceTypes from './instances/types.js';
 export * as instanceView from './instances/instanceView.js';
 export * as accountShares from './fairShare/accountShares.js';
-export type * as placementShares from './fairShare/placementShares.js';
+export type * as shareReport from './fairShare/shareReport.js';
 export * as placementFeatures from './placement/placementFeatures.js';
 export * as placementCoordinator from './placement/coordinator.js';
 export * as waitLimits from './placement/waitLimits.js';
--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -4,6 +4,7 @@
  * rebuilt from the entries' reports after a failover; two active coordinators only make placement less efficient.
  */
 import * as placementShares from '../fairShare/placementShares.js';
+import type * as shareReport from '../fairShare/shareReport.js';
 import type * as instanceTypes from '../instances/types.js';
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
@@ -240,7 +241,7 @@
   }
 
   /** Share, use, debt and refusals of the client accounts; empty unless shares decide at this replica. */
-  accountStatus(): readonly placementShares.AccountStatus[] {
+  accountStatus(): readonly shareReport.AccountStatus[] {
     return this.activeSince === undefined || !this.usesShares ? [] : this.shares.status();
   }
 
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -5,7 +5,7 @@
 import type * as agreedState from '../agreedState/agreedState.js';
 import type * as agreedTypes from '../agreedState/types.js';
 import type * as replica from '../consensus/replica.js';
-import type * as placementShares from '../fairShare/placementShares.js';
+import type * as shareReport from '../fairShare/shareReport.js';
 import * as instanceTable from '../instances/instanceTable.js';
 import type * as instanceTypes from '../instances/types.js';
 import * as failures from '../kernel/failures.js';
@@ -340,7 +340,7 @@
   }
 
   /** Shares of the client accounts at this replica; empty while it is not the placement coordinator. */
-  accountStatus(): readonly placementShares.AccountStatus[] {
+  accountStatus(): readonly shareReport.AccountStatus[] {
     return this.coordinator.accountStatus();
   }
 
