--- a/packages/benchmarks/src/fleet/fleetWorkload.ts
+++ b/packages/benchmarks/src/fleet/fleetWorkload.ts
@@ -58,7 +58,6 @@
 /**
  * Samples one generation request.
  *
- * @param random - source of randomness
  * @param kind - its class
  * @param identity - its identifier
  * @param now - time of the caller's first attempt
@@ -83,7 +82,6 @@
 /**
  * Samples the time to the next arrival of a Poisson process with a slowly varying rate.
  *
- * @param random - source of randomness
  * @param arrivalsPerSecond - mean arrival rate
  * @param now - milliseconds since the start
  * @returns milliseconds
--- a/packages/command/src/accountCommands.ts
+++ b/packages/command/src/accountCommands.ts
@@ -7,7 +7,6 @@
 /**
  * `accounts`: shows share, use, debt and refusals by service and client account.
  *
- * @param context - client and output
  * @returns the accounts, furthest above its share first
  * @example
  * ```ts
--- a/packages/command/src/configurationCommands.ts
+++ b/packages/command/src/configurationCommands.ts
@@ -8,7 +8,6 @@
 /**
  * `apply -f FILE`: applies a configuration file.
  *
- * @param context - client and output
  * @param file - the configuration file
  * @returns the action taken for each object
  * @example
@@ -37,7 +36,6 @@
 /**
  * `diff -f FILE`: shows what `apply` would do; exits with code 1 if any object differs.
  *
- * @param context - client and output
  * @param file - the configuration file
  * @returns the action that `apply` would take for each object
  * @example
@@ -64,7 +62,6 @@
 /**
  * `get KIND [NAME]`: shows configured objects.
  *
- * @param context - client and output
  * @param kind - kind of object
  * @param name - name of the object; if undefined, all objects of the kind
  * @returns the objects
@@ -91,7 +88,6 @@
 /**
  * `delete KIND NAME`: deletes an object if it has not changed since it was read.
  *
- * @param context - client and output
  * @param kind - kind of object
  * @param name - name of the object
  * @returns the configuration version that the deletion created
--- a/packages/command/src/ledger/requestEnding.ts
+++ b/packages/command/src/ledger/requestEnding.ts
@@ -29,7 +29,7 @@
 /** Classification of one attempt. */
 export interface RequestEnding {
   readonly request: string;
-  /** Empty if the attempt ended before a service was chosen. */
+  /** Empty if the attempt ended before a service was selected. */
   readonly service: string;
   /** Rank of a generation; empty for other requests. */
   readonly rank: string;
--- a/packages/command/src/systemCommands.ts
+++ b/packages/command/src/systemCommands.ts
@@ -14,7 +14,6 @@
 /**
  * `status`: shows control replicas, entries, and how many entries have the accepted configuration version in force.
  *
- * @param context - client and output
  * @returns the status
  * @example
  * ```ts
@@ -108,7 +107,6 @@
 /**
  * `watch`: prints the status at a fixed interval.
  *
- * @param context - client and output
  * @param interval - milliseconds between two status requests
  * @returns the failure of the first status request that fails
  * @example
@@ -167,7 +165,6 @@
 /**
  * `drain ENTRY`: requests that an entry drains and stops.
  *
- * @param context - client and output
  * @param entry - name of the entry
  * @returns confirmation that the entry drains
  * @example
@@ -192,7 +189,6 @@
 /**
  * `evacuate DATACENTRE`, `restore DATACENTRE`: stops or resumes new work for the upstreams of a data centre.
  *
- * @param context - client and output
  * @param type - `evacuate` or `restore`
  * @param dataCentre - name of the data centre
  * @returns the data centres that are evacuated after the command
@@ -216,7 +212,6 @@
 /**
  * `order UPSTREAM ACTION TARGET`: orders an upstream to load a model or an adapter, or to change its role.
  *
- * @param context - client and output
  * @param upstream - name of the upstream
  * @param action - `loadModel`, `loadAdapter` or `changeRole`
  * @param target - model, adapter or role
@@ -249,7 +244,6 @@
 /**
  * `report burn [--html FILE]`: shows how fast the error budgets burn.
  *
- * @param context - client and output
  * @param html - path of an HTML page with plots to write, if any
  * @returns the burn rates of every objective
  * @example
--- a/packages/daemons/src/controlDaemon.ts
+++ b/packages/daemons/src/controlDaemon.ts
@@ -14,7 +14,6 @@
 /**
  * Starts a control replica.
  *
- * @param settings - validated settings
  * @param onFatal - called when the disk fails; the process must exit
  * @returns the running replica, or the failure to open its data folder
  * @example
--- a/packages/daemons/src/entryDaemon.ts
+++ b/packages/daemons/src/entryDaemon.ts
@@ -44,7 +44,6 @@
 /**
  * Starts an entry.
  *
- * @param settings - validated settings
  * @param onDrainRequest - called when an operator requests a drain through control
  * @returns the running entry
  * @example
--- a/packages/daemons/src/settingsFile.ts
+++ b/packages/daemons/src/settingsFile.ts
@@ -50,7 +50,6 @@
 /**
  * Prints a failure to the standard error and exits with status 2.
  *
- * @param failure - the failure
  * @example
  * ```ts
  * settingsFile.exitWithFailure(failure);
--- a/packages/kumquatfront/src/adapters/httpMessages.ts
+++ b/packages/kumquatfront/src/adapters/httpMessages.ts
@@ -26,7 +26,6 @@
 /**
  * Reads the body of a request, up to the maximum size.
  *
- * @param request - the request
  * @param done - called once with the body decoded as UTF-8, or with a failure
  * @example
  * ```ts
@@ -93,7 +92,6 @@
 /**
  * Sends a JSON response, unless the headers were already sent or the connection is closed.
  *
- * @param response - the HTTP response
  * @param status - HTTP status code
  * @param value - the value to serialize as the body
  * @param headers - additional headers
@@ -134,8 +132,6 @@
 /**
  * Sends a failure with the HTTP status code of its kind.
  *
- * @param response - the HTTP response
- * @param failure - the failure
  * @example
  * ```ts
  * httpMessages.sendFailure(response, failure);
@@ -170,7 +166,6 @@
 /**
  * Sends a refusal with its retry delay and alternative entries.
  *
- * @param response - the HTTP response
  * @param refusal - the refusal
  * @example
  * ```ts
@@ -186,7 +181,6 @@
 /**
  * Returns the bearer key of a request.
  *
- * @param request - the request
  * @returns the key, or an empty string if there is none
  * @example
  * ```ts
@@ -201,7 +195,6 @@
 /**
  * Returns the value of a request header.
  *
- * @param request - the request
  * @param name - header name in lower case
  * @returns the first value, or undefined if the header is missing
  * @example
--- a/packages/kumquatfront/src/addresses/addressList.ts
+++ b/packages/kumquatfront/src/addresses/addressList.ts
@@ -29,7 +29,6 @@
  *
  * @param entries - entries with a valid lease
  * @param dataCentre - preferred data centre
- * @param random - source of randomness
  * @returns addresses in order of preference
  * @example
  * ```ts
--- a/packages/kumquatfront/src/admission/headroom.ts
+++ b/packages/kumquatfront/src/admission/headroom.ts
@@ -127,7 +127,6 @@
    * @param upstream - the engine
    * @param request - the request to place
    * @param survival - probability that its generation is still running at each horizon
-   * @param context - current state
    * @returns free tokens; negative if the request does not fit
    */
   freeTokensAfterPlacing(
--- a/packages/kumquatfront/src/backPressure/sendPolicy.ts
+++ b/packages/kumquatfront/src/backPressure/sendPolicy.ts
@@ -95,7 +95,6 @@
    * The exclusion that ends first, if every candidate is excluded.
    *
    * @param candidates - upstreams to choose from
-   * @param now - current time
    * @returns the exclusion; undefined if a candidate may be chosen, or there are none
    */
   exclusionOfAll(
@@ -124,7 +123,6 @@
    * Time after which a caller refused because of an exclusion should retry.
    *
    * @param exclusion - reason and expected end
-   * @param now - current time
    * @param fallback - returned if the end of the exclusion is unknown
    */
   retryAfter(
--- a/packages/kumquatfront/src/backPressure/signalRegistry.ts
+++ b/packages/kumquatfront/src/backPressure/signalRegistry.ts
@@ -116,7 +116,7 @@
     return isPublishedNewer ? published : local;
   }
 
-  /** Handles a change of an instance. After a restart, signals of the previous start no longer apply. */
+  /** Handles a change of an instance. After a restart, signals of the previous start are void. */
   onInstanceChange({ instance, event }: instanceView.InstanceChange): void {
     const { identity } = instance;
     if (event === 'replaced') {
--- a/packages/kumquatfront/src/burn/burnRecorder.ts
+++ b/packages/kumquatfront/src/burn/burnRecorder.ts
@@ -51,7 +51,7 @@
     this.objectives = objectives;
   }
 
-  /** Records one measured value of a call. */
+  /** Records one value of a call. */
   record(measure: Measure, urgency: configuration.Urgency, milliseconds: number): void {
     for (const { name, body } of this.objectives) {
       if (body.measure === measure && body.urgency === urgency) {
--- a/packages/kumquatfront/src/callSlots/messages.ts
+++ b/packages/kumquatfront/src/callSlots/messages.ts
@@ -10,7 +10,7 @@
   take: 'slots.take',
   /** Returns slots. */
   release: 'slots.release',
-  /** Tells control what the upstreams of a service state. */
+  /** Reports to control what the upstreams of a service state. */
   state: 'slots.state',
 } as const;
 
--- a/packages/kumquatfront/src/callSlots/slotClient.ts
+++ b/packages/kumquatfront/src/callSlots/slotClient.ts
@@ -16,7 +16,7 @@
 const ANSWER_MARGIN: ports.Milliseconds = 150;
 
 /**
- * Share of the slots that all entries together use without a coordinator. Each entry owns whole slots, drawn by a hash,
+ * Share of the slots that all entries together use without a coordinator. A hash assigns single slots to entries,
  * and their sum stays below the slots that the next coordinator leaves.
  */
 const SHARE_WITHOUT_COORDINATOR = 0.25;
--- a/packages/kumquatfront/src/callSlots/slotLedger.ts
+++ b/packages/kumquatfront/src/callSlots/slotLedger.ts
@@ -1,9 +1,6 @@
 /**
  * The coordinator's count of the calls that all entries together have in flight at the upstreams of fragile services. It
- * grants a call only where a slot is free, so that no upstream has to reject one for want of room.
- *
- * A coordinator that has just started does not know the slots that its predecessor granted. It waits until their calls
- * have ended. One that does not lead with the consent of a quorum may not be the only one, and grants a part.
+ * grants a call only where a slot is free, and a part of the slots while another coordinator may have granted some.
  */
 import type * as instanceTypes from '../instances/types.js';
 import type * as ports from '../kernel/ports.js';
@@ -124,7 +121,7 @@
     metrics.count('slots.missing');
   }
 
-  /** Slots of an upstream that may be in use at this moment. */
+  /** Slots of an upstream that may be in use. */
   private capacityOf({ identity, slots, service }: instanceTypes.InstanceRecord, now: number): number {
     const times = (this.rejections.get(identity) ?? []).filter((time) => now - time < MISSING_SLOT_TIME);
     const recent = times.filter((time) => now - time < REJECTION_WINDOW).length;
--- a/packages/kumquatfront/src/configuration/types.ts
+++ b/packages/kumquatfront/src/configuration/types.ts
@@ -91,7 +91,7 @@
   readonly body: unknown;
 }
 
-/** Result of a pull: the changes since a version, or the full configuration if those are no longer retained. */
+/** Result of a pull: the changes since a version, or the full configuration if those are not retained. */
 export interface ConfigurationDelta {
   readonly clusterIdentity: string;
   readonly version: number;
--- a/packages/kumquatfront/src/consensus/replica.spec.ts
+++ b/packages/kumquatfront/src/consensus/replica.spec.ts
@@ -240,7 +240,7 @@
   },
 );
 
-// A VM restarts without its disk: the identity that the others probe no longer exists and cannot answer.
+// A VM restarts without its disk: the identity that the others probe is gone and cannot answer.
 void test.test(
   'a replica answers probes for the former identity at its address only while it knows no leader',
   () => {
--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -39,7 +39,7 @@
   readonly timing: consensus.ConsensusTiming;
   readonly limits: agreedTypes.AgreedStateLimits;
   readonly orders: orders.OrderSettings;
-  /** Time without a pull after which an entry no longer counts as running. */
+  /** Time without a pull after which an entry counts as stopped. */
   readonly entryLease: number;
   /** False if a cluster already exists, so that this replica may only join it; default true. */
   readonly mayBootstrap?: boolean;
--- a/packages/kumquatfront/src/entryLoad/slowReaders.ts
+++ b/packages/kumquatfront/src/entryLoad/slowReaders.ts
@@ -77,7 +77,7 @@
     this.tracked.add(tracked);
     return {
       write: (send) => {
-        // Measured before the write too: a caller that reads less than is written would otherwise never show progress.
+        // Checked before the write too: a caller that reads less than is written would otherwise never show progress.
         this.measure(tracked);
         send();
         tracked.isStream = true;
--- a/packages/kumquatfront/src/fairShare/accountShares.spec.ts
+++ b/packages/kumquatfront/src/fairShare/accountShares.spec.ts
@@ -39,7 +39,7 @@
   ]);
   assert.equal(level, 30);
   assert.equal(waterLevel.find(0, []), 0);
-  // With capacity for all, nobody is above the level.
+  // With capacity for all, no account is above the level.
   assert.equal(waterLevel.find(100, [{ weight: 1, amount: 10 }]), 10);
 });
 
--- a/packages/kumquatfront/src/fairShare/accountShares.ts
+++ b/packages/kumquatfront/src/fairShare/accountShares.ts
@@ -114,7 +114,7 @@
     }
   }
 
-  /** Applies that nobody holds or waits for anything at services that are not in `known`. */
+  /** Applies that no account holds or waits for anything at services that are not in `known`. */
   updateOthers(known: ReadonlySet<string>, now: ports.Milliseconds): void {
     for (const service of this.serviceNames) {
       if (!known.has(service)) {
--- a/packages/kumquatfront/src/fairShare/engineReservations.ts
+++ b/packages/kumquatfront/src/fairShare/engineReservations.ts
@@ -105,7 +105,7 @@
 export class EngineReservations {
   private readonly reserved = new Map<string, Reservation>();
 
-  /** Removes reservations of requests that no longer wait. */
+  /** Removes reservations of requests that have left the queue. */
   removeUnless(waits: (identity: string) => boolean): void {
     for (const identity of this.reserved.keys()) {
       if (!waits(identity)) {
--- a/packages/kumquatfront/src/instances/instanceTable.ts
+++ b/packages/kumquatfront/src/instances/instanceTable.ts
@@ -177,7 +177,7 @@
   /**
    * Records the rate limit of an instance as reported by an entry.
    *
-   * @param perSecond - requests per second; undefined if the instance no longer states a limit
+   * @param perSecond - requests per second; undefined if the instance has lifted it
    * @param receivedAt - time at which the entry received it
    * @returns true if entries must be informed of a change
    */
--- a/packages/kumquatfront/src/instances/types.ts
+++ b/packages/kumquatfront/src/instances/types.ts
@@ -26,15 +26,15 @@
   readonly sequence: number;
 }
 
-/** A rate limit that an instance stated in a response, as it is sent between processes. */
+/** A rate limit that an instance stated in a response, in the form that processes exchange. */
 export interface ReportedRateLimit {
-  /** Requests per second from all senders together; absent once the instance no longer states a limit. */
+  /** Requests per second from all senders together; absent once the instance has lifted the limit. */
   readonly perSecond?: number;
   /** Time since it was received. */
   readonly age: number;
 }
 
-/** One instance as it is sent between processes. */
+/** One instance in the form that processes exchange. */
 export interface InstanceRecord extends Announcement {
   /** Time since the last announcement of the instance. */
   readonly age: number;
--- a/packages/kumquatfront/src/kernel/failures.ts
+++ b/packages/kumquatfront/src/kernel/failures.ts
@@ -55,7 +55,6 @@
 /**
  * Formats a failure for people.
  *
- * @param failure - the failure
  * @returns message, remedy and kind
  * @example
  * ```ts
--- a/packages/kumquatfront/src/peerRelay/messages.ts
+++ b/packages/kumquatfront/src/peerRelay/messages.ts
@@ -12,7 +12,7 @@
 export const methods = {
   /** Served by control: entries that may relay. */
   peers: 'relay.peers',
-  /** Asks an entry whether it relays at this moment. */
+  /** Asks an entry whether it currently relays. */
   offer: 'relay.offer',
   /** Sends a request, and waits for the first events of its response. */
   send: 'relay.send',
@@ -101,7 +101,7 @@
  * - `open`: the events from a number on, none if nothing has happened for a while.
  * - `declined`: it was not sent.
  * - `unknown`: it has not arrived, and would be declined now; it was not sent.
- * - `lost`: it may have been sent, and its response is no longer there, as after a restart of the entry.
+ * - `lost`: it may have been sent, and its response is gone, as after a restart of the entry.
  */
 export type RelayAnswer =
   | { readonly state: 'open'; readonly from: number; readonly events: readonly RelayEvent[] }
@@ -139,8 +139,7 @@
  *
  * @param call - call to an upstream
  * @param timeLeft - time left when it is sent
- * @param now - current time
- * @returns the call as it is sent
+ * @returns the encoded call
  * @example
  * ```ts
  * messages.encodeCall(call, call.timeLeft, timers.now());
@@ -168,8 +167,7 @@
  * Encodes an instance, whose warm-up ends at a time of this process.
  *
  * @param instance - instance in the view of this entry
- * @param now - current time
- * @returns the instance as it is sent
+ * @returns the encoded instance
  * @example
  * ```ts
  * messages.encodeInstance(instance, timers.now());
@@ -186,7 +184,6 @@
  * Decodes an instance.
  *
  * @param sent - instance as it was sent
- * @param now - current time
  * @returns the instance by the clock of this process
  * @example
  * ```ts
@@ -204,7 +201,6 @@
  * Decodes a call.
  *
  * @param sent - call as it was sent
- * @param now - current time
  * @returns the call for the upstream port of this process
  * @example
  * ```ts
--- a/packages/kumquatfront/src/peerRelay/peerList.ts
+++ b/packages/kumquatfront/src/peerRelay/peerList.ts
@@ -1,5 +1,5 @@
 /**
- * Entries through which this entry can send requests, as control lists them, and which of them relays at this moment.
+ * Entries through which this entry can send requests, as control lists them, and which of them currently relay.
  */
 import type * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
--- a/packages/kumquatfront/src/peerRelay/relayServer.ts
+++ b/packages/kumquatfront/src/peerRelay/relayServer.ts
@@ -1,9 +1,7 @@
 /**
- * Relays requests of other entries that do not reach an upstream. Only the connections of this entry are used, never those
- * of a third one, so that no request goes in a circle.
- *
- * The events of a response are kept until the other entry acknowledges them by asking for the next ones. Asking also
- * shows that it is alive: a request that nobody asks for is cancelled.
+ * Relays requests of other entries over the connections of this one, never those of a third, so that none goes in a circle.
+ * Events are kept until the other entry acknowledges them by asking for the next ones; a request without further
+ * questions is cancelled.
  */
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
@@ -63,7 +61,7 @@
   lastAskedAt: ports.Milliseconds;
 }
 
-/** Number of a request that is no longer there: it was `void`ed before it arrived, or it is `lost`. */
+/** Number of a past request: it was `void`ed before it arrived, or it is `lost`. */
 interface PastNumber {
   readonly state: 'void' | 'lost';
   readonly at: ports.Milliseconds;
@@ -226,7 +224,7 @@
     this.answerWaiting(relayed);
   }
 
-  /** Keeps a question open; an earlier one is answered, since its answer is no longer awaited. */
+  /** Keeps a question open and answers the previous one, whose answer is not awaited any more. */
   private wait(relayed: Relayed, answer: (answer: messages.RelayAnswer) => void): void {
     const { timers } = this.options;
     relayed.waiting?.({ state: 'open', from: relayed.from, events: [] });
--- a/packages/kumquatfront/src/peerRelay/relayedExchange.ts
+++ b/packages/kumquatfront/src/peerRelay/relayedExchange.ts
@@ -1,9 +1,6 @@
 /**
- * One request that this entry sends through another entry. The other entry holds the connection to the upstream; all
- * decisions stay here.
- *
- * A request whose message may have arrived is never sent again: the peer is asked what became of it, and a peer that says
- * that it does not know the request declines it from then on.
+ * One request that this entry sends through another, which only holds the connection to the upstream. A request that may
+ * have arrived is never sent again: the peer is asked for it, and declines from then on what it does not know.
  */
 import type * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
--- a/packages/kumquatfront/src/peerRelay/witnesses.ts
+++ b/packages/kumquatfront/src/peerRelay/witnesses.ts
@@ -10,7 +10,7 @@
 import * as messages from './messages.js';
 import type * as peerList from './peerList.js';
 
-/** Entries that are asked; any of them that is accepted shows that the upstream lives. */
+/** Entries that are asked; any of them that is accepted shows that the upstream runs. */
 const WITNESSES = 3;
 
 /** Time for an answer; longer than two connection attempts that are refused or accepted. */
@@ -80,7 +80,7 @@
         const callbacks = this.asking.get(address) ?? [];
         this.asking.delete(address);
         for (const callback of callbacks) {
-          // The address lives, but this entry is no evidence of it.
+          // The upstream runs, but this entry has not observed it.
           callback(result === 'accepted' ? 'unknown' : result);
         }
       });
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -125,7 +125,7 @@
   readonly relativePaceOf?: (engine: string, service: string) => number;
   /** Receives the time in milliseconds that an engine took for a prompt. */
   readonly observe?: (engine: string, service: string, tokens: number, elapsed: ports.Milliseconds) => void;
-  /** Called for an engine that is no longer listed. */
+  /** Called for an engine that was removed from the list. */
   readonly remove?: (engine: string) => void;
 }
 
--- a/packages/kumquatfront/src/placement/placementQueue.ts
+++ b/packages/kumquatfront/src/placement/placementQueue.ts
@@ -63,7 +63,7 @@
 /** A queued request with the keys that determine its position. */
 interface KeyedRequest extends shareOrder.OrderedRequest {
   readonly queued: QueuedRequest;
-  /** 1 if it can no longer meet its objective, otherwise 0. */
+  /** 1 if it cannot meet its objective, otherwise 0. */
   readonly late: number;
 }
 
@@ -112,7 +112,7 @@
     return this.requests.size;
   }
 
-  /** Adds a request, or replaces an earlier one for the same generation; returns false if the queue is full. */
+  /** Adds a request, or replaces the previous one for the same generation; returns false if the queue is full. */
   add(request: types.PlacementRequest, now: number, respond: QueuedRequest['respond']): boolean {
     const previous = this.requests.get(request.facts.identity);
     if (previous === undefined && this.requests.size >= MAXIMUM_QUEUE_SIZE) {
@@ -156,7 +156,7 @@
     return now - queued.since >= maximumWait && !this.forecasts.mayWaitLonger(queued, now);
   }
 
-  /** True if the objective could be met on arrival but no longer can; requests late on arrival keep waiting. */
+  /** True if the objective could be met on arrival but cannot be met now; requests late on arrival keep waiting. */
   private becameLateWhileQueued(queued: QueuedRequest, now: number): boolean {
     const { timelinessOf } = this.forecasts;
     return timelinessOf(queued, now) === 'late' && timelinessOf(queued, queued.since) === 'inTime';
--- a/packages/kumquatfront/src/placement/waitLimits.ts
+++ b/packages/kumquatfront/src/placement/waitLimits.ts
@@ -16,7 +16,7 @@
  */
 const URGENT_OBJECTIVE_SHARE = 0.35;
 
-/** Maximum wait of a retry that can no longer meet its objective: it is placed or refused almost immediately. */
+/** Maximum wait of a retry that cannot meet its objective: it is placed or refused almost immediately. */
 export const LATE_RETRY_WAIT: ports.Milliseconds = 50;
 
 /** Maximum wait as share of the caller's total timeout; the rest is reserved for the answer. */
--- a/packages/kumquatfront/src/prefill/prefillAdmission.ts
+++ b/packages/kumquatfront/src/prefill/prefillAdmission.ts
@@ -15,7 +15,7 @@
 /** Whether an engine with this forecast may receive the prompt. */
 export type AcceptsForecast = (forecast: PrefillForecast) => boolean;
 
-/** Class of a request: late ones can no longer meet their objective; reserved ones return at their retry time. */
+/** Class of a request: late ones cannot meet their objective; reserved ones return at their retry time. */
 export type RequestClass = 'urgent' | 'patient' | 'late' | 'reserved' | 'unattainable';
 
 /** Forecast wait below which an engine counts as idle: about one decoding step. */
--- a/packages/kumquatfront/src/prefill/prefillBacklog.ts
+++ b/packages/kumquatfront/src/prefill/prefillBacklog.ts
@@ -150,7 +150,7 @@
     queue.isBeginKnown = isBeginKnown;
   }
 
-  /** Drops prompts that never reported a first event, and the queues of engines that no longer exist. */
+  /** Drops prompts that never reported a first event, and the queues of engines that were removed. */
   removeExpired(isKnownEngine: (engine: string) => boolean, now: ports.Milliseconds): readonly Prompt[] {
     const expired: Prompt[] = [];
     for (const [engine, queue] of this.queues) {
--- a/packages/kumquatfront/src/prefill/prefillForecaster.ts
+++ b/packages/kumquatfront/src/prefill/prefillForecaster.ts
@@ -63,12 +63,12 @@
     }
   }
 
-  /** Removes the prompt of a generation that no longer runs. */
+  /** Removes the prompt of a generation that has ended. */
   remove(identity: string, now: ports.Milliseconds): void {
     this.backlog.remove(identity, now);
   }
 
-  /** Drops prompts that never reported a first event and the queues of engines that no longer exist. */
+  /** Drops prompts that never reported a first event and the queues of engines that were removed. */
   removeExpired(
     isKnownEngine: (engine: string) => boolean,
     now: ports.Milliseconds,
--- a/packages/kumquatfront/src/prefill/retryReservations.ts
+++ b/packages/kumquatfront/src/prefill/retryReservations.ts
@@ -19,7 +19,7 @@
 /** Spread of the retry times of callers without a reservation, as share of the maximum. */
 const MAXIMUM_TIME_JITTER = 0.1;
 
-/** Upper bound of the reservations kept; more callers are told the maximum time and hold nothing. */
+/** Upper bound of the reservations kept; more callers get the maximum time and no reservation. */
 const MAXIMUM_RESERVATIONS = 4_000;
 
 interface Reservation {
@@ -97,7 +97,7 @@
       .reduce((sum, held) => sum + held.work, 0);
   }
 
-  /** Gives up the reservations whose grace period has passed, and returns their number. */
+  /** Cancels the reservations whose grace period has passed, and returns their number. */
   removeExpired(now: ports.Milliseconds): number {
     let count = 0;
     for (const [fingerprint, { at }] of this.reservations) {
--- a/packages/kumquatfront/src/prefill/urgentDemand.spec.ts
+++ b/packages/kumquatfront/src/prefill/urgentDemand.spec.ts
@@ -17,7 +17,7 @@
   return demand;
 }
 
-// Guards against idle capacity that is kept for urgent work which no longer arrives.
+// Guards against idle capacity that is kept for urgent work which has stopped arriving.
 void test.test('the headroom is released within two seconds after the last urgent arrival', () => {
   const demand = demandOf(25);
   assert.ok(demand.of('llm', 2_000) !== undefined);
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -72,7 +72,6 @@
 /**
  * Digest of a request's content. It is the same for every attempt, so that logs of several entries can be correlated.
  *
- * @param routed - the request
  * @returns the digest
  * @example
  * ```ts
@@ -86,8 +85,6 @@
 /**
  * Instances that are eligible for a request.
  *
- * @param context - the shared services
- * @param routed - the request
  * @returns the ready instances of its service in the permitted data centres
  * @example
  * ```ts
@@ -107,8 +104,6 @@
 /**
  * Builds the refusal of a request for which no eligible instance is left.
  *
- * @param context - the shared services
- * @param routed - the request
  * @param defaultMessage - the message if candidates exist and not all of them are temporarily excluded
  * @returns the refusal with its retry delay
  * @example
@@ -148,9 +143,8 @@
 /**
  * Decides whether a failed attempt counts against its upstream in the health checks of this entry.
  *
- * @param context - the shared services
  * @param failure - why the attempt failed
- * @returns false if nothing was sent for a reason that lies at this entry: an exclusion, or links that are cut
+ * @returns false if nothing was sent because of this entry: an exclusion, or links that are cut
  * @example
  * ```ts
  * if (exchangeContext.countsAgainstUpstream(context, 'notSent')) balancer.recordFailure(identity, 'stall', now);
@@ -163,8 +157,6 @@
 /**
  * Quarantine verdict on the content of a request.
  *
- * @param context - the shared services
- * @param routed - the request
  * @returns the verdict
  * @example
  * ```ts
@@ -181,8 +173,6 @@
 /**
  * Registers a callback for the quarantine of a request's content.
  *
- * @param context - the shared services
- * @param routed - the request
  * @param callback - called when the content is quarantined
  * @returns a function that removes the callback
  * @example
@@ -201,8 +191,6 @@
 /**
  * Logs the outcome of a request and records its duration.
  *
- * @param context - the shared services
- * @param routed - the request
  * @param outcome - log fields that describe the outcome
  * @example
  * ```ts
--- a/packages/kumquatfront/src/relay/idleTimeout.spec.ts
+++ b/packages/kumquatfront/src/relay/idleTimeout.spec.ts
@@ -52,7 +52,7 @@
   assert.equal(idleTimeout.forRoute(route, true, 5_000), idleTimeout.forRoute(route, true));
 });
 
-// Guards against a stream that is sent again, at the cost of its prompt, because a sound engine is silent for a second.
+// Guards against a stream that is sent again, at the cost of its prompt, because a healthy engine is silent for a second.
 void test.test('a stream waits for an engine that falls silent for a second', () => {
   const harness = start();
   const [sent] = harness.sentCalls;
--- a/packages/kumquatfront/src/relay/idleTimeout.ts
+++ b/packages/kumquatfront/src/relay/idleTimeout.ts
@@ -21,7 +21,7 @@
 const MINIMUM_IDLE_TIMEOUT: ports.Milliseconds = 400;
 
 /**
- * Lower bound of the timeout of a started stream: a sound upstream may be silent for a second, and callers wait for two
+ * Lower bound of the timeout of a started stream: a healthy upstream may be silent for a second, and callers wait for two
  * seconds at least.
  */
 const MINIMUM_STARTED_TIMEOUT: ports.Milliseconds = 1_300;
--- a/packages/kumquatfront/src/relay/retryBudgetSharing.spec.ts
+++ b/packages/kumquatfront/src/relay/retryBudgetSharing.spec.ts
@@ -66,7 +66,7 @@
 }
 
 for (const seed of [1, 2]) {
-  // Each entry that lost control took the whole budget as its own share.
+  // Each entry that lost control took the full budget as its own share.
   void test.test(
     `the budget holds while a third of the entries is cut off from control, seed ${seed}`,
     () => {
--- a/packages/kumquatfront/src/relay/streamLogSummary.ts
+++ b/packages/kumquatfront/src/relay/streamLogSummary.ts
@@ -19,7 +19,6 @@
 /**
  * Log fields that summarize a stream.
  *
- * @param routed - the request
  * @param attributes - its placement attributes; undefined if it needs no placement
  * @param delivery - the caller side of the stream
  * @param counts - the counters of its exchange
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -79,7 +79,7 @@
     readonly waiting: number;
     /** Requests that it runs at the same time; undefined if it reports none. */
     readonly slots?: number;
-    /** How long work takes at this moment, where 1 is normal; undefined if it reports none. */
+    /** How long work currently takes, where 1 is normal; undefined if it reports none. */
     readonly slowdown?: number;
   };
   /** True if the response came through another entry, which adds to its time. */
@@ -136,7 +136,7 @@
     stop: boolean,
     done: (result: CopyResult) => void,
   ) => void;
-  /** Releases a copy that is no longer needed. */
+  /** Releases an unneeded copy. */
   readonly releaseCopy: (copy: MemoryCopy) => void;
 }
 
--- a/packages/kumquatfront/src/routing/balancingPolicy.ts
+++ b/packages/kumquatfront/src/routing/balancingPolicy.ts
@@ -32,9 +32,7 @@
 /**
  * Reports whether an upstream may be used for a request.
  *
- * @param request - the request
  * @param upstream - the candidate
- * @param context - current state
  * @returns false if it has failed this request, is ejected or its lease has expired
  * @example
  * ```ts
@@ -56,7 +54,6 @@
  * since the last load report. Without these, all requests of a report interval would go to the same upstream.
  *
  * @param upstream - the upstream
- * @param context - current state
  * @returns 0 if idle, about 1 if full
  * @example
  * ```ts
@@ -114,7 +111,6 @@
  *
  * @param request - the request to place
  * @param candidates - upstreams of its deployment
- * @param context - current state
  * @returns the selected upstream; undefined if none is usable
  * @example
  * ```ts
--- a/packages/kumquatfront/src/sharedLimits/leaseClient.ts
+++ b/packages/kumquatfront/src/sharedLimits/leaseClient.ts
@@ -174,7 +174,6 @@
    *
    * @param key - name of the limit
    * @param entries - number of entries that divide it, 1 or more
-   * @param now - current time
    * @returns an amount; an integer if something is offered, otherwise it may be fractional
    * @example
    * ```ts
@@ -315,7 +314,7 @@
     const { newest } = this;
     const { amount, window } = limit.limit;
     const least = entries < 1 ? 0 : limitParts.minimumKept(amount, entries);
-    // Offers to a holder that no longer answers would keep the share from being used.
+    // Offers to a holder that has stopped answering would keep the share from being used.
     const isHolderSilent = this.unanswered >= UNANSWERED_LIMIT;
     if (newest === undefined || isHolderSilent || least === 0 || !isActive || this.isNew(window, now)) {
       return undefined;
--- a/packages/kumquatfront/src/sharedLimits/leaseMessages.ts
+++ b/packages/kumquatfront/src/sharedLimits/leaseMessages.ts
@@ -15,7 +15,7 @@
 /** Demand for one limit. */
 export interface LeaseDemand {
   readonly key: string;
-  /** The whole limit, as in the settings of the entry, and its window in ms. */
+  /** The limit, as in the settings of the entry, and its window in ms. */
   readonly limit: number;
   readonly window: number;
   /** Amount asked for; 0 if the entry only reports or offers. */
--- a/packages/kumquatfront/src/sharedLimits/limitParts.ts
+++ b/packages/kumquatfront/src/sharedLimits/limitParts.ts
@@ -63,7 +63,6 @@
 /**
  * Amount that each holder may lend without offers.
  *
- * @param amount - the limit
  * @param entries - number of entries that share it; 0 while unknown
  * @returns an integer; 0 if the margin for rounding needs all of the rest
  * @example
@@ -82,7 +81,6 @@
 /**
  * Amount that an entry with an offer keeps and offers together: an equal part of what the holders do not have.
  *
- * @param amount - the limit
  * @param entries - number of entries that share it, 1 or more
  * @returns an amount, which may be fractional
  * @example
@@ -97,7 +95,6 @@
 /**
  * Least whole number that an entry keeps for use without a lease.
  *
- * @param amount - the limit
  * @param entries - number of entries that share it, 1 or more
  * @returns an integer, at least 1; 0 if the limit has less than one for each entry, which then offer nothing
  * @example
@@ -127,7 +124,6 @@
 /**
  * Amount that a holder must not lend of the offers, because entries that offer nothing round their shares at random.
  *
- * @param amount - the limit
  * @param entries - number of entries that share it
  * @param silent - number of these that have not offered anything to this holder
  * @param variance - sum of the variances of what offering entries round for other reasons
--- a/packages/kumquatfront/src/sharedLimits/windowedShare.spec.ts
+++ b/packages/kumquatfront/src/sharedLimits/windowedShare.spec.ts
@@ -26,7 +26,7 @@
   assert.equal(share.at(WINDOW), 1 / 50);
 });
 
-// Guards against an entry that takes the whole limit when no replica tells it how many entries there are.
+// Guards against an entry that takes the full limit when no replica reports how many entries there are.
 void test.test('an entry that lost control keeps its share at first, and has none later', () => {
   const state = establishedShare(50);
   assert.equal(state.share.at(WINDOW), 1 / 50);
--- a/packages/kumquatfront/src/sharedLimits/windowedShare.ts
+++ b/packages/kumquatfront/src/sharedLimits/windowedShare.ts
@@ -27,7 +27,6 @@
   /**
    * Share of this entry in the limit.
    *
-   * @param now - current time
    * @returns a fraction from 0 to 1
    * @example
    * ```ts
--- a/packages/kumquatfront/src/streamPauses/pauseForecast.ts
+++ b/packages/kumquatfront/src/streamPauses/pauseForecast.ts
@@ -18,7 +18,7 @@
 /** Bound of the first observed pause; longer ones come from stalled connections or VMs. */
 const MAXIMUM_FIRST_PAUSE: ports.Milliseconds = 1_000;
 
-/** Time after which an observed pause is no longer used, so that an engine that was slow for a time is tried again. */
+/** Time after which an observed pause expires, so that an engine that was slow for a time is tried again. */
 const OBSERVATION_LIFETIME: ports.Milliseconds = 20_000;
 
 interface EngineState {
@@ -74,7 +74,6 @@
    * Pause to expect on an engine while it processes a prompt.
    *
    * @param engine - identity of the engine
-   * @param now - current time
    * @returns milliseconds; undefined if neither the engine nor its service was observed
    * @example
    * ```ts
@@ -93,7 +92,7 @@
     return ratio === undefined || state.prefillPace === undefined ? undefined : ratio * state.prefillPace;
   }
 
-  /** Discards the state of engines that are no longer listed. */
+  /** Discards the state of engines that were removed. */
   retain(isListed: (engine: string) => boolean): void {
     for (const engine of [...this.engines.keys()]) {
       if (!isListed(engine)) {
--- a/packages/kumquatfront/src/streamPauses/pauseProtection.ts
+++ b/packages/kumquatfront/src/streamPauses/pauseProtection.ts
@@ -16,7 +16,7 @@
   readonly placedAt: ports.Milliseconds;
 }
 
-/** What the protection knows of the generations on engines. */
+/** The view that the protection has of the generations on engines. */
 export interface PauseProtectionOptions {
   readonly placedOn: (engine: string) => readonly PlacedStream[];
   readonly placedOf: (identity: string) => PlacedStream | undefined;
--- a/packages/kumquatfront/src/streams/generationRelay.ts
+++ b/packages/kumquatfront/src/streams/generationRelay.ts
@@ -23,7 +23,7 @@
   readonly issueTokenPrefix: (target: types.UpstreamTarget, generation: string) => string;
   readonly mayRetry: () => boolean;
   readonly onProgress: (produced: number) => void;
-  /** The relay no longer uses the upstream. */
+  /** The relay has released the upstream. */
   readonly onReleased: (upstream: string, produced: number, reason: ReleaseReason) => void;
   readonly onStall: (milliseconds: number) => void;
   readonly onEventDiscarded: () => void;
--- a/packages/kumquatfront/src/trafficControl/configurationDelivery.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/configurationDelivery.spec.ts
@@ -14,7 +14,7 @@
 /** Numbers of streams that use as much of the link as they get. */
 const COMPETING_STREAMS: readonly number[] = [0, 10];
 
-/** Maximum time from the acknowledgement of a version until an entry no longer acts on an older one. */
+/** Maximum time from the acknowledgement of a version until an entry stops acting on an older one. */
 const IN_FORCE_WITHIN: ports.Milliseconds = 2_000;
 
 /** A cluster with an entry behind a narrow link, and the times of what both do. */
--- a/packages/kumquatfront/src/trafficControl/controlWatch.ts
+++ b/packages/kumquatfront/src/trafficControl/controlWatch.ts
@@ -51,7 +51,7 @@
   readonly onCoordinatorChanged: (address: string) => void;
   /** Called with the crash records that a replica sends. */
   readonly onCrashRecords: (records: readonly quarantineTypes.CrashRecord[]) => void;
-  /** Called with what a replica knows of fragile services. */
+  /** Called with the records that a replica has of fragile services. */
   readonly onFragileServices: (records: readonly slotMessages.FragilityRecord[]) => void;
   /** Called when the set of evacuated data centres changes, in increasing order of revision. */
   readonly onEvacuations: (evacuations: agreedTypes.Evacuations) => void;
--- a/packages/kumquatfront/src/trafficControl/entryDirectory.ts
+++ b/packages/kumquatfront/src/trafficControl/entryDirectory.ts
@@ -7,7 +7,7 @@
 import type * as ports from '../kernel/ports.js';
 import type * as methods from './methods.js';
 
-/** Time since its last watch request after which an entry is no longer returned to callers. */
+/** Time since its last watch request after which an entry is withheld from callers. */
 const ENTRY_LEASE: ports.Milliseconds = 2_000;
 
 /**
--- a/packages/kumquatfront/src/trafficControl/instanceGossip.ts
+++ b/packages/kumquatfront/src/trafficControl/instanceGossip.ts
@@ -79,7 +79,7 @@
     }
   }
 
-  /** Removes instances whose addresses no longer accept connections, as found by an entry. */
+  /** Removes instances whose addresses refuse connections, as found by an entry. */
   removeCrashed({ instances, entry }: methods.CrashedInstances): void {
     const { table, log, notifyEntries, notifyCoordinator } = this.options;
     const removed = instances.filter((identity) => table.removeCrashed(identity, this.now()));
--- a/packages/kumquatfront/src/trafficControl/methods.ts
+++ b/packages/kumquatfront/src/trafficControl/methods.ts
@@ -128,7 +128,7 @@
   readonly records: readonly instanceTypes.InstanceRecord[];
 }
 
-/** Instances whose addresses no longer accept connections, as found by an entry. */
+/** Instances whose addresses refuse connections, as found by an entry. */
 export interface CrashedInstances {
   readonly instances: readonly string[];
   /** Name of the entry that found it; absent from entries of earlier releases. */
@@ -138,7 +138,7 @@
 /** Rate limit that an entry received from an instance. */
 export interface RateLimitUpdate {
   readonly instance: string;
-  /** Requests per second from all senders together; absent once the instance no longer states a limit. */
+  /** Requests per second from all senders together; absent once the instance has lifted the limit. */
   readonly perSecond?: number;
 }
 
--- a/packages/kumquatfront/src/trafficControl/trafficConfigurationFetcher.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficConfigurationFetcher.ts
@@ -107,7 +107,7 @@
     return this.fetch === undefined ? Math.max(0, this.lastFetchAt + PACKAGE_INTERVAL - timers.now()) : 0;
   }
 
-  /** Schedules the next request after a delay, unless an earlier one is scheduled. */
+  /** Schedules the next request after a delay, unless one is scheduled. */
   private scheduleNext(delay: ports.Milliseconds): void {
     const { timers } = this.options;
     const at = timers.now() + delay;
--- a/packages/kumquatfront/src/upstreamPace/callOutcomes.ts
+++ b/packages/kumquatfront/src/upstreamPace/callOutcomes.ts
@@ -22,7 +22,6 @@
   private readonly now: () => ports.Milliseconds;
 
   /**
-   * @param now - the time
    */
   constructor(now: () => ports.Milliseconds) {
     this.now = now;
--- a/packages/kumquatfront/src/upstreamPace/enginePaces.ts
+++ b/packages/kumquatfront/src/upstreamPace/enginePaces.ts
@@ -20,7 +20,6 @@
   private readonly prefill: paceEstimator.PaceEstimator;
 
   /**
-   * @param now - the time
    */
   constructor(now: () => ports.Milliseconds) {
     this.prefill = new paceEstimator.PaceEstimator(now, EVIDENCE_HALF_LIFE, INITIAL_PREFILL_PACE);
--- a/packages/kumquatfront/src/upstreamPace/loadReports.ts
+++ b/packages/kumquatfront/src/upstreamPace/loadReports.ts
@@ -23,7 +23,6 @@
   private readonly now: () => ports.Milliseconds;
 
   /**
-   * @param now - the time
    */
   constructor(now: () => ports.Milliseconds) {
     this.now = now;
--- a/packages/kumquatfront/src/upstreamPace/paceEstimator.ts
+++ b/packages/kumquatfront/src/upstreamPace/paceEstimator.ts
@@ -86,7 +86,6 @@
   private readonly initialPace: number | undefined;
 
   /**
-   * @param now - the time
    * @param evidenceHalfLife - time after which half of the evidence is forgotten, so that an upstream that is not used
    *   returns to the mean
    * @param initialPace - pace before the first observation of a service; undefined if there is none
--- a/packages/kumquatfront/src/upstreamPace/paceTable.ts
+++ b/packages/kumquatfront/src/upstreamPace/paceTable.ts
@@ -29,7 +29,6 @@
   private readonly serviceOf: (upstream: string) => string | undefined;
 
   /**
-   * @param now - the time
    * @param serviceOf - service of an upstream; undefined if no such upstream is known
    */
   constructor(now: () => ports.Milliseconds, serviceOf: (upstream: string) => string | undefined) {
--- a/packages/kumquatfront/src/upstreamPace/slowdown.ts
+++ b/packages/kumquatfront/src/upstreamPace/slowdown.ts
@@ -1,5 +1,5 @@
 /**
- * Slowdown that an upstream reports: how long work takes on its VM at this moment, as a factor where 1 is normal.
+ * Slowdown that an upstream reports: how long work currently takes on its VM, as a factor where 1 is normal.
  *
  * Load: VMs that take 2.5 times as long for some hundred milliseconds.
  */
--- a/packages/kumquatfront/src/upstreamPace/types.ts
+++ b/packages/kumquatfront/src/upstreamPace/types.ts
@@ -23,7 +23,7 @@
   load: ReportedLoad | null,
 ];
 
-/** What the coordinator knows of an upstream from all entries. */
+/** Observations of an upstream by all entries, merged by the coordinator. */
 export type PaceRow = readonly [
   upstream: string,
   /** Mean time of a call; 0 if none was answered. */
--- a/packages/kumquatfront/src/upstreamPace/upstreamPaces.ts
+++ b/packages/kumquatfront/src/upstreamPace/upstreamPaces.ts
@@ -40,7 +40,7 @@
 /** A call that was given up counts if it took longer than this factor of the pace; shorter ones may have waited. */
 const GIVEN_UP_FACTOR = 2;
 
-/** Time without an observed call after which the entry no longer asks for the merged table. */
+/** Time without an observed call after which the entry stops asking for the merged table. */
 const INTEREST_TIME: ports.Milliseconds = 30_000;
 
 /** Minimum time between two log lines on one upstream. */
--- a/packages/kumquatfront/src/warmUp/entryShare.ts
+++ b/packages/kumquatfront/src/warmUp/entryShare.ts
@@ -39,7 +39,6 @@
    *
    * @param identity - identity of the upstream
    * @param totalPerWindow - requests that all entries together may send in a window
-   * @param now - current time
    */
   maySend(identity: string, totalPerWindow: number, now: ports.Milliseconds): boolean {
     return this.sentCounter.countOf(identity, now) < this.shareOf(identity, totalPerWindow, now);
--- a/packages/scenarios/src/language/expectations.ts
+++ b/packages/scenarios/src/language/expectations.ts
@@ -155,7 +155,6 @@
  * Checks an `expect` line; throws a `ScenarioError` when the expectation does not hold.
  *
  * @param current - session of the scenario
- * @param line - parsed line
  * @example
  * ```ts
  * expectations.check(session, line);
--- a/packages/scenarios/src/language/scenarioLine.ts
+++ b/packages/scenarios/src/language/scenarioLine.ts
@@ -56,7 +56,6 @@
 /**
  * Returns a word of a line.
  *
- * @param line - parsed line
  * @param position - index of the word after the verb
  * @returns the word
  * @example
@@ -75,7 +74,6 @@
 /**
  * Returns the word that follows another, as in `at entry-1`.
  *
- * @param line - parsed line
  * @param before - preceding word
  * @returns the word; undefined if `before` does not occur
  * @example
@@ -91,7 +89,6 @@
 /**
  * Returns a numeric option.
  *
- * @param line - parsed line
  * @param name - name of the option
  * @param fallback - value if the option is absent
  * @returns the number
--- a/packages/scenarios/src/world/virtualUpstreams.ts
+++ b/packages/scenarios/src/world/virtualUpstreams.ts
@@ -151,7 +151,6 @@
 /**
  * Creates the port to engines for one incarnation of an entry.
  *
- * @param network - simulated network
  * @param entryHost - host of the entry
  * @param engines - looks up an engine by host name
  * @returns the generation port
@@ -213,7 +212,6 @@
 /**
  * Creates the port to services for one incarnation of an entry.
  *
- * @param network - simulated network
  * @param entryHost - host of the entry
  * @param services - looks up a service by host name
  * @param scheduler - timers on virtual time
@@ -284,7 +282,6 @@
 /**
  * Creates the connection check of upstream addresses for one incarnation of an entry.
  *
- * @param network - simulated network
  * @param entryHost - host of the entry
  * @returns the check
  * @example
--- a/packages/soak/src/linkCut.ts
+++ b/packages/soak/src/linkCut.ts
@@ -1,15 +1,14 @@
 /**
  * Loaded into an entry's process before the program (`node --import`): cuts its links to upstreams as long as a file
  * names a form of cut. The other processes reach the upstreams meanwhile, which a proxy before an upstream cannot do.
- *
- * - `silent`: open connections transmit nothing, new ones are never established.
- * - `reset`: open connections are reset, new ones are refused.
- * - `newRefused`: open connections live on, new ones are refused.
  */
 import * as fs from 'node:fs';
 import * as net from 'node:net';
 
-/** Form of a cut. */
+/**
+ * Form of a cut: open connections transmit nothing and new ones are never established; open ones are reset and new ones
+ * refused; or only new ones are refused.
+ */
 export type CutForm = 'silent' | 'reset' | 'newRefused';
 
 /** Environment variable with the file that names the form; an empty file ends the cut. */
