--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -225,34 +225,8 @@
       replicas: () => this.watch.replicas(),
     });
     const guardOptions = { timers, quarantine: quarantineState, signals, slots, log };
-    const server = new relayServer.RelayServer({
-      ...{ timers, log, metrics, peers },
-      epoch: random.identity(),
-      upstreams: guardedUpstreams.create({
-        ...guardOptions,
-        upstreams: this.peerRelay.direct,
-        policy: {
-          exclusionOf: (instance, now) => policy.exclusionFromRelay(instance, now),
-          recordSent: () => undefined,
-          messageOf: (exclusion) => policy.messageOf(exclusion),
-        },
-      }),
-      declineReason: () => this.relayDeclineReason(),
-    });
-    const slackShare = new windowedShare.WindowedShare(entryCount, settings.retries.window);
-    // Retries may be rare; without regular updates an entry would not notice when control was reached first and last.
-    timers.every(
-      () => SHARE_UPDATE_INTERVAL,
-      () => {
-        slackShare.at(timers.now());
-      },
-    );
-    const budget = new serviceRetryBudget.ServiceRetryBudget(
-      settings.retries,
-      (now) => slackShare.at(now),
-      random,
-      (settings.isEnabled ?? placementFeatures.allEnabled)('sharedLimits') ? this.createLeases() : undefined,
-    );
+    const server = this.createRelayServer(guardOptions, policy);
+    const budget = this.createRetryBudget(entryCount);
     this.relay = new trafficRelay.TrafficRelay({
       context: {
         timers,
@@ -323,6 +297,46 @@
     this.services.register('relayServer', server);
   }
 
+  /** Relays for other entries, with the checks that do not count against limits of this entry. */
+  private createRelayServer(
+    guardOptions: Omit<guardedUpstreams.GuardedUpstreamsOptions, 'upstreams' | 'policy'>,
+    policy: sendPolicy.SendPolicy,
+  ): relayServer.RelayServer {
+    const { log, metrics, peers, random } = this.entryPorts;
+    return new relayServer.RelayServer({
+      ...{ timers: this.timers, log, metrics, peers },
+      epoch: random.identity(),
+      upstreams: guardedUpstreams.create({
+        ...guardOptions,
+        upstreams: this.peerRelay.direct,
+        policy: {
+          exclusionOf: (instance, now) => policy.exclusionFromRelay(instance, now),
+          recordSent: () => undefined,
+          messageOf: (exclusion) => policy.messageOf(exclusion),
+        },
+      }),
+      declineReason: () => this.relayDeclineReason(),
+    });
+  }
+
+  private createRetryBudget(entryCount: () => number): serviceRetryBudget.ServiceRetryBudget {
+    const { settings, timers } = this;
+    const slackShare = new windowedShare.WindowedShare(entryCount, settings.retries.window);
+    // Retries may be rare; without regular updates an entry would not notice when control was reached first and last.
+    timers.every(
+      () => SHARE_UPDATE_INTERVAL,
+      () => {
+        slackShare.at(timers.now());
+      },
+    );
+    return new serviceRetryBudget.ServiceRetryBudget(
+      settings.retries,
+      (now) => slackShare.at(now),
+      this.entryPorts.random,
+      (settings.isEnabled ?? placementFeatures.allEnabled)('sharedLimits') ? this.createLeases() : undefined,
+    );
+  }
+
   private createLeases(): leaseClient.LeaseClient {
     const { peers } = this.entryPorts;
     return new leaseClient.LeaseClient({
