Relay: the only entry that relays is asked again after a late answer

The only entry that was not cut off had answered one question for an offer after more than 250 ms, and was passed over for 500 ms.

A peer that did not answer is now asked again while there is no other, for up to four rounds of a request; one that declines is still passed over, so that requests are refused at once when all are cut off. The spec failed before.

--- a/packages/kumquatfront/src/peerRelay/peerList.ts
+++ b/packages/kumquatfront/src/peerRelay/peerList.ts
@@ -19,9 +19,12 @@
 /** Time for which an offer holds. */
 const OFFER_TTL: ports.Milliseconds = 1_000;
 
-/** Time for which a peer is passed over that does not answer, or declines for a reason that lasts. */
+/** Time for which a peer is passed over that has declined, or that did not answer while there are others. */
 const PASS_OVER_TIME: ports.Milliseconds = 500;
 
+/** Rounds of questions for one request. A peer that is slow for a moment may be the only one that relays. */
+const MAXIMUM_ROUNDS = 4;
+
 /** Peers that are asked for an offer at a time. */
 const OFFERS = 3;
 
@@ -42,7 +45,8 @@
   readonly peer: messages.Peer;
   epoch: string;
   offeredAt: ports.Milliseconds;
-  passedOverUntil: ports.Milliseconds;
+  declinedUntil: ports.Milliseconds;
+  unansweredUntil: ports.Milliseconds;
   /** Requests of this entry that it relays. */
   openCount: number;
 }
@@ -81,18 +85,27 @@
    * @param done - called with the peer; undefined if none relays
    */
   choose(isEligible: IsEligible, done: (chosen: ChosenPeer | undefined) => void): void {
+    this.chooseInRound(1, isEligible, done);
+  }
+
+  private chooseInRound(
+    round: number,
+    isEligible: IsEligible,
+    done: (chosen: ChosenPeer | undefined) => void,
+  ): void {
     const offered = this.leastUsed(isEligible);
     if (offered !== undefined) {
       done(offered);
       return;
     }
-    this.askForOffers(isEligible, (accepted) => {
-      if (accepted !== undefined) {
+    this.askForOffers(isEligible, (accepted, wasUnanswered) => {
+      const mayAskAgain = round === 1 || (wasUnanswered && round < MAXIMUM_ROUNDS);
+      if (accepted !== undefined || !mayAskAgain) {
         done(accepted);
         return;
       }
       this.refresh(() => {
-        this.askForOffers(isEligible, done);
+        this.chooseInRound(round + 1, isEligible, done);
       });
     });
   }
@@ -136,21 +149,34 @@
     }
   }
 
-  /** Passes over a peer that declined a request, did not answer, or reaches no more than this entry. */
+  /** Passes over a peer that declined a request, or reaches no more than this entry. */
   recordDeclined(address: string, reason: string): void {
     const known = this.known.get(address);
     if (known !== undefined) {
       known.offeredAt = Number.NEGATIVE_INFINITY;
-      known.passedOverUntil = this.options.timers.now() + PASS_OVER_TIME;
+      known.declinedUntil = this.options.timers.now() + PASS_OVER_TIME;
       this.options.log.debug('peerDeclined', { peer: known.peer.name, reason });
     }
   }
 
+  /** Prefers other peers to one that did not answer. */
+  recordUnanswered(address: string, reason: string): void {
+    const known = this.known.get(address);
+    if (known !== undefined) {
+      known.offeredAt = Number.NEGATIVE_INFINITY;
+      known.unansweredUntil = this.options.timers.now() + PASS_OVER_TIME;
+      this.options.log.info('peerUnanswered', { peer: known.peer.name, reason });
+    }
+  }
+
+  /** Peers that have not declined; those that did not answer only if there are no others. */
   private usable(isEligible: IsEligible): KnownPeer[] {
     const now = this.options.timers.now();
-    return [...this.known.values()].filter(
-      ({ peer, passedOverUntil }) => now >= passedOverUntil && isEligible(peer),
+    const eligible = [...this.known.values()].filter(
+      ({ peer, declinedUntil }) => now >= declinedUntil && isEligible(peer),
     );
+    const answering = eligible.filter(({ unansweredUntil }) => now >= unansweredUntil);
+    return answering.length > 0 ? answering : eligible;
   }
 
   /** Of two random peers with a current offer, the one that relays fewer requests of this entry. */
@@ -166,8 +192,11 @@
     return { address: peer.address, name: peer.name, epoch };
   }
 
-  /** Asks some peers for an offer, and calls back with the first that relays, or when all have declined. */
-  private askForOffers(isEligible: IsEligible, done: (accepted: ChosenPeer | undefined) => void): void {
+  /** Asks some peers for an offer, and calls back with the first that relays, or when none does. */
+  private askForOffers(
+    isEligible: IsEligible,
+    done: (accepted: ChosenPeer | undefined, wasUnanswered: boolean) => void,
+  ): void {
     const { peers, random, entry } = this.options;
     const remaining = this.usable(isEligible);
     const asked: KnownPeer[] = [];
@@ -175,11 +204,12 @@
       asked.push(...remaining.splice(Math.floor(random.next() * remaining.length), 1));
     }
     let unanswered = asked.length;
+    let wasUnanswered = false;
     let isDone = false;
     const finish = (accepted: ChosenPeer | undefined): void => {
       if (!isDone) {
         isDone = true;
-        done(accepted);
+        done(accepted, wasUnanswered);
       }
     };
     if (unanswered === 0) {
@@ -188,6 +218,7 @@
     for (const known of asked) {
       peers.request(known.peer.address, messages.methods.offer, { entry }, OFFER_TIMEOUT, (result) => {
         unanswered -= 1;
+        wasUnanswered ||= result.err;
         const chosen = this.applyOffer(known, result);
         if (chosen !== undefined) {
           finish(chosen);
@@ -204,7 +235,7 @@
   ): ChosenPeer | undefined {
     const { address, name } = known.peer;
     if (result.err) {
-      this.recordDeclined(address, result.val.message);
+      this.recordUnanswered(address, result.val.message);
       return undefined;
     }
     const { epoch, declined } = result.val as messages.Offer;
@@ -272,7 +303,8 @@
           peer,
           epoch: '',
           offeredAt: Number.NEGATIVE_INFINITY,
-          passedOverUntil: Number.NEGATIVE_INFINITY,
+          declinedUntil: Number.NEGATIVE_INFINITY,
+          unansweredUntil: Number.NEGATIVE_INFINITY,
           openCount: 0,
         });
       }
--- a/packages/kumquatfront/src/peerRelay/relayProtocol.spec.ts
+++ b/packages/kumquatfront/src/peerRelay/relayProtocol.spec.ts
@@ -274,6 +274,32 @@
   assert.equal(system.runs.length, 1);
 });
 
+// Guards against callers that are refused because the only entry that could relay was slow for a moment.
+void test.test('a peer that did not answer in time is asked again if there is no other', () => {
+  const system = new RelaySystem(['p1']);
+  system.transport.fateOf = (method, _to, count) =>
+    method === messages.methods.offer && count <= 2 ? 'isLost' : 'arrives';
+  system.send();
+  system.time.advance(300);
+  system.send();
+  system.time.advance(600);
+  assert.equal(system.runs.length, 2);
+  system.transport.fateOf = () => 'arrives';
+  system.time.advance(1_500);
+  system.send();
+  system.time.advance(10);
+  assert.equal(system.runs.length, 3);
+});
+
+// Guards against a request that waits for peers which have all declined.
+void test.test('a request fails at once when every peer has declined', () => {
+  const system = new RelaySystem(['p1', 'p2']);
+  system.declining.set('p1', 'cutOff').set('p2', 'cutOff');
+  system.send();
+  system.time.advance(30);
+  assert.deepEqual(system.events, ['notSent']);
+});
+
 // Guards against an upstream that gets more time than the caller has, because the request waited for a peer.
 void test.test('the time that is left shrinks on the way to a peer', () => {
   const system = new RelaySystem(['p1', 'p2']);
--- a/packages/kumquatfront/src/peerRelay/relayedExchange.ts
+++ b/packages/kumquatfront/src/peerRelay/relayedExchange.ts
@@ -197,7 +197,7 @@
       list.recordAnswer(peer.address);
       this.onAnswer(peer, result.val as messages.RelayAnswer);
     } else if (now - this.lastAnswerAt >= CONTACT_TIMEOUT) {
-      list.recordDeclined(peer.address, result.val.message);
+      list.recordUnanswered(peer.address, result.val.message);
       this.fail('broken', `contact with the relaying entry was lost: ${result.val.message}`);
     } else {
       timers.after(REPEAT_DELAY, () => {
--- a/packages/scenarios/src/scripts/peerRelaySafeguards.ts
+++ b/packages/scenarios/src/scripts/peerRelaySafeguards.ts
@@ -127,4 +127,11 @@
     replace: 'if (false) {',
     scenario: PROTOCOL,
   },
+  {
+    name: 'a peer that was slow for a moment is asked again if there is no other',
+    file: 'peerRelay/peerList.js',
+    find: 'answering.length > 0 ? answering : eligible',
+    replace: 'answering',
+    scenario: PROTOCOL,
+  },
 ];
