--- a/packages/kumquatfront/src/peerRelay/relayServer.ts
+++ b/packages/kumquatfront/src/peerRelay/relayServer.ts
@@ -106,11 +106,6 @@
     );
   }
 
-  /** Number of requests that are being relayed. */
-  get openCount(): number {
-    return [...this.open.values()].filter(({ isComplete }) => !isComplete).length;
-  }
-
   private declineReason(): messages.DeclineReason | undefined {
     if (this.open.size >= MAXIMUM_OPEN || this.totalBytes >= MAXIMUM_TOTAL_BYTES) {
       return 'overloaded';
