Sight: logs and a metric tell which software began a stream and which goes on with it

Logs could not tell whether a stream crossed versions by a move, by a new run, or because a caller took it up elsewhere. Lines: version in instanceHeard and instancesSeen, streamTakenUp with the attempt that the caller names, streamContinues with both versions, began in requestEnded. Metric streams.continued.

--- a/packages/kumquatfront/src/instances/announcement.ts
+++ b/packages/kumquatfront/src/instances/announcement.ts
@@ -14,8 +14,12 @@
  * ```
  */
 export function fromRecord(record: types.Announcement): types.Announcement {
-  const { identity, name, born, service, address, dataCentre, slots, state, warmUpLeft, sequence } = record;
-  return { identity, name, born, service, address, dataCentre, slots, state, warmUpLeft, sequence };
+  const { identity, name, born, service, address, dataCentre, softwareVersion } = record;
+  const { slots, state, warmUpLeft, sequence } = record;
+  return {
+    ...{ identity, name, born, service, address, dataCentre, slots, state, warmUpLeft, sequence },
+    ...(softwareVersion !== undefined && { softwareVersion }),
+  };
 }
 
 /**
@@ -38,7 +42,7 @@
 
 /**
  * Checks whether an announcement contradicts an earlier one of the same identity. An incarnation never changes its
- * service or its address, so a conflicting announcement was sent by another process.
+ * service, its address or its software, so a conflicting announcement was sent by another process.
  *
  * @param known - the earlier announcement
  * @param announcement - a later announcement with the same identity
@@ -49,5 +53,10 @@
  * ```
  */
 export function isConflicting(known: types.Announcement, announcement: types.Announcement): boolean {
-  return known.service !== announcement.service || known.address !== announcement.address;
+  const { softwareVersion = known.softwareVersion } = announcement;
+  return (
+    known.service !== announcement.service ||
+    known.address !== announcement.address ||
+    (known.softwareVersion !== undefined && known.softwareVersion !== softwareVersion)
+  );
 }
--- a/packages/kumquatfront/src/instances/instanceLog.ts
+++ b/packages/kumquatfront/src/instances/instanceLog.ts
@@ -12,11 +12,16 @@
 export const PART_SEPARATOR = '|';
 
 function formatChange({ instance, event }: instanceView.InstanceChange): string {
-  const { identity, service, address, rateLimit } = instance;
+  const { identity, service, address, softwareVersion, rateLimit } = instance;
   if (event === 'rateLimitTold') {
     return [identity, rateLimit?.perSecond ?? 'none'].join(PART_SEPARATOR);
   }
-  return event === 'found' ? [identity, service, address].join(PART_SEPARATOR) : identity;
+  if (event !== 'found') {
+    return identity;
+  }
+  // Encoded, since the version is any text and the parts of the line are separated.
+  const version = softwareVersion === undefined ? [] : [encodeURIComponent(softwareVersion)];
+  return [identity, service, address, ...version].join(PART_SEPARATOR);
 }
 
 function fieldFor(
--- a/packages/kumquatfront/src/instances/instanceTable.ts
+++ b/packages/kumquatfront/src/instances/instanceTable.ts
@@ -130,10 +130,15 @@
     // Draining is final for an incarnation: a delayed announcement must not make it ready again.
     const state = known.announcement.state === 'leaving' ? 'leaving' : announcement.state;
     const becameCold = this.recordWarmUp(known, announcement.warmUpLeft, now);
+    const { softwareVersion = known.announcement.softwareVersion } = announcement;
     const changed =
-      becameCold || state !== known.announcement.state || announcement.slots !== known.announcement.slots;
+      becameCold ||
+      state !== known.announcement.state ||
+      announcement.slots !== known.announcement.slots ||
+      softwareVersion !== known.announcement.softwareVersion;
     known.announcement = {
       ...announcement,
+      ...(softwareVersion !== undefined && { softwareVersion }),
       state,
       sequence: Math.max(announcement.sequence, known.announcement.sequence),
     };
--- a/packages/kumquatfront/src/instances/instanceView.ts
+++ b/packages/kumquatfront/src/instances/instanceView.ts
@@ -199,8 +199,10 @@
     }
     const wasLeaving = known?.state === 'leaving' || this.terminationNotices.has(record.identity);
     const leaving = record.state === 'leaving' || wasLeaving;
+    const softwareVersion = known?.softwareVersion ?? record.softwareVersion;
     const instance: Instance = {
       ...announcement.fromRecord(record),
+      ...(softwareVersion !== undefined && { softwareVersion }),
       state: leaving ? 'leaving' : 'ready',
       firstSeenAt: known?.firstSeenAt ?? now - record.firstAge,
       coldUntil: Math.max(known?.coldUntil ?? 0, now + record.warmUpLeft),
--- a/packages/kumquatfront/src/instances/types.ts
+++ b/packages/kumquatfront/src/instances/types.ts
@@ -18,6 +18,8 @@
   /** `ip:port` */
   readonly address: string;
   readonly dataCentre: string;
+  /** Version of the software of the instance, a name without order; absent if it announces none. */
+  readonly softwareVersion?: string;
   readonly slots: number;
   readonly state: InstanceState;
   /** Remaining time for which the instance is cold and can crash under many requests; 0 if it is warm. */
--- a/packages/kumquatfront/src/peerRelay/messages.ts
+++ b/packages/kumquatfront/src/peerRelay/messages.ts
@@ -156,6 +156,7 @@
     request: {
       ...{ identity, host, path, method, headers, callerTimeout, generation },
       lastEvent: request.lastEvent,
+      resumes: request.resumes,
       body: Buffer.from(body).toString('base64'),
     },
     instance: encodeInstance(instance, now),
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -6,6 +6,8 @@
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import type * as placementTypes from '../placement/types.js';
+import * as software from '../streamOrigins/software.js';
+import type * as originTypes from '../streamOrigins/types.js';
 import * as quarantine from '../quarantine/quarantine.js';
 import type * as eventSplitter from './eventSplitter.js';
 import * as exchangeContext from './exchangeContext.js';
@@ -39,6 +41,8 @@
   /** Set while a replacement for an idle segment is being selected. */
   private idleSearch:
     { readonly segment: streamSegment.StreamSegment; readonly eventCount: number } | undefined;
+  /** Origin of the stream; undefined before its first event, and while it is unknown. */
+  private origin: originTypes.StreamOrigin | undefined;
   /** Forecast time from the last placement to the first event. */
   private firstEventIn: ports.Milliseconds | undefined;
   private cancelDeadline: ports.Cancel = () => undefined;
@@ -74,6 +78,10 @@
     const { timers, retryBudget, placement } = this.context;
     const { caller, deadline, service, request } = this.routed;
     retryBudget.recordRequest(service.name, timers.now());
+    if (request.lastEvent !== undefined || request.resumes !== undefined) {
+      const { identity, lastEvent, resumes } = request;
+      this.context.log.info('streamTakenUp', { request: identity, resumes, lastEvent });
+    }
     caller.onDisconnect(() => {
       this.finish({ outcome: 'callerGone' });
     });
@@ -185,6 +193,9 @@
       lastEvent: this.delivery.lastEvent,
       copy: copy?.handle,
     });
+    if (this.delivery.lastEvent !== undefined) {
+      this.logContinuation(instance, copy);
+    }
     const urgency = this.attributes === undefined ? undefined : upstreamPriority;
     const call: types.UpstreamCall = {
       request,
@@ -201,6 +212,23 @@
     placement.scheduleReport();
   }
 
+  private logContinuation(instance: instanceView.Instance, copy: types.MemoryCopy | undefined): void {
+    const { log, metrics } = this.context;
+    const { origin } = this;
+    const current = software.of(instance);
+    log.info('streamContinues', {
+      request: this.routed.request.identity,
+      upstream: instance.identity,
+      software: current,
+      began: origin?.software,
+      lastEvent: this.delivery.lastEvent,
+      fromCopy: copy !== undefined,
+    });
+    const relation =
+      origin === undefined ? 'unknown' : software.mayContinue(origin, instance) ? 'same' : 'other';
+    metrics.count('streams.continued', 1, { software: relation });
+  }
+
   private createSegmentListener(segment: streamSegment.StreamSegment): streamSegment.SegmentListener {
     const { balancer, timers } = this.context;
     return {
@@ -246,6 +274,9 @@
     const isFirst = segment.eventCount === 1;
     const now = this.context.timers.now();
     segment.recordEvent(now);
+    if (this.routed.request.lastEvent === undefined) {
+      this.origin ??= software.originAt(segment.instance);
+    }
     this.delivery.deliver(event, now);
     if (isFirst) {
       this.context.placement.scheduleReport();
@@ -511,6 +542,7 @@
     }
     exchangeContext.logRequestEnd(this.context, this.routed, {
       ...outcome,
+      began: this.origin?.software,
       ...streamLogSummary.fieldsFor(this.routed, this.attributes, this.delivery, this),
     });
   }
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -37,6 +37,8 @@
   readonly arrivedAt: ports.Milliseconds;
   /** Identifier of the last event that the caller received; undefined for a new stream. */
   readonly lastEvent?: string;
+  /** Identity of the attempt that brought the first event of the stream that the caller takes up. */
+  readonly resumes?: string;
   readonly generation?: GenerationDemand;
 }
 
--- a/packages/kumquatfront/src/trafficControl/instanceGossip.ts
+++ b/packages/kumquatfront/src/trafficControl/instanceGossip.ts
@@ -43,6 +43,7 @@
         instance: announcement.identity,
         service: announcement.service,
         address: announcement.address,
+        software: announcement.softwareVersion,
         state: announcement.state,
         sequence: announcement.sequence,
         warmUpLeft: announcement.warmUpLeft,
