Red: streams hold events of two software versions

Beside it: a started stream whose upstream falls silent finds no other one through the coordinator, which counts it as late.

--- a/packages/soak/src/clients.ts
+++ b/packages/soak/src/clients.ts
@@ -121,7 +121,13 @@
 
 /** Configuration of a soak run with the given version, as JSON. */
 export function configurationText(version: number): string {
-  const route = (name: string, kind: string, service: string, attempts: number): object => ({
+  const route = (
+    name: string,
+    kind: string,
+    service: string,
+    attempts: number,
+    resumable = false,
+  ): object => ({
     name,
     host: 'soak.example',
     path_prefix: `/${name}/`,
@@ -132,7 +138,7 @@
     service,
     max_attempts: attempts,
     anonymous: false,
-    stream_resume: false,
+    stream_resume: resumable,
     target_itl_ms: 180,
   });
   const engine = {
@@ -151,6 +157,7 @@
       route('payment', 'non_idempotent', 'app', 1),
       route('lookUp', 'idempotent', 'app', 2),
       route('stream', 'streaming', 'llm', 1),
+      route('notes', 'streaming', 'notes', 2, true),
       route('fragile', 'idempotent', 'fragile', 2),
       ...Array.from({ length: unusedRouteCount(version) }, (_, index) =>
         route(`unused${index}`, 'idempotent', 'app', 2),
@@ -160,6 +167,7 @@
       { name: 'app', max_connections: 100, ...cold },
       { name: 'fragile', max_connections: 100 },
       { name: 'llm', max_connections: 100, ...cold, inference_engine: engine },
+      { name: 'notes', max_connections: 100, inference_engine: engine },
     ],
     limits: {
       max_header_bytes: 16_384,
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -19,6 +19,7 @@
 import * as supervisedProcess from './supervisedProcess.js';
 import * as upstreamCuts from './upstreamCuts.js';
 import * as stubInstance from './stubInstance.js';
+import * as versionedStreams from './versionedStreams.js';
 
 /** Size and duration of a run. */
 export interface SoakOptions {
@@ -284,6 +285,14 @@
     checker: environment.checker,
     random: kumquatfront.seededRandom.create(options.seed + 1_000_000),
   });
+  const streams = new versionedStreams.VersionedStreams({
+    entries: environment.entries,
+    callerPort: environment.ports.caller,
+    instancePort: environment.ports.instance,
+    controlAddresses: () => controlHosts.map((host) => `${host}:${environment.ports.operator}`),
+    checker: environment.checker,
+    random: kumquatfront.seededRandom.create(options.seed + 3_000_000),
+  });
   const { checker, instances } = environment;
   const evacuation = new evacuationCheck.EvacuationCheck({ operator, checker, instances, waitUntil });
   const cuts = new upstreamCuts.UpstreamCuts({
@@ -315,6 +324,8 @@
   }
   await evacuation.check();
   await cuts.check();
+  await streams.check();
+  streams.stop();
   await backPressure.check({ checker, instances, entryCount: entryHosts.length, waitUntil });
   await crashing.checkQuarantine();
   crashing.stop();
--- a/packages/soak/src/stubInstance.ts
+++ b/packages/soak/src/stubInstance.ts
@@ -14,10 +14,15 @@
 const EVENT_INTERVAL_MS = 12;
 const SERVICE_TIME_MS = 15;
 
+/** Number of events in a complete stream of the service `notes`. */
+export const NOTES_EVENTS = 40;
+
 /** Dependencies and identity of a stub instance. */
 export interface StubInstanceOptions {
   readonly identity: string;
-  readonly service: 'app' | 'llm' | 'fragile';
+  readonly service: 'app' | 'llm' | 'fragile' | 'notes';
+  /** Version of its software, announced and stamped on the events of `notes`; by default one for all. */
+  readonly softwareVersion?: string;
   /** Defaults to `a`. */
   readonly dataCentre?: string;
   /** Address that the server binds. */
@@ -84,6 +89,10 @@
     }
   }
 
+  private get softwareVersion(): string {
+    return this.options.softwareVersion ?? 'v1';
+  }
+
   get identity(): string {
     return this.options.identity;
   }
@@ -97,7 +106,7 @@
     const coldRemaining = Math.max(0, this.coldUntil - Date.now());
     const heartbeat = {
       ...{ service, address: advertisedAddress, zone: this.dataCentre, slots: 24, state: 'ready' },
-      ...{ cold_remaining_ms: coldRemaining, sequence: this.sequence },
+      ...{ cold_remaining_ms: coldRemaining, sequence: this.sequence, version: this.softwareVersion },
     };
     const [host = '', port = ''] = address.split(':');
     const request = http.request({
@@ -128,11 +137,25 @@
       outgoing.end();
       return;
     }
-    checker.recordExecution(attempt, path.startsWith('/lookUp/') || path.startsWith('/fragile/'));
+    const isRepeatable = ['/lookUp/', '/fragile/', '/notes/'].some((prefix) => path.startsWith(prefix));
+    checker.recordExecution(attempt, isRepeatable);
     this.options.onRequestStart?.(path);
     outgoing.on('error', () => undefined);
     if (path.startsWith('/stream/')) {
-      this.stream(attempt, outgoing);
+      this.stream(attempt, outgoing, 0, invariantChecker.STREAM_EVENTS, (index) =>
+        invariantChecker.eventOf(attempt, index),
+      );
+      return;
+    }
+    if (path.startsWith('/notes/')) {
+      const lastEvent = Number(incoming.headers[headers.lastEvent] ?? '0');
+      this.stream(
+        attempt,
+        outgoing,
+        lastEvent,
+        NOTES_EVENTS,
+        (index) => `id: ${index}\ndata: ${this.softwareVersion}\n\n`,
+      );
       return;
     }
     setTimeout(() => {
@@ -145,18 +168,24 @@
     }, SERVICE_TIME_MS);
   }
 
-  private stream(attempt: string, outgoing: http.ServerResponse): void {
+  private stream(
+    attempt: string,
+    outgoing: http.ServerResponse,
+    lastEvent: number,
+    eventCount: number,
+    eventOf: (index: number) => string,
+  ): void {
     outgoing.writeHead(200, {
       [headers.attempt]: attempt,
       [headers.signature]: 's',
       'Content-Type': 'text/event-stream',
       ...this.extraHeaders,
     });
-    let index = 0;
+    let index = lastEvent;
     const timer = setInterval(() => {
       index += 1;
-      outgoing.write(invariantChecker.eventOf(attempt, index));
-      if (index === invariantChecker.STREAM_EVENTS) {
+      outgoing.write(eventOf(index));
+      if (index >= eventCount) {
         clearInterval(timer);
         outgoing.end();
       }
