--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -14,7 +14,8 @@
 import * as generationAttributes from './generationAttributes.js';
 import * as upstreamSelector from './upstreamSelector.js';
 import type * as placementClient from './placementClient.js';
-import * as idleTimeout from './idleTimeout.js';
+import * as idleSearch from './idleSearch.js';
+import * as streamAttempts from './streamAttempts.js';
 import * as streamDelivery from './streamDelivery.js';
 import * as streamSegment from './streamSegment.js';
 import * as streamMove from './streamMove.js';
@@ -32,27 +33,30 @@
   /** Open segment; undefined while the stream has no upstream. */
   private active: streamSegment.StreamSegment | undefined;
   private ended = false;
-  /** Number of attempts that may have run the request, including resumptions. */
-  private possibleRuns = 0;
-  /** Number of sends to upstreams. */
-  sends = 0;
-  /** Number of resumptions from a memory copy. */
-  moves = 0;
-  /** Set while a replacement for an idle segment is being selected. */
-  private idleSearch:
-    { readonly segment: streamSegment.StreamSegment; readonly eventCount: number } | undefined;
+  private readonly attempts: streamAttempts.StreamAttempts;
+  private readonly idleSearch: idleSearch.IdleSearch;
   /** Origin of the stream; undefined before its first event, and while it is unknown. */
   private origin: originTypes.StreamOrigin | undefined;
   /** Forecast time from the last placement to the first event. */
   private firstEventIn: ports.Milliseconds | undefined;
   private cancelDeadline: ports.Cancel = () => undefined;
-  private cancelIdleTimer: ports.Cancel = () => undefined;
   private cancelQuarantine: ports.Cancel = () => undefined;
 
   constructor(context: exchangeContext.ExchangeContext, routed: exchangeContext.RoutedRequest) {
     this.context = context;
     this.routed = routed;
     this.attributes = generationAttributes.forRequest(routed);
+    this.attempts = new streamAttempts.StreamAttempts(context, routed);
+    this.idleSearch = new idleSearch.IdleSearch({
+      timers: context.timers,
+      route: routed.route,
+      maySearch: (segment) =>
+        this.active === segment && !this.ended && !this.moveController.isStopping && this.attempts.areLeft,
+      search: (segment) => {
+        this.selector.exclude(segment.instance.identity);
+        this.selector.select();
+      },
+    });
     this.delivery = new streamDelivery.StreamDelivery(routed.caller, routed.request.lastEvent);
     this.selector = new upstreamSelector.UpstreamSelector(context, routed, this.attributes, {
       selected: (instance, firstEventIn) => {
@@ -111,7 +115,7 @@
     if (this.delivery.started) {
       this.abort(quarantine.QUARANTINED_MESSAGE);
     } else {
-      const reason = this.possibleRuns === 0 ? 'quarantined' : 'outcomeUnknown';
+      const reason = this.attempts.possibleRuns === 0 ? 'quarantined' : 'outcomeUnknown';
       this.refuse(reason, quarantine.QUARANTINED_MESSAGE);
     }
   }
@@ -142,14 +146,10 @@
   }
 
   private onUpstreamSelected(instance: instanceView.Instance, firstEventIn?: ports.Milliseconds): void {
-    const { active: segment, idleSearch } = this;
-    this.idleSearch = undefined;
+    const { active: segment } = this;
     if (segment !== undefined) {
-      const hasRecovered =
-        idleSearch?.segment !== segment ||
-        idleSearch.eventCount !== segment.eventCount ||
-        this.moveController.isStopping;
-      if (hasRecovered || !this.takeResumption()) {
+      const isIdle = this.idleSearch.end(segment) && !this.moveController.isStopping;
+      if (!isIdle || !this.attempts.takeResumption()) {
         // The next report releases the unused placement.
         return;
       }
@@ -163,13 +163,13 @@
   /** Handles the lack of an upstream; the request is refused as not run only if no attempt may have run it. */
   private onNoUpstream(reason: types.RefusalReason, message: string, retryAfter: ports.Milliseconds): void {
     if (this.active !== undefined) {
-      this.idleSearch = undefined;
+      this.idleSearch.end(this.active);
       this.startIdleTimer();
       return;
     }
     if (this.delivery.started) {
       this.abort(message);
-    } else if (this.possibleRuns > 0 && !this.resumable) {
+    } else if (this.attempts.possibleRuns > 0 && !this.resumable) {
       this.refuse('outcomeUnknown', message);
     } else {
       this.refuse(reason, message, retryAfter);
@@ -182,10 +182,7 @@
     const now = timers.now();
     const segment = new streamSegment.StreamSegment(instance, copy);
     this.active = segment;
-    this.sends += 1;
-    if (copy === undefined) {
-      this.possibleRuns += 1;
-    }
+    this.attempts.recordSend(copy !== undefined);
     balancer.recordDispatch(instance, now);
     log.debug('streamSent', {
       request: request.identity,
@@ -289,37 +286,8 @@
     return this.delivery.eventCount * (this.routed.service.engine?.tokensPerEvent ?? 1);
   }
 
-  /**
-   * Selects a replacement when the upstream of a resumable stream is idle for too long. The segment stays open until
-   * a replacement is found, so that a paused stream is not aborted when no other engine has free capacity.
-   */
   private startIdleTimer(): void {
-    this.cancelIdleTimer();
-    const { active: segment } = this;
-    if (!this.resumable || segment === undefined) {
-      return;
-    }
-    // A segment that resumes from a memory copy has no prefill.
-    const firstEventIn = segment.copy === undefined ? this.firstEventIn : undefined;
-    const timeout = idleTimeout.forRoute(this.routed.route, segment.eventCount > 0, firstEventIn);
-    this.cancelIdleTimer = this.context.timers.after(timeout, () => {
-      if (this.active === segment && !this.ended && !this.moveController.isStopping && this.hasAttemptsLeft) {
-        this.idleSearch = { segment, eventCount: segment.eventCount };
-        this.selector.exclude(segment.instance.identity);
-        this.selector.select();
-      }
-    });
-  }
-
-  private get hasAttemptsLeft(): boolean {
-    return this.resumable && this.possibleRuns < this.routed.route.maximumAttempts;
-  }
-
-  /** Takes one retry from the shared budget if the stream may be sent again; false otherwise. */
-  private takeResumption(): boolean {
-    const { retryBudget, timers } = this.context;
-    const isQuarantined = exchangeContext.quarantineVerdictOf(this.context, this.routed) === 'quarantined';
-    return this.hasAttemptsLeft && !isQuarantined && retryBudget.take(this.routed.service.name, timers.now());
+    this.idleSearch.restartTimer(this.active, this.firstEventIn);
   }
 
   private closeSegment(segment: streamSegment.StreamSegment, reason?: 'silent'): void {
@@ -346,7 +314,7 @@
     const { identity } = segment.instance;
     this.closeSegment(segment);
     balancer.recordFailure(identity, 'failure', timers.now());
-    if (head.status >= 500 && this.takeResumption()) {
+    if (head.status >= 500 && this.attempts.takeResumption()) {
       this.resumeElsewhere(segment, 'upstreamFailed');
     } else if (this.delivery.started) {
       this.abort(`the next upstream responded with status ${head.status}`);
@@ -366,7 +334,7 @@
       this.onCopyRejected(segment);
       return;
     }
-    this.possibleRuns -= 1;
+    this.attempts.recordNotRun();
     if (retryBudget.take(service.name, timers.now())) {
       this.selector.select();
     } else {
@@ -386,7 +354,9 @@
     const { balancer, timers, log } = this.context;
     this.closeSegment(segment);
     if (failure === 'quarantined') {
-      this.possibleRuns -= segment.copy === undefined ? 1 : 0;
+      if (segment.copy === undefined) {
+        this.attempts.recordNotRun();
+      }
       this.finishQuarantined();
       return;
     }
@@ -411,7 +381,7 @@
       this.onNotSent(segment);
     } else if (firstCopy !== undefined) {
       this.resumeFromCopy(firstCopy);
-    } else if (this.takeResumption()) {
+    } else if (this.attempts.takeResumption()) {
       this.resumeElsewhere(segment, failure);
     } else if (this.delivery.started) {
       this.abort(reason);
@@ -425,7 +395,7 @@
       this.onCopyRejected(segment);
       return;
     }
-    this.possibleRuns -= 1;
+    this.attempts.recordNotRun();
     this.selector.select();
   }
 
@@ -440,13 +410,13 @@
       request: this.routed.request.identity,
       cause,
       lastEvent: this.delivery.lastEvent,
-      runs: this.possibleRuns,
+      runs: this.attempts.possibleRuns,
     });
   }
 
   /** Handles an engine's rejection of a resumption from a copy; only resumable streams can be sent elsewhere. */
   private onCopyRejected(segment: streamSegment.StreamSegment): void {
-    if (this.takeResumption()) {
+    if (this.attempts.takeResumption()) {
       this.resumeElsewhere(segment, 'copyRefused');
     } else {
       this.abort('the engine did not resume the stream from its memory copy');
@@ -489,14 +459,14 @@
     if (this.active !== undefined) {
       this.closeSegment(this.active);
     }
-    this.moves += 1;
+    this.attempts.moves += 1;
     this.send(resumePoint.instance, resumePoint.copy);
   }
 
   private onDeadline(): void {
     if (this.delivery.started) {
       this.abort('the route allows no more time');
-    } else if (this.possibleRuns === 0) {
+    } else if (this.attempts.possibleRuns === 0) {
       this.refuse(
         'timeoutNotRun',
         'no upstream became available before the deadline of the request',
@@ -528,7 +498,7 @@
     this.ended = true;
     this.cancelDeadline();
     this.selector.cancel();
-    this.cancelIdleTimer();
+    this.idleSearch.cancel();
     this.cancelQuarantine();
     this.moveController.cancel();
     if (this.active !== undefined) {
@@ -543,7 +513,11 @@
     exchangeContext.logRequestEnd(this.context, this.routed, {
       ...outcome,
       began: this.origin?.software,
-      ...streamLogSummary.fieldsFor(this.routed, this.attributes, this.delivery, this),
+      ...streamLogSummary.fieldsFor(this.routed, this.attributes, this.delivery, {
+        produced: this.produced,
+        sends: this.attempts.sends,
+        moves: this.attempts.moves,
+      }),
     });
   }
 }
