A stream goes on only at the software version that began it

Cause: upstreams of one service were taken for alike. No process knew the version that an upstream announces, and an entry did not know which stream a caller takes up.

Change: the origin of a stream (service and software of the upstream of its first event) is part of each call to an upstream, as a required field. One gate, guardedUpstreams, rejects a send and a memory copy that the origin does not allow, also for other entries; so does the choice of upstreams, the coordinator's query and the target of a move. Upstreams without a version match only themselves. An entry copies the origins of resumable streams to three control replicas and two entries, chosen by hashing, in batches behind the first event; where a stream is taken up the same ones are asked. What nobody knows is refused; if a process did not answer, the caller is led to another entry. A stream that goes on is placed as if it had just arrived, and may use the memory that is kept for moves: before, a stream that was older than its objective counted as late and was refused.

--- a/packages/benchmarks/src/fleet/fleetRun.ts
+++ b/packages/benchmarks/src/fleet/fleetRun.ts
@@ -113,6 +113,7 @@
         name: identity,
         born: 0,
         dataCentre,
+        softwareVersion: 'v1',
         service: SERVICE,
         address: `${identity}:80`,
         slots: 24,
--- a/packages/command/src/ledger/requestEnding.ts
+++ b/packages/command/src/ledger/requestEnding.ts
@@ -53,6 +53,8 @@
   'overloaded',
   'noUpstream',
   'quarantined',
+  'originUnknown',
+  'softwareGone',
   'draining',
   'timeoutNotRun',
   'noConfiguration',
--- a/packages/kumquatfront/src/backPressure/sendPolicy.spec.ts
+++ b/packages/kumquatfront/src/backPressure/sendPolicy.spec.ts
@@ -32,7 +32,7 @@
   const { request } = harness.createRoutedRequest('stream');
   const nothing = (): void => undefined;
   const listener = { head: nothing, data: nothing, end: nothing, failed: nothing };
-  harness.context.upstreams.send({ request, instance, timeLeft: 1_000 }, listener);
+  harness.context.upstreams.send({ request, instance, timeLeft: 1_000, origin: undefined }, listener);
   harness.sentCalls.pop()?.listener.head({ ...relayTestHarness.okHead, signals });
 }
 
@@ -121,7 +121,12 @@
     deliverSignals(harness, 'a', { ...noSignals, pause: 2_000 });
     harness.time.advance(100);
     harness.context.upstreams.send(
-      { request: harness.createRoutedRequest('stream').request, instance, timeLeft: 1_000 },
+      {
+        request: harness.createRoutedRequest('stream').request,
+        instance,
+        timeLeft: 1_000,
+        origin: undefined,
+      },
       { head: () => undefined, data: () => undefined, end: () => undefined, failed: () => undefined },
     );
     assert.equal(policy.exclusionOf(instance, timers.now())?.until, 2_000);
--- a/packages/kumquatfront/src/instances/instanceTestHarness.ts
+++ b/packages/kumquatfront/src/instances/instanceTestHarness.ts
@@ -16,6 +16,7 @@
     service: 'llm',
     address: '10.0.0.1:80',
     dataCentre: 'a',
+    softwareVersion: 'v1',
     slots: 24,
     state: 'ready',
     warmUpLeft: 0,
--- a/packages/kumquatfront/src/peerRelay/messages.ts
+++ b/packages/kumquatfront/src/peerRelay/messages.ts
@@ -7,6 +7,7 @@
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import type * as relayTypes from '../relay/types.js';
+import type * as originTypes from '../streamOrigins/types.js';
 
 /** RPC method names. */
 export const methods = {
@@ -66,6 +67,7 @@
   readonly urgency?: number;
   readonly lastEvent?: string;
   readonly copy?: relayTypes.MemoryCopy;
+  readonly origin?: originTypes.StreamOrigin;
   readonly dataCentres?: readonly string[];
 }
 
@@ -150,7 +152,7 @@
   timeLeft: ports.Milliseconds,
   now: ports.Milliseconds,
 ): RelayedCall {
-  const { request, instance, account, urgency, lastEvent, copy, dataCentres } = call;
+  const { request, instance, account, urgency, lastEvent, copy, origin, dataCentres } = call;
   const { identity, host, path, method, headers, body, callerTimeout, generation } = request;
   return {
     request: {
@@ -160,7 +162,7 @@
       body: Buffer.from(body).toString('base64'),
     },
     instance: encodeInstance(instance, now),
-    ...{ timeLeft, account, urgency, lastEvent, copy, dataCentres },
+    ...{ timeLeft, account, urgency, lastEvent, copy, origin, dataCentres },
   };
 }
 
@@ -209,9 +211,10 @@
  * ```
  */
 export function decodeCall(sent: RelayedCall, now: ports.Milliseconds): relayTypes.UpstreamCall {
-  const { request, instance, ...rest } = sent;
+  const { request, instance, origin, ...rest } = sent;
   return {
     ...rest,
+    origin,
     request: { ...request, body: Buffer.from(request.body, 'base64'), arrivedAt: now },
     instance: decodeInstance(instance, now),
   };
--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -11,6 +11,7 @@
 import type * as trafficTypes from '../traffic/types.js';
 import type * as prefillBacklog from '../prefill/prefillBacklog.js';
 import * as prefillScheduler from '../prefill/prefillScheduler.js';
+import * as software from '../streamOrigins/software.js';
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as enginePaces from '../upstreamPace/enginePaces.js';
 import * as enginePool from './enginePool.js';
@@ -311,6 +312,7 @@
           identity: record.identity,
           service: record.service,
           dataCentre: record.dataCentre,
+          software: software.of(record),
           draining: record.state === 'leaving',
           evacuated: isEvacuated(record.dataCentre),
           ...(warmUp !== undefined && {
@@ -427,7 +429,8 @@
     const query: enginePool.EngineQuery = {
       facts,
       produced: 0,
-      purpose: purposeOf(facts, deadlineStatus),
+      purpose: purposeOf(request, deadlineStatus),
+      ...(request.software !== undefined && { software: request.software }),
       dataCentre,
       excluded: new Set([...excluded, ...reserved]),
     };
@@ -498,10 +501,13 @@
 }
 
 function purposeOf(
-  attributes: types.GenerationAttributes,
+  { facts, software: required }: types.PlacementRequest,
   deadlineStatus: timeliness.Timeliness,
 ): enginePool.Purpose {
-  if (!ranks.isPatient(attributes.rank)) {
+  if (required !== undefined) {
+    return 'resumed';
+  }
+  if (!ranks.isPatient(facts.rank)) {
     return 'urgent';
   }
   return deadlineStatus === 'late' ? 'late' : 'patient';
--- a/packages/kumquatfront/src/placement/enginePool.spec.ts
+++ b/packages/kumquatfront/src/placement/enginePool.spec.ts
@@ -22,7 +22,8 @@
     ...{ slots: 24, memoryTokens: MEMORY_TOKENS, bytesPerToken: 1, linkMegabitsPerSecond: 1 },
     ...{ migrations: true, backups: false, tokensPerEvent: 4 },
   };
-  const base = { service: 'llm', dataCentre: 'a', draining: false, evacuated: false, traits };
+  const software = 'version v1';
+  const base = { service: 'llm', dataCentre: 'a', software, draining: false, evacuated: false, traits };
   pool.setEngines([
     { ...base, identity: 'first' },
     { ...base, identity: 'second' },
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -20,17 +20,18 @@
 import type * as types from './types.js';
 
 /** Class of a placement; each has its own limit in `MEMORY_LIMITS`. */
-export type Purpose = 'patient' | 'late' | 'urgent' | 'move';
+export type Purpose = 'patient' | 'late' | 'urgent' | 'resumed' | 'move';
 
 /**
  * Share of an engine's memory up to which each class may fill it. For urgent generations, which are short, the memory
- * in use when they end counts; for all others the forecast peak. Patient ones leave free memory for moves from
- * draining engines, and late ones leave free memory for those that can still meet their objective.
+ * in use when they end counts; for all others the forecast peak. Patient ones leave free memory for resumed ones and moves,
+ * which fit on fewer engines; late ones leave free memory for those that can still meet their objective.
  */
 export const MEMORY_LIMITS: Readonly<Record<Purpose, number>> = {
   patient: 0.9,
   late: 0.4,
   urgent: 0.97,
+  resumed: 0.95,
   move: 0.95,
 };
 
@@ -51,6 +52,8 @@
   readonly identity: string;
   readonly service: string;
   readonly dataCentre: string;
+  /** Software that it runs, as `software.of` returns it. */
+  readonly software: string;
   /** True after a termination notice: nothing is placed on it, and its generations are moved. */
   readonly draining: boolean;
   /** True if its data centre is evacuated: running generations continue, and nothing else is placed on it. */
@@ -86,6 +89,8 @@
   readonly purpose: Purpose;
   readonly dataCentre: string;
   readonly excluded: ReadonlySet<string>;
+  /** Only engines that run this software are selected; absent if the generation has no events. */
+  readonly software?: string;
   /** Score bonus of engines in `dataCentre`, as share of memory. */
   readonly localityBonus?: number;
   /** Engines with a longer estimated time to the first event are excluded. */
@@ -424,7 +429,9 @@
       const isUnderRateLimit =
         this.recentStarts.countOf(engine.identity, now) <
         (engine.warmUpRateLimit ?? Number.POSITIVE_INFINITY);
-      if (engine.service !== facts.service || isExcluded || !isAllowed || !isUnderRateLimit) {
+      const isOther =
+        engine.service !== facts.service || (query.software ?? engine.software) !== engine.software;
+      if (isOther || isExcluded || !isAllowed || !isUnderRateLimit) {
         continue;
       }
       const forecast = isScheduled
--- a/packages/kumquatfront/src/placement/evacuation.spec.ts
+++ b/packages/kumquatfront/src/placement/evacuation.spec.ts
@@ -20,7 +20,7 @@
 };
 
 function engine(identity: string, dataCentre: string, draining = false): enginePool.Engine {
-  return { identity, service: 'llm', dataCentre, draining, evacuated: false, traits };
+  return { identity, service: 'llm', dataCentre, software: 'version v1', draining, evacuated: false, traits };
 }
 
 interface SentMove {
--- a/packages/kumquatfront/src/placement/evacuation.ts
+++ b/packages/kumquatfront/src/placement/evacuation.ts
@@ -148,6 +148,7 @@
           purpose: 'move',
           dataCentre: source.dataCentre,
           excluded: excludedEngines,
+          software: source.software,
           localityBonus: SAME_DATA_CENTRE_BONUS,
         },
         this.options.now(),
--- a/packages/kumquatfront/src/placement/streamPauses.spec.ts
+++ b/packages/kumquatfront/src/placement/streamPauses.spec.ts
@@ -48,6 +48,7 @@
         identity: `e${index}`,
         service: 'llm',
         dataCentre: 'a',
+        software: 'version v1',
         draining: false,
         evacuated: false,
         traits,
--- a/packages/kumquatfront/src/placement/types.ts
+++ b/packages/kumquatfront/src/placement/types.ts
@@ -31,6 +31,8 @@
   readonly dataCentre: string;
   /** Identities of engines that must not be selected. */
   readonly excluded: readonly string[];
+  /** Software that began the stream, as `software.of` returns it; absent for a stream without events. */
+  readonly software?: string;
   /** Fingerprint that a refused request and the caller's retry of it share. */
   readonly likeness: string;
   /** The route's objective for the time to the first event, counted from the caller's first attempt. */
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.spec.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.spec.ts
@@ -15,7 +15,7 @@
   const events: string[] = [];
   const { request } = harness.createRoutedRequest('stream');
   harness.context.upstreams.send(
-    { request, instance, timeLeft: 1_000, dataCentres },
+    { request, instance, timeLeft: 1_000, origin: undefined, dataCentres },
     {
       head: () => events.push('head'),
       data: () => events.push('data'),
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -1,7 +1,8 @@
 /**
  * Wraps the upstream port of an entry with checks that apply to every send: first attempts, retries, hedges, resumed
- * streams and generations that continue from a copy. Rejects quarantined contents, temporarily excluded upstreams and
- * upstreams in regions where the request may not run, and reports the outcome of every run to the crash detector.
+ * streams and generations that continue from a copy. Rejects quarantined contents, temporarily excluded upstreams,
+ * upstreams in regions where the request may not run, and upstreams whose software did not begin the stream; reports the
+ * outcome of every run to the crash detector.
  *
  * If a run of a suspected content breaks, its failure is passed on only after the connection check: an exchange would
  * otherwise resend it before the crash that quarantines the content is recorded.
@@ -12,6 +13,7 @@
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
 import type * as relayTypes from '../relay/types.js';
+import * as software from '../streamOrigins/software.js';
 import * as residency from '../traffic/residency.js';
 import * as contentDigest from './contentDigest.js';
 import * as quarantine from './quarantine.js';
@@ -145,6 +147,16 @@
         'the upstream is in a region where the request may not run',
       );
     }
+    if (!mayTakeStream(call)) {
+      const { request, instance, origin } = call;
+      options.log.warn('otherSoftwareWithheld', {
+        request: request.identity,
+        upstream: instance.identity,
+        software: software.of(instance),
+        began: origin?.software,
+      });
+      return failAsynchronously(timers, listener, 'withheld', OTHER_SOFTWARE_MESSAGE);
+    }
     policy.recordSent(call.instance, now);
     const tracked = new TrackedRun(options, call, content);
     const cancel = upstreams.send(call, tracked.wrapListener(listener));
@@ -153,7 +165,31 @@
       cancel(reason);
     };
   };
-  return { ...upstreams, send };
+  const copyMemory: relayTypes.UpstreamPort['copyMemory'] = (source, target, request, stop, done) => {
+    if (software.mayContinue(software.originAt(source), target)) {
+      upstreams.copyMemory(source, target, request, stop, done);
+      return;
+    }
+    options.log.warn('otherSoftwareWithheld', {
+      request,
+      upstream: target.identity,
+      software: software.of(target),
+      began: software.of(source),
+    });
+    timers.after(0, () => {
+      done({ state: 'failed', reason: OTHER_SOFTWARE_MESSAGE });
+    });
+  };
+  return { ...upstreams, send, copyMemory };
+}
+
+const OTHER_SOFTWARE_MESSAGE = 'the upstream runs other software than the one that began the stream';
+
+/** A stream goes on at its origin only; a call that goes on without naming an origin is rejected. */
+function mayTakeStream({ lastEvent, copy, origin, instance }: relayTypes.UpstreamCall): boolean {
+  return origin === undefined
+    ? lastEvent === undefined && copy === undefined
+    : software.mayContinue(origin, instance);
 }
 
 /**
--- a/packages/kumquatfront/src/relay/bufferedExchange.ts
+++ b/packages/kumquatfront/src/relay/bufferedExchange.ts
@@ -193,7 +193,10 @@
       },
     };
     const timeLeft = deadline - now;
-    const cancel = upstreams.send({ request, instance, timeLeft, account, dataCentres }, listener);
+    const cancel = upstreams.send(
+      { request, instance, timeLeft, account, origin: undefined, dataCentres },
+      listener,
+    );
     const attempt: Attempt = { instance, cancel, sentAt: now, release, head: undefined, chunks };
     this.openAttempts.add(attempt);
   }
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -10,6 +10,9 @@
 import type * as placementFeatures from '../placement/placementFeatures.js';
 import type * as quarantine from '../quarantine/quarantine.js';
 import type * as quarantineTypes from '../quarantine/types.js';
+import * as software from '../streamOrigins/software.js';
+import type * as streamOrigins from '../streamOrigins/streamOrigins.js';
+import type * as originTypes from '../streamOrigins/types.js';
 import type * as trafficTypes from '../traffic/types.js';
 import type * as localBalancer from './localBalancer.js';
 import type * as placementClient from './placementClient.js';
@@ -32,6 +35,8 @@
   readonly quarantine: quarantine.Quarantine;
   /** Returns whether a placement feature is enabled; by default all are. */
   readonly isEnabled?: placementFeatures.IsEnabled;
+  /** Origins of streams that callers take up. */
+  readonly origins: streamOrigins.StreamOrigins;
   /** Slots of fragile upstreams; absent if all may be sent to at any time. */
   readonly slots?: slotClient.SlotClient;
   /** True while this entry reaches no upstream by its own links; never if absent. */
@@ -69,6 +74,12 @@
   closesConnection: true,
 };
 
+/** Refusal of a stream whose software no upstream runs any more; waiting does not help. */
+const SOFTWARE_GONE: types.Refusal = {
+  reason: 'softwareGone',
+  message: 'no upstream runs the software that began the stream; send the request anew, without a last event',
+};
+
 /**
  * Digest of a request's content. It is the same for every attempt, so that logs of several entries can be correlated.
  *
@@ -85,6 +96,7 @@
 /**
  * Instances that are eligible for a request.
  *
+ * @param origin - origin of a stream that has events; undefined for a request that may run anywhere
  * @returns the ready instances of its service in the permitted data centres
  * @example
  * ```ts
@@ -94,17 +106,21 @@
 export function candidatesOf(
   { instances }: ExchangeContext,
   { service, dataCentres }: RoutedRequest,
+  origin?: originTypes.StreamOrigin,
 ): readonly instanceView.Instance[] {
   const ready = instances.readyOf(service.name);
+  const matching =
+    origin === undefined ? ready : ready.filter((instance) => software.mayContinue(origin, instance));
   return dataCentres === undefined
-    ? ready
-    : ready.filter((instance) => dataCentres.includes(instance.dataCentre));
+    ? matching
+    : matching.filter((instance) => dataCentres.includes(instance.dataCentre));
 }
 
 /**
  * Builds the refusal of a request for which no eligible instance is left.
  *
  * @param defaultMessage - the message if candidates exist and not all of them are temporarily excluded
+ * @param origin - origin of a stream that has events
  * @returns the refusal with its retry delay
  * @example
  * ```ts
@@ -115,9 +131,13 @@
   context: ExchangeContext,
   routed: RoutedRequest,
   defaultMessage: string,
-): types.Refusal & { readonly retryAfter: ports.Milliseconds } {
+  origin?: originTypes.StreamOrigin,
+): types.Refusal {
   const now = context.timers.now();
-  const candidates = candidatesOf(context, routed);
+  const candidates = candidatesOf(context, routed, origin);
+  if (origin !== undefined && candidates.length === 0 && candidatesOf(context, routed).length > 0) {
+    return SOFTWARE_GONE;
+  }
   const exclusion = context.sendPolicy.exclusionOfAll(candidates, now);
   if (exclusion === undefined && candidates.length > 0 && context.isCutOff?.() === true) {
     return CUT_OFF;
--- a/packages/kumquatfront/src/relay/relayTestHarness.ts
+++ b/packages/kumquatfront/src/relay/relayTestHarness.ts
@@ -14,6 +14,7 @@
 import type * as placementTypes from '../placement/types.js';
 import * as guardedUpstreams from '../quarantine/guardedUpstreams.js';
 import * as quarantine from '../quarantine/quarantine.js';
+import * as streamOrigins from '../streamOrigins/streamOrigins.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as methods from '../trafficControl/methods.js';
 import * as entryShare from '../warmUp/entryShare.js';
@@ -101,8 +102,9 @@
     for (const [index, identity] of instances.entries()) {
       const address = `10.0.0.${index + 1}:80`;
       const base = { service: 'llm', dataCentre: 'a', slots: 24, state: 'ready' as const, warmUpLeft: 0 };
+      const softwareVersion = 'v1';
       this.table.applyAnnouncement(
-        { ...base, identity, name: identity, born: 0, address, sequence: 1 },
+        { ...base, identity, name: identity, born: 0, address, softwareVersion, sequence: 1 },
         time.now(),
       );
     }
@@ -168,6 +170,12 @@
         coordinator: () => 'coordinator',
         instances: view,
       }),
+      origins: new streamOrigins.StreamOrigins({
+        ...{ timers, random: seededRandom.create(6), log, metrics },
+        peers: this.peers(),
+        peerAddress: '10.0.1.1:1',
+        replicas: () => ['coordinator'],
+      }),
     };
   }
 
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -35,12 +35,11 @@
   private ended = false;
   private readonly attempts: streamAttempts.StreamAttempts;
   private readonly idleSearch: idleSearch.IdleSearch;
-  /** Origin of the stream; undefined before its first event, and while it is unknown. */
-  private origin: originTypes.StreamOrigin | undefined;
   /** Forecast time from the last placement to the first event. */
   private firstEventIn: ports.Milliseconds | undefined;
   private cancelDeadline: ports.Cancel = () => undefined;
   private cancelQuarantine: ports.Cancel = () => undefined;
+  private cancelOriginSearch: ports.Cancel = () => undefined;
 
   constructor(context: exchangeContext.ExchangeContext, routed: exchangeContext.RoutedRequest) {
     this.context = context;
@@ -82,7 +81,7 @@
     const { timers, retryBudget, placement } = this.context;
     const { caller, deadline, service, request } = this.routed;
     retryBudget.recordRequest(service.name, timers.now());
-    if (request.lastEvent !== undefined || request.resumes !== undefined) {
+    if (isTakenUp(request)) {
       const { identity, lastEvent, resumes } = request;
       this.context.log.info('streamTakenUp', { request: identity, resumes, lastEvent });
     }
@@ -98,7 +97,47 @@
     if (this.attributes !== undefined) {
       placement.addGeneration(request.identity, this);
     }
-    this.selector.select();
+    if (isTakenUp(request)) {
+      this.findOrigin();
+    } else {
+      this.selector.select();
+    }
+  }
+
+  /** Finds out where a stream that its caller takes up began. What nobody knows is refused, never guessed. */
+  private findOrigin(): void {
+    const { request, service } = this.routed;
+    if (request.resumes === undefined) {
+      this.refuseUnknownOrigin('the request does not name the attempt that brought the first event');
+      return;
+    }
+    this.cancelOriginSearch = this.context.origins.find(this.streamKey, (found) => {
+      if (this.ended) {
+        return;
+      }
+      if (found.state !== 'known') {
+        this.refuseUnknownOrigin('no process knows which software began the stream', found.state);
+      } else if (found.origin.service !== service.name) {
+        this.refuse('softwareGone', `the route no longer leads to the service that began the stream`);
+      } else {
+        this.selector.origin = found.origin;
+        this.keepOrigin(found.origin);
+        this.selector.select();
+      }
+    });
+  }
+
+  /** Leads the caller to another entry if that one may know the origin. */
+  private refuseUnknownOrigin(cause: string, state: 'unknown' | 'unreachable' = 'unknown'): void {
+    const retry = {
+      retryAfter: exchangeContext.NO_UPSTREAM_RETRY_DELAY,
+      closesConnection: true,
+    };
+    this.refuseWith({
+      reason: 'originUnknown',
+      message: `${cause}; send the request anew, without a last event`,
+      ...(state === 'unreachable' && retry),
+    });
   }
 
   /**
@@ -161,7 +200,11 @@
   }
 
   /** Handles the lack of an upstream; the request is refused as not run only if no attempt may have run it. */
-  private onNoUpstream(reason: types.RefusalReason, message: string, retryAfter: ports.Milliseconds): void {
+  private onNoUpstream(
+    reason: types.RefusalReason,
+    message: string,
+    retryAfter: ports.Milliseconds | undefined,
+  ): void {
     if (this.active !== undefined) {
       this.idleSearch.end(this.active);
       this.startIdleTimer();
@@ -202,6 +245,7 @@
       urgency,
       lastEvent: this.delivery.lastEvent,
       copy,
+      origin: this.selector.origin,
       dataCentres,
     };
     segment.start(upstreams, call, this.resumable, this.createSegmentListener(segment));
@@ -211,7 +255,7 @@
 
   private logContinuation(instance: instanceView.Instance, copy: types.MemoryCopy | undefined): void {
     const { log, metrics } = this.context;
-    const { origin } = this;
+    const { origin } = this.selector;
     const current = software.of(instance);
     log.info('streamContinues', {
       request: this.routed.request.identity,
@@ -271,9 +315,7 @@
     const isFirst = segment.eventCount === 1;
     const now = this.context.timers.now();
     segment.recordEvent(now);
-    if (this.routed.request.lastEvent === undefined) {
-      this.origin ??= software.originAt(segment.instance);
-    }
+    this.recordOrigin(segment.instance);
     this.delivery.deliver(event, now);
     if (isFirst) {
       this.context.placement.scheduleReport();
@@ -281,6 +323,27 @@
     this.startIdleTimer();
   }
 
+  /** The upstream that produces the first event decides where the stream may go on. */
+  private recordOrigin(instance: instanceView.Instance): void {
+    if (this.selector.origin === undefined) {
+      this.selector.origin = software.originAt(instance);
+      this.keepOrigin(this.selector.origin);
+    }
+  }
+
+  /** Keeps the origin for the caller's return; on routes that are not resumable no caller takes a stream up. */
+  private keepOrigin(origin: originTypes.StreamOrigin): void {
+    const { route } = this.routed;
+    if (route.resumable) {
+      this.context.origins.record(this.streamKey, origin, route.timeout);
+    }
+  }
+
+  private get streamKey(): originTypes.StreamKey {
+    const { request, account } = this.routed;
+    return { account: account ?? '', attempt: request.resumes ?? request.identity };
+  }
+
   /** Number of output tokens delivered so far. */
   get produced(): number {
     return this.delivery.eventCount * (this.routed.service.engine?.tokensPerEvent ?? 1);
@@ -301,6 +364,7 @@
   private onEnd(segment: streamSegment.StreamSegment, remainder: Uint8Array): void {
     this.context.balancer.recordSuccess(segment.instance.identity);
     this.delivery.end(remainder);
+    this.context.origins.recordComplete(this.streamKey);
     this.closeSegment(segment);
     this.finish({ outcome: 'answered', upstream: segment.instance.identity });
   }
@@ -481,8 +545,12 @@
   }
 
   private refuse(reason: types.RefusalReason, message: string, retryAfter?: ports.Milliseconds): void {
-    this.routed.caller.refuse({ reason, message, retryAfter });
-    this.finish({ outcome: reason, reason: message });
+    this.refuseWith({ reason, message, retryAfter });
+  }
+
+  private refuseWith(refusal: types.Refusal): void {
+    this.routed.caller.refuse(refusal);
+    this.finish({ outcome: refusal.reason, reason: refusal.message });
   }
 
   /** Aborts the response so that the caller can detect that it is incomplete. */
@@ -500,6 +568,7 @@
     this.selector.cancel();
     this.idleSearch.cancel();
     this.cancelQuarantine();
+    this.cancelOriginSearch();
     this.moveController.cancel();
     if (this.active !== undefined) {
       this.closeSegment(this.active);
@@ -512,7 +581,7 @@
     }
     exchangeContext.logRequestEnd(this.context, this.routed, {
       ...outcome,
-      began: this.origin?.software,
+      began: this.selector.origin?.software,
       ...streamLogSummary.fieldsFor(this.routed, this.attributes, this.delivery, {
         produced: this.produced,
         sends: this.attempts.sends,
@@ -521,3 +590,8 @@
     });
   }
 }
+
+/** True for an attempt that takes up a stream of which the caller has events. */
+function isTakenUp({ lastEvent, resumes }: types.TrafficRequest): boolean {
+  return lastEvent !== undefined || resumes !== undefined;
+}
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -5,6 +5,7 @@
 import type * as backPressureTypes from '../backPressure/types.js';
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
+import type * as originTypes from '../streamOrigins/types.js';
 
 /** An HTTP header as received. */
 export type Header = readonly [name: string, value: string];
@@ -60,6 +61,8 @@
   readonly urgency?: number;
   readonly lastEvent?: string;
   readonly copy?: MemoryCopy;
+  /** Origin of a stream that has events; undefined for a request that begins anew, wherever it runs. */
+  readonly origin: originTypes.StreamOrigin | undefined;
   /** Data centres in which the request may run; undefined if it may run in any. */
   readonly dataCentres?: readonly string[];
 }
@@ -97,7 +100,7 @@
  * - `broken`: the connection failed after the request was sent.
  * - `garbled`: the response was invalid.
  * - `quarantined`: not sent, because its content crashes upstreams.
- * - `withheld`: not sent, because the upstream is temporarily excluded.
+ * - `withheld`: not sent, because the upstream is temporarily excluded, or runs other software than began the stream.
  */
 export type ExchangeFailure = 'notSent' | 'broken' | 'garbled' | 'quarantined' | 'withheld';
 
@@ -151,6 +154,10 @@
   | 'overloaded'
   | 'noUpstream'
   | 'quarantined'
+  /** Nobody knows which software began the stream that the caller takes up. */
+  | 'originUnknown'
+  /** No upstream runs the software that began the stream. */
+  | 'softwareGone'
   | 'draining'
   | 'timeoutNotRun'
   | 'timeoutUnknown'
--- a/packages/kumquatfront/src/relay/upstreamSelector.ts
+++ b/packages/kumquatfront/src/relay/upstreamSelector.ts
@@ -5,6 +5,8 @@
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import type * as placementTypes from '../placement/types.js';
+import * as software from '../streamOrigins/software.js';
+import type * as originTypes from '../streamOrigins/types.js';
 import * as ranks from '../placement/ranks.js';
 import * as waitLimits from '../placement/waitLimits.js';
 import * as exchangeContext from './exchangeContext.js';
@@ -19,7 +21,8 @@
   readonly unavailable: (
     reason: types.RefusalReason,
     message: string,
-    retryAfter: ports.Milliseconds,
+    /** Undefined if a retry cannot succeed. */
+    retryAfter: ports.Milliseconds | undefined,
   ) => void;
 }
 
@@ -31,6 +34,8 @@
   private readonly routed: exchangeContext.RoutedRequest;
   private readonly attributes: placementTypes.GenerationAttributes | undefined;
   private readonly listener: UpstreamSelectionListener;
+  /** Origin of the stream once it has events; from then on only upstreams of its software are selected. */
+  origin: originTypes.StreamOrigin | undefined;
   private cancelPlacement: ports.Cancel = () => undefined;
   private cancelled = false;
 
@@ -55,7 +60,7 @@
   select(): void {
     const { placement, timers, balancer, sendPolicy: policy } = this.context;
     const { deadline, request, route } = this.routed;
-    const candidates = exchangeContext.candidatesOf(this.context, this.routed);
+    const candidates = exchangeContext.candidatesOf(this.context, this.routed, this.origin);
     if (this.attributes === undefined || candidates.length === 0) {
       this.selectLocally();
       return;
@@ -69,8 +74,10 @@
       return;
     }
     const { objective } = route;
-    const totalTime = deadline - request.arrivedAt;
-    const waitUntil = request.arrivedAt + waitLimits.maximumWait(objective, totalTime, this.attributes.rank);
+    // A stream that goes on is as urgent as one that has just arrived, however long ago it began.
+    const since = this.origin === undefined ? request.arrivedAt : now;
+    const totalTime = deadline - since;
+    const waitUntil = since + waitLimits.maximumWait(objective, totalTime, this.attributes.rank);
     const ejected = balancer.ejectedOf(candidates, now);
     const placementRequest: placementClient.PlacementParameters = {
       facts: this.attributes,
@@ -79,13 +86,14 @@
         ...ejected,
         ...temporarilyExcluded.map((instance) => instance.identity),
       ],
+      ...(this.origin !== undefined && { software: this.origin.software }),
       likeness: generationAttributes.retryFingerprintOf(this.routed),
       objective,
-      objectiveLeft: request.arrivedAt + objective - now,
+      objectiveLeft: since + objective - now,
       patience: Math.max(0, waitUntil - now),
       ...(this.isScheduled &&
         ranks.isPatient(this.attributes.rank) && {
-          longestWait: waitLimits.longestWait(objective, totalTime) - (now - request.arrivedAt),
+          longestWait: waitLimits.longestWait(objective, totalTime) - (now - since),
         }),
     };
     this.cancelPlacement = placement.place(placementRequest, (outcome) => {
@@ -107,7 +115,7 @@
       this.listener.unavailable('overloaded', outcome.reason, outcome.retryAfter);
     } else {
       const instance = this.context.instances.get(outcome.instance);
-      if (instance === undefined || this.excludedUpstreams.has(instance.identity)) {
+      if (instance === undefined || !this.isEligible(instance)) {
         this.selectLocally();
       } else {
         this.listener.selected(instance, this.isScheduled ? outcome.firstEventIn : undefined);
@@ -115,9 +123,16 @@
     }
   }
 
+  /** Checks an upstream that the coordinator selected; a stream may have received events since the request. */
+  private isEligible(instance: instanceView.Instance): boolean {
+    const { origin } = this;
+    const mayContinue = origin === undefined || software.mayContinue(origin, instance);
+    return mayContinue && !this.excludedUpstreams.has(instance.identity);
+  }
+
   private selectLocally(): void {
     const { balancer, timers } = this.context;
-    const candidates = exchangeContext.candidatesOf(this.context, this.routed);
+    const candidates = exchangeContext.candidatesOf(this.context, this.routed, this.origin);
     const instance = balancer.choose(candidates, this.excludedUpstreams, timers.now());
     if (instance === undefined) {
       this.reportNoUpstream();
@@ -131,6 +146,7 @@
       this.context,
       this.routed,
       'no eligible upstream is left',
+      this.origin,
     );
     this.listener.unavailable(reason, message, retryAfter);
   }
--- a/packages/kumquatfront/src/trafficControl/entryDirectory.ts
+++ b/packages/kumquatfront/src/trafficControl/entryDirectory.ts
@@ -78,6 +78,11 @@
     return [...this.entries.keys()];
   }
 
+  /** Peer addresses of all known entries. */
+  peerAddresses(): readonly string[] {
+    return [...this.entries.values()].map(({ status }) => status.peerAddress);
+  }
+
   /** Records the status of an entry; returns true if the entry is new. */
   recordStatus(status: methods.EntryStatus, now: ports.Milliseconds): boolean {
     const isNew = !this.entries.has(status.name);
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -21,6 +21,9 @@
 import * as placementFeatures from '../placement/placementFeatures.js';
 import type * as placementTypes from '../placement/types.js';
 import * as quarantineRegistry from '../quarantine/quarantineRegistry.js';
+import * as holderDirectory from '../streamOrigins/holderDirectory.js';
+import * as originMessages from '../streamOrigins/messages.js';
+import * as originKeeper from '../streamOrigins/originKeeper.js';
 import * as leaseLedger from '../sharedLimits/leaseLedger.js';
 import type * as leaseMessages from '../sharedLimits/leaseMessages.js';
 import type * as residency from '../traffic/residency.js';
@@ -69,6 +72,9 @@
 const FRESHNESS_CHECK_INTERVAL: ports.Milliseconds = 40;
 const STALE_CHECK_INTERVAL: ports.Milliseconds = 10;
 
+/** Maximum number of origins of streams that a replica keeps. */
+const ORIGIN_CAPACITY = 150_000;
+
 /** Location of a caller and the host it requests. */
 export interface CallerLocation {
   readonly host: string;
@@ -165,6 +171,7 @@
     });
     this.serve();
     this.serveSlots();
+    this.serveOrigins();
     this.operatorCalls.serve();
     this.configuration.serve();
     if ((options.isEnabled ?? placementFeatures.allEnabled)('sharedLimits')) {
@@ -264,6 +271,17 @@
     });
   }
 
+  private serveOrigins(): void {
+    const { peers } = this.options;
+    originKeeper.serve({ ...this.options, capacity: ORIGIN_CAPACITY });
+    peers.serve(originMessages.methods.entries, (parameters, reply) => {
+      const { digest } = parameters as originMessages.EntriesRequest;
+      const addresses = this.entries.peerAddresses();
+      const isKnown = holderDirectory.digestOf(addresses) === digest;
+      reply(results.Ok((isKnown ? {} : { addresses }) satisfies originMessages.EntriesAnswer));
+    });
+  }
+
   private serveLeases(): void {
     const { peers, replica: own } = this.options;
     const ledger = new leaseLedger.LeaseLedger({
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -33,6 +33,7 @@
 import type * as residency from '../traffic/residency.js';
 import * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
+import * as streamOrigins from '../streamOrigins/streamOrigins.js';
 import * as upstreamPaces from '../upstreamPace/upstreamPaces.js';
 import * as controlWatch from '../trafficControl/controlWatch.js';
 import * as methods from '../trafficControl/methods.js';
@@ -98,6 +99,7 @@
   private readonly placement: placementClient.PlacementClient;
   private readonly quarantine: quarantine.Quarantine;
   private readonly peerRelay: peerRelay.PeerRelay;
+  private readonly origins: streamOrigins.StreamOrigins;
   private routes: routeTable.RouteTable | undefined;
   private isDraining = false;
   private readyAt: ports.Milliseconds = 0;
@@ -224,6 +226,12 @@
       coordinator: () => this.watch.coordinator,
       replicas: () => this.watch.replicas(),
     });
+    this.origins = new streamOrigins.StreamOrigins({
+      ...{ timers, random, log, metrics, peers },
+      peerAddress: settings.peerAddress,
+      replicas: () => this.watch.replicas(),
+    });
+    const { origins } = this;
     const guardOptions = { timers, quarantine: quarantineState, signals, slots, log };
     const server = this.createRelayServer(guardOptions, policy);
     const budget = this.createRetryBudget(entryCount);
@@ -245,6 +253,7 @@
         quarantine: quarantineState,
         isCutOff: () => this.peerRelay.isCutOff,
         slots,
+        origins,
         ...(settings.isEnabled !== undefined && { isEnabled: settings.isEnabled }),
       },
       random,
@@ -286,6 +295,7 @@
       onReplicaStarted: (address) => {
         // A restarted replica has lost its crash records; the replicated log only restores committed quarantines.
         reporter.reportTo(address, quarantineState.trackedContents());
+        origins.onReplicaStarted(address);
       },
     });
     this.services.register('timers', timers);
@@ -451,6 +461,7 @@
       this.isDraining = true;
       this.entryPorts.log.info('drainStarted', { generations: this.placement.openCount });
       this.watch.reportStatusNow();
+      this.origins.handOver();
     }
   }
 
--- a/packages/kumquatfront/src/utils/rendezvousHashing.ts
+++ b/packages/kumquatfront/src/utils/rendezvousHashing.ts
@@ -49,3 +49,23 @@
   }
   return best;
 }
+
+/**
+ * Picks several names for a key, in the order of their preference.
+ *
+ * @param key - the key to assign
+ * @param candidates - names to pick from
+ * @param count - number of names
+ * @returns the first names, fewer if there are not as many
+ * @example
+ * ```ts
+ * const copies = rendezvousHashing.pickSeveral('request-7', ['entry-1', 'entry-2', 'entry-3'], 2);
+ * ```
+ */
+export function pickSeveral(key: string, candidates: readonly string[], count: number): readonly string[] {
+  return candidates
+    .map((name) => ({ name, score: hash(`${key}|${name}`) }))
+    .sort((left, right) => right.score - left.score || (left.name < right.name ? -1 : 1))
+    .slice(0, count)
+    .map(({ name }) => name);
+}
--- a/packages/scenarios/src/scripts/relaySafeguards.ts
+++ b/packages/scenarios/src/scripts/relaySafeguards.ts
@@ -219,7 +219,7 @@
   {
     name: 'a late generation does not take the last free capacity',
     file: 'placement/coordinator.js',
-    find: 'purpose: purposeOf(facts, deadlineStatus),',
+    find: 'purpose: purposeOf(request, deadlineStatus),',
     replace: "purpose: 'patient',",
     scenario: LATENESS,
   },
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -311,7 +311,7 @@
     await sleep.forMilliseconds(200 + environment.random.next() * 900);
   }
   cuts.stop();
-  await Promise.all([...pendingFaults, cutsEnded]);
+  await Promise.all([...pendingFaults, cutsEnded, streams.endFaults()]);
   operator.stop();
   if (!(await waitUntil(() => operator.replaceConfiguration()))) {
     violations.push('no configuration was acknowledged after the fault phase');
--- a/packages/soak/src/stubInstance.ts
+++ b/packages/soak/src/stubInstance.ts
@@ -50,6 +50,7 @@
   extraHeaders: Readonly<Record<string, string>> = {};
   /** True while each request is rejected with 503. */
   rejectsRequests = false;
+  private isLeaving = false;
   private coldUntil = 0;
   private readonly coldArrivals: number[] = [];
   private controlIndex = 0;
@@ -74,6 +75,15 @@
     return this.options.dataCentre ?? 'a';
   }
 
+  /** Announces its termination, and closes after the notice. */
+  leave(notice: number): void {
+    this.isLeaving = true;
+    this.sendHeartbeat();
+    setTimeout(() => {
+      this.close();
+    }, notice);
+  }
+
   /** Marks the instance as cold; the next heartbeat reports the remaining time. */
   becomeCold(duration: number): void {
     this.coldUntil = Date.now() + duration;
@@ -105,7 +115,8 @@
     const address = addresses[this.controlIndex % addresses.length] ?? '';
     const coldRemaining = Math.max(0, this.coldUntil - Date.now());
     const heartbeat = {
-      ...{ service, address: advertisedAddress, zone: this.dataCentre, slots: 24, state: 'ready' },
+      ...{ service, address: advertisedAddress, zone: this.dataCentre, slots: 24 },
+      ...{ state: this.isLeaving ? 'draining' : 'ready' },
       ...{ cold_remaining_ms: coldRemaining, sequence: this.sequence, version: this.softwareVersion },
     };
     const [host = '', port = ''] = address.split(':');
--- a/packages/soak/src/versionedStreams.ts
+++ b/packages/soak/src/versionedStreams.ts
@@ -19,6 +19,10 @@
 const REPLACEMENT_INTERVAL_MS = 1_500;
 const REPLACEMENTS_PER_VERSION = 3;
 
+/** Notice of an instance that leaves; the others crash. */
+const NOTICE_MS = 900;
+const LEAVING_INSTANCES_SHARE = 0.6;
+
 /** Share of streams that their callers leave midway, and the events after which they do at the latest. */
 const LEAVING_SHARE = 0.4;
 const LATEST_LEAVING = 30;
@@ -67,6 +71,7 @@
   private instances: stubInstance.StubInstance[] = [];
   private startCount = 0;
   private stopped = false;
+  private faultsEnded = false;
   private counts: Counts = { sent: 0, begun: 0, takenUp: 0, wentOn: 0 };
   private readonly replacing: Promise<void>;
   private readonly callers: readonly Promise<void>[];
@@ -92,9 +97,9 @@
     );
   }
 
-  /** Replaces instances at intervals. */
+  /** Replaces instances at intervals, until the faults end. */
   private async replaceUntilStopped(): Promise<void> {
-    for (let count = 0; !this.stopped; count += 1) {
+    for (let count = 0; !this.faultsEnded; count += 1) {
       await sleep.forMilliseconds(REPLACEMENT_INTERVAL_MS);
       this.replaceOldest(`v${3 + Math.floor(count / REPLACEMENTS_PER_VERSION)}`);
     }
@@ -102,8 +107,12 @@
 
   private replaceOldest(softwareVersion: string): void {
     const [oldest] = this.instances;
-    if (!this.stopped && oldest !== undefined) {
-      oldest.close();
+    if (!this.faultsEnded && oldest !== undefined) {
+      if (this.options.random.next() < LEAVING_INSTANCES_SHARE) {
+        oldest.leave(NOTICE_MS);
+      } else {
+        oldest.close();
+      }
       this.instances = this.instances.slice(1);
       this.startInstance(softwareVersion);
     }
@@ -140,7 +149,9 @@
       await sleep.forMilliseconds(RETURN_DELAY_MS);
       host = this.pickEntry(host);
       const { lastEvent } = stream;
-      await this.attempt(stream, host);
+      if (!(await this.attempt(stream, host))) {
+        continue;
+      }
       this.counts.takenUp += 1;
       this.counts.wentOn += stream.lastEvent > lastEvent || stream.complete ? 1 : 0;
     }
@@ -157,8 +168,12 @@
     );
   }
 
-  /** Sends one attempt, and reads events until its end, a break, or the event after which the caller leaves. */
-  private attempt(stream: CallerStream, host: string, leavesAfter?: number): Promise<void> {
+  /**
+   * Sends one attempt, and reads events until its end, a break, or the event after which the caller leaves.
+   *
+   * @returns false if the entry did not answer, as while it starts
+   */
+  private attempt(stream: CallerStream, host: string, leavesAfter?: number): Promise<boolean> {
     const { headers } = platform.httpNames;
     const identity = this.options.random.identity();
     const isTakeUp = stream.firstAttempt !== undefined;
@@ -178,14 +193,16 @@
           }),
         },
       });
+      let isAnswered = false;
       const finish = (): void => {
-        resolve();
+        resolve(isAnswered);
       };
       request.on('timeout', () => request.destroy());
       request.on('error', finish);
       request.on('close', finish);
       request.on('response', (response) => {
         let text = '';
+        isAnswered = true;
         response.on('data', (bytes: Buffer) => {
           text += bytes.toString();
           for (let end = text.indexOf('\n\n'); end >= 0; end = text.indexOf('\n\n')) {
@@ -218,11 +235,17 @@
     stream.versions.add(version);
   }
 
-  /** Ends the replacements; then checks that streams go on, also of entries that are killed. */
+  /** Ends the replacements. */
+  async endFaults(): Promise<void> {
+    this.faultsEnded = true;
+    await this.replacing;
+  }
+
+  /** Ends the callers; then checks that streams go on, also of entries that are killed. */
   async check(): Promise<void> {
     const { checker, entries } = this.options;
     this.stopped = true;
-    await Promise.all([this.replacing, ...this.callers]);
+    await Promise.all(this.callers);
     await sleep.forMilliseconds(SETTLING_MS);
     this.counts = { sent: 0, begun: 0, takenUp: 0, wentOn: 0 };
     const pending: Promise<void>[] = [];
