--- a/packages/kumquatfront/src/placement/coordinator.ts
+++ b/packages/kumquatfront/src/placement/coordinator.ts
@@ -11,11 +11,12 @@
 import type * as trafficTypes from '../traffic/types.js';
 import type * as prefillBacklog from '../prefill/prefillBacklog.js';
 import * as prefillScheduler from '../prefill/prefillScheduler.js';
-import * as software from '../streamOrigins/software.js';
-import * as warmUpBounds from '../warmUp/warmUpBounds.js';
+import type * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as enginePaces from '../upstreamPace/enginePaces.js';
 import * as enginePool from './enginePool.js';
+import * as engineList from './engineList.js';
 import * as evacuation from './evacuation.js';
+import * as grantPace from './grantPace.js';
 import * as placementFeatures from './placementFeatures.js';
 import * as placementQueue from './placementQueue.js';
 import * as ranks from './ranks.js';
@@ -51,9 +52,6 @@
 const BUSY_QUEUE_SIZE = 8;
 const BUSY_DISPATCH_INTERVAL: ports.Milliseconds = 60;
 
-/** Upper bound of an observed time between two grants; longer ones come from times without requests. */
-const MAXIMUM_GRANT_INTERVAL: ports.Milliseconds = 1_000;
-
 /** Upper bound of the `retryAfter` in refusals, since callers do not honour longer delays. */
 const MAXIMUM_RETRY_AFTER: ports.Milliseconds = 4_000;
 
@@ -118,8 +116,7 @@
   private lastActivityAt = Number.NEGATIVE_INFINITY;
   private lastDispatchAt = Number.NEGATIVE_INFINITY;
   private stateChanged = true;
-  /** Moving average of the time between two grants, by service; used to estimate `retryAfter`. */
-  private readonly grantIntervals = new Map<string, { at: number; interval: number }>();
+  private readonly grantPace = new grantPace.GrantPace();
 
   constructor(options: CoordinatorOptions) {
     this.options = options;
@@ -301,28 +298,7 @@
   }
 
   private refreshEngines(): void {
-    const { instances, serviceOf, isEvacuated, warmUpTolerance } = this.options;
-    const engines: enginePool.Engine[] = [];
-    for (const record of instances()) {
-      const service = serviceOf(record.service);
-      const traits = service?.engine;
-      const warmUp = record.warmUpLeft > 0 ? service?.warmUp : undefined;
-      if (traits !== undefined) {
-        engines.push({
-          identity: record.identity,
-          service: record.service,
-          dataCentre: record.dataCentre,
-          software: software.of(record),
-          draining: record.state === 'leaving',
-          evacuated: isEvacuated(record.dataCentre),
-          ...(warmUp !== undefined && {
-            warmUpRateLimit: warmUpBounds.forCoordinator(warmUp, warmUpTolerance),
-          }),
-          traits: { ...traits, slots: record.slots > 0 ? record.slots : traits.slots },
-        });
-      }
-    }
-    this.pool.setEngines(engines);
+    this.pool.setEngines(engineList.fromInstances(this.options.instances(), this.options));
   }
 
   private tick(): void {
@@ -414,8 +390,7 @@
     if (reservedTime !== undefined) {
       return Math.ceil(reservedTime);
     }
-    const grantInterval = this.grantIntervals.get(service)?.interval ?? 100;
-    const drainTime = grantInterval * (this.queue.countForService(service) + 1);
+    const drainTime = this.grantPace.intervalOf(service) * (this.queue.countForService(service) + 1);
     const jitter = 1 + this.options.random.next() * 0.5;
     return Math.round(Math.min(MAXIMUM_RETRY_AFTER, drainTime * jitter));
   }
@@ -464,7 +439,7 @@
     this.pool.recordGrant(queued.request, placement, now);
     this.scheduler.recordResult(queued.request, true, now);
     this.scheduler.forget(facts.identity);
-    this.recordGrantInterval(facts.service, now);
+    this.grantPace.record(facts.service, now);
     this.shares.recordGrant(facts);
     this.options.metrics.count('placement.answers', 1, { state: 'placed' });
     this.options.metrics.timing('placement.wait', now - queued.since, { rank: String(facts.rank) });
@@ -489,15 +464,6 @@
       ? { instance, firstEventIn: this.pool.firstEventIn(instance, request.facts, now) }
       : { instance };
   }
-
-  private recordGrantInterval(service: string, now: number): void {
-    const previous = this.grantIntervals.get(service);
-    const interval =
-      previous === undefined
-        ? 100
-        : 0.9 * previous.interval + 0.1 * Math.min(now - previous.at, MAXIMUM_GRANT_INTERVAL);
-    this.grantIntervals.set(service, { at: now, interval });
-  }
 }
 
 function purposeOf(
--- a/packages/kumquatfront/src/placement/enginePool.ts
+++ b/packages/kumquatfront/src/placement/enginePool.ts
@@ -11,8 +11,8 @@
 import type * as trafficTypes from '../traffic/types.js';
 import * as slidingWindowCounter from '../warmUp/slidingWindowCounter.js';
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
-import type * as interference from '../streamPauses/interference.js';
 import * as pauseProtection from '../streamPauses/pauseProtection.js';
+import * as engineLoads from './engineLoads.js';
 import * as lengthForecast from './lengthForecast.js';
 import * as placementFeatures from './placementFeatures.js';
 import * as memoryPeak from './memoryPeak.js';
@@ -63,18 +63,6 @@
   readonly traits: trafficTypes.EngineTraits;
 }
 
-/** A placed generation and the entry that serves it. */
-export interface PlacedGeneration {
-  readonly running: types.RunningGeneration;
-  readonly entry: string;
-  readonly grantedAt: ports.Milliseconds;
-  /** Time of the placement, or of the first report if the coordinator did not place it. */
-  readonly placedAt: ports.Milliseconds;
-  readonly reported: boolean;
-  /** Prompt tokens that the engine had to process before the first event, including its own prompt. */
-  readonly prefillTokens: number;
-}
-
 interface EntryState {
   readonly address: string;
   readonly epoch: string;
@@ -121,7 +109,6 @@
 const PAUSE_COST_DELAY: ports.Milliseconds = 400;
 
 const NO_TOKENS: ReadonlyMap<string, number> = new Map();
-const NO_GENERATIONS: readonly memoryPeak.GenerationMemory[] = [];
 
 /** Prefill paces of single engines; where they are absent, the pace of the service is used. */
 export interface EnginePaceSource {
@@ -141,20 +128,19 @@
   private readonly pauses = new pauseProtection.PauseProtection({
     placedOn: (engine) => this.placedOn(engine),
     placedOf: (identity) => this.placed.get(identity),
-    streamsOn: (engine) => this.streamsOn(engine),
+    streamsOn: (engine) => this.currentLoads().streamsOn(engine),
   });
   readonly prefill: prefillForecaster.PrefillForecaster;
   private readonly isEnabled: placementFeatures.IsEnabled;
   private engines = new Map<string, Engine>();
-  private readonly placed = new Map<string, PlacedGeneration>();
+  private readonly placed = new Map<string, types.PlacedGeneration>();
   private readonly entries = new Map<string, EntryState>();
   /** Target engine of each generation being moved; reports do not include its memory there yet. */
   private readonly moveTargets = new Map<string, string>();
   /** Recent starts on each engine, by placement or move. */
   private readonly recentStarts = new slidingWindowCounter.SlidingWindowCounter(warmUpBounds.COLD_WINDOW);
-  private loads: Map<string, memoryPeak.GenerationMemory[]> | undefined;
-  /** Streams on each engine; valid as long as `loads`. */
-  private streams = new Map<string, interference.RunningStream[]>();
+  /** Loads of the engines; undefined after a change. */
+  private loads: engineLoads.EngineLoads | undefined;
 
   /** @param paces - prefill paces of single engines, learned elsewhere */
   constructor(
@@ -334,21 +320,21 @@
     return [...this.moveTargets.values()].includes(instance);
   }
 
-  placedOn(instance: string): readonly PlacedGeneration[] {
+  placedOn(instance: string): readonly types.PlacedGeneration[] {
     return [...this.placed.values()].filter((placed) => placed.running.instance === instance);
   }
 
-  placedOf(identity: string): PlacedGeneration | undefined {
+  placedOf(identity: string): types.PlacedGeneration | undefined {
     return this.placed.get(identity);
   }
 
   /** Memory of the generations on an engine, including moves to it. */
   memoryOn(instance: string): readonly memoryPeak.GenerationMemory[] {
-    return this.engineLoads().get(instance) ?? NO_GENERATIONS;
+    return this.currentLoads().memoryOn(instance);
   }
 
   /** All placed generations, including grants that are not reported yet. */
-  placedGenerations(): Iterable<PlacedGeneration> {
+  placedGenerations(): Iterable<types.PlacedGeneration> {
     return this.placed.values();
   }
 
@@ -356,47 +342,9 @@
     return this.placed.size;
   }
 
-  private memoryOf(running: types.RunningGeneration): memoryPeak.GenerationMemory {
-    const { facts, produced } = running;
-    return { held: facts.promptTokens + produced, remaining: this.lengths.remainingOutput(facts, produced) };
-  }
-
-  /** Memory of the generations on each engine, including moves in progress. */
-  private engineLoads(): Map<string, memoryPeak.GenerationMemory[]> {
-    if (this.loads !== undefined) {
-      return this.loads;
-    }
-    const loads = new Map<string, memoryPeak.GenerationMemory[]>();
-    this.streams = new Map();
-    const add = (instance: string | undefined, memory: memoryPeak.GenerationMemory): void => {
-      if (instance !== undefined) {
-        const generations = loads.get(instance);
-        if (generations === undefined) {
-          loads.set(instance, [memory]);
-        } else {
-          generations.push(memory);
-        }
-      }
-    };
-    for (const [identity, { running }] of this.placed) {
-      const memory = this.memoryOf(running);
-      add(running.instance, memory);
-      this.addStream(running, memory.remaining);
-      add(this.moveTargets.get(identity), memory);
-    }
-    this.loads = loads;
-    return loads;
-  }
-
-  private addStream({ facts, instance, longestPause = 0 }: types.RunningGeneration, remaining: number): void {
-    const streams = this.streams.get(instance) ?? [];
-    this.streams.set(instance, streams);
-    streams.push({ pauseLimit: facts.pauseLimit, longestPause, remaining });
-  }
-
-  private streamsOn(instance: string): readonly interference.RunningStream[] {
-    this.engineLoads();
-    return this.streams.get(instance) ?? [];
+  private currentLoads(): engineLoads.EngineLoads {
+    this.loads ??= new engineLoads.EngineLoads(this.placed, this.moveTargets, this.lengths);
+    return this.loads;
   }
 
   /** Prompt tokens on each engine that are not processed yet. */
@@ -416,7 +364,7 @@
     const { maximumTimeToFirstEvent = Number.POSITIVE_INFINITY, acceptsForecast, earliestFirst } = query;
     const isScheduled = this.isEnabled('prefillScheduling');
     const ownPrefillTokens = purpose === 'move' ? 0 : facts.promptTokens;
-    const loads = this.engineLoads();
+    const loads = this.currentLoads();
     const pendingPrefill = isScheduled ? NO_TOKENS : this.pendingPrefillTokens(now);
     const heldTokens = facts.promptTokens + produced;
     const newGeneration = { held: heldTokens, remaining: this.lengths.remainingOutput(facts, produced) };
@@ -440,7 +388,7 @@
       if (forecast !== undefined && acceptsForecast?.(forecast) === false) {
         continue;
       }
-      const load = loads.get(engine.identity) ?? NO_GENERATIONS;
+      const load = loads.memoryOn(engine.identity);
       const { memoryTokens, slots } = engine.traits;
       const generations = [...load, newGeneration];
       const neededTokens =
@@ -491,9 +439,9 @@
 
   /** Formats each engine for the log: identity, generation count, forecast share of memory, and state flags. */
   describeLoads(): readonly string[] {
-    const loads = this.engineLoads();
+    const loads = this.currentLoads();
     return [...this.engines.values()].map((engine) => {
-      const load = loads.get(engine.identity) ?? NO_GENERATIONS;
+      const load = loads.memoryOn(engine.identity);
       const share = Math.round((100 * memoryPeak.peakOf(load)) / engine.traits.memoryTokens);
       return `${engine.identity}:${load.length}:${share}%${engine.draining ? ':leaving' : ''}${engine.evacuated ? ':evacuated' : ''}${engine.warmUpRateLimit === undefined ? '' : ':cold'}`;
     });
--- a/packages/kumquatfront/src/placement/evacuation.ts
+++ b/packages/kumquatfront/src/placement/evacuation.ts
@@ -71,9 +71,9 @@
    * Generations to move, in descending order of benefit per copied token: the work that would be lost, weighted by
    * the probability that the generation does not complete before its engine terminates.
    */
-  private moveCandidates(source: enginePool.Engine): readonly enginePool.PlacedGeneration[] {
+  private moveCandidates(source: enginePool.Engine): readonly types.PlacedGeneration[] {
     const { pool } = this.options;
-    const moveValue = ({ running }: enginePool.PlacedGeneration): number => {
+    const moveValue = ({ running }: types.PlacedGeneration): number => {
       const { facts, produced } = running;
       const expectedOutput = pool.lengths.totalOutput(facts, produced);
       const lossProbability = Math.exp(-TOKENS_BEFORE_TERMINATION / Math.max(1, expectedOutput - produced));
--- a/packages/kumquatfront/src/placement/types.ts
+++ b/packages/kumquatfront/src/placement/types.ts
@@ -106,3 +106,15 @@
 
 /** Result of a move; `moved` means that the source has stopped the generation. */
 export type MoveOutcome = 'moved' | 'ended' | 'failed';
+
+/** A placed generation and the entry that serves it. */
+export interface PlacedGeneration {
+  readonly running: RunningGeneration;
+  readonly entry: string;
+  readonly grantedAt: ports.Milliseconds;
+  /** Time of the placement, or of the first report if the coordinator did not place it. */
+  readonly placedAt: ports.Milliseconds;
+  readonly reported: boolean;
+  /** Prompt tokens that the engine had to process before the first event, including its own prompt. */
+  readonly prefillTokens: number;
+}
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -6,8 +6,6 @@
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import type * as placementTypes from '../placement/types.js';
-import * as software from '../streamOrigins/software.js';
-import type * as originTypes from '../streamOrigins/types.js';
 import * as quarantine from '../quarantine/quarantine.js';
 import type * as eventSplitter from './eventSplitter.js';
 import * as exchangeContext from './exchangeContext.js';
@@ -16,7 +14,9 @@
 import type * as placementClient from './placementClient.js';
 import * as idleSearch from './idleSearch.js';
 import * as streamAttempts from './streamAttempts.js';
+import * as streamContinuation from './streamContinuation.js';
 import * as streamDelivery from './streamDelivery.js';
+import * as streamRecovery from './streamRecovery.js';
 import * as streamSegment from './streamSegment.js';
 import * as streamMove from './streamMove.js';
 import * as streamLogSummary from './streamLogSummary.js';
@@ -35,16 +35,18 @@
   private ended = false;
   private readonly attempts: streamAttempts.StreamAttempts;
   private readonly idleSearch: idleSearch.IdleSearch;
+  private readonly recovery: streamRecovery.StreamRecovery;
+  private readonly continuation: streamContinuation.StreamContinuation;
   /** Forecast time from the last placement to the first event. */
   private firstEventIn: ports.Milliseconds | undefined;
   private cancelDeadline: ports.Cancel = () => undefined;
   private cancelQuarantine: ports.Cancel = () => undefined;
-  private cancelOriginSearch: ports.Cancel = () => undefined;
 
   constructor(context: exchangeContext.ExchangeContext, routed: exchangeContext.RoutedRequest) {
     this.context = context;
     this.routed = routed;
     this.attributes = generationAttributes.forRequest(routed);
+    this.continuation = new streamContinuation.StreamContinuation(context, routed);
     this.attempts = new streamAttempts.StreamAttempts(context, routed);
     this.idleSearch = new idleSearch.IdleSearch({
       timers: context.timers,
@@ -57,14 +59,21 @@
       },
     });
     this.delivery = new streamDelivery.StreamDelivery(routed.caller, routed.request.lastEvent);
-    this.selector = new upstreamSelector.UpstreamSelector(context, routed, this.attributes, {
-      selected: (instance, firstEventIn) => {
-        this.onUpstreamSelected(instance, firstEventIn);
+    this.selector = new upstreamSelector.UpstreamSelector(
+      context,
+      routed,
+      this.attributes,
+      this.continuation,
+      {
+        selected: (instance, firstEventIn) => {
+          this.onUpstreamSelected(instance, firstEventIn);
+        },
+        unavailable: (reason, message, retryAfter) => {
+          this.onNoUpstream(reason, message, retryAfter);
+        },
       },
-      unavailable: (reason, message, retryAfter) => {
-        this.onNoUpstream(reason, message, retryAfter);
-      },
-    });
+    );
+    this.recovery = this.createRecovery();
     this.moveController = new streamMove.StreamMove({
       request: routed.request.identity,
       upstreams: context.upstreams,
@@ -76,15 +85,41 @@
     });
   }
 
+  private createRecovery(): streamRecovery.StreamRecovery {
+    const { attempts, delivery, selector } = this;
+    return new streamRecovery.StreamRecovery(this.context, this.routed, {
+      ...{ attempts, delivery, selector },
+      closeSegment: (segment) => {
+        this.closeSegment(segment);
+      },
+      takeFirstCopy: () => this.moveController.takeFirstCopy(),
+      resumeFromCopy: (resumePoint) => {
+        this.resumeFromCopy(resumePoint);
+      },
+      respond: ({ instance }, { head, body }) => {
+        this.routed.caller.respond(head, body);
+        this.finish({ outcome: 'answered', status: head.status, upstream: instance.identity });
+      },
+      onNoUpstream: (reason, message, retryAfter) => {
+        this.onNoUpstream(reason, message, retryAfter);
+      },
+      refuse: (reason, message) => {
+        this.refuse(reason, message);
+      },
+      abort: (reason) => {
+        this.abort(reason);
+      },
+      finishQuarantined: () => {
+        this.finishQuarantined();
+      },
+    });
+  }
+
   /** Registers the generation for reports and selects its first upstream. */
   start(): void {
     const { timers, retryBudget, placement } = this.context;
     const { caller, deadline, service, request } = this.routed;
     retryBudget.recordRequest(service.name, timers.now());
-    if (isTakenUp(request)) {
-      const { identity, lastEvent, resumes } = request;
-      this.context.log.info('streamTakenUp', { request: identity, resumes, lastEvent });
-    }
     caller.onDisconnect(() => {
       this.finish({ outcome: 'callerGone' });
     });
@@ -97,49 +132,18 @@
     if (this.attributes !== undefined) {
       placement.addGeneration(request.identity, this);
     }
-    if (isTakenUp(request)) {
-      this.findOrigin();
-    } else {
-      this.selector.select();
-    }
-  }
-
-  /** Finds out where a stream that its caller takes up began. What nobody knows is refused, never guessed. */
-  private findOrigin(): void {
-    const { request, service } = this.routed;
-    if (request.resumes === undefined) {
-      this.refuseUnknownOrigin('the request does not name the attempt that brought the first event');
-      return;
-    }
-    this.cancelOriginSearch = this.context.origins.find(this.streamKey, (found) => {
+    this.continuation.resolve((refusal) => {
       if (this.ended) {
         return;
       }
-      if (found.state !== 'known') {
-        this.refuseUnknownOrigin('no process knows which software began the stream', found.state);
-      } else if (found.origin.service !== service.name) {
-        this.refuse('softwareGone', `the route no longer leads to the service that began the stream`);
-      } else {
-        this.selector.origin = found.origin;
-        this.keepOrigin(found.origin);
+      if (refusal === undefined) {
         this.selector.select();
+      } else {
+        this.refuseWith(refusal);
       }
     });
   }
 
-  /** Leads the caller to another entry if that one may know the origin. */
-  private refuseUnknownOrigin(cause: string, state: 'unknown' | 'unreachable' = 'unknown'): void {
-    const retry = {
-      retryAfter: exchangeContext.NO_UPSTREAM_RETRY_DELAY,
-      closesConnection: true,
-    };
-    this.refuseWith({
-      reason: 'originUnknown',
-      message: `${cause}; send the request anew, without a last event`,
-      ...(state === 'unreachable' && retry),
-    });
-  }
-
   /**
    * Ends the stream when its content is quarantined. A run that has produced an event continues, since its completion
    * can show that the content is harmless; any other is cancelled before it can crash the upstream.
@@ -192,7 +196,7 @@
         // The next report releases the unused placement.
         return;
       }
-      this.logResumption('silent');
+      this.recovery.logResumption('silent');
       this.closeSegment(segment, 'silent');
     }
     this.firstEventIn = firstEventIn;
@@ -233,9 +237,7 @@
       lastEvent: this.delivery.lastEvent,
       copy: copy?.handle,
     });
-    if (this.delivery.lastEvent !== undefined) {
-      this.logContinuation(instance, copy);
-    }
+    this.continuation.recordSend(instance, this.delivery.lastEvent, copy);
     const urgency = this.attributes === undefined ? undefined : upstreamPriority;
     const call: types.UpstreamCall = {
       request,
@@ -245,7 +247,7 @@
       urgency,
       lastEvent: this.delivery.lastEvent,
       copy,
-      origin: this.selector.origin,
+      origin: this.continuation.origin,
       dataCentres,
     };
     segment.start(upstreams, call, this.resumable, this.createSegmentListener(segment));
@@ -253,23 +255,6 @@
     placement.scheduleReport();
   }
 
-  private logContinuation(instance: instanceView.Instance, copy: types.MemoryCopy | undefined): void {
-    const { log, metrics } = this.context;
-    const { origin } = this.selector;
-    const current = software.of(instance);
-    log.info('streamContinues', {
-      request: this.routed.request.identity,
-      upstream: instance.identity,
-      software: current,
-      began: origin?.software,
-      lastEvent: this.delivery.lastEvent,
-      fromCopy: copy !== undefined,
-    });
-    const relation =
-      origin === undefined ? 'unknown' : software.mayContinue(origin, instance) ? 'same' : 'other';
-    metrics.count('streams.continued', 1, { software: relation });
-  }
-
   private createSegmentListener(segment: streamSegment.StreamSegment): streamSegment.SegmentListener {
     const { balancer, timers } = this.context;
     return {
@@ -289,16 +274,16 @@
       },
       errorReceived: (errorResponse) => {
         this.onClose(() => {
-          this.onErrorResponse(segment, errorResponse);
+          this.recovery.onErrorResponse(segment, errorResponse);
         });
       },
       notRun: () => {
         this.closeSegment(segment);
-        this.onNotRun(segment);
+        this.recovery.onNotRun(segment);
       },
       broken: (failure, reason) => {
         this.onClose(() => {
-          this.onBroken(segment, failure, reason);
+          this.recovery.onBroken(segment, failure, reason);
         });
       },
     };
@@ -315,7 +300,7 @@
     const isFirst = segment.eventCount === 1;
     const now = this.context.timers.now();
     segment.recordEvent(now);
-    this.recordOrigin(segment.instance);
+    this.continuation.recordEvent(segment.instance);
     this.delivery.deliver(event, now);
     if (isFirst) {
       this.context.placement.scheduleReport();
@@ -323,27 +308,6 @@
     this.startIdleTimer();
   }
 
-  /** The upstream that produces the first event decides where the stream may go on. */
-  private recordOrigin(instance: instanceView.Instance): void {
-    if (this.selector.origin === undefined) {
-      this.selector.origin = software.originAt(instance);
-      this.keepOrigin(this.selector.origin);
-    }
-  }
-
-  /** Keeps the origin for the caller's return; on routes that are not resumable no caller takes a stream up. */
-  private keepOrigin(origin: originTypes.StreamOrigin): void {
-    const { route } = this.routed;
-    if (route.resumable) {
-      this.context.origins.record(this.streamKey, origin, route.timeout);
-    }
-  }
-
-  private get streamKey(): originTypes.StreamKey {
-    const { request, account } = this.routed;
-    return { account: account ?? '', attempt: request.resumes ?? request.identity };
-  }
-
   /** Number of output tokens delivered so far. */
   get produced(): number {
     return this.delivery.eventCount * (this.routed.service.engine?.tokensPerEvent ?? 1);
@@ -364,129 +328,11 @@
   private onEnd(segment: streamSegment.StreamSegment, remainder: Uint8Array): void {
     this.context.balancer.recordSuccess(segment.instance.identity);
     this.delivery.end(remainder);
-    this.context.origins.recordComplete(this.streamKey);
+    this.continuation.recordComplete();
     this.closeSegment(segment);
     this.finish({ outcome: 'answered', upstream: segment.instance.identity });
   }
 
-  private onErrorResponse(
-    segment: streamSegment.StreamSegment,
-    errorResponse: streamSegment.ErrorResponse,
-  ): void {
-    const { balancer, timers } = this.context;
-    const { head, body } = errorResponse;
-    const { identity } = segment.instance;
-    this.closeSegment(segment);
-    balancer.recordFailure(identity, 'failure', timers.now());
-    if (head.status >= 500 && this.attempts.takeResumption()) {
-      this.resumeElsewhere(segment, 'upstreamFailed');
-    } else if (this.delivery.started) {
-      this.abort(`the next upstream responded with status ${head.status}`);
-    } else {
-      this.routed.caller.respond(head, body);
-      this.finish({ outcome: 'answered', status: head.status, upstream: identity });
-    }
-  }
-
-  /** Handles an upstream's statement that it did not run the request. */
-  private onNotRun(segment: streamSegment.StreamSegment): void {
-    const { retryBudget, timers, log } = this.context;
-    const { service, request } = this.routed;
-    this.selector.exclude(segment.instance.identity);
-    log.info('attemptNotRun', { request: request.identity, upstream: segment.instance.identity });
-    if (segment.copy !== undefined) {
-      this.onCopyRejected(segment);
-      return;
-    }
-    this.attempts.recordNotRun();
-    if (retryBudget.take(service.name, timers.now())) {
-      this.selector.select();
-    } else {
-      this.onNoUpstream(
-        'overloaded',
-        'the retry budget is exhausted',
-        exchangeContext.NO_UPSTREAM_RETRY_DELAY,
-      );
-    }
-  }
-
-  private onBroken(
-    segment: streamSegment.StreamSegment,
-    failure: types.ExchangeFailure,
-    reason: string,
-  ): void {
-    const { balancer, timers, log } = this.context;
-    this.closeSegment(segment);
-    if (failure === 'quarantined') {
-      if (segment.copy === undefined) {
-        this.attempts.recordNotRun();
-      }
-      this.finishQuarantined();
-      return;
-    }
-    log.info('streamBroken', {
-      request: this.routed.request.identity,
-      content: exchangeContext.contentDigestOf(this.routed),
-      upstream: segment.instance.identity,
-      failure,
-      reason,
-      lastEvent: this.delivery.lastEvent,
-    });
-    if (exchangeContext.countsAgainstUpstream(this.context, failure)) {
-      balancer.recordFailure(
-        segment.instance.identity,
-        failure === 'notSent' ? 'stall' : 'failure',
-        timers.now(),
-      );
-    }
-    this.selector.exclude(segment.instance.identity);
-    const firstCopy = this.moveController.takeFirstCopy();
-    if (failure === 'notSent' || failure === 'withheld') {
-      this.onNotSent(segment);
-    } else if (firstCopy !== undefined) {
-      this.resumeFromCopy(firstCopy);
-    } else if (this.attempts.takeResumption()) {
-      this.resumeElsewhere(segment, failure);
-    } else if (this.delivery.started) {
-      this.abort(reason);
-    } else {
-      this.refuse('outcomeUnknown', 'the upstream closed the stream before its first event');
-    }
-  }
-
-  private onNotSent(segment: streamSegment.StreamSegment): void {
-    if (segment.copy !== undefined) {
-      this.onCopyRejected(segment);
-      return;
-    }
-    this.attempts.recordNotRun();
-    this.selector.select();
-  }
-
-  private resumeElsewhere(segment: streamSegment.StreamSegment, cause: string): void {
-    this.selector.exclude(segment.instance.identity);
-    this.logResumption(cause);
-    this.selector.select();
-  }
-
-  private logResumption(cause: string): void {
-    this.context.log.info('streamResumes', {
-      request: this.routed.request.identity,
-      cause,
-      lastEvent: this.delivery.lastEvent,
-      runs: this.attempts.possibleRuns,
-    });
-  }
-
-  /** Handles an engine's rejection of a resumption from a copy; only resumable streams can be sent elsewhere. */
-  private onCopyRejected(segment: streamSegment.StreamSegment): void {
-    if (this.attempts.takeResumption()) {
-      this.resumeElsewhere(segment, 'copyRefused');
-    } else {
-      this.abort('the engine did not resume the stream from its memory copy');
-    }
-  }
-
   /** Moves the run to another engine; `done` is called when the source can start the next move. */
   move(targetIdentity: string, done: (outcome: placementTypes.MoveOutcome) => void): void {
     const target = this.context.instances.get(targetIdentity);
@@ -511,7 +357,7 @@
     const { active: segment } = this;
     if (!this.ended && segment?.instance.identity === instance) {
       this.onClose(() => {
-        this.onBroken(segment, 'broken', 'the upstream has restarted');
+        this.recovery.onBroken(segment, 'broken', 'the upstream has restarted');
       });
     }
   }
@@ -568,7 +414,7 @@
     this.selector.cancel();
     this.idleSearch.cancel();
     this.cancelQuarantine();
-    this.cancelOriginSearch();
+    this.continuation.cancel();
     this.moveController.cancel();
     if (this.active !== undefined) {
       this.closeSegment(this.active);
@@ -581,7 +427,7 @@
     }
     exchangeContext.logRequestEnd(this.context, this.routed, {
       ...outcome,
-      began: this.selector.origin?.software,
+      began: this.continuation.origin?.software,
       ...streamLogSummary.fieldsFor(this.routed, this.attributes, this.delivery, {
         produced: this.produced,
         sends: this.attempts.sends,
@@ -590,8 +436,3 @@
     });
   }
 }
-
-/** True for an attempt that takes up a stream of which the caller has events. */
-function isTakenUp({ lastEvent, resumes }: types.TrafficRequest): boolean {
-  return lastEvent !== undefined || resumes !== undefined;
-}
--- a/packages/kumquatfront/src/relay/upstreamSelector.ts
+++ b/packages/kumquatfront/src/relay/upstreamSelector.ts
@@ -26,6 +26,11 @@
   ) => void;
 }
 
+/** Origin of a stream with events: only upstreams of its software are selected. */
+export interface OriginSource {
+  readonly origin: originTypes.StreamOrigin | undefined;
+}
+
 /** Upstream selector of one stream; see the module comment. */
 export class UpstreamSelector {
   /** Upstreams that must not be selected again. */
@@ -33,9 +38,8 @@
   private readonly context: exchangeContext.ExchangeContext;
   private readonly routed: exchangeContext.RoutedRequest;
   private readonly attributes: placementTypes.GenerationAttributes | undefined;
+  private readonly continuation: OriginSource;
   private readonly listener: UpstreamSelectionListener;
-  /** Origin of the stream once it has events; from then on only upstreams of its software are selected. */
-  origin: originTypes.StreamOrigin | undefined;
   private cancelPlacement: ports.Cancel = () => undefined;
   private cancelled = false;
 
@@ -43,11 +47,13 @@
     context: exchangeContext.ExchangeContext,
     routed: exchangeContext.RoutedRequest,
     attributes: placementTypes.GenerationAttributes | undefined,
+    continuation: OriginSource,
     listener: UpstreamSelectionListener,
   ) {
     this.context = context;
     this.routed = routed;
     this.attributes = attributes;
+    this.continuation = continuation;
     this.listener = listener;
   }
 
@@ -60,7 +66,7 @@
   select(): void {
     const { placement, timers, balancer, sendPolicy: policy } = this.context;
     const { deadline, request, route } = this.routed;
-    const candidates = exchangeContext.candidatesOf(this.context, this.routed, this.origin);
+    const candidates = exchangeContext.candidatesOf(this.context, this.routed, this.continuation.origin);
     if (this.attributes === undefined || candidates.length === 0) {
       this.selectLocally();
       return;
@@ -75,7 +81,7 @@
     }
     const { objective } = route;
     // A stream that goes on is as urgent as one that has just arrived, however long ago it began.
-    const since = this.origin === undefined ? request.arrivedAt : now;
+    const since = this.continuation.origin === undefined ? request.arrivedAt : now;
     const totalTime = deadline - since;
     const waitUntil = since + waitLimits.maximumWait(objective, totalTime, this.attributes.rank);
     const ejected = balancer.ejectedOf(candidates, now);
@@ -86,7 +92,7 @@
         ...ejected,
         ...temporarilyExcluded.map((instance) => instance.identity),
       ],
-      ...(this.origin !== undefined && { software: this.origin.software }),
+      ...(this.continuation.origin !== undefined && { software: this.continuation.origin.software }),
       likeness: generationAttributes.retryFingerprintOf(this.routed),
       objective,
       objectiveLeft: since + objective - now,
@@ -125,14 +131,14 @@
 
   /** Checks an upstream that the coordinator selected; a stream may have received events since the request. */
   private isEligible(instance: instanceView.Instance): boolean {
-    const { origin } = this;
+    const { origin } = this.continuation;
     const mayContinue = origin === undefined || software.mayContinue(origin, instance);
     return mayContinue && !this.excludedUpstreams.has(instance.identity);
   }
 
   private selectLocally(): void {
     const { balancer, timers } = this.context;
-    const candidates = exchangeContext.candidatesOf(this.context, this.routed, this.origin);
+    const candidates = exchangeContext.candidatesOf(this.context, this.routed, this.continuation.origin);
     const instance = balancer.choose(candidates, this.excludedUpstreams, timers.now());
     if (instance === undefined) {
       this.reportNoUpstream();
@@ -146,7 +152,7 @@
       this.context,
       this.routed,
       'no eligible upstream is left',
-      this.origin,
+      this.continuation.origin,
     );
     this.listener.unavailable(reason, message, retryAfter);
   }
