--- a/packages/kumquatfront/src/streamOrigins/originTestHarness.ts
+++ b/packages/kumquatfront/src/streamOrigins/originTestHarness.ts
@@ -72,6 +72,7 @@
 
 /** One attempt to take up a stream. */
 export interface TakeUp {
+  readonly entry: string;
   readonly at: ports.Milliseconds;
   /** True if two engines of its version served when it was sent. */
   readonly couldGoOn: boolean;
@@ -177,7 +178,7 @@
   ): TakeUp {
     const [version] = stream.versions;
     const takeUp = {
-      ...{ at: this.time.now(), wentOn: false },
+      ...{ entry, at: this.time.now(), wentOn: false },
       couldGoOn: version !== undefined && this.engines.serving(version).length >= 2,
     };
     stream.takeUps.push(takeUp);
