--- a/packages/kumquatfront/src/placement/coordinatorTestHarness.ts
+++ b/packages/kumquatfront/src/placement/coordinatorTestHarness.ts
@@ -113,8 +113,12 @@
     this.report();
   }
 
-  /** Requests a placement; requests with the same fingerprint are retries. */
-  requestPlacement(identity: string, fingerprint = identity, rank = 1): void {
+  /**
+   * Requests a placement; requests with the same fingerprint are retries.
+   *
+   * @param software - software that began the stream; undefined for a stream without events
+   */
+  requestPlacement(identity: string, fingerprint = identity, rank = 1, software?: string): void {
     const attributes: types.GenerationAttributes = {
       ...{ identity, service: 'llm', promptTokens: PROMPT, outputLimit: 600, lengthHint: 600 },
       ...{ rank, account: '' },
@@ -124,6 +128,7 @@
     const times = {
       ...{ objective: OBJECTIVE, objectiveLeft: OBJECTIVE, patience },
       ...(longestWait !== undefined && { longestWait }),
+      ...(software !== undefined && { software }),
     };
     this.coordinator.requestPlacement(
       { facts: attributes, entry: ENTRY, dataCentre: 'a', excluded: [], likeness: fingerprint, ...times },
--- a/packages/kumquatfront/src/placement/evacuation.spec.ts
+++ b/packages/kumquatfront/src/placement/evacuation.spec.ts
@@ -162,3 +162,21 @@
     ['c'],
   );
 });
+
+// Guards against moving a generation to an engine of another software version, whose events do not fit.
+void test.test('a generation is moved only to an engine of the same software', () => {
+  const other = (identity: string): enginePool.Engine => ({
+    ...engine(identity, 'x'),
+    software: 'version v2',
+  });
+  const { sentMoves } = evacuate(
+    [engine('a', 'x', true), other('b'), engine('c', 'y'), other('d')],
+    [running('1')],
+  );
+  assert.deepEqual(
+    sentMoves.map((move) => move.command.target),
+    ['c'],
+  );
+  const alone = evacuate([engine('a', 'x', true), other('b')], [running('1')]);
+  assert.equal(alone.sentMoves.length, 0);
+});
--- a/packages/kumquatfront/src/relay/relayTestHarness.ts
+++ b/packages/kumquatfront/src/relay/relayTestHarness.ts
@@ -7,6 +7,7 @@
 import * as signalRegistry from '../backPressure/signalRegistry.js';
 import * as instanceTable from '../instances/instanceTable.js';
 import * as instanceView from '../instances/instanceView.js';
+import * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
 import * as timerService from '../kernel/timerService.js';
@@ -14,6 +15,7 @@
 import type * as placementTypes from '../placement/types.js';
 import * as guardedUpstreams from '../quarantine/guardedUpstreams.js';
 import * as quarantine from '../quarantine/quarantine.js';
+import * as originMessages from '../streamOrigins/messages.js';
 import * as streamOrigins from '../streamOrigins/streamOrigins.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as methods from '../trafficControl/methods.js';
@@ -86,6 +88,8 @@
   readonly callerEvents: string[] = [];
   /** Engines that the coordinator grants, in order; it does not respond if the list is empty. */
   readonly placements: string[] = [];
+  /** True while control answers no questions about origins of streams. */
+  isControlLost = false;
   /** Forecast of the first event in the coordinator's answers. */
   firstEventIn: ports.Milliseconds | undefined;
   readonly context: exchangeContext.ExchangeContext;
@@ -206,6 +210,11 @@
         if (method === methods.methods.place) {
           this.placementRequests.push(parameters as placementTypes.PlacementRequest);
         }
+        if (method === originMessages.methods.find) {
+          const failure = failures.create('timeout', 'The process did not answer.', 'Ask again.');
+          done(this.isControlLost ? results.Err(failure) : results.Ok({}));
+          return;
+        }
         const instance = method === methods.methods.place ? this.placements.shift() : undefined;
         if (instance !== undefined) {
           const { firstEventIn } = this;
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -16,6 +16,7 @@
 import * as relaySafeguards from './relaySafeguards.js';
 import * as servingSafeguards from './servingSafeguards.js';
 import * as sharedLimitsSafeguards from './sharedLimitsSafeguards.js';
+import * as streamOriginsSafeguards from './streamOriginsSafeguards.js';
 import type * as types from './types.js';
 import * as upstreamPaceSafeguards from './upstreamPaceSafeguards.js';
 
@@ -30,6 +31,7 @@
   ...backPressureSafeguards.backPressureSafeguards,
   ...callSlotsSafeguards.callSlotsSafeguards,
   ...peerRelaySafeguards.peerRelaySafeguards,
+  ...streamOriginsSafeguards.streamOriginsSafeguards,
   ...prefillSafeguards.prefillSafeguards,
   ...sharedLimitsSafeguards.sharedLimitsSafeguards,
   ...heavyLoadSafeguards.heavyLoadSafeguards,
