--- a/packages/kumquatfront/src/streamOrigins/streamOrigins.spec.ts
+++ b/packages/kumquatfront/src/streamOrigins/streamOrigins.spec.ts
@@ -79,6 +79,7 @@
 void test.test('an entry that stops hands over what it keeps', () => {
   const { network, entries } = start();
   entries[0]?.record(KEY, ORIGIN, TIMEOUT);
+  network.time.advance(200);
   const stores = REPLICAS.map((replica) => network.startReplica(replica, () => ENTRIES));
   entries[0]?.handOver();
   network.time.advance(200);
