A stream of a split route goes on at the service that began it

A caller takes up a stream, and the route draws one of its services: on a route split in halves every second stream was refused as begun at another service, though its version serves. Found by reading; the spec fails without it. The exchange begins anew at the service of the origin if the route leads there.

--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -49,6 +49,8 @@
   readonly caller: types.CallerPort;
   readonly route: trafficTypes.Route;
   readonly service: trafficTypes.Service;
+  /** Other services among which the route splits its requests; absent if there are none. */
+  readonly otherServices?: readonly trafficTypes.Service[];
   /** Name of the client account; undefined if none is required. */
   readonly account?: string;
   /** Priority of the client account; undefined if it has none. */
--- a/packages/kumquatfront/src/relay/streamContinuation.spec.ts
+++ b/packages/kumquatfront/src/relay/streamContinuation.spec.ts
@@ -66,6 +66,22 @@
   );
 });
 
+// Guards against a stream of a split route that is drawn to another service than the one that began it.
+void test.test('a stream goes on at the service of its route that began it', () => {
+  const harness = new relayTestHarness.RelayTestHarness(['a']);
+  harness.context.origins.record(KEY, { service: 'llm', software: 'version v1' }, 1_000);
+  harness.placements.push('a');
+  const routed = harness.createRoutedRequest('stream', { resumable: true });
+  const request = { ...routed.request, lastEvent: '7', resumes: 'first' };
+  const service = { ...routed.service, name: 'drawn' };
+  const otherServices = [routed.service];
+  const exchange = { ...routed, request, service, otherServices };
+  new streamExchange.StreamExchange(harness.context, exchange).start();
+  harness.time.advance(500);
+  assert.deepEqual(harness.refusals, []);
+  assert.equal(harness.sentCalls[0]?.call.instance.identity, 'a');
+});
+
 // Guards against versions of two services that are taken for the same because of their names.
 void test.test('a stream does not go on at another service', () => {
   const harness = new relayTestHarness.RelayTestHarness(['a']);
--- a/packages/kumquatfront/src/relay/streamContinuation.ts
+++ b/packages/kumquatfront/src/relay/streamContinuation.ts
@@ -6,13 +6,17 @@
 import type * as ports from '../kernel/ports.js';
 import * as software from '../streamOrigins/software.js';
 import type * as originTypes from '../streamOrigins/types.js';
+import type * as trafficTypes from '../traffic/types.js';
 import * as exchangeContext from './exchangeContext.js';
 import type * as types from './types.js';
 
 const BEGIN_ANEW = 'send the request anew, without a last event';
 
-/** Result of {@link StreamContinuation.resolve}: the stream may be sent, or is refused. */
-type Resolved = (refusal: types.Refusal | undefined) => void;
+/** Where a stream may be sent: at the service that was chosen for the request, at another one of its route, or nowhere. */
+export type Resolution =
+  | { readonly state: 'here' }
+  | { readonly state: 'elsewhere'; readonly service: trafficTypes.Service }
+  | { readonly state: 'refused'; readonly refusal: types.Refusal };
 
 /** Origin of one stream; see the module comment. */
 export class StreamContinuation {
@@ -31,15 +35,15 @@
   }
 
   /** Finds the origin if the caller has events of the stream. */
-  resolve(done: Resolved): void {
+  resolve(done: (resolution: Resolution) => void): void {
     const { identity, lastEvent, resumes } = this.routed.request;
     if (lastEvent === undefined && resumes === undefined) {
-      done(undefined);
+      done({ state: 'here' });
       return;
     }
     this.context.log.info('streamTakenUp', { request: identity, resumes, lastEvent });
     if (resumes === undefined) {
-      done(unknownOrigin('the request does not name the attempt that brought the first event'));
+      done(refusedAsUnknown('the request does not name the attempt that brought the first event'));
       return;
     }
     this.cancelSearch = this.context.origins.find(this.key, (found) => {
@@ -47,23 +51,27 @@
     });
   }
 
-  private onFound(found: originTypes.FoundOrigin): types.Refusal | undefined {
+  private onFound(found: originTypes.FoundOrigin): Resolution {
     if (found.state === 'unknown') {
-      return unknownOrigin('no process knows which software began the stream');
+      return refusedAsUnknown('no process knows which software began the stream');
     }
     if (found.state === 'unreachable') {
-      return {
-        ...unknownOrigin('a process that may know which software began the stream does not answer'),
+      return refusedAsUnknown('a process that may know which software began the stream does not answer', {
         retryAfter: exchangeContext.NO_UPSTREAM_RETRY_DELAY,
         closesConnection: true,
-      };
+      });
     }
-    if (found.origin.service !== this.routed.service.name) {
-      const message = `the route no longer leads to the service that began the stream; ${BEGIN_ANEW}`;
-      return { reason: 'softwareGone', message };
+    const { service, otherServices = [] } = this.routed;
+    if (found.origin.service === service.name) {
+      this.setOrigin(found.origin);
+      return { state: 'here' };
     }
-    this.setOrigin(found.origin);
-    return undefined;
+    const other = otherServices.find(({ name }) => name === found.origin.service);
+    if (other !== undefined) {
+      return { state: 'elsewhere', service: other };
+    }
+    const message = `the route no longer leads to the service that began the stream; ${BEGIN_ANEW}`;
+    return { state: 'refused', refusal: { reason: 'softwareGone', message } };
   }
 
   /** Records the upstream that produced an event; that of the first one is the origin. */
@@ -115,6 +123,7 @@
   }
 }
 
-function unknownOrigin(cause: string): types.Refusal {
-  return { reason: 'originUnknown', message: `${cause}; ${BEGIN_ANEW}` };
+function refusedAsUnknown(cause: string, retry: Partial<types.Refusal> = {}): Resolution {
+  const message = `${cause}; ${BEGIN_ANEW}`;
+  return { state: 'refused', refusal: { reason: 'originUnknown', message, ...retry } };
 }
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -8,6 +8,7 @@
 import type * as placementTypes from '../placement/types.js';
 import * as quarantine from '../quarantine/quarantine.js';
 import type * as eventSplitter from './eventSplitter.js';
+import type * as trafficTypes from '../traffic/types.js';
 import * as exchangeContext from './exchangeContext.js';
 import * as generationAttributes from './generationAttributes.js';
 import * as upstreamSelector from './upstreamSelector.js';
@@ -115,11 +116,10 @@
     });
   }
 
-  /** Registers the generation for reports and selects its first upstream. */
+  /** Finds out where the stream may run, and selects its first upstream. */
   start(): void {
-    const { timers, retryBudget, placement } = this.context;
-    const { caller, deadline, service, request } = this.routed;
-    retryBudget.recordRequest(service.name, timers.now());
+    const { timers } = this.context;
+    const { caller, deadline } = this.routed;
     caller.onDisconnect(() => {
       this.finish({ outcome: 'callerGone' });
     });
@@ -129,19 +129,37 @@
     this.cancelQuarantine = exchangeContext.whenQuarantined(this.context, this.routed, () => {
       this.onQuarantined();
     });
+    this.continuation.resolve((resolution) => {
+      if (!this.ended) {
+        this.onResolved(resolution);
+      }
+    });
+  }
+
+  private onResolved(resolution: streamContinuation.Resolution): void {
+    const { timers, retryBudget, placement } = this.context;
+    const { request, service } = this.routed;
+    if (resolution.state === 'refused') {
+      this.refuseWith(resolution.refusal);
+      return;
+    }
+    if (resolution.state === 'elsewhere') {
+      this.restartAt(resolution.service);
+      return;
+    }
+    retryBudget.recordRequest(service.name, timers.now());
     if (this.attributes !== undefined) {
       placement.addGeneration(request.identity, this);
     }
-    this.continuation.resolve((refusal) => {
-      if (this.ended) {
-        return;
-      }
-      if (refusal === undefined) {
-        this.selector.select();
-      } else {
-        this.refuseWith(refusal);
-      }
-    });
+    this.selector.select();
+  }
+
+  /** Begins anew at the service, among those of the route, whose upstream produced the first event. */
+  private restartAt(service: trafficTypes.Service): void {
+    this.ended = true;
+    this.cancelDeadline();
+    this.cancelQuarantine();
+    new StreamExchange(this.context, { ...this.routed, service }).start();
   }
 
   /**
--- a/packages/kumquatfront/src/relay/trafficRelay.ts
+++ b/packages/kumquatfront/src/relay/trafficRelay.ts
@@ -114,12 +114,17 @@
       this.refuseQuarantined(request, caller, content);
       return;
     }
+    const otherServices = route.targets
+      .filter((target) => target.weight > 0 && target.service !== service.name)
+      .map((target) => routes.serviceOf(target.service))
+      .filter((other) => other !== undefined);
     const limit = Math.min(request.callerTimeout ?? Number.POSITIVE_INFINITY, route.timeout);
     this.start({
       request,
       caller,
       route,
       service,
+      ...(otherServices.length > 0 && { otherServices }),
       account: account?.name,
       accountPriority: account?.priority,
       upstreamPriority: account?.priority ?? route.priority,
