--- a/packages/kumquatfront/src/adapters/generationResponses.ts
+++ b/packages/kumquatfront/src/adapters/generationResponses.ts
@@ -23,7 +23,7 @@
     });
   }
 
-  /** Sends periodic comments, so that a caller can tell a slow engine from an unresponsive entry. */
+  /** Sends periodic comments, so that a caller can distinguish a slow engine from an unresponsive entry. */
   private scheduleKeepAlive(): void {
     this.cancelKeepAlive();
     this.cancelKeepAlive = systemTime.scheduler.after(KEEP_ALIVE_INTERVAL, () => {
--- a/packages/kumquatfront/src/backPressure/sendPolicy.ts
+++ b/packages/kumquatfront/src/backPressure/sendPolicy.ts
@@ -1,5 +1,5 @@
 /**
- * Decides whether an upstream may be sent a request now, or is temporarily excluded. Used when an upstream is chosen,
+ * Decides whether an upstream may be sent a request now, or is temporarily excluded. Used when an upstream is selected,
  * and again by `guardedUpstreams` immediately before sending, since an exclusion may have started in between.
  */
 import * as instanceView from '../instances/instanceView.js';
@@ -84,7 +84,7 @@
   }
 
   /**
-   * Exclusion that applies when this entry chooses an upstream itself; undefined if it may be chosen. Includes the
+   * Exclusion that applies when this entry selects an upstream itself; undefined if it may be selected. Includes the
    * warm-up limit, which the coordinator enforces for the requests that it places.
    */
   exclusionFromChoice(instance: instanceView.Instance, now: ports.Milliseconds): Exclusion | undefined {
@@ -95,7 +95,7 @@
    * The exclusion that ends first, if every candidate is excluded.
    *
    * @param candidates - upstreams to choose from
-   * @returns the exclusion; undefined if a candidate may be chosen, or there are none
+   * @returns the exclusion; undefined if a candidate may be selected, or there are none
    */
   exclusionOfAll(
     candidates: readonly instanceView.Instance[],
--- a/packages/kumquatfront/src/backPressure/signalRegistry.ts
+++ b/packages/kumquatfront/src/backPressure/signalRegistry.ts
@@ -98,7 +98,7 @@
   }
 
   /**
-   * Records that the process at the address of an upstream is not this incarnation, which therefore no longer runs.
+   * Records that the process at the address of an upstream is not this incarnation, which therefore has ended.
    * Control may be lost, and its list with it: requests would be sent to the address again and again.
    */
   recordReplaced(instance: instanceView.Instance): void {
--- a/packages/kumquatfront/src/consensus/election.ts
+++ b/packages/kumquatfront/src/consensus/election.ts
@@ -9,9 +9,8 @@
 /**
  * Interval at which a restarted voter probes the other voters for a leader.
  *
- * A restarted voter refuses votes for one election timeout, because a leader's lease may rely on it. If the whole
- * cluster restarts, this would only delay the election. Once all voters have reported that they know no leader, no
- * lease can be valid, and the voter chosen by `isPreferredCandidate` starts an election at once.
+ * A restarted voter refuses votes for one election timeout, on which a leader's lease may rely. Once all voters report
+ * that there is no leader, no lease is valid, and the voter that `isPreferredCandidate` selects starts an election.
  */
 const PROBE_INTERVAL: ports.Milliseconds = 60;
 
--- a/packages/kumquatfront/src/consensus/leadership.ts
+++ b/packages/kumquatfront/src/consensus/leadership.ts
@@ -358,7 +358,7 @@
   private advanceCommitIndex(): void {
     const { store } = this.options;
     const index = this.quorumValue(this.durableIndex, (peer) => peer.matchIndex);
-    // Only entries of the current term are committed by counting replicas; earlier ones are committed with them.
+    // Only entries of the current term are committed by counting replicas; previous ones are committed with them.
     if (index > this.host.commitIndex() && store.termAt(index) === store.hardState.term && !this.stopped) {
       this.host.commit(index);
       this.sendToAll(true);
--- a/packages/kumquatfront/src/controlNode/membership.ts
+++ b/packages/kumquatfront/src/controlNode/membership.ts
@@ -182,7 +182,7 @@
 
   /**
    * Rejoins after the other members removed this replica as unresponsive. Its own log does not contain the
-   * removal, since members no longer replicate to it; the member list of the leader shows it.
+   * removal, since members have stopped replicating to it; the member list of the leader shows it.
    */
   private rejoinIfRemoved(answers: readonly methods.HelloAnswer[]): void {
     const { identity } = this.options;
--- a/packages/kumquatfront/src/entryLoad/entryWeights.ts
+++ b/packages/kumquatfront/src/entryLoad/entryWeights.ts
@@ -3,7 +3,7 @@
  * that are slower than their stated capacity.
  *
  * The weight of an entry is its strength times a factor of at most 1, which falls while the entry is under more pressure
- * than the others. No entry is preferred because it is free at the moment, so that callers do not herd to it.
+ * than the others. No entry is preferred because it is free now, so that callers do not herd to it.
  */
 import type * as ports from '../kernel/ports.js';
 import type * as entryCapacity from './entryCapacity.js';
--- a/packages/kumquatfront/src/entryLoad/fleet.spec.ts
+++ b/packages/kumquatfront/src/entryLoad/fleet.spec.ts
@@ -1,6 +1,6 @@
 /**
  * Distribution of load over 66 entries, of which 16 have 3.3 times the capacity of the others, on virtual time.
- * Utilization is measured as a mean over several seconds, because the number of connections at an entry varies by chance.
+ * Utilization is a mean over several seconds, because the number of connections at an entry varies by chance.
  */
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
--- a/packages/kumquatfront/src/entryLoad/overloadResponse.ts
+++ b/packages/kumquatfront/src/entryLoad/overloadResponse.ts
@@ -31,8 +31,8 @@
 const CLOSE_AFTER_GROWTH: ports.Milliseconds = 3_000;
 
 /**
- * Time after the last growth of the memory for which generations are refused. A process that no longer grows does not
- * fail, and Node.js may keep memory for long that it no longer uses.
+ * Time after the last growth of the memory for which generations are refused. A process that has stopped growing does
+ * not fail, and Node.js may keep unused memory for long.
  */
 const REFUSE_AFTER_GROWTH: ports.Milliseconds = 1_000;
 
--- a/packages/kumquatfront/src/instances/instances.spec.ts
+++ b/packages/kumquatfront/src/instances/instances.spec.ts
@@ -118,7 +118,7 @@
   assert.deepEqual(events, ['i found', 'i leaving']);
 });
 
-// Guards against a coordinator that, in a network partition, places everything on the engines of its own side.
+// Guards against a coordinator that, in a network partition, places everything on the engines of one side.
 void test.test('an entry finds the instances that one replica lacks and another lists', () => {
   const { view } = createView();
   const one = new instanceTable.InstanceTable('one');
--- a/packages/kumquatfront/src/peerRelay/peerList.ts
+++ b/packages/kumquatfront/src/peerRelay/peerList.ts
@@ -22,7 +22,7 @@
 /** Time for which a peer is passed over that has declined, or that did not answer while there are others. */
 const PASS_OVER_TIME: ports.Milliseconds = 500;
 
-/** Rounds of questions for one request. A peer that is slow for a moment may be the only one that relays. */
+/** Rounds of questions for one request. A peer that is slow for a short time may be the only one that relays. */
 const MAXIMUM_ROUNDS = 4;
 
 /** Peers that are asked for an offer at a time. */
--- a/packages/kumquatfront/src/peerRelay/upstreamPaths.ts
+++ b/packages/kumquatfront/src/peerRelay/upstreamPaths.ts
@@ -1,6 +1,6 @@
 /**
  * Which upstreams this entry reaches by its own links. An upstream that refuses connections, or does not answer them, may
- * have crashed, or the entry may be cut off; only other entries can tell. An entry that reaches none of several
+ * have crashed, or the entry may be cut off; only other entries show which. An entry that reaches none of several
  * upstreams takes itself to be cut off until a probe is accepted.
  */
 import type * as instanceView from '../instances/instanceView.js';
@@ -71,7 +71,7 @@
   /**
    * Records that an upstream answered on a connection of this entry.
    *
-   * @param startedAt - time at which the connection was opened; one that lives on from before a cut shows nothing
+   * @param startedAt - time at which the connection was opened; one that was opened before a cut shows nothing
    */
   recordReached(startedAt: ports.Milliseconds): void {
     if (startedAt >= this.lastUnreachedAt) {
--- a/packages/kumquatfront/src/peerRelay/witnesses.ts
+++ b/packages/kumquatfront/src/peerRelay/witnesses.ts
@@ -1,6 +1,6 @@
 /**
- * Tells an upstream that has crashed from one that only this entry does not reach: an address that refuses connections
- * counts as crashed if other entries, which reach some other upstream at that moment, are refused as well.
+ * Distinguishes an upstream that has crashed from one that only this entry does not reach: an address that refuses connections
+ * counts as crashed if other entries, which reach some other upstream at that time, are refused as well.
  */
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
--- a/packages/kumquatfront/src/placement/engineList.ts
+++ b/packages/kumquatfront/src/placement/engineList.ts
@@ -7,7 +7,7 @@
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import type * as enginePool from './enginePool.js';
 
-/** What the coordinator knows of services and data centres. */
+/** State of services and data centres at the coordinator. */
 export interface EngineListOptions {
   readonly serviceOf: (name: string) => trafficTypes.Service | undefined;
   /** True for a data centre whose engines must not receive new generations. */
--- a/packages/kumquatfront/src/placement/engineLoads.ts
+++ b/packages/kumquatfront/src/placement/engineLoads.ts
@@ -16,7 +16,7 @@
   }
 }
 
-/** Loads of all engines at one moment; see the module comment. */
+/** Loads of all engines at one time; see the module comment. */
 export class EngineLoads {
   private readonly memory = new Map<string, memoryPeak.GenerationMemory[]>();
   private readonly streams = new Map<string, interference.RunningStream[]>();
--- a/packages/kumquatfront/src/placement/grantPace.spec.ts
+++ b/packages/kumquatfront/src/placement/grantPace.spec.ts
@@ -13,7 +13,7 @@
   assert.equal(pace.intervalOf('other'), 100);
 });
 
-// Guards against callers that are told to wait for minutes because no request came for a while.
+// Guards against callers that are refused for minutes because no request came for a while.
 void test.test('a time without requests counts as one second at most', () => {
   const pace = new grantPace.GrantPace();
   pace.record('llm', 0);
--- a/packages/kumquatfront/src/placement/placementFeatures.ts
+++ b/packages/kumquatfront/src/placement/placementFeatures.ts
@@ -23,7 +23,7 @@
   'prefillScheduling',
   /** Capacity that is short is divided between client accounts by weight. */
   'accountShares',
-  /** Upstreams are chosen by their own pace and their current slowdown. */
+  /** Upstreams are selected by their own pace and their current slowdown. */
   'upstreamPace',
   /** Prompts are kept away from engines where they would pause running streams for too long. */
   'pauseProtection',
--- a/packages/kumquatfront/src/prefill/prefillBacklog.ts
+++ b/packages/kumquatfront/src/prefill/prefillBacklog.ts
@@ -88,7 +88,7 @@
    * Applies a reported first event. Reports out of order keep earlier prompts queued, since engines and entries may
    * swap neighbours.
    *
-   * @param reportedEngine - engine that sent the first event; undefined if the report does not tell
+   * @param reportedEngine - engine that sent the first event; undefined if the report does not state it
    * @returns the time that the engine took for the prompt; undefined where its begin is not known
    * @example
    * ```ts
--- a/packages/kumquatfront/src/quarantine/crashDetector.ts
+++ b/packages/kumquatfront/src/quarantine/crashDetector.ts
@@ -3,7 +3,7 @@
  *
  * A broken run alone is no evidence of a crash: the connection may have failed, or the instance may have shut down
  * after a termination notice. A run that broke or timed out idle is therefore kept until the instance is confirmed to
- * have crashed: it refuses connections, has restarted, or no longer reports to control. If the instance accepts a
+ * have crashed: it refuses connections, has restarted, or has stopped reporting to control. If the instance accepts a
  * connection, its broken runs are discarded.
  */
 import type * as instanceView from '../instances/instanceView.js';
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.spec.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.spec.ts
@@ -1,5 +1,5 @@
 /**
- * Sends to upstreams that became excluded after they had been chosen are rejected.
+ * Sends to upstreams that became excluded after their selection are rejected.
  */
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
--- a/packages/kumquatfront/src/relay/placementClient.ts
+++ b/packages/kumquatfront/src/relay/placementClient.ts
@@ -212,7 +212,7 @@
    * Notifies open generations that an instance has restarted.
    *
    * Failure: in a network partition the connections to the previous run stay open without data, and callers wait
-   * until their timeout for streams that no longer exist.
+   * until their timeout for streams that have ended.
    */
   onRestart(instance: string): void {
     for (const generation of [...this.openGenerations.values()]) {
--- a/packages/kumquatfront/src/relay/streamContinuation.spec.ts
+++ b/packages/kumquatfront/src/relay/streamContinuation.spec.ts
@@ -28,7 +28,7 @@
   assert.deepEqual(harness.sentCalls[0].call.origin, { service: 'llm', software: 'version v1' });
 });
 
-// Guards against a guess: a stream of which nobody knows where it began may have begun at another version.
+// Guards against a guess: a stream of unknown origin may have begun at another version.
 void test.test('a stream whose origin nobody knows is refused for good', () => {
   const harness = new relayTestHarness.RelayTestHarness(['a']);
   takeUp(harness);
--- a/packages/kumquatfront/src/relay/streamContinuation.ts
+++ b/packages/kumquatfront/src/relay/streamContinuation.ts
@@ -1,6 +1,6 @@
 /**
  * Where one stream may go on: at the software that produced its first event. For a stream that its caller takes up, other
- * processes are asked. What nobody knows is refused, never guessed.
+ * processes are asked. A stream of unknown origin is refused.
  */
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
@@ -12,7 +12,7 @@
 
 const BEGIN_ANEW = 'send the request anew, without a last event';
 
-/** Where a stream may be sent: at the service that was chosen for the request, at another one of its route, or nowhere. */
+/** Where a stream may be sent: at the service that the route selected, at another one of the route, or nowhere. */
 export type Resolution =
   | { readonly state: 'here' }
   | { readonly state: 'elsewhere'; readonly service: trafficTypes.Service }
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -154,7 +154,7 @@
   | 'overloaded'
   | 'noUpstream'
   | 'quarantined'
-  /** Nobody knows which software began the stream that the caller takes up. */
+  /** No process has the origin of the stream that the caller takes up. */
   | 'originUnknown'
   /** No upstream runs the software that began the stream. */
   | 'softwareGone'
--- a/packages/kumquatfront/src/sharedLimits/leaseClient.ts
+++ b/packages/kumquatfront/src/sharedLimits/leaseClient.ts
@@ -122,7 +122,7 @@
    * Makes a limit known. Calling it again for the same key has no effect.
    *
    * @param key - name of the limit, the same at all entries
-   * @param limit - the whole limit
+   * @param limit - the limit of all entries together
    * @param staticUse - returns the use of this entry's static share
    * @example
    * ```ts
--- a/packages/kumquatfront/src/sharedLimits/leaseMessages.ts
+++ b/packages/kumquatfront/src/sharedLimits/leaseMessages.ts
@@ -24,7 +24,7 @@
   readonly used: number;
   /**
    * Part of its static share that the entry will not use for `offerDuration` after sending this. Without the field, its
-   * last offer stays as it is.
+   * last offer stays valid.
    */
   readonly offered?: number;
   /** Number of entries that share the limit, as known to the entry. */
--- a/packages/kumquatfront/src/sharedLimits/limitParts.ts
+++ b/packages/kumquatfront/src/sharedLimits/limitParts.ts
@@ -4,7 +4,7 @@
  *
  * An entry has one of two kinds of share:
  * - Without an offer, its share may be fractional and is rounded at random, so that the sum of these shares varies.
- * - With an offer, it keeps a whole number, and the rest of its entitlement can be lent. Nothing is rounded.
+ * - With an offer, it keeps an integer, and the rest of its entitlement can be lent. Nothing is rounded.
  */
 
 /** A limit that all entries use up together in a sliding window. */
@@ -93,7 +93,7 @@
 }
 
 /**
- * Least whole number that an entry keeps for use without a lease.
+ * Least integer that an entry keeps for use without a lease.
  *
  * @param entries - number of entries that share it, 1 or more
  * @returns an integer, at least 1; 0 if the limit has less than one for each entry, which then offer nothing
--- a/packages/kumquatfront/src/streamOrigins/originHolders.ts
+++ b/packages/kumquatfront/src/streamOrigins/originHolders.ts
@@ -1,5 +1,5 @@
 /**
- * Processes that keep the origin of a stream besides the entry where it began, chosen by rendezvous hashing: control
+ * Processes that keep the origin of a stream besides the entry where it began, by rendezvous hashing: control
  * replicas, which outlive the loss of most entries, and entries, which outlive the loss of control.
  */
 import * as rendezvousHashing from '../utils/rendezvousHashing.js';
--- a/packages/kumquatfront/src/streamOrigins/originLookup.ts
+++ b/packages/kumquatfront/src/streamOrigins/originLookup.ts
@@ -24,7 +24,6 @@
 /**
  * Searches the origin of a stream.
  *
- * @param key - names the stream
  * @param done - called once with the result, unless the search is cancelled
  * @returns cancels the search
  * @example
--- a/packages/kumquatfront/src/streamOrigins/originStore.ts
+++ b/packages/kumquatfront/src/streamOrigins/originStore.ts
@@ -1,5 +1,5 @@
 /**
- * Bounded memory of the origins of streams, until each stream can no longer be taken up.
+ * Bounded memory of the origins of streams, for as long as each stream can be taken up.
  */
 import type * as ports from '../kernel/ports.js';
 import type * as types from './types.js';
--- a/packages/kumquatfront/src/streamOrigins/software.ts
+++ b/packages/kumquatfront/src/streamOrigins/software.ts
@@ -5,11 +5,9 @@
 import type * as types from './types.js';
 
 /**
- * Software of an upstream. Two upstreams that announce no version may run different software, so each of them counts
- * as software of its own.
+ * Software of an upstream. Upstreams that announce no version may run any, and never match.
  *
- * @param instance - the upstream
- * @returns a key that is the same for two upstreams of a service only if they run the same software
+ * @returns a key that two upstreams of a service share only if they run the same software
  * @example
  * ```ts
  * software.of({ ...instance, softwareVersion: 'v1.2' }); // 'version v1.2'
--- a/packages/kumquatfront/src/streamOrigins/streamOrigins.ts
+++ b/packages/kumquatfront/src/streamOrigins/streamOrigins.ts
@@ -12,10 +12,10 @@
 import * as originStore from './originStore.js';
 import type * as types from './types.js';
 
-/** Maximum number of origins that an entry keeps for others, and of its own. */
+/** Maximum number of origins that an entry keeps for others, and for its streams. */
 const CAPACITY = 20_000;
 
-/** Time after the longest attempt in which its caller may still come back. */
+/** Time after the longest attempt in which its caller may still return. */
 const RETURN_TIME: ports.Milliseconds = 15_000;
 
 const EXPIRY_INTERVAL: ports.Milliseconds = 2_000;
--- a/packages/kumquatfront/src/streamOrigins/types.ts
+++ b/packages/kumquatfront/src/streamOrigins/types.ts
@@ -15,7 +15,7 @@
 export interface StreamKey {
   /** Empty if no API key is required. */
   readonly account: string;
-  /** Chosen by the caller, so that two accounts may use the same. */
+  /** Set by the caller, so that two accounts may use the same. */
   readonly attempt: string;
 }
 
--- a/packages/kumquatfront/src/trafficControl/acceptedVersions.ts
+++ b/packages/kumquatfront/src/trafficControl/acceptedVersions.ts
@@ -11,7 +11,7 @@
 const REPORT_ALLOWANCE: ports.Milliseconds = 400;
 
 /**
- * Minimum time to fetch a version after it was first heard of. An entry that was partitioned hears of old changes, and
+ * Minimum time to fetch a version after it was first reported. An entry that was partitioned receives old changes, and
  * fetches them without refusing its callers meanwhile.
  */
 const MINIMUM_FETCH_TIME: ports.Milliseconds = 800;
--- a/packages/kumquatfront/src/trafficControl/entryDirectory.ts
+++ b/packages/kumquatfront/src/trafficControl/entryDirectory.ts
@@ -151,7 +151,7 @@
 
   /**
    * Entries through which another one may send requests: ready ones that reach upstreams, drawn at random, half of them
-   * in its data centre if there are as many. A cut often takes a whole data centre.
+   * in its data centre if there are as many. A cut often affects a complete data centre.
    */
   peersFor(entry: string, dataCentre: string, now: ports.Milliseconds): readonly methods.EntryStatus[] {
     const usable = [...this.entries.values()]
--- a/packages/kumquatfront/src/trafficControl/openWatches.ts
+++ b/packages/kumquatfront/src/trafficControl/openWatches.ts
@@ -2,7 +2,7 @@
  * Open watches of entries at one control replica, and the rules for when each of them is answered.
  *
  * Every entry watches every replica so that a network partition hides no update. If all replicas answered all watches
- * on every change, announcements of a whole fleet after a restart would saturate the replicas. Therefore the replica
+ * on every change, announcements of all instances after a restart would saturate the replicas. Therefore the replica
  * nearest to an entry sends all updates immediately, a backup replica in another data centre sends termination notices,
  * crash records, configurations and the next page of a long update immediately, and all replicas send leader changes and evacuations immediately. All
  * other updates are sent when the watch closes.
--- a/packages/kumquatfront/src/trafficControl/sharedLink.ts
+++ b/packages/kumquatfront/src/trafficControl/sharedLink.ts
@@ -1,6 +1,6 @@
 /**
  * Test double of a VM's incoming link: its connections and those of competing streams share the bandwidth equally, and
- * messages on one connection arrive in order. What was sent occupies the link even if nobody waits for it any more.
+ * messages on one connection arrive in order. What was sent occupies the link even if its receiver has stopped waiting.
  */
 import type * as ports from '../kernel/ports.js';
 import type * as virtualTime from '../kernel/virtualTime.js';
--- a/packages/kumquatfront/src/upstreamPace/completionForecast.ts
+++ b/packages/kumquatfront/src/upstreamPace/completionForecast.ts
@@ -38,7 +38,7 @@
   readonly ownInFlight: number;
   /** Share of recent calls that the upstream turned away. */
   readonly turnedAwayShare: number;
-  /** Lower bound of the slowdown, for an upstream that was slow when it was last heard. */
+  /** Lower bound of the slowdown, for an upstream that was slow in its last answer. */
   readonly minimumSlowdown?: number;
 }
 
--- a/packages/kumquatfront/src/upstreamPace/upstreamPaces.ts
+++ b/packages/kumquatfront/src/upstreamPace/upstreamPaces.ts
@@ -29,12 +29,12 @@
 const PROBE_SHARE = 0.02;
 
 /**
- * An upstream that was slow when it was last heard counts as slow for this time, though its slowdown has decayed. A probe
+ * An upstream that was slow in its last answer counts as slow for this time, though its slowdown has decayed. A probe
  * of any entry ends it sooner.
  */
 const SUSPICION_TIME: ports.Milliseconds = 2_000;
 
-/** Slowdown of an upstream that was slow when it was last heard; above the margin of near equals. */
+/** Slowdown of an upstream that was slow in its last answer; above the margin of near equals. */
 const SUSPECTED_SLOWDOWN = 1.3;
 
 /** A call that was given up counts if it took longer than this factor of the pace; shorter ones may have waited. */
--- a/packages/kumquatfront/src/utils/rendezvousHashing.ts
+++ b/packages/kumquatfront/src/utils/rendezvousHashing.ts
@@ -53,10 +53,7 @@
 /**
  * Picks several names for a key, in the order of their preference.
  *
- * @param key - the key to assign
- * @param candidates - names to pick from
- * @param count - number of names
- * @returns the first names, fewer if there are not as many
+ * @returns at most `count` names
  * @example
  * ```ts
  * const copies = rendezvousHashing.pickSeveral('request-7', ['entry-1', 'entry-2', 'entry-3'], 2);
