One digest of a set of names serves control replicas and entries

The list of entries had a digest of its own beside the same one of control replicas; both are rendezvousHashing.digestOf now, with the same values.

--- a/packages/kumquatfront/src/streamOrigins/holderDirectory.ts
+++ b/packages/kumquatfront/src/streamOrigins/holderDirectory.ts
@@ -26,19 +26,6 @@
   readonly onEntriesChanged: (previous: originHolders.HolderCandidates) => void;
 }
 
-/**
- * Digest of a list of addresses, in any order.
- *
- * @returns a number that is never 0
- * @example
- * ```ts
- * holderDirectory.digestOf(['10.0.0.1:7320', '10.0.0.2:7320']);
- * ```
- */
-export function digestOf(addresses: readonly string[]): number {
-  return Math.max(1, rendezvousHashing.hash([...addresses].sort().join(' ')));
-}
-
 /** Processes that may hold origins; see the module comment. */
 export class HolderDirectory {
   private readonly options: HolderDirectoryOptions;
@@ -77,7 +64,7 @@
       const addresses = result.ok ? (result.val as messages.EntriesAnswer).addresses : undefined;
       if (addresses !== undefined && addresses.length > 0) {
         const previous = this.candidates;
-        this.digest = digestOf(addresses);
+        this.digest = rendezvousHashing.digestOf(addresses);
         this.entries = addresses.filter((address) => address !== peerAddress);
         onEntriesChanged(previous);
       }
--- a/packages/kumquatfront/src/streamOrigins/originTestNetwork.ts
+++ b/packages/kumquatfront/src/streamOrigins/originTestNetwork.ts
@@ -7,7 +7,7 @@
 import * as results from '../kernel/results.js';
 import * as timerService from '../kernel/timerService.js';
 import * as virtualTime from '../kernel/virtualTime.js';
-import * as holderDirectory from './holderDirectory.js';
+import * as rendezvousHashing from '../utils/rendezvousHashing.js';
 import * as messages from './messages.js';
 import * as originKeeper from './originKeeper.js';
 import type * as originStore from './originStore.js';
@@ -76,7 +76,7 @@
     peers.serve(messages.methods.entries, (parameters, reply) => {
       const { digest } = parameters as messages.EntriesRequest;
       const addresses = entries();
-      reply(results.Ok(holderDirectory.digestOf(addresses) === digest ? {} : { addresses }));
+      reply(results.Ok(rendezvousHashing.digestOf(addresses) === digest ? {} : { addresses }));
     });
     return originKeeper.serve({ timers, peers, metrics, capacity: 1_000 });
   }
--- a/packages/kumquatfront/src/trafficControl/controlWatch.ts
+++ b/packages/kumquatfront/src/trafficControl/controlWatch.ts
@@ -232,7 +232,7 @@
       toldVersion: knownVersion,
       toldTerm: this.leader.term,
       toldAtOnce: this.immediateUpdatesFrom(address),
-      controlDigest: watched.control.length === 0 ? 0 : methods.replicaSetDigest(watched.control),
+      controlDigest: watched.control.length === 0 ? 0 : rendezvousHashing.digestOf(watched.control),
       caseRevision: watched.crashRecordRevision,
       evacuationRevision: this.evacuationRevision,
     };
--- a/packages/kumquatfront/src/trafficControl/methods.ts
+++ b/packages/kumquatfront/src/trafficControl/methods.ts
@@ -10,7 +10,6 @@
 import type * as ports from '../kernel/ports.js';
 import type * as placementTypes from '../placement/types.js';
 import type * as quarantineTypes from '../quarantine/types.js';
-import * as rendezvousHashing from '../utils/rendezvousHashing.js';
 
 /** RPC method names. */
 export const methods = {
@@ -154,17 +153,3 @@
 
 /** Placement request as sent to the coordinator. */
 export type PlaceRequest = placementTypes.PlacementRequest;
-
-/**
- * Computes an order-independent digest of a set of control replicas.
- *
- * @param addresses - peer addresses of the replicas
- * @returns the digest; never 0
- * @example
- * ```ts
- * methods.replicaSetDigest(['10.0.0.1:7300', '10.0.0.2:7300']);
- * ```
- */
-export function replicaSetDigest(addresses: readonly string[]): number {
-  return Math.max(1, rendezvousHashing.hash([...addresses].sort().join(' ')));
-}
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -21,7 +21,6 @@
 import * as placementFeatures from '../placement/placementFeatures.js';
 import type * as placementTypes from '../placement/types.js';
 import * as quarantineRegistry from '../quarantine/quarantineRegistry.js';
-import * as holderDirectory from '../streamOrigins/holderDirectory.js';
 import * as originMessages from '../streamOrigins/messages.js';
 import * as originKeeper from '../streamOrigins/originKeeper.js';
 import * as leaseLedger from '../sharedLimits/leaseLedger.js';
@@ -31,6 +30,7 @@
 import type * as trafficTypes from '../traffic/types.js';
 import * as paceTable from '../upstreamPace/paceTable.js';
 import type * as paceTypes from '../upstreamPace/types.js';
+import * as rendezvousHashing from '../utils/rendezvousHashing.js';
 import type * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as appliedConfiguration from './appliedConfiguration.js';
 import * as entryDirectory from './entryDirectory.js';
@@ -277,7 +277,7 @@
     peers.serve(originMessages.methods.entries, (parameters, reply) => {
       const { digest } = parameters as originMessages.EntriesRequest;
       const addresses = this.entries.peerAddresses();
-      const isKnown = holderDirectory.digestOf(addresses) === digest;
+      const isKnown = rendezvousHashing.digestOf(addresses) === digest;
       reply(results.Ok((isKnown ? {} : { addresses }) satisfies originMessages.EntriesAnswer));
     });
   }
@@ -453,7 +453,7 @@
       ...(!isCurrent && {
         instances: this.table.updatesSince(epoch, revision, timers.now(), listing),
       }),
-      ...(methods.replicaSetDigest(control) !== request.controlDigest && { control }),
+      ...(rendezvousHashing.digestOf(control) !== request.controlDigest && { control }),
       trafficVersion: applied.version,
       trafficAge: applied.age,
       fresh: status.fresh,
--- a/packages/kumquatfront/src/utils/rendezvousHashing.ts
+++ b/packages/kumquatfront/src/utils/rendezvousHashing.ts
@@ -66,3 +66,16 @@
     .slice(0, count)
     .map(({ name }) => name);
 }
+
+/**
+ * Computes a digest of a set of names, in any order.
+ *
+ * @returns the digest; never 0
+ * @example
+ * ```ts
+ * rendezvousHashing.digestOf(['10.0.0.1:7300', '10.0.0.2:7300']);
+ * ```
+ */
+export function digestOf(names: readonly string[]): number {
+  return Math.max(1, hash([...names].sort().join(' ')));
+}
