Sight: requestEnded tells how an answer was framed

Logs could not tell an answer whose end is only the end of its connection from one with a length or chunks.

--- a/packages/kumquatfront/src/adapters/singleUseConnection.ts
+++ b/packages/kumquatfront/src/adapters/singleUseConnection.ts
@@ -29,7 +29,11 @@
 
 /** Receives the events of an exchange; unless it is cancelled, the last one is a single `end` or `failed`. */
 export interface ConnectionListener {
-  readonly head: (status: number, headers: readonly relayTypes.Header[]) => void;
+  readonly head: (
+    status: number,
+    headers: readonly relayTypes.Header[],
+    framing: relayTypes.BodyFraming,
+  ) => void;
   readonly data: (bytes: Uint8Array) => void;
   readonly end: () => void;
   readonly failed: (failure: relayTypes.ExchangeFailure, reason: string) => void;
@@ -62,10 +66,16 @@
   };
 }
 
-/** Whether the headers of a response delimit its body, so that its end does not depend on the connection. */
-function hasExplicitLength(incoming: http.IncomingMessage): boolean {
-  const { headers } = incoming;
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+/** Statuses whose responses have no body. */
+const STATUSES_WITHOUT_BODY: ReadonlySet<number | undefined> = new Set([204, 304]);
+
+function framingOf(method: string, { statusCode, headers }: http.IncomingMessage): relayTypes.BodyFraming {
+  if (headers['transfer-encoding'] !== undefined) {
+    return /\bchunked$/i.test(headers['transfer-encoding'].trim()) ? 'chunked' : 'connection';
+  }
+  const hasLength =
+    headers['content-length'] !== undefined || method === 'HEAD' || STATUSES_WITHOUT_BODY.has(statusCode);
+  return hasLength ? 'length' : 'connection';
 }
 
 /**
@@ -142,6 +152,7 @@
     if (settled) {
       return;
     }
+    const framing = framingOf(request.method, incoming);
     incoming.on('data', (bytes: Buffer) => {
       if (!settled) {
         listener.data(bytes);
@@ -159,10 +170,10 @@
           listener.end();
         }
       };
-      if (hasExplicitLength(incoming)) {
-        finish(false);
-      } else {
+      if (framing === 'connection') {
         checkReset(finish);
+      } else {
+        finish(false);
       }
     });
     incoming.on('error', (error) => {
@@ -173,7 +184,7 @@
         fail('broken', 'the connection closed before the response was complete');
       }
     });
-    listener.head(incoming.statusCode ?? 0, rawHeaders.toPairs(incoming.rawHeaders));
+    listener.head(incoming.statusCode ?? 0, rawHeaders.toPairs(incoming.rawHeaders), framing);
   });
   outgoing.on('close', () => {
     if (response === undefined) {
--- a/packages/kumquatfront/src/adapters/trafficHttp.spec.ts
+++ b/packages/kumquatfront/src/adapters/trafficHttp.spec.ts
@@ -15,7 +15,7 @@
 import * as trafficHttp from './trafficHttp.js';
 
 const HEAD: relayTypes.ResponseHead = {
-  ...{ status: 200, headers: [], notRun: false, matchesRequest: true, signed: false },
+  ...{ status: 200, headers: [], notRun: false, matchesRequest: true, signed: false, framing: 'length' },
 };
 const PIECE = Buffer.alloc(256 * 1_024, 'x');
 
--- a/packages/kumquatfront/src/peerRelay/messages.ts
+++ b/packages/kumquatfront/src/peerRelay/messages.ts
@@ -84,7 +84,11 @@
 
 /** One event of the response; `end` and `failed` are the last. */
 export type RelayEvent =
-  | { readonly kind: 'head'; readonly head: relayTypes.ResponseHead }
+  | {
+      readonly kind: 'head';
+      /** Entries of earlier releases send no framing. */
+      readonly head: Omit<relayTypes.ResponseHead, 'framing'> & { readonly framing?: relayTypes.BodyFraming };
+    }
   /** Base64. */
   | { readonly kind: 'data'; readonly bytes: string }
   | { readonly kind: 'end' }
--- a/packages/kumquatfront/src/peerRelay/relayedExchange.ts
+++ b/packages/kumquatfront/src/peerRelay/relayedExchange.ts
@@ -251,7 +251,7 @@
     switch (event.kind) {
       case 'head':
         this.options.onReached(this.call.instance.identity);
-        listener.head({ ...event.head, relayed: true });
+        listener.head({ ...event.head, framing: event.head.framing ?? 'length', relayed: true });
         break;
       case 'data':
         listener.data(Buffer.from(event.bytes, 'base64'));
--- a/packages/kumquatfront/src/relay/bufferedExchange.ts
+++ b/packages/kumquatfront/src/relay/bufferedExchange.ts
@@ -266,6 +266,7 @@
       outcome: 'answered',
       status: head.status,
       upstream: instance?.identity,
+      framing: head.framing,
       sends: this.sendCount,
     });
   }
--- a/packages/kumquatfront/src/relay/relayTestHarness.ts
+++ b/packages/kumquatfront/src/relay/relayTestHarness.ts
@@ -48,6 +48,7 @@
   notRun: false,
   matchesRequest: true,
   signed: true,
+  framing: 'chunked',
   headers: [],
 };
 
--- a/packages/kumquatfront/src/relay/streamDelivery.ts
+++ b/packages/kumquatfront/src/relay/streamDelivery.ts
@@ -31,6 +31,11 @@
     this.head ??= head;
   }
 
+  /** Framing of the response whose head the caller has; undefined before the head. */
+  get framing(): types.BodyFraming | undefined {
+    return this.head?.framing;
+  }
+
   private begin(): void {
     if (!this.started && this.head !== undefined) {
       this.started = true;
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -348,7 +348,8 @@
     this.delivery.end(remainder);
     this.continuation.recordComplete();
     this.closeSegment(segment);
-    this.finish({ outcome: 'answered', upstream: segment.instance.identity });
+    const bytesAfterLastEvent = remainder.length > 0 ? remainder.length : undefined;
+    this.finish({ outcome: 'answered', upstream: segment.instance.identity, bytesAfterLastEvent });
   }
 
   /** Moves the run to another engine; `done` is called when the source can start the next move. */
--- a/packages/kumquatfront/src/relay/streamLogSummary.ts
+++ b/packages/kumquatfront/src/relay/streamLogSummary.ts
@@ -36,7 +36,7 @@
 ): ports.LogFields {
   const { callerTimeout, arrivedAt } = routed.request;
   const { produced, sends, moves } = counts;
-  const { lastEvent, firstEventAt } = delivery;
+  const { lastEvent, firstEventAt, framing } = delivery;
   return {
     rank: attributes?.rank,
     patience: callerTimeout,
@@ -47,6 +47,7 @@
     sends,
     moves,
     lastEvent,
+    framing,
     firstEvent: firstEventAt === undefined ? undefined : Math.round(firstEventAt - arrivedAt),
     longestPause: Math.round(delivery.longestPause),
   };
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -67,6 +67,12 @@
   readonly dataCentres?: readonly string[];
 }
 
+/**
+ * How a response tells where its body ends (RFC 9112, section 6.3): by a length, by its last chunk, or only by the end of
+ * its connection.
+ */
+export type BodyFraming = 'length' | 'chunked' | 'connection';
+
 /** Status, headers and signals of an upstream's response. */
 export interface ResponseHead {
   readonly status: number;
@@ -76,6 +82,7 @@
   readonly matchesRequest: boolean;
   /** True if the response carries a valid signature of an upstream. */
   readonly signed: boolean;
+  readonly framing: BodyFraming;
   /** Headers that are forwarded to the caller. */
   readonly headers: readonly Header[];
   /** Load as the upstream reports it, with values that may be implausible; undefined if it reports none. */
