--- a/packages/kumquatfront/src/relay/relayTestHarness.ts
+++ b/packages/kumquatfront/src/relay/relayTestHarness.ts
@@ -71,6 +71,13 @@
   tokensPerEvent: 4,
 };
 
+/** Replaces the upstreams of the harness, for instance by servers on loopback connections. */
+export interface OtherUpstreams {
+  readonly port: types.UpstreamPort;
+  /** Address of each instance, in the order of their names. */
+  readonly addresses: readonly string[];
+}
+
 /** Test harness of the relay; see the module comment. */
 export class RelayTestHarness {
   readonly time = new virtualTime.VirtualTime();
@@ -91,6 +98,8 @@
   readonly placements: string[] = [];
   /** True while control answers no questions about origins of streams. */
   isControlLost = false;
+  /** What a check of an upstream's address finds. */
+  checkResult: types.ConnectionCheckResult = 'accepted';
   /** Forecast of the first event in the coordinator's answers. */
   firstEventIn: ports.Milliseconds | undefined;
   readonly context: exchangeContext.ExchangeContext;
@@ -98,14 +107,14 @@
   private readonly peerHandlers = new Map<string, ports.PeerHandler>();
   private readonly table = new instanceTable.InstanceTable('e');
 
-  constructor(instances: readonly string[], retrySlack = 100) {
+  constructor(instances: readonly string[], retrySlack = 100, otherUpstreams?: OtherUpstreams) {
     const { timers, time } = this;
     const random = seededRandom.create(5);
     const noop = (): void => undefined;
     const log: ports.Log = { debug: noop, info: noop, warn: noop, error: noop };
     const view = new instanceView.InstanceView(noop);
     for (const [index, identity] of instances.entries()) {
-      const address = `10.0.0.${index + 1}:80`;
+      const address = otherUpstreams?.addresses[index] ?? `10.0.0.${index + 1}:80`;
       const base = { service: 'llm', dataCentre: 'a', slots: 24, state: 'ready' as const, warmUpLeft: 0 };
       const softwareVersion = 'v1';
       this.table.applyAnnouncement(
@@ -115,13 +124,12 @@
     }
     view.merge('control', this.table.updatesSince('', 0, 0), 0);
     const metrics = { count: noop, gauge: noop, timing: noop };
+    const upstreams = otherUpstreams?.port ?? this.upstreams();
     const guard = new quarantine.Quarantine({
       timers,
       log,
       metrics,
-      check: (_address, done) => {
-        done('accepted');
-      },
+      check: upstreams.check,
       isTerminating: (identity) => view.get(identity)?.state === 'leaving',
       report: noop,
       onInstanceDown: noop,
@@ -149,7 +157,7 @@
       metrics,
       quarantine: guard,
       upstreams: guardedUpstreams.create({
-        upstreams: this.upstreams(),
+        upstreams,
         timers,
         quarantine: guard,
         signals,
@@ -194,7 +202,7 @@
         };
       },
       check: (_address, done) => {
-        done('accepted');
+        done(this.checkResult);
       },
       copyMemory: (source, target, _request, stop, done) => {
         this.copyRequests.push({ source: source.identity, target: target.identity, stop, done });
