Answers that were broken off do not reach callers as complete

Cause: without a length or chunks the end of the connection was taken for the end of the answer, and the rest of a cut event was delivered before the proper end. Ruled out: resets (told on every framing), moves (no copy was asked for).

Change: relay/answerCompletion.ts decides once, at the gate of all sends: a stream that ends within an event was cut off; an answer that only its connection ends is passed on unless nothing listens at its upstream. Crash records, origins, balancer and ledger follow. Moves do not take the close of a source that may have stopped for its end. Aborts without chunks reset. Stand-ins answer in all framings.

--- a/packages/kumquatfront/src/adapters/httpUpstreams.spec.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.spec.ts
@@ -111,3 +111,16 @@
   assert.equal(reason, 'event too large');
   server.close();
 });
+
+// Guards against a part of an answer that is recorded as the outcome of a call, since a crash ends its connection alike.
+void test.test('an answer that only its connection ends is broken if the service is gone', async () => {
+  const answer = 'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n{}';
+  const running = await serve((socket) => socket.end(answer));
+  assert.equal(await callService(httpUpstreams.createServicePort(), running.target), 'answered');
+  running.close();
+  const crashing = await serve((socket) => {
+    crashing.close();
+    socket.end(answer);
+  });
+  assert.equal(await callService(httpUpstreams.createServicePort(), crashing.target), 'broken');
+});
--- a/packages/kumquatfront/src/adapters/httpUpstreams.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.ts
@@ -13,6 +13,7 @@
 import type * as orders from '../orders/types.js';
 import type * as streams from '../streams/types.js';
 import * as connectionCheck from './connectionCheck.js';
+import * as systemTime from './systemTime.js';
 
 const CONNECT_TIMEOUT = 1_000;
 const MAXIMUM_RESPONSE_BYTES = 4 * 1024 * 1024;
@@ -254,6 +255,24 @@
   return Buffer.concat(chunks).toString('utf8');
 }
 
+/** True if neither a length nor chunks delimit a response, so that a crash of the service ends it in the same way. */
+function endsWithConnection({ headers }: undici.Dispatcher.ResponseData): boolean {
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
+/** Time for a process that exits to close its listening port after its connections. */
+const EXIT_TIME: ports.Milliseconds = 3;
+
+function isListening(address: string): Promise<boolean> {
+  return new Promise((resolve) => {
+    systemTime.scheduler.after(EXIT_TIME, () => {
+      connectionCheck.run(new URL(address).host, systemTime.scheduler, (result) => {
+        resolve(result !== 'refused');
+      });
+    });
+  });
+}
+
 async function sendServiceCall(
   agent: undici.Agent,
   target: streams.UpstreamTarget,
@@ -274,10 +293,14 @@
     idempotent: false,
   });
   const contentType = response.headers['content-type'];
+  const body = await readLimited(response.body);
+  if (endsWithConnection(response) && !(await isListening(target.address))) {
+    throw new Error('the service crashed as its connection ended');
+  }
   return {
     status: response.statusCode,
     contentType: typeof contentType === 'string' ? contentType : 'application/octet-stream',
-    body: await readLimited(response.body),
+    body,
   };
 }
 
--- a/packages/kumquatfront/src/adapters/trafficHttp.ts
+++ b/packages/kumquatfront/src/adapters/trafficHttp.ts
@@ -175,20 +175,35 @@
 ): relayTypes.CallerPort {
   const { load } = options;
   const { socket } = incoming;
+  const abort = (): void => {
+    // Without chunks an ordinary end of the connection would complete the answer.
+    if (outgoing.headersSent && !outgoing.chunkedEncoding) {
+      socket.resetAndDestroy();
+    }
+    outgoing.destroy();
+  };
   const reader = load?.readers.track({
     request: request.identity,
     unreadBytes: () => outgoing.writableLength,
     queuedBytes: () => queuedBytes(socket),
-    disconnect: () => {
-      outgoing.destroy();
-    },
+    disconnect: abort,
   });
   const ended = load?.openRequest();
   outgoing.once('close', () => {
     reader?.remove();
     ended?.();
   });
-  const writeHead = (status: number, headers: readonly relayTypes.Header[], isComplete = true): void => {
+  const writeHead = (
+    status: number,
+    headers: readonly relayTypes.Header[],
+    framing: relayTypes.BodyFraming,
+    isComplete = true,
+  ): void => {
+    if (framing === 'connection') {
+      // No more is claimed than is known: only the connection ends this answer, as it ended that of the upstream.
+      outgoing.shouldKeepAlive = false;
+      outgoing.useChunkedEncodingByDefault = false;
+    }
     // Must be set before the headers are written, since Node.js then decides whether to keep the connection open.
     outgoing.shouldKeepAlive = outgoing.shouldKeepAlive && !options.isDraining();
     if (isComplete && outgoing.shouldKeepAlive && load?.shouldClose() === true) {
@@ -205,22 +220,25 @@
     refuse: (refusal) => {
       const { status, headers, body } = options.encodeRefusal(request, refusal);
       outgoing.shouldKeepAlive = outgoing.shouldKeepAlive && refusal.closesConnection !== true;
-      writeHead(status, [...headers, ['Content-Length', String(Buffer.byteLength(body))]]);
+      writeHead(status, [...headers, ['Content-Length', String(Buffer.byteLength(body))]], 'length');
       load?.addBytes(body.length);
       outgoing.end(body);
     },
     respond: (head, body) => {
       if (request.method === 'HEAD') {
-        writeHead(head.status, head.headers);
+        writeHead(head.status, head.headers, 'length');
         outgoing.end();
         return;
       }
-      writeHead(head.status, [...withoutLength(head.headers), ['Content-Length', String(body.length)]]);
+      const headers = withoutLength(head.headers);
+      const length: relayTypes.Header = ['Content-Length', String(body.length)];
+      writeHead(head.status, head.framing === 'connection' ? headers : [...headers, length], head.framing);
       load?.addBytes(body.length);
       outgoing.end(body);
     },
     begin: (head) => {
-      writeHead(head.status, withoutLength(head.headers), false);
+      // Chunks also where the upstream sends none: a crash of this process is then told from the end of the stream.
+      writeHead(head.status, withoutLength(head.headers), 'chunked', false);
       outgoing.flushHeaders();
     },
     write: (bytes) => {
@@ -237,9 +255,7 @@
     end: () => {
       outgoing.end();
     },
-    abort: () => {
-      outgoing.destroy();
-    },
+    abort,
     onDisconnect: (callback) => {
       outgoing.on('close', () => {
         if (!outgoing.writableFinished) {
--- a/packages/kumquatfront/src/backPressure/sendPolicy.spec.ts
+++ b/packages/kumquatfront/src/backPressure/sendPolicy.spec.ts
@@ -32,7 +32,10 @@
   const { request } = harness.createRoutedRequest('stream');
   const nothing = (): void => undefined;
   const listener = { head: nothing, data: nothing, end: nothing, failed: nothing };
-  harness.context.upstreams.send({ request, instance, timeLeft: 1_000, origin: undefined }, listener);
+  harness.context.upstreams.send(
+    { request, instance, timeLeft: 1_000, isStream: true, origin: undefined },
+    listener,
+  );
   harness.sentCalls.pop()?.listener.head({ ...relayTestHarness.okHead, signals });
 }
 
@@ -125,6 +128,7 @@
         request: harness.createRoutedRequest('stream').request,
         instance,
         timeLeft: 1_000,
+        isStream: true,
         origin: undefined,
       },
       { head: () => undefined, data: () => undefined, end: () => undefined, failed: () => undefined },
--- a/packages/kumquatfront/src/peerRelay/messages.ts
+++ b/packages/kumquatfront/src/peerRelay/messages.ts
@@ -63,6 +63,8 @@
   };
   readonly instance: instanceTypes.Announcement;
   readonly timeLeft: ports.Milliseconds;
+  /** Absent from entries of earlier releases. */
+  readonly isStream?: boolean;
   readonly account?: string;
   readonly urgency?: number;
   readonly lastEvent?: string;
@@ -156,7 +158,7 @@
   timeLeft: ports.Milliseconds,
   now: ports.Milliseconds,
 ): RelayedCall {
-  const { request, instance, account, urgency, lastEvent, copy, origin, dataCentres } = call;
+  const { request, instance, isStream, account, urgency, lastEvent, copy, origin, dataCentres } = call;
   const { identity, host, path, method, headers, body, callerTimeout, generation } = request;
   return {
     request: {
@@ -166,7 +168,7 @@
       body: Buffer.from(body).toString('base64'),
     },
     instance: encodeInstance(instance, now),
-    ...{ timeLeft, account, urgency, lastEvent, copy, origin, dataCentres },
+    ...{ timeLeft, isStream, account, urgency, lastEvent, copy, origin, dataCentres },
   };
 }
 
@@ -215,9 +217,10 @@
  * ```
  */
 export function decodeCall(sent: RelayedCall, now: ports.Milliseconds): relayTypes.UpstreamCall {
-  const { request, instance, origin, ...rest } = sent;
+  const { request, instance, isStream = request.generation !== undefined, origin, ...rest } = sent;
   return {
     ...rest,
+    isStream,
     origin,
     request: { ...request, body: Buffer.from(request.body, 'base64'), arrivedAt: now },
     instance: decodeInstance(instance, now),
--- a/packages/kumquatfront/src/peerRelay/relayProtocol.spec.ts
+++ b/packages/kumquatfront/src/peerRelay/relayProtocol.spec.ts
@@ -107,6 +107,7 @@
         request: REQUEST,
         instance: messages.decodeInstance(instanceTestHarness.announcement('app-1'), now),
         timeLeft: 1_000,
+        isStream: true,
         origin: undefined,
       },
       {
--- a/packages/kumquatfront/src/quarantine/crashDetector.ts
+++ b/packages/kumquatfront/src/quarantine/crashDetector.ts
@@ -32,6 +32,9 @@
   readonly request: string;
 }
 
+/** What a check tells of an instance whose connection has ended; `unknown` if it does not answer in time. */
+export type InstanceState = 'running' | 'crashed' | 'unknown';
+
 /** The attributes of an upstream instance that a connection check needs. */
 export interface CheckedInstance {
   /** Differs after each start of the upstream. */
@@ -58,27 +61,37 @@
   readonly brokeAt: ports.Milliseconds | undefined;
 }
 
+type CheckDone = (state: InstanceState) => void;
+
 /** Wraps a callback so that it runs exactly once: when called, or after `MAXIMUM_CHECK_WAIT`. */
-function onceWithTimeout(timers: timerService.TimerService, done: () => void): () => void {
+function onceWithTimeout(timers: timerService.TimerService, done: CheckDone): CheckDone {
   let called = false;
-  const call = (): void => {
+  const call: CheckDone = (state) => {
     if (!called) {
       called = true;
       cancel();
-      done();
+      done(state);
     }
   };
-  const cancel = timers.after(MAXIMUM_CHECK_WAIT, call);
+  const cancel = timers.after(MAXIMUM_CHECK_WAIT, () => {
+    call('unknown');
+  });
   return call;
 }
 
+const STATES: Readonly<Record<relayTypes.ConnectionCheckResult, InstanceState>> = {
+  accepted: 'running',
+  refused: 'crashed',
+  unknown: 'unknown',
+};
+
 /** Detects crashes of upstream instances; see the module comment. */
 export class CrashDetector {
   private readonly options: CrashDetectorOptions;
   /** Runs by instance identity, then by run identifier. */
   private readonly runs = new Map<string, Map<number, Run>>();
   /** Callbacks waiting for a pending connection check, by instance identity. */
-  private readonly checking = new Map<string, (() => void)[]>();
+  private readonly checking = new Map<string, CheckDone[]>();
   private lastRunId = 0;
 
   constructor(options: CrashDetectorOptions) {
@@ -106,26 +119,41 @@
   /**
    * Records that a run broke or was aborted as idle, and checks whether its instance still accepts connections.
    *
-   * @param done - called after the check, or synchronously if none is needed
+   * @param done - called after the check, or synchronously if none is made
    */
-  runBroken(instance: CheckedInstance, runId: number, done: () => void): void {
+  runBroken(instance: CheckedInstance, runId: number, done: CheckDone): void {
     const { identity } = instance;
     const run = this.runs.get(identity)?.get(runId);
     if (run === undefined || this.options.isTerminating(identity)) {
       this.runFinished(identity, runId);
-      done();
+      done('unknown');
       return;
     }
     this.runs.get(identity)?.set(runId, { ...run, brokeAt: this.options.timers.now() });
     this.scheduleCheck(instance, onceWithTimeout(this.options.timers, done));
   }
 
+  /**
+   * Records that only the end of its connection ended a run, and checks whether its instance has crashed. An instance that
+   * leaves may be gone after its last answer, so it is not checked.
+   *
+   * @param done - called after the check, or synchronously if none is made
+   */
+  runEnded(instance: CheckedInstance, runId: number, done: CheckDone): void {
+    this.runBroken(instance, runId, (state) => {
+      if (state === 'unknown') {
+        this.runFinished(instance.identity, runId);
+      }
+      done(state);
+    });
+  }
+
   /** Checks an instance that refused a connection; it may have crashed while no run of this entry was on it. */
   instanceUnreachable(instance: CheckedInstance): void {
     this.scheduleCheck(instance, () => undefined);
   }
 
-  private scheduleCheck(instance: CheckedInstance, done: () => void): void {
+  private scheduleCheck(instance: CheckedInstance, done: CheckDone): void {
     const { timers, check } = this.options;
     const { identity } = instance;
     const waiting = this.checking.get(identity);
@@ -145,7 +173,7 @@
           this.discardBrokenRuns(identity);
         }
         for (const callback of callbacks) {
-          callback();
+          callback(STATES[result]);
         }
       });
     });
--- a/packages/kumquatfront/src/quarantine/crashTestHarness.ts
+++ b/packages/kumquatfront/src/quarantine/crashTestHarness.ts
@@ -113,6 +113,9 @@
 
 const PATHS: Readonly<Record<RouteName, string>> = { llm: '/notes/', app: '/stock/', orders: '/orders/' };
 
+/** Framings of answers, in turn. */
+const FRAMINGS: readonly relayTypes.BodyFraming[] = ['length', 'chunked', 'connection'];
+
 /** Names of the control replicas. */
 export const REPLICAS: readonly string[] = ['c1', 'c2', 'c3'];
 
@@ -139,6 +142,7 @@
   private readonly upstreams: Upstream[] = [];
   private readonly cuts = new Map<string, Cut>();
   private requestCount = 0;
+  private answerCount = 0;
 
   /**
    * @param entryCount - number of entries, named `e1`, `e2` and so on
@@ -340,7 +344,8 @@
     const { fragility } = this;
     const isFragile = fragility !== undefined && service === 'app';
     const answer = (plainHead: relayTypes.ResponseHead): void => {
-      const head = isFragile ? withFragility(plainHead, fragility) : plainHead;
+      const framedHead = { ...plainHead, framing: this.nextFraming() };
+      const head = isFragile ? withFragility(framedHead, fragility) : framedHead;
       upstream.runs.delete(run);
       if (this.cutFormOf(entry, upstream.announcement.address) === 'silent') {
         return;
@@ -382,6 +387,11 @@
     });
   }
 
+  private nextFraming(): relayTypes.BodyFraming {
+    this.answerCount += 1;
+    return FRAMINGS[this.answerCount % FRAMINGS.length] ?? 'length';
+  }
+
   private recordRejection(upstream: Upstream, { maximumRejections }: Fragility): void {
     const now = this.time.now();
     upstream.rejections = [...upstream.rejections.filter((at) => now - at < 1_000), now];
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.spec.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.spec.ts
@@ -16,7 +16,7 @@
   const events: string[] = [];
   const { request } = harness.createRoutedRequest('stream');
   harness.context.upstreams.send(
-    { request, instance, timeLeft: 1_000, origin: undefined, dataCentres },
+    { request, instance, timeLeft: 1_000, isStream: true, origin: undefined, dataCentres },
     {
       head: () => events.push('head'),
       data: () => events.push('data'),
@@ -78,7 +78,7 @@
   const noop = (): void => undefined;
   const sendWith = (changes: Partial<relayTypes.UpstreamCall>): void => {
     harness.context.upstreams.send(
-      { request, instance, timeLeft: 1_000, origin: undefined, ...changes },
+      { request, instance, timeLeft: 1_000, isStream: true, origin: undefined, ...changes },
       { head: noop, data: noop, end: noop, failed: (failure) => failures.push(failure) },
     );
     harness.time.advance(1);
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -1,8 +1,8 @@
 /**
  * Wraps the upstream port of an entry with checks that apply to every send: first attempts, retries, hedges, resumed
  * streams and generations that continue from a copy. Rejects quarantined contents, temporarily excluded upstreams,
- * upstreams in regions where the request may not run, and upstreams whose software did not begin the stream; reports the
- * outcome of every run to the crash detector.
+ * upstreams in regions where the request may not run, and upstreams whose software did not begin the stream; decides whether
+ * each answer is complete, and reports the outcome of every run to the crash detector.
  *
  * If a run of a suspected content breaks, its failure is passed on only after the connection check: an exchange would
  * otherwise resend it before the crash that quarantines the content is recorded.
@@ -12,6 +12,7 @@
 import type * as signalRegistry from '../backPressure/signalRegistry.js';
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
+import * as answerCompletion from '../relay/answerCompletion.js';
 import * as responseClassification from '../relay/responseClassification.js';
 import type * as relayTypes from '../relay/types.js';
 import * as software from '../streamOrigins/software.js';
@@ -39,6 +40,8 @@
   private readonly sentAt: ports.Milliseconds;
   private readonly runId: number;
   private succeeded = false;
+  private isRelayed = false;
+  private readonly completion: answerCompletion.AnswerCompletion;
 
   constructor(
     private readonly options: GuardedUpstreamsOptions,
@@ -46,6 +49,7 @@
     private readonly content: string,
   ) {
     const { instance, request } = call;
+    this.completion = new answerCompletion.AnswerCompletion(call.isStream);
     this.sentAt = options.timers.now();
     this.runId = options.quarantine.detector.runStarted(instance.identity, content, request.identity);
   }
@@ -54,6 +58,8 @@
   wrapListener(listener: relayTypes.ExchangeListener): relayTypes.ExchangeListener {
     return {
       head: (head) => {
+        this.completion.recordHead(head);
+        this.isRelayed = head.relayed === true;
         this.succeeded = head.signed && head.status >= 200 && head.status < 300;
         if (responseClassification.isMisdirected(head)) {
           this.options.signals.recordReplaced(this.call.instance);
@@ -65,10 +71,12 @@
         }
         listener.head(head);
       },
-      data: listener.data,
+      data: (bytes) => {
+        this.completion.recordData(bytes);
+        listener.data(bytes);
+      },
       end: () => {
-        this.complete();
-        listener.end();
+        this.onEnd(listener);
       },
       failed: (failure, reason) => {
         if (failure === 'notSent') {
@@ -81,11 +89,45 @@
     };
   }
 
-  private complete(): void {
+  private onEnd(listener: relayTypes.ExchangeListener): void {
+    const completion = this.completion.atEnd();
+    if (completion === 'cutOff') {
+      this.finish(true, () => {
+        listener.failed('broken', 'the stream ended within an event');
+      });
+    } else if (completion === 'unconfirmed' && !this.isRelayed) {
+      this.confirmEnd(listener);
+    } else {
+      this.complete(listener);
+    }
+  }
+
+  private complete(listener: relayTypes.ExchangeListener): void {
     this.finish(false);
     if (this.succeeded) {
       this.options.quarantine.recordAnswer(this.content);
     }
+    listener.end();
+  }
+
+  /** Passes an end that only the connection tells on, unless the upstream has crashed. */
+  private confirmEnd(listener: relayTypes.ExchangeListener): void {
+    const { detector } = this.options.quarantine;
+    detector.runEnded(this.call.instance, this.runId, (state) => {
+      if (this.finished) {
+        return;
+      }
+      if (state === 'running') {
+        this.complete(listener);
+        return;
+      }
+      this.finished = true;
+      if (state === 'crashed') {
+        listener.failed('broken', 'the upstream crashed as the connection ended');
+      } else {
+        listener.end();
+      }
+    });
   }
 
   /**
--- a/packages/kumquatfront/src/relay/brokenAnswers.spec.ts
+++ b/packages/kumquatfront/src/relay/brokenAnswers.spec.ts
@@ -169,3 +169,35 @@
     },
   );
 });
+
+// Guards against a stream to a caller without a length or chunks, which a crash of the entry would end like a whole one.
+void test.test('streams are sent to callers in chunks in whatever framing they come', async () => {
+  for (const framing of FRAMINGS) {
+    const received = await relay({ kind: 'stream', answers: [whole(framing, STREAM)], caller: 'keepAlive' });
+    assert.deepEqual(received, { status: 200, body: STREAM, end: 'complete' }, framing);
+  }
+});
+
+// Guards against a part of a plain answer that is given a length of its own, and so looks whole.
+void test.test('a plain answer that only its connection ends is framed alike for its caller', async () => {
+  await relayInAllForms(
+    'nonIdempotent',
+    () => [whole('connection', 'balance: 12')],
+    (received, form) => {
+      assert.deepEqual(received, { status: 200, body: 'balance: 12', end: 'closed' }, form);
+    },
+    ['connection'],
+  );
+});
+
+// Guards against a crash that ends a plain answer in the ordinary way, and that its caller takes for the whole answer.
+void test.test('a plain answer whose upstream is gone at its end is not passed on', async () => {
+  await relayInAllForms(
+    'nonIdempotent',
+    (framing) => [{ framing, body: 'balance: 12', cutAfter: 4, ending: 'crashes' }],
+    (received, form) => {
+      assert.equal(received.status, 502, form);
+      assert.equal(received.body, 'outcomeUnknown', form);
+    },
+  );
+});
--- a/packages/kumquatfront/src/relay/bufferedExchange.ts
+++ b/packages/kumquatfront/src/relay/bufferedExchange.ts
@@ -194,7 +194,7 @@
     };
     const timeLeft = deadline - now;
     const cancel = upstreams.send(
-      { request, instance, timeLeft, account, origin: undefined, dataCentres },
+      { request, instance, timeLeft, isStream: false, account, origin: undefined, dataCentres },
       listener,
     );
     const attempt: Attempt = { instance, cancel, sentAt: now, release, head: undefined, chunks };
--- a/packages/kumquatfront/src/relay/eventSplitter.ts
+++ b/packages/kumquatfront/src/relay/eventSplitter.ts
@@ -10,18 +10,13 @@
   readonly identity?: string;
 }
 
-const LINE_FEED = 0x0a;
-const CARRIAGE_RETURN = 0x0d;
+/** Sequences that complete an event: the end of its last line, and that of the empty line. */
+const EVENT_TERMINATORS: readonly string[] = ['\n\n', '\n\r\n', '\r\r'];
 
 /** Incremental splitter of one event stream. */
 export class EventSplitter {
   private buffer: Buffer = Buffer.alloc(0);
 
-  /** True if the buffer holds bytes of an incomplete event. */
-  get hasPartialEvent(): boolean {
-    return this.buffer.length > 0;
-  }
-
   /** Appends bytes and returns the events that they complete. */
   push(bytes: Uint8Array): readonly CompleteEvent[] {
     this.buffer = this.buffer.length === 0 ? Buffer.from(bytes) : Buffer.concat([this.buffer, bytes]);
@@ -44,19 +39,19 @@
   }
 
   private findEventEnd(start: number): number {
-    for (let index = this.buffer.indexOf(LINE_FEED, start); index >= 0;) {
-      const next = this.buffer[index + 1] === CARRIAGE_RETURN ? index + 2 : index + 1;
-      if (this.buffer[next] === LINE_FEED) {
-        return next + 1;
+    let first = 0;
+    for (const terminator of EVENT_TERMINATORS) {
+      const index = this.buffer.indexOf(terminator, start, 'latin1');
+      if (index >= 0 && (first === 0 || index + terminator.length < first)) {
+        first = index + terminator.length;
       }
-      index = this.buffer.indexOf(LINE_FEED, index + 1);
     }
-    return 0;
+    return first;
   }
 }
 
 function parseEventId(event: Buffer): string | undefined {
   const text = event.toString('latin1');
-  const found = /(?:^|\n)id: ?([^\r\n]*)/.exec(text);
+  const found = /(?:^|[\r\n])id: ?([^\r\n]*)/.exec(text);
   return found?.[1];
 }
--- a/packages/kumquatfront/src/relay/generationMove.ts
+++ b/packages/kumquatfront/src/relay/generationMove.ts
@@ -19,6 +19,8 @@
   handle: string | undefined;
   /** True while the final copy is in progress. */
   stopping = false;
+  /** True once the source was told to stop. */
+  stopSent = false;
   private readonly source: instanceView.Instance;
   private readonly request: string;
   private readonly upstreams: types.UpstreamPort;
@@ -50,6 +52,7 @@
         return;
       }
       this.stopping = true;
+      this.stopSent = true;
       this.upstreams.copyMemory(this.source, this.target, this.request, true, (last) => {
         this.stopping = false;
         this.onFinalCopy(last, done);
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -261,6 +261,7 @@
       request,
       instance,
       timeLeft: deadline - now,
+      isStream: true,
       account,
       urgency,
       lastEvent: this.delivery.lastEvent,
@@ -286,9 +287,16 @@
         this.onEvent(segment, event);
       },
       completed: (remainder) => {
-        this.onClose(() => {
-          this.onEnd(segment, remainder);
-        });
+        const handleStopped = (): void => {
+          this.recovery.onBroken(segment, 'broken', 'the upstream was told to stop the stream');
+        };
+        const isUnconfirmed = segment.framing === 'connection';
+        this.onClose(
+          () => {
+            this.onEnd(segment, remainder);
+          },
+          isUnconfirmed ? { source: segment.instance.identity, handleStopped } : undefined,
+        );
       },
       errorReceived: (errorResponse) => {
         this.onClose(() => {
@@ -308,8 +316,8 @@
   }
 
   /** Handles the end of a segment, unless a move in progress intercepts it. */
-  private onClose(handleClose: () => void): void {
-    if (!this.moveController.interceptClose(handleClose)) {
+  private onClose(handleClose: () => void, unconfirmed?: streamMove.UnconfirmedClose): void {
+    if (!this.moveController.interceptClose(handleClose, unconfirmed)) {
       handleClose();
     }
   }
@@ -346,10 +354,12 @@
   private onEnd(segment: streamSegment.StreamSegment, remainder: Uint8Array): void {
     this.context.balancer.recordSuccess(segment.instance.identity);
     this.delivery.end(remainder);
-    this.continuation.recordComplete();
+    // A caller that finds a stream incomplete can take it up as long as its origin is known.
+    if (segment.framing !== 'connection') {
+      this.continuation.recordComplete();
+    }
     this.closeSegment(segment);
-    const bytesAfterLastEvent = remainder.length > 0 ? remainder.length : undefined;
-    this.finish({ outcome: 'answered', upstream: segment.instance.identity, bytesAfterLastEvent });
+    this.finish({ outcome: 'answered', upstream: segment.instance.identity });
   }
 
   /** Moves the run to another engine; `done` is called when the source can start the next move. */
--- a/packages/kumquatfront/src/relay/streamMove.ts
+++ b/packages/kumquatfront/src/relay/streamMove.ts
@@ -28,6 +28,13 @@
   readonly resumeFrom: (resumePoint: ResumePoint) => void;
 }
 
+/** The close of a source's stream that may be its end, or follow from the command to stop. */
+export interface UnconfirmedClose {
+  readonly source: string;
+  /** Handles the close of a source that has stopped before its end. */
+  readonly handleStopped: () => void;
+}
+
 type MoveDone = (outcome: placementTypes.MoveOutcome) => void;
 
 /** Moves of one stream, one at a time; see the module comment. */
@@ -35,8 +42,10 @@
   private readonly host: StreamMoveHost;
   private active: generationMove.GenerationMove | undefined;
   private source: instanceView.Instance | undefined;
-  /** Handler of a close that occurred during the final copy. */
-  private deferredClose: (() => void) | undefined;
+  /** Close that occurred during the final copy. */
+  private deferredClose: { readonly handle: () => void; readonly handleStopped: () => void } | undefined;
+  /** Source that was told to stop, and of which it is unknown whether it did. */
+  private possiblyStopped: string | undefined;
   /** Resumes the stream; set while the last events of a stopped source are pending. */
   private resumePending: (() => void) | undefined;
 
@@ -72,15 +81,21 @@
   /**
    * Intercepts the end of the source's stream. Returns true if the move handles it; `handleClose` is then called later
    * if the move was not the cause.
+   *
+   * @param unconfirmed - set if the close alone does not tell whether the stream is complete
    */
-  interceptClose(handleClose: () => void): boolean {
+  interceptClose(handleClose: () => void, unconfirmed?: UnconfirmedClose): boolean {
     if (this.resumePending !== undefined) {
       this.resumePending();
       return true;
     }
     if (this.isStopping) {
       // The source closes its stream for the final copy; only the copy result shows whether the generation ended.
-      this.deferredClose = handleClose;
+      this.deferredClose = { handle: handleClose, handleStopped: unconfirmed?.handleStopped ?? handleClose };
+      return true;
+    }
+    if (unconfirmed !== undefined && unconfirmed.source === this.possiblyStopped) {
+      unconfirmed.handleStopped();
       return true;
     }
     return false;
@@ -115,7 +130,12 @@
         this.active = undefined;
       }
       done(result.ended ? 'ended' : 'failed');
-      deferredClose?.();
+      if (result.ended) {
+        deferredClose?.handle();
+      } else {
+        this.possiblyStopped = move.stopSent ? source.identity : undefined;
+        deferredClose?.handleStopped();
+      }
       return;
     }
     this.active = undefined;
--- a/packages/kumquatfront/src/relay/streamSegment.ts
+++ b/packages/kumquatfront/src/relay/streamSegment.ts
@@ -33,6 +33,8 @@
   readonly instance: instanceView.Instance;
   /** The memory copy that the segment resumes from; undefined for a new run. */
   readonly copy: types.MemoryCopy | undefined;
+  /** Framing of the response; undefined before its head. */
+  framing: types.BodyFraming | undefined;
   /** Number of received events. */
   eventCount = 0;
   /** Longest time between two of its events. */
@@ -108,6 +110,7 @@
   }
 
   private onHead(head: types.ResponseHead, repeatable: boolean, listener: SegmentListener): void {
+    this.framing = head.framing;
     if (head.load !== undefined) {
       listener.loadReported(head.load);
     }
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -55,6 +55,8 @@
   readonly request: TrafficRequest;
   readonly instance: instanceView.Instance;
   readonly timeLeft: ports.Milliseconds;
+  /** True if the answer is an event stream. */
+  readonly isStream: boolean;
   /** Name of the client account; undefined if no API key is required. */
   readonly account?: string;
   /** 0 is the most urgent; undefined for requests other than generations. */
--- a/packages/scenarios/src/scripts/quarantineSafeguards.ts
+++ b/packages/scenarios/src/scripts/quarantineSafeguards.ts
@@ -112,8 +112,8 @@
   {
     name: 'the wait for a connection check is bounded',
     file: 'quarantine/crashDetector.js',
-    find: 'const cancel = timers.after(MAXIMUM_CHECK_WAIT, call);',
-    replace: 'const cancel = () => undefined;',
+    find: "call('unknown');",
+    replace: '',
     scenario: DETECTOR,
   },
   {
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -4,6 +4,7 @@
 
 import * as backPressureSafeguards from './backPressureSafeguards.js';
 import * as callSlotsSafeguards from './callSlotsSafeguards.js';
+import * as completionSafeguards from './completionSafeguards.js';
 import * as configurationDeliverySafeguards from './configurationDeliverySafeguards.js';
 import * as controlSafeguards from './controlSafeguards.js';
 import * as dataCentreSafeguards from './dataCentreSafeguards.js';
@@ -26,6 +27,7 @@
   ...controlSafeguards.controlSafeguards,
   ...configurationDeliverySafeguards.configurationDeliverySafeguards,
   ...relaySafeguards.relaySafeguards,
+  ...completionSafeguards.completionSafeguards,
   ...quarantineSafeguards.quarantineSafeguards,
   ...dataCentreSafeguards.dataCentreSafeguards,
   ...backPressureSafeguards.backPressureSafeguards,
--- a/packages/soak/src/stubInstance.ts
+++ b/packages/soak/src/stubInstance.ts
@@ -5,6 +5,7 @@
 import * as http from 'node:http';
 
 import * as platform from 'kumquatfront-platform';
+import * as standIns from 'kumquatfront-stand-ins';
 
 import * as invariantChecker from './invariantChecker.js';
 
@@ -53,6 +54,9 @@
   private isLeaving = false;
   private coldUntil = 0;
   private readonly coldArrivals: number[] = [];
+  private readonly framings = new standIns.responseFraming.FramingRotation();
+  /** Writes a part of the next event to each open stream. */
+  private readonly streamCuts = new Set<() => void>();
   private controlIndex = 0;
 
   constructor(options: StubInstanceOptions) {
@@ -170,12 +174,14 @@
       return;
     }
     setTimeout(() => {
+      const body = invariantChecker.bodyOf(attempt);
+      this.framings.apply(outgoing, Buffer.byteLength(body));
       outgoing.writeHead(200, {
         [headers.attempt]: attempt,
         [headers.signature]: 's',
         ...this.extraHeaders,
       });
-      outgoing.end(invariantChecker.bodyOf(attempt));
+      outgoing.end(body);
     }, SERVICE_TIME_MS);
   }
 
@@ -186,6 +192,10 @@
     eventCount: number,
     eventOf: (index: number) => string,
   ): void {
+    const events = Array.from({ length: eventCount - lastEvent }, (_, index) =>
+      eventOf(lastEvent + index + 1),
+    );
+    this.framings.apply(outgoing, Buffer.byteLength(events.join('')));
     outgoing.writeHead(200, {
       [headers.attempt]: attempt,
       [headers.signature]: 's',
@@ -201,14 +211,23 @@
         outgoing.end();
       }
     }, EVENT_INTERVAL_MS);
+    const cut = (): void => {
+      outgoing.write(eventOf(index + 1).slice(0, -3));
+    };
+    this.streamCuts.add(cut);
     outgoing.on('close', () => {
       clearInterval(timer);
+      this.streamCuts.delete(cut);
     });
   }
 
+  /** Ends like a process that exits: its streams are cut off within an event. */
   close(): void {
     clearInterval(this.heartbeatTimer);
     this.server.close();
+    for (const cut of this.streamCuts) {
+      cut();
+    }
     this.server.closeAllConnections();
   }
 }
--- a/packages/soak/src/versionedStreams.ts
+++ b/packages/soak/src/versionedStreams.ts
@@ -216,6 +216,11 @@
         });
         response.on('end', () => {
           stream.complete ||= response.statusCode === 200 && response.complete;
+          if (stream.complete && stream.lastEvent < stubInstance.NOTES_EVENTS) {
+            this.options.checker.violations.push(
+              `${identity} was complete for its caller after event ${stream.lastEvent}`,
+            );
+          }
         });
         response.on('error', finish);
       });
--- a/packages/standIns/src/engine/engineHttp.ts
+++ b/packages/standIns/src/engine/engineHttp.ts
@@ -5,6 +5,7 @@
 
 import * as kumquatfront from 'kumquatfront';
 
+import * as responseFraming from '../responseFraming.js';
 import * as engineModel from './engineModel.js';
 import * as orderReceiver from './orderReceiver.js';
 import * as requestParser from './requestParser.js';
@@ -95,7 +96,10 @@
   });
 }
 
+const framings = new responseFraming.FramingRotation();
+
 function openStream(response: http.ServerResponse): void {
+  framings.apply(response);
   response.writeHead(200, { 'content-type': 'text/event-stream' });
   response.flushHeaders();
 }
--- a/packages/standIns/src/index.ts
+++ b/packages/standIns/src/index.ts
@@ -8,6 +8,7 @@
 export * as httpPoster from './announcer/httpPoster.js';
 export * as orderReceiver from './engine/orderReceiver.js';
 export * as requestParser from './engine/requestParser.js';
+export * as responseFraming from './responseFraming.js';
 export * as serviceHttp from './service/serviceHttp.js';
 export * as serviceModel from './service/serviceModel.js';
 export * as weightStoreModel from './weightStore/weightStoreModel.js';
--- a/packages/standIns/src/service/serviceHttp.ts
+++ b/packages/standIns/src/service/serviceHttp.ts
@@ -5,6 +5,7 @@
 
 import * as kumquatfront from 'kumquatfront';
 
+import * as responseFraming from '../responseFraming.js';
 import type * as serviceModel from './serviceModel.js';
 
 /**
@@ -18,6 +19,7 @@
  * ```
  */
 export function createServer(model: serviceModel.ServiceModel): http.Server {
+  const framings = new responseFraming.FramingRotation();
   return http.createServer((request, response) => {
     if (request.url === '/stand-in/runs') {
       kumquatfront.httpMessages.sendJson(response, 200, Object.fromEntries(model.runCounts));
@@ -26,6 +28,7 @@
     kumquatfront.httpMessages.readBody(request, () => {
       const key = kumquatfront.httpMessages.header(request, 'idempotency-key') ?? '';
       const body = model.run(request.method ?? 'GET', request.url ?? '/', key);
+      framings.apply(response, Buffer.byteLength(body));
       response.writeHead(200, { 'content-type': 'application/json' });
       response.end(body);
     });
