--- a/packages/kumquatfront/src/backPressure/pausedUpstream.spec.ts
+++ b/packages/kumquatfront/src/backPressure/pausedUpstream.spec.ts
@@ -32,9 +32,11 @@
 
 /** Maximum number of requests that arrive from one entry during a pause requested from that entry. */
 function maximumDuringPause(harness: crashTestHarness.CrashTestHarness, upstream: string): number {
-  const pauseAnswers = harness.answers.filter(({ head, upstream: from }) => from === upstream && head.notRun);
+  const pauseAnswers = harness.upstreams.answers.filter(
+    ({ head, upstream: from }) => from === upstream && head.notRun,
+  );
   const counts = pauseAnswers.map(({ entry, at: askedAt }) => {
-    const within = harness.arrivals.filter(
+    const within = harness.upstreams.arrivals.filter(
       (arrival) =>
         arrival.upstream === upstream &&
         arrival.entry === entry &&
@@ -49,7 +51,8 @@
   void test.test(`an upstream that asks for a pause receives no requests during it (${service})`, () => {
     const harness = new crashTestHarness.CrashTestHarness(7, { llm: 4, app: 4 }, () => 'served');
     harness.generateLoad(service, 24, 4_000);
-    harness.headOf = (upstream) => (upstream === `${service}-1` ? pauseRefusal : relayTestHarness.okHead);
+    harness.upstreams.headOf = (upstream) =>
+      upstream === `${service}-1` ? pauseRefusal : relayTestHarness.okHead;
     harness.generateLoad(service, 24, 12_000);
     const maximum = maximumDuringPause(harness, `${service}-1`);
     assert.ok(maximum <= MAXIMUM_DURING_PAUSE, `${maximum} requests during a pause`);
@@ -59,16 +62,16 @@
 // Control still lists the upstream as ready, because its termination notice has not arrived.
 void test.test('an upstream that announces its shutdown in an answer receives no further requests', () => {
   const harness = new crashTestHarness.CrashTestHarness(7, { llm: 1, app: 4 }, () => 'served');
-  harness.headOf = (upstream) => (upstream === 'app-1' ? leaving : relayTestHarness.okHead);
+  harness.upstreams.headOf = (upstream) => (upstream === 'app-1' ? leaving : relayTestHarness.okHead);
   harness.generateLoad('app', 24, 12_000);
   const announcedAt = new Map<string, ports.Milliseconds>();
-  for (const { entry, upstream, at } of harness.answers) {
+  for (const { entry, upstream, at } of harness.upstreams.answers) {
     if (upstream === 'app-1' && !announcedAt.has(entry)) {
       announcedAt.set(entry, at);
     }
   }
   assert.equal(announcedAt.size, 7);
-  const late = harness.arrivals.filter(
+  const late = harness.upstreams.arrivals.filter(
     ({ upstream, entry, at }) => upstream === 'app-1' && at > (announcedAt.get(entry) ?? 0) + DRAIN_LIMIT,
   );
   assert.equal(late.length, 0);
--- a/packages/kumquatfront/src/backPressure/rateLimitedUpstream.spec.ts
+++ b/packages/kumquatfront/src/backPressure/rateLimitedUpstream.spec.ts
@@ -40,13 +40,13 @@
 /** Maximum number of arrivals in any window from entries that have received the limit. */
 function maximumArrivals(harness: crashTestHarness.CrashTestHarness, upstream: string): number {
   const receivedAt = new Map<string, ports.Milliseconds>();
-  for (const { head, upstream: from, entry, at } of harness.answers) {
+  for (const { head, upstream: from, entry, at } of harness.upstreams.answers) {
     if (from === upstream && head.signals?.rateLimit !== undefined && !receivedAt.has(entry)) {
       receivedAt.set(entry, at);
     }
   }
   const from = Math.min(...receivedAt.values()) + ENFORCED_AFTER;
-  const counted = harness.arrivals
+  const counted = harness.upstreams.arrivals
     .filter((arrival) => arrival.upstream === upstream && arrival.at >= from)
     .filter(
       ({ entry, at }) => at >= (receivedAt.get(entry) ?? Number.POSITIVE_INFINITY) + MAXIMUM_TRANSIT_TIME,
@@ -66,7 +66,7 @@
       [`${service}-2`, 1.4],
     ]);
     harness.generateLoad(service, 24, 4_000);
-    harness.headOf = (upstream) => withRateLimit(limits.get(upstream) ?? 1_000);
+    harness.upstreams.headOf = (upstream) => withRateLimit(limits.get(upstream) ?? 1_000);
     harness.generateLoad(service, 24, 16_000);
     for (const [upstream, limit] of limits) {
       const maximum = maximumArrivals(harness, upstream);
@@ -82,10 +82,10 @@
 void test.test('many entries keep a limit that only a few of them have received', () => {
   const harness = new crashTestHarness.CrashTestHarness(75, { llm: 1, app: 4 }, () => 'served');
   harness.generateLoad('app', 100, 3_000);
-  harness.headOf = (upstream) => withRateLimit(upstream === 'app-1' ? 2 : 1_000);
+  harness.upstreams.headOf = (upstream) => withRateLimit(upstream === 'app-1' ? 2 : 1_000);
   const limitedAt = harness.time.now();
   harness.generateLoad('app', 100, 12_000);
-  const later = harness.arrivals.filter(
+  const later = harness.upstreams.arrivals.filter(
     ({ upstream, at }) => upstream === 'app-1' && at >= limitedAt + ENFORCED_AFTER,
   );
   assert.ok(maximumInWindow(later) <= allowedBy(2), `${maximumInWindow(later)} in four seconds`);
@@ -101,20 +101,25 @@
 
 function assertLiftedLimit(seed: number): void {
   const harness = new crashTestHarness.CrashTestHarness(7, { llm: 1, app: 2 }, () => 'served', seed);
-  harness.headOf = (upstream) => withRateLimit(upstream === 'app-1' ? 1 : 1_000);
+  harness.upstreams.headOf = (upstream) => withRateLimit(upstream === 'app-1' ? 1 : 1_000);
   harness.generateLoad('app', 24, 8_000);
-  harness.headOf = () => ({ ...relayTestHarness.okHead, signals: { leaving: false, unreadable: [] } });
+  harness.upstreams.headOf = () => ({
+    ...relayTestHarness.okHead,
+    signals: { leaving: false, unreadable: [] },
+  });
   harness.generateLoad('app', 24, 8_000);
   const liftedAt = harness.time.now();
   harness.generateLoad('app', 24, 4_000);
-  const after = harness.arrivals.filter(({ upstream, at }) => upstream === 'app-1' && at > liftedAt);
+  const after = harness.upstreams.arrivals.filter(
+    ({ upstream, at }) => upstream === 'app-1' && at > liftedAt,
+  );
   assert.equal(new Set(after.map(({ entry }) => entry)).size, 7, `seed ${seed}`);
 }
 
 // No other upstream is left; callers receive a refusal with a retry time immediately.
 void test.test('callers beyond the limit of every upstream are refused immediately', () => {
   const harness = new crashTestHarness.CrashTestHarness(7, { llm: 1, app: 1 }, () => 'served');
-  harness.headOf = () => withRateLimit(2);
+  harness.upstreams.headOf = () => withRateLimit(2);
   harness.generateLoad('app', 10, 10_000);
   const refused = harness.attempts.filter(({ refusal }) => refusal !== undefined);
   assert.ok(refused.length > 50);
--- a/packages/kumquatfront/src/callSlots/fragileUpstreams.spec.ts
+++ b/packages/kumquatfront/src/callSlots/fragileUpstreams.spec.ts
@@ -52,15 +52,15 @@
     }
     system.time.advance(length);
   };
-  system.fragility = { maximumRejections, slots: 1_000 };
+  system.upstreams.fragility = { maximumRejections, slots: 1_000 };
   load(0.2, NOTICE);
-  system.fragility = { maximumRejections, slots: SLOTS };
+  system.upstreams.fragility = { maximumRejections, slots: SLOTS };
   return { system, load };
 }
 
 /** Calls that upstreams ran since a time, as a share of what they can run. */
 function utilization(system: crashTestHarness.CrashTestHarness, from: number): number {
-  const answered = system.answers.filter(({ at, head }) => at >= from && !head.notRun);
+  const answered = system.upstreams.answers.filter(({ at, head }) => at >= from && !head.notRun);
   return answered.length / ((CAPACITY * (system.time.now() - from)) / 1_000);
 }
 
@@ -77,7 +77,10 @@
       assert.ok(served >= 0.95 * calm.length, `${label}: ${served} of ${calm.length} at half of the load`);
       const from = system.time.now();
       load(2, 6_000);
-      assert.ok(system.crashes.length <= ALLOWED_CRASHES, `${label}: ${system.crashes.length} crashes`);
+      assert.ok(
+        system.upstreams.crashes.length <= ALLOWED_CRASHES,
+        `${label}: ${system.upstreams.crashes.length} crashes`,
+      );
       const used = utilization(system, from);
       assert.ok(used >= 0.7, `${label}: ${used.toFixed(2)} of the capacity used at twice the load`);
       system.time.advance(2_000);
@@ -98,7 +101,7 @@
       const { system, load } = createFragileSystem(entries, 2, seed);
       load(1.5, 1_500);
       for (const entry of ['e1', 'e2', 'e3']) {
-        system.cutOff(entry, 'reset');
+        system.upstreams.cutOff(entry, 'reset');
       }
       load(1.5, 2_000);
       system.control.kill(system.control.leader());
@@ -107,11 +110,14 @@
       system.startEntry('e1');
       load(1.5, 1_500);
       for (const entry of ['e1', 'e2', 'e3']) {
-        system.healCut(entry);
+        system.upstreams.healCut(entry);
       }
       load(1.5, 2_000);
       const label = `${entries} entries, seed ${seed}`;
-      assert.ok(system.crashes.length <= ALLOWED_CRASHES, `${label}: ${system.crashes.length} crashes`);
+      assert.ok(
+        system.upstreams.crashes.length <= ALLOWED_CRASHES,
+        `${label}: ${system.upstreams.crashes.length} crashes`,
+      );
       const from = system.time.now();
       load(2, 3_000);
       assert.ok(utilization(system, from) >= 0.7, `${label}: ${utilization(system, from).toFixed(2)} used`);
@@ -123,8 +129,11 @@
 void test.test('calls are sent freely again once upstreams no longer state that they are fragile', () => {
   const { system, load } = createFragileSystem(7, 2);
   load(0.5, 2_000);
-  system.fragility = undefined;
-  system.headOf = () => ({ ...relayTestHarness.okHead, signals: { leaving: false, unreadable: [] } });
+  system.upstreams.fragility = undefined;
+  system.upstreams.headOf = () => ({
+    ...relayTestHarness.okHead,
+    signals: { leaving: false, unreadable: [] },
+  });
   load(0.5, 4_000);
   for (const replica of crashTestHarness.REPLICAS) {
     system.control.kill(replica);
--- a/packages/kumquatfront/src/peerRelay/cutOffEntries.spec.ts
+++ b/packages/kumquatfront/src/peerRelay/cutOffEntries.spec.ts
@@ -80,7 +80,7 @@
       sendLoad(system, 2_000);
       const cutAt = system.time.now();
       for (const entry of cutOff) {
-        system.cutOff(entry, form);
+        system.upstreams.cutOff(entry, form);
       }
       sendLoad(system, DETECTION_TIME + 9_000, 12);
       const end = system.time.now();
@@ -100,7 +100,7 @@
     const cutOff = EXTENTS.some ?? [];
     sendLoad(system, 2_000);
     for (const entry of cutOff) {
-      system.cutOff(entry, form);
+      system.upstreams.cutOff(entry, form);
     }
     const cutAt = system.time.now();
     sendLoad(system, 10_000, 12);
@@ -121,7 +121,7 @@
 /** Attempts that were refused as not run although their content reached an upstream, and calls that arrived twice. */
 function brokenPromises(system: crashTestHarness.CrashTestHarness): readonly string[] {
   const arrivals = new Map<string, number>();
-  for (const { content } of system.arrivals) {
+  for (const { content } of system.upstreams.arrivals) {
     arrivals.set(content, (arrivals.get(content) ?? 0) + 1);
   }
   const orders = system.attempts.filter(({ route }) => route === 'orders');
@@ -143,17 +143,19 @@
       .filter((attempt) => attempt.entry === entry && attempt.startedAt >= from)
       .map(({ content }) => content),
   );
-  return system.arrivals.filter(({ content, entry: sender }) => sent.has(content) && sender !== entry).length;
+  return system.upstreams.arrivals.filter(
+    ({ content, entry: sender }) => sent.has(content) && sender !== entry,
+  ).length;
 }
 
 // Guards against entries that send through others, at the cost of both, after they reach upstreams again.
 void test.test('an entry uses its own links again a second after its cut has ended', () => {
   for (const form of FORMS) {
     const system = createSystem();
-    system.cutOff('e1', form);
+    system.upstreams.cutOff('e1', form);
     sendLoad(system, 5_000);
     assert.ok(relayedOf(system, 'e1', 0) > 10, form);
-    system.healCut('e1');
+    system.upstreams.healCut('e1');
     system.time.advance(1_000);
     const healedAt = system.time.now();
     sendLoad(system, 4_000, 12);
@@ -169,7 +171,7 @@
   () => {
     const system = createSystem();
     for (const entry of system.entryNames) {
-      system.cutOff(entry, 'reset');
+      system.upstreams.cutOff(entry, 'reset');
     }
     sendLoad(system, 3_000);
     const from = system.time.now();
@@ -179,7 +181,7 @@
     assert.match(attempt.refusal?.message ?? '', /reaches no upstream/);
     assert.equal(attempt.refusal?.closesConnection, true);
     for (const entry of system.entryNames) {
-      system.healCut(entry);
+      system.upstreams.healCut(entry);
     }
     system.time.advance(2_000);
     const healedAt = system.time.now();
@@ -197,12 +199,12 @@
 void test.test('an upstream that crashes while entries are cut off is still removed at once', () => {
   const system = createSystem();
   for (const entry of EXTENTS.some ?? []) {
-    system.cutOff(entry, 'reset');
+    system.upstreams.cutOff(entry, 'reset');
   }
   sendLoad(system, 3_000);
-  system.crashOne('app');
+  system.upstreams.crashOne('app');
   sendLoad(system, 1_000, 12);
-  const crashed = system.crashes.map(({ upstream }) => upstream);
+  const crashed = system.upstreams.crashes.map(({ upstream }) => upstream);
   const reported = new Set(system.control.crashReports.flatMap(({ instances }) => instances));
   assert.deepEqual([...reported], crashed);
 });
@@ -216,14 +218,14 @@
       isDeadly(content) ? 'crashes' : 'served',
     );
     for (const entry of ['e1', 'e2', 'e3']) {
-      system.cutOff(entry, 'newRefused');
+      system.upstreams.cutOff(entry, 'newRefused');
     }
     sendLoad(system, 3_000);
     for (let round = 0; round < 30; round += 1) {
       system.sendRequest(`e${1 + (round % 3)}`, 'app', 'deadly');
       sendLoad(system, 500, 20 + round);
     }
-    const crashes = system.crashes.filter(({ content }) => isDeadly(content));
+    const crashes = system.upstreams.crashes.filter(({ content }) => isDeadly(content));
     assert.ok(crashes.length === 3, `${crashes.length} crashes`);
   },
 );
@@ -231,12 +233,12 @@
 // Guards against work in an evacuated data centre that comes through another entry.
 void test.test('nothing is sent into an evacuated data centre through another entry', () => {
   const system = createSystem();
-  system.cutOff('e1', 'silent');
+  system.upstreams.cutOff('e1', 'silent');
   sendLoad(system, 2_000);
   system.control.evacuateOrRestore(system.control.leader(), 'evacuate', 'b');
   const from = system.time.now();
   sendLoad(system, 4_000, 12);
-  const arrived = system.arrivals.filter(({ at, dataCentre }) => at > from && dataCentre === 'b');
+  const arrived = system.upstreams.arrivals.filter(({ at, dataCentre }) => at > from && dataCentre === 'b');
   assert.equal(arrived.length, 0);
   assert.ok(relayedOf(system, 'e1', from) > 10);
 });
@@ -245,14 +247,14 @@
 void test.test('an entry that does not reach one upstream sends only its requests through others', () => {
   for (const form of FORMS) {
     const system = createSystem();
-    system.cutOff('e1', form, (address) => address.startsWith('app-1:'));
+    system.upstreams.cutOff('e1', form, (address) => address.startsWith('app-1:'));
     sendLoad(system, 3_000);
     const from = system.time.now();
     sendLoad(system, 6_000, 12);
     system.time.advance(3_000);
     const { served, all } = servedShare(system, from, system.time.now(), (entry) => entry === 'e1');
     assert.equal(served, all, form);
-    const relayed = system.arrivals.filter(
+    const relayed = system.upstreams.arrivals.filter(
       ({ at, entry, content }) =>
         at > from && entry !== 'e1' && system.attempts.some((a) => a.content === content && a.entry === 'e1'),
     );
@@ -275,18 +277,18 @@
     const cutOff = ['e1', 'e2', 'e4', 'e7'];
     const cutAll = (): void => {
       for (const entry of cutOff) {
-        system.cutOff(entry, form);
+        system.upstreams.cutOff(entry, form);
       }
     };
     const healAll = (): void => {
       for (const entry of cutOff) {
-        system.healCut(entry);
+        system.upstreams.healCut(entry);
       }
     };
     cutAll();
     system.time.after(3_500, () => {
-      system.crashOne('app');
-      system.crashOne('llm');
+      system.upstreams.crashOne('app');
+      system.upstreams.crashOne('llm');
     });
     system.time.after(5_000, () => {
       system.control.kill(system.control.leader());
--- a/packages/kumquatfront/src/quarantine/quarantine.spec.ts
+++ b/packages/kumquatfront/src/quarantine/quarantine.spec.ts
@@ -35,14 +35,14 @@
   harness.time.advance(1_500);
   harness.sendRequest('e2', 'llm', CRASHING_CONTENT);
   harness.time.advance(PROPAGATION_LIMIT);
-  assert.equal(harness.crashes.length, 3);
+  assert.equal(harness.upstreams.crashes.length, 3);
 }
 
 /** Sends the crashing request to an entry; returns true if it is refused without reaching an upstream. */
 function isRefused(harness: crashTestHarness.CrashTestHarness, entry: string): boolean {
-  const arrived = harness.arrivals.length;
+  const arrived = harness.upstreams.arrivals.length;
   const attempt = harness.sendRequest(entry, 'llm', CRASHING_CONTENT);
-  return attempt.outcome === 'quarantined' && harness.arrivals.length === arrived;
+  return attempt.outcome === 'quarantined' && harness.upstreams.arrivals.length === arrived;
 }
 
 function assertRefusedEverywhere(harness: crashTestHarness.CrashTestHarness): void {
@@ -56,7 +56,7 @@
   crashThreeUpstreams(harness);
   assertRefusedEverywhere(harness);
   harness.time.advance(5_000);
-  assert.equal(harness.crashes.length, 3);
+  assert.equal(harness.upstreams.crashes.length, 3);
 });
 
 // The first attempts ran, so they must not be reported as not run. A later one did not run, and a retry would be
@@ -80,7 +80,7 @@
   const other = harness.sendRequest('e3', 'llm', CRASHING_CONTENT, () => undefined, 'school-2');
   assert.notEqual(other.outcome, 'quarantined');
   harness.time.advance(300);
-  assert.equal(harness.arrivals.filter(({ entry }) => entry === 'e3').length, 1);
+  assert.equal(harness.upstreams.arrivals.filter(({ entry }) => entry === 'e3').length, 1);
 });
 
 // Seven callers send it to seven entries before the first crash. Runs in progress may still crash their engines, but no
@@ -94,10 +94,10 @@
     });
   });
   harness.time.advance(5_000);
-  const third = harness.crashes[2]?.at ?? 0;
-  const later = harness.arrivals.filter(({ at }) => at > third + 100);
+  const third = harness.upstreams.crashes[2]?.at ?? 0;
+  const later = harness.upstreams.arrivals.filter(({ at }) => at > third + 100);
   assert.deepEqual(later, []);
-  assert.ok(harness.crashes.length <= 5, `${harness.crashes.length} engines crashed`);
+  assert.ok(harness.upstreams.crashes.length <= 5, `${harness.upstreams.crashes.length} engines crashed`);
 });
 
 // A new entry has no crash records and must not serve before it has received them.
@@ -109,7 +109,7 @@
   harness.sendRequest('e8', 'llm', CRASHING_CONTENT, ({ outcome }) => outcomes.push(outcome));
   harness.time.advance(2_000);
   assert.deepEqual(outcomes, ['quarantined']);
-  assert.equal(harness.crashes.length, 3);
+  assert.equal(harness.upstreams.crashes.length, 3);
 });
 
 // The leader fails right before the third crash; the exchange of crash records needs no quorum.
@@ -121,7 +121,7 @@
   harness.time.advance(450);
   harness.control.kill(harness.control.leader());
   harness.time.advance(PROPAGATION_LIMIT);
-  assert.equal(harness.crashes.length, 3);
+  assert.equal(harness.upstreams.crashes.length, 3);
   assertRefusedEverywhere(harness);
 });
 
@@ -195,8 +195,8 @@
     harness.sendRequest('e2', 'app', `${CRASHING_CONTENT} ${round}`);
     harness.time.advance(STARTUP_LIMIT);
   }
-  assert.equal(harness.crashes.length, 15);
-  assert.equal(harness.arrivals.length, 15);
+  assert.equal(harness.upstreams.crashes.length, 15);
+  assert.equal(harness.upstreams.arrivals.length, 15);
 });
 
 // Control restarts after two crashes. The third is detected by a new entry, which has received the others only if
@@ -205,13 +205,13 @@
   const harness = create();
   harness.sendRequest('e1', 'llm', CRASHING_CONTENT);
   harness.time.advance(1_500);
-  assert.equal(harness.crashes.length, 2);
+  assert.equal(harness.upstreams.crashes.length, 2);
   restartControl(harness);
   harness.startEntry('e8');
   harness.time.advance(STARTUP_LIMIT);
   harness.sendRequest('e8', 'llm', CRASHING_CONTENT);
   harness.time.advance(PROPAGATION_LIMIT);
-  assert.equal(harness.crashes.length, 3);
+  assert.equal(harness.upstreams.crashes.length, 3);
   assertRefusedEverywhere(harness);
 });
 
@@ -222,7 +222,7 @@
     harness.sendRequest(`e${(round % 7) + 1}`, 'llm', `other ${round}`);
     if (round % 5 === 4) {
       harness.time.advance(450);
-      harness.crashOne('llm');
+      harness.upstreams.crashOne('llm');
     }
     harness.time.advance(200);
   }
@@ -259,7 +259,7 @@
   }
   harness.time.advance(150 * gap + 8_000);
   const crashCounts = new Map<string, number>();
-  for (const content of harness.crashes.flatMap(({ otherContents }) => otherContents)) {
+  for (const content of harness.upstreams.crashes.flatMap(({ otherContents }) => otherContents)) {
     crashCounts.set(content, (crashCounts.get(content) ?? 0) + 1);
   }
   const counts = [...crashCounts]
--- a/packages/kumquatfront/src/quarantine/repeatedCrashes.spec.ts
+++ b/packages/kumquatfront/src/quarantine/repeatedCrashes.spec.ts
@@ -46,7 +46,7 @@
 }
 
 function thirdCrashAt(harness: crashTestHarness.CrashTestHarness): number {
-  const third = harness.crashes.filter(({ content }) => content === CRASHING_CONTENT)[
+  const third = harness.upstreams.crashes.filter(({ content }) => content === CRASHING_CONTENT)[
     CRASHES_TO_QUARANTINE - 1
   ];
   assert.ok(third !== undefined, 'fewer upstreams crashed than a quarantine needs');
@@ -54,7 +54,8 @@
 }
 
 function sendsAfter(harness: crashTestHarness.CrashTestHarness, time: number): number {
-  return harness.arrivals.filter(({ content, at }) => content === CRASHING_CONTENT && at > time).length;
+  return harness.upstreams.arrivals.filter(({ content, at }) => content === CRASHING_CONTENT && at > time)
+    .length;
 }
 
 for (const service of ['llm', 'app'] as const) {
--- a/packages/kumquatfront/src/relay/retryBudgetSharing.spec.ts
+++ b/packages/kumquatfront/src/relay/retryBudgetSharing.spec.ts
@@ -31,7 +31,7 @@
 function worstExcess(harness: crashTestHarness.CrashTestHarness): number {
   const seen = new Set<string>();
   const repeats: number[] = [];
-  for (const { content, at } of harness.arrivals) {
+  for (const { content, at } of harness.upstreams.arrivals) {
     if (seen.has(content)) {
       repeats.push(at);
     }
@@ -48,7 +48,7 @@
 function start(seed: number): crashTestHarness.CrashTestHarness {
   const harness = new crashTestHarness.CrashTestHarness(ENTRIES, { llm: 1, app: 5 }, () => 'served', seed);
   const random = seededRandom.create(seed);
-  harness.headOf = (upstream) =>
+  harness.upstreams.headOf = (upstream) =>
     BUSY_UPSTREAMS.has(upstream) && random.next() < BUSY_SHARE
       ? relayTestHarness.notRunHead
       : relayTestHarness.okHead;
--- a/packages/kumquatfront/src/trafficEntry/borrowedRetries.spec.ts
+++ b/packages/kumquatfront/src/trafficEntry/borrowedRetries.spec.ts
@@ -27,7 +27,7 @@
 
 function retriesOf(harness: crashTestHarness.CrashTestHarness): readonly Retries[] {
   const seen = new Set<string>();
-  return harness.arrivals.filter(({ content }) => {
+  return harness.upstreams.arrivals.filter(({ content }) => {
     const isRetry = seen.has(content);
     seen.add(content);
     return isRetry;
@@ -36,7 +36,7 @@
 
 function start(): crashTestHarness.CrashTestHarness {
   const harness = new crashTestHarness.CrashTestHarness(ENTRIES, { llm: 1, app: 3 }, () => 'served');
-  harness.headOf = (_upstream, entry) =>
+  harness.upstreams.headOf = (_upstream, entry) =>
     entry === 'e1' ? relayTestHarness.notRunHead : relayTestHarness.okHead;
   harness.time.advance(WINDOW);
   return harness;
--- a/packages/kumquatfront/src/trafficEntry/evacuatedDataCentre.spec.ts
+++ b/packages/kumquatfront/src/trafficEntry/evacuatedDataCentre.spec.ts
@@ -36,7 +36,9 @@
   dataCentre: string,
   since: ports.Milliseconds,
 ): number {
-  return harness.arrivals.filter((arrival) => arrival.dataCentre === dataCentre && arrival.at > since).length;
+  return harness.upstreams.arrivals.filter(
+    (arrival) => arrival.dataCentre === dataCentre && arrival.at > since,
+  ).length;
 }
 
 void test.test(
@@ -85,7 +87,7 @@
   const since = harness.time.now();
   sendRequests(harness, 4_000);
   assert.equal(countArrivals(harness, 'a', since), 0);
-  assert.ok(harness.arrivals.some((arrival) => arrival.at > since));
+  assert.ok(harness.upstreams.arrivals.some((arrival) => arrival.at > since));
 });
 
 void test.test(
@@ -115,10 +117,10 @@
     harness.control.trafficOf('c1').evacuateOrRestore({ type: 'restore', dataCentre: 'a' }, () => undefined);
     sendRequests(harness, 4_000, 4);
     const { requestsPerSecond, duration } = crashTestTraffic.WARM_UP;
-    const upstreams = new Set(harness.arrivals.map(({ upstream }) => upstream));
+    const upstreams = new Set(harness.upstreams.arrivals.map(({ upstream }) => upstream));
     let afterwards = 0;
     for (const upstream of upstreams) {
-      const arrivals = harness.arrivals.filter(
+      const arrivals = harness.upstreams.arrivals.filter(
         (arrival) => arrival.upstream === upstream && arrival.dataCentre === 'a' && arrival.at > restored,
       );
       const cold = arrivals.filter(({ at }) => at <= restored + duration).length;
--- a/packages/kumquatfront/src/trafficEntry/sharedPaces.spec.ts
+++ b/packages/kumquatfront/src/trafficEntry/sharedPaces.spec.ts
@@ -20,7 +20,7 @@
 }
 
 function shareSince(harness: crashTestHarness.CrashTestHarness, since: number): number {
-  const arrivals = harness.arrivals.filter(({ at }) => at >= since);
+  const arrivals = harness.upstreams.arrivals.filter(({ at }) => at >= since);
   const slow = arrivals.filter(({ upstream }) => upstream === SLOW_UPSTREAM);
   return slow.length / arrivals.length;
 }
@@ -28,7 +28,7 @@
 const load = { running: 1, waiting: 0, slots: 6, slowdown: 1 };
 
 function slowDown(harness: crashTestHarness.CrashTestHarness): void {
-  harness.headOf = (upstream) => {
+  harness.upstreams.headOf = (upstream) => {
     const slowdown = upstream === SLOW_UPSTREAM ? 2.5 : 1;
     return { ...relayTestHarness.okHead, load: { ...load, slowdown } };
   };
@@ -37,7 +37,7 @@
 // Guards against each of many entries finding out for itself that an upstream is slow, with calls that are late.
 void test.test('an upstream that is slow is avoided by entries that have not called it', () => {
   const harness = new crashTestHarness.CrashTestHarness(50, { llm: 1, app: 3 }, () => 'served');
-  harness.headOf = () => ({ ...relayTestHarness.okHead, load });
+  harness.upstreams.headOf = () => ({ ...relayTestHarness.okHead, load });
   sendCalls(harness, 4);
   assert.ok(shareSince(harness, harness.time.now() - 2_000) > 0.2);
   slowDown(harness);
