--- a/packages/kumquatfront/src/entryNode/guardedPlacement.ts
+++ b/packages/kumquatfront/src/entryNode/guardedPlacement.ts
@@ -93,7 +93,7 @@
       const instance = { identity: identityOf(answer.upstream), address };
       this.currentRun = {
         instance,
-        run: contentQuarantine.detector.runStarted(instance.identity, content, request.requestId),
+        run: contentQuarantine.detector.runStarted(instance.identity, { content, parts: [] }, request.requestId),
       };
       done(answer);
     }
--- a/packages/kumquatfront/src/peerRelay/messages.ts
+++ b/packages/kumquatfront/src/peerRelay/messages.ts
@@ -159,10 +159,10 @@
   now: ports.Milliseconds,
 ): RelayedCall {
   const { request, instance, isStream, account, urgency, lastEvent, copy, origin, dataCentres } = call;
-  const { identity, host, path, method, headers, body, callerTimeout, generation } = request;
+  const { identity, host, path, method, headers, body, callerTimeout, generation, sharedParts } = request;
   return {
     request: {
-      ...{ identity, host, path, method, headers, callerTimeout, generation },
+      ...{ identity, host, path, method, headers, callerTimeout, generation, sharedParts },
       lastEvent: request.lastEvent,
       resumes: request.resumes,
       body: Buffer.from(body).toString('base64'),
--- a/packages/kumquatfront/src/quarantine/crashDetector.spec.ts
+++ b/packages/kumquatfront/src/quarantine/crashDetector.spec.ts
@@ -41,7 +41,7 @@
 
   /** Starts and breaks a run of a content on instance `a`. */
   breakRun(content: string): void {
-    const run = this.detector.runStarted('a', content, 'r');
+    const run = this.detector.runStarted('a', { content: content, parts: [] }, 'r');
     this.detector.runBroken(this.instance(), run, () => undefined);
   }
 
@@ -73,7 +73,7 @@
   const harness = new Harness();
   harness.isTerminating = true;
   harness.breakRun('x');
-  harness.detector.runStarted('a', 'y', 'r');
+  harness.detector.runStarted('a', { content: 'y', parts: [] }, 'r');
   harness.time.advance(100);
   harness.changeInstance('gone', 'leaving');
   assert.deepEqual(harness.crashes, []);
@@ -85,7 +85,7 @@
   const harness = new Harness();
   harness.checkResult = 'unknown';
   harness.breakRun('x');
-  harness.detector.runStarted('a', 'y', 'r');
+  harness.detector.runStarted('a', { content: 'y', parts: [] }, 'r');
   harness.time.advance(5_000);
   assert.deepEqual(harness.crashes, []);
   harness.changeInstance('gone');
@@ -115,7 +115,7 @@
 // The run was answered or cancelled by its caller before the crash.
 void test.test('a run that finished before a crash is not reported', () => {
   const harness = new Harness();
-  const run = harness.detector.runStarted('a', 'x', 'r');
+  const run = harness.detector.runStarted('a', { content: 'x', parts: [] }, 'r');
   harness.detector.runFinished('a', run);
   harness.changeInstance('gone');
   assert.deepEqual(harness.crashes, []);
@@ -126,7 +126,7 @@
   const harness = new Harness();
   let calls = 0;
   for (let index = 0; index < 8; index += 1) {
-    const run = harness.detector.runStarted('a', `x${index}`, 'r');
+    const run = harness.detector.runStarted('a', { content: `x${index}`, parts: [] }, 'r');
     harness.detector.runBroken(harness.instance(), run, () => {
       calls += 1;
     });
@@ -154,7 +154,7 @@
     onCrash: () => undefined,
     onInstanceDown: () => undefined,
   });
-  slow.runBroken(harness.instance(), slow.runStarted('a', 'x', 'r'), () => {
+  slow.runBroken(harness.instance(), slow.runStarted('a', { content: 'x', parts: [] }, 'r'), () => {
     calledAt = harness.time.now();
   });
   harness.time.advance(1_000);
--- a/packages/kumquatfront/src/quarantine/crashDetector.ts
+++ b/packages/kumquatfront/src/quarantine/crashDetector.ts
@@ -10,6 +10,7 @@
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
 import type * as relayTypes from '../relay/types.js';
+import type * as requestCauses from './requestCauses.js';
 
 /** Delay before a connection check; lets a process that exits close its listening port after its connections. */
 const CHECK_DELAY: ports.Milliseconds = 3;
@@ -30,6 +31,10 @@
   readonly sign: CrashEvidence;
   /** Identity of the attempt that ran on the instance. */
   readonly request: string;
+  /** Keys of the parts of its prompt. */
+  readonly parts: readonly string[];
+  /** True if the run had produced an event. */
+  readonly hadEvent: boolean;
 }
 
 /** What a check tells of an instance whose connection has ended; `unknown` if it does not answer in time. */
@@ -55,8 +60,9 @@
 }
 
 interface Run {
-  readonly content: string;
+  readonly causes: requestCauses.RequestCauses;
   readonly request: string;
+  readonly hasEvent: boolean;
   /** Time at which the run broke or was aborted as idle; undefined while it runs. */
   readonly brokeAt: ports.Milliseconds | undefined;
 }
@@ -99,14 +105,22 @@
   }
 
   /** Records the start of a run and returns its identifier. */
-  runStarted(instance: string, content: string, request: string): number {
+  runStarted(instance: string, causes: requestCauses.RequestCauses, request: string): number {
     this.lastRunId += 1;
     const runs = this.runs.get(instance) ?? new Map<number, Run>();
     this.runs.set(instance, runs);
-    runs.set(this.lastRunId, { content, request, brokeAt: undefined });
+    runs.set(this.lastRunId, { causes, request, hasEvent: false, brokeAt: undefined });
     return this.lastRunId;
   }
 
+  /** Records that a run has produced an event. */
+  recordEvent(instance: string, runId: number): void {
+    const run = this.runs.get(instance)?.get(runId);
+    if (run !== undefined) {
+      this.runs.get(instance)?.set(runId, { ...run, hasEvent: true });
+    }
+  }
+
   /** Records the end of a run that is no evidence of a crash: it was answered or cancelled. */
   runFinished(instance: string, runId: number): void {
     const runs = this.runs.get(instance);
@@ -195,9 +209,10 @@
     const runs = [...(this.runs.get(instance)?.values() ?? [])];
     this.runs.delete(instance);
     const oldest = this.options.timers.now() - CONFIRMATION_TIMEOUT;
-    for (const { content, request, brokeAt } of runs) {
+    for (const { causes, request, hasEvent: hadEvent, brokeAt } of runs) {
       if (brokeAt === undefined || brokeAt > oldest) {
-        this.options.onCrash({ content, instance, sign: evidence, request });
+        const { content, parts } = causes;
+        this.options.onCrash({ content, instance, sign: evidence, request, parts, hadEvent });
       }
     }
   }
--- a/packages/kumquatfront/src/quarantine/crashTestHarness.ts
+++ b/packages/kumquatfront/src/quarantine/crashTestHarness.ts
@@ -111,6 +111,7 @@
     content: string,
     done: (attempt: Attempt) => void = () => undefined,
     account = 'school-1',
+    sharedParts: readonly string[] = [],
   ): Attempt {
     this.requestCount += 1;
     const attempt: Attempt = {
@@ -127,7 +128,7 @@
       attempt.refusal = refusal;
       done(attempt);
     };
-    this.entries.get(entry)?.handle(this.request(route, content, account), {
+    this.entries.get(entry)?.handle(this.request(route, content, account, sharedParts), {
       refuse: (refusal) => {
         settle(refusal.reason, refusal);
       },
@@ -160,7 +161,12 @@
     this.time.advance(length);
   }
 
-  private request(route: RouteName, content: string, account: string): relayTypes.TrafficRequest {
+  private request(
+    route: RouteName,
+    content: string,
+    account: string,
+    sharedParts: readonly string[],
+  ): relayTypes.TrafficRequest {
     const generation = { promptTokens: 900, outputLimit: 44, lengthHint: 2, prompt: content };
     return {
       identity: `r${this.requestCount}`,
@@ -171,6 +177,7 @@
       body: Buffer.from(content),
       key: account,
       arrivedAt: this.time.now(),
+      sharedParts,
       ...(route === 'llm' && { generation }),
     };
   }
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -17,8 +17,8 @@
 import type * as relayTypes from '../relay/types.js';
 import * as software from '../streamOrigins/software.js';
 import * as residency from '../traffic/residency.js';
-import * as contentDigest from './contentDigest.js';
 import * as quarantine from './quarantine.js';
+import * as requestCauses from './requestCauses.js';
 
 /** The wrapped port and the components that decide what may be sent. */
 export interface GuardedUpstreamsOptions {
@@ -46,12 +46,12 @@
   constructor(
     private readonly options: GuardedUpstreamsOptions,
     private readonly call: relayTypes.UpstreamCall,
-    private readonly content: string,
+    private readonly causes: requestCauses.RequestCauses,
   ) {
     const { instance, request } = call;
     this.completion = new answerCompletion.AnswerCompletion(call.isStream);
     this.sentAt = options.timers.now();
-    this.runId = options.quarantine.detector.runStarted(instance.identity, content, request.identity);
+    this.runId = options.quarantine.detector.runStarted(instance.identity, causes, request.identity);
   }
 
   /** Wraps a listener so that this run observes its events. */
@@ -72,7 +72,7 @@
         listener.head(head);
       },
       data: (bytes) => {
-        this.completion.recordData(bytes);
+        this.onData(bytes);
         listener.data(bytes);
       },
       end: () => {
@@ -89,6 +89,14 @@
     };
   }
 
+  private onData(bytes: Uint8Array): void {
+    const { hasEvent } = this.completion;
+    this.completion.recordData(bytes);
+    if (!hasEvent && this.completion.hasEvent) {
+      this.options.quarantine.detector.recordEvent(this.call.instance.identity, this.runId);
+    }
+  }
+
   private onEnd(listener: relayTypes.ExchangeListener): void {
     const completion = this.completion.atEnd();
     if (completion === 'cutOff') {
@@ -105,7 +113,7 @@
   private complete(listener: relayTypes.ExchangeListener): void {
     this.finish(false);
     if (this.succeeded) {
-      this.options.quarantine.recordAnswer(this.content);
+      this.options.quarantine.recordAnswer(this.causes.content);
     }
     listener.end();
   }
@@ -148,7 +156,7 @@
     if (!mayHaveCrashed) {
       detector.runFinished(instance.identity, this.runId);
       proceed();
-    } else if (quarantineState.verdictOf(this.content) === 'free') {
+    } else if (quarantineState.verdictOf(this.causes.content) === 'free') {
       detector.runBroken(instance, this.runId, () => undefined);
       proceed();
     } else {
@@ -170,8 +178,8 @@
 export function create(options: GuardedUpstreamsOptions): relayTypes.UpstreamPort {
   const { upstreams, timers, quarantine: quarantineState, policy } = options;
   const send: relayTypes.UpstreamPort['send'] = (call, listener) => {
-    const content = contentDigest.forRequest(call.request, call.account ?? '');
-    if (quarantineState.verdictOf(content) === 'quarantined') {
+    const causes = requestCauses.forRequest(call.request, call.account ?? '', call.instance.service);
+    if (quarantineState.verdictOf(causes.content) === 'quarantined') {
       return failAsynchronously(timers, listener, 'quarantined', quarantine.QUARANTINED_MESSAGE);
     }
     const now = timers.now();
@@ -204,7 +212,7 @@
       return failAsynchronously(timers, listener, 'withheld', OTHER_SOFTWARE_MESSAGE);
     }
     policy.recordSent(call.instance, now);
-    const tracked = new TrackedRun(options, call, content);
+    const tracked = new TrackedRun(options, call, causes);
     const cancel = upstreams.send(call, tracked.wrapListener(listener));
     return (reason) => {
       tracked.finish(reason === 'silent');
--- a/packages/kumquatfront/src/quarantine/quarantine.ts
+++ b/packages/kumquatfront/src/quarantine/quarantine.ts
@@ -109,7 +109,7 @@
     return this.store.quarantined;
   }
 
-  private onCrash({ content, instance, sign, request }: crashDetector.DetectedCrash): void {
+  private onCrash({ content, instance, sign, request, parts, hadEvent }: crashDetector.DetectedCrash): void {
     const { timers, log, metrics, report } = this.options;
     if (!this.store.recordCrash(content, instance, timers.now())) {
       return;
@@ -121,6 +121,7 @@
       sign,
       ends: this.store.instancesOf(content).length,
       verdict: this.store.verdictOf(content),
+      ...(parts.length > 0 && { parts: parts.join(' '), hadEvent }),
     });
     metrics.count('quarantine.crashes', 1, { sign });
     report(content);
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -41,6 +41,8 @@
   /** Identity of the attempt that brought the first event of the stream that the caller takes up. */
   readonly resumes?: string;
   readonly generation?: GenerationDemand;
+  /** Identifiers of the parts of the prompt that other requests may share, in order; absent if none is known. */
+  readonly sharedParts?: readonly string[];
 }
 
 /** A copy of a generation's memory from which another engine can resume it. */
