Operators list and lift the quarantine of contents and parts of prompts

GET /-/quarantine at a control replica lists the causes, POST /-/quarantine/lift/CAUSE lifts one, at all replicas and entries without a leader. The quarantine of a replica has a module of its own; trafficControl is 19 lines shorter.

--- a/packages/kumquatfront/src/quarantine/crashRecordStore.ts
+++ b/packages/kumquatfront/src/quarantine/crashRecordStore.ts
@@ -193,6 +193,11 @@
     return this.merge({ content, crashes: [], voidedAge: 0, lapses: stored.lapses }, now);
   }
 
+  /** Voids all crashes of a cause, and its quarantine from the replicated log. */
+  lift(cause: string, now: number): boolean {
+    return this.merge({ content: cause, crashes: [], voidedAge: 0, lapses: 0 }, now);
+  }
+
   /** Quarantines a content from the replicated log, without known crashes; returns true if the record changed. */
   applyAgreedQuarantine(content: string, now: number): boolean {
     return this.merge({ content, crashes: [], imposedAge: 0, lapses: 0 }, now);
--- a/packages/kumquatfront/src/quarantine/promptParts.spec.ts
+++ b/packages/kumquatfront/src/quarantine/promptParts.spec.ts
@@ -234,3 +234,27 @@
   partTestTraffic.send(harness, [SOUND, { parts: [FIRST_PART, 'other'], perSecond: 1 }], 20_000);
   assert.equal(soundRefused(harness), 0);
 });
+
+// Guards against a lift that reaches only some replicas, or that the replicated log undoes.
+void test.test('an operator lists and lifts the quarantine of a part, and all entries follow', () => {
+  let isMended = false;
+  const crashing = partTestTraffic.crashingParts('bad');
+  const harness = create(7, 9, (content) => (isMended ? 'served' : crashing(content)));
+  partTestTraffic.send(harness, [SOUND, { ...CRASHING, until: 12_000 }], 13_000);
+  isMended = true;
+  const { quarantine } = harness.control.trafficOf('c2');
+  const listed = quarantine.list().filter(({ cause }) => cause === 'part:llm/bad');
+  assert.equal(listed[0]?.state, 'quarantined');
+  assert.ok(quarantine.lift('part:llm/bad').ok);
+  assert.ok(quarantine.lift('part:llm/bad').err);
+  harness.time.advance(1_000);
+  const attempts = harness.entryNames.map((entry, index) =>
+    harness.sendRequest(entry, 'llm', `${FIRST_PART}+bad #again ${index}`, undefined, undefined, [
+      FIRST_PART,
+      'bad',
+    ]),
+  );
+  harness.time.advance(ANSWER_TIME);
+  assert.deepEqual([...new Set(attempts.map(({ outcome }) => outcome))], ['served']);
+  assert.deepEqual(harness.control.trafficOf('c1').quarantine.list(), []);
+});
--- a/packages/kumquatfront/src/quarantine/quarantineRegistry.ts
+++ b/packages/kumquatfront/src/quarantine/quarantineRegistry.ts
@@ -8,11 +8,24 @@
 import type * as agreedTypes from '../agreedState/types.js';
 import type * as ports from '../kernel/ports.js';
 import * as crashRecordStore from './crashRecordStore.js';
+import type * as partVerdicts from './partVerdicts.js';
 import type * as types from './types.js';
 
 /** Maximum number of records in an update, so that it arrives over a narrow link within the timeout of a watch. */
 export const MAXIMUM_RECORDS_PER_UPDATE = 32;
 
+/** A quarantine as operators see it. */
+export interface QuarantinedCause {
+  /** Digest of a content, or `part:` with a service and a part of prompts. */
+  readonly cause: string;
+  /** Upstreams that crashed. */
+  readonly crashed: readonly string[];
+  /** Time until it runs out. */
+  readonly timeLeft: ports.Milliseconds;
+  /** State of a part of prompts; absent if a cause that another part explains is let through. */
+  readonly state?: partVerdicts.PartState;
+}
+
 /** Dependencies and limits of the registry. */
 export interface QuarantineRegistryOptions {
   readonly now: () => ports.Milliseconds;
@@ -69,6 +82,36 @@
     return changes.includes(true);
   }
 
+  /** The crash record of a cause; undefined if there is none. */
+  recordOf(cause: string): types.CrashRecord | undefined {
+    return this.store.recordOf(cause, this.options.now());
+  }
+
+  /** Quarantined causes. */
+  list(): readonly QuarantinedCause[] {
+    this.applyAgreedQuarantines();
+    return this.store.quarantined.map((cause) => {
+      const state = this.store.partVerdicts.get(cause)?.state;
+      return {
+        cause,
+        crashed: this.store.instancesOf(cause),
+        timeLeft: Math.round(this.store.timeLeft(cause, this.options.now())),
+        ...(state !== undefined && { state }),
+      };
+    });
+  }
+
+  /** Voids the crashes of a cause; returns false if it is not quarantined. */
+  lift(cause: string): boolean {
+    this.applyAgreedQuarantines();
+    if (this.store.verdictOf(cause) !== 'quarantined') {
+      return false;
+    }
+    this.store.lift(cause, this.options.now());
+    this.proposeChanges();
+    return true;
+  }
+
   /** Periodic work: expires records and proposes changes to the replicated log. */
   tick(): void {
     this.applyAgreedQuarantines();
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -20,7 +20,6 @@
 import * as slotLedger from '../callSlots/slotLedger.js';
 import * as placementFeatures from '../placement/placementFeatures.js';
 import type * as placementTypes from '../placement/types.js';
-import * as quarantineRegistry from '../quarantine/quarantineRegistry.js';
 import * as originMessages from '../streamOrigins/messages.js';
 import * as originKeeper from '../streamOrigins/originKeeper.js';
 import * as leaseLedger from '../sharedLimits/leaseLedger.js';
@@ -37,6 +36,7 @@
 import * as instanceGossip from './instanceGossip.js';
 import * as methods from './methods.js';
 import * as openWatches from './openWatches.js';
+import * as quarantineControl from './quarantineControl.js';
 import * as operatorCalls from './operatorCalls.js';
 
 /** Settings and dependencies of {@link TrafficControl}. */
@@ -91,7 +91,7 @@
   private readonly coordinator: coordinator.Coordinator;
   private readonly entries: entryDirectory.EntryDirectory;
   private readonly watches: openWatches.OpenWatches;
-  private readonly crashRecords: quarantineRegistry.QuarantineRegistry;
+  readonly quarantine: quarantineControl.QuarantineControl;
   private readonly gossip: instanceGossip.InstanceGossip;
   private readonly operatorCalls: operatorCalls.OperatorCalls;
   private readonly fragileServices = new fragileServices.FragileServices();
@@ -131,15 +131,10 @@
         });
       },
     });
-    this.crashRecords = new quarantineRegistry.QuarantineRegistry({
-      now: () => timers.now(),
-      log,
-      metrics,
-      agreed: () => options.state.quarantined,
-      mayLead: () => options.replica.mayLead(),
-      maximumAgreed: options.state.maximumQuarantined,
-      propose: (command) => {
-        this.proposeQuarantineChange(command);
+    this.quarantine = new quarantineControl.QuarantineControl({
+      ...options,
+      notifyEntries: () => {
+        this.wakeWatches();
       },
     });
     this.watches = new openWatches.OpenWatches({
@@ -207,12 +202,6 @@
       this.gossip.mergeGossip((parameters as methods.Gossip).records);
       reply(results.Ok(null));
     });
-    peers.serve(names.crashRecords, (parameters, reply) => {
-      if (this.crashRecords.mergeRecords((parameters as methods.CrashRecordReport).cases)) {
-        this.wakeWatches();
-      }
-      reply(results.Ok(null));
-    });
     peers.serve(names.crashedInstances, (parameters, reply) => {
       this.gossip.removeCrashed(parameters as methods.CrashedInstances);
       reply(results.Ok(null));
@@ -315,14 +304,6 @@
     return this.options.state.evacuations.dataCentres.some((record) => record.dataCentre === dataCentre);
   }
 
-  private proposeQuarantineChange(command: agreedTypes.QuarantineCommand | agreedTypes.ReleaseCommand): void {
-    const { replica: own, log } = this.options;
-    own.propose(command, (result) => {
-      const outcome = result.ok ? 'agreed' : failures.describe(result.val);
-      log.info('caseAgreed', { content: command.content, change: command.type, outcome });
-    });
-  }
-
   /** Applies a report; the result answers a report that carries sums of plain calls. */
   private onReport(report: placementTypes.EntryReport): paceTypes.PaceAnswer | null {
     this.gossip.addReported(report.unlisted);
@@ -395,7 +376,7 @@
     }
     this.logReducedEntries(now);
     this.configuration.reportEntriesBehind();
-    this.crashRecords.tick();
+    this.quarantine.registry.tick();
     this.wakeWatches();
   }
 
@@ -429,7 +410,7 @@
     return {
       trafficVersion: state.traffic?.version ?? 0,
       fresh,
-      crashRecordRevision: this.crashRecords.revision,
+      crashRecordRevision: this.quarantine.registry.revision,
       evacuationRevision: state.evacuations.revision,
       leaderTerm: leader === undefined ? 0 : term,
     };
@@ -445,7 +426,7 @@
     const { evacuations } = state;
     const applied = this.configuration.current();
     const fragile = this.fragileServices.records(timers.now());
-    const crashRecords = this.crashRecords.updatesSince(
+    const crashRecords = this.quarantine.registry.updatesSince(
       epoch === this.table.epoch ? request.caseRevision : 0,
     );
     return {
--- a/packages/scenarios/src/scripts/completionSafeguards.ts
+++ b/packages/scenarios/src/scripts/completionSafeguards.ts
@@ -34,7 +34,7 @@
     name: 'an answer that was cut off voids no crashes',
     file: 'quarantine/guardedUpstreams.js',
     find: "listener.failed('broken', 'the stream ended within an event');",
-    replace: 'this.options.quarantine.recordAnswer(this.content);',
+    replace: 'this.options.quarantine.recordAnswer(this.causes.content);',
     scenario: ENDS,
   },
   {
--- a/packages/scenarios/src/scripts/partSafeguards.ts
+++ b/packages/scenarios/src/scripts/partSafeguards.ts
@@ -85,6 +85,13 @@
     replace: 'contents.forEach',
     scenario: SYSTEM,
   },
+  {
+    name: 'a lift of an operator reaches all replicas',
+    file: 'trafficControl/quarantineControl.js',
+    find: 'this.reporter.reportToAll([cause]);',
+    replace: '',
+    scenario: SYSTEM,
+  },
   {
     name: 'processes keep the same run of those on one upstream',
     file: 'quarantine/crashRecordStore.js',
