--- a/packages/command/src/explain/cause.ts
+++ b/packages/command/src/explain/cause.ts
@@ -39,20 +39,24 @@
   );
 }
 
-/** Lists the crashes recorded for the request's content, with the process that detected each and the time. */
+/** Lists the crashes recorded for the request's content or a part of its prompt, with the process that detected each and the time. */
 function describeQuarantine(lines: Lines, ran: boolean): string {
   const crashLines = lines.filter((line) => line.event === 'crashHeld');
   const crashes = crashLines.map(
     ({ fields, process, time }) =>
       `${fields.upstream ?? '?'} (detected by ${process} at ${time}, ${fields.sign ?? '?'})`,
   );
-  const quarantinedAt = lines.find((line) => line.event === 'quarantined')?.time;
+  const quarantinedAt = lines.find(
+    ({ event }) => event === 'quarantined' || event === 'partQuarantined',
+  )?.time;
+  const parts = lastLineOf(lines, 'requestQuarantined')?.fields.parts;
+  const shared = parts === undefined ? 'the same content' : `${parts} in their prompts`;
   const crashList = crashes.length === 0 ? 'none of these logs contains their records' : crashes.join(', ');
   const when = quarantinedAt === undefined ? '' : ` Quarantined at ${quarantinedAt}.`;
   const ownRun = ran
     ? 'The request had run before; it was not sent again.'
     : 'The request was rejected; nothing ran.';
-  return `Upstreams crashed while they ran requests with the same content: ${crashList}.${when} ${ownRun}`;
+  return `Upstreams crashed while they ran requests with ${shared}: ${crashList}.${when} ${ownRun}`;
 }
 
 function describeRefusal(lines: Lines, refusal: logLine.LogLine): string {
--- a/packages/command/src/explain/explain.spec.ts
+++ b/packages/command/src/explain/explain.spec.ts
@@ -105,6 +105,28 @@
   assert.equal(timeline.lines.filter((line) => line.fields.content === 'c2').length, 0);
 });
 
+// The request has a new content; only a part of its prompt was there at the crashes.
+void test.test(
+  'a request with a quarantined part is explained by the crashes of requests with that part',
+  () => {
+    const others = [
+      `${at(6)} process=entry-2 level=info event=crashHeld request=r7 content=c1 upstream=i-a sign=refusesConnections ends=1 verdict=suspected parts="part:llm/a part:llm/b" hadEvent=false`,
+      `${at(6)} process=entry-2 level=info event=crashHeld request=r9 content=c3 upstream=i-a sign=refusesConnections ends=1 verdict=suspected parts="part:llm/b" hadEvent=true`,
+      `${at(7.1)} process=entry-1 level=warn event=partQuarantined part=part:llm/b ended="i-a i-b i-c"`,
+    ];
+    const own = [
+      `${at(8)} process=entry-1 level=info event=requestQuarantined request=r6 content=c2 parts=part:llm/b ended="i-a i-b i-c" timeLeft=3599000`,
+      `${at(8)} process=entry-1 level=info event=requestRefused request=r6 reason=quarantined message="upstreams ended"`,
+    ];
+    const timeline = requestTimeline.collect('r6', [own.join('\n'), others.join('\n')]);
+    assert.match(
+      cause.describe(timeline),
+      /requests with part:llm\/b in their prompts: i-a \(detected by entry-2 at .*\). Quarantined at 2026-01-01T00:00:07.100Z/,
+    );
+    assert.equal(timeline.lines.filter((line) => line.fields.request === 'r9').length, 0);
+  },
+);
+
 // The request was running on the upstream whose crash caused the quarantine.
 void test.test('the explanation of a quarantined request states that it had run', () => {
   const own = [
--- a/packages/command/src/explain/requestTimeline.ts
+++ b/packages/command/src/explain/requestTimeline.ts
@@ -28,7 +28,15 @@
 ]);
 
 /** Events about crashes recorded for a content and its quarantine, from any process. */
-const CONTENT_EVENTS = new Set(['crashHeld', 'crashesVoid', 'quarantined', 'quarantineLifted', 'caseAgreed']);
+const CONTENT_EVENTS = new Set([
+  'crashHeld',
+  'crashesVoid',
+  'quarantined',
+  'partQuarantined',
+  'quarantineLifted',
+  'quarantineLiftOrdered',
+  'caseAgreed',
+]);
 
 /** Events about the state of a process; only the last one before the request's end is relevant. */
 const STATE_EVENTS = new Set(['coordinatorState', 'trafficInForce', 'controlLost', 'coordinatorChanged']);
@@ -44,6 +52,18 @@
   return [...latest.values()];
 }
 
+/** Content and quarantined parts of the prompt that a line of the request names. */
+function causesOf({ event, fields }: logLine.LogLine): readonly string[] {
+  const parts = event === 'requestQuarantined' ? (fields.parts ?? '').split(' ') : [];
+  return [fields.content ?? '', ...parts].filter((cause) => cause !== '');
+}
+
+/** Content and parts of the prompt to which a crash line applies. */
+function crashCausesOf({ fields }: logLine.LogLine): readonly string[] {
+  const { content = '', part = '', parts = '', hadEvent } = fields;
+  return [content, part, ...(hadEvent === 'false' ? parts.split(' ') : [])];
+}
+
 /**
  * Collects the log lines that concern a request.
  *
@@ -64,9 +84,7 @@
       .flatMap((line) => UPSTREAM_FIELDS.map((field) => line.fields[field] ?? ''))
       .filter((name) => name !== ''),
   );
-  const contents = new Set(
-    ownLines.map((line) => line.fields.content ?? '').filter((content) => content !== ''),
-  );
+  const contents = new Set(ownLines.flatMap(causesOf));
   const endTime = ownLines.at(-1)?.time ?? '';
   const processLines = allLines.filter((line) => processes.has(line.process));
   const upstreamLines = processLines.filter(
@@ -81,7 +99,7 @@
     (line) =>
       CONTENT_EVENTS.has(line.event) &&
       line.fields.request !== request &&
-      contents.has(line.fields.content ?? ''),
+      crashCausesOf(line).some((cause) => contents.has(cause)),
   );
   const leftOut = processLines
     .filter((line) => line.event === 'linesLeftOut')
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.spec.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.spec.ts
@@ -7,6 +7,7 @@
 import type * as instanceView from '../instances/instanceView.js';
 import * as relayTestHarness from '../relay/relayTestHarness.js';
 import type * as relayTypes from '../relay/types.js';
+import * as contentDigest from './contentDigest.js';
 
 function send(
   harness: relayTestHarness.RelayTestHarness,
@@ -109,3 +110,22 @@
   upstreams.copyMemory(source, target, 'r1', true, () => undefined);
   assert.equal(harness.copyRequests.length, 1);
 });
+
+// Guards against a request that is sent to the next upstream before the crash that quarantines it is recorded.
+void test.test('the failure of a suspected request is passed on after the check of its upstream', () => {
+  for (const [crashes, expected] of [
+    [[], ['broken']],
+    [[{ instance: 'x', age: 100 }], []],
+  ] as const) {
+    const harness = new relayTestHarness.RelayTestHarness(['a']);
+    const instance = harness.context.instances.get('a');
+    assert.ok(instance);
+    const content = contentDigest.forRequest(harness.createRoutedRequest('stream').request, '');
+    harness.context.quarantine.mergeRecords([{ content, crashes, lapses: 0 }]);
+    const events = send(harness, instance);
+    harness.sentCalls[0]?.listener.failed('broken', 'reset');
+    assert.deepEqual(events, expected);
+    harness.time.advance(10);
+    assert.deepEqual(events, ['broken']);
+  }
+});
--- a/packages/scenarios/src/scripts/quarantineSafeguards.ts
+++ b/packages/scenarios/src/scripts/quarantineSafeguards.ts
@@ -37,7 +37,7 @@
     file: 'quarantine/guardedUpstreams.js',
     find: "quarantineState.verdictOf(this.causes) === 'free'",
     replace: 'true',
-    scenario: SYSTEM,
+    scenario: 'spec:quarantine/guardedUpstreams',
   },
   {
     name: 'crashes are reported to the control replicas',
