A whole plain answer clears the parts of its prompt; the soak has a part that crashes instances

Only events cleared parts, so that sound parts of plain requests with X-Prompt-Prefix would have been held after three crashes. Test quarantine/guardedUpstreams.spec.ts, red before ('suspected').

--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.spec.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.spec.ts
@@ -129,3 +129,24 @@
     assert.deepEqual(events, ['broken']);
   }
 });
+
+// Guards against parts of plain requests that no answer ever clears, since plain answers have no events.
+void test.test('a whole plain answer clears the parts of its prompt', () => {
+  const harness = new relayTestHarness.RelayTestHarness(['a']);
+  const instance = harness.context.instances.get('a');
+  assert.ok(instance);
+  const causes = { content: 'other', parts: ['part:llm/p'] };
+  harness.context.quarantine.mergeRecords([
+    { content: 'part:llm/p', crashes: [{ instance: 'x', content: 'c', age: 100 }], lapses: 0 },
+  ]);
+  assert.equal(harness.context.quarantine.verdictOf(causes), 'suspected');
+  const request = { ...harness.createRoutedRequest('idempotent').request, sharedParts: ['p'] };
+  const noop = (): void => undefined;
+  harness.context.upstreams.send(
+    { request, instance, timeLeft: 1_000, isStream: false, origin: undefined },
+    { head: noop, data: noop, end: noop, failed: noop },
+  );
+  harness.sentCalls[0]?.listener.head(relayTestHarness.okHead);
+  harness.sentCalls[0]?.listener.end();
+  assert.equal(harness.context.quarantine.verdictOf(causes), 'free');
+});
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -118,11 +118,20 @@
   private complete(listener: relayTypes.ExchangeListener): void {
     this.finish(false);
     if (this.succeeded) {
-      this.options.quarantine.recordAnswer(this.causes.content);
+      this.recordSuccess();
     }
     listener.end();
   }
 
+  private recordSuccess(): void {
+    const { quarantine: quarantineState } = this.options;
+    quarantineState.recordAnswer(this.causes.content);
+    // A whole plain answer shows as much as an event.
+    if (!this.completion.hasEvent) {
+      quarantineState.recordEvent(this.causes, true);
+    }
+  }
+
   /** Passes an end that only the connection tells on, unless the upstream has crashed. */
   private confirmEnd(listener: relayTypes.ExchangeListener): void {
     const { detector } = this.options.quarantine;
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -328,6 +328,7 @@
   streams.stop();
   await backPressure.check({ checker, instances, entryCount: entryHosts.length, waitUntil });
   await crashing.checkQuarantine();
+  await crashing.checkPartQuarantine();
   crashing.stop();
   for (const caller of callers) {
     caller.stop();
