--- a/packages/benchmarks/src/fleet/fleetWorkload.ts
+++ b/packages/benchmarks/src/fleet/fleetWorkload.ts
@@ -58,8 +58,6 @@
 /**
  * Samples one generation request.
  *
- * @param kind - its class
- * @param identity - its identifier
  * @param now - time of the caller's first attempt
  * @returns the request
  * @example
@@ -82,7 +80,6 @@
 /**
  * Samples the time to the next arrival of a Poisson process with a slowly varying rate.
  *
- * @param arrivalsPerSecond - mean arrival rate
  * @param now - milliseconds since the start
  * @returns milliseconds
  * @example
--- a/packages/benchmarks/src/pairedDifference.ts
+++ b/packages/benchmarks/src/pairedDifference.ts
@@ -11,7 +11,6 @@
 /**
  * Compares two series pair by pair, which removes the variation between seeds.
  *
- * @param first - one value per seed
  * @param second - values for the same seeds in the same order
  * @returns mean of `first` minus `second`, and its standard error
  * @example
--- a/packages/benchmarks/src/policy/decisionCost.ts
+++ b/packages/benchmarks/src/policy/decisionCost.ts
@@ -33,7 +33,6 @@
 /**
  * Measures the mean time of urgent and of patient decisions.
  *
- * @param upstreams - number of engines
  * @param runningPerEngine - generations in flight on each engine
  * @returns mean times in microseconds
  * @example
--- a/packages/benchmarks/src/policy/workload.ts
+++ b/packages/benchmarks/src/policy/workload.ts
@@ -82,11 +82,8 @@
 /**
  * Generates a workload with Poisson arrivals.
  *
- * @param deployment - size and traffic of the deployment
  * @param tokensPerSecond - offered load in output tokens per second over all engines
  * @param duration - length of the workload in milliseconds
- * @param seed - seed of the random generator
- * @returns the requests in order of arrival
  * @example
  * ```ts
  * workload.create(workload.tuckshop, 4000, 120_000, 7);
--- a/packages/benchmarks/src/slopes/controlTraffic.ts
+++ b/packages/benchmarks/src/slopes/controlTraffic.ts
@@ -62,7 +62,6 @@
  *
  * @param replicas - number of control replicas
  * @param entries - number of entries
- * @returns the results
  * @example
  * ```ts
  * controlTraffic.measure(3, 64);
--- a/packages/command/src/applyFile.ts
+++ b/packages/command/src/applyFile.ts
@@ -65,7 +65,6 @@
 /**
  * Applies drafts one after another; stops at the first that control refuses.
  *
- * @param client - client for control
  * @param drafts - the parsed objects of the file
  * @returns the result for each object, or the failure of the first that was refused
  * @example
@@ -99,7 +98,6 @@
 /**
  * Compares drafts with the stored objects without changing anything.
  *
- * @param client - client for control
  * @param drafts - the parsed objects of the file
  * @returns the action that applying would take for each object
  * @example
--- a/packages/command/src/burnReport.ts
+++ b/packages/command/src/burnReport.ts
@@ -68,10 +68,8 @@
 /**
  * Computes the burn rates of all objectives.
  *
- * @param objectives - the configured objectives
  * @param countsByEntry - good and bad calls by objective and minute, one item per entry
  * @param wallTime - current time in milliseconds since the Unix epoch
- * @returns the burn rates of each objective
  * @example
  * ```ts
  * const report = burnReport.create(objectives, counts, clock.wall());
--- a/packages/command/src/configurationCommands.ts
+++ b/packages/command/src/configurationCommands.ts
@@ -64,7 +64,6 @@
  *
  * @param kind - kind of object
  * @param name - name of the object; if undefined, all objects of the kind
- * @returns the objects
  * @example
  * ```ts
  * await configurationCommands.get(context, 'market', undefined);
@@ -88,7 +87,6 @@
 /**
  * `delete KIND NAME`: deletes an object if it has not changed since it was read.
  *
- * @param kind - kind of object
  * @param name - name of the object
  * @returns the configuration version that the deletion created
  * @example
--- a/packages/command/src/explain/requestTimeline.ts
+++ b/packages/command/src/explain/requestTimeline.ts
@@ -67,7 +67,6 @@
 /**
  * Collects the log lines that concern a request.
  *
- * @param request - request id
  * @param texts - texts of the logs; a text may mix the lines of several processes
  * @returns the lines; none if no log line contains the request id
  * @example
--- a/packages/command/src/ledger/requestEnding.ts
+++ b/packages/command/src/ledger/requestEnding.ts
@@ -109,7 +109,6 @@
 /**
  * Classifies a request by its final log line.
  *
- * @param line - any log line
  * @param thresholds - times above which an answer counts as late
  * @returns the ending, or undefined if the line is not the final line of a request
  * @example
--- a/packages/command/src/systemCommands.ts
+++ b/packages/command/src/systemCommands.ts
@@ -133,7 +133,6 @@
 /**
  * `addresses --entry URL`: shows the addresses that an entry publishes to callers.
  *
- * @param _context - unused
  * @param entry - URL of any entry
  * @returns the published addresses
  * @example
@@ -190,7 +189,6 @@
  * `evacuate DATACENTRE`, `restore DATACENTRE`: stops or resumes new work for the upstreams of a data centre.
  *
  * @param type - `evacuate` or `restore`
- * @param dataCentre - name of the data centre
  * @returns the data centres that are evacuated after the command
  * @example
  * ```ts
@@ -212,9 +210,7 @@
 /**
  * `order UPSTREAM ACTION TARGET`: orders an upstream to load a model or an adapter, or to change its role.
  *
- * @param upstream - name of the upstream
  * @param action - `loadModel`, `loadAdapter` or `changeRole`
- * @param target - model, adapter or role
  * @returns the order with its fencing number
  * @example
  * ```ts
--- a/packages/daemons/src/settingsFile.ts
+++ b/packages/daemons/src/settingsFile.ts
@@ -11,7 +11,6 @@
  *
  * @param daemon - name of the daemon, for the help text
  * @param parse - parses and validates the text of the file
- * @returns the validated settings
  * @example
  * ```ts
  * const settings = settingsFile.load('kumquatfront-entry', kumquatfront.settingsLoader.parseEntrySettings);
--- a/packages/demo/src/cluster.ts
+++ b/packages/demo/src/cluster.ts
@@ -160,10 +160,8 @@
 /**
  * Starts a deployment: control replicas, four entries, its engines and services.
  *
- * @param deployment - the deployment to start
  * @param folder - folder for settings, logs and data
  * @param controlCount - number of control replicas; three by default
- * @returns the running deployment
  * @example
  * ```ts
  * const running = await cluster.start(deployments.tuckshop, '.demo');
--- a/packages/demo/src/configuring.ts
+++ b/packages/demo/src/configuring.ts
@@ -53,7 +53,6 @@
 /**
  * Applies a configuration file.
  *
- * @param running - the running deployment
  * @param file - path of the configuration file
  * @returns the number of objects, their version and the number of entries where it is in force
  * @example
--- a/packages/kumquatfront/src/adapters/boundedOutput.ts
+++ b/packages/kumquatfront/src/adapters/boundedOutput.ts
@@ -147,8 +147,6 @@
  * Creates an output to a file descriptor of this process.
  *
  * @param descriptor - 1 for standard output
- * @param clock - time source of the rate limit
- * @param scheduler - runs the flushes
  * @returns the output; unwritten lines are written synchronously at process exit
  * @example
  * ```ts
--- a/packages/kumquatfront/src/adapters/connectionCheck.ts
+++ b/packages/kumquatfront/src/adapters/connectionCheck.ts
@@ -13,7 +13,6 @@
  * Opens a TCP connection to an address, reports the result and closes the connection.
  *
  * @param address - `ip:port`
- * @param scheduler - runs the timeout
  * @param done - called once; `refused` only if the connection was actively refused
  * @example
  * ```ts
--- a/packages/kumquatfront/src/adapters/entryHttp.ts
+++ b/packages/kumquatfront/src/adapters/entryHttp.ts
@@ -20,7 +20,6 @@
 /**
  * Creates the HTTP server of an entry.
  *
- * @param settings - the entry's settings
  * @param entry - the entry that handles the requests
  * @returns the server, not yet listening
  * @example
--- a/packages/kumquatfront/src/adapters/httpMessages.ts
+++ b/packages/kumquatfront/src/adapters/httpMessages.ts
@@ -94,7 +94,6 @@
  *
  * @param status - HTTP status code
  * @param value - the value to serialize as the body
- * @param headers - additional headers
  * @example
  * ```ts
  * httpMessages.sendJson(response, 200, { ok: true });
--- a/packages/kumquatfront/src/adapters/httpUpstreams.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.ts
@@ -187,7 +187,6 @@
  * data `[DONE]`, whose id carries the token count. A request has the headers `X-Generation-Id` and `X-Priority`;
  * `GET /v1/generations/{id}?from=index` resumes a generation and `DELETE /v1/generations/{id}` cancels it.
  *
- * @returns the port
  * @example
  * ```ts
  * const ports = { engines: httpUpstreams.createGenerationPort() };
--- a/packages/kumquatfront/src/adapters/keyValueLog.ts
+++ b/packages/kumquatfront/src/adapters/keyValueLog.ts
@@ -20,8 +20,6 @@
 /**
  * Formats a log event.
  *
- * @param level - level of the event
- * @param event - name of the event
  * @param fields - fields of the event; undefined values are omitted
  * @returns the line without a line terminator
  * @example
@@ -48,7 +46,6 @@
  *
  * @param name - name of the process, included in every line
  * @param level - the minimum level that is written
- * @returns the log
  * @example
  * ```ts
  * const log = keyValueLog.create('entry-1', 'info');
--- a/packages/kumquatfront/src/adapters/peerAuthentication.ts
+++ b/packages/kumquatfront/src/adapters/peerAuthentication.ts
@@ -40,7 +40,6 @@
 /**
  * Compares two secrets, such as proofs or key hashes, in time that does not depend on their contents.
  *
- * @param left - the first secret
  * @param right - the second secret
  * @returns true if they are equal
  * @example
--- a/packages/kumquatfront/src/adapters/processLoad.ts
+++ b/packages/kumquatfront/src/adapters/processLoad.ts
@@ -14,10 +14,7 @@
  * Creates the probe. The lag is the time by which timers are late; a throttled processor shows in nothing else. It is
  * weighted by time, since a request meets a long delay more often than a short one.
  *
- * @param clock - source of the time
- * @param scheduler - runs the timer
  * @param residentBytes - memory of the process
- * @returns the probe
  * @example
  * ```ts
  * const probe = processLoad.create(systemTime.clock, systemTime.scheduler, () => process.memoryUsage.rss());
--- a/packages/kumquatfront/src/adapters/singleUseConnection.ts
+++ b/packages/kumquatfront/src/adapters/singleUseConnection.ts
@@ -82,8 +82,6 @@
  * Sends a request on a new connection.
  *
  * @param request - the request and the address of the upstream
- * @param scheduler - runs the connect timeout
- * @param listener - receives the response
  * @returns a function that cancels the exchange and closes its connection
  * @example
  * ```ts
--- a/packages/kumquatfront/src/adapters/statsdMetrics.ts
+++ b/packages/kumquatfront/src/adapters/statsdMetrics.ts
@@ -18,7 +18,6 @@
  *
  * @param settings - address of the collector
  * @param process - name of the process, set as a tag on every metric
- * @returns the metrics
  * @example
  * ```ts
  * const metrics = statsdMetrics.create({ host: '127.0.0.1', port: 8125 }, 'entry-1');
--- a/packages/kumquatfront/src/admission/memoryForecast.ts
+++ b/packages/kumquatfront/src/admission/memoryForecast.ts
@@ -49,9 +49,6 @@
  * Returns the peak memory over all horizons with one more generation added, at a confidence level given in standard
  * deviations.
  *
- * @param forecast - forecast of the running generations
- * @param added - the generation to add
- * @param deviations - number of standard deviations above the mean
  * @returns the peak in tokens
  * @example
  * ```ts
--- a/packages/kumquatfront/src/agreedState/evacuationFailures.ts
+++ b/packages/kumquatfront/src/agreedState/evacuationFailures.ts
@@ -6,7 +6,6 @@
 /**
  * Creates the failure of a command that names an unknown data centre.
  *
- * @param dataCentre - the name in the command
  * @param known - names of the existing data centres
  * @returns a `notFound` failure that lists the existing data centres
  * @example
--- a/packages/kumquatfront/src/backPressure/rateLimitShare.ts
+++ b/packages/kumquatfront/src/backPressure/rateLimitShare.ts
@@ -39,7 +39,6 @@
 /**
  * Number of requests that all entries together may send within `RATE_WINDOW`, as the expected value of their shares.
  *
- * @param perSecond - rate limit in requests per second
  * @param entries - number of entries that share it, 1 or more
  * @returns the expected value, at most what the limit allows
  * @example
--- a/packages/kumquatfront/src/configuration/validation.ts
+++ b/packages/kumquatfront/src/configuration/validation.ts
@@ -88,7 +88,6 @@
 /**
  * Returns the key of an object.
  *
- * @param kind - kind of the object
  * @param name - name of the object
  * @returns `kind/name`
  * @example
@@ -214,7 +213,6 @@
  * Checks that no other object refers to an object to be deleted.
  *
  * @param key - key of the object to delete
- * @param all - all configuration objects
  * @returns null, or a `conflict` failure that names the referring object
  * @example
  * ```ts
--- a/packages/kumquatfront/src/configurationTransfer/textDelta.ts
+++ b/packages/kumquatfront/src/configurationTransfer/textDelta.ts
@@ -44,7 +44,6 @@
  *
  * @param base - the text that the receiver has
  * @param target - the text that the receiver shall have
- * @returns operations for {@link apply}
  * @example
  * ```ts
  * textDelta.create('{"a":1}{"b":2}', '{"a":1}{"b":3}'); // [[0, 1], '{"b":3}']
@@ -71,7 +70,6 @@
  * Applies changes to the text that they were computed from.
  *
  * @param base - the base passed to {@link create}
- * @param operations - the result of {@link create}
  * @returns the target passed to {@link create}
  * @example
  * ```ts
--- a/packages/kumquatfront/src/configurationTransfer/transferPackage.ts
+++ b/packages/kumquatfront/src/configurationTransfer/transferPackage.ts
@@ -39,7 +39,6 @@
 /**
  * Packs a configuration.
  *
- * @param target - the configuration to transfer
  * @param base - the configuration that the receiver has; undefined packs the complete text
  * @returns the package; equal for equal arguments
  * @example
@@ -79,7 +78,6 @@
 /**
  * Unpacks a configuration.
  *
- * @param packed - a package that has arrived in full
  * @param baseText - text of the version `packed.base`; ignored for a complete configuration
  * @returns the configuration, or a `corrupt` failure if the package or the base is not the one that was packed
  * @example
--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -97,7 +97,6 @@
  * Opens the data folder and creates a control replica.
  *
  * @param settings - the replica's settings
- * @param externalPorts - its ports
  * @returns the running replica, or a `corrupt` failure of the data folder
  * @example
  * ```ts
--- a/packages/kumquatfront/src/controlNode/voterSpread.ts
+++ b/packages/kumquatfront/src/controlNode/voterSpread.ts
@@ -36,9 +36,7 @@
 /**
  * Changes the role of some members.
  *
- * @param members - all members
  * @param changed - members whose role changes
- * @param role - the new role
  * @returns all members, in the same order
  * @example
  * ```ts
--- a/packages/kumquatfront/src/entryNode/entryNode.ts
+++ b/packages/kumquatfront/src/entryNode/entryNode.ts
@@ -65,10 +65,8 @@
 /**
  * Creates an entry.
  *
- * @param settings - the entry's settings
  * @param ports - connections to the environment
  * @param createPlacement - creates the placement policy; defaults to placement coordinated among the entries
- * @returns the running entry
  * @example
  * ```ts
  * const entry = entryNode.create(settings, ports);
--- a/packages/kumquatfront/src/entryNode/refusals.ts
+++ b/packages/kumquatfront/src/entryNode/refusals.ts
@@ -74,7 +74,6 @@
  *
  * @param message - what is wrong
  * @param remedy - what to do
- * @returns the refusal
  * @example
  * ```ts
  * caller.refuse(refusals.invalid('The body has no prompt.', 'Add "prompt".'));
--- a/packages/kumquatfront/src/fairShare/engineReservations.ts
+++ b/packages/kumquatfront/src/fairShare/engineReservations.ts
@@ -51,9 +51,6 @@
 /**
  * Selects the engine on which a request will fit first.
  *
- * @param engines - engines on which it may run
- * @param added - memory of its generation
- * @param preferred - engine that is kept for it already
  * @returns identity of the engine; undefined if there is none, or the request fits on one already and waits for
  * something other than memory
  * @example
--- a/packages/kumquatfront/src/fairShare/shareOrder.ts
+++ b/packages/kumquatfront/src/fairShare/shareOrder.ts
@@ -32,8 +32,6 @@
  * account, and all requests where only one account waits, keep their order.
  *
  * @param items - requests, sorted by class and then by their order without shares
- * @param keyOf - sort key of an account
- * @param visitor - places requests
  * @example
  * ```ts
  * shareOrder.visit(sorted, (service, account) => shares.furthestBelowShare(service, account), visitor);
--- a/packages/kumquatfront/src/fairShare/shareReport.ts
+++ b/packages/kumquatfront/src/fairShare/shareReport.ts
@@ -48,7 +48,6 @@
  * Writes one log line and the metrics of each service at which two or more accounts wait.
  *
  * @param rows - accounts of all services
- * @param log - receives the lines
  * @param metrics - receives the gauges
  * @example
  * ```ts
--- a/packages/kumquatfront/src/fairShare/waterLevel.ts
+++ b/packages/kumquatfront/src/fairShare/waterLevel.ts
@@ -12,7 +12,6 @@
 /**
  * Computes the share of an account of weight 1 that asks for more than its share.
  *
- * @param capacity - capacity to divide
  * @param demands - demand of each account
  * @returns share per weight; if the capacity meets all demands, the greatest demand per weight
  * @example
--- a/packages/kumquatfront/src/instances/announcement.ts
+++ b/packages/kumquatfront/src/instances/announcement.ts
@@ -44,8 +44,6 @@
  * Checks whether an announcement contradicts an earlier one of the same identity. An incarnation never changes its
  * service, its address or its software, so a conflicting announcement was sent by another process.
  *
- * @param known - the earlier announcement
- * @param announcement - a later announcement with the same identity
  * @returns true if the later announcement must be ignored
  * @example
  * ```ts
--- a/packages/kumquatfront/src/kernel/failures.ts
+++ b/packages/kumquatfront/src/kernel/failures.ts
@@ -34,10 +34,7 @@
  * Creates a failure.
  *
  * @param kind - the kind that code branches on
- * @param message - what happened
  * @param remedy - what the reader can do about it
- * @param detail - details for programs
- * @returns the failure
  * @example
  * ```ts
  * failures.create('notLeader', 'This replica is not the leader.', 'Send the request to the leader.', { leader: '10.0.0.1:7201' });
--- a/packages/kumquatfront/src/kernel/timerService.ts
+++ b/packages/kumquatfront/src/kernel/timerService.ts
@@ -21,7 +21,6 @@
  *
  * @param clock - source of the time
  * @param scheduler - runs functions after a delay
- * @returns the service
  * @example
  * ```ts
  * const timers = timerService.create(ports.clock, ports.scheduler);
--- a/packages/kumquatfront/src/orders/orderDispatcher.ts
+++ b/packages/kumquatfront/src/orders/orderDispatcher.ts
@@ -112,8 +112,6 @@
  * first. Each upstream receives its orders in log order: one that ignores fencing numbers would otherwise end up with the
  * older order.
  *
- * @param orders - the open orders, oldest first
- * @returns the orders that may be sent now
  * @example
  * ```ts
  * orderDispatcher.nextOrdersByDemand(state.openOrders());
--- a/packages/kumquatfront/src/orders/orderForwarder.ts
+++ b/packages/kumquatfront/src/orders/orderForwarder.ts
@@ -22,10 +22,8 @@
 /**
  * Creates the port for control, which sends each order to a random entry.
  *
- * @param peers - the transport
  * @param random - selects the entry
  * @param entries - lists the live entries
- * @returns the port
  * @example
  * ```ts
  * const orders = orderForwarder.create(peers, random, () => liveEntries);
@@ -55,7 +53,6 @@
 /**
  * Serves the forwarding of orders at an entry.
  *
- * @param peers - the transport
  * @param table - the upstreams known to this entry
  * @param port - sends orders to upstreams
  * @example
--- a/packages/kumquatfront/src/peerRelay/messages.ts
+++ b/packages/kumquatfront/src/peerRelay/messages.ts
@@ -147,7 +147,6 @@
  *
  * @param call - call to an upstream
  * @param timeLeft - time left when it is sent
- * @returns the encoded call
  * @example
  * ```ts
  * messages.encodeCall(call, call.timeLeft, timers.now());
--- a/packages/kumquatfront/src/placement/memoryPeak.ts
+++ b/packages/kumquatfront/src/placement/memoryPeak.ts
@@ -13,7 +13,6 @@
  * Computes the peak memory. Every generation grows by one token per step, so the total can only peak just before one
  * of them ends.
  *
- * @param generations - generations on one engine
  * @returns peak in tokens
  * @example
  * ```ts
@@ -35,7 +34,6 @@
 /**
  * Forecasts the memory held after a number of decoding steps.
  *
- * @param generations - generations on one engine
  * @param step - number of steps; generations with fewer remaining tokens have ended by then
  * @returns memory in tokens
  * @example
--- a/packages/kumquatfront/src/placement/prefillEstimator.ts
+++ b/packages/kumquatfront/src/placement/prefillEstimator.ts
@@ -29,7 +29,6 @@
   /**
    * Estimates the time from placement to the first event.
    *
-   * @param service - service of the engine
    * @param tokens - prompt tokens to process, including those of prompts ahead
    * @returns milliseconds
    * @example
--- a/packages/kumquatfront/src/placement/ranks.ts
+++ b/packages/kumquatfront/src/placement/ranks.ts
@@ -14,7 +14,6 @@
  *
  * @param routePriority - priority of its route, 0 or above
  * @param accountPriority - priority of its client account, if any
- * @returns the rank, by which generations are ordered
  * @example
  * ```ts
  * ranks.fromPriorities(0, 1) < ranks.fromPriorities(1, 1); // true
--- a/packages/kumquatfront/src/placement/timeliness.ts
+++ b/packages/kumquatfront/src/placement/timeliness.ts
@@ -11,10 +11,8 @@
 /**
  * Classifies a queued request.
  *
- * @param request - the placement request
  * @param waited - milliseconds since the request arrived
  * @param timeToFirstEvent - milliseconds from placement on an idle engine to the first event
- * @returns whether the objective can still be met
  * @example
  * ```ts
  * timeliness.classify(request, 400, estimator.timeToFirstEvent('llm', 3000));
--- a/packages/kumquatfront/src/prefill/urgentDemand.ts
+++ b/packages/kumquatfront/src/prefill/urgentDemand.ts
@@ -92,8 +92,6 @@
  * Latest time from now at which an engine may finish a patient prompt, so that the next urgent one is still in time.
  *
  * @param pace - prefill time of one token
- * @param engineCount - engines of the service
- * @param fixedDelay - time to the first event without prefill
  * @returns milliseconds, 0 or more
  * @example
  * ```ts
--- a/packages/kumquatfront/src/quarantine/crashRecordAge.ts
+++ b/packages/kumquatfront/src/quarantine/crashRecordAge.ts
@@ -8,7 +8,6 @@
  * Adds elapsed time to every age in a crash record.
  *
  * @param record - the crash record as it was created
- * @param elapsed - time since then
  * @returns a copy of the record with current ages
  * @example
  * ```ts
--- a/packages/kumquatfront/src/quarantine/crashRecordStore.ts
+++ b/packages/kumquatfront/src/quarantine/crashRecordStore.ts
@@ -143,7 +143,7 @@
    *
    * @returns true if the record changed; false also if there is none
    */
-  recordSoundAt(part: string, at: ports.Milliseconds, now: number): boolean {
+  recordHarmlessAt(part: string, at: ports.Milliseconds, now: number): boolean {
     const stored = this.records.get(part);
     if (stored === undefined || stored.crashes.size === 0) {
       return false;
@@ -175,7 +175,7 @@
     }
     const records = parts.map(({ content, crashes, quarantinedAt = 0, imposedAt, voidedAt }) => {
       const imposed = imposedAt > voidedAt && crashes.size === 0;
-      return [content, { crashes, soundAt: voidedAt, quarantinedAt, imposed }] as const;
+      return [content, { crashes, harmlessAt: voidedAt, quarantinedAt, imposed }] as const;
     });
     return partVerdicts.evaluate(new Map(records), crashTimes);
   }
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -194,7 +194,7 @@
   const send: relayTypes.UpstreamPort['send'] = (call, listener) => {
     const causes = requestCauses.forRequest(call.request, call.account ?? '', call.instance.service);
     // A generation that goes on from a copy has had events, so no part of its prompt is the cause.
-    const isProven = call.copy !== undefined && quarantineState.isContentSound(causes);
+    const isProven = call.copy !== undefined && quarantineState.isContentAllowed(causes);
     if (!isProven && !quarantineState.takeSend(call.request, causes)) {
       return failAsynchronously(timers, listener, 'quarantined', quarantine.QUARANTINED_MESSAGE);
     }
--- a/packages/kumquatfront/src/quarantine/partVerdicts.spec.ts
+++ b/packages/kumquatfront/src/quarantine/partVerdicts.spec.ts
@@ -19,8 +19,8 @@
   return new Map(times.map((at, index) => [`i${at}`, { at, content: contents[index] ?? '' }]));
 }
 
-function recordOf(times: readonly number[], soundAt = NEVER): partVerdicts.PartRecord {
-  return { crashes: crashesAt(times), soundAt, quarantinedAt: times.at(-1) ?? 0, imposed: false };
+function recordOf(times: readonly number[], harmlessAt = NEVER): partVerdicts.PartRecord {
+  return { crashes: crashesAt(times), harmlessAt, quarantinedAt: times.at(-1) ?? 0, imposed: false };
 }
 
 function timesOf(...records: readonly partVerdicts.PartRecord[]): Map<string, number> {
--- a/packages/kumquatfront/src/quarantine/partVerdicts.ts
+++ b/packages/kumquatfront/src/quarantine/partVerdicts.ts
@@ -1,8 +1,8 @@
 /**
  * Verdicts on parts of prompts, from the crashes of upstreams that had begun no answer on them.
  *
- * A part that crashes engines shares each crash with sound parts: those before and after it in the same request, and those
- * of requests that ran beside it. A sound part is cleared by the next event of any request that has it. What no event
+ * A part that crashes engines shares each crash with harmless parts: those before and after it in the same request, and those
+ * of requests that ran beside it. A harmless part is cleared by the next event of any request that has it. What no event
  * has cleared yet is told apart by trials: single requests that either crash one more upstream, or clear a part.
  */
 import type * as ports from '../kernel/ports.js';
@@ -15,7 +15,7 @@
 }
 
 /**
- * - `quarantined`: the part explains all crashes since its first one, and no event has shown it sound shortly before.
+ * - `quarantined`: the part explains all crashes since its first one, and no event has shown it harmless shortly before.
  * - `trial`: another cause is likely as well; single requests decide.
  */
 export type PartState = 'quarantined' | 'trial';
@@ -25,7 +25,7 @@
   readonly state: PartState;
   /** Parts that were there at exactly the same crashes: only a request that has them all is known to crash. */
   readonly companions: readonly string[];
-  /** Time from which a single request may show that the part is sound by now. */
+  /** Time from which a single request may show that the part is harmless by now. */
   readonly nextTrialAt: ports.Milliseconds;
 }
 
@@ -33,7 +33,7 @@
 export interface PartRecord {
   readonly crashes: ReadonlyMap<string, PartCrash>;
   /** Time of the last event of a request with the part; negative infinity if none is known. */
-  readonly soundAt: ports.Milliseconds;
+  readonly harmlessAt: ports.Milliseconds;
   readonly quarantinedAt: ports.Milliseconds;
   readonly imposed: boolean;
 }
@@ -44,12 +44,12 @@
 /** Crashes at different times after which a part is quarantined although other upstreams crashed as well. */
 const INCIDENTS_DESPITE_OTHERS = 4;
 
-/** The same numbers for a part that was sound shortly before. */
-const INCIDENTS_IF_RECENTLY_SOUND = 6;
-const INCIDENTS_DESPITE_RECENTLY_SOUND = 8;
+/** The same numbers for a part that was harmless shortly before. */
+const INCIDENTS_IF_RECENTLY_HARMLESS = 6;
+const INCIDENTS_DESPITE_RECENTLY_HARMLESS = 8;
 
-/** A part with an event within this time before its first crash was sound shortly before. */
-const RECENTLY_SOUND: ports.Milliseconds = 60_000;
+/** A part with an event within this time before its first crash was harmless shortly before. */
+const RECENTLY_HARMLESS: ports.Milliseconds = 60_000;
 
 /** Upstreams that crash within this time may have a common cause outside of requests, such as a rack that fails. */
 const COMMON_CAUSE_WINDOW: ports.Milliseconds = 100;
@@ -59,7 +59,7 @@
 
 /** Time from the last crash to the next trial of a quarantined part, and its growth with each trial that crashed. */
 const FIRST_TRIAL_DELAY: ports.Milliseconds = 30_000;
-const FIRST_TRIAL_DELAY_IF_RECENTLY_SOUND: ports.Milliseconds = 2_000;
+const FIRST_TRIAL_DELAY_IF_RECENTLY_HARMLESS: ports.Milliseconds = 2_000;
 const TRIAL_DELAY_GROWTH = 6;
 const MAXIMUM_TRIAL_DELAY: ports.Milliseconds = 3_600_000;
 
@@ -81,24 +81,23 @@
   return incidents;
 }
 
-function isRecentlySound(crashes: Iterable<PartCrash>, soundAt: ports.Milliseconds): boolean {
-  return Math.min(...[...crashes].map(({ at }) => at)) - soundAt < RECENTLY_SOUND;
+function isRecentlyHarmless(crashes: Iterable<PartCrash>, harmlessAt: ports.Milliseconds): boolean {
+  return Math.min(...[...crashes].map(({ at }) => at)) - harmlessAt < RECENTLY_HARMLESS;
 }
 
 /**
  * Decides whether crashes give a part a verdict. Repetitions of one request do not: their cause may be all of it.
  *
- * @param crashes - crashes that no event has voided since
- * @param soundAt - time of the last event of a request with the part; negative infinity if none is known
+ * @param harmlessAt - time of the last event of a request with the part; negative infinity if none is known
  * @returns true if the part is on trial or quarantined
  * @example
  * ```ts
  * partVerdicts.areEvidence(stored.crashes.values(), stored.voidedAt);
  * ```
  */
-export function areEvidence(crashes: Iterable<PartCrash>, soundAt: ports.Milliseconds): boolean {
+export function areEvidence(crashes: Iterable<PartCrash>, harmlessAt: ports.Milliseconds): boolean {
   const known = [...crashes];
-  const needed = isRecentlySound(known, soundAt) ? INCIDENTS_IF_RECENTLY_SOUND : INCIDENTS_NEEDED;
+  const needed = isRecentlyHarmless(known, harmlessAt) ? INCIDENTS_IF_RECENTLY_HARMLESS : INCIDENTS_NEEDED;
   return new Set(known.map(({ content }) => content)).size > 1 && incidentsOf(known) >= needed;
 }
 
@@ -150,8 +149,8 @@
   others: readonly (readonly [string, PartRecord])[],
   allCrashes: ReadonlyMap<string, ports.Milliseconds>,
 ): number {
-  if (isRecentlySound(record.crashes.values(), record.soundAt)) {
-    return INCIDENTS_DESPITE_RECENTLY_SOUND;
+  if (isRecentlyHarmless(record.crashes.values(), record.harmlessAt)) {
+    return INCIDENTS_DESPITE_RECENTLY_HARMLESS;
   }
   return hasOtherCrashes(record, others, allCrashes) ? INCIDENTS_DESPITE_OTHERS : INCIDENTS_NEEDED;
 }
@@ -174,13 +173,13 @@
   return false;
 }
 
-function nextTrialAt({ crashes, soundAt, quarantinedAt }: PartRecord): ports.Milliseconds {
+function nextTrialAt({ crashes, harmlessAt, quarantinedAt }: PartRecord): ports.Milliseconds {
   const times = [...crashes.values()].map(({ at }) => at);
   const failedTrials = incidentsOf(
     [...crashes.values()].filter(({ at }) => at > quarantinedAt + SETTLING_TIME),
   );
-  const firstDelay = isRecentlySound(crashes.values(), soundAt)
-    ? FIRST_TRIAL_DELAY_IF_RECENTLY_SOUND
+  const firstDelay = isRecentlyHarmless(crashes.values(), harmlessAt)
+    ? FIRST_TRIAL_DELAY_IF_RECENTLY_HARMLESS
     : FIRST_TRIAL_DELAY;
   const delay = Math.min(firstDelay * TRIAL_DELAY_GROWTH ** failedTrials, MAXIMUM_TRIAL_DELAY);
   return Math.max(quarantinedAt, ...times) + delay;
--- a/packages/kumquatfront/src/quarantine/quarantine.ts
+++ b/packages/kumquatfront/src/quarantine/quarantine.ts
@@ -57,7 +57,7 @@
   private readonly store: crashRecordStore.CrashRecordStore;
   private readonly trials: trials.Trials;
   /** Times of the last first events, by part of the prompt; oldest first. */
-  private readonly soundAt = new Map<string, ports.Milliseconds>();
+  private readonly harmlessAt = new Map<string, ports.Milliseconds>();
   /** Requests in progress, by content. */
   private readonly listeners = new Map<string, Set<Listener>>();
   /** Verdicts on parts that listeners were last told of. */
@@ -150,7 +150,7 @@
   }
 
   /** True unless the whole content of a request is quarantined. */
-  isContentSound({ content }: requestCauses.RequestCauses): boolean {
+  isContentAllowed({ content }: requestCauses.RequestCauses): boolean {
     return this.store.verdictOf(content) !== 'quarantined';
   }
 
@@ -183,41 +183,41 @@
 
   /** Records a complete answer to a content, which voids its earlier crashes. */
   recordAnswer(content: string): void {
-    this.recordSound([content], 'answered');
+    this.voidCrashes([content], 'answered');
   }
 
   /** Records an event of an answer, which voids the earlier crashes of the parts of its prompt. */
   recordEvent({ parts }: requestCauses.RequestCauses, isFirst: boolean): void {
     if (isFirst) {
-      this.rememberSound(parts);
+      this.rememberHarmless(parts);
     }
     if (!this.store.isEmpty) {
-      this.recordSound(parts, 'event');
+      this.voidCrashes(parts, 'event');
     }
   }
 
-  private rememberSound(parts: readonly string[]): void {
+  private rememberHarmless(parts: readonly string[]): void {
     for (const part of parts) {
-      this.soundAt.delete(part);
-      this.soundAt.set(part, this.options.timers.now());
+      this.harmlessAt.delete(part);
+      this.harmlessAt.set(part, this.options.timers.now());
     }
-    for (const oldest of this.soundAt.keys()) {
-      if (this.soundAt.size <= MAXIMUM_RECENT_PARTS) {
+    for (const oldest of this.harmlessAt.keys()) {
+      if (this.harmlessAt.size <= MAXIMUM_RECENT_PARTS) {
         return;
       }
-      this.soundAt.delete(oldest);
+      this.harmlessAt.delete(oldest);
     }
   }
 
-  /** Adds to the records of parts when this entry last saw them sound; returns those that changed. */
-  private addSoundTimes(parts: readonly string[]): readonly string[] {
+  /** Adds to the records of parts when this entry last saw them harmless; returns those that changed. */
+  private addHarmlessTimes(parts: readonly string[]): readonly string[] {
     return parts.filter((part) => {
-      const at = this.soundAt.get(part);
-      return at !== undefined && this.store.recordSoundAt(part, at, this.options.timers.now());
+      const at = this.harmlessAt.get(part);
+      return at !== undefined && this.store.recordHarmlessAt(part, at, this.options.timers.now());
     });
   }
 
-  private recordSound(causes: readonly string[], cause: 'answered' | 'event'): void {
+  private voidCrashes(causes: readonly string[], cause: 'answered' | 'event'): void {
     const { timers, log, report } = this.options;
     const cleared = causes.filter((content) => this.store.recordAnswer(content, timers.now()));
     for (const content of cleared) {
@@ -233,7 +233,7 @@
   mergeRecords(records: readonly types.CrashRecord[]): readonly string[] {
     const now = this.options.timers.now();
     const changed = records.filter((record) => this.store.merge(record, now)).map(({ content }) => content);
-    const dated = this.addSoundTimes(changed);
+    const dated = this.addHarmlessTimes(changed);
     if (dated.length > 0) {
       this.options.report(dated);
     }
@@ -264,7 +264,7 @@
     // The loss of a VM, or of contact with it, tells nothing of the prompts that ran there.
     if (!hadEvent && sign !== 'fellSilent') {
       changed.push(...crash.parts.filter((part) => this.store.recordPartCrash(part, content, instance, now)));
-      this.addSoundTimes(crash.parts);
+      this.addHarmlessTimes(crash.parts);
     }
     if (changed.length === 0) {
       return;
--- a/packages/kumquatfront/src/quarantine/requestCauses.ts
+++ b/packages/kumquatfront/src/quarantine/requestCauses.ts
@@ -23,8 +23,6 @@
  * not belong to the key.
  *
  * @param service - service whose upstreams run it
- * @param part - identifier of the part
- * @returns the key
  * @example
  * ```ts
  * requestCauses.partKey('llm', '5c1e07a2'); // 'part:llm/5c1e07a2'
@@ -53,7 +51,6 @@
  *
  * @param account - name of its client account; empty if the route needs none
  * @param service - service whose upstreams may run it
- * @returns the keys of the causes
  * @example
  * ```ts
  * requestCauses.forRequest(request, 'school-1', 'llm').parts;
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -136,7 +136,6 @@
  *
  * @param defaultMessage - the message if candidates exist and not all of them are temporarily excluded
  * @param origin - origin of a stream that has events
- * @returns the refusal with its retry delay
  * @example
  * ```ts
  * const refusal = exchangeContext.noUpstreamRefusal(context, routed, 'no upstream accepted the request');
--- a/packages/kumquatfront/src/relay/generationAttributes.ts
+++ b/packages/kumquatfront/src/relay/generationAttributes.ts
@@ -45,7 +45,6 @@
  * Two callers that send identical requests share a fingerprint; the coordinator then treats one as a retry of the other.
  *
  * @param routed - the request with its route
- * @returns a short hash
  * @example
  * ```ts
  * const fingerprint = generationAttributes.retryFingerprintOf(routed);
--- a/packages/kumquatfront/src/relay/streamLogSummary.ts
+++ b/packages/kumquatfront/src/relay/streamLogSummary.ts
@@ -21,8 +21,6 @@
  *
  * @param attributes - its placement attributes; undefined if it needs no placement
  * @param delivery - the caller side of the stream
- * @param counts - the counters of its exchange
- * @returns the log fields
  * @example
  * ```ts
  * log.info('requestEnded', { outcome, ...streamLogSummary.fieldsFor(routed, attributes, delivery, counts) });
--- a/packages/kumquatfront/src/routing/balancingPolicy.ts
+++ b/packages/kumquatfront/src/routing/balancingPolicy.ts
@@ -53,7 +53,6 @@
  * Predicts the occupancy of an upstream: the higher of its slot and memory usage, including what this entry has sent
  * since the last load report. Without these, all requests of a report interval would go to the same upstream.
  *
- * @param upstream - the upstream
  * @returns 0 if idle, about 1 if full
  * @example
  * ```ts
@@ -109,7 +108,6 @@
 /**
  * Selects the less occupied of two random candidates, or one with the cached prefix if its load is close to that.
  *
- * @param request - the request to place
  * @param candidates - upstreams of its deployment
  * @returns the selected upstream; undefined if none is usable
  * @example
--- a/packages/kumquatfront/src/routing/dispatchTracker.ts
+++ b/packages/kumquatfront/src/routing/dispatchTracker.ts
@@ -12,7 +12,6 @@
 /**
  * Estimates the tokens that a dispatch has produced by now, by extrapolating its last progress report.
  *
- * @param dispatch - the dispatch
  * @param now - current time in milliseconds
  * @returns the estimated number of tokens
  * @example
--- a/packages/kumquatfront/src/selectors/labelSelector.ts
+++ b/packages/kumquatfront/src/selectors/labelSelector.ts
@@ -111,7 +111,6 @@
 /**
  * Checks whether labels satisfy a selector.
  *
- * @param selector - a parsed selector
  * @param labels - labels of a request or of an upstream
  * @returns true if every requirement is satisfied
  * @example
--- a/packages/kumquatfront/src/settings/settingsLoader.ts
+++ b/packages/kumquatfront/src/settings/settingsLoader.ts
@@ -62,7 +62,6 @@
 /**
  * Parses the settings of an entry.
  *
- * @param text - JSON text of the settings file
  * @param subject - file name used in error messages
  * @returns the settings with defaults, or a `badInput` failure that names the invalid key and the remedy
  * @example
@@ -104,7 +103,6 @@
 /**
  * Parses the settings of a control replica.
  *
- * @param text - JSON text of the settings file
  * @param subject - file name used in error messages
  * @returns the settings with defaults, or a `badInput` failure that names the invalid key and the remedy
  * @example
--- a/packages/kumquatfront/src/sharedLimits/leaseClient.ts
+++ b/packages/kumquatfront/src/sharedLimits/leaseClient.ts
@@ -122,7 +122,6 @@
    * Makes a limit known. Calling it again for the same key has no effect.
    *
    * @param key - name of the limit, the same at all entries
-   * @param limit - the limit of all entries together
    * @param staticUse - returns the use of this entry's static share
    * @example
    * ```ts
@@ -172,7 +171,6 @@
   /**
    * Amount of a limit that this entry may spend without a lease: its static share, or what it has kept of it.
    *
-   * @param key - name of the limit
    * @param entries - number of entries that divide it, 1 or more
    * @returns an amount; an integer if something is offered, otherwise it may be fractional
    * @example
--- a/packages/kumquatfront/src/streamOrigins/software.ts
+++ b/packages/kumquatfront/src/streamOrigins/software.ts
@@ -38,7 +38,6 @@
  * Checks whether a stream may go on at an upstream.
  *
  * @param origin - origin of the stream
- * @param instance - the upstream
  * @returns true if the upstream runs the software that began the stream
  * @example
  * ```ts
--- a/packages/kumquatfront/src/streamPauses/interference.ts
+++ b/packages/kumquatfront/src/streamPauses/interference.ts
@@ -52,8 +52,6 @@
  * Cost of placing a generation on an engine.
  *
  * @param expectedPause - pause that streams see on the engine while it processes a prompt
- * @param generation - the generation to place
- * @param running - the streams on the engine
  * @returns the cost as a share of engine memory, to be subtracted from the score of the engine
  * @example
  * ```ts
--- a/packages/kumquatfront/src/streams/resumeToken.ts
+++ b/packages/kumquatfront/src/streams/resumeToken.ts
@@ -27,7 +27,6 @@
 /**
  * Signs the prefix of a resume token, which is the same for all tokens of a generation.
  *
- * @param claims - content to sign
  * @param key - the cluster's signing key
  * @returns the prefix; a resume token is the prefix, `.` and the next index
  * @example
--- a/packages/kumquatfront/src/traffic/residency.ts
+++ b/packages/kumquatfront/src/traffic/residency.ts
@@ -10,7 +10,6 @@
 /**
  * Returns the regions in which a request may run.
  *
- * @param route - its route
  * @param account - its client account, if any
  * @returns the regions; undefined if unrestricted
  * @example
@@ -31,7 +30,6 @@
  * Returns the data centres in which a request may run.
  *
  * @param allowedRegions - regions in which it may run; undefined if unrestricted
- * @param regions - region of each data centre
  * @returns names of data centres; undefined if unrestricted
  * @example
  * ```ts
--- a/packages/kumquatfront/src/upstreamPace/completionForecast.ts
+++ b/packages/kumquatfront/src/upstreamPace/completionForecast.ts
@@ -66,7 +66,6 @@
  * time grows with the share of calls that the upstream turns away.
  *
  * @param input - what is known of the upstream
- * @returns the predicted time
  * @example
  * ```ts
  * const report = { running: 6, waiting: 5, slots: 6 };
--- a/packages/kumquatfront/src/upstreamPace/enginePaces.ts
+++ b/packages/kumquatfront/src/upstreamPace/enginePaces.ts
@@ -29,7 +29,6 @@
    * Prefill pace of an engine.
    *
    * @param engine - identity of the engine
-   * @param service - its service
    * @returns milliseconds per prompt token; that of the service for an engine without observations
    * @example
    * ```ts
@@ -44,7 +43,6 @@
    * Prefill pace of an engine relative to its service, so that engines without a difference are treated alike.
    *
    * @param engine - identity of the engine
-   * @param service - its service
    * @returns a factor; 1 for an engine without observations
    * @example
    * ```ts
--- a/packages/kumquatfront/src/upstreamPace/paceEstimator.ts
+++ b/packages/kumquatfront/src/upstreamPace/paceEstimator.ts
@@ -148,7 +148,6 @@
    * Estimates the pace of an upstream.
    *
    * @param upstream - identity of the upstream, which a restart changes
-   * @param service - its service
    * @returns the pace; undefined if nothing is known of the service
    * @example
    * ```ts
@@ -177,9 +176,7 @@
    * Records observations of an upstream. One call changes the estimate by a bounded amount.
    *
    * @param upstream - identity of the upstream
-   * @param service - its service
    * @param pace - mean of the observations, in milliseconds per unit of work
-   * @param count - number of observations
    * @example
    * ```ts
    * estimator.observe('i-7f3a@1767312000000', 'billing', 31.5);
--- a/packages/kumquatfront/src/upstreamPace/slowdown.ts
+++ b/packages/kumquatfront/src/upstreamPace/slowdown.ts
@@ -38,7 +38,6 @@
 /**
  * Slowdown to expect some time after a report.
  *
- * @param reported - the factor as reported
  * @param age - time since the report; a negative age counts as 0
  * @returns the factor, which decays to 1
  * @example
--- a/packages/kumquatfront/src/utils/rendezvousHashing.ts
+++ b/packages/kumquatfront/src/utils/rendezvousHashing.ts
@@ -29,7 +29,6 @@
 /**
  * Picks the name responsible for a key.
  *
- * @param key - the key to assign
  * @param candidates - names to pick from
  * @returns one of the names, or undefined if there are none
  * @example
--- a/packages/kumquatfront/src/warmUp/warmUpBounds.ts
+++ b/packages/kumquatfront/src/warmUp/warmUpBounds.ts
@@ -52,7 +52,6 @@
  * Number of requests that one coordinator may place on a cold upstream in any second.
  *
  * @param warmUp - warm-up settings of its service
- * @param tolerance - permitted overshoot
  * @returns an integer, at least 1 so that every upstream is tried
  * @example
  * ```ts
@@ -67,9 +66,6 @@
  * Number of requests that all entries together may send to a cold upstream in any second, as the expected value of
  * their shares.
  *
- * @param warmUp - warm-up settings of its service
- * @param tolerance - permitted overshoot
- * @param placedBy - who places requests of the service
  * @returns the expected value, which may be fractional
  * @example
  * ```ts
--- a/packages/scenarios/src/language/expectations.ts
+++ b/packages/scenarios/src/language/expectations.ts
@@ -139,7 +139,6 @@
 /**
  * Whether an expectation holds now.
  *
- * @param current - session of the scenario
  * @param line - line with the words of an `expect` line
  * @returns true when the expectation holds
  * @example
--- a/packages/scenarios/src/language/scenarioLine.ts
+++ b/packages/scenarios/src/language/scenarioLine.ts
@@ -91,7 +91,6 @@
  *
  * @param name - name of the option
  * @param fallback - value if the option is absent
- * @returns the number
  * @example
  * ```ts
  * const memory = scenarioLine.numberOption(current, 'memory', 6000);
@@ -108,7 +107,6 @@
  * Parses a duration such as `500ms`, `2s` or `1h`.
  *
  * @param line - line for the error message
- * @param text - text of the duration
  * @returns milliseconds
  * @example
  * ```ts
--- a/packages/scenarios/src/scripts/partSafeguards.ts
+++ b/packages/scenarios/src/scripts/partSafeguards.ts
@@ -18,7 +18,7 @@
   {
     name: 'an event clears the parts of its prompt',
     file: 'quarantine/quarantine.js',
-    find: "this.recordSound(parts, 'event');",
+    find: "this.voidCrashes(parts, 'event');",
     replace: '',
     scenario: SYSTEM,
   },
@@ -60,7 +60,7 @@
   {
     name: 'a part that was sound shortly before needs more crashes',
     file: 'quarantine/partVerdicts.js',
-    find: 'isRecentlySound(known, soundAt) ? INCIDENTS_IF_RECENTLY_SOUND : INCIDENTS_NEEDED',
+    find: 'isRecentlyHarmless(known, harmlessAt) ? INCIDENTS_IF_RECENTLY_HARMLESS : INCIDENTS_NEEDED',
     replace: 'INCIDENTS_NEEDED',
     scenario: VERDICTS,
   },
--- a/packages/scenarios/src/world/virtualOrderPort.ts
+++ b/packages/scenarios/src/world/virtualOrderPort.ts
@@ -23,7 +23,6 @@
  *
  * @param sender - host that sends the orders
  * @param environment - network, engines and weight store
- * @returns the order port
  * @example
  * ```ts
  * const orders = virtualOrderPort.create(sender, environment);
--- a/packages/scenarios/src/world/virtualUpstreams.ts
+++ b/packages/scenarios/src/world/virtualUpstreams.ts
@@ -153,7 +153,6 @@
  *
  * @param entryHost - host of the entry
  * @param engines - looks up an engine by host name
- * @returns the generation port
  * @example
  * ```ts
  * const port = virtualUpstreams.createGenerationPort(network, host, (name) => engines.get(name));
@@ -212,10 +211,8 @@
 /**
  * Creates the port to services for one incarnation of an entry.
  *
- * @param entryHost - host of the entry
  * @param services - looks up a service by host name
  * @param scheduler - timers on virtual time
- * @returns the service port
  * @example
  * ```ts
  * const port = virtualUpstreams.createServicePort(network, host, (name) => services.get(name), time);
--- a/packages/soak/src/clients.ts
+++ b/packages/soak/src/clients.ts
@@ -28,7 +28,6 @@
  * Sends one HTTP request.
  *
  * @param options - request options of `node:http`
- * @param body - request body
  * @returns the result; a network error or timeout gives an incomplete result, not a rejection
  * @example
  * ```ts
--- a/packages/soak/src/freePorts.ts
+++ b/packages/soak/src/freePorts.ts
@@ -17,8 +17,6 @@
  * All sockets stay open until the last port is known: the kernel may otherwise hand out a port twice, and a process
  * fails to start because its address is in use.
  *
- * @param count - number of ports
- * @returns the ports
  * @example
  * ```ts
  * const [caller, metrics] = await freePorts.allocate(2);
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -243,7 +243,6 @@
 /**
  * Executes one soak run.
  *
- * @param options - seed, size and duration
  * @param createProxy - creates a proxy between two addresses
  * @returns the violations found, with the logs of the processes
  * @example
--- a/packages/standIns/src/engine/engineModel.ts
+++ b/packages/standIns/src/engine/engineModel.ts
@@ -335,7 +335,6 @@
  *
  * @param generation - name of the generation
  * @param index - index of the token
- * @returns the text
  * @example
  * ```ts
  * engineModel.tokenText('a1.1', 3); // 'a1.1#3 '
