A trial is used up by a send only

A request let through as a trial lost it where its upstream was paused, excluded or in another region, and was then refused as quarantined. Test 'a trial is used up by a send only', red before: the second send did not arrive.

--- a/packages/kumquatfront/src/entryNode/guardedPlacement.ts
+++ b/packages/kumquatfront/src/entryNode/guardedPlacement.ts
@@ -86,10 +86,11 @@
     const { placement, request, causes, quarantine: contentQuarantine } = this.options;
     if (answer.type === 'refused') {
       done(answer);
-    } else if (!contentQuarantine.takeSend(this, causes)) {
+    } else if (!contentQuarantine.maySend(this, causes)) {
       placement.onFinished(request.requestId, 0, false);
       this.refuse(done);
     } else {
+      contentQuarantine.recordSent(this);
       const { address } = answer.upstream.announcement;
       const instance = { identity: identityOf(answer.upstream), address };
       this.currentRun = {
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.spec.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.spec.ts
@@ -150,3 +150,32 @@
   harness.sentCalls[0]?.listener.end();
   assert.equal(harness.context.quarantine.verdictOf(causes), 'free');
 });
+
+// Guards against a trial that is used up by an upstream that the request may not go to, and ends as quarantined.
+void test.test('a trial is used up by a send only', () => {
+  const harness = new relayTestHarness.RelayTestHarness(['a']);
+  const instance = harness.context.instances.get('a');
+  assert.ok(instance);
+  const { quarantine } = harness.context;
+  const crashes = [0, 1, 2, 3].map((index) => ({
+    ...{ instance: `x${index}`, content: `c${index}`, age: 5_000 - index * 1_000 },
+  }));
+  quarantine.mergeRecords([{ content: 'part:llm/p', crashes, lapses: 0 }]);
+  const request = { ...harness.createRoutedRequest('stream').request, sharedParts: ['p'] };
+  const causes = { content: contentDigest.forRequest(request, ''), parts: ['part:llm/p'] };
+  assert.equal(quarantine.admit(request, causes), false);
+  harness.time.advance(60_000);
+  assert.equal(quarantine.admit(request, causes), true);
+  const noop = (): void => undefined;
+  const sendOnce = (dataCentres?: readonly string[]): void => {
+    harness.context.upstreams.send(
+      { request, instance, timeLeft: 1_000, isStream: true, origin: undefined, dataCentres },
+      { head: noop, data: noop, end: noop, failed: noop },
+    );
+  };
+  sendOnce(['elsewhere']);
+  assert.equal(harness.sentCalls.length, 0);
+  sendOnce();
+  sendOnce();
+  assert.equal(harness.sentCalls.length, 1);
+});
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -195,7 +195,7 @@
     const causes = requestCauses.forRequest(call.request, call.account ?? '', call.instance.service);
     // A generation that goes on from a copy has had events, so no part of its prompt is the cause.
     const isProven = call.copy !== undefined && quarantineState.isContentAllowed(causes);
-    if (!isProven && !quarantineState.takeSend(call.request, causes)) {
+    if (!isProven && !quarantineState.maySend(call.request, causes)) {
       return failAsynchronously(timers, listener, 'quarantined', quarantine.QUARANTINED_MESSAGE);
     }
     const now = timers.now();
@@ -228,6 +228,7 @@
       return failAsynchronously(timers, listener, 'withheld', OTHER_SOFTWARE_MESSAGE);
     }
     policy.recordSent(call.instance, now);
+    quarantineState.recordSent(call.request);
     const tracked = new TrackedRun(options, call, causes);
     const cancel = upstreams.send(call, tracked.wrapListener(listener));
     return (reason) => {
--- a/packages/kumquatfront/src/quarantine/quarantine.ts
+++ b/packages/kumquatfront/src/quarantine/quarantine.ts
@@ -143,10 +143,15 @@
     return isGranted;
   }
 
-  /** True if a request may be sent to an upstream now; uses up its trial. */
-  takeSend(request: object, causes: requestCauses.RequestCauses): boolean {
+  /** True if a request may be sent to an upstream now. */
+  maySend(request: object, causes: requestCauses.RequestCauses): boolean {
     const verdict = this.verdictOf(causes);
-    return verdict === 'free' || verdict === 'suspected' || this.trials.take(request);
+    return verdict === 'free' || verdict === 'suspected' || this.trials.has(request);
+  }
+
+  /** Records that a request is sent, which uses up its trial. */
+  recordSent(request: object): void {
+    this.trials.end(request);
   }
 
   /** True unless the whole content of a request is quarantined. */
--- a/packages/kumquatfront/src/quarantine/trials.ts
+++ b/packages/kumquatfront/src/quarantine/trials.ts
@@ -61,9 +61,9 @@
     return draw;
   }
 
-  /** Uses up the trial of a request; false if it has none. */
-  take(request: object): boolean {
-    return this.granted.delete(request);
+  /** Uses up the trial of a request. */
+  end(request: object): void {
+    this.granted.delete(request);
   }
 
   /** True if the request may still be sent for a trial. */
