A request that waits for the trial of another is told when to come back

One that was placed before a part of its prompt came on trial was refused for good, as if it were quarantined. One place words the refusal now. Test 'a request that waits for the trial of another is told when to come back' fails without it.

--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.spec.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.spec.ts
@@ -7,7 +7,9 @@
 import type * as instanceView from '../instances/instanceView.js';
 import * as relayTestHarness from '../relay/relayTestHarness.js';
 import type * as relayTypes from '../relay/types.js';
+import * as streamExchange from '../relay/streamExchange.js';
 import * as contentDigest from './contentDigest.js';
+import type * as quarantineTypes from './types.js';
 
 function send(
   harness: relayTestHarness.RelayTestHarness,
@@ -179,3 +181,26 @@
   sendOnce();
   assert.equal(harness.sentCalls.length, 1);
 });
+
+// Guards against a harmless request that was placed before a part of its prompt came on trial, and is turned away for good.
+void test.test('a request that waits for the trial of another is told when to come back', () => {
+  const harness = new relayTestHarness.RelayTestHarness(['a']);
+  const crashOf = (content: string, age: number): quarantineTypes.InstanceCrash => ({
+    ...{ instance: `of ${content}`, content, age },
+  });
+  harness.context.quarantine.mergeRecords([
+    {
+      content: 'part:llm/p',
+      crashes: [crashOf('c1', 9_000), crashOf('c2', 7_000), crashOf('c3', 5_000)],
+      lapses: 0,
+    },
+    { content: 'other', crashes: [{ instance: 'x', age: 6_000 }], lapses: 0 },
+  ]);
+  const routed = harness.createRoutedRequest('stream');
+  harness.placements.push('a');
+  const request = { ...routed.request, sharedParts: ['p'] };
+  new streamExchange.StreamExchange(harness.context, { ...routed, request }).start();
+  harness.time.advance(10);
+  assert.equal(harness.refusals[0]?.reason, 'quarantined');
+  assert.equal(harness.refusals[0].retryAfter, 1_000);
+});
--- a/packages/kumquatfront/src/quarantine/quarantine.ts
+++ b/packages/kumquatfront/src/quarantine/quarantine.ts
@@ -17,11 +17,11 @@
   'several upstreams crashed while running this request; retrying it will not help';
 
 /** Error message for callers whose request may have the part that crashes upstreams. */
-export const TRIAL_MESSAGE =
+const TRIAL_MESSAGE =
   'several upstreams crashed while running requests with a part of this prompt; such requests are tried one at a time';
 
 /** Delay before a retry of a request that waits for the trial of another; longer than most answers take to begin. */
-export const TRIAL_RETRY_DELAY: ports.Milliseconds = 1_000;
+const TRIAL_RETRY_DELAY: ports.Milliseconds = 1_000;
 
 /** Time in which all entries make about one trial: of a part on trial, and of one in quarantine. */
 const TRIAL_INTERVAL: ports.Milliseconds = 1_000;
@@ -154,6 +154,16 @@
     this.trials.end(request);
   }
 
+  /** What a caller is told whose request is not sent; a retry helps only while single requests are tried. */
+  explanationFor(causes: requestCauses.RequestCauses): {
+    readonly message: string;
+    readonly retryAfter?: ports.Milliseconds;
+  } {
+    return this.verdictOf(causes) === 'trial'
+      ? { message: TRIAL_MESSAGE, retryAfter: TRIAL_RETRY_DELAY }
+      : { message: QUARANTINED_MESSAGE };
+  }
+
   /** True unless the whole content of a request is quarantined. */
   isContentAllowed({ content }: requestCauses.RequestCauses): boolean {
     return this.store.verdictOf(content) !== 'quarantined';
--- a/packages/kumquatfront/src/relay/bufferedExchange.ts
+++ b/packages/kumquatfront/src/relay/bufferedExchange.ts
@@ -5,7 +5,6 @@
 import type * as slotClient from '../callSlots/slotClient.js';
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
-import * as quarantine from '../quarantine/quarantine.js';
 import * as responseClassification from './responseClassification.js';
 import * as exchangeContext from './exchangeContext.js';
 import type * as types from './types.js';
@@ -337,8 +336,7 @@
 
   /** Refuses the request and cancels open attempts, so that its content crashes no further upstream. */
   private refuseQuarantined(): void {
-    const reason = this.possibleRuns === 0 ? 'quarantined' : 'outcomeUnknown';
-    this.refuse(reason, quarantine.QUARANTINED_MESSAGE);
+    this.refuseWith(exchangeContext.quarantineRefusal(this.context, this.routed, this.possibleRuns > 0));
   }
 
   private onNoUpstreamLeft(): void {
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -204,6 +204,24 @@
   return context.quarantine.verdictOf(causesOf(routed));
 }
 
+/**
+ * Refusal of a request that is quarantined, or waits for the trial of another.
+ *
+ * @param mayHaveRun - true if an attempt may have run it
+ * @example
+ * ```ts
+ * caller.refuse(exchangeContext.quarantineRefusal(context, routed, possibleRuns > 0));
+ * ```
+ */
+export function quarantineRefusal(
+  context: ExchangeContext,
+  routed: RoutedRequest,
+  mayHaveRun: boolean,
+): types.Refusal {
+  const { message, retryAfter } = context.quarantine.explanationFor(causesOf(routed));
+  return mayHaveRun ? { reason: 'outcomeUnknown', message } : { reason: 'quarantined', message, retryAfter };
+}
+
 /**
  * Registers a callback for the quarantine of a request.
  *
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -176,8 +176,8 @@
     if (this.delivery.started) {
       this.abort(quarantine.QUARANTINED_MESSAGE);
     } else {
-      const reason = this.attempts.possibleRuns === 0 ? 'quarantined' : 'outcomeUnknown';
-      this.refuse(reason, quarantine.QUARANTINED_MESSAGE);
+      const mayHaveRun = this.attempts.possibleRuns > 0;
+      this.refuseWith(exchangeContext.quarantineRefusal(this.context, this.routed, mayHaveRun));
     }
   }
 
--- a/packages/kumquatfront/src/relay/trafficRelay.ts
+++ b/packages/kumquatfront/src/relay/trafficRelay.ts
@@ -6,7 +6,6 @@
 import * as residency from '../traffic/residency.js';
 import type * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
-import * as quarantine from '../quarantine/quarantine.js';
 import * as requestCauses from '../quarantine/requestCauses.js';
 import type * as exchangeContext from './exchangeContext.js';
 import * as bufferedExchange from './bufferedExchange.js';
@@ -142,12 +141,7 @@
   ): void {
     const { log, quarantine: quarantineState } = this.options.context;
     log.info('requestQuarantined', { request: request.identity, ...quarantineState.logFieldsOf(causes) });
-    const isOnTrial = quarantineState.verdictOf(causes) === 'trial';
-    this.refuse(request, caller, {
-      reason: 'quarantined',
-      message: isOnTrial ? quarantine.TRIAL_MESSAGE : quarantine.QUARANTINED_MESSAGE,
-      ...(isOnTrial && { retryAfter: quarantine.TRIAL_RETRY_DELAY }),
-    });
+    this.refuse(request, caller, { reason: 'quarantined', ...quarantineState.explanationFor(causes) });
   }
 
   private queueOrRefuse(
