--- a/packages/kumquatfront/src/quarantine/crashDetector.ts
+++ b/packages/kumquatfront/src/quarantine/crashDetector.ts
@@ -37,9 +37,6 @@
   readonly hadEvent: boolean;
 }
 
-/** What a check tells of an instance whose connection has ended; `unknown` if it does not answer in time. */
-export type InstanceState = 'running' | 'crashed' | 'unknown';
-
 /** The attributes of an upstream instance that a connection check needs. */
 export interface CheckedInstance {
   /** Differs after each start of the upstream. */
@@ -67,16 +64,16 @@
   readonly brokeAt: ports.Milliseconds | undefined;
 }
 
-type CheckDone = (state: InstanceState) => void;
+type CheckDone = (result: relayTypes.ConnectionCheckResult) => void;
 
 /** Wraps a callback so that it runs exactly once: when called, or after `MAXIMUM_CHECK_WAIT`. */
 function onceWithTimeout(timers: timerService.TimerService, done: CheckDone): CheckDone {
   let called = false;
-  const call: CheckDone = (state) => {
+  const call: CheckDone = (result) => {
     if (!called) {
       called = true;
       cancel();
-      done(state);
+      done(result);
     }
   };
   const cancel = timers.after(MAXIMUM_CHECK_WAIT, () => {
@@ -85,12 +82,6 @@
   return call;
 }
 
-const STATES: Readonly<Record<relayTypes.ConnectionCheckResult, InstanceState>> = {
-  accepted: 'running',
-  refused: 'crashed',
-  unknown: 'unknown',
-};
-
 /** Detects crashes of upstream instances; see the module comment. */
 export class CrashDetector {
   private readonly options: CrashDetectorOptions;
@@ -154,11 +145,11 @@
    * @param done - called after the check, or synchronously if none is made
    */
   runEnded(instance: CheckedInstance, runId: number, done: CheckDone): void {
-    this.runBroken(instance, runId, (state) => {
-      if (state === 'unknown') {
+    this.runBroken(instance, runId, (result) => {
+      if (result === 'unknown') {
         this.runFinished(instance.identity, runId);
       }
-      done(state);
+      done(result);
     });
   }
 
@@ -187,7 +178,7 @@
           this.discardBrokenRuns(identity);
         }
         for (const callback of callbacks) {
-          callback(STATES[result]);
+          callback(result);
         }
       });
     });
--- a/packages/kumquatfront/src/quarantine/crashRecordStore.ts
+++ b/packages/kumquatfront/src/quarantine/crashRecordStore.ts
@@ -41,8 +41,6 @@
 const MAXIMUM_CRASHES_PER_RECORD = 8;
 const MAXIMUM_CRASHES_PER_PART = 32;
 
-const NOT_EVALUATED = -1;
-
 /** Times of voids that differ by less count as the same, since they shift slightly with each transfer. */
 const VOID_RESOLUTION: ports.Milliseconds = 1_000;
 
@@ -58,9 +56,8 @@
 export class CrashRecordStore {
   private readonly records = new Map<string, storedRecord.StoredRecord>();
   private currentRevision = 0;
-  private evaluated: ReadonlyMap<string, partVerdicts.PartVerdict> = new Map();
-  /** Revision of `evaluated`. */
-  private evaluatedRevision = 0;
+  /** Verdicts on parts of prompts; undefined after a change of any record. */
+  private evaluated: ReadonlyMap<string, partVerdicts.PartVerdict> | undefined;
   private readonly onChange: (change: VerdictChange) => void;
 
   /**
@@ -110,18 +107,15 @@
     return [...(this.records.get(content)?.crashes.keys() ?? [])];
   }
 
-  /** Records that an instance crashed while it ran a content; returns true if the record changed. */
-  recordCrash(content: string, instance: string, now: number): boolean {
-    return this.merge({ content, crashes: [{ instance, age: 0 }], lapses: 0 }, now);
-  }
-
   /**
-   * Records that an instance crashed before a run of a content with the part had an event.
+   * Records that an instance crashed while it ran a request with the cause.
    *
+   * @param content - digest of the request if the cause is a part of its prompt
    * @returns true if the record changed
    */
-  recordPartCrash(part: string, content: string, instance: string, now: number): boolean {
-    return this.merge({ content: part, crashes: [{ instance, content, age: 0 }], lapses: 0 }, now);
+  recordCrash(cause: string, instance: string, now: number, content?: string): boolean {
+    const crash: types.InstanceCrash = { instance, age: 0, ...(content !== undefined && { content }) };
+    return this.merge({ content: cause, crashes: [crash], lapses: 0 }, now);
   }
 
   /**
@@ -139,10 +133,7 @@
 
   /** Verdicts on parts of prompts, by key. */
   get partVerdicts(): ReadonlyMap<string, partVerdicts.PartVerdict> {
-    if (this.evaluatedRevision !== this.currentRevision) {
-      this.evaluatedRevision = this.currentRevision;
-      this.evaluated = this.evaluateParts();
-    }
+    this.evaluated ??= this.evaluateParts();
     return this.evaluated;
   }
 
@@ -172,11 +163,7 @@
    * @returns true if there were any crashes to void
    */
   recordAnswer(content: string, now: number): boolean {
-    const stored = this.records.get(content);
-    if (stored === undefined || stored.crashes.size === 0) {
-      return false;
-    }
-    return this.merge({ content, crashes: [], voidedAge: 0, lapses: stored.lapses }, now);
+    return this.recordHarmlessAt(content, now, now);
   }
 
   /** Voids all crashes of a cause, and its quarantine from the replicated log. */
@@ -210,6 +197,7 @@
     }
     stored.changedAt = now;
     this.currentRevision += 1;
+    this.evaluated = undefined;
     stored.revision = this.currentRevision;
     this.evictExcessRecord();
     return true;
@@ -297,10 +285,10 @@
         const retention = stored.lapses > 0 ? EXPIRED_QUARANTINE_RETENTION : CRASH_RETENTION;
         if (now - stored.changedAt >= retention) {
           this.records.delete(stored.content);
-          this.evaluatedRevision = NOT_EVALUATED;
+          this.evaluated = undefined;
         }
       } else if (now >= this.quarantineEndsAt(stored)) {
-        this.evaluatedRevision = NOT_EVALUATED;
+        this.evaluated = undefined;
         stored.quarantinedAt = undefined;
         stored.lapses += 1;
         stored.voidedAt = now;
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -40,7 +40,6 @@
   private readonly sentAt: ports.Milliseconds;
   private readonly runId: number;
   private succeeded = false;
-  private isRelayed = false;
   private readonly completion: answerCompletion.AnswerCompletion;
 
   constructor(
@@ -59,7 +58,6 @@
     return {
       head: (head) => {
         this.completion.recordHead(head);
-        this.isRelayed = head.relayed === true;
         this.succeeded = head.signed && head.status >= 200 && head.status < 300;
         if (responseClassification.isMisdirected(head)) {
           this.options.signals.recordReplaced(this.call.instance);
@@ -108,7 +106,7 @@
       this.finish(true, () => {
         listener.failed('broken', 'the stream ended within an event');
       });
-    } else if (completion === 'unconfirmed' && !this.isRelayed) {
+    } else if (completion === 'unconfirmed') {
       this.confirmEnd(listener);
     } else {
       this.complete(listener);
@@ -135,16 +133,16 @@
   /** Passes an end that only the connection tells on, unless the upstream has crashed. */
   private confirmEnd(listener: relayTypes.ExchangeListener): void {
     const { detector } = this.options.quarantine;
-    detector.runEnded(this.call.instance, this.runId, (state) => {
+    detector.runEnded(this.call.instance, this.runId, (result) => {
       if (this.finished) {
         return;
       }
-      if (state === 'running') {
+      if (result === 'accepted') {
         this.complete(listener);
         return;
       }
       this.finished = true;
-      if (state === 'crashed') {
+      if (result === 'refused') {
         listener.failed('broken', 'the upstream crashed as the connection ended');
       } else {
         listener.end();
--- a/packages/kumquatfront/src/quarantine/quarantine.ts
+++ b/packages/kumquatfront/src/quarantine/quarantine.ts
@@ -10,7 +10,7 @@
 import type * as partVerdicts from './partVerdicts.js';
 import type * as requestCauses from './requestCauses.js';
 import * as trials from './trials.js';
-import type * as types from './types.js';
+import * as types from './types.js';
 
 /** Error message for callers whose request is quarantined. */
 export const QUARANTINED_MESSAGE =
@@ -123,7 +123,7 @@
    */
   admit(request: object, causes: requestCauses.RequestCauses): boolean {
     const verdict = this.verdictOf(causes);
-    if (verdict === 'free' || verdict === 'suspected') {
+    if (types.allowsSending(verdict)) {
       return true;
     }
     const held = causes.parts.filter((part) => this.store.partVerdicts.has(part));
@@ -145,8 +145,7 @@
 
   /** True if a request may be sent to an upstream now. */
   maySend(request: object, causes: requestCauses.RequestCauses): boolean {
-    const verdict = this.verdictOf(causes);
-    return verdict === 'free' || verdict === 'suspected' || this.trials.has(request);
+    return types.allowsSending(this.verdictOf(causes)) || this.trials.has(request);
   }
 
   /** Records that a request is sent, which uses up its trial. */
@@ -278,7 +277,7 @@
     const changed = this.store.recordCrash(content, instance, now) ? [content] : [];
     // The loss of a VM, or of contact with it, tells nothing of the prompts that ran there.
     if (!hadEvent && sign !== 'fellSilent') {
-      changed.push(...crash.parts.filter((part) => this.store.recordPartCrash(part, content, instance, now)));
+      changed.push(...crash.parts.filter((part) => this.store.recordCrash(part, instance, now, content)));
       this.addHarmlessTimes(crash.parts);
     }
     if (changed.length === 0) {
--- a/packages/kumquatfront/src/quarantine/types.ts
+++ b/packages/kumquatfront/src/quarantine/types.ts
@@ -12,6 +12,18 @@
  */
 export type Verdict = 'free' | 'suspected' | 'trial' | 'quarantined';
 
+/**
+ * Decides whether a verdict lets a request be sent like any other.
+ *
+ * @example
+ * ```ts
+ * if (!types.allowsSending(quarantine.verdictOf(causes))) refuse();
+ * ```
+ */
+export function allowsSending(verdict: Verdict): boolean {
+  return verdict === 'free' || verdict === 'suspected';
+}
+
 /** A crash of an upstream instance while it ran a request with the cause. */
 export interface InstanceCrash {
   readonly instance: string;
--- a/packages/kumquatfront/src/relay/answerCompletion.ts
+++ b/packages/kumquatfront/src/relay/answerCompletion.ts
@@ -61,6 +61,8 @@
     if (this.events?.isWithinEvent === true) {
       return 'cutOff';
     }
-    return this.head?.framing === 'connection' ? 'unconfirmed' : 'complete';
+    // The entry that has the connection to the upstream has confirmed the end of a relayed answer.
+    const isConfirmed = this.head?.framing !== 'connection' || this.head.relayed === true;
+    return isConfirmed ? 'complete' : 'unconfirmed';
   }
 }
--- a/packages/kumquatfront/src/relay/streamAttempts.ts
+++ b/packages/kumquatfront/src/relay/streamAttempts.ts
@@ -1,6 +1,7 @@
 /**
  * Counts the attempts of one stream, and decides whether it may be sent again.
  */
+import * as quarantineTypes from '../quarantine/types.js';
 import * as exchangeContext from './exchangeContext.js';
 
 /** Attempts of one stream; see the module comment. */
@@ -40,7 +41,10 @@
   takeResumption(): boolean {
     const { retryBudget, timers } = this.context;
     const verdict = exchangeContext.quarantineVerdictOf(this.context, this.routed);
-    const maySend = verdict === 'free' || verdict === 'suspected';
-    return this.areLeft && maySend && retryBudget.take(this.routed.service.name, timers.now());
+    return (
+      this.areLeft &&
+      quarantineTypes.allowsSending(verdict) &&
+      retryBudget.take(this.routed.service.name, timers.now())
+    );
   }
 }
--- a/packages/scenarios/src/scripts/completionSafeguards.ts
+++ b/packages/scenarios/src/scripts/completionSafeguards.ts
@@ -19,7 +19,7 @@
   {
     name: 'an upstream is checked when only its connection ends an answer',
     file: 'relay/answerCompletion.js',
-    find: "this.head?.framing === 'connection' ? 'unconfirmed' : 'complete'",
+    find: "isConfirmed ? 'complete' : 'unconfirmed'",
     replace: "'complete'",
     scenario: RAW,
   },
