Review case 3: a stream of a crashed runner ends as complete beside a frozen entry

Tried: review/3/run.sh (the deployment of case 2). One entry that does not relay the stream stands still for 3.5 s; half a second later a runner is killed.

Seen: streams in chunks are broken off towards their clients; the one with neither a length nor chunks is passed on with its last chunk, under half of its events long.

The processes that a script starts now end also when the script is ended from outside.

--- a/review/common/deployment.js
+++ b/review/common/deployment.js
@@ -17,6 +17,30 @@
 
 const RESTART_DELAY_MS = 300;
 
+/** Processes that end with this one, also when it is ended from outside. */
+const children = new Set();
+
+function endChildren() {
+  for (const child of children) {
+    child.kill('SIGCONT');
+    child.kill('SIGKILL');
+  }
+}
+
+process.on('exit', endChildren);
+for (const signal of ['SIGTERM', 'SIGINT']) {
+  process.on(signal, () => process.exit(2));
+}
+
+/** Has a child process end with this process; returns the child. */
+export function tie(child) {
+  children.add(child);
+  child.on('exit', () => {
+    children.delete(child);
+  });
+  return child;
+}
+
 export const sleep = (milliseconds) => new Promise((resolve) => setTimeout(resolve, milliseconds));
 
 /** Settings of the platform that every process of a deployment shares, from the pages of a deployment. */
@@ -94,11 +118,13 @@
     fs.writeFileSync(this.settingsFile, render(text, { ...this.fields, bootstrap: isFirst }));
     const [program, ...words] = command;
     const { PATH = '', HOME = '' } = process.env;
-    this.child = childProcess.spawn(program === 'node' ? process.execPath : program, words, {
-      cwd: REPOSITORY,
-      env: { PATH, HOME, KUMQUATFRONT_CONFIG: this.settingsFile },
-      stdio: ['ignore', 'pipe', 'pipe'],
-    });
+    this.child = tie(
+      childProcess.spawn(program === 'node' ? process.execPath : program, words, {
+        cwd: REPOSITORY,
+        env: { PATH, HOME, KUMQUATFRONT_CONFIG: this.settingsFile },
+        stdio: ['ignore', 'pipe', 'pipe'],
+      }),
+    );
     const record = (bytes) => {
       this.log += bytes.toString();
     };
--- a/review/common/streams.js
+++ b/review/common/streams.js
@@ -6,7 +6,7 @@
 import * as http from 'node:http';
 import * as url from 'node:url';
 
-import { Deployment, sleep } from './deployment.js';
+import { Deployment, sleep, tie } from './deployment.js';
 import { call } from './http.js';
 import { Record } from './record.js';
 
@@ -91,7 +91,7 @@
       ...{ controls: this.deployment.adminAddresses, memoryTokens: MEMORY_TOKENS },
       unframedEvery: UNFRAMED_EVERY,
     };
-    const child = childProcess.fork(ENGINE, [JSON.stringify(options)], { stdio: 'inherit' });
+    const child = tie(childProcess.fork(ENGINE, [JSON.stringify(options)], { stdio: 'inherit' }));
     const engine = { id, child, answers: 0, runs: new Map(), exited: false };
     this.engines.set(id, engine);
     child.on('message', ({ event, attempt, ...details }) => {
