--- a/review/common/deployment.js
+++ b/review/common/deployment.js
@@ -31,6 +31,11 @@
 for (const signal of ['SIGTERM', 'SIGINT']) {
   process.on(signal, () => process.exit(2));
 }
+// An error of a script is no broken rule.
+process.on('uncaughtException', (error) => {
+  process.stderr.write(`${error.stack}\n`);
+  process.exit(2);
+});
 
 /** Has a child process end with this process; returns the child. */
 export function tie(child) {
--- a/review/common/engine.js
+++ b/review/common/engine.js
@@ -18,6 +18,8 @@
 
 const options = JSON.parse(process.argv[2]);
 const { id, service, zone, address, controls, memoryTokens, unframedEvery } = options;
+const { version = 'v1', firstBeatMs = 0 } = options;
+const born = Date.now();
 const runs = new Map();
 /** Copies of runs of other runners, by `ADDRESS/HANDLE` of their source. */
 const copies = new Map();
@@ -51,7 +53,7 @@
 function beat() {
   sequence += 1;
   const body = JSON.stringify({
-    ...{ service, address, zone, version: 'v1', slots: SLOTS, state, cold_remaining_ms: 0 },
+    ...{ service, address, zone, version, born, slots: SLOTS, state, cold_remaining_ms: 0 },
     ...{ phase: 'mixed', models: [{ name: 'm', version: 1, adapters: [] }], sequence },
   });
   return post(`/-/instances/${id}/heartbeat`, body);
@@ -65,7 +67,7 @@
   }
   tell({ event: 'leaving' });
   setTimeout(async () => {
-    await post(`/-/instances/${id}/deregister`, '');
+    await post(`/-/instances/${id}/deregister`, JSON.stringify({ born }));
     tell({ event: 'exits', running: [...runs.keys()] });
     setTimeout(() => process.exit(0), 20);
   }, drainMs + lingerMs);
@@ -82,7 +84,7 @@
 
 function report(outgoing) {
   const body = JSON.stringify({
-    ...{ phase: 'mixed', models: [{ name: 'm', version: 1, adapters: [] }], busy: false, sequence },
+    ...{ phase: 'mixed', models: [{ name: 'm', version: 1, adapters: [] }], busy: false, sequence, born },
     ...{ queued: 0, active: runs.size, kv_used: usedTokens(), kv_total: memoryTokens, kv_handles: 0 },
   });
   outgoing.writeHead(200, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) });
@@ -192,7 +194,7 @@
   const write = () => {
     run.made += 1;
     run.tokens += TOKENS_PER_EVENT;
-    outgoing.write(`id: ${run.made}\ndata: ${attempt} ${run.made} of ${events}\n\n`);
+    outgoing.write(`id: ${run.made}\ndata: ${attempt} ${run.made} of ${events} by ${version}\n\n`);
     if (run.made === events) {
       clearInterval(timer);
       outgoing.end();
@@ -258,8 +260,10 @@
 });
 const [host, port] = address.split(':');
 server.listen(Number(port), host, () => {
-  beat();
-  setInterval(beat, HEARTBEAT_INTERVAL_MS);
+  setTimeout(() => {
+    beat();
+    setInterval(beat, HEARTBEAT_INTERVAL_MS);
+  }, firstBeatMs);
 });
 process.on('message', (message) => {
   leave(message);
--- a/review/common/streams.js
+++ b/review/common/streams.js
@@ -73,23 +73,29 @@
     this.sent = 0;
   }
 
-  /** Starts all processes, and sends the configuration. */
-  async start() {
+  /**
+   * Starts all processes, and sends the configuration.
+   *
+   * @param zones - zones in which a runner is started
+   */
+  async start(zones = ZONES) {
     await this.deployment.start();
-    ZONES.forEach((zone, index) => {
-      this.startEngine(zone, index);
-    });
+    for (const zone of zones) {
+      this.startEngine(zone);
+    }
     await sleep(1000);
     await this.configure();
     await sleep(2500);
   }
 
-  startEngine(zone, index) {
+  /** Starts the runner of a zone, also anew under the same id; `changes` are options of the stand-in. */
+  startEngine(zone, changes = {}) {
     const id = `i-${zone}`;
+    const index = ZONES.indexOf(zone);
     const options = {
       ...{ id, service: 'llm', zone, address: `${this.deployment.subnet}.${17 + index}:8080` },
       ...{ controls: this.deployment.adminAddresses, memoryTokens: MEMORY_TOKENS },
-      unframedEvery: UNFRAMED_EVERY,
+      ...{ unframedEvery: UNFRAMED_EVERY, ...changes },
     };
     const child = tie(childProcess.fork(ENGINE, [JSON.stringify(options)], { stdio: 'inherit' }));
     const engine = { id, child, answers: 0, runs: new Map(), exited: false };
@@ -107,6 +113,7 @@
       engine.exited = true;
       this.record.add(`${id}: the process has ended (${signal ?? code})`);
     });
+    return engine;
   }
 
   async configure() {
@@ -136,9 +143,10 @@
     return new Promise((resolve) => {
       const finish = (status, body, isComplete) => {
         const received = (body.match(/\n\n/g) ?? []).length;
-        this.outcomes.push({ attempt, events, status, received, isComplete });
+        const versions = [...new Set([...body.matchAll(/ by (v\d+)\n/g)].map(([, version]) => version))];
+        this.outcomes.push({ attempt, events, status, received, isComplete, versions });
         const counts = `${received} of ${events} events, complete: ${isComplete}`;
-        this.record.add(`client: ${attempt} ${name} ${status}: ${counts}`);
+        this.record.add(`client: ${attempt} ${name} ${status}: ${counts}, versions: ${versions.join(' ')}`);
         resolve();
       };
       const request = http.request({
