Control test harness: simulated processes have a module of their own, and can be paused

A process can be paused as by SIGSTOP: messages, replies and timers wait until it is resumed, in the order of their arrival.

--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -7,9 +7,7 @@
 import * as instanceTestHarness from '../instances/instanceTestHarness.js';
 import * as instanceView from '../instances/instanceView.js';
 import type * as instanceTypes from '../instances/types.js';
-import * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
-import * as results from '../kernel/results.js';
 import * as timerService from '../kernel/timerService.js';
 import * as virtualTime from '../kernel/virtualTime.js';
 import * as placementFeatures from '../placement/placementFeatures.js';
@@ -21,36 +19,10 @@
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as controlWatch from './controlWatch.js';
 import * as methods from './methods.js';
-import * as sharedLink from './sharedLink.js';
+import * as simulatedProcesses from './simulatedProcesses.js';
 import * as testConfigurations from './testConfigurations.js';
 import type * as trafficControl from './trafficControl.js';
 
-const LATENCY: ports.Milliseconds = 1;
-
-/** In-memory disk that survives the restart of a process. */
-class Disk implements ports.Disk {
-  private readonly files = new Map<string, Buffer>();
-
-  constructor(private readonly time: virtualTime.VirtualTime) {}
-
-  read(file: string): Uint8Array | undefined {
-    return this.files.get(file);
-  }
-
-  append(file: string, bytes: Uint8Array): void {
-    this.files.set(file, Buffer.concat([this.files.get(file) ?? Buffer.alloc(0), bytes]));
-  }
-
-  sync(_file: string, done: () => void): void {
-    this.time.after(LATENCY, done);
-  }
-
-  replace(file: string, bytes: Uint8Array, done: () => void): void {
-    this.files.set(file, Buffer.from(bytes));
-    this.time.after(LATENCY, done);
-  }
-}
-
 /** Names of the data centres in the harness settings. */
 export const DATA_CENTRES: readonly string[] = ['a', 'b', 'c'];
 
@@ -69,13 +41,6 @@
   ['c', 'east'],
 ]);
 
-/** Simulated process; once killed, it neither sends nor receives messages. */
-interface TestProcess {
-  readonly address: string;
-  readonly handlers: Map<string, ports.PeerHandler>;
-  isRunning: boolean;
-}
-
 /** Creates an announcement of an instance. */
 export function announcementOf(identity: string, sequence: number): instanceTypes.Announcement {
   return instanceTestHarness.announcement(identity, { address: `${identity}:80`, sequence });
@@ -92,10 +57,7 @@
   entryFeatures: trafficEntry.TrafficEntrySettings['isEnabled'];
   readonly time = new virtualTime.VirtualTime();
   readonly seeds: readonly string[];
-  /** Pairs of addresses that cannot reach each other, each sorted and joined by a space. */
-  private readonly partitions = new Set<string>();
-  private readonly processes = new Map<string, TestProcess>();
-  private readonly disks = new Map<string, Disk>();
+  private readonly processes: simulatedProcesses.SimulatedProcesses;
   private readonly nodes = new Map<string, controlNode.ControlNode>();
   private readonly random: ports.Random;
   private readonly log: ports.Log;
@@ -107,8 +69,6 @@
   private readonly piecesSent = new Map<string, number>();
   /** Reports of entries that instances have crashed. */
   readonly crashReports: methods.CrashedInstances[] = [];
-  /** Incoming links of processes, by address; other processes receive messages without delay. */
-  private readonly links = new Map<string, sharedLink.SharedLink>();
 
   /**
    * @param seeds - addresses of the replicas that are started, all with empty disks
@@ -126,89 +86,33 @@
     this.decode = testConfigurations.createDecoder(fixture);
     const noop = (): void => undefined;
     this.log = { debug: noop, info: noop, warn: noop, error: noop };
-    this.seeds = seeds;
-    for (const seed of seeds) {
-      this.start(seed, true);
-    }
-  }
-
-  private transportOf(testProcess: TestProcess): ports.PeerTransport {
-    const deliver = (address: string, method: string, parameters: unknown, reply: ports.Reply): void => {
-      this.time.after(LATENCY, () => {
-        const receiver = this.processes.get(address);
-        if (
-          testProcess.isRunning &&
-          receiver?.isRunning === true &&
-          !this.isPartitioned(testProcess.address, address)
-        ) {
-          if (method === methods.methods.crashedInstances) {
-            this.crashReports.push(parameters as methods.CrashedInstances);
-          }
-          // Serialized like on the wire, so that processes share no objects.
-          receiver.handlers.get(method)?.(JSON.parse(JSON.stringify(parameters)), (result) => {
-            if (method === methods.methods.fetchPiece && result.ok && result.val !== null) {
-              this.lastConfigurationFrom = address;
-              this.piecesSent.set(testProcess.address, this.piecesSentTo(testProcess.address) + 1);
-            }
-            this.transmit(address, testProcess.address, result, () => {
-              if (
-                testProcess.isRunning &&
-                receiver.isRunning &&
-                !this.isPartitioned(testProcess.address, address)
-              ) {
-                reply(result);
-              }
-            });
-          });
+    this.processes = new simulatedProcesses.SimulatedProcesses(this.time, {
+      onRequest: (method, parameters) => {
+        if (method === methods.methods.crashedInstances) {
+          this.crashReports.push(parameters as methods.CrashedInstances);
         }
-      });
-    };
-    return {
-      request: (address, method, parameters, timeout, done) => {
-        let open = true;
-        const finish: ports.Reply = (result) => {
-          if (open && testProcess.isRunning) {
-            open = false;
-            done(result);
-          }
-        };
-        this.time.after(timeout, () => {
-          finish(
-            results.Err(failures.create('timeout', 'The peer did not answer in time.', 'Retry the request.')),
-          );
-        });
-        deliver(address, method, parameters ?? null, finish);
-      },
-      notify: (address, method, parameters) => {
-        deliver(address, method, parameters, () => undefined);
       },
-      serve: (method, handler) => {
-        testProcess.handlers.set(method, handler);
+      onResult: (from, to, method, result) => {
+        if (method === methods.methods.fetchPiece && result.ok && result.val !== null) {
+          this.lastConfigurationFrom = from;
+          this.piecesSent.set(to, this.piecesSentTo(to) + 1);
+        }
       },
-      bytesReceived: () => this.bytesReceivedBy(testProcess.address),
-    };
-  }
-
-  /** Calls back when a message has arrived over the incoming link of its receiver. */
-  private transmit(from: string, to: string, message: unknown, delivered: () => void): void {
-    const link = this.links.get(to);
-    this.time.after(LATENCY, () => {
-      if (link === undefined) {
-        delivered();
-      } else {
-        link.send(from, JSON.stringify(message).length, delivered);
-      }
     });
+    this.seeds = seeds;
+    for (const seed of seeds) {
+      this.start(seed, true);
+    }
   }
 
   /** Limits the incoming link of a process, which competing streams share. */
   limitLink(address: string, bytesPerSecond: number, competingStreams: number): void {
-    this.links.set(address, new sharedLink.SharedLink(this.time, bytesPerSecond, competingStreams));
+    this.processes.limitLink(address, bytesPerSecond, competingStreams);
   }
 
   /** Bytes that a process with a limited link has received. */
   bytesReceivedBy(address: string): number {
-    return this.links.get(address)?.bytesReceived ?? 0;
+    return this.processes.bytesReceivedBy(address);
   }
 
   /** Number of pieces of configurations sent to an entry. */
@@ -216,43 +120,22 @@
     return this.piecesSent.get(name) ?? 0;
   }
 
-  private isPartitioned(one: string, other: string): boolean {
-    return this.partitions.has([one, other].sort().join(' '));
-  }
-
-  private startProcess(address: string): TestProcess {
-    const testProcess: TestProcess = { address, handlers: new Map(), isRunning: true };
-    this.processes.set(address, testProcess);
-    return testProcess;
-  }
-
-  private basePorts(testProcess: TestProcess): ports.BasePorts {
+  private basePorts(owner: simulatedProcesses.SimulatedProcess): ports.BasePorts {
     const noop = (): void => undefined;
-    const scheduler: ports.Scheduler = {
-      after: (delay, run) =>
-        this.time.after(delay, () => {
-          if (testProcess.isRunning) {
-            run();
-          }
-        }),
-    };
-    const metrics = { count: noop, gauge: noop, timing: noop };
-    const { clock } = this.time;
     return {
-      clock,
-      scheduler,
+      clock: this.time.clock,
+      scheduler: this.processes.schedulerOf(owner),
       random: this.random,
-      peers: this.transportOf(testProcess),
+      peers: this.processes.transportOf(owner),
       log: this.log,
-      metrics,
+      metrics: { count: noop, gauge: noop, timing: noop },
     };
   }
 
   /** Starts a replica, on its former disk if it has one. */
   start(address: string, firstStart = false): void {
-    const testProcess = this.startProcess(address);
-    const disk = this.disks.get(address) ?? new Disk(this.time);
-    this.disks.set(address, disk);
+    const started = this.processes.start(address);
+    const disk = this.processes.diskOf(address);
     const created = controlNode.create(
       {
         ...defaultConfig.controlDefaults,
@@ -265,34 +148,39 @@
         regions: REGIONS,
         isEnabled: this.isEnabled,
       },
-      { ...this.basePorts(testProcess), disk, decodeTraffic: this.decode },
+      { ...this.basePorts(started), disk, decodeTraffic: this.decode },
     );
     this.nodes.set(address, created.unwrap());
   }
 
   kill(address: string): void {
-    const testProcess = this.processes.get(address);
-    if (testProcess !== undefined) {
-      testProcess.isRunning = false;
-    }
+    this.processes.kill(address);
   }
 
   loseDisk(address: string): void {
-    this.kill(address);
-    this.disks.delete(address);
+    this.processes.loseDisk(address);
+  }
+
+  /** Stops a process as SIGSTOP does; what arrives for it waits until it is resumed. */
+  pause(address: string): void {
+    this.processes.pause(address);
+  }
+
+  resume(address: string): void {
+    this.processes.resume(address);
   }
 
   partition(one: string, other: string): void {
-    this.partitions.add([one, other].sort().join(' '));
+    this.processes.partition(one, other);
   }
 
   heal(): void {
-    this.partitions.clear();
+    this.processes.heal();
   }
 
   /** Returns the address of a running seed replica; undefined if none runs. */
   anyRunningReplica(): string | undefined {
-    return this.seeds.find((seed) => this.processes.get(seed)?.isRunning === true);
+    return this.seeds.find((seed) => this.processes.isRunning(seed));
   }
 
   private node(address: string): controlNode.ControlNode {
@@ -305,7 +193,7 @@
 
   /** Delivers a message of an entry to a replica; by default the reply is ignored. */
   send(address: string, method: string, parameters: unknown, reply: ports.Reply = () => undefined): void {
-    this.processes.get(address)?.handlers.get(method)?.(parameters, reply);
+    this.processes.find(address)?.handlers.get(method)?.(parameters, reply);
   }
 
   trafficOf(address: string): trafficControl.TrafficControl {
@@ -375,8 +263,7 @@
   /** Address of the leader; empty if there is none. */
   leader(): string {
     const found = [...this.nodes].find(
-      ([address, node]) =>
-        this.processes.get(address)?.isRunning === true && node.services.find('replica').mayLead(),
+      ([address, node]) => this.processes.isRunning(address) && node.services.find('replica').mayLead(),
     );
     return found?.[0] ?? '';
   }
@@ -388,7 +275,7 @@
     changes: Partial<trafficEntry.TrafficEntrySettings & trafficEntry.TrafficEntryPorts> = {},
   ): trafficEntry.TrafficEntry {
     this.kill(name);
-    const base = this.basePorts(this.startProcess(name));
+    const base = this.basePorts(this.processes.start(name));
     const settings: trafficEntry.TrafficEntrySettings = {
       ...{ name, dataCentre: 'a', callerAddress: `${name}:1`, peerAddress: name },
       seeds: this.seeds,
@@ -411,8 +298,7 @@
     readonly view: instanceView.InstanceView;
     readonly watch: controlWatch.ControlWatch;
   } {
-    const testProcess = this.startProcess(name);
-    const base = this.basePorts(testProcess);
+    const base = this.basePorts(this.processes.start(name));
     const configurations: trafficTypes.VersionedText[] = [];
     const evacuations: agreedTypes.Evacuations[] = [];
     const crashedContents = new Set<string>();
