Sight: which process reads an order on a data centre, what it knew, and whether its caller still waits

The line dataCentreOrdered said neither how long the order may have waited in the process, nor whether anyone waited for it, nor what the process knew when it read it, so an order that waited in a paused process could not be told from one that a follower had forwarded.

--- a/packages/kumquatfront/src/agreedState/agreedState.ts
+++ b/packages/kumquatfront/src/agreedState/agreedState.ts
@@ -8,6 +8,7 @@
 import type * as trafficTypes from '../traffic/types.js';
 import * as canonicalJson from '../utils/canonicalJson.js';
 import * as claimTable from './claimTable.js';
+import * as evacuationTable from './evacuationTable.js';
 import type * as types from './types.js';
 
 interface RecordedAnswer {
@@ -23,7 +24,7 @@
 }
 
 /** The agreed state as JSON, for snapshots. */
-export interface AgreedStateJson {
+export interface AgreedStateJson extends evacuationTable.EvacuationTableJson {
   readonly version: number;
   readonly objects: readonly configuration.ConfigurationObject[];
   readonly tombstones: readonly Tombstone[];
@@ -35,12 +36,8 @@
   readonly traffic?: trafficTypes.VersionedText;
   /** Digests of quarantined contents, oldest first; absent if there are none. */
   readonly quarantined?: readonly string[];
-  /** Absent until the first evacuation of a data centre. */
-  readonly evacuations?: types.Evacuations;
 }
 
-const NO_EVACUATIONS: types.Evacuations = { revision: 0, dataCentres: [] };
-
 /** Limits that apply if the settings specify none. */
 export const defaultLimits: types.AgreedStateLimits = {
   changeIdLife: 24 * 3_600_000,
@@ -62,7 +59,7 @@
   private orders = new Map<string, types.Order>();
   private currentTraffic: trafficTypes.VersionedText | undefined;
   private currentQuarantined: readonly string[] = [];
-  private currentEvacuations = NO_EVACUATIONS;
+  private readonly evacuationTable = new evacuationTable.EvacuationTable();
   private readonly claims: claimTable.ClaimTable;
   private readonly limits: types.AgreedStateLimits;
 
@@ -98,7 +95,7 @@
 
   /** Evacuated data centres; a new object after each change. */
   get evacuations(): types.Evacuations {
-    return this.currentEvacuations;
+    return this.evacuationTable.evacuations;
   }
 
   /** Applies one committed command. */
@@ -118,9 +115,8 @@
       case 'replaceTraffic':
         return this.replaceTraffic(command);
       case 'evacuate':
-        return this.evacuate(command.dataCentre, index, stamp);
       case 'restore':
-        return this.restoreDataCentre(command.dataCentre, index);
+        return this.evacuationTable.apply(command, index, stamp);
       case 'quarantine':
         return this.setQuarantined([...this.quarantinedWithout(command.content), command.content]);
       case 'release':
@@ -128,27 +124,6 @@
     }
   }
 
-  /**
-   * A repeated command is acknowledged like the first: the operator may not have received the answer. Of concurrent
-   * evacuate and restore commands, the later one in the log takes effect.
-   */
-  private evacuate(dataCentre: string, index: number, since: number): types.Evacuations {
-    const { dataCentres } = this.currentEvacuations;
-    if (!dataCentres.some((evacuated) => evacuated.dataCentre === dataCentre)) {
-      this.currentEvacuations = { revision: index, dataCentres: [...dataCentres, { dataCentre, since }] };
-    }
-    return this.currentEvacuations;
-  }
-
-  private restoreDataCentre(dataCentre: string, index: number): types.Evacuations {
-    const { dataCentres } = this.currentEvacuations;
-    const remaining = dataCentres.filter((evacuated) => evacuated.dataCentre !== dataCentre);
-    if (remaining.length < dataCentres.length) {
-      this.currentEvacuations = { revision: index, dataCentres: remaining };
-    }
-    return this.currentEvacuations;
-  }
-
   private quarantinedWithout(content: string): readonly string[] {
     return this.currentQuarantined.filter((quarantined) => quarantined !== content);
   }
@@ -301,7 +276,7 @@
       orders: [...this.orders.values()],
       ...(this.currentTraffic === undefined ? {} : { traffic: this.currentTraffic }),
       ...(this.currentQuarantined.length === 0 ? {} : { quarantined: this.currentQuarantined }),
-      ...(this.currentEvacuations.revision === 0 ? {} : { evacuations: this.currentEvacuations }),
+      ...this.evacuationTable.toJson(),
     };
   }
 
@@ -318,7 +293,7 @@
     this.orders = new Map(json.orders.map((order) => [order.orderId, order]));
     this.currentTraffic = json.traffic;
     this.currentQuarantined = json.quarantined ?? [];
-    this.currentEvacuations = json.evacuations ?? NO_EVACUATIONS;
+    this.evacuationTable.restore(json);
   }
 }
 
--- a/packages/kumquatfront/src/agreedState/types.ts
+++ b/packages/kumquatfront/src/agreedState/types.ts
@@ -94,20 +94,21 @@
   readonly content: string;
 }
 
-/** Stops new requests to all upstreams of a data centre until it is restored. */
-export interface EvacuateCommand {
-  readonly type: 'evacuate';
+/** Stops new requests to all upstreams of a data centre, or ends that. */
+export interface DataCentreCommand {
+  readonly type: 'evacuate' | 'restore';
   readonly dataCentre: string;
+  /**
+   * Log index up to which the operator's order is certainly newer than the log; a newer order on the data centre makes
+   * this one void. Absent in log entries of earlier versions.
+   */
+  readonly knownIndex?: number;
 }
 
-/** Ends the evacuation of a data centre. */
-export interface RestoreCommand {
-  readonly type: 'restore';
-  readonly dataCentre: string;
-}
-
-/** A command that evacuates or restores a data centre. */
-export type DataCentreCommand = EvacuateCommand | RestoreCommand;
+/** Answer to a `DataCentreCommand`. `lastOrder` is the log index of the newer order that made it void. */
+export type DataCentreAnswer =
+  | { readonly accepted: true; readonly evacuations: Evacuations }
+  | { readonly accepted: false; readonly lastOrder: number };
 
 /** A data centre whose upstreams receive no new requests. */
 export interface EvacuatedDataCentre {
--- a/packages/kumquatfront/src/consensus/replica.ts
+++ b/packages/kumquatfront/src/consensus/replica.ts
@@ -81,6 +81,11 @@
     return this.applier.commitIndex;
   }
 
+  /** Highest log index that this replica has applied. */
+  get appliedIndex(): number {
+    return this.applier.appliedIndex;
+  }
+
   /** Bootstraps a cluster with this replica as its only member. */
   bootstrapCluster(clusterIdentity: string, member: types.Member): void {
     const { store, clock } = this.options;
--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -12,10 +12,12 @@
 import type * as consensus from '../consensus/types.js';
 import type * as directory from '../directory/types.js';
 import * as failures from '../kernel/failures.js';
+import * as pauseMonitor from '../kernel/pauseMonitor.js';
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
 import * as serviceRegistry from '../kernel/serviceRegistry.js';
 import * as timerService from '../kernel/timerService.js';
+import * as callerCheck from '../operatorOrders/callerCheck.js';
 import * as orderForwarder from '../orders/orderForwarder.js';
 import * as orderDispatcher from '../orders/orderDispatcher.js';
 import type * as orders from '../orders/types.js';
@@ -70,6 +72,7 @@
   readonly membership: membership.Membership;
   readonly orders: orderDispatcher.OrderDispatcher;
   readonly traffic: trafficControl.TrafficControl;
+  readonly callerCheck: callerCheck.CallerCheck;
 }
 
 /** Interface of a control replica for its adapters. */
@@ -162,6 +165,7 @@
     this.services.register('replica', this.replica);
     this.services.register('orders', dispatcher);
     this.services.register('membership', this.createMembership(externalPorts, store.identity));
+    this.services.register('callerCheck', this.createCallerCheck(externalPorts));
     if (externalPorts.decodeTraffic !== undefined) {
       this.traffic = this.createTrafficControl(externalPorts, externalPorts.decodeTraffic);
       this.services.register('traffic', this.traffic);
@@ -169,6 +173,11 @@
     this.serve(peers);
   }
 
+  private createCallerCheck({ clock, log, metrics }: ControlPorts): callerCheck.CallerCheck {
+    const pauses = new pauseMonitor.PauseMonitor({ timers: this.timers, clock, log, metrics });
+    return new callerCheck.CallerCheck({ pauses, log, metrics });
+  }
+
   private createTrafficControl(
     externalPorts: ControlPorts,
     decode: trafficTypes.DecodeTraffic,
@@ -191,6 +200,7 @@
       random,
       log,
       metrics,
+      callerCheck: this.services.find('callerCheck'),
       peerAddress,
       dataCentre,
       decode,
--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -11,6 +11,7 @@
 import * as timerService from '../kernel/timerService.js';
 import * as virtualTime from '../kernel/virtualTime.js';
 import * as placementFeatures from '../placement/placementFeatures.js';
+import type * as operatorOrders from '../operatorOrders/types.js';
 import type * as relayTypes from '../relay/types.js';
 import * as defaultConfig from '../settings/defaultConfig.js';
 import type * as residency from '../traffic/residency.js';
@@ -161,6 +162,10 @@
     this.processes.loseDisk(address);
   }
 
+  isRunning(address: string): boolean {
+    return this.processes.isRunning(address);
+  }
+
   /** Stops a process as SIGSTOP does; what arrives for it waits until it is resumed. */
   pause(address: string): void {
     this.processes.pause(address);
@@ -174,6 +179,11 @@
     this.processes.partition(one, other);
   }
 
+  /** Delays what one process sends to another from now on. */
+  delay(from: string, to: string, delay: ports.Milliseconds): void {
+    this.processes.delay(from, to, delay);
+  }
+
   heal(): void {
     this.processes.heal();
   }
@@ -226,13 +236,39 @@
     dataCentre: string,
   ): boolean {
     let acknowledged = false;
-    this.trafficOf(address).evacuateOrRestore({ type, dataCentre }, (result) => {
+    this.trafficOf(address).evacuateOrRestore({ type, dataCentre }, this.callerAt(address), (result) => {
       acknowledged = result.ok;
     });
     this.time.advance(1_000);
     return acknowledged;
   }
 
+  /** A caller that stays connected to a replica. */
+  callerAt(address: string): operatorOrders.OrderCaller {
+    return {
+      knownIndex: this.appliedIndexOf(address),
+      connection: {},
+      checkPresence: (wait, done) => {
+        this.time.after(wait, () => {
+          done(true);
+        });
+      },
+    };
+  }
+
+  /** Log index that a replica has applied. */
+  appliedIndexOf(address: string): number {
+    return this.node(address).services.find('replica').appliedIndex;
+  }
+
+  /** Runs something in the process at an address, at the end of its pause if it is paused. */
+  runAt(address: string, run: () => void): void {
+    const found = this.processes.find(address);
+    if (found !== undefined) {
+      this.processes.runIn(found, run);
+    }
+  }
+
   /** Data centres that are evacuated according to a replica. */
   evacuatedAt(address: string): readonly string[] {
     const { evacuations } = this.node(address).services.find('state');
--- a/packages/kumquatfront/src/trafficControl/evacuations.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/evacuations.spec.ts
@@ -31,9 +31,11 @@
   const harness = createCluster();
   for (const dataCentre of ['', 'z']) {
     let outcome = '';
-    harness.trafficOf('c1').evacuateOrRestore({ type: 'evacuate', dataCentre }, (result) => {
-      outcome = result.err ? `${result.val.kind} ${result.val.remedy}` : 'acknowledged';
-    });
+    harness
+      .trafficOf('c1')
+      .evacuateOrRestore({ type: 'evacuate', dataCentre }, harness.callerAt('c1'), (result) => {
+        outcome = result.err ? `${result.val.kind} ${result.val.remedy}` : 'acknowledged';
+      });
     assert.equal(outcome, 'notFound Name one of: a, b, c.');
   }
 });
@@ -108,9 +110,10 @@
   const { evacuations } = harness.watch('e1');
   harness.time.advance(2_000);
   const countBefore = evacuations.length;
+  const leader = harness.leader();
   harness
-    .trafficOf(harness.leader())
-    .evacuateOrRestore({ type: 'evacuate', dataCentre: 'a' }, () => undefined);
+    .trafficOf(leader)
+    .evacuateOrRestore({ type: 'evacuate', dataCentre: 'a' }, harness.callerAt(leader), () => undefined);
   harness.time.advance(20);
   assert.equal(evacuations.length, countBefore + 1);
   harness.time.advance(3_000);
--- a/packages/kumquatfront/src/trafficControl/operatorCalls.ts
+++ b/packages/kumquatfront/src/trafficControl/operatorCalls.ts
@@ -10,6 +10,9 @@
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
 import type * as timerService from '../kernel/timerService.js';
+import type * as callerCheck from '../operatorOrders/callerCheck.js';
+import * as dataCentreOrders from '../operatorOrders/dataCentreOrders.js';
+import type * as operatorOrders from '../operatorOrders/types.js';
 import * as trafficValidation from '../traffic/trafficValidation.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as methods from './methods.js';
@@ -21,6 +24,8 @@
   readonly peers: ports.PeerTransport;
   readonly timers: timerService.TimerService;
   readonly log: ports.Log;
+  readonly metrics: ports.Metrics;
+  readonly callerCheck: callerCheck.CallerCheck;
   readonly peerAddress: string;
   readonly decode: trafficTypes.DecodeTraffic;
   /** Minimum number of voters before a change is accepted. */
@@ -46,9 +51,17 @@
   private readonly options: OperatorCallsOptions;
   /** Callers that wait for a version that this replica has proposed as leader, by version. */
   private readonly proposed = new Map<number, ports.Reply[]>();
+  private readonly dataCentreOrders: dataCentreOrders.DataCentreOrders;
 
   constructor(options: OperatorCallsOptions) {
     this.options = options;
+    const { callerCheck: check, log, metrics } = options;
+    this.dataCentreOrders = new dataCentreOrders.DataCentreOrders({
+      ...{ check, log, metrics },
+      submit: (command, done) => {
+        this.submitDataCentreCommand(command, done);
+      },
+    });
   }
 
   /** Registers the RPC handlers for calls that other replicas forward to the leader. */
@@ -97,10 +110,15 @@
     );
   }
 
-  /** Evacuates or restores a data centre; a repeated call is acknowledged again. */
-  evacuateOrRestore(command: agreedTypes.DataCentreCommand, done: ports.Reply): void {
-    const { log, dataCentres } = this.options;
-    const { type: order, dataCentre } = command;
+  /** Evacuates or restores a data centre while the caller waits; a repeated call is acknowledged again. */
+  evacuateOrRestore(
+    ordered: dataCentreOrders.DataCentreOrder,
+    caller: operatorOrders.OrderCaller,
+    done: ports.Reply,
+  ): void {
+    const { log, dataCentres, timers } = this.options;
+    const { type: order, dataCentre } = ordered;
+    const receivedAt = timers.now();
     if (dataCentre === '' || (dataCentres.length > 0 && !dataCentres.includes(dataCentre))) {
       const failure = evacuationFailures.unknownDataCentre(dataCentre, dataCentres);
       log.info('dataCentreOrderRefused', { order, dataCentre, reason: failures.describe(failure) });
@@ -108,16 +126,30 @@
       return;
     }
     const settle: ports.Reply = (result) => {
-      log.info('dataCentreOrdered', { order, dataCentre, outcome: outcomeOf(result) });
+      const milliseconds = Math.round(timers.now() - receivedAt);
+      const { knownIndex, connection } = caller;
+      const fields = {
+        order,
+        dataCentre,
+        outcome: outcomeOf(result),
+        milliseconds,
+        knownIndex,
+        ...connection,
+      };
+      log.info('dataCentreOrdered', fields);
       done(result);
     };
+    this.dataCentreOrders.execute(ordered, caller, settle);
+  }
+
+  private submitDataCentreCommand(command: agreedTypes.DataCentreCommand, done: ports.Reply): void {
     this.runAtLeader(
       () => {
-        this.proposeLocally(command, settle);
+        this.proposeLocally(command, done);
       },
       methods.methods.evacuate,
       command,
-      settle,
+      done,
     );
   }
 
--- a/packages/kumquatfront/src/trafficControl/simulatedProcesses.ts
+++ b/packages/kumquatfront/src/trafficControl/simulatedProcesses.ts
@@ -57,6 +57,8 @@
 export class SimulatedProcesses {
   /** Pairs of addresses that cannot reach each other, each sorted and joined by a space. */
   private readonly partitions = new Set<string>();
+  /** Additional delays of messages, by sender and receiver, joined by a space. */
+  private readonly delays = new Map<string, ports.Milliseconds>();
   private readonly processes = new Map<string, SimulatedProcess>();
   private readonly disks = new Map<string, Disk>();
   /** Incoming links of processes, by address; other processes receive messages without delay. */
@@ -148,6 +150,11 @@
     return this.partitions.has([one, other].sort().join(' '));
   }
 
+  /** Delays what one process sends to another from now on, as a link does that is silent and heals. */
+  delay(from: string, to: string, delay: ports.Milliseconds): void {
+    this.delays.set(`${from} ${to}`, delay);
+  }
+
   /** Limits the incoming link of a process, which competing streams share. */
   limitLink(address: string, bytesPerSecond: number, competingStreams: number): void {
     this.links.set(address, new sharedLink.SharedLink(this.time, bytesPerSecond, competingStreams));
@@ -181,7 +188,8 @@
   /** Transport of a process. */
   transportOf(owner: SimulatedProcess): ports.PeerTransport {
     const deliver = (address: string, method: string, parameters: unknown, reply: ports.Reply): void => {
-      this.time.after(LATENCY, () => {
+      const delay = this.delays.get(`${owner.address} ${address}`) ?? 0;
+      this.time.after(LATENCY + delay, () => {
         const receiver = this.processes.get(address);
         if (receiver === undefined || !owner.isRunning || this.isPartitioned(owner.address, address)) {
           return;
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -3,7 +3,6 @@
  * entries as they change, and runs a coordinator that places generations.
  */
 import type * as agreedState from '../agreedState/agreedState.js';
-import type * as agreedTypes from '../agreedState/types.js';
 import type * as replica from '../consensus/replica.js';
 import type * as shareReport from '../fairShare/shareReport.js';
 import * as instanceTable from '../instances/instanceTable.js';
@@ -12,6 +11,9 @@
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
 import type * as timerService from '../kernel/timerService.js';
+import type * as callerCheck from '../operatorOrders/callerCheck.js';
+import type * as dataCentreOrders from '../operatorOrders/dataCentreOrders.js';
+import type * as operatorOrders from '../operatorOrders/types.js';
 import * as coordinator from '../placement/coordinator.js';
 import * as evacuation from '../placement/evacuation.js';
 import * as relayMessages from '../peerRelay/messages.js';
@@ -48,6 +50,7 @@
   readonly random: ports.Random;
   readonly log: ports.Log;
   readonly metrics: ports.Metrics;
+  readonly callerCheck: callerCheck.CallerCheck;
   readonly peerAddress: string;
   readonly dataCentre: string;
   readonly decode: trafficTypes.DecodeTraffic;
@@ -353,9 +356,13 @@
     this.operatorCalls.read(done);
   }
 
-  /** Evacuates or restores a data centre. */
-  evacuateOrRestore(command: agreedTypes.DataCentreCommand, done: ports.Reply): void {
-    this.operatorCalls.evacuateOrRestore(command, done);
+  /** Evacuates or restores a data centre while the caller waits. */
+  evacuateOrRestore(
+    order: dataCentreOrders.DataCentreOrder,
+    caller: operatorOrders.OrderCaller,
+    done: ports.Reply,
+  ): void {
+    this.operatorCalls.evacuateOrRestore(order, caller, done);
   }
 
   /** Applies an instance's announcement; updates to replicas and entries have been triggered when this returns. */
--- a/packages/kumquatfront/src/trafficEntry/evacuatedDataCentre.spec.ts
+++ b/packages/kumquatfront/src/trafficEntry/evacuatedDataCentre.spec.ts
@@ -114,7 +114,13 @@
     assert.equal(harness.control.evacuateOrRestore('c2', 'evacuate', 'a'), true);
     sendRequests(harness, 2_000, 4);
     const restored = harness.time.now();
-    harness.control.trafficOf('c1').evacuateOrRestore({ type: 'restore', dataCentre: 'a' }, () => undefined);
+    harness.control
+      .trafficOf('c1')
+      .evacuateOrRestore(
+        { type: 'restore', dataCentre: 'a' },
+        harness.control.callerAt('c1'),
+        () => undefined,
+      );
     sendRequests(harness, 4_000, 4);
     const { requestsPerSecond, duration } = crashTestTraffic.WARM_UP;
     const upstreams = new Set(harness.upstreams.arrivals.map(({ upstream }) => upstream));
--- a/packages/scenarios/src/scripts/dataCentreSafeguards.ts
+++ b/packages/scenarios/src/scripts/dataCentreSafeguards.ts
@@ -7,8 +7,8 @@
 export const dataCentreSafeguards: readonly types.Safeguard[] = [
   {
     name: 'an evacuation is part of snapshots',
-    file: 'agreedState/agreedState.js',
-    find: '...(this.currentEvacuations.revision === 0 ? {} : { evacuations: this.currentEvacuations }),',
+    file: 'agreedState/evacuationTable.js',
+    find: '...(evacuations.revision === 0 ? {} : { evacuations }),',
     replace: '',
     scenario: 'spec:trafficControl/evacuations',
   },
