Orders on data centres that may have waited during a pause are refused

The operator had taken an earlier evacuation back, had got no answer from one control process in a second, had closed that connection and had it acknowledged by another process, and had then evacuated the data centre again.

Cause: the first process stood still with the order in its socket. When it went on it read the order, though its caller had left 2.2 s before, and the leader committed it as the newest one.

Now a process carries out an order only if its caller still waits, which it looks at once it has read all that had arrived on the connection: the end of a connection lies behind its last bytes.

--- a/packages/kumquatfront/src/operatorOrders/callerCheck.ts
+++ b/packages/kumquatfront/src/operatorOrders/callerCheck.ts
@@ -1,8 +1,8 @@
 /**
- * Reports orders that may be out of date: their caller has left, or they may have waited while the process was paused.
+ * Refuses orders that may be out of date: their caller has left, or they may have waited while the process was paused.
  * The caller of such an order may have sent it again elsewhere, and other orders after it.
  */
-import type * as failures from '../kernel/failures.js';
+import * as failures from '../kernel/failures.js';
 import type * as pauseMonitor from '../kernel/pauseMonitor.js';
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
@@ -15,6 +15,8 @@
   readonly metrics: ports.Metrics;
 }
 
+const REMEDY = 'Send it again, to any control replica: nothing was changed.';
+
 /** Checks the callers of orders; see the module comment. */
 export class CallerCheck {
   private readonly options: CallerCheckOptions;
@@ -40,28 +42,31 @@
     done: (confirmed: results.Result<null, failures.Failure>) => void,
   ): void {
     const pause = this.options.pauses.recentPause();
+    if (pause > 0) {
+      const message = `This replica was paused for ${Math.round(pause)} ms, and the order may be older than that.`;
+      done(this.refuse(caller, order, 'paused', message));
+      return;
+    }
     caller.checkPresence(wait, (isPresent) => {
-      if (pause > 0 || !isPresent) {
-        this.report(caller, order, isPresent ? 'paused' : 'callerLeft', pause);
-      }
-      done(results.Ok(null));
+      done(
+        isPresent
+          ? results.Ok(null)
+          : this.refuse(caller, order, 'callerLeft', 'The caller has closed its connection.'),
+      );
     });
   }
 
-  private report(
+  private refuse(
     caller: types.OrderCaller,
     order: ports.LogFields,
     reason: 'callerLeft' | 'paused',
-    pause: ports.Milliseconds,
-  ): void {
+    message: string,
+  ): results.Result<null, failures.Failure> {
+    const { log, metrics, pauses } = this.options;
     const { knownIndex, connection } = caller;
-    this.options.log.warn('lateOrder', {
-      ...order,
-      reason,
-      knownIndex,
-      pause: Math.round(pause),
-      ...connection,
-    });
-    this.options.metrics.count('orders.late', 1, { reason });
+    const pause = Math.round(pauses.recentPause());
+    log.warn('lateOrderRefused', { ...order, reason, knownIndex, pause, ...connection });
+    metrics.count('orders.late', 1, { reason });
+    return results.Err(failures.create('stale', message, REMEDY));
   }
 }
--- /dev/null
+++ b/packages/scenarios/src/scripts/operatorOrderSafeguards.ts
@@ -0,0 +1,67 @@
+/**
+ * Safeguards against orders of operators that are carried out late, after newer ones.
+ */
+import type * as types from './types.js';
+
+const LATE_ORDERS = 'spec:trafficControl/lateOrders';
+const CALLERS = 'spec:adapters/callerConnections';
+
+/** Safeguards, each with the spec that must fail without it. */
+export const operatorOrderSafeguards: readonly types.Safeguard[] = [
+  {
+    name: 'an order whose caller has left is refused',
+    file: 'operatorOrders/callerCheck.js',
+    find: 'done(isPresent',
+    replace: 'done(true',
+    scenario: LATE_ORDERS,
+  },
+  {
+    name: 'an order that may have waited during a pause is refused',
+    file: 'operatorOrders/callerCheck.js',
+    find: 'if (pause > 0) {',
+    replace: 'if (false) {',
+    scenario: LATE_ORDERS,
+  },
+  {
+    name: 'a pause counts before the timer has noticed it',
+    file: 'kernel/pauseMonitor.js',
+    find: 'if (current > 0) {',
+    replace: 'if (false) {',
+    scenario: 'spec:kernel/pauseMonitor',
+  },
+  {
+    name: 'a pause counts until all that has waited is read',
+    file: 'kernel/pauseMonitor.js',
+    find: 'this.options.clock.now() < endedAt + BACKLOG_TIME',
+    replace: 'false',
+    scenario: LATE_ORDERS,
+  },
+  {
+    name: 'the pause of a suspended machine counts, whose monotonic clock stands still',
+    file: 'kernel/pauseMonitor.js',
+    find: 'Math.max(clock.now() - this.tickedAt, clock.wall() - this.tickedAtWall)',
+    replace: 'clock.now() - this.tickedAt',
+    scenario: 'spec:kernel/pauseMonitor',
+  },
+  {
+    name: 'the end of a connection is read before its order is carried out',
+    file: 'adapters/callerConnections.js',
+    find: 'setImmediate(() => {\n        setImmediate(run);\n    });',
+    replace: 'run();',
+    scenario: CALLERS,
+  },
+  {
+    name: 'a caller may close its sending side and wait for the answer',
+    file: 'adapters/callerConnections.js',
+    find: 'Object.assign(server, { httpAllowHalfOpen: true });',
+    replace: '',
+    scenario: CALLERS,
+  },
+  {
+    name: 'a closed connection is told from a half-closed one by its reset',
+    file: 'adapters/callerConnections.js',
+    find: 'done(outgoing.socket?.destroyed === false);',
+    replace: 'done(true);',
+    scenario: CALLERS,
+  },
+];
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -9,6 +9,7 @@
 import * as controlSafeguards from './controlSafeguards.js';
 import * as dataCentreSafeguards from './dataCentreSafeguards.js';
 import * as heavyLoadSafeguards from './heavyLoadSafeguards.js';
+import * as operatorOrderSafeguards from './operatorOrderSafeguards.js';
 import * as partSafeguards from './partSafeguards.js';
 import * as peerRelaySafeguards from './peerRelaySafeguards.js';
 import * as prefillSafeguards from './prefillSafeguards.js';
@@ -32,6 +33,7 @@
   ...quarantineSafeguards.quarantineSafeguards,
   ...partSafeguards.partSafeguards,
   ...dataCentreSafeguards.dataCentreSafeguards,
+  ...operatorOrderSafeguards.operatorOrderSafeguards,
   ...backPressureSafeguards.backPressureSafeguards,
   ...callSlotsSafeguards.callSlotsSafeguards,
   ...peerRelaySafeguards.peerRelaySafeguards,
