An order on a data centre is void after a newer one that its replica did not know

A follower has forwarded the order, and the copy reaches the leader late; or the order waits in the network, on a connection that earlier calls used, until the link heals, and the end of the connection follows a round trip after it; or an order that was never acknowledged arrives after one that found the data centre as ordered, and so left no trace.

Cause: of two orders the one later in the log held, whatever its sender knew. A configuration has its version, an order had nothing.

Now an order carries the log index that its replica had applied when it accepted the caller's connection, or last answered on it: what the replica knew by then is older than the order (optimistic concurrency control). One for the present state is acknowledged whatever it names: it is a repetition.

--- a/packages/kumquatfront/src/agreedState/evacuationTable.ts
+++ b/packages/kumquatfront/src/agreedState/evacuationTable.ts
@@ -40,9 +40,14 @@
    * order may not have received the answer to the first copy.
    */
   apply(command: types.DataCentreCommand, index: number, stamp: number): types.DataCentreAnswer {
-    const { type, dataCentre } = command;
+    const { type, dataCentre, knownIndex } = command;
     const isEvacuated = this.current.dataCentres.some((record) => record.dataCentre === dataCentre);
     const changesState = (type === 'evacuate') !== isEvacuated;
+    const lastOrder = this.lastOrders.get(dataCentre) ?? this.droppedIndex;
+    // Log entries written by earlier versions have no known index.
+    if (changesState && knownIndex !== undefined && knownIndex < lastOrder) {
+      return { accepted: false, lastOrder };
+    }
     if (changesState) {
       const others = this.current.dataCentres.filter((record) => record.dataCentre !== dataCentre);
       const dataCentres = isEvacuated ? others : [...others, { dataCentre, since: stamp }];
--- a/packages/kumquatfront/src/trafficControl/lateOrders.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/lateOrders.spec.ts
@@ -116,3 +116,131 @@
   harness.time.advance(3_000);
   assert.ok(acknowledgedAt - resumedAt <= 1_000, `acknowledged after ${acknowledgedAt - resumedAt} ms`);
 });
+
+/** Has a follower forward an order over a link that delivers it late; the order is given up there after a second. */
+function forwardLate(
+  { harness, leader, follower }: Cluster,
+  late: dataCentreOrders.DataCentreOrder,
+  delay: number,
+): void {
+  harness.delay(follower, leader, delay);
+  const connection = new operatorTestClient.OperatorConnection(harness, follower);
+  connection.send(late, () => undefined);
+  harness.time.advance(1_000);
+  connection.close();
+  harness.delay(follower, leader, 0);
+}
+
+// Guards against a leader that commits a forwarded copy of an order after newer ones.
+void test.test('an order that was forwarded and arrives late at the leader undoes no newer one', () => {
+  for (const late of [EVACUATE, RESTORE]) {
+    const cluster = createCluster();
+    const { harness, otherFollower } = cluster;
+    const [first, last] =
+      late.type === 'restore' ? (['evacuate', 'restore'] as const) : (['restore', 'evacuate'] as const);
+    orderAt(harness, otherFollower, first);
+    forwardLate(cluster, late, 4_000);
+    orderAt(harness, otherFollower, last);
+    orderAt(harness, otherFollower, first);
+    harness.time.advance(5_000);
+    assertAllAgree(harness, first === 'evacuate' ? ['a'] : []);
+  }
+});
+
+// Guards against forgetting orders that changed nothing: the late one was never acknowledged, and this one was.
+void test.test('a late order does not undo a newer one that found its data centre as ordered', () => {
+  const cluster = createCluster();
+  const { harness, otherFollower } = cluster;
+  forwardLate(cluster, EVACUATE, 4_000);
+  orderAt(harness, otherFollower, 'restore');
+  harness.time.advance(5_000);
+  assertAllAgree(harness, []);
+});
+
+// Guards against replicas that forget with a restart, or with the loss of the leader, which orders were accepted.
+void test.test('a late order is refused by a new leader and after the restart of all replicas', () => {
+  const cluster = createCluster();
+  const { harness, leader, follower, otherFollower } = cluster;
+  orderAt(harness, otherFollower, 'evacuate');
+  const connection = new operatorTestClient.OperatorConnection(harness, follower);
+  harness.time.advance(10);
+  orderAt(harness, otherFollower, 'restore');
+  orderAt(harness, otherFollower, 'evacuate');
+  harness.kill(leader);
+  harness.time.advance(4_000);
+  for (const seed of SEEDS.filter((address) => address !== follower)) {
+    harness.kill(seed);
+    harness.start(seed);
+  }
+  harness.time.advance(4_000);
+  connection.silence();
+  connection.send(RESTORE, () => undefined);
+  connection.close();
+  connection.heal();
+  harness.time.advance(3_000);
+  assertAllAgree(harness, ['a']);
+});
+
+// Guards against orders that wait in the network, on a connection that earlier calls used, until a link heals.
+void test.test('an order on a reused connection whose link was silent undoes no newer one', () => {
+  for (const replica of ['leader', 'follower'] as const) {
+    const cluster = createCluster();
+    const { harness, otherFollower } = cluster;
+    const connection = new operatorTestClient.OperatorConnection(harness, cluster[replica]);
+    const outcomes: operatorTestClient.CopyOutcome[] = [];
+    connection.send(EVACUATE, (outcome) => outcomes.push(outcome));
+    harness.time.advance(100);
+    connection.silence();
+    connection.send(RESTORE, (outcome) => outcomes.push(outcome));
+    harness.time.advance(1_000);
+    connection.close();
+    orderAt(harness, otherFollower, 'restore');
+    orderAt(harness, otherFollower, 'evacuate');
+    connection.heal();
+    harness.time.advance(1_000);
+    assert.deepEqual(outcomes, ['acknowledged']);
+    assertAllAgree(harness, ['a']);
+  }
+});
+
+// Guards against refusing a caller whose replica learned of a newer order meanwhile.
+void test.test('an order on a reused connection is acknowledged after another operator has ordered', () => {
+  const { harness, follower, otherFollower } = createCluster();
+  const connection = new operatorTestClient.OperatorConnection(harness, follower);
+  const outcomes: operatorTestClient.CopyOutcome[] = [];
+  connection.send(EVACUATE, (outcome) => outcomes.push(outcome));
+  harness.time.advance(100);
+  orderAt(harness, otherFollower, 'restore');
+  connection.send(EVACUATE, (outcome) => outcomes.push(outcome));
+  harness.time.advance(200);
+  assert.deepEqual(outcomes, ['acknowledged', 'acknowledged']);
+  assertAllAgree(harness, ['a']);
+});
+
+// Guards against two results of two operators, and against refusing one of them for good.
+void test.test(
+  'two operators that order different things at once are both acknowledged, and one result holds',
+  () => {
+    for (let offset = -3; offset <= 3; offset += 1) {
+      const { harness, follower, otherFollower } = createCluster();
+      const order: string[] = [];
+      const operator = new operatorTestClient.OperatorTestClient({
+        ...{ harness, addresses: [follower, otherFollower], givingUp: 'closes' },
+        ...{ patience: 1_000, limit: 5_000, readDelay: 0 },
+      });
+      const send = (ordered: dataCentreOrders.DataCentreOrder, replica: number, delay: number): void => {
+        harness.time.after(delay, () => {
+          operator.order(ordered, replica, (isAcknowledged) => {
+            order.push(isAcknowledged ? ordered.type : 'given up');
+          });
+        });
+      };
+      send(EVACUATE, 0, 10 + offset);
+      send(RESTORE, 1, 10);
+      harness.time.advance(2_000);
+      assert.deepEqual([...order].sort(), ['evacuate', 'restore'], String(offset));
+      const [state = []] = SEEDS.map((seed) => harness.evacuatedAt(seed));
+      assertAllAgree(harness, state);
+    }
+  },
+);
