Late orders on data centres are void on the product's own interface too

What callers would see: the same as on the platform, through PUT and DELETE /v1/evacuations: an acknowledged evacuation is undone, or a data centre is evacuated that was restored, when a control replica reads an order late or its leader gets a forwarded copy late.

Cause: the interface proposed or forwarded the bare command. It now takes the same way as the platform (operatorOrders): the caller's presence, pauses, the known index, another try on a newer one.

--- a/packages/kumquatfront/src/adapters/controlHttp.ts
+++ b/packages/kumquatfront/src/adapters/controlHttp.ts
@@ -11,9 +11,12 @@
 import * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
+import type * as dataCentreOrders from '../operatorOrders/dataCentreOrders.js';
 import * as trafficResolver from '../selectors/trafficResolver.js';
+import * as callerConnections from './callerConnections.js';
 import * as httpMessages from './httpMessages.js';
 import * as peerAuthentication from './peerAuthentication.js';
+import * as systemTime from './systemTime.js';
 
 /** Options of the operator HTTP API. */
 export interface ControlHttpOptions {
@@ -25,6 +28,10 @@
   readonly controlAddresses: readonly string[];
 }
 
+interface ServerOptions extends ControlHttpOptions {
+  readonly callers: callerConnections.CallerConnections;
+}
+
 const OBJECT_PATH = /^\/v1\/configuration\/([A-Za-z]+)(?:\/([A-Za-z0-9._-]{1,63}))?$/;
 const EVACUATION_PATH = /^\/v1\/evacuations\/([^/]{1,200})$/;
 const FORWARD_TIMEOUT = 5_000;
@@ -41,7 +48,12 @@
  * ```
  */
 export function createServer(options: ControlHttpOptions): http.Server {
-  return http.createServer(httpMessages.serverOptions, (request, response) => {
+  const replica = options.node.services.find('replica');
+  const callers = new callerConnections.CallerConnections({
+    ...systemTime,
+    appliedIndex: () => replica.appliedIndex,
+  });
+  const server = http.createServer(httpMessages.serverOptions, (request, response) => {
     const hash = trafficResolver.hashKey(httpMessages.bearerKey(request));
     if (!peerAuthentication.timingSafeEqual(hash, options.operatorKeyHash)) {
       const remedy = 'Send the operators key in the Authorization header.';
@@ -51,15 +63,13 @@
       );
       return;
     }
-    route(options, request, response);
+    route({ ...options, callers }, request, response);
   });
+  callers.track(server);
+  return server;
 }
 
-function route(
-  options: ControlHttpOptions,
-  request: http.IncomingMessage,
-  response: http.ServerResponse,
-): void {
+function route(options: ServerOptions, request: http.IncomingMessage, response: http.ServerResponse): void {
   const url = new URL(request.url ?? '/', 'http://control');
   const [, kind, name] = OBJECT_PATH.exec(url.pathname) ?? [];
   const [, dataCentre] = EVACUATION_PATH.exec(url.pathname) ?? [];
@@ -75,7 +85,7 @@
     submitOrder(options, request, response);
   } else if ((request.method === 'PUT' || request.method === 'DELETE') && dataCentre !== undefined) {
     const type = request.method === 'PUT' ? 'evacuate' : 'restore';
-    evacuateOrRestore(options, { type, dataCentre }, response);
+    evacuateOrRestore(options, { type, dataCentre }, request, response);
   } else if (request.method === 'GET' && kind !== undefined) {
     sendResult(response, options.node.readObjects(kind, name), (objects) => ({ objects }));
   } else if (
@@ -203,14 +213,13 @@
 }
 
 function evacuateOrRestore(
-  options: ControlHttpOptions,
-  command: agreedState.DataCentreCommand,
+  options: ServerOptions,
+  order: dataCentreOrders.DataCentreOrder,
+  request: http.IncomingMessage,
   response: http.ServerResponse,
 ): void {
-  options.node.evacuateOrRestore(command, (result) => {
-    forwardToLeader(options, methods.methods.evacuate, command, result, (final) => {
-      sendResult(response, final, (evacuations) => evacuations);
-    });
+  options.node.evacuateOrRestore(order, options.callers.callerOf(request, response), (result) => {
+    sendResult(response, result, (evacuations) => evacuations);
   });
 }
 
--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -3,7 +3,6 @@
  * All external dependencies are passed in as ports.
  */
 import * as agreedState from '../agreedState/agreedState.js';
-import * as evacuationFailures from '../agreedState/evacuationFailures.js';
 import type * as agreedTypes from '../agreedState/types.js';
 import * as validation from '../configuration/validation.js';
 import type * as configuration from '../configuration/types.js';
@@ -18,6 +17,8 @@
 import * as serviceRegistry from '../kernel/serviceRegistry.js';
 import * as timerService from '../kernel/timerService.js';
 import * as callerCheck from '../operatorOrders/callerCheck.js';
+import type * as dataCentreOrders from '../operatorOrders/dataCentreOrders.js';
+import type * as operatorOrders from '../operatorOrders/types.js';
 import * as orderForwarder from '../orders/orderForwarder.js';
 import * as orderDispatcher from '../orders/orderDispatcher.js';
 import type * as orders from '../orders/types.js';
@@ -26,6 +27,8 @@
 import type * as trafficTypes from '../traffic/types.js';
 import * as trafficControl from '../trafficControl/trafficControl.js';
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
+import * as claimRequests from './claimRequests.js';
+import * as evacuations from './evacuations.js';
 import * as membership from './membership.js';
 import * as methods from './methods.js';
 import * as voterSpread from './voterSpread.js';
@@ -78,8 +81,12 @@
 /** Interface of a control replica for its adapters. */
 export interface ControlNode {
   readonly services: serviceRegistry.ServiceRegistry<ControlServices>;
-  /** Evacuates or restores a data centre; succeeds only on the leader. */
-  evacuateOrRestore(command: agreedTypes.DataCentreCommand, done: ports.Reply): void;
+  /** Evacuates or restores a data centre while the caller waits. */
+  evacuateOrRestore(
+    order: dataCentreOrders.DataCentreOrder,
+    caller: operatorOrders.OrderCaller,
+    done: ports.Reply,
+  ): void;
   /** Changes the configuration; succeeds only on the leader. */
   configure(command: agreedTypes.ConfigureCommand, done: ports.Reply): void;
   /** Reads the objects of a kind, or one by name; fails if this replica may be out of date. */
@@ -122,10 +129,11 @@
   private readonly replica: replica.Replica;
   private readonly state: agreedState.AgreedState;
   private readonly traffic: trafficControl.TrafficControl | undefined;
+  private readonly evacuations: evacuations.Evacuations;
   private readonly lastSeenEntries = new Map<string, SeenEntry>();
 
   constructor(settings: ControlSettings, externalPorts: ControlPorts, store: logStore.LogStore) {
-    const { clock, scheduler, random, log, peers } = externalPorts;
+    const { clock, scheduler, random, log, metrics, peers } = externalPorts;
     this.settings = settings;
     this.timers = timerService.create(clock, scheduler);
     this.state = new agreedState.AgreedState(settings.limits);
@@ -165,7 +173,12 @@
     this.services.register('replica', this.replica);
     this.services.register('orders', dispatcher);
     this.services.register('membership', this.createMembership(externalPorts, store.identity));
-    this.services.register('callerCheck', this.createCallerCheck(externalPorts));
+    const check = this.createCallerCheck(externalPorts);
+    this.services.register('callerCheck', check);
+    this.evacuations = new evacuations.Evacuations({
+      ...{ replica: this.replica, peers, log, metrics, check },
+      dataCentres: () => this.knownDataCentres(),
+    });
     if (externalPorts.decodeTraffic !== undefined) {
       this.traffic = this.createTrafficControl(externalPorts, externalPorts.decodeTraffic);
       this.services.register('traffic', this.traffic);
@@ -249,18 +262,10 @@
     peers.serve(names.configure, (parameters, reply) => {
       this.configure(parameters as agreedTypes.ConfigureCommand, reply);
     });
-    peers.serve(names.claims, (parameters, reply) => {
-      this.onClaims(parameters as methods.ClaimsRequest, reply);
-    });
-    peers.serve(names.settleClaim, (parameters, reply) => {
-      this.replica.propose(parameters, reply);
-    });
+    claimRequests.serve(peers, this.replica);
     peers.serve(names.order, (parameters, reply) => {
       this.replica.propose(parameters, reply);
     });
-    peers.serve(names.evacuate, (parameters, reply) => {
-      this.replica.propose(parameters, reply);
-    });
     peers.serve(names.pull, (parameters, reply) => {
       this.onPull(parameters as methods.PullRequest, reply);
     });
@@ -283,46 +288,25 @@
     this.replica.propose(command, done);
   }
 
+  evacuateOrRestore(
+    order: dataCentreOrders.DataCentreOrder,
+    caller: operatorOrders.OrderCaller,
+    done: ports.Reply,
+  ): void {
+    this.evacuations.execute(order, caller, done);
+  }
+
   /**
-   * Accepts only data centres in which an entry or a control replica runs, or which are already evacuated. Control
-   * has no configured list of data centres, and upstreams announce themselves to entries.
+   * Data centres in which an entry or a control replica runs, or which are evacuated. Control has no configured list of
+   * data centres, and upstreams announce themselves to entries.
    */
-  evacuateOrRestore(command: agreedTypes.DataCentreCommand, done: ports.Reply): void {
-    const { dataCentre } = command;
-    const knownDataCentres = new Set([
+  private knownDataCentres(): ReadonlySet<string> {
+    return new Set([
       this.settings.dataCentre,
       ...this.liveEntries().map((entry) => entry.dataCentre),
       ...this.replica.status().members.map((member) => member.dataCentre ?? ''),
       ...this.state.evacuations.dataCentres.map((evacuation) => evacuation.dataCentre),
     ]);
-    if (dataCentre === '' || !knownDataCentres.has(dataCentre)) {
-      const names = [...knownDataCentres].filter((name) => name !== '').sort();
-      done(results.Err(evacuationFailures.unknownDataCentre(dataCentre, names)));
-      return;
-    }
-    this.replica.propose(command, done);
-  }
-
-  private onClaims(request: methods.ClaimsRequest, reply: ports.Reply): void {
-    const answers: agreedTypes.ClaimAnswer[] = [];
-    let pending = request.claims.length;
-    let hasFailed = false;
-    for (const [position, claim] of request.claims.entries()) {
-      this.replica.propose(claim, (result) => {
-        pending -= 1;
-        if (result.err) {
-          if (!hasFailed) {
-            hasFailed = true;
-            reply(result);
-          }
-          return;
-        }
-        answers[position] = result.val as agreedTypes.ClaimAnswer;
-        if (pending === 0 && !hasFailed) {
-          reply(results.Ok({ answers }));
-        }
-      });
-    }
   }
 
   private onPull(request: methods.PullRequest, reply: ports.Reply): void {
--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -11,6 +11,7 @@
 import * as timerService from '../kernel/timerService.js';
 import * as virtualTime from '../kernel/virtualTime.js';
 import * as placementFeatures from '../placement/placementFeatures.js';
+import type * as dataCentreOrders from '../operatorOrders/dataCentreOrders.js';
 import type * as operatorOrders from '../operatorOrders/types.js';
 import type * as relayTypes from '../relay/types.js';
 import * as defaultConfig from '../settings/defaultConfig.js';
@@ -63,6 +64,8 @@
   private readonly random: ports.Random;
   private readonly log: ports.Log;
   private readonly decode: trafficTypes.DecodeTraffic;
+  /** Interface to which operators send orders: that of the node, or that of its traffic control. */
+  operatorInterface: 'node' | 'traffic' = 'traffic';
   /** Features of processes that are started from now on. */
   isEnabled: placementFeatures.IsEnabled = placementFeatures.allEnabled;
   /** Address of the replica that sent a piece of a configuration last. */
@@ -236,13 +239,24 @@
     dataCentre: string,
   ): boolean {
     let acknowledged = false;
-    this.trafficOf(address).evacuateOrRestore({ type, dataCentre }, this.callerAt(address), (result) => {
+    this.sendOrder(address, { type, dataCentre }, this.callerAt(address), (result) => {
       acknowledged = result.ok;
     });
     this.time.advance(1_000);
     return acknowledged;
   }
 
+  /** Sends an order on a data centre to a replica. */
+  sendOrder(
+    address: string,
+    order: dataCentreOrders.DataCentreOrder,
+    caller: operatorOrders.OrderCaller,
+    done: ports.Reply,
+  ): void {
+    const receiver = this.operatorInterface === 'node' ? this.node(address) : this.trafficOf(address);
+    receiver.evacuateOrRestore(order, caller, done);
+  }
+
   /** A caller that stays connected to a replica. */
   callerAt(address: string): operatorOrders.OrderCaller {
     return {
--- a/packages/kumquatfront/src/trafficControl/operatorTestClient.ts
+++ b/packages/kumquatfront/src/trafficControl/operatorTestClient.ts
@@ -77,7 +77,7 @@
   send(order: dataCentreOrders.DataCentreOrder, answered: (outcome: CopyOutcome) => void): void {
     this.deliver(() => {
       const { harness, address } = this;
-      harness.trafficOf(address).evacuateOrRestore(order, this.caller(), (result) => {
+      harness.sendOrder(address, order, this.caller(), (result) => {
         this.knownIndex = harness.appliedIndexOf(address);
         harness.time.after(LATENCY, () => {
           if (!this.isClosed) {
--- a/packages/scenarios/src/language/actions.ts
+++ b/packages/scenarios/src/language/actions.ts
@@ -121,7 +121,15 @@
   return (current, line) => {
     const dataCentre = word(line, 0);
     const [leader = ''] = current.world.leaders();
-    current.world.controls.get(leader)?.node?.evacuateOrRestore({ type, dataCentre }, (result) => {
+    const node = current.world.controls.get(leader)?.node;
+    const caller: kumquatfront.operatorOrders.OrderCaller = {
+      knownIndex: node?.services.find('replica').appliedIndex ?? 0,
+      connection: {},
+      checkPresence: (_wait, done) => {
+        done(true);
+      },
+    };
+    node?.evacuateOrRestore({ type, dataCentre }, caller, (result) => {
       const outcome = result.ok ? 'acknowledged' : kumquatfront.failures.describe(result.val);
       current.world.record(`operator: ${type} ${dataCentre} ${outcome}`);
     });
