Lifts of quarantines, drains and orders to upstreams are carried out while their caller waits

What callers would see: a quarantine that began after an operator had lifted the one before is lifted again, by the copy of that call that waited in a paused control process; an entry that was started anew is drained by an old call.

Cause: like orders on data centres these calls name nothing by which a late copy could be told, and any replica carries them out. They now go through the same check of their caller and of pauses. Configurations need none: they have versions and change ids.

lateOrders.spec: without the check the late lift is carried out (before: 'notFound' in place of 'stale'). What remains: such a call whose connection is silent in the network and whose end follows its bytes late.

--- a/packages/kumquatfront/src/adapters/controlHttp.ts
+++ b/packages/kumquatfront/src/adapters/controlHttp.ts
@@ -80,9 +80,13 @@
   } else if (request.method === 'GET' && url.pathname === '/v1/accounts') {
     sendAccounts(options, response);
   } else if (request.method === 'POST' && url.pathname === '/v1/drains') {
-    drainEntry(options, request, response);
+    whileCallerWaits(options, request, response, { order: 'drain' }, () => {
+      drainEntry(options, request, response);
+    });
   } else if (request.method === 'POST' && url.pathname === '/v1/orders') {
-    submitOrder(options, request, response);
+    whileCallerWaits(options, request, response, { order: 'upstreamOrder' }, () => {
+      submitOrder(options, request, response);
+    });
   } else if ((request.method === 'PUT' || request.method === 'DELETE') && dataCentre !== undefined) {
     const type = request.method === 'PUT' ? 'evacuate' : 'restore';
     evacuateOrRestore(options, { type, dataCentre }, request, response);
@@ -100,6 +104,24 @@
   }
 }
 
+/** Continues unless the caller has left, or the request may have waited while this process was paused. */
+function whileCallerWaits(
+  { node, callers }: ServerOptions,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  order: ports.LogFields,
+  carryOut: () => void,
+): void {
+  const caller = callers.callerOf(request, response);
+  node.services.find('callerCheck').confirm(caller, order, 0, (confirmed) => {
+    if (confirmed.err) {
+      httpMessages.sendFailure(response, confirmed.val);
+    } else {
+      carryOut();
+    }
+  });
+}
+
 function sendResult<Value>(
   response: http.ServerResponse,
   result: results.Result<Value, failures.Failure>,
--- a/packages/kumquatfront/src/trafficControl/lateOrders.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/lateOrders.spec.ts
@@ -5,6 +5,7 @@
 import * as test from 'node:test';
 
 import type * as dataCentreOrders from '../operatorOrders/dataCentreOrders.js';
+import type * as operatorOrders from '../operatorOrders/types.js';
 import * as controlTestHarness from './controlTestHarness.js';
 import * as operatorTestClient from './operatorTestClient.js';
 
@@ -288,3 +289,31 @@
     },
   );
 }
+
+// Guards against lifting a quarantine that began after the order was given: it goes to whichever replica reads it.
+void test.test('a lift that waited in a paused replica is not carried out', () => {
+  const { harness, follower } = createCluster('traffic');
+  const lift = (isPresent: boolean): string => {
+    let outcome = '';
+    const caller: operatorOrders.OrderCaller = {
+      ...harness.callerAt(follower),
+      checkPresence: (_wait, done) => {
+        done(isPresent);
+      },
+    };
+    harness.trafficOf(follower).liftQuarantine('part:llm/bad', caller, (result) => {
+      outcome = result.err ? result.val.kind : 'lifted';
+    });
+    return outcome;
+  };
+  assert.equal(lift(true), 'notFound');
+  assert.equal(lift(false), 'stale');
+  harness.pause(follower);
+  harness.time.advance(2_000);
+  harness.runAt(follower, () => {
+    assert.equal(lift(true), 'stale');
+  });
+  harness.resume(follower);
+  harness.time.advance(1_000);
+  assert.equal(lift(true), 'notFound');
+});
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -365,6 +365,17 @@
     this.operatorCalls.evacuateOrRestore(order, caller, done);
   }
 
+  /** Lifts a quarantine while the caller waits. */
+  liftQuarantine(
+    cause: string,
+    caller: operatorOrders.OrderCaller,
+    done: (result: results.Result<null, failures.Failure>) => void,
+  ): void {
+    this.options.callerCheck.confirm(caller, { order: 'liftQuarantine', content: cause }, 0, (confirmed) => {
+      done(confirmed.andThen(() => this.quarantine.lift(cause)));
+    });
+  }
+
   /** Applies an instance's announcement; updates to replicas and entries have been triggered when this returns. */
   announce(announcement: instanceTypes.Announcement): void {
     this.gossip.announce(announcement);
