Property: the last acknowledged order holds; an order that was refused late is not tried again

An order is now submitted again only within 250 ms of its arrival, less than callers wait, and refused after that.

--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -177,6 +177,7 @@
     this.services.register('callerCheck', check);
     this.evacuations = new evacuations.Evacuations({
       ...{ replica: this.replica, peers, log, metrics, check },
+      now: () => this.timers.now(),
       dataCentres: () => this.knownDataCentres(),
     });
     if (externalPorts.decodeTraffic !== undefined) {
--- a/packages/kumquatfront/src/controlNode/evacuations.ts
+++ b/packages/kumquatfront/src/controlNode/evacuations.ts
@@ -18,6 +18,7 @@
   readonly log: ports.Log;
   readonly metrics: ports.Metrics;
   readonly check: callerCheck.CallerCheck;
+  readonly now: () => ports.Milliseconds;
   /** Names of the data centres that may be evacuated or restored. */
   readonly dataCentres: () => ReadonlySet<string>;
 }
--- a/packages/kumquatfront/src/operatorOrders/dataCentreOrders.ts
+++ b/packages/kumquatfront/src/operatorOrders/dataCentreOrders.ts
@@ -18,6 +18,7 @@
   readonly check: callerCheck.CallerCheck;
   readonly log: ports.Log;
   readonly metrics: ports.Metrics;
+  readonly now: () => ports.Milliseconds;
   /** Has the leader commit an order; calls back with a `DataCentreAnswer`. */
   readonly submit: (command: agreedTypes.DataCentreCommand, done: ports.Reply) => void;
 }
@@ -28,8 +29,18 @@
  */
 const PRESENCE_WAIT: ports.Milliseconds = 50;
 
-/** Maximum number of submissions of one order, which other orders may overtake. */
-const MAXIMUM_SUBMISSIONS = 3;
+/**
+ * Time after its arrival within which an order is submitted again. Below the time for which callers wait: later, the
+ * end of a connection that is not to be seen may still be on its way over a link that is silent.
+ */
+const RESUBMISSION_TIME: ports.Milliseconds = 250;
+
+interface SubmissionAttempt {
+  readonly knownIndex: number;
+  /** Time for which the caller is watched first. */
+  readonly wait: ports.Milliseconds;
+  readonly givenUpAt: ports.Milliseconds;
+}
 
 /** Orders on data centres; see the module comment. */
 export class DataCentreOrders {
@@ -48,16 +59,17 @@
    * ```
    */
   execute(order: DataCentreOrder, caller: types.OrderCaller, done: ports.Reply): void {
-    this.submitIfWanted(order, caller, { knownIndex: caller.knownIndex, wait: 0, submissions: 0 }, done);
+    const givenUpAt = this.options.now() + RESUBMISSION_TIME;
+    this.submitIfWanted(order, caller, { knownIndex: caller.knownIndex, wait: 0, givenUpAt }, done);
   }
 
   private submitIfWanted(
     order: DataCentreOrder,
     caller: types.OrderCaller,
-    attempt: { readonly knownIndex: number; readonly wait: ports.Milliseconds; readonly submissions: number },
+    attempt: SubmissionAttempt,
     done: ports.Reply,
   ): void {
-    const { check, submit } = this.options;
+    const { check, submit, now } = this.options;
     const { type, dataCentre } = order;
     check.confirm(caller, { order: type, dataCentre }, attempt.wait, (confirmed) => {
       if (confirmed.err) {
@@ -74,18 +86,14 @@
           done(results.Ok(answer.evacuations));
           return;
         }
-        const submissions = attempt.submissions + 1;
-        this.reportSuperseded(order, caller, answer.lastOrder, submissions);
-        if (submissions >= MAXIMUM_SUBMISSIONS) {
+        const mayResubmit = now() + PRESENCE_WAIT < attempt.givenUpAt;
+        this.reportSuperseded(order, caller, answer.lastOrder, mayResubmit);
+        if (!mayResubmit) {
           done(results.Err(supersededFailure(dataCentre)));
           return;
         }
-        this.submitIfWanted(
-          order,
-          caller,
-          { knownIndex: answer.lastOrder, wait: PRESENCE_WAIT, submissions },
-          done,
-        );
+        const next = { ...attempt, knownIndex: answer.lastOrder, wait: PRESENCE_WAIT };
+        this.submitIfWanted(order, caller, next, done);
       });
     });
   }
@@ -94,12 +102,12 @@
     order: DataCentreOrder,
     caller: types.OrderCaller,
     lastOrder: number,
-    submissions: number,
+    mayResubmit: boolean,
   ): void {
     const { log, metrics } = this.options;
     const { knownIndex, connection } = caller;
     const { type, dataCentre } = order;
-    const fields = { order: type, dataCentre, knownIndex, lastOrder, submissions, ...connection };
+    const fields = { order: type, dataCentre, knownIndex, lastOrder, again: mayResubmit, ...connection };
     log.warn('dataCentreOrderSuperseded', fields);
     metrics.count('orders.superseded');
   }
--- a/packages/kumquatfront/src/trafficControl/lateOrders.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/lateOrders.spec.ts
@@ -244,6 +244,31 @@
     },
   );
 
+  // Guards against trying again for a caller that has left over a link that is silent, so that its end cannot be seen.
+  void test.test(`an order that was refused late is not tried again (${operatorInterface})`, () => {
+    const { harness, leader, follower, otherFollower } = createCluster(operatorInterface);
+    orderAt(harness, otherFollower, 'evacuate');
+    const connection = new operatorTestClient.OperatorConnection(harness, follower);
+    harness.delay(follower, leader, 800);
+    connection.send(RESTORE, () => undefined);
+    harness.time.advance(10);
+    connection.silence();
+    harness.time.advance(390);
+    connection.close();
+    harness.delay(follower, leader, 0);
+    const operator = new operatorTestClient.OperatorTestClient({
+      ...{ harness, addresses: [otherFollower], givingUp: 'closes' },
+      ...{ patience: 1_000, limit: 5_000, readDelay: 0 },
+    });
+    operator.order(RESTORE, 0, () => {
+      operator.order(EVACUATE, 0, () => undefined);
+    });
+    harness.time.advance(1_000);
+    connection.heal();
+    harness.time.advance(1_000);
+    assertAllAgree(harness, ['a']);
+  });
+
   // Guards against refusing a caller whose replica learned of a newer order meanwhile.
   void test.test(
     `an order on a reused connection is acknowledged after another operator has ordered (${operatorInterface})`,
--- a/packages/kumquatfront/src/trafficControl/operatorCalls.ts
+++ b/packages/kumquatfront/src/trafficControl/operatorCalls.ts
@@ -55,9 +55,10 @@
 
   constructor(options: OperatorCallsOptions) {
     this.options = options;
-    const { callerCheck: check, log, metrics } = options;
+    const { callerCheck: check, log, metrics, timers } = options;
     this.dataCentreOrders = new dataCentreOrders.DataCentreOrders({
       ...{ check, log, metrics },
+      now: () => timers.now(),
       submit: (command, done) => {
         this.submitDataCentreCommand(command, done);
       },
--- a/packages/scenarios/src/scripts/operatorOrderSafeguards.ts
+++ b/packages/scenarios/src/scripts/operatorOrderSafeguards.ts
@@ -74,8 +74,15 @@
   {
     name: 'an order of a present caller is tried again after a newer one',
     file: 'operatorOrders/dataCentreOrders.js',
-    find: 'const MAXIMUM_SUBMISSIONS = 3;',
-    replace: 'const MAXIMUM_SUBMISSIONS = 1;',
+    find: 'const RESUBMISSION_TIME = 250;',
+    replace: 'const RESUBMISSION_TIME = 0;',
+    scenario: LATE_ORDERS,
+  },
+  {
+    name: 'an order that was refused late is not tried again',
+    file: 'operatorOrders/dataCentreOrders.js',
+    find: 'const RESUBMISSION_TIME = 250;',
+    replace: 'const RESUBMISSION_TIME = 10_000;',
     scenario: LATE_ORDERS,
   },
   {
