After a pause, an entry relays no request whose caller has left

What callers would see: a call that is not idempotent runs for a caller who gave it up while the entry stood still, and may have made it again elsewhere.

Cause: an entry relays a request as soon as it is read. After a pause the end of its connection lies unread behind it; the send was cancelled in the next turn of the event loop, when it had left already.

New test of trafficHttp.spec, red without the check (npm run prove): the request was relayed. Not covered: the product's own entry interface, whose calls are claimed by idempotency keys.

--- a/packages/kumquatfront/src/adapters/callerConnections.ts
+++ b/packages/kumquatfront/src/adapters/callerConnections.ts
@@ -7,6 +7,7 @@
 
 import type * as ports from '../kernel/ports.js';
 import type * as operatorOrders from '../operatorOrders/types.js';
+import * as eventLoop from './eventLoop.js';
 
 /** Ports of {@link CallerConnections}. */
 export interface CallerConnectionsOptions {
@@ -29,13 +30,6 @@
   answers: number;
 }
 
-/** Calls back once all data that has arrived by now has been read: the poll phase after the current one is over. */
-function afterNextPoll(run: () => void): void {
-  setImmediate(() => {
-    setImmediate(run);
-  });
-}
-
 /** Connections of one server; see the module comment. */
 export class CallerConnections {
   private readonly options: CallerConnectionsOptions;
@@ -120,10 +114,10 @@
       }
     };
     if (wait === 0) {
-      afterNextPoll(watch);
+      eventLoop.afterNextPoll(watch);
     } else {
       this.options.scheduler.after(wait, () => {
-        afterNextPoll(watch);
+        eventLoop.afterNextPoll(watch);
       });
     }
   }
@@ -136,7 +130,7 @@
     outgoing.writeContinue();
     this.options.scheduler.after(RESET_WAIT, () => {
       outgoing.writeContinue();
-      afterNextPoll(() => {
+      eventLoop.afterNextPoll(() => {
         done(outgoing.socket?.destroyed === false);
       });
     });
--- a/packages/kumquatfront/src/adapters/trafficHttp.spec.ts
+++ b/packages/kumquatfront/src/adapters/trafficHttp.spec.ts
@@ -26,14 +26,17 @@
   readonly load: entryLoad.EntryLoad;
   readonly lines: string[];
   readonly disconnected: string[];
+  /** Requests that were passed to the relay, by path. */
+  readonly handled: string[];
   readonly close: () => void;
 }
 
 /** Starts a server: `/call` is answered completely, `/stream` in two writes, `/flood` in many, `/refuse` refused. */
-function start(): Promise<Running> {
+function start(recentPause = 0): Promise<Running> {
   const time = new virtualTime.VirtualTime();
   const lines: string[] = [];
   const disconnected: string[] = [];
+  const handled: string[] = [];
   const write = (event: string): void => {
     lines.push(event);
   };
@@ -69,12 +72,14 @@
     load,
     limits: () => undefined,
     isDraining: () => false,
+    recentPause: () => recentPause,
     decode: (raw) => ({
       ...{ identity: 'r', host: 'h', path: raw.url, method: raw.method, headers: [], body: raw.body },
       arrivedAt: raw.arrivedAt,
     }),
     encodeRefusal: () => ({ status: 503, headers: [], body: '{}' }),
     handle: (request, caller) => {
+      handled.push(request.path);
       if (request.path === '/call') {
         caller.respond(HEAD, Buffer.from('ok'));
       } else if (request.path === '/refuse') {
@@ -95,7 +100,7 @@
         server.close();
       };
       const { port } = server.address() as net.AddressInfo;
-      resolve({ port, time, measured, load, lines, disconnected, close });
+      resolve({ port, time, measured, load, lines, disconnected, handled, close });
     });
   });
 }
@@ -186,3 +191,33 @@
     running.close();
   }
 });
+
+/** Sends a request on an open connection and closes it before the server can read either. */
+async function sendAndLeave(port: number, path: string): Promise<void> {
+  const socket = net.connect(port, '127.0.0.1');
+  await new Promise((resolve) => socket.once('connect', resolve));
+  // Until the server has accepted the connection, its first read would come with the next poll phase.
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  socket.write(`POST ${path} HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n`);
+  socket.destroy();
+  await new Promise((resolve) => setTimeout(resolve, 50));
+}
+
+// Guards against running calls for nobody: an entry that stood still reads requests whose callers have given up.
+void test.test(
+  'after a pause, a request whose caller has left is not relayed, and the others are',
+  async () => {
+    const running = await start(2_000);
+    const agent = new http.Agent();
+    try {
+      await sendAndLeave(running.port, '/call');
+      assert.deepEqual(running.handled, []);
+      assert.deepEqual(running.lines, ['requestAbandoned']);
+      await connectionHeader(running.port, '/call', agent);
+      assert.deepEqual(running.handled, ['/call']);
+    } finally {
+      agent.destroy();
+      running.close();
+    }
+  },
+);
--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -41,6 +41,7 @@
 export * as dataCentreOrders from './operatorOrders/dataCentreOrders.js';
 export type * as operatorOrders from './operatorOrders/types.js';
 export type * as orderTypes from './orders/types.js';
+export * as pauseMonitor from './kernel/pauseMonitor.js';
 export type * as ports from './kernel/ports.js';
 export * as promptAttributes from './entryNode/promptAttributes.js';
 export * as publicationStore from './directory/publicationStore.js';
--- a/packages/scenarios/src/scripts/operatorOrderSafeguards.ts
+++ b/packages/scenarios/src/scripts/operatorOrderSafeguards.ts
@@ -95,11 +95,18 @@
   },
   {
     name: 'the end of a connection is read before its order is carried out',
-    file: 'adapters/callerConnections.js',
+    file: 'adapters/eventLoop.js',
     find: 'setImmediate(() => {\n        setImmediate(run);\n    });',
     replace: 'run();',
     scenario: CALLERS,
   },
+  {
+    name: 'a request that an entry reads after a pause is relayed only if its caller has not left',
+    file: 'adapters/trafficHttp.js',
+    find: 'if (socket.destroyed || socket.readableEnded) {',
+    replace: 'if (false) {',
+    scenario: 'spec:adapters/trafficHttp',
+  },
   {
     name: 'a caller may close its sending side and wait for the answer',
     file: 'adapters/callerConnections.js',
