--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -16,30 +16,24 @@
 import type * as operatorOrders from '../operatorOrders/types.js';
 import * as coordinator from '../placement/coordinator.js';
 import * as evacuation from '../placement/evacuation.js';
-import * as relayMessages from '../peerRelay/messages.js';
 import * as fragileServices from '../callSlots/fragileServices.js';
-import * as slotMessages from '../callSlots/messages.js';
-import * as slotLedger from '../callSlots/slotLedger.js';
 import * as placementFeatures from '../placement/placementFeatures.js';
 import type * as placementTypes from '../placement/types.js';
-import * as originMessages from '../streamOrigins/messages.js';
-import * as originKeeper from '../streamOrigins/originKeeper.js';
-import * as leaseLedger from '../sharedLimits/leaseLedger.js';
-import type * as leaseMessages from '../sharedLimits/leaseMessages.js';
 import type * as residency from '../traffic/residency.js';
 import * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as paceTable from '../upstreamPace/paceTable.js';
 import type * as paceTypes from '../upstreamPace/types.js';
-import * as rendezvousHashing from '../utils/rendezvousHashing.js';
 import type * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as appliedConfiguration from './appliedConfiguration.js';
 import * as entryDirectory from './entryDirectory.js';
+import * as entryServices from './entryServices.js';
 import * as instanceGossip from './instanceGossip.js';
 import * as methods from './methods.js';
 import * as openWatches from './openWatches.js';
 import * as quarantineControl from './quarantineControl.js';
 import * as operatorCalls from './operatorCalls.js';
+import * as watchAnswers from './watchAnswers.js';
 
 /** Settings and dependencies of {@link TrafficControl}. */
 export interface TrafficControlOptions {
@@ -75,9 +69,6 @@
 const FRESHNESS_CHECK_INTERVAL: ports.Milliseconds = 40;
 const STALE_CHECK_INTERVAL: ports.Milliseconds = 10;
 
-/** Maximum number of origins of streams that a replica keeps. */
-const ORIGIN_CAPACITY = 150_000;
-
 /** Location of a caller and the host it requests. */
 export interface CallerLocation {
   readonly host: string;
@@ -140,11 +131,19 @@
         this.wakeWatches();
       },
     });
+    const answers = new watchAnswers.WatchAnswers({
+      ...options,
+      table: this.table,
+      crashRecords: this.quarantine.registry,
+      configuration: this.configuration,
+      fragileServices: this.fragileServices,
+      entryCount: () => this.entries.size,
+    });
     this.watches = new openWatches.OpenWatches({
       timers,
       table: this.table,
-      state: () => this.watchedState(),
-      answer: (request) => this.watchAnswer(request),
+      state: () => answers.state(),
+      answer: (request) => answers.answer(request),
     });
     this.gossip = new instanceGossip.InstanceGossip({
       table: this.table,
@@ -168,13 +167,15 @@
       },
     });
     this.serve();
-    this.serveSlots();
-    this.serveOrigins();
+    entryServices.serve({
+      ...options,
+      entries: this.entries,
+      fragileServices: this.fragileServices,
+      instances: () => this.table.records(timers.now()),
+      isEvacuated: (dataCentre) => this.isEvacuated(dataCentre),
+    });
     this.operatorCalls.serve();
     this.configuration.serve();
-    if ((options.isEnabled ?? placementFeatures.allEnabled)('sharedLimits')) {
-      this.serveLeases();
-    }
     let wasFresh = false;
     timers.every(
       () => (wasFresh ? FRESHNESS_CHECK_INTERVAL : STALE_CHECK_INTERVAL),
@@ -209,9 +210,6 @@
       this.gossip.removeCrashed(parameters as methods.CrashedInstances);
       reply(results.Ok(null));
     });
-    peers.serve(relayMessages.methods.peers, (parameters, reply) => {
-      reply(results.Ok(this.peersFor(parameters as relayMessages.PeersRequest)));
-    });
     peers.serve(names.rateLimit, (parameters, reply) => {
       this.gossip.recordRateLimit(parameters as methods.RateLimitUpdate);
       reply(results.Ok(null));
@@ -228,64 +226,6 @@
     });
   }
 
-  private peersFor({ entry, dataCentre }: relayMessages.PeersRequest): relayMessages.PeersAnswer {
-    const found = this.entries.peersFor(entry, dataCentre, this.options.timers.now());
-    return {
-      peers: found.map((status) => ({
-        name: status.name,
-        address: status.peerAddress,
-        dataCentre: status.dataCentre,
-      })),
-    };
-  }
-
-  private serveSlots(): void {
-    const { timers, random, log, metrics, peers, replica: own } = this.options;
-    const ledger = new slotLedger.SlotLedger({
-      ...{ timers, random, log, metrics },
-      instances: () => this.table.records(timers.now()),
-      isEvacuated: (dataCentre) => this.isEvacuated(dataCentre),
-      mayLead: () => own.mayLead(),
-      maximumRejectionsOf: (service) => this.fragileServices.maximumRejectionsOf(service, timers.now()),
-    });
-    peers.serve(slotMessages.methods.take, (parameters, reply) => {
-      ledger.take(parameters as slotMessages.TakeRequest, (answer) => {
-        reply(results.Ok(answer));
-      });
-    });
-    peers.serve(slotMessages.methods.release, (parameters, reply) => {
-      ledger.release((parameters as slotMessages.ReleaseRequest).slots);
-      reply(results.Ok(null));
-    });
-    peers.serve(slotMessages.methods.state, (parameters, reply) => {
-      this.fragileServices.merge((parameters as slotMessages.FragilityReport).records, timers.now());
-      reply(results.Ok(null));
-    });
-  }
-
-  private serveOrigins(): void {
-    const { peers } = this.options;
-    originKeeper.serve({ ...this.options, capacity: ORIGIN_CAPACITY });
-    peers.serve(originMessages.methods.entries, (parameters, reply) => {
-      const { digest } = parameters as originMessages.EntriesRequest;
-      const addresses = this.entries.peerAddresses();
-      const isKnown = rendezvousHashing.digestOf(addresses) === digest;
-      reply(results.Ok((isKnown ? {} : { addresses }) satisfies originMessages.EntriesAnswer));
-    });
-  }
-
-  private serveLeases(): void {
-    const { peers, replica: own } = this.options;
-    const ledger = new leaseLedger.LeaseLedger({
-      ...this.options,
-      mayLend: () => own.mayLead(),
-      entryCount: () => this.entries.size,
-    });
-    peers.serve(methods.methods.lease, (parameters, reply) => {
-      reply(results.Ok(ledger.lend(parameters as leaseMessages.LeaseRequest)));
-    });
-  }
-
   /** Called after each log command that is applied at this replica. */
   onCommandApplied(): void {
     this.configuration.update();
@@ -422,49 +362,6 @@
     this.watches.wake();
   }
 
-  private watchedState(): openWatches.WatchedState {
-    const { replica: own, state } = this.options;
-    const { fresh, term, leader } = own.status();
-    return {
-      trafficVersion: state.traffic?.version ?? 0,
-      fresh,
-      crashRecordRevision: this.quarantine.registry.revision,
-      evacuationRevision: state.evacuations.revision,
-      leaderTerm: leader === undefined ? 0 : term,
-    };
-  }
-
-  private watchAnswer(request: methods.WatchRequest): methods.WatchAnswer {
-    const { replica: own, state, timers, dataCentre } = this.options;
-    const status = own.status();
-    const control = status.members.map((member) => member.address);
-    const { epoch, revision, listing } = request;
-    const isCurrent =
-      listing === undefined && epoch === this.table.epoch && revision === this.table.currentRevision;
-    const { evacuations } = state;
-    const applied = this.configuration.current();
-    const fragile = this.fragileServices.records(timers.now());
-    const crashRecords = this.quarantine.registry.updatesSince(
-      epoch === this.table.epoch ? request.caseRevision : 0,
-    );
-    return {
-      dataCentre,
-      ...(!isCurrent && {
-        instances: this.table.updatesSince(epoch, revision, timers.now(), listing),
-      }),
-      ...(rendezvousHashing.digestOf(control) !== request.controlDigest && { control }),
-      trafficVersion: applied.version,
-      trafficAge: applied.age,
-      fresh: status.fresh,
-      leaderTerm: status.term,
-      leaderAddress: status.fresh ? (status.leader?.address ?? '') : '',
-      entryCount: this.entries.size,
-      ...(crashRecords !== undefined && { cases: crashRecords }),
-      ...(fragile.length > 0 && { fragile }),
-      ...(evacuations.revision > request.evacuationRevision && { evacuations }),
-    };
-  }
-
   /**
    * Whether a termination notice may be acknowledged: entries watch this replica, and it reaches a quorum of the other
    * replicas, which notify the remaining entries.
