Soak: orders on a data centre reach control processes that stand still, and are sent again elsewhere

The soak's operator sent each order once, to a process that ran. It now orders one data centre back and forth while faults go on, each order first to a process that is stopped for one to three and a half seconds, gives it a second, and sends it to the next one as the users' pages say. In the end it has one order of each kind read late and looks whether the last acknowledged one holds.

--- a/packages/soak/src/clients.ts
+++ b/packages/soak/src/clients.ts
@@ -62,6 +62,27 @@
   });
 }
 
+/**
+ * Starts or finishes the evacuation of a data centre.
+ *
+ * @param timeout - time after which the connection is closed, in milliseconds
+ * @returns true if the order was acknowledged
+ * @example
+ * ```ts
+ * await clients.changeEvacuation({ host: '127.0.21.1', port: 8748 }, 'a', 'begin', 1_000);
+ * ```
+ */
+export async function changeEvacuation(
+  address: Pick<http.RequestOptions, 'host' | 'port'>,
+  dataCentre: string,
+  action: 'begin' | 'finish',
+  timeout: number,
+): Promise<boolean> {
+  const path = `${platform.httpNames.systemPaths.dataCentres}${dataCentre}/${action}`;
+  const result = await call({ ...address, method: 'POST', path, timeout }, '');
+  return result.status === 200;
+}
+
 const requestKinds: readonly invariantChecker.AttemptOutcome['kind'][] = ['payment', 'lookUp', 'stream'];
 
 /** Sends requests in a loop until it is stopped. */
@@ -213,12 +234,7 @@
 
   /** Starts or finishes the evacuation of a data centre; true if the command was acknowledged. */
   async changeEvacuation(dataCentre: string, action: 'begin' | 'finish'): Promise<boolean> {
-    const path = `${platform.httpNames.systemPaths.dataCentres}${dataCentre}/${action}`;
-    const result = await call(
-      { host: this.pickHost(), port: this.port, method: 'POST', path, timeout: 1_500 },
-      '',
-    );
-    return result.status === 200;
+    return changeEvacuation({ host: this.pickHost(), port: this.port }, dataCentre, action, 1_500);
   }
 
   /** Reads the configuration; true if a complete answer was received. */
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -13,6 +13,7 @@
 import * as evacuationCheck from './evacuationCheck.js';
 import * as crashingService from './crashingService.js';
 import * as invariantChecker from './invariantChecker.js';
+import * as lateOrders from './lateOrders.js';
 import type * as loopbackProxy from './loopbackProxy.js';
 import * as sleep from './sleep.js';
 import * as freePorts from './freePorts.js';
@@ -300,9 +301,20 @@
     random: kumquatfront.seededRandom.create(options.seed + 2_000_000),
     checker,
   });
+  const orders = new lateOrders.LateOrders({
+    ...{
+      control: environment.control,
+      operatorPort: environment.ports.operator,
+      instances,
+      checker,
+      waitUntil,
+    },
+    random: kumquatfront.seededRandom.create(options.seed + 4_000_000),
+  });
   await evacuation.begin();
   void operator.run();
   const cutsEnded = cuts.run();
+  const ordersEnded = orders.run();
   const endsAt = Date.now() + options.faultSeconds * 1_000;
   const pendingFaults: Promise<void>[] = [];
   while (Date.now() < endsAt) {
@@ -310,7 +322,8 @@
     await sleep.forMilliseconds(200 + environment.random.next() * 900);
   }
   cuts.stop();
-  await Promise.all([...pendingFaults, cutsEnded, streams.endFaults()]);
+  orders.stop();
+  await Promise.all([...pendingFaults, cutsEnded, ordersEnded, streams.endFaults()]);
   operator.stop();
   if (!(await waitUntil(() => operator.replaceConfiguration()))) {
     violations.push('no configuration was acknowledged after the fault phase');
@@ -321,6 +334,7 @@
   if (!(await waitForServedRequests(environment))) {
     violations.push('no request was served after the fault phase');
   }
+  await orders.check();
   await evacuation.check();
   await cuts.check();
   await streams.check();
