--- a/packages/kumquatfront/src/adapters/callerConnections.ts
+++ b/packages/kumquatfront/src/adapters/callerConnections.ts
@@ -75,7 +75,7 @@
   }
 
   /**
-   * Returns the caller of a request.
+   * Returns the caller of an order; the connection is closed after the answer.
    *
    * @example
    * ```ts
@@ -83,6 +83,8 @@
    * ```
    */
   callerOf(incoming: http.IncomingMessage, outgoing: http.ServerResponse): operatorOrders.OrderCaller {
+    // The next order comes on a new connection then, which shows that it is newer than what this replica knows by then.
+    outgoing.shouldKeepAlive = false;
     const { knownIndex, openedAt, answers } = this.recordOf(incoming.socket);
     const age = Math.round(this.options.clock.now() - openedAt);
     return {
