Followers learn of commits with heartbeats again; an order on a new connection is tried again at once

So a follower still learns of a commit up to a heartbeat late, and an order that it takes within that time is submitted twice. An order that arrives together with its connection (within 20 ms of its acceptance) is now submitted again without watching the caller for 50 ms: it can't have waited in the network for long, and the end of a connection that waited in a paused process lies behind it.

--- a/packages/kumquatfront/src/adapters/callerConnections.ts
+++ b/packages/kumquatfront/src/adapters/callerConnections.ts
@@ -23,6 +23,9 @@
  */
 const RESET_WAIT: ports.Milliseconds = 100;
 
+/** Longest time between the acceptance of a connection and an order that counts as arriving together with it. */
+const NEW_CONNECTION_AGE: ports.Milliseconds = 20;
+
 interface ConnectionRecord {
   readonly openedAt: ports.Milliseconds;
   /** Log index when the connection was accepted or last answered on. */
@@ -86,10 +89,12 @@
     // The next order comes on a new connection then, which shows that it is newer than what this replica knows by then.
     outgoing.shouldKeepAlive = false;
     const { knownIndex, openedAt, answers } = this.recordOf(incoming.socket);
-    const age = Math.round(this.options.clock.now() - openedAt);
+    const age = this.options.clock.now() - openedAt;
+    const { remoteAddress: caller } = incoming.socket;
     return {
       knownIndex,
-      connection: { caller: incoming.socket.remoteAddress, connectionAge: age, answersBefore: answers },
+      hasNewConnection: answers === 0 && age <= NEW_CONNECTION_AGE,
+      connection: { caller, connectionAge: Math.round(age), answersBefore: answers },
       checkPresence: (wait, done) => {
         this.checkPresence(incoming, outgoing, wait, done);
       },
--- a/packages/kumquatfront/src/consensus/leadership.ts
+++ b/packages/kumquatfront/src/consensus/leadership.ts
@@ -195,7 +195,9 @@
     if (message.type === 'snapshotAnswer') {
       this.onSnapshotAnswer(peer, message);
     } else if (message.success) {
-      this.onStored(peer, message.matchIndex);
+      peer.matchIndex = Math.max(peer.matchIndex, message.matchIndex);
+      peer.nextIndex = peer.matchIndex + 1;
+      this.advanceCommitIndex();
     } else {
       peer.nextIndex = Math.max(1, Math.min(peer.nextIndex - 1, message.matchIndex + 1));
     }
@@ -204,20 +206,6 @@
     }
   }
 
-  private onStored(peer: Progress, matchIndex: number): void {
-    const committed = this.host.commitIndex();
-    const storedBefore = peer.matchIndex;
-    peer.matchIndex = Math.max(storedBefore, matchIndex);
-    peer.nextIndex = peer.matchIndex + 1;
-    this.advanceCommitIndex();
-    // A follower applies only what it has confirmed. One that stores an entry after the quorum would otherwise learn of
-    // its commit with the next heartbeat.
-    const lateIndex = Math.min(peer.matchIndex, committed);
-    if (storedBefore < lateIndex && this.host.commitIndex() === committed) {
-      this.sendTo(peer);
-    }
-  }
-
   private onSnapshotAnswer(peer: Progress, message: types.SnapshotAnswer): void {
     peer.snapshotReceived = message.received;
     if (message.installed) {
--- a/packages/kumquatfront/src/consensus/replicaTestHarness.ts
+++ b/packages/kumquatfront/src/consensus/replicaTestHarness.ts
@@ -155,10 +155,10 @@
     return last?.type === 'appendRequest' ? last.round : 0;
   }
 
-  /** Delivers a successful append answer, by default of `b` to the last message sent. */
-  acknowledge(matchIndex: number, answeredRound?: number, from = 'b'): void {
+  /** Delivers a successful append answer of `b`, by default to the last message sent. */
+  acknowledge(matchIndex: number, answeredRound?: number): void {
     const { term } = this.store.hardState;
-    const address = { clusterIdentity: CLUSTER, from, to: 'a', term };
+    const address = { clusterIdentity: CLUSTER, from: 'b', to: 'a', term };
     this.advance(1);
     const round = answeredRound ?? this.lastRound();
     this.replica.receive({
--- a/packages/kumquatfront/src/operatorOrders/dataCentreOrders.ts
+++ b/packages/kumquatfront/src/operatorOrders/dataCentreOrders.ts
@@ -24,8 +24,8 @@
 }
 
 /**
- * Time for which a caller is watched when a newer order is known. Longer than a round trip to the caller: when a link
- * heals, the end of a connection may follow the last bytes by that.
+ * Time for which a caller on an older connection is watched when a newer order is known. Longer than a round trip and a
+ * delayed acknowledgement of TCP: when a link heals, the end of a connection follows the last bytes by that.
  */
 const PRESENCE_WAIT: ports.Milliseconds = 50;
 
@@ -86,13 +86,15 @@
           done(results.Ok(answer.evacuations));
           return;
         }
-        const mayResubmit = now() + PRESENCE_WAIT < attempt.givenUpAt;
+        // A follower may learn of the order before only after it has accepted the connection of the next one.
+        const wait = caller.hasNewConnection ? 0 : PRESENCE_WAIT;
+        const mayResubmit = now() + wait < attempt.givenUpAt;
         this.reportSuperseded(order, caller, answer.lastOrder, mayResubmit);
         if (!mayResubmit) {
           done(results.Err(supersededFailure(dataCentre)));
           return;
         }
-        const next = { ...attempt, knownIndex: answer.lastOrder, wait: PRESENCE_WAIT };
+        const next = { ...attempt, knownIndex: answer.lastOrder, wait };
         this.submitIfWanted(order, caller, next, done);
       });
     });
--- a/packages/kumquatfront/src/operatorOrders/types.ts
+++ b/packages/kumquatfront/src/operatorOrders/types.ts
@@ -10,6 +10,8 @@
    * replica knew by then is older than the order.
    */
   readonly knownIndex: number;
+  /** True if the order arrived together with its connection, so that it cannot have waited in the network for long. */
+  readonly hasNewConnection: boolean;
   /** Fields for the log that describe the connection. */
   readonly connection: ports.LogFields;
   /**
--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -261,6 +261,7 @@
   callerAt(address: string): operatorOrders.OrderCaller {
     return {
       knownIndex: this.appliedIndexOf(address),
+      hasNewConnection: true,
       connection: {},
       checkPresence: (wait, done) => {
         this.time.after(wait, () => {
--- a/packages/kumquatfront/src/trafficControl/operatorTestClient.ts
+++ b/packages/kumquatfront/src/trafficControl/operatorTestClient.ts
@@ -9,6 +9,9 @@
 
 const LATENCY: ports.Milliseconds = 3;
 
+/** Longest time between the acceptance of a connection and an order that counts as arriving together with it. */
+const NEW_CONNECTION_AGE: ports.Milliseconds = 20;
+
 /** Outcome of one copy of an order; `undefined` while it has none. */
 export type CopyOutcome = 'acknowledged' | 'refused' | 'noAnswer';
 
@@ -19,6 +22,8 @@
 export class OperatorConnection {
   /** Log index of the replica when it accepted the connection or last answered; undefined until it was accepted. */
   private knownIndex: number | undefined;
+  private isNew = true;
+  private acceptedAt = Number.POSITIVE_INFINITY;
   private isClosed = false;
   /** What waits for the link to heal; undefined while the link works. */
   private undelivered: (() => void)[] | undefined;
@@ -33,6 +38,7 @@
   ) {
     this.deliver(() => {
       this.knownIndex = harness.appliedIndexOf(address);
+      this.acceptedAt = harness.time.now();
     });
   }
 
@@ -79,6 +85,7 @@
       const { harness, address } = this;
       harness.sendOrder(address, order, this.caller(), (result) => {
         this.knownIndex = harness.appliedIndexOf(address);
+        this.isNew = false;
         harness.time.after(LATENCY, () => {
           if (!this.isClosed) {
             answered(result.ok ? 'acknowledged' : 'refused');
@@ -98,6 +105,7 @@
     const { harness, address } = this;
     return {
       knownIndex: this.knownIndex ?? harness.appliedIndexOf(address),
+      hasNewConnection: this.isNew && harness.time.now() - this.acceptedAt <= NEW_CONNECTION_AGE,
       connection: {},
       checkPresence: (wait, done) => {
         harness.time.after(wait, () => {
--- a/packages/scenarios/src/language/actions.ts
+++ b/packages/scenarios/src/language/actions.ts
@@ -124,6 +124,7 @@
     const node = current.world.controls.get(leader)?.node;
     const caller: kumquatfront.operatorOrders.OrderCaller = {
       knownIndex: node?.services.find('replica').appliedIndex ?? 0,
+      hasNewConnection: true,
       connection: {},
       checkPresence: (_wait, done) => {
         done(true);
