--- a/packages/kumquatfront/src/adapters/callerConnections.ts
+++ b/packages/kumquatfront/src/adapters/callerConnections.ts
@@ -1,6 +1,6 @@
 /**
- * Connections of callers to an HTTP server of a control replica: tells whether the caller of an order still waits, and what
- * the replica knew when the order was sent at the earliest.
+ * Connections of callers to an HTTP server of a control replica: whether the caller of an order still waits, and up to
+ * which log index the order is certainly newer than the log.
  */
 import type * as http from 'node:http';
 import type * as net from 'node:net';
@@ -86,7 +86,7 @@
    * ```
    */
   callerOf(incoming: http.IncomingMessage, outgoing: http.ServerResponse): operatorOrders.OrderCaller {
-    // The next order comes on a new connection then, which shows that it is newer than what this replica knows by then.
+    // On a reused connection an order would count as older than changes since the last answer on it.
     outgoing.shouldKeepAlive = false;
     const { knownIndex, openedAt, answers } = this.recordOf(incoming.socket);
     const age = this.options.clock.now() - openedAt;
--- a/packages/kumquatfront/src/agreedState/evacuationTable.ts
+++ b/packages/kumquatfront/src/agreedState/evacuationTable.ts
@@ -15,7 +15,7 @@
 interface LastOrdersJson {
   /** Data centres with the log index of the last order that was accepted for each, oldest order first. */
   readonly lastOrders: readonly (readonly [string, number])[];
-  /** Highest log index among the orders that are no longer listed. */
+  /** Highest log index among the evicted orders. */
   readonly droppedIndex: number;
 }
 
--- a/packages/kumquatfront/src/operatorOrders/dataCentreOrders.ts
+++ b/packages/kumquatfront/src/operatorOrders/dataCentreOrders.ts
@@ -1,7 +1,7 @@
 /**
- * Carries out orders to evacuate and to restore data centres. Operators send an order again to another replica when
- * they get no answer, so a copy of it may be read after newer orders were acknowledged. An order names what its replica
- * knew when it was sent at the earliest (optimistic concurrency control); the agreed state refuses it after newer ones.
+ * Orders to evacuate and to restore data centres. Operators resend an order to another replica after a timeout, so a copy
+ * may be read after newer orders were acknowledged. An order carries the log index up to which it is certainly newer than
+ * the log; the agreed state rejects it after newer orders (optimistic concurrency control).
  */
 import type * as agreedTypes from '../agreedState/types.js';
 import * as failures from '../kernel/failures.js';
@@ -10,7 +10,7 @@
 import type * as callerCheck from './callerCheck.js';
 import type * as types from './types.js';
 
-/** An order without what its replica knew. */
+/** An order without its log index. */
 export type DataCentreOrder = Pick<agreedTypes.DataCentreCommand, 'type' | 'dataCentre'>;
 
 /** Ports of {@link DataCentreOrders}. */
@@ -30,8 +30,8 @@
 const PRESENCE_WAIT: ports.Milliseconds = 50;
 
 /**
- * Time after its arrival within which an order is submitted again. Below the time for which callers wait: later, the
- * end of a connection that is not to be seen may still be on its way over a link that is silent.
+ * Time after its arrival within which an order is resubmitted. Shorter than the timeout of callers: later, the caller may
+ * have left although the end of its connection has not arrived.
  */
 const RESUBMISSION_TIME: ports.Milliseconds = 250;
 
