Caller specs: the age of a connection is that of a clock which the test moves

The spec took the real clock, and on that machine more than 20 ms lay between the acceptance of a connection and its first bytes; so the verdict hung on load.

The server of the spec now has a clock of its own. The checks stay as strict, and a new one holds the bound: 20 ms old is new, 21 ms is not. It is red without the bound (npm run prove: 'an order that may have waited behind its connection is not tried again at once').

--- a/packages/kumquatfront/src/adapters/callerConnections.spec.ts
+++ b/packages/kumquatfront/src/adapters/callerConnections.spec.ts
@@ -7,6 +7,7 @@
 import * as net from 'node:net';
 import * as test from 'node:test';
 
+import type * as ports from '../kernel/ports.js';
 import * as callerConnections from './callerConnections.js';
 import * as systemTime from './systemTime.js';
 
@@ -19,6 +20,8 @@
 /** Server that checks the caller of each request, and answers with status 200 if it is present. */
 class CheckingServer {
   appliedIndex = 1;
+  /** Time on the clock of the server; moves only when a test moves it. */
+  now = 0;
   /** Time for which each caller is watched. */
   wait = 0;
   /** Called when a request has been read, before its caller is checked. */
@@ -28,7 +31,8 @@
   private readonly emitter = new events.EventEmitter();
 
   constructor() {
-    const { clock, scheduler } = systemTime;
+    const { scheduler } = systemTime;
+    const clock: ports.Clock = { now: () => this.now, wall: () => this.now };
     const options = { appliedIndex: () => this.appliedIndex, clock, scheduler };
     const callers = new callerConnections.CallerConnections(options);
     this.server = http.createServer((incoming, outgoing) => {
@@ -61,6 +65,10 @@
     return socket;
   }
 
+  async nextConnection(): Promise<void> {
+    await events.EventEmitter.once(this.server, 'connection');
+  }
+
   async nextCheck(): Promise<void> {
     await events.EventEmitter.once(this.emitter, 'checked');
   }
@@ -170,6 +178,24 @@
   });
 });
 
+// Guards against trying an order again at once that may have waited in the network behind its connection.
+void test.test('an order counts as arriving with its connection for 20 ms', async () => {
+  for (const [age, hasNewConnection] of [
+    [20, true],
+    [21, false],
+  ] as const) {
+    await withServer(async (server) => {
+      const socket = server.connect();
+      await server.nextConnection();
+      server.now += age;
+      socket.write(REQUEST);
+      await server.nextCheck();
+      assert.equal(server.observed[0]?.hasNewConnection, hasNewConnection, `${age} ms`);
+      socket.destroy();
+    });
+  }
+});
+
 const OTHER_REQUEST = 'GET /other HTTP/1.1\r\nHost: control\r\n\r\n';
 
 // Guards against taking an order for newer than a change of which its caller cannot have known.
--- a/packages/scenarios/src/scripts/operatorOrderSafeguards.ts
+++ b/packages/scenarios/src/scripts/operatorOrderSafeguards.ts
@@ -85,6 +85,13 @@
     replace: 'const RESUBMISSION_TIME = 10_000;',
     scenario: LATE_ORDERS,
   },
+  {
+    name: 'an order that may have waited behind its connection is not tried again at once',
+    file: 'adapters/callerConnections.js',
+    find: 'answers === 0 && age <= NEW_CONNECTION_AGE',
+    replace: 'answers === 0',
+    scenario: CALLERS,
+  },
   {
     name: 'an order on a reused connection is newer only than what was known with the last answer',
     file: 'adapters/callerConnections.js',
