A void order on a data centre is rejected before it is written to the log

Cause: a follower learns of a commit with the next heartbeat, up to 60 ms late. An order that it takes within that time is void after the order before; it was committed as void, and then committed again with what the follower had learned, so it waited for the disks twice.

The leader now asks its applied state before it writes: what is void there is void in the log too, as the last order of a data centre only grows. The answer is the same one, a round trip later instead of a commit later. Orders that the leader has written but not applied are still judged in the log.

--- a/packages/kumquatfront/src/agreedState/agreedState.ts
+++ b/packages/kumquatfront/src/agreedState/agreedState.ts
@@ -98,6 +98,11 @@
     return this.evacuationTable.evacuations;
   }
 
+  /** The answer to an order on a data centre that is void after a newer one; undefined if it would take effect. */
+  rejectionOf(command: types.DataCentreCommand): types.DataCentreAnswer | undefined {
+    return this.evacuationTable.rejectionOf(command);
+  }
+
   /** Applies one committed command. */
   apply(command: types.Command, index: number, stamp: number): unknown {
     switch (command.type) {
--- a/packages/kumquatfront/src/agreedState/evacuationTable.ts
+++ b/packages/kumquatfront/src/agreedState/evacuationTable.ts
@@ -40,23 +40,34 @@
    * order may not have received the answer to the first copy.
    */
   apply(command: types.DataCentreCommand, index: number, stamp: number): types.DataCentreAnswer {
-    const { type, dataCentre, knownIndex } = command;
-    const isEvacuated = this.current.dataCentres.some((record) => record.dataCentre === dataCentre);
-    const changesState = (type === 'evacuate') !== isEvacuated;
-    const lastOrder = this.lastOrders.get(dataCentre) ?? this.droppedIndex;
-    // Log entries written by earlier versions have no known index.
-    if (changesState && knownIndex !== undefined && knownIndex < lastOrder) {
-      return { accepted: false, lastOrder };
+    const rejection = this.rejectionOf(command);
+    if (rejection !== undefined) {
+      return rejection;
     }
-    if (changesState) {
+    const { dataCentre } = command;
+    if (this.changesState(command)) {
       const others = this.current.dataCentres.filter((record) => record.dataCentre !== dataCentre);
-      const dataCentres = isEvacuated ? others : [...others, { dataCentre, since: stamp }];
+      const dataCentres = command.type === 'evacuate' ? [...others, { dataCentre, since: stamp }] : others;
       this.current = { revision: index, dataCentres };
     }
     this.recordOrder(dataCentre, index);
     return { accepted: true, evacuations: this.current };
   }
 
+  /** The answer to an order that is void after a newer one; undefined if it would take effect. */
+  rejectionOf(command: types.DataCentreCommand): types.DataCentreAnswer | undefined {
+    const { dataCentre, knownIndex } = command;
+    const lastOrder = this.lastOrders.get(dataCentre) ?? this.droppedIndex;
+    // Log entries written by earlier versions have no known index.
+    const isVoid = knownIndex !== undefined && knownIndex < lastOrder && this.changesState(command);
+    return isVoid ? { accepted: false, lastOrder } : undefined;
+  }
+
+  private changesState({ type, dataCentre }: types.DataCentreCommand): boolean {
+    const isEvacuated = this.current.dataCentres.some((record) => record.dataCentre === dataCentre);
+    return (type === 'evacuate') !== isEvacuated;
+  }
+
   /** Also recorded for orders that change nothing, because an older order may still arrive after them. */
   private recordOrder(dataCentre: string, index: number): void {
     this.lastOrders.delete(dataCentre);
--- a/packages/kumquatfront/src/controlNode/controlNode.ts
+++ b/packages/kumquatfront/src/controlNode/controlNode.ts
@@ -176,7 +176,7 @@
     const check = this.createCallerCheck(externalPorts);
     this.services.register('callerCheck', check);
     this.evacuations = new evacuations.Evacuations({
-      ...{ replica: this.replica, peers, log, metrics, check },
+      ...{ replica: this.replica, state, peers, log, metrics, check },
       now: () => this.timers.now(),
       dataCentres: () => this.knownDataCentres(),
     });
--- a/packages/kumquatfront/src/controlNode/evacuations.ts
+++ b/packages/kumquatfront/src/controlNode/evacuations.ts
@@ -1,6 +1,7 @@
 /**
  * Evacuations on the product's own interface: any replica takes an order, and its leader commits it.
  */
+import type * as agreedState from '../agreedState/agreedState.js';
 import * as evacuationFailures from '../agreedState/evacuationFailures.js';
 import type * as agreedTypes from '../agreedState/types.js';
 import type * as replica from '../consensus/replica.js';
@@ -14,6 +15,7 @@
 /** Ports of {@link Evacuations}. */
 export interface EvacuationsOptions {
   readonly replica: replica.Replica;
+  readonly state: agreedState.AgreedState;
   readonly peers: ports.PeerTransport;
   readonly log: ports.Log;
   readonly metrics: ports.Metrics;
@@ -32,7 +34,7 @@
 
   constructor(options: EvacuationsOptions) {
     this.options = options;
-    const { peers, replica: own } = options;
+    const { peers } = options;
     this.orders = new dataCentreOrders.DataCentreOrders({
       ...options,
       submit: (command, done) => {
@@ -40,7 +42,7 @@
       },
     });
     peers.serve(methods.methods.evacuate, (parameters, reply) => {
-      own.propose(parameters, reply);
+      this.propose(parameters as agreedTypes.DataCentreCommand, reply);
     });
   }
 
@@ -62,7 +64,7 @@
 
   private submit(command: agreedTypes.DataCentreCommand, done: ports.Reply): void {
     const { replica: own, peers } = this.options;
-    own.propose(command, (result) => {
+    this.propose(command, (result) => {
       const leader = own.leader();
       if (result.err && result.val.kind === 'notLeader' && leader !== undefined) {
         peers.request(leader.address, methods.methods.evacuate, command, FORWARD_TIMEOUT, done);
@@ -71,4 +73,10 @@
       }
     });
   }
+
+  private propose(command: agreedTypes.DataCentreCommand, done: ports.Reply): void {
+    const { replica: own, state } = this.options;
+    const append = own.propose.bind(own);
+    dataCentreOrders.propose(command, state, append, done);
+  }
 }
--- a/packages/kumquatfront/src/operatorOrders/dataCentreOrders.ts
+++ b/packages/kumquatfront/src/operatorOrders/dataCentreOrders.ts
@@ -3,6 +3,7 @@
  * may be read after newer orders were acknowledged. An order carries the log index up to which it is certainly newer than
  * the log; the agreed state rejects it after newer orders (optimistic concurrency control).
  */
+import type * as agreedState from '../agreedState/agreedState.js';
 import type * as agreedTypes from '../agreedState/types.js';
 import * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
@@ -119,3 +120,26 @@
   const message = `Other orders on the data centre "${dataCentre}" were carried out at the same time.`;
   return failures.create('stale', message, 'Send it again, to any control replica: nothing was changed.');
 }
+
+/**
+ * Proposes an order at the leader. One that is void is rejected before it is written to the log, so that its replica,
+ * which had not heard of the newer order, can send it again a round trip later.
+ *
+ * @example
+ * ```ts
+ * dataCentreOrders.propose(command, state, (sound, settle) => replica.propose(sound, settle), done);
+ * ```
+ */
+export function propose(
+  command: agreedTypes.DataCentreCommand,
+  state: Pick<agreedState.AgreedState, 'rejectionOf'>,
+  append: (command: agreedTypes.DataCentreCommand, done: ports.Reply) => void,
+  done: ports.Reply,
+): void {
+  const rejection = state.rejectionOf(command);
+  if (rejection === undefined) {
+    append(command, done);
+  } else {
+    done(results.Ok(rejection));
+  }
+}
--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -276,6 +276,11 @@
     return this.node(address).services.find('replica').appliedIndex;
   }
 
+  /** Index of the last entry in the log of a replica. */
+  lastIndexOf(address: string): number {
+    return this.node(address).services.find('replica').status().lastIndex;
+  }
+
   /** Runs something in the process at an address, at the end of its pause if it is paused. */
   runAt(address: string, run: () => void): void {
     const found = this.processes.find(address);
--- a/packages/kumquatfront/src/trafficControl/lateOrders.spec.ts
+++ b/packages/kumquatfront/src/trafficControl/lateOrders.spec.ts
@@ -286,6 +286,26 @@
     },
   );
 
+  // Guards against slow acknowledgements: a void order that is committed and then sent again waits for the disks twice.
+  void test.test(
+    `an order at a replica that has not heard of the order before is written to the log once (${operatorInterface})`,
+    () => {
+      const { harness, leader, follower } = createCluster(operatorInterface);
+      orderAt(harness, leader, 'evacuate');
+      const connection = new operatorTestClient.OperatorConnection(harness, follower);
+      harness.time.advance(5);
+      const other = new operatorTestClient.OperatorConnection(harness, leader);
+      other.send(RESTORE, () => undefined);
+      harness.time.advance(15);
+      const lastIndex = harness.lastIndexOf(leader);
+      const outcomes: operatorTestClient.CopyOutcome[] = [];
+      connection.send(EVACUATE, (outcome) => outcomes.push(outcome));
+      harness.time.advance(200);
+      assert.deepEqual(outcomes, ['acknowledged']);
+      assert.equal(harness.lastIndexOf(leader), lastIndex + 1);
+    },
+  );
+
   // Guards against two results of two operators, and against refusing one of them for good.
   void test.test(
     `two operators that order different things at once are both acknowledged, and one result holds (${operatorInterface})`,
--- a/packages/kumquatfront/src/trafficControl/operatorCalls.ts
+++ b/packages/kumquatfront/src/trafficControl/operatorCalls.ts
@@ -73,7 +73,7 @@
       this.proposeTraffic(parameters as trafficTypes.VersionedText, reply);
     });
     peers.serve(names.evacuate, (parameters, reply) => {
-      this.proposeLocally(parameters as agreedTypes.DataCentreCommand, reply);
+      this.proposeDataCentreCommand(parameters as agreedTypes.DataCentreCommand, reply);
     });
     peers.serve(names.read, (_parameters, reply) => {
       this.readLocally(reply);
@@ -146,7 +146,7 @@
   private submitDataCentreCommand(command: agreedTypes.DataCentreCommand, done: ports.Reply): void {
     this.runAtLeader(
       () => {
-        this.proposeLocally(command, done);
+        this.proposeDataCentreCommand(command, done);
       },
       methods.methods.evacuate,
       command,
@@ -154,6 +154,11 @@
     );
   }
 
+  private proposeDataCentreCommand(command: agreedTypes.DataCentreCommand, done: ports.Reply): void {
+    const append = this.proposeLocally.bind(this);
+    dataCentreOrders.propose(command, this.options.state, append, done);
+  }
+
   /** Reads the newest configuration; fails if a quorum does not confirm that it is the newest. */
   read(done: (result: results.Result<trafficTypes.VersionedText | null, failures.Failure>) => void): void {
     const settle: ports.Reply = (result) => {
--- a/packages/scenarios/src/scripts/operatorOrderSafeguards.ts
+++ b/packages/scenarios/src/scripts/operatorOrderSafeguards.ts
@@ -85,6 +85,13 @@
     replace: 'const RESUBMISSION_TIME = 10_000;',
     scenario: LATE_ORDERS,
   },
+  {
+    name: 'a void order is rejected before it is written to the log',
+    file: 'operatorOrders/dataCentreOrders.js',
+    find: 'if (rejection === undefined) {',
+    replace: 'if (true) {',
+    scenario: LATE_ORDERS,
+  },
   {
     name: 'an order that may have waited behind its connection is not tried again at once',
     file: 'adapters/callerConnections.js',
