A draining entry refuses requests that may still run when its process is killed

An entry got SIGTERM at 24.100 s, took a request of a caller with an old address list at 32.037 s, sent it to an upstream, and was killed 63 ms later, at the end of the 8 s of grace. The caller got no answer.

Cause: the entry knew the grace from its settings, and only logged it; ordinary requests were served until the process was gone. Generations are refused from the start of the drain. Not related to late orders.

In the last second before the kill a request is refused with 'draining' (503, not run, 20 ms until it may be sent again, another entry can serve it) if its deadline is after the kill. Longer before, or with an earlier deadline, it is served as before. A request that takes longer than a second is still cut off if it came before; refusing by the deadline alone would turn away requests with long deadlines during the whole drain.

relay/drainingEntry.spec.ts is red without it (npm run prove): the request is sent.

--- a/packages/kumquatfront/src/relay/trafficRelay.ts
+++ b/packages/kumquatfront/src/relay/trafficRelay.ts
@@ -25,6 +25,9 @@
 /** Retry delay of an entry that is draining; another entry can serve the retry. */
 const DRAINING_RETRY_DELAY: ports.Milliseconds = 20;
 
+/** Time before the end of a draining entry in which it serves only requests whose deadline is before that end. */
+const LAST_REQUESTS_TIME: ports.Milliseconds = 1_000;
+
 const NO_CONFIGURATION: types.Refusal = {
   reason: 'noConfiguration',
   message: 'this entry has no configuration yet',
@@ -49,6 +52,8 @@
   readonly isSuperseded?: () => boolean;
   /** True while the entry drains before it stops. */
   readonly isDraining: () => boolean;
+  /** Time at which the draining process is killed; never if absent. */
+  readonly stopsAt?: () => ports.Milliseconds;
   /** Refusal of new generations while the entry would run out of memory; undefined while it would not. */
   readonly generationRefusal?: () => types.Refusal | undefined;
 }
@@ -97,8 +102,9 @@
       this.refuse(request, caller, { reason: 'noRoute', message });
       return;
     }
-    // A generation may outlast a draining entry, so a new one is refused and can be sent to another entry.
-    if (this.options.isDraining() && service.engine !== undefined) {
+    const limit = Math.min(request.callerTimeout ?? Number.POSITIVE_INFINITY, route.timeout);
+    const deadline = request.arrivedAt + limit;
+    if (this.mayOutlastEntry(service, deadline)) {
       const message = 'this entry is draining before it stops';
       this.refuse(request, caller, { reason: 'draining', message, retryAfter: DRAINING_RETRY_DELAY });
       return;
@@ -117,7 +123,6 @@
       .filter((target) => target.weight > 0 && target.service !== service.name)
       .map((target) => routes.serviceOf(target.service))
       .filter((other) => other !== undefined);
-    const limit = Math.min(request.callerTimeout ?? Number.POSITIVE_INFINITY, route.timeout);
     this.start({
       request,
       caller,
@@ -128,11 +133,21 @@
       accountPriority: account?.priority,
       upstreamPriority: account?.priority ?? route.priority,
       dataCentres: residency.dataCentresIn(residency.regionsOf(route, account), this.options.regions),
-      deadline: request.arrivedAt + limit,
+      deadline,
       version: routes.version,
     });
   }
 
+  /** Whether a request may still run when this entry, which drains, ends; another entry can serve it. */
+  private mayOutlastEntry(service: trafficTypes.Service, deadline: ports.Milliseconds): boolean {
+    const { isDraining, stopsAt, context } = this.options;
+    if (!isDraining()) {
+      return false;
+    }
+    const latestEnd = Math.min(deadline, context.timers.now() + LAST_REQUESTS_TIME);
+    return service.engine !== undefined || latestEnd > (stopsAt?.() ?? Number.POSITIVE_INFINITY);
+  }
+
   /** Refuses without a retry delay, because a retry would be refused again, unless single requests are tried. */
   private refuseQuarantined(
     request: types.TrafficRequest,
--- a/packages/kumquatfront/src/streamOrigins/originTestHarness.ts
+++ b/packages/kumquatfront/src/streamOrigins/originTestHarness.ts
@@ -141,7 +141,7 @@
 
   /** Stops an entry as a planned restart does: it drains first and is killed after a while. */
   stopEntry(name: string, grace: ports.Milliseconds): void {
-    this.entries.get(name)?.drain();
+    this.entries.get(name)?.drain(grace);
     this.time.after(grace, () => {
       this.killEntry(name);
     });
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -102,6 +102,7 @@
   private readonly origins: streamOrigins.StreamOrigins;
   private routes: routeTable.RouteTable | undefined;
   private isDraining = false;
+  private stopsAt = Number.POSITIVE_INFINITY;
   private readyAt: ports.Milliseconds = 0;
   /** Load of the entry; undefined if it is not measured. */
   readonly load: entryLoad.EntryLoad | undefined;
@@ -249,6 +250,7 @@
       routes: () => this.routes,
       isSuperseded: () => this.watch.isSuperseded,
       isDraining: () => this.isDraining,
+      stopsAt: () => this.stopsAt,
       generationRefusal: () => this.load?.generationRefusal(),
     });
     this.watch = new controlWatch.ControlWatch({
@@ -443,10 +445,15 @@
     this.relay.handle(request, caller);
   }
 
-  /** Removes this entry from the address list immediately; requests that still arrive are served. */
-  drain(): void {
+  /**
+   * Removes this entry from the address list immediately; requests that still arrive are served, if they end in time.
+   *
+   * @param grace - time until the process is killed, in milliseconds
+   */
+  drain(grace: ports.Milliseconds = Number.POSITIVE_INFINITY): void {
     if (!this.isDraining) {
       this.isDraining = true;
+      this.stopsAt = this.timers.now() + grace;
       this.entryPorts.log.info('drainStarted', { generations: this.placement.openCount });
       this.watch.reportStatusNow();
       this.origins.handOver();
--- a/packages/scenarios/src/scripts/servingSafeguards.ts
+++ b/packages/scenarios/src/scripts/servingSafeguards.ts
@@ -211,4 +211,11 @@
     replace: '',
     scenario: 'spec:streams/generationRelay',
   },
+  {
+    name: 'a draining entry takes no request that may outlast it',
+    file: 'relay/trafficRelay.js',
+    find: 'latestEnd > (stopsAt',
+    replace: 'false && latestEnd > (stopsAt',
+    scenario: 'spec:relay/drainingEntry',
+  },
 ];
