Demo: a configuration is applied again while control has no leader

Cause, by reading: the preparation waits for a leader for up to a minute, but then applies with the 12 attempts of the operator client, which last 3.6 s; a leader that is lost in between for longer fails it. That the leader was lost for lack of processor time is only suspected: the logs of the daemons were not kept.

The configuration is now applied again until the same minute is over, as the failure says; objects that are applied already stay. The checks of the two tests are unchanged.

--- a/packages/demo/src/configuring.ts
+++ b/packages/demo/src/configuring.ts
@@ -12,6 +12,9 @@
 const IN_FORCE_TIMEOUT = 60_000;
 const POLL_INTERVAL = 200;
 
+/** Failures that state that nothing was changed, because no replica leads. */
+const LEADERLESS: readonly kumquatfront.failures.FailureKind[] = ['notLeader', 'noQuorum'];
+
 /** Result of applying a configuration file. */
 export interface AppliedConfiguration {
   readonly objects: number;
@@ -30,6 +33,20 @@
   }
 }
 
+/** Applies drafts, again while control has lost its leader; objects that are applied already stay as they are. */
+async function applyWithLeader(
+  client: command.operatorClient.OperatorClient,
+  drafts: readonly kumquatfront.configurationTypes.ConfigurationDraft[],
+): ReturnType<typeof command.applyFile.apply> {
+  const { clock } = kumquatfront.systemTime;
+  const endsAt = clock.now() + LEADER_TIMEOUT;
+  let applied = await command.applyFile.apply(client, drafts);
+  while (applied.err && LEADERLESS.includes(applied.val.kind) && clock.now() < endsAt) {
+    applied = await command.applyFile.apply(client, drafts);
+  }
+  return applied;
+}
+
 async function waitUntilInForce(
   client: command.operatorClient.OperatorClient,
   version: number,
@@ -60,7 +77,10 @@
  * await configuring.apply(running, 'examples/lankaroute/configuration.json');
  * ```
  */
-export async function apply(running: cluster.Cluster, file: string): Promise<AppliedConfiguration> {
+export async function apply(
+  running: Pick<cluster.Cluster, 'operatorAddresses' | 'entries'>,
+  file: string,
+): Promise<AppliedConfiguration> {
   const client = new command.operatorClient.OperatorClient({
     control: running.operatorAddresses,
     key: cluster.keys.operator,
@@ -69,7 +89,7 @@
   });
   await waitForLeader(client);
   const drafts = command.applyFile.parse(fs.readFileSync(file, 'utf8')).unwrap();
-  const applied = await command.applyFile.apply(client, drafts);
+  const applied = await applyWithLeader(client, drafts);
   if (applied.err) {
     throw new kumquatfront.failures.FailureError(applied.val);
   }
