On the product's own interface too, an entry drops requests after a pause whose callers have left

A related path of late orders that was not tried before: an entry that stood still reads a call, a generation or a resumption on its own interface although the caller has closed its connection, and runs it beside the copy that the caller sent elsewhere.

adapters/entryHttp.spec.ts (new): red before, the three kinds of requests ran; npm run prove takes the check out.

--- a/packages/daemons/src/entryDaemon.ts
+++ b/packages/daemons/src/entryDaemon.ts
@@ -62,11 +62,12 @@
     scheduler: kumquatfront.systemTime.scheduler,
     log,
   });
-  const node = kumquatfront.entryNode.create(
-    settings.entry,
-    createPorts(settings, transport, log, onDrainRequest),
-  );
-  const server = kumquatfront.entryHttp.createServer(settings.entry, node);
+  const ports = createPorts(settings, transport, log, onDrainRequest);
+  const node = kumquatfront.entryNode.create(settings.entry, ports);
+  const timers = node.services.find('timers');
+  const pauses = new kumquatfront.pauseMonitor.PauseMonitor({ ...ports, timers });
+  const recentPause = (): number => pauses.recentPause();
+  const server = kumquatfront.entryHttp.createServer(settings.entry, node, { log, recentPause });
   const [host = '', port = ''] = settings.callerListen.split(':');
   server.listen(Number(port), host, () => {
     log.info('listening', { callers: settings.callerListen, peers: settings.entry.peerAddress });
--- a/packages/kumquatfront/src/adapters/authentication.spec.ts
+++ b/packages/kumquatfront/src/adapters/authentication.spec.ts
@@ -120,7 +120,7 @@
     checkUpstream: noop,
     onDrainRequest: noop,
   });
-  const server: http.Server = entryHttp.createServer(settings, node);
+  const server: http.Server = entryHttp.createServer(settings, node, { log, recentPause: () => 0 });
   await new Promise<void>((resolve) => {
     server.listen(0, LOCAL, resolve);
   });
--- /dev/null
+++ b/packages/kumquatfront/src/adapters/entryHttp.spec.ts
@@ -0,0 +1,125 @@
+/**
+ * Requests that an entry reads after a pause, on the product's own interface.
+ */
+import * as assert from 'node:assert/strict';
+import * as events from 'node:events';
+import * as net from 'node:net';
+import type * as http from 'node:http';
+import * as test from 'node:test';
+
+import * as defaultConfig from '../settings/defaultConfig.js';
+import type * as entryNode from '../entryNode/entryNode.js';
+import type * as entryTypes from '../entryNode/types.js';
+import type * as ports from '../kernel/ports.js';
+import * as serviceRegistry from '../kernel/serviceRegistry.js';
+import * as entryHttp from './entryHttp.js';
+
+const LOCAL = '127.0.0.1';
+const PATHS = ['/v1/completions', '/v1/services/stock/orders', '/v1/requests/r1'] as const;
+
+const settings: entryTypes.EntrySettings = {
+  ...defaultConfig.entryDefaults,
+  ...{ name: 'e', dataCentre: 'c', callerAddress: '', peerAddress: '', control: [] },
+  ...{ signingKey: 'k', upstreamKeyHash: '' },
+};
+
+/** An entry that records which requests it is given, and answers calls. */
+class RecordingEntry {
+  readonly given: string[] = [];
+  readonly logged: string[] = [];
+  private readonly server: http.Server;
+
+  constructor(recentPause: ports.Milliseconds) {
+    const handle = { onDrain: () => undefined, onCallerDisconnect: () => undefined };
+    const requests = {
+      generate: ({ path }: { readonly path: string }) => {
+        this.given.push(path);
+        return handle;
+      },
+      resume: ({ requestId }: { readonly requestId: string }) => {
+        this.given.push(`/v1/requests/${requestId}`);
+        return handle;
+      },
+      callService: (
+        { service, path }: { readonly service: string; readonly path: string },
+        caller: { readonly respond: (answer: object, replayed: boolean) => void },
+      ) => {
+        this.given.push(`/v1/services/${service}${path}`);
+        caller.respond({ status: 200, contentType: 'text/plain', body: 'ok' }, false);
+      },
+    };
+    const services = serviceRegistry.create<entryNode.EntryServices>();
+    const node = { services, requests } as unknown as entryNode.EntryNode;
+    const write = (event: string): void => {
+      this.logged.push(event);
+    };
+    const log: ports.Log = { debug: write, info: write, warn: write, error: write };
+    this.server = entryHttp.createServer(settings, node, { recentPause: () => recentPause, log });
+  }
+
+  async listen(): Promise<number> {
+    this.server.listen(0, LOCAL);
+    await events.EventEmitter.once(this.server, 'listening');
+    return (this.server.address() as net.AddressInfo).port;
+  }
+
+  /** The next connection that the server accepts. */
+  async nextConnection(): Promise<net.Socket> {
+    const [socket] = (await events.EventEmitter.once(this.server, 'connection')) as [net.Socket];
+    return socket;
+  }
+
+  close(): void {
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+}
+
+function requestText(path: string): string {
+  const method = path.includes('/requests/') ? 'GET' : 'POST';
+  return `${method} ${path} HTTP/1.1\r\nHost: e\r\nContent-Length: 2\r\n\r\n{}`;
+}
+
+/** Sends a request and closes the connection before the entry reads either. */
+async function sendAndLeave(entry: RecordingEntry, port: number, path: string): Promise<void> {
+  const socket = net.connect(port, LOCAL);
+  const [accepted] = await Promise.all([entry.nextConnection(), events.EventEmitter.once(socket, 'connect')]);
+  const closed = events.EventEmitter.once(accepted, 'close');
+  socket.write(requestText(path));
+  socket.destroy();
+  await closed;
+  // A request that continues does so in the loop iteration in which the end of its connection was read.
+  await new Promise((resolve) => setImmediate(resolve));
+}
+
+// Guards against running calls for nobody: an entry that stood still reads requests whose callers have given up.
+void test.test('after a pause, an entry drops requests whose callers have left', async () => {
+  for (const path of PATHS) {
+    const entry = new RecordingEntry(2_000);
+    const port = await entry.listen();
+    try {
+      await sendAndLeave(entry, port, path);
+      assert.deepEqual(entry.given, [], path);
+      assert.deepEqual(entry.logged, ['requestAbandoned'], path);
+    } finally {
+      entry.close();
+    }
+  }
+});
+
+void test.test('after a pause, an entry serves the callers that wait', async () => {
+  for (const recentPause of [0, 2_000]) {
+    const entry = new RecordingEntry(recentPause);
+    const port = await entry.listen();
+    try {
+      const socket = net.connect(port, LOCAL);
+      socket.write(requestText('/v1/services/stock/orders'));
+      const [answer] = (await events.EventEmitter.once(socket, 'data')) as [Buffer];
+      assert.match(answer.toString(), /^HTTP\/1\.1 200/);
+      assert.deepEqual(entry.given, ['/v1/services/stock/orders']);
+      socket.destroy();
+    } finally {
+      entry.close();
+    }
+  }
+});
--- a/packages/kumquatfront/src/adapters/entryHttp.ts
+++ b/packages/kumquatfront/src/adapters/entryHttp.ts
@@ -12,22 +12,34 @@
 import * as httpMessages from './httpMessages.js';
 import * as peerAuthentication from './peerAuthentication.js';
 import * as generationResponses from './generationResponses.js';
+import * as requestsAfterPause from './requestsAfterPause.js';
 
 const GENERATION_PATHS: readonly string[] = ['/v1/completions', '/v1/chat/completions'];
 const SERVICE_PATH = /^\/v1\/services\/([A-Za-z0-9._-]{1,63})(\/.*)?$/;
 const REQUEST_PATH = /^\/v1\/requests\/([A-Za-z0-9]{1,64})$/;
 
+interface EntryApi {
+  readonly entry: entryNode.EntryNode;
+  readonly pauses: requestsAfterPause.PauseOptions;
+}
+
 /**
  * Creates the HTTP server of an entry.
  *
  * @param entry - the entry that handles the requests
+ * @param pauses - the log, and the last pause of this process
  * @returns the server, not yet listening
  * @example
  * ```ts
- * entryHttp.createServer(settings, entry).listen(8080, '10.0.0.5');
+ * entryHttp.createServer(settings, entry, { log, recentPause: () => pauses.recentPause() }).listen(8080);
  * ```
  */
-export function createServer(settings: entryTypes.EntrySettings, entry: entryNode.EntryNode): http.Server {
+export function createServer(
+  settings: entryTypes.EntrySettings,
+  entry: entryNode.EntryNode,
+  pauses: requestsAfterPause.PauseOptions,
+): http.Server {
+  const api: EntryApi = { entry, pauses };
   return http.createServer(httpMessages.serverOptions, (request, response) => {
     const url = new URL(request.url ?? '/', 'http://entry');
     if (request.method === 'GET' && url.pathname === '/v1/entries') {
@@ -35,11 +47,11 @@
     } else if (request.method === 'POST' && url.pathname === '/v1/announcements') {
       handleAnnouncement(settings, entry, request, response);
     } else if (request.method === 'POST' && GENERATION_PATHS.includes(url.pathname)) {
-      generate(entry, url.pathname, request, response);
+      generate(api, url.pathname, request, response);
     } else if (request.method === 'GET' && REQUEST_PATH.test(url.pathname)) {
-      resume(entry, url, request, response);
+      resume(api, url, request, response);
     } else if (SERVICE_PATH.test(url.pathname)) {
-      callService(entry, url, request, response);
+      callService(api, url, request, response);
     } else if (request.method === 'GET' && url.pathname === '/v1/status') {
       sendStatus(entry, request, response);
     } else {
@@ -106,13 +118,26 @@
   httpMessages.sendJson(response, 200, entry.presence());
 }
 
+/** Reads the body of a caller's request, and continues while the caller waits. */
+function readCallerBody(
+  { pauses }: EntryApi,
+  request: http.IncomingMessage,
+  done: httpMessages.BodyCallback,
+): void {
+  httpMessages.readBody(request, (body) => {
+    requestsAfterPause.whileCallerWaits(pauses, request, () => {
+      done(body);
+    });
+  });
+}
+
 function generate(
-  entry: entryNode.EntryNode,
+  api: EntryApi,
   path: string,
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): void {
-  httpMessages.readBody(request, (text) => {
+  readCallerBody(api, request, (text) => {
     const body = text.andThen(httpMessages.parseObject);
     if (body.err) {
       const { message, remedy } = body.val;
@@ -123,7 +148,7 @@
     const caller = streaming
       ? new generationResponses.EventStreamResponse(response)
       : new generationResponses.BufferedJsonResponse(response, path);
-    const handle = entry.requests.generate(
+    const handle = api.entry.requests.generate(
       {
         bearerKey: httpMessages.bearerKey(request),
         labelsHeader: httpMessages.header(request, 'kumquatfront-labels'),
@@ -147,37 +172,38 @@
 }
 
 function resume(
-  entry: entryNode.EntryNode,
+  { entry, pauses }: EntryApi,
   url: URL,
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): void {
-  const caller = new generationResponses.EventStreamResponse(response);
-  const handle = entry.requests.resume(
-    {
-      bearerKey: httpMessages.bearerKey(request),
-      labelsHeader: undefined,
-      requestId: REQUEST_PATH.exec(url.pathname)?.[1] ?? '',
-      token: httpMessages.header(request, 'last-event-id') ?? '',
-    },
-    caller,
-  );
-  attachStreamHandle(response, handle);
+  requestsAfterPause.whileCallerWaits(pauses, request, () => {
+    const handle = entry.requests.resume(
+      {
+        bearerKey: httpMessages.bearerKey(request),
+        labelsHeader: undefined,
+        requestId: REQUEST_PATH.exec(url.pathname)?.[1] ?? '',
+        token: httpMessages.header(request, 'last-event-id') ?? '',
+      },
+      new generationResponses.EventStreamResponse(response),
+    );
+    attachStreamHandle(response, handle);
+  });
 }
 
 function callService(
-  entry: entryNode.EntryNode,
+  api: EntryApi,
   url: URL,
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): void {
   const [, service = '', path = '/'] = SERVICE_PATH.exec(url.pathname) ?? [];
-  httpMessages.readBody(request, (body) => {
+  readCallerBody(api, request, (body) => {
     if (body.err) {
       httpMessages.sendFailure(response, body.val);
       return;
     }
-    entry.requests.callService(
+    api.entry.requests.callService(
       {
         bearerKey: httpMessages.bearerKey(request),
         labelsHeader: httpMessages.header(request, 'kumquatfront-labels'),
--- a/packages/kumquatfront/src/adapters/trafficHttp.ts
+++ b/packages/kumquatfront/src/adapters/trafficHttp.ts
@@ -9,8 +9,8 @@
 import type * as ports from '../kernel/ports.js';
 import type * as relayTypes from '../relay/types.js';
 import type * as trafficTypes from '../traffic/types.js';
-import * as eventLoop from './eventLoop.js';
 import * as rawHeaders from './rawHeaders.js';
+import * as requestsAfterPause from './requestsAfterPause.js';
 
 /** Limits that apply until a configuration is loaded. */
 const DEFAULT_LIMITS: trafficTypes.CallerLimits = {
@@ -58,7 +58,7 @@
   /** Load of the entry; undefined if it is not measured. */
   readonly load?: entryLoad.EntryLoad | undefined;
   /** The pause of this process that has just ended, in milliseconds; 0 if there was none. */
-  readonly recentPause?: () => ports.Milliseconds;
+  readonly recentPause: () => ports.Milliseconds;
 }
 
 /** An HTTP server whose limits can be updated from the configuration. */
@@ -143,11 +143,6 @@
   incoming.on('error', (error) => {
     options.log.debug('requestBroken', { reason: error.message });
   });
-  incoming.on('end', () => {
-    afterBacklog(options, incoming, () => {
-      pass();
-    });
-  });
   const pass = (): void => {
     if (outgoing.headersSent || outgoing.destroyed) {
       return;
@@ -162,28 +157,8 @@
     });
     options.handle(request, createCaller(options, request, incoming, outgoing));
   };
-}
-
-/**
- * Continues with a request unless its caller has left. After a pause the end of its connection may lie unread behind the
- * request; a call that is not idempotent must not run for nobody.
- */
-function afterBacklog(
-  { recentPause, log }: TrafficHttpOptions,
-  { socket }: http.IncomingMessage,
-  continueWith: () => void,
-): void {
-  const pause = recentPause?.() ?? 0;
-  if (pause === 0) {
-    continueWith();
-    return;
-  }
-  eventLoop.afterNextPoll(() => {
-    if (socket.destroyed || socket.readableEnded) {
-      log.info('requestAbandoned', { caller: socket.remoteAddress, pause: Math.round(pause) });
-      return;
-    }
-    continueWith();
+  incoming.on('end', () => {
+    requestsAfterPause.whileCallerWaits(options, incoming, pass);
   });
 }
 
--- a/packages/kumquatfront/src/relay/brokenAnswers.spec.ts
+++ b/packages/kumquatfront/src/relay/brokenAnswers.spec.ts
@@ -74,6 +74,7 @@
     log: harness.context.log,
     limits: () => undefined,
     isDraining: () => false,
+    recentPause: () => 0,
     decode: () => harness.createRoutedRequest(kind).request,
     encodeRefusal: (_request, { reason }) => ({ status: 502, headers: [], body: reason }),
     handle: (request, port) => {
--- a/packages/scenarios/src/scripts/operatorOrderSafeguards.ts
+++ b/packages/scenarios/src/scripts/operatorOrderSafeguards.ts
@@ -116,11 +116,18 @@
   },
   {
     name: 'a request that an entry reads after a pause is relayed only if its caller has not left',
-    file: 'adapters/trafficHttp.js',
+    file: 'adapters/requestsAfterPause.js',
     find: 'if (socket.destroyed || socket.readableEnded) {',
     replace: 'if (false) {',
     scenario: 'spec:adapters/trafficHttp',
   },
+  {
+    name: 'calls on the interface of the product are dropped after a pause if their caller has left',
+    file: 'adapters/entryHttp.js',
+    find: 'requestsAfterPause.whileCallerWaits(pauses, request, () => {\n            done(body);\n        });',
+    replace: 'done(body);',
+    scenario: 'spec:adapters/entryHttp',
+  },
   {
     name: 'a caller may close its sending side and wait for the answer',
     file: 'adapters/callerConnections.js',
