Orders that may be old fail through one function

Two modules wrote the same remedy, and a refusal asked twice for the pause of the process, the second time later. staleOrder.failure is the one place; the pause that decides is the one that is logged. No behaviour changed but for the log line of a caller that has left, which had a pause of 0.

--- a/packages/kumquatfront/src/operatorOrders/callerCheck.ts
+++ b/packages/kumquatfront/src/operatorOrders/callerCheck.ts
@@ -2,10 +2,11 @@
  * Refuses orders that may be out of date: their caller has left, or they may have waited while the process was paused.
  * The caller of such an order may have sent it again elsewhere, and other orders after it.
  */
-import * as failures from '../kernel/failures.js';
+import type * as failures from '../kernel/failures.js';
 import type * as pauseMonitor from '../kernel/pauseMonitor.js';
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
+import * as staleOrder from './staleOrder.js';
 import type * as types from './types.js';
 
 /** Ports of {@link CallerCheck}. */
@@ -15,8 +16,6 @@
   readonly metrics: ports.Metrics;
 }
 
-const REMEDY = 'Send it again, to any control replica: nothing was changed.';
-
 /** Checks the callers of orders; see the module comment. */
 export class CallerCheck {
   private readonly options: CallerCheckOptions;
@@ -44,7 +43,7 @@
     const pause = this.options.pauses.recentPause();
     if (pause > 0) {
       const message = `This replica was paused for ${Math.round(pause)} ms, and the order may be older than that.`;
-      done(this.refuse(caller, order, 'paused', message));
+      done(this.refuse(caller, { ...order, pause: Math.round(pause) }, 'paused', message));
       return;
     }
     caller.checkPresence(wait, (isPresent) => {
@@ -62,11 +61,10 @@
     reason: 'callerLeft' | 'paused',
     message: string,
   ): results.Result<null, failures.Failure> {
-    const { log, metrics, pauses } = this.options;
+    const { log, metrics } = this.options;
     const { knownIndex, connection } = caller;
-    const pause = Math.round(pauses.recentPause());
-    log.warn('lateOrderRefused', { ...order, reason, knownIndex, pause, ...connection });
+    log.warn('lateOrderRefused', { ...order, reason, knownIndex, ...connection });
     metrics.count('orders.late', 1, { reason });
-    return results.Err(failures.create('stale', message, REMEDY));
+    return results.Err(staleOrder.failure(message));
   }
 }
--- a/packages/kumquatfront/src/operatorOrders/dataCentreOrders.ts
+++ b/packages/kumquatfront/src/operatorOrders/dataCentreOrders.ts
@@ -5,10 +5,10 @@
  */
 import type * as agreedState from '../agreedState/agreedState.js';
 import type * as agreedTypes from '../agreedState/types.js';
-import * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
 import type * as callerCheck from './callerCheck.js';
+import * as staleOrder from './staleOrder.js';
 import type * as types from './types.js';
 
 /** An order without its log index. */
@@ -92,7 +92,8 @@
         const mayResubmit = now() + wait < attempt.givenUpAt;
         this.reportSuperseded(order, caller, answer.lastOrder, mayResubmit);
         if (!mayResubmit) {
-          done(results.Err(supersededFailure(dataCentre)));
+          const message = `Other orders on the data centre "${dataCentre}" were carried out at the same time.`;
+          done(results.Err(staleOrder.failure(message)));
           return;
         }
         const next = { ...attempt, knownIndex: answer.lastOrder, wait };
@@ -116,11 +117,6 @@
   }
 }
 
-function supersededFailure(dataCentre: string): failures.Failure {
-  const message = `Other orders on the data centre "${dataCentre}" were carried out at the same time.`;
-  return failures.create('stale', message, 'Send it again, to any control replica: nothing was changed.');
-}
-
 /**
  * Proposes an order at the leader. One that is void is rejected before it is written to the log, so that its replica,
  * which had not heard of the newer order, can send it again a round trip later.
