Soak: a false "not run" names the kind of the request and the time until it ran

Two cases would look alike: a payment that runs after its refusal, and a hedged look-up whose second copy was cancelled too late. The check is as strict as before. The logs that are kept for a failed seed are five times as long.

--- a/packages/soak/src/invariantChecker.ts
+++ b/packages/soak/src/invariantChecker.ts
@@ -35,7 +35,7 @@
   readonly violations: string[] = [];
   readonly counts = { sent: 0, served: 0, refused: 0, failed: 0 };
   private readonly executions = new Map<string, number>();
-  private readonly refusalStatuses = new Map<string, number>();
+  private readonly refusals = new Map<string, { readonly status: number; readonly at: number }>();
   private newestAcknowledged = 0;
 
   /** Records that an instance started to execute an attempt. */
@@ -45,9 +45,12 @@
     if (count > 1 && !idempotent) {
       this.violations.push(`${identity} is not idempotent and ran ${count} times`);
     }
-    const status = this.refusalStatuses.get(identity);
-    if (status !== undefined) {
-      this.violations.push(`${identity} was answered ${status} (not run), but was executed afterwards`);
+    const refusal = this.refusals.get(identity);
+    if (refusal !== undefined) {
+      const kind = idempotent ? 'idempotent' : 'not idempotent';
+      const delay = Math.round(performance.now() - refusal.at);
+      const answered = `${identity} (${kind}) was answered ${refusal.status} (not run)`;
+      this.violations.push(`${answered}, but was executed ${delay} ms afterwards`);
     }
   }
 
@@ -61,7 +64,7 @@
       this.checkBody(outcome);
     } else if (NOT_RUN_STATUSES.has(status)) {
       this.counts.refused += 1;
-      this.refusalStatuses.set(identity, status);
+      this.refusals.set(identity, { status, at: performance.now() });
       if (this.executions.has(identity) && kind !== 'lookUp') {
         this.violations.push(`${identity} was answered ${status} (not run), but has run`);
       }
--- a/packages/soak/src/supervisedProcess.ts
+++ b/packages/soak/src/supervisedProcess.ts
@@ -17,7 +17,7 @@
 const UPSTREAM_HOSTS = '127.0.25.,127.0.26.';
 
 const RESTART_DELAY_MS = 150;
-const MAXIMUM_LOG_LENGTH = 400_000;
+const MAXIMUM_LOG_LENGTH = 2_000_000;
 
 /** Ports; the same on every loopback address. */
 export interface Ports {
