Traffic server spec: waits for events in place of 20 and 50 ms

'after a pause, a request whose caller has left is not relayed' gave the server 20 ms to accept and 50 ms to drop the request, on the real clock. On a machine that takes the processor away for that long the verdict would have been another. It now waits for the acceptance and for the close of the connection. The checks are the same; without the safeguard it is red (npm run prove).

--- a/packages/kumquatfront/src/adapters/trafficHttp.spec.ts
+++ b/packages/kumquatfront/src/adapters/trafficHttp.spec.ts
@@ -2,6 +2,7 @@
  * Responses of an entry near its limits and to slow readers, over loopback connections.
  */
 import * as assert from 'node:assert/strict';
+import * as events from 'node:events';
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as test from 'node:test';
@@ -20,6 +21,7 @@
 const PIECE = Buffer.alloc(256 * 1_024, 'x');
 
 interface Running {
+  readonly server: http.Server;
   readonly port: number;
   readonly time: virtualTime.VirtualTime;
   readonly measured: { lag: number };
@@ -100,7 +102,7 @@
         server.close();
       };
       const { port } = server.address() as net.AddressInfo;
-      resolve({ port, time, measured, load, lines, disconnected, handled, close });
+      resolve({ server, port, time, measured, load, lines, disconnected, handled, close });
     });
   });
 }
@@ -193,14 +195,18 @@
 });
 
 /** Sends a request on an open connection and closes it before the server can read either. */
-async function sendAndLeave(port: number, path: string): Promise<void> {
+async function sendAndLeave({ server, port }: Running, path: string): Promise<void> {
   const socket = net.connect(port, '127.0.0.1');
-  await new Promise((resolve) => socket.once('connect', resolve));
-  // Until the server has accepted the connection, its first read would come with the next poll phase.
-  await new Promise((resolve) => setTimeout(resolve, 20));
+  const [[accepted]] = (await Promise.all([
+    events.EventEmitter.once(server, 'connection'),
+    events.EventEmitter.once(socket, 'connect'),
+  ])) as [[net.Socket], unknown[]];
+  const closed = events.EventEmitter.once(accepted, 'close');
   socket.write(`POST ${path} HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n`);
   socket.destroy();
-  await new Promise((resolve) => setTimeout(resolve, 50));
+  await closed;
+  // The request is dropped or continued in the loop iteration that follows the one in which its end was read.
+  await new Promise((resolve) => setImmediate(resolve));
 }
 
 // Guards against running calls for nobody: an entry that stood still reads requests whose callers have given up.
@@ -210,7 +216,7 @@
     const running = await start(2_000);
     const agent = new http.Agent();
     try {
-      await sendAndLeave(running.port, '/call');
+      await sendAndLeave(running, '/call');
       assert.deepEqual(running.handled, []);
       assert.deepEqual(running.lines, ['requestAbandoned']);
       await connectionHeader(running.port, '/call', agent);
