--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -77,6 +77,7 @@
 export * as trafficControl from './trafficControl/trafficControl.js';
 export type * as trafficControlMethods from './trafficControl/methods.js';
 export * as trafficEntry from './trafficEntry/trafficEntry.js';
+export type * as trafficEntryTypes from './trafficEntry/types.js';
 export type * as trafficTypes from './traffic/types.js';
 export * as trafficValidation from './traffic/trafficValidation.js';
 export * as connectionCheck from './adapters/connectionCheck.js';
--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -18,6 +18,7 @@
 import type * as residency from '../traffic/residency.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as trafficEntry from '../trafficEntry/trafficEntry.js';
+import type * as entryTypes from '../trafficEntry/types.js';
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as controlWatch from './controlWatch.js';
 import * as methods from './methods.js';
@@ -56,7 +57,7 @@
 /** Runs control replicas and entries as simulated processes. */
 export class ControlTestHarness {
   /** Features of entries that are started from now on. */
-  entryFeatures: trafficEntry.TrafficEntrySettings['isEnabled'];
+  entryFeatures: entryTypes.TrafficEntrySettings['isEnabled'];
   readonly time = new virtualTime.VirtualTime();
   readonly seeds: readonly string[];
   private readonly processes: simulatedProcesses.SimulatedProcesses;
@@ -328,11 +329,11 @@
   startEntry(
     name: string,
     upstreams: relayTypes.UpstreamPort,
-    changes: Partial<trafficEntry.TrafficEntrySettings & trafficEntry.TrafficEntryPorts> = {},
+    changes: Partial<entryTypes.TrafficEntrySettings & entryTypes.TrafficEntryPorts> = {},
   ): trafficEntry.TrafficEntry {
     this.kill(name);
     const base = this.basePorts(this.processes.start(name));
-    const settings: trafficEntry.TrafficEntrySettings = {
+    const settings: entryTypes.TrafficEntrySettings = {
       ...{ name, dataCentre: 'a', callerAddress: `${name}:1`, peerAddress: name },
       seeds: this.seeds,
       regions: REGIONS,
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -6,7 +6,6 @@
 import * as sendPolicy from '../backPressure/sendPolicy.js';
 import * as signalRegistry from '../backPressure/signalRegistry.js';
 import * as slotClient from '../callSlots/slotClient.js';
-import type * as entryCapacity from '../entryLoad/entryCapacity.js';
 import * as entryLoad from '../entryLoad/entryLoad.js';
 import * as entryWeights from '../entryLoad/entryWeights.js';
 import * as instanceLog from '../instances/instanceLog.js';
@@ -18,20 +17,13 @@
 import type * as relayMessages from '../peerRelay/messages.js';
 import * as peerRelay from '../peerRelay/peerRelay.js';
 import * as relayServer from '../peerRelay/relayServer.js';
-import * as placementFeatures from '../placement/placementFeatures.js';
 import * as localBalancer from '../relay/localBalancer.js';
 import * as placementClient from '../relay/placementClient.js';
-import * as serviceRetryBudget from '../relay/serviceRetryBudget.js';
 import * as trafficRelay from '../relay/trafficRelay.js';
 import type * as relayTypes from '../relay/types.js';
 import * as guardedUpstreams from '../quarantine/guardedUpstreams.js';
 import type * as quarantine from '../quarantine/quarantine.js';
-import * as leaseClient from '../sharedLimits/leaseClient.js';
-import type * as leaseMessages from '../sharedLimits/leaseMessages.js';
-import * as windowedShare from '../sharedLimits/windowedShare.js';
-import type * as residency from '../traffic/residency.js';
 import * as routeTable from '../traffic/routeTable.js';
-import type * as trafficTypes from '../traffic/types.js';
 import * as streamOrigins from '../streamOrigins/streamOrigins.js';
 import * as upstreamPaces from '../upstreamPace/upstreamPaces.js';
 import * as controlWatch from '../trafficControl/controlWatch.js';
@@ -39,60 +31,17 @@
 import * as entryShare from '../warmUp/entryShare.js';
 import * as warmUpBounds from '../warmUp/warmUpBounds.js';
 import * as entryQuarantine from './entryQuarantine.js';
-
-/** Interval at which the shares of common limits follow the number of entries. */
-const SHARE_UPDATE_INTERVAL: ports.Milliseconds = 500;
+import * as sharedRetryBudget from './sharedRetryBudget.js';
+import type * as types from './types.js';
 
 /** Time from the acknowledgement of a configuration within which no entry acts on an older one, unless stated. */
 export const DEFAULT_IN_FORCE_WITHIN: ports.Milliseconds = 2_000;
 
-/** Settings of an entry. Times are milliseconds. */
-export interface TrafficEntrySettings {
-  readonly name: string;
-  readonly dataCentre: string;
-  /** Address that callers connect to, as `ip:port`. */
-  readonly callerAddress: string;
-  /** Address that other processes of the system connect to, as `ip:port`. */
-  readonly peerAddress: string;
-  /** Peer addresses of some control replicas. */
-  readonly seeds: readonly string[];
-  /** Region of each data centre, by name. */
-  readonly regions: residency.Regions;
-  readonly retries: serviceRetryBudget.RetryBudgetSettings;
-  /** How far the combined traffic of all senders may exceed the request limit of a cold upstream. */
-  readonly warmUpTolerance: warmUpBounds.WarmUpTolerance;
-  /** Returns whether a feature is enabled; by default all are. */
-  readonly isEnabled?: placementFeatures.IsEnabled;
-  /** Time from the acknowledgement of a configuration within which no entry acts on an older one. */
-  readonly inForceWithin?: ports.Milliseconds;
-  /** Limits of the VM, as far as they are known. */
-  readonly capacity?: entryCapacity.EntryCapacity;
-}
-
-/** Ports through which an entry accesses its environment. */
-export interface TrafficEntryPorts extends ports.BasePorts {
-  readonly upstreams: relayTypes.UpstreamPort;
-  readonly decodeTraffic: trafficTypes.DecodeTraffic;
-  /** Measures the process; without it, the entry reports no utilization. */
-  readonly loadProbe?: entryLoad.LoadProbe;
-}
-
-/** Services of an entry, by name. */
-export interface TrafficEntryServices {
-  readonly timers: timerService.TimerService;
-  readonly instances: instanceView.InstanceView;
-  readonly placement: placementClient.PlacementClient;
-  readonly relay: trafficRelay.TrafficRelay;
-  readonly watch: controlWatch.ControlWatch;
-  readonly quarantine: quarantine.Quarantine;
-  readonly relayServer: relayServer.RelayServer;
-}
-
 /** An entry; see the module comment. */
 export class TrafficEntry {
-  readonly services = serviceRegistry.create<TrafficEntryServices>();
-  private readonly settings: TrafficEntrySettings;
-  private readonly entryPorts: TrafficEntryPorts;
+  readonly services = serviceRegistry.create<types.TrafficEntryServices>();
+  private readonly settings: types.TrafficEntrySettings;
+  private readonly entryPorts: types.TrafficEntryPorts;
   private readonly timers: timerService.TimerService;
   private readonly watch: controlWatch.ControlWatch;
   private readonly relay: trafficRelay.TrafficRelay;
@@ -107,7 +56,7 @@
   /** Load of the entry; undefined if it is not measured. */
   readonly load: entryLoad.EntryLoad | undefined;
 
-  constructor(settings: TrafficEntrySettings, entryPorts: TrafficEntryPorts) {
+  constructor(settings: types.TrafficEntrySettings, entryPorts: types.TrafficEntryPorts) {
     const { random, log, metrics, peers, upstreams } = entryPorts;
     this.settings = settings;
     this.entryPorts = entryPorts;
@@ -150,6 +99,7 @@
       }
     });
     const entryCount = (): number => this.watch.entryCount;
+    const coordinator = (): string => this.watch.coordinator;
     const policy = new sendPolicy.SendPolicy({
       entry: settings.name,
       random,
@@ -181,7 +131,7 @@
       timers,
       random,
       log,
-      coordinator: () => this.watch.coordinator,
+      coordinator,
       instances,
       ...(paces !== undefined && { paces }),
     });
@@ -212,7 +162,7 @@
       ...{ timers, random, log, metrics, peers, instances, entryCount },
       entry: settings.name,
       dataCentre: settings.dataCentre,
-      coordinator: () => this.watch.coordinator,
+      coordinator,
       replicas: () => this.watch.replicas(),
     });
     this.origins = new streamOrigins.StreamOrigins({
@@ -223,7 +173,7 @@
     const { origins } = this;
     const guardOptions = { timers, quarantine: quarantineState, signals, slots, log };
     const server = this.createRelayServer(guardOptions, policy);
-    const budget = this.createRetryBudget(entryCount);
+    const retryBudget = sharedRetryBudget.create({ settings, entryPorts, timers, entryCount, coordinator });
     this.relay = new trafficRelay.TrafficRelay({
       context: {
         timers,
@@ -237,7 +187,7 @@
         instances,
         sendPolicy: policy,
         balancer,
-        retryBudget: budget,
+        retryBudget,
         placement,
         quarantine: quarantineState,
         isCutOff: () => this.peerRelay.isCutOff,
@@ -319,43 +269,6 @@
     });
   }
 
-  private createRetryBudget(entryCount: () => number): serviceRetryBudget.ServiceRetryBudget {
-    const { settings, timers } = this;
-    const slackShare = new windowedShare.WindowedShare(entryCount, settings.retries.window);
-    // Retries may be rare; without regular updates an entry would not notice when control was reached first and last.
-    timers.every(
-      () => SHARE_UPDATE_INTERVAL,
-      () => {
-        slackShare.at(timers.now());
-      },
-    );
-    return new serviceRetryBudget.ServiceRetryBudget(
-      settings.retries,
-      (now) => slackShare.at(now),
-      this.entryPorts.random,
-      (settings.isEnabled ?? placementFeatures.allEnabled)('sharedLimits') ? this.createLeases() : undefined,
-    );
-  }
-
-  private createLeases(): leaseClient.LeaseClient {
-    const { peers } = this.entryPorts;
-    return new leaseClient.LeaseClient({
-      ...this.entryPorts,
-      entry: this.settings.name,
-      timers: this.timers,
-      send: (request, timeout, done) => {
-        const { coordinator } = this.watch;
-        if (coordinator === '') {
-          done(undefined);
-          return;
-        }
-        peers.request(coordinator, methods.methods.lease, request, timeout, (result) => {
-          done(result.ok ? (result.val as leaseMessages.LeaseAnswer) : undefined);
-        });
-      },
-    });
-  }
-
   private notifyControl(method: string, parameters: unknown): void {
     for (const replica of this.watch.replicas()) {
       this.entryPorts.peers.notify(replica, method, parameters);
--- a/packages/scenarios/src/scripts/sharedLimitsSafeguards.ts
+++ b/packages/scenarios/src/scripts/sharedLimitsSafeguards.ts
@@ -112,8 +112,8 @@
   },
   {
     name: 'entries lend each other unused retries',
-    file: 'trafficEntry/trafficEntry.js',
-    find: "('sharedLimits') ? this.createLeases() : undefined",
+    file: 'trafficEntry/sharedRetryBudget.js',
+    find: "('sharedLimits') ? createLeases(options) : undefined",
     replace: "('sharedLimits') ? undefined : undefined",
     scenario: 'spec:trafficEntry/borrowedRetries',
   },
