One function forwards calls to the leader

The orders on data centres had a copy of controlHttp's forwardToLeader of their own, which read the leader's address from the replica in place of the answer; both are the same member. leaderForwarding.forward serves both, each with its timeout as before. No behaviour changed.

--- a/packages/kumquatfront/src/adapters/controlHttp.ts
+++ b/packages/kumquatfront/src/adapters/controlHttp.ts
@@ -7,6 +7,7 @@
 import type * as agreedState from '../agreedState/types.js';
 import type * as configuration from '../configuration/types.js';
 import type * as controlNode from '../controlNode/controlNode.js';
+import * as leaderForwarding from '../controlNode/leaderForwarding.js';
 import * as methods from '../controlNode/methods.js';
 import * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
@@ -176,29 +177,14 @@
       return;
     }
     options.node.configure(command.val, (result) => {
-      forwardToLeader(options, methods.methods.configure, command.val, result, (final) => {
+      const call = { method: methods.methods.configure, parameters: command.val, timeout: FORWARD_TIMEOUT };
+      leaderForwarding.forward(options.peers, call, result, (final) => {
         sendConfigureAnswer(response, final);
       });
     });
   });
 }
 
-/** Forwards a call to the leader if this replica answered `notLeader`; otherwise returns its own result. */
-function forwardToLeader(
-  options: ControlHttpOptions,
-  method: string,
-  parameters: unknown,
-  result: results.Result<unknown, failures.Failure>,
-  done: ports.Reply,
-): void {
-  const leader = result.err && result.val.kind === 'notLeader' ? result.val.detail?.leader : undefined;
-  if (typeof leader !== 'string') {
-    done(result);
-    return;
-  }
-  options.peers.request(leader, method, parameters, FORWARD_TIMEOUT, done);
-}
-
 function sendConfigureAnswer(
   response: http.ServerResponse,
   result: results.Result<unknown, failures.Failure>,
@@ -227,7 +213,8 @@
       return;
     }
     options.node.services.find('replica').propose(body.val, (result) => {
-      forwardToLeader(options, methods.methods.order, body.val, result, (final) => {
+      const call = { method: methods.methods.order, parameters: body.val, timeout: FORWARD_TIMEOUT };
+      leaderForwarding.forward(options.peers, call, result, (final) => {
         sendResult(response, final, (order) => order);
       });
     });
--- a/packages/kumquatfront/src/controlNode/evacuations.ts
+++ b/packages/kumquatfront/src/controlNode/evacuations.ts
@@ -10,6 +10,7 @@
 import type * as callerCheck from '../operatorOrders/callerCheck.js';
 import * as dataCentreOrders from '../operatorOrders/dataCentreOrders.js';
 import type * as operatorOrders from '../operatorOrders/types.js';
+import * as leaderForwarding from './leaderForwarding.js';
 import * as methods from './methods.js';
 
 /** Ports of {@link Evacuations}. */
@@ -63,14 +64,9 @@
   }
 
   private submit(command: agreedTypes.DataCentreCommand, done: ports.Reply): void {
-    const { replica: own, peers } = this.options;
     this.propose(command, (result) => {
-      const leader = own.leader();
-      if (result.err && result.val.kind === 'notLeader' && leader !== undefined) {
-        peers.request(leader.address, methods.methods.evacuate, command, FORWARD_TIMEOUT, done);
-      } else {
-        done(result);
-      }
+      const call = { method: methods.methods.evacuate, parameters: command, timeout: FORWARD_TIMEOUT };
+      leaderForwarding.forward(this.options.peers, call, result, done);
     });
   }
 
