--- a/packages/kumquatfront/src/adapters/callerConnections.ts
+++ b/packages/kumquatfront/src/adapters/callerConnections.ts
@@ -24,7 +24,7 @@
 const RESET_WAIT: ports.Milliseconds = 100;
 
 /** Longest time between the acceptance of a connection and an order that counts as arriving together with it. */
-const NEW_CONNECTION_AGE: ports.Milliseconds = 20;
+export const NEW_CONNECTION_AGE: ports.Milliseconds = 20;
 
 interface ConnectionRecord {
   readonly openedAt: ports.Milliseconds;
--- a/packages/kumquatfront/src/adapters/trafficHttp.ts
+++ b/packages/kumquatfront/src/adapters/trafficHttp.ts
@@ -43,9 +43,8 @@
 }
 
 /** Options of the server. */
-export interface TrafficHttpOptions {
+export interface TrafficHttpOptions extends requestsAfterPause.PauseOptions {
   readonly clock: ports.Clock;
-  readonly log: ports.Log;
   readonly limits: () => trafficTypes.CallerLimits | undefined;
   /** True while the entry drains: keep-alive connections are closed after their next response. */
   readonly isDraining: () => boolean;
@@ -57,8 +56,6 @@
   readonly handle: (request: relayTypes.TrafficRequest, caller: relayTypes.CallerPort) => void;
   /** Load of the entry; undefined if it is not measured. */
   readonly load?: entryLoad.EntryLoad | undefined;
-  /** The pause of this process that has just ended, in milliseconds; 0 if there was none. */
-  readonly recentPause: () => ports.Milliseconds;
 }
 
 /** An HTTP server whose limits can be updated from the configuration. */
--- a/packages/kumquatfront/src/trafficControl/operatorTestClient.ts
+++ b/packages/kumquatfront/src/trafficControl/operatorTestClient.ts
@@ -2,6 +2,7 @@
  * Test double of an operator on virtual time: it sends an order to one replica after another until it is acknowledged.
  * What it sends to a paused replica, or over a silent link, arrives later, and the end of the connection after it.
  */
+import * as callerConnections from '../adapters/callerConnections.js';
 import type * as ports from '../kernel/ports.js';
 import type * as dataCentreOrders from '../operatorOrders/dataCentreOrders.js';
 import type * as operatorOrders from '../operatorOrders/types.js';
@@ -9,9 +10,6 @@
 
 const LATENCY: ports.Milliseconds = 3;
 
-/** Longest time between the acceptance of a connection and an order that counts as arriving together with it. */
-const NEW_CONNECTION_AGE: ports.Milliseconds = 20;
-
 /** Outcome of one copy of an order; `undefined` while it has none. */
 export type CopyOutcome = 'acknowledged' | 'refused' | 'noAnswer';
 
@@ -105,7 +103,8 @@
     const { harness, address } = this;
     return {
       knownIndex: this.knownIndex ?? harness.appliedIndexOf(address),
-      hasNewConnection: this.isNew && harness.time.now() - this.acceptedAt <= NEW_CONNECTION_AGE,
+      hasNewConnection:
+        this.isNew && harness.time.now() - this.acceptedAt <= callerConnections.NEW_CONNECTION_AGE,
       connection: {},
       checkPresence: (wait, done) => {
         harness.time.after(wait, () => {
