--- a/review/common-2/runner.js
+++ b/review/common-2/runner.js
@@ -104,7 +104,8 @@
   response.writeHead(200, head);
 }
 
-const eventOf = (attempt, index) => `id: ${index}\ndata: ${attempt} piece ${index}\n\n`;
+const eventOf = (attempt, index) =>
+  `id: ${index}\ndata: ${attempt} piece ${index} by ${options.version ?? 'v1'}\n\n`;
 
 function stream(request, response, attempt) {
   const first = Number(request.headers['last-event-id'] ?? 0) + 1;
@@ -261,12 +262,15 @@
   socket.on('close', () => sockets.delete(socket));
 });
 server.listen(Number(port), host, () => {
-  void heartbeat();
-  setInterval(() => {
-    if (state !== 'gone') {
-      void heartbeat();
-    }
-  }, options.heartbeatInterval ?? 1_200);
+  // "A heartbeat may arrive seconds late."
+  setTimeout(() => {
+    void heartbeat();
+    setInterval(() => {
+      if (state !== 'gone') {
+        void heartbeat();
+      }
+    }, 1_200);
+  }, options.heartbeatDelay ?? 0);
 });
 
 process.on('message', (message) => {
