Authentication spec: transports have a clock that stands still

Cause: connecting may take 250 ms and a handshake 1 s of the real clock; a process that gets no processor for that long runs its timers before it reads its sockets. After the failed check its servers stayed open. Change: the test is about the key, not about time, so its transports have a clock that stands still, and they are closed when a check fails. The checks are the same.

--- a/packages/kumquatfront/src/adapters/authentication.spec.ts
+++ b/packages/kumquatfront/src/adapters/authentication.spec.ts
@@ -12,6 +12,7 @@
 import type * as entryTypes from '../entryNode/types.js';
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
+import * as virtualTime from '../kernel/virtualTime.js';
 import * as trafficResolver from '../selectors/trafficResolver.js';
 import * as defaultConfig from '../settings/defaultConfig.js';
 import * as entryHttp from './entryHttp.js';
@@ -25,8 +26,9 @@
 const log: ports.Log = { debug: noop, info: noop, warn: noop, error: noop };
 const LOCAL = '127.0.0.1';
 
+/** Time of the transports stands still: how long a handshake may take is not tested here. */
 function createTransport(clusterKey: string): jsonRpcTransport.JsonRpcTransport {
-  return jsonRpcTransport.create({ clusterKey, scheduler: systemTime.scheduler, log });
+  return jsonRpcTransport.create({ clusterKey, scheduler: new virtualTime.VirtualTime(), log });
 }
 
 function listen(transport: jsonRpcTransport.JsonRpcTransport): Promise<string> {
@@ -56,11 +58,14 @@
   const address = await listen(server);
   const trustedPeer = createTransport('the-right-cluster-key');
   const untrustedPeer = createTransport('some-other-cluster-key');
-  assert.equal(await sendRequest(trustedPeer, address), true);
-  assert.equal(await sendRequest(untrustedPeer, address), false);
-  assert.equal(calls, 1);
-  for (const transport of [server, trustedPeer, untrustedPeer]) {
-    transport.close();
+  try {
+    assert.equal(await sendRequest(trustedPeer, address), true);
+    assert.equal(await sendRequest(untrustedPeer, address), false);
+    assert.equal(calls, 1);
+  } finally {
+    for (const transport of [server, trustedPeer, untrustedPeer]) {
+      transport.close();
+    }
   }
 });
 
