--- a/packages/kumquatfront/src/adapters/processLoad.ts
+++ b/packages/kumquatfront/src/adapters/processLoad.ts
@@ -27,6 +27,7 @@
 ): entryLoad.LoadProbe {
   let weightedLag = 0;
   let elapsed = 0;
+  let lastResidentBytes = 0;
   const run = (planned: ports.Milliseconds): void => {
     const lag = Math.min(MAXIMUM_LAG, Math.max(0, clock.now() - planned));
     weightedLag += lag * (TIMER_INTERVAL + lag);
@@ -47,6 +48,13 @@
       elapsed = 0;
       return lag;
     },
-    residentBytes,
+    residentBytes: () => {
+      try {
+        lastResidentBytes = residentBytes();
+      } catch {
+        // Reading it needs a file descriptor; while none is left, the last figure stands.
+      }
+      return lastResidentBytes;
+    },
   };
 }
