Lines that are no messages close a peer connection alone

Any process that can reach a peer port ended the process that reads it: by the first line 'null', or by fields that are no text (TypeError in the HMAC); a line of a peer that is no JSON, and a peer address that cannot exist, threw on the event loop as well. Change: the handshake takes texts only, an unreadable line closes its connection, a request to an address that cannot exist fails alone.

--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.spec.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.spec.ts
@@ -150,3 +150,84 @@
   const found = modules.filter((file) => setting.test(fs.readFileSync(new URL(file, library), 'utf8')));
   assert.deepEqual(found, []);
 });
+
+// Guards against a first line of any process that ends the one that reads it.
+void test.test(
+  'a first line that is no proof closes its connection, and peers are still served',
+  async () => {
+    const { scheduler } = systemTime;
+    const server = jsonRpcTransport.create({ clusterKey: 'key', scheduler, log });
+    server.serve('test.echo', (parameters, reply) => {
+      reply(results.Ok(parameters));
+    });
+    const port = await new Promise<number>((resolve) => {
+      server.listen('127.0.0.1:0', resolve);
+    });
+    const lines = [
+      'null',
+      '1',
+      '"text"',
+      '[]',
+      '{}',
+      '{"nonce":null}',
+      '{"nonce":{},"proof":[]}',
+      '{"proof":5}',
+      '{',
+    ];
+    for (const line of [...lines, '\u0000', '']) {
+      const socket = await connectTo(port);
+      const closed = new Promise((resolve) => socket.once('close', resolve));
+      socket.resume();
+      socket.write(`${line}\n`);
+      await closed;
+    }
+    const peer = jsonRpcTransport.create({ clusterKey: 'key', scheduler, log });
+    const isServed = await new Promise<boolean>((resolve) => {
+      peer.request(`127.0.0.1:${port}`, 'test.echo', ['x'], 3_000, (result) => {
+        resolve(result.ok);
+      });
+    });
+    assert.equal(isServed, true);
+    peer.close();
+    server.close();
+  },
+);
+
+// Guards against peers whose answers to the handshake, or after it, are no messages.
+void test.test('a peer that answers with other lines fails the request alone', async () => {
+  for (const line of ['null', '{"nonce":7}', '{"proof":{}}', 'no JSON']) {
+    const server = net.createServer((socket) => {
+      socket.on('error', noop);
+      socket.write(`${line}\n${line}\n`);
+    });
+    const port = await new Promise<number>((resolve) => {
+      server.listen(0, '127.0.0.1', () => {
+        resolve((server.address() as net.AddressInfo).port);
+      });
+    });
+    const transport = jsonRpcTransport.create({ clusterKey: 'key', scheduler: systemTime.scheduler, log });
+    const isFailed = await new Promise<boolean>((resolve) => {
+      transport.request(`127.0.0.1:${port}`, 'any', [], 3_000, (result) => {
+        resolve(result.err);
+      });
+    });
+    assert.equal(isFailed, true, line);
+    transport.close();
+    server.close();
+  }
+});
+
+// Guards against a peer address in old state that no connection can have.
+void test.test('a request to an address that cannot exist fails alone', async () => {
+  const transport = jsonRpcTransport.create({ clusterKey: 'key', scheduler: systemTime.scheduler, log });
+  for (const address of ['127.0.0.1:99999', '127.0.0.1:x', '']) {
+    transport.notify(address, 'any', []);
+    const isFailed = await new Promise<boolean>((resolve) => {
+      transport.request(address, 'any', [], 3_000, (result) => {
+        resolve(result.err);
+      });
+    });
+    assert.equal(isFailed, true, address);
+  }
+  transport.close();
+});
--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
@@ -51,9 +51,10 @@
 const PROBE_TIMEOUT = 1_000;
 const PROBE_METHOD = 'transport.probe';
 
+/** Message of the handshake; a field that is missing or no text is empty. */
 interface HandshakeMessage {
-  readonly nonce?: string;
-  readonly proof?: string;
+  readonly nonce: string;
+  readonly proof: string;
 }
 
 function isFailure(value: unknown): value is failures.Failure {
@@ -70,11 +71,17 @@
 }
 
 function parseHandshakeMessage(line: string): HandshakeMessage {
+  let parsed: unknown;
   try {
-    return JSON.parse(line) as HandshakeMessage;
+    parsed = JSON.parse(line);
   } catch {
-    return {};
+    // Any process can connect; what is no JSON is no proof.
   }
+  const { nonce, proof } = (parsed ?? {}) as Record<string, unknown>;
+  return {
+    nonce: typeof nonce === 'string' ? nonce : '',
+    proof: typeof proof === 'string' ? proof : '',
+  };
 }
 
 function splitAddress(address: string): { host: string; port: number } {
@@ -160,14 +167,23 @@
     }
   }
 
+  /** Passes on a response; a line that is none closes the connection, since later lines cannot be trusted either. */
+  private receive(line: string): void {
+    try {
+      this.client.receive(JSON.parse(line) as jsonRpc.JSONRPCResponse);
+    } catch {
+      this.socket.destroy();
+    }
+  }
+
   private onLine(line: string): void {
     if (this.authenticated) {
-      this.client.receive(JSON.parse(line) as jsonRpc.JSONRPCResponse);
+      this.receive(line);
       return;
     }
     const message = parseHandshakeMessage(line);
     if (this.serverNonce === '') {
-      this.serverNonce = message.nonce ?? '';
+      this.serverNonce = message.nonce;
       const proof = peerAuthentication.createProof(
         this.clusterKey,
         'client',
@@ -183,7 +199,7 @@
       this.clientNonce,
       this.serverNonce,
     );
-    if (!peerAuthentication.timingSafeEqual(message.proof ?? '', expected)) {
+    if (!peerAuthentication.timingSafeEqual(message.proof, expected)) {
       this.socket.destroy();
       return;
     }
@@ -273,7 +289,7 @@
 
   private authenticate(line: string, serverNonce: string, lines: lineSocket.LineSocket): boolean {
     const { clusterKey } = this.options;
-    const { nonce = '', proof = '' } = parseHandshakeMessage(line);
+    const { nonce, proof } = parseHandshakeMessage(line);
     const expected = peerAuthentication.createProof(clusterKey, 'client', nonce, serverNonce);
     if (!peerAuthentication.timingSafeEqual(proof, expected)) {
       return false;
@@ -285,11 +301,18 @@
   }
 
   private onRequest(line: string, lines: lineSocket.LineSocket): void {
-    void this.rpcServer.receiveJSON(line).then((response) => {
-      if (response !== null) {
-        lines.send(JSON.stringify(response));
-      }
-    });
+    this.rpcServer.receiveJSON(line).then(
+      (response) => {
+        if (response !== null) {
+          lines.send(JSON.stringify(response));
+        }
+      },
+      (error: unknown) => {
+        const reason = error instanceof Error ? error.message : String(error);
+        this.options.log.warn('peerMessageUnreadable', { reason });
+        lines.close();
+      },
+    );
   }
 
   private connectionTo(address: string): PeerConnection {
@@ -325,16 +348,19 @@
       const remedy = 'Retry the request or send it to another process.';
       finish(results.Err(failures.create('timeout', `${address} did not answer in time.`, remedy)));
     });
-    this.connectionTo(address)
-      .client.request(method, parameters as jsonRpc.JSONRPCParams)
-      .then(
-        (value: unknown) => {
-          finish(results.Ok(value));
-        },
-        (error: unknown) => {
-          finish(results.Err(toFailure(error, address)));
-        },
-      );
+    this.send(address, method, parameters).then(
+      (value: unknown) => {
+        finish(results.Ok(value));
+      },
+      (error: unknown) => {
+        finish(results.Err(toFailure(error, address)));
+      },
+    );
+  }
+
+  /** Asynchronous, so that an address that cannot exist fails this request alone. */
+  private async send(address: string, method: string, parameters: unknown): Promise<unknown> {
+    return this.connectionTo(address).client.request(method, parameters as jsonRpc.JSONRPCParams);
   }
 
   notify(address: string, method: string, parameters: unknown): void {
