An announcement that no process can use is refused, and a call that cannot be encoded fails alone

Cause: the id of the path was never checked, and http.request throws at once for a header that it cannot encode, up to the event loop. Change: instances/announcementCheck says what each field may hold. An uncaught error is now in the log.

--- a/packages/daemons/src/control.ts
+++ b/packages/daemons/src/control.ts
@@ -18,6 +18,7 @@
 if (started.err) {
   settingsFile.exitWithFailure(started.val);
 } else {
+  kumquatfront.crashLog.install(started.val.log);
   const stop = (): void => {
     started.val.stop(() => {
       process.exit(0);
--- a/packages/daemons/src/controlDaemon.ts
+++ b/packages/daemons/src/controlDaemon.ts
@@ -5,6 +5,7 @@
 
 /** A running control replica. */
 export interface RunningControl {
+  readonly log: kumquatfront.ports.Log;
   readonly node: kumquatfront.controlNode.ControlNode;
   readonly transport: kumquatfront.jsonRpcTransport.JsonRpcTransport;
   /** Waits for operators' requests in flight, closes everything, then calls back. */
@@ -56,6 +57,7 @@
       });
       transport.listen(control.peerAddress, () => undefined);
       return {
+        log,
         node,
         transport,
         stop: (done) => {
--- a/packages/daemons/src/entry.ts
+++ b/packages/daemons/src/entry.ts
@@ -9,6 +9,7 @@
 
 const settings = settingsFile.load('kumquatfront-entry', kumquatfront.settingsLoader.parseEntrySettings);
 const running = entryDaemon.start(settings, drain);
+kumquatfront.crashLog.install(running.log);
 
 function drain(): void {
   running.drain(() => {
--- a/packages/daemons/src/entryDaemon.ts
+++ b/packages/daemons/src/entryDaemon.ts
@@ -7,6 +7,7 @@
 
 /** A running entry. */
 export interface RunningEntry {
+  readonly log: kumquatfront.ports.Log;
   readonly node: kumquatfront.entryNode.EntryNode;
   readonly transport: kumquatfront.jsonRpcTransport.JsonRpcTransport;
   /** Drains the entry, closes everything, then calls back. */
@@ -74,6 +75,7 @@
   });
   transport.listen(settings.entry.peerAddress, () => undefined);
   return {
+    log,
     node,
     transport,
     drain: (done) => {
--- a/packages/kumquatfront/src/adapters/connectionCheck.spec.ts
+++ b/packages/kumquatfront/src/adapters/connectionCheck.spec.ts
@@ -29,3 +29,13 @@
   await new Promise((resolve) => server.close(resolve));
   assert.equal(await check(address), 'refused');
 });
+
+// Guards against an address that ends the process, because the network API throws for it.
+void test.test('nothing is known of an address that cannot exist', async () => {
+  for (const address of ['127.0.0.1:99999', '127.0.0.1:x', '127.0.0.1:-1']) {
+    const result = await new Promise<string>((resolve) => {
+      connectionCheck.run(address, systemTime.scheduler, resolve);
+    });
+    assert.equal(result, 'unknown', address);
+  }
+});
--- a/packages/kumquatfront/src/adapters/connectionCheck.ts
+++ b/packages/kumquatfront/src/adapters/connectionCheck.ts
@@ -25,7 +25,16 @@
   done: (result: relayTypes.ConnectionCheckResult) => void,
 ): void {
   const colon = address.lastIndexOf(':');
-  const socket = net.connect({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)) });
+  let socket: net.Socket;
+  try {
+    socket = net.connect({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)) });
+  } catch {
+    // `net.connect` throws for an address that cannot exist; nothing is known of what it was meant for.
+    scheduler.after(0, () => {
+      done('unknown');
+    });
+    return;
+  }
   let settled = false;
   const settle = (result: relayTypes.ConnectionCheckResult): void => {
     if (!settled) {
--- a/packages/kumquatfront/src/adapters/httpUpstreams.spec.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.spec.ts
@@ -124,3 +124,34 @@
   });
   assert.equal(await callService(httpUpstreams.createServicePort(), crashing.target), 'broken');
 });
+
+// Guards against a call that ends the process because it cannot be encoded; nothing of it was sent.
+void test.test('a call that cannot be encoded fails alone, as never sent', async () => {
+  const services = httpUpstreams.createServicePort();
+  const target = { name: 's', address: 'http://127.0.0.1:1' };
+  const failureOf = (address: string, changes: Partial<streams.ServiceCall>): Promise<string> =>
+    new Promise((resolve) => {
+      services.call({ ...target, address }, { ...CALL, ...changes }, 2_000, {
+        onAnswer: () => {
+          resolve('answered');
+        },
+        onFailed: resolve,
+      });
+    });
+  assert.equal(await failureOf(target.address, { idempotencyKey: '学校' }), 'neverSent');
+  assert.equal(await failureOf(target.address, { contentType: 'a\r\nb: c' }), 'neverSent');
+  assert.equal(await failureOf('http://127.0.0.1:99999', {}), 'neverSent');
+  const generations = httpUpstreams.createGenerationPort();
+  const request = { generation: '学校', priority: 0, path: '/v1/completions', body: '{}' };
+  for (const address of [target.address, 'no address', 'http://127.0.0.1:99999']) {
+    const failure = await new Promise<string>((resolve) => {
+      const noop = (): void => undefined;
+      generations.start({ name: 's', address }, request, {
+        ...{ onAccepted: noop, onToken: noop, onCompleted: noop },
+        onFailed: resolve,
+      });
+    });
+    assert.equal(failure, 'neverSent', address);
+    generations.cancel({ name: 's', address: 'no address' }, '学校', false);
+  }
+});
--- a/packages/kumquatfront/src/adapters/httpUpstreams.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.ts
@@ -20,8 +20,10 @@
 const MAXIMUM_EVENT_BYTES = 1024 * 1024;
 const END_OF_STREAM = '[DONE]';
 
-/** Error codes of failed connection attempts, for which no byte of the request was sent. */
-const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
+/** Error codes of failed connection attempts and of requests that HTTP cannot represent; no byte of either was sent. */
+const NEVER_SENT_ERROR_CODES: ReadonlySet<string> = new Set([
+  'ERR_INVALID_URL',
+  'UND_ERR_INVALID_ARG',
   'ECONNREFUSED',
   'EHOSTUNREACH',
   'ENETUNREACH',
@@ -47,16 +49,19 @@
  * Checks whether an error proves that no byte of a request was sent.
  *
  * @param error - the error thrown by the HTTP client
- * @returns true only for failed connection attempts
+ * @returns true only for failed connection attempts and requests that cannot be encoded
  * @example
  * ```ts
  * httpUpstreams.wasNeverSent(error);
  * ```
  */
 export function wasNeverSent(error: unknown): boolean {
-  return CONNECT_ERROR_CODES.has(errorCode(error));
+  return NEVER_SENT_ERROR_CODES.has(errorCode(error));
 }
 
+/** Sends a request; one that cannot be encoded rejects like any other failure, where `undici` may throw at once. */
+const sendRequest: typeof undici.request = async (url, options) => undici.request(url, options);
+
 function failureForStatus(status: number): streams.ConnectionFailure {
   if (status === 404 || status === 410) {
     return 'unknownGeneration';
@@ -86,7 +91,7 @@
     body?: string,
   ): void {
     const { signal } = this.abortController;
-    undici.request(url, { dispatcher: agent, method, headers, body, signal }).then(
+    sendRequest(url, { dispatcher: agent, method, headers, body, signal }).then(
       (response) => {
         this.onResponse(response);
       },
@@ -213,7 +218,7 @@
     },
     cancel: (target, generation, ifUnread) => {
       const url = `${target.address}/v1/generations/${encodeURIComponent(generation)}?ifUnread=${String(ifUnread)}`;
-      undici.request(url, { dispatcher: agent, method: 'DELETE' }).then(
+      sendRequest(url, { dispatcher: agent, method: 'DELETE' }).then(
         (response) => {
           response.body.resume();
         },
--- a/packages/kumquatfront/src/adapters/singleUseConnection.spec.ts
+++ b/packages/kumquatfront/src/adapters/singleUseConnection.spec.ts
@@ -110,6 +110,61 @@
   },
 );
 
+const UNENCODABLE: readonly (readonly [string, Partial<singleUseConnection.OutgoingRequest>])[] = [
+  ['a header value with a control character', { headers: [['X-Name', '\u0001']] }],
+  ['a header value with a line break', { headers: [['X-Name', 'a\r\nX-Other: b']] }],
+  ['a header value beyond Latin-1', { headers: [['X-Name', '学校']] }],
+  ['a header name with a space', { headers: [['X Name', 'a']] }],
+  ['a path with a line break', { path: '/a\r\nb' }],
+  ['a path beyond Latin-1', { path: '/学' }],
+  ['a method that is none', { method: 'GE T' }],
+];
+
+interface AloneFailure {
+  readonly kind: string;
+  /** True if it was reported before `send` returned, when its caller does not have the exchange yet. */
+  readonly isAtOnce: boolean;
+}
+
+function failureOf(changes: Partial<singleUseConnection.OutgoingRequest>): Promise<AloneFailure> {
+  const noop = (): void => undefined;
+  const base = { address: '127.0.0.1:1', method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) };
+  return new Promise((resolve) => {
+    let isAtOnce = true;
+    singleUseConnection.send({ ...base, ...changes }, systemTime.scheduler, {
+      ...{ head: noop, data: noop, end: noop },
+      failed: (kind) => {
+        resolve({ kind, isAtOnce });
+      },
+    });
+    isAtOnce = false;
+  });
+}
+
+// Guards against a request that ends the process, and with it all other requests, because it cannot be encoded.
+for (const [description, changes] of UNENCODABLE) {
+  void test.test(`a request with ${description} fails alone, as withheld and not at once`, async () => {
+    assert.deepEqual(await failureOf(changes), { kind: 'withheld', isAtOnce: false });
+  });
+}
+
+// Guards against an address that ends the process; the upstream that announced it is the cause.
+void test.test('a request to an address that cannot exist is reported as not sent', async () => {
+  for (const address of ['127.0.0.1:99999', '127.0.0.1:x']) {
+    assert.deepEqual(await failureOf({ address }), { kind: 'notSent', isAtOnce: false }, address);
+  }
+});
+
+// Guards against a status that no response to the caller may have.
+void test.test('a response with a status below 200 fails as garbled', async () => {
+  for (const status of ['000', '099']) {
+    const outcome = await exchangeWith((socket) => {
+      socket.end(`HTTP/1.1 ${status} Odd\r\nContent-Length: 0\r\n\r\n`);
+    });
+    assert.equal(outcome.failure, 'garbled', status);
+  }
+});
+
 // Nothing was sent on a refused connection, so the request may be sent to another upstream.
 void test.test('a refused connection is reported as not sent', async () => {
   const probe = net.createServer();
--- a/packages/kumquatfront/src/adapters/singleUseConnection.ts
+++ b/packages/kumquatfront/src/adapters/singleUseConnection.ts
@@ -17,6 +17,9 @@
 /** Maximum size of a response header. */
 const MAXIMUM_HEADER_BYTES = 65_536;
 
+/** Interim responses have lower statuses, and HTTP has no others below it. */
+const FIRST_FINAL_STATUS = 200;
+
 /** A request to an upstream. */
 export interface OutgoingRequest {
   /** `ip:port` */
@@ -78,6 +81,34 @@
   return hasLength ? 'length' : 'connection';
 }
 
+/** Opens a connection and queues the request on it; throws if HTTP cannot represent a part of the request. */
+function open(request: OutgoingRequest, host: string, port: number): http.ClientRequest {
+  const outgoing = http.request({
+    host,
+    port,
+    method: request.method,
+    path: request.path,
+    headers: [...request.headers, ['Connection', 'close'] as const].flat(),
+    // Half-open, so that `detectReset` can write after the upstream has ended its side.
+    createConnection: () => net.connect({ host, port, allowHalfOpen: true }),
+    maxHeaderSize: MAXIMUM_HEADER_BYTES,
+  });
+  outgoing.end(request.body);
+  return outgoing;
+}
+
+/** Reports a request that cannot be encoded once the caller of `send` has returned, as every other failure. */
+function failAsWithheld(
+  error: unknown,
+  scheduler: ports.Scheduler,
+  listener: ConnectionListener,
+): relayTypes.CancelExchange {
+  const reason = error instanceof Error ? error.message : String(error);
+  return scheduler.after(0, () => {
+    listener.failed('withheld', `the request cannot be sent: ${reason}`);
+  });
+}
+
 /**
  * Sends a request on a new connection.
  *
@@ -99,16 +130,12 @@
   let connected = false;
   let settled = false;
   let response: http.IncomingMessage | undefined;
-  const outgoing = http.request({
-    host,
-    port,
-    method: request.method,
-    path: request.path,
-    headers: [...request.headers, ['Connection', 'close'] as const].flat(),
-    // Half-open, so that `detectReset` can write after the upstream has ended its side.
-    createConnection: () => net.connect({ host, port, allowHalfOpen: true }),
-    maxHeaderSize: MAXIMUM_HEADER_BYTES,
-  });
+  let outgoing: http.ClientRequest;
+  try {
+    outgoing = open(request, host, port);
+  } catch (error) {
+    return failAsWithheld(error, scheduler, listener);
+  }
   const settle = (): boolean => {
     if (settled) {
       return false;
@@ -150,6 +177,11 @@
     if (settled) {
       return;
     }
+    const status = incoming.statusCode ?? 0;
+    if (status < FIRST_FINAL_STATUS) {
+      fail('garbled', `the response has the status ${status}`);
+      return;
+    }
     const framing = framingOf(request.method, incoming);
     incoming.on('data', (bytes: Buffer) => {
       if (!settled) {
@@ -182,14 +214,13 @@
         fail('broken', 'the connection closed before the response was complete');
       }
     });
-    listener.head(incoming.statusCode ?? 0, rawHeaders.toPairs(incoming.rawHeaders), framing);
+    listener.head(status, rawHeaders.toPairs(incoming.rawHeaders), framing);
   });
   outgoing.on('close', () => {
     if (response === undefined) {
       fail(connected ? 'broken' : 'notSent', 'the connection closed without a response');
     }
   });
-  outgoing.end(request.body);
   return () => {
     settle();
     outgoing.destroy();
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -111,7 +111,8 @@
  * - `broken`: the connection failed after the request was sent.
  * - `garbled`: the response was invalid.
  * - `quarantined`: not sent, because its content crashes upstreams.
- * - `withheld`: not sent, because the upstream is temporarily excluded, or runs other software than began the stream.
+ * - `withheld`: not sent, because the upstream is temporarily excluded, runs other software than began the stream, or the
+ *   request has a part that HTTP cannot represent; the failure does not count against the upstream.
  */
 export type ExchangeFailure = 'notSent' | 'broken' | 'garbled' | 'quarantined' | 'withheld';
 
--- a/packages/kumquatfront/src/trafficControl/controlWatch.ts
+++ b/packages/kumquatfront/src/trafficControl/controlWatch.ts
@@ -6,6 +6,7 @@
 import type * as agreedTypes from '../agreedState/types.js';
 import type * as slotMessages from '../callSlots/messages.js';
 import type * as instanceTypes from '../instances/types.js';
+import * as announcementCheck from '../instances/announcementCheck.js';
 import type * as instanceView from '../instances/instanceView.js';
 import type * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
@@ -323,9 +324,11 @@
   }
 
   private applyAnswer(address: string, watched: WatchedReplica, answer: methods.WatchAnswer): void {
-    const { instances, timers } = this.options;
+    const { instances, timers, log } = this.options;
     const now = timers.now();
-    instances.merge(address, answer.instances ?? emptyUpdate(instances.positionOf(address)), now);
+    const update = answer.instances ?? emptyUpdate(instances.positionOf(address));
+    const records = announcementCheck.usableRecords(update.records, address, log);
+    instances.merge(address, { ...update, records }, now);
     watched.entryCount = answer.entryCount;
     const hasMoreCrashRecords = answer.cases?.hasMore === true;
     watched.awaitsMore =
--- a/packages/kumquatfront/src/trafficControl/instanceGossip.ts
+++ b/packages/kumquatfront/src/trafficControl/instanceGossip.ts
@@ -2,6 +2,7 @@
  * Applies updates of upstream instances to the instance table of a control replica, and propagates them: to other
  * replicas by gossip, to entries through their watches, and to the coordinator by a direct call.
  */
+import * as announcementCheck from '../instances/announcementCheck.js';
 import type * as instanceTable from '../instances/instanceTable.js';
 import type * as instanceTypes from '../instances/types.js';
 import type * as ports from '../kernel/ports.js';
@@ -71,10 +72,11 @@
   }
 
   /** Adds instances reported by an entry, which it may know from replicas that cannot reach this one. */
-  addReported(announcements: readonly instanceTypes.Announcement[]): void {
-    const changes = announcements.map((announcement) =>
-      this.options.table.applyReplicaListing(announcement, this.now()),
-    );
+  addReported(announcements: readonly instanceTypes.Announcement[], entry: string): void {
+    const { table, log } = this.options;
+    const changes = announcementCheck
+      .usableRecords(announcements, entry, log)
+      .map((announcement) => table.applyReplicaListing(announcement, this.now()));
     if (changes.includes(true)) {
       this.options.notifyEntries();
     }
@@ -112,8 +114,8 @@
 
   /** Merges instance records received from another replica. */
   mergeGossip(records: readonly instanceTypes.InstanceRecord[]): void {
-    const { table, notifyEntries, notifyCoordinator } = this.options;
-    const changes = records.map((record) => {
+    const { table, log, notifyEntries, notifyCoordinator } = this.options;
+    const changes = announcementCheck.usableRecords(records, 'replica', log).map((record) => {
       const { identity, rateLimit } = record;
       const isChanged = table.applyAnnouncement(record, this.now(), record.age, record.firstAge);
       const isLimitChanged =
--- a/packages/kumquatfront/src/trafficControl/trafficControl.ts
+++ b/packages/kumquatfront/src/trafficControl/trafficControl.ts
@@ -249,7 +249,7 @@
 
   /** Applies a report; the result answers a report that carries sums of plain calls. */
   private onReport(report: placementTypes.EntryReport): paceTypes.PaceAnswer | null {
-    this.gossip.addReported(report.unlisted);
+    this.gossip.addReported(report.unlisted, report.entry);
     this.coordinator.applyReport(report);
     this.gossip.markDraining(report.leaving);
     if (report.paces === undefined || this.options.isEnabled?.('upstreamPace') === false) {
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -9,6 +9,7 @@
 import * as controlSafeguards from './controlSafeguards.js';
 import * as dataCentreSafeguards from './dataCentreSafeguards.js';
 import * as heavyLoadSafeguards from './heavyLoadSafeguards.js';
+import * as outsideInputSafeguards from './outsideInputSafeguards.js';
 import * as operatorOrderSafeguards from './operatorOrderSafeguards.js';
 import * as partSafeguards from './partSafeguards.js';
 import * as peerRelaySafeguards from './peerRelaySafeguards.js';
@@ -26,6 +27,7 @@
 /** All safeguards. */
 export const safeguards: readonly types.Safeguard[] = [
   ...servingSafeguards.servingSafeguards,
+  ...outsideInputSafeguards.outsideInputSafeguards,
   ...controlSafeguards.controlSafeguards,
   ...configurationDeliverySafeguards.configurationDeliverySafeguards,
   ...relaySafeguards.relaySafeguards,
