Buffered and stream exchanges are split by job

bufferedExchange held its open attempts and the server errors of a request, streamExchange the ways a stream ends, the calls that it sends and the description of its run: bufferedAttempts, failedResponses, streamOutcome, streamCall, generationReport. Specs of relay, backPressure, streamOrigins and quarantine pass; the safeguards whose text moved name the new files.

--- a/packages/kumquatfront/src/relay/bufferedExchange.ts
+++ b/packages/kumquatfront/src/relay/bufferedExchange.ts
@@ -5,8 +5,10 @@
 import type * as slotClient from '../callSlots/slotClient.js';
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
+import * as bufferedAttempts from './bufferedAttempts.js';
 import * as responseClassification from './responseClassification.js';
 import * as exchangeContext from './exchangeContext.js';
+import * as failedResponses from './failedResponses.js';
 import type * as types from './types.js';
 
 /** Share of the objective after which an unanswered idempotent request is also sent to a second upstream. */
@@ -16,29 +18,17 @@
 /** Share of the objective for which a call waits for a slot of a fragile upstream. */
 const SLOT_WAIT_SHARE = 0.5;
 
-interface Attempt {
-  readonly instance: instanceView.Instance;
-  readonly cancel: types.CancelExchange;
-  readonly sentAt: ports.Milliseconds;
-  /** Returns the slot that the attempt holds at a fragile upstream. */
-  readonly release: slotClient.ReleaseSlot;
-  head: types.ResponseHead | undefined;
-  readonly chunks: Uint8Array[];
-}
-
 /** One exchange with a buffered response; see the module comment. */
 export class BufferedExchange {
   private readonly context: exchangeContext.ExchangeContext;
   private readonly routed: exchangeContext.RoutedRequest;
   private readonly triedUpstreams = new Set<string>();
-  private readonly openAttempts = new Set<Attempt>();
+  private readonly openAttempts: bufferedAttempts.BufferedAttempts;
+  private readonly failedResponses: failedResponses.FailedResponses;
   /** Number of attempts that may have run the request. */
   private possibleRuns = 0;
   private sendCount = 0;
   private ended = false;
-  private lastFailure: { head: types.ResponseHead; body: Uint8Array } | undefined;
-  /** Upstreams that responded with a server error. */
-  private readonly failedUpstreams: string[] = [];
   private cancelDeadline: ports.Cancel = () => undefined;
   private cancelHedge: ports.Cancel = () => undefined;
   private cancelQuarantine: ports.Cancel = () => undefined;
@@ -48,6 +38,8 @@
   constructor(context: exchangeContext.ExchangeContext, routed: exchangeContext.RoutedRequest) {
     this.context = context;
     this.routed = routed;
+    this.openAttempts = new bufferedAttempts.BufferedAttempts(context);
+    this.failedResponses = new failedResponses.FailedResponses(context);
   }
 
   private get isIdempotent(): boolean {
@@ -82,7 +74,7 @@
   private sendHedge(): void {
     const canHedge =
       !this.ended &&
-      this.openAttempts.size === 1 &&
+      this.openAttempts.count === 1 &&
       !this.isQuarantined &&
       this.hasAttemptsLeft &&
       !this.needsSlot;
@@ -196,21 +188,21 @@
       { request, instance, timeLeft, isStream: false, account, origin: undefined, dataCentres },
       listener,
     );
-    const attempt: Attempt = { instance, cancel, sentAt: now, release, head: undefined, chunks };
+    const attempt: bufferedAttempts.Attempt = {
+      instance,
+      cancel,
+      sentAt: now,
+      release,
+      head: undefined,
+      chunks,
+    };
     this.openAttempts.add(attempt);
   }
 
-  private close(attempt: Attempt): void {
-    if (this.openAttempts.delete(attempt)) {
-      attempt.release(attempt.head?.notRun === true);
-      this.context.balancer.recordCompletion(attempt.instance.identity);
-    }
-  }
-
-  private onResponse(attempt: Attempt): void {
+  private onResponse(attempt: bufferedAttempts.Attempt): void {
     const { balancer, timers, log } = this.context;
     const { head, instance } = attempt;
-    this.close(attempt);
+    this.openAttempts.close(attempt);
     if (this.ended || head === undefined) {
       return;
     }
@@ -237,8 +229,7 @@
     }
     const body = Buffer.concat(attempt.chunks);
     if (head.status >= 500) {
-      this.failedUpstreams.push(instance.identity);
-      this.lastFailure = { head, body };
+      this.failedResponses.record(instance.identity, { head, body });
       this.retryOrFinish('upstreamFailed');
       return;
     }
@@ -247,18 +238,10 @@
     if (head.status < 300 && head.relayed !== true) {
       balancer.recordAnswerTime(instance, timers.now() - attempt.sentAt, head.load);
     }
-    this.recordUpstreamFailures();
+    this.failedResponses.countAgainstUpstreams();
     this.deliver(head, body, instance);
   }
 
-  /** Records failures of the upstreams that failed the request, once the request is known not to be the cause. */
-  private recordUpstreamFailures(): void {
-    const { balancer, timers } = this.context;
-    for (const identity of this.failedUpstreams) {
-      balancer.recordFailure(identity, 'failure', timers.now());
-    }
-  }
-
   private deliver(head: types.ResponseHead, body: Uint8Array, instance?: instanceView.Instance): void {
     this.routed.caller.respond(head, body);
     this.finish({
@@ -270,9 +253,13 @@
     });
   }
 
-  private onAttemptFailed(attempt: Attempt, failure: types.ExchangeFailure, reason: string): void {
+  private onAttemptFailed(
+    attempt: bufferedAttempts.Attempt,
+    failure: types.ExchangeFailure,
+    reason: string,
+  ): void {
     const { balancer, timers, log } = this.context;
-    this.close(attempt);
+    this.openAttempts.close(attempt);
     if (this.ended) {
       return;
     }
@@ -302,7 +289,7 @@
 
   /** Retries after an attempt without a usable response if that is permitted, otherwise responds to the caller. */
   private retryOrFinish(cause: 'notRun' | 'garbled' | 'broken' | 'upstreamFailed'): void {
-    if (this.openAttempts.size > 0) {
+    if (this.openAttempts.count > 0) {
       return;
     }
     if (this.isQuarantined) {
@@ -340,10 +327,10 @@
   }
 
   private onNoUpstreamLeft(): void {
-    if (this.openAttempts.size > 0) {
+    if (this.openAttempts.count > 0) {
       return;
     }
-    if (this.possibleRuns === 0 || (this.isIdempotent && this.lastFailure === undefined)) {
+    if (this.possibleRuns === 0 || (this.isIdempotent && this.failedResponses.last === undefined)) {
       this.refuseWith(
         exchangeContext.noUpstreamRefusal(this.context, this.routed, 'no upstream accepted the request'),
       );
@@ -353,12 +340,10 @@
   }
 
   private finishFailed(): void {
-    if (this.lastFailure !== undefined) {
-      // If two upstreams fail the same request, the request is the likely cause and neither is penalized.
-      if (this.failedUpstreams.length === 1) {
-        this.recordUpstreamFailures();
-      }
-      this.deliver(this.lastFailure.head, this.lastFailure.body);
+    const { last } = this.failedResponses;
+    if (last !== undefined) {
+      this.failedResponses.countUnlessRepeated();
+      this.deliver(last.head, last.body);
       return;
     }
     this.refuse('outcomeUnknown', 'the upstream did not send a complete response');
@@ -372,11 +357,7 @@
         exchangeContext.NO_UPSTREAM_RETRY_DELAY,
       );
     } else {
-      const { balancer, timers } = this.context;
-      for (const attempt of this.openAttempts) {
-        balancer.recordFailure(attempt.instance.identity, 'stall', timers.now());
-        attempt.cancel('silent');
-      }
+      this.openAttempts.cancelSilent();
       this.refuse('timeoutUnknown', 'the upstream did not respond before the deadline of the request');
     }
   }
@@ -399,15 +380,7 @@
     this.cancelHedge();
     this.cancelQuarantine();
     this.cancelSlot();
-    const { balancer, timers, isCutOff } = this.context;
-    for (const attempt of [...this.openAttempts]) {
-      // The silence of a cut-off entry's links says nothing about upstreams.
-      if (isCutOff?.() !== true) {
-        balancer.recordGivenUp(attempt.instance, timers.now() - attempt.sentAt);
-      }
-      attempt.cancel();
-      this.close(attempt);
-    }
+    this.openAttempts.giveUp();
     exchangeContext.logRequestEnd(this.context, this.routed, outcome);
   }
 }
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -188,6 +188,22 @@
   return failure !== 'withheld' && !(failure === 'notSent' && context.isCutOff?.() === true);
 }
 
+/**
+ * Whether an instance is temporarily excluded. A move is not begun to such a target, since the run would be lost once its
+ * source has stopped.
+ *
+ * @example
+ * ```ts
+ * if (exchangeContext.isExcluded(context, target)) done('failed');
+ * ```
+ */
+export function isExcluded(
+  { sendPolicy: policy, timers }: ExchangeContext,
+  instance: instanceView.Instance,
+): boolean {
+  return policy.exclusionOf(instance, timers.now()) !== undefined;
+}
+
 /**
  * Quarantine verdict on a request.
  *
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -6,27 +6,27 @@
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import type * as placementTypes from '../placement/types.js';
-import * as quarantine from '../quarantine/quarantine.js';
 import type * as eventSplitter from './eventSplitter.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as exchangeContext from './exchangeContext.js';
 import * as generationAttributes from './generationAttributes.js';
+import * as generationReport from './generationReport.js';
 import * as upstreamSelector from './upstreamSelector.js';
 import type * as placementClient from './placementClient.js';
 import * as idleSearch from './idleSearch.js';
 import * as streamAttempts from './streamAttempts.js';
+import * as streamCall from './streamCall.js';
 import * as streamContinuation from './streamContinuation.js';
 import * as streamDelivery from './streamDelivery.js';
 import * as streamRecovery from './streamRecovery.js';
 import * as streamSegment from './streamSegment.js';
 import * as streamMove from './streamMove.js';
+import * as streamOutcome from './streamOutcome.js';
 import * as streamLogSummary from './streamLogSummary.js';
 import type * as types from './types.js';
 
 /** One stream exchange; see the module comment. */
 export class StreamExchange implements placementClient.OpenGeneration {
-  private readonly context: exchangeContext.ExchangeContext;
-  private readonly routed: exchangeContext.RoutedRequest;
   private readonly attributes: placementTypes.GenerationAttributes | undefined;
   private readonly delivery: streamDelivery.StreamDelivery;
   private readonly selector: upstreamSelector.UpstreamSelector;
@@ -38,14 +38,16 @@
   private readonly idleSearch: idleSearch.IdleSearch;
   private readonly recovery: streamRecovery.StreamRecovery;
   private readonly continuation: streamContinuation.StreamContinuation;
+  private readonly outcome: streamOutcome.StreamOutcome;
   /** Forecast time from the last placement to the first event. */
   private firstEventIn: ports.Milliseconds | undefined;
   private cancelDeadline: ports.Cancel = () => undefined;
   private cancelQuarantine: ports.Cancel = () => undefined;
 
-  constructor(context: exchangeContext.ExchangeContext, routed: exchangeContext.RoutedRequest) {
-    this.context = context;
-    this.routed = routed;
+  constructor(
+    private readonly context: exchangeContext.ExchangeContext,
+    private readonly routed: exchangeContext.RoutedRequest,
+  ) {
     this.attributes = generationAttributes.forRequest(routed);
     this.continuation = new streamContinuation.StreamContinuation(context, routed);
     this.attempts = new streamAttempts.StreamAttempts(context, routed);
@@ -60,6 +62,13 @@
       },
     });
     this.delivery = new streamDelivery.StreamDelivery(routed.caller, routed.request.lastEvent);
+    this.outcome = new streamOutcome.StreamOutcome(context, routed, {
+      attempts: this.attempts,
+      delivery: this.delivery,
+      finish: (outcome) => {
+        this.finish(outcome);
+      },
+    });
     this.selector = new upstreamSelector.UpstreamSelector(
       context,
       routed,
@@ -87,9 +96,9 @@
   }
 
   private createRecovery(): streamRecovery.StreamRecovery {
-    const { attempts, delivery, selector } = this;
+    const { attempts, delivery, selector, outcome } = this;
     return new streamRecovery.StreamRecovery(this.context, this.routed, {
-      ...{ attempts, delivery, selector },
+      ...{ attempts, delivery, selector, outcome },
       closeSegment: (segment) => {
         this.closeSegment(segment);
       },
@@ -104,15 +113,6 @@
       onNoUpstream: (reason, message, retryAfter) => {
         this.onNoUpstream(reason, message, retryAfter);
       },
-      refuse: (reason, message) => {
-        this.refuse(reason, message);
-      },
-      abort: (reason) => {
-        this.abort(reason);
-      },
-      finishQuarantined: () => {
-        this.finishQuarantined();
-      },
     });
   }
 
@@ -124,7 +124,7 @@
       this.finish({ outcome: 'callerGone' });
     });
     this.cancelDeadline = timers.after(deadline - timers.now(), () => {
-      this.onDeadline();
+      this.outcome.endAtDeadline();
     });
     this.cancelQuarantine = exchangeContext.whenQuarantined(this.context, this.routed, () => {
       this.onQuarantined();
@@ -140,7 +140,7 @@
     const { timers, retryBudget, placement } = this.context;
     const { request, service } = this.routed;
     if (resolution.state === 'refused') {
-      this.refuseWith(resolution.refusal);
+      this.outcome.refuseWith(resolution.refusal);
       return;
     }
     if (resolution.state === 'elsewhere') {
@@ -168,16 +168,7 @@
    */
   private onQuarantined(): void {
     if (this.active === undefined || this.active.eventCount === 0) {
-      this.finishQuarantined();
-    }
-  }
-
-  private finishQuarantined(): void {
-    if (this.delivery.started) {
-      this.abort(quarantine.QUARANTINED_MESSAGE);
-    } else {
-      const mayHaveRun = this.attempts.possibleRuns > 0;
-      this.refuseWith(exchangeContext.quarantineRefusal(this.context, this.routed, mayHaveRun));
+      this.outcome.endQuarantined();
     }
   }
 
@@ -186,15 +177,7 @@
     if (this.active === undefined || this.attributes === undefined) {
       return undefined;
     }
-    const { produced, attributes, active: segment } = this;
-    return {
-      facts: attributes,
-      instance: segment.instance.identity,
-      produced,
-      started: segment.eventCount > 0,
-      ...(segment.copy !== undefined && { resumedFromCopy: true }),
-      ...(segment.eventCount > 1 && { longestPause: Math.round(segment.longestPause) }),
-    };
+    return generationReport.describe(this.active, this.attributes, this.produced);
   }
 
   /** True if the current upstream has sent a termination notice. */
@@ -221,7 +204,6 @@
     this.send(instance, undefined);
   }
 
-  /** Handles the lack of an upstream; the request is refused as not run only if no attempt may have run it. */
   private onNoUpstream(
     reason: types.RefusalReason,
     message: string,
@@ -232,18 +214,12 @@
       this.startIdleTimer();
       return;
     }
-    if (this.delivery.started) {
-      this.abort(message);
-    } else if (this.attempts.possibleRuns > 0 && !this.resumable) {
-      this.refuse('outcomeUnknown', message);
-    } else {
-      this.refuse(reason, message, retryAfter);
-    }
+    this.outcome.endWithoutUpstream(reason, message, retryAfter);
   }
 
   private send(instance: instanceView.Instance, copy: types.MemoryCopy | undefined): void {
     const { upstreams, balancer, timers, placement, log } = this.context;
-    const { request, account, upstreamPriority, deadline, dataCentres } = this.routed;
+    const { request } = this.routed;
     const now = timers.now();
     const segment = new streamSegment.StreamSegment(instance, copy);
     this.active = segment;
@@ -256,19 +232,12 @@
       copy: copy?.handle,
     });
     this.continuation.recordSend(instance, this.delivery.lastEvent, copy);
-    const urgency = this.attributes === undefined ? undefined : upstreamPriority;
-    const call: types.UpstreamCall = {
-      request,
-      instance,
-      timeLeft: deadline - now,
-      isStream: true,
-      account,
-      urgency,
+    const call = streamCall.create(this.routed, instance, now, {
+      isGeneration: this.attributes !== undefined,
       lastEvent: this.delivery.lastEvent,
       copy,
       origin: this.continuation.origin,
-      dataCentres,
-    };
+    });
     segment.start(upstreams, call, this.resumable, this.createSegmentListener(segment));
     this.startIdleTimer();
     placement.scheduleReport();
@@ -334,7 +303,7 @@
     this.startIdleTimer();
   }
 
-  /** Number of output tokens delivered so far. */
+  /** Output tokens delivered so far. */
   get produced(): number {
     return this.delivery.eventCount * (this.routed.service.engine?.tokensPerEvent ?? 1);
   }
@@ -343,8 +312,8 @@
     this.idleSearch.restartTimer(this.active, this.firstEventIn);
   }
 
-  private closeSegment(segment: streamSegment.StreamSegment, reason?: 'silent'): void {
-    if (this.active === segment) {
+  private closeSegment(segment: streamSegment.StreamSegment | undefined, reason?: 'silent'): void {
+    if (segment !== undefined && this.active === segment) {
       segment.close(reason);
       this.active = undefined;
       this.context.balancer.recordCompletion(segment.instance.identity);
@@ -368,19 +337,17 @@
     const { active: segment } = this;
     if (this.ended || segment === undefined || segment.eventCount === 0) {
       done('ended');
-    } else if (target === undefined || this.moveController.isActive || this.isExcluded(target)) {
+    } else if (
+      target === undefined ||
+      this.moveController.isActive ||
+      exchangeContext.isExcluded(this.context, target)
+    ) {
       done('failed');
     } else {
       this.moveController.start(segment.instance, target, done);
     }
   }
 
-  /** True if the target is temporarily excluded; checked before the source stops, since its run would be lost. */
-  private isExcluded(target: instanceView.Instance): boolean {
-    const { sendPolicy: policy, timers } = this.context;
-    return policy.exclusionOf(target, timers.now()) !== undefined;
-  }
-
   /** Handles the restart of the engine, which has lost this run and cannot copy it. */
   onRestart(instance: string): void {
     const { active: segment } = this;
@@ -395,45 +362,11 @@
     if (this.ended) {
       return;
     }
-    if (this.active !== undefined) {
-      this.closeSegment(this.active);
-    }
+    this.closeSegment(this.active);
     this.attempts.moves += 1;
     this.send(resumePoint.instance, resumePoint.copy);
   }
 
-  private onDeadline(): void {
-    if (this.delivery.started) {
-      this.abort('the route allows no more time');
-    } else if (this.attempts.possibleRuns === 0) {
-      this.refuse(
-        'timeoutNotRun',
-        'no upstream became available before the deadline of the request',
-        exchangeContext.NO_UPSTREAM_RETRY_DELAY,
-      );
-    } else {
-      this.refuse(
-        'timeoutUnknown',
-        'the upstream did not start the stream before the deadline of the request',
-      );
-    }
-  }
-
-  private refuse(reason: types.RefusalReason, message: string, retryAfter?: ports.Milliseconds): void {
-    this.refuseWith({ reason, message, retryAfter });
-  }
-
-  private refuseWith(refusal: types.Refusal): void {
-    this.routed.caller.refuse(refusal);
-    this.finish({ outcome: refusal.reason, reason: refusal.message });
-  }
-
-  /** Aborts the response so that the caller can detect that it is incomplete. */
-  private abort(reason: string): void {
-    this.routed.caller.abort();
-    this.finish({ outcome: 'interrupted', reason });
-  }
-
   private finish(outcome: ports.LogFields): void {
     if (this.ended) {
       return;
@@ -445,9 +378,7 @@
     this.cancelQuarantine();
     this.continuation.cancel();
     this.moveController.cancel();
-    if (this.active !== undefined) {
-      this.closeSegment(this.active);
-    }
+    this.closeSegment(this.active);
     if (this.attributes !== undefined) {
       const { attributes, produced } = this;
       const finished =
--- a/packages/kumquatfront/src/relay/streamRecovery.ts
+++ b/packages/kumquatfront/src/relay/streamRecovery.ts
@@ -5,6 +5,7 @@
 import type * as streamAttempts from './streamAttempts.js';
 import type * as streamDelivery from './streamDelivery.js';
 import type * as streamMove from './streamMove.js';
+import type * as streamOutcome from './streamOutcome.js';
 import type * as streamSegment from './streamSegment.js';
 import type * as types from './types.js';
 import type * as upstreamSelector from './upstreamSelector.js';
@@ -14,6 +15,7 @@
   readonly attempts: streamAttempts.StreamAttempts;
   readonly delivery: streamDelivery.StreamDelivery;
   readonly selector: upstreamSelector.UpstreamSelector;
+  readonly outcome: streamOutcome.StreamOutcome;
   readonly closeSegment: (segment: streamSegment.StreamSegment) => void;
   readonly takeFirstCopy: () => streamMove.ResumePoint | undefined;
   readonly resumeFromCopy: (resumePoint: streamMove.ResumePoint) => void;
@@ -23,9 +25,6 @@
     errorResponse: streamSegment.ErrorResponse,
   ) => void;
   readonly onNoUpstream: (reason: types.RefusalReason, message: string, retryAfter: number) => void;
-  readonly refuse: (reason: types.RefusalReason, message: string) => void;
-  readonly abort: (reason: string) => void;
-  readonly finishQuarantined: () => void;
 }
 
 /** Recovery of one stream; see the module comment. */
@@ -46,7 +45,7 @@
     if (head.status >= 500 && this.host.attempts.takeResumption()) {
       this.resumeElsewhere(segment, 'upstreamFailed');
     } else if (this.host.delivery.started) {
-      this.host.abort(`the next upstream responded with status ${head.status}`);
+      this.host.outcome.abort(`the next upstream responded with status ${head.status}`);
     } else {
       this.host.respond(segment, errorResponse);
     }
@@ -82,7 +81,7 @@
       if (segment.copy === undefined) {
         this.host.attempts.recordNotRun();
       }
-      this.host.finishQuarantined();
+      this.host.outcome.endQuarantined();
       return;
     }
     log.info('streamBroken', {
@@ -109,9 +108,9 @@
     } else if (this.host.attempts.takeResumption()) {
       this.resumeElsewhere(segment, failure);
     } else if (this.host.delivery.started) {
-      this.host.abort(reason);
+      this.host.outcome.abort(reason);
     } else {
-      this.host.refuse('outcomeUnknown', 'the upstream closed the stream before its first event');
+      this.host.outcome.refuse('outcomeUnknown', 'the upstream closed the stream before its first event');
     }
   }
 
@@ -144,7 +143,7 @@
     if (this.host.attempts.takeResumption()) {
       this.resumeElsewhere(segment, 'copyRefused');
     } else {
-      this.host.abort('the engine did not resume the stream from its memory copy');
+      this.host.outcome.abort('the engine did not resume the stream from its memory copy');
     }
   }
 }
--- a/packages/scenarios/src/scripts/backPressureSafeguards.ts
+++ b/packages/scenarios/src/scripts/backPressureSafeguards.ts
@@ -85,8 +85,8 @@
   {
     name: 'no generation is moved to an excluded engine',
     file: 'relay/streamExchange.js',
-    find: ' || this.isExcluded(target)',
-    replace: '',
+    find: 'exchangeContext.isExcluded(this.context, target)',
+    replace: 'false',
     scenario: 'spec:backPressure/sendPolicy',
   },
 ];
--- a/packages/scenarios/src/scripts/peerRelaySafeguards.ts
+++ b/packages/scenarios/src/scripts/peerRelaySafeguards.ts
@@ -108,7 +108,7 @@
   },
   {
     name: 'calls given up by a cut-off entry count for no pace',
-    file: 'relay/bufferedExchange.js',
+    file: 'relay/bufferedAttempts.js',
     find: 'if (isCutOff?.() !== true) {',
     replace: 'if (true) {',
     scenario: 'spec:relay/plainCallTimes',
--- a/packages/scenarios/src/scripts/relaySafeguards.ts
+++ b/packages/scenarios/src/scripts/relaySafeguards.ts
@@ -309,8 +309,8 @@
   },
   {
     name: 'a call that fails on two upstreams counts against neither',
-    file: 'relay/bufferedExchange.js',
-    find: 'if (this.failedUpstreams.length === 1) {',
+    file: 'relay/failedResponses.js',
+    find: 'if (this.upstreams.length === 1) {',
     replace: 'if (true) {',
     scenario: 'spec:relay/bufferedExchange',
   },
--- a/packages/scenarios/src/scripts/upstreamPaceSafeguards.ts
+++ b/packages/scenarios/src/scripts/upstreamPaceSafeguards.ts
@@ -70,7 +70,7 @@
   },
   {
     name: 'calls that are given up count for the pace of their upstream',
-    file: 'relay/bufferedExchange.js',
+    file: 'relay/bufferedAttempts.js',
     find: 'balancer.recordGivenUp(attempt.instance, timers.now() - attempt.sentAt);',
     replace: '',
     scenario: 'spec:relay/plainCallTimes',
