A draining entry refuses what would outlast it, and answers what is open before it is killed

Cause: a fixed second stood for the work of all routes. Ruled out: requests from before the drain, answers that were ready. What is open 200 ms before the kill and has no response is answered: 503 if it was not sent, else 502.

--- a/packages/kumquatfront/src/relay/bufferedExchange.ts
+++ b/packages/kumquatfront/src/relay/bufferedExchange.ts
@@ -29,9 +29,8 @@
   private possibleRuns = 0;
   private sendCount = 0;
   private ended = false;
-  private cancelDeadline: ports.Cancel = () => undefined;
+  private cancelEarlyEnds: ports.Cancel = () => undefined;
   private cancelHedge: ports.Cancel = () => undefined;
-  private cancelQuarantine: ports.Cancel = () => undefined;
   /** Withdraws the request for a slot of a fragile upstream. */
   private cancelSlot: ports.Cancel = () => undefined;
 
@@ -49,16 +48,21 @@
   /** Sends the request to its first upstream. */
   start(): void {
     const { timers, retryBudget } = this.context;
-    const { caller, deadline, service, route } = this.routed;
+    const { caller, service, route } = this.routed;
     retryBudget.recordRequest(service.name, timers.now());
     caller.onDisconnect(() => {
       this.finish({ outcome: 'callerGone' });
     });
-    this.cancelDeadline = timers.after(deadline - timers.now(), () => {
-      this.onDeadline();
-    });
-    this.cancelQuarantine = exchangeContext.whenQuarantined(this.context, this.routed, () => {
-      this.refuseQuarantined();
+    this.cancelEarlyEnds = exchangeContext.onEarlyEnd(this.context, this.routed, {
+      atDeadline: () => {
+        this.onDeadline();
+      },
+      whenQuarantined: () => {
+        this.refuseQuarantined();
+      },
+      beforeStop: () => {
+        this.refuseWith(exchangeContext.stopRefusal(this.possibleRuns > 0));
+      },
     });
     this.sendNext();
     if (this.isIdempotent && route.maximumAttempts > 1) {
@@ -376,9 +380,8 @@
       return;
     }
     this.ended = true;
-    this.cancelDeadline();
+    this.cancelEarlyEnds();
     this.cancelHedge();
-    this.cancelQuarantine();
     this.cancelSlot();
     this.openAttempts.giveUp();
     exchangeContext.logRequestEnd(this.context, this.routed, outcome);
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -16,6 +16,8 @@
 import type * as trafficTypes from '../traffic/types.js';
 import type * as localBalancer from './localBalancer.js';
 import type * as placementClient from './placementClient.js';
+import type * as plannedStop from './plannedStop.js';
+import type * as routeDurations from './routeDurations.js';
 import type * as serviceRetryBudget from './serviceRetryBudget.js';
 import type * as types from './types.js';
 
@@ -39,6 +41,10 @@
   readonly origins: streamOrigins.StreamOrigins;
   /** Slots of fragile upstreams; absent if all may be sent to at any time. */
   readonly slots?: slotClient.SlotClient;
+  /** How long requests of each route take at this entry. */
+  readonly routeDurations: routeDurations.RouteDurations;
+  /** The end of this entry, once it drains. */
+  readonly plannedStop: plannedStop.PlannedStop;
   /** True while this entry reaches no upstream by its own links; never if absent. */
   readonly isCutOff?: () => boolean;
 }
@@ -238,22 +244,70 @@
   return mayHaveRun ? { reason: 'outcomeUnknown', message } : { reason: 'quarantined', message, retryAfter };
 }
 
+/** Retry delay of an entry that is draining; another entry can serve the retry. */
+const DRAINING_RETRY_DELAY: ports.Milliseconds = 20;
+
+/** Refusal of a request that may still run when this entry, which drains, ends. */
+export const DRAINING: types.Refusal = {
+  reason: 'draining',
+  message: 'this entry is draining before it stops',
+  retryAfter: DRAINING_RETRY_DELAY,
+};
+
 /**
- * Registers a callback for the quarantine of a request.
+ * Refusal of a request that is open when this entry is about to be killed.
  *
- * @param callback - called when its content or a part of its prompt is quarantined
- * @returns a function that removes the callback
+ * @param mayHaveRun - true if an attempt may have run it
  * @example
  * ```ts
- * const cancel = exchangeContext.whenQuarantined(context, routed, () => refuse());
+ * caller.refuse(exchangeContext.stopRefusal(possibleRuns > 0));
  * ```
  */
-export function whenQuarantined(
-  context: ExchangeContext,
-  routed: RoutedRequest,
-  callback: () => void,
-): ports.Cancel {
-  return context.quarantine.onQuarantined(causesOf(routed), callback);
+export function stopRefusal(mayHaveRun: boolean): types.Refusal {
+  const message = 'this entry stops before an upstream has responded';
+  return mayHaveRun ? { reason: 'outcomeUnknown', message } : DRAINING;
+}
+
+/** Outcomes of requests that upstreams worked on until the end, or until nobody waited any more. */
+const OUTCOMES_WITH_DURATION: ReadonlySet<unknown> = new Set([
+  'answered',
+  'callerGone',
+  'interrupted',
+  'outcomeUnknown',
+  'timeoutUnknown',
+]);
+
+/** What ends a request before its upstream does. */
+export interface EarlyEnds {
+  /** The deadline of the request has passed. */
+  readonly atDeadline: () => void;
+  /** Its content or a part of its prompt is quarantined. */
+  readonly whenQuarantined: () => void;
+  /** The process of this entry is about to be killed. */
+  readonly beforeStop: () => void;
+}
+
+/**
+ * Registers what ends a request before its upstream does.
+ *
+ * @returns a function that removes all callbacks
+ * @example
+ * ```ts
+ * const cancel = exchangeContext.onEarlyEnd(context, routed, { atDeadline, whenQuarantined, beforeStop });
+ * ```
+ */
+export function onEarlyEnd(context: ExchangeContext, routed: RoutedRequest, ends: EarlyEnds): ports.Cancel {
+  const { timers, quarantine: quarantineState, plannedStop: stop } = context;
+  const cancels = [
+    timers.after(routed.deadline - timers.now(), ends.atDeadline),
+    quarantineState.onQuarantined(causesOf(routed), ends.whenQuarantined),
+    stop.whenImminent(ends.beforeStop),
+  ];
+  return () => {
+    for (const cancel of cancels) {
+      cancel();
+    }
+  };
 }
 
 /**
@@ -283,6 +337,9 @@
     ...outcome,
     milliseconds,
   });
+  if (OUTCOMES_WITH_DURATION.has(outcome.outcome)) {
+    context.routeDurations.record(route.name, milliseconds);
+  }
   context.metrics.timing('relayed.whole', milliseconds, {
     kind: route.kind,
     outcome: String(outcome.outcome),
--- a/packages/kumquatfront/src/relay/relayTestHarness.ts
+++ b/packages/kumquatfront/src/relay/relayTestHarness.ts
@@ -24,6 +24,8 @@
 import type * as exchangeContext from './exchangeContext.js';
 import * as localBalancer from './localBalancer.js';
 import * as placementClient from './placementClient.js';
+import * as plannedStop from './plannedStop.js';
+import * as routeDurations from './routeDurations.js';
 import * as serviceRetryBudget from './serviceRetryBudget.js';
 import type * as types from './types.js';
 
@@ -191,6 +193,8 @@
         peerAddress: '10.0.1.1:1',
         replicas: () => ['coordinator'],
       }),
+      routeDurations: new routeDurations.RouteDurations(),
+      plannedStop: new plannedStop.PlannedStop(timers, log),
     };
   }
 
--- a/packages/kumquatfront/src/relay/startupQueue.spec.ts
+++ b/packages/kumquatfront/src/relay/startupQueue.spec.ts
@@ -18,7 +18,6 @@
     regions: new Map(),
     random: seededRandom.create(1),
     routes: () => this.routes,
-    stopsAt: () => undefined,
   });
 
   sendRequest(callerTimeout: number): void {
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -41,8 +41,7 @@
   private readonly outcome: streamOutcome.StreamOutcome;
   /** Forecast time from the last placement to the first event. */
   private firstEventIn: ports.Milliseconds | undefined;
-  private cancelDeadline: ports.Cancel = () => undefined;
-  private cancelQuarantine: ports.Cancel = () => undefined;
+  private cancelEarlyEnds: ports.Cancel = () => undefined;
 
   constructor(
     private readonly context: exchangeContext.ExchangeContext,
@@ -118,16 +117,19 @@
 
   /** Finds out where the stream may run, and selects its first upstream. */
   start(): void {
-    const { timers } = this.context;
-    const { caller, deadline } = this.routed;
-    caller.onDisconnect(() => {
+    this.routed.caller.onDisconnect(() => {
       this.finish({ outcome: 'callerGone' });
     });
-    this.cancelDeadline = timers.after(deadline - timers.now(), () => {
-      this.outcome.endAtDeadline();
-    });
-    this.cancelQuarantine = exchangeContext.whenQuarantined(this.context, this.routed, () => {
-      this.onQuarantined();
+    this.cancelEarlyEnds = exchangeContext.onEarlyEnd(this.context, this.routed, {
+      atDeadline: () => {
+        this.outcome.endAtDeadline();
+      },
+      whenQuarantined: () => {
+        this.onQuarantined();
+      },
+      beforeStop: () => {
+        this.outcome.endBeforeStop();
+      },
     });
     this.continuation.resolve((resolution) => {
       if (!this.ended) {
@@ -157,8 +159,7 @@
   /** Begins anew at the service, among those of the route, whose upstream produced the first event. */
   private restartAt(service: trafficTypes.Service): void {
     this.ended = true;
-    this.cancelDeadline();
-    this.cancelQuarantine();
+    this.cancelEarlyEnds();
     new StreamExchange(this.context, { ...this.routed, service }).start();
   }
 
@@ -211,7 +212,7 @@
   ): void {
     if (this.active !== undefined) {
       this.idleSearch.end(this.active);
-      this.startIdleTimer();
+      this.idleSearch.restartTimer(this.active, this.firstEventIn);
       return;
     }
     this.outcome.endWithoutUpstream(reason, message, retryAfter);
@@ -239,7 +240,7 @@
       origin: this.continuation.origin,
     });
     segment.start(upstreams, call, this.resumable, this.createSegmentListener(segment));
-    this.startIdleTimer();
+    this.idleSearch.restartTimer(this.active, this.firstEventIn);
     placement.scheduleReport();
   }
 
@@ -300,7 +301,7 @@
     if (isFirst) {
       this.context.placement.scheduleReport();
     }
-    this.startIdleTimer();
+    this.idleSearch.restartTimer(this.active, this.firstEventIn);
   }
 
   /** Output tokens delivered so far. */
@@ -308,10 +309,6 @@
     return this.delivery.eventCount * (this.routed.service.engine?.tokensPerEvent ?? 1);
   }
 
-  private startIdleTimer(): void {
-    this.idleSearch.restartTimer(this.active, this.firstEventIn);
-  }
-
   private closeSegment(segment: streamSegment.StreamSegment | undefined, reason?: 'silent'): void {
     if (segment !== undefined && this.active === segment) {
       segment.close(reason);
@@ -372,10 +369,9 @@
       return;
     }
     this.ended = true;
-    this.cancelDeadline();
+    this.cancelEarlyEnds();
     this.selector.cancel();
     this.idleSearch.cancel();
-    this.cancelQuarantine();
     this.continuation.cancel();
     this.moveController.cancel();
     this.closeSegment(this.active);
--- a/packages/kumquatfront/src/relay/streamOutcome.ts
+++ b/packages/kumquatfront/src/relay/streamOutcome.ts
@@ -73,6 +73,14 @@
     }
   }
 
+  /** Answers a caller that has no response yet; a stream that has begun goes on until the process is killed. */
+  endBeforeStop(): void {
+    const { attempts, delivery } = this.host;
+    if (!delivery.started) {
+      this.refuseWith(exchangeContext.stopRefusal(attempts.possibleRuns > 0));
+    }
+  }
+
   endQuarantined(): void {
     const { attempts, delivery } = this.host;
     if (delivery.started) {
--- a/packages/kumquatfront/src/relay/trafficRelay.ts
+++ b/packages/kumquatfront/src/relay/trafficRelay.ts
@@ -7,7 +7,7 @@
 import type * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as requestCauses from '../quarantine/requestCauses.js';
-import type * as exchangeContext from './exchangeContext.js';
+import * as exchangeContext from './exchangeContext.js';
 import * as bufferedExchange from './bufferedExchange.js';
 import * as startupQueue from './startupQueue.js';
 import * as streamExchange from './streamExchange.js';
@@ -22,12 +22,6 @@
 /** Retry delay while the entry waits for a configuration that other entries have. */
 const SUPERSEDED_RETRY_DELAY: ports.Milliseconds = 200;
 
-/** Retry delay of an entry that is draining; another entry can serve the retry. */
-const DRAINING_RETRY_DELAY: ports.Milliseconds = 20;
-
-/** Time before the end of a draining entry in which it serves only requests whose deadline is before that end. */
-const LAST_REQUESTS_TIME: ports.Milliseconds = 1_000;
-
 const NO_CONFIGURATION: types.Refusal = {
   reason: 'noConfiguration',
   message: 'this entry has no configuration yet',
@@ -50,8 +44,6 @@
   readonly routes: () => routeTable.RouteTable | undefined;
   /** True while the routes must not be used, because newer ones were accepted too long ago; never if absent. */
   readonly isSuperseded?: () => boolean;
-  /** Time at which the draining entry is killed, infinite if it ends by itself; undefined unless it drains. */
-  readonly stopsAt: () => ports.Milliseconds | undefined;
   /** Refusal of new generations while the entry would run out of memory; undefined while it would not. */
   readonly generationRefusal?: () => types.Refusal | undefined;
 }
@@ -102,9 +94,8 @@
     }
     const limit = Math.min(request.callerTimeout ?? Number.POSITIVE_INFINITY, route.timeout);
     const deadline = request.arrivedAt + limit;
-    if (this.mayOutlastEntry(service, deadline)) {
-      const message = 'this entry is draining before it stops';
-      this.refuse(request, caller, { reason: 'draining', message, retryAfter: DRAINING_RETRY_DELAY });
+    if (this.mayOutlastEntry(route, service, deadline)) {
+      this.refuse(request, caller, exchangeContext.DRAINING);
       return;
     }
     const refusal = service.engine === undefined ? undefined : this.options.generationRefusal?.();
@@ -137,13 +128,17 @@
   }
 
   /** Whether a request may still run when this entry, which drains, ends; another entry can serve it. */
-  private mayOutlastEntry(service: trafficTypes.Service, deadline: ports.Milliseconds): boolean {
-    const stopsAt = this.options.stopsAt();
-    if (stopsAt === undefined) {
+  private mayOutlastEntry(
+    route: trafficTypes.Route,
+    service: trafficTypes.Service,
+    deadline: ports.Milliseconds,
+  ): boolean {
+    const { plannedStop, routeDurations, timers } = this.options.context;
+    if (plannedStop.answersBy === undefined) {
       return false;
     }
-    const latestEnd = Math.min(deadline, this.options.context.timers.now() + LAST_REQUESTS_TIME);
-    return service.engine !== undefined || latestEnd > stopsAt;
+    const latestEnd = Math.min(deadline, timers.now() + routeDurations.upperBound(route.name));
+    return service.engine !== undefined || latestEnd > plannedStop.answersBy;
   }
 
   /** Refuses without a retry delay, because a retry would be refused again, unless single requests are tried. */
@@ -165,7 +160,8 @@
     const refuse = (): void => {
       this.refuse(request, caller, refusal);
     };
-    if (this.options.stopsAt() !== undefined || !this.startupQueue.enqueue(request, caller, refuse)) {
+    const isDraining = this.options.context.plannedStop.answersBy !== undefined;
+    if (isDraining || !this.startupQueue.enqueue(request, caller, refuse)) {
       refuse();
       return;
     }
--- a/packages/kumquatfront/src/traffic/residency.spec.ts
+++ b/packages/kumquatfront/src/traffic/residency.spec.ts
@@ -62,7 +62,6 @@
     random: seededRandom.create(1),
     regions: REGIONS,
     routes: () => table,
-    stopsAt: () => undefined,
   });
   const { request, caller } = harness.createRoutedRequest(kind);
   relayUnderTest.handle(request, caller);
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -18,6 +18,8 @@
 import * as peerRelay from '../peerRelay/peerRelay.js';
 import * as relayServer from '../peerRelay/relayServer.js';
 import * as localBalancer from '../relay/localBalancer.js';
+import * as plannedStop from '../relay/plannedStop.js';
+import * as routeDurations from '../relay/routeDurations.js';
 import * as placementClient from '../relay/placementClient.js';
 import * as trafficRelay from '../relay/trafficRelay.js';
 import type * as relayTypes from '../relay/types.js';
@@ -50,8 +52,7 @@
   private readonly peerRelay: peerRelay.PeerRelay;
   private readonly origins: streamOrigins.StreamOrigins;
   private routes: routeTable.RouteTable | undefined;
-  /** Time at which the process is killed, once this entry drains; infinite if it ends by itself. */
-  private stopsAt: ports.Milliseconds | undefined;
+  private readonly plannedStop: plannedStop.PlannedStop;
   private readyAt: ports.Milliseconds = 0;
   /** Load of the entry; undefined if it is not measured. */
   readonly load: entryLoad.EntryLoad | undefined;
@@ -62,6 +63,7 @@
     this.entryPorts = entryPorts;
     this.timers = timerService.create(entryPorts.clock, entryPorts.scheduler);
     const { timers } = this;
+    this.plannedStop = new plannedStop.PlannedStop(timers, log);
     const { capacity = {}, isEnabled } = settings;
     const { loadProbe: probe } = entryPorts;
     const measuresLoad = isEnabled?.('entryCapacity') ?? true;
@@ -193,13 +195,14 @@
         isCutOff: () => this.peerRelay.isCutOff,
         slots,
         origins,
+        routeDurations: new routeDurations.RouteDurations(),
+        plannedStop: this.plannedStop,
         ...(settings.isEnabled !== undefined && { isEnabled: settings.isEnabled }),
       },
       random,
       regions: settings.regions,
       routes: () => this.routes,
       isSuperseded: () => this.watch.isSuperseded,
-      stopsAt: () => this.stopsAt,
       generationRefusal: () => this.load?.generationRefusal(),
     });
     this.watch = new controlWatch.ControlWatch({
@@ -300,9 +303,13 @@
     return { ...status, ...this.load.status(), ...(isStarting && { readyFor }) };
   }
 
+  private get isDraining(): boolean {
+    return this.plannedStop.answersBy !== undefined;
+  }
+
   /** Reason for which this entry relays nothing for others; undefined if it relays. */
   private relayDeclineReason(): relayMessages.DeclineReason | undefined {
-    if (this.stopsAt !== undefined) {
+    if (this.isDraining) {
       return 'draining';
     }
     if (this.state !== 'ready') {
@@ -316,7 +323,7 @@
 
   /** Whether this entry accepts new callers. */
   get state(): methods.EntryState {
-    if (this.stopsAt !== undefined) {
+    if (this.isDraining) {
       return 'draining';
     }
     if (this.routes === undefined) {
@@ -363,8 +370,7 @@
    * @param grace - time until the process is killed, in milliseconds
    */
   drain(grace: ports.Milliseconds = Number.POSITIVE_INFINITY): void {
-    if (this.stopsAt === undefined) {
-      this.stopsAt = this.timers.now() + grace;
+    if (this.plannedStop.begin(grace)) {
       this.entryPorts.log.info('drainStarted', { generations: this.placement.openCount });
       this.watch.reportStatusNow();
       this.origins.handOver();
--- a/packages/scenarios/src/scripts/servingSafeguards.ts
+++ b/packages/scenarios/src/scripts/servingSafeguards.ts
@@ -214,8 +214,36 @@
   {
     name: 'a draining entry takes no request that may outlast it',
     file: 'relay/trafficRelay.js',
-    find: 'latestEnd > stopsAt',
+    find: 'latestEnd > plannedStop.answersBy',
     replace: 'false',
     scenario: 'spec:relay/drainingEntry',
   },
+  {
+    name: 'a draining entry serves the requests of routes that are known to be quick',
+    file: 'relay/trafficRelay.js',
+    find: 'Math.min(deadline, timers.now() + routeDurations.upperBound(route.name))',
+    replace: 'deadline',
+    scenario: 'spec:relay/drainingEntry',
+  },
+  {
+    name: 'a draining entry knows which routes are slow',
+    file: 'relay/routeDurations.js',
+    find: 'Math.max(...durations)',
+    replace: '1',
+    scenario: 'spec:relay/drainingEntry',
+  },
+  {
+    name: 'requests that are still open are answered before the process is killed',
+    file: 'relay/plannedStop.js',
+    find: 'this.answerAll();',
+    replace: '',
+    scenario: 'spec:relay/drainingEntry',
+  },
+  {
+    name: 'a stream that has begun goes on until the process is killed',
+    file: 'relay/streamOutcome.js',
+    find: 'if (!delivery.started) {',
+    replace: 'if (true) {',
+    scenario: 'spec:relay/drainingEntry',
+  },
 ];
