Responses whose bytes do not end are closed by bounds on bytes and time

Cause: plain answers, error bodies and unfinished events were held whatever their size; a response that is refused by its head was read to its end; splitting a stream searched all that is held again with each piece. Change, by path: plain answers and error bodies are held within 8 MiB each and 24 MiB together (the largest is given up), server errors for a second; refused responses are closed after their head; events have 1 MiB and a time, comments a number; heads, interim responses and framing have bounds in singleUseConnection; relayed answers 16 MiB together; copies 64 KiB; the own interface discards and reads within bounds; control answers a body that is too large before its end; lines of a handshake have 4 KiB.

--- a/packages/kumquatfront/src/adapters/httpUpstreams.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.ts
@@ -62,6 +62,15 @@
 /** Sends a request; one that cannot be encoded rejects like any other failure, where `undici` may throw at once. */
 const sendRequest: typeof undici.request = async (url, options) => undici.request(url, options);
 
+/** Bytes of a body that are read only so that its connection can be used again. */
+const MAXIMUM_DISCARDED_BYTES = 65_536;
+
+/** Reads a short body that is not needed; the connection of a longer one is closed. */
+function discardBody({ body }: undici.Dispatcher.ResponseData): void {
+  // The outcome is decided, so a body that breaks off changes nothing.
+  body.dump({ limit: MAXIMUM_DISCARDED_BYTES }).catch(() => undefined);
+}
+
 function failureForStatus(status: number): streams.ConnectionFailure {
   if (status === 404 || status === 410) {
     return 'unknownGeneration';
@@ -118,7 +127,7 @@
       return;
     }
     if (response.statusCode !== 200) {
-      response.body.resume();
+      discardBody(response);
       this.fail(failureForStatus(response.statusCode), `status ${response.statusCode}`);
       return;
     }
@@ -219,9 +228,7 @@
     cancel: (target, generation, ifUnread) => {
       const url = `${target.address}/v1/generations/${encodeURIComponent(generation)}?ifUnread=${String(ifUnread)}`;
       sendRequest(url, { dispatcher: agent, method: 'DELETE' }).then(
-        (response) => {
-          response.body.resume();
-        },
+        discardBody,
         // Best effort: a lost cancellation wastes engine work but does not affect the caller.
         () => undefined,
       );
@@ -361,9 +368,9 @@
       body,
       signal,
     });
-    await postResponse.body.dump();
+    await postResponse.body.dump({ limit: MAXIMUM_DISCARDED_BYTES });
     const receiptResponse = await undici.request(`${address}/v1/orders`, { dispatcher: agent, signal });
-    return (await receiptResponse.body.json()) as orders.OrderReceipt;
+    return JSON.parse(await readLimited(receiptResponse.body)) as orders.OrderReceipt;
   };
   return {
     send: (order, address, timeout, done) => {
--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
@@ -204,6 +204,7 @@
       return;
     }
     this.authenticated = true;
+    this.lines.permitLongLines();
     this.cancelOpenTimeout();
     const { queuedMessages } = this;
     this.queuedMessages = [];
@@ -266,6 +267,7 @@
         this.onRequest(line, lines);
       } else if (this.authenticate(line, serverNonce, lines)) {
         authenticated = true;
+        lines.permitLongLines();
       } else {
         // Closes the connection without a response if the first line is not a valid proof.
         this.options.log.warn('strangerRefused', { address: socket.remoteAddress });
--- a/packages/kumquatfront/src/adapters/lineSocket.spec.ts
+++ b/packages/kumquatfront/src/adapters/lineSocket.spec.ts
@@ -10,7 +10,10 @@
 import * as lineSocket from './lineSocket.js';
 
 /** Receives chunks on a connection; returns the lines, and whether the connection was closed. */
-function receive(chunks: readonly string[]): { readonly lines: readonly string[]; readonly closed: boolean } {
+function receive(
+  chunks: readonly string[],
+  isAuthenticated = true,
+): { readonly lines: readonly string[]; readonly closed: boolean } {
   let closed = false;
   const socket = Object.assign(new events.EventEmitter(), {
     setNoDelay: () => undefined,
@@ -19,9 +22,12 @@
     },
   });
   const lines: string[] = [];
-  new lineSocket.LineSocket(socket as unknown as net.Socket, (line) => {
+  const received = new lineSocket.LineSocket(socket as unknown as net.Socket, (line) => {
     lines.push(line);
   });
+  if (isAuthenticated) {
+    received.permitLongLines();
+  }
   for (const chunk of chunks) {
     socket.emit('data', Buffer.from(chunk));
   }
@@ -47,3 +53,9 @@
 void test.test('a connection whose line does not end is closed', () => {
   assert.equal(receive(['x'.repeat(11 * 1024 * 1024)]).closed, true);
 });
+
+// Guards against memory that any process can fill before it proves who it is.
+void test.test('the lines of a handshake are short', () => {
+  assert.equal(receive(['x'.repeat(5_000)], false).closed, true);
+  assert.equal(receive(['x'.repeat(500), '\n'], false).closed, false);
+});
--- a/packages/kumquatfront/src/adapters/lineSocket.ts
+++ b/packages/kumquatfront/src/adapters/lineSocket.ts
@@ -6,12 +6,16 @@
 
 /** Above the largest configuration as a JSON string, in which each character may be escaped. */
 const MAXIMUM_LINE_LENGTH = 10 * 1024 * 1024;
+
+/** Length of the lines of a handshake, before which the sender may be anybody. */
+const MAXIMUM_HANDSHAKE_LENGTH = 4_096;
 const MAXIMUM_UNSENT_BYTES = 8 * 1024 * 1024;
 
 /** Splits received data into lines and sends lines. */
 export class LineSocket {
   private readonly socket: net.Socket;
   private partialLine = '';
+  private maximumLength = MAXIMUM_HANDSHAKE_LENGTH;
 
   /**
    * @param socket - the connection
@@ -30,7 +34,7 @@
     // Only what is new is searched: with the rest, the time for a long line would grow with the square of its length.
     const [continuation = '', ...rest] = text.split('\n');
     this.partialLine += continuation;
-    if (this.partialLine.length > MAXIMUM_LINE_LENGTH) {
+    if (this.partialLine.length > this.maximumLength) {
       this.socket.destroy();
       return;
     }
@@ -45,6 +49,11 @@
     }
   }
 
+  /** Permits long lines, once the other side is authenticated. */
+  permitLongLines(): void {
+    this.maximumLength = MAXIMUM_LINE_LENGTH;
+  }
+
   /**
    * Sends a line.
    *
--- a/packages/kumquatfront/src/adapters/singleUseConnection.spec.ts
+++ b/packages/kumquatfront/src/adapters/singleUseConnection.spec.ts
@@ -5,6 +5,8 @@
 import * as net from 'node:net';
 import * as test from 'node:test';
 
+import type * as ports from '../kernel/ports.js';
+import * as virtualTime from '../kernel/virtualTime.js';
 import * as singleUseConnection from './singleUseConnection.js';
 import * as systemTime from './systemTime.js';
 
@@ -15,7 +17,10 @@
 }
 
 /** Sends a request to a server with the given connection handler and returns the outcome. */
-function exchangeWith(serve: (socket: net.Socket) => void): Promise<Outcome> {
+function exchangeWith(
+  serve: (socket: net.Socket) => void,
+  scheduler: ports.Scheduler = systemTime.scheduler,
+): Promise<Outcome> {
   return new Promise((resolve) => {
     const server = net.createServer((socket) => {
       socket.on('error', () => undefined);
@@ -32,7 +37,7 @@
       };
       singleUseConnection.send(
         { address: `127.0.0.1:${port}`, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) },
-        systemTime.scheduler,
+        scheduler,
         {
           head: () => undefined,
           data: (bytes) => {
@@ -155,6 +160,80 @@
   }
 });
 
+/** What a server sends again and again until its connection is closed, after a prefix. */
+const ENDLESS: readonly (readonly [string, string, string])[] = [
+  ['a head of lines', 'HTTP/1.1 200 OK\r\n', `X-Line: ${'x'.repeat(900)}\r\n`],
+  ['a head of one line', 'HTTP/1.1 200 OK\r\nX-Line: ', 'x'.repeat(900)],
+  ['interim responses', '', 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(20)],
+  ['a chunk extension', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=', 'x'.repeat(900)],
+  [
+    'chunks of one byte with extensions',
+    'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+    `1;x=${'x'.repeat(900)}\r\na\r\n`,
+  ],
+  [
+    'trailers',
+    'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n',
+    `X-Line: ${'x'.repeat(900)}\r\n`,
+  ],
+];
+
+// Guards against connections that live, and take memory and processor time, until the deadline of a request.
+for (const [description, prefix, repeated] of ENDLESS) {
+  void test.test(`a connection that sends ${description} without end is closed`, async () => {
+    let sent = 0;
+    const closed = new Promise<void>((resolve) => {
+      void exchangeWith((socket) => {
+        socket.once('close', () => {
+          resolve();
+        });
+        socket.write(prefix);
+        const send = (): void => {
+          if (!socket.destroyed) {
+            sent += repeated.length;
+            socket.write(repeated, () => {
+              setImmediate(send);
+            });
+          }
+        };
+        send();
+      }).then(({ ended, failure }) => {
+        assert.equal(ended, false);
+        assert.equal(failure, 'garbled');
+      });
+    });
+    await closed;
+    assert.ok(sent < 8_000_000, `${sent} bytes`);
+  });
+}
+
+// Guards against a connection on which a head arrives byte by byte until the deadline of a request.
+void test.test('a head that does not end in time fails as garbled', async () => {
+  const time = new virtualTime.VirtualTime();
+  const outcome = exchangeWith((socket) => {
+    socket.write('HTTP/1.1 200 OK\r\nX-Slow: ');
+  }, time);
+  const timer = setInterval(() => {
+    time.advance(100);
+  }, 1);
+  assert.equal((await outcome).failure, 'garbled');
+  clearInterval(timer);
+});
+
+// Guards against taking an upstream that works for one whose head does not end.
+void test.test('a response may come long after an interim response', async () => {
+  const time = new virtualTime.VirtualTime();
+  const outcome = await exchangeWith((socket) => {
+    socket.write('HTTP/1.1 102 Processing\r\n\r\n', () => {
+      setTimeout(() => {
+        time.advance(10_000);
+        socket.end('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole');
+      }, 20);
+    });
+  }, time);
+  assert.deepEqual(outcome, { ended: true, body: 'whole', failure: '' });
+});
+
 // Guards against a status that no response to the caller may have.
 void test.test('a response with a status below 200 fails as garbled', async () => {
   for (const status of ['000', '099']) {
--- a/packages/kumquatfront/src/adapters/singleUseConnection.ts
+++ b/packages/kumquatfront/src/adapters/singleUseConnection.ts
@@ -9,6 +9,7 @@
 
 import type * as ports from '../kernel/ports.js';
 import type * as relayTypes from '../relay/types.js';
+import * as responseMonitor from './responseMonitor.js';
 import * as rawHeaders from './rawHeaders.js';
 
 /** Connecting is aborted after this time; nothing was sent, so another upstream can be tried. */
@@ -130,6 +131,7 @@
   let connected = false;
   let settled = false;
   let response: http.IncomingMessage | undefined;
+  let monitor: responseMonitor.ResponseMonitor | undefined;
   let outgoing: http.ClientRequest;
   try {
     outgoing = open(request, host, port);
@@ -142,6 +144,7 @@
     }
     settled = true;
     cancelConnecting();
+    monitor?.stop();
     return true;
   };
   const fail = (kind: relayTypes.ExchangeFailure, reason: string): void => {
@@ -158,6 +161,12 @@
   };
   outgoing.on('socket', (socket) => {
     checkReset = detectReset(socket);
+    monitor = new responseMonitor.ResponseMonitor(socket, scheduler, (reason) => {
+      // Bytes after a complete response belong to no request.
+      if (response?.complete !== true) {
+        fail('garbled', reason);
+      }
+    });
     socket.setNoDelay(true);
     socket.once('connect', () => {
       connected = true;
@@ -172,8 +181,12 @@
     const isParseError = error.code?.startsWith('HPE_') === true;
     fail(connected ? (isParseError ? 'garbled' : 'broken') : 'notSent', error.message);
   });
+  outgoing.on('information', () => {
+    monitor?.recordInterimResponse();
+  });
   outgoing.on('response', (incoming) => {
     response = incoming;
+    monitor?.recordHead();
     if (settled) {
       return;
     }
@@ -184,6 +197,7 @@
     }
     const framing = framingOf(request.method, incoming);
     incoming.on('data', (bytes: Buffer) => {
+      monitor?.recordBody(bytes.length);
       if (!settled) {
         listener.data(bytes);
       }
--- a/packages/kumquatfront/src/peerRelay/relayServer.ts
+++ b/packages/kumquatfront/src/peerRelay/relayServer.ts
@@ -29,8 +29,8 @@
 /** Bytes of one response that the other entry has not acknowledged; more than the largest plain answer. */
 const MAXIMUM_UNACKNOWLEDGED_BYTES = 8 * 1024 * 1024;
 
-/** Bytes of all responses that the other entries have not acknowledged. */
-const MAXIMUM_TOTAL_BYTES = 32 * 1024 * 1024;
+/** Bytes of all responses that the other entries have not acknowledged; above it, the largest is given up. */
+const MAXIMUM_TOTAL_BYTES = 16 * 1024 * 1024;
 
 /** Dependencies of {@link RelayServer}. */
 export interface RelayServerOptions {
@@ -187,11 +187,20 @@
       this.answerWaiting(relayed);
     });
     if (relayed.bytes > MAXIMUM_UNACKNOWLEDGED_BYTES) {
-      this.options.log.warn('relayTooSlow', { relay: id, bytes: relayed.bytes });
-      this.close(id);
+      this.giveUp(id, relayed);
+    } else if (this.totalBytes > MAXIMUM_TOTAL_BYTES) {
+      const [[largestId, largest] = [id, relayed]] = [...this.open].sort(
+        ([, one], [, other]) => other.bytes - one.bytes,
+      );
+      this.giveUp(largestId, largest);
     }
   }
 
+  private giveUp(id: string, { bytes }: Relayed): void {
+    this.options.log.warn('relayTooSlow', { relay: id, bytes, held: this.totalBytes });
+    this.close(id);
+  }
+
   private onEventsAsked(
     { id, epoch, from }: messages.EventsRequest,
     answer: (answer: messages.RelayAnswer) => void,
--- a/packages/kumquatfront/src/relay/bufferedExchange.ts
+++ b/packages/kumquatfront/src/relay/bufferedExchange.ts
@@ -37,7 +37,7 @@
   constructor(context: exchangeContext.ExchangeContext, routed: exchangeContext.RoutedRequest) {
     this.context = context;
     this.routed = routed;
-    this.openAttempts = new bufferedAttempts.BufferedAttempts(context);
+    this.openAttempts = new bufferedAttempts.BufferedAttempts(context, this.isIdempotent);
     this.failedResponses = new failedResponses.FailedResponses(context);
   }
 
@@ -165,49 +165,29 @@
   }
 
   private send(instance: instanceView.Instance, release: slotClient.ReleaseSlot = () => undefined): void {
-    const { balancer, timers, upstreams } = this.context;
     const { request, account, deadline, dataCentres } = this.routed;
-    const now = timers.now();
+    const timeLeft = deadline - this.context.timers.now();
     this.triedUpstreams.add(instance.identity);
     this.possibleRuns += 1;
     this.sendCount += 1;
-    balancer.recordDispatch(instance, now);
-    const chunks: Uint8Array[] = [];
-    const listener: types.ExchangeListener = {
-      head: (head) => {
-        attempt.head = head;
-      },
-      data: (bytes) => {
-        chunks.push(bytes);
-      },
-      end: () => {
-        this.onResponse(attempt);
-      },
-      failed: (failure, reason) => {
-        this.onAttemptFailed(attempt, failure, reason);
-      },
-    };
-    const timeLeft = deadline - now;
-    const cancel = upstreams.send(
+    this.openAttempts.send(
       { request, instance, timeLeft, isStream: false, account, origin: undefined, dataCentres },
-      listener,
-    );
-    const attempt: bufferedAttempts.Attempt = {
-      instance,
-      cancel,
-      sentAt: now,
       release,
-      head: undefined,
-      chunks,
-    };
-    this.openAttempts.add(attempt);
+      {
+        responded: (attempt, head) => {
+          this.onResponse(attempt, head);
+        },
+        failed: (attempt, failure, reason) => {
+          this.onAttemptFailed(attempt, failure, reason);
+        },
+      },
+    );
   }
 
-  private onResponse(attempt: bufferedAttempts.Attempt): void {
+  private onResponse(attempt: bufferedAttempts.Attempt, head: types.ResponseHead): void {
     const { balancer, timers, log } = this.context;
-    const { head, instance } = attempt;
-    this.openAttempts.close(attempt);
-    if (this.ended || head === undefined) {
+    const { instance } = attempt;
+    if (this.ended) {
       return;
     }
     if (head.load !== undefined) {
@@ -231,7 +211,7 @@
       this.retryOrFinish('garbled');
       return;
     }
-    const body = Buffer.concat(attempt.chunks);
+    const body = attempt.response.body();
     if (head.status >= 500) {
       this.failedResponses.record(instance.identity, { head, body });
       this.retryOrFinish('upstreamFailed');
@@ -263,7 +243,6 @@
     reason: string,
   ): void {
     const { balancer, timers, log } = this.context;
-    this.openAttempts.close(attempt);
     if (this.ended) {
       return;
     }
--- a/packages/kumquatfront/src/relay/eventBoundary.ts
+++ b/packages/kumquatfront/src/relay/eventBoundary.ts
@@ -10,14 +10,6 @@
 
 const TAIL_LENGTH = 4;
 
-/** Comments are sent to keep connections open, also before the first event. */
-function isCommentOnly({ bytes }: eventSplitter.CompleteEvent): boolean {
-  return bytes
-    .toString('latin1')
-    .split(/[\r\n]+/)
-    .every((line) => line === '' || line.startsWith(':'));
-}
-
 /** Follows one stream; see the module comment. */
 export class EventBoundary {
   /** True once a complete event was received. */
@@ -30,7 +22,7 @@
   /** Adds bytes that were received. */
   push(bytes: Uint8Array): void {
     const received = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
-    if (this.splitter?.push(received).some((event) => !isCommentOnly(event)) === true) {
+    if (this.splitter?.push(received).some((event) => !eventSplitter.isCommentOnly(event)) === true) {
       this.hasEvent = true;
       this.splitter = undefined;
     }
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -17,6 +17,7 @@
 import type * as localBalancer from './localBalancer.js';
 import type * as placementClient from './placementClient.js';
 import type * as plannedStop from './plannedStop.js';
+import type * as responseMemory from './responseMemory.js';
 import type * as routeDurations from './routeDurations.js';
 import type * as serviceRetryBudget from './serviceRetryBudget.js';
 import type * as types from './types.js';
@@ -41,6 +42,8 @@
   readonly origins: streamOrigins.StreamOrigins;
   /** Slots of fragile upstreams; absent if all may be sent to at any time. */
   readonly slots?: slotClient.SlotClient;
+  /** Room for responses that are held until they are complete. */
+  readonly responseMemory: responseMemory.ResponseMemory;
   /** How long requests of each route take at this entry. */
   readonly routeDurations: routeDurations.RouteDurations;
   /** The end of this entry, once it drains. */
--- a/packages/kumquatfront/src/relay/relayTestHarness.ts
+++ b/packages/kumquatfront/src/relay/relayTestHarness.ts
@@ -25,6 +25,7 @@
 import * as localBalancer from './localBalancer.js';
 import * as placementClient from './placementClient.js';
 import * as plannedStop from './plannedStop.js';
+import * as responseMemory from './responseMemory.js';
 import * as routeDurations from './routeDurations.js';
 import * as serviceRetryBudget from './serviceRetryBudget.js';
 import type * as types from './types.js';
@@ -193,6 +194,7 @@
         peerAddress: '10.0.1.1:1',
         replicas: () => ['coordinator'],
       }),
+      responseMemory: new responseMemory.ResponseMemory(log, metrics),
       routeDurations: new routeDurations.RouteDurations(),
       plannedStop: new plannedStop.PlannedStop(timers, log),
     };
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -222,7 +222,7 @@
     const { upstreams, balancer, timers, placement, log } = this.context;
     const { request } = this.routed;
     const now = timers.now();
-    const segment = new streamSegment.StreamSegment(instance, copy);
+    const segment = new streamSegment.StreamSegment(instance, copy, this.context, this.routed.route);
     this.active = segment;
     this.attempts.recordSend(copy !== undefined);
     balancer.recordDispatch(instance, now);
--- a/packages/kumquatfront/src/relay/streamSegment.ts
+++ b/packages/kumquatfront/src/relay/streamSegment.ts
@@ -4,10 +4,24 @@
  */
 import type * as ports from '../kernel/ports.js';
 import type * as instanceView from '../instances/instanceView.js';
+import type * as trafficTypes from '../traffic/types.js';
+import type * as exchangeContext from './exchangeContext.js';
+import * as heldResponse from './heldResponse.js';
 import * as responseClassification from './responseClassification.js';
 import * as eventSplitter from './eventSplitter.js';
 import type * as types from './types.js';
 
+/** Bytes of one event, and of comments between two events. */
+const MAXIMUM_EVENT_BYTES = 1_048_576;
+
+/** Comments between two events, which keep a connection open: one in 15 s for four hours. */
+const MAXIMUM_COMMENTS = 1_000;
+
+/** Bounds on the time from the first byte of an event to its end: callers abandon a stream after such a gap. */
+const MINIMUM_EVENT_TIMEOUT: ports.Milliseconds = 2_000;
+const EVENT_TIMEOUT_OBJECTIVES = 4;
+const EVENT_TIMEOUT_PAUSES = 8;
+
 /** An error response, buffered instead of streamed. */
 export interface ErrorResponse {
   readonly head: types.ResponseHead;
@@ -41,11 +55,20 @@
   longestPause: ports.Milliseconds = 0;
   private lastEventAt: ports.Milliseconds | undefined;
   private readonly splitter = new eventSplitter.EventSplitter();
-  private errorResponse: { readonly head: types.ResponseHead; readonly chunks: Uint8Array[] } | undefined;
+  private errorResponse: heldResponse.HeldResponse | undefined;
+  /** Time at which the incomplete event began; undefined between events. */
+  private eventBeganAt: ports.Milliseconds | undefined;
+  /** Comments since the last event. */
+  private comments = { count: 0, bytes: 0 };
   private open = true;
   private cancel: types.CancelExchange = () => undefined;
 
-  constructor(instance: instanceView.Instance, copy: types.MemoryCopy | undefined) {
+  constructor(
+    instance: instanceView.Instance,
+    copy: types.MemoryCopy | undefined,
+    private readonly context: exchangeContext.ExchangeContext,
+    private readonly route: trafficTypes.Route,
+  ) {
     this.instance = instance;
     this.copy = copy;
   }
@@ -105,6 +128,7 @@
   close(reason?: 'silent'): void {
     if (this.open) {
       this.open = false;
+      this.errorResponse?.release();
       this.cancel(reason);
     }
   }
@@ -119,10 +143,12 @@
       this.close();
       listener.notRun();
     } else if (responseClass === 'garbled') {
-      this.close();
-      listener.broken('garbled', 'the upstream sent an invalid response to this request');
+      this.breakOff(listener, 'the upstream sent an invalid response to this request');
     } else if (head.status >= 300) {
-      this.errorResponse = { head, chunks: [] };
+      this.errorResponse = new heldResponse.HeldResponse(this.context, (reason) => {
+        this.breakOff(listener, reason);
+      });
+      this.errorResponse.recordHead(head);
     } else {
       listener.started(head);
     }
@@ -130,27 +156,68 @@
 
   private onData(bytes: Uint8Array, listener: SegmentListener): void {
     if (this.errorResponse !== undefined) {
-      this.errorResponse.chunks.push(bytes);
+      this.errorResponse.add(bytes);
       return;
     }
     for (const event of this.splitter.push(bytes)) {
+      this.eventBeganAt = undefined;
+      this.countComment(event);
       this.eventCount += 1;
       listener.event(event);
       // The listener may have closed this segment.
       if (!this.open) {
         return;
       }
+      if (this.comments.count > MAXIMUM_COMMENTS) {
+        this.breakOff(listener, `the stream has more than ${MAXIMUM_COMMENTS} comments without an event`);
+        return;
+      }
+    }
+    const problem = this.findEndlessEvent();
+    if (problem !== undefined) {
+      this.breakOff(listener, problem);
     }
   }
 
+  private countComment(event: eventSplitter.CompleteEvent): void {
+    const { count, bytes } = this.comments;
+    this.comments = eventSplitter.isCommentOnly(event)
+      ? { count: count + 1, bytes: bytes + event.bytes.length }
+      : { count: 0, bytes: 0 };
+  }
+
+  /** What shows that more bytes can make no event; undefined if nothing does. */
+  private findEndlessEvent(): string | undefined {
+    const { incompleteBytes } = this.splitter;
+    if (incompleteBytes + this.comments.bytes > MAXIMUM_EVENT_BYTES) {
+      return `the stream has more than ${MAXIMUM_EVENT_BYTES} bytes without an event`;
+    }
+    if (incompleteBytes === 0) {
+      return undefined;
+    }
+    const now = this.context.timers.now();
+    this.eventBeganAt ??= now;
+    const { objective, longestPause } = this.route;
+    const timeout = Math.max(
+      MINIMUM_EVENT_TIMEOUT,
+      EVENT_TIMEOUT_OBJECTIVES * objective,
+      EVENT_TIMEOUT_PAUSES * longestPause,
+    );
+    return now - this.eventBeganAt > timeout ? `an event did not end within ${timeout} ms` : undefined;
+  }
+
+  private breakOff(listener: SegmentListener, reason: string): void {
+    this.close();
+    listener.broken('garbled', reason);
+  }
+
   private onEnd(listener: SegmentListener): void {
-    if (this.errorResponse === undefined) {
+    const { errorResponse } = this;
+    if (errorResponse?.head === undefined) {
       listener.completed(this.splitter.takeRemainder());
-    } else {
-      listener.errorReceived({
-        head: this.errorResponse.head,
-        body: Buffer.concat(this.errorResponse.chunks),
-      });
+      return;
     }
+    errorResponse.release();
+    listener.errorReceived({ head: errorResponse.head, body: errorResponse.body() });
   }
 }
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -19,6 +19,7 @@
 import * as relayServer from '../peerRelay/relayServer.js';
 import * as localBalancer from '../relay/localBalancer.js';
 import * as plannedStop from '../relay/plannedStop.js';
+import * as responseMemory from '../relay/responseMemory.js';
 import * as routeDurations from '../relay/routeDurations.js';
 import * as placementClient from '../relay/placementClient.js';
 import * as trafficRelay from '../relay/trafficRelay.js';
@@ -195,6 +196,7 @@
         isCutOff: () => this.peerRelay.isCutOff,
         slots,
         origins,
+        responseMemory: new responseMemory.ResponseMemory(log, metrics),
         routeDurations: new routeDurations.RouteDurations(),
         plannedStop: this.plannedStop,
         ...(settings.isEnabled !== undefined && { isEnabled: settings.isEnabled }),
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -13,6 +13,7 @@
 import * as operatorOrderSafeguards from './operatorOrderSafeguards.js';
 import * as partSafeguards from './partSafeguards.js';
 import * as peerRelaySafeguards from './peerRelaySafeguards.js';
+import * as endlessResponseSafeguards from './endlessResponseSafeguards.js';
 import * as prefillSafeguards from './prefillSafeguards.js';
 import * as entryLoadSafeguards from './entryLoadSafeguards.js';
 import * as fairShareSafeguards from './fairShareSafeguards.js';
@@ -27,6 +28,7 @@
 /** All safeguards. */
 export const safeguards: readonly types.Safeguard[] = [
   ...servingSafeguards.servingSafeguards,
+  ...endlessResponseSafeguards.endlessResponseSafeguards,
   ...outsideInputSafeguards.outsideInputSafeguards,
   ...controlSafeguards.controlSafeguards,
   ...configurationDeliverySafeguards.configurationDeliverySafeguards,
--- /dev/null
+++ b/packages/soak/src/endlessUpstream.ts
@@ -0,0 +1,108 @@
+/**
+ * An upstream, in a thread of its own, whose responses do not end: it sends bytes until its connection is closed.
+ */
+import * as net from 'node:net';
+import * as worker from 'node:worker_threads';
+
+import * as platform from 'kumquatfront-platform';
+
+/** Ways in which a response does not end. */
+export const forms = [
+  'body',
+  'chunks',
+  'refusedBody',
+  'unsignedBody',
+  'errorBody',
+  'interimResponses',
+  'headLines',
+  'event',
+  'comments',
+] as const;
+
+/** One way in which a response does not end. */
+export type EndlessForm = (typeof forms)[number];
+
+/** What the thread is started with. */
+export interface EndlessUpstreamOptions {
+  readonly form: EndlessForm;
+  /** Address that the server binds. */
+  readonly host: string;
+  readonly port: number;
+}
+
+/** What the thread tells of each closed connection. */
+export interface ClosedConnection {
+  readonly milliseconds: number;
+  readonly bytes: number;
+}
+
+const WRITE_INTERVAL_MS = 3;
+const WRITE_BYTES = 65_536;
+
+function headOf(form: EndlessForm, attempt: string): string {
+  const { headers } = platform.httpNames;
+  const echo = `${headers.attempt}: ${attempt}\r\n`;
+  const signed = `${echo}${headers.signature}: s\r\n`;
+  const stream = `HTTP/1.1 200 OK\r\n${signed}Content-Type: text/event-stream\r\n\r\n`;
+  switch (form) {
+    case 'body':
+      return `HTTP/1.1 200 OK\r\n${signed}\r\n`;
+    case 'chunks':
+      return `HTTP/1.1 200 OK\r\n${signed}Transfer-Encoding: chunked\r\n\r\n`;
+    case 'refusedBody':
+      return `HTTP/1.1 503 Full\r\n${echo}${headers.notRun}: 1\r\n\r\n`;
+    case 'unsignedBody':
+      return 'HTTP/1.1 200 OK\r\n\r\n';
+    case 'errorBody':
+      return `HTTP/1.1 500 Failed\r\n${echo}\r\n`;
+    case 'event':
+      return `${stream}id: 1\ndata: x\n\nid: 2\ndata: `;
+    case 'comments':
+      return stream;
+    case 'headLines':
+      return 'HTTP/1.1 200 OK\r\n';
+    case 'interimResponses':
+      return '';
+  }
+}
+
+function repeatedBytes(form: EndlessForm): Buffer {
+  const unit: Partial<Record<EndlessForm, string>> = {
+    chunks: `400\r\n${'x'.repeat(1_024)}\r\n`,
+    interimResponses: 'HTTP/1.1 102 Processing\r\n\r\n',
+    headLines: `X-Line: ${'x'.repeat(900)}\r\n`,
+    comments: ': x\n\n',
+  };
+  const text = unit[form] ?? 'x';
+  return Buffer.from(text.repeat(Math.ceil(WRITE_BYTES / text.length)));
+}
+
+function serve({ form, host, port }: EndlessUpstreamOptions): void {
+  const repeated = repeatedBytes(form);
+  const server = net.createServer((socket) => {
+    const openedAt = performance.now();
+    socket.on('error', () => undefined);
+    socket.once('data', (request: Buffer) => {
+      const [, attempt = ''] = /x-attempt-id: *([^\r]*)/i.exec(request.toString('latin1')) ?? [];
+      socket.write(headOf(form, attempt));
+      const timer = setInterval(() => {
+        if (socket.writableLength < WRITE_BYTES) {
+          socket.write(repeated);
+        }
+      }, WRITE_INTERVAL_MS);
+      socket.once('close', () => {
+        clearInterval(timer);
+        const closed: ClosedConnection = {
+          milliseconds: performance.now() - openedAt,
+          bytes: socket.bytesWritten,
+        };
+        worker.parentPort?.postMessage(closed);
+      });
+    });
+  });
+  server.listen(port, host);
+}
+
+if (!worker.isMainThread) {
+  serve(worker.workerData as EndlessUpstreamOptions);
+}
--- a/packages/soak/src/supervisedProcess.ts
+++ b/packages/soak/src/supervisedProcess.ts
@@ -132,6 +132,12 @@
     });
   }
 
+  /** Peak of the resident memory of the child process, as the kernel counts it. */
+  get peakBytes(): number {
+    const status = fs.readFileSync(`/proc/${String(this.child?.pid)}/status`, 'utf8');
+    return Number(/VmHWM:\s*(\d+)/.exec(status)?.[1] ?? 0) * 1_024;
+  }
+
   /** Sends a signal to the child process. */
   signal(signal: NodeJS.Signals): void {
     // Until the program installs its handler, SIGHUP terminates the process by default.
