--- a/packages/scenarios/src/scripts/completionSafeguards.ts
+++ b/packages/scenarios/src/scripts/completionSafeguards.ts
@@ -75,7 +75,7 @@
   {
     name: 'comments do not count as events',
     file: 'relay/eventBoundary.js',
-    find: '.some((event) => !isCommentOnly(event))',
+    find: '.some((event) => !eventSplitter.isCommentOnly(event))',
     replace: '.some(() => true)',
     scenario: PROPERTIES,
   },
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -29,6 +29,10 @@
     describe: 'Number of entries, next to three control replicas',
   })
   .option('clients', { type: 'number', default: 12, describe: 'Number of clients' })
+  .option('herd-kill-seconds', {
+    type: 'number',
+    describe: 'Interval at which all entries are killed at once',
+  })
   .option('logs', {
     type: 'string',
     default: '.soak',
@@ -50,7 +54,13 @@
 let failed = 0;
 for (const seed of seeds) {
   const outcome = await soakRun.run(
-    { seed, faultSeconds: parsed.seconds, entries: parsed.entries, clients: parsed.clients },
+    {
+      seed,
+      faultSeconds: parsed.seconds,
+      entries: parsed.entries,
+      clients: parsed.clients,
+      ...(parsed.herdKillSeconds !== undefined && { herdKillSeconds: parsed.herdKillSeconds }),
+    },
     (from, to) => new loopbackProxy.LoopbackProxy(from, to),
   );
   const { sent, served, refused, failed: failedRequests } = outcome.counts;
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -29,6 +29,8 @@
   readonly faultSeconds: number;
   readonly entries: number;
   readonly clients: number;
+  /** Interval in seconds at which all entries are killed at once during the fault phase; never if absent. */
+  readonly herdKillSeconds?: number;
 }
 
 /** Result of a run. */
@@ -120,6 +122,20 @@
     return item;
   }
 
+  /** Kills all entries at once, again and again; each is restarted like any process that exits. */
+  async killEntriesTogether(interval: number, endsAt: number): Promise<void> {
+    for (;;) {
+      await sleep.forMilliseconds(interval);
+      if (Date.now() >= endsAt) {
+        return;
+      }
+      this.injectedFaults.push('kill of all entries');
+      for (const entry of this.entries) {
+        entry.signal('SIGKILL');
+      }
+    }
+  }
+
   /** Injects one random fault and reverts it after a random duration. */
   async injectFault(): Promise<void> {
     const duration = 200 + this.random.next() * 1_800;
@@ -317,6 +333,9 @@
   const ordersEnded = orders.run();
   const endsAt = Date.now() + options.faultSeconds * 1_000;
   const pendingFaults: Promise<void>[] = [];
+  if (options.herdKillSeconds !== undefined) {
+    pendingFaults.push(environment.killEntriesTogether(options.herdKillSeconds * 1_000, endsAt));
+  }
   while (Date.now() < endsAt) {
     pendingFaults.push(environment.injectFault());
     await sleep.forMilliseconds(200 + environment.random.next() * 900);
