--- a/packages/kumquatfront/src/adapters/responseMonitor.ts
+++ b/packages/kumquatfront/src/adapters/responseMonitor.ts
@@ -11,7 +11,7 @@
 /** Time from the first byte of a head to its end. */
 const MAXIMUM_HEAD_TIME: ports.Milliseconds = 2_000;
 
-/** Bytes of chunk sizes, chunk extensions and trailers that any response may have. */
+/** Bytes of its head, chunk sizes, chunk extensions and trailers that any response may have. */
 const MAXIMUM_FRAMING_BYTES = 262_144;
 
 /** Bytes of framing for each byte of a body: chunks of one byte have five, without extensions. */
@@ -20,7 +20,6 @@
 /** Follows the bytes of one response; see the module comment. */
 export class ResponseMonitor {
   private receivedBytes = 0;
-  private headBytes = 0;
   private bodyBytes = 0;
   private hasHead = false;
   private hadInterimResponse = false;
@@ -49,7 +48,6 @@
   /** Records the end of the head. */
   recordHead(): void {
     this.hasHead = true;
-    this.headBytes = this.receivedBytes;
     this.stop();
   }
 
@@ -67,7 +65,7 @@
   private onData(length: number): void {
     this.receivedBytes += length;
     if (this.hasHead) {
-      const framingBytes = this.receivedBytes - this.headBytes - this.bodyBytes;
+      const framingBytes = this.receivedBytes - this.bodyBytes;
       if (framingBytes > MAXIMUM_FRAMING_BYTES + FRAMING_BYTES_PER_BODY_BYTE * this.bodyBytes) {
         this.onEndless(`the response has ${framingBytes} bytes of framing for ${this.bodyBytes} of its body`);
       }
--- a/packages/kumquatfront/src/peerRelay/relayProtocol.spec.ts
+++ b/packages/kumquatfront/src/peerRelay/relayProtocol.spec.ts
@@ -311,3 +311,21 @@
   const [run] = system.runs;
   assert.ok(run !== undefined && run.call.timeLeft <= 900, `${run?.call.timeLeft} ms`);
 });
+
+// Guards against responses of endless upstreams that fill the memory of the peer which relays them.
+void test.test('a peer gives up the largest response when all together are too large', () => {
+  const system = new RelaySystem(['p1']);
+  for (let count = 0; count < 3; count += 1) {
+    system.send();
+  }
+  system.time.advance(100);
+  assert.equal(system.runs.length, 3);
+  for (const [index, { listener }] of system.runs.entries()) {
+    listener.head(relayTestHarness.okHead);
+    listener.data(Buffer.alloc((index === 1 ? 5_000 : 4_000) * 1_024));
+  }
+  assert.deepEqual(
+    system.runs.map(({ cancelled }) => cancelled),
+    [false, true, false],
+  );
+});
--- a/packages/kumquatfront/src/relay/bufferedExchange.ts
+++ b/packages/kumquatfront/src/relay/bufferedExchange.ts
@@ -8,6 +8,7 @@
 import * as bufferedAttempts from './bufferedAttempts.js';
 import * as responseClassification from './responseClassification.js';
 import * as exchangeContext from './exchangeContext.js';
+import * as plannedStop from './plannedStop.js';
 import * as failedResponses from './failedResponses.js';
 import type * as types from './types.js';
 
@@ -61,7 +62,7 @@
         this.refuseQuarantined();
       },
       beforeStop: () => {
-        this.refuseWith(exchangeContext.stopRefusal(this.possibleRuns > 0));
+        this.refuseWith(plannedStop.refusalFor(this.possibleRuns > 0));
       },
     });
     this.sendNext();
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -247,30 +247,6 @@
   return mayHaveRun ? { reason: 'outcomeUnknown', message } : { reason: 'quarantined', message, retryAfter };
 }
 
-/** Retry delay of an entry that is draining; another entry can serve the retry. */
-const DRAINING_RETRY_DELAY: ports.Milliseconds = 20;
-
-/** Refusal of a request that may still run when this entry, which drains, ends. */
-export const DRAINING: types.Refusal = {
-  reason: 'draining',
-  message: 'this entry is draining before it stops',
-  retryAfter: DRAINING_RETRY_DELAY,
-};
-
-/**
- * Refusal of a request that is open when this entry is about to be killed.
- *
- * @param mayHaveRun - true if an attempt may have run it
- * @example
- * ```ts
- * caller.refuse(exchangeContext.stopRefusal(possibleRuns > 0));
- * ```
- */
-export function stopRefusal(mayHaveRun: boolean): types.Refusal {
-  const message = 'this entry stops before an upstream has responded';
-  return mayHaveRun ? { reason: 'outcomeUnknown', message } : DRAINING;
-}
-
 /** Outcomes of requests that upstreams worked on until the end, or until nobody waited any more. */
 const OUTCOMES_WITH_DURATION: ReadonlySet<unknown> = new Set([
   'answered',
--- a/packages/kumquatfront/src/relay/streamOutcome.ts
+++ b/packages/kumquatfront/src/relay/streamOutcome.ts
@@ -5,6 +5,7 @@
 import type * as ports from '../kernel/ports.js';
 import * as quarantine from '../quarantine/quarantine.js';
 import * as exchangeContext from './exchangeContext.js';
+import * as plannedStop from './plannedStop.js';
 import type * as streamAttempts from './streamAttempts.js';
 import type * as streamDelivery from './streamDelivery.js';
 import type * as types from './types.js';
@@ -77,7 +78,7 @@
   endBeforeStop(): void {
     const { attempts, delivery } = this.host;
     if (!delivery.started) {
-      this.refuseWith(exchangeContext.stopRefusal(attempts.possibleRuns > 0));
+      this.refuseWith(plannedStop.refusalFor(attempts.possibleRuns > 0));
     }
   }
 
--- a/packages/kumquatfront/src/relay/trafficRelay.ts
+++ b/packages/kumquatfront/src/relay/trafficRelay.ts
@@ -7,7 +7,8 @@
 import type * as routeTable from '../traffic/routeTable.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as requestCauses from '../quarantine/requestCauses.js';
-import * as exchangeContext from './exchangeContext.js';
+import type * as exchangeContext from './exchangeContext.js';
+import * as plannedStop from './plannedStop.js';
 import * as bufferedExchange from './bufferedExchange.js';
 import * as startupQueue from './startupQueue.js';
 import * as streamExchange from './streamExchange.js';
@@ -95,7 +96,7 @@
     const limit = Math.min(request.callerTimeout ?? Number.POSITIVE_INFINITY, route.timeout);
     const deadline = request.arrivedAt + limit;
     if (this.mayOutlastEntry(route, service, deadline)) {
-      this.refuse(request, caller, exchangeContext.DRAINING);
+      this.refuse(request, caller, plannedStop.DRAINING);
       return;
     }
     const refusal = service.engine === undefined ? undefined : this.options.generationRefusal?.();
@@ -133,12 +134,12 @@
     service: trafficTypes.Service,
     deadline: ports.Milliseconds,
   ): boolean {
-    const { plannedStop, routeDurations, timers } = this.options.context;
-    if (plannedStop.answersBy === undefined) {
+    const { plannedStop: stop, routeDurations, timers } = this.options.context;
+    if (stop.answersBy === undefined) {
       return false;
     }
     const latestEnd = Math.min(deadline, timers.now() + routeDurations.upperBound(route.name));
-    return service.engine !== undefined || latestEnd > plannedStop.answersBy;
+    return service.engine !== undefined || latestEnd > stop.answersBy;
   }
 
   /** Refuses without a retry delay, because a retry would be refused again, unless single requests are tried. */
--- a/packages/scenarios/src/scripts/endlessResponseSafeguards.ts
+++ b/packages/scenarios/src/scripts/endlessResponseSafeguards.ts
@@ -93,6 +93,13 @@
     replace: 'false',
     scenario: CONNECTIONS,
   },
+  {
+    name: 'responses that are relayed for other entries have a bound on their bytes together',
+    file: 'peerRelay/relayServer.js',
+    find: 'this.totalBytes > MAXIMUM_TOTAL_BYTES',
+    replace: 'false',
+    scenario: 'spec:peerRelay/relayProtocol',
+  },
   {
     name: 'the lines of a handshake have a bound on their length',
     file: 'adapters/lineSocket.js',
--- a/packages/scenarios/src/scripts/servingSafeguards.ts
+++ b/packages/scenarios/src/scripts/servingSafeguards.ts
@@ -214,7 +214,7 @@
   {
     name: 'a draining entry takes no request that may outlast it',
     file: 'relay/trafficRelay.js',
-    find: 'latestEnd > plannedStop.answersBy',
+    find: 'latestEnd > stop.answersBy',
     replace: 'false',
     scenario: 'spec:relay/drainingEntry',
   },
