The handshake's messages are parsed beside its proofs

The upstream of measure:endless takes the attempt's header name from the platform. No behaviour changes; jsonRpcTransport.spec, authentication.spec and their safeguards pass.

--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
@@ -51,12 +51,6 @@
 const PROBE_TIMEOUT = 1_000;
 const PROBE_METHOD = 'transport.probe';
 
-/** Message of the handshake; a field that is missing or no text is empty. */
-interface HandshakeMessage {
-  readonly nonce: string;
-  readonly proof: string;
-}
-
 function isFailure(value: unknown): value is failures.Failure {
   return typeof value === 'object' && value !== null && 'kind' in value && 'remedy' in value;
 }
@@ -70,20 +64,6 @@
   return failures.create('unreachable', `The request to ${address} failed: ${reason}.`, remedy);
 }
 
-function parseHandshakeMessage(line: string): HandshakeMessage {
-  let parsed: unknown;
-  try {
-    parsed = JSON.parse(line);
-  } catch {
-    // Any process can connect; what is no JSON is no proof.
-  }
-  const { nonce, proof } = (parsed ?? {}) as Record<string, unknown>;
-  return {
-    nonce: typeof nonce === 'string' ? nonce : '',
-    proof: typeof proof === 'string' ? proof : '',
-  };
-}
-
 function splitAddress(address: string): { host: string; port: number } {
   const colon = address.lastIndexOf(':');
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
@@ -181,7 +161,7 @@
       this.receive(line);
       return;
     }
-    const message = parseHandshakeMessage(line);
+    const message = peerAuthentication.parseMessage(line);
     if (this.serverNonce === '') {
       this.serverNonce = message.nonce;
       const proof = peerAuthentication.createProof(
@@ -291,7 +271,7 @@
 
   private authenticate(line: string, serverNonce: string, lines: lineSocket.LineSocket): boolean {
     const { clusterKey } = this.options;
-    const { nonce, proof } = parseHandshakeMessage(line);
+    const { nonce, proof } = peerAuthentication.parseMessage(line);
     const expected = peerAuthentication.createProof(clusterKey, 'client', nonce, serverNonce);
     if (!peerAuthentication.timingSafeEqual(proof, expected)) {
       return false;
--- a/packages/kumquatfront/src/adapters/peerAuthentication.ts
+++ b/packages/kumquatfront/src/adapters/peerAuthentication.ts
@@ -52,3 +52,32 @@
   const rightBytes = Buffer.from(right);
   return leftBytes.length === rightBytes.length && crypto.timingSafeEqual(leftBytes, rightBytes);
 }
+
+/** Message of the handshake; a field that is missing or no text is empty. */
+export interface HandshakeMessage {
+  readonly nonce: string;
+  readonly proof: string;
+}
+
+/**
+ * Parses a line of the handshake, which any process may have sent.
+ *
+ * @returns the message; what is no JSON object holds no proof
+ * @example
+ * ```ts
+ * peerAuthentication.parseMessage('null'); // { nonce: '', proof: '' }
+ * ```
+ */
+export function parseMessage(line: string): HandshakeMessage {
+  let parsed: unknown;
+  try {
+    parsed = JSON.parse(line);
+  } catch {
+    // The empty proof of such a line is refused, and logged, by whoever compares it.
+  }
+  const { nonce, proof } = (parsed ?? {}) as Record<string, unknown>;
+  return {
+    nonce: typeof nonce === 'string' ? nonce : '',
+    proof: typeof proof === 'string' ? proof : '',
+  };
+}
--- a/packages/scenarios/src/scripts/outsideInputSafeguards.ts
+++ b/packages/scenarios/src/scripts/outsideInputSafeguards.ts
@@ -68,14 +68,14 @@
   },
   {
     name: 'a first line of a peer that is no object is no proof',
-    file: 'adapters/jsonRpcTransport.js',
+    file: 'adapters/peerAuthentication.js',
     find: '(parsed ?? {})',
     replace: 'parsed',
     scenario: PEERS,
   },
   {
     name: 'a proof that is no text is no proof',
-    file: 'adapters/jsonRpcTransport.js',
+    file: 'adapters/peerAuthentication.js',
     find: "typeof proof === 'string' ? proof : ''",
     replace: 'proof',
     scenario: PEERS,
--- a/packages/soak/src/endlessUpstream.ts
+++ b/packages/soak/src/endlessUpstream.ts
@@ -36,6 +36,8 @@
   readonly bytes: number;
 }
 
+const ATTEMPT = new RegExp(`${platform.httpNames.headers.attempt}: *([^\\r]*)`, 'i');
+
 const WRITE_INTERVAL_MS = 3;
 const WRITE_BYTES = 65_536;
 
@@ -83,7 +85,7 @@
     const openedAt = performance.now();
     socket.on('error', () => undefined);
     socket.once('data', (request: Buffer) => {
-      const [, attempt = ''] = /x-attempt-id: *([^\r]*)/i.exec(request.toString('latin1')) ?? [];
+      const [, attempt = ''] = ATTEMPT.exec(request.toString('latin1')) ?? [];
       socket.write(headOf(form, attempt));
       const timer = setInterval(() => {
         if (socket.writableLength < WRITE_BYTES) {
