The safeguard 'a stream that is not resumable runs once' names the place that decides it

It now takes out that decision, and what the caller is told has a spec and a safeguard of its own (streamOutcome). No change of the program.

--- a/packages/scenarios/src/scripts/relaySafeguards.ts
+++ b/packages/scenarios/src/scripts/relaySafeguards.ts
@@ -43,11 +43,18 @@
   },
   {
     name: 'a stream that is not resumable runs once',
-    file: 'relay/streamExchange.js',
-    find: 'return this.routed.route.resumable;',
-    replace: 'return true;',
+    file: 'relay/streamAttempts.js',
+    find: 'return route.resumable && ',
+    replace: 'return ',
     scenario: RELAY,
   },
+  {
+    name: 'a stream that may have run, and may run once, is not refused as not run',
+    file: 'relay/streamOutcome.js',
+    find: ' && !this.routed.route.resumable',
+    replace: ' && false',
+    scenario: 'spec:relay/streamOutcome',
+  },
   {
     name: 'a retryable status of a non-idempotent call that may have run is not forwarded',
     file: 'relay/responseClassification.js',
