Events with an identity are not searched for comments

Counting comments between events parsed each event of every stream a second time. An event that has an identity has a line that is no comment, so the answer is the same without looking; nearly all events have one. No behaviour changes.

--- a/packages/kumquatfront/src/relay/eventSplitter.ts
+++ b/packages/kumquatfront/src/relay/eventSplitter.ts
@@ -119,9 +119,13 @@
  * eventSplitter.isCommentOnly({ bytes: Buffer.from(': waiting\n\n') }); // true
  * ```
  */
-export function isCommentOnly({ bytes }: CompleteEvent): boolean {
-  return bytes
-    .toString('latin1')
-    .split(/[\r\n]+/)
-    .every((line) => line === '' || line.startsWith(':'));
+export function isCommentOnly({ bytes, identity }: CompleteEvent): boolean {
+  // Nearly every event has an identity, and its lines need not be looked at again.
+  return (
+    identity === undefined &&
+    bytes
+      .toString('latin1')
+      .split(/[\r\n]+/)
+      .every((line) => line === '' || line.startsWith(':'))
+  );
 }
