Specs that measure a process run one at a time, after all others

A test of the memory of a process beside other load says little about the process. Files named *.isolated.spec run after all others, one at a time; the same list of known failures is applied to both parts. No behaviour of the product changes.

--- a/scripts/runTests.js
+++ b/scripts/runTests.js
@@ -41,14 +41,22 @@
 const failed = [];
 const passed = [];
 
-const stream = nodeTest.run({ files, concurrency: true, timeout: TEST_TIMEOUT_MS });
-stream.on('test:fail', (event) => {
-  failed.push(testName(event));
-});
-stream.on('test:pass', (event) => {
-  passed.push(testName(event));
-});
-stream.on('end', () => {
+/** Specs that measure a process run one at a time, after all others. */
+const isIsolated = (file) => file.endsWith('.isolated.spec.js');
+
+function run(selected, concurrency, onEnd) {
+  const stream = nodeTest.run({ files: selected, concurrency, timeout: TEST_TIMEOUT_MS });
+  stream.on('test:fail', (event) => {
+    failed.push(testName(event));
+  });
+  stream.on('test:pass', (event) => {
+    passed.push(testName(event));
+  });
+  stream.on('end', onEnd);
+  stream.compose(new reporters.spec()).pipe(process.stdout, { end: false });
+}
+
+function report() {
   const { unknown, mended, missing } = knownRed.judge(failed, passed, known);
   for (const { test, seen, issue } of known) {
     process.stdout.write(`known red: ${test}: ${seen} (issue ${issue})\n`);
@@ -63,5 +71,12 @@
     process.stdout.write(`failed: ${test}\n`);
   }
   process.exitCode = unknown.length + mended.length + missing.length === 0 && passed.length > 0 ? 0 : 1;
-});
-stream.compose(new reporters.spec()).pipe(process.stdout);
+}
+
+run(
+  files.filter((file) => !isIsolated(file)),
+  true,
+  () => {
+    run(files.filter(isIsolated), false, report);
+  },
+);
