All requests of a process together have a bound on their memory

What callers saw: 60 bodies of nearly 4 MB that stop short, each inside the limit, took 327 to 330 MB of a machine of 200 MB for as long as they stayed. Cause: a bound for each connection, none for all, and no limit on the time without a byte of a body. Settings gain callerBounds.

--- /dev/null
+++ b/packages/kumquatfront/src/callerBounds/heldRequests.ts
@@ -0,0 +1,256 @@
+/**
+ * Memory that requests hold at one process, over all of its listening addresses. Each request may be inside its own limits and all of them
+ * together still use up the memory; then those that have held the most for the longest time are refused.
+ */
+import type * as ports from '../kernel/ports.js';
+import type * as types from './types.js';
+
+const SWEEP_INTERVAL: ports.Milliseconds = 1_000;
+
+/** Share of the bound down to which requests are refused, so that not each byte that follows refuses another one. */
+const REFUSE_DOWN_TO = 0.9;
+
+/** Share of the bound that a request which holds little may use beyond it. */
+const SMALL_REQUEST_RESERVE = 0.25;
+const SMALL_REQUEST_BYTES = 16_384;
+
+/** Dependencies of {@link HeldRequests}. */
+export interface HeldRequestsOptions {
+  readonly clock: ports.Clock;
+  readonly scheduler: ports.Scheduler;
+  readonly log: ports.Log;
+  readonly metrics: ports.Metrics;
+  readonly bounds: types.CallerBounds;
+}
+
+/** What a connection does when its request is refused. */
+export interface ConnectionPort {
+  /** Name of the listening address, for logs and metrics. */
+  readonly listener: string;
+  /** Time without a byte after which a request that has arrived in part is refused. */
+  readonly stallTimeout: () => ports.Milliseconds;
+  /** Whether the request that is arriving can no longer be served in time. */
+  readonly isLate: () => boolean;
+  /** Refuses what arrives, and closes the connection. */
+  readonly giveUp: (reason: types.CloseReason) => void;
+}
+
+/** What one connection holds. */
+export class HeldConnection {
+  /** Bytes of the request that is arriving. */
+  arriving = 0;
+  /** Bytes of the request that is being served. */
+  served = 0;
+  /** Bytes that arrived behind the request that is being served. */
+  ahead = 0;
+  /** Bytes of a complete answer that the caller has not read. */
+  unread = 0;
+  /** When the first of the bytes that may be refused arrived. */
+  since: ports.Milliseconds = 0;
+  lastByteAt: ports.Milliseconds = 0;
+
+  constructor(
+    private readonly requests: HeldRequests,
+    readonly port: ConnectionPort,
+  ) {}
+
+  get total(): number {
+    return this.arriving + this.served + this.ahead + this.unread;
+  }
+
+  /** Bytes that refusing the request would release. */
+  get refusable(): number {
+    return this.arriving + this.ahead;
+  }
+
+  /** Counts bytes of the request that is arriving; may refuse this or other requests. */
+  grow(bytes: number): void {
+    this.change(() => {
+      this.arriving += bytes;
+    });
+  }
+
+  /** Sets the bytes that wait behind the request that is being served. */
+  setAhead(bytes: number): void {
+    this.change(() => {
+      this.ahead = bytes;
+    });
+  }
+
+  /** The request has arrived whole. It is not refused any more, since it may run. */
+  serve(): void {
+    this.served += this.arriving;
+    this.arriving = 0;
+  }
+
+  /** The answer is complete, and so many bytes of it are not sent yet. */
+  answer(unreadBytes: number): void {
+    this.change(() => {
+      this.served = 0;
+      this.unread = unreadBytes;
+      this.since = this.requests.now;
+    });
+  }
+
+  /** The request has ended. */
+  end(): void {
+    this.change(() => {
+      this.arriving = 0;
+      this.served = 0;
+      this.unread = 0;
+    });
+  }
+
+  /** The connection is closed. */
+  close(): void {
+    this.ahead = 0;
+    this.end();
+    this.requests.remove(this);
+  }
+
+  private change(apply: () => void): void {
+    const before = this.total;
+    const hadRefusable = this.refusable > 0;
+    apply();
+    this.lastByteAt = this.requests.now;
+    if (!hadRefusable && this.refusable > 0) {
+      this.since = this.lastByteAt;
+    }
+    this.requests.onChange(this, this.total - before);
+  }
+}
+
+/** Requests held at one process; see the module comment. */
+export class HeldRequests {
+  readonly bounds: types.CallerBounds;
+  private readonly options: HeldRequestsOptions;
+  private readonly holding = new Set<HeldConnection>();
+  private readonly closedByReason = new Map<string, number>();
+  private used = 0;
+  private isSweepPlanned = false;
+
+  constructor(options: HeldRequestsOptions) {
+    this.options = options;
+    this.bounds = options.bounds;
+  }
+
+  get now(): ports.Milliseconds {
+    return this.options.clock.now();
+  }
+
+  /** Bytes that all connections hold. */
+  get heldBytes(): number {
+    return this.used;
+  }
+
+  /**
+   * Opens the account of a connection.
+   *
+   * @example
+   * ```ts
+   * const held = requests.openConnection({ listener: 'callers', stallTimeout, giveUp });
+   * held.grow(bytes.length);
+   * ```
+   */
+  openConnection(port: ConnectionPort): HeldConnection {
+    return new HeldConnection(this, port);
+  }
+
+  /** Counts a closed connection; the next sweep logs the counts, since a crowd would fill the log with a line for each. */
+  recordClose(listener: string, reason: types.CloseReason): void {
+    this.options.metrics.count('callers.closed', 1, { listener, reason });
+    const key = `${listener} ${reason}`;
+    this.closedByReason.set(key, (this.closedByReason.get(key) ?? 0) + 1);
+    this.planSweep();
+  }
+
+  /** Applies the bound after a connection has come to hold more or less. */
+  onChange(connection: HeldConnection, growth: number): void {
+    this.used += growth;
+    if (connection.total === 0) {
+      this.holding.delete(connection);
+      return;
+    }
+    this.holding.add(connection);
+    this.planSweep();
+    const { heldBytes } = this.bounds;
+    if (growth <= 0 || this.used <= heldBytes) {
+      return;
+    }
+    this.refuseDownTo(heldBytes * REFUSE_DOWN_TO);
+    const isSmall = connection.refusable <= SMALL_REQUEST_BYTES;
+    const allowed = heldBytes * (isSmall ? 1 + SMALL_REQUEST_RESERVE : 1);
+    if (this.used > allowed && connection.refusable > 0) {
+      this.refuse(connection, 'memory');
+    }
+  }
+
+  remove(connection: HeldConnection): void {
+    this.holding.delete(connection);
+  }
+
+  /** Refuses requests by the bytes that they hold times the time for which they hold them. */
+  private refuseDownTo(target: number): void {
+    const { now } = this;
+    const cost = (connection: HeldConnection): number => connection.refusable * (now - connection.since);
+    const isUnreadForLong = ({ unread, since, port }: HeldConnection): boolean =>
+      unread > 0 && now - since > port.stallTimeout();
+    for (const connection of [...this.holding].filter(isUnreadForLong)) {
+      if (this.used > target) {
+        this.refuse(connection, 'unreadAnswer');
+      }
+    }
+    const candidates = [...this.holding]
+      .filter((connection) => cost(connection) > 0)
+      .sort((left, right) => cost(right) - cost(left));
+    for (const connection of candidates) {
+      if (this.used <= target) {
+        return;
+      }
+      this.refuse(connection, 'memory');
+    }
+  }
+
+  private refuse(connection: HeldConnection, reason: types.CloseReason): void {
+    if (this.holding.delete(connection)) {
+      connection.port.giveUp(reason);
+    }
+  }
+
+  private planSweep(): void {
+    if (!this.isSweepPlanned) {
+      this.isSweepPlanned = true;
+      this.options.scheduler.after(SWEEP_INTERVAL, () => {
+        this.isSweepPlanned = false;
+        this.sweep();
+      });
+    }
+  }
+
+  /** Refuses requests that make no progress, and logs what was closed. */
+  private sweep(): void {
+    const { now } = this;
+    const { log, metrics } = this.options;
+    for (const connection of [...this.holding]) {
+      const { arriving, lastByteAt, port } = connection;
+      if (arriving > 0 && (now - lastByteAt > port.stallTimeout() || port.isLate())) {
+        this.refuse(connection, 'stalled');
+      }
+    }
+    for (const [key, connections] of this.closedByReason) {
+      const [listener, reason] = key.split(' ');
+      log.warn('callersClosed', {
+        listener,
+        reason,
+        connections,
+        held: this.used,
+        holding: this.holding.size,
+      });
+    }
+    this.closedByReason.clear();
+    metrics.gauge('callers.held_bytes', this.used);
+    if (this.holding.size > 0) {
+      this.planSweep();
+    }
+  }
+}
--- a/packages/kumquatfront/src/settings/generatedSettings.ts
+++ b/packages/kumquatfront/src/settings/generatedSettings.ts
@@ -172,6 +172,7 @@
    * Time for which callers may cache the list of entry addresses
    */
   addressLife?: number;
+  callerBounds?: CallerBounds;
 }
 export interface Metrics {
   /**
@@ -180,6 +181,24 @@
   host?: string;
   port?: number;
 }
+export interface CallerBounds {
+  /**
+   * Memory of all requests that have arrived in part or are served, in bytes; by default a tenth of 200 MiB
+   */
+  heldBytes?: number;
+  /**
+   * Requests that a connection may have sent behind the one that is served; more close it
+   */
+  requestsAhead?: number;
+  /**
+   * Time without a byte after which a request that has arrived in part is refused
+   */
+  stallTimeout?: number;
+  /**
+   * Connections at one listening address; above it, one without a request is closed
+   */
+  connections?: number;
+}
 export interface ControlFile {
   /**
    * Unique name of this control VM
@@ -299,4 +318,5 @@
    * Time without contact after which an entry is no longer counted
    */
   entryLease?: number;
+  callerBounds?: CallerBounds;
 }
--- a/packages/kumquatfront/src/settings/settingsLoader.ts
+++ b/packages/kumquatfront/src/settings/settingsLoader.ts
@@ -5,6 +5,8 @@
 
 import type * as keyValueLog from '../adapters/keyValueLog.js';
 import type * as statsdMetrics from '../adapters/statsdMetrics.js';
+import * as defaultBounds from '../callerBounds/defaultBounds.js';
+import type * as callerBounds from '../callerBounds/types.js';
 import type * as controlNode from '../controlNode/controlNode.js';
 import type * as entryTypes from '../entryNode/types.js';
 import * as failures from '../kernel/failures.js';
@@ -21,6 +23,7 @@
   readonly clusterKey: string;
   readonly logLevel: keyValueLog.LogLevel;
   readonly metrics: statsdMetrics.MetricsSettings;
+  readonly callerBounds: callerBounds.CallerBounds;
 }
 
 /** Settings of a control replica and of the daemon that runs it. */
@@ -32,6 +35,7 @@
   readonly clusterKey: string;
   readonly logLevel: keyValueLog.LogLevel;
   readonly metrics: statsdMetrics.MetricsSettings;
+  readonly callerBounds: callerBounds.CallerBounds;
 }
 
 const validator = new ajv.Ajv({ strict: true, allowUnionTypes: true });
@@ -80,12 +84,13 @@
 
 function toEntryDaemonSettings(section: generated.EntryFile): EntryDaemonSettings {
   const { entryDefaults } = defaultConfig;
-  const { callerAddress, clusterKey, logLevel, metrics, ...entrySettings } = section;
+  const { callerAddress, clusterKey, logLevel, metrics, callerBounds, ...entrySettings } = section;
   return {
     callerListen: callerAddress,
     clusterKey,
     logLevel: logLevel ?? 'info',
     metrics: metrics ?? {},
+    callerBounds: { ...defaultBounds.forCapacity({}), ...callerBounds },
     entry: {
       ...entryDefaults,
       ...entrySettings,
@@ -121,8 +126,8 @@
 
 function toControlDaemonSettings(section: generated.ControlFile): ControlDaemonSettings {
   const { controlDefaults } = defaultConfig;
-  const { operatorAddress, operatorKeyHash, dataFolder, clusterKey, logLevel, metrics, ...controlSettings } =
-    section;
+  const { operatorAddress, operatorKeyHash, dataFolder, clusterKey, ...rest } = section;
+  const { logLevel, metrics, callerBounds, ...controlSettings } = rest;
   return {
     operatorListen: operatorAddress,
     operatorKeyHash,
@@ -130,6 +135,7 @@
     clusterKey,
     logLevel: logLevel ?? 'info',
     metrics: metrics ?? {},
+    callerBounds: { ...defaultBounds.forCapacity({}), ...callerBounds },
     control: {
       ...controlDefaults,
       ...controlSettings,
--- a/packages/kumquatfront/src/settings/settingsSchema.ts
+++ b/packages/kumquatfront/src/settings/settingsSchema.ts
@@ -134,7 +134,8 @@
         },
         "serviceTimeout": { "$ref": "#/definitions/Milliseconds", "description": "Response timeout of plain services" },
         "upstreamWait": { "$ref": "#/definitions/Milliseconds", "description": "Maximum time a request waits for an upstream to be announced" },
-        "addressLife": { "$ref": "#/definitions/Milliseconds", "description": "Time for which callers may cache the list of entry addresses" }
+        "addressLife": { "$ref": "#/definitions/Milliseconds", "description": "Time for which callers may cache the list of entry addresses" },
+        "callerBounds": { "$ref": "#/definitions/CallerBounds" }
       }
     },
     "ControlFile": {
@@ -205,7 +206,18 @@
             "attempts": { "type": "integer", "minimum": 1, "description": "Maximum number of attempts for an order" }
           }
         },
-        "entryLease": { "$ref": "#/definitions/Milliseconds", "description": "Time without contact after which an entry is no longer counted" }
+        "entryLease": { "$ref": "#/definitions/Milliseconds", "description": "Time without contact after which an entry is no longer counted" },
+        "callerBounds": { "$ref": "#/definitions/CallerBounds" }
+      }
+    },
+    "CallerBounds": {
+      "type": "object",
+      "additionalProperties": false,
+      "properties": {
+        "heldBytes": { "type": "integer", "minimum": 1048576, "description": "Memory of all requests that have arrived in part or are served, in bytes; by default a tenth of 200 MiB" },
+        "requestsAhead": { "type": "integer", "minimum": 1, "description": "Requests that a connection may have sent behind the one that is served; more close it" },
+        "stallTimeout": { "$ref": "#/definitions/Milliseconds", "description": "Time without a byte after which a request that has arrived in part is refused" },
+        "connections": { "type": "integer", "minimum": 1, "description": "Connections at one listening address; above it, one without a request is closed" }
       }
     }
   }
