--- a/packages/soak/src/supervisedProcess.ts
+++ b/packages/soak/src/supervisedProcess.ts
@@ -17,6 +17,9 @@
 const UPSTREAM_HOSTS = '127.0.25.,127.0.26.';
 
 const RESTART_DELAY_MS = 150;
+/** Limits of the heap in the deploy file, in megabytes. */
+const DEFAULT_HEAP_MEGABYTES = 90;
+const YOUNG_HEAP_MEGABYTES = 8;
 const MAXIMUM_LOG_LENGTH = 2_000_000;
 
 /** Ports; the same on every loopback address. */
@@ -29,6 +32,14 @@
   readonly metrics: number;
 }
 
+/** Limits of one process that differ from those of the others. */
+export interface ProcessLimits {
+  /** Size of the JavaScript heap, in megabytes. */
+  readonly heapMegabytes?: number;
+  /** Fields of the settings file that replace or extend the usual ones. */
+  readonly settings?: object;
+}
+
 /** A child process that is restarted whenever it exits. */
 export class SupervisedProcess {
   readonly name: string;
@@ -53,6 +64,7 @@
     index: number,
     ports: Ports,
     seeds: readonly string[],
+    private readonly limits: ProcessLimits = {},
   ) {
     this.name = `${role}-${index}`;
     const net = role === 'control' ? 21 : 23;
@@ -82,6 +94,7 @@
       addressLifeSeconds: 1,
       stopGraceSeconds: 4,
       retries: { ratio: 0.2, slack: 50, windowSeconds: 10 },
+      ...this.limits.settings,
     };
     this.writeSettings(settings);
     this.start();
@@ -93,7 +106,12 @@
   }
 
   private start(): void {
-    const nodeOptions = ['--max-old-space-size=90', '--import', LINK_CUT_FILE];
+    const { heapMegabytes = DEFAULT_HEAP_MEGABYTES } = this.limits;
+    const heapOptions = [
+      `--max-old-space-size=${heapMegabytes}`,
+      `--max-semi-space-size=${YOUNG_HEAP_MEGABYTES}`,
+    ];
+    const nodeOptions = [...heapOptions, '--import', LINK_CUT_FILE];
     const child = childProcess.spawn(process.execPath, [...nodeOptions, PROGRAM_FILE], {
       env: {
         ...process.env,
@@ -132,6 +150,11 @@
     });
   }
 
+  /** Identifier of the running child process; undefined before the first start. */
+  get processId(): number | undefined {
+    return this.child?.pid;
+  }
+
   /** Peak of the resident memory of the child process, as the kernel counts it. */
   get peakBytes(): number {
     const status = fs.readFileSync(`/proc/${String(this.child?.pid)}/status`, 'utf8');
