Every listening address parses one request at a time and closes clients that send too much

What callers saw: requests ahead, unread, at any listening address ended the process or kept ordinary callers from an answer for 30 s. Cause: Node.js parses a whole read, some 2,400 bare requests, before anything can stop it, and each gets its objects, handler and answer; small chunks of a body keep the loop for as long as they come; connections had no bound. A gate passes one request at a time to the parser; more than 16 behind it close the connection; small chunks take turns; a body that nobody reads closes the connection; above 0.6 of the descriptors one without a request is closed.

--- a/packages/daemons/src/controlDaemon.ts
+++ b/packages/daemons/src/controlDaemon.ts
@@ -33,6 +33,7 @@
   const disk = kumquatfront.fileDisk.open(settings.dataFolder, (error) => {
     onFatal(error instanceof Error ? error.message : String(error));
   });
+  const metrics = kumquatfront.statsdMetrics.create(settings.metrics, control.name);
   return kumquatfront.controlNode
     .create(control, {
       clock,
@@ -40,7 +41,7 @@
       random: kumquatfront.seededRandom.createUnpredictable(),
       peers: transport,
       log,
-      metrics: kumquatfront.statsdMetrics.create(settings.metrics, control.name),
+      metrics,
       disk,
     })
     .map((node) => {
@@ -50,6 +51,9 @@
         peers: transport,
         operatorKeyHash,
         controlAddresses: control.control,
+        requests: new kumquatfront.heldRequests.HeldRequests({
+          ...{ clock, scheduler, log, metrics, bounds: settings.callerBounds },
+        }),
       });
       const [host = '', port = ''] = settings.operatorListen.split(':');
       server.listen(Number(port), host, () => {
--- a/packages/daemons/src/entryDaemon.ts
+++ b/packages/daemons/src/entryDaemon.ts
@@ -68,7 +68,8 @@
   const timers = node.services.find('timers');
   const pauses = new kumquatfront.pauseMonitor.PauseMonitor({ ...ports, timers });
   const recentPause = (): number => pauses.recentPause();
-  const server = kumquatfront.entryHttp.createServer(settings.entry, node, { log, recentPause });
+  const requests = new kumquatfront.heldRequests.HeldRequests({ ...ports, bounds: settings.callerBounds });
+  const server = kumquatfront.entryHttp.createServer(settings.entry, node, { log, recentPause }, requests);
   const [host = '', port = ''] = settings.callerListen.split(':');
   server.listen(Number(port), host, () => {
     log.info('listening', { callers: settings.callerListen, peers: settings.entry.peerAddress });
--- a/packages/kumquatfront/src/adapters/authentication.spec.ts
+++ b/packages/kumquatfront/src/adapters/authentication.spec.ts
@@ -8,6 +8,7 @@
 
 import * as undici from 'undici';
 
+import * as unboundedRequests from '../callerBounds/unboundedRequests.js';
 import * as entryNode from '../entryNode/entryNode.js';
 import type * as entryTypes from '../entryNode/types.js';
 import type * as ports from '../kernel/ports.js';
@@ -125,7 +126,12 @@
     checkUpstream: noop,
     onDrainRequest: noop,
   });
-  const server: http.Server = entryHttp.createServer(settings, node, { log, recentPause: () => 0 });
+  const server: http.Server = entryHttp.createServer(
+    settings,
+    node,
+    { log, recentPause: () => 0 },
+    unboundedRequests.create(),
+  );
   await new Promise<void>((resolve) => {
     server.listen(0, LOCAL, resolve);
   });
--- /dev/null
+++ b/packages/kumquatfront/src/adapters/boundedServer.spec.ts
@@ -0,0 +1,286 @@
+/**
+ * Bounds of a listening server, over loopback connections.
+ */
+import * as assert from 'node:assert/strict';
+import * as events from 'node:events';
+import type * as http from 'node:http';
+import * as net from 'node:net';
+import * as test from 'node:test';
+
+import * as defaultBounds from '../callerBounds/defaultBounds.js';
+import * as heldRequests from '../callerBounds/heldRequests.js';
+import type * as types from '../callerBounds/types.js';
+import * as boundedServer from './boundedServer.js';
+import * as systemTime from './systemTime.js';
+
+const GET = 'GET /a HTTP/1.1\r\nHost: a\r\n\r\n';
+
+interface Running {
+  readonly port: number;
+  readonly server: http.Server;
+  readonly requests: heldRequests.HeldRequests;
+  /** Requests that the handler was given, by path. */
+  readonly begun: string[];
+  /** Answers the requests in order. */
+  readonly answer: () => void;
+  readonly closed: string[];
+}
+
+async function withServer(
+  bounds: Partial<types.CallerBounds>,
+  run: (running: Running) => Promise<void>,
+): Promise<void> {
+  const noop = (): void => undefined;
+  const begun: string[] = [];
+  const closed: string[] = [];
+  const open: http.ServerResponse[] = [];
+  const requests = new heldRequests.HeldRequests({
+    ...systemTime,
+    log: { debug: noop, info: noop, warn: noop, error: noop },
+    metrics: {
+      ...{ gauge: noop, timing: noop },
+      count: (_name, _value, tags) => {
+        closed.push(String(tags?.reason));
+      },
+    },
+    bounds: { ...defaultBounds.forCapacity({}), ...bounds },
+  });
+  const server = boundedServer.create({ listener: 'callers', requests }, (incoming, outgoing, connection) => {
+    begun.push(incoming.url ?? '');
+    if (incoming.url === '/unread') {
+      outgoing.end('unread');
+      return;
+    }
+    connection.readBody(
+      { incoming, outgoing },
+      {
+        maximumBytes: 100_000,
+        onComplete: (body) => {
+          if (incoming.method === 'GET') {
+            open.push(outgoing);
+          } else {
+            outgoing.end(`${body.length} bytes`);
+          }
+        },
+        onTooLarge: () => {
+          outgoing.writeHead(413, { Connection: 'close' });
+          outgoing.end();
+        },
+      },
+    );
+  });
+  server.listen(0, '127.0.0.1');
+  await events.EventEmitter.once(server, 'listening');
+  const { port } = server.address() as net.AddressInfo;
+  const answer = (): void => {
+    open.shift()?.end('answer');
+  };
+  try {
+    await run({ port, server, requests, begun, answer, closed });
+  } finally {
+    server.closeAllConnections();
+    server.close();
+  }
+}
+
+class Client {
+  text = '';
+  isClosed = false;
+  readonly socket: net.Socket;
+
+  constructor(port: number) {
+    this.socket = net.connect(port, '127.0.0.1');
+    this.socket.on('data', (bytes: Buffer) => {
+      this.text += bytes.toString('latin1');
+    });
+    this.socket.on('error', () => undefined);
+    this.socket.on('close', () => {
+      this.isClosed = true;
+    });
+  }
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
+
+// Guards against requests ahead that are all parsed and begun before the first is answered.
+void test.test('requests ahead are begun one after the other', async () => {
+  await withServer({}, async ({ port, begun, answer }) => {
+    const client = new Client(port);
+    client.socket.write(GET.repeat(5));
+    for (let count = 1; count <= 5; count += 1) {
+      await until(() => begun.length >= count);
+      await new Promise((resolve) => setTimeout(resolve, 10));
+      assert.equal(begun.length, count);
+      answer();
+    }
+    await until(() => client.text.split('answer').length === 6);
+    client.socket.destroy();
+  });
+});
+
+// Guards against a client that sends requests without end and reads no answer.
+void test.test('a connection with too many requests ahead is closed', async () => {
+  await withServer({ requestsAhead: 4 }, async ({ port, begun, closed }) => {
+    const client = new Client(port);
+    client.socket.write(GET.repeat(3_000));
+    await until(() => client.isClosed);
+    assert.equal(begun.length, 1);
+    assert.deepEqual(closed, ['requestsAhead']);
+  });
+});
+
+// The same where lines end without a carriage return, which the parser accepts in part.
+void test.test('many heads with bare line feeds begin no more than one request', async () => {
+  await withServer({ requestsAhead: 4 }, async ({ port, begun }) => {
+    const client = new Client(port);
+    client.socket.write('GET /a HTTP/1.1\nHost: a\n\n'.repeat(3_000));
+    await until(() => client.isClosed);
+    assert.ok(begun.length <= 1);
+  });
+});
+
+// Guards against a caller that has left while requests behind its first one wait, and that is noticed only afterwards.
+void test.test('a caller that leaves is noticed although requests of it wait', async () => {
+  await withServer({}, async ({ port, server, begun }) => {
+    const client = new Client(port);
+    const left = new Promise((resolve) => {
+      server.once('request', (_incoming, outgoing: http.ServerResponse) => outgoing.once('close', resolve));
+    });
+    client.socket.write(GET.repeat(2));
+    await until(() => begun.length === 1);
+    client.socket.end();
+    await left;
+    assert.equal(begun.length, 1);
+  });
+});
+
+for (const [name, body] of [
+  ['in chunks of one byte', `${'1\r\nx\r\n'.repeat(50_000)}0\r\n\r\n`],
+  ['in chunks that hold blank lines', `${'4\r\n\r\n\r\n\r\n'.repeat(12_500)}0\r\n\r\n`],
+  ['in one chunk', `${(50_000).toString(16)}\r\n${'x'.repeat(50_000)}\r\n0\r\n\r\n`],
+] as const) {
+  // Guards against a body inside the limits that is refused or changed because of how it is cut.
+  void test.test(`a body ${name} is read whole, and the next request is served`, async () => {
+    await withServer({}, async ({ port, answer, begun, requests }) => {
+      const client = new Client(port);
+      client.socket.write('POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n');
+      client.socket.write(body);
+      await until(() => client.text.includes('50000 bytes'));
+      client.socket.write(GET);
+      await until(() => begun.length === 2);
+      answer();
+      await until(() => client.text.endsWith('answer'));
+      client.socket.destroy();
+      await until(() => requests.heldBytes === 0);
+    });
+  });
+}
+
+// Guards against a head that is cut between reads and is then taken for two.
+void test.test('a request that arrives byte by byte is served', async () => {
+  await withServer({}, async ({ port, answer, begun }) => {
+    const client = new Client(port);
+    client.socket.setNoDelay(true);
+    for (const character of GET) {
+      client.socket.write(character);
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    await until(() => begun.length === 1);
+    answer();
+    await until(() => client.text.endsWith('answer'));
+    client.socket.destroy();
+  });
+});
+
+// Guards against a refusal that the client cannot read, or that does not say when to return.
+void test.test(
+  'a body for which there is no memory gets 503 with Retry-After, and its connection is closed',
+  async () => {
+    await withServer({ heldBytes: 60_000 }, async ({ port, closed, requests }) => {
+      const client = new Client(port);
+      client.socket.write('POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 99000\r\n\r\n');
+      client.socket.write('x'.repeat(90_000));
+      await until(() => client.isClosed);
+      assert.match(client.text, /^HTTP\/1.1 503 [^]*Retry-After: 1\r\n/);
+      assert.deepEqual(closed, ['memory']);
+      assert.equal(requests.heldBytes, 0);
+    });
+  },
+);
+
+// Guards against a stream that is broken off because the body of its request still counts as arriving.
+void test.test('a request that is served for longer than the time limit on arrival is answered', async () => {
+  await withServer({ stallTimeout: 50 }, async ({ port, answer, begun, closed }) => {
+    const client = new Client(port);
+    client.socket.write('GET /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nbytes');
+    await until(() => begun.length === 1);
+    await new Promise((resolve) => setTimeout(resolve, 2_500));
+    answer();
+    await until(() => client.text.endsWith('answer') || client.isClosed);
+    assert.ok(client.text.endsWith('answer'));
+    assert.deepEqual(closed, []);
+    client.socket.destroy();
+  });
+});
+
+// Guards against a body at an address that reads none: its chunks take the processor for as long as the client sends.
+void test.test('a connection whose body nobody reads is closed after the answer', async () => {
+  await withServer({}, async ({ port, closed }) => {
+    const client = new Client(port);
+    client.socket.write('POST /unread HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n');
+    await until(() => client.isClosed);
+    assert.ok(client.text.endsWith('unread'));
+    assert.deepEqual(closed, ['bodyUnread']);
+  });
+});
+
+// Guards against idle connections that use up the descriptors of the process.
+void test.test('above the number of connections, the one unused for longest is closed', async () => {
+  await withServer({ connections: 3 }, async ({ port, answer, begun, closed }) => {
+    const served = new Client(port);
+    served.socket.write(GET);
+    await until(() => begun.length === 1);
+    const clients: Client[] = [];
+    for (let count = 0; count < 4; count += 1) {
+      const client = new Client(port);
+      clients.push(client);
+      await events.EventEmitter.once(client.socket, 'connect');
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+    await until(() => closed.length === 2);
+    assert.deepEqual(
+      clients.map(({ isClosed }) => isClosed),
+      [true, true, false, false],
+    );
+    answer();
+    await until(() => served.text.endsWith('answer'));
+    for (const client of [served, ...clients]) {
+      client.socket.destroy();
+    }
+  });
+});
+
+// Guards against small chunks of one connection that keep the event loop from all others.
+void test.test('a body in small chunks is parsed over many iterations of the event loop', async () => {
+  await withServer({}, async ({ port, begun }) => {
+    const client = new Client(port);
+    client.socket.write('POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n');
+    await until(() => begun.length === 1);
+    let iterations = 0;
+    const count = (): void => {
+      iterations += 1;
+      if (client.text === '') {
+        setImmediate(count);
+      }
+    };
+    client.socket.write(`${'1\r\nx\r\n'.repeat(90_000)}0\r\n\r\n`);
+    setImmediate(count);
+    await until(() => client.text.includes('90000 bytes'));
+    assert.ok(iterations >= 60, `${iterations} iterations for 540 kB`);
+    client.socket.destroy();
+  });
+});
--- a/packages/kumquatfront/src/adapters/controlHttp.ts
+++ b/packages/kumquatfront/src/adapters/controlHttp.ts
@@ -2,10 +2,11 @@
  * HTTP API of a control replica for operators. A replica that is not the leader forwards changes to the leader,
  * so operators can use the address of any replica.
  */
-import * as http from 'node:http';
+import type * as http from 'node:http';
 
 import type * as agreedState from '../agreedState/types.js';
 import type * as configuration from '../configuration/types.js';
+import type * as heldRequests from '../callerBounds/heldRequests.js';
 import type * as controlNode from '../controlNode/controlNode.js';
 import * as leaderForwarding from '../controlNode/leaderForwarding.js';
 import * as methods from '../controlNode/methods.js';
@@ -14,6 +15,7 @@
 import * as results from '../kernel/results.js';
 import type * as dataCentreOrders from '../operatorOrders/dataCentreOrders.js';
 import * as trafficResolver from '../selectors/trafficResolver.js';
+import * as boundedServer from './boundedServer.js';
 import * as callerConnections from './callerConnections.js';
 import * as httpMessages from './httpMessages.js';
 import * as peerAuthentication from './peerAuthentication.js';
@@ -27,6 +29,8 @@
   readonly operatorKeyHash: string;
   /** Peer addresses of all control replicas. */
   readonly controlAddresses: readonly string[];
+  /** Requests held at this process. */
+  readonly requests: heldRequests.HeldRequests;
 }
 
 interface ServerOptions extends ControlHttpOptions {
@@ -54,7 +58,8 @@
     ...systemTime,
     appliedIndex: () => replica.appliedIndex,
   });
-  const server = http.createServer(httpMessages.serverOptions, (request, response) => {
+  const bounded = { listener: 'operators', requests: options.requests, http: httpMessages.serverOptions };
+  const server = boundedServer.create(bounded, (request, response, connection) => {
     const hash = trafficResolver.hashKey(httpMessages.bearerKey(request));
     if (!peerAuthentication.timingSafeEqual(hash, options.operatorKeyHash)) {
       const remedy = 'Send the operators key in the Authorization header.';
@@ -64,13 +69,14 @@
       );
       return;
     }
-    route({ ...options, callers }, request, response);
+    route({ ...options, callers }, { incoming: request, outgoing: response, connection });
   });
   callers.track(server);
   return server;
 }
 
-function route(options: ServerOptions, request: http.IncomingMessage, response: http.ServerResponse): void {
+function route(options: ServerOptions, served: httpMessages.ServedRequest): void {
+  const { incoming: request, outgoing: response } = served;
   const url = new URL(request.url ?? '/', 'http://control');
   const [, kind, name] = OBJECT_PATH.exec(url.pathname) ?? [];
   const [, dataCentre] = EVACUATION_PATH.exec(url.pathname) ?? [];
@@ -82,11 +88,11 @@
     sendAccounts(options, response);
   } else if (request.method === 'POST' && url.pathname === '/v1/drains') {
     whileCallerWaits(options, request, response, { order: 'drain' }, () => {
-      drainEntry(options, request, response);
+      drainEntry(options, served);
     });
   } else if (request.method === 'POST' && url.pathname === '/v1/orders') {
     whileCallerWaits(options, request, response, { order: 'upstreamOrder' }, () => {
-      submitOrder(options, request, response);
+      submitOrder(options, served);
     });
   } else if ((request.method === 'PUT' || request.method === 'DELETE') && dataCentre !== undefined) {
     const type = request.method === 'PUT' ? 'evacuate' : 'restore';
@@ -98,7 +104,7 @@
     kind !== undefined &&
     name !== undefined
   ) {
-    configureObject(options, kind, name, request, response);
+    configureObject(options, kind, name, served);
   } else {
     const remedy = 'See docs/http.md for the paths.';
     httpMessages.sendFailure(response, failures.create('notFound', `There is no ${url.pathname}.`, remedy));
@@ -165,10 +171,10 @@
   options: ControlHttpOptions,
   kind: string,
   name: string,
-  request: http.IncomingMessage,
-  response: http.ServerResponse,
+  served: httpMessages.ServedRequest,
 ): void {
-  httpMessages.readBody(request, (text) => {
+  const { incoming: request, outgoing: response } = served;
+  httpMessages.readBody(served, (text) => {
     const command = text
       .andThen(httpMessages.parseObject)
       .andThen((body) => parseConfigureCommand(kind, name, request.method === 'DELETE', body));
@@ -201,12 +207,9 @@
   }
 }
 
-function submitOrder(
-  options: ControlHttpOptions,
-  request: http.IncomingMessage,
-  response: http.ServerResponse,
-): void {
-  httpMessages.readBody(request, (text) => {
+function submitOrder(options: ControlHttpOptions, served: httpMessages.ServedRequest): void {
+  const { outgoing: response } = served;
+  httpMessages.readBody(served, (text) => {
     const body = text.andThen(httpMessages.parseObject).andThen(parseOrderCommand);
     if (body.err) {
       httpMessages.sendFailure(response, body.val);
@@ -316,12 +319,9 @@
   });
 }
 
-function drainEntry(
-  options: ControlHttpOptions,
-  request: http.IncomingMessage,
-  response: http.ServerResponse,
-): void {
-  httpMessages.readBody(request, (text) => {
+function drainEntry(options: ControlHttpOptions, served: httpMessages.ServedRequest): void {
+  const { outgoing: response } = served;
+  httpMessages.readBody(served, (text) => {
     const body = text.andThen(httpMessages.parseObject);
     const name = body.ok && typeof body.val.entry === 'string' ? body.val.entry : '';
     collectStatus(options, (replicas) => {
--- a/packages/kumquatfront/src/adapters/entryHttp.spec.ts
+++ b/packages/kumquatfront/src/adapters/entryHttp.spec.ts
@@ -12,6 +12,7 @@
 import type * as entryTypes from '../entryNode/types.js';
 import type * as ports from '../kernel/ports.js';
 import * as serviceRegistry from '../kernel/serviceRegistry.js';
+import * as unboundedRequests from '../callerBounds/unboundedRequests.js';
 import * as entryHttp from './entryHttp.js';
 
 const LOCAL = '127.0.0.1';
@@ -54,7 +55,12 @@
       this.logged.push(event);
     };
     const log: ports.Log = { debug: write, info: write, warn: write, error: write };
-    this.server = entryHttp.createServer(settings, node, { recentPause: () => recentPause, log });
+    this.server = entryHttp.createServer(
+      settings,
+      node,
+      { recentPause: () => recentPause, log },
+      unboundedRequests.create(),
+    );
   }
 
   async listen(): Promise<number> {
--- a/packages/kumquatfront/src/adapters/entryHttp.ts
+++ b/packages/kumquatfront/src/adapters/entryHttp.ts
@@ -1,14 +1,16 @@
 /**
  * HTTP API of an entry for callers and upstreams.
  */
-import * as http from 'node:http';
+import type * as http from 'node:http';
 
+import type * as heldRequests from '../callerBounds/heldRequests.js';
 import * as upstreamUpdateParser from '../directory/upstreamUpdateParser.js';
 import type * as entryNode from '../entryNode/entryNode.js';
 import type * as entryTypes from '../entryNode/types.js';
 import * as failures from '../kernel/failures.js';
 import * as trafficResolver from '../selectors/trafficResolver.js';
 import type * as streams from '../streams/types.js';
+import * as boundedServer from './boundedServer.js';
 import * as httpMessages from './httpMessages.js';
 import * as peerAuthentication from './peerAuthentication.js';
 import * as generationResponses from './generationResponses.js';
@@ -28,30 +30,34 @@
  *
  * @param entry - the entry that handles the requests
  * @param pauses - the log, and the last pause of this process
+ * @param requests - requests held at this process
  * @returns the server, not yet listening
  * @example
  * ```ts
- * entryHttp.createServer(settings, entry, { log, recentPause: () => pauses.recentPause() }).listen(8080);
+ * entryHttp.createServer(settings, entry, { log, recentPause }, requests).listen(8080);
  * ```
  */
 export function createServer(
   settings: entryTypes.EntrySettings,
   entry: entryNode.EntryNode,
   pauses: requestsAfterPause.PauseOptions,
+  requests: heldRequests.HeldRequests,
 ): http.Server {
   const api: EntryApi = { entry, pauses };
-  return http.createServer(httpMessages.serverOptions, (request, response) => {
+  const bounded = { listener: 'callers', requests, http: httpMessages.serverOptions };
+  return boundedServer.create(bounded, (request, response, connection) => {
+    const served: httpMessages.ServedRequest = { incoming: request, outgoing: response, connection };
     const url = new URL(request.url ?? '/', 'http://entry');
     if (request.method === 'GET' && url.pathname === '/v1/entries') {
       sendAddresses(settings, entry, response);
     } else if (request.method === 'POST' && url.pathname === '/v1/announcements') {
-      handleAnnouncement(settings, entry, request, response);
+      handleAnnouncement(settings, entry, served);
     } else if (request.method === 'POST' && GENERATION_PATHS.includes(url.pathname)) {
-      generate(api, url.pathname, request, response);
+      generate(api, url.pathname, served);
     } else if (request.method === 'GET' && REQUEST_PATH.test(url.pathname)) {
       resume(api, url, request, response);
     } else if (SERVICE_PATH.test(url.pathname)) {
-      callService(api, url, request, response);
+      callService(api, url, served);
     } else if (request.method === 'GET' && url.pathname === '/v1/status') {
       sendStatus(entry, request, response);
     } else {
@@ -79,9 +85,9 @@
 function handleAnnouncement(
   settings: entryTypes.EntrySettings,
   entry: entryNode.EntryNode,
-  request: http.IncomingMessage,
-  response: http.ServerResponse,
+  served: httpMessages.ServedRequest,
 ): void {
+  const { incoming: request, outgoing: response } = served;
   // An unauthenticated announcement would route callers' prompts to an untrusted process.
   if (!isUpstream(settings, request)) {
     const remedy = 'Announce with the upstream key of this cluster.';
@@ -91,7 +97,7 @@
     );
     return;
   }
-  httpMessages.readBody(request, (body) => {
+  httpMessages.readBody(served, (body) => {
     const update = body.andThen(upstreamUpdateParser.parse);
     if (update.err) {
       httpMessages.sendFailure(response, update.val);
@@ -121,23 +127,19 @@
 /** Reads the body of a caller's request, and continues while the caller waits. */
 function readCallerBody(
   { pauses }: EntryApi,
-  request: http.IncomingMessage,
+  served: httpMessages.ServedRequest,
   done: httpMessages.BodyCallback,
 ): void {
-  httpMessages.readBody(request, (body) => {
-    requestsAfterPause.whileCallerWaits(pauses, request, () => {
+  httpMessages.readBody(served, (body) => {
+    requestsAfterPause.whileCallerWaits(pauses, served.incoming, () => {
       done(body);
     });
   });
 }
 
-function generate(
-  api: EntryApi,
-  path: string,
-  request: http.IncomingMessage,
-  response: http.ServerResponse,
-): void {
-  readCallerBody(api, request, (text) => {
+function generate(api: EntryApi, path: string, served: httpMessages.ServedRequest): void {
+  const { incoming: request, outgoing: response } = served;
+  readCallerBody(api, served, (text) => {
     const body = text.andThen(httpMessages.parseObject);
     if (body.err) {
       const { message, remedy } = body.val;
@@ -191,14 +193,10 @@
   });
 }
 
-function callService(
-  api: EntryApi,
-  url: URL,
-  request: http.IncomingMessage,
-  response: http.ServerResponse,
-): void {
+function callService(api: EntryApi, url: URL, served: httpMessages.ServedRequest): void {
+  const { incoming: request, outgoing: response } = served;
   const [, service = '', path = '/'] = SERVICE_PATH.exec(url.pathname) ?? [];
-  readCallerBody(api, request, (body) => {
+  readCallerBody(api, served, (body) => {
     if (body.err) {
       httpMessages.sendFailure(response, body.val);
       return;
--- a/packages/kumquatfront/src/adapters/httpMessages.ts
+++ b/packages/kumquatfront/src/adapters/httpMessages.ts
@@ -6,6 +6,8 @@
 import * as failures from '../kernel/failures.js';
 import * as results from '../kernel/results.js';
 import type * as streams from '../streams/types.js';
+import type * as boundedServer from './boundedServer.js';
+import type * as connectionGate from './connectionGate.js';
 
 /** Maximum size of a request body. */
 export const MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
@@ -23,48 +25,33 @@
 /** Receives the request body, or the failure that prevented reading it. */
 export type BodyCallback = (result: results.Result<string, failures.Failure>) => void;
 
+/** A request at one of the servers. */
+export interface ServedRequest extends connectionGate.CurrentRequest {
+  readonly connection: boundedServer.ServedConnection;
+}
+
 /**
  * Reads the body of a request, up to the maximum size.
  *
- * @param done - called once with the body decoded as UTF-8, or with a failure
+ * @param done - called at most once with the body decoded as UTF-8, or with a failure; not called if the client disconnects
  * @example
  * ```ts
- * httpMessages.readBody(request, (body) => body.ok && handle(body.val));
+ * httpMessages.readBody(served, (body) => body.ok && handle(body.val));
  * ```
  */
-export function readBody(request: http.IncomingMessage, done: BodyCallback): void {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  let settled = false;
-  const finish: BodyCallback = (result) => {
-    if (!settled) {
-      settled = true;
-      done(result);
-    }
-  };
-  request.on('data', (bytes: Buffer) => {
-    length += bytes.length;
-    if (length > MAXIMUM_BODY_BYTES) {
+export function readBody(served: ServedRequest, done: BodyCallback): void {
+  served.connection.readBody(served, {
+    maximumBytes: MAXIMUM_BODY_BYTES,
+    onComplete: (body) => {
+      done(results.Ok(body.toString('utf8')));
+    },
+    onTooLarge: () => {
+      served.outgoing.shouldKeepAlive = false;
       const remedy = `Send at most ${MAXIMUM_BODY_BYTES} bytes.`;
-      finish(results.Err(failures.create('tooLarge', 'The body is too large.', remedy)));
-      return;
-    }
-    chunks.push(bytes);
-  });
-  request.on('end', () => {
-    finish(results.Ok(Buffer.concat(chunks).toString('utf8')));
-  });
-  request.on('error', () => {
-    finish(
-      results.Err(
-        failures.create(
-          'badInput',
-          'The connection closed before the body was complete.',
-          'Send the request again.',
-        ),
-      ),
-    );
+      done(results.Err(failures.create('tooLarge', 'The body is too large.', remedy)));
+    },
   });
+  served.incoming.on('error', () => undefined);
 }
 
 /**
--- a/packages/kumquatfront/src/adapters/trafficHttp.spec.ts
+++ b/packages/kumquatfront/src/adapters/trafficHttp.spec.ts
@@ -7,6 +7,7 @@
 import * as net from 'node:net';
 import * as test from 'node:test';
 
+import * as unboundedRequests from '../callerBounds/unboundedRequests.js';
 import * as entryLoad from '../entryLoad/entryLoad.js';
 import type * as ports from '../kernel/ports.js';
 import * as timerService from '../kernel/timerService.js';
@@ -73,6 +74,7 @@
     log,
     load,
     limits: () => undefined,
+    requests: unboundedRequests.create(),
     isDraining: () => false,
     recentPause: () => recentPause,
     decode: (raw) => ({
--- a/packages/kumquatfront/src/adapters/trafficHttp.ts
+++ b/packages/kumquatfront/src/adapters/trafficHttp.ts
@@ -2,13 +2,16 @@
  * HTTP server that buffers the requests of callers and passes them to a relay. A decoder interprets the headers of
  * requests and an encoder formats refusals; this module handles HTTP only.
  */
-import * as http from 'node:http';
+import type * as http from 'node:http';
 import type * as net from 'node:net';
 
+import type * as heldRequests from '../callerBounds/heldRequests.js';
 import type * as entryLoad from '../entryLoad/entryLoad.js';
 import type * as ports from '../kernel/ports.js';
 import type * as relayTypes from '../relay/types.js';
 import type * as trafficTypes from '../traffic/types.js';
+import * as boundedServer from './boundedServer.js';
+import type * as httpMessages from './httpMessages.js';
 import * as rawHeaders from './rawHeaders.js';
 import * as requestsAfterPause from './requestsAfterPause.js';
 
@@ -26,6 +29,8 @@
 /** Added to the idle timeout announced to callers, so that no request arrives while the connection is closed. */
 const KEEP_ALIVE_MARGIN: ports.Milliseconds = 1_000;
 
+const NO_BODY = new Uint8Array(0);
+
 /** A received HTTP request before decoding. */
 export interface RawRequest {
   readonly method: string;
@@ -54,6 +59,10 @@
     refusal: relayTypes.Refusal,
   ) => RefusalResponse;
   readonly handle: (request: relayTypes.TrafficRequest, caller: relayTypes.CallerPort) => void;
+  /** Requests held at this process. */
+  readonly requests: heldRequests.HeldRequests;
+  /** Time from the arrival of a request after which it can no longer be served; undefined if there is none. */
+  readonly timeLimit?: (request: relayTypes.TrafficRequest) => ports.Milliseconds | undefined;
   /** Load of the entry; undefined if it is not measured. */
   readonly load?: entryLoad.EntryLoad | undefined;
 }
@@ -77,9 +86,16 @@
  * ```
  */
 export function create(options: TrafficHttpOptions): TrafficServer {
-  const server = http.createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES }, (incoming, outgoing) => {
-    receiveRequest(options, incoming, outgoing);
-  });
+  const server = boundedServer.create(
+    {
+      ...{ listener: 'callers', requests: options.requests },
+      http: { maxHeaderSize: MAXIMUM_HEADER_BYTES },
+      stallTimeout: () => stallTimeout(options),
+    },
+    (incoming, outgoing, connection) => {
+      receiveRequest(options, { incoming, outgoing, connection });
+    },
+  );
   server.on('connection', (socket) => {
     const closed = options.load?.openConnection();
     if (closed !== undefined) {
@@ -100,7 +116,7 @@
     server.headersTimeout = limits.headerTimeout;
     server.keepAliveTimeout = limits.idleTimeout + KEEP_ALIVE_MARGIN;
   };
-  // Slow request bodies are limited by the deadline of the caller instead.
+  // A slow body is limited by the deadline of its request and by the time without a byte instead.
   server.requestTimeout = 0;
   refreshLimits();
   return { server, refreshLimits };
@@ -111,11 +127,14 @@
   outgoing.end(JSON.stringify({ error: message }));
 }
 
-function receiveRequest(
-  options: TrafficHttpOptions,
-  incoming: http.IncomingMessage,
-  outgoing: http.ServerResponse,
-): void {
+/** A caller may pause for as long as it may stay idle. */
+function stallTimeout({ limits, requests }: TrafficHttpOptions): ports.Milliseconds {
+  const idleTimeout = (limits() ?? DEFAULT_LIMITS).idleTimeout + KEEP_ALIVE_MARGIN;
+  return Math.max(requests.bounds.stallTimeout, idleTimeout);
+}
+
+function receiveRequest(options: TrafficHttpOptions, served: httpMessages.ServedRequest): void {
+  const { incoming, outgoing, connection } = served;
   const limits = options.limits() ?? DEFAULT_LIMITS;
   const arrivedAt = options.clock.now();
   const headerBytes = incoming.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
@@ -123,39 +142,38 @@
     rejectRequest(outgoing, 431, `The header has more than ${limits.headerBytes} bytes; send less.`);
     return;
   }
-  if (Number(incoming.headers['content-length'] ?? 0) > limits.bodyBytes) {
+  const rejectTooLarge = (): void => {
     rejectRequest(outgoing, 413, `The body has more than ${limits.bodyBytes} bytes; send less.`);
+  };
+  if (Number(incoming.headers['content-length'] ?? 0) > limits.bodyBytes) {
+    rejectTooLarge();
     return;
   }
-  const chunks: Buffer[] = [];
-  let length = 0;
-  incoming.on('data', (bytes: Buffer) => {
-    length += bytes.length;
-    if (length <= limits.bodyBytes) {
-      chunks.push(bytes);
-    } else if (!outgoing.headersSent) {
-      rejectRequest(outgoing, 413, `The body has more than ${limits.bodyBytes} bytes; send less.`);
-    }
-  });
   incoming.on('error', (error) => {
     options.log.debug('requestBroken', { reason: error.message });
   });
-  const pass = (): void => {
-    if (outgoing.headersSent || outgoing.destroyed) {
-      return;
-    }
-    options.load?.addBytes(headerBytes + length);
-    const request = options.decode({
+  const decode = (body: Uint8Array): relayTypes.TrafficRequest =>
+    options.decode({
       method: incoming.method ?? 'GET',
       url: incoming.url ?? '/',
       headers: rawHeaders.toPairs(incoming.rawHeaders),
-      body: Buffer.concat(chunks),
+      body,
       arrivedAt,
     });
-    options.handle(request, createCaller(options, request, incoming, outgoing));
-  };
-  incoming.on('end', () => {
-    requestsAfterPause.whileCallerWaits(options, incoming, pass);
+  connection.readBody(served, {
+    maximumBytes: limits.bodyBytes,
+    isLate: () => {
+      const timeLimit = options.timeLimit?.(decode(NO_BODY)) ?? Number.POSITIVE_INFINITY;
+      return options.clock.now() - arrivedAt > timeLimit;
+    },
+    onComplete: (body) => {
+      requestsAfterPause.whileCallerWaits(options, incoming, () => {
+        options.load?.addBytes(headerBytes + body.length);
+        const request = decode(body);
+        options.handle(request, createCaller(options, request, incoming, outgoing));
+      });
+    },
+    onTooLarge: rejectTooLarge,
   });
 }
 
--- a/packages/kumquatfront/src/relay/brokenAnswers.spec.ts
+++ b/packages/kumquatfront/src/relay/brokenAnswers.spec.ts
@@ -9,6 +9,7 @@
 import * as connectionCheck from '../adapters/connectionCheck.js';
 import * as singleUseConnection from '../adapters/singleUseConnection.js';
 import * as systemTime from '../adapters/systemTime.js';
+import * as unboundedRequests from '../callerBounds/unboundedRequests.js';
 import * as trafficHttp from '../adapters/trafficHttp.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as bufferedExchange from './bufferedExchange.js';
@@ -73,6 +74,7 @@
     clock: harness.time.clock,
     log: harness.context.log,
     limits: () => undefined,
+    requests: unboundedRequests.create(),
     isDraining: () => false,
     recentPause: () => 0,
     decode: () => harness.createRoutedRequest(kind).request,
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -346,6 +346,15 @@
     return this.routes?.limits;
   }
 
+  /**
+   * Time for which a request may be kept waiting, from its arrival: until its caller gives up, or until the time limit of
+   * its route.
+   */
+  timeLimitOf({ host, path, callerTimeout }: relayTypes.TrafficRequest): ports.Milliseconds {
+    const { timeout = Number.POSITIVE_INFINITY } = this.routes?.routeOf(host, path) ?? {};
+    return Math.min(timeout, callerTimeout ?? Number.POSITIVE_INFINITY);
+  }
+
   private applyTraffic(text: string): void {
     const decoded = this.entryPorts.decodeTraffic(text);
     if (decoded.err) {
--- a/packages/standIns/src/engine/engineHttp.ts
+++ b/packages/standIns/src/engine/engineHttp.ts
@@ -5,6 +5,7 @@
 
 import * as kumquatfront from 'kumquatfront';
 
+import * as requestBody from '../requestBody.js';
 import * as responseFraming from '../responseFraming.js';
 import * as engineModel from './engineModel.js';
 import * as orderReceiver from './orderReceiver.js';
@@ -89,7 +90,7 @@
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): void {
-  kumquatfront.httpMessages.readBody(request, (text) => {
+  requestBody.read(request, (text) => {
     const order = JSON.parse(text.unwrapOr('{}')) as { fencingNumber: number; target: string };
     const accepted = receiver.accept(order.fencingNumber, order.target);
     kumquatfront.httpMessages.sendJson(response, accepted ? 200 : 409, receiver.latestReceipt());
@@ -128,7 +129,7 @@
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): void {
-  kumquatfront.httpMessages.readBody(request, (text) => {
+  requestBody.read(request, (text) => {
     const generation = String(request.headers['x-generation-id']);
     const priority = Number(request.headers['x-priority']);
     const engineRequest = requestParser.parse({ generation, priority, body: text.unwrapOr('{}') });
--- a/packages/standIns/src/service/serviceHttp.ts
+++ b/packages/standIns/src/service/serviceHttp.ts
@@ -5,6 +5,7 @@
 
 import * as kumquatfront from 'kumquatfront';
 
+import * as requestBody from '../requestBody.js';
 import * as responseFraming from '../responseFraming.js';
 import type * as serviceModel from './serviceModel.js';
 
@@ -25,7 +26,7 @@
       kumquatfront.httpMessages.sendJson(response, 200, Object.fromEntries(model.runCounts));
       return;
     }
-    kumquatfront.httpMessages.readBody(request, () => {
+    requestBody.read(request, () => {
       const key = kumquatfront.httpMessages.header(request, 'idempotency-key') ?? '';
       const body = model.run(request.method ?? 'GET', request.url ?? '/', key);
       framings.apply(response, Buffer.byteLength(body));
