--- a/packages/scenarios/src/scripts/operatorOrderSafeguards.ts
+++ b/packages/scenarios/src/scripts/operatorOrderSafeguards.ts
@@ -124,7 +124,7 @@
   {
     name: 'calls on the interface of the product are dropped after a pause if their caller has left',
     file: 'adapters/entryHttp.js',
-    find: 'requestsAfterPause.whileCallerWaits(pauses, request, () => {\n            done(body);\n        });',
+    find: 'requestsAfterPause.whileCallerWaits(pauses, served.incoming, () => {\n            done(body);\n        });',
     replace: 'done(body);',
     scenario: 'spec:adapters/entryHttp',
   },
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -3,6 +3,7 @@
  */
 
 import * as backPressureSafeguards from './backPressureSafeguards.js';
+import * as callerBoundsSafeguards from './callerBoundsSafeguards.js';
 import * as callSlotsSafeguards from './callSlotsSafeguards.js';
 import * as completionSafeguards from './completionSafeguards.js';
 import * as configurationDeliverySafeguards from './configurationDeliverySafeguards.js';
@@ -29,6 +30,7 @@
 export const safeguards: readonly types.Safeguard[] = [
   ...servingSafeguards.servingSafeguards,
   ...endlessResponseSafeguards.endlessResponseSafeguards,
+  ...callerBoundsSafeguards.callerBoundsSafeguards,
   ...outsideInputSafeguards.outsideInputSafeguards,
   ...controlSafeguards.controlSafeguards,
   ...configurationDeliverySafeguards.configurationDeliverySafeguards,
