A closed connection holds nothing

What callers would have seen: after clients had left with requests ahead, the process counts their bytes for good, and in the end refuses every request with 503. Cause: closing set the bytes ahead to 0 beside the account, and a connection could still be counted after its close (a turn that was due, an answer that ended late). Change: closing is one change of the account, later ones are ignored, and the separate removal is gone, since a connection that holds nothing leaves the set by itself. Found by reading the change. Two tests fail without it.

--- a/packages/kumquatfront/src/adapters/boundedServer.spec.ts
+++ b/packages/kumquatfront/src/adapters/boundedServer.spec.ts
@@ -263,3 +263,16 @@
     }
   });
 });
+
+// Guards against bytes ahead that stay counted when their client has left.
+void test.test('a client that leaves with requests ahead holds nothing afterwards', async () => {
+  await withServer({}, async ({ port, begun, requests }) => {
+    const client = new Client(port);
+    client.socket.write(GET.repeat(5));
+    await until(() => begun.length === 1 && requests.heldBytes > 0);
+    client.socket.destroy();
+    await until(() => client.isClosed);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    assert.equal(requests.heldBytes, 0);
+  });
+});
--- a/packages/kumquatfront/src/callerBounds/heldRequests.spec.ts
+++ b/packages/kumquatfront/src/callerBounds/heldRequests.spec.ts
@@ -136,3 +136,17 @@
   fixture.time.advance(5_000);
   assert.match(fixture.lines[1] ?? '', /callersClosed.*"connections":1,/);
 });
+
+// Guards against memory that closed connections seem to hold: in time it would refuse every request.
+void test.test('a closed connection holds nothing, whatever is counted for it afterwards', () => {
+  const fixture = new Fixture();
+  const held = fixture.open('left');
+  held.grow(1_000);
+  held.serve();
+  held.setAhead(50_000);
+  held.close();
+  assert.equal(fixture.requests.heldBytes, 0);
+  held.setAhead(20_000);
+  held.answer(300_000);
+  assert.equal(fixture.requests.heldBytes, 0);
+});
--- a/packages/kumquatfront/src/callerBounds/heldRequests.ts
+++ b/packages/kumquatfront/src/callerBounds/heldRequests.ts
@@ -48,6 +48,7 @@
   /** When the first of the bytes that may be refused arrived. */
   since: ports.Milliseconds = 0;
   lastByteAt: ports.Milliseconds = 0;
+  private isClosed = false;
 
   constructor(
     private readonly requests: HeldRequests,
@@ -101,14 +102,21 @@
     });
   }
 
-  /** The connection is closed. */
+  /** The connection is closed; what is counted for it afterwards is ignored. */
   close(): void {
-    this.ahead = 0;
-    this.end();
-    this.requests.remove(this);
+    this.change(() => {
+      this.arriving = 0;
+      this.served = 0;
+      this.ahead = 0;
+      this.unread = 0;
+    });
+    this.isClosed = true;
   }
 
   private change(apply: () => void): void {
+    if (this.isClosed) {
+      return;
+    }
     const before = this.total;
     const hadRefusable = this.refusable > 0;
     apply();
@@ -185,10 +193,6 @@
     }
   }
 
-  remove(connection: HeldConnection): void {
-    this.holding.delete(connection);
-  }
-
   /** Refuses requests by the bytes that they hold times the time for which they hold them. */
   private refuseDownTo(target: number): void {
     const { now } = this;
