The time limit of a request ends with its answer

What callers would have seen: on a kept connection, a head that arrives in two parts is refused by the time limit of the request before it. Cause: the check was set when a body was read and never taken back. Change: it ends with the answer. The new test fails without it.

--- a/packages/kumquatfront/src/adapters/boundedServer.spec.ts
+++ b/packages/kumquatfront/src/adapters/boundedServer.spec.ts
@@ -55,6 +55,7 @@
       { incoming, outgoing },
       {
         maximumBytes: 100_000,
+        isLate: () => incoming.url === '/late',
         onComplete: (body) => {
           if (incoming.method === 'GET') {
             open.push(outgoing);
@@ -264,6 +265,23 @@
   });
 });
 
+// Guards against a next request that is refused by the time limit of the one before it.
+void test.test('a head that arrives slowly after a late request is served', async () => {
+  await withServer({}, async ({ port, answer, begun, closed }) => {
+    const client = new Client(port);
+    client.socket.write(GET.replace('/a', '/late'));
+    await until(() => begun.length === 1);
+    answer();
+    await until(() => client.text.endsWith('answer'));
+    client.socket.write(GET.slice(0, 10));
+    await new Promise((resolve) => setTimeout(resolve, 2_500));
+    client.socket.write(GET.slice(10));
+    await until(() => begun.length === 2 || client.isClosed);
+    assert.deepEqual(closed, []);
+    client.socket.destroy();
+  });
+});
+
 // Guards against bytes ahead that stay counted when their client has left.
 void test.test('a client that leaves with requests ahead holds nothing afterwards', async () => {
   await withServer({}, async ({ port, begun, requests }) => {
--- a/packages/kumquatfront/src/adapters/boundedServer.ts
+++ b/packages/kumquatfront/src/adapters/boundedServer.ts
@@ -49,6 +49,9 @@
   stalled: 'The request did not arrive in time; send it again.',
 };
 
+/** For a request without a time limit, and for the head of the next one. */
+const isNeverLate = (): boolean => false;
+
 /** How the body of a request is read. */
 export interface BodyOptions {
   /** Size above which `onTooLarge` is called, once, and the rest is ignored. */
@@ -64,7 +67,7 @@
   readonly gate: connectionGate.ConnectionGate;
   private readonly held: heldRequests.HeldConnection;
   private body = new bodyBuffer.BodyBuffer();
-  private isLate: () => boolean = () => false;
+  private isLate = isNeverLate;
 
   constructor(
     private readonly socket: net.Socket,
@@ -119,6 +122,7 @@
     });
     outgoing.once('close', () => {
       this.held.end();
+      this.isLate = isNeverLate;
       if (incoming.complete) {
         this.gate.end();
       } else if (!this.socket.writableEnded && !this.socket.destroyed) {
@@ -139,7 +143,7 @@
    */
   readBody(
     { incoming, outgoing }: connectionGate.CurrentRequest,
-    { maximumBytes, isLate = () => false, onComplete, onTooLarge }: BodyOptions,
+    { maximumBytes, isLate = isNeverLate, onComplete, onTooLarge }: BodyOptions,
   ): void {
     const { body } = this;
     this.isLate = isLate;
