One size, one callback type and no dead code around the bounds on callers

The gate's bound on bytes ahead names the largest body instead of repeating its figure, its callback has no argument that is always the same, the stand-ins use the type of body callbacks that the library has, and an unused getter of the hostile crowd is gone. No behaviour changes.

--- a/packages/kumquatfront/src/adapters/boundedServer.ts
+++ b/packages/kumquatfront/src/adapters/boundedServer.ts
@@ -84,8 +84,8 @@
     });
     this.gate = new connectionGate.ConnectionGate(socket, {
       ...{ held: this.held, turns, requestsAhead: requests.bounds.requestsAhead },
-      onTooManyAhead: (reason) => {
-        this.giveUp(reason);
+      onTooMuchAhead: () => {
+        this.giveUp('requestsAhead');
       },
     });
     const destroySoon = socket.destroySoon.bind(socket);
--- a/packages/kumquatfront/src/adapters/connectionGate.ts
+++ b/packages/kumquatfront/src/adapters/connectionGate.ts
@@ -6,13 +6,13 @@
 import type * as net from 'node:net';
 
 import type * as heldRequests from '../callerBounds/heldRequests.js';
-import type * as types from '../callerBounds/types.js';
+import * as httpMessages from './httpMessages.js';
 
 /** Bytes that may wait for the parser before the connection is not read any more; the size of one read. */
 const WAITING_BYTES = 65_536;
 
 /** Bytes that a client may have sent behind the request that is served: another request of the largest size. */
-const MAXIMUM_AHEAD_BYTES = 4_194_304 + WAITING_BYTES;
+const MAXIMUM_AHEAD_BYTES = httpMessages.MAXIMUM_BODY_BYTES + WAITING_BYTES;
 
 /** Bytes that are ignored of a request that is refused before its end. */
 const MAXIMUM_DISCARDED_BYTES = 524_288;
@@ -54,7 +54,7 @@
   readonly held: heldRequests.HeldConnection;
   readonly turns: ChunkTurns;
   readonly requestsAhead: number;
-  readonly onTooManyAhead: (reason: types.CloseReason) => void;
+  readonly onTooMuchAhead: () => void;
 }
 
 /** A request and its answer. */
@@ -209,10 +209,10 @@
     if (newest === undefined || !this.isServing) {
       return;
     }
-    const { requestsAhead, onTooManyAhead } = this.options;
+    const { requestsAhead, onTooMuchAhead } = this.options;
     this.headsAhead += countHeads(newest, requestsAhead);
     if (this.headsAhead > requestsAhead || this.waitingBytes > MAXIMUM_AHEAD_BYTES) {
-      onTooManyAhead('requestsAhead');
+      onTooMuchAhead();
     }
   }
 
--- a/packages/soak/src/hostileClients.ts
+++ b/packages/soak/src/hostileClients.ts
@@ -112,11 +112,6 @@
     }
   }
 
-  /** Connections that the process has not closed. */
-  get openCount(): number {
-    return this.sockets.filter((socket) => !socket.destroyed).length;
-  }
-
   /** Waits until the connections have sent everything, are closed, or are not read any more. */
   async sendAll(onSample: () => void): Promise<void> {
     let remaining = Number.POSITIVE_INFINITY;
--- a/packages/standIns/src/requestBody.ts
+++ b/packages/standIns/src/requestBody.ts
@@ -5,11 +5,6 @@
 
 import * as kumquatfront from 'kumquatfront';
 
-/** Receives the request body. */
-export type BodyCallback = (
-  result: kumquatfront.results.Result<string, kumquatfront.failures.Failure>,
-) => void;
-
 /**
  * Reads the body of a request.
  *
@@ -19,7 +14,7 @@
  * requestBody.read(request, (body) => body.ok && handle(body.val));
  * ```
  */
-export function read(request: http.IncomingMessage, done: BodyCallback): void {
+export function read(request: http.IncomingMessage, done: kumquatfront.httpMessages.BodyCallback): void {
   const chunks: Buffer[] = [];
   request.on('data', (bytes: Buffer) => {
     chunks.push(bytes);
