Heads of upstreams are checked whole where they are read

Callers saw: a process of the platform ended, with all that it served, after one head of an upstream (a control byte in a value, a blank behind a name); statuses 600 and 999 and versions HTTP/2.0 and HTTP/0.9 as answers; bodies in a coding that was taken out of the head; nothing until the deadline for HEAD, 204 and 304 with a transfer coding that is not chunks, and for a length behind 1,100 fields.

Cause: names and values were left to the parser alone, and written to the caller in an event handler, where an unsound one throws (ERR_INVALID_HTTP_TOKEN, ERR_INVALID_CHAR). Framing was decided by the parser and again from the fields; where they differed, an exchange waited for the end of a connection that the parser did not wait for. Fields above 1,000 are dropped by Node.js without an error.

Change: adapters/responseHead checks version, status, reason, names, values, number of fields and framing once, before anything else sees the head; the parser of upstreams is strict whatever the environment states. The check of the status in responseClassification is gone.

--- a/packages/kumquatfront/src/adapters/singleUseConnection.spec.ts
+++ b/packages/kumquatfront/src/adapters/singleUseConnection.spec.ts
@@ -2,8 +2,11 @@
  * HTTP exchanges on single-use connections against a raw TCP server.
  */
 import * as assert from 'node:assert/strict';
+import * as childProcess from 'node:child_process';
+import * as events from 'node:events';
 import * as net from 'node:net';
 import * as test from 'node:test';
+import * as url from 'node:url';
 
 import type * as ports from '../kernel/ports.js';
 import * as virtualTime from '../kernel/virtualTime.js';
@@ -235,8 +238,8 @@
 });
 
 // Guards against a status that no response to the caller may have.
-void test.test('a response with a status below 200 fails as garbled', async () => {
-  for (const status of ['000', '099']) {
+void test.test('a response with a status below 200 or above 599 fails as garbled', async () => {
+  for (const status of ['000', '099', '600', '999']) {
     const outcome = await exchangeWith((socket) => {
       socket.end(`HTTP/1.1 ${status} Odd\r\nContent-Length: 0\r\n\r\n`);
     });
@@ -244,6 +247,54 @@
   }
 });
 
+/** Heads that the parser takes, with what follows them. */
+const UNSOUND_HEADS: readonly (readonly [string, string])[] = [
+  [
+    'a length behind fields that Node.js would drop',
+    `${'X: a\r\n'.repeat(1_200)}Content-Length: 5\r\n\r\nsound`,
+  ],
+  ['a body in a coding that is not chunks', 'Transfer-Encoding: gzip\r\n\r\nsound'],
+  ['chunks in another coding', 'Transfer-Encoding: chunked, gzip\r\n\r\n5\r\nsound\r\n0\r\n\r\n'],
+];
+
+// Guards against a body that is not the upstream's, and against an exchange that never ends.
+for (const [description, rest] of UNSOUND_HEADS) {
+  void test.test(`a response with ${description} fails as garbled`, async () => {
+    const outcome = await exchangeWith((socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${rest}`);
+    });
+    assert.deepEqual(outcome, { ended: false, body: '', failure: 'garbled' });
+  });
+}
+
+// Guards against chunks whose end a caller of HTTP/1.0 cannot know.
+void test.test('a response with chunks under HTTP/1.0 fails as garbled', async () => {
+  const outcome = await exchangeWith((socket) => {
+    socket.end('HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsound\r\n0\r\n\r\n');
+  });
+  assert.equal(outcome.failure, 'garbled');
+});
+
+const LENIENT_PARSER = '--insecure-http-parser';
+const LENIENT_TEST = 'a parser that the environment loosens reads responses strictly';
+
+// Guards against heads that only a lenient parser takes: a process is started with what its environment states.
+void test.test(LENIENT_TEST, async () => {
+  if (process.execArgv.includes(LENIENT_PARSER)) {
+    const outcome = await exchangeWith((socket) => {
+      socket.end('HTTP/1.1 200 OK\r\n X-Folded: a\r\nContent-Length: 5\r\n\r\nsound');
+    });
+    assert.equal(outcome.failure, 'garbled');
+    return;
+  }
+  const words = [LENIENT_PARSER, '--test-name-pattern', LENIENT_TEST, url.fileURLToPath(import.meta.url)];
+  // Without the context, the child runs on its own instead of reporting to this test run.
+  const env = { ...process.env, NODE_TEST_CONTEXT: undefined };
+  const child = childProcess.spawn(process.execPath, words, { env, stdio: 'ignore' });
+  const [status] = (await events.EventEmitter.once(child, 'exit')) as [number];
+  assert.equal(status, 0);
+});
+
 // Nothing was sent on a refused connection, so the request may be sent to another upstream.
 void test.test('a refused connection is reported as not sent', async () => {
   const probe = net.createServer();
--- a/packages/kumquatfront/src/adapters/singleUseConnection.ts
+++ b/packages/kumquatfront/src/adapters/singleUseConnection.ts
@@ -9,8 +9,8 @@
 
 import type * as ports from '../kernel/ports.js';
 import type * as relayTypes from '../relay/types.js';
+import * as responseHead from './responseHead.js';
 import * as responseMonitor from './responseMonitor.js';
-import * as rawHeaders from './rawHeaders.js';
 
 /** Connecting is aborted after this time; nothing was sent, so another upstream can be tried. */
 const CONNECT_TIMEOUT: ports.Milliseconds = 400;
@@ -18,9 +18,6 @@
 /** Maximum size of a response header. */
 const MAXIMUM_HEADER_BYTES = 65_536;
 
-/** Interim responses have lower statuses, and HTTP has no others below it. */
-const FIRST_FINAL_STATUS = 200;
-
 /** A request to an upstream. */
 export interface OutgoingRequest {
   /** `ip:port` */
@@ -70,18 +67,6 @@
   };
 }
 
-/** Statuses whose responses have no body. */
-const STATUSES_WITHOUT_BODY: ReadonlySet<number | undefined> = new Set([204, 304]);
-
-function framingOf(method: string, { statusCode, headers }: http.IncomingMessage): relayTypes.BodyFraming {
-  if (headers['transfer-encoding'] !== undefined) {
-    return /\bchunked$/i.test(headers['transfer-encoding'].trim()) ? 'chunked' : 'connection';
-  }
-  const hasLength =
-    headers['content-length'] !== undefined || method === 'HEAD' || STATUSES_WITHOUT_BODY.has(statusCode);
-  return hasLength ? 'length' : 'connection';
-}
-
 /** Opens a connection and queues the request on it; throws if HTTP cannot represent a part of the request. */
 function open(request: OutgoingRequest, host: string, port: number): http.ClientRequest {
   const outgoing = http.request({
@@ -93,6 +78,8 @@
     // Half-open, so that `detectReset` can write after the upstream has ended its side.
     createConnection: () => net.connect({ host, port, allowHalfOpen: true }),
     maxHeaderSize: MAXIMUM_HEADER_BYTES,
+    // The environment of the process may loosen its parser.
+    insecureHTTPParser: false,
   });
   outgoing.end(request.body);
   return outgoing;
@@ -190,12 +177,12 @@
     if (settled) {
       return;
     }
-    const status = incoming.statusCode ?? 0;
-    if (status < FIRST_FINAL_STATUS) {
-      fail('garbled', `the response has the status ${status}`);
+    const head = responseHead.check(request.method, incoming);
+    if (head.err) {
+      fail('garbled', head.val);
       return;
     }
-    const framing = framingOf(request.method, incoming);
+    const { status, headers, framing } = head.val;
     incoming.on('data', (bytes: Buffer) => {
       monitor?.recordBody(bytes.length);
       if (!settled) {
@@ -228,7 +215,7 @@
         fail('broken', 'the connection closed before the response was complete');
       }
     });
-    listener.head(status, rawHeaders.toPairs(incoming.rawHeaders), framing);
+    listener.head(status, headers, framing);
   });
   outgoing.on('close', () => {
     if (response === undefined) {
--- a/packages/kumquatfront/src/relay/responseClassification.ts
+++ b/packages/kumquatfront/src/relay/responseClassification.ts
@@ -47,7 +47,7 @@
   if (head.notRun || isMisdirected(head)) {
     return 'notRun';
   }
-  if (!head.matchesRequest || head.status < 200) {
+  if (!head.matchesRequest) {
     return 'garbled';
   }
   if (RETRYABLE_STATUSES.has(head.status) && !repeatable) {
--- a/packages/scenarios/src/scripts/outsideInputSafeguards.ts
+++ b/packages/scenarios/src/scripts/outsideInputSafeguards.ts
@@ -52,13 +52,6 @@
     replace: 'throw error;',
     scenario: CONNECTIONS,
   },
-  {
-    name: 'a status that no response may have is not passed on',
-    file: 'adapters/singleUseConnection.js',
-    find: 'if (status < FIRST_FINAL_STATUS) {',
-    replace: 'if (false) {',
-    scenario: CONNECTIONS,
-  },
   {
     name: 'a call of the own interface that cannot be encoded is reported as never sent',
     file: 'adapters/httpUpstreams.js',
--- a/packages/scenarios/src/scripts/relaySafeguards.ts
+++ b/packages/scenarios/src/scripts/relaySafeguards.ts
@@ -65,7 +65,7 @@
   {
     name: 'a response must echo the identifier of its request',
     file: 'relay/responseClassification.js',
-    find: '!head.matchesRequest || head.status < 200',
+    find: '!head.matchesRequest',
     replace: 'false',
     scenario: PLAIN,
   },
--- /dev/null
+++ b/packages/scenarios/src/scripts/responseHeadSafeguards.ts
@@ -0,0 +1,103 @@
+/**
+ * Safeguards against heads of upstreams that are not sound.
+ */
+import type * as types from './types.js';
+
+const HEADS = 'spec:adapters/responseHead';
+const CONNECTIONS = 'spec:adapters/singleUseConnection';
+const FILE = 'adapters/responseHead.js';
+
+/** Safeguards, each with the spec that must fail without it. */
+export const responseHeadSafeguards: readonly types.Safeguard[] = [
+  {
+    name: 'a version that HTTP does not have is refused',
+    file: FILE,
+    find: 'if (!VERSIONS.has(httpVersion)) {',
+    replace: 'if (false) {',
+    scenario: HEADS,
+  },
+  {
+    name: 'a status below all final ones is refused',
+    file: FILE,
+    find: 'status < FINAL_STATUS.first',
+    replace: 'false',
+    scenario: CONNECTIONS,
+  },
+  {
+    name: 'a status above all that HTTP has is refused',
+    file: FILE,
+    find: 'status > FINAL_STATUS.last',
+    replace: 'false',
+    scenario: CONNECTIONS,
+  },
+  {
+    name: 'a reason with control characters is refused',
+    file: FILE,
+    find: '!VALUE.test(reason)',
+    replace: 'false',
+    scenario: HEADS,
+  },
+  {
+    name: 'a name that is no token is refused',
+    file: FILE,
+    find: '!NAME.test(name)',
+    replace: 'false',
+    scenario: HEADS,
+  },
+  {
+    name: 'a value with control characters is refused',
+    file: FILE,
+    find: '!VALUE.test(value)',
+    replace: 'false',
+    scenario: HEADS,
+  },
+  {
+    name: 'more fields than any response needs are refused',
+    file: FILE,
+    find: 'headers.length > MAXIMUM_FIELDS',
+    replace: 'false',
+    scenario: CONNECTIONS,
+  },
+  {
+    name: 'the environment of a process does not loosen its parser',
+    file: 'adapters/singleUseConnection.js',
+    find: 'insecureHTTPParser: false',
+    replace: '',
+    scenario: CONNECTIONS,
+  },
+  {
+    name: 'a length that is no number, or is there twice, is refused',
+    file: FILE,
+    find: 'lengths.length > 1 || lengths.some((length) => !LENGTH.test(length))',
+    replace: 'false',
+    scenario: HEADS,
+  },
+  {
+    name: 'a body in a coding other than chunks is refused',
+    file: FILE,
+    find: 'if (!isChunked) {',
+    replace: 'if (false) {',
+    scenario: CONNECTIONS,
+  },
+  {
+    name: 'chunks under HTTP/1.0 are refused',
+    file: FILE,
+    find: "if (version === '1.0') {",
+    replace: 'if (false) {',
+    scenario: CONNECTIONS,
+  },
+  {
+    name: 'chunks together with a length are refused',
+    file: FILE,
+    find: 'lengths.length > 0 ?',
+    replace: 'false ?',
+    scenario: HEADS,
+  },
+  {
+    name: 'a response without a body does not wait for the end of its connection',
+    file: FILE,
+    find: "method === 'HEAD' || STATUSES_WITHOUT_BODY.has(status)",
+    replace: 'false',
+    scenario: HEADS,
+  },
+];
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -20,6 +20,7 @@
 import * as fairShareSafeguards from './fairShareSafeguards.js';
 import * as quarantineSafeguards from './quarantineSafeguards.js';
 import * as relaySafeguards from './relaySafeguards.js';
+import * as responseHeadSafeguards from './responseHeadSafeguards.js';
 import * as servingSafeguards from './servingSafeguards.js';
 import * as sharedLimitsSafeguards from './sharedLimitsSafeguards.js';
 import * as streamOriginsSafeguards from './streamOriginsSafeguards.js';
@@ -30,6 +31,7 @@
 export const safeguards: readonly types.Safeguard[] = [
   ...servingSafeguards.servingSafeguards,
   ...endlessResponseSafeguards.endlessResponseSafeguards,
+  ...responseHeadSafeguards.responseHeadSafeguards,
   ...callerBoundsSafeguards.callerBoundsSafeguards,
   ...outsideInputSafeguards.outsideInputSafeguards,
   ...controlSafeguards.controlSafeguards,
--- /dev/null
+++ b/packages/soak/src/malformedSystem.ts
@@ -0,0 +1,179 @@
+/**
+ * A system of real processes with one sound upstream, and one whose answers a test writes byte by byte. The second entry can be cut
+ * off from the upstreams, so that its calls are relayed through the first.
+ */
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+
+import * as platform from 'kumquatfront-platform';
+import * as standIns from 'kumquatfront-stand-ins';
+
+import * as clients from './clients.js';
+import * as freePorts from './freePorts.js';
+import * as invariantChecker from './invariantChecker.js';
+import * as rawUpstreams from './rawUpstreams.js';
+import * as sleep from './sleep.js';
+import * as stubInstance from './stubInstance.js';
+import * as supervisedProcess from './supervisedProcess.js';
+
+const CONTROL_COUNT = 3;
+const ENTRY_COUNT = 2;
+const PREPARATION_ATTEMPTS = 100;
+const CUT_DETECTION_MS = 1_500;
+
+/** Time left that each call states, in milliseconds. */
+export const TIME_LEFT_MS = 2_500;
+
+/** Services whose upstreams send malformed answers; their routes are `fragile`, `stream` and `notes`. */
+const MALFORMED_SERVICES = ['fragile', 'llm', 'notes'] as const;
+
+/** Instances of each of these services: one that fails is left out for a while, and others take its calls. */
+const INSTANCES_PER_SERVICE = 40;
+
+/** A call of a test. */
+export interface TestCall {
+  readonly method?: string;
+  /** Path on a route of `clients.configurationText`. */
+  readonly path: string;
+  readonly attempt: string;
+  readonly body?: string;
+  /** Pause in the middle of the body, in milliseconds. */
+  readonly pause?: number;
+  readonly leavesAfter?: number;
+}
+
+function requestParts({ method = 'POST', path: target, attempt, body = '' }: TestCall): readonly string[] {
+  const { headers } = platform.httpNames;
+  const lines = [
+    `${method} ${target} HTTP/1.1`,
+    'Host: soak.example',
+    'Connection: close',
+    'Authorization: Token key',
+    `${headers.attempt}: ${attempt}`,
+    `${headers.timeLeft}: ${TIME_LEFT_MS}`,
+    `${headers.tokens}: 300,160`,
+    `Content-Length: ${body.length}`,
+  ];
+  const half = Math.floor(body.length / 2);
+  return [`${lines.join('\r\n')}\r\n\r\n${body.slice(0, half)}`, body.slice(half)].filter(
+    (part) => part !== '',
+  );
+}
+
+/** The system; see the module comment. */
+export class MalformedSystem {
+  private constructor(
+    private readonly folder: string,
+    private readonly ports: supervisedProcess.Ports,
+    private readonly control: readonly supervisedProcess.SupervisedProcess[],
+    readonly entries: readonly supervisedProcess.SupervisedProcess[],
+    private readonly sound: stubInstance.StubInstance,
+    readonly upstreams: rawUpstreams.RawUpstreams,
+  ) {}
+
+  /**
+   * Starts the processes and waits until the entries serve.
+   *
+   * @param answerTo - answers of the upstreams behind the routes `fragile`, `stream` and `notes`
+   * @param nodeOptions - options of Node.js for the processes
+   */
+  static async start(
+    answerTo: rawUpstreams.RawUpstreamsOptions['answerTo'],
+    nodeOptions: readonly string[] = [],
+  ): Promise<MalformedSystem> {
+    const [peer = 0, caller = 0, ready = 0, operator = 0, registry = 0, metrics = 0, instance = 0] =
+      await freePorts.allocate(7);
+    const ports = { peer, caller, ready, operator, registry, metrics };
+    const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'kumquatfront-malformed-'));
+    const seeds = Array.from({ length: CONTROL_COUNT }, (_none, index) => `127.0.22.${index + 1}`);
+    const start = (role: 'control' | 'entry', count: number): supervisedProcess.SupervisedProcess[] =>
+      Array.from(
+        { length: count },
+        (_none, index) =>
+          new supervisedProcess.SupervisedProcess(folder, role, index + 1, ports, seeds, { nodeOptions }),
+      );
+    const control = start('control', CONTROL_COUNT);
+    const entries = start('entry', ENTRY_COUNT);
+    const controlAddress = `${control[0]?.host ?? ''}:${operator}`;
+    const soundAddress = `127.0.25.1:${instance}`;
+    const sound = new stubInstance.StubInstance({
+      ...{ identity: 'sound', service: 'app', listenAddress: soundAddress, advertisedAddress: soundAddress },
+      checker: new invariantChecker.InvariantChecker(),
+      controlAddresses: () => [controlAddress],
+    });
+    const upstreams = await rawUpstreams.RawUpstreams.start({
+      ...{ port: instance, controlAddress, answerTo },
+      instances: MALFORMED_SERVICES.flatMap((service, block) =>
+        Array.from({ length: INSTANCES_PER_SERVICE }, (_none, index) => ({
+          ...{ identity: `${service}-${index}`, service },
+          host: `127.0.25.${2 + block * INSTANCES_PER_SERVICE + index}`,
+        })),
+      ),
+    });
+    const system = new MalformedSystem(folder, ports, control, entries, sound, upstreams);
+    await system.prepare();
+    return system;
+  }
+
+  private async prepare(): Promise<void> {
+    const [first] = this.control;
+    const options = { host: first?.host, port: this.ports.operator, method: 'POST', timeout: 1_000 };
+    await this.until(async () => {
+      const body = clients.configurationText(1);
+      return (await clients.call({ ...options, path: '/-/config/replace' }, body)).status === 200;
+    });
+    for (const entry of this.entries) {
+      await this.until(() => this.isServing(entry));
+    }
+    // Behind the heartbeats of the other upstream, which the calls above do not need.
+    await sleep.forMilliseconds(1_000);
+  }
+
+  private async until(isDone: () => Promise<boolean>): Promise<void> {
+    for (let attempt = 0; attempt < PREPARATION_ATTEMPTS; attempt += 1) {
+      if (await isDone()) {
+        return;
+      }
+      await sleep.forMilliseconds(100);
+    }
+    throw new Error('The system did not start.');
+  }
+
+  /** Whether an entry serves a call to the sound upstream. */
+  async isServing(entry: supervisedProcess.SupervisedProcess): Promise<boolean> {
+    const attempt = `sound-${Math.random()}`;
+    const { bytes } = await this.call(entry, { path: `/lookUp/${attempt}`, attempt });
+    return bytes.startsWith('HTTP/1.1 200 ') && bytes.endsWith(invariantChecker.bodyOf(attempt));
+  }
+
+  /** Sends a call on a connection of its own. */
+  call(entry: supervisedProcess.SupervisedProcess, call: TestCall): Promise<standIns.rawCaller.RawResult> {
+    return standIns.rawCaller.send({
+      ...{ host: entry.host, port: this.ports.caller, parts: requestParts(call) },
+      ...(call.pause !== undefined && { pause: call.pause }),
+      ...(call.leavesAfter !== undefined && { leavesAfter: call.leavesAfter }),
+      timeout: 2 * TIME_LEFT_MS,
+    });
+  }
+
+  /** Cuts the second entry off from all upstreams; its calls go through the first from then on. */
+  async cutSecondEntry(): Promise<void> {
+    this.entries[1]?.setUpstreamCut('newRefused');
+    await sleep.forMilliseconds(CUT_DETECTION_MS);
+  }
+
+  /** Identifiers of the processes, which change when one has ended. */
+  get processIds(): readonly (number | undefined)[] {
+    return [...this.control, ...this.entries].map(({ processId }) => processId);
+  }
+
+  stop(): void {
+    for (const process of [...this.control, ...this.entries]) {
+      process.stop();
+    }
+    this.sound.close();
+    this.upstreams.close();
+    fs.rmSync(this.folder, { recursive: true, force: true });
+  }
+}
--- a/packages/soak/src/supervisedProcess.ts
+++ b/packages/soak/src/supervisedProcess.ts
@@ -38,6 +38,8 @@
   readonly heapMegabytes?: number;
   /** Fields of the settings file that replace or extend the usual ones. */
   readonly settings?: object;
+  /** Further options of Node.js. */
+  readonly nodeOptions?: readonly string[];
 }
 
 /** A child process that is restarted whenever it exits. */
@@ -106,12 +108,12 @@
   }
 
   private start(): void {
-    const { heapMegabytes = DEFAULT_HEAP_MEGABYTES } = this.limits;
+    const { heapMegabytes = DEFAULT_HEAP_MEGABYTES, nodeOptions: furtherOptions = [] } = this.limits;
     const heapOptions = [
       `--max-old-space-size=${heapMegabytes}`,
       `--max-semi-space-size=${YOUNG_HEAP_MEGABYTES}`,
     ];
-    const nodeOptions = [...heapOptions, '--import', LINK_CUT_FILE];
+    const nodeOptions = [...heapOptions, ...furtherOptions, '--import', LINK_CUT_FILE];
     const child = childProcess.spawn(process.execPath, [...nodeOptions, PROGRAM_FILE], {
       env: {
         ...process.env,
