An event that is no chunk of a completion breaks its stream, and ends no entry

Callers saw: an entry ended, with all that it served, when an engine sent an event whose data was no JSON object to a call that does not stream. Callers that stream got the event.

Cause: the data was parsed where the answer is put together, in the handler of the engine's connection, and throws there.

Evidence: read (completionAggregator.addChunk); arbitrary data throws in completionChunk.spec without the check.

Change: streams/completionChunk parses an event where it is first read; one that is none breaks the stream, which goes on elsewhere as after a crash.

Failed before: the new test in httpUpstreams.spec; malformedUpstreams.spec on, at the leader of control ("control-1 has ended"). After: both pass; entries and control of a small deployment live through malformed heads, events and receipts.

--- a/packages/kumquatfront/src/adapters/generationConnection.ts
+++ b/packages/kumquatfront/src/adapters/generationConnection.ts
@@ -6,6 +6,7 @@
 import * as eventSource from 'eventsource-parser';
 
 import type * as relayTypes from '../relay/types.js';
+import * as completionChunk from '../streams/completionChunk.js';
 import type * as streams from '../streams/types.js';
 import * as singleUseConnection from './singleUseConnection.js';
 import * as systemTime from './systemTime.js';
@@ -103,6 +104,10 @@
       this.listener.onCompleted(generation, index);
       return;
     }
+    if (completionChunk.parse(event.data) === undefined) {
+      this.fail('broken', 'an event is no chunk of a completion');
+      return;
+    }
     this.listener.onToken(generation, index, event.data);
   }
 
--- a/packages/kumquatfront/src/adapters/generationResponses.ts
+++ b/packages/kumquatfront/src/adapters/generationResponses.ts
@@ -6,6 +6,7 @@
 import type * as ports from '../kernel/ports.js';
 import type * as streams from '../streams/types.js';
 import * as completionAggregator from '../streams/completionAggregator.js';
+import * as completionChunk from '../streams/completionChunk.js';
 import * as httpMessages from './httpMessages.js';
 import * as systemTime from './systemTime.js';
 
@@ -83,7 +84,8 @@
   }
 
   sendToken(_resumeToken: string, _index: number, data: string): boolean {
-    this.aggregator.addChunk(data);
+    // The connection to the engine passes on chunks only.
+    this.aggregator.addChunk(completionChunk.parse(data) ?? {});
     return true;
   }
 
--- a/packages/kumquatfront/src/adapters/httpUpstreams.spec.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.spec.ts
@@ -265,6 +265,21 @@
   }
 });
 
+// Guards against an event that ends the process, or that no caller can parse.
+void test.test('an event that is no chunk of a completion breaks the stream', async () => {
+  for (const data of ['null', 'x', '[1]', '{"choices":[null]}', '{"choices":[{"text":{"toString":1}}]}']) {
+    const server = await serve((socket) => {
+      socket.end(`${STREAM_HEAD}\r\nid: r.1:0\ndata: ${data}\n\nid: r.1:1\ndata: [DONE]\n\n`);
+    });
+    const tokens: string[] = [];
+    const outcome = await generate(server.target, (token) => {
+      tokens.push(token);
+    });
+    assert.deepEqual([outcome, tokens], ['broken', []], data);
+    server.close();
+  }
+});
+
 /** What an upstream sends again and again until its connection is closed, after a prefix. */
 const ENDLESS: readonly (readonly [string, string, string])[] = [
   ['interim responses', '', 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(20)],
--- a/packages/kumquatfront/src/streams/completionAggregator.ts
+++ b/packages/kumquatfront/src/streams/completionAggregator.ts
@@ -2,22 +2,13 @@
  * Aggregates the chunks of a stream into one OpenAI-style answer, for callers that do not stream.
  */
 
-interface CompletionChunk {
-  readonly id?: string;
-  readonly model?: string;
-  readonly created?: number;
-  readonly choices?: readonly {
-    readonly text?: string;
-    readonly delta?: { readonly content?: string };
-    readonly finish_reason?: string | null;
-  }[];
-}
+import * as completionChunk from './completionChunk.js';
 
 /** Aggregates the chunks of one answer. */
 export class CompletionAggregator {
   private readonly isChat: boolean;
   private readonly fragments: string[] = [];
-  private lastChunk: CompletionChunk = {};
+  private lastChunk: completionChunk.CompletionChunk = {};
 
   /**
    * @param path - path of the request, which determines the format of the answer
@@ -26,9 +17,8 @@
     this.isChat = path.endsWith('/chat/completions');
   }
 
-  /** Adds a chunk; `data` is the JSON text of its event. */
-  addChunk(data: string): void {
-    const chunk = JSON.parse(data) as CompletionChunk;
+  /** Adds a chunk. */
+  addChunk(chunk: completionChunk.CompletionChunk): void {
     const choice = chunk.choices?.[0];
     this.fragments.push((this.isChat ? choice?.delta?.content : choice?.text) ?? '');
     this.lastChunk = chunk;
--- a/packages/scenarios/src/scripts/responseHeadSafeguards.ts
+++ b/packages/scenarios/src/scripts/responseHeadSafeguards.ts
@@ -115,6 +115,20 @@
     replace: 'false',
     scenario: OWN_INTERFACE,
   },
+  {
+    name: 'an event that is no chunk of a completion breaks the stream',
+    file: 'adapters/generationConnection.js',
+    find: 'completionChunk.parse(event.data) === undefined',
+    replace: 'false',
+    scenario: OWN_INTERFACE,
+  },
+  {
+    name: 'a chunk of a completion has the shape that is read',
+    file: 'streams/completionChunk.js',
+    find: 'return isChunk(value) ? value : undefined;',
+    replace: 'return value;',
+    scenario: 'spec:streams/completionChunk',
+  },
   {
     name: 'what is no receipt confirms no order',
     file: 'orders/orderReceipt.js',
