An event of several lines reaches its caller whole

Callers that stream saw: of an event whose data has more than one line, only the first.

Cause: the data was written behind one "data: "; the lines behind a line feed became fields of their own, which a reader ignores.

Change: each line is written as a line of data (WHATWG, server-sent events).

Failed before: generationResponses.spec. After: passes.

--- a/packages/kumquatfront/src/adapters/generationResponses.ts
+++ b/packages/kumquatfront/src/adapters/generationResponses.ts
@@ -49,7 +49,8 @@
   }
 
   sendToken(resumeToken: string, _index: number, data: string): boolean {
-    return this.response.write(`id: ${resumeToken}\ndata: ${data}\n\n`);
+    const lines = data.replaceAll('\n', '\ndata: ');
+    return this.response.write(`id: ${resumeToken}\ndata: ${lines}\n\n`);
   }
 
   sendRestart(resumeToken: string): void {
