A stream with events goes on only at the process that was announced

Cause: what runs at an address is known from announcements, and a request names its upstream by a name that both starts share.

Ruled out as in its claim: without the restart no stream holds two versions.

Change: before a stream with events goes on by a new run, the entry asks the upstream for its report; another start time than announced ends the incarnation at this entry. What does not tell is sent the stream as before.

--- a/packages/kumquatfront/src/peerRelay/peerRelay.ts
+++ b/packages/kumquatfront/src/peerRelay/peerRelay.ts
@@ -79,6 +79,7 @@
         }
       },
       releaseCopy: direct.releaseCopy,
+      ...(direct.readStartTime !== undefined && { readStartTime: direct.readStartTime }),
     };
   }
 
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.spec.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.spec.ts
@@ -96,6 +96,36 @@
   assert.equal(harness.sentCalls.length, 1);
 });
 
+// Guards against a stream that goes on at an upstream that was started again under its name, with other software.
+void test.test('an upstream that was started again is sent no stream with events, and nothing more', () => {
+  const harness = new relayTestHarness.RelayTestHarness(['a', 'b']);
+  const listed = harness.context.instances.get('a');
+  assert.ok(listed);
+  const { request } = harness.createRoutedRequest('stream');
+  const origin = { service: 'llm', software: 'version v1' };
+  const sendAt = (born: number): string[] => {
+    const failures: string[] = [];
+    const noop = (): void => undefined;
+    harness.context.upstreams.send(
+      {
+        ...{ request, instance: { ...listed, born }, timeLeft: 1_000, isStream: true },
+        ...{ origin, lastEvent: '7' },
+      },
+      { head: noop, data: noop, end: noop, failed: (failure) => failures.push(failure) },
+    );
+    harness.time.advance(5);
+    return failures;
+  };
+  harness.reportedStartTime = 5;
+  assert.deepEqual(sendAt(5), []);
+  assert.equal(harness.sentCalls.length, 1);
+  harness.reportedStartTime = 6;
+  assert.deepEqual(sendAt(5), ['withheld']);
+  assert.equal(harness.sentCalls.length, 1);
+  const ready = harness.context.instances.readyOf('llm').map(({ identity }) => identity);
+  assert.deepEqual(ready, ['b']);
+});
+
 // Guards against a copy whose source stops although its target cannot go on with the stream.
 void test.test('memory is copied only to an engine of the same software', () => {
   const harness = new relayTestHarness.RelayTestHarness(['a', 'b']);
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -15,6 +15,7 @@
 import * as answerCompletion from '../relay/answerCompletion.js';
 import * as responseClassification from '../relay/responseClassification.js';
 import type * as relayTypes from '../relay/types.js';
+import * as incarnationCheck from '../streamOrigins/incarnationCheck.js';
 import * as software from '../streamOrigins/software.js';
 import * as residency from '../traffic/residency.js';
 import * as quarantine from './quarantine.js';
@@ -189,7 +190,7 @@
  */
 export function create(options: GuardedUpstreamsOptions): relayTypes.UpstreamPort {
   const { upstreams, timers, quarantine: quarantineState, policy } = options;
-  const send: relayTypes.UpstreamPort['send'] = (call, listener) => {
+  const sendChecked: relayTypes.UpstreamPort['send'] = (call, listener) => {
     const causes = requestCauses.forRequest(call.request, call.account ?? '', call.instance.service);
     // A generation that goes on from a copy has had events, so no part of its prompt is the cause.
     const isProven = call.copy !== undefined && quarantineState.isContentAllowed(causes);
@@ -234,6 +235,23 @@
       cancel(reason);
     };
   };
+  const send: relayTypes.UpstreamPort['send'] = (call, listener) => {
+    if (!mayTakeStream(call)) {
+      return sendChecked(call, listener);
+    }
+    return incarnationCheck.run({ upstreams, timers }, call, {
+      proceed: (checked) => sendChecked(checked, listener),
+      replaced: () => {
+        const { request, instance } = call;
+        options.log.warn('replacedUpstreamWithheld', {
+          request: request.identity,
+          upstream: instance.identity,
+        });
+        options.signals.recordReplaced(instance);
+        listener.failed('withheld', 'another process has taken the place of the upstream');
+      },
+    });
+  };
   const copyMemory: relayTypes.UpstreamPort['copyMemory'] = (source, target, request, stop, done) => {
     if (software.mayContinue(software.originAt(source), target)) {
       upstreams.copyMemory(source, target, request, stop, done);
--- a/packages/kumquatfront/src/relay/relayTestHarness.ts
+++ b/packages/kumquatfront/src/relay/relayTestHarness.ts
@@ -103,6 +103,8 @@
   isControlLost = false;
   /** What a check of an upstream's address finds. */
   checkResult: types.ConnectionCheckResult = 'accepted';
+  /** Start time that each upstream reports. */
+  reportedStartTime: number | undefined;
   /** Forecast of the first event in the coordinator's answers. */
   firstEventIn: ports.Milliseconds | undefined;
   readonly context: exchangeContext.ExchangeContext;
@@ -212,6 +214,11 @@
       check: (_address, done) => {
         done(this.checkResult);
       },
+      readStartTime: (_address, done) => {
+        this.context.timers.after(1, () => {
+          done(this.reportedStartTime);
+        });
+      },
       copyMemory: (source, target, _request, stop, done) => {
         this.copyRequests.push({ source: source.identity, target: target.identity, stop, done });
       },
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -145,6 +145,11 @@
   readonly send: (call: UpstreamCall, listener: ExchangeListener) => CancelExchange;
   /** Tests whether an address (`ip:port`) accepts connections, without sending data. */
   readonly check: (address: string, done: (result: ConnectionCheckResult) => void) => void;
+  /**
+   * Reads when the process at an address (`ip:port`) was started, as a Unix time in milliseconds; undefined if it does not tell. `done` is
+   * called after the return. Absent if no upstream tells.
+   */
+  readonly readStartTime?: (address: string, done: (born: number | undefined) => void) => void;
   /** Copies a generation's memory; with `stop`, the source stops its run first. */
   readonly copyMemory: (
     source: instanceView.Instance,
--- a/packages/scenarios/src/scripts/streamOriginsSafeguards.ts
+++ b/packages/scenarios/src/scripts/streamOriginsSafeguards.ts
@@ -157,4 +157,18 @@
     replace: 'origin: { service, software }',
     scenario: 'spec:streamOrigins/originStore',
   },
+  {
+    name: 'a stream with events goes on only at the process that was announced',
+    file: 'streamOrigins/incarnationCheck.js',
+    find: 'born === undefined || born === instance.born',
+    replace: 'true',
+    scenario: 'spec:streamOrigins/incarnationCheck',
+  },
+  {
+    name: 'a call that is cancelled during the check of its upstream is not sent',
+    file: 'streamOrigins/incarnationCheck.js',
+    find: 'if (isCancelled) {',
+    replace: 'if (false) {',
+    scenario: 'spec:streamOrigins/incarnationCheck',
+  },
 ];
