The servers of the product import each other in one direction

adapters/connectionGate took the largest body from httpMessages, which takes types from boundedServer and connectionGate: a circle. The size lies in callerBounds/bodyBuffer now, below all three. No behaviour changed.

--- a/packages/kumquatfront/src/adapters/httpMessages.ts
+++ b/packages/kumquatfront/src/adapters/httpMessages.ts
@@ -3,14 +3,13 @@
  */
 import type * as http from 'node:http';
 
+import * as bodyBuffer from '../callerBounds/bodyBuffer.js';
 import * as failures from '../kernel/failures.js';
 import * as results from '../kernel/results.js';
 import type * as streams from '../streams/types.js';
 import type * as boundedServer from './boundedServer.js';
 import type * as connectionGate from './connectionGate.js';
 
-/** Maximum size of a request body. */
-export const MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
 const MAXIMUM_HEADER_BYTES = 16 * 1024;
 
 /** Options shared by the HTTP servers of entries and control replicas. */
@@ -41,13 +40,13 @@
  */
 export function readBody(served: ServedRequest, done: BodyCallback): void {
   served.connection.readBody(served, {
-    maximumBytes: MAXIMUM_BODY_BYTES,
+    maximumBytes: bodyBuffer.MAXIMUM_BODY_BYTES,
     onComplete: (body) => {
       done(results.Ok(body.toString('utf8')));
     },
     onTooLarge: () => {
       served.outgoing.shouldKeepAlive = false;
-      const remedy = `Send at most ${MAXIMUM_BODY_BYTES} bytes.`;
+      const remedy = `Send at most ${bodyBuffer.MAXIMUM_BODY_BYTES} bytes.`;
       done(results.Err(failures.create('tooLarge', 'The body is too large.', remedy)));
     },
   });
--- a/packages/kumquatfront/src/callerBounds/bodyBuffer.ts
+++ b/packages/kumquatfront/src/callerBounds/bodyBuffer.ts
@@ -3,6 +3,9 @@
  * read of 64 KiB that it lies in, until the body is complete.
  */
 
+/** Maximum size of the body of a request to the product's own servers. */
+export const MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
+
 const SMALLEST_BLOCK = 1_024;
 const LARGEST_BLOCK = 65_536;
 
