--- a/packages/soak/src/malformedAnswers.isolated.spec.ts
+++ b/packages/soak/src/malformedAnswers.isolated.spec.ts
@@ -53,8 +53,8 @@
   }
 }
 
-/** Sends a call until an upstream has answered it. */
-async function callUntilAnswered(
+/** Sends a call until it has reached an upstream. */
+async function callUntilArrived(
   system: malformedSystem.MalformedSystem,
   answers: Answers,
   route: string,
@@ -66,7 +66,7 @@
     const attempt = `${route}-${answers.size}`;
     answers.set(attempt, { bytes: bytes(soundFields(attempt)), then: 'end' });
     const result = await system.call(entry, { method, path: `/${route}/x`, attempt });
-    if (system.upstreams.answered.has(attempt)) {
+    if (system.upstreams.arrived.has(attempt)) {
       return result;
     }
     await sleep.forMilliseconds(TRY_INTERVAL_MS);
@@ -83,20 +83,20 @@
   assert.ok(milliseconds < malformedSystem.TIME_LEFT_MS / 2, `after ${Math.round(milliseconds)} ms`);
 }
 
-const loosenings = [
+const parsers = [
   { parser: 'the parser as it is', nodeOptions: [] },
   // The environment of a process may loosen its parser, which then passes on names and values that no answer may have.
   { parser: 'a lenient parser', nodeOptions: ['--insecure-http-parser'] },
 ] as const;
 
-for (const { parser, nodeOptions } of loosenings) {
+for (const { parser, nodeOptions } of parsers) {
   // Guards against a process that ends, and cuts all that it serves, for one head of one upstream.
   void test.test(`malformed heads are refused, with ${parser}`, async () => {
     await withSystem(nodeOptions, async (system, answers) => {
       const failures: string[] = [];
       for (const malformed of standIns.malformedAnswers.all) {
         for (const route of ['fragile', 'stream']) {
-          const result = await callUntilAnswered(system, answers, route, malformed);
+          const result = await callUntilArrived(system, answers, route, malformed);
           try {
             assertRefused(result, malformed.method ?? 'GET');
           } catch (error) {
@@ -128,7 +128,7 @@
     ];
     for (const [start, rest] of sound) {
       const bytes = (fields: string): string => `${start}${fields}${rest}`;
-      const { bytes: received } = await callUntilAnswered(system, answers, 'fragile', { bytes });
+      const { bytes: received } = await callUntilArrived(system, answers, 'fragile', { bytes });
       assert.equal(receivedAnswer.parse(received, 'GET')?.body, 'sound', `${start}${rest}`.slice(0, 80));
     }
   });
@@ -171,7 +171,7 @@
         }),
       );
       assert.deepEqual(failures.slice(0, 3), []);
-      const read = [...answers.keys()].filter((attempt) => system.upstreams.answered.has(attempt)).length;
+      const read = [...answers.keys()].filter((attempt) => system.upstreams.arrived.has(attempt)).length;
       assert.ok(read >= all.length / 2, `${read} of ${all.length} answers were read`);
     });
   },
--- a/packages/soak/src/malformedSystem.ts
+++ b/packages/soak/src/malformedSystem.ts
@@ -2,6 +2,7 @@
  * A system of real processes with one sound upstream, and one whose answers a test writes byte by byte. The second entry can be cut
  * off from the upstreams, so that its calls are relayed through the first.
  */
+import * as crypto from 'node:crypto';
 import * as fs from 'node:fs';
 import * as os from 'node:os';
 import * as path from 'node:path';
@@ -142,7 +143,7 @@
 
   /** Whether an entry serves a call to the sound upstream. */
   async isServing(entry: supervisedProcess.SupervisedProcess): Promise<boolean> {
-    const attempt = `sound-${Math.random()}`;
+    const attempt = `sound-${crypto.randomUUID()}`;
     const { bytes } = await this.call(entry, { path: `/lookUp/${attempt}`, attempt });
     return bytes.startsWith('HTTP/1.1 200 ') && bytes.endsWith(invariantChecker.bodyOf(attempt));
   }
--- a/packages/soak/src/rawUpstreams.ts
+++ b/packages/soak/src/rawUpstreams.ts
@@ -31,8 +31,8 @@
 
 /** The upstreams; see the module comment. */
 export class RawUpstreams {
-  /** Attempts that have been answered. */
-  readonly answered = new Set<string>();
+  /** Attempts whose requests have arrived. */
+  readonly arrived = new Set<string>();
   private readonly servers: readonly standIns.rawAnswerServer.RawAnswerServer[];
   private readonly heartbeatTimer: NodeJS.Timeout;
   private sequence = 0;
@@ -42,7 +42,7 @@
       () =>
         new standIns.rawAnswerServer.RawAnswerServer(({ head }) => {
           const [, attempt = ''] = ATTEMPT.exec(head) ?? [];
-          this.answered.add(attempt);
+          this.arrived.add(attempt);
           return options.answerTo(attempt);
         }),
     );
