The check of an upstream's start time stands once, before the gate of sends

The gate that follows asks anyway; a call that it rejects costs a report.

Failed before: safeguards.spec. After: passes.

--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -235,11 +235,8 @@
       cancel(reason);
     };
   };
-  const send: relayTypes.UpstreamPort['send'] = (call, listener) => {
-    if (!mayTakeStream(call)) {
-      return sendChecked(call, listener);
-    }
-    return incarnationCheck.run({ upstreams, timers }, call, {
+  const send: relayTypes.UpstreamPort['send'] = (call, listener) =>
+    incarnationCheck.run({ upstreams, timers }, call, {
       proceed: (checked) => sendChecked(checked, listener),
       replaced: () => {
         const { request, instance } = call;
@@ -251,7 +248,6 @@
         listener.failed('withheld', 'another process has taken the place of the upstream');
       },
     });
-  };
   const copyMemory: relayTypes.UpstreamPort['copyMemory'] = (source, target, request, stop, done) => {
     if (software.mayContinue(software.originAt(source), target)) {
       upstreams.copyMemory(source, target, request, stop, done);
