The raw upstream of the tests loses what no test uses

standIns/rawAnswerServer could repeat bytes without end, and counted bytes and connections; the specs of the readers have that loop of their own. The comment on pausing an exchange says what it does.

--- a/packages/kumquatfront/src/adapters/singleUseConnection.ts
+++ b/packages/kumquatfront/src/adapters/singleUseConnection.ts
@@ -32,7 +32,7 @@
 export interface Exchange {
   /** Cancels it and closes its connection. */
   readonly cancel: relayTypes.CancelExchange;
-  /** Stops reading the body; what has been read is still passed on. */
+  /** Passes on no more of the body, and stops reading it, until `resume`. */
   readonly pause: () => void;
   readonly resume: () => void;
 }
--- a/packages/standIns/src/rawAnswerServer.ts
+++ b/packages/standIns/src/rawAnswerServer.ts
@@ -12,8 +12,6 @@
   readonly bytes: string;
   /** Positions at which the bytes are cut into separate writes, ascending. */
   readonly cuts?: readonly number[];
-  /** Sent again and again behind the bytes until the connection is closed. */
-  readonly repeated?: string;
   /** True to answer the head of the request, false to wait for its body. */
   readonly isEarly?: boolean;
   /** What the upstream does after the last byte. */
@@ -50,8 +48,6 @@
 export class RawAnswerServer {
   private readonly server: net.Server;
   private readonly sockets = new Set<net.Socket>();
-  /** Bytes sent on all connections. */
-  sentBytes = 0;
 
   /**
    * @param answerTo - the answer to a request; it may be asked again for the same request as more of it arrives
@@ -72,11 +68,6 @@
     });
   }
 
-  /** Number of open connections. */
-  get openConnections(): number {
-    return this.sockets.size;
-  }
-
   private serve(socket: net.Socket): void {
     this.sockets.add(socket);
     socket.once('close', () => this.sockets.delete(socket));
@@ -101,16 +92,10 @@
       return;
     }
     if (first !== undefined) {
-      this.write(socket, first);
+      socket.write(first, 'latin1');
       setTimeout(() => {
         this.send(socket, answer, others);
       }, PIECE_INTERVAL_MS);
-    } else if (answer.repeated !== undefined) {
-      this.write(socket, answer.repeated, () => {
-        setImmediate(() => {
-          this.send(socket, answer, []);
-        });
-      });
     } else if (answer.then === 'end') {
       socket.end();
     } else if (answer.then === 'reset') {
@@ -118,11 +103,6 @@
     }
   }
 
-  private write(socket: net.Socket, text: string, done: () => void = () => undefined): void {
-    this.sentBytes += text.length;
-    socket.write(text, 'latin1', done);
-  }
-
   close(): void {
     this.server.close();
     for (const socket of this.sockets) {
