Connections are read at a pace while requests hold much memory

What callers saw: nothing yet; under several kinds of hostile clients at once a process went beyond the memory of its machine.

Cause: a read stays in memory after its bytes were parsed, refused or ignored, until the garbage collector has run. Sampled every 10 ms in the process that was sent large pieces: 9 to 16 MB held, as the bound asks, and array buffers of up to 64 MB; each collection took them back to 15 to 30 MB, 20 to 40 ms later, while 400 MB arrived a second. Buffers of sockets and of requests, and bytes that wait, were near 0.

Ruled out by a trial: copying all bodies into blocks that are reused (147 to 165 MB). It leaves the reads themselves.

Change: while more than half of the bound is held, the process reads an eighth of the bound in 10 ms, over all connections and in turn; who sends less than 16 KiB at once does not wait. callerBounds/readPace.

The new test of boundedServer.spec fails without the pace, and without the pause of the connection (400,053 bytes read); both safeguards of readPace.spec are proved.

--- a/packages/kumquatfront/src/adapters/boundedServer.spec.ts
+++ b/packages/kumquatfront/src/adapters/boundedServer.spec.ts
@@ -10,6 +10,7 @@
 import * as defaultBounds from '../callerBounds/defaultBounds.js';
 import * as heldRequests from '../callerBounds/heldRequests.js';
 import type * as types from '../callerBounds/types.js';
+import * as virtualTime from '../kernel/virtualTime.js';
 import * as boundedServer from './boundedServer.js';
 import * as systemTime from './systemTime.js';
 
@@ -29,13 +30,14 @@
 async function withServer(
   bounds: Partial<types.CallerBounds>,
   run: (running: Running) => Promise<void>,
+  time: Pick<heldRequests.HeldRequestsOptions, 'clock' | 'scheduler'> = systemTime,
 ): Promise<void> {
   const noop = (): void => undefined;
   const begun: string[] = [];
   const closed: string[] = [];
   const open: http.ServerResponse[] = [];
   const requests = new heldRequests.HeldRequests({
-    ...systemTime,
+    ...time,
     log: { debug: noop, info: noop, warn: noop, error: noop },
     metrics: {
       ...{ gauge: noop, timing: noop },
@@ -294,3 +296,31 @@
     assert.equal(requests.heldBytes, 0);
   });
 });
+
+// Guards against bytes that are read and ignored faster than the garbage collector releases them.
+void test.test(
+  'while much memory is held, no more is read in an interval than the bound allows',
+  async () => {
+    const time = new virtualTime.VirtualTime();
+    const run = async ({ port, server, requests }: Running): Promise<void> => {
+      const stallTimeout = (): number => 20_000;
+      requests
+        .openConnection({ listener: 'callers', stallTimeout, isLate: () => false, giveUp: () => undefined })
+        .grow(600_000);
+      const connected = events.EventEmitter.once(server, 'connection') as Promise<[net.Socket]>;
+      const client = new Client(port);
+      client.socket.write('POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 900000\r\n\r\n');
+      client.socket.write(Buffer.alloc(400_000));
+      const [socket] = await connected;
+      await until(() => socket.bytesRead >= 125_000);
+      await new Promise((resolve) => setTimeout(resolve, 100));
+      assert.ok(socket.bytesRead <= 125_000 + 65_536, `${socket.bytesRead} bytes`);
+      await until(() => {
+        time.advance(10);
+        return socket.bytesRead > 400_000;
+      });
+      client.socket.destroy();
+    };
+    await withServer({ heldBytes: 1_000_000 }, run, { clock: time.clock, scheduler: time });
+  },
+);
--- a/packages/kumquatfront/src/adapters/connectionGate.ts
+++ b/packages/kumquatfront/src/adapters/connectionGate.ts
@@ -106,6 +106,8 @@
   private isPassing = false;
   private isInTurn = false;
   private isReading = true;
+  /** Whether the connection waits until the pace of the process lets it be read. */
+  private isPaused = false;
   private discardedBytes: number | undefined;
 
   constructor(
@@ -177,19 +179,32 @@
       this.passEnd();
       return false;
     }
-    if (this.discardedBytes !== undefined) {
+    if (this.discardedBytes === undefined) {
+      this.hold(bytes);
+    } else {
       this.discardedBytes += bytes.length;
       if (this.discardedBytes > MAXIMUM_DISCARDED_BYTES) {
         this.socket.destroy();
       }
-      return true;
     }
+    this.keepPace(bytes.length);
+    return this.isReading;
+  }
+
+  private hold(bytes: Buffer): void {
     const isFirst = this.waiting.length === 0;
     this.waiting.push(bytes);
     this.waitingBytes += bytes.length;
     this.run();
     this.checkAhead(isFirst ? this.waiting[0] : bytes);
-    return this.isReading;
+  }
+
+  private keepPace(bytes: number): void {
+    this.isPaused ||= this.options.held.countRead(bytes, () => {
+      this.isPaused = false;
+      this.updateReading();
+    });
+    this.updateReading();
   }
 
   private clearWaiting(): void {
@@ -220,7 +235,7 @@
   private onDrained(): void {
     if (this.waiting.length > 0) {
       this.run();
-    } else {
+    } else if (!this.isPaused) {
       this.startReading();
     }
   }
@@ -309,10 +324,11 @@
     if (this.waitingBytes !== this.options.held.ahead) {
       this.options.held.setAhead(this.waitingBytes);
     }
-    if (this.isReading !== isFull) {
+    const isStopped = isFull || this.isPaused;
+    if (this.isReading !== isStopped) {
       return;
     }
-    this.isReading = !isFull;
+    this.isReading = !isStopped;
     if (this.isReading && !this.socket.destroyed) {
       this.startReading();
     }
--- a/packages/kumquatfront/src/callerBounds/heldRequests.ts
+++ b/packages/kumquatfront/src/callerBounds/heldRequests.ts
@@ -3,6 +3,7 @@
  * together still use up the memory; then those that have held the most for the longest time are refused.
  */
 import type * as ports from '../kernel/ports.js';
+import * as readPace from './readPace.js';
 import type * as types from './types.js';
 
 const SWEEP_INTERVAL: ports.Milliseconds = 1_000;
@@ -14,6 +15,12 @@
 const SMALL_REQUEST_RESERVE = 0.25;
 const SMALL_REQUEST_BYTES = 16_384;
 
+/** Share of the bound above which connections are read at a pace. */
+const PACED_FROM = 0.5;
+
+/** Reads of an interval of that pace, as a share of the bound. */
+const PACE_SHARE = 0.125;
+
 /** Dependencies of {@link HeldRequests}. */
 export interface HeldRequestsOptions {
   readonly clock: ports.Clock;
@@ -78,6 +85,15 @@
     });
   }
 
+  /**
+   * Counts a read of the connection.
+   *
+   * @returns true if it must not be read again before `resume` is called
+   */
+  countRead(bytes: number, resume: () => void): boolean {
+    return this.requests.countRead(bytes, resume);
+  }
+
   /** The request has arrived whole. It is not refused any more, since it may run. */
   serve(): void {
     this.served += this.arriving;
@@ -134,12 +150,14 @@
   private readonly options: HeldRequestsOptions;
   private readonly holding = new Set<HeldConnection>();
   private readonly closedByReason = new Map<string, number>();
+  private readonly pace: readPace.ReadPace;
   private used = 0;
   private isSweepPlanned = false;
 
   constructor(options: HeldRequestsOptions) {
     this.options = options;
     this.bounds = options.bounds;
+    this.pace = new readPace.ReadPace(options.scheduler, options.bounds.heldBytes * PACE_SHARE);
   }
 
   get now(): ports.Milliseconds {
@@ -164,6 +182,11 @@
     return new HeldConnection(this, port);
   }
 
+  /** Counts a read while much memory is held; see {@link HeldConnection.countRead}. */
+  countRead(bytes: number, resume: () => void): boolean {
+    return this.used > this.bounds.heldBytes * PACED_FROM && this.pace.count(bytes, resume);
+  }
+
   /** Counts a closed connection; the next sweep logs the counts, since a crowd would fill the log with a line for each. */
   recordClose(listener: string, reason: types.CloseReason): void {
     this.options.metrics.count('callers.closed', 1, { listener, reason });
--- a/packages/scenarios/src/scripts/callerBoundsSafeguards.ts
+++ b/packages/scenarios/src/scripts/callerBoundsSafeguards.ts
@@ -6,6 +6,7 @@
 const SERVER = 'spec:adapters/boundedServer';
 const HELD = 'spec:callerBounds/heldRequests';
 const BODY = 'spec:callerBounds/bodyBuffer';
+const PACE = 'spec:callerBounds/readPace';
 
 /** Safeguards, each with the spec that must fail without it. */
 export const callerBoundsSafeguards: readonly types.Safeguard[] = [
@@ -93,6 +94,34 @@
     replace: '',
     scenario: HELD,
   },
+  {
+    name: 'connections are read at a pace while much memory is held',
+    file: 'callerBounds/heldRequests.js',
+    find: 'this.used > this.bounds.heldBytes * PACED_FROM &&',
+    replace: 'false &&',
+    scenario: SERVER,
+  },
+  {
+    name: 'a connection beyond the pace is not read',
+    file: 'adapters/connectionGate.js',
+    find: 'isFull || this.isPaused',
+    replace: 'isFull',
+    scenario: SERVER,
+  },
+  {
+    name: 'a connection that has sent little is not held up by the pace',
+    file: 'callerBounds/readPace.js',
+    find: '|| bytes < SMALL_READ_BYTES',
+    replace: '',
+    scenario: PACE,
+  },
+  {
+    name: 'each interval lets a connection go on',
+    file: 'callerBounds/readPace.js',
+    find: 'Math.max(1, Math.floor(this.bytesPerInterval / READ_BYTES))',
+    replace: 'Math.floor(this.bytesPerInterval / READ_BYTES)',
+    scenario: PACE,
+  },
   {
     name: 'a connection whose body nobody reads is closed',
     file: 'adapters/boundedServer.js',
