The upstreams of httpUpstreams.spec are closed where its tests fail

What developers saw: `npm run prove` waited 60 s, its time limit, for two safeguards of this spec ("an event that is no chunk ...", "what is no receipt ..."): a failed assertion left its server listening.

Change: each server is closed, with its connections, when its test ends. No check changed.

--- a/packages/kumquatfront/src/adapters/httpUpstreams.spec.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.spec.ts
@@ -16,12 +16,15 @@
   idempotencyKey: 'k1',
 };
 
-/** Starts a TCP server that counts requests and passes each to a handler. */
+/** Starts a TCP server that counts requests and passes each to a handler; it is closed when the test ends, also where it fails. */
 async function serve(
+  context: test.TestContext,
   onRequest: (socket: net.Socket, count: number) => void,
 ): Promise<{ target: streams.UpstreamTarget; count: () => number; close: () => void }> {
   let count = 0;
+  const sockets: net.Socket[] = [];
   const server = net.createServer((socket) => {
+    sockets.push(socket);
     socket.on('error', () => undefined);
     socket.on('data', () => {
       count += 1;
@@ -31,6 +34,12 @@
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
+  context.after(() => {
+    server.close();
+    for (const socket of sockets) {
+      socket.destroy();
+    }
+  });
   const { port } = server.address() as net.AddressInfo;
   return {
     target: { name: 's', address: `http://127.0.0.1:${port}` },
@@ -54,17 +63,16 @@
 
 // The connection breaks after the call was sent. The call may have run, so the HTTP client must report the failure
 // and must not retry.
-void test.test('a call whose connection breaks is sent once and reported as broken', async () => {
-  const server = await serve((socket) => socket.destroy());
+void test.test('a call whose connection breaks is sent once and reported as broken', async (context) => {
+  const server = await serve(context, (socket) => socket.destroy());
   const outcome = await callService(httpUpstreams.createServicePort(), server.target);
   assert.equal(outcome, 'broken');
   assert.equal(server.count(), 1);
-  server.close();
 });
 
 // HTTP clients often retry on a reused connection: here the second call on the connection breaks.
-void test.test('a call that breaks on a reused connection is sent once', async () => {
-  const server = await serve((socket, count) => {
+void test.test('a call that breaks on a reused connection is sent once', async (context) => {
+  const server = await serve(context, (socket, count) => {
     if (count === 1) {
       socket.write(ANSWER);
     } else {
@@ -75,19 +83,18 @@
   assert.equal(await callService(services, server.target), 'answered');
   assert.equal(await callService(services, server.target), 'broken');
   assert.equal(server.count(), 2);
-  server.close();
 });
 
-void test.test('a refused connection is reported as never sent', async () => {
-  const server = await serve(() => undefined);
+void test.test('a refused connection is reported as never sent', async (context) => {
+  const server = await serve(context, () => undefined);
   server.close();
   await new Promise((resolve) => setImmediate(resolve));
   assert.equal(await callService(httpUpstreams.createServicePort(), server.target), 'neverSent');
 });
 
 // An event that never ends must not exhaust the memory of the entry.
-void test.test('an event without an end fails the connection', async () => {
-  const server = await serve((socket, count) => {
+void test.test('an event without an end fails the connection', async (context) => {
+  const server = await serve(context, (socket, count) => {
     if (count === 1) {
       socket.write('HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: ');
       socket.write('x'.repeat(3_000_000));
@@ -109,21 +116,23 @@
     });
   });
   assert.equal(reason, 'event too large');
-  server.close();
 });
 
 // Guards against a part of an answer that is recorded as the outcome of a call, since a crash ends its connection alike.
-void test.test('an answer that only its connection ends is broken if the service is gone', async () => {
-  const answer = 'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n{}';
-  const running = await serve((socket) => socket.end(answer));
-  assert.equal(await callService(httpUpstreams.createServicePort(), running.target), 'answered');
-  running.close();
-  const crashing = await serve((socket) => {
-    crashing.close();
-    socket.end(answer);
-  });
-  assert.equal(await callService(httpUpstreams.createServicePort(), crashing.target), 'broken');
-});
+void test.test(
+  'an answer that only its connection ends is broken if the service is gone',
+  async (context) => {
+    const answer = 'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n{}';
+    const running = await serve(context, (socket) => socket.end(answer));
+    assert.equal(await callService(httpUpstreams.createServicePort(), running.target), 'answered');
+    running.close();
+    const crashing = await serve(context, (socket) => {
+      crashing.close();
+      socket.end(answer);
+    });
+    assert.equal(await callService(httpUpstreams.createServicePort(), crashing.target), 'broken');
+  },
+);
 
 // Guards against a call that ends the process because it cannot be encoded; nothing of it was sent.
 void test.test('a call that cannot be encoded fails alone, as never sent', async () => {
@@ -216,24 +225,21 @@
 }
 
 // Guards against answers that no caller may receive: the calls of the platform refuse the same heads.
-void test.test('malformed heads of services, engines and receipts are refused', async () => {
+void test.test('malformed heads of services, engines and receipts are refused', async (context) => {
   const receipt = '{"fencingNumber":7,"target":"m"}';
   for (const [index, answer] of malformed('{}').entries()) {
-    const server = await serve((socket) => socket.end(answer));
+    const server = await serve(context, (socket) => socket.end(answer));
     assert.equal(await callService(httpUpstreams.createServicePort(), server.target), 'broken', answer);
-    server.close();
-    const engine = await serve((socket) => socket.end(malformed(WHOLE_STREAM)[index] ?? ''));
+    const engine = await serve(context, (socket) => socket.end(malformed(WHOLE_STREAM)[index] ?? ''));
     assert.equal(await generate(engine.target), 'broken', answer);
-    engine.close();
-    const ordered = await serve((socket) => socket.end(malformed(receipt)[index] ?? ''));
+    const ordered = await serve(context, (socket) => socket.end(malformed(receipt)[index] ?? ''));
     assert.equal(await order(ordered.target), 'unreachable', answer);
-    ordered.close();
   }
 });
 
 // Guards against the answer of one call that is taken for that of the next on a connection.
-void test.test('a second answer on a connection belongs to no call', async () => {
-  const server = await serve((socket, count) => {
+void test.test('a second answer on a connection belongs to no call', async (context) => {
+  const server = await serve(context, (socket, count) => {
     const answer = ANSWER.replace('{}', `${count} `);
     socket.write(answer + ANSWER.replace('{}', 'no'));
   });
@@ -249,26 +255,24 @@
     });
     assert.equal(received, body);
   }
-  server.close();
 });
 
 // Guards against a receipt that ends the process that reads it, or the leader of control that it is passed on to.
-void test.test('what is no receipt confirms no order', async () => {
+void test.test('what is no receipt confirms no order', async (context) => {
   const sound = '{"fencingNumber":7,"target":"m"}';
   const texts = ['null', '', '5', '[]', '{}', '{"fencingNumber":"7","target":"m"}', sound.slice(0, -1)];
   for (const text of [...texts, sound]) {
-    const server = await serve((socket) => {
+    const server = await serve(context, (socket) => {
       socket.end(`HTTP/1.1 200 OK\r\ncontent-length: ${text.length}\r\n\r\n${text}`);
     });
     assert.equal(await order(server.target), text === sound ? sound : 'unreachable', text);
-    server.close();
   }
 });
 
 // Guards against an event that ends the process, or that no caller can parse.
-void test.test('an event that is no chunk of a completion breaks the stream', async () => {
+void test.test('an event that is no chunk of a completion breaks the stream', async (context) => {
   for (const data of ['null', 'x', '[1]', '{"choices":[null]}', '{"choices":[{"text":{"toString":1}}]}']) {
-    const server = await serve((socket) => {
+    const server = await serve(context, (socket) => {
       socket.end(`${STREAM_HEAD}\r\nid: r.1:0\ndata: ${data}\n\nid: r.1:1\ndata: [DONE]\n\n`);
     });
     const tokens: string[] = [];
@@ -276,7 +280,6 @@
       tokens.push(token);
     });
     assert.deepEqual([outcome, tokens], ['broken', []], data);
-    server.close();
   }
 });
 
@@ -325,16 +328,15 @@
     ['an engine', generate],
     ['a receipt', order],
   ] as readonly (readonly [string, (target: streams.UpstreamTarget) => Promise<string>])[]) {
-    void test.test(`${description} of ${kind} without end: the connection is closed`, async () => {
+    void test.test(`${description} of ${kind} without end: the connection is closed`, async (context) => {
       const closed: Promise<number>[] = [];
-      const server = await serve((socket) => {
+      const server = await serve(context, (socket) => {
         closed.push(sendEndless(socket, prefix, repeated));
       });
       assert.notEqual(await send(server.target), 'nothing');
       for (const sent of await Promise.all(closed)) {
         assert.ok(sent < 16_000_000, `${sent} bytes`);
       }
-      server.close();
     });
   }
 }
