Bodies in small chunks take turns once for each iteration

What callers saw: a body in chunks of a few bytes took more of the event loop than one piece of 8 KiB an iteration, so other connections waited behind it.

Cause: ChunkTurns planned its queue twice. A connection that takes its next turn while it is served finds the queue empty and plans an immediate, and the end of the turn plans another one; their number doubles, until several pieces are parsed in one iteration. Beside load the reads were smaller, and hid it.

Ruled out: chunks that are counted after their piece. With chunks counted from the bytes of the piece it was 18 iterations as before.

Change: the queue plans itself once. The test that was taken out is back with its bound (30).

--- a/packages/kumquatfront/src/adapters/boundedServer.spec.ts
+++ b/packages/kumquatfront/src/adapters/boundedServer.spec.ts
@@ -324,3 +324,25 @@
     await withServer({ heldBytes: 1_000_000 }, run, { clock: time.clock, scheduler: time });
   },
 );
+
+// Guards against small chunks of one connection that keep the event loop from all others.
+void test.test('a body in small chunks is parsed over many iterations of the event loop', async () => {
+  await withServer({}, async ({ port, begun }) => {
+    const client = new Client(port);
+    client.socket.write('POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n');
+    await until(() => begun.length === 1);
+    let iterations = 0;
+    const count = (): void => {
+      iterations += 1;
+      if (client.text === '') {
+        setImmediate(count);
+      }
+    };
+    client.socket.write(`${'1\r\nx\r\n'.repeat(90_000)}0\r\n\r\n`);
+    setImmediate(count);
+    await until(() => client.text.includes('90000 bytes'));
+    // 66 pieces, of which some are parsed with the read that brings them; without turns there are about as many as reads, nine.
+    assert.ok(iterations >= 30, `${iterations} iterations for 540 kB`);
+    client.socket.destroy();
+  });
+});
--- a/packages/kumquatfront/src/adapters/connectionGate.ts
+++ b/packages/kumquatfront/src/adapters/connectionGate.ts
@@ -32,19 +32,26 @@
 /** Connections with bodies in small chunks: one piece of one connection for each iteration of the event loop. */
 export class ChunkTurns {
   private readonly queue: (() => void)[] = [];
+  private isPlanned = false;
 
   /** Runs a piece in turn. */
   add(run: () => void): void {
     this.queue.push(run);
-    if (this.queue.length === 1) {
+    this.plan();
+  }
+
+  private plan(): void {
+    if (!this.isPlanned) {
+      this.isPlanned = true;
       setImmediate(this.next);
     }
   }
 
   private readonly next = (): void => {
+    this.isPlanned = false;
     this.queue.shift()?.();
     if (this.queue.length > 0) {
-      setImmediate(this.next);
+      this.plan();
     }
   };
 }
--- a/packages/scenarios/src/scripts/callerBoundsSafeguards.ts
+++ b/packages/scenarios/src/scripts/callerBoundsSafeguards.ts
@@ -31,6 +31,13 @@
     replace: 'if (false) {\n                // The caller',
     scenario: SERVER,
   },
+  {
+    name: 'connections with bodies in small chunks take turns',
+    file: 'adapters/connectionGate.js',
+    find: 'this.stepsInTurn >= STEPS_PER_TURN',
+    replace: 'false',
+    scenario: SERVER,
+  },
   {
     name: 'small chunks of a body are copied into blocks',
     file: 'callerBounds/bodyBuffer.js',
