Hostile bodies at the own daemons have a test: cut short, and in large pieces

The landing of the bounds on callers saw the entry daemon at 161 MB beside load, with default bounds and no test. The spec now states the bound of a VM of 160 MB (a tenth of it, the default share) and sends these two kinds to both daemons.

--- a/packages/soak/src/hostileDaemons.isolated.spec.ts
+++ b/packages/soak/src/hostileDaemons.isolated.spec.ts
@@ -21,6 +21,10 @@
 const START_ATTEMPTS = 100;
 const ORDINARY_TIMEOUT = 30_000;
 const KEY_HASH = '0'.repeat(64);
+const BYTES_PER_MEGABYTE = 1_048_576;
+
+/** Bound on what clients hold, for a VM of the limits: its default share of the memory. */
+const HELD_BYTES = 0.1 * hostileSystem.LIMITS.memoryMegabytes * BYTES_PER_MEGABYTE;
 
 /** Starts a daemon, lets a crowd send to it, and checks what it has used. */
 async function attack(kind: hostileClients.HostileKind, role: 'entry' | 'control'): Promise<void> {
@@ -31,6 +35,7 @@
     dataCentre: 'a',
     peerAddress: `${HOST}:${peer}`,
     control: [`${HOST}:${peer}`],
+    callerBounds: { heldBytes: HELD_BYTES },
   };
   const settings =
     role === 'entry'
@@ -89,9 +94,12 @@
   }
 }
 
+/** Kinds of clients, each with a failure that the tests of the platform's addresses name. */
+const KINDS = ['bytesOfBodies', 'bareRequestsAhead', 'bodiesCutShort', 'piecesOfBodies'] as const;
+
 // The same failures as at the platform's addresses, through the servers of the daemons.
 for (const role of ['entry', 'control'] as const) {
-  for (const kind of ['bytesOfBodies', 'bareRequestsAhead'] as const) {
+  for (const kind of KINDS) {
     void test.test(`${kind} at the interface of the ${role} daemon`, () => attack(kind, role));
   }
 }
