A raw caller sends the parts of a request in order

Cause: in the test's caller. It started one timer for each part, of 1 and 3 ms. Timers of different lengths that are late fire in any order, so the second part of the request was sent first. Traced at the entry: the first bytes that it read were 65,536 bytes of the body, its parser answered 400 ("Invalid method encountered"), and the reset reached the caller before it had read that. The entry did as it should.

Ruled out: a refusal by the bounds on callers (no callersClosed), the gate of the connection (300 requests of this size in one process, cut in three ways, were served), an end of a process (same identifiers).

Change: each part is sent after the one before it.

--- a/packages/standIns/src/rawCaller.ts
+++ b/packages/standIns/src/rawCaller.ts
@@ -59,13 +59,14 @@
     socket.on('close', () => {
       finish(wasReset ? 'reset' : 'closed');
     });
-    parts.forEach((part, index) => {
-      timers.push(
-        setTimeout(() => {
-          socket.write(part);
-        }, index * pause),
-      );
-    });
+    const sendFrom = (index: number): void => {
+      const part = parts[index];
+      if (part !== undefined) {
+        socket.write(part);
+        timers.push(setTimeout(sendFrom, pause, index + 1));
+      }
+    };
+    sendFrom(0);
     timers.push(
       setTimeout(() => {
         finish('open');
