The tests of hostile clients and malformed answers start one small system

What developers saw: hostileSystem, malformedSystem and measureEndless each allocated ports, started three control replicas and entries, applied the configuration and deleted the folder, each by itself.

Change: soak/smallSystem does it. A form, not a check.

--- a/packages/soak/src/hostileSystem.ts
+++ b/packages/soak/src/hostileSystem.ts
@@ -3,22 +3,16 @@
  */
 import * as crypto from 'node:crypto';
 import * as fs from 'node:fs';
-import * as os from 'node:os';
-import * as path from 'node:path';
 
 import * as platform from 'kumquatfront-platform';
 
 import * as clients from './clients.js';
-import * as freePorts from './freePorts.js';
 import * as hostileClients from './hostileClients.js';
-import * as invariantChecker from './invariantChecker.js';
-import * as sleep from './sleep.js';
-import * as stubInstance from './stubInstance.js';
-import * as supervisedProcess from './supervisedProcess.js';
+import * as smallSystem from './smallSystem.js';
+import type * as stubInstance from './stubInstance.js';
+import type * as supervisedProcess from './supervisedProcess.js';
 
 const BYTES_PER_MEGABYTE = 1_048_576;
-const CONTROL_COUNT = 3;
-const PREPARATION_ATTEMPTS = 100;
 
 /** Limits of the machine in the settings of each process of the tests. */
 export const LIMITS = { memoryMegabytes: 160, descriptors: 400 } as const;
@@ -81,43 +75,31 @@
 /** Three control replicas, an entry and an upstream. */
 export class HostileSystem {
   private constructor(
-    private readonly folder: string,
-    private readonly ports: supervisedProcess.Ports,
-    private readonly control: readonly supervisedProcess.SupervisedProcess[],
+    private readonly processes: smallSystem.SmallSystem,
     private readonly entry: supervisedProcess.SupervisedProcess,
     private readonly upstream: stubInstance.StubInstance,
   ) {}
 
   /** Starts the processes and waits until the entry serves an ordinary request. */
   static async start(): Promise<HostileSystem> {
-    const [peer = 0, caller = 0, ready = 0, operator = 0, registry = 0, metrics = 0, instance = 0] =
-      await freePorts.allocate(7);
-    const ports = { peer, caller, ready, operator, registry, metrics };
-    const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'kumquatfront-hostile-'));
-    const seeds = Array.from({ length: CONTROL_COUNT }, (_none, index) => `127.0.22.${index + 1}`);
-    const start = (role: 'control' | 'entry', index: number): supervisedProcess.SupervisedProcess =>
-      new supervisedProcess.SupervisedProcess(folder, role, index, ports, seeds, {
-        heapMegabytes: HEAP_MEGABYTES,
-        settings: { capacity: LIMITS },
-      });
-    const control = seeds.map((_seed, index) => start('control', index + 1));
-    const entry = start('entry', 1);
-    const address = `127.0.25.1:${instance}`;
-    const upstreamOptions = { identity: 'sound', listenAddress: address, advertisedAddress: address };
-    const upstream = new stubInstance.StubInstance({
-      ...upstreamOptions,
-      service: 'app',
-      checker: new invariantChecker.InvariantChecker(),
-      controlAddresses: () => control.map(({ host }) => `${host}:${operator}`),
+    const processes = await smallSystem.SmallSystem.start(1, {
+      heapMegabytes: HEAP_MEGABYTES,
+      settings: { capacity: LIMITS },
     });
-    const system = new HostileSystem(folder, ports, control, entry, upstream);
-    await system.prepare();
+    const [entry] = processes.entries;
+    if (entry === undefined) {
+      throw new Error('The system has no entry.');
+    }
+    const upstream = processes.startUpstream('sound', 'app', '127.0.25.1');
+    const system = new HostileSystem(processes, entry, upstream);
+    await processes.configure();
+    await smallSystem.until(async () => (await system.callEntry()) === 200);
     return system;
   }
 
   /** Host and port of a listener. */
   addressOf(listener: Listener): { readonly host: string; readonly port: number } {
-    const { caller, ready, metrics, operator, registry } = this.ports;
+    const { caller, ready, metrics, operator, registry } = this.processes.ports;
     const port = {
       ...{ callers: caller, ready, metrics, controlMetrics: metrics },
       ...{ operators: operator, registry },
@@ -126,26 +108,8 @@
   }
 
   private processOf(listener: Listener): supervisedProcess.SupervisedProcess {
-    const [firstControl = this.entry] = this.control;
     const isControl = listener === 'operators' || listener === 'registry' || listener === 'controlMetrics';
-    return isControl ? firstControl : this.entry;
-  }
-
-  private async prepare(): Promise<void> {
-    const { host, port } = this.addressOf('operators');
-    const configure = { host, port, method: 'POST', path: '/-/config/replace', timeout: 1_000 };
-    await this.until(async () => (await clients.call(configure, clients.configurationText(1))).status);
-    await this.until(() => this.callEntry());
-  }
-
-  private async until(call: () => Promise<number>): Promise<void> {
-    for (let attempt = 0; attempt < PREPARATION_ATTEMPTS; attempt += 1) {
-      if ((await call()) === 200) {
-        return;
-      }
-      await sleep.forMilliseconds(100);
-    }
-    throw new Error('The system did not start.');
+    return isControl ? this.processes.firstControl : this.entry;
   }
 
   private async callEntry(timeout = 2_000): Promise<number> {
@@ -201,11 +165,8 @@
   }
 
   stop(): void {
-    for (const process of [...this.control, this.entry]) {
-      process.stop();
-    }
+    this.processes.stop();
     this.upstream.close();
-    fs.rmSync(this.folder, { recursive: true, force: true });
   }
 }
 
--- a/packages/soak/src/malformedSystem.ts
+++ b/packages/soak/src/malformedSystem.ts
@@ -3,24 +3,18 @@
  * off from the upstreams, so that its calls are relayed through the first.
  */
 import * as crypto from 'node:crypto';
-import * as fs from 'node:fs';
-import * as os from 'node:os';
-import * as path from 'node:path';
 
 import * as platform from 'kumquatfront-platform';
 import * as standIns from 'kumquatfront-stand-ins';
 
-import * as clients from './clients.js';
-import * as freePorts from './freePorts.js';
 import * as invariantChecker from './invariantChecker.js';
 import * as rawUpstreams from './rawUpstreams.js';
 import * as sleep from './sleep.js';
-import * as stubInstance from './stubInstance.js';
-import * as supervisedProcess from './supervisedProcess.js';
+import * as smallSystem from './smallSystem.js';
+import type * as stubInstance from './stubInstance.js';
+import type * as supervisedProcess from './supervisedProcess.js';
 
-const CONTROL_COUNT = 3;
 const ENTRY_COUNT = 2;
-const PREPARATION_ATTEMPTS = 100;
 const CUT_DETECTION_MS = 1_500;
 
 /** Time left that each call states, in milliseconds. */
@@ -65,10 +59,7 @@
 /** The system; see the module comment. */
 export class MalformedSystem {
   private constructor(
-    private readonly folder: string,
-    private readonly ports: supervisedProcess.Ports,
-    private readonly control: readonly supervisedProcess.SupervisedProcess[],
-    readonly entries: readonly supervisedProcess.SupervisedProcess[],
+    private readonly processes: smallSystem.SmallSystem,
     private readonly sound: stubInstance.StubInstance,
     readonly upstreams: rawUpstreams.RawUpstreams,
   ) {}
@@ -83,28 +74,10 @@
     answerTo: rawUpstreams.RawUpstreamsOptions['answerTo'],
     nodeOptions: readonly string[] = [],
   ): Promise<MalformedSystem> {
-    const [peer = 0, caller = 0, ready = 0, operator = 0, registry = 0, metrics = 0, instance = 0] =
-      await freePorts.allocate(7);
-    const ports = { peer, caller, ready, operator, registry, metrics };
-    const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'kumquatfront-malformed-'));
-    const seeds = Array.from({ length: CONTROL_COUNT }, (_none, index) => `127.0.22.${index + 1}`);
-    const start = (role: 'control' | 'entry', count: number): supervisedProcess.SupervisedProcess[] =>
-      Array.from(
-        { length: count },
-        (_none, index) =>
-          new supervisedProcess.SupervisedProcess(folder, role, index + 1, ports, seeds, { nodeOptions }),
-      );
-    const control = start('control', CONTROL_COUNT);
-    const entries = start('entry', ENTRY_COUNT);
-    const controlAddress = `${control[0]?.host ?? ''}:${operator}`;
-    const soundAddress = `127.0.25.1:${instance}`;
-    const sound = new stubInstance.StubInstance({
-      ...{ identity: 'sound', service: 'app', listenAddress: soundAddress, advertisedAddress: soundAddress },
-      checker: new invariantChecker.InvariantChecker(),
-      controlAddresses: () => [controlAddress],
-    });
+    const processes = await smallSystem.SmallSystem.start(ENTRY_COUNT, { nodeOptions });
+    const sound = processes.startUpstream('sound', 'app', '127.0.25.1');
     const upstreams = await rawUpstreams.RawUpstreams.start({
-      ...{ port: instance, controlAddress, answerTo },
+      ...{ port: processes.ports.instance, controlAddress: processes.controlAddress, answerTo },
       instances: MALFORMED_SERVICES.flatMap((service, block) =>
         Array.from({ length: INSTANCES_PER_SERVICE }, (_none, index) => ({
           ...{ identity: `${service}-${index}`, service },
@@ -112,33 +85,22 @@
         })),
       ),
     });
-    const system = new MalformedSystem(folder, ports, control, entries, sound, upstreams);
+    const system = new MalformedSystem(processes, sound, upstreams);
     await system.prepare();
     return system;
   }
 
   private async prepare(): Promise<void> {
-    const [first] = this.control;
-    const options = { host: first?.host, port: this.ports.operator, method: 'POST', timeout: 1_000 };
-    await this.until(async () => {
-      const body = clients.configurationText(1);
-      return (await clients.call({ ...options, path: '/-/config/replace' }, body)).status === 200;
-    });
+    await this.processes.configure();
     for (const entry of this.entries) {
-      await this.until(() => this.isServing(entry));
+      await smallSystem.until(() => this.isServing(entry));
     }
     // Behind the heartbeats of the other upstream, which the calls above do not need.
     await sleep.forMilliseconds(1_000);
   }
 
-  private async until(isDone: () => Promise<boolean>): Promise<void> {
-    for (let attempt = 0; attempt < PREPARATION_ATTEMPTS; attempt += 1) {
-      if (await isDone()) {
-        return;
-      }
-      await sleep.forMilliseconds(100);
-    }
-    throw new Error('The system did not start.');
+  get entries(): readonly supervisedProcess.SupervisedProcess[] {
+    return this.processes.entries;
   }
 
   /** Whether an entry serves a call to the sound upstream. */
@@ -151,7 +113,7 @@
   /** Sends a call on a connection of its own. */
   call(entry: supervisedProcess.SupervisedProcess, call: TestCall): Promise<standIns.rawCaller.RawResult> {
     return standIns.rawCaller.send({
-      ...{ host: entry.host, port: this.ports.caller, parts: requestParts(call) },
+      ...{ host: entry.host, port: this.processes.ports.caller, parts: requestParts(call) },
       ...(call.pause !== undefined && { pause: call.pause }),
       ...(call.leavesAfter !== undefined && { leavesAfter: call.leavesAfter }),
       timeout: 2 * TIME_LEFT_MS,
@@ -166,15 +128,12 @@
 
   /** Identifiers of the processes, which change when one has ended. */
   get processIds(): readonly (number | undefined)[] {
-    return [...this.control, ...this.entries].map(({ processId }) => processId);
+    return [...this.processes.control, ...this.entries].map(({ processId }) => processId);
   }
 
   stop(): void {
-    for (const process of [...this.control, ...this.entries]) {
-      process.stop();
-    }
+    this.processes.stop();
     this.sound.close();
     this.upstreams.close();
-    fs.rmSync(this.folder, { recursive: true, force: true });
   }
 }
--- a/packages/soak/src/measureEndless.ts
+++ b/packages/soak/src/measureEndless.ts
@@ -2,23 +2,15 @@
  * `npm run measure:endless [FORM ...]`: real entries with four upstreams of which one sends bytes without end. Prints, for each way,
  * the peak memory of an entry, how long the connections live, and what callers get.
  */
-import * as fs from 'node:fs';
 import * as http from 'node:http';
-import * as os from 'node:os';
-import * as path from 'node:path';
 import * as worker from 'node:worker_threads';
 
 import * as platform from 'kumquatfront-platform';
 
-import * as clients from './clients.js';
 import * as endlessUpstream from './endlessUpstream.js';
-import * as freePorts from './freePorts.js';
-import * as invariantChecker from './invariantChecker.js';
 import * as sleep from './sleep.js';
-import * as stubInstance from './stubInstance.js';
-import * as supervisedProcess from './supervisedProcess.js';
+import * as smallSystem from './smallSystem.js';
 
-const CONTROL_COUNT = 3;
 const ENTRY_COUNT = 2;
 const SOUND_UPSTREAMS = 3;
 const CLIENTS_PER_ENTRY = 10;
@@ -87,51 +79,16 @@
   return Math.round(sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0);
 }
 
-async function configure(host: string, port: number): Promise<void> {
-  const isAcknowledged = (): Promise<boolean> =>
-    new Promise((resolve) => {
-      const request = http.request({ host, port, method: 'POST', path: '/-/config/replace', timeout: 1_000 });
-      request.on('timeout', () => request.destroy());
-      request.on('error', () => {
-        resolve(false);
-      });
-      request.on('response', (response) => {
-        response.resume();
-        resolve(response.statusCode === 200);
-      });
-      request.end(clients.configurationText(1));
-    });
-  while (!(await isAcknowledged())) {
-    await sleep.forMilliseconds(100);
-  }
-}
-
 async function measure(form: endlessUpstream.EndlessForm): Promise<void> {
-  const [peer = 0, caller = 0, ready = 0, operator = 0, registry = 0, metrics = 0, instance = 0] =
-    await freePorts.allocate(7);
-  const ports = { peer, caller, ready, operator, registry, metrics };
-  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'kumquatfront-endless-'));
-  const seeds = Array.from({ length: CONTROL_COUNT }, (_none, index) => `127.0.22.${index + 1}`);
-  const start = (role: 'control' | 'entry', count: number): supervisedProcess.SupervisedProcess[] =>
-    Array.from(
-      { length: count },
-      (_none, index) => new supervisedProcess.SupervisedProcess(folder, role, index + 1, ports, seeds),
-    );
-  const control = start('control', CONTROL_COUNT);
-  const entries = start('entry', ENTRY_COUNT);
-  const controlAddress = `${control[0]?.host ?? ''}:${operator}`;
-  await configure(control[0]?.host ?? '', operator);
+  const system = await smallSystem.SmallSystem.start(ENTRY_COUNT);
+  const { entries, controlAddress } = system;
+  const { caller, instance } = system.ports;
+  await system.configure();
   const isStream = form === 'event' || form === 'comments';
   const service = isStream ? 'llm' : 'app';
-  const checker = new invariantChecker.InvariantChecker();
-  const sound = Array.from({ length: SOUND_UPSTREAMS }, (_none, index) => {
-    const address = `127.0.25.${index + 1}:${instance}`;
-    const identity = `sound-${index}`;
-    return new stubInstance.StubInstance({
-      ...{ identity, service, checker, listenAddress: address, advertisedAddress: address },
-      controlAddresses: () => [controlAddress],
-    });
-  });
+  const sound = Array.from({ length: SOUND_UPSTREAMS }, (_none, index) =>
+    system.startUpstream(`sound-${index}`, service, `127.0.25.${index + 1}`),
+  );
   const endlessHost = '127.0.25.9';
   const workerData: endlessUpstream.EndlessUpstreamOptions = { form, host: endlessHost, port: instance };
   const thread = new worker.Worker(new URL('./endlessUpstream.js', import.meta.url), { workerData });
@@ -169,13 +126,10 @@
   );
   clearInterval(announcing);
   await thread.terminate();
-  for (const process of [...control, ...entries]) {
-    process.stop();
-  }
+  system.stop();
   for (const upstream of sound) {
     upstream.close();
   }
-  fs.rmSync(folder, { recursive: true, force: true });
 }
 
 const [, , ...selected] = process.argv;
