A connection whose end is being sent is closed, not reset

What was seen: `npm test` went on after its last test, once: the process of hostileOthers.isolated.spec used a whole core in CleanupHandles until its limit of 240 s. Reproduced on: 5 of 22 runs, five to twelve at a time.

Cause: net.Socket.resetAndDestroy() after end(), while the end is being sent. libuv refuses that reset (EINVAL); Node.js takes the handle for closing all the same. Its descriptor stays open, no "close" comes, and the cleanup of the process waits for it for ever. Seen in two hung processes: two and four TCP sockets in state CLOSE, no active handle and no request in the loop. A connection with end() and resetAndDestroy() in one tick hangs each time; with destroy() it ends at once. The tests' proxy does that when it is closed while a connection ends. In the product, an entry that breaks off an answer could lose a descriptor, and its process would not end by itself.

Change: adapters/connectionReset closes a connection in that state (all of its bytes are with the operating system by then) and resets it in all others; the entry and the proxy use it. The new spec fails in that state without it ("reset EINVAL"); its safeguard is in the list.

--- a/packages/kumquatfront/src/adapters/trafficHttp.ts
+++ b/packages/kumquatfront/src/adapters/trafficHttp.ts
@@ -11,6 +11,7 @@
 import type * as relayTypes from '../relay/types.js';
 import type * as trafficTypes from '../traffic/types.js';
 import * as boundedServer from './boundedServer.js';
+import * as connectionReset from './connectionReset.js';
 import type * as httpMessages from './httpMessages.js';
 import * as rawHeaders from './rawHeaders.js';
 import * as requestsAfterPause from './requestsAfterPause.js';
@@ -199,7 +200,7 @@
   const abort = (): void => {
     // Without chunks an ordinary end of the connection would complete the answer.
     if (outgoing.headersSent && !outgoing.chunkedEncoding) {
-      socket.resetAndDestroy();
+      connectionReset.reset(socket);
     }
     outgoing.destroy();
   };
--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -87,6 +87,7 @@
 export type * as trafficTypes from './traffic/types.js';
 export * as trafficValidation from './traffic/trafficValidation.js';
 export * as connectionCheck from './adapters/connectionCheck.js';
+export * as connectionReset from './adapters/connectionReset.js';
 export * as singleUseConnection from './adapters/singleUseConnection.js';
 export * as wholeResponse from './adapters/wholeResponse.js';
 export * as trafficHttp from './adapters/trafficHttp.js';
--- a/packages/scenarios/src/scripts/completionSafeguards.ts
+++ b/packages/scenarios/src/scripts/completionSafeguards.ts
@@ -54,10 +54,17 @@
   {
     name: 'an aborted answer without chunks ends with a reset',
     file: 'adapters/trafficHttp.js',
-    find: 'socket.resetAndDestroy();',
+    find: 'connectionReset.reset(socket);',
     replace: '',
     scenario: RAW,
   },
+  {
+    name: 'a connection whose end is being sent is closed instead of reset',
+    file: 'adapters/connectionReset.js',
+    find: 'if (isEnding)',
+    replace: 'if (false)',
+    scenario: 'spec:adapters/connectionReset',
+  },
   {
     name: 'a plain answer that only its connection ends is given no length',
     file: 'adapters/trafficHttp.js',
--- a/packages/soak/src/loopbackProxy.ts
+++ b/packages/soak/src/loopbackProxy.ts
@@ -3,6 +3,8 @@
  */
 import * as net from 'node:net';
 
+import * as kumquatfront from 'kumquatfront';
+
 /** Fault applied to the connections. `forwardOnly` and `backwardOnly` drop the opposite direction. */
 export type LinkState = 'healthy' | 'delayed' | 'silent' | 'forwardOnly' | 'backwardOnly' | 'refused';
 
@@ -27,7 +29,7 @@
     const [host = '', port = ''] = to.split(':');
     this.server = net.createServer({ allowHalfOpen: true }, (inbound) => {
       if (this.state === 'refused') {
-        inbound.resetAndDestroy();
+        kumquatfront.connectionReset.reset(inbound);
         return;
       }
       const outbound = net.connect({ host, port: Number(port), allowHalfOpen: true });
@@ -44,8 +46,8 @@
     this.forward(outbound, inbound, 'backwardOnly');
     for (const socket of [inbound, outbound]) {
       socket.on('error', () => {
-        inbound.resetAndDestroy();
-        outbound.resetAndDestroy();
+        kumquatfront.connectionReset.reset(inbound);
+        kumquatfront.connectionReset.reset(outbound);
       });
       socket.on('close', () => {
         this.connections.delete(connection);
@@ -101,8 +103,8 @@
   /** Resets all open connections; new connections are accepted. */
   reset(): void {
     for (const { inbound, outbound } of [...this.connections]) {
-      inbound.resetAndDestroy();
-      outbound.resetAndDestroy();
+      kumquatfront.connectionReset.reset(inbound);
+      kumquatfront.connectionReset.reset(outbound);
     }
   }
 
