Tests send endless bytes, reset proxied connections and take default bounds in one place

What readers saw: the loop that sends bytes without end stood in httpUpstreams.spec and in singleUseConnection.spec; the proxy of the soak reset both sides of a connection in two places; hostileDaemons computed the default bound on held bytes, which defaultBounds.forCapacity knows.

Change: adapters/endlessBytes, resetBoth, and the call of defaultBounds (16,777,216 bytes as before). A form: bounds and assertions are unchanged.

--- a/packages/kumquatfront/src/adapters/httpUpstreams.spec.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.spec.ts
@@ -6,6 +6,7 @@
 import * as test from 'node:test';
 
 import type * as streams from '../streams/types.js';
+import * as endlessBytes from './endlessBytes.js';
 import * as httpUpstreams from './httpUpstreams.js';
 
 const CALL: streams.ServiceCall = {
@@ -299,20 +300,10 @@
 
 /** Sends without end; resolves with the number of bytes when the connection is closed. */
 function sendEndless(socket: net.Socket, prefix: string, repeated: string): Promise<number> {
-  let sent = 0;
-  socket.write(prefix);
-  const send = (): void => {
-    if (!socket.destroyed) {
-      sent += repeated.length;
-      socket.write(repeated, () => {
-        setImmediate(send);
-      });
-    }
-  };
-  send();
+  const sentBytes = endlessBytes.send(socket, prefix, repeated);
   return new Promise((resolve) => {
     socket.once('close', () => {
-      resolve(sent);
+      resolve(sentBytes());
     });
     setTimeout(() => {
       socket.destroy();
--- a/packages/kumquatfront/src/adapters/singleUseConnection.spec.ts
+++ b/packages/kumquatfront/src/adapters/singleUseConnection.spec.ts
@@ -10,6 +10,7 @@
 
 import type * as ports from '../kernel/ports.js';
 import * as virtualTime from '../kernel/virtualTime.js';
+import * as endlessBytes from './endlessBytes.js';
 import * as singleUseConnection from './singleUseConnection.js';
 import * as systemTime from './systemTime.js';
 
@@ -184,29 +185,20 @@
 // Guards against connections that live, and take memory and processor time, until the deadline of a request.
 for (const [description, prefix, repeated] of ENDLESS) {
   void test.test(`a connection that sends ${description} without end is closed`, async () => {
-    let sent = 0;
+    let sentBytes = (): number => 0;
     const closed = new Promise<void>((resolve) => {
       void exchangeWith((socket) => {
         socket.once('close', () => {
           resolve();
         });
-        socket.write(prefix);
-        const send = (): void => {
-          if (!socket.destroyed) {
-            sent += repeated.length;
-            socket.write(repeated, () => {
-              setImmediate(send);
-            });
-          }
-        };
-        send();
+        sentBytes = endlessBytes.send(socket, prefix, repeated);
       }).then(({ ended, failure }) => {
         assert.equal(ended, false);
         assert.equal(failure, 'garbled');
       });
     });
     await closed;
-    assert.ok(sent < 8_000_000, `${sent} bytes`);
+    assert.ok(sentBytes() < 8_000_000, `${sentBytes()} bytes`);
   });
 }
 
--- a/packages/soak/src/hostileDaemons.isolated.spec.ts
+++ b/packages/soak/src/hostileDaemons.isolated.spec.ts
@@ -8,6 +8,8 @@
 import * as test from 'node:test';
 import * as url from 'node:url';
 
+import * as kumquatfront from 'kumquatfront';
+
 import * as clients from './clients.js';
 import * as freePorts from './freePorts.js';
 import * as hostileCases from './hostileCases.js';
@@ -21,10 +23,9 @@
 const START_ATTEMPTS = 100;
 const ORDINARY_TIMEOUT = 30_000;
 const KEY_HASH = '0'.repeat(64);
-const BYTES_PER_MEGABYTE = 1_048_576;
 
-/** Bound on what clients hold, for a VM of the limits: its default share of the memory. */
-const HELD_BYTES = 0.1 * hostileSystem.LIMITS.memoryMegabytes * BYTES_PER_MEGABYTE;
+/** Default bound on what clients hold, for a VM of the limits. */
+const { heldBytes } = kumquatfront.defaultBounds.forCapacity(hostileSystem.LIMITS);
 
 /** Starts a daemon, lets a crowd send to it, and checks what it has used. */
 async function attack(kind: hostileClients.HostileKind, role: 'entry' | 'control'): Promise<void> {
@@ -35,7 +36,7 @@
     dataCentre: 'a',
     peerAddress: `${HOST}:${peer}`,
     control: [`${HOST}:${peer}`],
-    callerBounds: { heldBytes: HELD_BYTES },
+    callerBounds: { heldBytes },
   };
   const settings =
     role === 'entry'
--- a/packages/soak/src/loopbackProxy.ts
+++ b/packages/soak/src/loopbackProxy.ts
@@ -15,6 +15,11 @@
   readonly outbound: net.Socket;
 }
 
+function resetBoth({ inbound, outbound }: ProxiedConnection): void {
+  kumquatfront.connectionReset.reset(inbound);
+  kumquatfront.connectionReset.reset(outbound);
+}
+
 /** Proxies one address and injects network faults. */
 export class LoopbackProxy {
   state: LinkState = 'healthy';
@@ -46,8 +51,7 @@
     this.forward(outbound, inbound, 'backwardOnly');
     for (const socket of [inbound, outbound]) {
       socket.on('error', () => {
-        kumquatfront.connectionReset.reset(inbound);
-        kumquatfront.connectionReset.reset(outbound);
+        resetBoth(connection);
       });
       socket.on('close', () => {
         this.connections.delete(connection);
@@ -102,9 +106,8 @@
 
   /** Resets all open connections; new connections are accepted. */
   reset(): void {
-    for (const { inbound, outbound } of [...this.connections]) {
-      kumquatfront.connectionReset.reset(inbound);
-      kumquatfront.connectionReset.reset(outbound);
+    for (const connection of [...this.connections]) {
+      resetBoth(connection);
     }
   }
 
