Relays and readers share one rule for failures that were never sent

What readers saw: "notSent or withheld" stood in bufferedExchange, streamRecovery and in the new upstreamRequest.

Change: responseClassification.wasNeverSent serves all three; the safeguard of it moves along. Behaviour is unchanged.

--- a/packages/kumquatfront/src/adapters/generationConnection.ts
+++ b/packages/kumquatfront/src/adapters/generationConnection.ts
@@ -5,12 +5,12 @@
 
 import * as eventSource from 'eventsource-parser';
 
+import * as responseClassification from '../relay/responseClassification.js';
 import type * as relayTypes from '../relay/types.js';
 import * as completionChunk from '../streams/completionChunk.js';
 import type * as streams from '../streams/types.js';
 import * as singleUseConnection from './singleUseConnection.js';
 import * as systemTime from './systemTime.js';
-import * as upstreamRequest from './upstreamRequest.js';
 
 const MAXIMUM_EVENT_BYTES = 1024 * 1024;
 const END_OF_STREAM = '[DONE]';
@@ -70,7 +70,7 @@
   }
 
   private onFailed(failure: relayTypes.ExchangeFailure, reason: string): void {
-    this.fail(upstreamRequest.wasNeverSent(failure) ? 'neverSent' : 'broken', reason);
+    this.fail(responseClassification.wasNeverSent(failure) ? 'neverSent' : 'broken', reason);
   }
 
   private onHead(status: number): void {
--- a/packages/kumquatfront/src/adapters/httpUpstreams.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.ts
@@ -7,6 +7,7 @@
 import type * as ports from '../kernel/ports.js';
 import * as orderReceipt from '../orders/orderReceipt.js';
 import type * as orders from '../orders/types.js';
+import * as responseClassification from '../relay/responseClassification.js';
 import type * as relayTypes from '../relay/types.js';
 import type * as streams from '../streams/types.js';
 import * as connectionCheck from './connectionCheck.js';
@@ -96,7 +97,7 @@
 }
 
 function serviceFailure(kind: wholeResponse.ResponseFailure['kind']): 'neverSent' | 'broken' | 'timeout' {
-  if (upstreamRequest.wasNeverSent(kind)) {
+  if (responseClassification.wasNeverSent(kind)) {
     return 'neverSent';
   }
   return kind === 'timeout' ? 'timeout' : 'broken';
--- a/packages/kumquatfront/src/adapters/upstreamRequest.ts
+++ b/packages/kumquatfront/src/adapters/upstreamRequest.ts
@@ -3,7 +3,6 @@
  */
 import type * as relayTypes from '../relay/types.js';
 import type * as singleUseConnection from './singleUseConnection.js';
-import type * as wholeResponse from './wholeResponse.js';
 
 /** A request without its address. */
 export interface RequestContent {
@@ -47,16 +46,3 @@
     headers: [['Host', target], ...Object.entries(headers), ...length],
   };
 }
-
-/**
- * Checks whether a failure proves that no byte of a request was sent.
- *
- * @returns true for connections that were not established, and requests that HTTP cannot represent
- * @example
- * ```ts
- * upstreamRequest.wasNeverSent('notSent'); // true
- * ```
- */
-export function wasNeverSent(failure: wholeResponse.ResponseFailure['kind']): boolean {
-  return failure === 'notSent' || failure === 'withheld';
-}
--- a/packages/kumquatfront/src/relay/bufferedExchange.ts
+++ b/packages/kumquatfront/src/relay/bufferedExchange.ts
@@ -263,7 +263,7 @@
     if (exchangeContext.countsAgainstUpstream(this.context, failure)) {
       balancer.recordFailure(identity, failure === 'notSent' ? 'stall' : 'failure', timers.now());
     }
-    if (failure === 'notSent' || failure === 'withheld') {
+    if (responseClassification.wasNeverSent(failure)) {
       this.possibleRuns -= 1;
       this.sendNext();
       return;
--- a/packages/kumquatfront/src/relay/responseClassification.ts
+++ b/packages/kumquatfront/src/relay/responseClassification.ts
@@ -1,5 +1,5 @@
 /**
- * Classifies upstream responses: forward to the caller, retry on another upstream, or treat as invalid.
+ * Classifies upstream responses and failures: forward to the caller, retry on another upstream, or treat as invalid.
  */
 import type * as types from './types.js';
 
@@ -29,6 +29,19 @@
   return status === MISDIRECTED;
 }
 
+/**
+ * Checks whether a failure proves that the upstream was sent no byte of the request.
+ *
+ * @returns true for connections that were not established, and requests that were kept back or cannot be encoded
+ * @example
+ * ```ts
+ * responseClassification.wasNeverSent('notSent'); // true
+ * ```
+ */
+export function wasNeverSent(failure: types.ExchangeFailure | 'timeout'): failure is 'notSent' | 'withheld' {
+  return failure === 'notSent' || failure === 'withheld';
+}
+
 /**
  * Classifies a response by its head.
  *
--- a/packages/kumquatfront/src/relay/streamRecovery.ts
+++ b/packages/kumquatfront/src/relay/streamRecovery.ts
@@ -2,6 +2,7 @@
  * Decides how a stream goes on after one of its segments ended early: from a memory copy, on another upstream, or not.
  */
 import * as exchangeContext from './exchangeContext.js';
+import * as responseClassification from './responseClassification.js';
 import type * as streamAttempts from './streamAttempts.js';
 import type * as streamDelivery from './streamDelivery.js';
 import type * as streamMove from './streamMove.js';
@@ -101,7 +102,7 @@
     }
     this.host.selector.exclude(segment.instance.identity);
     const firstCopy = this.host.takeFirstCopy();
-    if (failure === 'notSent' || failure === 'withheld') {
+    if (responseClassification.wasNeverSent(failure)) {
       this.onNotSent(segment);
     } else if (firstCopy !== undefined) {
       this.host.resumeFromCopy(firstCopy);
--- a/packages/scenarios/src/scripts/outsideInputSafeguards.ts
+++ b/packages/scenarios/src/scripts/outsideInputSafeguards.ts
@@ -54,7 +54,7 @@
   },
   {
     name: 'a call of the own interface that cannot be encoded is reported as never sent',
-    file: 'adapters/upstreamRequest.js',
+    file: 'relay/responseClassification.js',
     find: " || failure === 'withheld'",
     replace: '',
     scenario: 'spec:adapters/httpUpstreams',
