The collector of request bodies serves whoever collects bytes of others

A move without a change of behaviour: callerBounds/bodyBuffer is buffers/byteCollector, and tells how much memory and how many objects it holds. What is collected from upstreams is to use it as well. The largest body of the own servers stands with the other bounds on callers.

--- a/packages/kumquatfront/src/adapters/boundedServer.ts
+++ b/packages/kumquatfront/src/adapters/boundedServer.ts
@@ -5,7 +5,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 
-import * as bodyBuffer from '../callerBounds/bodyBuffer.js';
+import * as byteCollector from '../buffers/byteCollector.js';
 import type * as heldRequests from '../callerBounds/heldRequests.js';
 import type * as types from '../callerBounds/types.js';
 import type * as ports from '../kernel/ports.js';
@@ -66,7 +66,7 @@
 export class ServedConnection {
   readonly gate: connectionGate.ConnectionGate;
   private readonly held: heldRequests.HeldConnection;
-  private body = new bodyBuffer.BodyBuffer();
+  private body = new byteCollector.ByteCollector();
   private isLate = isNeverLate;
 
   constructor(
@@ -116,7 +116,7 @@
   /** Applies the bounds to a request until its answer has ended. */
   track(incoming: http.IncomingMessage, outgoing: http.ServerResponse): void {
     this.gate.begin(incoming, outgoing);
-    this.body = new bodyBuffer.BodyBuffer();
+    this.body = new byteCollector.ByteCollector();
     outgoing.once('prefinish', () => {
       this.held.answer(this.socket.writableLength);
     });
--- a/packages/kumquatfront/src/adapters/connectionGate.ts
+++ b/packages/kumquatfront/src/adapters/connectionGate.ts
@@ -5,14 +5,14 @@
 import type * as http from 'node:http';
 import type * as net from 'node:net';
 
-import * as bodyBuffer from '../callerBounds/bodyBuffer.js';
+import * as defaultBounds from '../callerBounds/defaultBounds.js';
 import type * as heldRequests from '../callerBounds/heldRequests.js';
 
 /** Bytes that may wait for the parser before the connection is not read any more; the size of one read. */
 const WAITING_BYTES = 65_536;
 
 /** Bytes that a client may have sent behind the request that is served: another request of the largest size. */
-const MAXIMUM_AHEAD_BYTES = bodyBuffer.MAXIMUM_BODY_BYTES + WAITING_BYTES;
+const MAXIMUM_AHEAD_BYTES = defaultBounds.MAXIMUM_BODY_BYTES + WAITING_BYTES;
 
 /** Bytes that are ignored of a request that is refused before its end. */
 const MAXIMUM_DISCARDED_BYTES = 524_288;
--- a/packages/kumquatfront/src/adapters/httpMessages.ts
+++ b/packages/kumquatfront/src/adapters/httpMessages.ts
@@ -3,7 +3,7 @@
  */
 import type * as http from 'node:http';
 
-import * as bodyBuffer from '../callerBounds/bodyBuffer.js';
+import * as defaultBounds from '../callerBounds/defaultBounds.js';
 import * as failures from '../kernel/failures.js';
 import * as results from '../kernel/results.js';
 import type * as streams from '../streams/types.js';
@@ -40,13 +40,13 @@
  */
 export function readBody(served: ServedRequest, done: BodyCallback): void {
   served.connection.readBody(served, {
-    maximumBytes: bodyBuffer.MAXIMUM_BODY_BYTES,
+    maximumBytes: defaultBounds.MAXIMUM_BODY_BYTES,
     onComplete: (body) => {
       done(results.Ok(body.toString('utf8')));
     },
     onTooLarge: () => {
       served.outgoing.shouldKeepAlive = false;
-      const remedy = `Send at most ${bodyBuffer.MAXIMUM_BODY_BYTES} bytes.`;
+      const remedy = `Send at most ${defaultBounds.MAXIMUM_BODY_BYTES} bytes.`;
       done(results.Err(failures.create('tooLarge', 'The body is too large.', remedy)));
     },
   });
--- a/packages/kumquatfront/src/callerBounds/bodyBuffer.ts
+++ b/packages/kumquatfront/src/buffers/byteCollector.ts
@@ -1,49 +1,55 @@
 /**
- * Collects the body of a request. It copies small chunks into blocks: a chunk of a few bytes would otherwise keep an object, and the
- * read of 64 KiB that it lies in, until the body is complete.
+ * Collects bytes that another process sends in pieces of any size. It copies small pieces into blocks: a piece of a few bytes would
+ * otherwise keep an object, and the read of 64 KiB that it lies in, until all have arrived.
  */
 
-/** Maximum size of the body of a request to the product's own servers. */
-export const MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
-
 const SMALLEST_BLOCK = 1_024;
 const LARGEST_BLOCK = 65_536;
 
-/** Size from which a chunk is kept as it is; it is at least half of the read that it lies in. */
-const LARGE_CHUNK = LARGEST_BLOCK / 2;
+/** Size from which a piece is kept as it is; it is at least half of the read that it lies in. */
+const LARGE_PIECE = LARGEST_BLOCK / 2;
 
-/** The body of one request; see the module comment. */
-export class BodyBuffer {
-  /** Bytes of the body so far. */
+/** Bytes of one sender; see the module comment. */
+export class ByteCollector {
+  /** Bytes collected so far. */
   size = 0;
+  /** Bytes of memory that hold them. */
+  memory = 0;
   private readonly blocks: Buffer[] = [];
   private used = 0;
 
+  /** Number of objects that hold them. */
+  get pieces(): number {
+    return this.blocks.length;
+  }
+
   /**
    * Appends bytes.
    *
-   * @returns bytes of memory by which the buffer has grown
+   * @returns bytes of memory by which the collector has grown
    * @example
    * ```ts
    * held.grow(body.append(bytes));
    * ```
    */
-  append(bytes: Buffer): number {
+  append(bytes: Uint8Array): number {
     this.size += bytes.length;
-    return bytes.length >= LARGE_CHUNK ? this.keep(bytes) : this.copy(bytes);
+    const growth = bytes.length >= LARGE_PIECE ? this.keep(bytes) : this.copy(bytes);
+    this.memory += growth;
+    return growth;
   }
 
-  private keep(bytes: Buffer): number {
+  private keep(bytes: Uint8Array): number {
     const last = this.blocks.pop();
     if (last !== undefined) {
       this.blocks.push(last.subarray(0, this.used));
     }
-    this.blocks.push(bytes);
+    this.blocks.push(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length));
     this.used = bytes.length;
     return Math.max(bytes.length, LARGEST_BLOCK);
   }
 
-  private copy(bytes: Buffer): number {
+  private copy(bytes: Uint8Array): number {
     let growth = 0;
     let offset = 0;
     while (offset < bytes.length) {
@@ -64,7 +70,7 @@
     return growth;
   }
 
-  /** All bytes in order; the buffer is empty afterwards. */
+  /** All bytes in order; the collector is empty afterwards. */
   takeContent(): Buffer {
     const [first = Buffer.alloc(0), ...others] = this.blocks;
     const content =
@@ -78,5 +84,6 @@
     this.blocks.length = 0;
     this.used = 0;
     this.size = 0;
+    this.memory = 0;
   }
 }
--- a/packages/kumquatfront/src/callerBounds/defaultBounds.ts
+++ b/packages/kumquatfront/src/callerBounds/defaultBounds.ts
@@ -6,6 +6,9 @@
 
 const BYTES_PER_MEGABYTE = 1_048_576;
 
+/** Maximum size of the body of a request to the product's own servers, in bytes. */
+export const MAXIMUM_BODY_BYTES = 4 * BYTES_PER_MEGABYTE;
+
 /** Share of the memory for requests; the process itself and the responses of upstreams need the rest. */
 const MEMORY_SHARE = 0.1;
 
--- a/packages/scenarios/src/scripts/callerBoundsSafeguards.ts
+++ b/packages/scenarios/src/scripts/callerBoundsSafeguards.ts
@@ -5,7 +5,7 @@
 
 const SERVER = 'spec:adapters/boundedServer';
 const HELD = 'spec:callerBounds/heldRequests';
-const BODY = 'spec:callerBounds/bodyBuffer';
+const BODY = 'spec:buffers/byteCollector';
 const PACE = 'spec:callerBounds/readPace';
 
 /** Safeguards, each with the spec that must fail without it. */
@@ -40,8 +40,8 @@
   },
   {
     name: 'small chunks of a body are copied into blocks',
-    file: 'callerBounds/bodyBuffer.js',
-    find: 'bytes.length >= LARGE_CHUNK',
+    file: 'buffers/byteCollector.js',
+    find: 'bytes.length >= LARGE_PIECE',
     replace: 'true',
     scenario: BODY,
   },
