A process tells what it holds of others, by kind, before its heap is full

Held bytes had bounds and partly metrics; the objects that hold them were counted nowhere.

Change: requests, responses, unread streams, relayed events, messages between processes and the log each tell bytes and pieces. Gauges held.bytes, held.pieces, heap.used, heap.live and heap.limit, and one line heapNearLimit at 60, 75 and 85 in 100 of the old generation, each at most once in 5 s. Entries and control, on the platform and of the daemons. No decision changes.

The live heap, not the heap in use, decides: what the last major collection left, and what the holders have gained since. The line is handed to the thread that writes at once, since the event loop may not turn again.

--- a/packages/daemons/src/controlDaemon.ts
+++ b/packages/daemons/src/controlDaemon.ts
@@ -46,14 +46,16 @@
     })
     .map((node) => {
       const { operatorKeyHash } = settings;
+      const requests = new kumquatfront.heldRequests.HeldRequests({
+        ...{ clock, scheduler, log, metrics, bounds: settings.callerBounds },
+      });
+      const watched = kumquatfront.processMemory.watch({ log, metrics, requests, transport });
       const server = kumquatfront.controlHttp.createServer({
         node,
         peers: transport,
         operatorKeyHash,
         controlAddresses: control.control,
-        requests: new kumquatfront.heldRequests.HeldRequests({
-          ...{ clock, scheduler, log, metrics, bounds: settings.callerBounds },
-        }),
+        requests,
       });
       const [host = '', port = ''] = settings.operatorListen.split(':');
       server.listen(Number(port), host, () => {
@@ -68,6 +70,7 @@
           // Operators' requests in flight are completed first. Entries need no such care: they retry on another replica.
           server.close(() => {
             node.stop();
+            watched.stop();
             transport.close();
             done();
           });
--- a/packages/daemons/src/entryDaemon.ts
+++ b/packages/daemons/src/entryDaemon.ts
@@ -69,6 +69,7 @@
   const pauses = new kumquatfront.pauseMonitor.PauseMonitor({ ...ports, timers });
   const recentPause = (): number => pauses.recentPause();
   const requests = new kumquatfront.heldRequests.HeldRequests({ ...ports, bounds: settings.callerBounds });
+  const watched = kumquatfront.processMemory.watch({ log, metrics: ports.metrics, requests, transport });
   const server = kumquatfront.entryHttp.createServer(settings.entry, node, { log, recentPause }, requests);
   const [host = '', port = ''] = settings.callerListen.split(':');
   server.listen(Number(port), host, () => {
@@ -83,6 +84,7 @@
       node.drain(() => {
         closeServer(server, () => {
           node.stop();
+          watched.stop();
           transport.close();
           done();
         });
--- a/packages/kumquatfront/src/adapters/boundedOutput.spec.ts
+++ b/packages/kumquatfront/src/adapters/boundedOutput.spec.ts
@@ -78,3 +78,30 @@
   }
   assert.ok(output.takeUnwritten().length <= 1_100);
 });
+
+// Guards against a process that ends, with its last lines, before the event loop has turned again.
+void test.test('a flush begins to write at once, and no byte is written twice', () => {
+  const written: string[] = [];
+  const writes: (() => void)[] = [];
+  const { time, output } = createOutput((bytes, done) => {
+    written.push(Buffer.from(bytes).toString());
+    writes.push(() => {
+      done(null, bytes.length);
+    });
+  });
+  output.write('one', 'important');
+  output.flushNow();
+  assert.deepEqual(written, ['one\n']);
+  output.write('two', 'important');
+  output.flushNow();
+  time.advance(10);
+  assert.deepEqual(written, ['one\n']);
+  assert.deepEqual(output.held(), { bytes: 8, pieces: 1 });
+  writes.shift()?.();
+  time.advance(10);
+  assert.deepEqual(written, ['one\n', 'two\n']);
+  writes.shift()?.();
+  time.advance(100);
+  assert.deepEqual(written, ['one\n', 'two\n']);
+  assert.deepEqual(output.held(), { bytes: 0, pieces: 0 });
+});
--- a/packages/kumquatfront/src/adapters/boundedOutput.ts
+++ b/packages/kumquatfront/src/adapters/boundedOutput.ts
@@ -6,6 +6,7 @@
  */
 import * as fs from 'node:fs';
 
+import type * as heldMemoryTypes from '../heldMemory/types.js';
 import type * as ports from '../kernel/ports.js';
 
 /** Limits on the rate and the buffered size of an output. */
@@ -47,6 +48,8 @@
   private pendingCharacters = 0;
   private unwrittenBytes: Uint8Array = new Uint8Array(0);
   private isFlushing = false;
+  private isWriting = false;
+  private cancelPlanned: ports.Cancel = () => undefined;
   private tokens: number;
   private refilledAt: ports.Milliseconds;
   private droppedLines = 0;
@@ -102,9 +105,30 @@
   private scheduleFlush(): void {
     if (!this.isFlushing) {
       this.isFlushing = true;
-      this.scheduler.after(0, () => {
-        this.flush();
-      });
+      this.planFlush(0);
+    }
+  }
+
+  private planFlush(delay: ports.Milliseconds): void {
+    this.cancelPlanned = this.scheduler.after(delay, () => {
+      this.flush();
+    });
+  }
+
+  /** What is not written yet. */
+  held(): heldMemoryTypes.Held {
+    return { bytes: this.pendingCharacters, pieces: this.pendingLines.length };
+  }
+
+  /**
+   * Begins to write what is pending, without waiting for the next turn of the event loop. The write itself runs on another
+   * thread, so that a line reaches its reader even if this thread does nothing else any more.
+   */
+  flushNow(): void {
+    if (!this.isWriting) {
+      this.cancelPlanned();
+      this.isFlushing = true;
+      this.flush();
     }
   }
 
@@ -117,16 +141,15 @@
       this.unwrittenBytes = Buffer.from(`${this.pendingLines.join('\n')}\n`);
       this.pendingLines = [];
     }
+    this.isWriting = true;
     this.writeBytes(this.unwrittenBytes, (error, written) => {
+      this.isWriting = false;
       this.unwrittenBytes = this.unwrittenBytes.subarray(written);
       if (this.unwrittenBytes.length === 0) {
         this.pendingCharacters = this.pendingLines.reduce((sum, line) => sum + line.length + 1, 0);
       }
       // Writing to a pipe without a reader keeps failing; the process continues to serve without its log.
-      const delay = error === null ? 0 : FULL_PIPE_RETRY_DELAY;
-      this.scheduler.after(delay, () => {
-        this.flush();
-      });
+      this.planFlush(error === null ? 0 : FULL_PIPE_RETRY_DELAY);
     });
   }
 
--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
@@ -6,6 +6,7 @@
 
 import * as jsonRpc from 'json-rpc-2.0';
 
+import type * as heldMemoryTypes from '../heldMemory/types.js';
 import * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
@@ -25,6 +26,8 @@
   listen(address: string, done: (port: number) => void): void;
   /** Total bytes sent and received since the transport was created. */
   byteCounts(): { readonly sent: number; readonly received: number };
+  /** Messages that have arrived in part, or are not sent yet. */
+  held(): heldMemoryTypes.Held;
   close(): void;
 }
 
@@ -114,6 +117,13 @@
     });
   }
 
+  /** What is not sent yet, and what has arrived in part. */
+  held(): heldMemoryTypes.Held {
+    const { bytes, pieces } = this.lines.held();
+    const queued = this.queuedMessages.reduce((sum, text) => sum + text.length, 0);
+    return { bytes: bytes + queued, pieces: pieces + this.queuedMessages.length };
+  }
+
   private scheduleProbe(): void {
     this.cancelProbe = this.scheduler.after(PROBE_INTERVAL, () => {
       if (!this.authenticated || !this.sentSinceProbe) {
@@ -200,6 +210,7 @@
   private readonly rpcServer = new jsonRpc.JSONRPCServer({ errorListener: () => undefined });
   private readonly connections = new Map<string, PeerConnection>();
   private readonly inboundSockets = new Set<net.Socket>();
+  private readonly inboundLines = new Set<lineSocket.LineSocket>();
   private server: net.Server | undefined;
   private closedBytesSent = 0;
   private closedBytesReceived = 0;
@@ -254,6 +265,7 @@
         socket.destroy();
       }
     });
+    this.inboundLines.add(lines);
     const cancel = this.options.scheduler.after(AUTHENTICATION_TIMEOUT, () => {
       if (!authenticated) {
         socket.destroy();
@@ -263,6 +275,7 @@
     socket.on('close', () => {
       cancel();
       this.inboundSockets.delete(socket);
+      this.inboundLines.delete(lines);
       this.closedBytesSent += socket.bytesWritten;
       this.closedBytesReceived += socket.bytesRead;
     });
@@ -364,6 +377,17 @@
     };
   }
 
+  held(): heldMemoryTypes.Held {
+    let bytes = 0;
+    let pieces = 0;
+    for (const holder of [...this.inboundLines, ...this.connections.values()]) {
+      const held = holder.held();
+      bytes += held.bytes;
+      pieces += held.pieces;
+    }
+    return { bytes, pieces };
+  }
+
   bytesReceived(): number {
     return this.byteCounts().received;
   }
--- a/packages/kumquatfront/src/adapters/keyValueLog.ts
+++ b/packages/kumquatfront/src/adapters/keyValueLog.ts
@@ -3,6 +3,7 @@
  */
 import * as loglevelModule from 'loglevel';
 
+import type * as heldMemoryTypes from '../heldMemory/types.js';
 import type * as ports from '../kernel/ports.js';
 import * as boundedOutput from './boundedOutput.js';
 import * as systemTime from './systemTime.js';
@@ -41,6 +42,16 @@
   standardOutput.write(line, priority);
 }
 
+/** Lines of this process that are not written yet. */
+export function held(): heldMemoryTypes.Held {
+  return standardOutput?.held() ?? { bytes: 0, pieces: 0 };
+}
+
+/** Begins to write them; see {@link boundedOutput.BoundedOutput.flushNow}. */
+export function flushNow(): void {
+  standardOutput?.flushNow();
+}
+
 /**
  * Creates a log that writes to standard output without blocking and within the default bounds.
  *
--- a/packages/kumquatfront/src/adapters/lineSocket.ts
+++ b/packages/kumquatfront/src/adapters/lineSocket.ts
@@ -4,6 +4,8 @@
 import type * as net from 'node:net';
 import * as stringDecoder from 'node:string_decoder';
 
+import type * as heldMemoryTypes from '../heldMemory/types.js';
+
 /** Above the largest configuration as a JSON string, in which each character may be escaped. */
 const MAXIMUM_LINE_LENGTH = 10 * 1024 * 1024;
 
@@ -15,6 +17,10 @@
 export class LineSocket {
   private readonly socket: net.Socket;
   private partialLine = '';
+  /** Reads that the partial line consists of, each a string of its own. */
+  private partialReads = 0;
+  /** Lines sent since all had been taken; an estimate of those that wait, never too low. */
+  private waitingLines = 0;
   private maximumLength = MAXIMUM_HANDSHAKE_LENGTH;
 
   /**
@@ -34,6 +40,7 @@
     // Only what is new is searched: with the rest, the time for a long line would grow with the square of its length.
     const [continuation = '', ...rest] = text.split('\n');
     this.partialLine += continuation;
+    this.partialReads += 1;
     if (this.partialLine.length > this.maximumLength) {
       this.socket.destroy();
       return;
@@ -44,6 +51,7 @@
     }
     const completed = this.partialLine;
     this.partialLine = last;
+    this.partialReads = last === '' ? 0 : 1;
     for (const line of [completed, ...rest]) {
       onLine(line);
     }
@@ -65,10 +73,18 @@
     if (this.socket.destroyed || this.socket.writableLength > MAXIMUM_UNSENT_BYTES) {
       return false;
     }
+    this.waitingLines = this.socket.writableLength === 0 ? 1 : this.waitingLines + 1;
     this.socket.write(`${line}\n`);
     return true;
   }
 
+  /** What has arrived in part, and what is not sent yet. */
+  held(): heldMemoryTypes.Held {
+    const unsent = this.socket.writableLength;
+    const waitingLines = unsent === 0 ? 0 : this.waitingLines;
+    return { bytes: unsent + this.partialLine.length, pieces: waitingLines + this.partialReads };
+  }
+
   close(): void {
     this.socket.destroy();
   }
--- a/packages/kumquatfront/src/callerBounds/heldRequests.ts
+++ b/packages/kumquatfront/src/callerBounds/heldRequests.ts
@@ -2,6 +2,7 @@
  * Memory that requests hold at one process, over all of its listening addresses. Each request may be inside its own limits and all of them
  * together still use up the memory; then those that have held the most for the longest time are refused.
  */
+import type * as heldMemoryTypes from '../heldMemory/types.js';
 import type * as ports from '../kernel/ports.js';
 import * as readPace from './readPace.js';
 import type * as types from './types.js';
@@ -55,6 +56,8 @@
   /** When the first of the bytes that may be refused arrived. */
   since: ports.Milliseconds = 0;
   lastByteAt: ports.Milliseconds = 0;
+  /** Objects that hold the request, counted as they are added. */
+  pieces = 0;
   private isClosed = false;
 
   constructor(
@@ -75,6 +78,7 @@
   grow(bytes: number): void {
     this.change(() => {
       this.arriving += bytes;
+      this.pieces += 1;
     });
   }
 
@@ -104,6 +108,7 @@
   answer(unreadBytes: number): void {
     this.change(() => {
       this.served = 0;
+      this.pieces = 0;
       this.unread = unreadBytes;
       this.since = this.requests.now;
     });
@@ -114,6 +119,7 @@
     this.change(() => {
       this.arriving = 0;
       this.served = 0;
+      this.pieces = 0;
       this.unread = 0;
     });
   }
@@ -123,6 +129,7 @@
     this.change(() => {
       this.arriving = 0;
       this.served = 0;
+      this.pieces = 0;
       this.ahead = 0;
       this.unread = 0;
     });
@@ -169,6 +176,15 @@
     return this.used;
   }
 
+  /** What all connections hold. */
+  held(): heldMemoryTypes.Held {
+    let pieces = 0;
+    for (const connection of this.holding) {
+      pieces += connection.pieces;
+    }
+    return { bytes: this.used, pieces };
+  }
+
   /**
    * Opens the account of a connection.
    *
--- a/packages/kumquatfront/src/entryLoad/slowReaders.ts
+++ b/packages/kumquatfront/src/entryLoad/slowReaders.ts
@@ -2,6 +2,7 @@
  * Bounds the memory that holds responses which callers do not read. Without a bound, a few callers that read slowly fill
  * the memory of an entry and fail the streams of all others.
  */
+import type * as heldMemoryTypes from '../heldMemory/types.js';
 import type * as ports from '../kernel/ports.js';
 
 /** Unread bytes of one streamed response above which its caller is disconnected, once it has stalled. */
@@ -34,6 +35,8 @@
 interface TrackedReader {
   readonly reader: Reader;
   isStream: boolean;
+  /** Writes since nothing was unread; an estimate of those that wait, never too low. */
+  writes: number;
   unread: number;
   queued: number;
   progressAt: ports.Milliseconds;
@@ -73,7 +76,7 @@
    */
   track(reader: Reader): { readonly write: (send: () => void) => void; readonly remove: () => void } {
     const progressAt = this.options.now();
-    const tracked: TrackedReader = { reader, isStream: false, unread: 0, queued: 0, progressAt };
+    const tracked: TrackedReader = { reader, isStream: false, writes: 0, unread: 0, queued: 0, progressAt };
     this.tracked.add(tracked);
     return {
       write: (send) => {
@@ -81,6 +84,7 @@
         this.measure(tracked);
         send();
         tracked.isStream = true;
+        tracked.writes = tracked.unread === 0 ? 1 : tracked.writes + 1;
         tracked.unread = reader.unreadBytes();
         tracked.queued = reader.queuedBytes();
       },
@@ -90,6 +94,18 @@
     };
   }
 
+  /** What callers have not read, with an estimate of the writes that wait. */
+  held(): heldMemoryTypes.Held {
+    let bytes = 0;
+    let pieces = 0;
+    for (const { reader, isStream, writes } of this.tracked) {
+      const unread = reader.unreadBytes();
+      bytes += unread;
+      pieces += unread === 0 ? 0 : isStream ? writes : 1;
+    }
+    return { bytes, pieces };
+  }
+
   /**
    * Disconnects callers of streams that have stalled: those above their own bound, then those with the most unread bytes
    * until the unread bytes of all are within the bound of the entry. Complete responses count but are never cut, since
--- /dev/null
+++ b/packages/kumquatfront/src/heldMemory/heldMemory.ts
@@ -0,0 +1,144 @@
+/**
+ * Tells what a process holds of others, by kind. A process that runs out of heap ends without a word about what filled it;
+ * so it says this in its metrics, and in a log line while there is still room.
+ */
+import type * as ports from '../kernel/ports.js';
+import type * as timerService from '../kernel/timerService.js';
+import * as heapLevels from './heapLevels.js';
+import * as liveHeap from './liveHeap.js';
+import * as types from './types.js';
+
+/** Interval between samples: a heap that fills within a second is seen several times on its way. */
+const SAMPLE_INTERVAL: ports.Milliseconds = 100;
+
+/** Samples for each update of the metrics. */
+const SAMPLES_PER_METRIC = 10;
+
+/** Dependencies of {@link HeldMemory}. */
+export interface HeldMemoryOptions {
+  readonly timers: timerService.TimerService;
+  readonly log: ports.Log;
+  readonly metrics: ports.Metrics;
+  readonly readHeap: () => types.HeapReading;
+  /** Starts to write what was logged, without waiting for the next turn of the event loop. */
+  readonly flushLog: () => void;
+}
+
+/** What one kind holds, with the part of it that lies in the heap. */
+export interface KindTotal extends types.Held {
+  readonly heapBytes: number;
+}
+
+/** Totals by kind. */
+export type Totals = ReadonlyMap<types.HolderKind, KindTotal>;
+
+const NOTHING: KindTotal = { bytes: 0, pieces: 0, heapBytes: 0 };
+
+function heapBytesOf({ isText, heapBytesPerPiece }: types.Holder, { bytes, pieces }: types.Held): number {
+  return pieces * heapBytesPerPiece + (isText ? bytes : 0);
+}
+
+/** What a process holds; see the module comment. */
+export class HeldMemory {
+  private readonly options: HeldMemoryOptions;
+  private readonly holders = new Set<types.Holder>();
+  private readonly live = new liveHeap.LiveHeap();
+  private readonly levels = new heapLevels.HeapLevels();
+  private sampleCount = 0;
+
+  constructor(options: HeldMemoryOptions) {
+    this.options = options;
+    options.timers.every(
+      () => SAMPLE_INTERVAL,
+      () => {
+        this.sample();
+      },
+    );
+  }
+
+  /**
+   * Registers a holder.
+   *
+   * @example
+   * ```ts
+   * memory.register(holders.of('responses', responseMemory));
+   * ```
+   */
+  register(holder: types.Holder): void {
+    this.holders.add(holder);
+  }
+
+  /** Records that a major collection of the heap has just ended. */
+  onMajorCollection(): void {
+    this.live.onMajorCollection(this.options.readHeap().used, this.heldInHeap(this.totals()));
+    this.check();
+  }
+
+  /** What is held now, by kind. */
+  totals(): Totals {
+    const totals = new Map<types.HolderKind, KindTotal>();
+    for (const holder of this.holders) {
+      const held = holder.held();
+      const { bytes, pieces, heapBytes } = totals.get(holder.kind) ?? NOTHING;
+      totals.set(holder.kind, {
+        bytes: bytes + held.bytes,
+        pieces: pieces + held.pieces,
+        heapBytes: heapBytes + heapBytesOf(holder, held),
+      });
+    }
+    return totals;
+  }
+
+  /** Compares the live heap with its limit. */
+  check(): void {
+    const { timers, readHeap } = this.options;
+    const reading = readHeap();
+    const totals = this.totals();
+    const live = this.live.estimate(reading.used, this.heldInHeap(totals));
+    if (this.levels.update(live / reading.limit, timers.now())) {
+      this.report(reading, live, totals);
+    }
+  }
+
+  private sample(): void {
+    this.check();
+    this.sampleCount += 1;
+    if (this.sampleCount % SAMPLES_PER_METRIC === 0) {
+      this.updateMetrics();
+    }
+  }
+
+  private heldInHeap(totals: Totals): number {
+    return [...totals.values()].reduce((sum, { heapBytes }) => sum + heapBytes, 0);
+  }
+
+  private report(reading: types.HeapReading, live: number, totals: Totals): void {
+    const { log, flushLog } = this.options;
+    const held = types.holderKinds.flatMap((kind): [string, number][] => {
+      const { bytes, pieces } = totals.get(kind) ?? NOTHING;
+      return [
+        [`${kind}Bytes`, bytes],
+        [`${kind}Pieces`, pieces],
+      ];
+    });
+    const { used, limit, external, resident } = reading;
+    log.warn('heapNearLimit', {
+      ...{ live: Math.round(live), used, limit, external, resident },
+      ...Object.fromEntries(held),
+    });
+    flushLog();
+  }
+
+  private updateMetrics(): void {
+    const { metrics, readHeap } = this.options;
+    const totals = this.totals();
+    const { used, limit } = readHeap();
+    metrics.gauge('heap.used', used);
+    metrics.gauge('heap.limit', limit);
+    metrics.gauge('heap.live', this.live.estimate(used, this.heldInHeap(totals)));
+    for (const [kind, { bytes, pieces }] of totals) {
+      metrics.gauge('held.bytes', bytes, { kind });
+      metrics.gauge('held.pieces', pieces, { kind });
+    }
+  }
+}
--- /dev/null
+++ b/packages/kumquatfront/src/heldMemory/types.ts
@@ -0,0 +1,48 @@
+/**
+ * What a process holds of others, by kind, and how its heap is read.
+ */
+
+/**
+ * Who fills the memory: requests of callers, operators and upstreams; answers of upstreams that are held until they are
+ * complete; answers that callers have not read; what is relayed for other entries; messages between the processes; the log.
+ */
+export type HolderKind = 'requests' | 'responses' | 'unread' | 'relayed' | 'messages' | 'log';
+
+/** All kinds, in the order of the log line. */
+export const holderKinds: readonly HolderKind[] = [
+  'requests',
+  'responses',
+  'unread',
+  'relayed',
+  'messages',
+  'log',
+];
+
+/** What one holder holds. */
+export interface Held {
+  readonly bytes: number;
+  /** Objects that hold the bytes. */
+  readonly pieces: number;
+}
+
+/** A part of the process that holds what others have sent, or have not read. */
+export interface Holder {
+  readonly kind: HolderKind;
+  /** Must be cheap: it is called several times a second, and more often while the memory grows. */
+  readonly held: () => Held;
+  /** Bytes of the heap for each piece, as measured. */
+  readonly heapBytesPerPiece: number;
+  /** Whether the bytes lie in the heap, as those of texts do; the bytes of buffers lie outside. */
+  readonly isText: boolean;
+}
+
+/** Memory of the process, in bytes. */
+export interface HeapReading {
+  /** Heap in use, with garbage that was not collected yet. */
+  readonly used: number;
+  /** Size of the old generation at which the process ends. */
+  readonly limit: number;
+  /** Buffers outside the heap. */
+  readonly external: number;
+  readonly resident: number;
+}
--- a/packages/kumquatfront/src/peerRelay/relayServer.ts
+++ b/packages/kumquatfront/src/peerRelay/relayServer.ts
@@ -3,6 +3,7 @@
  * Events are kept until the other entry acknowledges them by asking for the next ones; a request without further
  * questions is cancelled.
  */
+import type * as heldMemoryTypes from '../heldMemory/types.js';
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
 import type * as timerService from '../kernel/timerService.js';
@@ -106,6 +107,15 @@
     );
   }
 
+  /** Events that other entries have not acknowledged. */
+  held(): heldMemoryTypes.Held {
+    let pieces = 0;
+    for (const { events } of this.open.values()) {
+      pieces += events.length;
+    }
+    return { bytes: this.totalBytes, pieces };
+  }
+
   private declineReason(): messages.DeclineReason | undefined {
     if (this.open.size >= MAXIMUM_OPEN || this.totalBytes >= MAXIMUM_TOTAL_BYTES) {
       return 'overloaded';
--- a/packages/kumquatfront/src/relay/responseMemory.ts
+++ b/packages/kumquatfront/src/relay/responseMemory.ts
@@ -2,6 +2,7 @@
  * Bounds the memory of responses that are held until they are complete. An upstream may send bytes without end: one such
  * response must neither use up the memory of the process nor take the room of others.
  */
+import type * as heldMemoryTypes from '../heldMemory/types.js';
 import type * as ports from '../kernel/ports.js';
 
 const MEBIBYTE = 1_048_576;
@@ -27,6 +28,11 @@
     readonly giveUp: (reason: string) => void,
   ) {}
 
+  /** Number of objects that hold the bytes. */
+  get pieces(): number {
+    return this.chunks.length;
+  }
+
   /** Holds bytes; may give up this response, or a larger one. */
   add(bytes: Uint8Array): void {
     this.chunks.push(bytes);
@@ -68,6 +74,15 @@
     return buffer;
   }
 
+  /** What all responses hold. */
+  held(): heldMemoryTypes.Held {
+    let pieces = 0;
+    for (const buffer of this.open) {
+      pieces += buffer.pieces;
+    }
+    return { bytes: this.used, pieces };
+  }
+
   /** Applies the bounds after a response has grown. */
   onGrowth(buffer: ResponseBuffer, growth: number): void {
     if (!this.open.has(buffer)) {
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -8,6 +8,7 @@
 import * as slotClient from '../callSlots/slotClient.js';
 import * as entryLoad from '../entryLoad/entryLoad.js';
 import * as entryWeights from '../entryLoad/entryWeights.js';
+import * as heldMemoryHolders from '../heldMemory/holders.js';
 import * as instanceLog from '../instances/instanceLog.js';
 import * as instanceView from '../instances/instanceView.js';
 import * as failures from '../kernel/failures.js';
@@ -176,6 +177,8 @@
     const { origins } = this;
     const guardOptions = { timers, quarantine: quarantineState, signals, slots, log };
     const server = this.createRelayServer(guardOptions, policy);
+    const responses = new responseMemory.ResponseMemory(log, metrics);
+    this.registerHolders(responses, server);
     const retryBudget = sharedRetryBudget.create({ settings, entryPorts, timers, entryCount, coordinator });
     this.relay = new trafficRelay.TrafficRelay({
       context: {
@@ -196,7 +199,7 @@
         isCutOff: () => this.peerRelay.isCutOff,
         slots,
         origins,
-        responseMemory: new responseMemory.ResponseMemory(log, metrics),
+        responseMemory: responses,
         routeDurations: new routeDurations.RouteDurations(),
         plannedStop: this.plannedStop,
         ...(settings.isEnabled !== undefined && { isEnabled: settings.isEnabled }),
@@ -251,6 +254,15 @@
     this.services.register('relayServer', server);
   }
 
+  private registerHolders(responses: responseMemory.ResponseMemory, server: relayServer.RelayServer): void {
+    const { heldMemory } = this.entryPorts;
+    heldMemory?.register(heldMemoryHolders.of('responses', responses));
+    heldMemory?.register(heldMemoryHolders.of('relayed', server));
+    if (this.load !== undefined) {
+      heldMemory?.register(heldMemoryHolders.of('unread', this.load.readers));
+    }
+  }
+
   /** Relays for other entries, with the checks that do not count against limits of this entry. */
   private createRelayServer(
     guardOptions: Omit<guardedUpstreams.GuardedUpstreamsOptions, 'upstreams' | 'policy'>,
--- a/packages/kumquatfront/src/trafficEntry/types.ts
+++ b/packages/kumquatfront/src/trafficEntry/types.ts
@@ -3,6 +3,7 @@
  */
 import type * as entryCapacity from '../entryLoad/entryCapacity.js';
 import type * as entryLoad from '../entryLoad/entryLoad.js';
+import type * as heldMemory from '../heldMemory/heldMemory.js';
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
@@ -47,6 +48,8 @@
   readonly decodeTraffic: trafficTypes.DecodeTraffic;
   /** Measures the process; without it, the entry reports no utilization. */
   readonly loadProbe?: entryLoad.LoadProbe;
+  /** What the process holds; the entry registers what it holds itself. */
+  readonly heldMemory?: heldMemory.HeldMemory;
 }
 
 /** Services of an entry, by name. */
