Small pieces without end run entries out of heap: tests of the real processes

Callers lose the requests of an entry that ends, also those of services that have no part in it. One upstream of four is enough: it sends an answer in chunks of one byte, or a stream of events of 40 bytes that callers read slowly, at 20 MB/s for each connection at most. Bounds count the bytes that are held, not the objects that hold them, and nothing slows a stream down for a slow caller.

--- a/packages/soak/src/endlessUpstream.ts
+++ b/packages/soak/src/endlessUpstream.ts
@@ -19,8 +19,14 @@
   'comments',
 ] as const;
 
+/** Ways in which a response does not end, in pieces that are small and well-formed. */
+export const pieceForms = ['oneByteChunks', 'smallEvents'] as const;
+
+/** One way in which a response does not end, in small pieces. */
+export type PieceForm = (typeof pieceForms)[number];
+
 /** One way in which a response does not end. */
-export type EndlessForm = (typeof forms)[number];
+export type EndlessForm = (typeof forms)[number] | PieceForm;
 
 /** What the thread is started with. */
 export interface EndlessUpstreamOptions {
@@ -28,8 +34,13 @@
   /** Address that the server binds. */
   readonly host: string;
   readonly port: number;
+  /** Bytes that one connection is sent in a second at most; {@link BYTES_PER_SECOND} by default. */
+  readonly bytesPerSecond?: number;
 }
 
+/** Bytes that one connection is sent in a second at most, unless others are stated. */
+export const BYTES_PER_SECOND = 20_000_000;
+
 /** What the thread tells of each closed connection. */
 export interface ClosedConnection {
   readonly milliseconds: number;
@@ -39,7 +50,9 @@
 const ATTEMPT = new RegExp(`${platform.httpNames.headers.attempt}: *([^\\r]*)`, 'i');
 
 const WRITE_INTERVAL_MS = 3;
-const WRITE_BYTES = 65_536;
+
+/** Bytes of one event of the form `smallEvents`. */
+const EVENT_BYTES = 40;
 
 function headOf(form: EndlessForm, attempt: string): string {
   const { headers } = platform.httpNames;
@@ -50,6 +63,7 @@
     case 'body':
       return `HTTP/1.1 200 OK\r\n${signed}\r\n`;
     case 'chunks':
+    case 'oneByteChunks':
       return `HTTP/1.1 200 OK\r\n${signed}Transfer-Encoding: chunked\r\n\r\n`;
     case 'refusedBody':
       return `HTTP/1.1 503 Full\r\n${echo}${headers.notRun}: 1\r\n\r\n`;
@@ -60,6 +74,7 @@
     case 'event':
       return `${stream}id: 1\ndata: x\n\nid: 2\ndata: `;
     case 'comments':
+    case 'smallEvents':
       return stream;
     case 'headLines':
       return 'HTTP/1.1 200 OK\r\n';
@@ -68,28 +83,53 @@
   }
 }
 
-function repeatedBytes(form: EndlessForm): Buffer {
+function repeatedBytes(form: EndlessForm, count: number): Buffer {
   const unit: Partial<Record<EndlessForm, string>> = {
     chunks: `400\r\n${'x'.repeat(1_024)}\r\n`,
+    oneByteChunks: '1\r\nx\r\n',
     interimResponses: 'HTTP/1.1 102 Processing\r\n\r\n',
     headLines: `X-Line: ${'x'.repeat(900)}\r\n`,
     comments: ': x\n\n',
   };
   const text = unit[form] ?? 'x';
-  return Buffer.from(text.repeat(Math.ceil(WRITE_BYTES / text.length)));
+  return Buffer.from(text.repeat(Math.ceil(count / text.length)));
+}
+
+/** Events whose identities follow on those of the pieces before. */
+function eventsOf(piece: number, count: number): Buffer {
+  const length = Math.floor(count / EVENT_BYTES);
+  const events = Array.from({ length }, (_none, index) => {
+    const start = `id: ${piece * length + index + 1}\ndata: `;
+    return `${start.padEnd(EVENT_BYTES - 2, 'x')}\n\n`;
+  });
+  return Buffer.from(events.join(''));
+}
+
+/** Returns the bytes that a connection is sent by the number of its write. */
+function contentOf(form: EndlessForm, count: number): (piece: number) => Buffer {
+  if (form !== 'smallEvents') {
+    const repeated = repeatedBytes(form, count);
+    return () => repeated;
+  }
+  // Shared by the connections, since making them takes longer than sending them.
+  const pieces: Buffer[] = [];
+  return (piece) => (pieces[piece] ??= eventsOf(piece, count));
 }
 
-function serve({ form, host, port }: EndlessUpstreamOptions): void {
-  const repeated = repeatedBytes(form);
+function serve({ form, host, port, bytesPerSecond = BYTES_PER_SECOND }: EndlessUpstreamOptions): void {
+  const writeBytes = Math.floor((bytesPerSecond * WRITE_INTERVAL_MS) / 1_000);
+  const content = contentOf(form, writeBytes);
   const server = net.createServer((socket) => {
     const openedAt = performance.now();
     socket.on('error', () => undefined);
     socket.once('data', (request: Buffer) => {
       const [, attempt = ''] = ATTEMPT.exec(request.toString('latin1')) ?? [];
       socket.write(headOf(form, attempt));
+      let piece = 0;
       const timer = setInterval(() => {
-        if (socket.writableLength < WRITE_BYTES) {
-          socket.write(repeated);
+        if (socket.writableLength < writeBytes) {
+          socket.write(content(piece));
+          piece += 1;
         }
       }, WRITE_INTERVAL_MS);
       socket.once('close', () => {
