Held responses are collected in blocks, and the bound on all counts memory

What callers saw: an upstream that answers in HTTP chunks of one byte without end ended every entry that had callers of its service, about once a second, and with each of them the requests that it had passed on.

Cause: a held response kept each piece that the parser passed on, and the bounds counted their bytes. 8 MiB in pieces of one byte are eight million objects of some hundred bytes each; the heap is full long before.

Change: responses are collected by buffers/byteCollector, as the bodies of callers are. The bound of 8 MiB stays one on the bytes of an answer, so that a whole one of that size passes in pieces of any size. The bound of 24 MiB on all counts memory. Counters tell the memory and the objects that are held. Bytes that arrive after a response was given up are not held.

The collector itself held up to four times the bytes for single bytes between large pieces, each in a block of 64 KiB (13.1 MB for 3.3 MB): a block now is no larger than what was collected before it, and a large piece is kept as it is only where no free room is left behind. Its memory exceeds the bytes by less than a block of 64 KiB. A body in one piece is not copied.

--- a/packages/kumquatfront/src/buffers/byteCollector.spec.ts
+++ b/packages/kumquatfront/src/buffers/byteCollector.spec.ts
@@ -4,30 +4,93 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
+import * as fastCheck from 'fast-check';
+
 import * as byteCollector from './byteCollector.js';
 
 const BODY_BYTES = 300_000;
 
-function collect(chunkBytes: number): { readonly content: Buffer; readonly held: number } {
+/** A piece with memory of its own, as the HTTP parser passes it on. */
+function copyOf(bytes: Uint8Array): Buffer {
+  const piece = Buffer.allocUnsafeSlow(bytes.length);
+  piece.set(bytes);
+  return piece;
+}
+
+function collect(chunkBytes: number): {
+  readonly content: Buffer;
+  readonly held: number;
+  readonly pieces: number;
+} {
   const source = Buffer.from(Array.from({ length: BODY_BYTES }, (_none, index) => index % 251));
   const body = new byteCollector.ByteCollector();
   let held = 0;
   for (let offset = 0; offset < source.length; offset += chunkBytes) {
-    held += body.append(source.subarray(offset, offset + chunkBytes));
+    held += body.append(copyOf(source.subarray(offset, offset + chunkBytes)));
   }
+  const { pieces } = body;
   const content = body.takeContent();
   assert.ok(content.equals(source));
-  return { content, held };
+  return { content, held, pieces };
 }
 
 // Guards against a body in chunks of one byte that holds an object for each of them.
 void test.test('a body costs about its size in chunks of one byte, of some kilobytes and of a read', () => {
   for (const chunkBytes of [1, 1_000, 8_192, 40_000, 65_536]) {
-    const { held } = collect(chunkBytes);
+    const { held, pieces } = collect(chunkBytes);
     assert.ok(held >= BODY_BYTES && held <= 2 * BODY_BYTES, `${held} bytes in chunks of ${chunkBytes}`);
+    assert.ok(pieces <= 16, `${pieces} objects in chunks of ${chunkBytes}`);
   }
 });
 
+/** Pieces of any size; most of them small, or about the size from which they are kept. */
+const anyPiece = fastCheck.oneof(
+  fastCheck.integer({ min: 0, max: 40 }),
+  fastCheck.integer({ min: 32_760, max: 32_780 }),
+  fastCheck.integer({ min: 1, max: 150_000 }),
+);
+
+// Guards against large and small pieces in turn that hold several times what they have, or bytes that are lost between them.
+void test.test('any sequence of pieces keeps its order, and holds less than a block beside its bytes', () => {
+  fastCheck.assert(
+    fastCheck.property(fastCheck.array(anyPiece, { maxLength: 60 }), (lengths) => {
+      const body = new byteCollector.ByteCollector();
+      const sent: Buffer[] = [];
+      let held = 0;
+      for (const [index, length] of lengths.entries()) {
+        const piece = Buffer.alloc(length, index % 251);
+        sent.push(piece);
+        held += body.append(piece);
+        assert.equal(held, body.memory);
+        assert.ok(body.memory - body.size < byteCollector.LARGEST_BLOCK);
+        assert.ok(body.memory <= 2 * body.size + 1_024);
+        assert.ok(body.pieces <= 10 + body.size / 16_384);
+      }
+      assert.ok(body.takeContent().equals(Buffer.concat(sent)));
+    }),
+    { numRuns: 100, seed: 8 },
+  );
+});
+
+// Guards against a block of 64 KiB for each byte between two reads, which held four times the bytes.
+void test.test('single bytes between large pieces hold no block each', () => {
+  const body = new byteCollector.ByteCollector();
+  for (let count = 0; count < 100; count += 1) {
+    body.append(Buffer.alloc(32_768));
+    body.append(Buffer.alloc(1));
+  }
+  assert.ok(body.memory < 1.1 * body.size, `${body.memory} bytes for ${body.size}`);
+});
+
+// Guards against a copy of each ordinary answer, which arrives in one piece.
+void test.test('a body in one piece is not copied', () => {
+  const body = new byteCollector.ByteCollector();
+  const piece = copyOf(Buffer.from('x'.repeat(800)));
+  body.append(piece);
+  assert.equal(body.memory, piece.length);
+  assert.equal(body.takeContent(), piece);
+});
+
 // Guards against bytes that are lost or repeated where large and small chunks follow each other.
 void test.test('large and small chunks in turn keep their order', () => {
   const body = new byteCollector.ByteCollector();
@@ -39,9 +102,13 @@
   assert.equal(body.size, 0);
 });
 
-// Guards against a large block for each small body.
+// Guards against a large block for each small body, and against a slice that keeps the read or the pool that it lies in.
 void test.test('a body of one byte costs little', () => {
   const body = new byteCollector.ByteCollector();
   assert.ok(body.append(Buffer.from('x')) < 2_048);
   assert.equal(body.takeContent().toString(), 'x');
+  const read = Buffer.alloc(65_536, 'y');
+  const sliced = new byteCollector.ByteCollector();
+  assert.ok(sliced.append(read.subarray(0, 1)) < 2_048);
+  assert.notEqual(sliced.takeContent().buffer, read.buffer);
 });
--- a/packages/kumquatfront/src/buffers/byteCollector.ts
+++ b/packages/kumquatfront/src/buffers/byteCollector.ts
@@ -1,14 +1,22 @@
 /**
  * Collects bytes that another process sends in pieces of any size. It copies small pieces into blocks: a piece of a few bytes would
- * otherwise keep an object, and the read of 64 KiB that it lies in, until all have arrived.
+ * otherwise keep an object of some hundred bytes until all have arrived.
+ *
+ * The memory exceeds the bytes by less than one block of 64 KiB, and is at most twice the bytes and 1 KiB, however the bytes are cut.
  */
 
 const SMALLEST_BLOCK = 1_024;
-const LARGEST_BLOCK = 65_536;
 
-/** Size from which a piece is kept as it is; it is at least half of the read that it lies in. */
+/** Size of the largest block, which is the most that the memory may exceed the bytes. */
+export const LARGEST_BLOCK = 65_536;
+
+/** Size from which a piece may be kept as it is; half of the largest read. */
 const LARGE_PIECE = LARGEST_BLOCK / 2;
 
+function toBuffer(bytes: Uint8Array): Buffer {
+  return Buffer.isBuffer(bytes) ? bytes : Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
+}
+
 /** Bytes of one sender; see the module comment. */
 export class ByteCollector {
   /** Bytes collected so far. */
@@ -16,7 +24,8 @@
   /** Bytes of memory that hold them. */
   memory = 0;
   private readonly blocks: Buffer[] = [];
-  private used = 0;
+  /** Free bytes at the end of the last block; all others are full. */
+  private free = 0;
 
   /** Number of objects that hold them. */
   get pieces(): number {
@@ -24,7 +33,7 @@
   }
 
   /**
-   * Appends bytes.
+   * Appends bytes, which must not change afterwards.
    *
    * @returns bytes of memory by which the collector has grown
    * @example
@@ -33,48 +42,61 @@
    * ```
    */
   append(bytes: Uint8Array): number {
+    const before = this.memory;
+    if (this.mayKeep(bytes)) {
+      this.blocks.push(toBuffer(bytes));
+      this.memory += bytes.length;
+    } else {
+      this.copy(bytes);
+    }
     this.size += bytes.length;
-    const growth = bytes.length >= LARGE_PIECE ? this.keep(bytes) : this.copy(bytes);
-    this.memory += growth;
-    return growth;
+    return this.memory - before;
   }
 
-  private keep(bytes: Uint8Array): number {
-    const last = this.blocks.pop();
-    if (last !== undefined) {
-      this.blocks.push(last.subarray(0, this.used));
-    }
-    this.blocks.push(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length));
-    this.used = bytes.length;
-    return Math.max(bytes.length, LARGEST_BLOCK);
+  /**
+   * Whether a piece is kept without a copy: the only one of a small answer, or a large one. A part of a larger memory would keep all of
+   * it, and free room of a block would be lost behind the piece.
+   */
+  private mayKeep(bytes: Uint8Array): boolean {
+    const isWhole = bytes.length === bytes.buffer.byteLength && bytes.length > 0;
+    const isFirst = this.blocks.length === 0;
+    return isWhole && this.free === 0 && (isFirst || bytes.length >= LARGE_PIECE);
   }
 
-  private copy(bytes: Uint8Array): number {
-    let growth = 0;
+  private copy(bytes: Uint8Array): void {
     let offset = 0;
     while (offset < bytes.length) {
-      let block = this.blocks.at(-1);
-      if (block === undefined || this.used === block.length) {
-        const wanted = Math.max(bytes.length - offset, (block?.length ?? 0) * 2, SMALLEST_BLOCK);
-        // A block of the pool that Node.js slices small buffers from would keep the whole pool.
-        block = Buffer.allocUnsafeSlow(Math.min(wanted, LARGEST_BLOCK));
-        this.blocks.push(block);
-        this.used = 0;
-        growth += block.length;
+      if (this.free === 0) {
+        this.addBlock(bytes.length - offset);
       }
-      const count = Math.min(bytes.length - offset, block.length - this.used);
-      block.set(bytes.subarray(offset, offset + count), this.used);
-      this.used += count;
+      const block = this.blocks.at(-1);
+      const count = Math.min(bytes.length - offset, this.free);
+      block?.set(bytes.subarray(offset, offset + count), block.length - this.free);
+      this.free -= count;
       offset += count;
     }
-    return growth;
+  }
+
+  private addBlock(needed: number): void {
+    const length = Math.min(Math.max(needed, this.size, SMALLEST_BLOCK), LARGEST_BLOCK);
+    // A block of the pool that Node.js slices small buffers from would keep the whole pool.
+    this.blocks.push(Buffer.allocUnsafeSlow(length));
+    this.memory += length;
+    this.free = length;
+  }
+
+  /** All bytes in order, which stay in the collector. */
+  content(): Buffer {
+    const [first = Buffer.alloc(0), ...others] = this.blocks;
+    if (others.length > 0) {
+      return Buffer.concat(this.blocks, this.size);
+    }
+    return first.length === this.size ? first : first.subarray(0, this.size);
   }
 
   /** All bytes in order; the collector is empty afterwards. */
   takeContent(): Buffer {
-    const [first = Buffer.alloc(0), ...others] = this.blocks;
-    const content =
-      others.length === 0 ? first.subarray(0, this.size) : Buffer.concat(this.blocks, this.size);
+    const content = this.content();
     this.clear();
     return content;
   }
@@ -82,7 +104,7 @@
   /** Releases the memory. */
   clear(): void {
     this.blocks.length = 0;
-    this.used = 0;
+    this.free = 0;
     this.size = 0;
     this.memory = 0;
   }
--- a/packages/kumquatfront/src/relay/responseMemory.ts
+++ b/packages/kumquatfront/src/relay/responseMemory.ts
@@ -1,7 +1,9 @@
 /**
  * Bounds the memory of responses that are held until they are complete. An upstream may send bytes without end: one such
- * response must neither use up the memory of the process nor take the room of others.
+ * response must neither use up the memory of the process nor take the room of others. What is counted is the memory that holds the
+ * bytes: an answer in pieces of one byte would otherwise hold an object of some hundred bytes for each of them.
  */
+import * as byteCollector from '../buffers/byteCollector.js';
 import type * as heldMemoryTypes from '../heldMemory/types.js';
 import type * as ports from '../kernel/ports.js';
 
@@ -9,9 +11,9 @@
 
 /** Bounds on held responses. */
 export interface ResponseBounds {
-  /** Bytes of one response. */
+  /** Bytes of one response; the memory that holds them exceeds them by less than a block of the collector. */
   readonly perResponse: number;
-  /** Bytes of all responses together; above it, the largest is given up. */
+  /** Bytes of memory that hold all responses together; above it, the largest is given up. */
   readonly total: number;
 }
 
@@ -20,34 +22,50 @@
 
 /** One response that is held. */
 export class ResponseBuffer {
-  readonly chunks: Uint8Array[] = [];
-  size = 0;
+  private readonly collector = new byteCollector.ByteCollector();
 
   constructor(
-    private readonly memory: ResponseMemory,
+    private readonly responses: ResponseMemory,
     readonly giveUp: (reason: string) => void,
   ) {}
 
-  /** Number of objects that hold the bytes. */
+  /** Bytes of the response. */
+  get size(): number {
+    return this.collector.size;
+  }
+
+  /** Bytes of memory that hold them. */
+  get memory(): number {
+    return this.collector.memory;
+  }
+
+  /** Number of objects that hold them. */
   get pieces(): number {
-    return this.chunks.length;
+    return this.collector.pieces;
   }
 
-  /** Holds bytes; may give up this response, or a larger one. */
+  /** Holds bytes; may give up this response, or a larger one. Does nothing once the room is given back. */
   add(bytes: Uint8Array): void {
-    this.chunks.push(bytes);
-    this.size += bytes.length;
-    this.memory.onGrowth(this, bytes.length);
+    if (this.responses.holds(this)) {
+      const { pieces } = this.collector;
+      const growth = this.collector.append(bytes);
+      this.responses.onGrowth(this, growth, this.collector.pieces - pieces);
+    }
   }
 
   /** All bytes in order. */
   content(): Buffer {
-    return Buffer.concat(this.chunks);
+    return this.collector.content();
   }
 
   /** Gives the room back; the content stays with whoever has taken it. */
   release(): void {
-    this.memory.release(this);
+    this.responses.release(this);
+  }
+
+  /** Releases the memory of a response that was given up. */
+  clear(): void {
+    this.collector.clear();
   }
 }
 
@@ -55,6 +73,7 @@
 export class ResponseMemory {
   private readonly open = new Set<ResponseBuffer>();
   private used = 0;
+  private pieces = 0;
 
   constructor(
     private readonly log: ports.Log,
@@ -74,28 +93,27 @@
     return buffer;
   }
 
-  /** What all responses hold. */
+  /** Memory that holds all responses. */
   held(): heldMemoryTypes.Held {
-    let pieces = 0;
-    for (const buffer of this.open) {
-      pieces += buffer.pieces;
-    }
-    return { bytes: this.used, pieces };
+    return { bytes: this.used, pieces: this.pieces };
   }
 
-  /** Applies the bounds after a response has grown. */
-  onGrowth(buffer: ResponseBuffer, growth: number): void {
-    if (!this.open.has(buffer)) {
-      return;
-    }
+  /** Whether the room of a response has not been given back. */
+  holds(buffer: ResponseBuffer): boolean {
+    return this.open.has(buffer);
+  }
+
+  /** Applies the bounds after a response has grown by bytes of memory and objects. */
+  onGrowth(buffer: ResponseBuffer, growth: number, pieces: number): void {
     this.used += growth;
+    this.pieces += pieces;
     if (buffer.size > this.bounds.perResponse) {
       this.giveUp(buffer, `the response has more than ${this.bounds.perResponse} bytes`);
     } else if (this.used > this.bounds.total) {
-      const [largest = buffer] = [...this.open].sort((one, other) => other.size - one.size);
+      const [largest = buffer] = [...this.open].sort((one, other) => other.memory - one.memory);
       this.giveUp(
         largest,
-        `held responses have more than ${this.bounds.total} bytes, and this is the largest`,
+        `held responses take more than ${this.bounds.total} bytes of memory, and this is the largest`,
       );
     }
   }
@@ -104,18 +122,21 @@
     this.log.warn('responseGivenUp', {
       bytes: buffer.size,
       held: this.used,
+      pieces: this.pieces,
       responses: this.open.size,
       reason,
     });
     this.metrics.count('relayed.responses_given_up', 1);
     this.release(buffer);
     buffer.giveUp(reason);
+    buffer.clear();
   }
 
   /** Gives the room of a response back; does nothing if it was released. */
   release(buffer: ResponseBuffer): void {
     if (this.open.delete(buffer)) {
-      this.used -= buffer.size;
+      this.used -= buffer.memory;
+      this.pieces -= buffer.pieces;
     }
   }
 }
--- a/packages/scenarios/src/scripts/endlessResponseSafeguards.ts
+++ b/packages/scenarios/src/scripts/endlessResponseSafeguards.ts
@@ -26,8 +26,8 @@
   {
     name: 'above the bound the largest response is given up',
     file: 'relay/responseMemory.js',
-    find: 'other.size - one.size',
-    replace: 'one.size - other.size',
+    find: 'other.memory - one.memory',
+    replace: 'one.memory - other.memory',
     scenario: MEMORY,
   },
   {
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -5,6 +5,7 @@
 import * as backPressureSafeguards from './backPressureSafeguards.js';
 import * as callerBoundsSafeguards from './callerBoundsSafeguards.js';
 import * as callSlotsSafeguards from './callSlotsSafeguards.js';
+import * as collectedBytesSafeguards from './collectedBytesSafeguards.js';
 import * as completionSafeguards from './completionSafeguards.js';
 import * as configurationDeliverySafeguards from './configurationDeliverySafeguards.js';
 import * as controlSafeguards from './controlSafeguards.js';
@@ -31,6 +32,7 @@
 export const safeguards: readonly types.Safeguard[] = [
   ...servingSafeguards.servingSafeguards,
   ...endlessResponseSafeguards.endlessResponseSafeguards,
+  ...collectedBytesSafeguards.collectedBytesSafeguards,
   ...responseHeadSafeguards.responseHeadSafeguards,
   ...callerBoundsSafeguards.callerBoundsSafeguards,
   ...outsideInputSafeguards.outsideInputSafeguards,
