Responses that are read as a whole are collected in blocks

What callers saw: the entry that they used ended when a service of the own interface, a copy of memory, a report or an order was answered in pieces of one byte, up to 4 MiB each within all bounds.

Cause: adapters/wholeResponse kept each piece that the parser passed on and bounded the sum of their bytes.

Change: it collects with buffers/byteCollector. The bound is one on the bytes of the body, as before, and is checked before bytes are collected.

--- a/packages/kumquatfront/src/adapters/wholeResponse.ts
+++ b/packages/kumquatfront/src/adapters/wholeResponse.ts
@@ -1,6 +1,7 @@
 /**
  * Requests to upstreams whose responses are read as a whole, within bounds on size and time.
  */
+import * as byteCollector from '../buffers/byteCollector.js';
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
 import type * as relayTypes from '../relay/types.js';
@@ -16,6 +17,7 @@
 
 /** Bounds on a response. */
 export interface ResponseBounds {
+  /** Bytes of the body; the memory that holds them exceeds them by less than a block of the collector. */
   readonly maximumBytes: number;
   /** Time from the request to the end of the response. */
   readonly timeout: ports.Milliseconds;
@@ -42,8 +44,7 @@
   scheduler: ports.Scheduler,
   done: (result: results.Result<WholeResponse, ResponseFailure>) => void,
 ): void {
-  const chunks: Uint8Array[] = [];
-  let length = 0;
+  const collected = new byteCollector.ByteCollector();
   let head: Omit<WholeResponse, 'body'> = { status: 0, headers: [], framing: 'length' };
   const fail = (kind: ResponseFailure['kind'], reason: string): void => {
     cancelTimeout();
@@ -58,15 +59,15 @@
       head = { status, headers, framing };
     },
     data: (bytes) => {
-      length += bytes.length;
-      chunks.push(bytes);
-      if (length > maximumBytes) {
+      if (collected.size + bytes.length > maximumBytes) {
         fail('garbled', `the response has more than ${maximumBytes} bytes`);
+      } else {
+        collected.append(bytes);
       }
     },
     end: () => {
       cancelTimeout();
-      done(results.Ok({ ...head, body: Buffer.concat(chunks) }));
+      done(results.Ok({ ...head, body: collected.takeContent() }));
     },
     failed: fail,
   });
--- a/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
+++ b/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
@@ -4,6 +4,7 @@
 import type * as types from './types.js';
 
 const COLLECTOR = 'spec:buffers/byteCollector';
+const WHOLE = 'spec:adapters/wholeResponse';
 const MEMORY = 'spec:relay/responseMemory';
 
 /** Safeguards, each with the spec that must fail without it. */
@@ -57,4 +58,18 @@
     replace: '',
     scenario: MEMORY,
   },
+  {
+    name: 'a response that is read as a whole is collected in blocks',
+    file: 'adapters/wholeResponse.js',
+    find: 'collected.append(bytes);',
+    replace: '(collected.kept ??= []).push(bytes); collected.size += bytes.length;',
+    scenario: WHOLE,
+  },
+  {
+    name: 'a response that is read as a whole has a bound on its bytes',
+    file: 'adapters/wholeResponse.js',
+    find: 'collected.size + bytes.length > maximumBytes',
+    replace: 'false',
+    scenario: WHOLE,
+  },
 ];
