A stream waits for its caller, and is written once for each read

What callers saw: an entry that ran out of heap, and with it the streams of all its callers.

Cause: the exchange of the upstream port could be cancelled and not paused, a write did not tell whether the caller takes more, and each event, in whatever chunks it came, was a write of its own.

Change: flowControl/flowControl pauses the source of a stream at the first write after which the connection of the caller is full (16 KiB), and resumes it when that has drained. A pause stops the reads of the connection itself (adapters/pausableReads), at once: libuv would otherwise go on for up to 32 reads, and a paused response keeps an object for each chunk. The pieces of one read are joined (adapters/readPieces), and its events are one write. While a stream waits, its silence is the caller's doing: no other upstream is searched, no event is timed out, no pause is reported for the engine. Its deadline holds. A stopped source of a move is read to its end. A caller that takes no byte for 5 s, or for the gap after which callers of its route leave if that is longer, is let go (flowControl/stallWatch); one that reads slowly is kept. entryLoad/slowReaders stays as it was, as a last line.

Relayed exchanges and the product's own interface are not changed yet.

A caller of the harness lists every event of a write, where it had listed the first.

--- a/packages/kumquatfront/src/adapters/generationConnection.ts
+++ b/packages/kumquatfront/src/adapters/generationConnection.ts
@@ -25,7 +25,7 @@
 
 /** See the module comment. */
 class GenerationConnection implements streams.GenerationConnection {
-  private readonly exchange: singleUseConnection.Exchange;
+  private readonly exchange: relayTypes.UpstreamExchange;
   private readonly decoder = new stringDecoder.StringDecoder('utf8');
   private readonly parser = eventSource.createParser({
     onEvent: (event) => {
--- a/packages/kumquatfront/src/adapters/singleUseConnection.ts
+++ b/packages/kumquatfront/src/adapters/singleUseConnection.ts
@@ -9,6 +9,9 @@
 
 import type * as ports from '../kernel/ports.js';
 import type * as relayTypes from '../relay/types.js';
+import * as unsentExchange from '../relay/unsentExchange.js';
+import * as pausableReads from './pausableReads.js';
+import * as readPieces from './readPieces.js';
 import * as responseHead from './responseHead.js';
 import * as responseMonitor from './responseMonitor.js';
 
@@ -28,15 +31,6 @@
   readonly body: Uint8Array;
 }
 
-/** Controls an exchange that was sent. */
-export interface Exchange {
-  /** Cancels it and closes its connection. */
-  readonly cancel: relayTypes.CancelExchange;
-  /** Passes on no more of the body, and stops reading it, until `resume`. */
-  readonly pause: () => void;
-  readonly resume: () => void;
-}
-
 /** Receives the events of an exchange; unless it is cancelled, the last one is a single `end` or `failed`. */
 export interface ConnectionListener {
   readonly head: (
@@ -95,12 +89,16 @@
 }
 
 /** Reports a request that cannot be encoded once the caller of `send` has returned, as every other failure. */
-function failAsWithheld(error: unknown, scheduler: ports.Scheduler, listener: ConnectionListener): Exchange {
+function failAsWithheld(
+  error: unknown,
+  scheduler: ports.Scheduler,
+  listener: ConnectionListener,
+): relayTypes.UpstreamExchange {
   const reason = error instanceof Error ? error.message : String(error);
   const cancel = scheduler.after(0, () => {
     listener.failed('withheld', `the request cannot be sent: ${reason}`);
   });
-  return { cancel, pause: () => undefined, resume: () => undefined };
+  return unsentExchange.create(cancel);
 }
 
 /**
@@ -117,13 +115,14 @@
   request: OutgoingRequest,
   scheduler: ports.Scheduler,
   listener: ConnectionListener,
-): Exchange {
+): relayTypes.UpstreamExchange {
   const colon = request.address.lastIndexOf(':');
   const host = request.address.slice(0, colon).replace(/^\[(.*)\]$/, '$1');
   const port = Number(request.address.slice(colon + 1));
   let connected = false;
   let settled = false;
   let isPaused = false;
+  let reads: pausableReads.PausableReads | undefined;
   let response: http.IncomingMessage | undefined;
   let monitor: responseMonitor.ResponseMonitor | undefined;
   let outgoing: http.ClientRequest;
@@ -132,6 +131,11 @@
   } catch (error) {
     return failAsWithheld(error, scheduler, listener);
   }
+  const pieces = new readPieces.ReadPieces((bytes) => {
+    if (!settled) {
+      listener.data(bytes);
+    }
+  });
   const settle = (): boolean => {
     if (settled) {
       return false;
@@ -142,6 +146,7 @@
     return true;
   };
   const fail = (kind: relayTypes.ExchangeFailure, reason: string): void => {
+    pieces.flush();
     if (settle()) {
       listener.failed(kind, reason);
     }
@@ -155,6 +160,12 @@
   };
   outgoing.on('socket', (socket) => {
     checkReset = detectReset(socket);
+    reads = pausableReads.control(socket, () => {
+      pieces.flush();
+    });
+    if (isPaused) {
+      reads.pause();
+    }
     monitor = new responseMonitor.ResponseMonitor(socket, scheduler, (reason) => {
       // Bytes after a complete response belong to no request.
       if (response?.complete !== true) {
@@ -193,10 +204,11 @@
     incoming.on('data', (bytes: Buffer) => {
       monitor?.recordBody(bytes.length);
       if (!settled) {
-        listener.data(bytes);
+        pieces.add(bytes);
       }
     });
     incoming.on('end', () => {
+      pieces.flush();
       if (!incoming.complete) {
         fail('broken', 'the response ended early');
         return;
@@ -222,9 +234,6 @@
         fail('broken', 'the connection closed before the response was complete');
       }
     });
-    if (isPaused) {
-      incoming.pause();
-    }
     listener.head(status, headers, framing);
   });
   outgoing.on('close', () => {
@@ -234,16 +243,17 @@
   });
   return {
     cancel: () => {
+      pieces.clear();
       settle();
       outgoing.destroy();
     },
     pause: () => {
       isPaused = true;
-      response?.pause();
+      reads?.pause();
     },
     resume: () => {
       isPaused = false;
-      response?.resume();
+      reads?.resume();
     },
   };
 }
--- a/packages/kumquatfront/src/adapters/trafficHttp.ts
+++ b/packages/kumquatfront/src/adapters/trafficHttp.ts
@@ -189,6 +189,14 @@
   return handle?.writeQueueSize ?? 0;
 }
 
+/** Bytes of all responses on a connection that the operating system has taken; 0 if the connection is closed. */
+function takenBytes(socket: net.Socket): number {
+  const { _handle: handle } = socket as unknown as {
+    readonly _handle?: { readonly bytesWritten?: number } | null;
+  };
+  return (handle?.bytesWritten ?? 0) - queuedBytes(socket);
+}
+
 function createCaller(
   options: TrafficHttpOptions,
   request: relayTypes.TrafficRequest,
@@ -197,6 +205,7 @@
 ): relayTypes.CallerPort {
   const { load } = options;
   const { socket } = incoming;
+  let taken = 0;
   const abort = (): void => {
     // Without chunks an ordinary end of the connection would complete the answer.
     if (outgoing.headersSent && !outgoing.chunkedEncoding) {
@@ -265,14 +274,15 @@
     },
     write: (bytes) => {
       load?.addBytes(bytes.length);
-      const send = (): void => {
-        outgoing.write(bytes);
-      };
-      if (reader === undefined) {
-        send();
-      } else {
-        reader.write(send);
-      }
+      const send = (): boolean => outgoing.write(bytes);
+      return reader === undefined ? send() : reader.write(send);
+    },
+    onDrain: (callback) => {
+      outgoing.on('drain', callback);
+    },
+    takenBytes: () => {
+      taken = Math.max(taken, takenBytes(socket));
+      return taken;
     },
     end: () => {
       outgoing.end();
--- a/packages/kumquatfront/src/entryLoad/slowReaders.ts
+++ b/packages/kumquatfront/src/entryLoad/slowReaders.ts
@@ -67,14 +67,17 @@
    * Tracks a response.
    *
    * @param reader - the response
-   * @returns `write`, which must run each write to a stream, and `remove`, to be called when the response ends
+   * @returns `write`, which must run each write to a stream and returns its result, and `remove`, to be called when the response ends
    * @example
    * ```ts
    * const { write, remove } = readers.track({ request, unreadBytes, queuedBytes, disconnect });
    * write(() => outgoing.write(bytes));
    * ```
    */
-  track(reader: Reader): { readonly write: (send: () => void) => void; readonly remove: () => void } {
+  track(reader: Reader): {
+    readonly write: <Result>(send: () => Result) => Result;
+    readonly remove: () => void;
+  } {
     const progressAt = this.options.now();
     const tracked: TrackedReader = { reader, isStream: false, writes: 0, unread: 0, queued: 0, progressAt };
     this.tracked.add(tracked);
@@ -82,11 +85,12 @@
       write: (send) => {
         // Checked before the write too: a caller that reads less than is written would otherwise never show progress.
         this.measure(tracked);
-        send();
+        const result = send();
         tracked.isStream = true;
         tracked.writes = tracked.unread === 0 ? 1 : tracked.writes + 1;
         tracked.unread = reader.unreadBytes();
         tracked.queued = reader.queuedBytes();
+        return result;
       },
       remove: () => {
         this.tracked.delete(tracked);
--- /dev/null
+++ b/packages/kumquatfront/src/flowControl/stallWatch.ts
@@ -0,0 +1,47 @@
+/**
+ * Lets go of a receiver that takes nothing while bytes wait for it. One that takes a little is kept, however slow it is.
+ */
+import type * as ports from '../kernel/ports.js';
+import type * as timerService from '../kernel/timerService.js';
+
+/** Measurements for each time limit. */
+const MEASUREMENTS = 10;
+
+/** What a watch depends on. */
+export interface StallWatchOptions {
+  readonly timers: timerService.TimerService;
+  /** Bytes that the receiver has taken; they never fall. */
+  readonly takenBytes: () => number;
+  /** Time without a byte after which the receiver is let go. */
+  readonly limit: ports.Milliseconds;
+  readonly onStalled: () => void;
+}
+
+/**
+ * Watches a receiver for which bytes wait.
+ *
+ * @returns ends the watch
+ * @example
+ * ```ts
+ * const stop = stallWatch.start({ timers, takenBytes: () => caller.takenBytes(), limit: 5_000, onStalled: abort });
+ * ```
+ */
+export function start({ timers, takenBytes, limit, onStalled }: StallWatchOptions): ports.Cancel {
+  let taken = takenBytes();
+  let takenAt = timers.now();
+  const cancel = timers.every(
+    () => limit / MEASUREMENTS,
+    () => {
+      const now = timers.now();
+      const latest = takenBytes();
+      if (latest !== taken) {
+        taken = latest;
+        takenAt = now;
+      } else if (now - takenAt >= limit) {
+        cancel();
+        onStalled();
+      }
+    },
+  );
+  return cancel;
+}
--- a/packages/kumquatfront/src/peerRelay/peerRelay.ts
+++ b/packages/kumquatfront/src/peerRelay/peerRelay.ts
@@ -9,7 +9,9 @@
 import type * as ports from '../kernel/ports.js';
 import type * as results from '../kernel/results.js';
 import type * as timerService from '../kernel/timerService.js';
+import * as successiveExchanges from '../relay/successiveExchanges.js';
 import type * as relayTypes from '../relay/types.js';
+import * as unsentExchange from '../relay/unsentExchange.js';
 import * as messages from './messages.js';
 import * as peerList from './peerList.js';
 import * as relayedExchange from './relayedExchange.js';
@@ -144,30 +146,24 @@
   private send(
     call: relayTypes.UpstreamCall,
     listener: relayTypes.ExchangeListener,
-  ): relayTypes.CancelExchange {
+  ): relayTypes.UpstreamExchange {
     const startedAt = this.options.timers.now();
     if (this.paths.isCut(call.instance)) {
-      const relayed = this.relay(call, listener, startedAt);
-      return (reason) => {
-        relayed.cancel(reason);
-      };
+      return this.relay(call, listener, startedAt);
     }
-    let cancel: relayTypes.CancelExchange = this.options.upstreams.send(call, {
+    const exchanges = new successiveExchanges.SuccessiveExchanges();
+    const direct = this.options.upstreams.send(call, {
       ...this.observed(listener, startedAt),
       failed: (failure, reason) => {
         if (failure === 'notSent' && this.mayRelay(call, startedAt)) {
-          const relayed = this.relay(call, listener, startedAt);
-          cancel = (cancelReason) => {
-            relayed.cancel(cancelReason);
-          };
+          exchanges.set(this.relay(call, listener, startedAt));
         } else {
           listener.failed(failure, reason);
         }
       },
     });
-    return (reason) => {
-      cancel(reason);
-    };
+    exchanges.set(direct);
+    return exchanges;
   }
 
   /**
@@ -188,7 +184,7 @@
     call: relayTypes.UpstreamCall,
     listener: relayTypes.ExchangeListener,
     startedAt: ports.Milliseconds,
-  ): relayedExchange.RelayedExchange {
+  ): relayTypes.UpstreamExchange {
     const exchange = new relayedExchange.RelayedExchange(
       {
         ...this.options,
@@ -202,7 +198,9 @@
       startedAt,
     );
     exchange.start();
-    return exchange;
+    return unsentExchange.create((reason) => {
+      exchange.cancel(reason);
+    });
   }
 
   private copyThroughPeer(
--- a/packages/kumquatfront/src/peerRelay/relayProtocol.spec.ts
+++ b/packages/kumquatfront/src/peerRelay/relayProtocol.spec.ts
@@ -20,6 +20,7 @@
   readonly call: relayTypes.UpstreamCall;
   readonly listener: relayTypes.ExchangeListener;
   cancelled: boolean;
+  paused: boolean;
 }
 
 const REQUEST: relayTypes.TrafficRequest = {
@@ -78,10 +79,18 @@
   startPeer(name: string): void {
     const upstreams: relayTypes.UpstreamPort = {
       send: (call, listener) => {
-        const run: UpstreamRun = { through: name, call, listener, cancelled: false };
+        const run: UpstreamRun = { through: name, call, listener, cancelled: false, paused: false };
         this.runs.push(run);
-        return () => {
-          run.cancelled = true;
+        return {
+          cancel: () => {
+            run.cancelled = true;
+          },
+          pause: () => {
+            run.paused = true;
+          },
+          resume: () => {
+            run.paused = false;
+          },
         };
       },
       check: () => undefined,
--- a/packages/kumquatfront/src/peerRelay/relayServer.ts
+++ b/packages/kumquatfront/src/peerRelay/relayServer.ts
@@ -49,7 +49,7 @@
 
 /** A request that was relayed, or must not be relayed any more. */
 interface Relayed {
-  cancel: relayTypes.CancelExchange;
+  exchange: relayTypes.UpstreamExchange | undefined;
   /** Events that are not acknowledged. */
   events: messages.RelayEvent[];
   /** Number of the first of them. */
@@ -149,7 +149,7 @@
     });
     metrics.count('relay.for_peer');
     const relayed: Relayed = {
-      cancel: () => undefined,
+      exchange: undefined,
       events: [],
       from: 0,
       bytes: 0,
@@ -161,7 +161,7 @@
     this.open.set(id, relayed);
     this.wait(relayed, answer);
     const decoded = messages.decodeCall(call, timers.now());
-    relayed.cancel = this.options.upstreams.send(decoded, this.listenerOf(id, relayed));
+    relayed.exchange = this.options.upstreams.send(decoded, this.listenerOf(id, relayed));
   }
 
   private listenerOf(id: string, relayed: Relayed): relayTypes.ExchangeListener {
@@ -273,7 +273,7 @@
     relayed.cancelWait();
     relayed.waiting?.({ state: 'lost' });
     if (!relayed.isComplete) {
-      relayed.cancel(reason);
+      relayed.exchange?.cancel(reason);
     }
   }
 
--- a/packages/kumquatfront/src/quarantine/crashTestHarness.ts
+++ b/packages/kumquatfront/src/quarantine/crashTestHarness.ts
@@ -136,7 +136,7 @@
         settle('served');
       },
       begin: () => undefined,
-      write: () => undefined,
+      ...{ write: () => true, onDrain: () => undefined, takenBytes: () => 0 },
       end: () => {
         settle('served');
       },
--- a/packages/kumquatfront/src/quarantine/crashTestUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/crashTestUpstreams.ts
@@ -8,6 +8,7 @@
 import type * as virtualTime from '../kernel/virtualTime.js';
 import * as relayTestHarness from '../relay/relayTestHarness.js';
 import type * as relayTypes from '../relay/types.js';
+import * as unsentExchange from '../relay/unsentExchange.js';
 
 /** Effect of a request on the upstream that runs it. */
 export type Effect = 'served' | 'crashes';
@@ -239,7 +240,7 @@
     entry: string,
     call: relayTypes.UpstreamCall,
     listener: relayTypes.ExchangeListener,
-  ): relayTypes.CancelExchange {
+  ): relayTypes.UpstreamExchange {
     const content = Buffer.from(call.request.body).toString();
     const run: Run = { content, entry, listener, cancelled: false };
     const found = this.upstreams.find(({ announcement }) => announcement.address === call.instance.address);
@@ -261,10 +262,10 @@
         listener.end();
       }
     });
-    return () => {
+    return unsentExchange.create(() => {
       run.cancelled = true;
       found?.runs.delete(run);
-    };
+    });
   }
 
   private run(upstream: Upstream, run: Run): void {
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -15,6 +15,7 @@
 import * as answerCompletion from '../relay/answerCompletion.js';
 import * as responseClassification from '../relay/responseClassification.js';
 import type * as relayTypes from '../relay/types.js';
+import * as unsentExchange from '../relay/unsentExchange.js';
 import * as incarnationCheck from '../streamOrigins/incarnationCheck.js';
 import * as software from '../streamOrigins/software.js';
 import * as residency from '../traffic/residency.js';
@@ -229,10 +230,13 @@
     policy.recordSent(call.instance, now);
     quarantineState.recordSent(call.request);
     const tracked = new TrackedRun(options, call, causes);
-    const cancel = upstreams.send(call, tracked.wrapListener(listener));
-    return (reason) => {
-      tracked.finish(reason === 'silent');
-      cancel(reason);
+    const exchange = upstreams.send(call, tracked.wrapListener(listener));
+    return {
+      ...exchange,
+      cancel: (reason) => {
+        tracked.finish(reason === 'silent');
+        exchange.cancel(reason);
+      },
     };
   };
   const send: relayTypes.UpstreamPort['send'] = (call, listener) =>
@@ -289,8 +293,10 @@
   listener: relayTypes.ExchangeListener,
   failure: relayTypes.ExchangeFailure,
   reason: string,
-): ports.Cancel {
-  return timers.after(0, () => {
-    listener.failed(failure, reason);
-  });
+): relayTypes.UpstreamExchange {
+  return unsentExchange.create(
+    timers.after(0, () => {
+      listener.failed(failure, reason);
+    }),
+  );
 }
--- a/packages/kumquatfront/src/relay/brokenAnswers.spec.ts
+++ b/packages/kumquatfront/src/relay/brokenAnswers.spec.ts
@@ -43,7 +43,7 @@
           listener.head({ ...relayTestHarness.okHead, status, headers: forwarded, framing });
         },
       },
-    ).cancel,
+    ),
   check: (address, done) => {
     connectionCheck.run(address, systemTime.scheduler, done);
   },
--- a/packages/kumquatfront/src/relay/bufferedAttempts.ts
+++ b/packages/kumquatfront/src/relay/bufferedAttempts.ts
@@ -59,7 +59,7 @@
       fail('garbled', reason);
     });
     balancer.recordDispatch(instance, timers.now());
-    const cancel = upstreams.send(call, {
+    const { cancel } = upstreams.send(call, {
       head: (head) => {
         response.recordHead(head);
         if (responseClassification.classify(head, this.repeatable) !== 'answer') {
--- a/packages/kumquatfront/src/relay/idleSearch.ts
+++ b/packages/kumquatfront/src/relay/idleSearch.ts
@@ -61,6 +61,7 @@
     return current?.segment === segment && current.eventCount === segment.eventCount;
   }
 
+  /** Stops the idle timer, for instance while the segment is not read. */
   cancel(): void {
     this.cancelTimer();
   }
--- a/packages/kumquatfront/src/relay/relayTestHarness.ts
+++ b/packages/kumquatfront/src/relay/relayTestHarness.ts
@@ -35,6 +35,8 @@
   readonly call: types.UpstreamCall;
   readonly listener: types.ExchangeListener;
   cancelled: boolean;
+  /** True while the response is not read. */
+  paused: boolean;
 }
 
 /** A memory copy that was requested from an engine. */
@@ -108,7 +110,14 @@
   /** Forecast of the first event in the coordinator's answers. */
   firstEventIn: ports.Milliseconds | undefined;
   readonly context: exchangeContext.ExchangeContext;
+  /** False while the caller takes nothing more. */
+  callerTakesMore = true;
+  /** Bytes that the connection of the caller has taken, as it reports them. */
+  takenBytes = 0;
+  /** Number of writes to the caller. */
+  callerWrites = 0;
   private notifyCallerGone: () => void = () => undefined;
+  private notifyDrain: () => void = () => undefined;
   private readonly peerHandlers = new Map<string, ports.PeerHandler>();
   private readonly table = new instanceTable.InstanceTable('e');
 
@@ -205,10 +214,18 @@
   private upstreams(): types.UpstreamPort {
     return {
       send: (call, listener) => {
-        const sent: SentCall = { call, listener, cancelled: false };
+        const sent: SentCall = { call, listener, cancelled: false, paused: false };
         this.sentCalls.push(sent);
-        return () => {
-          sent.cancelled = true;
+        return {
+          cancel: () => {
+            sent.cancelled = true;
+          },
+          pause: () => {
+            sent.paused = true;
+          },
+          resume: () => {
+            sent.paused = false;
+          },
         };
       },
       check: (_address, done) => {
@@ -282,6 +299,12 @@
     this.notifyCallerGone();
   }
 
+  /** Lets the caller take what waits, and more. */
+  drainCaller(): void {
+    this.callerTakesMore = true;
+    this.notifyDrain();
+  }
+
   /** Creates a routed request whose caller records what it receives. */
   createRoutedRequest(
     kind: trafficTypes.CallKind,
@@ -311,8 +334,21 @@
           callerEvents.push('begin');
         },
         write: (bytes) => {
-          callerEvents.push(/id: (\d+)/.exec(Buffer.from(bytes).toString())?.[1] ?? 'bytes');
+          this.callerWrites += 1;
+          const identities = [
+            ...Buffer.from(bytes)
+              .toString()
+              .matchAll(/id: (\d+)/g),
+          ];
+          callerEvents.push(
+            ...(identities.length === 0 ? ['bytes'] : identities.map(([, text = '']) => text)),
+          );
+          return this.callerTakesMore;
+        },
+        onDrain: (callback) => {
+          this.notifyDrain = callback;
         },
+        takenBytes: () => this.takenBytes,
         end: () => {
           callerEvents.push('end');
         },
--- a/packages/kumquatfront/src/relay/streamDelivery.ts
+++ b/packages/kumquatfront/src/relay/streamDelivery.ts
@@ -19,10 +19,18 @@
   longestPause: ports.Milliseconds = 0;
   private head: types.ResponseHead | undefined;
   private lastEventAt: ports.Milliseconds = 0;
-  private readonly caller: types.CallerPort;
+  /** Adjacent events that are delivered but not written yet. */
+  private pending: Buffer | undefined;
 
-  constructor(caller: types.CallerPort, lastEvent: string | undefined) {
-    this.caller = caller;
+  /**
+   * @param caller - receives the events of one read in one write: each write takes several objects until the caller has read it
+   * @param recordWrite - told after each write whether the caller can take more
+   */
+  constructor(
+    private readonly caller: types.CallerPort,
+    lastEvent: string | undefined,
+    private readonly recordWrite: (canTakeMore: boolean) => void,
+  ) {
     this.lastEvent = lastEvent;
   }
 
@@ -43,7 +51,11 @@
     }
   }
 
-  /** Delivers an event; false if the caller already has it, since a resumed upstream may repeat events. */
+  /**
+   * Delivers an event, which is written by the next `flush`.
+   *
+   * @returns false if the caller already has it, since a resumed upstream may repeat events
+   */
   deliver(event: eventSplitter.CompleteEvent, now: ports.Milliseconds): boolean {
     if (event.identity !== undefined && !this.isNewEvent(event.identity)) {
       return false;
@@ -56,10 +68,29 @@
     this.lastEventAt = now;
     this.eventCount += 1;
     this.begin();
-    this.caller.write(event.bytes);
+    this.add(event.bytes);
     return true;
   }
 
+  /** Writes the events that were delivered. */
+  flush(): void {
+    const { pending } = this;
+    if (pending !== undefined) {
+      this.pending = undefined;
+      this.recordWrite(this.caller.write(pending));
+    }
+  }
+
+  private add(bytes: Buffer): void {
+    const { pending } = this;
+    if (pending?.buffer === bytes.buffer && pending.byteOffset + pending.length === bytes.byteOffset) {
+      this.pending = Buffer.from(bytes.buffer, pending.byteOffset, pending.length + bytes.length);
+      return;
+    }
+    this.flush();
+    this.pending = bytes;
+  }
+
   private isNewEvent(identity: string): boolean {
     const number = Number(identity);
     const last = Number(this.lastEvent);
@@ -69,6 +100,7 @@
   /** Completes the stream with the bytes received after its last event. */
   end(remainder: Uint8Array): void {
     this.begin();
+    this.flush();
     if (remainder.length > 0) {
       this.caller.write(remainder);
     }
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -3,11 +3,14 @@
  * its route permits, resumes on another upstream after the last received event. The caller receives each event once
  * and in order, or an aborted stream.
  */
+import * as flowControl from '../flowControl/flowControl.js';
+import * as stallWatch from '../flowControl/stallWatch.js';
 import type * as instanceView from '../instances/instanceView.js';
 import type * as ports from '../kernel/ports.js';
 import type * as placementTypes from '../placement/types.js';
 import type * as eventSplitter from './eventSplitter.js';
 import type * as trafficTypes from '../traffic/types.js';
+import * as callerGap from './callerGap.js';
 import * as exchangeContext from './exchangeContext.js';
 import * as generationAttributes from './generationAttributes.js';
 import * as generationReport from './generationReport.js';
@@ -25,10 +28,17 @@
 import * as streamLogSummary from './streamLogSummary.js';
 import type * as types from './types.js';
 
+/**
+ * Least time without a byte that a caller takes after which its stream is ended. The connection shows progress in steps, up to a third of
+ * what the operating system holds for it.
+ */
+const MINIMUM_CALLER_STALL: ports.Milliseconds = 5_000;
+
 /** One stream exchange; see the module comment. */
 export class StreamExchange implements placementClient.OpenGeneration {
   private readonly attributes: placementTypes.GenerationAttributes | undefined;
   private readonly delivery: streamDelivery.StreamDelivery;
+  private readonly flow: flowControl.FlowControl;
   private readonly selector: upstreamSelector.UpstreamSelector;
   private readonly moveController: streamMove.StreamMove;
   /** Open segment; undefined while the stream has no upstream. */
@@ -42,6 +52,7 @@
   /** Forecast time from the last placement to the first event. */
   private firstEventIn: ports.Milliseconds | undefined;
   private cancelEarlyEnds: ports.Cancel = () => undefined;
+  private stopStallWatch: ports.Cancel = () => undefined;
 
   constructor(
     private readonly context: exchangeContext.ExchangeContext,
@@ -60,7 +71,22 @@
         this.selector.select();
       },
     });
-    this.delivery = new streamDelivery.StreamDelivery(routed.caller, routed.request.lastEvent);
+    this.flow = new flowControl.FlowControl({
+      now: () => context.timers.now(),
+      onBlocked: () => {
+        this.onCallerBlocked();
+      },
+      onDrained: () => {
+        this.onCallerDrained();
+      },
+    });
+    this.delivery = new streamDelivery.StreamDelivery(
+      routed.caller,
+      routed.request.lastEvent,
+      (canTakeMore) => {
+        this.flow.recordWrite(canTakeMore);
+      },
+    );
     this.outcome = new streamOutcome.StreamOutcome(context, routed, {
       attempts: this.attempts,
       delivery: this.delivery,
@@ -88,6 +114,9 @@
       upstreams: context.upstreams,
       timers: context.timers,
       log: context.log,
+      readToEnd: () => {
+        this.flow.readToEnd();
+      },
       resumeFrom: (resumePoint) => {
         this.resumeFromCopy(resumePoint);
       },
@@ -120,6 +149,9 @@
     this.routed.caller.onDisconnect(() => {
       this.finish({ outcome: 'callerGone' });
     });
+    this.routed.caller.onDrain(() => {
+      this.flow.recordDrain();
+    });
     this.cancelEarlyEnds = exchangeContext.onEarlyEnd(this.context, this.routed, {
       atDeadline: () => {
         this.outcome.endAtDeadline();
@@ -212,7 +244,7 @@
   ): void {
     if (this.active !== undefined) {
       this.idleSearch.end(this.active);
-      this.idleSearch.restartTimer(this.active, this.firstEventIn);
+      this.restartIdleTimer();
       return;
     }
     this.outcome.endWithoutUpstream(reason, message, retryAfter);
@@ -222,8 +254,11 @@
     const { upstreams, balancer, timers, placement, log } = this.context;
     const { request } = this.routed;
     const now = timers.now();
-    const segment = new streamSegment.StreamSegment(instance, copy, this.context, this.routed.route);
+    const segment = new streamSegment.StreamSegment(instance, copy, this.context, this.routed.route, () =>
+      this.flow.readingTime(),
+    );
     this.active = segment;
+    this.flow.attach(segment);
     this.attempts.recordSend(copy !== undefined);
     balancer.recordDispatch(instance, now);
     log.debug('streamSent', {
@@ -240,10 +275,39 @@
       origin: this.continuation.origin,
     });
     segment.start(upstreams, call, this.resumable, this.createSegmentListener(segment));
-    this.idleSearch.restartTimer(this.active, this.firstEventIn);
+    this.restartIdleTimer();
     placement.scheduleReport();
   }
 
+  /** The silence of a stream that is not read says nothing about its upstream. */
+  private restartIdleTimer(): void {
+    if (this.flow.isPaused) {
+      this.idleSearch.cancel();
+    } else {
+      this.idleSearch.restartTimer(this.active, this.firstEventIn);
+    }
+  }
+
+  private onCallerBlocked(): void {
+    const { caller, route } = this.routed;
+    const limit = Math.max(MINIMUM_CALLER_STALL, callerGap.forRoute(route));
+    this.stopStallWatch = stallWatch.start({
+      ...{ timers: this.context.timers, limit },
+      takenBytes: () => caller.takenBytes(),
+      onStalled: () => {
+        caller.abort();
+        this.finish({ outcome: 'callerGone', reason: `the caller took nothing for ${limit} ms` });
+      },
+    });
+  }
+
+  private onCallerDrained(): void {
+    this.stopStallWatch();
+    if (!this.ended) {
+      this.restartIdleTimer();
+    }
+  }
+
   private createSegmentListener(segment: streamSegment.StreamSegment): streamSegment.SegmentListener {
     const { balancer, timers } = this.context;
     return {
@@ -256,6 +320,9 @@
       event: (event) => {
         this.onEvent(segment, event);
       },
+      readEnded: () => {
+        this.onReadEnded();
+      },
       completed: (remainder) => {
         const handleStopped = (): void => {
           this.recovery.onBroken(segment, 'broken', 'the upstream was told to stop the stream');
@@ -295,13 +362,20 @@
   private onEvent(segment: streamSegment.StreamSegment, event: eventSplitter.CompleteEvent): void {
     const isFirst = segment.eventCount === 1;
     const now = this.context.timers.now();
-    segment.recordEvent(now);
+    segment.recordEvent();
     this.continuation.recordEvent(segment.instance);
     this.delivery.deliver(event, now);
     if (isFirst) {
       this.context.placement.scheduleReport();
     }
-    this.idleSearch.restartTimer(this.active, this.firstEventIn);
+  }
+
+  /** Writes the events of one read in one piece. */
+  private onReadEnded(): void {
+    this.delivery.flush();
+    if (!this.ended) {
+      this.restartIdleTimer();
+    }
   }
 
   /** Output tokens delivered so far. */
@@ -313,6 +387,7 @@
     if (segment !== undefined && this.active === segment) {
       segment.close(reason);
       this.active = undefined;
+      this.flow.detach();
       this.context.balancer.recordCompletion(segment.instance.identity);
     }
   }
@@ -370,6 +445,7 @@
     }
     this.ended = true;
     this.cancelEarlyEnds();
+    this.stopStallWatch();
     this.selector.cancel();
     this.idleSearch.cancel();
     this.continuation.cancel();
--- a/packages/kumquatfront/src/relay/streamMove.ts
+++ b/packages/kumquatfront/src/relay/streamMove.ts
@@ -24,6 +24,8 @@
   readonly upstreams: types.UpstreamPort;
   readonly timers: timerService.TimerService;
   readonly log: ports.Log;
+  /** Reads what a source that has stopped still has to send, also while the caller cannot take more. */
+  readonly readToEnd: () => void;
   /** Closes the source's segment and resumes from a copy. */
   readonly resumeFrom: (resumePoint: ResumePoint) => void;
 }
@@ -162,6 +164,8 @@
     };
     const cancelWait = this.host.timers.after(SOURCE_CLOSE_TIMEOUT, resume);
     this.resumePending = resume;
+    // Otherwise the close of a stream whose caller reads slowly would not be seen, and its last events would be lost.
+    this.host.readToEnd();
   }
 
   /** Cancels the current move and releases its copies. */
--- a/packages/kumquatfront/src/relay/streamOutcome.spec.ts
+++ b/packages/kumquatfront/src/relay/streamOutcome.spec.ts
@@ -14,7 +14,7 @@
   const harness = new relayTestHarness.RelayTestHarness(['a']);
   const routed = harness.createRoutedRequest('stream', { resumable });
   const attempts = new streamAttempts.StreamAttempts(harness.context, routed);
-  const delivery = new streamDelivery.StreamDelivery(routed.caller, undefined);
+  const delivery = new streamDelivery.StreamDelivery(routed.caller, undefined, () => undefined);
   const outcome = new streamOutcome.StreamOutcome(harness.context, routed, {
     ...{ attempts, delivery },
     finish: () => undefined,
--- a/packages/kumquatfront/src/relay/streamSegment.ts
+++ b/packages/kumquatfront/src/relay/streamSegment.ts
@@ -5,6 +5,7 @@
 import type * as ports from '../kernel/ports.js';
 import type * as instanceView from '../instances/instanceView.js';
 import type * as trafficTypes from '../traffic/types.js';
+import * as callerGap from './callerGap.js';
 import type * as exchangeContext from './exchangeContext.js';
 import * as heldResponse from './heldResponse.js';
 import * as responseClassification from './responseClassification.js';
@@ -17,11 +18,6 @@
 /** Comments between two events, which keep a connection open: one in 15 s for four hours. */
 const MAXIMUM_COMMENTS = 1_000;
 
-/** Bounds on the time from the first byte of an event to its end: callers abandon a stream after such a gap. */
-const MINIMUM_EVENT_TIMEOUT: ports.Milliseconds = 2_000;
-const EVENT_TIMEOUT_OBJECTIVES = 4;
-const EVENT_TIMEOUT_PAUSES = 8;
-
 /** An error response, buffered instead of streamed. */
 export interface ErrorResponse {
   readonly head: types.ResponseHead;
@@ -34,6 +30,8 @@
   readonly started: (head: types.ResponseHead) => void;
   readonly loadReported: (load: NonNullable<types.ResponseHead['load']>) => void;
   readonly event: (event: eventSplitter.CompleteEvent) => void;
+  /** All events that one read completes have been reported. */
+  readonly readEnded: () => void;
   /** The stream is complete; `remainder` contains the bytes after its last event. */
   readonly completed: (remainder: Uint8Array) => void;
   readonly errorReceived: (errorResponse: ErrorResponse) => void;
@@ -56,18 +54,23 @@
   private lastEventAt: ports.Milliseconds | undefined;
   private readonly splitter = new eventSplitter.EventSplitter();
   private errorResponse: heldResponse.HeldResponse | undefined;
-  /** Time at which the incomplete event began; undefined between events. */
+  /** Time at which the incomplete event began, by the clock of reading; undefined between events. */
   private eventBeganAt: ports.Milliseconds | undefined;
   /** Comments since the last event. */
   private comments = { count: 0, bytes: 0 };
   private open = true;
-  private cancel: types.CancelExchange = () => undefined;
+  private exchange: types.UpstreamExchange | undefined;
+  private isPaused = false;
 
+  /**
+   * @param readingTime - a clock that stands still while the segment is paused
+   */
   constructor(
     instance: instanceView.Instance,
     copy: types.MemoryCopy | undefined,
     private readonly context: exchangeContext.ExchangeContext,
     private readonly route: trafficTypes.Route,
+    private readonly readingTime: () => ports.Milliseconds,
   ) {
     this.instance = instance;
     this.copy = copy;
@@ -84,7 +87,7 @@
     repeatable: boolean,
     listener: SegmentListener,
   ): void {
-    this.cancel = upstreams.send(call, {
+    this.exchange = upstreams.send(call, {
       head: (head) => {
         this.ifOpen(() => {
           this.onHead(head, repeatable, listener);
@@ -106,6 +109,20 @@
         });
       },
     });
+    if (this.isPaused) {
+      this.exchange.pause();
+    }
+  }
+
+  /** Stops reading the stream; what has been read is still reported. */
+  pause(): void {
+    this.isPaused = true;
+    this.exchange?.pause();
+  }
+
+  resume(): void {
+    this.isPaused = false;
+    this.exchange?.resume();
   }
 
   private ifOpen(run: () => void): void {
@@ -115,7 +132,8 @@
   }
 
   /** Records the arrival of an event. */
-  recordEvent(now: ports.Milliseconds): void {
+  recordEvent(): void {
+    const now = this.readingTime();
     this.longestPause = Math.max(this.longestPause, now - (this.lastEventAt ?? now));
     this.lastEventAt = now;
   }
@@ -129,7 +147,7 @@
     if (this.open) {
       this.open = false;
       this.errorResponse?.release();
-      this.cancel(reason);
+      this.exchange?.cancel(reason);
     }
   }
 
@@ -159,24 +177,36 @@
       this.errorResponse.add(bytes);
       return;
     }
-    for (const event of this.splitter.push(bytes)) {
+    const events = this.splitter.push(bytes);
+    const problem = this.reportEvents(events, listener) ?? this.findEndlessEvent();
+    if (events.length > 0) {
+      listener.readEnded();
+    }
+    // The listener may have closed this segment.
+    if (this.open && problem !== undefined) {
+      this.breakOff(listener, problem);
+    }
+  }
+
+  /** Reports the events of one read; returns what shows that more of them can make no answer. */
+  private reportEvents(
+    events: readonly eventSplitter.CompleteEvent[],
+    listener: SegmentListener,
+  ): string | undefined {
+    for (const event of events) {
       this.eventBeganAt = undefined;
       this.countComment(event);
       this.eventCount += 1;
       listener.event(event);
       // The listener may have closed this segment.
       if (!this.open) {
-        return;
+        return undefined;
       }
       if (this.comments.count > MAXIMUM_COMMENTS) {
-        this.breakOff(listener, `the stream has more than ${MAXIMUM_COMMENTS} comments without an event`);
-        return;
+        return `the stream has more than ${MAXIMUM_COMMENTS} comments without an event`;
       }
     }
-    const problem = this.findEndlessEvent();
-    if (problem !== undefined) {
-      this.breakOff(listener, problem);
-    }
+    return undefined;
   }
 
   private countComment(event: eventSplitter.CompleteEvent): void {
@@ -195,14 +225,9 @@
     if (incompleteBytes === 0) {
       return undefined;
     }
-    const now = this.context.timers.now();
+    const now = this.readingTime();
     this.eventBeganAt ??= now;
-    const { objective, longestPause } = this.route;
-    const timeout = Math.max(
-      MINIMUM_EVENT_TIMEOUT,
-      EVENT_TIMEOUT_OBJECTIVES * objective,
-      EVENT_TIMEOUT_PAUSES * longestPause,
-    );
+    const timeout = callerGap.forRoute(this.route);
     return now - this.eventBeganAt > timeout ? `an event did not end within ${timeout} ms` : undefined;
   }
 
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -128,6 +128,14 @@
 /** Cancels an exchange and closes its connection. `silent` states that the upstream was unresponsive. */
 export type CancelExchange = (reason?: 'silent') => void;
 
+/** Controls an exchange that was sent. */
+export interface UpstreamExchange {
+  readonly cancel: CancelExchange;
+  /** Stops reading the response until `resume`; what has been read is still passed on. */
+  readonly pause: () => void;
+  readonly resume: () => void;
+}
+
 /** Result of a connection attempt; `unknown` if there is no reply, as in a network partition. */
 export type ConnectionCheckResult = 'accepted' | 'refused' | 'unknown';
 
@@ -142,7 +150,7 @@
 
 /** Outbound port to upstreams. */
 export interface UpstreamPort {
-  readonly send: (call: UpstreamCall, listener: ExchangeListener) => CancelExchange;
+  readonly send: (call: UpstreamCall, listener: ExchangeListener) => UpstreamExchange;
   /** Tests whether an address (`ip:port`) accepts connections, without sending data. */
   readonly check: (address: string, done: (result: ConnectionCheckResult) => void) => void;
   /**
@@ -197,7 +205,12 @@
   readonly respond: (head: ResponseHead, body: Uint8Array) => void;
   /** Starts a streamed response. */
   readonly begin: (head: ResponseHead) => void;
-  readonly write: (bytes: Uint8Array) => void;
+  /** Sends a part of a streamed response; false if the caller cannot take more until it has drained. */
+  readonly write: (bytes: Uint8Array) => boolean;
+  /** Registers a callback for a caller that takes more again, after a write with the result false. */
+  readonly onDrain: (callback: () => void) => void;
+  /** Bytes that the connection of the caller has taken so far; they never fall. */
+  readonly takenBytes: () => number;
   /** Completes a streamed response. */
   readonly end: () => void;
   /** Aborts a streamed response so that the caller can detect that it is incomplete. */
--- a/packages/kumquatfront/src/streamOrigins/incarnationCheck.spec.ts
+++ b/packages/kumquatfront/src/streamOrigins/incarnationCheck.spec.ts
@@ -21,6 +21,7 @@
   reported: number | undefined,
   changes: Partial<relayTypes.UpstreamCall>,
   cancelAfter = Number.POSITIVE_INFINITY,
+  pausedFrom?: number,
 ): Played {
   const harness = new relayTestHarness.RelayTestHarness(['a']);
   const { instances, timers } = harness.context;
@@ -39,7 +40,7 @@
     },
   };
   const origin = { service: 'llm', software: 'version v1' };
-  const cancel = incarnationCheck.run(
+  const exchange = incarnationCheck.run(
     { upstreams, timers },
     {
       ...{ request, instance: { ...instance, born: BORN }, timeLeft: 1_000, isStream: true },
@@ -48,13 +49,20 @@
     {
       proceed: ({ timeLeft }) => {
         events.push(`sent with ${timeLeft} ms`);
-        return () => events.push('cancelled');
+        return {
+          cancel: () => events.push('cancelled'),
+          pause: () => events.push('paused'),
+          resume: () => events.push('resumed'),
+        };
       },
       replaced: () => events.push('replaced'),
     },
   );
+  if (pausedFrom !== undefined) {
+    timers.after(pausedFrom, exchange.pause);
+  }
   timers.after(Math.min(cancelAfter, 1_000), () => {
-    cancel();
+    exchange.cancel();
   });
   harness.time.advance(cancelAfter === Number.POSITIVE_INFINITY ? 500 : 1_000);
   return { asked, events };
@@ -89,6 +97,14 @@
   ]);
 });
 
+// Guards against a stream that is read although its caller still waits.
+void test.test('a pause during the check holds for the call', () => {
+  assert.deepEqual(play(BORN, {}, Number.POSITIVE_INFINITY, REPORT_TIME / 2).events, [
+    `sent with ${1_000 - REPORT_TIME} ms`,
+    'paused',
+  ]);
+});
+
 void test.test('no other call waits for the check', () => {
   const copy = { address: '10.0.0.9:80', handle: 'h' };
   for (const changes of [{ origin: undefined, lastEvent: undefined }, { lastEvent: undefined }, { copy }]) {
--- a/packages/kumquatfront/src/streamOrigins/incarnationCheck.ts
+++ b/packages/kumquatfront/src/streamOrigins/incarnationCheck.ts
@@ -4,6 +4,7 @@
  */
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
+import * as successiveExchanges from '../relay/successiveExchanges.js';
 import type * as relayTypes from '../relay/types.js';
 
 /** Dependencies of the check. */
@@ -15,7 +16,7 @@
 /** How a call goes on after the check; exactly one is called, unless the call is cancelled. */
 export interface CheckOutcome {
   /** The upstream is the one that was announced, or does not tell. */
-  readonly proceed: (call: relayTypes.UpstreamCall) => relayTypes.CancelExchange;
+  readonly proceed: (call: relayTypes.UpstreamCall) => relayTypes.UpstreamExchange;
   /** Another process has taken its place. */
   readonly replaced: () => void;
 }
@@ -29,7 +30,7 @@
  * Sends a call, after the check if it needs one.
  *
  * @param call - the call, whose time left shrinks by the time of the check
- * @returns cancels the check or the call
+ * @returns cancels the check or the call; a pause during the check holds for the call
  * @example
  * ```ts
  * return incarnationCheck.run({ upstreams, timers }, call, { proceed: (checked) => send(checked), replaced });
@@ -39,27 +40,22 @@
   { upstreams, timers }: IncarnationCheckOptions,
   call: relayTypes.UpstreamCall,
   { proceed, replaced }: CheckOutcome,
-): relayTypes.CancelExchange {
+): relayTypes.UpstreamExchange {
   const { instance, timeLeft } = call;
   if (upstreams.readStartTime === undefined || instance.born === 0 || !continuesStream(call)) {
     return proceed(call);
   }
   const startedAt = timers.now();
-  let isCancelled = false;
-  let cancel: relayTypes.CancelExchange = () => {
-    isCancelled = true;
-  };
+  const exchanges = new successiveExchanges.SuccessiveExchanges();
   upstreams.readStartTime(instance.address, (born: ports.Milliseconds | undefined) => {
-    if (isCancelled) {
+    if (exchanges.wasCancelled) {
       return;
     }
     if (born === undefined || born === instance.born) {
-      cancel = proceed({ ...call, timeLeft: timeLeft - (timers.now() - startedAt) });
+      exchanges.set(proceed({ ...call, timeLeft: timeLeft - (timers.now() - startedAt) }));
     } else {
       replaced();
     }
   });
-  return (reason) => {
-    cancel(reason);
-  };
+  return exchanges;
 }
--- a/packages/kumquatfront/src/streamOrigins/originTestEngines.ts
+++ b/packages/kumquatfront/src/streamOrigins/originTestEngines.ts
@@ -8,6 +8,7 @@
 import type * as virtualTime from '../kernel/virtualTime.js';
 import * as relayTestHarness from '../relay/relayTestHarness.js';
 import type * as relayTypes from '../relay/types.js';
+import * as unsentExchange from '../relay/unsentExchange.js';
 
 /** Number of events in a complete stream. */
 export const STREAM_EVENTS = 40;
@@ -187,7 +188,7 @@
     entry: string,
     call: relayTypes.UpstreamCall,
     listener: relayTypes.ExchangeListener,
-  ): relayTypes.CancelExchange {
+  ): relayTypes.UpstreamExchange {
     let cancelled = false;
     let running: { readonly engine: Engine; readonly run: Run } | undefined;
     this.time.after(ROUND_TRIP, () => {
@@ -207,12 +208,12 @@
         running = { engine, run: this.run(engine, entry, call, listener) };
       }
     });
-    return () => {
+    return unsentExchange.create(() => {
       cancelled = true;
       if (running !== undefined) {
         this.endRun(running.engine, running.run);
       }
-    };
+    });
   }
 
   private run(
--- a/packages/kumquatfront/src/streamOrigins/originTestHarness.ts
+++ b/packages/kumquatfront/src/streamOrigins/originTestHarness.ts
@@ -250,7 +250,11 @@
       },
       respond: () => undefined,
       begin: () => undefined,
-      write: receive,
+      write: (bytes) => {
+        receive(bytes);
+        return true;
+      },
+      ...{ onDrain: () => undefined, takenBytes: () => 0 },
       end: () => {
         isOpen = false;
         stream.complete = true;
--- a/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
+++ b/packages/kumquatfront/src/trafficControl/controlTestHarness.ts
@@ -14,6 +14,7 @@
 import type * as dataCentreOrders from '../operatorOrders/dataCentreOrders.js';
 import type * as operatorOrders from '../operatorOrders/types.js';
 import type * as relayTypes from '../relay/types.js';
+import * as unsentExchange from '../relay/unsentExchange.js';
 import * as defaultConfig from '../settings/defaultConfig.js';
 import type * as residency from '../traffic/residency.js';
 import type * as trafficTypes from '../traffic/types.js';
@@ -31,7 +32,7 @@
 
 /** Upstreams that answer nothing, for entries whose requests are not of interest. */
 export const NO_UPSTREAMS: relayTypes.UpstreamPort = {
-  send: () => () => undefined,
+  send: () => unsentExchange.create(() => undefined),
   check: () => undefined,
   copyMemory: () => undefined,
   releaseCopy: () => undefined,
--- a/packages/kumquatfront/src/trafficEntry/entryLoadStatus.spec.ts
+++ b/packages/kumquatfront/src/trafficEntry/entryLoadStatus.spec.ts
@@ -69,7 +69,7 @@
         },
         respond: () => undefined,
         begin: () => undefined,
-        write: () => undefined,
+        ...{ write: () => true, onDrain: () => undefined, takenBytes: () => 0 },
         end: () => undefined,
         abort: () => undefined,
         onDisconnect: () => undefined,
--- a/packages/kumquatfront/src/trafficEntry/supersededConfiguration.spec.ts
+++ b/packages/kumquatfront/src/trafficEntry/supersededConfiguration.spec.ts
@@ -61,7 +61,8 @@
         refuse: ({ reason }) => {
           treatment = reason === 'noRoute' ? 'byConfiguration' : 'refused';
         },
-        ...{ respond: () => undefined, begin: () => undefined, write: () => undefined },
+        ...{ respond: () => undefined, begin: () => undefined, write: () => true },
+        ...{ onDrain: () => undefined, takenBytes: () => 0 },
         ...{ end: () => undefined, abort: () => undefined, onDisconnect: () => undefined },
       },
     );
--- a/packages/scenarios/src/scripts/safeguards.ts
+++ b/packages/scenarios/src/scripts/safeguards.ts
@@ -19,6 +19,7 @@
 import * as prefillSafeguards from './prefillSafeguards.js';
 import * as entryLoadSafeguards from './entryLoadSafeguards.js';
 import * as fairShareSafeguards from './fairShareSafeguards.js';
+import * as flowControlSafeguards from './flowControlSafeguards.js';
 import * as quarantineSafeguards from './quarantineSafeguards.js';
 import * as relaySafeguards from './relaySafeguards.js';
 import * as responseHeadSafeguards from './responseHeadSafeguards.js';
@@ -54,4 +55,5 @@
   ...upstreamPaceSafeguards.upstreamPaceSafeguards,
   ...entryLoadSafeguards.entryLoadSafeguards,
   ...fairShareSafeguards.fairShareSafeguards,
+  ...flowControlSafeguards.flowControlSafeguards,
 ];
--- a/packages/scenarios/src/scripts/streamOriginsSafeguards.ts
+++ b/packages/scenarios/src/scripts/streamOriginsSafeguards.ts
@@ -167,7 +167,7 @@
   {
     name: 'a call that is cancelled during the check of its upstream is not sent',
     file: 'streamOrigins/incarnationCheck.js',
-    find: 'if (isCancelled) {',
+    find: 'if (exchanges.wasCancelled) {',
     replace: 'if (false) {',
     scenario: 'spec:streamOrigins/incarnationCheck',
   },
