A relayed stream waits for its caller at both entries

What callers saw: the same end of an entry as on the direct path, at the entry that asks or the one that relays; and a stream that was given up ("relayTooSlow") when its caller read 8 MiB less than its upstream had sent.

Cause: the entry that relays kept one JSON object for each chunk, read its upstream whatever was acknowledged, and the entry that asks took all there was, whatever its caller took.

Change: bytes that wait together are one event until they are sent (peerRelay/unacknowledgedEvents); what has been sent keeps its number and content. flowControl pauses the upstream above 256 KiB that are not acknowledged (2 MiB for a plain answer, which gains nothing from a round trip for each small part). While its caller cannot take more, the entry that asks goes on asking with `hold`, and is sent no events. An entry of an earlier release does not know the field and sends them: they are left unacknowledged, and the next question comes 300 ms later. Only the last question counts, as an answer to an earlier one would start a second chain of them. The bounds of 8 and 16 MiB stay as a last line.

--- a/packages/kumquatfront/src/peerRelay/messages.ts
+++ b/packages/kumquatfront/src/peerRelay/messages.ts
@@ -101,6 +101,11 @@
   readonly id: string;
   readonly epoch: string;
   readonly from: number;
+  /**
+   * True while the entry that asks takes nothing more: the answer has no events, and the question only tells that it lives. Earlier
+   * releases do not know it, and answer with events, which are then not acknowledged.
+   */
+  readonly hold?: boolean;
 }
 
 /**
--- a/packages/kumquatfront/src/peerRelay/peerRelay.ts
+++ b/packages/kumquatfront/src/peerRelay/peerRelay.ts
@@ -11,7 +11,6 @@
 import type * as timerService from '../kernel/timerService.js';
 import * as successiveExchanges from '../relay/successiveExchanges.js';
 import type * as relayTypes from '../relay/types.js';
-import * as unsentExchange from '../relay/unsentExchange.js';
 import * as messages from './messages.js';
 import * as peerList from './peerList.js';
 import * as relayedExchange from './relayedExchange.js';
@@ -198,9 +197,17 @@
       startedAt,
     );
     exchange.start();
-    return unsentExchange.create((reason) => {
-      exchange.cancel(reason);
-    });
+    return {
+      cancel: (reason) => {
+        exchange.cancel(reason);
+      },
+      pause: () => {
+        exchange.pause();
+      },
+      resume: () => {
+        exchange.resume();
+      },
+    };
   }
 
   private copyThroughPeer(
--- a/packages/kumquatfront/src/peerRelay/relayServer.ts
+++ b/packages/kumquatfront/src/peerRelay/relayServer.ts
@@ -8,7 +8,9 @@
 import * as results from '../kernel/results.js';
 import type * as timerService from '../kernel/timerService.js';
 import type * as relayTypes from '../relay/types.js';
+import * as flowControl from '../flowControl/flowControl.js';
 import * as messages from './messages.js';
+import * as unacknowledgedEvents from './unacknowledgedEvents.js';
 
 /** Time for which a question for events is kept open. */
 const WAIT_FOR_EVENTS: ports.Milliseconds = 300;
@@ -27,6 +29,12 @@
 /** Requests that are relayed at a time. */
 const MAXIMUM_OPEN = 1_000;
 
+/** Unacknowledged bytes of one stream above which its upstream waits; a stream that is read in time has far less. */
+const STREAM_WINDOW = 256 * 1024;
+
+/** The same of a plain answer, which waits for a round trip after each such part of it. */
+const PLAIN_WINDOW = 2 * 1024 * 1024;
+
 /** Bytes of one response that the other entry has not acknowledged; more than the largest plain answer. */
 const MAXIMUM_UNACKNOWLEDGED_BYTES = 8 * 1024 * 1024;
 
@@ -50,12 +58,16 @@
 /** A request that was relayed, or must not be relayed any more. */
 interface Relayed {
   exchange: relayTypes.UpstreamExchange | undefined;
-  /** Events that are not acknowledged. */
-  events: messages.RelayEvent[];
-  /** Number of the first of them. */
-  from: number;
-  bytes: number;
+  /** Unacknowledged bytes above which the upstream waits. */
+  readonly window: number;
+  /** Pauses the upstream while the other entry does not acknowledge. */
+  readonly flow: flowControl.FlowControl;
+  readonly unacknowledged: unacknowledgedEvents.UnacknowledgedEvents;
   isComplete: boolean;
+  /** The entry that asks takes nothing more for now. */
+  isHeld: boolean;
+  /** Waiting events will be answered in the next iteration. */
+  isAnswerPlanned: boolean;
   /** The open question for events. */
   waiting: ((answer: messages.RelayAnswer) => void) | undefined;
   cancelWait: ports.Cancel;
@@ -110,8 +122,8 @@
   /** Events that other entries have not acknowledged. */
   held(): heldMemoryTypes.Held {
     let pieces = 0;
-    for (const { events } of this.open.values()) {
-      pieces += events.length;
+    for (const { unacknowledged } of this.open.values()) {
+      pieces += unacknowledged.pieces;
     }
     return { bytes: this.totalBytes, pieces };
   }
@@ -148,34 +160,47 @@
       relay: id,
     });
     metrics.count('relay.for_peer');
+    const decoded = messages.decodeCall(call, timers.now());
     const relayed: Relayed = {
       exchange: undefined,
-      events: [],
-      from: 0,
-      bytes: 0,
+      window: decoded.isStream ? STREAM_WINDOW : PLAIN_WINDOW,
+      flow: new flowControl.FlowControl({ now: () => timers.now() }),
+      unacknowledged: new unacknowledgedEvents.UnacknowledgedEvents(),
       isComplete: false,
+      isHeld: false,
+      isAnswerPlanned: false,
       waiting: undefined,
       cancelWait: () => undefined,
       lastAskedAt: timers.now(),
     };
     this.open.set(id, relayed);
     this.wait(relayed, answer);
-    const decoded = messages.decodeCall(call, timers.now());
-    relayed.exchange = this.options.upstreams.send(decoded, this.listenerOf(id, relayed));
+    const exchange = this.options.upstreams.send(decoded, this.listenerOf(id, relayed));
+    relayed.exchange = exchange;
+    relayed.flow.attach(exchange);
   }
 
   private listenerOf(id: string, relayed: Relayed): relayTypes.ExchangeListener {
-    const add = (event: messages.RelayEvent): void => {
+    const ifOpen = (run: () => void): void => {
       if (!relayed.isComplete && this.open.get(id) === relayed) {
-        this.addEvent(id, relayed, event);
+        this.change(relayed, run);
+        this.onAdded(id, relayed);
       }
     };
+    const add = (event: messages.RelayEvent): void => {
+      ifOpen(() => {
+        relayed.unacknowledged.add(event);
+        relayed.isComplete = event.kind === 'end' || event.kind === 'failed';
+      });
+    };
     return {
       head: (head) => {
         add({ kind: 'head', head });
       },
       data: (bytes) => {
-        add({ kind: 'data', bytes: Buffer.from(bytes).toString('base64') });
+        ifOpen(() => {
+          relayed.unacknowledged.addBytes(bytes);
+        });
       },
       end: () => {
         add({ kind: 'end' });
@@ -186,33 +211,46 @@
     };
   }
 
-  private addEvent(id: string, relayed: Relayed, event: messages.RelayEvent): void {
-    relayed.events.push(event);
-    relayed.isComplete = event.kind === 'end' || event.kind === 'failed';
-    const size = event.kind === 'data' ? event.bytes.length : 0;
-    relayed.bytes += size;
-    this.totalBytes += size;
-    // The first events are answered together: the head of a plain answer comes with its body.
-    this.options.timers.after(0, () => {
-      this.answerWaiting(relayed);
-    });
-    if (relayed.bytes > MAXIMUM_UNACKNOWLEDGED_BYTES) {
+  /** Changes what a request holds, and counts it with that of all. */
+  private change(relayed: Relayed, run: () => void): void {
+    const before = relayed.unacknowledged.size;
+    run();
+    this.totalBytes += relayed.unacknowledged.size - before;
+  }
+
+  private onAdded(id: string, relayed: Relayed): void {
+    this.planAnswer(relayed);
+    const { size } = relayed.unacknowledged;
+    relayed.flow.recordWrite(size <= relayed.window);
+    if (size > MAXIMUM_UNACKNOWLEDGED_BYTES) {
       this.giveUp(id, relayed);
     } else if (this.totalBytes > MAXIMUM_TOTAL_BYTES) {
       const [[largestId, largest] = [id, relayed]] = [...this.open].sort(
-        ([, one], [, other]) => other.bytes - one.bytes,
+        ([, one], [, other]) => other.unacknowledged.size - one.unacknowledged.size,
       );
       this.giveUp(largestId, largest);
     }
   }
 
-  private giveUp(id: string, { bytes }: Relayed): void {
+  /** The first events are answered together: the head of a plain answer comes with its body. */
+  private planAnswer(relayed: Relayed): void {
+    if (!relayed.isAnswerPlanned) {
+      relayed.isAnswerPlanned = true;
+      this.options.timers.after(0, () => {
+        relayed.isAnswerPlanned = false;
+        this.answerWaiting(relayed);
+      });
+    }
+  }
+
+  private giveUp(id: string, { unacknowledged }: Relayed): void {
+    const { size: bytes } = unacknowledged;
     this.options.log.warn('relayTooSlow', { relay: id, bytes, held: this.totalBytes });
     this.close(id);
   }
 
   private onEventsAsked(
-    { id, epoch, from }: messages.EventsRequest,
+    { id, epoch, from, hold = false }: messages.EventsRequest,
     answer: (answer: messages.RelayAnswer) => void,
   ): void {
     if (epoch !== this.options.epoch) {
@@ -226,22 +264,21 @@
       answer({ state: isLost ? 'lost' : 'unknown' });
       return;
     }
-    const acknowledged = relayed.events.splice(0, Math.max(0, from - relayed.from));
-    relayed.from += acknowledged.length;
-    const size = acknowledged.reduce(
-      (sum, event) => sum + (event.kind === 'data' ? event.bytes.length : 0),
-      0,
-    );
-    relayed.bytes -= size;
-    this.totalBytes -= size;
+    this.change(relayed, () => {
+      relayed.unacknowledged.acknowledge(from);
+    });
+    relayed.isHeld = hold;
     this.wait(relayed, answer);
+    if (relayed.unacknowledged.size <= relayed.window) {
+      relayed.flow.recordDrain();
+    }
     this.answerWaiting(relayed);
   }
 
   /** Keeps a question open and answers the previous one, whose answer is not awaited any more. */
   private wait(relayed: Relayed, answer: (answer: messages.RelayAnswer) => void): void {
     const { timers } = this.options;
-    relayed.waiting?.({ state: 'open', from: relayed.from, events: [] });
+    relayed.waiting?.({ state: 'open', from: relayed.unacknowledged.from, events: [] });
     relayed.cancelWait();
     relayed.lastAskedAt = timers.now();
     relayed.waiting = answer;
@@ -251,14 +288,16 @@
   }
 
   private answerWaiting(relayed: Relayed, isLate = false): void {
-    const { waiting, events, from } = relayed;
-    if (waiting === undefined || (events.length === 0 && !isLate)) {
+    const { waiting, unacknowledged, isHeld } = relayed;
+    if (waiting === undefined || ((isHeld || unacknowledged.count === 0) && !isLate)) {
       return;
     }
     relayed.waiting = undefined;
     relayed.cancelWait();
     relayed.lastAskedAt = this.options.timers.now();
-    waiting({ state: 'open', from, events: [...events] });
+    this.change(relayed, () => {
+      waiting({ state: 'open', from: unacknowledged.from, events: isHeld ? [] : unacknowledged.send() });
+    });
   }
 
   private close(id: string, reason?: 'silent'): void {
@@ -268,7 +307,7 @@
       return;
     }
     this.open.delete(id);
-    this.totalBytes -= relayed.bytes;
+    this.totalBytes -= relayed.unacknowledged.size;
     this.recordPast(id, 'lost');
     relayed.cancelWait();
     relayed.waiting?.({ state: 'lost' });
--- a/packages/kumquatfront/src/peerRelay/relayedExchange.ts
+++ b/packages/kumquatfront/src/peerRelay/relayedExchange.ts
@@ -27,6 +27,9 @@
  */
 export const QUICK_FAILURE: ports.Milliseconds = 100;
 
+/** Delay of the next question while nothing is taken, to a peer that answers at once; less than it waits for one. */
+const HOLD_INTERVAL: ports.Milliseconds = 300;
+
 /** Peers through which one request is tried; each but the last has declined it. */
 const MAXIMUM_PEERS = 3;
 
@@ -58,6 +61,11 @@
   private sentAt: ports.Milliseconds = 0;
   private lastAnswerAt: ports.Milliseconds = 0;
   private ended = false;
+  /** Number of the last question; answers to earlier ones are not awaited any more. */
+  private question = 0;
+  private isPaused = false;
+  /** Whether the last question states that nothing is taken. */
+  private isHolding = false;
   private closePeer: () => void = () => undefined;
 
   /**
@@ -91,6 +99,19 @@
     }
   }
 
+  /** Takes no more of the response until `resume`; what the last answer holds is still passed on. */
+  pause(): void {
+    this.isPaused = true;
+  }
+
+  /** Takes more of the response. */
+  resume(): void {
+    this.isPaused = false;
+    if (this.isHolding) {
+      this.askForEvents();
+    }
+  }
+
   /** Repeats a cancellation until it has arrived: the run would go on beside the one that replaces it. */
   private sendCancellation(address: string, request: messages.CancelRequest): void {
     const { peers, timers } = this.options;
@@ -163,31 +184,40 @@
       relay: this.id,
     });
     metrics.count('relay.through_peer');
+    this.isHolding = false;
     const { id } = this;
+    const question = this.nextQuestion();
     const timeLeft = call.timeLeft - (now - this.startedAt);
     const request: messages.SendRequest = {
       ...{ id, entry, epoch: peer.epoch },
       call: messages.encodeCall(call, timeLeft, now),
     };
     peers.request(peer.address, messages.methods.send, request, MESSAGE_TIMEOUT, (result) => {
-      this.onResult(id, result);
+      this.onResult(question, result);
     });
   }
 
+  private nextQuestion(): number {
+    this.question += 1;
+    return this.question;
+  }
+
   private askForEvents(): void {
-    const { peer, id, next: from } = this;
+    const { peer, id, next: from, isPaused: hold } = this;
     if (this.ended || peer === undefined) {
       return;
     }
-    const request: messages.EventsRequest = { id, epoch: peer.epoch, from };
+    this.isHolding = hold;
+    const question = this.nextQuestion();
+    const request: messages.EventsRequest = { id, epoch: peer.epoch, from, ...(hold && { hold }) };
     this.options.peers.request(peer.address, messages.methods.events, request, MESSAGE_TIMEOUT, (result) => {
-      this.onResult(id, result);
+      this.onResult(question, result);
     });
   }
 
-  private onResult(id: string, result: results.Result<unknown, failures.Failure>): void {
+  private onResult(question: number, result: results.Result<unknown, failures.Failure>): void {
     const { peer } = this;
-    if (this.ended || id !== this.id || peer === undefined) {
+    if (this.ended || question !== this.question || peer === undefined) {
       return;
     }
     const { timers, peerList: list } = this.options;
@@ -200,14 +230,19 @@
       list.recordUnanswered(peer.address, result.val.message);
       this.fail('broken', `contact with the relaying entry was lost: ${result.val.message}`);
     } else {
-      timers.after(REPEAT_DELAY, () => {
-        if (id === this.id) {
-          this.askForEvents();
-        }
-      });
+      this.askLater(REPEAT_DELAY);
     }
   }
 
+  private askLater(delay: ports.Milliseconds): void {
+    const { question } = this;
+    this.options.timers.after(delay, () => {
+      if (question === this.question) {
+        this.askForEvents();
+      }
+    });
+  }
+
   private onAnswer(peer: peerList.ChosenPeer, answer: messages.RelayAnswer): void {
     switch (answer.state) {
       case 'open':
@@ -235,6 +270,11 @@
   }
 
   private onEvents(from: number, events: readonly messages.RelayEvent[]): void {
+    if (this.isHolding) {
+      // A peer of an earlier release sends events nevertheless: it keeps them until they are acknowledged.
+      this.askLater(events.length === 0 ? 0 : HOLD_INTERVAL);
+      return;
+    }
     const { id } = this;
     for (const event of events.slice(this.next - from)) {
       this.next += 1;
--- a/packages/scenarios/src/scripts/flowControlSafeguards.ts
+++ b/packages/scenarios/src/scripts/flowControlSafeguards.ts
@@ -7,6 +7,7 @@
 const CLASS = 'spec:flowControl/flowControl';
 const STREAM = 'spec:relay/slowCallers';
 const CHECK = 'spec:streamOrigins/incarnationCheck';
+const PROTOCOL = 'spec:peerRelay/relayProtocol';
 const LOOPBACK = 'spec:adapters/slowCallers';
 
 /** Safeguards, each with the spec that must fail without it. */
@@ -137,6 +138,55 @@
     replace: 'if (false) {',
     scenario: CHECK,
   },
+  {
+    name: 'the upstream of a relayed stream waits while too much is not acknowledged',
+    file: 'peerRelay/relayServer.js',
+    find: 'relayed.flow.recordWrite(size <= relayed.window);',
+    replace: '',
+    scenario: PROTOCOL,
+  },
+  {
+    name: 'the upstream of a relayed stream goes on when enough is acknowledged',
+    file: 'peerRelay/relayServer.js',
+    find: 'relayed.flow.recordDrain();',
+    replace: '',
+    scenario: PROTOCOL,
+  },
+  {
+    name: 'an entry that takes nothing more is sent no events',
+    file: 'peerRelay/relayServer.js',
+    find: 'events: isHeld ? [] : unacknowledged.send()',
+    replace: 'events: unacknowledged.send()',
+    scenario: PROTOCOL,
+  },
+  {
+    name: 'the events that an earlier release sends to an entry which takes nothing more stay unacknowledged',
+    file: 'peerRelay/relayedExchange.js',
+    find: 'if (this.isHolding) {\n            // A peer',
+    replace: 'if (false) {\n            // A peer',
+    scenario: PROTOCOL,
+  },
+  {
+    name: 'a relayed stream asks again at once when it is resumed',
+    file: 'peerRelay/relayedExchange.js',
+    find: 'this.isPaused = false;\n        if (this.isHolding) {',
+    replace: 'this.isPaused = false;\n        if (false) {',
+    scenario: PROTOCOL,
+  },
+  {
+    name: 'an answer to an earlier question leads to no further question',
+    file: 'peerRelay/relayedExchange.js',
+    find: 'question !== this.question || ',
+    replace: '',
+    scenario: PROTOCOL,
+  },
+  {
+    name: 'an event that has been sent keeps its content',
+    file: 'peerRelay/unacknowledgedEvents.js',
+    find: 'this.held = this.held.map(',
+    replace: 'this.held.map(',
+    scenario: PROTOCOL,
+  },
   {
     name: 'the connection of the caller tells when it is full',
     file: 'adapters/trafficHttp.js',
