Connections that can be paused are a class of their own, and cost no memory

Cause: adapters/pausableReads replaced two methods of each connection. Such a connection, with all that hangs on it, outlives collections of the young generation: 1.5 MB a collection were promoted instead of 0.4, and the young generation grew. Nothing leaks: after a full collection both hold 5.2 MB.

Change: adapters/pausableSocket, a subclass of the connection with the same two methods. Its pause holds before the connection is open, so that the flag of singleUseConnection and its safeguard go; the test of that case stays and fails without 'a paused connection is not read again by its stream'.

--- a/packages/kumquatfront/src/adapters/singleUseConnection.ts
+++ b/packages/kumquatfront/src/adapters/singleUseConnection.ts
@@ -10,7 +10,7 @@
 import type * as ports from '../kernel/ports.js';
 import type * as relayTypes from '../relay/types.js';
 import * as unsentExchange from '../relay/unsentExchange.js';
-import * as pausableReads from './pausableReads.js';
+import * as pausableSocket from './pausableSocket.js';
 import * as readPieces from './readPieces.js';
 import * as responseHead from './responseHead.js';
 import * as responseMonitor from './responseMonitor.js';
@@ -70,16 +70,18 @@
   };
 }
 
-/** Opens a connection and queues the request on it; throws if HTTP cannot represent a part of the request. */
-function open(request: OutgoingRequest, host: string, port: number): http.ClientRequest {
+/** Opens the connection and queues the request on it; throws if HTTP cannot represent a part of the request. */
+function open(request: OutgoingRequest, socket: net.Socket): http.ClientRequest {
+  const colon = request.address.lastIndexOf(':');
+  const host = request.address.slice(0, colon).replace(/^\[(.*)\]$/, '$1');
+  const port = Number(request.address.slice(colon + 1));
   const outgoing = http.request({
     host,
     port,
     method: request.method,
     path: request.path,
     headers: [...request.headers, ['Connection', 'close'] as const].flat(),
-    // Half-open, so that `detectReset` can write after the upstream has ended its side.
-    createConnection: () => net.connect({ host, port, allowHalfOpen: true }),
+    createConnection: () => socket.connect({ host, port }),
     maxHeaderSize: MAXIMUM_HEADER_BYTES,
     // The environment of the process may loosen its parser.
     insecureHTTPParser: false,
@@ -116,26 +118,25 @@
   scheduler: ports.Scheduler,
   listener: ConnectionListener,
 ): relayTypes.UpstreamExchange {
-  const colon = request.address.lastIndexOf(':');
-  const host = request.address.slice(0, colon).replace(/^\[(.*)\]$/, '$1');
-  const port = Number(request.address.slice(colon + 1));
   let connected = false;
   let settled = false;
-  let isPaused = false;
-  let reads: pausableReads.PausableReads | undefined;
   let response: http.IncomingMessage | undefined;
   let monitor: responseMonitor.ResponseMonitor | undefined;
-  let outgoing: http.ClientRequest;
-  try {
-    outgoing = open(request, host, port);
-  } catch (error) {
-    return failAsWithheld(error, scheduler, listener);
-  }
   const pieces = new readPieces.ReadPieces((bytes) => {
     if (!settled) {
       listener.data(bytes);
     }
   });
+  // Half-open, so that `detectReset` can write after the upstream has ended its side.
+  const connection = new pausableSocket.PausableSocket(() => {
+    pieces.flush();
+  });
+  let outgoing: http.ClientRequest;
+  try {
+    outgoing = open(request, connection);
+  } catch (error) {
+    return failAsWithheld(error, scheduler, listener);
+  }
   const settle = (): boolean => {
     if (settled) {
       return false;
@@ -160,12 +161,6 @@
   };
   outgoing.on('socket', (socket) => {
     checkReset = detectReset(socket);
-    reads = pausableReads.control(socket, () => {
-      pieces.flush();
-    });
-    if (isPaused) {
-      reads.pause();
-    }
     monitor = new responseMonitor.ResponseMonitor(socket, scheduler, (reason) => {
       // Bytes after a complete response belong to no request.
       if (response?.complete !== true) {
@@ -248,12 +243,10 @@
       outgoing.destroy();
     },
     pause: () => {
-      isPaused = true;
-      reads?.pause();
+      connection.pauseReads();
     },
     resume: () => {
-      isPaused = false;
-      reads?.resume();
+      connection.resumeReads();
     },
   };
 }
--- a/packages/scenarios/src/scripts/flowControlSafeguards.ts
+++ b/packages/scenarios/src/scripts/flowControlSafeguards.ts
@@ -3,7 +3,7 @@
  */
 import type * as types from './types.js';
 
-const SOCKET = 'spec:adapters/pausableReads';
+const SOCKET = 'spec:adapters/pausableSocket';
 const CLASS = 'spec:flowControl/flowControl';
 const STREAM = 'spec:relay/slowCallers';
 const CHECK = 'spec:streamOrigins/incarnationCheck';
@@ -14,32 +14,25 @@
 export const flowControlSafeguards: readonly types.Safeguard[] = [
   {
     name: 'a pause stops the reads of the connection, not only those of the response',
-    file: 'adapters/pausableReads.js',
-    find: 'return takesMore && !isPaused;',
+    file: 'adapters/pausableSocket.js',
+    find: 'return takesMore && !this.areReadsPaused;',
     replace: 'return takesMore;',
     scenario: SOCKET,
   },
   {
     name: 'a paused connection is not read again by its stream',
-    file: 'adapters/pausableReads.js',
-    find: 'if (!isPaused) {',
+    file: 'adapters/pausableSocket.js',
+    find: 'if (!this.areReadsPaused) {',
     replace: 'if (true) {',
     scenario: SOCKET,
   },
   {
     name: 'a connection that was paused is read again',
-    file: 'adapters/pausableReads.js',
-    find: 'socket._read(0);',
+    file: 'adapters/pausableSocket.js',
+    find: 'this._read(0);',
     replace: '',
     scenario: SOCKET,
   },
-  {
-    name: 'a pause before the connection is open holds',
-    file: 'adapters/singleUseConnection.js',
-    find: 'if (isPaused) {',
-    replace: 'if (false) {',
-    scenario: SOCKET,
-  },
   {
     name: 'the chunks of one read are passed on as one piece',
     file: 'adapters/readPieces.js',
