The chunks of one read are joined in blocks

What is held: since the pieces of one read wait until all of them are there. A read of 64 KiB holds up to 10,900 chunks of one byte, each of them an object of some hundred bytes: 1 MB for each connection that is being read, and the first trace of the fault that this work is about.

Change: adapters/readPieces collects in blocks (buffers/byteCollector) from the second piece of a read on. A read that is one piece is passed on as it is, as before.

The safeguard 'the chunks of one read are passed on as one piece' is proved.

--- a/packages/kumquatfront/src/adapters/readPieces.ts
+++ b/packages/kumquatfront/src/adapters/readPieces.ts
@@ -2,10 +2,13 @@
  * Joins the pieces in which a parser passes the body of one read on: a read of 64 KiB may hold thousands of chunks, each of which would be an
  * event, a write and several objects to everything behind it.
  */
+import * as byteCollector from '../buffers/byteCollector.js';
 
 /** Pieces of one read; see the module comment. */
 export class ReadPieces {
-  private pieces: Uint8Array[] = [];
+  /** The only piece so far, which is passed on as it is. */
+  private single: Uint8Array | undefined;
+  private readonly joined = new byteCollector.ByteCollector();
   private isPlanned = false;
 
   /**
@@ -15,7 +18,11 @@
 
   /** Adds a piece, which is passed on with the others of its read. */
   add(piece: Uint8Array): void {
-    this.pieces.push(piece);
+    if (this.single === undefined && this.joined.size === 0) {
+      this.single = piece;
+    } else {
+      this.join(piece);
+    }
     // What comes with the head waits in the stream of the body, and is emitted after the read.
     if (!this.isPlanned) {
       this.isPlanned = true;
@@ -26,18 +33,28 @@
     }
   }
 
+  private join(piece: Uint8Array): void {
+    if (this.single !== undefined) {
+      this.joined.append(this.single);
+      this.single = undefined;
+    }
+    this.joined.append(piece);
+  }
+
   /** Passes on what was added. */
   flush(): void {
-    const { pieces } = this;
-    const [first] = pieces;
-    if (first !== undefined) {
-      this.pieces = [];
-      this.passOn(pieces.length === 1 ? first : Buffer.concat(pieces));
+    const { single } = this;
+    if (single !== undefined) {
+      this.single = undefined;
+      this.passOn(single);
+    } else if (this.joined.size > 0) {
+      this.passOn(this.joined.takeContent());
     }
   }
 
   /** Drops what was added. */
   clear(): void {
-    this.pieces = [];
+    this.single = undefined;
+    this.joined.clear();
   }
 }
--- a/packages/scenarios/src/scripts/flowControlSafeguards.ts
+++ b/packages/scenarios/src/scripts/flowControlSafeguards.ts
@@ -36,7 +36,7 @@
   {
     name: 'the chunks of one read are passed on as one piece',
     file: 'adapters/readPieces.js',
-    find: 'this.pieces.push(piece);',
+    find: 'this.join(piece);',
     replace: 'this.passOn(piece);',
     scenario: SOCKET,
   },
