An answer of a service claims no more of its end than is known

What callers saw: on the own interface, a 200 with an empty or short body, framed as whole by chunks, when a service that answers without a length or chunks closed its connection within the body and went on listening. With an Idempotency-Key, the part was also recorded, and replayed as whole.

Cause: adapters/httpUpstreams accepts such an answer after it has checked the address of the service, as the platform does, but forgot its framing; adapters/entryHttp sent it in chunks. The platform passes such answers on without either.

Change: an answer and its recorded outcome tell that only the connection ended them (`endsWithConnection`), and the caller's answer then ends with its connection too. The field is absent from all other outcomes. What a service cut off cannot be told apart from what is whole in this framing; a caller that cannot accept it sees that no length is stated.

Tests: serviceAnswers.spec plays each cut of eight sets of bytes from a service to a caller, with one repetition under the same key. Seen failing on the code before: all cuts of a body without a length that ended without a reset were framed as whole.

--- a/packages/kumquatfront/src/adapters/entryHttp.ts
+++ b/packages/kumquatfront/src/adapters/entryHttp.ts
@@ -215,6 +215,11 @@
       {
         respond: (answer, replayed) => {
           const headers = { 'content-type': answer.contentType, 'idempotency-replayed': String(replayed) };
+          if (answer.endsWithConnection === true) {
+            // No more is claimed than is known: only the connection ends this answer, as it ended that of the service.
+            response.shouldKeepAlive = false;
+            response.useChunkedEncodingByDefault = false;
+          }
           response.writeHead(answer.status, headers);
           response.end(answer.body);
         },
--- a/packages/kumquatfront/src/adapters/httpUpstreams.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.ts
@@ -142,7 +142,7 @@
         }
         confirmEnd(target.address, (isListening) => {
           if (isListening) {
-            listener.onAnswer(answer);
+            listener.onAnswer({ ...answer, endsWithConnection: true });
           } else {
             listener.onFailed('broken');
           }
--- /dev/null
+++ b/packages/kumquatfront/src/adapters/serviceAnswers.spec.ts
@@ -0,0 +1,148 @@
+/**
+ * Answers of services on the own interface, from an upstream that cuts them to a caller that reads how they are framed.
+ */
+import * as assert from 'node:assert/strict';
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as test from 'node:test';
+
+import type * as agreedState from '../agreedState/types.js';
+import type * as claimClient from '../claims/claimClient.js';
+import * as unboundedRequests from '../callerBounds/unboundedRequests.js';
+import type * as entryNode from '../entryNode/entryNode.js';
+import type * as entryTypes from '../entryNode/types.js';
+import type * as ports from '../kernel/ports.js';
+import * as results from '../kernel/results.js';
+import * as serviceRegistry from '../kernel/serviceRegistry.js';
+import type * as routing from '../routing/types.js';
+import * as defaultConfig from '../settings/defaultConfig.js';
+import * as serviceRelay from '../streams/serviceRelay.js';
+import type * as streams from '../streams/types.js';
+import * as cutResponses from './cutResponses.js';
+import * as entryHttp from './entryHttp.js';
+import * as httpUpstreams from './httpUpstreams.js';
+
+const LOCAL = '127.0.0.1';
+const BODY = '{"paid":7}';
+const PATIENCE = 20_000;
+
+const settings: entryTypes.EntrySettings = {
+  ...defaultConfig.entryDefaults,
+  ...{ name: 'e', dataCentre: 'c', callerAddress: '', peerAddress: '', control: [] },
+  ...{ signingKey: 'k', upstreamKeyHash: '' },
+};
+
+const noop = (): void => undefined;
+const log: ports.Log = { debug: noop, info: noop, warn: noop, error: noop };
+
+/** Claims of one process: the first call of each key runs, and its outcome is the answer to those that follow. */
+function createClaims(): claimClient.ClaimClient {
+  const outcomes = new Map<string, agreedState.RecordedOutcome | null>();
+  const claims: Pick<claimClient.ClaimClient, 'claim' | 'settle'> = {
+    claim: ({ key }, done) => {
+      const outcome = outcomes.get(key);
+      done(results.Ok(outcome === undefined ? { state: 'granted' } : { state: 'done', outcome }));
+    },
+    settle: ({ key, outcome }) => {
+      outcomes.set(key, outcome);
+    },
+  };
+  return claims as claimClient.ClaimClient;
+}
+
+/** Starts the server of an entry; the path of a call is the port of its upstream. */
+async function startEntry(context: test.TestContext): Promise<number> {
+  const services = httpUpstreams.createServicePort();
+  const claims = createClaims();
+  const callService = (request: entryTypes.ServiceRequest, caller: streams.ServiceCaller): void => {
+    const { method, path, contentType, body, idempotencyKey = '' } = request;
+    const announcement = { name: 's', address: `http://${LOCAL}:${path.slice(1)}` };
+    const placement = { type: 'granted', upstream: { announcement } } as unknown as routing.Placement;
+    new serviceRelay.ServiceRelay({
+      call: { method, path, contentType, body, idempotencyKey },
+      claim: { account: 'a', key: idempotencyKey, digest: '', holder: 'e', attempt: '1' },
+      ...{ claims, services, timeout: PATIENCE, caller },
+      host: {
+        requestPlacement: (_excluded, done) => {
+          done(placement);
+          return noop;
+        },
+        mayRetry: () => false,
+        otherEntries: () => [],
+        ...{ onReleased: noop, onFinished: noop },
+      },
+    }).start();
+  };
+  const registry = serviceRegistry.create<entryNode.EntryServices>();
+  const node = { services: registry, requests: { callService } } as unknown as entryNode.EntryNode;
+  const pauses = { recentPause: () => 0, log };
+  const server = entryHttp.createServer(settings, node, pauses, unboundedRequests.create());
+  await new Promise<void>((resolve) => {
+    server.listen(0, LOCAL, resolve);
+  });
+  context.after(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return (server.address() as net.AddressInfo).port;
+}
+
+interface Received {
+  readonly status: number;
+  readonly body: string;
+  readonly isReplay: boolean;
+  /** Whether a length or the last chunk states that the body is whole. */
+  readonly isFramed: boolean;
+}
+
+/** Sends a call and reads its answer, which has an end. */
+function callOf(port: number, upstream: cutResponses.CutUpstream, key: string): Promise<Received> {
+  return new Promise((resolve, reject) => {
+    const path = `/v1/services/s/${upstream.address.split(':').at(-1) ?? ''}`;
+    const headers = { 'idempotency-key': key, 'content-type': 'application/json' };
+    const request = http.request({ host: LOCAL, port, method: 'POST', path, headers, agent: false });
+    request.on('error', reject);
+    request.on('response', (response) => {
+      let body = '';
+      response.setEncoding('latin1');
+      response.on('data', (text: string) => {
+        body += text;
+      });
+      response.on('error', reject);
+      response.on('end', () => {
+        const { 'content-length': length, 'transfer-encoding': coding } = response.headers;
+        resolve({
+          ...{ status: response.statusCode ?? 0, body },
+          isReplay: response.headers['idempotency-replayed'] === 'true',
+          isFramed: length !== undefined || coding !== undefined,
+        });
+      });
+    });
+    request.end('{}');
+  });
+}
+
+// Guards against a part of an answer that reaches callers as a whole one: their framing is all that they can judge by.
+void test.test('an answer of a service claims no more of its end than is known', async (context) => {
+  const port = await startEntry(context);
+  let count = 0;
+  const faults: string[] = [];
+  const read = async (upstream: cutResponses.CutUpstream): Promise<cutResponses.Reported> => {
+    count += 1;
+    const key = `key-${count}`;
+    const { status, body, isFramed } = await callOf(port, upstream, key);
+    if (status !== 200) {
+      return { hasHead: false, end: 'failed' };
+    }
+    const again = await callOf(port, upstream, key);
+    if (!again.isReplay || again.body !== body || again.isFramed !== isFramed) {
+      faults.push(JSON.stringify({ body, isFramed, again }));
+    }
+    if (!BODY.startsWith(body) || (isFramed && body !== BODY)) {
+      faults.push(JSON.stringify({ body, isFramed }));
+    }
+    return { hasHead: true, end: isFramed ? 'whole' : 'unconfirmed' };
+  };
+  const problems = await cutResponses.playAll(cutResponses.createAll('POST', BODY), read);
+  assert.deepEqual([...problems, ...faults].slice(0, 10), []);
+});
--- a/packages/kumquatfront/src/agreedState/types.ts
+++ b/packages/kumquatfront/src/agreedState/types.ts
@@ -35,6 +35,8 @@
   readonly status: number;
   readonly contentType: string;
   readonly body: string;
+  /** Set if neither a length nor chunks stated that the body is whole. */
+  readonly endsWithConnection?: true;
 }
 
 /** Records the result of a claim. `outcome` is null if it cannot be known whether the call ran. */
--- a/packages/kumquatfront/src/streams/types.ts
+++ b/packages/kumquatfront/src/streams/types.ts
@@ -139,6 +139,8 @@
   readonly status: number;
   readonly contentType: string;
   readonly body: string;
+  /** Set if neither a length nor chunks stated that the body is whole. */
+  readonly endsWithConnection?: true;
 }
 
 /** Receives the result of a call; exactly one of the two methods is called. */
--- a/packages/scenarios/src/scripts/responseHeadSafeguards.ts
+++ b/packages/scenarios/src/scripts/responseHeadSafeguards.ts
@@ -6,6 +6,7 @@
 const HEADS = 'spec:adapters/responseHead';
 const CONNECTIONS = 'spec:adapters/singleUseConnection';
 const OWN_INTERFACE = 'spec:adapters/httpUpstreams';
+const SERVICE_ANSWERS = 'spec:adapters/serviceAnswers';
 const FILE = 'adapters/responseHead.js';
 
 /** Safeguards, each with the spec that must fail without it. */
@@ -136,4 +137,18 @@
     replace: 'true',
     scenario: OWN_INTERFACE,
   },
+  {
+    name: 'an answer of a service without a length or chunks is passed on as such',
+    file: 'adapters/entryHttp.js',
+    find: 'if (answer.endsWithConnection === true) {',
+    replace: 'if (false) {',
+    scenario: SERVICE_ANSWERS,
+  },
+  {
+    name: 'a recorded answer of a service without a length or chunks is replayed as such',
+    file: 'adapters/httpUpstreams.js',
+    find: '{ ...answer, endsWithConnection: true }',
+    replace: 'answer',
+    scenario: SERVICE_ANSWERS,
+  },
 ];
