An answer that is not streamed is held within the bounds on responses

What callers saw: an entry of the daemons that ran out of heap while it collected the answer of an engine that does not end it, and with it all its other requests.

Cause: on the own interface, the answer of a caller that does not stream was collected as a list of the texts of its tokens, without any bound, with the last chunk as it was parsed, unread fields included.

Evidence: with the heap of the deploy file (90 MB, semi-space 8 MB), tokens of two characters end a process with "Reached heap limit" before 20 million of them; 2 million, a body of 4 MB, took 23.5 MB of heap.

Beyond a bound the generation is cancelled at its engine, which counts as a failure of the engine, and the caller gets a 502 "interrupted" without a time to come back; another engine is not tried, as what the caller asked for may be that long. A finish reason of more than 64 characters makes an event unsound: it is the only text that is kept beside what is counted. The body states its length.

--- a/packages/daemons/src/entryDaemon.ts
+++ b/packages/daemons/src/entryDaemon.ts
@@ -70,7 +70,15 @@
   const recentPause = (): number => pauses.recentPause();
   const requests = new kumquatfront.heldRequests.HeldRequests({ ...ports, bounds: settings.callerBounds });
   const watched = kumquatfront.processMemory.watch({ log, metrics: ports.metrics, requests, transport });
-  const server = kumquatfront.entryHttp.createServer(settings.entry, node, { log, recentPause }, requests);
+  const responses = new kumquatfront.responseMemory.ResponseMemory(log, ports.metrics);
+  watched.held.register(kumquatfront.heldMemoryHolders.of('responses', responses));
+  const server = kumquatfront.entryHttp.createServer(
+    settings.entry,
+    node,
+    { log, recentPause },
+    requests,
+    responses,
+  );
   const [host = '', port = ''] = settings.callerListen.split(':');
   server.listen(Number(port), host, () => {
     log.info('listening', { callers: settings.callerListen, peers: settings.entry.peerAddress });
--- a/packages/kumquatfront/src/adapters/authentication.spec.ts
+++ b/packages/kumquatfront/src/adapters/authentication.spec.ts
@@ -9,6 +9,7 @@
 import * as undici from 'undici';
 
 import * as unboundedRequests from '../callerBounds/unboundedRequests.js';
+import * as responseMemory from '../relay/responseMemory.js';
 import * as entryNode from '../entryNode/entryNode.js';
 import type * as entryTypes from '../entryNode/types.js';
 import type * as ports from '../kernel/ports.js';
@@ -131,6 +132,7 @@
     node,
     { log, recentPause: () => 0 },
     unboundedRequests.create(),
+    new responseMemory.ResponseMemory(log, statsdMetrics.noop),
   );
   await new Promise<void>((resolve) => {
     server.listen(0, LOCAL, resolve);
--- a/packages/kumquatfront/src/adapters/entryHttp.spec.ts
+++ b/packages/kumquatfront/src/adapters/entryHttp.spec.ts
@@ -13,7 +13,9 @@
 import type * as ports from '../kernel/ports.js';
 import * as serviceRegistry from '../kernel/serviceRegistry.js';
 import * as unboundedRequests from '../callerBounds/unboundedRequests.js';
+import * as responseMemory from '../relay/responseMemory.js';
 import * as entryHttp from './entryHttp.js';
+import * as statsdMetrics from './statsdMetrics.js';
 
 const LOCAL = '127.0.0.1';
 const PATHS = ['/v1/completions', '/v1/services/stock/orders', '/v1/requests/r1'] as const;
@@ -31,7 +33,11 @@
   private readonly server: http.Server;
 
   constructor(recentPause: ports.Milliseconds) {
-    const handle = { onDrain: () => undefined, onCallerDisconnect: () => undefined };
+    const handle = {
+      onDrain: () => undefined,
+      onCallerDisconnect: () => undefined,
+      giveUpAnswer: () => undefined,
+    };
     const requests = {
       generate: ({ path }: { readonly path: string }) => {
         this.given.push(path);
@@ -60,6 +66,7 @@
       node,
       { recentPause: () => recentPause, log },
       unboundedRequests.create(),
+      new responseMemory.ResponseMemory(log, statsdMetrics.noop),
     );
   }
 
--- a/packages/kumquatfront/src/adapters/entryHttp.ts
+++ b/packages/kumquatfront/src/adapters/entryHttp.ts
@@ -8,6 +8,7 @@
 import type * as entryNode from '../entryNode/entryNode.js';
 import type * as entryTypes from '../entryNode/types.js';
 import * as failures from '../kernel/failures.js';
+import type * as responseMemory from '../relay/responseMemory.js';
 import * as trafficResolver from '../selectors/trafficResolver.js';
 import type * as streams from '../streams/types.js';
 import * as boundedServer from './boundedServer.js';
@@ -23,6 +24,7 @@
 interface EntryApi {
   readonly entry: entryNode.EntryNode;
   readonly pauses: requestsAfterPause.PauseOptions;
+  readonly responses: responseMemory.ResponseMemory;
 }
 
 /**
@@ -31,10 +33,11 @@
  * @param entry - the entry that handles the requests
  * @param pauses - the log, and the last pause of this process
  * @param requests - requests held at this process
+ * @param responses - answers that are held until they are complete
  * @returns the server, not yet listening
  * @example
  * ```ts
- * entryHttp.createServer(settings, entry, { log, recentPause }, requests).listen(8080);
+ * entryHttp.createServer(settings, entry, { log, recentPause }, requests, responses).listen(8080);
  * ```
  */
 export function createServer(
@@ -42,8 +45,9 @@
   entry: entryNode.EntryNode,
   pauses: requestsAfterPause.PauseOptions,
   requests: heldRequests.HeldRequests,
+  responses: responseMemory.ResponseMemory,
 ): http.Server {
-  const api: EntryApi = { entry, pauses };
+  const api: EntryApi = { entry, pauses, responses };
   const bounded = { listener: 'callers', requests, http: httpMessages.serverOptions };
   return boundedServer.create(bounded, (request, response, connection) => {
     const served: httpMessages.ServedRequest = { incoming: request, outgoing: response, connection };
@@ -147,9 +151,9 @@
       return;
     }
     const streaming = body.val.stream === true;
-    const caller = streaming
-      ? new generationResponses.EventStreamResponse(response)
-      : new generationResponses.BufferedJsonResponse(response, path);
+    const buffered = streaming
+      ? undefined
+      : new generationResponses.BufferedJsonResponse(response, path, api.responses);
     const handle = api.entry.requests.generate(
       {
         bearerKey: httpMessages.bearerKey(request),
@@ -158,8 +162,13 @@
         body: body.val,
         acceptsRestart: !streaming || httpMessages.header(request, 'kumquatfront-accept') === 'restart',
       },
-      caller,
+      buffered ?? new generationResponses.EventStreamResponse(response),
     );
+    if (buffered !== undefined) {
+      buffered.onGivenUp = (reason) => {
+        handle.giveUpAnswer(reason);
+      };
+    }
     attachStreamHandle(response, handle);
   });
 }
--- a/packages/kumquatfront/src/adapters/generationResponses.ts
+++ b/packages/kumquatfront/src/adapters/generationResponses.ts
@@ -4,6 +4,7 @@
 import type * as http from 'node:http';
 
 import type * as ports from '../kernel/ports.js';
+import type * as responseMemory from '../relay/responseMemory.js';
 import type * as streams from '../streams/types.js';
 import * as completionAggregator from '../streams/completionAggregator.js';
 import * as completionChunk from '../streams/completionChunk.js';
@@ -70,14 +71,32 @@
   }
 }
 
-/** Buffers a generation and sends it as one JSON body on completion, so a restart is invisible to the caller. */
+/**
+ * Buffers a generation and sends it as one JSON body on completion, so a restart is invisible to the caller. An answer that grows
+ * beyond the bounds on held responses is given up.
+ */
 export class BufferedJsonResponse implements streams.GenerationCaller {
-  private readonly response: http.ServerResponse;
-  private readonly aggregator: completionAggregator.CompletionAggregator;
+  /** Ends the generation of an answer that is given up. */
+  onGivenUp: (reason: string) => void = () => undefined;
+  private buffer: responseMemory.ResponseBuffer;
+  private aggregator: completionAggregator.CompletionAggregator;
+
+  constructor(
+    private readonly response: http.ServerResponse,
+    private readonly path: string,
+    private readonly responses: responseMemory.ResponseMemory,
+  ) {
+    this.buffer = this.openBuffer();
+    this.aggregator = new completionAggregator.CompletionAggregator(path, this.buffer);
+    response.on('close', () => {
+      this.buffer.release();
+    });
+  }
 
-  constructor(response: http.ServerResponse, path: string) {
-    this.response = response;
-    this.aggregator = new completionAggregator.CompletionAggregator(path);
+  private openBuffer(): responseMemory.ResponseBuffer {
+    return this.responses.openResponse((reason) => {
+      this.onGivenUp(reason);
+    });
   }
 
   sendAccepted(): void {
@@ -91,12 +110,16 @@
   }
 
   sendRestart(): void {
-    this.aggregator.reset();
+    this.buffer.release();
+    this.buffer = this.openBuffer();
+    this.aggregator = new completionAggregator.CompletionAggregator(this.path, this.buffer);
   }
 
   complete(count: number): void {
-    this.response.writeHead(200, { 'content-type': 'application/json' });
-    this.response.end(this.aggregator.toJson(count));
+    const body = this.aggregator.toJson(count);
+    this.buffer.release();
+    this.response.writeHead(200, { 'content-type': 'application/json', 'content-length': body.length });
+    this.response.end(body);
   }
 
   refuse(refusal: streams.Refusal): void {
--- a/packages/kumquatfront/src/entryNode/requestHandler.ts
+++ b/packages/kumquatfront/src/entryNode/requestHandler.ts
@@ -36,7 +36,11 @@
 
 type Refuse = (refusal: streams.Refusal) => void;
 
-const NO_OP_HANDLE: streams.StreamHandle = { onDrain: () => undefined, onCallerDisconnect: () => undefined };
+const NO_OP_HANDLE: streams.StreamHandle = {
+  onDrain: () => undefined,
+  onCallerDisconnect: () => undefined,
+  giveUpAnswer: () => undefined,
+};
 const IDEMPOTENT_METHODS: readonly string[] = ['GET', 'HEAD', 'OPTIONS'];
 
 /** The request handler; see the module comment. */
--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -97,6 +97,7 @@
 export * as heapMonitor from './adapters/heapMonitor.js';
 export * as heldMemory from './heldMemory/heldMemory.js';
 export * as heldMemoryHolders from './heldMemory/holders.js';
+export * as responseMemory from './relay/responseMemory.js';
 export type * as heldMemoryTypes from './heldMemory/types.js';
 export * as processMemory from './adapters/processMemory.js';
 export * as processLoad from './adapters/processLoad.js';
--- a/packages/kumquatfront/src/streams/completionChunk.ts
+++ b/packages/kumquatfront/src/streams/completionChunk.ts
@@ -17,6 +17,9 @@
   readonly choices?: readonly ChunkChoice[];
 }
 
+/** Length of the longest finish reason, which is one of a few words. */
+const MAXIMUM_FINISH_REASON_LENGTH = 64;
+
 type Fields = Readonly<Record<string, unknown>>;
 
 function isObject(value: unknown): value is Fields {
@@ -34,7 +37,9 @@
   const { text, delta, finish_reason: finishReason } = value;
   const hasDelta = delta !== undefined && delta !== null;
   const isDelta = !hasDelta || (isObject(delta) && isAbsentOr('string', delta.content));
-  return isDelta && isAbsentOr('string', text) && isAbsentOr('string', finishReason);
+  const isReason =
+    isAbsentOr('string', finishReason) && String(finishReason).length <= MAXIMUM_FINISH_REASON_LENGTH;
+  return isDelta && isAbsentOr('string', text) && isReason;
 }
 
 function isChunk(value: unknown): value is CompletionChunk {
--- a/packages/kumquatfront/src/streams/generationRelay.spec.ts
+++ b/packages/kumquatfront/src/streams/generationRelay.spec.ts
@@ -13,6 +13,11 @@
   readonly callerEvents: string[] = [];
   readonly connections: { readonly kind: string; readonly listener: types.GenerationListener }[] = [];
   readonly releases: string[] = [];
+  readonly cancelled: string[] = [];
+  readonly messages: string[] = [];
+  timersSet = 0;
+  /** Called for each token that the caller is sent. */
+  onSent: () => void = () => undefined;
   discardedEvents = 0;
   /** Grants the requested placement; called immediately unless `grantsImmediately` is false. */
   grantPlacement: () => void = () => undefined;
@@ -32,9 +37,16 @@
       engines: {
         start: (_target, request, listener) => open(`start ${request.generation}`)(listener),
         resume: (_target, generation, from, listener) => open(`resume ${generation} from ${from}`)(listener),
-        cancel: () => undefined,
+        cancel: (_target, generation) => {
+          this.cancelled.push(generation);
+        },
       },
-      timers: timerService.create(clock, { after: () => () => undefined }),
+      timers: timerService.create(clock, {
+        after: () => {
+          this.timersSet += 1;
+          return () => undefined;
+        },
+      }),
       settings: {
         stallTimeout: 1,
         openTimeout: 1,
@@ -48,6 +60,7 @@
         sendAccepted: () => undefined,
         sendToken: (_token, index) => {
           this.callerEvents.push(String(index));
+          this.onSent();
           return true;
         },
         sendRestart: () => {
@@ -58,6 +71,7 @@
         },
         refuse: (refusal) => {
           this.callerEvents.push(refusal.kind);
+          this.messages.push(refusal.message);
         },
       },
       host: {
@@ -154,3 +168,33 @@
   assert.equal(harness.connections.length, 0);
   assert.deepEqual(harness.releases, ['e1 callerGone']);
 });
+
+// Guards against an engine that goes on for nobody, and a relay that still waits for it.
+void test.test('an answer that is given up cancels its generation and tells the caller why', () => {
+  const harness = new GenerationRelayTestHarness();
+  harness.listener(0).onAccepted();
+  harness.onSent = () => {
+    harness.relay.giveUpAnswer('it is too long');
+  };
+  const { timersSet } = harness;
+  harness.listener(0).onToken('r.1', 0, 'a');
+  harness.listener(0).onToken('r.1', 1, 'b');
+  harness.relay.giveUpAnswer('it is too long');
+  harness.relay.onCallerDisconnect();
+  assert.deepEqual(harness.callerEvents, ['0', 'interrupted']);
+  assert.deepEqual(harness.messages, ['The answer was given up: it is too long.']);
+  assert.deepEqual(harness.cancelled, ['r.1']);
+  assert.deepEqual(harness.releases, ['e1 failure']);
+  assert.equal(harness.timersSet, timersSet);
+});
+
+// Guards against an engine that is released twice: it would seem less loaded than it is.
+void test.test('an answer that is given up between two engines releases neither again', () => {
+  const harness = new GenerationRelayTestHarness(true, false);
+  harness.grantPlacement();
+  harness.listener(0).onToken('r.1', 0, 'a');
+  harness.listener(0).onFailed('unknownGeneration', '');
+  harness.relay.giveUpAnswer('it is too long');
+  assert.deepEqual(harness.releases, ['e1 failure']);
+  assert.deepEqual(harness.callerEvents, ['0', 'interrupted']);
+});
--- a/packages/kumquatfront/src/streams/generationRelay.ts
+++ b/packages/kumquatfront/src/streams/generationRelay.ts
@@ -200,7 +200,7 @@
 
   private startIdleTimer(timeout: number): void {
     this.cancelTimer();
-    if (!this.paused) {
+    if (!this.paused && !this.isFinished) {
       this.cancelTimer = this.options.timers.after(timeout, () => {
         this.onIdleTimeout(timeout);
       });
@@ -381,6 +381,27 @@
     });
   }
 
+  giveUpAnswer(reason: string): void {
+    if (this.isFinished) {
+      return;
+    }
+    const { engines, host } = this.options;
+    const { target, connection, generation } = this;
+    this.cancelPlacement();
+    connection?.close();
+    // Without a connection the engine was released, and a placement on another one is awaited.
+    if (target !== undefined && connection !== undefined) {
+      engines.cancel(target, generation, false);
+      host.onReleased(target.name, this.nextIndex, 'failure');
+    }
+    this.refuse({
+      kind: 'interrupted',
+      status: 502,
+      message: `The answer was given up: ${reason}.`,
+      remedy: 'Ask for a stream, which is passed on while it arrives, or for a shorter answer.',
+    });
+  }
+
   private refuse(refusal: types.Refusal): void {
     this.isFinished = true;
     this.cancelTimer();
--- a/packages/kumquatfront/src/streams/types.ts
+++ b/packages/kumquatfront/src/streams/types.ts
@@ -98,6 +98,8 @@
   onDrain(): void;
   /** The caller's connection closed; the caller may resume at another entry within `resumeGrace`. */
   onCallerDisconnect(): void;
+  /** The answer cannot be held until it is complete: its generation is cancelled, and the caller is refused with the reason. */
+  giveUpAnswer(reason: string): void;
 }
 
 /** Timeouts and retry limits of relays; times are milliseconds. */
--- a/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
+++ b/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
@@ -8,6 +8,9 @@
 const EVENTS = 'spec:relay/eventSplitter';
 const UPSTREAMS = 'spec:adapters/httpUpstreams';
 const MEMORY = 'spec:relay/responseMemory';
+const ANSWERS = 'spec:adapters/generationResponses';
+const CHUNKS = 'spec:streams/completionChunk';
+const GENERATIONS = 'spec:streams/generationRelay';
 
 /** Safeguards, each with the spec that must fail without it. */
 export const collectedBytesSafeguards: readonly types.Safeguard[] = [
@@ -88,4 +91,68 @@
     replace: 'bytes',
     scenario: UPSTREAMS,
   },
+  {
+    name: 'an answer that is not streamed is held within the bounds on responses',
+    file: 'adapters/generationResponses.js',
+    find: 'new completionAggregator.CompletionAggregator(path, this.buffer)',
+    replace:
+      'new completionAggregator.CompletionAggregator(path, { parts: [], add(b) { this.parts.push(b); }, content() { return Buffer.concat(this.parts); } })',
+    scenario: ANSWERS,
+  },
+  {
+    name: 'an answer that is given up ends its generation',
+    file: 'adapters/generationResponses.js',
+    find: 'this.onGivenUp(reason);',
+    replace: '',
+    scenario: ANSWERS,
+  },
+  {
+    name: 'the room of a generation is given back at its restart',
+    file: 'adapters/generationResponses.js',
+    find: 'sendRestart() {\n        this.buffer.release();',
+    replace: 'sendRestart() {',
+    scenario: ANSWERS,
+  },
+  {
+    name: 'the room of an answer is given back when its caller leaves',
+    file: 'adapters/generationResponses.js',
+    find: "response.on('close', () => {\n            this.buffer.release();",
+    replace: "response.on('close', () => {",
+    scenario: ANSWERS,
+  },
+  {
+    name: 'a long finish reason is no part of an answer',
+    file: 'streams/completionChunk.js',
+    find: 'String(finishReason).length <= MAXIMUM_FINISH_REASON_LENGTH',
+    replace: 'true',
+    scenario: CHUNKS,
+  },
+  {
+    name: 'the text of each chunk is escaped, so that pairs of surrogates may be split',
+    file: 'streams/completionAggregator.js',
+    find: 'JSON.stringify(text).slice(1, -1)',
+    replace: 'text',
+    scenario: CHUNKS,
+  },
+  {
+    name: 'the generation of an answer that is given up is cancelled',
+    file: 'streams/generationRelay.js',
+    find: 'engines.cancel(target, generation, false);',
+    replace: '',
+    scenario: GENERATIONS,
+  },
+  {
+    name: 'an engine that was released is not released again with its answer',
+    file: 'streams/generationRelay.js',
+    find: 'target !== undefined && connection !== undefined',
+    replace: 'target !== undefined',
+    scenario: GENERATIONS,
+  },
+  {
+    name: 'a relay that gives up its answer as it sends a token waits for nothing more',
+    file: 'streams/generationRelay.js',
+    find: '!this.paused && !this.isFinished',
+    replace: '!this.paused',
+    scenario: GENERATIONS,
+  },
 ];
