A line between processes is collected in blocks, and its bound counts bytes

What was seen: a process kept a string for each read of a line that has arrived in part, and bounded the characters of the line, not the memory that holds them. A peer behind a link that passes single bytes fills the heap far below the bound.

Cause: adapters/lineSocket appended each decoded read to a string, which Node.js keeps as a tree of all its parts.

Change: the line is collected by buffers/byteCollector, as all other bytes of others are, and decoded when it is complete. The bounds (10 MiB; 4 KiB of a handshake) are on its bytes. A character of three bytes had counted as one.

Tests: two new ones in lineSocket.spec, seen failing on the module as it was ("200000 bytes in 200000 pieces", and a connection that is not closed); 3 of 3 safeguards proved. lineSocket, jsonRpcTransport, holders and authentication.spec: 18 passed.

--- a/packages/kumquatfront/src/adapters/lineSocket.spec.ts
+++ b/packages/kumquatfront/src/adapters/lineSocket.spec.ts
@@ -6,17 +6,19 @@
 import type * as net from 'node:net';
 import * as test from 'node:test';
 
+import type * as heldMemoryTypes from '../heldMemory/types.js';
 import * as trafficValidation from '../traffic/trafficValidation.js';
 import * as lineSocket from './lineSocket.js';
 
 /** Receives chunks on a connection; returns the lines, and whether the connection was closed. */
 function receive(
-  chunks: readonly string[],
+  chunks: readonly (string | Buffer)[],
   isAuthenticated = true,
-): { readonly lines: readonly string[]; readonly closed: boolean } {
+): { readonly lines: readonly string[]; readonly closed: boolean; readonly held: heldMemoryTypes.Held } {
   let closed = false;
   const socket = Object.assign(new events.EventEmitter(), {
     setNoDelay: () => undefined,
+    writableLength: 0,
     destroy: () => {
       closed = true;
     },
@@ -31,7 +33,7 @@
   for (const chunk of chunks) {
     socket.emit('data', Buffer.from(chunk));
   }
-  return { lines, closed };
+  return { lines, closed, held: received.held() };
 }
 
 void test.test('lines are split wherever the chunks end', () => {
@@ -59,3 +61,20 @@
   assert.equal(receive(['x'.repeat(5_000)], false).closed, true);
   assert.equal(receive(['x'.repeat(500), '\n'], false).closed, false);
 });
+
+// Guards against a heap that is full of the strings of single bytes, far below the bound on a line.
+void test.test('a line in pieces of one byte holds about its size in few objects', () => {
+  const pieces = Array.from({ length: 200_000 }, () => Buffer.from('a'));
+  const { held } = receive(pieces);
+  assert.ok(held.bytes < 300_000 && held.pieces < 20, `${held.bytes} bytes in ${held.pieces} pieces`);
+  const { lines, held: afterwards } = receive([...pieces, Buffer.from('\n')]);
+  assert.deepEqual(lines, ['a'.repeat(200_000)]);
+  assert.deepEqual(afterwards, { bytes: 0, pieces: 0 });
+});
+
+// Guards against a line of characters of three bytes that takes three times the memory of its bound.
+void test.test('the bound on a line is one on its bytes', () => {
+  assert.equal(receive([Buffer.from('€'.repeat(3_600_000))]).closed, true);
+  const { lines } = receive([...Buffer.from('€\n😀\n')].map((byte) => Buffer.from([byte])));
+  assert.deepEqual(lines, ['€', '😀']);
+});
--- a/packages/kumquatfront/src/adapters/lineSocket.ts
+++ b/packages/kumquatfront/src/adapters/lineSocket.ts
@@ -1,27 +1,28 @@
 /**
- * Newline-delimited messages over a TCP connection, with limits on the line length and on unsent data.
+ * Newline-delimited messages over a TCP connection, with limits on the bytes of a line and on unsent data.
  */
 import type * as net from 'node:net';
-import * as stringDecoder from 'node:string_decoder';
 
+import * as byteCollector from '../buffers/byteCollector.js';
 import type * as heldMemoryTypes from '../heldMemory/types.js';
 
 /** Above the largest configuration as a JSON string, in which each character may be escaped. */
-const MAXIMUM_LINE_LENGTH = 10 * 1024 * 1024;
+const MAXIMUM_LINE_BYTES = 10 * 1024 * 1024;
 
-/** Length of the lines of a handshake, before which the sender may be anybody. */
-const MAXIMUM_HANDSHAKE_LENGTH = 4_096;
+/** Bytes of a line of a handshake, before whose end the sender may be anybody. */
+const MAXIMUM_HANDSHAKE_BYTES = 4_096;
 const MAXIMUM_UNSENT_BYTES = 8 * 1024 * 1024;
 
+const LINE_FEED = 10;
+
 /** Splits received data into lines and sends lines. */
 export class LineSocket {
   private readonly socket: net.Socket;
-  private partialLine = '';
-  /** Reads that the partial line consists of, each a string of its own. */
-  private partialReads = 0;
+  /** The line that has arrived in part: a peer that sends single bytes would otherwise fill the heap below the bound on a line. */
+  private readonly partialLine = new byteCollector.ByteCollector();
   /** Lines sent since all had been taken; an estimate of those that wait, never too low. */
   private waitingLines = 0;
-  private maximumLength = MAXIMUM_HANDSHAKE_LENGTH;
+  private maximumBytes = MAXIMUM_HANDSHAKE_BYTES;
 
   /**
    * @param socket - the connection
@@ -29,37 +30,48 @@
    */
   constructor(socket: net.Socket, onLine: (line: string) => void) {
     this.socket = socket;
-    const decoder = new stringDecoder.StringDecoder('utf8');
     socket.on('data', (bytes: Buffer) => {
-      this.receive(decoder.write(bytes), onLine);
+      this.receive(bytes, onLine);
     });
     socket.setNoDelay(true);
   }
 
-  private receive(text: string, onLine: (line: string) => void): void {
-    // Only what is new is searched: with the rest, the time for a long line would grow with the square of its length.
-    const [continuation = '', ...rest] = text.split('\n');
-    this.partialLine += continuation;
-    this.partialReads += 1;
-    if (this.partialLine.length > this.maximumLength) {
-      this.socket.destroy();
-      return;
+  private receive(bytes: Buffer, onLine: (line: string) => void): void {
+    let start = 0;
+    for (let end = bytes.indexOf(LINE_FEED); end >= 0; end = bytes.indexOf(LINE_FEED, start)) {
+      if (!this.checkLength(end - start)) {
+        return;
+      }
+      const line = this.complete(bytes, start, end);
+      start = end + 1;
+      onLine(line);
     }
-    const last = rest.pop();
-    if (last === undefined) {
-      return;
+    if (start < bytes.length && this.checkLength(bytes.length - start)) {
+      this.partialLine.append(bytes.subarray(start));
     }
-    const completed = this.partialLine;
-    this.partialLine = last;
-    this.partialReads = last === '' ? 0 : 1;
-    for (const line of [completed, ...rest]) {
-      onLine(line);
+  }
+
+  /** Closes the connection of a line that is too long with so many bytes more. */
+  private checkLength(added: number): boolean {
+    const isWithinBound = this.partialLine.size + added <= this.maximumBytes;
+    if (!isWithinBound) {
+      this.partialLine.clear();
+      this.socket.destroy();
+    }
+    return isWithinBound;
+  }
+
+  private complete(bytes: Buffer, start: number, end: number): string {
+    if (this.partialLine.size === 0) {
+      return bytes.toString('utf8', start, end);
     }
+    this.partialLine.append(bytes.subarray(start, end));
+    return this.partialLine.takeContent().toString('utf8');
   }
 
   /** Permits long lines, once the other side is authenticated. */
   permitLongLines(): void {
-    this.maximumLength = MAXIMUM_LINE_LENGTH;
+    this.maximumBytes = MAXIMUM_LINE_BYTES;
   }
 
   /**
@@ -82,7 +94,7 @@
   held(): heldMemoryTypes.Held {
     const unsent = this.socket.writableLength;
     const waitingLines = unsent === 0 ? 0 : this.waitingLines;
-    return { bytes: unsent + this.partialLine.length, pieces: waitingLines + this.partialReads };
+    return { bytes: unsent + this.partialLine.memory, pieces: waitingLines + this.partialLine.pieces };
   }
 
   close(): void {
--- a/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
+++ b/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
@@ -9,6 +9,7 @@
 const UPSTREAMS = 'spec:adapters/httpUpstreams';
 const MEMORY = 'spec:relay/responseMemory';
 const ANSWERS = 'spec:adapters/generationResponses';
+const LINES = 'spec:adapters/lineSocket';
 const CHUNKS = 'spec:streams/completionChunk';
 const GENERATIONS = 'spec:streams/generationRelay';
 
@@ -155,4 +156,19 @@
     replace: '!this.paused',
     scenario: GENERATIONS,
   },
+  {
+    name: 'a line that arrives in part is collected in blocks',
+    file: 'adapters/lineSocket.js',
+    find: 'this.partialLine.append(bytes.subarray(start));',
+    replace:
+      '(this.kept ??= []).push(bytes); this.held = () => ({ bytes: 0, pieces: this.kept.length }); this.partialLine.append(bytes.subarray(start));',
+    scenario: LINES,
+  },
+  {
+    name: 'a line has a bound on its bytes',
+    file: 'adapters/lineSocket.js',
+    find: 'this.partialLine.size + added <= this.maximumBytes',
+    replace: 'true',
+    scenario: LINES,
+  },
 ];
--- a/packages/scenarios/src/scripts/endlessResponseSafeguards.ts
+++ b/packages/scenarios/src/scripts/endlessResponseSafeguards.ts
@@ -103,8 +103,8 @@
   {
     name: 'the lines of a handshake have a bound on their length',
     file: 'adapters/lineSocket.js',
-    find: 'maximumLength = MAXIMUM_HANDSHAKE_LENGTH',
-    replace: 'maximumLength = MAXIMUM_LINE_LENGTH',
+    find: 'maximumBytes = MAXIMUM_HANDSHAKE_BYTES',
+    replace: 'maximumBytes = MAXIMUM_LINE_BYTES',
     scenario: 'spec:adapters/lineSocket',
   },
 ];
