No line is read after the one that closed its connection

What was seen: a process without the cluster key that sends empty lines was refused once for each line of a read, 60,000 times for one read of 60,000 bytes, with a check of its proof and a warning each time.

Cause: adapters/lineSocket went on with the lines of a read after one of them had closed the connection.

Change: it stops at a connection that is closed.

--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.spec.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.spec.ts
@@ -231,3 +231,23 @@
   }
   transport.close();
 });
+
+// Guards against a process without the key that is served, and logged, for each line of one read.
+void test.test('a stranger that sends many lines at once is refused once', async () => {
+  const refused: string[] = [];
+  const server = jsonRpcTransport.create({
+    clusterKey: 'key',
+    scheduler: systemTime.scheduler,
+    log: { ...log, warn: (event) => refused.push(event) },
+  });
+  const port = await new Promise<number>((resolve) => {
+    server.listen('127.0.0.1:0', resolve);
+  });
+  const socket = await connectTo(port);
+  const closed = new Promise((resolve) => socket.once('close', resolve));
+  socket.resume();
+  socket.write('\n'.repeat(1_000));
+  await closed;
+  server.close();
+  assert.deepEqual(refused, ['strangerRefused']);
+});
--- a/packages/kumquatfront/src/adapters/lineSocket.ts
+++ b/packages/kumquatfront/src/adapters/lineSocket.ts
@@ -39,7 +39,8 @@
   private receive(bytes: Buffer, onLine: (line: string) => void): void {
     let start = 0;
     for (let end = bytes.indexOf(LINE_FEED); end >= 0; end = bytes.indexOf(LINE_FEED, start)) {
-      if (!this.checkLength(end - start)) {
+      // A line before may have closed the connection, as that of a process without the key does.
+      if (this.socket.destroyed || !this.checkLength(end - start)) {
         return;
       }
       const line = this.complete(bytes, start, end);
--- a/packages/scenarios/src/scripts/outsideInputSafeguards.ts
+++ b/packages/scenarios/src/scripts/outsideInputSafeguards.ts
@@ -87,4 +87,11 @@
     replace: 'lastResidentBytes = residentBytes();\n            }\n            catch (error) { throw error;',
     scenario: 'spec:adapters/processLoad',
   },
+  {
+    name: 'no line is read after the one that closed its connection',
+    file: 'adapters/lineSocket.js',
+    find: 'this.socket.destroyed || !this.checkLength',
+    replace: '!this.checkLength',
+    scenario: PEERS,
+  },
 ];
