Messages that wait for a connection between processes are bounded

What was seen: while a connection to a peer opens (up to 250 ms) and is authenticated (up to a second), a process kept every message for it, however many and large; beyond 8 MiB unsent on an open connection, messages and answers were dropped without a line.

Cause: adapters/jsonRpcTransport queued without a bound, and did not look at what became of notifications and answers.

Change: 8 MiB, as on an open connection, and 10,000 messages may wait. Beyond, a request fails at once with the reason, and a notification is dropped. The line peerMessagesDropped tells the peer and the number of messages that were dropped for either bound, at once and then once a second. What waits is counted in bytes.

--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.spec.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.spec.ts
@@ -9,6 +9,7 @@
 import * as test from 'node:test';
 import * as timersPromises from 'node:timers/promises';
 
+import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
 import * as virtualTime from '../kernel/virtualTime.js';
 import * as jsonRpcTransport from './jsonRpcTransport.js';
@@ -251,3 +252,64 @@
   server.close();
   assert.deepEqual(refused, ['strangerRefused']);
 });
+
+/** A peer that accepts connections and never proves itself, and a transport that has not given up on it. */
+async function withSilentPeer(
+  run: (
+    transport: jsonRpcTransport.JsonRpcTransport,
+    address: string,
+    time: virtualTime.VirtualTime,
+  ) => Promise<void>,
+  warn: (event: string, fields?: ports.LogFields) => void,
+): Promise<void> {
+  const server = net.createServer((socket) => {
+    socket.on('error', noop);
+  });
+  const port = await new Promise<number>((resolve) => {
+    server.listen(0, '127.0.0.1', () => {
+      resolve((server.address() as net.AddressInfo).port);
+    });
+  });
+  const time = new virtualTime.VirtualTime();
+  const transport = jsonRpcTransport.create({ clusterKey: 'key', scheduler: time, log: { ...log, warn } });
+  try {
+    await run(transport, `127.0.0.1:${port}`, time);
+  } finally {
+    transport.close();
+    server.close();
+  }
+}
+
+// Guards against messages without end to a peer that is not there yet: they filled the heap until the connection was given up.
+void test.test('what waits for a connection has a bound on bytes and one on messages', async () => {
+  for (const { text, sent, size, notSent } of [
+    { text: 'x'.repeat(1_000_000), sent: 20, size: 8 * 1024 * 1024, notSent: 13 },
+    { text: '', sent: 11_000, size: 10_000 * 60, notSent: 1_001 },
+  ]) {
+    const lines: string[] = [];
+    await withSilentPeer(
+      async (transport, address, time) => {
+        for (let count = 0; count < sent; count += 1) {
+          transport.notify(address, 'any', [text]);
+        }
+        const { bytes, pieces } = transport.held();
+        assert.ok(
+          bytes <= size && bytes > size * 0.5 && pieces <= 10_000,
+          `${bytes} bytes, ${pieces} messages`,
+        );
+        const message = await new Promise<string>((resolve) => {
+          transport.request(address, 'any', [text], 60_000, (result) => {
+            resolve(result.err ? result.val.message : 'answered');
+          });
+        });
+        assert.match(message, /too much waits for the connection to open/);
+        time.advance(1_000);
+      },
+      (event, { address: to, messages } = {}) => lines.push(`${event} ${String(to)} ${String(messages)}`),
+    );
+    assert.equal(lines.length, 2);
+    assert.match(lines[0] ?? '', /^peerMessagesDropped 127\.0\.0\.1:\d+ 1$/);
+    const dropped = lines.map((line) => Number(line.split(' ').at(-1)));
+    assert.equal((dropped[0] ?? 0) + (dropped[1] ?? 0), notSent);
+  }
+});
--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
@@ -10,6 +10,7 @@
 import * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
+import * as droppedMessages from './droppedMessages.js';
 import * as lineSocket from './lineSocket.js';
 import * as peerAuthentication from './peerAuthentication.js';
 
@@ -54,6 +55,10 @@
 const PROBE_TIMEOUT = 1_000;
 const PROBE_METHOD = 'transport.probe';
 
+/** Bytes and messages that may wait until a connection is authenticated; the bytes are those that may be unsent afterwards. */
+const MAXIMUM_QUEUED_BYTES = lineSocket.MAXIMUM_UNSENT_BYTES;
+const MAXIMUM_QUEUED_MESSAGES = 10_000;
+
 function isFailure(value: unknown): value is failures.Failure {
   return typeof value === 'object' && value !== null && 'kind' in value && 'remedy' in value;
 }
@@ -72,6 +77,15 @@
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
 }
 
+/** Options of an outgoing connection. */
+interface ConnectionOptions {
+  readonly clusterKey: string;
+  readonly scheduler: ports.Scheduler;
+  /** A message was dropped, because too much waits. */
+  readonly onDropped: () => void;
+  readonly onClose: () => void;
+}
+
 /** An outgoing connection to one peer; messages are queued until both sides are authenticated. */
 class PeerConnection {
   readonly client: jsonRpc.JSONRPCClient;
@@ -82,15 +96,18 @@
   private serverNonce = '';
   private authenticated = false;
   private queuedMessages: string[] = [];
+  private queuedBytes = 0;
   private readonly scheduler: ports.Scheduler;
+  private readonly onDropped: () => void;
   private sentSinceProbe = false;
   private bytesAtProbe = 0;
   private cancelProbe: ports.Cancel = () => undefined;
   private cancelOpenTimeout: ports.Cancel = () => undefined;
 
-  constructor(address: string, clusterKey: string, scheduler: ports.Scheduler, onClose: () => void) {
+  constructor(address: string, { clusterKey, scheduler, onDropped, onClose }: ConnectionOptions) {
     this.clusterKey = clusterKey;
     this.scheduler = scheduler;
+    this.onDropped = onDropped;
     this.client = new jsonRpc.JSONRPCClient((payload: unknown) => {
       this.send(JSON.stringify(payload));
     });
@@ -120,8 +137,7 @@
   /** What is not sent yet, and what has arrived in part. */
   held(): heldMemoryTypes.Held {
     const { bytes, pieces } = this.lines.held();
-    const queued = this.queuedMessages.reduce((sum, text) => sum + text.length, 0);
-    return { bytes: bytes + queued, pieces: pieces + this.queuedMessages.length };
+    return { bytes: bytes + this.queuedBytes, pieces: pieces + this.queuedMessages.length };
   }
 
   private scheduleProbe(): void {
@@ -149,14 +165,30 @@
   private send(text: string): void {
     this.sentSinceProbe = true;
     if (!this.authenticated) {
-      this.queuedMessages.push(text);
+      this.queue(text);
       return;
     }
     if (!this.lines.send(text)) {
+      if (!this.socket.destroyed) {
+        this.onDropped();
+      }
       throw new Error('the connection is closed or its send buffer is full');
     }
   }
 
+  private queue(text: string): void {
+    const bytes = Buffer.byteLength(text);
+    const isFull =
+      this.queuedBytes + bytes > MAXIMUM_QUEUED_BYTES ||
+      this.queuedMessages.length >= MAXIMUM_QUEUED_MESSAGES;
+    if (isFull) {
+      this.onDropped();
+      throw new Error('too much waits for the connection to open');
+    }
+    this.queuedMessages.push(text);
+    this.queuedBytes += bytes;
+  }
+
   /** Passes on a response; a line that is none closes the connection, since later lines cannot be trusted either. */
   private receive(line: string): void {
     try {
@@ -198,6 +230,7 @@
     this.cancelOpenTimeout();
     const { queuedMessages } = this;
     this.queuedMessages = [];
+    this.queuedBytes = 0;
     for (const text of queuedMessages) {
       this.lines.send(text);
     }
@@ -209,6 +242,7 @@
   // Failures are regular responses; by default the library also logs each of them to the console.
   private readonly rpcServer = new jsonRpc.JSONRPCServer({ errorListener: () => undefined });
   private readonly connections = new Map<string, PeerConnection>();
+  private readonly dropped: droppedMessages.DroppedMessages;
   private readonly inboundSockets = new Set<net.Socket>();
   private readonly inboundLines = new Set<lineSocket.LineSocket>();
   private server: net.Server | undefined;
@@ -217,6 +251,7 @@
 
   constructor(options: JsonRpcTransportOptions) {
     this.options = options;
+    this.dropped = new droppedMessages.DroppedMessages(options.scheduler, options.log);
     this.serve(PROBE_METHOD, (_parameters, reply) => {
       reply(results.Ok(null));
     });
@@ -255,7 +290,7 @@
     this.inboundSockets.add(socket);
     const lines = new lineSocket.LineSocket(socket, (line) => {
       if (authenticated) {
-        this.onRequest(line, lines);
+        this.onRequest(line, lines, socket);
       } else if (this.authenticate(line, serverNonce, lines)) {
         authenticated = true;
         lines.permitLongLines();
@@ -295,11 +330,11 @@
     return true;
   }
 
-  private onRequest(line: string, lines: lineSocket.LineSocket): void {
+  private onRequest(line: string, lines: lineSocket.LineSocket, socket: net.Socket): void {
     this.rpcServer.receiveJSON(line).then(
       (response) => {
-        if (response !== null) {
-          lines.send(JSON.stringify(response));
+        if (response !== null && !lines.send(JSON.stringify(response)) && !socket.destroyed) {
+          this.dropped.add(socket.remoteAddress ?? '');
         }
       },
       (error: unknown) => {
@@ -315,10 +350,17 @@
     if (existing !== undefined) {
       return existing;
     }
-    const created = new PeerConnection(address, this.options.clusterKey, this.options.scheduler, () => {
-      this.connections.delete(address);
-      this.closedBytesSent += created.socket.bytesWritten;
-      this.closedBytesReceived += created.socket.bytesRead;
+    const { clusterKey, scheduler } = this.options;
+    const created = new PeerConnection(address, {
+      ...{ clusterKey, scheduler },
+      onDropped: () => {
+        this.dropped.add(address);
+      },
+      onClose: () => {
+        this.connections.delete(address);
+        this.closedBytesSent += created.socket.bytesWritten;
+        this.closedBytesReceived += created.socket.bytesRead;
+      },
     });
     this.connections.set(address, created);
     return created;
@@ -393,6 +435,7 @@
   }
 
   close(): void {
+    this.dropped.close();
     this.server?.close();
     for (const socket of this.inboundSockets) {
       socket.destroy();
--- a/packages/kumquatfront/src/adapters/lineSocket.ts
+++ b/packages/kumquatfront/src/adapters/lineSocket.ts
@@ -11,7 +11,9 @@
 
 /** Bytes of a line of a handshake, before whose end the sender may be anybody. */
 const MAXIMUM_HANDSHAKE_BYTES = 4_096;
-const MAXIMUM_UNSENT_BYTES = 8 * 1024 * 1024;
+
+/** Bytes that may be unsent before another line is refused. */
+export const MAXIMUM_UNSENT_BYTES = 8 * 1024 * 1024;
 
 const LINE_FEED = 10;
 
--- a/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
+++ b/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
@@ -10,6 +10,7 @@
 const MEMORY = 'spec:relay/responseMemory';
 const ANSWERS = 'spec:adapters/generationResponses';
 const LINES = 'spec:adapters/lineSocket';
+const PEERS = 'spec:adapters/jsonRpcTransport';
 const CHUNKS = 'spec:streams/completionChunk';
 const GENERATIONS = 'spec:streams/generationRelay';
 
@@ -171,4 +172,25 @@
     replace: 'true',
     scenario: LINES,
   },
+  {
+    name: 'messages that wait for a connection have a bound on their bytes',
+    file: 'adapters/jsonRpcTransport.js',
+    find: 'this.queuedBytes + bytes > MAXIMUM_QUEUED_BYTES',
+    replace: 'false',
+    scenario: PEERS,
+  },
+  {
+    name: 'messages that wait for a connection have a bound on their number',
+    file: 'adapters/jsonRpcTransport.js',
+    find: 'this.queuedMessages.length >= MAXIMUM_QUEUED_MESSAGES',
+    replace: 'false',
+    scenario: PEERS,
+  },
+  {
+    name: 'messages that are dropped are logged once a second',
+    file: 'adapters/droppedMessages.js',
+    find: 'if (!this.isWaiting) {',
+    replace: 'if (true) {',
+    scenario: PEERS,
+  },
 ];
