The own interface lets its engines wait by the same flow control

What callers saw: no report names it; found while moving the own interface to flowControl. A caller that reads nothing kept its engine for as long as its connection was open. After a caller had paused its stream for a minute, an engine that then needed more than 2 s for its next token was given up as silent, and the answer ended as interrupted. A connection to an engine that was lost during a pause was opened again 2 s late, as a stall.

Cause: the relay of generations had a pause of its own, without a limit, whose time counted as silence of the engine, and whose drain replaced the timer of a lost connection. A pause also came after all events of a read of 64 KiB had been parsed: a thousand events of 60 bytes, each passed on with a resume token of some 300.

Change: generationRelay uses flowControl and stallWatch, with the 20 s of the platform's path. The connection to an engine parses what it has read 4 KiB at a time, and keeps the rest as bytes while it is paused; the end of its exchange is reported after them. What the operating system has taken for a connection is counted in one place (adapters/takenBytes). `stream.stalled_callers` counts the callers that are let go.

The safeguard of the slow caller moves to flowControl, which decides about it now.

--- a/packages/kumquatfront/src/adapters/generationConnection.ts
+++ b/packages/kumquatfront/src/adapters/generationConnection.ts
@@ -16,6 +16,14 @@
 const MAXIMUM_EVENT_BYTES = 1024 * 1024;
 const END_OF_STREAM = '[DONE]';
 
+/**
+ * Bytes that are parsed before a pause is heeded. A read of 64 KiB holds a thousand small events, each of which is passed on with a
+ * resume token that is several times as long.
+ */
+const PARSED_BYTES = 4_096;
+
+const NO_BYTES = Buffer.alloc(0);
+
 function failureForStatus(status: number): streams.ConnectionFailure {
   if (status === 404 || status === 410) {
     return 'unknownGeneration';
@@ -37,6 +45,11 @@
   private readonly splitter = new eventSplitter.EventSplitter();
   /** Bytes received since the last token. */
   private bytesWithoutToken = 0;
+  private isPaused = false;
+  /** Complete events that were read and are not parsed during a pause. */
+  private unparsed: Buffer = NO_BYTES;
+  /** Reports how the exchange ended, after the events that were read before. */
+  private reportEnd: (() => void) | undefined;
 
   constructor(
     request: singleUseConnection.OutgoingRequest,
@@ -50,10 +63,14 @@
         this.onData(bytes);
       },
       end: () => {
-        this.fail('broken', 'response ended before [DONE]');
+        this.endAfterEvents(() => {
+          this.fail('broken', 'response ended before [DONE]');
+        });
       },
       failed: (failure, reason) => {
-        this.onFailed(failure, reason);
+        this.endAfterEvents(() => {
+          this.onFailed(failure, reason);
+        });
       },
     });
   }
@@ -62,6 +79,7 @@
   private finish(): boolean {
     const isOpen = !this.finished;
     this.finished = true;
+    this.unparsed = NO_BYTES;
     this.exchange.cancel();
     return isOpen;
   }
@@ -87,15 +105,32 @@
   private onData(bytes: Uint8Array): void {
     this.bytesWithoutToken += bytes.length;
     const complete = this.splitter.pushTogether(bytes);
-    if (complete.length > 0) {
-      this.parser.feed(this.decoder.write(complete));
-    }
+    this.unparsed = this.unparsed.length === 0 ? complete : Buffer.concat([this.unparsed, complete]);
+    this.parse();
     // Bounds the memory used by an event that never ends, and the time of a stream that has no tokens.
     if (Math.max(this.bytesWithoutToken, this.splitter.incompleteBytes) > MAXIMUM_EVENT_BYTES) {
       this.fail('broken', 'event too large');
     }
   }
 
+  /** Parses what was read until it is paused or ended; returns false if it is. */
+  private parse(): boolean {
+    while (!this.isPaused && !this.finished && this.unparsed.length > 0) {
+      const bytes = this.unparsed.subarray(0, PARSED_BYTES);
+      this.unparsed = this.unparsed.subarray(PARSED_BYTES);
+      this.parser.feed(this.decoder.write(bytes));
+    }
+    return !this.isPaused && !this.finished;
+  }
+
+  private endAfterEvents(report: () => void): void {
+    if (this.unparsed.length === 0) {
+      report();
+    } else {
+      this.reportEnd = report;
+    }
+  }
+
   private onEvent(event: eventSource.EventSourceMessage): void {
     this.bytesWithoutToken = 0;
     if (this.finished) {
@@ -118,11 +153,20 @@
   }
 
   pause(): void {
+    this.isPaused = true;
     this.exchange.pause();
   }
 
   resume(): void {
-    this.exchange.resume();
+    this.isPaused = false;
+    if (!this.parse()) {
+      return;
+    }
+    if (this.reportEnd === undefined) {
+      this.exchange.resume();
+    } else {
+      this.reportEnd();
+    }
   }
 
   close(): void {
--- a/packages/kumquatfront/src/adapters/generationResponses.ts
+++ b/packages/kumquatfront/src/adapters/generationResponses.ts
@@ -10,16 +10,23 @@
 import * as completionChunk from '../streams/completionChunk.js';
 import * as httpMessages from './httpMessages.js';
 import * as systemTime from './systemTime.js';
+import * as takenBytes from './takenBytes.js';
 
 const KEEP_ALIVE_INTERVAL = 1_000;
 
 /** Streams a generation as server-sent events; the id of each event is the token to resume after it. */
 export class EventStreamResponse implements streams.GenerationCaller {
-  private readonly response: http.ServerResponse;
+  readonly connection: streams.CallerConnection;
   private cancelKeepAlive: ports.Cancel = () => undefined;
 
-  constructor(response: http.ServerResponse) {
-    this.response = response;
+  constructor(private readonly response: http.ServerResponse) {
+    const { socket } = response;
+    this.connection = {
+      takenBytes: socket ? takenBytes.counter(socket) : () => 0,
+      abort: () => {
+        response.destroy();
+      },
+    };
     response.on('close', () => {
       this.cancelKeepAlive();
     });
--- a/packages/kumquatfront/src/adapters/serviceAnswers.spec.ts
+++ b/packages/kumquatfront/src/adapters/serviceAnswers.spec.ts
@@ -19,7 +19,9 @@
 import * as serviceRelay from '../streams/serviceRelay.js';
 import type * as streams from '../streams/types.js';
 import * as cutResponses from './cutResponses.js';
+import * as responseMemory from '../relay/responseMemory.js';
 import * as entryHttp from './entryHttp.js';
+import * as statsdMetrics from './statsdMetrics.js';
 import * as httpUpstreams from './httpUpstreams.js';
 
 const LOCAL = '127.0.0.1';
@@ -76,7 +78,8 @@
   const registry = serviceRegistry.create<entryNode.EntryServices>();
   const node = { services: registry, requests: { callService } } as unknown as entryNode.EntryNode;
   const pauses = { recentPause: () => 0, log };
-  const server = entryHttp.createServer(settings, node, pauses, unboundedRequests.create());
+  const responses = new responseMemory.ResponseMemory(log, statsdMetrics.noop);
+  const server = entryHttp.createServer(settings, node, pauses, unboundedRequests.create(), responses);
   await new Promise<void>((resolve) => {
     server.listen(0, LOCAL, resolve);
   });
--- /dev/null
+++ b/packages/kumquatfront/src/adapters/slowGenerations.spec.ts
@@ -0,0 +1,256 @@
+/**
+ * Generations over loopback connections, whose callers read less than their engines send, on the product's own interface.
+ */
+import * as assert from 'node:assert/strict';
+import * as events from 'node:events';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as test from 'node:test';
+import * as timers from 'node:timers/promises';
+
+import * as eventSource from 'eventsource-parser';
+
+import * as unboundedRequests from '../callerBounds/unboundedRequests.js';
+import type * as entryNode from '../entryNode/entryNode.js';
+import type * as entryTypes from '../entryNode/types.js';
+import * as serviceRegistry from '../kernel/serviceRegistry.js';
+import * as timerService from '../kernel/timerService.js';
+import * as virtualTime from '../kernel/virtualTime.js';
+import * as responseMemory from '../relay/responseMemory.js';
+import * as defaultConfig from '../settings/defaultConfig.js';
+import * as generationRelay from '../streams/generationRelay.js';
+import type * as streams from '../streams/types.js';
+import * as entryHttp from './entryHttp.js';
+import * as httpUpstreams from './httpUpstreams.js';
+import * as statsdMetrics from './statsdMetrics.js';
+
+const LOCAL = '127.0.0.1';
+
+/** More than the connections on both sides hold. */
+const TOKEN_COUNT = 400_000;
+
+/** As long as that of a real request. */
+const TOKEN_PREFIX = 'p'.repeat(300);
+
+/** Node.js takes 16 KiB before it tells that a connection is full; the events of a part of a read may follow. */
+const MOST_UNREAD = 64 * 1_024;
+
+const settings: entryTypes.EntrySettings = {
+  ...defaultConfig.entryDefaults,
+  ...{ name: 'e', dataCentre: 'c', callerAddress: '', peerAddress: '', control: [] },
+  ...{ signingKey: 'k', upstreamKeyHash: '' },
+};
+
+function eventText(index: number): string {
+  return `id: r.1:${index}\ndata: {"choices":[{"text":"${index}"}]}\n\n`;
+}
+
+async function listen(server: net.Server): Promise<number> {
+  server.listen(0, LOCAL);
+  await events.EventEmitter.once(server, 'listening');
+  return (server.address() as net.AddressInfo).port;
+}
+
+/** Sends a generation of so many tokens, each a chunk of its own, as fast as they are read. */
+function createEngine(count: number): { server: net.Server; sentTokens: () => number } {
+  let sent = 0;
+  const server = net.createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n');
+      const chunkOf = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
+      const sendNext = (): void => {
+        let chunks = '';
+        for (const end = Math.min(sent + 1_000, count); sent < end; sent += 1) {
+          chunks += chunkOf(eventText(sent));
+        }
+        if (sent < count) {
+          socket.write(chunks, sendNext);
+        } else {
+          socket.end(`${chunks}${chunkOf(`id: r.1:${count}\ndata: [DONE]\n\n`)}0\r\n\r\n`);
+        }
+      };
+      sendNext();
+    });
+  });
+  return { server, sentTokens: () => sent };
+}
+
+/** A stream that is never read again fails its test. */
+const LIMITED = { timeout: 20_000 };
+
+interface Running {
+  readonly port: number;
+  readonly time: virtualTime.VirtualTime;
+  readonly sentTokens: () => number;
+  /** Most bytes that waited for the caller after a token. */
+  readonly mostUnread: () => number;
+  readonly close: () => void;
+}
+
+/** Starts an engine and an entry that relays its generation; the timers of the relay are virtual. */
+async function start(count: number): Promise<Running> {
+  const { server: engine, sentTokens } = createEngine(count);
+  const address = `http://${LOCAL}:${await listen(engine)}`;
+  const time = new virtualTime.VirtualTime();
+  let mostUnread = 0;
+  let response: http.ServerResponse | undefined;
+  const generate = (_request: unknown, caller: streams.GenerationCaller): streams.StreamHandle => {
+    const relay = new generationRelay.GenerationRelay({
+      requestId: 'r',
+      request: { path: '/v1/completions', body: '{}', priority: 1 },
+      mayRestart: false,
+      engines: httpUpstreams.createGenerationPort(),
+      timers: timerService.create(time.clock, time),
+      settings: settings.relay,
+      caller: {
+        connection: caller.connection,
+        sendAccepted: (token) => {
+          caller.sendAccepted(token);
+        },
+        sendToken: (token, index, data) => {
+          const takesMore = caller.sendToken(token, index, data);
+          mostUnread = Math.max(mostUnread, response?.writableLength ?? 0);
+          return takesMore;
+        },
+        sendRestart: (token) => {
+          caller.sendRestart(token);
+        },
+        complete: (tokens) => {
+          caller.complete(tokens);
+        },
+        refuse: (refusal) => {
+          caller.refuse(refusal);
+        },
+      },
+      host: {
+        requestPlacement: (_exclude, done) => {
+          done({ type: 'granted', upstream: { announcement: { name: 'e', address } } as never });
+          return () => undefined;
+        },
+        issueTokenPrefix: () => TOKEN_PREFIX,
+        mayRetry: () => false,
+        onProgress: () => undefined,
+        onReleased: () => undefined,
+        onStall: () => undefined,
+        onEventDiscarded: () => undefined,
+        otherEntries: () => [],
+        onFinished: () => undefined,
+      },
+    });
+    relay.start();
+    return relay;
+  };
+  const services = serviceRegistry.create<entryNode.EntryServices>();
+  const node = { services, requests: { generate } } as unknown as entryNode.EntryNode;
+  const ignore = (): void => undefined;
+  const log = { debug: ignore, info: ignore, warn: ignore, error: ignore };
+  const server = entryHttp.createServer(
+    settings,
+    node,
+    { recentPause: () => 0, log },
+    unboundedRequests.create(),
+    new responseMemory.ResponseMemory(log, statsdMetrics.noop),
+  );
+  server.prependListener('request', (_request, outgoing) => {
+    response = outgoing;
+  });
+  const port = await listen(server);
+  const close = (): void => {
+    server.closeAllConnections();
+    server.close();
+    engine.close();
+  };
+  return { port, time, sentTokens, mostUnread: () => mostUnread, close };
+}
+
+async function call(port: number): Promise<http.IncomingMessage> {
+  const request = http.request({ host: LOCAL, port, method: 'POST', path: '/v1/completions' });
+  request.end('{"stream":true}');
+  const [response] = (await events.EventEmitter.once(request, 'response')) as [http.IncomingMessage];
+  response.pause();
+  return response;
+}
+
+/** Turns of the event loop in which all that the connections can take has moved, however slow the machine is. */
+const TURNS_WITHOUT_PROGRESS = 50;
+
+async function untilBlocked(sentTokens: () => number): Promise<void> {
+  let before = -1;
+  for (let turns = 0; turns < TURNS_WITHOUT_PROGRESS; turns += 1) {
+    if (before !== sentTokens()) {
+      before = sentTokens();
+      turns = 0;
+    }
+    await timers.setTimeout(5);
+  }
+}
+
+async function readTokens(response: http.IncomingMessage): Promise<string[]> {
+  const received: string[] = [];
+  const parser = eventSource.createParser({
+    onEvent: ({ data }) => {
+      received.push(data);
+    },
+  });
+  for await (const bytes of response) {
+    parser.feed((bytes as Buffer).toString('latin1'));
+  }
+  return received;
+}
+
+function tokenTexts(count: number): string[] {
+  const texts = Array.from({ length: count }, (_, index) => `{"choices":[{"text":"${index}"}]}`);
+  return [...texts, '[DONE]'];
+}
+
+// Guards against tokens that wait in the memory of the entry without a bound, and against their loss or repetition.
+void test.test(
+  'an engine waits for a caller that does not read, which then gets every token once',
+  async () => {
+    const { port, sentTokens, mostUnread, close } = await start(TOKEN_COUNT);
+    try {
+      const response = await call(port);
+      await untilBlocked(sentTokens);
+      assert.ok(sentTokens() < TOKEN_COUNT, 'the engine was never stopped');
+      assert.ok(mostUnread() <= MOST_UNREAD, `${mostUnread()} bytes waited`);
+      const received = await readTokens(response);
+      assert.ok(mostUnread() <= MOST_UNREAD, `${mostUnread()} bytes waited`);
+      assert.equal(received.length, TOKEN_COUNT + 1);
+      assert.ok(received.join('\n') === tokenTexts(TOKEN_COUNT).join('\n'));
+    } finally {
+      close();
+    }
+  },
+);
+
+// Guards against a generation that is taken for broken because its engine has sent all of it before its caller has read it.
+void test.test(
+  'a generation that its engine has sent whole during a pause reaches its caller whole',
+  async () => {
+    // All of it fits between the entry and the engine; what the connection of the caller holds is several times less.
+    const count = 20_000;
+    const { port, sentTokens, close } = await start(count);
+    try {
+      const response = await call(port);
+      await untilBlocked(sentTokens);
+      assert.deepEqual(await readTokens(response), tokenTexts(count));
+    } finally {
+      close();
+    }
+  },
+);
+
+// Guards against an engine that is held by a caller which does not read.
+void test.test('a caller that takes nothing for 20 s is let go', LIMITED, async () => {
+  const { port, time, sentTokens, close } = await start(TOKEN_COUNT);
+  try {
+    const response = await call(port);
+    await untilBlocked(sentTokens);
+    // The first measurement finds what the connection has taken since the last write.
+    time.advance(22_000);
+    await assert.rejects(readTokens(response), { code: 'ECONNRESET' });
+  } finally {
+    close();
+  }
+});
--- a/packages/kumquatfront/src/adapters/trafficHttp.ts
+++ b/packages/kumquatfront/src/adapters/trafficHttp.ts
@@ -3,7 +3,6 @@
  * requests and an encoder formats refusals; this module handles HTTP only.
  */
 import type * as http from 'node:http';
-import type * as net from 'node:net';
 
 import type * as heldRequests from '../callerBounds/heldRequests.js';
 import type * as entryLoad from '../entryLoad/entryLoad.js';
@@ -15,6 +14,7 @@
 import type * as httpMessages from './httpMessages.js';
 import * as rawHeaders from './rawHeaders.js';
 import * as requestsAfterPause from './requestsAfterPause.js';
+import * as takenBytes from './takenBytes.js';
 
 /** Limits that apply until a configuration is loaded. */
 const DEFAULT_LIMITS: trafficTypes.CallerLimits = {
@@ -178,25 +178,6 @@
   });
 }
 
-/**
- * Bytes of the current write that the operating system has not taken. Only the handle of the socket tells: Node.js counts
- * a write as unread until all of it is taken, which may be megabytes.
- */
-function queuedBytes(socket: net.Socket): number {
-  const { _handle: handle } = socket as unknown as {
-    readonly _handle?: { readonly writeQueueSize?: number } | null;
-  };
-  return handle?.writeQueueSize ?? 0;
-}
-
-/** Bytes of all responses on a connection that the operating system has taken; 0 if the connection is closed. */
-function takenBytes(socket: net.Socket): number {
-  const { _handle: handle } = socket as unknown as {
-    readonly _handle?: { readonly bytesWritten?: number } | null;
-  };
-  return (handle?.bytesWritten ?? 0) - queuedBytes(socket);
-}
-
 function createCaller(
   options: TrafficHttpOptions,
   request: relayTypes.TrafficRequest,
@@ -205,7 +186,6 @@
 ): relayTypes.CallerPort {
   const { load } = options;
   const { socket } = incoming;
-  let taken = 0;
   const abort = (): void => {
     // Without chunks an ordinary end of the connection would complete the answer.
     if (outgoing.headersSent && !outgoing.chunkedEncoding) {
@@ -216,7 +196,7 @@
   const reader = load?.readers.track({
     request: request.identity,
     unreadBytes: () => outgoing.writableLength,
-    queuedBytes: () => queuedBytes(socket),
+    queuedBytes: () => takenBytes.queued(socket),
     disconnect: abort,
   });
   const ended = load?.openRequest();
@@ -280,10 +260,7 @@
     onDrain: (callback) => {
       outgoing.on('drain', callback);
     },
-    takenBytes: () => {
-      taken = Math.max(taken, takenBytes(socket));
-      return taken;
-    },
+    takenBytes: takenBytes.counter(socket),
     end: () => {
       outgoing.end();
     },
--- a/packages/kumquatfront/src/entryNode/instrumentedCaller.ts
+++ b/packages/kumquatfront/src/entryNode/instrumentedCaller.ts
@@ -43,7 +43,15 @@
     lastTokenAt = at;
   };
 
+  const { connection } = caller;
   return {
+    connection: connection && {
+      takenBytes: connection.takenBytes,
+      abort: () => {
+        metrics.count('stream.stalled_callers', 1, { urgency });
+        connection.abort();
+      },
+    },
     sendAccepted: (token) => {
       caller.sendAccepted(token);
     },
--- a/packages/kumquatfront/src/flowControl/stallWatch.ts
+++ b/packages/kumquatfront/src/flowControl/stallWatch.ts
@@ -4,6 +4,12 @@
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
 
+/**
+ * Least time in which a caller must take a byte. Linux shows what a caller has read in steps of up to 1.5 MB, a third of what it holds for a
+ * connection: one that reads 100 kB/s takes a step in 14 s.
+ */
+export const MINIMUM_CALLER_STALL: ports.Milliseconds = 20_000;
+
 /** Measurements for each time limit. */
 const MEASUREMENTS = 10;
 
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -28,12 +28,6 @@
 import * as streamLogSummary from './streamLogSummary.js';
 import type * as types from './types.js';
 
-/**
- * Least time in which a caller must take a byte. Linux shows what a caller has read in steps of up to 1.5 MB, a third of what it holds for a
- * connection: one that reads 100 kB/s takes a step in 14 s.
- */
-const MINIMUM_CALLER_STALL: ports.Milliseconds = 20_000;
-
 /** One stream exchange; see the module comment. */
 export class StreamExchange implements placementClient.OpenGeneration {
   private readonly attributes: placementTypes.GenerationAttributes | undefined;
@@ -290,7 +284,7 @@
 
   private onCallerBlocked(): void {
     const { caller, route } = this.routed;
-    const limit = Math.max(MINIMUM_CALLER_STALL, callerGap.forRoute(route));
+    const limit = Math.max(stallWatch.MINIMUM_CALLER_STALL, callerGap.forRoute(route));
     this.stopStallWatch = stallWatch.start({
       ...{ timers: this.context.timers, limit },
       takenBytes: () => caller.takenBytes(),
--- a/packages/kumquatfront/src/streams/generationRelay.ts
+++ b/packages/kumquatfront/src/streams/generationRelay.ts
@@ -3,6 +3,8 @@
  * connections and resumes on a new one. Reruns the request on another engine only if the caller has received no
  * tokens or discards them on a restart, so that an answer never mixes tokens of two generations.
  */
+import * as flowControl from '../flowControl/flowControl.js';
+import * as stallWatch from '../flowControl/stallWatch.js';
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
 import type * as routing from '../routing/types.js';
@@ -65,8 +67,10 @@
   private resumesWithoutProgress = 0;
   private accepted = false;
   private connectionsOfGeneration = 0;
+  /** Time of the last token, by the clock of reading. */
   private lastProgressAt = 0;
-  private paused = false;
+  private readonly flow: flowControl.FlowControl;
+  private stopStallWatch: ports.Cancel = () => undefined;
   private isFinished = false;
   private readonly excludedUpstreams = new Set<string>();
   private cancelTimer: ports.Cancel = () => undefined;
@@ -74,10 +78,31 @@
 
   constructor(options: GenerationRelayOptions) {
     this.options = options;
+    this.flow = new flowControl.FlowControl({
+      now: () => options.timers.now(),
+      onBlocked: () => {
+        this.watchCaller();
+      },
+      onDrained: () => {
+        this.stopStallWatch();
+      },
+    });
   }
 
-  private now(): number {
-    return this.options.timers.now();
+  /** Lets go of a caller that takes nothing, so that its generation does not run for nobody. */
+  private watchCaller(): void {
+    const { caller, timers } = this.options;
+    const { connection } = caller;
+    if (connection === undefined) {
+      return;
+    }
+    this.stopStallWatch = stallWatch.start({
+      ...{ timers, limit: stallWatch.MINIMUM_CALLER_STALL, takenBytes: connection.takenBytes },
+      onStalled: () => {
+        connection.abort();
+        this.onCallerDisconnect();
+      },
+    });
   }
 
   /** Starts a new request. */
@@ -91,7 +116,7 @@
     this.generation = generation;
     this.nextIndex = nextIndex;
     this.tokenPrefix = this.options.host.issueTokenPrefix(target, generation);
-    this.lastProgressAt = this.now();
+    this.lastProgressAt = this.flow.readingTime();
     this.options.caller.sendAccepted(`${this.tokenPrefix}.${nextIndex}`);
     this.reconnect();
   }
@@ -152,7 +177,7 @@
     this.nextIndex = 0;
     this.resumesWithoutProgress = 0;
     this.connectionsOfGeneration = 0;
-    this.lastProgressAt = this.now();
+    this.lastProgressAt = this.flow.readingTime();
     this.tokenPrefix = host.issueTokenPrefix(target, this.generation);
     if (isRestart) {
       caller.sendRestart(`${this.tokenPrefix}.0`);
@@ -171,6 +196,11 @@
     this.accepted = false;
     const connectionNumber = this.connectionNumber;
     const isCurrent = (): boolean => connectionNumber === this.connectionNumber && !this.isFinished;
+    this.connection = undefined;
+    this.flow.attach({
+      pause: () => this.connection?.pause(),
+      resume: () => this.connection?.resume(),
+    });
     const connection = open({
       onAccepted: () => {
         if (isCurrent()) {
@@ -194,13 +224,16 @@
     });
     if (isCurrent()) {
       this.connection = connection;
+      if (this.flow.isPaused) {
+        connection.pause();
+      }
       this.startIdleTimer(this.options.settings.openTimeout);
     }
   }
 
   private startIdleTimer(timeout: number): void {
     this.cancelTimer();
-    if (!this.paused && !this.isFinished) {
+    if (!this.flow.isPaused && !this.isFinished) {
       this.cancelTimer = this.options.timers.after(timeout, () => {
         this.onIdleTimeout(timeout);
       });
@@ -220,32 +253,33 @@
     }
     this.nextIndex += 1;
     this.resumesWithoutProgress = 0;
-    this.lastProgressAt = this.now();
+    this.lastProgressAt = this.flow.readingTime();
     if (this.nextIndex % PROGRESS_REPORT_INTERVAL === 1) {
       this.options.host.onProgress(this.nextIndex);
     }
-    const canTakeMore = this.options.caller.sendToken(`${this.tokenPrefix}.${this.nextIndex}`, index, data);
-    if (!canTakeMore) {
-      this.pause();
-    }
+    this.flow.recordWrite(
+      this.options.caller.sendToken(`${this.tokenPrefix}.${this.nextIndex}`, index, data),
+    );
     this.startIdleTimer(this.options.settings.stallTimeout);
   }
 
-  private pause(): void {
-    // Applies back pressure to the engine; reading further would buffer tokens without limit.
-    this.paused = true;
-    this.cancelTimer();
-    this.connection?.pause();
-  }
-
   onDrain(): void {
-    if (this.paused && !this.isFinished) {
-      this.paused = false;
+    const wasPaused = this.flow.isPaused;
+    this.flow.recordDrain();
+    // A connection that is lost has a timer of its own.
+    if (wasPaused && !this.isFinished) {
       this.startIdleTimer(this.options.settings.stallTimeout);
-      this.connection?.resume();
     }
   }
 
+  /** Ends the timers and the reads of a relay that has finished. */
+  private release(): void {
+    this.isFinished = true;
+    this.cancelTimer();
+    this.stopStallWatch();
+    this.flow.detach();
+  }
+
   private onCompleted(generation: string, count: number): void {
     if (generation !== this.generation) {
       this.options.host.onEventDiscarded();
@@ -255,8 +289,7 @@
       this.reconnectWithinLimit();
       return;
     }
-    this.isFinished = true;
-    this.cancelTimer();
+    this.release();
     this.options.host.onReleased(this.target?.name ?? '', this.nextIndex, 'whole');
     this.options.caller.complete(count);
     this.options.host.onFinished();
@@ -277,7 +310,7 @@
     }
     // An engine that accepts connections but sends no tokens is overloaded, or the generation is stuck. A
     // preempted generation continues later, so it is abandoned only after `silenceLimit`.
-    if (this.now() - this.lastProgressAt >= settings.silenceLimit) {
+    if (this.flow.readingTime() - this.lastProgressAt >= settings.silenceLimit) {
       this.abandonUpstream('stall');
       return;
     }
@@ -322,6 +355,7 @@
       this.abandonUpstream('failure');
       return;
     }
+    this.flow.detach();
     // A partitioned link fails at once; the delay lets a short partition end before the attempts run out.
     this.cancelTimer();
     const delay = this.options.settings.resumePause * this.resumesWithoutProgress;
@@ -357,6 +391,7 @@
     const { target } = this;
     this.cancelTimer();
     this.connectionNumber += 1;
+    this.flow.detach();
     this.connection?.close();
     this.connection = undefined;
     if (target !== undefined) {
@@ -403,8 +438,7 @@
   }
 
   private refuse(refusal: types.Refusal): void {
-    this.isFinished = true;
-    this.cancelTimer();
+    this.release();
     this.options.caller.refuse(refusal);
     this.options.host.onFinished();
   }
@@ -415,8 +449,7 @@
     }
     const { host, engines, timers, settings } = this.options;
     const { target, generation, nextIndex } = this;
-    this.isFinished = true;
-    this.cancelTimer();
+    this.release();
     this.cancelPlacement();
     this.connection?.close();
     if (target === undefined || generation === '') {
--- a/packages/kumquatfront/src/streams/types.ts
+++ b/packages/kumquatfront/src/streams/types.ts
@@ -42,6 +42,7 @@
 
 /** A connection to an engine. */
 export interface GenerationConnection {
+  /** Stops reading and reporting; a few tokens that were read with the last one may still be reported. */
   pause(): void;
   resume(): void;
   /** Closes the connection; the engine retains the generation for a limited time. */
@@ -80,11 +81,21 @@
   readonly entries?: readonly string[];
 }
 
+/** The connection of a caller that is sent tokens as they arrive. */
+export interface CallerConnection {
+  /** Bytes that the caller has taken; they never fall. */
+  readonly takenBytes: () => number;
+  /** Closes the connection without the end of the stream. */
+  readonly abort: () => void;
+}
+
 /** Sends the events of a stream to its caller. */
 export interface GenerationCaller {
+  /** Undefined for a caller that waits for no token, whose `sendToken` never requests a pause. */
+  readonly connection?: CallerConnection | undefined;
   /** The request has a generation; with `resumeToken` the caller can resume it at any entry. */
   sendAccepted(resumeToken: string): void;
-  /** Sends one token; false requests a pause until `StreamHandle.onDrain` is called. */
+  /** Sends one token; false requests a pause until `StreamHandle.onDrain` is called, or the end of a caller that takes nothing. */
   sendToken(resumeToken: string, index: number, data: string): boolean;
   /** Discards all tokens sent so far; a new generation begins at index 0. */
   sendRestart(resumeToken: string): void;
--- a/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
+++ b/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
@@ -153,8 +153,8 @@
   {
     name: 'a relay that gives up its answer as it sends a token waits for nothing more',
     file: 'streams/generationRelay.js',
-    find: '!this.paused && !this.isFinished',
-    replace: '!this.paused',
+    find: '!this.flow.isPaused && !this.isFinished',
+    replace: '!this.flow.isPaused',
     scenario: GENERATIONS,
   },
   {
--- a/packages/scenarios/src/scripts/flowControlSafeguards.ts
+++ b/packages/scenarios/src/scripts/flowControlSafeguards.ts
@@ -9,6 +9,8 @@
 const CHECK = 'spec:streamOrigins/incarnationCheck';
 const PROTOCOL = 'spec:peerRelay/relayProtocol';
 const LOOPBACK = 'spec:adapters/slowCallers';
+const GENERATION = 'spec:streams/slowCallers';
+const OWN_LOOPBACK = 'spec:adapters/slowGenerations';
 
 /** Safeguards, each with the spec that must fail without it. */
 export const flowControlSafeguards: readonly types.Safeguard[] = [
@@ -194,4 +196,88 @@
     replace: '',
     scenario: LOOPBACK,
   },
+  {
+    name: 'a generation waits while its caller cannot take more',
+    file: 'streams/generationRelay.js',
+    find: 'this.flow.recordWrite(this.options.caller.sendToken(',
+    replace: 'void (this.options.caller.sendToken(',
+    scenario: GENERATION,
+  },
+  {
+    name: 'a generation goes on when its caller has drained',
+    file: 'streams/generationRelay.js',
+    find: 'this.flow.recordDrain();',
+    replace: '',
+    scenario: GENERATION,
+  },
+  {
+    name: 'a caller that takes no token frees its engine',
+    file: 'streams/generationRelay.js',
+    find: 'this.stopStallWatch = stallWatch.start({',
+    replace: 'this.stopStallWatch = (() => () => undefined)({',
+    scenario: GENERATION,
+  },
+  {
+    name: 'a caller that reads tokens slowly keeps its stream after it has drained',
+    file: 'streams/generationRelay.js',
+    find: 'onDrained: () => {\n                this.stopStallWatch();',
+    replace: 'onDrained: () => {',
+    scenario: GENERATION,
+  },
+  {
+    name: 'the watch of a caller ends with its stream',
+    file: 'streams/generationRelay.js',
+    find: 'this.cancelTimer();\n        this.stopStallWatch();',
+    replace: 'this.cancelTimer();',
+    scenario: GENERATION,
+  },
+  {
+    name: 'an engine is not taken for silent while it is not read',
+    file: 'streams/generationRelay.js',
+    find: 'if (!this.flow.isPaused && !this.isFinished) {',
+    replace: 'if (!this.isFinished) {',
+    scenario: GENERATION,
+  },
+  {
+    name: 'a pause does not count as silence of an engine',
+    file: 'streams/generationRelay.js',
+    find: 'if (this.flow.readingTime() - this.lastProgressAt',
+    replace: 'if (this.options.timers.now() - this.lastProgressAt',
+    scenario: GENERATION,
+  },
+  {
+    name: 'a drain leaves the timer of a lost connection as it is',
+    file: 'streams/generationRelay.js',
+    find: 'if (wasPaused && !this.isFinished) {',
+    replace: 'if (!this.isFinished) {',
+    scenario: GENERATION,
+  },
+  {
+    name: 'the events of a read are parsed as far as their caller takes them',
+    file: 'adapters/generationConnection.js',
+    find: 'while (!this.isPaused && ',
+    replace: 'while (',
+    scenario: OWN_LOOPBACK,
+  },
+  {
+    name: 'the events that were read before a pause are parsed after it',
+    file: 'adapters/generationConnection.js',
+    find: 'if (!this.parse()) {',
+    replace: 'if (false) {',
+    scenario: OWN_LOOPBACK,
+  },
+  {
+    name: 'the end of a generation comes after the events that were read before it',
+    file: 'adapters/generationConnection.js',
+    find: 'if (this.unparsed.length === 0) {',
+    replace: 'if (true) {',
+    scenario: OWN_LOOPBACK,
+  },
+  {
+    name: 'the connection of a caller that takes no token is closed',
+    file: 'adapters/generationResponses.js',
+    find: 'response.destroy();',
+    replace: '',
+    scenario: OWN_LOOPBACK,
+  },
 ];
--- a/packages/scenarios/src/scripts/servingSafeguards.ts
+++ b/packages/scenarios/src/scripts/servingSafeguards.ts
@@ -51,9 +51,9 @@
   },
   {
     name: 'a slow caller pauses the stream at the engine',
-    file: RELAY,
-    find: 'if (!canTakeMore) {',
-    replace: 'if (false) {',
+    file: 'flowControl/flowControl.js',
+    find: 'if (canTakeMore) {',
+    replace: 'if (true) {',
     scenario: 'stream-slow-caller',
   },
   {
