What a caller sends ahead is collected in blocks, and its memory is counted

What was seen: while a request is served, the bytes that its caller sends behind it wait, up to 4 MiB and 64 KiB for a connection. Each read was kept: single bytes, which a slow link or a hostile caller sends, are one object each, far beyond the bound on the memory of all requests.

Cause: adapters/connectionGate kept a list of reads, and reported their bytes.

Change: what waits is collected by buffers/byteCollector, which now gives out its oldest block, so that a body of megabytes that waits is released as it is parsed. The memory that holds it counts in the bound on all requests, and its objects in held.pieces.

A property of byteCollector.spec takes blocks while others arrive.

--- a/packages/kumquatfront/src/adapters/boundedServer.spec.ts
+++ b/packages/kumquatfront/src/adapters/boundedServer.spec.ts
@@ -6,6 +6,7 @@
 import type * as http from 'node:http';
 import * as net from 'node:net';
 import * as test from 'node:test';
+import * as v8 from 'node:v8';
 
 import * as defaultBounds from '../callerBounds/defaultBounds.js';
 import * as heldRequests from '../callerBounds/heldRequests.js';
@@ -346,3 +347,31 @@
     client.socket.destroy();
   });
 });
+
+// Guards against a heap that is full of the objects of single bytes, which a client sends behind a request while that is served.
+void test.test(
+  'bytes ahead that arrive one by one are held in few objects, and served as they were sent',
+  async () => {
+    const sent = `POST /b HTTP/1.1\r\nHost: b\r\nContent-Length: 99000\r\n\r\n${'0123456789'.repeat(9_900)}`;
+    await withServer({}, async ({ port, server, begun, requests, answer }) => {
+      const connected = events.EventEmitter.once(server, 'connection') as Promise<[net.Socket]>;
+      const client = new Client(port);
+      client.socket.write(GET);
+      const [socket] = await connected;
+      await until(() => begun.length === 1);
+      const before = v8.queryObjects(Uint8Array, { format: 'count' });
+      for (const byte of Buffer.from(sent)) {
+        socket.push(Buffer.alloc(1, byte));
+      }
+      const objects = v8.queryObjects(Uint8Array, { format: 'count' }) - before;
+      assert.ok(objects < 1_000, `${objects} objects`);
+      const { bytes, pieces } = requests.held();
+      assert.ok(bytes >= sent.length && bytes < sent.length + 66_000, `${bytes} bytes are counted`);
+      assert.ok(pieces >= 1 && pieces < 20, `${pieces} pieces are counted`);
+      answer();
+      await until(() => client.text.includes('99000 bytes'));
+      assert.equal(requests.held().bytes, 0);
+      client.socket.destroy();
+    });
+  },
+);
--- a/packages/kumquatfront/src/adapters/connectionGate.ts
+++ b/packages/kumquatfront/src/adapters/connectionGate.ts
@@ -5,6 +5,7 @@
 import type * as http from 'node:http';
 import type * as net from 'node:net';
 
+import * as byteCollector from '../buffers/byteCollector.js';
 import * as defaultBounds from '../callerBounds/defaultBounds.js';
 import type * as heldRequests from '../callerBounds/heldRequests.js';
 
@@ -100,9 +101,11 @@
   private readonly pass: (bytes: Buffer | null) => boolean;
   private readonly startReading: () => void;
   private readonly open: CurrentRequest[] = [];
-  /** Reads that are not parsed yet, in order. */
-  private readonly waiting: Buffer[] = [];
-  private waitingBytes = 0;
+  /** Bytes that are parsed next. */
+  private next: Buffer | undefined;
+  /** Bytes behind them: a client may send single bytes, each of which would keep an object until the request before is answered. */
+  private readonly behind = new byteCollector.ByteCollector();
+  private reportedBytes = 0;
   private headsAhead = 0;
   private chunksInPiece = 0;
   private stepsInTurn = 0;
@@ -199,11 +202,19 @@
   }
 
   private hold(bytes: Buffer): void {
-    const isFirst = this.waiting.length === 0;
-    this.waiting.push(bytes);
-    this.waitingBytes += bytes.length;
+    const isFirst = this.waitingBytes === 0;
+    this.behind.append(bytes);
     this.run();
-    this.checkAhead(isFirst ? this.waiting[0] : bytes);
+    this.checkAhead(isFirst ? this.takeNext() : bytes);
+  }
+
+  private get waitingBytes(): number {
+    return (this.next?.length ?? 0) + this.behind.size;
+  }
+
+  private takeNext(): Buffer | undefined {
+    this.next ??= this.behind.takeBlock();
+    return this.next;
   }
 
   private keepPace(bytes: number): void {
@@ -215,12 +226,12 @@
   }
 
   private clearWaiting(): void {
-    this.waiting.length = 0;
-    this.waitingBytes = 0;
+    this.next = undefined;
+    this.behind.clear();
   }
 
   private passEnd(): void {
-    if (this.hasEnded && this.waiting.length === 0) {
+    if (this.hasEnded && this.waitingBytes === 0) {
       this.hasEnded = false;
       this.pass(null);
     }
@@ -240,7 +251,7 @@
 
   /** The parser takes more, or the connection is to be read again. */
   private onDrained(): void {
-    if (this.waiting.length > 0) {
+    if (this.waitingBytes > 0) {
       this.run();
     } else if (!this.isPaused) {
       this.startReading();
@@ -258,7 +269,7 @@
     }
     this.isPassing = true;
     this.stepsInTurn = 0;
-    for (let next = this.waiting[0]; next !== undefined && this.canPass; next = this.waiting[0]) {
+    for (let next = this.takeNext(); next !== undefined && this.canPass; next = this.takeNext()) {
       this.passPiece(next);
     }
     this.isPassing = false;
@@ -269,12 +280,7 @@
   private passPiece(next: Buffer): void {
     const { request } = this;
     const length = this.pieceLength(next);
-    if (length === next.length) {
-      this.waiting.shift();
-    } else {
-      this.waiting[0] = next.subarray(length);
-    }
-    this.waitingBytes -= length;
+    this.next = length === next.length ? undefined : next.subarray(length);
     this.chunksInPiece = 0;
     if (request === undefined) {
       this.headsAhead = Math.max(0, this.headsAhead - 1);
@@ -313,7 +319,7 @@
       this.pieceBytes = CHUNKED_PIECE_BYTES;
     }
     this.stepsInTurn += 1 + this.chunksInPiece;
-    if (this.stepsInTurn >= STEPS_PER_TURN && this.waiting.length > 0) {
+    if (this.stepsInTurn >= STEPS_PER_TURN && this.waitingBytes > 0) {
       this.takeTurn();
     }
   }
@@ -327,9 +333,12 @@
   }
 
   private updateReading(): void {
-    const isFull = this.waitingBytes >= WAITING_BYTES && !this.isServing;
-    if (this.waitingBytes !== this.options.held.ahead) {
-      this.options.held.setAhead(this.waitingBytes);
+    const { waitingBytes } = this;
+    const isFull = waitingBytes >= WAITING_BYTES && !this.isServing;
+    if (waitingBytes !== this.reportedBytes) {
+      this.reportedBytes = waitingBytes;
+      const { length } = this.next ?? '';
+      this.options.held.setAhead(length + this.behind.memory, this.behind.pieces + (length > 0 ? 1 : 0));
     }
     const isStopped = isFull || this.isPaused;
     if (this.isReading !== isStopped) {
--- a/packages/kumquatfront/src/buffers/byteCollector.spec.ts
+++ b/packages/kumquatfront/src/buffers/byteCollector.spec.ts
@@ -112,3 +112,31 @@
   assert.ok(sliced.append(read.subarray(0, 1)) < 2_048);
   assert.notEqual(sliced.takeContent().buffer, read.buffer);
 });
+
+// Guards against bytes that are lost, or memory that stays counted, where blocks are taken while others arrive.
+void test.test('blocks that are taken in between have all bytes in order', () => {
+  const anyStep = fastCheck.oneof(anyPiece, fastCheck.constant('take' as const));
+  fastCheck.assert(
+    fastCheck.property(fastCheck.array(anyStep, { maxLength: 60 }), (steps) => {
+      const body = new byteCollector.ByteCollector();
+      const sent: Buffer[] = [];
+      const taken: Buffer[] = [];
+      for (const [index, step] of steps.entries()) {
+        if (step === 'take') {
+          taken.push(body.takeBlock() ?? Buffer.alloc(0));
+        } else {
+          const piece = Buffer.alloc(step, index % 251);
+          sent.push(piece);
+          body.append(piece);
+        }
+        assert.ok(body.memory >= body.size && body.memory - body.size < byteCollector.LARGEST_BLOCK);
+      }
+      for (let block = body.takeBlock(); block !== undefined; block = body.takeBlock()) {
+        taken.push(block);
+      }
+      assert.ok(Buffer.concat(taken).equals(Buffer.concat(sent)));
+      assert.deepEqual([body.size, body.memory, body.pieces], [0, 0, 0]);
+    }),
+    { numRuns: 200, seed: 78 },
+  );
+});
--- a/packages/kumquatfront/src/buffers/byteCollector.ts
+++ b/packages/kumquatfront/src/buffers/byteCollector.ts
@@ -101,6 +101,22 @@
     return content;
   }
 
+  /** The oldest bytes, which are removed: those of one block, so that no more than its free room is kept with them. */
+  takeBlock(): Buffer | undefined {
+    const block = this.blocks.shift();
+    if (block === undefined) {
+      return undefined;
+    }
+    this.memory -= block.length;
+    let bytes = block;
+    if (this.blocks.length === 0) {
+      bytes = block.subarray(0, block.length - this.free);
+      this.free = 0;
+    }
+    this.size -= bytes.length;
+    return bytes;
+  }
+
   /** Releases the memory. */
   clear(): void {
     this.blocks.length = 0;
--- a/packages/kumquatfront/src/callerBounds/heldRequests.spec.ts
+++ b/packages/kumquatfront/src/callerBounds/heldRequests.spec.ts
@@ -143,10 +143,10 @@
   const held = fixture.open('left');
   held.grow(1_000);
   held.serve();
-  held.setAhead(50_000);
+  held.setAhead(50_000, 1);
   held.close();
   assert.equal(fixture.requests.heldBytes, 0);
-  held.setAhead(20_000);
+  held.setAhead(20_000, 1);
   held.answer(300_000);
   assert.equal(fixture.requests.heldBytes, 0);
 });
--- a/packages/kumquatfront/src/callerBounds/heldRequests.ts
+++ b/packages/kumquatfront/src/callerBounds/heldRequests.ts
@@ -58,6 +58,8 @@
   lastByteAt: ports.Milliseconds = 0;
   /** Objects that hold the request, counted as they are added. */
   pieces = 0;
+  /** Objects that hold what waits behind it. */
+  private aheadPieces = 0;
   private isClosed = false;
 
   constructor(
@@ -83,10 +85,16 @@
     this.requests.recordGrowth({ bytes, pieces: 1 });
   }
 
-  /** Sets the bytes that wait behind the request that is being served. */
-  setAhead(bytes: number): void {
+  /** All objects that hold something. */
+  get allPieces(): number {
+    return this.pieces + this.aheadPieces;
+  }
+
+  /** Sets the bytes of memory, and the objects, that hold what waits behind the request that is being served. */
+  setAhead(bytes: number, pieces: number): void {
     this.change(() => {
       this.ahead = bytes;
+      this.aheadPieces = pieces;
     });
   }
 
@@ -131,6 +139,7 @@
       this.arriving = 0;
       this.served = 0;
       this.pieces = 0;
+      this.aheadPieces = 0;
       this.ahead = 0;
       this.unread = 0;
     });
@@ -182,7 +191,7 @@
   held(): heldMemoryTypes.Held {
     let pieces = 0;
     for (const connection of this.holding) {
-      pieces += connection.pieces;
+      pieces += connection.allPieces;
     }
     return { bytes: this.used, pieces };
   }
--- a/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
+++ b/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
@@ -11,6 +11,7 @@
 const ANSWERS = 'spec:adapters/generationResponses';
 const LINES = 'spec:adapters/lineSocket';
 const PEERS = 'spec:adapters/jsonRpcTransport';
+const SERVER = 'spec:adapters/boundedServer';
 const CHUNKS = 'spec:streams/completionChunk';
 const GENERATIONS = 'spec:streams/generationRelay';
 
@@ -193,4 +194,32 @@
     replace: 'if (true) {',
     scenario: PEERS,
   },
+  {
+    name: 'bytes that a caller sends ahead are collected in blocks',
+    file: 'adapters/connectionGate.js',
+    find: 'this.behind.append(bytes);',
+    replace: '(this.kept ??= []).push(bytes); this.behind.append(bytes);',
+    scenario: SERVER,
+  },
+  {
+    name: 'the memory of what a caller sends ahead is counted',
+    file: 'adapters/connectionGate.js',
+    find: 'length + this.behind.memory',
+    replace: 'length',
+    scenario: SERVER,
+  },
+  {
+    name: 'the free room of a block is not passed on with it',
+    file: 'buffers/byteCollector.js',
+    find: 'bytes = block.subarray(0, block.length - this.free);',
+    replace: '',
+    scenario: COLLECTOR,
+  },
+  {
+    name: 'no free room is left where the last block was taken',
+    file: 'buffers/byteCollector.js',
+    find: 'bytes = block.subarray(0, block.length - this.free);\n            this.free = 0;',
+    replace: 'bytes = block.subarray(0, block.length - this.free);',
+    scenario: COLLECTOR,
+  },
 ];
