The caller client takes no part of an answer for a whole one

What callers saw: `CallerClient.call` returned a part of an answer, or an empty one, as the outcome of a call, and failed for good with "the response contains no error message" for a part of a refusal that allows to repeat the call.

Cause: undici ends a body without a length or chunks with its connection, and does so also after a reset (it parses to the end on ECONNRESET), so that an entry that ends within such an answer is not seen.

Change: an entry tells the bytes that it has of such an answer (`Kumquatfront-Received`), and client/wholeBody accepts a body only with a length, chunks, that number, or where none can be; any other is a lost attempt, made again as before. A stream that is refused is read in the same way. Streams and lists of entries hold as they are: the last event, and JSON that must parse.

An unsolicited "100 Continue" of an entry is a failed attempt for undici; entries send none.

--- a/packages/kumquatfront/src/adapters/cutResponses.ts
+++ b/packages/kumquatfront/src/adapters/cutResponses.ts
@@ -254,6 +254,8 @@
   readonly isEarly?: boolean;
   /** What may be reported; {@link permitted} by default. */
   readonly permit?: typeof permitted;
+  /** All by default. */
+  readonly endings?: readonly Ending[];
 }
 
 /**
@@ -269,13 +271,13 @@
 export async function playAll(
   responses: readonly WholeBytes[],
   read: (upstream: CutUpstream, response: WholeBytes) => Promise<Reported>,
-  { isEarly = false, permit = permitted }: PlayOptions = {},
+  { isEarly = false, permit = permitted, endings = ENDINGS }: PlayOptions = {},
 ): Promise<readonly string[]> {
   const problems: string[] = [];
   const plays = responses.flatMap((response) => {
     const bytes = response.head + response.framedBody;
     return Array.from({ length: bytes.length + 1 }, (_none, sentBytes) =>
-      ENDINGS.map((ending) => ({ response, sentBytes, ending, bytes: bytes.slice(0, sentBytes) })),
+      endings.map((ending) => ({ response, sentBytes, ending, bytes: bytes.slice(0, sentBytes) })),
     ).flat();
   });
   const pending = plays.values();
--- a/packages/kumquatfront/src/adapters/entryHttp.ts
+++ b/packages/kumquatfront/src/adapters/entryHttp.ts
@@ -8,6 +8,7 @@
 import type * as entryNode from '../entryNode/entryNode.js';
 import type * as entryTypes from '../entryNode/types.js';
 import * as refusals from '../entryNode/refusals.js';
+import * as wholeBody from '../client/wholeBody.js';
 import * as failures from '../kernel/failures.js';
 import type * as responseMemory from '../relay/responseMemory.js';
 import * as trafficResolver from '../selectors/trafficResolver.js';
@@ -243,13 +244,16 @@
       },
       {
         respond: (answer, replayed) => {
-          const headers = { 'content-type': answer.contentType, 'idempotency-replayed': String(replayed) };
+          response.setHeader('content-type', answer.contentType);
+          response.setHeader('idempotency-replayed', String(replayed));
           if (answer.endsWithConnection === true) {
             // No more is claimed than is known: only the connection ends this answer, as it ended that of the service.
             response.shouldKeepAlive = false;
             response.useChunkedEncodingByDefault = false;
+            // A caller that reads this header can tell the end of this entry from that of the answer.
+            response.setHeader(wholeBody.RECEIVED_HEADER, Buffer.byteLength(answer.body));
           }
-          response.writeHead(answer.status, headers);
+          response.writeHead(answer.status);
           response.end(answer.body);
         },
         refuse: (refusal) => {
--- a/packages/kumquatfront/src/adapters/serviceAnswers.spec.ts
+++ b/packages/kumquatfront/src/adapters/serviceAnswers.spec.ts
@@ -9,6 +9,7 @@
 import type * as agreedState from '../agreedState/types.js';
 import type * as claimClient from '../claims/claimClient.js';
 import * as unboundedRequests from '../callerBounds/unboundedRequests.js';
+import * as wholeBody from '../client/wholeBody.js';
 import type * as entryNode from '../entryNode/entryNode.js';
 import type * as entryTypes from '../entryNode/types.js';
 import type * as ports from '../kernel/ports.js';
@@ -22,6 +23,7 @@
 import * as responseMemory from '../relay/responseMemory.js';
 import * as entryHttp from './entryHttp.js';
 import * as statsdMetrics from './statsdMetrics.js';
+import * as httpMessages from './httpMessages.js';
 import * as httpUpstreams from './httpUpstreams.js';
 
 const LOCAL = '127.0.0.1';
@@ -96,6 +98,8 @@
   readonly isReplay: boolean;
   /** Whether a length or the last chunk states that the body is whole. */
   readonly isFramed: boolean;
+  /** Number of bytes that the entry tells where the framing does not. */
+  readonly toldBytes: string | undefined;
 }
 
 /** Sends a call and reads its answer, which has an end. */
@@ -118,6 +122,7 @@
           ...{ status: response.statusCode ?? 0, body },
           isReplay: response.headers['idempotency-replayed'] === 'true',
           isFramed: length !== undefined || coding !== undefined,
+          toldBytes: httpMessages.header(response, wholeBody.RECEIVED_HEADER),
         });
       });
     });
@@ -133,7 +138,7 @@
   const read = async (upstream: cutResponses.CutUpstream): Promise<cutResponses.Reported> => {
     count += 1;
     const key = `key-${count}`;
-    const { status, body, isFramed } = await callOf(port, upstream, key);
+    const { status, body, isFramed, toldBytes } = await callOf(port, upstream, key);
     if (status !== 200) {
       return { hasHead: false, end: 'failed' };
     }
@@ -141,6 +146,9 @@
     if (!again.isReplay || again.body !== body || again.isFramed !== isFramed) {
       faults.push(JSON.stringify({ body, isFramed, again }));
     }
+    if (toldBytes !== (isFramed ? undefined : String(body.length))) {
+      faults.push(JSON.stringify({ body, isFramed, toldBytes }));
+    }
     if (!BODY.startsWith(body) || (isFramed && body !== BODY)) {
       faults.push(JSON.stringify({ body, isFramed }));
     }
--- a/packages/kumquatfront/src/client/callerClient.ts
+++ b/packages/kumquatfront/src/client/callerClient.ts
@@ -11,6 +11,7 @@
 import type * as ports from '../kernel/ports.js';
 import * as entryAddressCache from './entryAddressCache.js';
 import type * as types from './types.js';
+import * as wholeBody from './wholeBody.js';
 
 const CONNECT_TIMEOUT = 1_000;
 const RETRY_DELAY = 100;
@@ -191,7 +192,7 @@
     try {
       const response = await this.openStream(entry, path, body, state, abortController.signal);
       if (response.statusCode !== 200) {
-        return toRefusedAttempt(parseErrorBody(await response.body.text()));
+        return toRefusedAttempt(parseErrorBody(await wholeBody.read('POST', response)));
       }
       const resume = response.headers['kumquatfront-resume'];
       state.resumeToken = typeof resume === 'string' && state.resumeToken === '' ? resume : state.resumeToken;
@@ -349,7 +350,7 @@
           signal: AbortSignal.timeout(this.options.idleTimeout),
         },
       );
-      const text = await response.body.text();
+      const text = await wholeBody.read(method, response);
       const replayed = response.headers['idempotency-replayed'];
       if (replayed === undefined) {
         return toRefusedAttempt(parseErrorBody(text));
--- a/packages/scenarios/src/scripts/responseHeadSafeguards.ts
+++ b/packages/scenarios/src/scripts/responseHeadSafeguards.ts
@@ -151,4 +151,18 @@
     replace: 'answer',
     scenario: SERVICE_ANSWERS,
   },
+  {
+    name: 'an entry tells the bytes of an answer whose framing does not',
+    file: 'adapters/entryHttp.js',
+    find: 'response.setHeader(wholeBody.RECEIVED_HEADER, Buffer.byteLength(answer.body));',
+    replace: '',
+    scenario: SERVICE_ANSWERS,
+  },
+  {
+    name: 'the caller client takes no part of an answer without a length or chunks for a whole one',
+    file: 'client/wholeBody.js',
+    find: 'headers[RECEIVED_HEADER] !== String(bytes.length)',
+    replace: 'false',
+    scenario: 'spec:client/cutAnswers',
+  },
 ];
