Upstreams that stop after any byte, before the real processes

Test: each cut of seven forms of answers (POST, GET, HEAD; length, chunks, neither; plain, streamed, resumable), one call a cut, at an entry with its own connections, at one whose calls are relayed through it, and at one that drains twice meanwhile; ended or reset, in one or two pieces, partly before the body of the request has arrived. A caller gets no part that is framed as whole, an end by the connection only where the upstream has stated no more, and a whole answer of each form gets through.

Seen failing with an aborted response taken for one that has ended (adapters/singleUseConnection), and with answers without a length or chunks given a length (adapters/trafficHttp). Between two events of a stream without either, a living upstream's cut is passed on as an end, as docs/design/answer-completion.md says.

--- a/packages/soak/src/malformedSystem.ts
+++ b/packages/soak/src/malformedSystem.ts
@@ -77,12 +77,14 @@
    *
    * @param answerTo - answers of the upstreams behind the routes `fragile`, `stream` and `notes`
    * @param nodeOptions - options of Node.js for the processes
+   * @param entryCount - number of entries
    */
   static async start(
     answerTo: rawUpstreams.RawUpstreamsOptions['answerTo'],
     nodeOptions: readonly string[] = [],
+    entryCount = ENTRY_COUNT,
   ): Promise<MalformedSystem> {
-    const processes = await smallSystem.SmallSystem.start(ENTRY_COUNT, { nodeOptions });
+    const processes = await smallSystem.SmallSystem.start(entryCount, { nodeOptions });
     const sound = processes.startUpstream('sound', 'app', '127.0.25.1');
     const upstreams = await rawUpstreams.RawUpstreams.start({
       ...{ port: processes.ports.instance, controlAddress: processes.controlAddress, answerTo },
