--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -91,6 +91,7 @@
 export * as singleUseConnection from './adapters/singleUseConnection.js';
 export * as wholeResponse from './adapters/wholeResponse.js';
 export * as trafficHttp from './adapters/trafficHttp.js';
+export * as cutResponses from './adapters/cutResponses.js';
 export * as virtualTime from './kernel/virtualTime.js';
 export * as prometheusMetrics from './adapters/prometheusMetrics.js';
 export type * as entryCapacity from './entryLoad/entryCapacity.js';
