Clients of entries and of control read bodies within a bound

What callers saw: callerClient held whatever an address sent, for as long as bytes came; an answer without end was lost, and asked for again until the deadline, with "No entry is reachable". The command did the same for control, and had no time limit for the addresses of an entry.

Cause: bodies were read by text() and json() of undici, which have no bound, and events by a parser that keeps an incomplete one whole.

Change: client/responseBody reads text through buffers/byteCollector and closes the connection beyond 4 MiB, the largest answer of a service; 16 MiB from control, whose lists have all objects of a kind. Events of streams are split by relay/eventSplitter, 4 MiB for one. What is too large fails once, as outcomeUnknown in the client and tooLarge in the command, with the size in the message. The addresses of an entry have 5 s.

--- a/packages/command/src/operatorClient.ts
+++ b/packages/command/src/operatorClient.ts
@@ -34,6 +34,9 @@
   readonly silent: readonly string[];
 }
 
+/** Bytes of an answer: four times the largest object of a configuration, as a list has all of a kind. */
+const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
+
 const REQUEST_TIMEOUT = 5_000;
 const MAXIMUM_ATTEMPTS = 12;
 const RETRY_DELAY = 300;
@@ -65,11 +68,21 @@
         body: body === undefined ? undefined : JSON.stringify(body),
         signal: AbortSignal.timeout(REQUEST_TIMEOUT),
       });
-      const answer = (await response.body.json()) as { error?: kumquatfront.failures.Failure };
+      const text = await kumquatfront.responseBody.readText(response.body, MAXIMUM_ANSWER_BYTES);
+      const answer = JSON.parse(text) as { error?: kumquatfront.failures.Failure };
       return answer.error === undefined
         ? kumquatfront.results.Ok(answer)
         : kumquatfront.results.Err(answer.error);
-    } catch {
+    } catch (error: unknown) {
+      if (error instanceof kumquatfront.responseBody.TooLargeError) {
+        return kumquatfront.results.Err(
+          kumquatfront.failures.create(
+            'tooLarge',
+            `Control replica ${address}: ${error.message}.`,
+            'Ask for one object by its name, and check that the address is that of control.',
+          ),
+        );
+      }
       const remedy = 'Check the address, and that the control daemon is running.';
       return kumquatfront.results.Err(
         kumquatfront.failures.create('unreachable', `Control replica ${address} did not respond.`, remedy),
--- a/packages/command/src/systemCommands.ts
+++ b/packages/command/src/systemCommands.ts
@@ -11,6 +11,9 @@
 import * as commandRunner from './commandRunner.js';
 import type * as operatorClient from './operatorClient.js';
 
+/** Time for an entry to publish its addresses. */
+const ADDRESSES_TIMEOUT = 5_000;
+
 /**
  * `status`: shows control replicas, entries, and how many entries have the accepted configuration version in force.
  *
@@ -145,18 +148,22 @@
   entry: string,
 ): commandRunner.CommandResult {
   try {
-    const response = await undici.request(`${entry}/v1/entries`);
-    const answer = (await response.body.json()) as {
+    const response = await undici.request(`${entry}/v1/entries`, {
+      signal: AbortSignal.timeout(ADDRESSES_TIMEOUT),
+    });
+    const answer = JSON.parse(await kumquatfront.responseBody.readText(response.body)) as {
       entries: readonly { address: string; dataCentre: string }[];
     };
     return kumquatfront.results.Ok({
       rows: [['ADDRESS', 'DATA CENTRE'], ...answer.entries.map((item) => [item.address, item.dataCentre])],
       value: answer.entries,
     });
-  } catch {
+  } catch (error: unknown) {
     const remedy = 'Check the address; `kumquatfront status` lists the entries.';
     return kumquatfront.results.Err(
-      kumquatfront.failures.create('unreachable', `Entry ${entry} did not respond.`, remedy),
+      error instanceof kumquatfront.responseBody.TooLargeError
+        ? kumquatfront.failures.create('tooLarge', `Entry ${entry}: ${error.message}.`, remedy)
+        : kumquatfront.failures.create('unreachable', `Entry ${entry} did not respond.`, remedy),
     );
   }
 }
--- a/packages/kumquatfront/src/client/callerClient.ts
+++ b/packages/kumquatfront/src/client/callerClient.ts
@@ -9,7 +9,9 @@
 
 import * as results from '../kernel/results.js';
 import type * as ports from '../kernel/ports.js';
+import * as eventSplitter from '../relay/eventSplitter.js';
 import * as entryAddressCache from './entryAddressCache.js';
+import * as responseBody from './responseBody.js';
 import type * as types from './types.js';
 import * as wholeBody from './wholeBody.js';
 
@@ -66,6 +68,15 @@
   return { type: 'refused', failure, retryAfter: body.error?.retryAfterMilliseconds };
 }
 
+/** What is too large would be so again, and is not asked for a second time; any other attempt is lost. */
+function toFailedAttempt(error: unknown): AttemptResult {
+  if (!(error instanceof responseBody.TooLargeError)) {
+    return { type: 'lost' };
+  }
+  const message = `The answer was not read: ${error.message}.`;
+  return { type: 'refused', failure: { kind: 'outcomeUnknown', message }, retryAfter: undefined };
+}
+
 /** Sends streaming and plain-service requests of one client account. */
 export class CallerClient {
   private readonly options: types.CallerClientOptions;
@@ -197,8 +208,8 @@
       const resume = response.headers['kumquatfront-resume'];
       state.resumeToken = typeof resume === 'string' && state.resumeToken === '' ? resume : state.resumeToken;
       return await this.readStream(response.body, state, receiver, idleWatch.touch);
-    } catch {
-      return { type: 'lost' };
+    } catch (error: unknown) {
+      return toFailedAttempt(error);
     } finally {
       idleWatch.stop();
       abortController.abort();
@@ -261,9 +272,16 @@
         outcome = this.onEvent(event, state, receiver) ?? outcome;
       },
     });
+    const splitter = new eventSplitter.EventSplitter();
     for await (const chunk of body) {
       touch();
-      parser.feed(decoder.write(chunk as Buffer));
+      const complete = splitter.pushTogether(chunk as Buffer);
+      if (complete.length > 0) {
+        parser.feed(decoder.write(complete));
+      }
+      if (splitter.incompleteBytes > responseBody.MAXIMUM_BYTES) {
+        throw new responseBody.TooLargeError(responseBody.MAXIMUM_BYTES);
+      }
     }
     return outcome;
   }
@@ -356,8 +374,8 @@
         return toRefusedAttempt(parseErrorBody(text));
       }
       return { status: response.statusCode, body: text, replayed: replayed === 'true' };
-    } catch {
-      return { type: 'lost' };
+    } catch (error: unknown) {
+      return toFailedAttempt(error);
     }
   }
 
--- a/packages/kumquatfront/src/client/entryAddressCache.ts
+++ b/packages/kumquatfront/src/client/entryAddressCache.ts
@@ -4,6 +4,8 @@
  */
 import * as undici from 'undici';
 
+import * as responseBody from './responseBody.js';
+
 const FETCH_TIMEOUT = 1_000;
 
 /** Caches the entry addresses of one caller. */
@@ -54,7 +56,9 @@
         dispatcher: this.agent,
         signal: AbortSignal.timeout(FETCH_TIMEOUT),
       });
-      const answer = (await response.body.json()) as { entries: readonly { address: string }[] };
+      const answer = JSON.parse(await responseBody.readText(response.body)) as {
+        entries: readonly { address: string }[];
+      };
       const seconds = Number(/max-age=(\d+)/.exec(String(response.headers['cache-control']))?.[1] ?? 1);
       this.cachedAddresses = answer.entries.map((item) => item.address);
       this.expiresAt = this.now() + seconds * 1_000;
--- a/packages/kumquatfront/src/client/wholeBody.ts
+++ b/packages/kumquatfront/src/client/wholeBody.ts
@@ -6,6 +6,8 @@
  */
 import type * as undici from 'undici';
 
+import * as responseBody from './responseBody.js';
+
 /** Header that tells the number of bytes of a body whose framing does not. */
 export const RECEIVED_HEADER = 'kumquatfront-received';
 
@@ -16,7 +18,7 @@
  * Reads the body of an answer.
  *
  * @param method - method of the request
- * @returns the body as text; rejects if it is not known to be whole
+ * @returns the body as text; rejects if it is not known to be whole, or is too large
  * @example
  * ```ts
  * const text = await wholeBody.read('POST', await undici.request(url, options));
@@ -24,7 +26,7 @@
  */
 export async function read(method: string, answer: undici.Dispatcher.ResponseData): Promise<string> {
   const { statusCode, headers, body } = answer;
-  const bytes = Buffer.from(await body.arrayBuffer());
+  const bytes = await responseBody.read(body);
   const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
   const isEmpty = method === 'HEAD' || STATUSES_WITHOUT_BODY.has(statusCode);
   if (!isFramed && !isEmpty && headers[RECEIVED_HEADER] !== String(bytes.length)) {
--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -12,6 +12,7 @@
 export * as burnRecorder from './burn/burnRecorder.js';
 export * as callerConnections from './adapters/callerConnections.js';
 export * as callerClient from './client/callerClient.js';
+export * as responseBody from './client/responseBody.js';
 export type * as callerTypes from './client/types.js';
 export * as canonicalJson from './utils/canonicalJson.js';
 export * as balancingPolicy from './routing/balancingPolicy.js';
--- a/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
+++ b/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
@@ -12,6 +12,7 @@
 const LINES = 'spec:adapters/lineSocket';
 const PEERS = 'spec:adapters/jsonRpcTransport';
 const SERVER = 'spec:adapters/boundedServer';
+const CLIENT = 'spec:client/responseBody';
 const CHUNKS = 'spec:streams/completionChunk';
 const GENERATIONS = 'spec:streams/generationRelay';
 
@@ -222,4 +223,32 @@
     replace: 'bytes = block.subarray(0, block.length - this.free);',
     scenario: COLLECTOR,
   },
+  {
+    name: 'a body that a client reads has a bound',
+    file: 'client/responseBody.js',
+    find: 'collected.size + bytes.length > maximumBytes',
+    replace: 'collected.size > 50 * maximumBytes',
+    scenario: CLIENT,
+  },
+  {
+    name: 'a body that a client reads is collected in blocks',
+    file: 'client/responseBody.js',
+    find: 'collected.append(bytes);',
+    replace: '(collected.kept ??= []).push(bytes); collected.append(bytes);',
+    scenario: CLIENT,
+  },
+  {
+    name: 'an event that a client reads has a bound',
+    file: 'client/callerClient.js',
+    find: 'splitter.incompleteBytes > responseBody.MAXIMUM_BYTES',
+    replace: 'false',
+    scenario: CLIENT,
+  },
+  {
+    name: 'an answer that is too large is not asked for again',
+    file: 'client/callerClient.js',
+    find: '!(error instanceof responseBody.TooLargeError)',
+    replace: 'true',
+    scenario: CLIENT,
+  },
 ];
