Events that have not ended count with the responses that are held

What callers saw, had it happened: an entry above its memory. Each stream may hold up to 1 MiB of an event that has not ended, and nothing bounded all of them: an upstream that ends no event holds 1 MiB for each of its streams, 150 MB for 150 callers, none of it in a metric.

Cause: the bytes of an incomplete event were collected outside relay/responseMemory.

Change: relay/heldEvent collects them in a response of that memory, which is open only while an event is incomplete. The bound of 24 MiB on all and the kind "responses" of held memory count them; above the bound the largest is given up, with the line responseGivenUp, and its stream goes on or ends as with any event that does not end.

Tests: two new ones in endlessResponses.spec: 40 streams with 900,000 bytes of an event each stay within 24 MiB, and no event is passed on behind the end of its stream.

--- a/packages/kumquatfront/src/relay/endlessResponses.spec.ts
+++ b/packages/kumquatfront/src/relay/endlessResponses.spec.ts
@@ -171,3 +171,49 @@
   assert.deepEqual(found[0]?.bytes, event);
   assert.equal(splitter.incompleteBytes, 0);
 });
+
+// Guards against many events without end at once: each is below its bound, together they fill the memory of the entry.
+void test.test('events that do not end are bounded together, with all responses that are held', () => {
+  const harness = new relayTestHarness.RelayTestHarness(['i1']);
+  const { context, sentCalls, placements, time } = harness;
+  for (let count = 0; count < 40; count += 1) {
+    placements.push('i1');
+    const routed = harness.createRoutedRequest('stream', { resumable: false });
+    new streamExchange.StreamExchange(context, routed).start();
+    time.advance(1);
+  }
+  assert.equal(sentCalls.length, 40);
+  for (const { listener } of sentCalls) {
+    listener.head(relayTestHarness.okHead);
+    listener.data(relayTestHarness.streamEvent(1));
+    listener.data(Buffer.alloc(900_000, 'x'));
+  }
+  const { bytes } = context.responseMemory.held();
+  assert.ok(bytes > 20 * MEBIBYTE.length && bytes <= 24 * MEBIBYTE.length, `${bytes} bytes`);
+  const open = sentCalls.filter(({ cancelled }) => !cancelled);
+  assert.ok(open.length >= 22 && open.length <= 27, `${open.length} streams`);
+  const [ended, failed, ...others] = open;
+  ended?.listener.end();
+  failed?.listener.failed('broken', 'the connection closed');
+  for (const { listener } of others) {
+    listener.data(Buffer.from('\n\n'));
+  }
+  assert.equal(context.responseMemory.held().bytes, 0);
+  assert.ok(others.every(({ cancelled }) => !cancelled));
+});
+
+// Guards against an event that is passed on behind the end of its stream, in the read whose rest is given up.
+void test.test('a stream whose event is given up passes on nothing more', () => {
+  const harness = streamRequest(false);
+  const first = firstCall(harness);
+  first.listener.head(relayTestHarness.okHead);
+  for (let count = 0; count < 245; count += 1) {
+    harness.context.responseMemory
+      .openResponse(() => assert.fail('the event is larger'))
+      .add(Buffer.alloc(100_000));
+  }
+  first.listener.data(relayTestHarness.streamEvent(1));
+  first.listener.data(Buffer.concat([relayTestHarness.streamEvent(2), Buffer.alloc(1_000_000, 'x')]));
+  assert.equal(first.cancelled, true);
+  assert.deepEqual(harness.callerEvents, ['begin', '1', 'abort']);
+});
--- a/packages/kumquatfront/src/relay/eventSplitter.ts
+++ b/packages/kumquatfront/src/relay/eventSplitter.ts
@@ -66,10 +66,22 @@
   return Math.max(...ends);
 }
 
+/** Holds the bytes of an event until it is complete. */
+export interface EventCollector {
+  /** Bytes held. */
+  readonly size: number;
+  append(bytes: Uint8Array): void;
+  /** All bytes in order; nothing is held afterwards. */
+  takeContent(): Buffer;
+}
+
 /** Incremental splitter of one event stream. */
 export class EventSplitter {
-  /** Bytes received after the last complete event. */
-  private readonly incomplete = new byteCollector.ByteCollector();
+  /**
+   * @param incomplete - holds the bytes after the last complete event
+   */
+  constructor(private readonly incomplete: EventCollector = new byteCollector.ByteCollector()) {}
+
   /** Last of them, as far as they may belong to a terminator. */
   private tail: Buffer = NO_BYTES;
 
--- a/packages/kumquatfront/src/relay/streamSegment.ts
+++ b/packages/kumquatfront/src/relay/streamSegment.ts
@@ -7,6 +7,7 @@
 import type * as trafficTypes from '../traffic/types.js';
 import * as callerGap from './callerGap.js';
 import type * as exchangeContext from './exchangeContext.js';
+import * as heldEvent from './heldEvent.js';
 import * as heldResponse from './heldResponse.js';
 import * as responseClassification from './responseClassification.js';
 import * as eventSplitter from './eventSplitter.js';
@@ -52,7 +53,9 @@
   /** Longest time between two of its events. */
   longestPause: ports.Milliseconds = 0;
   private lastEventAt: ports.Milliseconds | undefined;
-  private readonly splitter = new eventSplitter.EventSplitter();
+  private readonly incomplete: heldEvent.HeldEvent;
+  private readonly splitter: eventSplitter.EventSplitter;
+  private listener: SegmentListener | undefined;
   private errorResponse: heldResponse.HeldResponse | undefined;
   /** Time at which the incomplete event began, by the clock of reading; undefined between events. */
   private eventBeganAt: ports.Milliseconds | undefined;
@@ -74,6 +77,12 @@
   ) {
     this.instance = instance;
     this.copy = copy;
+    this.incomplete = new heldEvent.HeldEvent(context.responseMemory, (reason) => {
+      if (this.listener !== undefined) {
+        this.breakOff(this.listener, reason);
+      }
+    });
+    this.splitter = new eventSplitter.EventSplitter(this.incomplete);
   }
 
   /**
@@ -87,6 +96,7 @@
     repeatable: boolean,
     listener: SegmentListener,
   ): void {
+    this.listener = listener;
     this.exchange = upstreams.send(call, {
       head: (head) => {
         this.ifOpen(() => {
@@ -146,6 +156,7 @@
   close(reason?: 'silent'): void {
     if (this.open) {
       this.open = false;
+      this.incomplete.release();
       this.errorResponse?.release();
       this.exchange?.cancel(reason);
     }
@@ -194,14 +205,14 @@
     listener: SegmentListener,
   ): string | undefined {
     for (const event of events) {
+      // The listener may have closed this segment, or the bytes behind the events were given up.
+      if (!this.open) {
+        return undefined;
+      }
       this.eventBeganAt = undefined;
       this.countComment(event);
       this.eventCount += 1;
       listener.event(event);
-      // The listener may have closed this segment.
-      if (!this.open) {
-        return undefined;
-      }
       if (this.comments.count > MAXIMUM_COMMENTS) {
         return `the stream has more than ${MAXIMUM_COMMENTS} comments without an event`;
       }
--- a/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
+++ b/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
@@ -13,6 +13,7 @@
 const PEERS = 'spec:adapters/jsonRpcTransport';
 const SERVER = 'spec:adapters/boundedServer';
 const CLIENT = 'spec:client/responseBody';
+const ENDLESS = 'spec:relay/endlessResponses';
 const CHUNKS = 'spec:streams/completionChunk';
 const GENERATIONS = 'spec:streams/generationRelay';
 
@@ -251,4 +252,32 @@
     replace: 'true',
     scenario: CLIENT,
   },
+  {
+    name: 'events that have not ended count with the responses that are held',
+    file: 'relay/streamSegment.js',
+    find: 'new eventSplitter.EventSplitter(this.incomplete)',
+    replace: 'new eventSplitter.EventSplitter()',
+    scenario: ENDLESS,
+  },
+  {
+    name: 'the room of an event is given back when it has ended',
+    file: 'relay/heldEvent.js',
+    find: 'this.release();\n        return content;',
+    replace: 'return content;',
+    scenario: ENDLESS,
+  },
+  {
+    name: 'the room of an event is given back when its stream is closed',
+    file: 'relay/streamSegment.js',
+    find: 'this.incomplete.release();',
+    replace: '',
+    scenario: ENDLESS,
+  },
+  {
+    name: 'no event of a read is passed on whose rest was given up',
+    file: 'relay/streamSegment.js',
+    find: 'if (!this.open) {\n                return undefined;',
+    replace: 'if (false) {\n                return undefined;',
+    scenario: ENDLESS,
+  },
 ];
