An entry near the limit of its heap gives up what frees the most

Refusing what is new does not stop what has begun: answers that arrive, heads and bodies in part, responses that another entry does not acknowledge.

Change: while the live heap is above 85 in 100 of its limit, heapShedding gives up what frees the most heap, one after the other, until the heap is expected below. Requests in part: 503 with a retry, since nothing has run. Streams with 16 KiB unread or more: the connection ends before the stream does. Answers that are held: 502 outcomeUnknown, no other upstream is asked, and the upstream is not blamed (new failure `givenUp`). What frees less than 16 KiB is kept, as are requests that were served whole. Then 50 ms pass, in which closed connections leave the figures. One line heapGivenUp for each, heap.shed counts by kind.

A request counts with the heap that it takes until its answer is complete, 24 KB and 4 bytes for each byte of its head. Before, it counted 110 bytes for each piece, and no kind explained a heap full of requests.

Tests: new ones in heldMemory/heapShedding, heldMemory/holders, relay/endlessResponses and peerRelay/relayProtocol.

--- a/packages/kumquatfront/src/adapters/connectionGate.ts
+++ b/packages/kumquatfront/src/adapters/connectionGate.ts
@@ -284,7 +284,7 @@
     this.chunksInPiece = 0;
     if (request === undefined) {
       this.headsAhead = Math.max(0, this.headsAhead - 1);
-      this.options.held.grow(length);
+      this.options.held.growHead(length);
     }
     if (this.isDiscarding) {
       return;
--- a/packages/kumquatfront/src/callerBounds/heldRequests.ts
+++ b/packages/kumquatfront/src/callerBounds/heldRequests.ts
@@ -22,6 +22,15 @@
 /** Reads of an interval of that pace, as a share of the bound. */
 const PACE_SHARE = 0.125;
 
+/**
+ * Heap of a request until its answer is complete: its connection, that to its upstream, their parsers and what is known of it. Two thousand
+ * requests that waited for an upstream took 23.6 KB each.
+ */
+const HEAP_BYTES_PER_REQUEST = 24_000;
+
+/** Heap for each byte of its head, whose fields are kept as texts: with heads of 8 KB the same requests took 56 KB each. */
+const HEAP_BYTES_PER_HEAD_BYTE = 4;
+
 /** Dependencies of {@link HeldRequests}. */
 export interface HeldRequestsOptions {
   readonly clock: ports.Clock;
@@ -60,6 +69,8 @@
   pieces = 0;
   /** Objects that hold what waits behind it. */
   private aheadPieces = 0;
+  /** Heap of the request beside the objects that hold its bytes. */
+  heapBytes = 0;
   private isClosed = false;
 
   constructor(
@@ -85,6 +96,16 @@
     this.requests.recordGrowth({ bytes, pieces: 1 });
   }
 
+  /** Counts bytes of a head; the first ones begin a request. */
+  growHead(bytes: number): void {
+    const heapBytes = (this.heapBytes === 0 ? HEAP_BYTES_PER_REQUEST : 0) + bytes * HEAP_BYTES_PER_HEAD_BYTE;
+    if (!this.isClosed) {
+      this.heapBytes += heapBytes;
+    }
+    this.grow(bytes);
+    this.requests.recordGrowth({ bytes: 0, pieces: 0, heapBytes });
+  }
+
   /** All objects that hold something. */
   get allPieces(): number {
     return this.pieces + this.aheadPieces;
@@ -118,6 +139,7 @@
     this.change(() => {
       this.served = 0;
       this.pieces = 0;
+      this.heapBytes = 0;
       this.unread = unreadBytes;
       this.since = this.requests.now;
     });
@@ -129,6 +151,7 @@
       this.arriving = 0;
       this.served = 0;
       this.pieces = 0;
+      this.heapBytes = 0;
       this.unread = 0;
     });
   }
@@ -140,6 +163,7 @@
       this.served = 0;
       this.pieces = 0;
       this.aheadPieces = 0;
+      this.heapBytes = 0;
       this.ahead = 0;
       this.unread = 0;
     });
@@ -190,10 +214,35 @@
   /** What all connections hold. */
   held(): heldMemoryTypes.Held {
     let pieces = 0;
+    let heapBytes = 0;
     for (const connection of this.holding) {
       pieces += connection.allPieces;
+      heapBytes += connection.heapBytes;
+    }
+    return { bytes: this.used, pieces, heapBytes };
+  }
+
+  /** The request in part that takes the most heap; nothing of it has run. */
+  largest(): heldMemoryTypes.LargestHeld | undefined {
+    let largest: HeldConnection | undefined;
+    for (const connection of this.holding) {
+      const isInPart = connection.arriving > 0 && connection.served === 0;
+      if (isInPart && connection.heapBytes > (largest?.heapBytes ?? 0)) {
+        largest = connection;
+      }
+    }
+    if (largest === undefined) {
+      return undefined;
     }
-    return { bytes: this.used, pieces };
+    const connection = largest;
+    const { arriving: bytes, pieces, heapBytes, port } = connection;
+    return {
+      held: { bytes, pieces, heapBytes },
+      fields: { listener: port.listener, bytes },
+      giveUp: () => {
+        this.refuse(connection, 'memory');
+      },
+    };
   }
 
   /** Sets what is called each time more is held. */
--- a/packages/kumquatfront/src/entryLoad/slowReaders.ts
+++ b/packages/kumquatfront/src/entryLoad/slowReaders.ts
@@ -19,6 +19,12 @@
 /** Time for which a caller must have read nothing before it is disconnected; one that reads slowly is kept. */
 const STALLED_AFTER: ports.Milliseconds = 5_000;
 
+/** Unread bytes from which a stream may be given up for the heap: its connection is full, so that its caller does not keep up. */
+const BEHIND_FROM = 16_384;
+
+/** Heap of the request of a stream, which ends with it; measured as that of callerBounds/heldRequests. */
+const HEAP_BYTES_PER_STREAM = 24_000;
+
 /** A response that is being sent to a caller. */
 export interface Reader {
   readonly request: string;
@@ -119,6 +125,32 @@
     return { bytes, pieces };
   }
 
+  /** The stream with the most unread bytes, if its caller does not keep up. */
+  largest(): heldMemoryTypes.LargestHeld | undefined {
+    let largest: TrackedReader | undefined;
+    let bytes = BEHIND_FROM - 1;
+    for (const tracked of this.tracked) {
+      const unread = tracked.isStream ? tracked.reader.unreadBytes() : 0;
+      if (unread > bytes) {
+        largest = tracked;
+        bytes = unread;
+      }
+    }
+    if (largest === undefined) {
+      return undefined;
+    }
+    const { reader, writes } = largest;
+    const tracked = largest;
+    return {
+      held: { bytes, pieces: writes, heapBytes: HEAP_BYTES_PER_STREAM },
+      fields: { request: reader.request, unread: bytes },
+      giveUp: () => {
+        this.tracked.delete(tracked);
+        reader.disconnect();
+      },
+    };
+  }
+
   /**
    * Disconnects callers of streams that have stalled: those above their own bound, then those with the most unread bytes
    * until the unread bytes of all are within the bound of the entry. Complete responses count but are never cut, since
--- a/packages/kumquatfront/src/heldMemory/heapShedding.spec.ts
+++ b/packages/kumquatfront/src/heldMemory/heapShedding.spec.ts
@@ -5,6 +5,7 @@
 import * as test from 'node:test';
 
 import * as heldMemoryTestHarness from './heldMemoryTestHarness.js';
+import type * as heldMemoryTypes from './types.js';
 
 const REFUSED = 'heap.shed 1 {"kind":"newRequest"}';
 
@@ -72,3 +73,68 @@
   harness.time.advance(1);
   assert.equal(shedding.isShedding, true);
 });
+
+/** Registers a holder of so many objects each, which frees them when they are given up; the largest is first. */
+function holdAll(
+  harness: heldMemoryTestHarness.HeldMemoryHarness,
+  kind: heldMemoryTypes.HolderKind,
+  heapBytes: readonly number[],
+): number[] {
+  const left = [...heapBytes];
+  const holder = harness.hold(kind, { bytes: 0, pieces: 0 });
+  const update = (): void => {
+    holder.held = { bytes: 0, pieces: 0, heapBytes: left.reduce((sum, size) => sum + size, 0) };
+    holder.largest = () => ({
+      held: { bytes: 0, pieces: 0, heapBytes: left[0] ?? 0 },
+      fields: { request: `${kind}-${left.length}` },
+      giveUp: () => {
+        left.shift();
+        update();
+      },
+    });
+  };
+  update();
+  return left;
+}
+
+// Guards against an entry that refuses what is new and is filled by what it has begun.
+void test.test(
+  'what frees the most heap is given up, one after the other, until the heap is below the level',
+  () => {
+    const harness = new heldMemoryTestHarness.HeldMemoryHarness();
+    harness.shed();
+    const relayed = holdAll(harness, 'relayed', [60_000, 30_000, 20_000]);
+    const requests = holdAll(harness, 'requests', [40_000, 24_000]);
+    harness.collect(940_000);
+    assert.deepEqual([relayed, requests], [[30_000, 20_000], [24_000]]);
+    assert.deepEqual(harness.linesOf('heapGivenUp'), [
+      'heapGivenUp {"kind":"relayed","request":"relayed-3","heap":60000,"live":940000,"limit":1000000}',
+      'heapGivenUp {"kind":"requests","request":"requests-2","heap":40000,"live":880000,"limit":1000000}',
+    ]);
+    assert.deepEqual(harness.counts, ['heap.shed 1 {"kind":"relayed"}', 'heap.shed 1 {"kind":"requests"}']);
+  },
+);
+
+// Guards against requests that are lost for a heap which they do not free.
+void test.test('what frees next to nothing is kept', () => {
+  const harness = new heldMemoryTestHarness.HeldMemoryHarness();
+  const shedding = harness.shed();
+  const responses = holdAll(harness, 'responses', [16_000, 16_000]);
+  harness.collect(990_000);
+  assert.equal(shedding.isShedding, true);
+  assert.equal(responses.length, 2);
+});
+
+// Guards against one fill that is counted twice, because what was given up is still counted by its holder.
+void test.test('what was given up has time to leave the figures before more is given up', () => {
+  const harness = new heldMemoryTestHarness.HeldMemoryHarness();
+  harness.shed();
+  const relayed = holdAll(harness, 'relayed', [60_000, 60_000, 60_000]);
+  harness.collect(860_000);
+  assert.equal(relayed.length, 2);
+  harness.collect(860_000);
+  assert.equal(relayed.length, 2);
+  harness.time.advance(100);
+  harness.collect(860_000);
+  assert.equal(relayed.length, 1);
+});
--- a/packages/kumquatfront/src/heldMemory/heapShedding.ts
+++ b/packages/kumquatfront/src/heldMemory/heapShedding.ts
@@ -1,6 +1,7 @@
 /**
- * Keeps an entry from running out of heap: near the limit it refuses new requests, of which nothing has run, until its heap is well below
- * the limit again. It is the last line behind the bounds of each part, for what none of them counts.
+ * Keeps an entry from running out of heap. Near the limit it refuses new requests, of which nothing has run, until its heap is well below
+ * the limit again, and gives up what frees the most heap, one after the other, until its heap is below the level. It is the last line
+ * behind the bounds of each part, for what none of them counts.
  */
 import type * as ports from '../kernel/ports.js';
 import type * as heldMemory from './heldMemory.js';
@@ -17,6 +18,12 @@
  */
 const COLLECTION_AGE: ports.Milliseconds = 1_000;
 
+/** Heap below which nothing is given up: a request is worth more than so small a part of the heap. */
+const LEAST_GAIN = 16_384;
+
+/** Time after which more is given up. What was given up leaves the figures of its holder when its connection is closed. */
+const SETTLE_TIME: ports.Milliseconds = 50;
+
 /** Delay for the retry of a refused request: the time after which this entry knows its heap anew. */
 export const RETRY_DELAY: ports.Milliseconds = COLLECTION_AGE;
 
@@ -34,6 +41,7 @@
   private readonly options: HeapSheddingOptions;
   private isNearLimit = false;
   private refused = 0;
+  private gaveUpAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: HeapSheddingOptions) {
     this.options = options;
@@ -64,7 +72,8 @@
     return this.isNearLimit;
   }
 
-  private update({ live, limit, collectionAge }: heldMemory.HeapState): void {
+  private update(state: heldMemory.HeapState): void {
+    const { live, limit, now, collectionAge } = state;
     const share = live / limit;
     if (!this.isNearLimit && share >= SHED_FROM) {
       this.isNearLimit = true;
@@ -75,8 +84,29 @@
       this.refused = 0;
       this.options.log.warn('newRequestsAccepted', { live: Math.round(live), limit, refused });
     }
+    if (share >= SHED_FROM && now - this.gaveUpAt >= SETTLE_TIME) {
+      this.giveUpLargest(state);
+    }
     if (this.isNearLimit && collectionAge >= COLLECTION_AGE) {
       this.options.collect();
     }
   }
+
+  /** Gives up the largest, one after the other, until the heap is expected below the level. */
+  private giveUpLargest({ live, limit, now }: heldMemory.HeapState): void {
+    const { log, metrics, memory } = this.options;
+    let expected = live;
+    while (expected >= limit * SHED_FROM) {
+      const largest = memory.largest();
+      if (largest === undefined || largest.heapBytes < LEAST_GAIN) {
+        return;
+      }
+      const { kind, heapBytes, fields } = largest;
+      log.warn('heapGivenUp', { kind, ...fields, heap: heapBytes, live: Math.round(expected), limit });
+      metrics.count('heap.shed', 1, { kind });
+      this.gaveUpAt = now;
+      expected -= heapBytes;
+      largest.giveUp();
+    }
+  }
 }
--- a/packages/kumquatfront/src/heldMemory/heldMemory.ts
+++ b/packages/kumquatfront/src/heldMemory/heldMemory.ts
@@ -36,6 +36,7 @@
 export interface HeapState {
   readonly live: number;
   readonly limit: number;
+  readonly now: ports.Milliseconds;
   /** Time since the last major collection. */
   readonly collectionAge: ports.Milliseconds;
 }
@@ -45,8 +46,16 @@
 
 const NOTHING: KindTotal = { bytes: 0, pieces: 0, heapBytes: 0 };
 
-function heapBytesOf({ isText, heapBytesPerPiece }: types.Holder, { bytes, pieces }: types.Held): number {
-  return pieces * heapBytesPerPiece + (isText ? bytes : 0);
+/** The largest of all that is held, as far as it can be given up. */
+export interface LargestOfAll extends types.LargestHeld {
+  readonly kind: types.HolderKind;
+  /** Heap that becomes free. */
+  readonly heapBytes: number;
+}
+
+function heapBytesOf({ isText, heapBytesPerPiece }: types.Holder, held: types.Held): number {
+  const { bytes, pieces, heapBytes = 0 } = held;
+  return pieces * heapBytesPerPiece + (isText ? bytes : 0) + heapBytes;
 }
 
 /** What a process holds; see the module comment. */
@@ -110,6 +119,19 @@
     this.check();
   }
 
+  /** What frees the most heap when it is given up. */
+  largest(): LargestOfAll | undefined {
+    let largest: LargestOfAll | undefined;
+    for (const holder of this.holders) {
+      const candidate = holder.largest?.();
+      const heapBytes = candidate === undefined ? 0 : heapBytesOf(holder, candidate.held);
+      if (candidate !== undefined && heapBytes > (largest?.heapBytes ?? 0)) {
+        largest = { ...candidate, kind: holder.kind, heapBytes };
+      }
+    }
+    return largest;
+  }
+
   /** What is held now, by kind. */
   totals(): Totals {
     const totals = new Map<types.HolderKind, KindTotal>();
@@ -135,8 +157,8 @@
     if (this.levels.update(live / reading.limit, timers.now())) {
       this.report(reading, live, totals);
     }
-    const collectionAge = timers.now() - this.collectedAt;
-    this.onChecked({ live, limit: reading.limit, collectionAge });
+    const now = timers.now();
+    this.onChecked({ live, limit: reading.limit, now, collectionAge: now - this.collectedAt });
   }
 
   /** A check right after growth would act on a holder in the middle of its work. */
--- a/packages/kumquatfront/src/heldMemory/heldMemoryTestHarness.ts
+++ b/packages/kumquatfront/src/heldMemory/heldMemoryTestHarness.ts
@@ -15,6 +15,7 @@
 export interface HarnessHolder {
   held: types.Held;
   reportGrowth: (growth: types.Held) => void;
+  largest: () => types.LargestHeld | undefined;
 }
 
 /** The registry with what it wrote. */
@@ -79,11 +80,17 @@
 
   /** Registers a holder whose figures the test sets, and which tells that it has grown when the test says so. */
   hold(kind: types.HolderKind, held: types.Held): HarnessHolder {
-    const state: HarnessHolder = { held, reportGrowth: () => undefined };
+    const state: HarnessHolder = {
+      held,
+      reportGrowth: () => undefined,
+      largest: () => undefined,
+    };
     const onGrowth = (callback: (growth: types.Held) => void): void => {
       state.reportGrowth = callback;
     };
-    this.memory.register(holders.of(kind, { held: () => state.held, onGrowth }));
+    this.memory.register(
+      holders.of(kind, { held: () => state.held, onGrowth, largest: () => state.largest() }),
+    );
     return state;
   }
 }
--- a/packages/kumquatfront/src/heldMemory/holders.ts
+++ b/packages/kumquatfront/src/heldMemory/holders.ts
@@ -9,6 +9,8 @@
   readonly held: () => types.Held;
   /** Sets what is called each time it comes to hold more. */
   readonly onGrowth?: (callback: (growth: types.Held) => void) => void;
+  /** The largest of what it holds, as far as it can be given up. */
+  readonly largest?: () => types.LargestHeld | undefined;
 }
 
 /** Heap for each piece, in bytes, and whether the bytes of the kind are texts, which lie in the heap. */
@@ -37,5 +39,6 @@
     onGrowth: (callback) => {
       countable.onGrowth?.(callback);
     },
+    largest: () => countable.largest?.(),
   };
 }
--- a/packages/kumquatfront/src/heldMemory/types.ts
+++ b/packages/kumquatfront/src/heldMemory/types.ts
@@ -2,6 +2,8 @@
  * What a process holds of others, by kind, and how its heap is read.
  */
 
+import type * as ports from '../kernel/ports.js';
+
 /**
  * Who fills the memory: requests of callers, operators and upstreams; answers of upstreams that are held until they are
  * complete; answers that callers have not read; what is relayed for other entries; messages between the processes; the log.
@@ -23,6 +25,17 @@
   readonly bytes: number;
   /** Objects that hold the bytes. */
   readonly pieces: number;
+  /** Heap beside the pieces and the texts. */
+  readonly heapBytes?: number;
+}
+
+/** The largest of what one holder holds, as far as it can be given up. */
+export interface LargestHeld {
+  readonly held: Held;
+  /** Names it in the log. */
+  readonly fields: ports.LogFields;
+  /** Gives it up; its caller is told what is true. */
+  readonly giveUp: () => void;
 }
 
 /** A part of the process that holds what others have sent, or have not read. */
@@ -35,7 +48,9 @@
   /** Whether the bytes lie in the heap, as those of texts do; the bytes of buffers lie outside. */
   readonly isText: boolean;
   /** Sets what is called each time the holder comes to hold more. */
-  readonly onGrowth?: ((callback: (growth: Held) => void) => void) | undefined;
+  readonly onGrowth?: (callback: (growth: Held) => void) => void;
+  /** The largest of what it holds; undefined if there is none that can be given up. */
+  readonly largest?: () => LargestHeld | undefined;
 }
 
 /** Memory of the process, in bytes. */
--- a/packages/kumquatfront/src/peerRelay/messages.ts
+++ b/packages/kumquatfront/src/peerRelay/messages.ts
@@ -114,13 +114,14 @@
  * - `open`: the events from a number on, none if nothing has happened for a while.
  * - `declined`: it was not sent.
  * - `unknown`: it has not arrived, and would be declined now; it was not sent.
- * - `lost`: it may have been sent, and its response is gone, as after a restart of the entry.
+ * - `lost`: it may have been sent, and its response is gone, as after a restart of the entry; `givenUp` if that entry gave it up for
+ *   lack of memory, which says nothing about the upstream. Earlier releases do not know the field.
  */
 export type RelayAnswer =
   | { readonly state: 'open'; readonly from: number; readonly events: readonly RelayEvent[] }
   | { readonly state: 'declined'; readonly reason: DeclineReason }
   | { readonly state: 'unknown' }
-  | { readonly state: 'lost' };
+  | { readonly state: 'lost'; readonly givenUp?: boolean };
 
 /** Cancels a relayed request. */
 export interface CancelRequest {
--- a/packages/kumquatfront/src/peerRelay/relayProtocol.spec.ts
+++ b/packages/kumquatfront/src/peerRelay/relayProtocol.spec.ts
@@ -57,6 +57,8 @@
   private readonly random = seededRandom.create(5);
   private readonly list: peerList.PeerList;
   private readonly origin = this.transport.portOf('origin');
+  /** The peer that was started last. */
+  server: relayServer.RelayServer | undefined;
   private readonly originTimers = timerService.create(this.time.clock, this.time);
 
   constructor(peerNames: readonly string[]) {
@@ -111,7 +113,7 @@
       copyMemory: () => undefined,
       releaseCopy: () => undefined,
     };
-    new relayServer.RelayServer({
+    this.server = new relayServer.RelayServer({
       ...this.basePorts(),
       timers: timerService.create(this.time.clock, this.time),
       peers: isEarlier ? withoutHold(this.transport.portOf(name)) : this.transport.portOf(name),
@@ -355,6 +357,31 @@
   );
 });
 
+// Guards against an upstream that is blamed, because the entry that relays is short of memory.
+void test.test('a peer that is short of memory gives the largest response up, and says that it did', () => {
+  const system = new RelaySystem(['p1']);
+  system.send();
+  system.send();
+  system.time.advance(100);
+  for (const [index, { listener }] of system.runs.entries()) {
+    listener.head(relayTestHarness.okHead);
+    listener.data(Buffer.alloc((index + 1) * 30_000));
+  }
+  const largest = system.server?.largest() ?? assert.fail('nothing is held');
+  assert.equal(largest.held.bytes, 80_000);
+  largest.giveUp();
+  assert.deepEqual(
+    system.runs.map(({ cancelled }) => cancelled),
+    [false, true],
+  );
+  assert.equal(system.server?.held().bytes, 40_000);
+  system.time.advance(100);
+  assert.deepEqual(
+    system.events.filter((event) => event === 'givenUp'),
+    ['givenUp'],
+  );
+});
+
 const PIECE = Buffer.alloc(32 * 1_024, 'x');
 
 /** Sends pieces until the peer does not read any more, or has taken far too many; returns their number. */
--- a/packages/kumquatfront/src/peerRelay/relayServer.ts
+++ b/packages/kumquatfront/src/peerRelay/relayServer.ts
@@ -74,12 +74,16 @@
   lastAskedAt: ports.Milliseconds;
 }
 
-/** Number of a past request: it was `void`ed before it arrived, or it is `lost`. */
+/** Number of a past request: it was `void`ed before it arrived, it is `lost`, or it was `givenUp` for lack of memory. */
 interface PastNumber {
-  readonly state: 'void' | 'lost';
+  readonly state: 'void' | 'lost' | 'givenUp';
   readonly at: ports.Milliseconds;
 }
 
+function lostAnswer(state: 'lost' | 'givenUp'): messages.RelayAnswer {
+  return { state: 'lost', ...(state === 'givenUp' && { givenUp: true }) };
+}
+
 /** Relays for other entries; see the module comment. */
 export class RelayServer {
   private readonly options: RelayServerOptions;
@@ -129,6 +133,25 @@
     return { bytes: this.totalBytes, pieces };
   }
 
+  /** The response of which most is not acknowledged. */
+  largest(): heldMemoryTypes.LargestHeld | undefined {
+    const [largest] = [...this.open].sort(
+      ([, one], [, other]) => other.unacknowledged.size - one.unacknowledged.size,
+    );
+    if (largest === undefined) {
+      return undefined;
+    }
+    const [id, { unacknowledged }] = largest;
+    const { size: bytes, pieces } = unacknowledged;
+    return {
+      held: { bytes, pieces },
+      fields: { relay: id, bytes },
+      giveUp: () => {
+        this.close(id, undefined, 'givenUp');
+      },
+    };
+  }
+
   /** Sets what is called each time more is held. */
   onGrowth(callback: (growth: heldMemoryTypes.Held) => void): void {
     this.reportGrowth = callback;
@@ -269,9 +292,9 @@
     }
     const relayed = this.open.get(id);
     if (relayed === undefined) {
-      const isLost = this.past.get(id)?.state === 'lost';
-      this.recordPast(id, isLost ? 'lost' : 'void');
-      answer({ state: isLost ? 'lost' : 'unknown' });
+      const state = this.past.get(id)?.state ?? 'void';
+      this.recordPast(id, state);
+      answer(state === 'void' ? { state: 'unknown' } : lostAnswer(state));
       return;
     }
     this.change(relayed, () => {
@@ -310,7 +333,7 @@
     });
   }
 
-  private close(id: string, reason?: 'silent'): void {
+  private close(id: string, reason?: 'silent', state: 'lost' | 'givenUp' = 'lost'): void {
     const relayed = this.open.get(id);
     if (relayed === undefined) {
       this.recordPast(id, this.past.get(id)?.state ?? 'void');
@@ -318,9 +341,9 @@
     }
     this.open.delete(id);
     this.totalBytes -= relayed.unacknowledged.size;
-    this.recordPast(id, 'lost');
+    this.recordPast(id, state);
     relayed.cancelWait();
-    relayed.waiting?.({ state: 'lost' });
+    relayed.waiting?.(lostAnswer(state));
     if (!relayed.isComplete) {
       relayed.exchange?.cancel(reason);
     }
--- a/packages/kumquatfront/src/peerRelay/relayedExchange.ts
+++ b/packages/kumquatfront/src/peerRelay/relayedExchange.ts
@@ -259,7 +259,11 @@
         }
         break;
       case 'lost':
-        this.fail('broken', 'the relaying entry no longer has the response');
+        if (answer.givenUp === true) {
+          this.fail('givenUp', 'the relaying entry gave the response up for lack of memory');
+        } else {
+          this.fail('broken', 'the relaying entry no longer has the response');
+        }
         break;
     }
   }
--- a/packages/kumquatfront/src/relay/bufferedAttempts.ts
+++ b/packages/kumquatfront/src/relay/bufferedAttempts.ts
@@ -54,10 +54,11 @@
       this.close(attempt);
       listener.responded(attempt, head);
     };
-    const response = new heldResponse.HeldResponse(this.context, (reason) => {
+    const endBy = (failure: types.ExchangeFailure) => (reason: string) => {
       attempt.cancel();
-      fail('garbled', reason);
-    });
+      fail(failure, reason);
+    };
+    const response = new heldResponse.HeldResponse(this.context, endBy('garbled'), endBy('givenUp'));
     balancer.recordDispatch(instance, timers.now());
     const { cancel } = upstreams.send(call, {
       head: (head) => {
--- a/packages/kumquatfront/src/relay/bufferedExchange.ts
+++ b/packages/kumquatfront/src/relay/bufferedExchange.ts
@@ -272,7 +272,7 @@
   }
 
   /** Retries after an attempt without a usable response if that is permitted, otherwise responds to the caller. */
-  private retryOrFinish(cause: 'notRun' | 'garbled' | 'broken' | 'upstreamFailed'): void {
+  private retryOrFinish(cause: 'notRun' | 'garbled' | 'broken' | 'givenUp' | 'upstreamFailed'): void {
     if (this.openAttempts.count > 0) {
       return;
     }
@@ -280,7 +280,9 @@
       this.refuseQuarantined();
       return;
     }
-    const mayRetry = (cause === 'notRun' || this.isIdempotent) && this.hasAttemptsLeft;
+    // The answer of another upstream would take the same room again.
+    const mayRepeat = this.isIdempotent && cause !== 'givenUp';
+    const mayRetry = (cause === 'notRun' || mayRepeat) && this.hasAttemptsLeft;
     if (mayRetry && this.needsSlot && this.takeRetry()) {
       this.sendNext();
       return;
@@ -302,7 +304,7 @@
       );
       return;
     }
-    this.finishFailed();
+    this.finishFailed(cause);
   }
 
   /** Refuses the request and cancels open attempts, so that its content crashes no further upstream. */
@@ -323,14 +325,19 @@
     this.finishFailed();
   }
 
-  private finishFailed(): void {
+  private finishFailed(cause = ''): void {
     const { last } = this.failedResponses;
     if (last !== undefined) {
       this.failedResponses.countUnlessRepeated();
       this.deliver(last.head, last.body);
       return;
     }
-    this.refuse('outcomeUnknown', 'the upstream did not send a complete response');
+    this.refuse(
+      'outcomeUnknown',
+      cause === 'givenUp'
+        ? 'the memory of an entry was nearly full, and the response was given up'
+        : 'the upstream did not send a complete response',
+    );
   }
 
   private onDeadline(): void {
--- a/packages/kumquatfront/src/relay/endlessResponses.spec.ts
+++ b/packages/kumquatfront/src/relay/endlessResponses.spec.ts
@@ -59,6 +59,27 @@
   assert.equal(harness.sentCalls.length, 1);
 });
 
+// Guards against an upstream that is blamed, and asked or followed by another, because this entry is short of memory.
+void test.test(
+  'a response that is given up for memory ends its request, and says nothing of its upstream',
+  () => {
+    for (const kind of ['idempotent', 'nonIdempotent'] as const) {
+      const harness = plainRequest(kind);
+      const failures: string[] = [];
+      harness.context.balancer.recordFailure = (identity) => failures.push(identity);
+      const first = firstCall(harness);
+      first.listener.head(relayTestHarness.okHead);
+      first.listener.data(MEBIBYTE);
+      harness.context.responseMemory.largest()?.giveUp();
+      assert.equal(first.cancelled, true);
+      assert.deepEqual(harness.callerEvents, ['refused outcomeUnknown']);
+      assert.equal(harness.sentCalls.length, 1);
+      assert.deepEqual(failures, []);
+      assert.deepEqual(harness.context.responseMemory.held(), { bytes: 0, pieces: 0 });
+    }
+  },
+);
+
 const useless: readonly (readonly [string, types.ResponseHead])[] = [
   ['states that the request did not run', relayTestHarness.notRunHead],
   ['is not of this request', { ...relayTestHarness.okHead, matchesRequest: false }],
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -187,14 +187,18 @@
  * Decides whether a failed attempt counts against its upstream in the health checks of this entry.
  *
  * @param failure - why the attempt failed
- * @returns false if nothing was sent because of this entry: an exclusion, or links that are cut
+ * @returns false if it failed because of an entry: nothing was sent for an exclusion or for links that are cut, or the response was given up
  * @example
  * ```ts
  * if (exchangeContext.countsAgainstUpstream(context, 'notSent')) balancer.recordFailure(identity, 'stall', now);
  * ```
  */
 export function countsAgainstUpstream(context: ExchangeContext, failure: types.ExchangeFailure): boolean {
-  return failure !== 'withheld' && !(failure === 'notSent' && context.isCutOff?.() === true);
+  return (
+    failure !== 'withheld' &&
+    failure !== 'givenUp' &&
+    !(failure === 'notSent' && context.isCutOff?.() === true)
+  );
 }
 
 /**
--- a/packages/kumquatfront/src/relay/heldResponse.ts
+++ b/packages/kumquatfront/src/relay/heldResponse.ts
@@ -19,15 +19,18 @@
 
   /**
    * @param giveUp - called with the reason when the response exceeds a bound; closes its connection
+   * @param shed - called instead when this entry needs its room; without it, the response is not given up for that
    */
   constructor(
     private readonly context: exchangeContext.ExchangeContext,
     private readonly giveUp: (reason: string) => void,
+    shed?: (reason: string) => void,
   ) {
-    this.buffer = context.responseMemory.openResponse((reason) => {
+    const ending = (end: (reason: string) => void) => (reason: string) => {
       this.cancelTimeout();
-      giveUp(reason);
-    });
+      end(reason);
+    };
+    this.buffer = context.responseMemory.openResponse(ending(giveUp), shed && ending(shed));
   }
 
   /** Records the head. */
--- a/packages/kumquatfront/src/relay/responseMemory.ts
+++ b/packages/kumquatfront/src/relay/responseMemory.ts
@@ -27,6 +27,7 @@
   constructor(
     private readonly responses: ResponseMemory,
     readonly giveUp: (reason: string) => void,
+    readonly shed: ((reason: string) => void) | undefined,
   ) {}
 
   /** Bytes of the response. */
@@ -87,9 +88,10 @@
    *
    * @param giveUp - called at most once, with the reason, when the response must not grow any more; the caller closes its
    * connection
+   * @param shed - called instead when this entry needs the room, whatever the response is; without it, it is not given up for that
    */
-  openResponse(giveUp: (reason: string) => void): ResponseBuffer {
-    const buffer = new ResponseBuffer(this, giveUp);
+  openResponse(giveUp: (reason: string) => void, shed?: (reason: string) => void): ResponseBuffer {
+    const buffer = new ResponseBuffer(this, giveUp, shed);
     this.open.add(buffer);
     return buffer;
   }
@@ -99,6 +101,28 @@
     return { bytes: this.used, pieces: this.pieces };
   }
 
+  /** The response that takes the most objects, if it may be given up. */
+  largest(): heldMemoryTypes.LargestHeld | undefined {
+    let largest: ResponseBuffer | undefined;
+    for (const buffer of this.open) {
+      if (buffer.shed !== undefined && buffer.pieces > (largest?.pieces ?? 0)) {
+        largest = buffer;
+      }
+    }
+    if (largest === undefined) {
+      return undefined;
+    }
+    const buffer = largest;
+    const { memory: bytes, pieces, shed } = buffer;
+    return {
+      held: { bytes, pieces },
+      fields: { bytes: buffer.size },
+      giveUp: () => {
+        this.discard(buffer, 'the memory of this entry is nearly full', shed);
+      },
+    };
+  }
+
   /** Sets what is called each time more is held. */
   onGrowth(callback: (growth: heldMemoryTypes.Held) => void): void {
     this.reportGrowth = callback;
@@ -134,8 +158,16 @@
       reason,
     });
     this.metrics.count('relayed.responses_given_up', 1);
+    this.discard(buffer, reason, buffer.giveUp);
+  }
+
+  private discard(
+    buffer: ResponseBuffer,
+    reason: string,
+    tell: ((reason: string) => void) | undefined,
+  ): void {
     this.release(buffer);
-    buffer.giveUp(reason);
+    tell?.(reason);
     buffer.clear();
   }
 
--- a/packages/kumquatfront/src/relay/streamRecovery.ts
+++ b/packages/kumquatfront/src/relay/streamRecovery.ts
@@ -111,7 +111,8 @@
     } else if (this.host.delivery.started) {
       this.host.outcome.abort(reason);
     } else {
-      this.host.outcome.refuse('outcomeUnknown', 'the upstream closed the stream before its first event');
+      const closed = 'the upstream closed the stream before its first event';
+      this.host.outcome.refuse('outcomeUnknown', failure === 'givenUp' ? reason : closed);
     }
   }
 
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -114,7 +114,14 @@
  * - `withheld`: not sent, because the upstream is temporarily excluded, runs other software than began the stream, or the
  *   request has a part that HTTP cannot represent; the failure does not count against the upstream.
  */
-export type ExchangeFailure = 'notSent' | 'broken' | 'garbled' | 'quarantined' | 'withheld';
+export type ExchangeFailure =
+  | 'notSent'
+  | 'broken'
+  | 'garbled'
+  /** An entry has given the response up for lack of memory, which says nothing about the upstream. */
+  | 'givenUp'
+  | 'quarantined'
+  | 'withheld';
 
 /** Callbacks of one exchange. Unless it is cancelled, either `end` or `failed` is called once, as the last. */
 export interface ExchangeListener {
--- a/packages/scenarios/src/scripts/heldMemorySafeguards.ts
+++ b/packages/scenarios/src/scripts/heldMemorySafeguards.ts
@@ -7,6 +7,8 @@
 const HOLDERS = 'spec:heldMemory/holders';
 const TRAFFIC = 'spec:adapters/trafficHttp';
 const OWN = 'spec:adapters/entryHttp';
+const ENDLESS = 'spec:relay/endlessResponses';
+const PROTOCOL = 'spec:peerRelay/relayProtocol';
 const STATUS = 'spec:trafficEntry/entryLoadStatus';
 
 /** Safeguards, each with the spec that must fail without it. */
@@ -14,7 +16,7 @@
   {
     name: 'near the limit of the heap, new requests are refused',
     file: 'heldMemory/heapShedding.js',
-    find: 'share >= SHED_FROM',
+    find: '!this.isNearLimit && share >= SHED_FROM',
     replace: 'false',
     scenario: SHEDDING,
   },
@@ -130,6 +132,111 @@
     replace: 'if (false) {',
     scenario: OWN,
   },
+  {
+    name: 'near the limit of the heap, what has begun is given up as well',
+    file: 'heldMemory/heapShedding.js',
+    find: 'this.giveUpLargest(state);',
+    replace: '',
+    scenario: SHEDDING,
+  },
+  {
+    name: 'no more is given up than brings the heap below the level',
+    file: 'heldMemory/heapShedding.js',
+    find: 'expected -= heapBytes;',
+    replace: '',
+    scenario: SHEDDING,
+  },
+  {
+    name: 'what frees next to nothing is kept',
+    file: 'heldMemory/heapShedding.js',
+    find: 'largest.heapBytes < LEAST_GAIN',
+    replace: 'false',
+    scenario: SHEDDING,
+  },
+  {
+    name: 'what was given up has time to leave the figures',
+    file: 'heldMemory/heapShedding.js',
+    find: '&& now - this.gaveUpAt >= SETTLE_TIME',
+    replace: '',
+    scenario: SHEDDING,
+  },
+  {
+    name: 'the largest of all kinds is given up first',
+    file: 'heldMemory/heldMemory.js',
+    find: 'heapBytes > (largest?.heapBytes ?? 0)',
+    replace: 'heapBytes > 0',
+    scenario: SHEDDING,
+  },
+  {
+    name: 'a request that may have run is not given up',
+    file: 'callerBounds/heldRequests.js',
+    find: 'connection.arriving > 0 && connection.served === 0',
+    replace: 'true',
+    scenario: HOLDERS,
+  },
+  {
+    name: 'the request in part that takes the most heap is given up first',
+    file: 'callerBounds/heldRequests.js',
+    find: 'connection.heapBytes > (largest?.heapBytes ?? 0)',
+    replace: 'connection.heapBytes > 0',
+    scenario: HOLDERS,
+  },
+  {
+    name: 'a stream whose caller keeps up is not given up',
+    file: 'entryLoad/slowReaders.js',
+    find: 'let bytes = BEHIND_FROM - 1;',
+    replace: 'let bytes = 0;',
+    scenario: HOLDERS,
+  },
+  {
+    name: 'a complete answer is not given up',
+    file: 'entryLoad/slowReaders.js',
+    find: 'tracked.isStream ? tracked.reader.unreadBytes() : 0',
+    replace: 'tracked.reader.unreadBytes()',
+    scenario: HOLDERS,
+  },
+  {
+    name: 'a response whose reader cannot tell that it was given up is kept',
+    file: 'relay/responseMemory.js',
+    find: 'buffer.shed !== undefined && ',
+    replace: '',
+    scenario: HOLDERS,
+  },
+  {
+    name: 'a response that is given up for memory is not one of a faulty upstream',
+    file: 'relay/bufferedAttempts.js',
+    find: "endBy('givenUp')",
+    replace: "endBy('garbled')",
+    scenario: ENDLESS,
+  },
+  {
+    name: 'a response that was given up for memory does not count against its upstream',
+    file: 'relay/exchangeContext.js',
+    find: "failure !== 'givenUp' &&",
+    replace: '',
+    scenario: ENDLESS,
+  },
+  {
+    name: 'a request whose response was given up for memory is not sent to another upstream',
+    file: 'relay/bufferedExchange.js',
+    find: "&& cause !== 'givenUp'",
+    replace: '',
+    scenario: ENDLESS,
+  },
+  {
+    name: 'a peer that gives a response up for memory says so',
+    file: 'peerRelay/relayServer.js',
+    find: "this.close(id, undefined, 'givenUp');",
+    replace: 'this.close(id);',
+    scenario: PROTOCOL,
+  },
+  {
+    name: 'an upstream is not blamed for what a peer gave up',
+    file: 'peerRelay/relayedExchange.js',
+    find: 'answer.givenUp === true',
+    replace: 'false',
+    scenario: PROTOCOL,
+  },
   {
     name: 'an entry whose heap is nearly full relays nothing for others',
     file: 'trafficEntry/trafficEntry.js',
