What only its connection ends is reset before a drained entry is killed

What callers saw: a 200 with a short body that ended in the ordinary way, when the process of a drained entry was killed at the end of its grace and the caller had not read all of an answer without a length or chunks. Streams to callers in HTTP/1.0 ended in the same way.

Cause: a kill sends a FIN on each connection, which completes such an answer. An entry answered what was open 200 ms before the kill, but had no hold on answers that were handed to the connection and not read.

Change: the server of the entry registers such an answer until it has been sent (`whenStopImminent`, relay/plannedStop), and resets its connection 200 ms before the kill. Answers with a length or chunks go on until then: their callers can tell.

--- a/packages/kumquatfront/src/adapters/trafficHttp.ts
+++ b/packages/kumquatfront/src/adapters/trafficHttp.ts
@@ -73,6 +73,8 @@
   readonly requests: heldRequests.HeldRequests;
   /** Time from the arrival of a request after which it can no longer be served; undefined if there is none. */
   readonly timeLimit?: (request: relayTypes.TrafficRequest) => ports.Milliseconds | undefined;
+  /** Registers a callback for the moment shortly before this process is killed; undefined if it is not known. */
+  readonly whenStopImminent?: (callback: () => void) => ports.Cancel;
   /** Load of the entry; undefined if it is not measured. */
   readonly load?: entryLoad.EntryLoad | undefined;
   /** Whether a new request must be refused because the heap is nearly full; asked once for each. */
@@ -221,10 +223,16 @@
     disconnect: abort,
   });
   const ended = load?.openRequest();
+  let cancelStop: ports.Cancel | undefined;
   outgoing.once('close', () => {
     reader?.remove();
     ended?.();
+    cancelStop?.();
   });
+  /** A kill ends the connections of the process in the ordinary way, which would complete an answer that nothing else ends. */
+  const abortBeforeStop = (): void => {
+    cancelStop = options.whenStopImminent?.(abort);
+  };
   const writeHead = (
     status: number,
     headers: readonly relayTypes.Header[],
@@ -245,6 +253,9 @@
       outgoing.appendHeader(name, value);
     }
     outgoing.writeHead(status);
+    if (!outgoing.chunkedEncoding && !outgoing.hasHeader('content-length')) {
+      abortBeforeStop();
+    }
   };
   const withoutLength = (headers: readonly relayTypes.Header[]): readonly relayTypes.Header[] =>
     headers.filter(([name]) => name.toLowerCase() !== 'content-length');
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -317,6 +317,15 @@
     return { ...status, ...this.load.status(), ...(isStarting && { readyFor }) };
   }
 
+  /**
+   * Registers a callback for the moment shortly before the process is killed.
+   *
+   * @returns a function that removes the callback
+   */
+  whenStopImminent(callback: () => void): ports.Cancel {
+    return this.plannedStop.whenImminent(callback);
+  }
+
   private get isDraining(): boolean {
     return this.plannedStop.answersBy !== undefined;
   }
--- a/packages/scenarios/src/scripts/responseHeadSafeguards.ts
+++ b/packages/scenarios/src/scripts/responseHeadSafeguards.ts
@@ -7,6 +7,7 @@
 const CONNECTIONS = 'spec:adapters/singleUseConnection';
 const OWN_INTERFACE = 'spec:adapters/httpUpstreams';
 const SERVICE_ANSWERS = 'spec:adapters/serviceAnswers';
+const STOPPED_ANSWERS = 'spec:adapters/stoppedAnswers';
 const FILE = 'adapters/responseHead.js';
 
 /** Safeguards, each with the spec that must fail without it. */
@@ -165,4 +166,25 @@
     replace: 'false',
     scenario: 'spec:client/cutAnswers',
   },
+  {
+    name: 'an unread answer that only its connection ends is reset before the process is killed',
+    file: 'adapters/trafficHttp.js',
+    find: 'abortBeforeStop();',
+    replace: '',
+    scenario: STOPPED_ANSWERS,
+  },
+  {
+    name: 'an answer that states its end goes on until the process is killed',
+    file: 'adapters/trafficHttp.js',
+    find: "if (!outgoing.chunkedEncoding && !outgoing.hasHeader('content-length')) {",
+    replace: 'if (true) {',
+    scenario: STOPPED_ANSWERS,
+  },
+  {
+    name: 'an answer that has been sent is not reset before the process is killed',
+    file: 'adapters/trafficHttp.js',
+    find: 'cancelStop?.();',
+    replace: '',
+    scenario: STOPPED_ANSWERS,
+  },
 ];
--- a/packages/soak/src/cutAnswers.isolated.spec.ts
+++ b/packages/soak/src/cutAnswers.isolated.spec.ts
@@ -11,6 +11,8 @@
 
 import * as malformedSystem from './malformedSystem.js';
 import * as receivedAnswer from './receivedAnswer.js';
+import * as sleep from './sleep.js';
+import type * as unreadCall from './unreadCall.js';
 
 const SEED = 78;
 
@@ -200,3 +202,58 @@
     system.stop();
   }
 });
+
+/** Grace of the entries in the test below, and time until their processes are killed: no machine is so slow that it is not over by then. */
+const STOP_GRACE_SECONDS = 1;
+const KILL_AFTER_MS = 4_000;
+
+/** Less than the largest answer that is relayed, and more than the kernel takes for a caller that does not read. */
+const UNREAD_BYTES = 7 * 1024 * 1024;
+
+/** An entry near the limit of its memory refuses more of them. */
+const UNREAD_CALLS = 2;
+
+/** Tries to reach an upstream, and time for its whole answer, in milliseconds. */
+const MAXIMUM_UNREAD_TRIES = 20;
+const ANSWER_WAIT_MS = 500;
+
+// Guards against a part of an answer that its caller takes for a whole one when the process of a drained entry is killed.
+void test.test('an answer that is not read before an entry is killed is no whole one', async () => {
+  const body = 'x'.repeat(UNREAD_BYTES);
+  const answerTo = (attempt: string): standIns.rawAnswerServer.RawAnswer => ({
+    bytes: `HTTP/1.1 200 OK\r\n${headers.attempt}: ${attempt}\r\n${headers.signature}: s\r\n\r\n${body}`,
+    then: 'end',
+  });
+  const settings = { stopGraceSeconds: STOP_GRACE_SECONDS };
+  const system = await malformedSystem.MalformedSystem.start(answerTo, [], 1, settings);
+  try {
+    const [entry] = system.entries;
+    assert.ok(entry);
+    const calls: unreadCall.UnreadCall[] = [];
+    for (let count = 0; calls.length < UNREAD_CALLS && count < MAXIMUM_UNREAD_TRIES; count += 1) {
+      const attempt = `unread-${count}`;
+      const call = system.open(entry, { method: 'GET', path: '/fragile/x', attempt });
+      // One answer at a time is held until it is complete.
+      await sleep.forMilliseconds(ANSWER_WAIT_MS);
+      if (system.upstreams.arrived.has(attempt)) {
+        calls.push(call);
+      }
+    }
+    assert.equal(calls.length, UNREAD_CALLS);
+    entry.signal('SIGTERM');
+    await sleep.forMilliseconds(KILL_AFTER_MS);
+    entry.signal('SIGKILL');
+    const results = await Promise.all(calls.map(({ read }) => read()));
+    const parts = results.map(({ bytes, wasReset }) => ({
+      hasBegun: bytes.startsWith('HTTP/1.1 200 '),
+      isPart: bytes.length < UNREAD_BYTES,
+      wasReset,
+    }));
+    assert.deepEqual(
+      parts,
+      calls.map(() => ({ hasBegun: true, isPart: true, wasReset: true })),
+    );
+  } finally {
+    system.stop();
+  }
+});
--- a/packages/soak/src/malformedSystem.ts
+++ b/packages/soak/src/malformedSystem.ts
@@ -13,6 +13,7 @@
 import * as smallSystem from './smallSystem.js';
 import type * as stubInstance from './stubInstance.js';
 import type * as supervisedProcess from './supervisedProcess.js';
+import * as unreadCall from './unreadCall.js';
 
 const ENTRY_COUNT = 2;
 const CUT_DETECTION_MS = 1_500;
@@ -78,13 +79,15 @@
    * @param answerTo - answers of the upstreams behind the routes `fragile`, `stream` and `notes`
    * @param nodeOptions - options of Node.js for the processes
    * @param entryCount - number of entries
+   * @param settings - fields of the settings files that replace the usual ones
    */
   static async start(
     answerTo: rawUpstreams.RawUpstreamsOptions['answerTo'],
     nodeOptions: readonly string[] = [],
     entryCount = ENTRY_COUNT,
+    settings: Readonly<Record<string, unknown>> = {},
   ): Promise<MalformedSystem> {
-    const processes = await smallSystem.SmallSystem.start(entryCount, { nodeOptions });
+    const processes = await smallSystem.SmallSystem.start(entryCount, { nodeOptions, settings });
     const sound = processes.startUpstream('sound', 'app', '127.0.25.1');
     const upstreams = await rawUpstreams.RawUpstreams.start({
       ...{ port: processes.ports.instance, controlAddress: processes.controlAddress, answerTo },
@@ -130,6 +133,12 @@
     });
   }
 
+  /** Sends a call of which the caller reads nothing yet. */
+  open(entry: supervisedProcess.SupervisedProcess, call: TestCall): unreadCall.UnreadCall {
+    const { host } = entry;
+    return unreadCall.open(host, this.processes.ports.caller, requestParts(call).join(''));
+  }
+
   /** Cuts the second entry off from all upstreams; its calls go through the first from then on. */
   async cutSecondEntry(): Promise<void> {
     this.entries[1]?.setUpstreamCut('newRefused');
