Answers and events of the own interface are bounded together

What callers saw, had it happened: an entry of the daemons above its memory. Each answer of a service may have 4 MiB and each event of an engine 1 MiB, and nothing bounded all of them: fifty answers that do not end are 200 MB.

Cause: adapters/wholeResponse and generationConnection collected them outside any memory that is counted.

Change: the daemon gives both ports the ResponseMemory of its answers. relay/heldBytes, which held the events of streams only, holds them; above 24 MiB of all the largest is given up, with the line responseGivenUp: a call is broken, a generation is resumed or goes elsewhere.

Tests: two new ones in httpUpstreams.spec, with six parts of 100,000 bytes in room for less; seen failing without each part (npm run prove on httpUpstreams and endlessResponses.spec: 20 of 20). These, streams, generationResponses, authentication and openaiClient.spec: 84 passed.

--- a/packages/daemons/src/entryDaemon.ts
+++ b/packages/daemons/src/entryDaemon.ts
@@ -19,20 +19,26 @@
   transport: kumquatfront.jsonRpcTransport.JsonRpcTransport,
   log: kumquatfront.ports.Log,
   onDrainRequest: () => void,
-): kumquatfront.entryTypes.EntryPorts {
-  return {
+): {
+  readonly ports: kumquatfront.entryTypes.EntryPorts;
+  readonly responses: kumquatfront.responseMemory.ResponseMemory;
+} {
+  const metrics = kumquatfront.statsdMetrics.create(settings.metrics, settings.entry.name);
+  const responses = new kumquatfront.responseMemory.ResponseMemory(log, metrics);
+  const ports = {
     clock: kumquatfront.systemTime.clock,
     scheduler: kumquatfront.systemTime.scheduler,
     random: kumquatfront.seededRandom.createUnpredictable(),
     peers: transport,
     log,
-    metrics: kumquatfront.statsdMetrics.create(settings.metrics, settings.entry.name),
-    engines: kumquatfront.httpUpstreams.createGenerationPort(),
-    services: kumquatfront.httpUpstreams.createServicePort(),
+    metrics,
+    engines: kumquatfront.httpUpstreams.createGenerationPort(responses),
+    services: kumquatfront.httpUpstreams.createServicePort(responses),
     checkUpstream: kumquatfront.httpUpstreams.createConnectionCheck(kumquatfront.systemTime.scheduler),
     orders: kumquatfront.httpUpstreams.createOrderPort(),
     onDrainRequest,
   };
+  return { ports, responses };
 }
 
 function closeServer(server: http.Server, done: () => void): void {
@@ -63,14 +69,13 @@
     scheduler: kumquatfront.systemTime.scheduler,
     log,
   });
-  const ports = createPorts(settings, transport, log, onDrainRequest);
+  const { ports, responses } = createPorts(settings, transport, log, onDrainRequest);
   const node = kumquatfront.entryNode.create(settings.entry, ports);
   const timers = node.services.find('timers');
   const pauses = new kumquatfront.pauseMonitor.PauseMonitor({ ...ports, timers });
   const recentPause = (): number => pauses.recentPause();
   const requests = new kumquatfront.heldRequests.HeldRequests({ ...ports, bounds: settings.callerBounds });
   const watched = kumquatfront.processMemory.watch({ log, metrics: ports.metrics, requests, transport });
-  const responses = new kumquatfront.responseMemory.ResponseMemory(log, ports.metrics);
   watched.held.register(kumquatfront.heldMemoryHolders.of('responses', responses));
   const shedding = kumquatfront.processMemory.shed(watched.held, ports);
   const refusesNew = (): boolean => shedding.refusesNew();
--- a/packages/kumquatfront/src/adapters/generationConnection.ts
+++ b/packages/kumquatfront/src/adapters/generationConnection.ts
@@ -6,7 +6,9 @@
 import * as eventSource from 'eventsource-parser';
 
 import * as eventSplitter from '../relay/eventSplitter.js';
+import * as heldBytes from '../relay/heldBytes.js';
 import * as responseClassification from '../relay/responseClassification.js';
+import type * as responseMemory from '../relay/responseMemory.js';
 import type * as relayTypes from '../relay/types.js';
 import * as completionChunk from '../streams/completionChunk.js';
 import type * as streams from '../streams/types.js';
@@ -42,7 +44,8 @@
   });
   private finished = false;
   /** Collects an event until it is complete: the parser would hold an object for each piece and each line of it. */
-  private readonly splitter = new eventSplitter.EventSplitter();
+  private readonly splitter: eventSplitter.EventSplitter;
+  private readonly incomplete: heldBytes.HeldBytes | undefined;
   /** Bytes received since the last token. */
   private bytesWithoutToken = 0;
   private isPaused = false;
@@ -54,7 +57,14 @@
   constructor(
     request: singleUseConnection.OutgoingRequest,
     private readonly listener: streams.GenerationListener,
+    responses: responseMemory.ResponseMemory | undefined,
   ) {
+    if (responses !== undefined) {
+      this.incomplete = new heldBytes.HeldBytes(responses, (reason) => {
+        this.fail('broken', reason);
+      });
+    }
+    this.splitter = new eventSplitter.EventSplitter(this.incomplete);
     this.exchange = singleUseConnection.send(request, systemTime.scheduler, {
       head: (status) => {
         this.onHead(status);
@@ -80,6 +90,7 @@
     const isOpen = !this.finished;
     this.finished = true;
     this.unparsed = NO_BYTES;
+    this.incomplete?.clear();
     this.exchange.cancel();
     return isOpen;
   }
@@ -178,6 +189,7 @@
  * Opens a connection to an engine.
  *
  * @param request - starts or resumes a generation
+ * @param responses - counts an event that has not ended with all responses that are held, and bounds them together
  * @returns the connection
  * @example
  * ```ts
@@ -187,6 +199,7 @@
 export function open(
   request: singleUseConnection.OutgoingRequest,
   listener: streams.GenerationListener,
+  responses?: responseMemory.ResponseMemory,
 ): streams.GenerationConnection {
-  return new GenerationConnection(request, listener);
+  return new GenerationConnection(request, listener, responses);
 }
--- a/packages/kumquatfront/src/adapters/httpUpstreams.spec.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.spec.ts
@@ -6,9 +6,11 @@
 import * as test from 'node:test';
 import * as v8 from 'node:v8';
 
+import * as responseMemory from '../relay/responseMemory.js';
 import type * as streams from '../streams/types.js';
 import * as endlessBytes from './endlessBytes.js';
 import * as httpUpstreams from './httpUpstreams.js';
+import * as statsdMetrics from './statsdMetrics.js';
 
 const CALL: streams.ServiceCall = {
   method: 'POST',
@@ -362,3 +364,77 @@
     });
   }
 }
+
+/** Room for at least three parts of 100,000 bytes, and for less than six. */
+function smallMemory(): responseMemory.ResponseMemory {
+  const ignore = (): void => undefined;
+  const log = { debug: ignore, info: ignore, warn: ignore, error: ignore };
+  return new responseMemory.ResponseMemory(log, statsdMetrics.noop, { perResponse: 200_000, total: 500_000 });
+}
+
+/** Answers each request with a part, and with its rest once `finish` is called. */
+async function serveParts(
+  context: test.TestContext,
+  part: string,
+  rest: string,
+): Promise<{ readonly target: streams.UpstreamTarget; readonly finish: () => void }> {
+  const open: net.Socket[] = [];
+  let isFinished = false;
+  const server = await serve(context, (socket) => {
+    open.push(socket);
+    socket.write(isFinished ? part + rest : part);
+  });
+  const finish = (): void => {
+    isFinished = true;
+    for (const socket of open) {
+      socket.write(rest);
+    }
+  };
+  return { target: server.target, finish };
+}
+
+// Guards against answers of services that fill the entry together: each is below its bound.
+void test.test('answers of services are held within one bound', async (context) => {
+  const body = 'x'.repeat(100_000);
+  const head = 'HTTP/1.1 200 OK\r\ncontent-length: 100001\r\n\r\n';
+  const { target, finish } = await serveParts(context, head + body, 'x');
+  const memory = smallMemory();
+  const services = httpUpstreams.createServicePort(memory);
+  const outcomes = [1, 2, 3, 4, 5, 6].map(() => callService(services, target));
+  assert.equal(await Promise.race(outcomes), 'broken');
+  finish();
+  const all = await Promise.all(outcomes);
+  assert.ok(all.filter((outcome) => outcome === 'answered').length >= 2, all.join());
+  assert.deepEqual(memory.held(), { bytes: 0, pieces: 0 });
+});
+
+// Guards against the same by the events of engines.
+void test.test('events of engines that have not ended are held within one bound', async (context) => {
+  const head = 'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n';
+  const event = `id: g:0\ndata: {"id":"${'x'.repeat(100_000)}"}`;
+  const { target, finish } = await serveParts(context, head + event, '\n\n');
+  const memory = smallMemory();
+  const engines = httpUpstreams.createGenerationPort(memory);
+  const request = { generation: 'g', path: '/v1/completions', body: '{}', priority: 0 };
+  const start = (): Promise<string> =>
+    new Promise((resolve) => {
+      const connection = engines.start(target, request, {
+        onAccepted: () => undefined,
+        onToken: () => {
+          connection.close();
+          resolve('token');
+        },
+        onCompleted: () => undefined,
+        onFailed: (reason) => {
+          resolve(reason);
+        },
+      });
+    });
+  const outcomes = [1, 2, 3, 4, 5, 6].map(start);
+  const none = new Promise((resolve) => setTimeout(resolve, 2_000, 'none'));
+  assert.equal(await Promise.race([none, ...outcomes]), 'broken');
+  finish();
+  const all = await Promise.all(outcomes);
+  assert.ok(all.filter((outcome) => outcome === 'token').length >= 2, all.join());
+  assert.deepEqual(memory.held(), { bytes: 0, pieces: 0 });
+});
--- a/packages/kumquatfront/src/adapters/httpUpstreams.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.ts
@@ -8,6 +8,7 @@
 import * as orderReceipt from '../orders/orderReceipt.js';
 import type * as orders from '../orders/types.js';
 import * as responseClassification from '../relay/responseClassification.js';
+import type * as responseMemory from '../relay/responseMemory.js';
 import type * as relayTypes from '../relay/types.js';
 import type * as streams from '../streams/types.js';
 import * as connectionCheck from './connectionCheck.js';
@@ -30,12 +31,13 @@
  * data `[DONE]`, whose id carries the token count. A request has the headers `X-Generation-Id` and `X-Priority`;
  * `GET /v1/generations/{id}?from=index` resumes a generation and `DELETE /v1/generations/{id}` cancels it.
  *
+ * @param responses - bounds what is held of all responses together
  * @example
  * ```ts
  * const ports = { engines: httpUpstreams.createGenerationPort() };
  * ```
  */
-export function createGenerationPort(): streams.GenerationPort {
+export function createGenerationPort(responses?: responseMemory.ResponseMemory): streams.GenerationPort {
   return {
     start: (target, request, listener) => {
       const headers = {
@@ -45,13 +47,14 @@
       };
       const { path, body } = request;
       const outgoing = upstreamRequest.create(target.address, { method: 'POST', path, headers, body });
-      return generationConnection.open(outgoing, listener);
+      return generationConnection.open(outgoing, listener, responses);
     },
     resume: (target, generation, fromIndex, listener) => {
       const path = `/v1/generations/${encodeURIComponent(generation)}?from=${fromIndex}`;
       return generationConnection.open(
         upstreamRequest.create(target.address, { method: 'GET', path }),
         listener,
+        responses,
       );
     },
     cancel: (target, generation, ifUnread) => {
@@ -119,16 +122,17 @@
 /**
  * Creates the HTTP port to plain services.
  *
+ * @param responses - bounds what is held of all responses together
  * @returns the port
  * @example
  * ```ts
  * const ports = { services: httpUpstreams.createServicePort() };
  * ```
  */
-export function createServicePort(): streams.ServicePort {
+export function createServicePort(responses?: responseMemory.ResponseMemory): streams.ServicePort {
   return {
     call: (target, call, timeout, listener) => {
-      const bounds = { maximumBytes: MAXIMUM_RESPONSE_BYTES, timeout };
+      const bounds = { maximumBytes: MAXIMUM_RESPONSE_BYTES, timeout, ...(responses && { responses }) };
       wholeResponse.send(encodeCall(target, call), bounds, scheduler, (result) => {
         if (result.err) {
           listener.onFailed(serviceFailure(result.val.kind));
--- a/packages/kumquatfront/src/adapters/wholeResponse.ts
+++ b/packages/kumquatfront/src/adapters/wholeResponse.ts
@@ -4,6 +4,8 @@
 import * as byteCollector from '../buffers/byteCollector.js';
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
+import * as heldBytes from '../relay/heldBytes.js';
+import type * as responseMemory from '../relay/responseMemory.js';
 import type * as relayTypes from '../relay/types.js';
 import * as singleUseConnection from './singleUseConnection.js';
 
@@ -21,6 +23,8 @@
   readonly maximumBytes: number;
   /** Time from the request to the end of the response. */
   readonly timeout: ports.Milliseconds;
+  /** Counts the response with all others that are held, and bounds them together. */
+  readonly responses?: responseMemory.ResponseMemory;
 }
 
 /** Why there is no response. */
@@ -40,14 +44,20 @@
  */
 export function send(
   request: singleUseConnection.OutgoingRequest,
-  { maximumBytes, timeout }: ResponseBounds,
+  { maximumBytes, timeout, responses }: ResponseBounds,
   scheduler: ports.Scheduler,
   done: (result: results.Result<WholeResponse, ResponseFailure>) => void,
 ): void {
-  const collected = new byteCollector.ByteCollector();
+  const collected =
+    responses === undefined
+      ? new byteCollector.ByteCollector()
+      : new heldBytes.HeldBytes(responses, (reason) => {
+          fail('garbled', reason);
+        });
   let head: Omit<WholeResponse, 'body'> = { status: 0, headers: [], framing: 'length' };
   const fail = (kind: ResponseFailure['kind'], reason: string): void => {
     cancelTimeout();
+    collected.clear();
     exchange.cancel();
     done(results.Err({ kind, reason }));
   };
--- a/packages/kumquatfront/src/relay/heldEvent.ts
+++ b/packages/kumquatfront/src/relay/heldBytes.ts
@@ -1,14 +1,15 @@
 /**
- * The bytes of an event that has not ended, counted with the responses that are held: each is small, those of many streams are not.
+ * Bytes that are collected until an event or a whole answer is complete, counted with the responses that are held: each collection is
+ * small, those of many exchanges are not.
  */
 import type * as responseMemory from './responseMemory.js';
 
-/** The incomplete event of one stream; see the module comment. */
-export class HeldEvent {
+/** Bytes of one exchange; see the module comment. */
+export class HeldBytes {
   private buffer: responseMemory.ResponseBuffer | undefined;
 
   /**
-   * @param giveUp - called with the reason when all responses take too much, and this event is the largest of them
+   * @param giveUp - called with the reason when all responses take too much, and this is the largest of them
    */
   constructor(
     private readonly responses: responseMemory.ResponseMemory,
@@ -20,7 +21,7 @@
     return this.buffer?.size ?? 0;
   }
 
-  /** Appends bytes; may give up this event, or a larger response. */
+  /** Appends bytes; may give them up, or a larger response. */
   append(bytes: Uint8Array): void {
     if (bytes.length > 0) {
       this.buffer ??= this.responses.openResponse((reason) => {
@@ -34,12 +35,12 @@
   /** All bytes in order; nothing is held afterwards. */
   takeContent(): Buffer {
     const content = this.buffer?.content() ?? Buffer.alloc(0);
-    this.release();
+    this.clear();
     return content;
   }
 
   /** Gives the room back. */
-  release(): void {
+  clear(): void {
     this.buffer?.release();
     this.buffer = undefined;
   }
--- a/packages/kumquatfront/src/relay/streamSegment.ts
+++ b/packages/kumquatfront/src/relay/streamSegment.ts
@@ -7,7 +7,7 @@
 import type * as trafficTypes from '../traffic/types.js';
 import * as callerGap from './callerGap.js';
 import type * as exchangeContext from './exchangeContext.js';
-import * as heldEvent from './heldEvent.js';
+import * as heldBytes from './heldBytes.js';
 import * as heldResponse from './heldResponse.js';
 import * as responseClassification from './responseClassification.js';
 import * as eventSplitter from './eventSplitter.js';
@@ -53,7 +53,7 @@
   /** Longest time between two of its events. */
   longestPause: ports.Milliseconds = 0;
   private lastEventAt: ports.Milliseconds | undefined;
-  private readonly incomplete: heldEvent.HeldEvent;
+  private readonly incomplete: heldBytes.HeldBytes;
   private readonly splitter: eventSplitter.EventSplitter;
   private listener: SegmentListener | undefined;
   private errorResponse: heldResponse.HeldResponse | undefined;
@@ -77,7 +77,7 @@
   ) {
     this.instance = instance;
     this.copy = copy;
-    this.incomplete = new heldEvent.HeldEvent(context.responseMemory, (reason) => {
+    this.incomplete = new heldBytes.HeldBytes(context.responseMemory, (reason) => {
       if (this.listener !== undefined) {
         this.breakOff(this.listener, reason);
       }
@@ -156,7 +156,7 @@
   close(reason?: 'silent'): void {
     if (this.open) {
       this.open = false;
-      this.incomplete.release();
+      this.incomplete.clear();
       this.errorResponse?.release();
       this.exchange?.cancel(reason);
     }
