Responses of the own interface state their length

What callers saw: no report names it; found while looking for all that is framed by its connection. A caller in HTTP/1.0 of the own interface took a part of an answer, a generation in one body, or a refusal for the whole when the entry ended within it.

Cause: these responses were written without a length, so that Node.js sent them in chunks, and to such callers without either.

Answers of services that only their connection has ended, or that have no body, state none. Streams end with their last event.

Tests: statedLengths.spec, in HTTP/1.0: a service answer, a generation, refusals, the list of entries; HEAD and 204 state no length.

--- a/packages/kumquatfront/src/adapters/entryHttp.ts
+++ b/packages/kumquatfront/src/adapters/entryHttp.ts
@@ -246,12 +246,16 @@
         respond: (answer, replayed) => {
           response.setHeader('content-type', answer.contentType);
           response.setHeader('idempotency-replayed', String(replayed));
+          const length = Buffer.byteLength(answer.body);
           if (answer.endsWithConnection === true) {
             // No more is claimed than is known: only the connection ends this answer, as it ended that of the service.
             response.shouldKeepAlive = false;
             response.useChunkedEncodingByDefault = false;
             // A caller that reads this header can tell the end of this entry from that of the answer.
-            response.setHeader(wholeBody.RECEIVED_HEADER, Buffer.byteLength(answer.body));
+            response.setHeader(wholeBody.RECEIVED_HEADER, length);
+          } else if (length > 0) {
+            // Not where there may be no body: a length would state that of an answer to another method.
+            response.setHeader('content-length', length);
           }
           response.writeHead(answer.status);
           response.end(answer.body);
--- a/packages/kumquatfront/src/adapters/httpMessages.ts
+++ b/packages/kumquatfront/src/adapters/httpMessages.ts
@@ -92,8 +92,14 @@
   headers: http.OutgoingHttpHeaders = {},
 ): void {
   if (!response.headersSent && !response.destroyed) {
-    response.writeHead(status, { 'content-type': 'application/json', ...headers });
-    response.end(`${JSON.stringify(value)}\n`);
+    const body = Buffer.from(`${JSON.stringify(value)}\n`);
+    // Otherwise only the connection would end the response to a caller in HTTP/1.0, which a crash of this process ends alike.
+    response.writeHead(status, {
+      'content-type': 'application/json',
+      'content-length': body.length,
+      ...headers,
+    });
+    response.end(body);
   }
 }
 
--- a/packages/scenarios/src/scripts/responseHeadSafeguards.ts
+++ b/packages/scenarios/src/scripts/responseHeadSafeguards.ts
@@ -8,6 +8,7 @@
 const OWN_INTERFACE = 'spec:adapters/httpUpstreams';
 const SERVICE_ANSWERS = 'spec:adapters/serviceAnswers';
 const STOPPED_ANSWERS = 'spec:adapters/stoppedAnswers';
+const STATED_LENGTHS = 'spec:adapters/statedLengths';
 const FILE = 'adapters/responseHead.js';
 
 /** Safeguards, each with the spec that must fail without it. */
@@ -155,7 +156,7 @@
   {
     name: 'an entry tells the bytes of an answer whose framing does not',
     file: 'adapters/entryHttp.js',
-    find: 'response.setHeader(wholeBody.RECEIVED_HEADER, Buffer.byteLength(answer.body));',
+    find: 'response.setHeader(wholeBody.RECEIVED_HEADER, length);',
     replace: '',
     scenario: SERVICE_ANSWERS,
   },
@@ -187,4 +188,25 @@
     replace: '',
     scenario: STOPPED_ANSWERS,
   },
+  {
+    name: 'a service answer to a caller without chunks states its length',
+    file: 'adapters/entryHttp.js',
+    find: "response.setHeader('content-length', length);",
+    replace: '',
+    scenario: STATED_LENGTHS,
+  },
+  {
+    name: 'a generation in one body to a caller without chunks states its length',
+    file: 'adapters/generationResponses.js',
+    find: "'content-length': body.length",
+    replace: '',
+    scenario: STATED_LENGTHS,
+  },
+  {
+    name: 'a response of the own servers to a caller without chunks states its length',
+    file: 'adapters/httpMessages.js',
+    find: "'content-length': body.length,",
+    replace: '',
+    scenario: STATED_LENGTHS,
+  },
 ];
