--- a/packages/soak/src/endlessUpstream.ts
+++ b/packages/soak/src/endlessUpstream.ts
@@ -19,10 +19,10 @@
   'comments',
 ] as const;
 
-/** Ways in which a response does not end, in pieces that are small and well-formed. */
-export const pieceForms = ['oneByteChunks', 'smallEvents'] as const;
+/** Ways in which a response does not end, in pieces that are well-formed. */
+export const pieceForms = ['oneByteChunks', 'smallEvents', 'largeEvents'] as const;
 
-/** One way in which a response does not end, in small pieces. */
+/** One way in which a response does not end, in well-formed pieces. */
 export type PieceForm = (typeof pieceForms)[number];
 
 /** One way in which a response does not end. */
@@ -51,8 +51,8 @@
 
 const WRITE_INTERVAL_MS = 3;
 
-/** Bytes of one event of the form `smallEvents`. */
-const EVENT_BYTES = 40;
+/** Bytes of one event, by form. */
+const EVENT_BYTES: Partial<Record<EndlessForm, number>> = { smallEvents: 40, largeEvents: 1_000 };
 
 function headOf(form: EndlessForm, attempt: string): string {
   const { headers } = platform.httpNames;
@@ -75,6 +75,7 @@
       return `${stream}id: 1\ndata: x\n\nid: 2\ndata: `;
     case 'comments':
     case 'smallEvents':
+    case 'largeEvents':
       return stream;
     case 'headLines':
       return 'HTTP/1.1 200 OK\r\n';
@@ -96,24 +97,25 @@
 }
 
 /** Events whose identities follow on those of the pieces before. */
-function eventsOf(piece: number, count: number): Buffer {
-  const length = Math.floor(count / EVENT_BYTES);
+function eventsOf(piece: number, count: number, eventBytes: number): Buffer {
+  const length = Math.floor(count / eventBytes);
   const events = Array.from({ length }, (_none, index) => {
     const start = `id: ${piece * length + index + 1}\ndata: `;
-    return `${start.padEnd(EVENT_BYTES - 2, 'x')}\n\n`;
+    return `${start.padEnd(eventBytes - 2, 'x')}\n\n`;
   });
   return Buffer.from(events.join(''));
 }
 
 /** Returns the bytes that a connection is sent by the number of its write. */
 function contentOf(form: EndlessForm, count: number): (piece: number) => Buffer {
-  if (form !== 'smallEvents') {
+  const eventBytes = EVENT_BYTES[form];
+  if (eventBytes === undefined) {
     const repeated = repeatedBytes(form, count);
     return () => repeated;
   }
   // Shared by the connections, since making them takes longer than sending them.
   const pieces: Buffer[] = [];
-  return (piece) => (pieces[piece] ??= eventsOf(piece, count));
+  return (piece) => (pieces[piece] ??= eventsOf(piece, count, eventBytes));
 }
 
 function serve({ form, host, port, bytesPerSecond = BYTES_PER_SECOND }: EndlessUpstreamOptions): void {
--- a/packages/soak/src/hostileClients.ts
+++ b/packages/soak/src/hostileClients.ts
@@ -112,6 +112,11 @@
     }
   }
 
+  /** Number of connections that are not closed. */
+  get openConnections(): number {
+    return this.sockets.filter((socket) => !socket.destroyed).length;
+  }
+
   /** Waits until the connections have sent everything, are closed, or are not read any more. */
   async sendAll(onSample: () => void): Promise<void> {
     let remaining = Number.POSITIVE_INFINITY;
--- /dev/null
+++ b/packages/soak/src/keptCalls.ts
@@ -0,0 +1,86 @@
+/**
+ * A caller that sends one request after another on a connection that it keeps open, as most callers do, and counts what it gets.
+ */
+import * as crypto from 'node:crypto';
+import * as http from 'node:http';
+
+import * as platform from 'kumquatfront-platform';
+
+const { headers } = platform.httpNames;
+
+/** What a caller got. */
+export interface KeptCounts {
+  /** Complete answers with status 200. */
+  answered: number;
+  /** Complete answers with another status. */
+  refused: number;
+  /** Answers that began and did not end. */
+  cut: number;
+  /** Calls on a connection that was open before, which ended without a head. */
+  lostKept: number;
+  /** Calls on a new connection that ended without a head. */
+  lostNew: number;
+  /** Calls whose connection was refused. */
+  unreachable: number;
+}
+
+/** Returns counts of no calls. */
+export function none(): KeptCounts {
+  return { answered: 0, refused: 0, cut: 0, lostKept: 0, lostNew: 0, unreachable: 0 };
+}
+
+/** Where a caller sends its calls. */
+export interface KeptCall {
+  readonly host: string;
+  readonly port: number;
+  readonly route: string;
+  readonly timeLeft: number;
+  readonly agent: http.Agent;
+}
+
+function isRefused(error: Error): boolean {
+  return 'code' in error && error.code === 'ECONNREFUSED';
+}
+
+/**
+ * Sends a call and counts its result.
+ *
+ * @example
+ * ```ts
+ * const counts = keptCalls.none();
+ * await keptCalls.send({ host, port, route: 'fragile', timeLeft: 3_000, agent }, counts);
+ * ```
+ */
+export function send({ host, port, route, timeLeft, agent }: KeptCall, counts: KeptCounts): Promise<void> {
+  return new Promise((resolve) => {
+    const finish = (result: keyof KeptCounts): void => {
+      counts[result] += 1;
+      resolve();
+    };
+    const request = http.request({
+      ...{ host, port, method: 'POST', path: `/${route}/x`, agent, timeout: timeLeft },
+      headers: {
+        Host: 'soak.example',
+        [headers.attempt]: crypto.randomUUID(),
+        [headers.timeLeft]: String(timeLeft),
+        Authorization: 'Token key',
+      },
+    });
+    request.on('timeout', () => request.destroy());
+    let hasHead = false;
+    request.on('error', (error) => {
+      if (!hasHead) {
+        finish(isRefused(error) ? 'unreachable' : request.reusedSocket ? 'lostKept' : 'lostNew');
+      }
+    });
+    request.on('response', (response) => {
+      hasHead = true;
+      response.resume();
+      response.on('error', () => undefined);
+      response.on('close', () => {
+        finish(!response.complete ? 'cut' : response.statusCode === 200 ? 'answered' : 'refused');
+      });
+    });
+    request.end('x');
+  });
+}
--- a/packages/soak/src/pieceSystem.ts
+++ b/packages/soak/src/pieceSystem.ts
@@ -76,7 +76,7 @@
 }
 
 /** Samples the peak of the memory of an entry, across its restarts. */
-class PeakProbe {
+export class PeakProbe {
   peakBytes = 0;
   private readonly timer: NodeJS.Timeout;
 
--- a/packages/soak/src/supervisedProcess.ts
+++ b/packages/soak/src/supervisedProcess.ts
@@ -40,6 +40,10 @@
   readonly settings?: object;
   /** Further options of Node.js. */
   readonly nodeOptions?: readonly string[];
+  /** Options of the heap by role, in place of those of the deploy file of this tree. */
+  readonly heapOptions?: Readonly<Record<'entry' | 'control', readonly string[]>>;
+  /** The program, if it is not the one of this tree. */
+  readonly programFile?: string;
 }
 
 /** A child process that is restarted whenever it exits. */
@@ -62,7 +66,7 @@
 
   constructor(
     folder: string,
-    role: 'entry' | 'control',
+    private readonly role: 'entry' | 'control',
     index: number,
     ports: Ports,
     seeds: readonly string[],
@@ -109,12 +113,13 @@
 
   private start(): void {
     const { heapMegabytes = DEFAULT_HEAP_MEGABYTES, nodeOptions: furtherOptions = [] } = this.limits;
-    const heapOptions = [
+    const heapOptions = this.limits.heapOptions?.[this.role] ?? [
       `--max-old-space-size=${heapMegabytes}`,
       `--max-semi-space-size=${YOUNG_HEAP_MEGABYTES}`,
     ];
     const nodeOptions = [...heapOptions, ...furtherOptions, '--import', LINK_CUT_FILE];
-    const child = childProcess.spawn(process.execPath, [...nodeOptions, PROGRAM_FILE], {
+    const { programFile = PROGRAM_FILE } = this.limits;
+    const child = childProcess.spawn(process.execPath, [...nodeOptions, programFile], {
       env: {
         ...process.env,
         KUMQUATFRONT_CONFIG: this.settingsFile,
--- a/packages/soak/src/timedCalls.ts
+++ b/packages/soak/src/timedCalls.ts
@@ -18,6 +18,8 @@
   readonly timeLeft: number;
   /** Time for which the caller reads nothing after each piece, in milliseconds. */
   readonly pauseAfterRead?: number;
+  /** Time after which the caller leaves in any case, in milliseconds: one that pauses does not see that its connection has ended. */
+  readonly longest?: number;
 }
 
 /** What a caller got. */
@@ -44,10 +46,13 @@
   attempt,
   timeLeft,
   pauseAfterRead,
+  longest,
 }: TimedCall): Promise<TimedResult> {
   const startedAt = performance.now();
   return new Promise((resolve) => {
+    let timer: NodeJS.Timeout | undefined;
     const finish = (status: number, isComplete: boolean): void => {
+      clearTimeout(timer);
       resolve({ status, isComplete, milliseconds: performance.now() - startedAt });
     };
     const request = http.request({
@@ -60,6 +65,12 @@
       },
     });
     request.on('timeout', () => request.destroy());
+    if (longest !== undefined) {
+      timer = setTimeout(() => {
+        request.destroy();
+        finish(0, false);
+      }, longest);
+    }
     request.on('error', () => {
       finish(0, false);
     });
