--- a/packages/soak/src/pieceKinds.ts
+++ b/packages/soak/src/pieceKinds.ts
@@ -54,6 +54,11 @@
   sound: { callers: 10 },
   oneByteChunks: { form: 'oneByteChunks', callers: 10 },
   smallEvents: { form: 'smallEvents', callers: 10, readPauses: [SLOW_PAUSE_MS] },
+  oneByteChunksAtOneEntry: { form: 'oneByteChunks', callers: 10, isAtOneEntry: true },
+  smallEventsAtOneEntry: {
+    ...{ form: 'smallEvents', callers: 10, readPauses: [SLOW_PAUSE_MS] },
+    isAtOneEntry: true,
+  },
   largeBody: { form: 'body', callers: 10 },
   endlessHead: { form: 'headLines', callers: 10 },
   errorBody: { form: 'errorBody', callers: 10 },
