--- a/packages/soak/src/measurePieces.spec.ts
+++ b/packages/soak/src/measurePieces.spec.ts
@@ -67,14 +67,22 @@
 
 // Guards against a row that shows the warnings of lives that went on as if they came before an end.
 void test.test('a row tells ends, texts, and the warnings before an end apart from the others', () => {
-  const ordinary = { ...keptCalls.none(), answered: 5, lostKept: 1 };
-  const row = pieceRow.of('sound', [{ name: 'entry-1', exits: 2, peakMegabytes: 90.6, ordinary, log: LOG }]);
-  const [, name, ends, texts, warnings, lines, peak, calls] = row.split(' | ').join('|').split('|');
-  assert.deepEqual([name, ends, lines, peak], [' sound', '2', '0', '91']);
+  const plain = { ...keptCalls.none(), answered: 5, lostKept: 1 };
+  const streams = { ...keptCalls.none(), cut: 2 };
+  const row = pieceRow.of('sound', [
+    { name: 'entry-1', exits: 2, peakMegabytes: 90.6, plain, streams, log: LOG },
+  ]);
+  const [name, ends, texts, warnings, lines, peak, ...calls] = row
+    .slice('| '.length, -' |'.length)
+    .split(' | ');
+  assert.deepEqual([name, ends, lines, peak], ['sound', '2', '0', '91']);
   assert.equal(
     texts,
     'Reached heap limit Allocation failed 1, Ineffective mark-compacts near heap limit Allocation failed 1',
   );
   assert.equal(warnings, 'callersClosed 2 (recovered 1)');
-  assert.equal(calls, '5 answered, 0 refused, 0 cut, 1 + 0 lost, 0 unreachable ');
+  assert.deepEqual(calls, [
+    '5 answered, 0 refused, 0 cut, 1 + 0 lost, 0 unreachable',
+    '0 answered, 0 refused, 2 cut, 0 + 0 lost, 0 unreachable',
+  ]);
 });
--- a/packages/soak/src/pieceKinds.ts
+++ b/packages/soak/src/pieceKinds.ts
@@ -32,8 +32,11 @@
 const ENDLESS_HOST = '127.0.25.9';
 const BYTES_PER_MEGABYTE = 1_048_576;
 
-/** Routes of the callers that have no part in what is played: a plain one and a stream. */
-const ORDINARY_ROUTES = ['fragile', 'fragile', 'notes', 'notes'] as const;
+/** Callers of each route that has no part in what is played. */
+const ORDINARY_CALLERS = 2;
+
+const PLAIN_ROUTE = 'fragile';
+const STREAM_ROUTE = 'notes';
 
 /** What a kind plays; without a form, all upstreams are sound. */
 export interface PieceKind {
@@ -75,7 +78,10 @@
   readonly name: string;
   readonly exits: number;
   readonly peakMegabytes: number;
-  readonly ordinary: keptCalls.KeptCounts;
+  /** Callers of a plain route of another service. */
+  readonly plain: keptCalls.KeptCounts;
+  /** Callers of a stream of another service. */
+  readonly streams: keptCalls.KeptCounts;
   readonly log: string;
 }
 
@@ -155,16 +161,21 @@
   }
   const port = system.ports.caller;
   const probe = new pieceSystem.PeakProbe(entry);
-  const ordinary = keptCalls.none();
+  const plain = keptCalls.none();
+  const streams = keptCalls.none();
+  const { host } = entry;
   const callers = kind.isAtOneEntry === true && index > 0 ? 0 : kind.callers;
   await Promise.all([
     ...Array.from({ length: callers }, (_none, caller) => callService(entry, port, kind, caller, endsAt)),
-    ...ORDINARY_ROUTES.map((route) => callOrdinary({ host: entry.host, port, route }, ordinary, endsAt)),
+    ...Array.from({ length: ORDINARY_CALLERS }, () => [
+      callOrdinary({ host, port, route: PLAIN_ROUTE }, plain, endsAt),
+      callOrdinary({ host, port, route: STREAM_ROUTE }, streams, endsAt),
+    ]).flat(),
     ...(index === 0 ? [sendCrowds(entry, port, kind, endsAt)] : []),
   ]);
   probe.stop();
   const { name, unexpectedExits: exits, log } = entry;
-  return { name, exits, peakMegabytes: probe.peakBytes / BYTES_PER_MEGABYTE, ordinary, log };
+  return { name, exits, peakMegabytes: probe.peakBytes / BYTES_PER_MEGABYTE, plain, streams, log };
 }
 
 /** Waits until each entry answers a call. */
@@ -172,7 +183,7 @@
   for (const { host } of entries) {
     await smallSystem.until(async () => {
       const { status, isComplete } = await timedCalls.send({
-        ...{ host, port: ports.caller, route: 'fragile', attempt: crypto.randomUUID() },
+        ...{ host, port: ports.caller, route: PLAIN_ROUTE, attempt: crypto.randomUUID() },
         timeLeft: CALL_TIME_LEFT_MS,
       });
       return isComplete && status === 200;
--- a/packages/soak/src/pieceRow.ts
+++ b/packages/soak/src/pieceRow.ts
@@ -7,8 +7,8 @@
 
 /** The head of the table. */
 export const HEADER = [
-  '| Kind | Ends at each entry | Fatal error | Warnings of the lives that ended | Lines of the last one | Peak MB | Other callers |',
-  '| --- | --- | --- | --- | --- | --- | --- |',
+  '| Kind | Ends at each entry | Fatal error | Warnings of the lives that ended | Lines of the last one | Peak MB | Plain calls of others | Streams of others |',
+  '| --- | --- | --- | --- | --- | --- | --- | --- |',
 ].join('\n');
 
 function list(counts: ReadonlyMap<string, number>): string {
@@ -38,7 +38,8 @@
   const ends = results.map(({ exits }) => exits).join('; ');
   const peaks = results.map(({ peakMegabytes }) => Math.round(peakMegabytes)).join('; ');
   const warnings = `${list(processLives.sumOfWarnings(ended))} (${list(processLives.sumOfWarnings(others))})`;
-  const calls = results.map(({ ordinary }) => callsOf(ordinary)).join('; ');
+  const plain = results.map((result) => callsOf(result.plain)).join('; ');
+  const streams = results.map((result) => callsOf(result.streams)).join('; ');
   const cells = [name, ends, list(processLives.fatalTexts(lives)), warnings];
-  return `| ${[...cells, ended.at(-1)?.lineCount ?? '-', peaks, calls].join(' | ')} |`;
+  return `| ${[...cells, ended.at(-1)?.lineCount ?? '-', peaks, plain, streams].join(' | ')} |`;
 }
