Two tests of slow callers fail without what they guard

What was seen: 'npm run prove' on all of flowControlSafeguards left two safeguards unproved, each with a test that passed without it. Callers saw nothing.

Cause: the loopback test of slow callers took an upstream for stopped that had sent nothing for 100 ms, while the connection opened up: 87,000 of 800,000 events, all of which followed within 3 s without flow control. The test of a paused relayed stream could not tell whether events were sent and dropped, since the entry that asks keeps none of them.

Change: an upstream counts as stopped after a second, here and in the test of generations; the test of the paused relayed stream measures the answers.

--- a/packages/kumquatfront/src/adapters/slowCallers.spec.ts
+++ b/packages/kumquatfront/src/adapters/slowCallers.spec.ts
@@ -134,10 +134,13 @@
   return { port, sentEvents, mostUnread: () => mostUnread, writes: () => writes, close };
 }
 
+/** Time without an event after which an upstream counts as stopped: one that is read can stand still for 100 ms while a connection opens up. */
+const STOPPED_AFTER = 1_000;
+
 async function untilBlocked(sentEvents: () => number): Promise<void> {
   for (let before = -1; before !== sentEvents();) {
     before = sentEvents();
-    await timers.setTimeout(100);
+    await timers.setTimeout(STOPPED_AFTER);
   }
 }
 
--- a/packages/kumquatfront/src/adapters/slowGenerations.spec.ts
+++ b/packages/kumquatfront/src/adapters/slowGenerations.spec.ts
@@ -172,8 +172,12 @@
   return response;
 }
 
-/** Turns of the event loop in which all that the connections can take has moved, however slow the machine is. */
+/**
+ * Turns of the event loop without a token, and their least time, after which an engine counts as stopped: one that is read can stand still for
+ * 100 ms while a connection opens up, and for longer beside other work.
+ */
 const TURNS_WITHOUT_PROGRESS = 50;
+const TURN_MILLISECONDS = 20;
 
 async function untilBlocked(sentTokens: () => number): Promise<void> {
   let before = -1;
@@ -182,7 +186,7 @@
       before = sentTokens();
       turns = 0;
     }
-    await timers.setTimeout(5);
+    await timers.setTimeout(TURN_MILLISECONDS);
   }
 }
 
--- a/packages/kumquatfront/src/peerRelay/relayProtocol.spec.ts
+++ b/packages/kumquatfront/src/peerRelay/relayProtocol.spec.ts
@@ -56,7 +56,9 @@
   readonly declining = new Map<string, messages.DeclineReason>();
   private readonly random = seededRandom.create(5);
   private readonly list: peerList.PeerList;
-  private readonly origin = this.transport.portOf('origin');
+  /** Length of all answers that the entry has been sent. */
+  answeredLength = 0;
+  private readonly origin = this.withMeasuredAnswers(this.transport.portOf('origin'));
   /** The peer that was started last. */
   server: relayServer.RelayServer | undefined;
   private readonly originTimers = timerService.create(this.time.clock, this.time);
@@ -77,6 +79,18 @@
     });
   }
 
+  private withMeasuredAnswers(port: ports.PeerTransport): ports.PeerTransport {
+    return {
+      ...port,
+      request: (address, method, parameters, timeout, done) => {
+        port.request(address, method, parameters, timeout, (result) => {
+          this.answeredLength += result.ok ? JSON.stringify(result.val).length : 0;
+          done(result);
+        });
+      },
+    };
+  }
+
   private basePorts(): Pick<
     relayedExchange.RelayedExchangeOptions,
     'timers' | 'random' | 'log' | 'metrics' | 'peers'
@@ -422,7 +436,9 @@
   system.time.advance(1_000);
   const count = sendUntilPaused(run);
   assert.ok(count < 20, `${count} pieces`);
+  const lengthBefore = system.answeredLength;
   system.time.advance(10_000);
+  assert.ok(system.answeredLength - lengthBefore < PIECE.length, 'events were sent that nobody takes');
   assert.equal(run.cancelled, false);
   assert.equal(run.paused, true);
   assert.deepEqual(system.events, ['head 200']);
