--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -11,6 +11,7 @@
 export * as heldRequests from './callerBounds/heldRequests.js';
 export * as burnRecorder from './burn/burnRecorder.js';
 export * as callerConnections from './adapters/callerConnections.js';
+export * as byteCollector from './buffers/byteCollector.js';
 export * as callerClient from './client/callerClient.js';
 export * as responseBody from './client/responseBody.js';
 export type * as callerTypes from './client/types.js';
