Tests of cut responses hold on a busy machine

What was seen: at a load of 35 on eight cores, one of four plays of cutGenerations.spec failed ("a stream of an engine that stops once is whole"), and one of cutUpstreams.spec of the daemons after 64 s, as one at a load of 20 before. Their messages were not kept.

Cause, as far as it was found: a connection has 400 ms to be established; a process that stands still for longer takes one for not established, which fails a whole response and may interrupt a generation. The second kind ended as long as the deployment waits for a leader of control; eighty announcements in 300 ms took part in its load.

What reached the upstream counts at the first try, as before. Many upstreams announce themselves each second.

That the second kind is gone is not shown.

--- a/packages/demo/src/rawDeployment.ts
+++ b/packages/demo/src/rawDeployment.ts
@@ -14,7 +14,8 @@
 import * as deployments from './deployments.js';
 
 const WORKSPACE = new URL('../../../', import.meta.url).pathname;
-const ANNOUNCEMENT_INTERVAL = 300;
+/** Time between two announcements of an upstream, in milliseconds; longer for many, whose leases are 4 s. */
+const ANNOUNCEMENT_INTERVAL = { ofOne: 300, ofMany: 1_000 } as const;
 const CALL_TIMEOUT = 8_000;
 
 /** The deployment without upstreams of its own. */
@@ -31,6 +32,7 @@
   pool: string,
   address: string,
   number: number,
+  interval: number,
 ): () => void {
   const random = kumquatfront.seededRandom.createUnpredictable();
   const post = standIns.httpPoster.create({
@@ -47,7 +49,7 @@
         ...{ memoryTokens: 6_000, slots: 16, lease: 4_000, sequence, leaving: false },
       },
     });
-  }, ANNOUNCEMENT_INTERVAL);
+  }, interval);
   return () => {
     clearInterval(timer);
   };
@@ -108,12 +110,13 @@
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'kumquatfront-'));
   const running = await cluster.start(deployment, folder);
   const servers = Array.from({ length: count }, () => new standIns.rawAnswerServer.RawAnswerServer(answerTo));
+  const interval = count === 1 ? ANNOUNCEMENT_INTERVAL.ofOne : ANNOUNCEMENT_INTERVAL.ofMany;
   const stops: (() => void)[] = [];
   for (const [index, server] of servers.entries()) {
     const address = `http://${cluster.LOOPBACK}:${await server.listen(0, cluster.LOOPBACK)}`;
     stops.push(
-      announce(running, 'engine', 'ledger-llm', address, index + 1),
-      announce(running, 'plainService', 'tuckshop-app', address, index + 1),
+      announce(running, 'engine', 'ledger-llm', address, index + 1, interval),
+      announce(running, 'plainService', 'tuckshop-app', address, index + 1, interval),
     );
   }
   try {
--- a/packages/kumquatfront/src/adapters/cutResponses.ts
+++ b/packages/kumquatfront/src/adapters/cutResponses.ts
@@ -55,6 +55,11 @@
 /** Time after which a late ending follows the last byte, in milliseconds. */
 const LATE_ENDING_MS = 8;
 
+/** Tries of an exchange whose request did not arrive: on a busy machine, a connection may not be established in the time of its reader. */
+const MAXIMUM_TRIES = 4;
+
+const WHOLE_FAILED = 'a whole response failed';
+
 /** Exchanges of a test that are open at a time. */
 const LANES = 16;
 
@@ -159,7 +164,7 @@
 ): string | undefined {
   if (end === 'failed') {
     const isLost = allowed === 'whole' && (ending === 'end' || ending === 'lateEnd');
-    return isLost ? 'a whole response failed' : headProblem(allowed, hasHead);
+    return isLost ? WHOLE_FAILED : headProblem(allowed, hasHead);
   }
   const isPermitted =
     end === 'whole' ? allowed === 'whole' : allowed === 'unconfirmed' || allowed === 'whole';
@@ -285,9 +290,19 @@
     const upstream = await CutUpstream.start();
     try {
       for (const { response, sentBytes, ending, bytes } of pending) {
-        upstream.cutFor = () => ({ bytes, ending, isEarly });
-        const reported = await read(upstream, response);
-        const problem = problemOf(permit(response, sentBytes, ending), ending, reported);
+        let arrivals = 0;
+        const play = async (): Promise<string | undefined> => {
+          upstream.cutFor = () => {
+            arrivals += 1;
+            return { bytes, ending, isEarly };
+          };
+          const reported = await read(upstream, response);
+          return problemOf(permit(response, sentBytes, ending), ending, reported);
+        };
+        let problem = await play();
+        for (let tries = 1; problem === WHOLE_FAILED && arrivals === 0 && tries < MAXIMUM_TRIES; tries += 1) {
+          problem = await play();
+        }
         if (problem !== undefined) {
           problems.push(`${response.method}, ${response.name}, ${sentBytes} bytes, ${ending}: ${problem}`);
         }
