The upstreams of a raw deployment take no port of its daemons

What was seen: the spec of cut upstreams before the daemons failed in 3 of 15 plays, one of them with a safeguard taken out, after 64 to 72 s; the one whose message was kept says that an entry had ended with 1.

Cause, by reading (the log of the entry was not kept): the forty servers of the test listened on any free port of the address of the deployment after it had allocated its own, and before slow daemons had bound them. The test then waited its minute for that entry.

Change: they listen before the deployment allocates its ports.

--- a/packages/demo/src/rawDeployment.ts
+++ b/packages/demo/src/rawDeployment.ts
@@ -107,18 +107,19 @@
   { answerTo, count = 1, ended = new Set() }: UpstreamOptions,
   run: (running: cluster.Cluster) => Promise<void>,
 ): Promise<void> {
+  // Before the deployment allocates its ports, one of which they would take otherwise before a daemon has bound it.
+  const servers = Array.from({ length: count }, () => new standIns.rawAnswerServer.RawAnswerServer(answerTo));
+  const serverPorts = await Promise.all(servers.map((server) => server.listen(0, cluster.LOOPBACK)));
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'kumquatfront-'));
   const running = await cluster.start(deployment, folder);
-  const servers = Array.from({ length: count }, () => new standIns.rawAnswerServer.RawAnswerServer(answerTo));
   const interval = count === 1 ? ANNOUNCEMENT_INTERVAL.ofOne : ANNOUNCEMENT_INTERVAL.ofMany;
-  const stops: (() => void)[] = [];
-  for (const [index, server] of servers.entries()) {
-    const address = `http://${cluster.LOOPBACK}:${await server.listen(0, cluster.LOOPBACK)}`;
-    stops.push(
+  const stops = serverPorts.flatMap((port, index) => {
+    const address = `http://${cluster.LOOPBACK}:${port}`;
+    return [
       announce(running, 'engine', 'ledger-llm', address, index + 1, interval),
       announce(running, 'plainService', 'tuckshop-app', address, index + 1, interval),
-    );
-  }
+    ];
+  });
   try {
     await configuring.apply(running, path.join(WORKSPACE, deployment.configurationFile));
     await run(running);
