A drain comes before what its source reports when it is read again

What callers saw: no report names it; found by the review. A stream of the own interface whose engine connection ended during a pause was opened again 2 s late, and counted as a stall; one whose engine refused meanwhile could be placed twice, and its first engine be released twice.

Cause: a connection that is read again reports at once what was read before the pause, its end included. Each of these sets a timer of its own, which onDrain then replaced by that of a silent engine.

Change: flowControl tells the drain, and whether its source had waited, before it resumes the source; the relay starts the timer then.

--- a/packages/kumquatfront/src/flowControl/flowControl.ts
+++ b/packages/kumquatfront/src/flowControl/flowControl.ts
@@ -16,8 +16,13 @@
   readonly now: () => ports.Milliseconds;
   /** The receiver cannot take more; called once until `onDrained`. */
   readonly onBlocked?: () => void;
-  /** The receiver has taken what waited, and the source is read again. */
-  readonly onDrained?: () => void;
+  /**
+   * The receiver has taken what waited. Called before the source is read again, which may at once report what was read before the pause, and
+   * its end.
+   *
+   * @param wasPaused - whether the present source had to wait
+   */
+  readonly onDrained?: (wasPaused: boolean) => void;
 }
 
 /**
@@ -94,7 +99,7 @@
     this.isBlocked = false;
     const { source, isPaused } = this;
     this.endPause();
-    this.options.onDrained?.();
+    this.options.onDrained?.(isPaused);
     if (isPaused) {
       source?.resume();
     }
--- a/packages/kumquatfront/src/streams/generationRelay.ts
+++ b/packages/kumquatfront/src/streams/generationRelay.ts
@@ -83,8 +83,12 @@
       onBlocked: () => {
         this.watchCaller();
       },
-      onDrained: () => {
+      onDrained: (wasPaused) => {
         this.stopStallWatch();
+        // A connection that is lost has a timer of its own.
+        if (wasPaused) {
+          this.startIdleTimer(options.settings.stallTimeout);
+        }
       },
     });
   }
@@ -264,12 +268,7 @@
   }
 
   onDrain(): void {
-    const wasPaused = this.flow.isPaused;
     this.flow.recordDrain();
-    // A connection that is lost has a timer of its own.
-    if (wasPaused && !this.isFinished) {
-      this.startIdleTimer(this.options.settings.stallTimeout);
-    }
   }
 
   /** Ends the timers and the reads of a relay that has finished. */
--- a/packages/kumquatfront/src/streams/slowCallers.spec.ts
+++ b/packages/kumquatfront/src/streams/slowCallers.spec.ts
@@ -16,6 +16,8 @@
   readonly listener: types.GenerationListener;
   isPaused: boolean;
   isClosed: boolean;
+  /** Called when the connection is read again. */
+  onResume: () => void;
 }
 
 /** A relay on virtual time whose caller takes no more after its first token. */
@@ -29,11 +31,20 @@
 
   constructor(mayRestart = false) {
     const open = (kind: string, listener: types.GenerationListener): types.GenerationConnection => {
-      const opened: OpenedConnection = { kind, listener, isPaused: false, isClosed: false };
+      const opened: OpenedConnection = {
+        kind,
+        listener,
+        isPaused: false,
+        isClosed: false,
+        onResume: () => undefined,
+      };
       this.connections.push(opened);
       return {
         pause: () => (opened.isPaused = true),
-        resume: () => (opened.isPaused = false),
+        resume: () => {
+          opened.isPaused = false;
+          opened.onResume();
+        },
         close: () => (opened.isClosed = true),
       };
     };
@@ -173,6 +184,19 @@
   assert.equal(harness.connection(1).kind, 'resume r.1 from 1');
 });
 
+// Guards against a drain that puts off the new connection behind one whose end was read before the pause, or places the generation twice.
+void test.test('a connection that ends when it is read again is opened again at once', () => {
+  const harness = new SlowCallerHarness();
+  const first = harness.connection(0);
+  first.onResume = () => {
+    first.listener.onFailed('broken', 'reset');
+  };
+  harness.drain();
+  harness.time.advance(1);
+  assert.equal(harness.connections.length, 2);
+  assert.equal(harness.connection(1).kind, 'resume r.1 from 1');
+});
+
 // Guards against a second engine that sends all it has to a caller that still waits.
 void test.test('an engine that follows during a pause is read until its first token', () => {
   const harness = new SlowCallerHarness(true);
--- a/packages/scenarios/src/scripts/flowControlSafeguards.ts
+++ b/packages/scenarios/src/scripts/flowControlSafeguards.ts
@@ -220,8 +220,8 @@
   {
     name: 'a caller that reads tokens slowly keeps its stream after it has drained',
     file: 'streams/generationRelay.js',
-    find: 'onDrained: () => {\n                this.stopStallWatch();',
-    replace: 'onDrained: () => {',
+    find: 'onDrained: (wasPaused) => {\n                this.stopStallWatch();',
+    replace: 'onDrained: (wasPaused) => {',
     scenario: GENERATION,
   },
   {
@@ -248,8 +248,16 @@
   {
     name: 'a drain leaves the timer of a lost connection as it is',
     file: 'streams/generationRelay.js',
-    find: 'if (wasPaused && !this.isFinished) {',
-    replace: 'if (!this.isFinished) {',
+    find: 'if (wasPaused) {',
+    replace: 'if (true) {',
+    scenario: GENERATION,
+  },
+  {
+    name: 'what a source reports when it is read again comes after the drain',
+    file: 'flowControl/flowControl.js',
+    find: 'this.options.onDrained?.(isPaused);\n        if (isPaused) {\n            source?.resume();\n        }',
+    replace:
+      'if (isPaused) {\n            source?.resume();\n        }\n        this.options.onDrained?.(isPaused);',
     scenario: GENERATION,
   },
   {
