--- a/packages/kumquatfront/src/flowControl/stallWatch.ts
+++ b/packages/kumquatfront/src/flowControl/stallWatch.ts
@@ -1,5 +1,5 @@
 /**
- * Lets go of a receiver that takes nothing while bytes wait for it. One that takes a little is kept, however slow it is.
+ * Lets go of a receiver that takes nothing while bytes wait for it. One that takes a little within the limit is kept, however slow it is.
  */
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
