Lines that a peer does not read are bounded in number, not in bytes alone

Cause: adapters/lineSocket refused a line above 8 MiB of unsent bytes.

Change: at most 10,000 lines wait for a peer, as before its proof; another one fails as one above the bytes. They are counted as they are sent and taken, where held.pieces had an estimate.

--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
@@ -57,7 +57,7 @@
 
 /** Bytes and messages that may wait until a connection is authenticated; the bytes are those that may be unsent afterwards. */
 const MAXIMUM_QUEUED_BYTES = lineSocket.MAXIMUM_UNSENT_BYTES;
-const MAXIMUM_QUEUED_MESSAGES = 10_000;
+const MAXIMUM_QUEUED_MESSAGES = lineSocket.MAXIMUM_UNSENT_LINES;
 
 function isFailure(value: unknown): value is failures.Failure {
   return typeof value === 'object' && value !== null && 'kind' in value && 'remedy' in value;
--- a/packages/kumquatfront/src/adapters/lineSocket.spec.ts
+++ b/packages/kumquatfront/src/adapters/lineSocket.spec.ts
@@ -3,8 +3,9 @@
  */
 import * as assert from 'node:assert/strict';
 import * as events from 'node:events';
-import type * as net from 'node:net';
+import * as net from 'node:net';
 import * as test from 'node:test';
+import * as timers from 'node:timers/promises';
 
 import type * as heldMemoryTypes from '../heldMemory/types.js';
 import * as trafficValidation from '../traffic/trafficValidation.js';
@@ -78,3 +79,52 @@
   const { lines } = receive([...Buffer.from('€\n😀\n')].map((byte) => Buffer.from([byte])));
   assert.deepEqual(lines, ['€', '😀']);
 });
+
+/** Connects two processes; `peer` reads nothing until it is resumed. */
+async function connect(context: test.TestContext): Promise<{ socket: net.Socket; peer: net.Socket }> {
+  const server = net.createServer({ pauseOnConnect: true }).listen(0, '127.0.0.1');
+  await events.EventEmitter.once(server, 'listening');
+  const accepted = events.EventEmitter.once(server, 'connection') as Promise<[net.Socket]>;
+  const socket = net.connect((server.address() as net.AddressInfo).port, '127.0.0.1');
+  await events.EventEmitter.once(socket, 'connect');
+  const [peer] = await accepted;
+  context.after(() => {
+    socket.destroy();
+    peer.destroy();
+    server.close();
+  });
+  return { socket, peer };
+}
+
+// Guards against a heap that is full of short lines for a peer that does not read, far below the bound on unsent bytes.
+void test.test(
+  'short lines that a peer does not read have a bound, and it gets all that were sent',
+  { timeout: 20_000 },
+  async (context) => {
+    const { socket, peer } = await connect(context);
+    const lines = new lineSocket.LineSocket(socket, () => undefined);
+    let sent = 0;
+    while (sent < 1_000_000 && lines.send(String(sent).padEnd(40))) {
+      sent += 1;
+      if (sent % 1_000 === 0) {
+        // What the operating system takes does not wait.
+        await timers.setImmediate();
+      }
+    }
+    assert.ok(sent < 1_000_000, 'no line was refused');
+    assert.ok(lines.held().pieces <= lineSocket.MAXIMUM_UNSENT_LINES, `${lines.held().pieces} lines wait`);
+    const received: string[] = [];
+    const reader = new lineSocket.LineSocket(peer, (line) => received.push(line));
+    peer.resume();
+    while (received.length < sent) {
+      await events.EventEmitter.once(peer, 'data', { signal: context.signal });
+    }
+    assert.equal(Number(received.at(-1)), sent - 1);
+    assert.equal(reader.held().pieces, 0);
+    // The operating system may tell that it has taken the last of them after they were read.
+    while (lines.held().pieces > 0) {
+      await timers.setImmediate();
+    }
+    assert.equal(lines.send('again'), true);
+  },
+);
--- a/packages/kumquatfront/src/adapters/lineSocket.ts
+++ b/packages/kumquatfront/src/adapters/lineSocket.ts
@@ -15,6 +15,9 @@
 /** Bytes that may be unsent before another line is refused. */
 export const MAXIMUM_UNSENT_BYTES = 8 * 1024 * 1024;
 
+/** Lines that may be unsent: each takes some 200 bytes of heap beside its own, so that bytes alone do not bound what a peer costs. */
+export const MAXIMUM_UNSENT_LINES = 10_000;
+
 const LINE_FEED = 10;
 
 /** Splits received data into lines and sends lines. */
@@ -22,8 +25,10 @@
   private readonly socket: net.Socket;
   /** The line that has arrived in part: a peer that sends single bytes would otherwise fill the heap below the bound on a line. */
   private readonly partialLine = new byteCollector.ByteCollector();
-  /** Lines sent since all had been taken; an estimate of those that wait, never too low. */
-  private waitingLines = 0;
+  private unsentLines = 0;
+  private readonly recordSent = (): void => {
+    this.unsentLines -= 1;
+  };
   private maximumBytes = MAXIMUM_HANDSHAKE_BYTES;
 
   /**
@@ -85,19 +90,22 @@
    * peer that does not read
    */
   send(line: string): boolean {
-    if (this.socket.destroyed || this.socket.writableLength > MAXIMUM_UNSENT_BYTES) {
+    const isFull =
+      this.socket.writableLength > MAXIMUM_UNSENT_BYTES || this.unsentLines >= MAXIMUM_UNSENT_LINES;
+    if (this.socket.destroyed || isFull) {
       return false;
     }
-    this.waitingLines = this.socket.writableLength === 0 ? 1 : this.waitingLines + 1;
-    this.socket.write(`${line}\n`);
+    this.unsentLines += 1;
+    this.socket.write(`${line}\n`, this.recordSent);
     return true;
   }
 
   /** What has arrived in part, and what is not sent yet. */
   held(): heldMemoryTypes.Held {
-    const unsent = this.socket.writableLength;
-    const waitingLines = unsent === 0 ? 0 : this.waitingLines;
-    return { bytes: unsent + this.partialLine.memory, pieces: waitingLines + this.partialLine.pieces };
+    return {
+      bytes: this.socket.writableLength + this.partialLine.memory,
+      pieces: this.unsentLines + this.partialLine.pieces,
+    };
   }
 
   close(): void {
--- a/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
+++ b/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
@@ -301,4 +301,18 @@
     replace: '',
     scenario: UPSTREAMS,
   },
+  {
+    name: 'the lines that a peer does not read are bounded, whatever their bytes',
+    file: 'adapters/lineSocket.js',
+    find: 'this.unsentLines >= MAXIMUM_UNSENT_LINES',
+    replace: 'false',
+    scenario: 'spec:adapters/lineSocket',
+  },
+  {
+    name: 'lines that were sent make room for others',
+    file: 'adapters/lineSocket.js',
+    find: 'this.unsentLines -= 1;',
+    replace: '',
+    scenario: 'spec:adapters/lineSocket',
+  },
 ];
