--- a/packages/kumquatfront/src/adapters/cutResponses.spec.ts
+++ b/packages/kumquatfront/src/adapters/cutResponses.spec.ts
@@ -16,7 +16,7 @@
 const METHODS = ['GET', 'HEAD', 'POST'] as const;
 
 /** No exchange of these tests takes as long. */
-const PATIENCE = 20_000;
+const TEST_TIMEOUT_MS = 20_000;
 
 /** More than the kernel takes from a sender whose peer does not read. */
 const UNREAD_BODY_BYTES = 8 * 1024 * 1024;
@@ -120,7 +120,7 @@
   // Guards against copies of memory, reports and receipts that are read from a part of a response.
   void test.test(`a response to ${method} that is read as a whole is no part of one`, async () => {
     const responses = cutResponses.createAll(method, '{"born":7}');
-    const bounds = { maximumBytes: 65_536, timeout: PATIENCE };
+    const bounds = { maximumBytes: 65_536, timeout: TEST_TIMEOUT_MS };
     const problems = await cutResponses.playAll(
       responses,
       ({ address }) =>
@@ -147,7 +147,7 @@
       cutResponses.createAll(method, '{"paid":7}'),
       ({ address }, { framing }) =>
         new Promise((resolve) => {
-          services.call({ name: 's', address: `http://${address}` }, call, PATIENCE, {
+          services.call({ name: 's', address: `http://${address}` }, call, TEST_TIMEOUT_MS, {
             onAnswer: () => {
               resolve({ hasHead: true, end: framing === 'connection' ? 'unconfirmed' : 'whole' });
             },
@@ -178,7 +178,7 @@
     const { cutFor } = upstream;
     upstream.cutFor = (request) => (request.startsWith(cutMethod) ? cutFor(request) : whole);
     return new Promise((resolve) => {
-      port.send(ORDER, `http://${upstream.address}`, PATIENCE, ({ ok }) => {
+      port.send(ORDER, `http://${upstream.address}`, TEST_TIMEOUT_MS, ({ ok }) => {
         resolve({ hasHead: ok, end: ok ? 'whole' : 'failed' });
       });
     });
--- a/packages/kumquatfront/src/adapters/serviceAnswers.spec.ts
+++ b/packages/kumquatfront/src/adapters/serviceAnswers.spec.ts
@@ -28,7 +28,7 @@
 
 const LOCAL = '127.0.0.1';
 const BODY = '{"paid":7}';
-const PATIENCE = 20_000;
+const TEST_TIMEOUT_MS = 20_000;
 
 const settings: entryTypes.EntrySettings = {
   ...defaultConfig.entryDefaults,
@@ -65,7 +65,7 @@
     new serviceRelay.ServiceRelay({
       call: { method, path, contentType, body, idempotencyKey },
       claim: { account: 'a', key: idempotencyKey, digest: '', holder: 'e', attempt: '1' },
-      ...{ claims, services, timeout: PATIENCE, caller },
+      ...{ claims, services, timeout: TEST_TIMEOUT_MS, caller },
       host: {
         requestPlacement: (_excluded, done) => {
           done(placement);
--- a/packages/kumquatfront/src/adapters/wholeResponse.spec.ts
+++ b/packages/kumquatfront/src/adapters/wholeResponse.spec.ts
@@ -12,7 +12,7 @@
 
 const HEAD = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
 const ONE_BYTE_CHUNK = '1\r\nx\r\n';
-const PATIENCE = 10_000;
+const TEST_TIMEOUT_MS = 10_000;
 
 /** Starts an upstream that sends a text to each request; returns its address. */
 async function serve(context: test.TestContext, text: string): Promise<string> {
@@ -42,7 +42,7 @@
     ...{ address, method: 'GET', path: '/', body: Buffer.alloc(0) },
     headers: [['Host', address]],
   };
-  const bounds = { maximumBytes, timeout: PATIENCE };
+  const bounds = { maximumBytes, timeout: TEST_TIMEOUT_MS };
   return new Promise((resolve) => {
     wholeResponse.send(request, bounds, systemTime.scheduler, (result) => {
       inspect();
--- a/packages/kumquatfront/src/client/cutAnswers.spec.ts
+++ b/packages/kumquatfront/src/client/cutAnswers.spec.ts
@@ -18,7 +18,7 @@
 /** To the client, those that are late differ from these in time only. */
 const ENDINGS: readonly cutResponses.Ending[] = ['end', 'reset'];
 
-const PATIENCE = 20_000;
+const TEST_TIMEOUT_MS = 20_000;
 const BODY = '{"paid":7}';
 const SECOND_BODY = '{"paid":"again"}';
 
@@ -54,7 +54,7 @@
   { address }: cutResponses.CutUpstream,
   run: (client: callerClient.CallerClient) => Promise<Outcome>,
 ): Promise<Outcome> {
-  const limits = { idleTimeout: PATIENCE, deadline: PATIENCE, allowRestart: false };
+  const limits = { idleTimeout: TEST_TIMEOUT_MS, deadline: TEST_TIMEOUT_MS, allowRestart: false };
   const options = { entries: [`http://${address}`], key: 'k', labels: '', ...limits };
   const client = new callerClient.CallerClient(options, time);
   try {
