--- a/packages/kumquatfront/src/adapters/heapMonitor.ts
+++ b/packages/kumquatfront/src/adapters/heapMonitor.ts
@@ -16,7 +16,7 @@
 
 /**
  * Size of the old generation at which the process ends. The limit that V8 states includes three times the semi-space: 114 MB
- * for an old generation of 90 MB, which a process in trials did not survive beyond 87 MB.
+ * for an old generation of 90 MB, and a process ends below 90.
  */
 function oldGenerationLimit(options: readonly string[]): number {
   const stated = options
--- a/packages/kumquatfront/src/callerBounds/heldRequests.ts
+++ b/packages/kumquatfront/src/callerBounds/heldRequests.ts
@@ -23,12 +23,11 @@
 const PACE_SHARE = 0.125;
 
 /**
- * Heap of a request until its answer is complete: its connection, that to its upstream, their parsers and what is known of it. Two thousand
- * requests that waited for an upstream took 23.6 KB each.
+ * Heap of a request until its answer is complete, in bytes: its connection, that to its upstream, their parsers and what is known of it.
  */
 const HEAP_BYTES_PER_REQUEST = 24_000;
 
-/** Heap for each byte of its head, whose fields are kept as texts: with heads of 8 KB the same requests took 56 KB each. */
+/** Heap for each byte of its head, whose fields are kept as texts. */
 const HEAP_BYTES_PER_HEAD_BYTE = 4;
 
 /** Dependencies of {@link HeldRequests}. */
--- a/packages/kumquatfront/src/entryLoad/slowReaders.ts
+++ b/packages/kumquatfront/src/entryLoad/slowReaders.ts
@@ -22,7 +22,7 @@
 /** Unread bytes from which a stream may be given up for the heap: its connection is full, so that its caller does not keep up. */
 const BEHIND_FROM = 16_384;
 
-/** Heap of the request of a stream, which ends with it; measured as that of callerBounds/heldRequests. */
+/** Heap of the request of a stream, which ends with it, in bytes; the same as in callerBounds/heldRequests. */
 const HEAP_BYTES_PER_STREAM = 24_000;
 
 /** A response that is being sent to a caller. */
--- a/packages/kumquatfront/src/heldMemory/heapShedding.ts
+++ b/packages/kumquatfront/src/heldMemory/heapShedding.ts
@@ -8,7 +8,7 @@
 
 /**
  * Share of the limit from which new requests are refused. A process that is rarely scheduled reads hundreds of connections in one turn, and a
- * refused request takes heap until its connection is closed: with 0.85, entries on a loaded machine ended in 4 of 11 runs.
+ * refused request takes heap until its connection is closed.
  */
 const REFUSE_FROM = 0.75;
 
--- a/packages/kumquatfront/src/heldMemory/holders.ts
+++ b/packages/kumquatfront/src/heldMemory/holders.ts
@@ -1,5 +1,5 @@
 /**
- * Holders of a process. The bytes of the heap for each piece were measured with Node.js 20: a chunk of a response or a block of
+ * Holders of a process. The bytes of the heap for each piece are those of Node.js 20: a chunk of a response or a block of
  * a request is a `Buffer` object; a waiting write to a stream is four entries of the queue of its socket.
  */
 import type * as types from './types.js';
--- a/packages/kumquatfront/src/heldMemory/types.ts
+++ b/packages/kumquatfront/src/heldMemory/types.ts
@@ -43,7 +43,7 @@
   readonly kind: HolderKind;
   /** Must be cheap: it is called several times a second, and more often while the memory grows. */
   readonly held: () => Held;
-  /** Bytes of the heap for each piece, as measured. */
+  /** Bytes of the heap for each piece. */
   readonly heapBytesPerPiece: number;
   /** Whether the bytes lie in the heap, as those of texts do; the bytes of buffers lie outside. */
   readonly isText: boolean;
