The largest of what is held is found in one place

What was seen: five holders looked for the largest in loops of their own, two of them by a sorted copy of all that is open, one of those at each growth above the bound of relayed responses. Callers saw nothing.

Change: utils/maximum finds it for requests, unread streams, held and relayed responses, and for all kinds, without a copy. Which one is given up stays as it is, also among equals: the first. The order by cost of callerBounds/heldRequests and that of stalled callers stay sorts, as they go through all.

Evidence: specs of callerBounds, entryLoad, relay, peerRelay, heldMemory: 252 passed, their assertions unchanged; the new one of utils/maximum passes.

--- a/packages/kumquatfront/src/callerBounds/heldRequests.ts
+++ b/packages/kumquatfront/src/callerBounds/heldRequests.ts
@@ -4,6 +4,7 @@
  */
 import type * as heldMemoryTypes from '../heldMemory/types.js';
 import type * as ports from '../kernel/ports.js';
+import * as maximum from '../utils/maximum.js';
 import * as readPace from './readPace.js';
 import type * as types from './types.js';
 
@@ -223,17 +224,12 @@
 
   /** The request in part that takes the most heap; nothing of it has run. */
   largest(): heldMemoryTypes.LargestHeld | undefined {
-    let largest: HeldConnection | undefined;
-    for (const connection of this.holding) {
-      const isInPart = connection.arriving > 0 && connection.served === 0;
-      if (isInPart && connection.heapBytes > (largest?.heapBytes ?? 0)) {
-        largest = connection;
-      }
-    }
-    if (largest === undefined) {
+    const connection = maximum.by(this.holding, ({ arriving, served, heapBytes }) =>
+      arriving > 0 && served === 0 ? heapBytes : 0,
+    );
+    if (connection === undefined) {
       return undefined;
     }
-    const connection = largest;
     const { arriving: bytes, pieces, heapBytes, port } = connection;
     return {
       held: { bytes, pieces, heapBytes },
--- a/packages/kumquatfront/src/entryLoad/slowReaders.ts
+++ b/packages/kumquatfront/src/entryLoad/slowReaders.ts
@@ -4,6 +4,7 @@
  */
 import type * as heldMemoryTypes from '../heldMemory/types.js';
 import type * as ports from '../kernel/ports.js';
+import * as maximum from '../utils/maximum.js';
 
 /** Unread bytes of one streamed response above which its caller is disconnected, once it has stalled. */
 export const CALLER_BOUND = 1_048_576;
@@ -127,20 +128,15 @@
 
   /** The stream with the most unread bytes, if its caller does not keep up. */
   largest(): heldMemoryTypes.LargestHeld | undefined {
-    let largest: TrackedReader | undefined;
-    let bytes = BEHIND_FROM - 1;
-    for (const tracked of this.tracked) {
-      const unread = tracked.isStream ? tracked.reader.unreadBytes() : 0;
-      if (unread > bytes) {
-        largest = tracked;
-        bytes = unread;
-      }
-    }
-    if (largest === undefined) {
+    const tracked = maximum.by(this.tracked, ({ isStream, reader }) => {
+      const unread = isStream ? reader.unreadBytes() : 0;
+      return unread >= BEHIND_FROM ? unread : 0;
+    });
+    if (tracked === undefined) {
       return undefined;
     }
-    const { reader, writes } = largest;
-    const tracked = largest;
+    const { reader, writes } = tracked;
+    const bytes = reader.unreadBytes();
     return {
       held: { bytes, pieces: writes, heapBytes: HEAP_BYTES_PER_STREAM },
       fields: { request: reader.request, unread: bytes },
--- a/packages/kumquatfront/src/heldMemory/heldMemory.ts
+++ b/packages/kumquatfront/src/heldMemory/heldMemory.ts
@@ -4,6 +4,7 @@
  */
 import type * as ports from '../kernel/ports.js';
 import type * as timerService from '../kernel/timerService.js';
+import * as maximum from '../utils/maximum.js';
 import * as heapLevels from './heapLevels.js';
 import * as liveHeap from './liveHeap.js';
 import * as types from './types.js';
@@ -132,15 +133,14 @@
 
   /** What frees the most heap when it is given up. */
   largest(): LargestOfAll | undefined {
-    let largest: LargestOfAll | undefined;
-    for (const holder of this.holders) {
-      const candidate = holder.largest?.();
-      const heapBytes = candidate === undefined ? 0 : heapBytesOf(holder, candidate.held);
-      if (candidate !== undefined && heapBytes > (largest?.heapBytes ?? 0)) {
-        largest = { ...candidate, kind: holder.kind, heapBytes };
-      }
-    }
-    return largest;
+    const candidates = [...this.holders].flatMap((holder): LargestOfAll[] => {
+      const largest = holder.largest?.();
+      const { kind } = holder;
+      return largest === undefined
+        ? []
+        : [{ ...largest, kind, heapBytes: heapBytesOf(holder, largest.held) }];
+    });
+    return maximum.by(candidates, ({ heapBytes }) => heapBytes);
   }
 
   /** What is held now, by kind. */
--- a/packages/kumquatfront/src/peerRelay/relayServer.ts
+++ b/packages/kumquatfront/src/peerRelay/relayServer.ts
@@ -9,6 +9,7 @@
 import type * as timerService from '../kernel/timerService.js';
 import type * as relayTypes from '../relay/types.js';
 import * as flowControl from '../flowControl/flowControl.js';
+import * as maximum from '../utils/maximum.js';
 import * as messages from './messages.js';
 import * as unacknowledgedEvents from './unacknowledgedEvents.js';
 
@@ -133,11 +134,13 @@
     return { bytes: this.totalBytes, pieces };
   }
 
+  private findLargest(): [string, Relayed] | undefined {
+    return maximum.by(this.open, ([, { unacknowledged }]) => unacknowledged.size);
+  }
+
   /** The response of which most is not acknowledged. */
   largest(): heldMemoryTypes.LargestHeld | undefined {
-    const [largest] = [...this.open].sort(
-      ([, one], [, other]) => other.unacknowledged.size - one.unacknowledged.size,
-    );
+    const largest = this.findLargest();
     if (largest === undefined) {
       return undefined;
     }
@@ -258,10 +261,7 @@
     if (size > MAXIMUM_UNACKNOWLEDGED_BYTES) {
       this.giveUp(id, relayed);
     } else if (this.totalBytes > MAXIMUM_TOTAL_BYTES) {
-      const [[largestId, largest] = [id, relayed]] = [...this.open].sort(
-        ([, one], [, other]) => other.unacknowledged.size - one.unacknowledged.size,
-      );
-      this.giveUp(largestId, largest);
+      this.giveUp(...(this.findLargest() ?? [id, relayed]));
     }
   }
 
--- a/packages/kumquatfront/src/relay/responseMemory.ts
+++ b/packages/kumquatfront/src/relay/responseMemory.ts
@@ -6,6 +6,7 @@
 import * as byteCollector from '../buffers/byteCollector.js';
 import type * as heldMemoryTypes from '../heldMemory/types.js';
 import type * as ports from '../kernel/ports.js';
+import * as maximum from '../utils/maximum.js';
 
 const MEBIBYTE = 1_048_576;
 
@@ -103,16 +104,10 @@
 
   /** The response that takes the most objects, if it may be given up. */
   largest(): heldMemoryTypes.LargestHeld | undefined {
-    let largest: ResponseBuffer | undefined;
-    for (const buffer of this.open) {
-      if (buffer.shed !== undefined && buffer.pieces > (largest?.pieces ?? 0)) {
-        largest = buffer;
-      }
-    }
-    if (largest === undefined) {
+    const buffer = maximum.by(this.open, (response) => (response.shed === undefined ? 0 : response.pieces));
+    if (buffer === undefined) {
       return undefined;
     }
-    const buffer = largest;
     const { memory: bytes, pieces, shed } = buffer;
     return {
       held: { bytes, pieces },
@@ -141,9 +136,8 @@
     if (buffer.size > this.bounds.perResponse) {
       this.giveUp(buffer, `the response has more than ${this.bounds.perResponse} bytes`);
     } else if (this.used > this.bounds.total) {
-      const [largest = buffer] = [...this.open].sort((one, other) => other.memory - one.memory);
       this.giveUp(
-        largest,
+        maximum.by(this.open, ({ memory }) => memory) ?? buffer,
         `held responses take more than ${this.bounds.total} bytes of memory, and this is the largest`,
       );
     }
--- a/packages/scenarios/src/scripts/endlessResponseSafeguards.ts
+++ b/packages/scenarios/src/scripts/endlessResponseSafeguards.ts
@@ -26,8 +26,8 @@
   {
     name: 'above the bound the largest response is given up',
     file: 'relay/responseMemory.js',
-    find: 'other.memory - one.memory',
-    replace: 'one.memory - other.memory',
+    find: '({ memory }) => memory',
+    replace: '({ memory }) => 1 / memory',
     scenario: MEMORY,
   },
   {
