An inbound connection and its lines are kept in one map

What was seen: two sets with the same life, one of sockets and one of their lines. Callers saw nothing. Evidence: specs of adapters and peerRelay pass unchanged.

--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
@@ -243,8 +243,7 @@
   private readonly rpcServer = new jsonRpc.JSONRPCServer({ errorListener: () => undefined });
   private readonly connections = new Map<string, PeerConnection>();
   private readonly dropped: droppedMessages.DroppedMessages;
-  private readonly inboundSockets = new Set<net.Socket>();
-  private readonly inboundLines = new Set<lineSocket.LineSocket>();
+  private readonly inbound = new Map<net.Socket, lineSocket.LineSocket>();
   private server: net.Server | undefined;
   private closedBytesSent = 0;
   private closedBytesReceived = 0;
@@ -287,7 +286,6 @@
   private accept(socket: net.Socket): void {
     const serverNonce = peerAuthentication.createNonce();
     let authenticated = false;
-    this.inboundSockets.add(socket);
     const lines = new lineSocket.LineSocket(socket, (line) => {
       if (authenticated) {
         this.onRequest(line, lines, socket);
@@ -300,7 +298,7 @@
         socket.destroy();
       }
     });
-    this.inboundLines.add(lines);
+    this.inbound.set(socket, lines);
     const cancel = this.options.scheduler.after(AUTHENTICATION_TIMEOUT, () => {
       if (!authenticated) {
         socket.destroy();
@@ -309,8 +307,7 @@
     socket.on('error', () => undefined);
     socket.on('close', () => {
       cancel();
-      this.inboundSockets.delete(socket);
-      this.inboundLines.delete(lines);
+      this.inbound.delete(socket);
       this.closedBytesSent += socket.bytesWritten;
       this.closedBytesReceived += socket.bytesRead;
     });
@@ -410,7 +407,7 @@
 
   byteCounts(): { readonly sent: number; readonly received: number } {
     const sockets = [
-      ...this.inboundSockets,
+      ...this.inbound.keys(),
       ...[...this.connections.values()].map((connection) => connection.socket),
     ];
     return {
@@ -422,7 +419,7 @@
   held(): heldMemoryTypes.Held {
     let bytes = 0;
     let pieces = 0;
-    for (const holder of [...this.inboundLines, ...this.connections.values()]) {
+    for (const holder of [...this.inbound.values(), ...this.connections.values()]) {
       const held = holder.held();
       bytes += held.bytes;
       pieces += held.pieces;
@@ -437,7 +434,7 @@
   close(): void {
     this.dropped.close();
     this.server?.close();
-    for (const socket of this.inboundSockets) {
+    for (const socket of this.inbound.keys()) {
       socket.destroy();
     }
     for (const connection of this.connections.values()) {
