A relayed exchange is an exchange like any other

What was seen: peerRelay wrapped each relayed exchange in an object of the same three functions, since guardedUpstreams copied the fields of whatever it was given: it would have lost the methods of a class without a word, and with them the pause of a stream. Callers saw nothing.

Change: RelayedExchange implements UpstreamExchange and is passed on as it is; guardedUpstreams names what it passes on. `givenUp` is described beside the other failures.

Evidence: specs of quarantine, peerRelay, relay and streamOrigins, safeguards and platform pass with their assertions as they were.

--- a/packages/kumquatfront/src/peerRelay/peerRelay.ts
+++ b/packages/kumquatfront/src/peerRelay/peerRelay.ts
@@ -197,17 +197,7 @@
       startedAt,
     );
     exchange.start();
-    return {
-      cancel: (reason) => {
-        exchange.cancel(reason);
-      },
-      pause: () => {
-        exchange.pause();
-      },
-      resume: () => {
-        exchange.resume();
-      },
-    };
+    return exchange;
   }
 
   private copyThroughPeer(
--- a/packages/kumquatfront/src/peerRelay/relayedExchange.ts
+++ b/packages/kumquatfront/src/peerRelay/relayedExchange.ts
@@ -48,7 +48,7 @@
 }
 
 /** One relayed request; see the module comment. */
-export class RelayedExchange {
+export class RelayedExchange implements relayTypes.UpstreamExchange {
   private readonly options: RelayedExchangeOptions;
   private readonly call: relayTypes.UpstreamCall;
   private readonly listener: relayTypes.ExchangeListener;
@@ -89,7 +89,7 @@
   }
 
   /** Cancels the request at the peer. */
-  cancel(reason?: 'silent'): void {
+  readonly cancel: relayTypes.CancelExchange = (reason) => {
     if (this.ended) {
       return;
     }
@@ -97,20 +97,20 @@
     if (this.peer !== undefined) {
       this.sendCancellation(this.peer.address, { id: this.id, silent: reason === 'silent' });
     }
-  }
+  };
 
   /** Takes no more of the response until `resume`; what the last answer holds is still passed on. */
-  pause(): void {
+  readonly pause = (): void => {
     this.isPaused = true;
-  }
+  };
 
   /** Takes more of the response. */
-  resume(): void {
+  readonly resume = (): void => {
     this.isPaused = false;
     if (this.isHolding) {
       this.askForEvents();
     }
-  }
+  };
 
   /** Repeats a cancellation until it has arrived: the run would go on beside the one that replaces it. */
   private sendCancellation(address: string, request: messages.CancelRequest): void {
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -231,12 +231,14 @@
     quarantineState.recordSent(call.request);
     const tracked = new TrackedRun(options, call, causes);
     const exchange = upstreams.send(call, tracked.wrapListener(listener));
+    const { pause, resume } = exchange;
     return {
-      ...exchange,
       cancel: (reason) => {
         tracked.finish(reason === 'silent');
         exchange.cancel(reason);
       },
+      pause,
+      resume,
     };
   };
   const send: relayTypes.UpstreamPort['send'] = (call, listener) =>
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -110,18 +110,12 @@
  * - `notSent`: the upstream cannot have received the request.
  * - `broken`: the connection failed after the request was sent.
  * - `garbled`: the response was invalid.
+ * - `givenUp`: an entry has given the response up for lack of memory; the failure does not count against the upstream.
  * - `quarantined`: not sent, because its content crashes upstreams.
  * - `withheld`: not sent, because the upstream is temporarily excluded, runs other software than began the stream, or the
  *   request has a part that HTTP cannot represent; the failure does not count against the upstream.
  */
-export type ExchangeFailure =
-  | 'notSent'
-  | 'broken'
-  | 'garbled'
-  /** An entry has given the response up for lack of memory, which says nothing about the upstream. */
-  | 'givenUp'
-  | 'quarantined'
-  | 'withheld';
+export type ExchangeFailure = 'notSent' | 'broken' | 'garbled' | 'givenUp' | 'quarantined' | 'withheld';
 
 /** Callbacks of one exchange. Unless it is cancelled, either `end` or `failed` is called once, as the last. */
 export interface ExchangeListener {
