--- a/packages/kumquatfront/src/adapters/cutGenerations.spec.ts
+++ b/packages/kumquatfront/src/adapters/cutGenerations.spec.ts
@@ -3,26 +3,18 @@
  */
 import * as assert from 'node:assert/strict';
 import * as http from 'node:http';
-import type * as net from 'node:net';
 import * as test from 'node:test';
 
 import * as eventSource from 'eventsource-parser';
 
-import * as unboundedRequests from '../callerBounds/unboundedRequests.js';
-import type * as entryNode from '../entryNode/entryNode.js';
 import type * as entryTypes from '../entryNode/types.js';
-import type * as ports from '../kernel/ports.js';
-import * as serviceRegistry from '../kernel/serviceRegistry.js';
 import * as timerService from '../kernel/timerService.js';
 import type * as routing from '../routing/types.js';
-import * as responseMemory from '../relay/responseMemory.js';
-import * as defaultConfig from '../settings/defaultConfig.js';
 import * as generationRelay from '../streams/generationRelay.js';
 import type * as streams from '../streams/types.js';
 import * as cutResponses from './cutResponses.js';
-import * as entryHttp from './entryHttp.js';
+import * as entryHttpTestHarness from './entryHttpTestHarness.js';
 import * as httpUpstreams from './httpUpstreams.js';
-import * as statsdMetrics from './statsdMetrics.js';
 import * as systemTime from './systemTime.js';
 
 const LOCAL = '127.0.0.1';
@@ -38,12 +30,6 @@
 const END_OF_STREAM = '[DONE]';
 const TEXTS = ['a', 'b'];
 
-const settings: entryTypes.EntrySettings = {
-  ...defaultConfig.entryDefaults,
-  ...{ name: 'e', dataCentre: 'c', callerAddress: '', peerAddress: '', control: [] },
-  ...{ signingKey: 'k', upstreamKeyHash: '' },
-};
-
 /** Nothing here ends by time. */
 const relaySettings: streams.RelaySettings = {
   ...{ stallTimeout: 20_000, openTimeout: 20_000, resumeGrace: 0, silenceLimit: 20_000 },
@@ -51,7 +37,6 @@
 };
 
 const noop = (): void => undefined;
-const log: ports.Log = { debug: noop, info: noop, warn: noop, error: noop };
 
 function eventsFrom(index: number): string {
   const tokens = TEXTS.map(
@@ -88,19 +73,7 @@
     relay.start();
     return relay;
   };
-  const services = serviceRegistry.create<entryNode.EntryServices>();
-  const node = { services, requests: { generate } } as unknown as entryNode.EntryNode;
-  const pauses = { recentPause: () => 0, log };
-  const responses = new responseMemory.ResponseMemory(log, statsdMetrics.noop);
-  const server = entryHttp.createServer(settings, node, pauses, unboundedRequests.create(), responses);
-  await new Promise<void>((resolve) => {
-    server.listen(0, LOCAL, resolve);
-  });
-  context.after(() => {
-    server.closeAllConnections();
-    server.close();
-  });
-  return (server.address() as net.AddressInfo).port;
+  return entryHttpTestHarness.start(context, { requests: { generate } });
 }
 
 interface Received {
--- a/packages/kumquatfront/src/adapters/entryHttp.spec.ts
+++ b/packages/kumquatfront/src/adapters/entryHttp.spec.ts
@@ -7,25 +7,12 @@
 import type * as http from 'node:http';
 import * as test from 'node:test';
 
-import * as defaultConfig from '../settings/defaultConfig.js';
-import type * as entryNode from '../entryNode/entryNode.js';
-import type * as entryTypes from '../entryNode/types.js';
 import type * as ports from '../kernel/ports.js';
-import * as serviceRegistry from '../kernel/serviceRegistry.js';
-import * as unboundedRequests from '../callerBounds/unboundedRequests.js';
-import * as responseMemory from '../relay/responseMemory.js';
-import * as entryHttp from './entryHttp.js';
-import * as statsdMetrics from './statsdMetrics.js';
+import * as entryHttpTestHarness from './entryHttpTestHarness.js';
 
 const LOCAL = '127.0.0.1';
 const PATHS = ['/v1/completions', '/v1/services/stock/orders', '/v1/requests/r1'] as const;
 
-const settings: entryTypes.EntrySettings = {
-  ...defaultConfig.entryDefaults,
-  ...{ name: 'e', dataCentre: 'c', callerAddress: '', peerAddress: '', control: [] },
-  ...{ signingKey: 'k', upstreamKeyHash: '' },
-};
-
 /** An entry that records which requests it is given, and answers calls. */
 class RecordingEntry {
   readonly given: string[] = [];
@@ -56,25 +43,16 @@
         caller.respond({ status: 200, contentType: 'text/plain', body: 'ok' }, false);
       },
     };
-    const services = serviceRegistry.create<entryNode.EntryServices>();
-    const node = { services, requests } as unknown as entryNode.EntryNode;
     const write = (event: string): void => {
       this.logged.push(event);
     };
     const log: ports.Log = { debug: write, info: write, warn: write, error: write };
-    this.server = entryHttp.createServer(
-      settings,
-      node,
-      { recentPause: () => recentPause, log, refusesNew },
-      unboundedRequests.create(),
-      new responseMemory.ResponseMemory(log, statsdMetrics.noop),
-    );
+    const state = { recentPause: () => recentPause, log, refusesNew };
+    this.server = entryHttpTestHarness.createServer({ requests }, state);
   }
 
-  async listen(): Promise<number> {
-    this.server.listen(0, LOCAL);
-    await events.EventEmitter.once(this.server, 'listening');
-    return (this.server.address() as net.AddressInfo).port;
+  listen(): Promise<number> {
+    return entryHttpTestHarness.listen(this.server);
   }
 
   /** The next connection that the server accepts. */
--- a/packages/kumquatfront/src/adapters/serviceAnswers.spec.ts
+++ b/packages/kumquatfront/src/adapters/serviceAnswers.spec.ts
@@ -3,26 +3,18 @@
  */
 import * as assert from 'node:assert/strict';
 import * as http from 'node:http';
-import type * as net from 'node:net';
 import * as test from 'node:test';
 
 import type * as agreedState from '../agreedState/types.js';
 import type * as claimClient from '../claims/claimClient.js';
-import * as unboundedRequests from '../callerBounds/unboundedRequests.js';
 import * as wholeBody from '../client/wholeBody.js';
-import type * as entryNode from '../entryNode/entryNode.js';
 import type * as entryTypes from '../entryNode/types.js';
-import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
-import * as serviceRegistry from '../kernel/serviceRegistry.js';
 import type * as routing from '../routing/types.js';
-import * as defaultConfig from '../settings/defaultConfig.js';
 import * as serviceRelay from '../streams/serviceRelay.js';
 import type * as streams from '../streams/types.js';
 import * as cutResponses from './cutResponses.js';
-import * as responseMemory from '../relay/responseMemory.js';
-import * as entryHttp from './entryHttp.js';
-import * as statsdMetrics from './statsdMetrics.js';
+import * as entryHttpTestHarness from './entryHttpTestHarness.js';
 import * as httpMessages from './httpMessages.js';
 import * as httpUpstreams from './httpUpstreams.js';
 
@@ -30,14 +22,7 @@
 const BODY = '{"paid":7}';
 const TEST_TIMEOUT_MS = 20_000;
 
-const settings: entryTypes.EntrySettings = {
-  ...defaultConfig.entryDefaults,
-  ...{ name: 'e', dataCentre: 'c', callerAddress: '', peerAddress: '', control: [] },
-  ...{ signingKey: 'k', upstreamKeyHash: '' },
-};
-
 const noop = (): void => undefined;
-const log: ports.Log = { debug: noop, info: noop, warn: noop, error: noop };
 
 /** Claims of one process: the first call of each key runs, and its outcome is the answer to those that follow. */
 function createClaims(): claimClient.ClaimClient {
@@ -77,19 +62,7 @@
       },
     }).start();
   };
-  const registry = serviceRegistry.create<entryNode.EntryServices>();
-  const node = { services: registry, requests: { callService } } as unknown as entryNode.EntryNode;
-  const pauses = { recentPause: () => 0, log };
-  const responses = new responseMemory.ResponseMemory(log, statsdMetrics.noop);
-  const server = entryHttp.createServer(settings, node, pauses, unboundedRequests.create(), responses);
-  await new Promise<void>((resolve) => {
-    server.listen(0, LOCAL, resolve);
-  });
-  context.after(() => {
-    server.closeAllConnections();
-    server.close();
-  });
-  return (server.address() as net.AddressInfo).port;
+  return entryHttpTestHarness.start(context, { requests: { callService } });
 }
 
 interface Received {
--- a/packages/kumquatfront/src/adapters/slowGenerations.spec.ts
+++ b/packages/kumquatfront/src/adapters/slowGenerations.spec.ts
@@ -10,19 +10,13 @@
 
 import * as eventSource from 'eventsource-parser';
 
-import * as unboundedRequests from '../callerBounds/unboundedRequests.js';
-import type * as entryNode from '../entryNode/entryNode.js';
-import type * as entryTypes from '../entryNode/types.js';
-import * as serviceRegistry from '../kernel/serviceRegistry.js';
 import * as timerService from '../kernel/timerService.js';
 import * as virtualTime from '../kernel/virtualTime.js';
-import * as responseMemory from '../relay/responseMemory.js';
 import * as defaultConfig from '../settings/defaultConfig.js';
 import * as generationRelay from '../streams/generationRelay.js';
 import type * as streams from '../streams/types.js';
-import * as entryHttp from './entryHttp.js';
+import * as entryHttpTestHarness from './entryHttpTestHarness.js';
 import * as httpUpstreams from './httpUpstreams.js';
-import * as statsdMetrics from './statsdMetrics.js';
 
 const LOCAL = '127.0.0.1';
 
@@ -35,22 +29,10 @@
 /** Node.js takes 16 KiB before it tells that a connection is full; the events of a part of a read may follow. */
 const MOST_UNREAD = 64 * 1_024;
 
-const settings: entryTypes.EntrySettings = {
-  ...defaultConfig.entryDefaults,
-  ...{ name: 'e', dataCentre: 'c', callerAddress: '', peerAddress: '', control: [] },
-  ...{ signingKey: 'k', upstreamKeyHash: '' },
-};
-
 function eventText(index: number): string {
   return `id: r.1:${index}\ndata: {"choices":[{"text":"${index}"}]}\n\n`;
 }
 
-async function listen(server: net.Server): Promise<number> {
-  server.listen(0, LOCAL);
-  await events.EventEmitter.once(server, 'listening');
-  return (server.address() as net.AddressInfo).port;
-}
-
 /** Sends a generation of so many tokens, each a chunk of its own, as fast as they are read. */
 function createEngine(count: number): { server: net.Server; sentTokens: () => number } {
   let sent = 0;
@@ -91,7 +73,7 @@
 /** Starts an engine and an entry that relays its generation; the timers of the relay are virtual. */
 async function start(count: number): Promise<Running> {
   const { server: engine, sentTokens } = createEngine(count);
-  const address = `http://${LOCAL}:${await listen(engine)}`;
+  const address = `http://${LOCAL}:${await entryHttpTestHarness.listen(engine)}`;
   const time = new virtualTime.VirtualTime();
   let mostUnread = 0;
   let response: http.ServerResponse | undefined;
@@ -102,7 +84,7 @@
       mayRestart: false,
       engines: httpUpstreams.createGenerationPort(),
       timers: timerService.create(time.clock, time),
-      settings: settings.relay,
+      settings: defaultConfig.entryDefaults.relay,
       caller: {
         connection: caller.connection,
         sendAccepted: (token) => {
@@ -141,21 +123,11 @@
     relay.start();
     return relay;
   };
-  const services = serviceRegistry.create<entryNode.EntryServices>();
-  const node = { services, requests: { generate } } as unknown as entryNode.EntryNode;
-  const ignore = (): void => undefined;
-  const log = { debug: ignore, info: ignore, warn: ignore, error: ignore };
-  const server = entryHttp.createServer(
-    settings,
-    node,
-    { recentPause: () => 0, log },
-    unboundedRequests.create(),
-    new responseMemory.ResponseMemory(log, statsdMetrics.noop),
-  );
+  const server = entryHttpTestHarness.createServer({ requests: { generate } });
   server.prependListener('request', (_request, outgoing) => {
     response = outgoing;
   });
-  const port = await listen(server);
+  const port = await entryHttpTestHarness.listen(server);
   const close = (): void => {
     server.closeAllConnections();
     server.close();
--- a/packages/kumquatfront/src/adapters/statedLengths.spec.ts
+++ b/packages/kumquatfront/src/adapters/statedLengths.spec.ts
@@ -6,30 +6,16 @@
 import * as net from 'node:net';
 import * as test from 'node:test';
 
-import * as unboundedRequests from '../callerBounds/unboundedRequests.js';
-import type * as entryNode from '../entryNode/entryNode.js';
 import type * as entryTypes from '../entryNode/types.js';
-import type * as ports from '../kernel/ports.js';
-import * as serviceRegistry from '../kernel/serviceRegistry.js';
-import * as responseMemory from '../relay/responseMemory.js';
-import * as defaultConfig from '../settings/defaultConfig.js';
 import type * as streams from '../streams/types.js';
-import * as entryHttp from './entryHttp.js';
-import * as statsdMetrics from './statsdMetrics.js';
+import * as entryHttpTestHarness from './entryHttpTestHarness.js';
 
 const LOCAL = '127.0.0.1';
 
 /** More bytes than characters. */
 const TEXT = 'Gr\u00fc\u00dfe';
 
-const settings: entryTypes.EntrySettings = {
-  ...defaultConfig.entryDefaults,
-  ...{ name: 'e', dataCentre: 'c', callerAddress: '', peerAddress: '', control: [] },
-  ...{ signingKey: 'k', upstreamKeyHash: '' },
-};
-
 const noop = (): void => undefined;
-const log: ports.Log = { debug: noop, info: noop, warn: noop, error: noop };
 
 /** Starts the server of an entry; a service answers with the status that is its path. */
 async function startEntry(context: test.TestContext): Promise<number> {
@@ -50,20 +36,7 @@
     const body = method === 'HEAD' || status === 204 ? '' : TEXT;
     caller.respond({ status, contentType: 'text/plain', body }, false);
   };
-  const requests = { generate, callService };
-  const services = serviceRegistry.create<entryNode.EntryServices>();
-  const node = { services, requests, addresses: () => [] } as unknown as entryNode.EntryNode;
-  const pauses = { recentPause: () => 0, log };
-  const responses = new responseMemory.ResponseMemory(log, statsdMetrics.noop);
-  const server = entryHttp.createServer(settings, node, pauses, unboundedRequests.create(), responses);
-  await new Promise<void>((resolve) => {
-    server.listen(0, LOCAL, resolve);
-  });
-  context.after(() => {
-    server.closeAllConnections();
-    server.close();
-  });
-  return (server.address() as net.AddressInfo).port;
+  return entryHttpTestHarness.start(context, { requests: { generate, callService }, addresses: () => [] });
 }
 
 /** Sends a request in HTTP/1.0; returns the status, the length that is stated, and the number of bytes of the body. */
