Callers and endless upstreams of the soak are made in one place

What was seen: three modules wrote the same request, three programs started and announced the same upstream without end, with its service and routes in three forms, and three waited in loops of their own until an entry serves.

Change: callRequest, endlessThread and timedCalls.untilServed have them. The wait of nearHeapLimit now also wants a whole answer, as the others did.

--- a/packages/soak/src/endlessUpstream.ts
+++ b/packages/soak/src/endlessUpstream.ts
@@ -19,11 +19,8 @@
   'comments',
 ] as const;
 
-/** Ways in which a response does not end, in pieces that are well-formed. */
-export const pieceForms = ['oneByteChunks', 'smallEvents', 'largeEvents'] as const;
-
 /** One way in which a response does not end, in well-formed pieces. */
-export type PieceForm = (typeof pieceForms)[number];
+export type PieceForm = 'oneByteChunks' | 'smallEvents' | 'largeEvents';
 
 /** One way in which a response does not end. */
 export type EndlessForm = (typeof forms)[number] | PieceForm;
--- a/packages/soak/src/keptCalls.ts
+++ b/packages/soak/src/keptCalls.ts
@@ -2,11 +2,9 @@
  * A caller that sends one request after another on a connection that it keeps open, as most callers do, and counts what it gets.
  */
 import * as crypto from 'node:crypto';
-import * as http from 'node:http';
+import type * as http from 'node:http';
 
-import * as platform from 'kumquatfront-platform';
-
-const { headers } = platform.httpNames;
+import * as callRequest from './callRequest.js';
 
 /** What a caller got. */
 export interface KeptCounts {
@@ -30,11 +28,7 @@
 }
 
 /** Where a caller sends its calls. */
-export interface KeptCall {
-  readonly host: string;
-  readonly port: number;
-  readonly route: string;
-  readonly timeLeft: number;
+export interface KeptCall extends Pick<callRequest.CallRequest, 'host' | 'port' | 'route' | 'timeLeft'> {
   readonly agent: http.Agent;
 }
 
@@ -51,22 +45,13 @@
  * await keptCalls.send({ host, port, route: 'fragile', timeLeft: 3_000, agent }, counts);
  * ```
  */
-export function send({ host, port, route, timeLeft, agent }: KeptCall, counts: KeptCounts): Promise<void> {
+export function send(call: KeptCall, counts: KeptCounts): Promise<void> {
   return new Promise((resolve) => {
     const finish = (result: keyof KeptCounts): void => {
       counts[result] += 1;
       resolve();
     };
-    const request = http.request({
-      ...{ host, port, method: 'POST', path: `/${route}/x`, agent, timeout: timeLeft },
-      headers: {
-        Host: 'soak.example',
-        [headers.attempt]: crypto.randomUUID(),
-        [headers.timeLeft]: String(timeLeft),
-        Authorization: 'Token key',
-      },
-    });
-    request.on('timeout', () => request.destroy());
+    const request = callRequest.send({ ...call, attempt: crypto.randomUUID() });
     let hasHead = false;
     request.on('error', (error) => {
       if (!hasHead) {
@@ -81,6 +66,5 @@
         finish(!response.complete ? 'cut' : response.statusCode === 200 ? 'answered' : 'refused');
       });
     });
-    request.end('x');
   });
 }
--- a/packages/soak/src/measureEndless.ts
+++ b/packages/soak/src/measureEndless.ts
@@ -2,9 +2,7 @@
  * `npm run measure:endless [FORM ...]`: real entries with four upstreams of which one sends bytes without end. Prints, for each way,
  * the peak memory of an entry, how long the connections live, and what callers get.
  */
-import * as worker from 'node:worker_threads';
-
-import * as announcements from './announcements.js';
+import * as endlessThread from './endlessThread.js';
 import * as endlessUpstream from './endlessUpstream.js';
 import * as sleep from './sleep.js';
 import * as smallSystem from './smallSystem.js';
@@ -24,29 +22,21 @@
 
 async function measure(form: endlessUpstream.EndlessForm): Promise<void> {
   const system = await smallSystem.SmallSystem.start(ENTRY_COUNT);
-  const { entries, controlAddress } = system;
-  const { caller, instance } = system.ports;
+  const { entries } = system;
+  const { caller } = system.ports;
   await system.configure();
-  const isStream = form === 'event' || form === 'comments';
-  const service = isStream ? 'llm' : 'app';
+  const { service, routes } = endlessThread.serviceOf(form);
   const sound = Array.from({ length: SOUND_UPSTREAMS }, (_none, index) =>
     system.startUpstream(`sound-${index}`, service, `127.0.25.${index + 1}`),
   );
-  const endlessHost = '127.0.25.9';
-  const workerData: endlessUpstream.EndlessUpstreamOptions = { form, host: endlessHost, port: instance };
-  const thread = new worker.Worker(new URL('./endlessUpstream.js', import.meta.url), { workerData });
+  const endless = endlessThread.start(system, { form });
   const closed: endlessUpstream.ClosedConnection[] = [];
-  thread.on('message', (connection: endlessUpstream.ClosedConnection) => {
+  endless.onClosed((connection) => {
     closed.push(connection);
   });
-  const stopAnnouncing = announcements.start(
-    { identity: 'endless', service, host: endlessHost, port: instance },
-    controlAddress,
-  );
   await sleep.forMilliseconds(2_500);
   const calls: timedCalls.TimedResult[] = [];
   const endsAt = performance.now() + MEASURED_MS;
-  const routes = isStream ? ['stream'] : ['lookUp', 'payment'];
   const runClient = async (host: string, name: string): Promise<void> => {
     for (let count = 0; performance.now() < endsAt; count += 1) {
       const route = routes[count % routes.length] ?? '';
@@ -73,8 +63,7 @@
       `${quantile(served, 0.5)} ms at the median and ${quantile(served, 0.99)} ms at 0.99, ${late} until the deadline, ` +
       `${unclear} without a response\n`,
   );
-  stopAnnouncing();
-  await thread.terminate();
+  await endless.stop();
   system.stop();
   for (const upstream of sound) {
     upstream.close();
--- a/packages/soak/src/nearHeapLimit.isolated.spec.ts
+++ b/packages/soak/src/nearHeapLimit.isolated.spec.ts
@@ -2,7 +2,6 @@
  * A real entry with the heap of the deploy file, filled by what no bound counts: calls that wait for an upstream which never answers.
  */
 import * as assert from 'node:assert/strict';
-import * as crypto from 'node:crypto';
 import * as test from 'node:test';
 
 import * as announcements from './announcements.js';
@@ -42,18 +41,15 @@
     try {
       assert.ok(entry !== undefined);
       const address = { host: entry.host, port: ports.caller };
-      const isServing = async (): Promise<boolean> => {
-        const call = { route: 'fragile', attempt: crypto.randomUUID(), timeLeft: 2_000 };
-        return (await timedCalls.send({ ...address, ...call })).status === 200;
-      };
+      const ordinaryCall = { ...address, route: 'fragile', timeLeft: 2_000 };
       await system.configure();
-      await smallSystem.until(isServing);
+      await timedCalls.untilServed(ordinaryCall);
       await sleep.forMilliseconds(ANNOUNCED_MS);
       const { processId } = entry;
 
       const calls = { route: 'lookUp', count: CALLS, headBytes: HEAD_BYTES, timeLeft: TIME_LEFT };
       const results = await waitingCalls.sendAll({ ...address, ...calls });
-      await smallSystem.until(isServing);
+      await timedCalls.untilServed(ordinaryCall);
       assert.deepEqual([entry.unexpectedExits, entry.processId], [0, processId], entry.log.slice(-2_000));
       assert.match(entry.log, /event=newRequestsRefused /);
       const peakMegabytes = entry.peakBytes / BYTES_PER_MEGABYTE;
--- a/packages/soak/src/pieceKinds.ts
+++ b/packages/soak/src/pieceKinds.ts
@@ -2,9 +2,8 @@
  * Kinds of upstreams and clients that may fill the heap of an entry, each played alone before real processes.
  */
 import * as http from 'node:http';
-import * as worker from 'node:worker_threads';
 
-import * as announcements from './announcements.js';
+import * as endlessThread from './endlessThread.js';
 import type * as endlessUpstream from './endlessUpstream.js';
 import * as hostileClients from './hostileClients.js';
 import * as keptCalls from './keptCalls.js';
@@ -29,7 +28,6 @@
 const CROWD_ROUND_MS = 5_000;
 
 const CROWD_POLL_MS = 100;
-const ENDLESS_HOST = '127.0.25.9';
 const BYTES_PER_MEGABYTE = 1_048_576;
 
 /** Callers of each route that has no part in what is played. */
@@ -91,9 +89,6 @@
   readonly playedMs: number;
 }
 
-const isStreamForm = (form: endlessUpstream.EndlessForm | undefined): boolean =>
-  form === 'smallEvents' || form === 'largeEvents';
-
 /** Sends crowd after crowd to an entry. */
 async function sendCrowds(
   entry: supervisedProcess.SupervisedProcess,
@@ -123,7 +118,7 @@
   index: number,
   endsAt: number,
 ): Promise<void> {
-  const routes = isStreamForm(form) ? ['stream'] : ['lookUp', 'payment'];
+  const { routes } = endlessThread.serviceOf(form);
   const pauseAfterRead = readPauses[index % readPauses.length];
   for (let count = 0; performance.now() < endsAt; count += 1) {
     await timedCalls.send({
@@ -181,12 +176,11 @@
 /** Waits until each entry answers a call. */
 async function waitUntilServing({ entries, ports }: smallSystem.SmallSystem): Promise<void> {
   for (const { host } of entries) {
-    await smallSystem.until(async () => {
-      const { status, isComplete } = await timedCalls.send({
-        ...{ host, port: ports.caller, route: PLAIN_ROUTE, attempt: crypto.randomUUID() },
-        timeLeft: CALL_TIME_LEFT_MS,
-      });
-      return isComplete && status === 200;
+    await timedCalls.untilServed({
+      host,
+      port: ports.caller,
+      route: PLAIN_ROUTE,
+      timeLeft: CALL_TIME_LEFT_MS,
     });
   }
 }
@@ -205,7 +199,7 @@
   { limits, playedMs }: PlayOptions,
 ): Promise<readonly EntryResult[]> {
   const system = await smallSystem.SmallSystem.start(ENTRY_COUNT, limits);
-  const service = isStreamForm(kind.form) ? 'llm' : 'app';
+  const { service } = endlessThread.serviceOf(kind.form);
   const sound = [
     system.startUpstream('ordinary', 'fragile', '127.0.25.8'),
     system.startUpstream('notes', 'notes', '127.0.25.7'),
@@ -213,12 +207,12 @@
       system.startUpstream(`sound-${index}`, service, `127.0.25.${index + 1}`),
     ),
   ];
-  let stopEndless = (): void => undefined;
+  let endless: endlessThread.EndlessThread | undefined;
   try {
     await system.configure();
     await waitUntilServing(system);
     if (kind.form !== undefined) {
-      stopEndless = startEndless(kind.form, service, system);
+      endless = endlessThread.start(system, { form: kind.form });
     }
     await sleep.forMilliseconds(ANNOUNCED_MS);
     const endsAt = performance.now() + playedMs;
@@ -227,25 +221,10 @@
     const logs = [...system.entries, ...system.control].map(({ name, log }) => `${name}:\n${log}`);
     throw new Error(`${String(error)}\n${logs.join('\n')}`, { cause: error });
   } finally {
-    stopEndless();
+    await endless?.stop();
     system.stop();
     for (const upstream of sound) {
       upstream.close();
     }
   }
 }
-
-function startEndless(
-  form: endlessUpstream.EndlessForm,
-  service: string,
-  { ports, controlAddress }: smallSystem.SmallSystem,
-): () => void {
-  const address = { host: ENDLESS_HOST, port: ports.instance };
-  const workerData: endlessUpstream.EndlessUpstreamOptions = { form, ...address };
-  const thread = new worker.Worker(new URL('./endlessUpstream.js', import.meta.url), { workerData });
-  const stopAnnouncing = announcements.start({ identity: 'endless', service, ...address }, controlAddress);
-  return () => {
-    stopAnnouncing();
-    void thread.terminate();
-  };
-}
--- a/packages/soak/src/pieceSystem.ts
+++ b/packages/soak/src/pieceSystem.ts
@@ -3,9 +3,8 @@
  * in small pieces. Callers of another service tell what the entries do for those that have no part in it.
  */
 import * as crypto from 'node:crypto';
-import * as worker from 'node:worker_threads';
 
-import * as announcements from './announcements.js';
+import * as endlessThread from './endlessThread.js';
 import type * as endlessUpstream from './endlessUpstream.js';
 import * as sleep from './sleep.js';
 import * as smallSystem from './smallSystem.js';
@@ -30,7 +29,6 @@
 const SAMPLE_INTERVAL_MS = 20;
 const ANNOUNCED_MS = 2_500;
 const CUT_DETECTION_MS = 1_500;
-const ENDLESS_HOST = '127.0.25.9';
 const ORDINARY_HOST = '127.0.25.8';
 const ORDINARY_ROUTE = 'fragile';
 const BYTES_PER_MEGABYTE = 1_048_576;
@@ -130,7 +128,7 @@
       settings: { capacity: { memoryMegabytes: MEMORY_MEGABYTES } },
       ...options.limits,
     });
-    const service = options.form === 'smallEvents' ? 'llm' : 'app';
+    const { service } = endlessThread.serviceOf(options.form);
     const sound = [
       processes.startUpstream('ordinary', 'fragile', ORDINARY_HOST),
       ...Array.from({ length: SOUND_UPSTREAMS }, (_none, index) =>
@@ -146,38 +144,28 @@
   /** Waits until each entry answers an ordinary call. */
   async waitUntilServing(): Promise<void> {
     for (const entry of this.processes.entries) {
-      await smallSystem.until(async () => {
-        const { status, isComplete } = await this.send(entry, ORDINARY_ROUTE);
-        return isComplete && status === 200;
-      });
+      await timedCalls.untilServed(this.callTo(entry, ORDINARY_ROUTE));
     }
   }
 
-  private send(
+  private callTo(
     { host }: supervisedProcess.SupervisedProcess,
     route: string,
-  ): Promise<timedCalls.TimedResult> {
-    return timedCalls.send({
-      ...{ host, port: this.processes.ports.caller, route, attempt: crypto.randomUUID() },
-      timeLeft: CALL_TIME_LEFT_MS,
+  ): Omit<timedCalls.TimedCall, 'attempt'> {
+    return {
+      ...{ host, port: this.processes.ports.caller, route, timeLeft: CALL_TIME_LEFT_MS },
       ...(route === 'stream' && { pauseAfterRead: PAUSE_AFTER_READ_MS }),
-    });
+    };
   }
 
   /** Lets the endless upstream send for some seconds. */
   async play(): Promise<readonly EntryUse[]> {
-    const { entries, ports, controlAddress } = this.processes;
+    const { entries } = this.processes;
     const { form, way, bytesPerSecond } = this.options;
-    const endless = {
-      ...{ identity: 'endless', service: form === 'smallEvents' ? 'llm' : 'app' },
-      ...{ host: ENDLESS_HOST, port: ports.instance },
-    };
-    const workerData: endlessUpstream.EndlessUpstreamOptions = {
-      ...{ form, host: ENDLESS_HOST, port: ports.instance },
+    const endless = endlessThread.start(this.processes, {
+      form,
       ...(bytesPerSecond !== undefined && { bytesPerSecond }),
-    };
-    const thread = new worker.Worker(new URL('./endlessUpstream.js', import.meta.url), { workerData });
-    const stopAnnouncing = announcements.start(endless, controlAddress);
+    });
     if (way === 'relayed') {
       entries[1]?.setUpstreamCut('newRefused');
       await sleep.forMilliseconds(CUT_DETECTION_MS);
@@ -185,8 +173,7 @@
     await sleep.forMilliseconds(ANNOUNCED_MS);
     const endsAt = performance.now() + PLAYED_MS;
     const uses = await Promise.all(entries.map((entry, index) => this.playAt(entry, index, endsAt)));
-    stopAnnouncing();
-    await thread.terminate();
+    await endless.stop();
     return uses;
   }
 
@@ -202,11 +189,12 @@
     const ordinary = noCalls();
     const runCaller = async (routes: readonly string[], counts: CallCounts): Promise<void> => {
       for (let count = 0; performance.now() < endsAt; count += 1) {
-        record(counts, await this.send(entry, routes[count % routes.length] ?? ''));
+        const call = this.callTo(entry, routes[count % routes.length] ?? '');
+        record(counts, await timedCalls.send({ ...call, attempt: crypto.randomUUID() }));
         await sleep.forMilliseconds(PAUSE_BETWEEN_CALLS_MS);
       }
     };
-    const routes = form === 'smallEvents' ? ['stream'] : ['lookUp', 'payment'];
+    const { routes } = endlessThread.serviceOf(form);
     // Relayed calls alone show what the entry without callers of its own holds for the other one.
     const callers = way === 'direct' ? CALLERS_PER_ENTRY : index * ENTRY_COUNT * CALLERS_PER_ENTRY;
     await Promise.all([
--- a/packages/soak/src/timedCalls.ts
+++ b/packages/soak/src/timedCalls.ts
@@ -1,21 +1,13 @@
 /**
  * Calls of one caller each, on connections of their own, with the time that they take.
  */
-import * as http from 'node:http';
+import * as crypto from 'node:crypto';
 
-import * as platform from 'kumquatfront-platform';
-
-const { headers } = platform.httpNames;
+import * as callRequest from './callRequest.js';
+import * as smallSystem from './smallSystem.js';
 
 /** One call. */
-export interface TimedCall {
-  readonly host: string;
-  readonly port: number;
-  /** Route of `clients.configurationText`. */
-  readonly route: string;
-  readonly attempt: string;
-  /** Time left that the call states, in milliseconds; the caller leaves after as much time without a byte. */
-  readonly timeLeft: number;
+export interface TimedCall extends callRequest.CallRequest {
   /** Time for which the caller reads nothing after each piece, in milliseconds. */
   readonly pauseAfterRead?: number;
   /** Time after which the caller leaves in any case, in milliseconds: one that pauses does not see that its connection has ended. */
@@ -39,15 +31,7 @@
  * const { status } = await timedCalls.send({ host, port, route: 'payment', attempt: 'one', timeLeft: 3_000 });
  * ```
  */
-export function send({
-  host,
-  port,
-  route,
-  attempt,
-  timeLeft,
-  pauseAfterRead,
-  longest,
-}: TimedCall): Promise<TimedResult> {
+export function send({ pauseAfterRead, longest, ...call }: TimedCall): Promise<TimedResult> {
   const startedAt = performance.now();
   return new Promise((resolve) => {
     let timer: NodeJS.Timeout | undefined;
@@ -55,16 +39,7 @@
       clearTimeout(timer);
       resolve({ status, isComplete, milliseconds: performance.now() - startedAt });
     };
-    const request = http.request({
-      ...{ host, port, method: 'POST', path: `/${route}/x`, agent: false, timeout: timeLeft },
-      headers: {
-        Host: 'soak.example',
-        [headers.attempt]: attempt,
-        [headers.timeLeft]: String(timeLeft),
-        Authorization: 'Token key',
-      },
-    });
-    request.on('timeout', () => request.destroy());
+    const request = callRequest.send(call);
     if (longest !== undefined) {
       timer = setTimeout(() => {
         request.destroy();
@@ -86,6 +61,20 @@
         finish(response.statusCode ?? 0, response.complete);
       });
     });
-    request.end('x');
+  });
+}
+
+/**
+ * Waits until a call is answered whole, with status 200.
+ *
+ * @example
+ * ```ts
+ * await timedCalls.untilServed({ host, port, route: 'fragile', timeLeft: 6_000 });
+ * ```
+ */
+export function untilServed(call: Omit<TimedCall, 'attempt'>): Promise<void> {
+  return smallSystem.until(async () => {
+    const { status, isComplete } = await send({ ...call, attempt: crypto.randomUUID() });
+    return isComplete && status === 200;
   });
 }
--- a/packages/soak/src/waitingCalls.ts
+++ b/packages/soak/src/waitingCalls.ts
@@ -2,15 +2,11 @@
  * Many calls at once, each on a connection of its own, to an upstream that accepts requests and never answers.
  */
 import * as crypto from 'node:crypto';
-import * as http from 'node:http';
 import * as net from 'node:net';
 
-import * as platform from 'kumquatfront-platform';
-
+import * as callRequest from './callRequest.js';
 import * as sleep from './sleep.js';
 
-const { headers } = platform.httpNames;
-
 /** Bytes of one header field; its value cannot be shared with that of another call. */
 const FIELD_BYTES = 100;
 
@@ -23,15 +19,13 @@
 }
 
 /** The calls. */
-export interface WaitingCallsOptions {
-  readonly host: string;
-  readonly port: number;
-  readonly route: string;
+export interface WaitingCallsOptions extends Pick<
+  callRequest.CallRequest,
+  'host' | 'port' | 'route' | 'timeLeft'
+> {
   readonly count: number;
   /** Bytes of header fields of each call that the platform does not know. */
   readonly headBytes: number;
-  /** Time left that each call states, in milliseconds. */
-  readonly timeLeft: number;
 }
 
 function randomFields(bytes: number): Record<string, string> {
@@ -43,17 +37,10 @@
 
 function send({ host, port, route, headBytes, timeLeft }: WaitingCallsOptions): Promise<WaitingResult> {
   return new Promise((resolve) => {
-    const request = http.request({
-      ...{ host, port, method: 'POST', path: `/${route}/x`, agent: false, timeout: timeLeft },
-      headers: {
-        Host: 'soak.example',
-        [headers.attempt]: crypto.randomUUID(),
-        [headers.timeLeft]: String(timeLeft),
-        Authorization: 'Token key',
-        ...randomFields(headBytes),
-      },
+    const request = callRequest.send({
+      ...{ host, port, route, timeLeft, attempt: crypto.randomUUID() },
+      fields: randomFields(headBytes),
     });
-    request.on('timeout', () => request.destroy());
     request.on('error', () => {
       resolve({ status: 0, isClosed: true, retryAfter: undefined });
     });
@@ -65,7 +52,6 @@
         resolve({ status: response.statusCode ?? 0, isClosed: connection === 'close', retryAfter });
       });
     });
-    request.end('x');
   });
 }
 
