--- a/packages/kumquatfront/src/adapters/httpUpstreams.spec.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.spec.ts
@@ -2,10 +2,11 @@
  * HTTP clients for upstreams: a request is never sent twice, and the memory used by an event is bounded.
  */
 import * as assert from 'node:assert/strict';
-import * as net from 'node:net';
+import type * as net from 'node:net';
 import * as test from 'node:test';
 import * as v8 from 'node:v8';
 
+import * as rawAnswers from '../relay/rawAnswers.js';
 import * as responseMemory from '../relay/responseMemory.js';
 import type * as streams from '../streams/types.js';
 import * as endlessBytes from './endlessBytes.js';
@@ -26,30 +27,14 @@
   onRequest: (socket: net.Socket, count: number) => void,
 ): Promise<{ target: streams.UpstreamTarget; count: () => number; close: () => void }> {
   let count = 0;
-  const sockets: net.Socket[] = [];
-  const server = net.createServer((socket) => {
-    sockets.push(socket);
-    socket.on('error', () => undefined);
+  const { address, stopListening, close } = await rawAnswers.listen((socket) => {
     socket.on('data', () => {
       count += 1;
       onRequest(socket, count);
     });
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  context.after(() => {
-    server.close();
-    for (const socket of sockets) {
-      socket.destroy();
-    }
-  });
-  const { port } = server.address() as net.AddressInfo;
-  return {
-    target: { name: 's', address: `http://127.0.0.1:${port}` },
-    count: () => count,
-    close: () => server.close(),
-  };
+  context.after(close);
+  return { target: { name: 's', address: `http://${address}` }, count: () => count, close: stopListening };
 }
 
 function callService(services: streams.ServicePort, target: streams.UpstreamTarget): Promise<string> {
--- a/packages/kumquatfront/src/adapters/pausableSocket.spec.ts
+++ b/packages/kumquatfront/src/adapters/pausableSocket.spec.ts
@@ -2,10 +2,11 @@
  * Responses that are not read for a while, from upstreams on loopback connections that send without end.
  */
 import * as assert from 'node:assert/strict';
-import * as net from 'node:net';
+import type * as net from 'node:net';
 import * as test from 'node:test';
 import * as timers from 'node:timers/promises';
 
+import * as rawAnswers from '../relay/rawAnswers.js';
 import type * as relayTypes from '../relay/types.js';
 import * as endlessBytes from './endlessBytes.js';
 import * as singleUseConnection from './singleUseConnection.js';
@@ -32,25 +33,18 @@
   serve: (socket: net.Socket) => void,
   onData: (received: Received) => void = () => undefined,
 ): Promise<Received> {
-  const sockets: net.Socket[] = [];
-  const server = net.createServer((socket) => {
-    sockets.push(socket);
-    socket.on('error', () => undefined);
+  const server = await rawAnswers.listen((socket) => {
     socket.once('data', () => {
       serve(socket);
     });
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as net.AddressInfo;
   const pieces: Uint8Array[] = [];
   let settle: (outcome: string) => void = () => undefined;
   const ended = new Promise<string>((resolve) => {
     settle = resolve;
   });
   const exchange = singleUseConnection.send(
-    { address: `127.0.0.1:${port}`, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) },
+    { address: server.address, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) },
     systemTime.scheduler,
     {
       head: () => undefined,
@@ -67,9 +61,6 @@
   const close = (): void => {
     exchange.cancel();
     server.close();
-    for (const socket of sockets) {
-      socket.destroy();
-    }
   };
   const received: Received = { exchange, pieces, ended, close };
   return received;
--- a/packages/kumquatfront/src/adapters/slowCallers.spec.ts
+++ b/packages/kumquatfront/src/adapters/slowCallers.spec.ts
@@ -9,12 +9,10 @@
 import * as timers from 'node:timers/promises';
 
 import * as unboundedRequests from '../callerBounds/unboundedRequests.js';
-import * as connectionCheck from './connectionCheck.js';
+import * as rawAnswers from '../relay/rawAnswers.js';
 import * as relayTestHarness from '../relay/relayTestHarness.js';
 import * as streamExchange from '../relay/streamExchange.js';
 import type * as relayTypes from '../relay/types.js';
-import * as singleUseConnection from './singleUseConnection.js';
-import * as systemTime from './systemTime.js';
 import * as trafficHttp from './trafficHttp.js';
 
 /** More than the connections on both sides hold. */
@@ -53,27 +51,6 @@
   return { server, sentEvents: () => sent };
 }
 
-const upstreamPort: relayTypes.UpstreamPort = {
-  send: ({ instance, request }, listener) =>
-    singleUseConnection.send(
-      { address: instance.address, method: 'POST', path: request.path, headers: [], body: request.body },
-      systemTime.scheduler,
-      {
-        ...listener,
-        head: (status, _headers, framing) => {
-          listener.head({ ...relayTestHarness.okHead, status, framing });
-        },
-      },
-    ),
-  check: (address, done) => {
-    connectionCheck.run(address, systemTime.scheduler, done);
-  },
-  copyMemory: (_source, _target, _request, _stop, done) => {
-    done({ state: 'noRun' });
-  },
-  releaseCopy: () => undefined,
-};
-
 async function listen(server: net.Server): Promise<number> {
   server.listen(0, '127.0.0.1');
   await events.EventEmitter.once(server, 'listening');
@@ -94,7 +71,7 @@
   const { server: upstream, sentEvents } = startUpstream();
   const address = `127.0.0.1:${await listen(upstream)}`;
   const harness = new relayTestHarness.RelayTestHarness(['a'], 100, {
-    port: upstreamPort,
+    port: rawAnswers.upstreamPort,
     addresses: [address],
   });
   harness.placements.push('a');
--- a/packages/kumquatfront/src/adapters/wholeResponse.spec.ts
+++ b/packages/kumquatfront/src/adapters/wholeResponse.spec.ts
@@ -2,10 +2,10 @@
  * Responses of upstreams that are read as a whole.
  */
 import * as assert from 'node:assert/strict';
-import * as net from 'node:net';
 import * as test from 'node:test';
 import * as v8 from 'node:v8';
 
+import * as rawAnswers from '../relay/rawAnswers.js';
 import type * as singleUseConnection from './singleUseConnection.js';
 import * as systemTime from './systemTime.js';
 import * as wholeResponse from './wholeResponse.js';
@@ -16,24 +16,13 @@
 
 /** Starts an upstream that sends a text to each request; returns its address. */
 async function serve(context: test.TestContext, text: string): Promise<string> {
-  const sockets: net.Socket[] = [];
-  const server = net.createServer((socket) => {
-    sockets.push(socket);
-    socket.on('error', () => undefined);
+  const { address, close } = await rawAnswers.listen((socket) => {
     socket.once('data', () => {
       socket.write(text);
     });
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  context.after(() => {
-    server.close();
-    for (const socket of sockets) {
-      socket.destroy();
-    }
-  });
-  return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+  context.after(close);
+  return address;
 }
 
 /** Reads a response; `inspect` is called before the reader forgets what it has collected. */
--- a/packages/kumquatfront/src/relay/brokenAnswers.spec.ts
+++ b/packages/kumquatfront/src/relay/brokenAnswers.spec.ts
@@ -6,9 +6,6 @@
 import * as net from 'node:net';
 import * as test from 'node:test';
 
-import * as connectionCheck from '../adapters/connectionCheck.js';
-import * as singleUseConnection from '../adapters/singleUseConnection.js';
-import * as systemTime from '../adapters/systemTime.js';
 import * as unboundedRequests from '../callerBounds/unboundedRequests.js';
 import * as trafficHttp from '../adapters/trafficHttp.js';
 import type * as trafficTypes from '../traffic/types.js';
@@ -28,31 +25,6 @@
 /** Interval at which virtual time follows real time. */
 const TICK = 5;
 
-/** Port to upstreams whose answers need no decoding. */
-const upstreamPort: types.UpstreamPort = {
-  send: ({ instance, request }, listener) =>
-    singleUseConnection.send(
-      { address: instance.address, method: 'POST', path: request.path, headers: [], body: request.body },
-      systemTime.scheduler,
-      {
-        ...listener,
-        head: (status, headers, framing) => {
-          const forwarded = headers.filter(
-            ([name]) => !['connection', 'transfer-encoding'].includes(name.toLowerCase()),
-          );
-          listener.head({ ...relayTestHarness.okHead, status, headers: forwarded, framing });
-        },
-      },
-    ),
-  check: (address, done) => {
-    connectionCheck.run(address, systemTime.scheduler, done);
-  },
-  copyMemory: (_source, _target, _request, _stop, done) => {
-    done({ state: 'noRun' });
-  },
-  releaseCopy: () => undefined,
-};
-
 interface Scenario {
   readonly kind: trafficTypes.CallKind;
   /** Answer of each upstream, in the order in which they are sent the request. */
@@ -65,7 +37,10 @@
   const upstreams = await Promise.all(answers.map((answer) => rawAnswers.startUpstream(answer)));
   const names = upstreams.map((_, index) => `upstream-${index}`);
   const addresses = upstreams.map(({ address }) => address);
-  const harness = new relayTestHarness.RelayTestHarness(names, 100, { port: upstreamPort, addresses });
+  const harness = new relayTestHarness.RelayTestHarness(names, 100, {
+    port: rawAnswers.upstreamPort,
+    addresses,
+  });
   harness.placements.push(...names);
   const pump = setInterval(() => {
     harness.time.advance(TICK);
--- a/packages/kumquatfront/src/relay/rawAnswers.ts
+++ b/packages/kumquatfront/src/relay/rawAnswers.ts
@@ -4,6 +4,10 @@
  */
 import * as net from 'node:net';
 
+import * as connectionCheck from '../adapters/connectionCheck.js';
+import * as singleUseConnection from '../adapters/singleUseConnection.js';
+import * as systemTime from '../adapters/systemTime.js';
+import * as relayTestHarness from './relayTestHarness.js';
 import type * as types from './types.js';
 
 /** Answer of an upstream. */
@@ -59,12 +63,51 @@
   return chunks.join('') + (cutAfter === undefined ? '0\r\n\r\n' : '');
 }
 
-/** Starts an upstream that gives each request the same answer. */
-export function startUpstream(answer: Answer): Promise<{ address: string; close: () => void }> {
+/** A server whose connections a test answers. */
+export interface RawServer {
+  readonly address: string;
+  /** Accepts no more connections. */
+  readonly stopListening: () => void;
+  /** Closes all connections as well. */
+  readonly close: () => void;
+}
+
+/**
+ * Starts a server on a loopback connection.
+ *
+ * @param onConnection - called with each connection
+ * @example
+ * ```ts
+ * const { address, close } = await rawAnswers.listen((socket) => socket.end('HTTP/1.1 200 OK\r\n\r\n'));
+ * ```
+ */
+export function listen(onConnection: (socket: net.Socket) => void): Promise<RawServer> {
   const sockets = new Set<net.Socket>();
   const server = net.createServer((socket) => {
     sockets.add(socket);
     socket.on('error', () => undefined);
+    onConnection(socket);
+  });
+  const stopListening = (): void => {
+    server.close();
+  };
+  const close = (): void => {
+    stopListening();
+    for (const socket of sockets) {
+      socket.destroy();
+    }
+  };
+  return new Promise((resolve) => {
+    server.listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as net.AddressInfo;
+      resolve({ address: `127.0.0.1:${port}`, stopListening, close });
+    });
+  });
+}
+
+/** Starts an upstream that gives each request the same answer. */
+export async function startUpstream(answer: Answer): Promise<RawServer> {
+  const server = await listen((socket) => {
     socket.once('data', () => {
       socket.write(encodeHead(answer) + encodeBody(answer), () => {
         if (answer.ending === 'resets') {
@@ -72,26 +115,40 @@
           return;
         }
         if (answer.ending === 'crashes') {
-          server.close();
+          server.stopListening();
         }
         socket.end();
       });
     });
   });
-  return new Promise((resolve) => {
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as net.AddressInfo;
-      const close = (): void => {
-        server.close();
-        for (const socket of sockets) {
-          socket.destroy();
-        }
-      };
-      resolve({ address: `127.0.0.1:${port}`, close });
-    });
-  });
+  return server;
 }
 
+const HOP_BY_HOP: readonly string[] = ['connection', 'transfer-encoding'];
+
+/** Port to upstreams whose answers need no decoding. */
+export const upstreamPort: types.UpstreamPort = {
+  send: ({ instance, request }, listener) =>
+    singleUseConnection.send(
+      { address: instance.address, method: 'POST', path: request.path, headers: [], body: request.body },
+      systemTime.scheduler,
+      {
+        ...listener,
+        head: (status, headers, framing) => {
+          const forwarded = headers.filter(([name]) => !HOP_BY_HOP.includes(name.toLowerCase()));
+          listener.head({ ...relayTestHarness.okHead, status, headers: forwarded, framing });
+        },
+      },
+    ),
+  check: (address, done) => {
+    connectionCheck.run(address, systemTime.scheduler, done);
+  },
+  copyMemory: (_source, _target, _request, _stop, done) => {
+    done({ state: 'noRun' });
+  },
+  releaseCopy: () => undefined,
+};
+
 const REQUESTS: Readonly<Record<CallerKind, string>> = {
   keepAlive: 'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n',
   close: 'POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 0\r\n\r\n',
