A request to a peer that has timed out leaves nothing behind

Cause: the JSON-RPC client keeps the promise of a request until its response arrives or all are rejected. The timeout was one of the transport alone, so that its closures and those of the sender stayed with the promise.

Change: adapters/peerRequests gives a request that has timed out a response in place of that of the peer, through the client's own receive; a late response finds no request and is ignored. Probes have the timeout that their connection has.

Evidence: timedOutRequests.spec failed before: "500 of 500 callbacks are kept", and 0 pieces of 500 expected; both pass, and the late response is ignored. Specs of adapters and heldMemory: 202 passed. Two safeguards proved.

--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
@@ -7,12 +7,12 @@
 import * as jsonRpc from 'json-rpc-2.0';
 
 import type * as heldMemoryTypes from '../heldMemory/types.js';
-import * as failures from '../kernel/failures.js';
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
 import * as droppedMessages from './droppedMessages.js';
 import * as lineSocket from './lineSocket.js';
 import * as peerAuthentication from './peerAuthentication.js';
+import * as peerRequests from './peerRequests.js';
 
 /** Options of the transport. */
 export interface JsonRpcTransportOptions {
@@ -27,13 +27,11 @@
   listen(address: string, done: (port: number) => void): void;
   /** Total bytes sent and received since the transport was created. */
   byteCounts(): { readonly sent: number; readonly received: number };
-  /** Messages that have arrived in part, or are not sent yet. */
+  /** Messages that have arrived in part, or are not sent yet, and requests that wait for a response. */
   held(): heldMemoryTypes.Held;
   close(): void;
 }
 
-const FAILURE_CODE = -32_000;
-
 /**
  * Connecting is aborted after this time, and the next message opens a new connection. Shorter than the kernel's SYN
  * retransmission delay of a second, so that processes that restart together do not wait that long for each other.
@@ -55,23 +53,13 @@
 const PROBE_TIMEOUT = 1_000;
 const PROBE_METHOD = 'transport.probe';
 
+/** The response to a probe counts as data that arrives. */
+const ignoreResponse = (): void => undefined;
+
 /** Bytes and messages that may wait until a connection is authenticated; the bytes are those that may be unsent afterwards. */
 const MAXIMUM_QUEUED_BYTES = lineSocket.MAXIMUM_UNSENT_BYTES;
 const MAXIMUM_QUEUED_MESSAGES = lineSocket.MAXIMUM_UNSENT_LINES;
 
-function isFailure(value: unknown): value is failures.Failure {
-  return typeof value === 'object' && value !== null && 'kind' in value && 'remedy' in value;
-}
-
-function toFailure(error: unknown, address: string): failures.Failure {
-  if (error instanceof jsonRpc.JSONRPCErrorException && isFailure(error.data)) {
-    return error.data;
-  }
-  const reason = error instanceof Error ? error.message : String(error);
-  const remedy = 'Check that the process is running and that both processes use the same cluster key.';
-  return failures.create('unreachable', `The request to ${address} failed: ${reason}.`, remedy);
-}
-
 function splitAddress(address: string): { host: string; port: number } {
   const colon = address.lastIndexOf(':');
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
@@ -88,7 +76,7 @@
 
 /** An outgoing connection to one peer; messages are queued until both sides are authenticated. */
 class PeerConnection {
-  readonly client: jsonRpc.JSONRPCClient;
+  readonly requests: peerRequests.PeerRequests;
   readonly socket: net.Socket;
   private readonly lines: lineSocket.LineSocket;
   private readonly clusterKey: string;
@@ -104,12 +92,15 @@
   private cancelProbe: ports.Cancel = () => undefined;
   private cancelOpenTimeout: ports.Cancel = () => undefined;
 
-  constructor(address: string, { clusterKey, scheduler, onDropped, onClose }: ConnectionOptions) {
+  constructor(
+    private readonly address: string,
+    { clusterKey, scheduler, onDropped, onClose }: ConnectionOptions,
+  ) {
     this.clusterKey = clusterKey;
     this.scheduler = scheduler;
     this.onDropped = onDropped;
-    this.client = new jsonRpc.JSONRPCClient((payload: unknown) => {
-      this.send(JSON.stringify(payload));
+    this.requests = new peerRequests.PeerRequests(scheduler, (text) => {
+      this.send(text);
     });
     this.socket = net.connect(splitAddress(address));
     this.lines = new lineSocket.LineSocket(this.socket, (line) => {
@@ -129,15 +120,20 @@
     this.socket.on('close', () => {
       this.cancelOpenTimeout();
       this.cancelProbe();
-      this.client.rejectAllPendingRequests('the connection was closed');
+      this.requests.failAll('the connection was closed');
       onClose();
     });
   }
 
-  /** What is not sent yet, and what has arrived in part. */
+  /** What is not sent yet, what has arrived in part, and the requests that wait for a response. */
   held(): heldMemoryTypes.Held {
     const { bytes, pieces } = this.lines.held();
-    return { bytes: bytes + this.queuedBytes, pieces: pieces + this.queuedMessages.length };
+    const waiting = this.requests.held();
+    return {
+      bytes: bytes + this.queuedBytes,
+      pieces: pieces + this.queuedMessages.length + waiting.pieces,
+      heapBytes: waiting.heapBytes,
+    };
   }
 
   private scheduleProbe(): void {
@@ -146,10 +142,9 @@
         this.scheduleProbe();
         return;
       }
-      this.client.request(PROBE_METHOD, []).then(
-        () => undefined,
-        () => undefined,
-      );
+      const { address } = this;
+      const probe = { address, method: PROBE_METHOD, parameters: [], timeout: PROBE_TIMEOUT };
+      this.requests.send(probe, ignoreResponse);
       this.sentSinceProbe = false;
       this.bytesAtProbe = this.socket.bytesRead;
       this.cancelProbe = this.scheduler.after(PROBE_TIMEOUT, () => {
@@ -192,7 +187,7 @@
   /** Passes on a response; a line that is none closes the connection, since later lines cannot be trusted either. */
   private receive(line: string): void {
     try {
-      this.client.receive(JSON.parse(line) as jsonRpc.JSONRPCResponse);
+      this.requests.receive(JSON.parse(line));
     } catch {
       this.socket.destroy();
     }
@@ -265,7 +260,8 @@
             if (result.ok) {
               resolve(result.val);
             } else {
-              reject(new jsonRpc.JSONRPCErrorException(result.val.message, FAILURE_CODE, result.val));
+              const { message } = result.val;
+              reject(new jsonRpc.JSONRPCErrorException(message, peerRequests.FAILURE_CODE, result.val));
             }
           });
         }),
@@ -370,36 +366,23 @@
     timeout: ports.Milliseconds,
     done: ports.Reply,
   ): void {
-    let pending = true;
-    const finish: ports.Reply = (result) => {
-      if (pending) {
-        pending = false;
-        cancel();
-        done(result);
-      }
-    };
-    const cancel = this.options.scheduler.after(timeout, () => {
-      const remedy = 'Retry the request or send it to another process.';
-      finish(results.Err(failures.create('timeout', `${address} did not answer in time.`, remedy)));
-    });
-    this.send(address, method, parameters).then(
-      (value: unknown) => {
-        finish(results.Ok(value));
-      },
-      (error: unknown) => {
-        finish(results.Err(toFailure(error, address)));
-      },
-    );
-  }
-
-  /** Asynchronous, so that an address that cannot exist fails this request alone. */
-  private async send(address: string, method: string, parameters: unknown): Promise<unknown> {
-    return this.connectionTo(address).client.request(method, parameters as jsonRpc.JSONRPCParams);
+    let connection: PeerConnection;
+    try {
+      connection = this.connectionTo(address);
+    } catch (error) {
+      // An address that cannot exist fails this request alone, later as all others.
+      const reason = error instanceof Error ? error.message : String(error);
+      queueMicrotask(() => {
+        done(results.Err(peerRequests.unreachable(address, reason)));
+      });
+      return;
+    }
+    connection.requests.send({ address, method, parameters, timeout }, done);
   }
 
   notify(address: string, method: string, parameters: unknown): void {
     try {
-      this.connectionTo(address).client.notify(method, parameters as jsonRpc.JSONRPCParams);
+      this.connectionTo(address).requests.notify(method, parameters);
     } catch {
       this.options.log.debug('messageDropped', { address, method });
     }
@@ -419,12 +402,14 @@
   held(): heldMemoryTypes.Held {
     let bytes = 0;
     let pieces = 0;
+    let heapBytes = 0;
     for (const holder of [...this.inbound.values(), ...this.connections.values()]) {
       const held = holder.held();
       bytes += held.bytes;
       pieces += held.pieces;
+      heapBytes += held.heapBytes ?? 0;
     }
-    return { bytes, pieces };
+    return { bytes, pieces, heapBytes };
   }
 
   bytesReceived(): number {
--- a/packages/scenarios/src/scripts/heldMemorySafeguards.ts
+++ b/packages/scenarios/src/scripts/heldMemorySafeguards.ts
@@ -9,6 +9,7 @@
 const OWN = 'spec:adapters/entryHttp';
 const ENDLESS = 'spec:relay/endlessResponses';
 const PROTOCOL = 'spec:peerRelay/relayProtocol';
+const TIMED_OUT = 'spec:adapters/timedOutRequests';
 const STATUS = 'spec:trafficEntry/entryLoadStatus';
 
 /** Safeguards, each with the spec that must fail without it. */
@@ -258,4 +259,18 @@
     replace: 'false',
     scenario: STATUS,
   },
+  {
+    name: 'a request to a peer that has timed out leaves the JSON-RPC client',
+    file: 'adapters/peerRequests.js',
+    find: 'this.client.receive(jsonRpc.createJSONRPCErrorResponse(id, FAILURE_CODE, failure.message, failure));',
+    replace: 'done(results.Err(failure));',
+    scenario: TIMED_OUT,
+  },
+  {
+    name: 'requests that wait for the response of a peer count as messages',
+    file: 'adapters/jsonRpcTransport.js',
+    find: '+ waiting.pieces',
+    replace: '',
+    scenario: TIMED_OUT,
+  },
 ];
