A relayed response that was not read does not count against its upstream

What callers saw: an upstream whose responses another entry gave up with `relayTooSlow` collected failures at the entry that had asked, up to its ejection and to a look for a crash by its content, though it had done nothing wrong. Requests went to fewer upstreams.

Cause: the relaying entry closed the request as `lost`, which the entry that asked took for a connection that broke.

Change: the answer says `unread`, which is a failure of its own. It does not count against the upstream (countsAgainstUpstream), and is no sign of a crash for guardedUpstreams; at the relaying entry the exchange is cancelled, which never was one. The request ends as before: repeated elsewhere where it may be, otherwise outcome unknown or aborted. An entry of an earlier release does not know the field and takes it for `lost`, as before.

--- a/packages/kumquatfront/src/peerRelay/messages.ts
+++ b/packages/kumquatfront/src/peerRelay/messages.ts
@@ -115,13 +115,14 @@
  * - `declined`: it was not sent.
  * - `unknown`: it has not arrived, and would be declined now; it was not sent.
  * - `lost`: it may have been sent, and its response is gone, as after a restart of the entry; `givenUp` if that entry gave it up for
- *   lack of memory, which says nothing about the upstream. Earlier releases do not know the field.
+ *   lack of memory, `unread` if because too much of it was not acknowledged. Neither says anything about the upstream. Earlier
+ *   releases do not know these fields.
  */
 export type RelayAnswer =
   | { readonly state: 'open'; readonly from: number; readonly events: readonly RelayEvent[] }
   | { readonly state: 'declined'; readonly reason: DeclineReason }
   | { readonly state: 'unknown' }
-  | { readonly state: 'lost'; readonly givenUp?: boolean };
+  | { readonly state: 'lost'; readonly givenUp?: boolean; readonly unread?: boolean };
 
 /** Cancels a relayed request. */
 export interface CancelRequest {
--- a/packages/kumquatfront/src/peerRelay/relayProtocol.spec.ts
+++ b/packages/kumquatfront/src/peerRelay/relayProtocol.spec.ts
@@ -396,6 +396,22 @@
   );
 });
 
+// Guards against an upstream that is blamed, because its caller's entry does not read what a peer holds for it.
+void test.test('a peer that gives up what is not read says so, over either bound', () => {
+  for (const sizes of [[6_500], [4_000, 5_000, 4_000]]) {
+    const system = new RelaySystem(['p1']);
+    sizes.forEach(() => system.send());
+    system.time.advance(100);
+    for (const [index, { listener }] of system.runs.entries()) {
+      listener.head(relayTestHarness.okHead);
+      listener.data(Buffer.alloc((sizes[index] ?? 0) * 1_024, 'x'));
+    }
+    system.time.advance(100);
+    const failed = system.events.filter((event) => !event.startsWith('x') && event !== 'head 200');
+    assert.deepEqual(failed, ['unread']);
+  }
+});
+
 const PIECE = Buffer.alloc(32 * 1_024, 'x');
 
 /** Sends pieces until the peer does not read any more, or has taken far too many; returns their number. */
--- a/packages/kumquatfront/src/peerRelay/relayServer.ts
+++ b/packages/kumquatfront/src/peerRelay/relayServer.ts
@@ -75,14 +75,17 @@
   lastAskedAt: ports.Milliseconds;
 }
 
-/** Number of a past request: it was `void`ed before it arrived, it is `lost`, or it was `givenUp` for lack of memory. */
+/** How a request ended: its response is `lost`, or was given up for lack of memory, or because it was `unread`. */
+type EndState = 'lost' | 'givenUp' | 'unread';
+
+/** Number of a past request, which may also have been `void`ed before it arrived. */
 interface PastNumber {
-  readonly state: 'void' | 'lost' | 'givenUp';
+  readonly state: 'void' | EndState;
   readonly at: ports.Milliseconds;
 }
 
-function lostAnswer(state: 'lost' | 'givenUp'): messages.RelayAnswer {
-  return { state: 'lost', ...(state === 'givenUp' && { givenUp: true }) };
+function lostAnswer(state: EndState): messages.RelayAnswer {
+  return { state: 'lost', ...(state !== 'lost' && { [state]: true }) };
 }
 
 /** Relays for other entries; see the module comment. */
@@ -279,7 +282,7 @@
   private giveUp(id: string, { unacknowledged }: Relayed): void {
     const { size: bytes } = unacknowledged;
     this.options.log.warn('relayTooSlow', { relay: id, bytes, held: this.totalBytes });
-    this.close(id);
+    this.close(id, undefined, 'unread');
   }
 
   private onEventsAsked(
@@ -333,7 +336,7 @@
     });
   }
 
-  private close(id: string, reason?: 'silent', state: 'lost' | 'givenUp' = 'lost'): void {
+  private close(id: string, reason?: 'silent', state: EndState = 'lost'): void {
     const relayed = this.open.get(id);
     if (relayed === undefined) {
       this.recordPast(id, this.past.get(id)?.state ?? 'void');
--- a/packages/kumquatfront/src/peerRelay/relayedExchange.ts
+++ b/packages/kumquatfront/src/peerRelay/relayedExchange.ts
@@ -261,6 +261,8 @@
       case 'lost':
         if (answer.givenUp === true) {
           this.fail('givenUp', 'the relaying entry gave the response up for lack of memory');
+        } else if (answer.unread === true) {
+          this.fail('unread', 'the relaying entry gave the response up, because too much of it was not read');
         } else {
           this.fail('broken', 'the relaying entry no longer has the response');
         }
--- a/packages/kumquatfront/src/relay/bufferedExchange.ts
+++ b/packages/kumquatfront/src/relay/bufferedExchange.ts
@@ -272,7 +272,9 @@
   }
 
   /** Retries after an attempt without a usable response if that is permitted, otherwise responds to the caller. */
-  private retryOrFinish(cause: 'notRun' | 'garbled' | 'broken' | 'givenUp' | 'upstreamFailed'): void {
+  private retryOrFinish(
+    cause: 'notRun' | 'garbled' | 'broken' | 'givenUp' | 'unread' | 'upstreamFailed',
+  ): void {
     if (this.openAttempts.count > 0) {
       return;
     }
--- a/packages/kumquatfront/src/relay/endlessResponses.spec.ts
+++ b/packages/kumquatfront/src/relay/endlessResponses.spec.ts
@@ -80,6 +80,47 @@
   },
 );
 
+// Guards against an upstream that is blamed for a response that this entry has not read in time from the entry that relays it.
+void test.test(
+  'a relayed response that was not read is asked for elsewhere, and says nothing of its upstream',
+  () => {
+    for (const [kind, outcome] of [
+      ['idempotent', 'whole 200 ok'],
+      ['nonIdempotent', 'refused outcomeUnknown'],
+    ] as const) {
+      const harness = plainRequest(kind);
+      const failures: string[] = [];
+      harness.context.balancer.recordFailure = (identity) => failures.push(identity);
+      firstCall(harness).listener.failed('unread', 'not read');
+      if (kind === 'idempotent') {
+        answerSecondCall(harness);
+      }
+      assert.deepEqual(harness.callerEvents, [outcome]);
+      assert.deepEqual(failures, []);
+    }
+  },
+);
+
+// Guards against the same of a stream, which goes on elsewhere where its route permits.
+void test.test(
+  'a relayed stream that was not read goes on elsewhere, and says nothing of its upstream',
+  () => {
+    for (const resumable of [true, false]) {
+      const harness = streamRequest(resumable);
+      const failures: string[] = [];
+      harness.context.balancer.recordFailure = (identity) => failures.push(identity);
+      const first = firstCall(harness);
+      first.listener.head(relayTestHarness.okHead);
+      first.listener.data(relayTestHarness.streamEvent(1));
+      first.listener.failed('unread', 'not read');
+      harness.time.advance(1);
+      assert.equal(harness.sentCalls.length, resumable ? 2 : 1);
+      assert.deepEqual(harness.callerEvents, resumable ? ['begin', '1'] : ['begin', '1', 'abort']);
+      assert.deepEqual(failures, []);
+    }
+  },
+);
+
 const useless: readonly (readonly [string, types.ResponseHead])[] = [
   ['states that the request did not run', relayTestHarness.notRunHead],
   ['is not of this request', { ...relayTestHarness.okHead, matchesRequest: false }],
--- a/packages/kumquatfront/src/relay/exchangeContext.ts
+++ b/packages/kumquatfront/src/relay/exchangeContext.ts
@@ -197,6 +197,7 @@
   return (
     failure !== 'withheld' &&
     failure !== 'givenUp' &&
+    failure !== 'unread' &&
     !(failure === 'notSent' && context.isCutOff?.() === true)
   );
 }
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -111,11 +111,13 @@
  * - `broken`: the connection failed after the request was sent.
  * - `garbled`: the response was invalid.
  * - `givenUp`: an entry has given the response up for lack of memory; the failure does not count against the upstream.
+ * - `unread`: the relaying entry has given the response up, since this entry had not read it; the failure does not count against the upstream.
  * - `quarantined`: not sent, because its content crashes upstreams.
  * - `withheld`: not sent, because the upstream is temporarily excluded, runs other software than began the stream, or the
  *   request has a part that HTTP cannot represent; the failure does not count against the upstream.
  */
-export type ExchangeFailure = 'notSent' | 'broken' | 'garbled' | 'givenUp' | 'quarantined' | 'withheld';
+export type ExchangeFailure =
+  'notSent' | 'broken' | 'garbled' | 'givenUp' | 'unread' | 'quarantined' | 'withheld';
 
 /** Callbacks of one exchange. Unless it is cancelled, either `end` or `failed` is called once, as the last. */
 export interface ExchangeListener {
--- a/packages/scenarios/src/scripts/heldMemorySafeguards.ts
+++ b/packages/scenarios/src/scripts/heldMemorySafeguards.ts
@@ -252,6 +252,27 @@
     replace: 'false',
     scenario: PROTOCOL,
   },
+  {
+    name: 'a peer that gives up what is not read says so',
+    file: 'peerRelay/relayServer.js',
+    find: "this.close(id, undefined, 'unread');",
+    replace: 'this.close(id);',
+    scenario: PROTOCOL,
+  },
+  {
+    name: 'an upstream is not blamed for what this entry did not read from a peer',
+    file: 'peerRelay/relayedExchange.js',
+    find: 'answer.unread === true',
+    replace: 'false',
+    scenario: PROTOCOL,
+  },
+  {
+    name: 'a relayed response that was not read does not count against its upstream',
+    file: 'relay/exchangeContext.js',
+    find: "failure !== 'unread' &&",
+    replace: '',
+    scenario: ENDLESS,
+  },
   {
     name: 'an entry whose heap is nearly full relays nothing for others',
     file: 'trafficEntry/trafficEntry.js',
