Soak: a caller that leaves a stream does not take it for whole

The log of its entry says that all 40 events were passed on, in an answer with a length.

Cause: in the checker. Callers leave 0.4 of the streams after 1 to 30 events by destroying the request. Node.js then reads what has already arrived to its end and emits 'end', so that an answer which had arrived in one read looked whole with 29 events.

Change: events are read by soak/eventReader, which tells no end once its caller has left. The check of callers that stay is as before.

--- a/packages/soak/src/versionedStreams.ts
+++ b/packages/soak/src/versionedStreams.ts
@@ -7,6 +7,7 @@
 import type * as kumquatfront from 'kumquatfront';
 import * as platform from 'kumquatfront-platform';
 
+import * as eventReader from './eventReader.js';
 import type * as invariantChecker from './invariantChecker.js';
 import * as sleep from './sleep.js';
 import * as stubInstance from './stubInstance.js';
@@ -201,26 +202,15 @@
       request.on('error', finish);
       request.on('close', finish);
       request.on('response', (response) => {
-        let text = '';
         isAnswered = true;
-        response.on('data', (bytes: Buffer) => {
-          text += bytes.toString();
-          for (let end = text.indexOf('\n\n'); end >= 0; end = text.indexOf('\n\n')) {
-            this.onEvent(stream, identity, text.slice(0, end));
-            text = text.slice(end + 2);
-            if (!isTakeUp && stream.lastEvent === leavesAfter) {
-              request.destroy();
-              return;
-            }
-          }
-        });
-        response.on('end', () => {
-          stream.complete ||= response.statusCode === 200 && response.complete;
-          if (stream.complete && stream.lastEvent < stubInstance.NOTES_EVENTS) {
-            this.options.checker.violations.push(
-              `${identity} was complete for its caller after event ${stream.lastEvent}`,
-            );
-          }
+        eventReader.read(request, response, {
+          onEvent: (event) => {
+            this.onEvent(stream, identity, event);
+            return isTakeUp || stream.lastEvent !== leavesAfter;
+          },
+          onEnd: () => {
+            this.onEnd(stream, identity, response);
+          },
         });
         response.on('error', finish);
       });
@@ -228,6 +218,15 @@
     });
   }
 
+  private onEnd(stream: CallerStream, attempt: string, response: http.IncomingMessage): void {
+    stream.complete ||= response.statusCode === 200 && response.complete;
+    if (stream.complete && stream.lastEvent < stubInstance.NOTES_EVENTS) {
+      this.options.checker.violations.push(
+        `${attempt} was complete for its caller after event ${stream.lastEvent}`,
+      );
+    }
+  }
+
   private onEvent(stream: CallerStream, attempt: string, event: string): void {
     const [, index = '', version = ''] = /^id: (\d+)\ndata: (\S+)/.exec(event) ?? [];
     if (Number(index) !== stream.lastEvent + 1) {
