A stream that ends within a write passes on nothing more

What was seen, by reading: events of one read are written together at its end, also when the stream had ended by then, and a write that was not taken started the watch of a caller that had gone, which aborted it again 20 s later. The connections of this library report a caller's end in a later turn, so that no caller met this; a caller port that reports it within a write does.

Change: what is written at the end of a read, and the watch that a full connection starts, are left out once the stream has ended.

Evidence: the new spec failed before in both parts: event 2 arrived after the end, and with that fixed alone, an abort after 20 s. 153 specs of relay pass; two safeguards, each proved.

--- a/packages/kumquatfront/src/relay/slowCallers.spec.ts
+++ b/packages/kumquatfront/src/relay/slowCallers.spec.ts
@@ -205,3 +205,36 @@
   assert.equal(sent(0).cancelled, true);
   assert.deepEqual(harness.callerEvents, ['begin', '1', '2', 'abort']);
 });
+
+/** Starts a stream whose caller leaves within the first write, and tells then whether it takes more. */
+function startForLeavingCaller(takesMore: boolean): Started {
+  const harness = new relayTestHarness.RelayTestHarness(['a']);
+  harness.placements.push('a');
+  harness.callerTakesMore = takesMore;
+  const routed = harness.createRoutedRequest('stream', { timeout: LONG_TIMEOUT });
+  const write = (bytes: Uint8Array): boolean => {
+    const canTakeMore = routed.caller.write(bytes);
+    harness.disconnectCaller();
+    return canTakeMore;
+  };
+  const exchange = new streamExchange.StreamExchange(harness.context, {
+    ...routed,
+    caller: { ...routed.caller, write },
+  });
+  exchange.start();
+  harness.time.advance(1);
+  return { harness, exchange, sent: (index) => harness.sentCalls[index] ?? assert.fail('nothing was sent') };
+}
+
+// Guards against events that are written after the end of the stream, and against a watch of a caller that has gone.
+void test.test('a stream that ends within a write passes on nothing more', () => {
+  for (const takesMore of [true, false]) {
+    const { harness, sent } = startForLeavingCaller(takesMore);
+    sent(0).listener.head(relayTestHarness.okHead);
+    // The repeated event lies between the others, so that they are two writes.
+    sendEvents(sent(0), 1, 1, 2);
+    assert.equal(sent(0).cancelled, true);
+    harness.time.advance(2 * STALL_LIMIT);
+    assert.deepEqual(harness.callerEvents, ['begin', '1']);
+  }
+});
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -284,6 +284,9 @@
 
   private onCallerBlocked(): void {
     const { caller, route } = this.routed;
+    if (this.ended) {
+      return;
+    }
     const limit = Math.max(stallWatch.MINIMUM_CALLER_STALL, callerGap.forRoute(route));
     this.stopStallWatch = stallWatch.start({
       ...{ timers: this.context.timers, limit },
@@ -364,10 +367,10 @@
     }
   }
 
-  /** Writes the events of one read in one piece. */
+  /** Writes the events of one read in one piece, unless one of them has ended the stream. */
   private onReadEnded(): void {
-    this.delivery.flush();
     if (!this.ended) {
+      this.delivery.flush();
       this.restartIdleTimer();
     }
   }
--- a/packages/scenarios/src/scripts/flowControlSafeguards.ts
+++ b/packages/scenarios/src/scripts/flowControlSafeguards.ts
@@ -288,4 +288,18 @@
     replace: '',
     scenario: OWN_LOOPBACK,
   },
+  {
+    name: 'a stream that ends within a write writes nothing more',
+    file: 'relay/streamExchange.js',
+    find: 'if (!this.ended) {\n            this.delivery.flush();',
+    replace: 'if (true) {\n            this.delivery.flush();',
+    scenario: STREAM,
+  },
+  {
+    name: 'a caller that has gone within a write is not watched',
+    file: 'relay/streamExchange.js',
+    find: 'if (this.ended) {\n            return;\n        }\n        const limit',
+    replace: 'const limit',
+    scenario: STREAM,
+  },
 ];
