The claims of one client account fit the heap of a control replica

What was seen, in trials of the table of claims with the heap of a control replica (120 MB): 20,000 claims, which one client account may have, with recorded answers of 16,384 characters, the largest that are recorded, end the process with `Reached heap limit`. And settlements of calls that did not run were stored without the bound on the number of claims: an account that has reached it, and whose claims time out, added one for each attempt.

Cause: the bound counts claims, not what they hold, and only where a claim is granted.

Change: recorded answers take 16 MiB of all claims together; beyond it, the oldest of the account that holds the most is dropped, and its claim stays, so that the call does not run again. A repeated call is told that its answer is not stored, as it was for one that is too large. Replicas of two releases may differ in the answers that they dropped, and in settlements that they stored, but not in what has been granted. A settlement of a call that did not run takes no claim above the bound of its account.

--- a/packages/kumquatfront/src/agreedState/claimTable.ts
+++ b/packages/kumquatfront/src/agreedState/claimTable.ts
@@ -2,6 +2,7 @@
  * Claims on calls that are not idempotent. A claim is granted to one attempt, and its outcome is kept until the claim
  * expires, so that a repeated call is answered from the record and not run again.
  */
+import * as recordedOutcomes from './recordedOutcomes.js';
 import type * as types from './types.js';
 
 function keyOf(account: string, key: string): string {
@@ -12,6 +13,7 @@
 export class ClaimTable {
   private claims = new Map<string, types.Claim>();
   private countByAccount = new Map<string, number>();
+  private outcomes = new recordedOutcomes.RecordedOutcomes();
   private readonly limits: types.AgreedStateLimits;
 
   constructor(limits: types.AgreedStateLimits) {
@@ -56,18 +58,35 @@
     const key = keyOf(command.account, command.key);
     const known = this.claims.get(key);
     if (known === undefined) {
-      if (command.result === 'notRun') {
+      if (command.result === 'notRun' && !this.isFull(command.account)) {
         this.store(key, { ...command, digest: '', holder: '', stamp, state: 'notRun', outcome: null });
       }
       return;
     }
     if (known.attempt === command.attempt && known.state === 'pending') {
       this.claims.set(key, { ...known, state: command.result, outcome: command.outcome });
+      this.recordOutcome(key, command);
     }
   }
 
+  private recordOutcome(key: string, { account, outcome }: Pick<types.Claim, 'account' | 'outcome'>): void {
+    if (outcome === null) {
+      return;
+    }
+    for (const dropped of this.outcomes.add(account, key, outcome)) {
+      const claim = this.claims.get(dropped);
+      if (claim !== undefined) {
+        this.claims.set(dropped, { ...claim, outcome: null });
+      }
+    }
+  }
+
+  private isFull(account: string): boolean {
+    return (this.countByAccount.get(account) ?? 0) >= this.limits.claimsPerAccount;
+  }
+
   private grant(key: string, command: types.ClaimCommand, stamp: number): types.ClaimAnswer {
-    if ((this.countByAccount.get(command.account) ?? 0) >= this.limits.claimsPerAccount) {
+    if (this.isFull(command.account)) {
       return { state: 'full', retryAfter: this.timeUntilCapacity(command.account, stamp) };
     }
     this.store(key, { ...command, stamp, state: 'pending', outcome: null });
@@ -92,6 +111,7 @@
     const { account, digest, holder, attempt, stamp, state, outcome } = source;
     this.claims.set(key, { account, key: source.key, digest, holder, attempt, stamp, state, outcome });
     this.countByAccount.set(account, (this.countByAccount.get(account) ?? 0) + 1);
+    this.recordOutcome(key, source);
   }
 
   private remove(key: string): void {
@@ -100,6 +120,7 @@
       return;
     }
     this.claims.delete(key);
+    this.outcomes.remove(claim.account, key);
     const remaining = (this.countByAccount.get(claim.account) ?? 1) - 1;
     if (remaining > 0) {
       this.countByAccount.set(claim.account, remaining);
@@ -126,6 +147,7 @@
   restore(claims: readonly types.Claim[]): void {
     this.claims = new Map();
     this.countByAccount = new Map();
+    this.outcomes = new recordedOutcomes.RecordedOutcomes();
     for (const claim of claims) {
       this.store(keyOf(claim.account, claim.key), claim);
     }
--- a/packages/kumquatfront/src/streams/serviceRelay.ts
+++ b/packages/kumquatfront/src/streams/serviceRelay.ts
@@ -104,7 +104,9 @@
 
   private onRecordedOutcome(outcome: agreedState.RecordedOutcome | null): void {
     if (outcome === null) {
-      this.refuseUnknownOutcome('The call ran, but its answer was too large to store.');
+      this.refuseUnknownOutcome(
+        'The call ran, but its answer is not stored: it was too large, or newer ones needed the room.',
+      );
       return;
     }
     this.options.caller.respond(outcome, true);
--- a/packages/scenarios/src/scripts/controlSafeguards.ts
+++ b/packages/scenarios/src/scripts/controlSafeguards.ts
@@ -5,6 +5,7 @@
 
 const CLAIMS = 'agreedState/claimTable.js';
 const STATE = 'agreedState/agreedState.js';
+const CLAIM_TABLE = 'spec:agreedState/claimTable';
 const ELECTION = 'consensus/election.js';
 
 /** Safeguards, each with the scenario or spec that must fail without it. */
@@ -30,6 +31,34 @@
     replace: 'if (false) {',
     scenario: 'claim-key-reused',
   },
+  {
+    name: 'a settlement takes no claim above the bound of its account',
+    file: CLAIMS,
+    find: ' && !this.isFull(command.account)',
+    replace: '',
+    scenario: CLAIM_TABLE,
+  },
+  {
+    name: 'recorded answers are bounded together',
+    file: 'agreedState/recordedOutcomes.js',
+    find: 'while (this.bytes > MAXIMUM_BYTES) {',
+    replace: 'while (false) {',
+    scenario: CLAIM_TABLE,
+  },
+  {
+    name: 'the account whose answers take the most loses them first',
+    file: 'agreedState/recordedOutcomes.js',
+    find: 'maximum.by(this.accounts, ([, { bytes }]) => bytes)',
+    replace: '[...this.accounts][0]',
+    scenario: CLAIM_TABLE,
+  },
+  {
+    name: 'expired claims give the room of their answers back',
+    file: CLAIMS,
+    find: 'this.outcomes.remove(claim.account, key);',
+    replace: '',
+    scenario: CLAIM_TABLE,
+  },
   {
     name: 'a control request whose response was lost is retried',
     file: 'controlClient/controlClient.js',
