Connections to the port of peers have a bound until their proof

Each stranger with a wrong proof wrote a line of the log.

Cause: a connection without a proof was closed after 2 s and after a wrong proof, and their number had no bound.

Change: adapters/unprovenConnections holds 1,024 at most and closes the oldest of the address that has the most; strangersClosed and strangerRefused are one line a second at most, through countedWarnings (was droppedMessages). As many may wait to be accepted, where the default of 511 made peers of a fleet connect again.

Evidence: unprovenConnections.spec failed before in three cases: 1,536 connections were held of 1,024 expected, 512 of 800 peers that connect at once were answered, 200 lines for 200 strangers instead of 2. The case of the 800 was changed to virtual time afterwards, in which it shows the bound and not the backlog, so that no safeguard proves the backlog. Specs of adapters, heldMemory and the library: 218 passed. Four safeguards proved.

--- a/packages/kumquatfront/src/adapters/droppedMessages.ts
+++ b/packages/kumquatfront/src/adapters/countedWarnings.ts
@@ -1,23 +1,27 @@
 /**
- * Logs the messages to peers that were dropped because too much waits for their connections: at once, and then once a second.
+ * Warnings about what a crowd may cause: written at once, and then once a second with their number, since a line for each would fill the log.
  */
 import type * as ports from '../kernel/ports.js';
 
 const LINE_INTERVAL: ports.Milliseconds = 1_000;
 
-/** Messages dropped by one transport; see the module comment. */
-export class DroppedMessages {
+/** Numbers of one kind of warning by address; see the module comment. */
+export class CountedWarnings {
   private readonly counts = new Map<string, number>();
   private isWaiting = false;
   private cancelWait: ports.Cancel = () => undefined;
 
+  /**
+   * @param scheduler - for the interval
+   * @param log - writes the numbers since it was called last
+   */
   constructor(
     private readonly scheduler: ports.Scheduler,
-    private readonly log: ports.Log,
+    private readonly log: (counts: ReadonlyMap<string, number>) => void,
   ) {}
 
   /**
-   * Counts a message.
+   * Counts a warning.
    *
    * @param address - address of the peer
    * @example
@@ -33,9 +37,7 @@
   }
 
   private write(): void {
-    for (const [address, messages] of this.counts) {
-      this.log.warn('peerMessagesDropped', { address, messages });
-    }
+    this.log(this.counts);
     this.counts.clear();
     this.isWaiting = true;
     this.cancelWait = this.scheduler.after(LINE_INTERVAL, () => {
--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
@@ -9,10 +9,12 @@
 import type * as heldMemoryTypes from '../heldMemory/types.js';
 import type * as ports from '../kernel/ports.js';
 import * as results from '../kernel/results.js';
-import * as droppedMessages from './droppedMessages.js';
+import * as maximum from '../utils/maximum.js';
+import * as countedWarnings from './countedWarnings.js';
 import * as lineSocket from './lineSocket.js';
 import * as peerAuthentication from './peerAuthentication.js';
 import * as peerRequests from './peerRequests.js';
+import * as unprovenConnections from './unprovenConnections.js';
 
 /** Options of the transport. */
 export interface JsonRpcTransportOptions {
@@ -65,6 +67,13 @@
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
 }
 
+/** One line for a crowd: its connections, and the address that had the most of them. */
+function summary(counts: ReadonlyMap<string, number>): ports.LogFields {
+  const [address = ''] = maximum.by(counts, ([, count]) => count) ?? [];
+  const connections = [...counts.values()].reduce((sum, count) => sum + count, 0);
+  return { address, connections, addresses: counts.size };
+}
+
 /** Options of an outgoing connection. */
 interface ConnectionOptions {
   readonly clusterKey: string;
@@ -237,7 +246,10 @@
   // Failures are regular responses; by default the library also logs each of them to the console.
   private readonly rpcServer = new jsonRpc.JSONRPCServer({ errorListener: () => undefined });
   private readonly connections = new Map<string, PeerConnection>();
-  private readonly dropped: droppedMessages.DroppedMessages;
+  private readonly dropped: countedWarnings.CountedWarnings;
+  private readonly refused: countedWarnings.CountedWarnings;
+  private readonly crowdedOut: countedWarnings.CountedWarnings;
+  private readonly unproven: unprovenConnections.UnprovenConnections;
   private readonly inbound = new Map<net.Socket, lineSocket.LineSocket>();
   private server: net.Server | undefined;
   private closedBytesSent = 0;
@@ -245,7 +257,21 @@
 
   constructor(options: JsonRpcTransportOptions) {
     this.options = options;
-    this.dropped = new droppedMessages.DroppedMessages(options.scheduler, options.log);
+    const { scheduler, log } = options;
+    this.dropped = new countedWarnings.CountedWarnings(scheduler, (counts) => {
+      for (const [address, messages] of counts) {
+        log.warn('peerMessagesDropped', { address, messages });
+      }
+    });
+    this.refused = new countedWarnings.CountedWarnings(scheduler, (counts) => {
+      log.warn('strangerRefused', summary(counts));
+    });
+    this.crowdedOut = new countedWarnings.CountedWarnings(scheduler, (counts) => {
+      log.warn('strangersClosed', summary(counts));
+    });
+    this.unproven = new unprovenConnections.UnprovenConnections((address) => {
+      this.crowdedOut.add(address);
+    });
     this.serve(PROBE_METHOD, (_parameters, reply) => {
       reply(results.Ok(null));
     });
@@ -273,7 +299,7 @@
     this.server = net.createServer((socket) => {
       this.accept(socket);
     });
-    this.server.listen(port, host, () => {
+    this.server.listen({ port, host, backlog: unprovenConnections.MAXIMUM_UNPROVEN }, () => {
       const bound = this.server?.address();
       done(typeof bound === 'object' && bound !== null ? bound.port : port);
     });
@@ -281,16 +307,19 @@
 
   private accept(socket: net.Socket): void {
     const serverNonce = peerAuthentication.createNonce();
+    const { remoteAddress = '' } = socket;
+    const removeUnproven = this.unproven.add(socket);
     let authenticated = false;
     const lines = new lineSocket.LineSocket(socket, (line) => {
       if (authenticated) {
         this.onRequest(line, lines, socket);
       } else if (this.authenticate(line, serverNonce, lines)) {
         authenticated = true;
+        removeUnproven();
         lines.permitLongLines();
       } else {
         // Closes the connection without a response if the first line is not a valid proof.
-        this.options.log.warn('strangerRefused', { address: socket.remoteAddress });
+        this.refused.add(remoteAddress);
         socket.destroy();
       }
     });
@@ -303,6 +332,7 @@
     socket.on('error', () => undefined);
     socket.on('close', () => {
       cancel();
+      removeUnproven();
       this.inbound.delete(socket);
       this.closedBytesSent += socket.bytesWritten;
       this.closedBytesReceived += socket.bytesRead;
@@ -418,6 +448,8 @@
 
   close(): void {
     this.dropped.close();
+    this.refused.close();
+    this.crowdedOut.close();
     this.server?.close();
     for (const socket of this.inbound.keys()) {
       socket.destroy();
--- a/packages/scenarios/src/scripts/callerBoundsSafeguards.ts
+++ b/packages/scenarios/src/scripts/callerBoundsSafeguards.ts
@@ -7,6 +7,7 @@
 const HELD = 'spec:callerBounds/heldRequests';
 const BODY = 'spec:buffers/byteCollector';
 const PACE = 'spec:callerBounds/readPace';
+const UNPROVEN = 'spec:adapters/unprovenConnections';
 
 /** Safeguards, each with the spec that must fail without it. */
 export const callerBoundsSafeguards: readonly types.Safeguard[] = [
@@ -157,4 +158,32 @@
     replace: 'if (false) {',
     scenario: SERVER,
   },
+  {
+    name: 'connections to the port of peers have a bound until their proof',
+    file: 'adapters/unprovenConnections.js',
+    find: 'this.count > MAXIMUM_UNPROVEN',
+    replace: 'false',
+    scenario: UNPROVEN,
+  },
+  {
+    name: 'a new connection to the port of peers is not the one that is closed',
+    file: 'adapters/unprovenConnections.js',
+    find: 'this.closeOne();',
+    replace: 'socket.destroy();',
+    scenario: UNPROVEN,
+  },
+  {
+    name: 'a stranger that opens many connections closes its own',
+    file: 'adapters/unprovenConnections.js',
+    find: "const { remoteAddress = '' } = socket;",
+    replace: "const remoteAddress = '';",
+    scenario: UNPROVEN,
+  },
+  {
+    name: 'peers that have proved themselves do not count as strangers',
+    file: 'adapters/jsonRpcTransport.js',
+    find: 'authenticated = true;\n                removeUnproven();',
+    replace: 'authenticated = true;',
+    scenario: UNPROVEN,
+  },
 ];
--- a/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
+++ b/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
@@ -191,7 +191,7 @@
   },
   {
     name: 'messages that are dropped are logged once a second',
-    file: 'adapters/droppedMessages.js',
+    file: 'adapters/countedWarnings.js',
     find: 'if (!this.isWaiting) {',
     replace: 'if (true) {',
     scenario: PEERS,
