Streams of the own interface wait for callers as counted bytes, not as text in the heap

Callers saw: streams and other requests of an entry lost when its heap was full, with no kind of held memory that explained it. 30 callers that did not read events of 1 MB took 32 MB of heap, each within its bound, and shedding had nothing to give up.

Cause: `EventStreamResponse` wrote each event as a string. It waited in the heap until the caller had taken it, as a write of its own with its objects. `SlowReaders` tracked the streams of the platform alone; the entry daemon of the own interface had none.

Change: events are written as bytes, those of one turn of the event loop in one write, or in writes of 8 KiB and more. Each stream, also one that is taken up again, is tracked by a `SlowReaders` of the daemon, which is registered as `unread`, checks its bounds each 200 ms, and is passed to the server. A caller that is let go has its connection aborted (reset without chunks, as in HTTP/1.0), and its generation is cancelled like that of any caller that has left. `StreamHandle` names its request, for the log.

Failed before: three specs of `generationResponses` (writes of strings, one for each event; a full connection not told; events after a close) and three of `slowGenerations` (nothing held, no caller let go for the entry, none reset). The one of `entryHttp` fails without the tracking. The spec of events of several lines looks at its writes after the turn. An abort without chunks is in `connectionReset` now, for both servers, and its safeguard moved with it.

--- a/packages/daemons/src/entryDaemon.ts
+++ b/packages/daemons/src/entryDaemon.ts
@@ -77,10 +77,14 @@
   const requests = new kumquatfront.heldRequests.HeldRequests({ ...ports, bounds: settings.callerBounds });
   const watched = kumquatfront.processMemory.watch({ log, metrics: ports.metrics, requests, transport });
   watched.held.register(kumquatfront.heldMemoryHolders.of('responses', responses));
+  // The settings of this daemon state no memory.
+  const readers = kumquatfront.slowReaders.startChecked({ ...ports, timers, memoryMegabytes: undefined });
+  watched.held.register(kumquatfront.heldMemoryHolders.of('unread', readers));
   const shedding = kumquatfront.processMemory.shed(watched.held, ports);
   const refusesNew = (): boolean => shedding.refusesNew();
   const state = { log, recentPause, refusesNew };
-  const server = kumquatfront.entryHttp.createServer(settings.entry, node, state, requests, responses);
+  const answers = { responses, readers };
+  const server = kumquatfront.entryHttp.createServer(settings.entry, node, state, requests, answers);
   const [host = '', port = ''] = settings.callerListen.split(':');
   server.listen(Number(port), host, () => {
     log.info('listening', { callers: settings.callerListen, peers: settings.entry.peerAddress });
--- a/packages/kumquatfront/src/adapters/authentication.spec.ts
+++ b/packages/kumquatfront/src/adapters/authentication.spec.ts
@@ -18,6 +18,7 @@
 import * as trafficResolver from '../selectors/trafficResolver.js';
 import * as defaultConfig from '../settings/defaultConfig.js';
 import * as entryHttp from './entryHttp.js';
+import * as entryHttpTestHarness from './entryHttpTestHarness.js';
 import * as httpUpstreams from './httpUpstreams.js';
 import * as jsonRpcTransport from './jsonRpcTransport.js';
 import * as seededRandom from './seededRandom.js';
@@ -132,7 +133,10 @@
     node,
     { log, recentPause: () => 0 },
     unboundedRequests.create(),
-    new responseMemory.ResponseMemory(log, statsdMetrics.noop),
+    {
+      responses: new responseMemory.ResponseMemory(log, statsdMetrics.noop),
+      readers: entryHttpTestHarness.createReaders(),
+    },
   );
   await new Promise<void>((resolve) => {
     server.listen(0, LOCAL, resolve);
--- a/packages/kumquatfront/src/adapters/connectionReset.ts
+++ b/packages/kumquatfront/src/adapters/connectionReset.ts
@@ -1,6 +1,7 @@
 /**
  * Resets a connection, so that its other side cannot take the bytes that have arrived for a whole answer.
  */
+import type * as http from 'node:http';
 import type * as net from 'node:net';
 
 /**
@@ -20,3 +21,20 @@
     socket.resetAndDestroy();
   }
 }
+
+/**
+ * Ends an answer so that its caller cannot take the part that was sent for the whole.
+ *
+ * @param socket - the connection of the answer, which Node.js takes from it at its end
+ * @example
+ * ```ts
+ * connectionReset.abort(outgoing, incoming.socket);
+ * ```
+ */
+export function abort(outgoing: http.ServerResponse, socket: net.Socket): void {
+  // Without chunks an ordinary end of the connection would complete the answer.
+  if (outgoing.headersSent && !outgoing.chunkedEncoding) {
+    reset(socket);
+  }
+  outgoing.destroy();
+}
--- a/packages/kumquatfront/src/adapters/entryHttp.spec.ts
+++ b/packages/kumquatfront/src/adapters/entryHttp.spec.ts
@@ -6,11 +6,17 @@
 import * as net from 'node:net';
 import type * as http from 'node:http';
 import * as test from 'node:test';
+import * as timers from 'node:timers/promises';
 
 import type * as ports from '../kernel/ports.js';
+import type * as streams from '../streams/types.js';
 import * as entryHttpTestHarness from './entryHttpTestHarness.js';
 
 const LOCAL = '127.0.0.1';
+/** Time in which a caller reads 20 MB, also beside other work. */
+const MOST_TURNS = 500;
+const TURN_MILLISECONDS = 10;
+
 const PATHS = ['/v1/completions', '/v1/services/stock/orders', '/v1/requests/r1'] as const;
 
 /** An entry that records which requests it is given, and answers calls. */
@@ -21,6 +27,7 @@
 
   constructor(recentPause: ports.Milliseconds, refusesNew: () => boolean = () => false) {
     const handle = {
+      requestId: 'r',
       onDrain: () => undefined,
       onCallerDisconnect: () => undefined,
       giveUpAnswer: () => undefined,
@@ -160,3 +167,49 @@
     entry.close();
   }
 });
+
+// Guards against a way to a stream on which nothing counts what its caller has not read.
+void test.test('streams count until their end, whether they begin or are taken up again', async () => {
+  const readers = entryHttpTestHarness.createReaders();
+  const open = new Set<object>();
+  const track = readers.track.bind(readers);
+  readers.track = (reader) => {
+    const tracked = track(reader);
+    open.add(tracked);
+    const remove = (): void => {
+      open.delete(tracked);
+      tracked.remove();
+    };
+    return { ...tracked, remove };
+  };
+  let caller: streams.GenerationCaller | undefined;
+  const handle = (_request: unknown, given: streams.GenerationCaller): object => {
+    caller = given;
+    given.sendAccepted('t');
+    return { requestId: 'r', onDrain: () => undefined, onCallerDisconnect: () => undefined };
+  };
+  const requests = { generate: handle, resume: handle };
+  const server = entryHttpTestHarness.createServer({ requests }, undefined, readers);
+  const port = await entryHttpTestHarness.listen(server);
+  try {
+    for (const method of ['POST /v1/completions', 'GET /v1/requests/r1'] as const) {
+      const socket = net.connect(port, LOCAL);
+      socket.write(`${method} HTTP/1.1\r\nHost: e\r\nContent-Length: 15\r\n\r\n{"stream":true}`);
+      await events.EventEmitter.once(socket, 'readable');
+      caller?.sendToken('t', 0, 'x'.repeat(20_000_000));
+      assert.ok(readers.held().bytes > 1_000_000, method);
+      assert.equal(readers.largest()?.fields.request, 'r');
+      caller?.complete(1);
+      socket.resume();
+      for (let turns = 0; open.size > 0 && turns < MOST_TURNS; turns += 1) {
+        await timers.setTimeout(TURN_MILLISECONDS);
+      }
+      assert.equal(open.size, 0, method);
+      assert.deepEqual(readers.held(), { bytes: 0, pieces: 0 });
+      socket.destroy();
+    }
+  } finally {
+    server.closeAllConnections();
+    server.close();
+  }
+});
--- a/packages/kumquatfront/src/adapters/entryHttp.ts
+++ b/packages/kumquatfront/src/adapters/entryHttp.ts
@@ -5,6 +5,7 @@
 
 import type * as heldRequests from '../callerBounds/heldRequests.js';
 import * as upstreamUpdateParser from '../directory/upstreamUpdateParser.js';
+import type * as slowReaders from '../entryLoad/slowReaders.js';
 import type * as entryNode from '../entryNode/entryNode.js';
 import type * as entryTypes from '../entryNode/types.js';
 import * as refusals from '../entryNode/refusals.js';
@@ -29,10 +30,17 @@
   readonly refusesNew?: () => boolean;
 }
 
-interface EntryApi {
+/** What this process holds of answers. */
+export interface HeldAnswers {
+  /** Answers that are held until they are complete. */
+  readonly responses: responseMemory.ResponseMemory;
+  /** Streams that callers have not read. */
+  readonly readers: slowReaders.SlowReaders;
+}
+
+interface EntryApi extends HeldAnswers {
   readonly entry: entryNode.EntryNode;
   readonly state: ProcessState;
-  readonly responses: responseMemory.ResponseMemory;
 }
 
 /**
@@ -41,11 +49,11 @@
  * @param entry - the entry that handles the requests
  * @param state - the log, the last pause of this process, and whether its heap is nearly full
  * @param requests - requests held at this process
- * @param responses - answers that are held until they are complete
+ * @param answers - what is held of answers
  * @returns the server, not yet listening
  * @example
  * ```ts
- * entryHttp.createServer(settings, entry, { log, recentPause }, requests, responses).listen(8080);
+ * entryHttp.createServer(settings, entry, { log, recentPause }, requests, { responses, readers }).listen(8080);
  * ```
  */
 export function createServer(
@@ -53,9 +61,9 @@
   entry: entryNode.EntryNode,
   state: ProcessState,
   requests: heldRequests.HeldRequests,
-  responses: responseMemory.ResponseMemory,
+  answers: HeldAnswers,
 ): http.Server {
-  const api: EntryApi = { entry, state, responses };
+  const api: EntryApi = { entry, state, ...answers };
   const bounded = { listener: 'callers', requests, http: httpMessages.serverOptions };
   return boundedServer.create(bounded, (request, response, connection) => {
     const served: httpMessages.ServedRequest = { incoming: request, outgoing: response, connection };
@@ -174,8 +182,8 @@
       return;
     }
     const streaming = body.val.stream === true;
-    const buffered = streaming
-      ? undefined
+    const caller = streaming
+      ? new generationResponses.EventStreamResponse(response)
       : new generationResponses.BufferedJsonResponse(response, path, api.responses);
     const handle = api.entry.requests.generate(
       {
@@ -185,18 +193,25 @@
         body: body.val,
         acceptsRestart: !streaming || httpMessages.header(request, 'kumquatfront-accept') === 'restart',
       },
-      buffered ?? new generationResponses.EventStreamResponse(response),
+      caller,
     );
-    if (buffered !== undefined) {
-      buffered.onGivenUp = (reason) => {
-        handle.giveUpAnswer(reason);
-      };
-    }
-    attachStreamHandle(response, handle);
+    attachStreamHandle(api, response, caller, handle);
   });
 }
 
-function attachStreamHandle(response: http.ServerResponse, handle: streams.StreamHandle): void {
+function attachStreamHandle(
+  api: EntryApi,
+  response: http.ServerResponse,
+  caller: generationResponses.EventStreamResponse | generationResponses.BufferedJsonResponse,
+  handle: streams.StreamHandle,
+): void {
+  if (caller instanceof generationResponses.EventStreamResponse) {
+    caller.track(api.readers, handle.requestId);
+  } else {
+    caller.onGivenUp = (reason) => {
+      handle.giveUpAnswer(reason);
+    };
+  }
   response.on('drain', () => {
     handle.onDrain();
   });
@@ -210,6 +225,7 @@
     if (refuseNearHeapLimit(api, response)) {
       return;
     }
+    const caller = new generationResponses.EventStreamResponse(response);
     const handle = api.entry.requests.resume(
       {
         bearerKey: httpMessages.bearerKey(request),
@@ -217,9 +233,9 @@
         requestId: REQUEST_PATH.exec(url.pathname)?.[1] ?? '',
         token: httpMessages.header(request, 'last-event-id') ?? '',
       },
-      new generationResponses.EventStreamResponse(response),
+      caller,
     );
-    attachStreamHandle(response, handle);
+    attachStreamHandle(api, response, caller, handle);
   });
 }
 
--- a/packages/kumquatfront/src/adapters/entryHttpTestHarness.ts
+++ b/packages/kumquatfront/src/adapters/entryHttpTestHarness.ts
@@ -9,6 +9,7 @@
 import * as unboundedRequests from '../callerBounds/unboundedRequests.js';
 import type * as entryNode from '../entryNode/entryNode.js';
 import type * as entryTypes from '../entryNode/types.js';
+import * as slowReaders from '../entryLoad/slowReaders.js';
 import type * as ports from '../kernel/ports.js';
 import * as serviceRegistry from '../kernel/serviceRegistry.js';
 import * as responseMemory from '../relay/responseMemory.js';
@@ -34,11 +35,22 @@
   readonly addresses?: () => readonly string[];
 }
 
+/** Creates what counts the streams of callers; its clock stands still, unless another one is given. */
+export function createReaders(
+  options: Partial<slowReaders.SlowReadersOptions> = {},
+): slowReaders.SlowReaders {
+  return new slowReaders.SlowReaders({
+    ...{ now: () => 0, log: silentLog, metrics: statsdMetrics.noop, memoryMegabytes: undefined },
+    ...options,
+  });
+}
+
 /**
  * Creates the server, not yet listening.
  *
  * @param parts - what takes the place of the entry
  * @param state - state of the process; by default it has made no pause, and logs nothing
+ * @param readers - counts the streams of callers; checked by the test alone
  * @example
  * ```ts
  * const port = await entryHttpTestHarness.listen(entryHttpTestHarness.createServer({ requests: { generate } }));
@@ -47,11 +59,12 @@
 export function createServer(
   parts: EntryParts,
   state: entryHttp.ProcessState = { recentPause: () => 0, log: silentLog },
+  readers = createReaders(),
 ): http.Server {
   const services = serviceRegistry.create<entryNode.EntryServices>();
   const node = { services, ...parts } as unknown as entryNode.EntryNode;
   const responses = new responseMemory.ResponseMemory(state.log, statsdMetrics.noop);
-  return entryHttp.createServer(settings, node, state, unboundedRequests.create(), responses);
+  return entryHttp.createServer(settings, node, state, unboundedRequests.create(), { responses, readers });
 }
 
 /** Lets a server listen; returns its port. */
--- a/packages/kumquatfront/src/adapters/generationResponses.spec.ts
+++ b/packages/kumquatfront/src/adapters/generationResponses.spec.ts
@@ -13,30 +13,111 @@
 import * as generationResponses from './generationResponses.js';
 import * as statsdMetrics from './statsdMetrics.js';
 
+/** A response that records what is written to it. */
+class RecordingResponse extends events.EventEmitter {
+  readonly writes: unknown[] = [];
+  destroyed = false;
+  writableNeedDrain = false;
+  readonly caller = new generationResponses.EventStreamResponse(this as unknown as http.ServerResponse);
+
+  write(bytes: unknown): boolean {
+    this.writes.push(bytes);
+    return !this.writableNeedDrain;
+  }
+
+  end(bytes: unknown): void {
+    this.writes.push(bytes);
+  }
+
+  get text(): string {
+    return this.writes.join('');
+  }
+
+  /** Sends events, as the connection to an engine passes them on within one turn of the event loop. */
+  sendTokens(data: readonly string[]): void {
+    for (const [index, text] of data.entries()) {
+      this.caller.sendToken(`t.${index}`, index, text);
+    }
+  }
+
+  sendInTurn(data: readonly string[]): Promise<void> {
+    this.sendTokens(data);
+    return new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
 // Guards against an event that reaches the caller without all but the first of its lines.
-void test.test('the data of an event of several lines is passed on whole', () => {
-  let written = '';
-  const response = Object.assign(new events.EventEmitter(), {
-    write: (text: string) => {
-      written += text;
-      return true;
-    },
-  });
-  const caller = new generationResponses.EventStreamResponse(response as unknown as http.ServerResponse);
+void test.test('the data of an event of several lines is passed on whole', async () => {
+  const response = new RecordingResponse();
   const sent = ['{"a":1}', '{\n"a":\n\n1}', '\n{}\n'];
-  for (const [index, data] of sent.entries()) {
-    caller.sendToken(`t.${index}`, index, data);
-  }
+  await response.sendInTurn(sent);
   const received: string[] = [];
   const parser = eventSource.createParser({
     onEvent: ({ data }) => {
       received.push(data);
     },
   });
-  parser.feed(written);
+  parser.feed(response.text);
   assert.deepEqual(received, sent);
 });
 
+// Guards against texts that wait for callers in the heap, and against a write with its objects for each event.
+void test.test('events wait for their caller as bytes, those of one turn in one write', async () => {
+  const response = new RecordingResponse();
+  await response.sendInTurn(Array.from({ length: 40 }, () => '{}'));
+  assert.equal(response.writes.length, 1);
+  assert.equal(response.text.match(/^data: {}$/gm)?.length, 40);
+  const long = 'l'.repeat(500_000);
+  await response.sendInTurn([long]);
+  assert.equal(response.writes.length, 2);
+  assert.ok(response.text.endsWith(`id: t.0\ndata: ${long}\n\n`));
+  response.caller.sendRestart('t');
+  response.caller.complete();
+  assert.ok(response.writes.every((bytes) => Buffer.isBuffer(bytes)));
+});
+
+// Guards against events that are collected without a bound while the connection is full.
+void test.test('a caller whose connection is full is told so by its next event', async () => {
+  const response = new RecordingResponse();
+  response.writableNeedDrain = true;
+  assert.equal(response.caller.sendToken('t.0', 0, '{}'), false);
+  response.writableNeedDrain = false;
+  assert.equal(response.caller.sendToken('t.1', 1, '{}'), true);
+  response.writableNeedDrain = true;
+  assert.equal(response.caller.sendToken('t.2', 2, 'x'.repeat(20_000)), false);
+  assert.equal(response.writes.length, 1);
+  await response.sendInTurn([]);
+  assert.equal(response.writes.length, 1);
+});
+
+// Guards against the end of a stream that overtakes its events, and against a write to a connection that has closed.
+void test.test(
+  'what ends a stream comes after its events, and nothing is written after a close',
+  async () => {
+    for (const end of ['complete', 'refuse'] as const) {
+      const response = Object.assign(new RecordingResponse(), { headersSent: true });
+      response.sendTokens(['{"a":1}']);
+      if (end === 'complete') {
+        response.caller.complete();
+      } else {
+        response.caller.refuse({ kind: 'interrupted', status: 502, message: '', remedy: '' });
+      }
+      await response.sendInTurn([]);
+      assert.match(
+        response.text,
+        /^id: t\.0\ndata: \{"a":1\}\n\n(data: \[DONE\]|event: error\n[^\n]*)\n\n$/,
+        end,
+      );
+    }
+    const closed = new RecordingResponse();
+    closed.sendTokens(['{}']);
+    closed.destroyed = true;
+    closed.emit('close');
+    await closed.sendInTurn(['{}']);
+    assert.deepEqual(closed.writes, []);
+  },
+);
+
 /** An answer that is not streamed, with the room that it has and the body that its caller got. */
 class BufferedAnswer {
   readonly lines: string[] = [];
--- a/packages/kumquatfront/src/adapters/slowGenerations.spec.ts
+++ b/packages/kumquatfront/src/adapters/slowGenerations.spec.ts
@@ -10,6 +10,7 @@
 
 import * as eventSource from 'eventsource-parser';
 
+import type * as slowReaders from '../entryLoad/slowReaders.js';
 import * as timerService from '../kernel/timerService.js';
 import * as virtualTime from '../kernel/virtualTime.js';
 import * as defaultConfig from '../settings/defaultConfig.js';
@@ -34,9 +35,18 @@
 }
 
 /** Sends a generation of so many tokens, each a chunk of its own, as fast as they are read. */
-function createEngine(count: number): { server: net.Server; sentTokens: () => number } {
+function createEngine(count: number): {
+  server: net.Server;
+  sentTokens: () => number;
+  openConnections: () => number;
+} {
   let sent = 0;
+  let openConnections = 0;
   const server = net.createServer((socket) => {
+    openConnections += 1;
+    socket.on('close', () => {
+      openConnections -= 1;
+    });
     socket.on('error', () => undefined);
     socket.once('data', () => {
       socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n');
@@ -55,7 +65,7 @@
       sendNext();
     });
   });
-  return { server, sentTokens: () => sent };
+  return { server, sentTokens: () => sent, openConnections: () => openConnections };
 }
 
 /** A stream that is never read again fails its test. */
@@ -65,14 +75,16 @@
   readonly port: number;
   readonly time: virtualTime.VirtualTime;
   readonly sentTokens: () => number;
+  /** Connections to the engine. */
+  readonly openConnections: () => number;
   /** Most bytes that waited for the caller after a token. */
   readonly mostUnread: () => number;
   readonly close: () => void;
 }
 
 /** Starts an engine and an entry that relays its generation; the timers of the relay are virtual. */
-async function start(count: number): Promise<Running> {
-  const { server: engine, sentTokens } = createEngine(count);
+async function start(count: number, readers?: slowReaders.SlowReaders): Promise<Running> {
+  const { server: engine, sentTokens, openConnections } = createEngine(count);
   const address = `http://${LOCAL}:${await entryHttpTestHarness.listen(engine)}`;
   const time = new virtualTime.VirtualTime();
   let mostUnread = 0;
@@ -123,7 +135,7 @@
     relay.start();
     return relay;
   };
-  const server = entryHttpTestHarness.createServer({ requests: { generate } });
+  const server = entryHttpTestHarness.createServer({ requests: { generate } }, undefined, readers);
   server.prependListener('request', (_request, outgoing) => {
     response = outgoing;
   });
@@ -133,7 +145,7 @@
     server.close();
     engine.close();
   };
-  return { port, time, sentTokens, mostUnread: () => mostUnread, close };
+  return { port, time, sentTokens, openConnections, mostUnread: () => mostUnread, close };
 }
 
 async function call(port: number): Promise<http.IncomingMessage> {
@@ -230,3 +242,82 @@
     close();
   }
 });
+
+/** Blocks that wait for one caller are some, not one for each of hundreds of events. */
+const MOST_PIECES = 10;
+
+// Guards against streams that no kind of held memory counts, and that shedding does not reach.
+void test.test('what waits for a caller counts, and can be given up for the heap', LIMITED, async () => {
+  const readers = entryHttpTestHarness.createReaders();
+  const { port, sentTokens, openConnections, close } = await start(TOKEN_COUNT, readers);
+  try {
+    const response = await call(port);
+    await untilBlocked(sentTokens);
+    const { bytes, pieces } = readers.held();
+    assert.ok(bytes >= 16_384 && bytes <= MOST_UNREAD, `${bytes} bytes`);
+    assert.ok(pieces > 0 && pieces <= MOST_PIECES, `${pieces} pieces`);
+    const largest = readers.largest();
+    assert.deepEqual(largest?.fields, { request: 'r', unread: bytes });
+    largest.giveUp();
+    await assert.rejects(readTokens(response), { code: 'ECONNRESET' });
+    await untilBlocked(openConnections);
+    assert.equal(openConnections(), 0);
+    assert.deepEqual(readers.held(), { bytes: 0, pieces: 0 });
+  } finally {
+    close();
+  }
+});
+
+// Guards against streams of all callers that together fill the memory of the entry.
+void test.test('a caller that leaves too much unread for the entry is let go', LIMITED, async () => {
+  let now = 0;
+  const readers = entryHttpTestHarness.createReaders({ now: () => now, memoryMegabytes: 0.05 });
+  const { port, sentTokens, openConnections, close } = await start(TOKEN_COUNT, readers);
+  try {
+    const response = await call(port);
+    await untilBlocked(sentTokens);
+    readers.check();
+    now = 4_999;
+    readers.check();
+    assert.equal(openConnections(), 1);
+    now = 5_000;
+    readers.check();
+    await assert.rejects(readTokens(response), { code: 'ECONNRESET' });
+  } finally {
+    close();
+  }
+});
+
+/** Reads a connection to its end; returns whether it was reset. */
+function isReset(socket: net.Socket): Promise<boolean> {
+  return new Promise((resolve) => {
+    let wasReset = false;
+    socket.on('error', () => {
+      wasReset = true;
+    });
+    // Where bytes are still to be read, Node.js reports an end instead of a reset; a write shows which of them it was.
+    socket.on('end', () => {
+      socket.end(' ');
+    });
+    socket.on('close', () => {
+      resolve(wasReset);
+    });
+    socket.resume();
+  });
+}
+
+// Guards against a part of a stream that ends like the whole.
+void test.test('a caller in HTTP/1.0 that is let go is reset', LIMITED, async () => {
+  const readers = entryHttpTestHarness.createReaders();
+  const { port, sentTokens, close } = await start(TOKEN_COUNT, readers);
+  try {
+    const socket = net.connect({ port, host: LOCAL, allowHalfOpen: true });
+    socket.write('POST /v1/completions HTTP/1.0\r\nContent-Length: 15\r\n\r\n{"stream":true}');
+    await untilBlocked(sentTokens);
+    assert.notEqual(readers.largest(), undefined);
+    readers.largest()?.giveUp();
+    assert.equal(await isReset(socket), true);
+  } finally {
+    close();
+  }
+});
--- a/packages/kumquatfront/src/adapters/statedLengths.spec.ts
+++ b/packages/kumquatfront/src/adapters/statedLengths.spec.ts
@@ -29,7 +29,7 @@
       caller.sendToken('', 0, JSON.stringify({ choices: [{ text: TEXT }] }));
       caller.complete(1);
     }
-    return { onDrain: noop, onCallerDisconnect: noop, giveUpAnswer: noop };
+    return { requestId: 'r', onDrain: noop, onCallerDisconnect: noop, giveUpAnswer: noop };
   };
   const callService = ({ path, method }: entryTypes.ServiceRequest, caller: streams.ServiceCaller): void => {
     const status = Number(path.slice(1));
--- a/packages/kumquatfront/src/adapters/trafficHttp.ts
+++ b/packages/kumquatfront/src/adapters/trafficHttp.ts
@@ -210,11 +210,7 @@
   const { load } = options;
   const { socket } = incoming;
   const abort = (): void => {
-    // Without chunks an ordinary end of the connection would complete the answer.
-    if (outgoing.headersSent && !outgoing.chunkedEncoding) {
-      connectionReset.reset(socket);
-    }
-    outgoing.destroy();
+    connectionReset.abort(outgoing, socket);
   };
   const reader = load?.readers.track({
     request: request.identity,
--- a/packages/kumquatfront/src/entryLoad/slowReaders.ts
+++ b/packages/kumquatfront/src/entryLoad/slowReaders.ts
@@ -4,6 +4,7 @@
  */
 import type * as heldMemoryTypes from '../heldMemory/types.js';
 import type * as ports from '../kernel/ports.js';
+import type * as timerService from '../kernel/timerService.js';
 import * as maximum from '../utils/maximum.js';
 
 /** Unread bytes of one streamed response above which its caller is disconnected, once it has stalled. */
@@ -20,6 +21,9 @@
 /** Time for which a caller must have read nothing before it is disconnected; one that reads slowly is kept. */
 const STALLED_AFTER: ports.Milliseconds = 5_000;
 
+/** Interval between checks of an entry that does not sample its load. */
+const CHECK_INTERVAL: ports.Milliseconds = 200;
+
 /** Unread bytes from which a stream may be given up for the heap: its connection is full, so that its caller does not keep up. */
 const BEHIND_FROM = 16_384;
 
@@ -191,3 +195,27 @@
     }
   }
 }
+
+/** Dependencies of {@link startChecked}. */
+export interface CheckedReadersOptions extends Omit<SlowReadersOptions, 'now'> {
+  readonly timers: timerService.TimerService;
+}
+
+/**
+ * Creates the readers of an entry that does not sample its load, and checks them regularly.
+ *
+ * @example
+ * ```ts
+ * const readers = slowReaders.startChecked({ timers, log, metrics, memoryMegabytes: 200 });
+ * ```
+ */
+export function startChecked({ timers, ...options }: CheckedReadersOptions): SlowReaders {
+  const readers = new SlowReaders({ ...options, now: () => timers.now() });
+  timers.every(
+    () => CHECK_INTERVAL,
+    () => {
+      readers.check();
+    },
+  );
+  return readers;
+}
--- a/packages/kumquatfront/src/entryNode/requestHandler.ts
+++ b/packages/kumquatfront/src/entryNode/requestHandler.ts
@@ -37,6 +37,7 @@
 type Refuse = (refusal: streams.Refusal) => void;
 
 const NO_OP_HANDLE: streams.StreamHandle = {
+  requestId: '',
   onDrain: () => undefined,
   onCallerDisconnect: () => undefined,
   giveUpAnswer: () => undefined,
--- a/packages/kumquatfront/src/index.ts
+++ b/packages/kumquatfront/src/index.ts
@@ -97,6 +97,7 @@
 export * as virtualTime from './kernel/virtualTime.js';
 export * as prometheusMetrics from './adapters/prometheusMetrics.js';
 export type * as entryCapacity from './entryLoad/entryCapacity.js';
+export * as slowReaders from './entryLoad/slowReaders.js';
 export * as heldMemory from './heldMemory/heldMemory.js';
 export * as heldMemoryHolders from './heldMemory/holders.js';
 export * as responseMemory from './relay/responseMemory.js';
--- a/packages/kumquatfront/src/streams/generationRelay.ts
+++ b/packages/kumquatfront/src/streams/generationRelay.ts
@@ -93,6 +93,10 @@
     });
   }
 
+  get requestId(): string {
+    return this.options.requestId;
+  }
+
   /** Lets go of a caller that takes nothing, so that its generation does not run for nobody. */
   private watchCaller(): void {
     const { caller, timers } = this.options;
--- a/packages/kumquatfront/src/streams/types.ts
+++ b/packages/kumquatfront/src/streams/types.ts
@@ -105,6 +105,8 @@
 
 /** Handle through which the caller's connection controls a running stream. */
 export interface StreamHandle {
+  /** Names the request in logs; empty if it was refused at once. */
+  readonly requestId: string;
   /** The caller's connection accepts more tokens. */
   onDrain(): void;
   /** The caller's connection closed; the caller may resume at another entry within `resumeGrace`. */
--- a/packages/scenarios/src/scripts/completionSafeguards.ts
+++ b/packages/scenarios/src/scripts/completionSafeguards.ts
@@ -53,8 +53,8 @@
   },
   {
     name: 'an aborted answer without chunks ends with a reset',
-    file: 'adapters/trafficHttp.js',
-    find: 'connectionReset.reset(socket);',
+    file: 'adapters/connectionReset.js',
+    find: 'reset(socket);',
     replace: '',
     scenario: RAW,
   },
--- a/packages/scenarios/src/scripts/flowControlSafeguards.ts
+++ b/packages/scenarios/src/scripts/flowControlSafeguards.ts
@@ -284,7 +284,7 @@
   {
     name: 'the connection of a caller that takes no token is closed',
     file: 'adapters/generationResponses.js',
-    find: 'response.destroy();',
+    find: 'connectionReset.abort(this.response, socket);',
     replace: '',
     scenario: OWN_LOOPBACK,
   },
--- a/packages/scenarios/src/scripts/heldMemorySafeguards.ts
+++ b/packages/scenarios/src/scripts/heldMemorySafeguards.ts
@@ -10,6 +10,9 @@
 const ENDLESS = 'spec:relay/endlessResponses';
 const PROTOCOL = 'spec:peerRelay/relayProtocol';
 const TIMED_OUT = 'spec:adapters/timedOutRequests';
+const GENERATIONS = 'spec:adapters/slowGenerations';
+const RESPONSES = 'spec:adapters/generationResponses';
+const READERS = 'spec:entryLoad/slowReaders';
 const STATUS = 'spec:trafficEntry/entryLoadStatus';
 
 /** Safeguards, each with the spec that must fail without it. */
@@ -294,4 +297,67 @@
     replace: '',
     scenario: TIMED_OUT,
   },
+  {
+    name: 'events of the own interface wait for their caller as bytes',
+    file: 'adapters/generationResponses.js',
+    find: 'pending.append(Buffer.from(event));\n        if (',
+    replace: 'return response.write(event);\n        if (',
+    scenario: RESPONSES,
+  },
+  {
+    name: 'the events of one turn are one write',
+    file: 'adapters/generationResponses.js',
+    find: 'pending.size >= WRITE_BYTES',
+    replace: 'true',
+    scenario: RESPONSES,
+  },
+  {
+    name: 'an event for a connection that is full asks for a pause',
+    file: 'adapters/generationResponses.js',
+    find: 'return !response.writableNeedDrain;',
+    replace: 'return true;',
+    scenario: RESPONSES,
+  },
+  {
+    name: 'the end of a stream comes after its events',
+    file: 'adapters/generationResponses.js',
+    find: 'response.end(pending.takeContent())',
+    replace: 'response.end(event)',
+    scenario: RESPONSES,
+  },
+  {
+    name: 'nothing is written to a caller that has left',
+    file: 'adapters/generationResponses.js',
+    find: 'if (response.destroyed) {\n            return true;',
+    replace: 'if (false) {\n            return true;',
+    scenario: RESPONSES,
+  },
+  {
+    name: 'the streams of the own interface can be given up',
+    file: 'adapters/generationResponses.js',
+    find: 'this.runWrite = write;',
+    replace: '',
+    scenario: GENERATIONS,
+  },
+  {
+    name: 'the streams of the own interface count what their callers have not read',
+    file: 'adapters/entryHttp.js',
+    find: 'caller.track(api.readers, handle.requestId);',
+    replace: '',
+    scenario: OWN,
+  },
+  {
+    name: 'a stream of the own interface counts no more after its end',
+    file: 'adapters/generationResponses.js',
+    find: "response.once('close', remove);",
+    replace: '',
+    scenario: OWN,
+  },
+  {
+    name: 'the bounds on unread streams hold without samples of the load',
+    file: 'entryLoad/slowReaders.js',
+    find: 'readers.check();',
+    replace: '',
+    scenario: READERS,
+  },
 ];
