Reads of upstream connections that hold many pieces have a pace

What callers saw: beside an upstream that answers in chunks of one byte at 20 MB/s, callers of other services got 11 to 40 in 100 of their usual number of answers.

Cause: the parser takes 2.1 µs of the processor for each chunk (three trials of 3 s, by the processor time of the thread: 2.07, 2.12, 2.21), so that a read of 64 KiB in 10,900 chunks takes 23 ms, and one such connection keeps the process busy all the time. Nothing paced these reads.

Change: flowControl/piecePace counts the pieces of each read over all connections to upstreams of a process, and gives them 1,200 in 10 ms, a quarter of the processor by the cost above. 200 pieces in a second of each connection are free, and up to 1,000 at once, so that ordinary streams never wait, also when all of them catch up after a pause. Connections that wait are read by what their own reads hold. A pausable socket holds this pause and that of the receiver apart.

The two new specs of a paced response failed before ("9600000 bytes" where at most three reads are expected; reads that go on after the receiver's pause).

--- a/packages/kumquatfront/src/adapters/pausableSocket.spec.ts
+++ b/packages/kumquatfront/src/adapters/pausableSocket.spec.ts
@@ -6,6 +6,8 @@
 import * as test from 'node:test';
 import * as timers from 'node:timers/promises';
 
+import * as piecePace from '../flowControl/piecePace.js';
+import * as virtualTime from '../kernel/virtualTime.js';
 import * as rawAnswers from '../relay/rawAnswers.js';
 import type * as relayTypes from '../relay/types.js';
 import * as endlessBytes from './endlessBytes.js';
@@ -28,10 +30,18 @@
   readonly close: () => void;
 }
 
+/** No pace, so that only the receiver pauses. */
+class NoPace extends piecePace.PiecePace {
+  override count(): boolean {
+    return false;
+  }
+}
+
 /** Starts an upstream, and sends it a request. */
 async function request(
   serve: (socket: net.Socket) => void,
   onData: (received: Received) => void = () => undefined,
+  pace: piecePace.PiecePace = new NoPace(systemTime.clock, systemTime.scheduler),
 ): Promise<Received> {
   const server = await rawAnswers.listen((socket) => {
     socket.once('data', () => {
@@ -57,6 +67,7 @@
       },
       failed: settle,
     },
+    pace,
   );
   const close = (): void => {
     exchange.cancel();
@@ -179,3 +190,82 @@
     close();
   }
 });
+
+/** Bytes of the body in one read in chunks of one byte. */
+const MOST_PIECES = 10_923;
+
+/** More than a response at a pace whose time stands still. */
+const MOST_PACED = 20 * MOST_PIECES;
+
+interface PacedResponse {
+  readonly received: Received;
+  readonly time: virtualTime.VirtualTime;
+  /** Bytes of the body, once nothing more arrives. */
+  readonly bytesWhenBlocked: () => Promise<number>;
+}
+
+/** Starts an upstream that sends without end, and is read at a pace whose time stands still. */
+async function requestPaced(repeated: string): Promise<PacedResponse> {
+  const time = new virtualTime.VirtualTime();
+  const received = await request(
+    (socket) => {
+      endlessBytes.send(socket, CHUNKED_HEAD, repeated);
+    },
+    undefined,
+    new piecePace.PiecePace(time, time),
+  );
+  const bytesWhenBlocked = async (): Promise<number> => {
+    const bytes = (): number => countBytes(received.pieces);
+    for (let before = -1; before !== bytes() && before < MOST_PACED;) {
+      before = bytes();
+      await timers.setTimeout(50);
+    }
+    return bytes();
+  };
+  return { received, time, bytesWhenBlocked };
+}
+
+// Guards against an upstream whose chunks take the processor from the callers of all others.
+void test.test('a response in chunks of one byte is read at the pace of the process', async () => {
+  const { received, time, bytesWhenBlocked } = await requestPaced(ONE_BYTE_CHUNKS);
+  try {
+    const first = await bytesWhenBlocked();
+    assert.ok(first > 0 && first <= 3 * MOST_PIECES, `${first} bytes`);
+    time.advance(1_000);
+    const second = await bytesWhenBlocked();
+    assert.ok(second > first && second <= first + 2 * MOST_PIECES, `${second - first} bytes`);
+  } finally {
+    received.close();
+  }
+});
+
+// Guards against a receiver that drains and ends the pause of the pace, and a pace that ends the pause of the receiver.
+void test.test('a response goes on when neither its receiver nor the pace holds it', async () => {
+  const { received, time, bytesWhenBlocked } = await requestPaced(ONE_BYTE_CHUNKS);
+  const { exchange, close } = received;
+  try {
+    const first = await bytesWhenBlocked();
+    exchange.pause();
+    exchange.resume();
+    assert.equal(await bytesWhenBlocked(), first);
+    exchange.pause();
+    time.advance(1_000);
+    assert.equal(await bytesWhenBlocked(), first);
+    exchange.resume();
+    assert.ok((await bytesWhenBlocked()) > first);
+  } finally {
+    close();
+  }
+});
+
+// Guards against ordinary answers that wait.
+void test.test('a response in large chunks does not wait for the pace', { timeout: 10_000 }, async () => {
+  const { received } = await requestPaced(`2000\r\n${'x'.repeat(8_192)}\r\n`);
+  try {
+    while (countBytes(received.pieces) < 64 * READ_BYTES) {
+      await timers.setTimeout(5);
+    }
+  } finally {
+    received.close();
+  }
+});
--- a/packages/kumquatfront/src/adapters/pausableSocket.ts
+++ b/packages/kumquatfront/src/adapters/pausableSocket.ts
@@ -4,6 +4,9 @@
  */
 import * as net from 'node:net';
 
+/** Why a connection is not read: its receiver takes no more, or its reads hold too many pieces. Each ends by itself. */
+export type PauseReason = 'receiver' | 'pace';
+
 /**
  * See the module comment. The connection is half-open: its user ends its own side.
  *
@@ -13,11 +16,11 @@
  * ```ts
  * const socket = new pausableSocket.PausableSocket(() => passOn(collected));
  * socket.connect({ host, port });
- * incoming.on('data', () => socket.pauseReads());
+ * incoming.on('data', () => socket.pauseReads('receiver'));
  * ```
  */
 export class PausableSocket extends net.Socket {
-  private areReadsPaused = false;
+  private readonly pauses = new Set<PauseReason>();
 
   /**
    * @param onReadEnded - called after all that follows from the bytes of one read
@@ -27,17 +30,22 @@
   }
 
   /** The read in progress is still passed on; none follows. Called between two reads, one more may follow. */
-  pauseReads(): void {
-    this.areReadsPaused = true;
+  pauseReads(reason: PauseReason): void {
+    this.pauses.add(reason);
   }
 
-  resumeReads(): void {
-    this.areReadsPaused = false;
-    if (!this.destroyed) {
+  /** Reads go on unless there is another reason to pause. */
+  resumeReads(reason: PauseReason): void {
+    this.pauses.delete(reason);
+    if (!this.areReadsPaused && !this.destroyed) {
       this._read(0);
     }
   }
 
+  private get areReadsPaused(): boolean {
+    return this.pauses.size > 0;
+  }
+
   /** A result of false stops the reads of the handle; it does not withhold the bytes, which are emitted while the stream flows. */
   override push(bytes: Buffer | null): boolean {
     const takesMore = super.push(bytes);
--- a/packages/kumquatfront/src/adapters/readPieces.ts
+++ b/packages/kumquatfront/src/adapters/readPieces.ts
@@ -10,14 +10,16 @@
   private single: Uint8Array | undefined;
   private readonly joined = new byteCollector.ByteCollector();
   private isPlanned = false;
+  private count = 0;
 
   /**
-   * @param passOn - receives the bytes of one read
+   * @param passOn - receives the bytes of one read, and the number of their pieces
    */
-  constructor(private readonly passOn: (bytes: Uint8Array) => void) {}
+  constructor(private readonly passOn: (bytes: Uint8Array, pieces: number) => void) {}
 
   /** Adds a piece, which is passed on with the others of its read. */
   add(piece: Uint8Array): void {
+    this.count += 1;
     if (this.single === undefined && this.joined.size === 0) {
       this.single = piece;
     } else {
@@ -43,18 +45,20 @@
 
   /** Passes on what was added. */
   flush(): void {
-    const { single } = this;
+    const { single, count } = this;
+    this.count = 0;
     if (single !== undefined) {
       this.single = undefined;
-      this.passOn(single);
+      this.passOn(single, count);
     } else if (this.joined.size > 0) {
-      this.passOn(this.joined.takeContent());
+      this.passOn(this.joined.takeContent(), count);
     }
   }
 
   /** Drops what was added. */
   clear(): void {
     this.single = undefined;
+    this.count = 0;
     this.joined.clear();
   }
 }
--- a/packages/kumquatfront/src/adapters/singleUseConnection.ts
+++ b/packages/kumquatfront/src/adapters/singleUseConnection.ts
@@ -7,6 +7,7 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 
+import * as piecePace from '../flowControl/piecePace.js';
 import type * as ports from '../kernel/ports.js';
 import type * as relayTypes from '../relay/types.js';
 import * as unsentExchange from '../relay/unsentExchange.js';
@@ -14,6 +15,7 @@
 import * as readPieces from './readPieces.js';
 import * as responseHead from './responseHead.js';
 import * as responseMonitor from './responseMonitor.js';
+import * as systemTime from './systemTime.js';
 
 /** Connecting is aborted after this time; nothing was sent, so another upstream can be tried. */
 const CONNECT_TIMEOUT: ports.Milliseconds = 400;
@@ -21,6 +23,9 @@
 /** Maximum size of a response header. */
 const MAXIMUM_HEADER_BYTES = 65_536;
 
+/** The pace of all connections to upstreams of this process. */
+const processPace = new piecePace.PiecePace(systemTime.clock, systemTime.scheduler);
+
 /** A request to an upstream. */
 export interface OutgoingRequest {
   /** `ip:port` */
@@ -90,6 +95,24 @@
   return outgoing;
 }
 
+/** Returns what counts the pieces of a read, and lets the connection wait where they are too many. */
+function pacing(
+  pace: piecePace.PiecePace,
+  connection: pausableSocket.PausableSocket,
+): (pieces: number) => void {
+  const reads = pace.openConnection({
+    isOpen: () => !connection.destroyed,
+    resume: () => {
+      connection.resumeReads('pace');
+    },
+  });
+  return (pieces) => {
+    if (reads.count(pieces)) {
+      connection.pauseReads('pace');
+    }
+  };
+}
+
 /** Reports a request that cannot be encoded once the caller of `send` has returned, as every other failure. */
 function failAsWithheld(
   error: unknown,
@@ -107,6 +130,7 @@
  * Sends a request on a new connection.
  *
  * @param request - the request and the address of the upstream
+ * @param pace - the pace at which the response is read if it comes in many pieces
  * @returns controls the exchange
  * @example
  * ```ts
@@ -117,12 +141,14 @@
   request: OutgoingRequest,
   scheduler: ports.Scheduler,
   listener: ConnectionListener,
+  pace: piecePace.PiecePace = processPace,
 ): relayTypes.UpstreamExchange {
   let connected = false;
   let settled = false;
   let response: http.IncomingMessage | undefined;
   let monitor: responseMonitor.ResponseMonitor | undefined;
-  const pieces = new readPieces.ReadPieces((bytes) => {
+  const pieces = new readPieces.ReadPieces((bytes, count) => {
+    keepPace(count);
     if (!settled) {
       listener.data(bytes);
     }
@@ -131,6 +157,7 @@
   const connection = new pausableSocket.PausableSocket(() => {
     pieces.flush();
   });
+  const keepPace = pacing(pace, connection);
   let outgoing: http.ClientRequest;
   try {
     outgoing = open(request, connection);
@@ -243,10 +270,10 @@
       outgoing.destroy();
     },
     pause: () => {
-      connection.pauseReads();
+      connection.pauseReads('receiver');
     },
     resume: () => {
-      connection.resumeReads();
+      connection.resumeReads('receiver');
     },
   };
 }
--- a/packages/scenarios/src/scripts/flowControlSafeguards.ts
+++ b/packages/scenarios/src/scripts/flowControlSafeguards.ts
@@ -5,6 +5,7 @@
 
 const SOCKET = 'spec:adapters/pausableSocket';
 const CLASS = 'spec:flowControl/flowControl';
+const PACE = 'spec:flowControl/piecePace';
 const STREAM = 'spec:relay/slowCallers';
 const CHECK = 'spec:streamOrigins/incarnationCheck';
 const PROTOCOL = 'spec:peerRelay/relayProtocol';
@@ -42,6 +43,62 @@
     replace: 'this.passOn(piece);',
     scenario: SOCKET,
   },
+  {
+    name: 'a response in many pieces is read at the pace of the process',
+    file: 'adapters/singleUseConnection.js',
+    find: 'if (reads.count(pieces)) {',
+    replace: 'if (false) {',
+    scenario: SOCKET,
+  },
+  {
+    name: 'a receiver that has drained does not end the pause of the pace',
+    file: 'adapters/pausableSocket.js',
+    find: 'this.pauses.delete(reason);',
+    replace: 'this.pauses.clear();',
+    scenario: SOCKET,
+  },
+  {
+    name: 'a large read is paid for before the next one',
+    file: 'flowControl/piecePace.js',
+    find: 'this.piecesLeft -= next.pieces;',
+    replace: 'this.piecesLeft -= 1;',
+    scenario: PACE,
+  },
+  {
+    name: 'an ordinary stream never waits for the pace',
+    file: 'flowControl/piecePace.js',
+    find: 'if (pieces <= this.freePieces) {',
+    replace: 'if (false) {',
+    scenario: PACE,
+  },
+  {
+    name: 'the free pieces of a connection are used up',
+    file: 'flowControl/piecePace.js',
+    find: 'this.freePieces -= pieces;',
+    replace: '',
+    scenario: PACE,
+  },
+  {
+    name: 'a read with fewer pieces goes on before those with more',
+    file: 'flowControl/piecePace.js',
+    find: 'paidAt: this.progress + pieces',
+    replace: 'paidAt: this.progress',
+    scenario: PACE,
+  },
+  {
+    name: 'pieces that were not used are not saved up',
+    file: 'flowControl/piecePace.js',
+    find: 'Math.min(this.piecesLeft + PIECES_PER_INTERVAL, PIECES_PER_INTERVAL)',
+    replace: 'Math.max(this.piecesLeft + PIECES_PER_INTERVAL, PIECES_PER_INTERVAL)',
+    scenario: PACE,
+  },
+  {
+    name: 'a closed connection takes no part in the pace',
+    file: 'flowControl/piecePace.js',
+    find: '.filter(({ connection }) => connection.isOpen())',
+    replace: '',
+    scenario: PACE,
+  },
   {
     name: 'the clock of reading stands still during a pause',
     file: 'flowControl/flowControl.js',
