Answers that few callers do not read leave requests of all others their memory

Cause: complete answers that wait for their caller counted in the bound on the memory of requests like any other byte, and were closed only when nobody had read them for the whole time limit. A caller that read slowly was closed then as well, since the time counted from the end of the answer.

Change: unread answers have half of the bound. Beyond it they count against no request, up to the size of the bound once more, and are closed the earlier the more is unread: those with the most bytes for longest without progress first, from 20 s without progress down to 1 s where requests would be refused.

Evidence: failed before, passes now: heldRequests.spec (three answers unread, 20 of 20 requests of 20 kB were refused, now none; answers without progress were not closed early), boundedServer.spec over loopback connections (two of the four answers of 8 MiB were refused themselves; now 40 of 40 requests of 40 kB are served beside four). New safeguards of both specs are proved.

Changed tests: fixtures of heldRequests.spec, boundedServer.spec and holders.spec state what a connection has taken; no assertion is changed. The safeguard that an answer is closed after the time limit has a spec within the share as well.

--- a/packages/kumquatfront/src/adapters/boundedServer.spec.ts
+++ b/packages/kumquatfront/src/adapters/boundedServer.spec.ts
@@ -14,9 +14,12 @@
 import * as virtualTime from '../kernel/virtualTime.js';
 import * as boundedServer from './boundedServer.js';
 import * as systemTime from './systemTime.js';
+import * as takenBytes from './takenBytes.js';
 
 const GET = 'GET /a HTTP/1.1\r\nHost: a\r\n\r\n';
 
+const LARGE_ANSWER = 8 * 1_048_576;
+
 interface Running {
   readonly port: number;
   readonly server: http.Server;
@@ -54,6 +57,10 @@
       outgoing.end('unread');
       return;
     }
+    if (incoming.url === '/large') {
+      outgoing.end(Buffer.alloc(LARGE_ANSWER));
+      return;
+    }
     connection.readBody(
       { incoming, outgoing },
       {
@@ -306,7 +313,10 @@
     const run = async ({ port, server, requests }: Running): Promise<void> => {
       const stallTimeout = (): number => 20_000;
       requests
-        .openConnection({ listener: 'callers', stallTimeout, isLate: () => false, giveUp: () => undefined })
+        .openConnection({
+          ...{ listener: 'callers', stallTimeout, isLate: () => false },
+          ...{ takenBytes: () => 0, giveUp: () => undefined },
+        })
         .grow(600_000);
       const connected = events.EventEmitter.once(server, 'connection') as Promise<[net.Socket]>;
       const client = new Client(port);
@@ -375,3 +385,64 @@
     });
   },
 );
+
+// Guards against answers that few callers do not read, and for which the requests of all others are refused.
+void test.test('beside four large answers that are not read, other requests are served', async () => {
+  await withServer({}, async ({ port, requests, closed }) => {
+    const unread = Array.from({ length: 4 }, () => new Client(port));
+    for (const { socket } of unread) {
+      socket.pause();
+      socket.write(GET.replace('/a', '/large'));
+    }
+    await until(() => requests.heldBytes > 4 * LARGE_ANSWER - 1_048_576 || closed.length > 0);
+    const others = Array.from({ length: 40 }, () => new Client(port));
+    for (const { socket } of others) {
+      socket.write('POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 40000\r\n\r\n');
+      socket.write('x'.repeat(40_000));
+    }
+    await until(() => others.every(({ text, isClosed }) => text.endsWith('40000 bytes') || isClosed));
+    const served = others.filter(({ text }) => text.endsWith('40000 bytes')).length;
+    for (const { socket } of [...unread, ...others]) {
+      socket.destroy();
+    }
+    assert.deepEqual({ served, closed }, { served: 40, closed: [] });
+  });
+});
+
+// Guards against a large answer that is cut while its caller reads it, since another caller reads nothing.
+void test.test('above the share of unread answers, one that is being read is delivered whole', async () => {
+  const time = new virtualTime.VirtualTime();
+  const run = async ({ port, server, requests, begun, closed }: Running): Promise<void> => {
+    const connected = events.EventEmitter.once(server, 'connection') as Promise<[net.Socket]>;
+    const [reading, silent] = [new Client(port), new Client(port)];
+    for (const { socket } of [reading, silent]) {
+      socket.pause();
+      socket.write(GET.replace('/a', '/large'));
+      const count = begun.length;
+      await until(() => begun.length > count);
+    }
+    await until(() => requests.heldBytes > 2 * LARGE_ANSWER - 1_048_576);
+    time.advance(1_500);
+    const [socket] = await connected;
+    const taken = takenBytes.counter(socket);
+    const before = taken();
+    const pauseOnProgress = (): void => {
+      if (taken() > before) {
+        reading.socket.pause();
+      }
+    };
+    reading.socket.on('data', pauseOnProgress).resume();
+    await until(() => taken() > before);
+    reading.socket.off('data', pauseOnProgress).pause();
+    assert.ok(requests.heldBytes > 2 * LARGE_ANSWER - 1_048_576, 'an answer has been taken whole');
+    time.advance(10_000);
+    assert.deepEqual(closed, ['unreadAnswer']);
+    reading.socket.resume();
+    await until(() => reading.text.length > LARGE_ANSWER || reading.isClosed);
+    assert.ok(reading.text.length > LARGE_ANSWER, `${reading.text.length} bytes`);
+    for (const { socket } of [reading, silent]) {
+      socket.destroy();
+    }
+  };
+  await withServer({ heldBytes: 12_000_000 }, run, { clock: time.clock, scheduler: time });
+});
--- a/packages/kumquatfront/src/adapters/boundedServer.ts
+++ b/packages/kumquatfront/src/adapters/boundedServer.ts
@@ -10,6 +10,7 @@
 import type * as types from '../callerBounds/types.js';
 import type * as ports from '../kernel/ports.js';
 import * as connectionGate from './connectionGate.js';
+import * as takenBytes from './takenBytes.js';
 
 /** Interval at which Node.js applies its time limits on heads; 30 s by default. */
 const TIME_LIMIT_CHECKS: ports.Milliseconds = 1_000;
@@ -78,6 +79,7 @@
     this.held = requests.openConnection({
       ...{ listener, stallTimeout },
       isLate: () => this.isLate(),
+      takenBytes: takenBytes.counter(socket),
       giveUp: (reason) => {
         this.giveUp(reason);
       },
--- a/packages/kumquatfront/src/callerBounds/heldRequests.spec.ts
+++ b/packages/kumquatfront/src/callerBounds/heldRequests.spec.ts
@@ -34,11 +34,14 @@
     });
   }
 
-  open(name: string, isLate = (): boolean => false): heldRequests.HeldConnection {
+  open(
+    name: string,
+    { isLate = () => false, takenBytes = () => 0 }: Partial<heldRequests.ConnectionPort> = {},
+  ): heldRequests.HeldConnection {
     const held = this.requests.openConnection({
       listener: 'callers',
       stallTimeout: () => BOUNDS.stallTimeout,
-      isLate,
+      ...{ isLate, takenBytes },
       giveUp: (reason) => {
         this.refused.push(`${name} ${reason}`);
         this.requests.recordClose('callers', reason);
@@ -101,7 +104,7 @@
 void test.test('a request that is too late is refused while its body arrives', () => {
   const fixture = new Fixture();
   let isLate = false;
-  const late = fixture.open('late', () => isLate);
+  const late = fixture.open('late', { isLate: () => isLate });
   late.grow(10);
   fixture.time.advance(2_000);
   assert.deepEqual(fixture.refused, []);
@@ -123,6 +126,125 @@
   assert.deepEqual(fixture.refused, ['unread unreadAnswer']);
 });
 
+/** Opens answers of 400 kB that nobody reads. */
+function openUnread(fixture: Fixture, count: number): void {
+  for (let index = 0; index < count; index += 1) {
+    fixture.open(`unread${index}`).answer(400_000);
+  }
+}
+
+// Guards against answers that few callers do not read, and for which the requests of all others are refused.
+void test.test('unread answers leave requests their share of the bound', () => {
+  const fixture = new Fixture();
+  openUnread(fixture, 3);
+  for (let index = 0; index < 20; index += 1) {
+    fixture.open(`other${index}`).grow(20_000);
+  }
+  assert.deepEqual(fixture.refused, []);
+});
+
+// Guards against unread answers that no bound limits, since they do not count against requests.
+void test.test('unread answers far above their share refuse requests, until they are closed', () => {
+  const fixture = new Fixture();
+  openUnread(fixture, 6);
+  fixture.time.advance(500);
+  fixture.open('early').grow(20_000);
+  assert.deepEqual(fixture.refused, ['early memory']);
+  fixture.time.advance(2_000);
+  fixture.open('other').grow(20_000);
+  assert.ok(!fixture.refused.includes('other memory'));
+  assert.ok(fixture.requests.heldBytes <= 1_520_000, `${fixture.requests.heldBytes} bytes`);
+});
+
+// Guards against answers that keep much memory for the whole time limit although nobody reads them.
+void test.test('the more is unread, the earlier what makes no progress is closed', () => {
+  const fixture = new Fixture();
+  openUnread(fixture, 3);
+  fixture.time.advance(5_000);
+  assert.equal(fixture.refused.length, 0);
+  fixture.time.advance(3_000);
+  assert.equal(fixture.refused.length, 1);
+  fixture.time.advance(5_000);
+  assert.equal(fixture.refused.length, 1);
+  fixture.time.advance(2_000);
+  assert.equal(fixture.refused.length, 2);
+  fixture.time.advance(60_000);
+  assert.equal(fixture.refused.length, 2);
+});
+
+// Guards against a complete answer that is cut although its caller reads it, only slowly.
+void test.test('an answer is kept while its caller takes bytes, beside others that are closed', () => {
+  const fixture = new Fixture();
+  let taken = 0;
+  fixture.open('reading', { takenBytes: () => taken }).answer(600_000);
+  openUnread(fixture, 2);
+  fixture.time.advance(1_500);
+  for (let step = 0; step < 10; step += 1) {
+    taken += 10_000;
+    fixture.time.advance(15_000);
+  }
+  assert.deepEqual(fixture.refused, ['unread0 unreadAnswer', 'unread1 unreadAnswer']);
+});
+
+// Guards against callers that read just enough to keep all memory for unread answers from the others for minutes.
+void test.test(
+  'answers that are read for longer than the time limit are closed where too much is unread',
+  () => {
+    const fixture = new Fixture();
+    let taken = 0;
+    for (let index = 0; index < 6; index += 1) {
+      fixture.open(`reading${index}`, { takenBytes: () => taken }).answer(400_000);
+    }
+    fixture.time.advance(500);
+    taken += 10_000;
+    fixture.time.advance(1_000);
+    for (let step = 0; step < 5; step += 1) {
+      assert.deepEqual(fixture.refused, []);
+      taken += 10_000;
+      fixture.time.advance(4_000);
+    }
+    fixture.time.advance(3_000);
+    assert.equal(fixture.refused.length, 3);
+  },
+);
+
+// Guards against requests that are refused for the memory of an answer that nobody reads, although it is within the share of such answers.
+void test.test('above the bound, an answer within the share that was not read for long is closed', () => {
+  const fixture = new Fixture();
+  openUnread(fixture, 1);
+  fixture.time.advance(25_000);
+  const served = fixture.open('served');
+  served.grow(500_000);
+  served.serve();
+  assert.deepEqual(fixture.refused, []);
+  fixture.open('arriving').grow(200_000);
+  assert.deepEqual(fixture.refused, ['unread0 unreadAnswer']);
+});
+
+// Guards against callers that read nothing and seem to, since their operating system takes the first bytes.
+void test.test('bytes that are taken at once after the answer do not count as being read', () => {
+  const fixture = new Fixture();
+  let taken = 0;
+  for (let index = 0; index < 6; index += 1) {
+    fixture.open(`silent${index}`, { takenBytes: () => taken }).answer(400_000);
+  }
+  fixture.time.advance(500);
+  taken += 10_000;
+  fixture.time.advance(3_500);
+  assert.equal(fixture.refused.length, 3);
+});
+
+// Guards against slow callers that are broken off while there is memory for all.
+void test.test('in calm, no answer is closed, however long it is unread', () => {
+  const fixture = new Fixture();
+  openUnread(fixture, 1);
+  for (let minute = 0; minute < 10; minute += 1) {
+    fixture.time.advance(60_000);
+    fixture.open(`other${minute}`).grow(20_000);
+  }
+  assert.ok(!fixture.refused.some((name) => name.startsWith('unread')));
+});
+
 // Guards against a log line for each of thousands of connections.
 void test.test('closed connections are logged together', () => {
   const fixture = new Fixture();
--- a/packages/kumquatfront/src/callerBounds/heldRequests.ts
+++ b/packages/kumquatfront/src/callerBounds/heldRequests.ts
@@ -17,6 +17,15 @@
 const SMALL_REQUEST_RESERVE = 0.25;
 const SMALL_REQUEST_BYTES = 16_384;
 
+/** Share of the bound that unread answers may use; beyond it they count against no request, up to {@link UNREAD_RESERVE}. */
+const UNREAD_SHARE = 0.5;
+
+/** Memory of unread answers beyond their share that counts against no request, as a share of the bound. */
+const UNREAD_RESERVE = 1;
+
+/** Time without progress after which an unread answer is closed where their reserve is used up, as a share of the time limit. */
+const LEAST_UNREAD_TIME = 0.05;
+
 /** Share of the bound above which connections are read at a pace. */
 const PACED_FROM = 0.5;
 
@@ -48,6 +57,8 @@
   readonly stallTimeout: () => ports.Milliseconds;
   /** Whether the request that is arriving can no longer be served in time. */
   readonly isLate: () => boolean;
+  /** Bytes that the operating system has taken for the caller; they never fall. */
+  readonly takenBytes: () => number;
   /** Refuses what arrives, and closes the connection. */
   readonly giveUp: (reason: types.CloseReason) => void;
 }
@@ -71,7 +82,15 @@
   private aheadPieces = 0;
   /** Heap of the request beside the objects that hold its bytes. */
   heapBytes = 0;
+  /** Whether the caller was seen to take bytes of its unread answer some time after that was completed. */
+  isBeingRead = false;
   private isClosed = false;
+  /** Bytes that the caller had taken when that was last asked. */
+  private taken = 0;
+  /** When the answer was completed. */
+  private answeredAt: ports.Milliseconds = 0;
+  /** When the caller was last seen to take bytes of its unread answer. */
+  private takenAt: ports.Milliseconds = 0;
 
   constructor(
     private readonly requests: HeldRequests,
@@ -143,6 +162,27 @@
       this.unread = unreadBytes;
       this.since = this.requests.now;
     });
+    this.isBeingRead = false;
+    this.taken = this.port.takenBytes();
+    this.answeredAt = this.requests.now;
+    this.takenAt = this.answeredAt;
+  }
+
+  /** Time since the answer was completed. */
+  get answerAge(): ports.Milliseconds {
+    return this.requests.now - this.answeredAt;
+  }
+
+  /** Time since the caller was last seen to take bytes of its unread answer. */
+  timeWithoutProgress(): ports.Milliseconds {
+    const taken = this.port.takenBytes();
+    if (taken !== this.taken) {
+      // At first the operating system of the caller takes bytes, whether they are read or not.
+      this.isBeingRead ||= this.answerAge > this.port.stallTimeout() * LEAST_UNREAD_TIME;
+      this.taken = taken;
+      this.takenAt = this.requests.now;
+    }
+    return this.requests.now - this.takenAt;
   }
 
   /** The request has ended. */
@@ -174,17 +214,28 @@
     if (this.isClosed) {
       return;
     }
-    const before = this.total;
+    const before = { total: this.total, unread: this.unread };
     const hadRefusable = this.refusable > 0;
     apply();
     this.lastByteAt = this.requests.now;
     if (!hadRefusable && this.refusable > 0) {
       this.since = this.lastByteAt;
     }
-    this.requests.onChange(this, this.total - before);
+    this.requests.onChange(this, {
+      growth: this.total - before.total,
+      unreadGrowth: this.unread - before.unread,
+    });
   }
 }
 
+/** By how much a connection has come to hold more, or less. */
+export interface HeldChange {
+  /** Bytes of all that it holds. */
+  readonly growth: number;
+  /** Bytes of its unread answer, which are among them. */
+  readonly unreadGrowth: number;
+}
+
 /** Requests held at one process; see the module comment. */
 export class HeldRequests {
   readonly bounds: types.CallerBounds;
@@ -193,6 +244,8 @@
   private readonly closedByReason = new Map<string, number>();
   private readonly pace: readPace.ReadPace;
   private used = 0;
+  /** Bytes of complete answers that were not read; part of `used`. */
+  private unread = 0;
   private isSweepPlanned = false;
   private reportGrowth: (growth: heldMemoryTypes.Held) => void = () => undefined;
 
@@ -277,8 +330,9 @@
   }
 
   /** Applies the bound after a connection has come to hold more or less. */
-  onChange(connection: HeldConnection, growth: number): void {
+  onChange(connection: HeldConnection, { growth, unreadGrowth }: HeldChange): void {
     this.used += growth;
+    this.unread += unreadGrowth;
     if (connection.total === 0) {
       this.holding.delete(connection);
       return;
@@ -286,13 +340,13 @@
     this.holding.add(connection);
     this.planSweep();
     const { heldBytes } = this.bounds;
-    if (growth <= 0 || this.used <= heldBytes) {
+    if (growth <= 0 || this.countedBytes <= heldBytes) {
       return;
     }
     this.refuseDownTo(heldBytes * REFUSE_DOWN_TO);
     const isSmall = connection.refusable <= SMALL_REQUEST_BYTES;
     const allowed = heldBytes * (isSmall ? 1 + SMALL_REQUEST_RESERVE : 1);
-    if (this.used > allowed && connection.refusable > 0) {
+    if (this.countedBytes > allowed && connection.refusable > 0) {
       this.refuse(connection, 'memory');
     }
   }
@@ -301,24 +355,55 @@
   private refuseDownTo(target: number): void {
     const { now } = this;
     const cost = (connection: HeldConnection): number => connection.refusable * (now - connection.since);
-    const isUnreadForLong = ({ unread, since, port }: HeldConnection): boolean =>
-      unread > 0 && now - since > port.stallTimeout();
-    for (const connection of [...this.holding].filter(isUnreadForLong)) {
-      if (this.used > target) {
-        this.refuse(connection, 'unreadAnswer');
-      }
-    }
+    this.closeUnread(() => this.countedBytes <= target);
     const candidates = [...this.holding]
       .filter((connection) => cost(connection) > 0)
       .sort((left, right) => cost(right) - cost(left));
     for (const connection of candidates) {
-      if (this.used <= target) {
+      if (this.countedBytes <= target) {
         return;
       }
       this.refuse(connection, 'memory');
     }
   }
 
+  /** Bytes by which requests are judged. */
+  private get countedBytes(): number {
+    const { heldBytes } = this.bounds;
+    const beyondShare = Math.max(0, this.unread - heldBytes * UNREAD_SHARE);
+    return this.used - Math.min(beyondShare, heldBytes * UNREAD_RESERVE);
+  }
+
+  /** Closes answers without progress, by their bytes times the time for which they made none, until that is enough. */
+  private closeUnread(isEnough: () => boolean): void {
+    const answers = [...this.holding]
+      .filter(({ unread }) => unread > 0)
+      .map((connection) => ({ connection, idleTime: connection.timeWithoutProgress() }))
+      .sort(
+        (left, right) => right.connection.unread * right.idleTime - left.connection.unread * left.idleTime,
+      );
+    for (const { connection, idleTime } of answers) {
+      if (isEnough()) {
+        return;
+      }
+      if (idleTime >= this.unreadTimeout(connection)) {
+        this.refuse(connection, 'unreadAnswer');
+      }
+    }
+  }
+
+  /** Time without progress after which an answer is closed: the more is unread, the shorter, unless its caller reads it. */
+  private unreadTimeout({ port, isBeingRead, answerAge }: HeldConnection): ports.Milliseconds {
+    const { heldBytes } = this.bounds;
+    const stallTimeout = port.stallTimeout();
+    const reserveLeft = heldBytes * (UNREAD_SHARE + UNREAD_RESERVE) - this.unread;
+    if (isBeingRead && (reserveLeft >= 0 || answerAge < stallTimeout)) {
+      return stallTimeout;
+    }
+    const share = Math.max(LEAST_UNREAD_TIME, reserveLeft / (heldBytes * UNREAD_RESERVE));
+    return stallTimeout * Math.min(1, share);
+  }
+
   private refuse(connection: HeldConnection, reason: types.CloseReason): void {
     if (this.holding.delete(connection)) {
       connection.port.giveUp(reason);
@@ -339,6 +424,7 @@
   private sweep(): void {
     const { now } = this;
     const { log, metrics } = this.options;
+    this.closeUnread(() => this.unread <= this.bounds.heldBytes * UNREAD_SHARE);
     for (const connection of [...this.holding]) {
       const { arriving, lastByteAt, port } = connection;
       if (arriving > 0 && (now - lastByteAt > port.stallTimeout() || port.isLate())) {
--- a/packages/kumquatfront/src/heldMemory/holders.spec.ts
+++ b/packages/kumquatfront/src/heldMemory/holders.spec.ts
@@ -28,7 +28,13 @@
   assert.deepEqual(memory.held(), { bytes: 0, pieces: 0 });
 
   const requests = unboundedRequests.create();
-  const port = { listener: 'callers', stallTimeout: () => 20_000, isLate: () => false, giveUp: noop };
+  const port = {
+    listener: 'callers',
+    stallTimeout: () => 20_000,
+    isLate: () => false,
+    takenBytes: () => 0,
+    giveUp: noop,
+  };
   const connection = requests.openConnection(port);
   connection.grow(1_000);
   connection.grow(2_000);
@@ -71,7 +77,13 @@
   responses.openResponse(noop).add(Buffer.alloc(40_000));
   const requests = unboundedRequests.create();
   requests.onGrowth(record);
-  const port = { listener: 'callers', stallTimeout: () => 20_000, isLate: () => false, giveUp: noop };
+  const port = {
+    listener: 'callers',
+    stallTimeout: () => 20_000,
+    isLate: () => false,
+    takenBytes: () => 0,
+    giveUp: noop,
+  };
   const connection = requests.openConnection(port);
   connection.growHead(1_000);
   // What is held is looked at each second until there is nothing left.
@@ -98,7 +110,7 @@
   const givenUp: string[] = [];
   const open = (name: string, headBytes: number): heldRequests.HeldConnection => {
     const connection = requests.openConnection({
-      ...{ listener: 'callers', stallTimeout: () => 20_000, isLate: () => false },
+      ...{ listener: 'callers', stallTimeout: () => 20_000, isLate: () => false, takenBytes: () => 0 },
       giveUp: (reason) => givenUp.push(`${name} ${reason}`),
     });
     connection.growHead(headBytes);
