All answers that an entry reads as a whole are held within one bound

What was seen: answers to orders (4 MiB), reports (1 MiB), copies of memory and cancellations (64 KiB) had a bound each and none together, and the kind `responses` did not count them. Each upstream that stops within such an answer held that much until its timeout.

Cause: only services and engines of the own interface were given the memory of held responses.

Change: the ports to upstreams take it for these answers as well; on the platform one memory is made for the entry and its upstreams. Beyond 24 MiB of all that is held the largest is given up, as before: a copy, an order or a report has then failed.

That the entry process gives its upstreams this memory is shown by no spec.

--- a/packages/daemons/src/entryDaemon.ts
+++ b/packages/daemons/src/entryDaemon.ts
@@ -35,7 +35,7 @@
     engines: kumquatfront.httpUpstreams.createGenerationPort(responses),
     services: kumquatfront.httpUpstreams.createServicePort(responses),
     checkUpstream: kumquatfront.httpUpstreams.createConnectionCheck(kumquatfront.systemTime.scheduler),
-    orders: kumquatfront.httpUpstreams.createOrderPort(),
+    orders: kumquatfront.httpUpstreams.createOrderPort(responses),
     onDrainRequest,
   };
   return { ports, responses };
--- a/packages/kumquatfront/src/adapters/httpUpstreams.spec.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.spec.ts
@@ -6,6 +6,7 @@
 import * as test from 'node:test';
 import * as v8 from 'node:v8';
 
+import type * as orders from '../orders/types.js';
 import * as rawAnswers from '../relay/rawAnswers.js';
 import * as responseMemory from '../relay/responseMemory.js';
 import type * as streams from '../streams/types.js';
@@ -218,7 +219,10 @@
   });
 }
 
-function order(target: streams.UpstreamTarget): Promise<string> {
+function order(
+  target: streams.UpstreamTarget,
+  port: orders.OrderPort = httpUpstreams.createOrderPort(),
+): Promise<string> {
   const content = { action: 'loadModel', target: 'm' } as const;
   const sent = {
     orderId: 'o',
@@ -229,7 +233,7 @@
     state: 'open',
   } as const;
   return new Promise((resolve) => {
-    httpUpstreams.createOrderPort().send(sent, target.address, PATIENCE, (result) => {
+    port.send(sent, target.address, PATIENCE, (result) => {
       resolve(result.ok ? JSON.stringify(result.val) : result.val.kind);
     });
   });
@@ -359,9 +363,9 @@
 }
 
 /** Room for at least three parts of 100,000 bytes, and for less than six. */
-function smallMemory(): responseMemory.ResponseMemory {
+function smallMemory(warn: (event: string) => void = () => undefined): responseMemory.ResponseMemory {
   const ignore = (): void => undefined;
-  const log = { debug: ignore, info: ignore, warn: ignore, error: ignore };
+  const log = { debug: ignore, info: ignore, warn, error: ignore };
   return new responseMemory.ResponseMemory(log, statsdMetrics.noop, { perResponse: 200_000, total: 500_000 });
 }
 
@@ -401,6 +405,39 @@
   assert.deepEqual(memory.held(), { bytes: 0, pieces: 0 });
 });
 
+// Guards against the same by what upstreams answer to orders.
+void test.test('answers to orders are held within one bound', async (context) => {
+  const body = 'x'.repeat(100_000);
+  const head = 'HTTP/1.1 200 OK\r\ncontent-length: 100001\r\n\r\n';
+  const { target, finish } = await serveParts(context, head + body, 'x');
+  const warnings: string[] = [];
+  const memory = smallMemory((event) => warnings.push(event));
+  const port = httpUpstreams.createOrderPort(memory);
+  const outcomes = [1, 2, 3, 4, 5, 6].map(() => order(target, port));
+  assert.equal(await Promise.race(outcomes), 'unreachable');
+  assert.deepEqual([...new Set(warnings)], ['responseGivenUp']);
+  finish();
+  await Promise.all(outcomes);
+  assert.deepEqual(memory.held(), { bytes: 0, pieces: 0 });
+});
+
+// Guards against the same by what engines answer to cancellations, which nobody reads.
+void test.test('answers to cancellations count with what is held', async (context) => {
+  const head = 'HTTP/1.1 200 OK\r\ncontent-length: 50001\r\n\r\n';
+  const { target, finish } = await serveParts(context, head + 'x'.repeat(50_000), 'x');
+  const memory = smallMemory();
+  httpUpstreams.createGenerationPort(memory).cancel(target, 'g', false);
+  const untilHeld = async (isHeld: boolean): Promise<void> => {
+    for (let waited = 0; memory.held().bytes > 0 !== isHeld; waited += 10) {
+      assert.ok(waited < PATIENCE, `${memory.held().bytes} bytes are held`);
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+  };
+  await untilHeld(true);
+  finish();
+  await untilHeld(false);
+});
+
 // Guards against the same by the events of engines.
 void test.test('events of engines that have not ended are held within one bound', async (context) => {
   const head = 'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n';
--- a/packages/kumquatfront/src/adapters/httpUpstreams.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.ts
@@ -61,7 +61,7 @@
       const path = `/v1/generations/${encodeURIComponent(generation)}?ifUnread=${String(ifUnread)}`;
       const request = upstreamRequest.create(target.address, { method: 'DELETE', path });
       // Best effort: a lost cancellation wastes engine work but does not affect the caller.
-      wholeResponse.send(request, CANCELLATION_BOUNDS, scheduler, () => undefined);
+      wholeResponse.send(request, { ...CANCELLATION_BOUNDS, responses }, scheduler, () => undefined);
     },
   };
 }
@@ -132,7 +132,7 @@
 export function createServicePort(responses?: responseMemory.ResponseMemory): streams.ServicePort {
   return {
     call: (target, call, timeout, listener) => {
-      const bounds = { maximumBytes: MAXIMUM_RESPONSE_BYTES, timeout, ...(responses && { responses }) };
+      const bounds = { maximumBytes: MAXIMUM_RESPONSE_BYTES, timeout, responses };
       wholeResponse.send(encodeCall(target, call), bounds, scheduler, (result) => {
         if (result.err) {
           listener.onFailed(serviceFailure(result.val.kind));
@@ -160,13 +160,14 @@
  * Creates the HTTP port for orders. It sends `POST /v1/orders` with the fencing number, then reads the applied
  * order with `GET /v1/orders`, since some upstreams accept any fencing number.
  *
+ * @param responses - bounds what is held of all responses together
  * @returns the port
  * @example
  * ```ts
  * const ports = { orders: httpUpstreams.createOrderPort() };
  * ```
  */
-export function createOrderPort(): orders.OrderPort {
+export function createOrderPort(responses?: responseMemory.ResponseMemory): orders.OrderPort {
   return {
     send: (order, address, timeout, done) => {
       const body = JSON.stringify({
@@ -175,7 +176,7 @@
         fencingNumber: order.fencingNumber,
       });
       const headers = { 'content-type': 'application/json' };
-      const bounds = { maximumBytes: MAXIMUM_RESPONSE_BYTES, timeout };
+      const bounds = { maximumBytes: MAXIMUM_RESPONSE_BYTES, timeout, responses };
       const refuse = (reason: string): void => {
         const remedy = 'The order is retried automatically.';
         const message = `${order.upstream} did not confirm the order: ${reason}.`;
--- a/packages/kumquatfront/src/adapters/wholeResponse.ts
+++ b/packages/kumquatfront/src/adapters/wholeResponse.ts
@@ -24,7 +24,7 @@
   /** Time from the request to the end of the response. */
   readonly timeout: ports.Milliseconds;
   /** Counts the response with all others that are held, and bounds them together. */
-  readonly responses?: responseMemory.ResponseMemory;
+  readonly responses?: responseMemory.ResponseMemory | undefined;
 }
 
 /** Why there is no response. */
--- a/packages/kumquatfront/src/trafficEntry/entryLoadStatus.spec.ts
+++ b/packages/kumquatfront/src/trafficEntry/entryLoadStatus.spec.ts
@@ -4,8 +4,11 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
+import * as statsdMetrics from '../adapters/statsdMetrics.js';
+import * as heldMemoryTestHarness from '../heldMemory/heldMemoryTestHarness.js';
 import * as messages from '../peerRelay/messages.js';
 import * as crashTestTraffic from '../quarantine/crashTestTraffic.js';
+import * as responseMemory from '../relay/responseMemory.js';
 import type * as relayTypes from '../relay/types.js';
 import * as controlTestHarness from '../trafficControl/controlTestHarness.js';
 import type * as methods from '../trafficControl/methods.js';
@@ -103,3 +106,15 @@
   measured.isShedding = true;
   assert.equal(declined(), 'overloaded');
 });
+
+// Guards against answers that the port to upstreams reads as a whole, and that no bound of the entry and no figure counts.
+void test.test('responses that the upstreams hold count with those of the entry', () => {
+  const { harness } = start();
+  const { memory: heldMemory } = new heldMemoryTestHarness.HeldMemoryHarness();
+  const ignore = (): void => undefined;
+  const log = { debug: ignore, info: ignore, warn: ignore, error: ignore };
+  const responses = new responseMemory.ResponseMemory(log, statsdMetrics.noop);
+  harness.startEntry('e2', controlTestHarness.NO_UPSTREAMS, { heldMemory, responses });
+  responses.openResponse(ignore).add(Buffer.alloc(40_000));
+  assert.equal(heldMemory.totals().get('responses')?.bytes, 40_000);
+});
--- a/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
+++ b/packages/kumquatfront/src/trafficEntry/trafficEntry.ts
@@ -177,7 +177,7 @@
     const { origins } = this;
     const guardOptions = { timers, quarantine: quarantineState, signals, slots, log };
     const server = this.createRelayServer(guardOptions, policy);
-    const responses = new responseMemory.ResponseMemory(log, metrics);
+    const responses = entryPorts.responses ?? new responseMemory.ResponseMemory(log, metrics);
     this.registerHolders(responses, server);
     const retryBudget = sharedRetryBudget.create({ settings, entryPorts, timers, entryCount, coordinator });
     this.relay = new trafficRelay.TrafficRelay({
--- a/packages/kumquatfront/src/trafficEntry/types.ts
+++ b/packages/kumquatfront/src/trafficEntry/types.ts
@@ -13,6 +13,7 @@
 import type * as placementClient from '../relay/placementClient.js';
 import type * as serviceRetryBudget from '../relay/serviceRetryBudget.js';
 import type * as trafficRelay from '../relay/trafficRelay.js';
+import type * as responseMemory from '../relay/responseMemory.js';
 import type * as relayTypes from '../relay/types.js';
 import type * as residency from '../traffic/residency.js';
 import type * as trafficTypes from '../traffic/types.js';
@@ -48,6 +49,8 @@
   readonly decodeTraffic: trafficTypes.DecodeTraffic;
   /** Measures the process; without it, the entry reports no utilization. */
   readonly loadProbe?: entryLoad.LoadProbe;
+  /** Holds responses until they are complete; shared with `upstreams`, which reads some as a whole. The entry has its own if absent. */
+  readonly responses?: responseMemory.ResponseMemory;
   /** What the process holds; the entry registers what it holds itself. */
   readonly heldMemory?: heldMemory.HeldMemory;
   /** Whether the heap is so full that new requests are refused. */
--- a/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
+++ b/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
@@ -287,6 +287,27 @@
     replace: 'true',
     scenario: UPSTREAMS,
   },
+  {
+    name: 'answers to orders are counted with all responses',
+    file: 'adapters/httpUpstreams.js',
+    find: 'timeout, responses };\n            const refuse',
+    replace: 'timeout };\n            const refuse',
+    scenario: UPSTREAMS,
+  },
+  {
+    name: 'answers to cancellations are counted with all responses',
+    file: 'adapters/httpUpstreams.js',
+    find: '{ ...CANCELLATION_BOUNDS, responses }',
+    replace: 'CANCELLATION_BOUNDS',
+    scenario: UPSTREAMS,
+  },
+  {
+    name: 'an entry counts the responses that the port to its upstreams holds',
+    file: 'trafficEntry/trafficEntry.js',
+    find: 'entryPorts.responses ?? ',
+    replace: '',
+    scenario: 'spec:trafficEntry/entryLoadStatus',
+  },
   {
     name: 'events of engines that have not ended are counted with all responses',
     file: 'adapters/generationConnection.js',
