Time for which the pace holds a response is no silence of its upstream

What callers would see: with 15 and more connections of one-byte chunks at one entry, the pace of the commit before reads each of them less than once in 1.3 s. The stream of such a connection was taken for silent, begun again elsewhere, and its upstream marked, although the entry had not read it.

Change: a connection tells when the pace holds it, once for each wait. FlowControl holds the two reasons for which a source is not read apart (its receiver, the process), and the clock of reading stands still for either: for timeouts of streams and events, for the longest pause in the record, and for engines of the own interface. A read that follows the pause of the pace is paid for, and does not wait a second time.

Decided: the deadline of a request holds. Plain answers have no other time but 1 s for the body of an error, and the time of an answer in the record includes holds. An entry that asks for a relayed stream is not told of holds at the other entry (docs/design/flow-control.md, "Not covered").

The new specs of relay/slowCallers, streams/slowCallers and flowControl fail without the hold, as the code before had none; seven safeguards are new, each proved.

--- a/packages/kumquatfront/src/adapters/generationConnection.ts
+++ b/packages/kumquatfront/src/adapters/generationConnection.ts
@@ -72,6 +72,9 @@
       data: (bytes) => {
         this.onData(bytes);
       },
+      held: (isHeld) => {
+        this.listener.onHeld?.(isHeld);
+      },
       end: () => {
         this.endAfterEvents(() => {
           this.fail('broken', 'response ended before [DONE]');
--- a/packages/kumquatfront/src/adapters/pausableSocket.spec.ts
+++ b/packages/kumquatfront/src/adapters/pausableSocket.spec.ts
@@ -25,6 +25,8 @@
 interface Received {
   readonly exchange: relayTypes.UpstreamExchange;
   readonly pieces: Uint8Array[];
+  /** Whether the process has told that it does not read the response, in order. */
+  readonly holds: readonly boolean[];
   /** Resolves to what ended the response. */
   readonly ended: Promise<string>;
   readonly close: () => void;
@@ -49,6 +51,7 @@
     });
   });
   const pieces: Uint8Array[] = [];
+  const holds: boolean[] = [];
   let settle: (outcome: string) => void = () => undefined;
   const ended = new Promise<string>((resolve) => {
     settle = resolve;
@@ -62,6 +65,9 @@
         pieces.push(bytes);
         onData(received);
       },
+      held: (isHeld) => {
+        holds.push(isHeld);
+      },
       end: () => {
         settle('end');
       },
@@ -73,7 +79,7 @@
     exchange.cancel();
     server.close();
   };
-  const received: Received = { exchange, pieces, ended, close };
+  const received: Received = { exchange, pieces, holds, ended, close };
   return received;
 }
 
@@ -93,30 +99,37 @@
 }
 
 // Guards against the reads that follow in the same iteration of the event loop, and against thousands of objects that wait.
-void test.test('after a pause at most one read more arrives, whatever the chunks', async () => {
-  let sentBytes = (): number => 0;
-  let bytesAtPause = 0;
-  const { pieces, close } = await request(
-    (socket) => {
-      sentBytes = endlessBytes.send(socket, CHUNKED_HEAD, ONE_BYTE_CHUNKS);
-    },
-    (received) => {
-      // Later reads are passed on without a delay, which the first one is not.
-      if (received.pieces.length === 4) {
-        bytesAtPause = countBytes(received.pieces);
-        received.exchange.pause();
+void test.test(
+  'after a pause at most one read more arrives, whatever the chunks',
+  { timeout: 10_000 },
+  async () => {
+    let sentBytes = (): number => 0;
+    let bytesAtPause = 0;
+    const { pieces, close } = await request(
+      (socket) => {
+        sentBytes = endlessBytes.send(socket, CHUNKED_HEAD, ONE_BYTE_CHUNKS);
+      },
+      (received) => {
+        // Later reads are passed on without a delay, which the first one is not.
+        if (received.pieces.length === 4) {
+          bytesAtPause = countBytes(received.pieces);
+          received.exchange.pause();
+        }
+      },
+    );
+    try {
+      while (bytesAtPause === 0) {
+        await timers.setTimeout(5);
       }
-    },
-  );
-  try {
-    await untilBlocked(() => sentBytes());
-    assert.ok(sentBytes() > READ_BYTES);
-    assert.ok(pieces.length <= 5, `${pieces.length} pieces`);
-    assert.ok(countBytes(pieces) - bytesAtPause <= READ_BYTES);
-  } finally {
-    close();
-  }
-});
+      await untilBlocked(() => sentBytes());
+      assert.ok(sentBytes() > READ_BYTES);
+      assert.ok(pieces.length <= 5, `${pieces.length} pieces`);
+      assert.ok(countBytes(pieces) - bytesAtPause <= READ_BYTES);
+    } finally {
+      close();
+    }
+  },
+);
 
 // Guards against bytes that are lost or repeated where reading stopped, and against a stream that never goes on.
 void test.test('a response that is paused at each read arrives whole', { timeout: 10_000 }, async () => {
@@ -231,9 +244,11 @@
   try {
     const first = await bytesWhenBlocked();
     assert.ok(first > 0 && first <= 3 * MOST_PIECES, `${first} bytes`);
+    assert.deepEqual(received.holds, [true]);
     time.advance(1_000);
     const second = await bytesWhenBlocked();
     assert.ok(second > first && second <= first + 2 * MOST_PIECES, `${second - first} bytes`);
+    assert.deepEqual(received.holds, [true, false, true]);
   } finally {
     received.close();
   }
--- a/packages/kumquatfront/src/adapters/singleUseConnection.ts
+++ b/packages/kumquatfront/src/adapters/singleUseConnection.ts
@@ -44,6 +44,8 @@
     framing: relayTypes.BodyFraming,
   ) => void;
   readonly data: (bytes: Uint8Array) => void;
+  /** The process does not read the response for now, or reads it again. */
+  readonly held?: (isHeld: boolean) => void;
   readonly end: () => void;
   readonly failed: (failure: relayTypes.ExchangeFailure, reason: string) => void;
 }
@@ -95,20 +97,23 @@
   return outgoing;
 }
 
-/** Returns what counts the pieces of a read, and lets the connection wait where they are too many. */
+/** Returns what counts the pieces of a read, and lets the connection wait where they are too many; `onHeld` is told. */
 function pacing(
   pace: piecePace.PiecePace,
   connection: pausableSocket.PausableSocket,
+  onHeld: (isHeld: boolean) => void,
 ): (pieces: number) => void {
   const reads = pace.openConnection({
     isOpen: () => !connection.destroyed,
     resume: () => {
+      onHeld(false);
       connection.resumeReads('pace');
     },
   });
   return (pieces) => {
     if (reads.count(pieces)) {
       connection.pauseReads('pace');
+      onHeld(true);
     }
   };
 }
@@ -157,7 +162,11 @@
   const connection = new pausableSocket.PausableSocket(() => {
     pieces.flush();
   });
-  const keepPace = pacing(pace, connection);
+  const keepPace = pacing(pace, connection, (isHeld) => {
+    if (!settled) {
+      listener.held?.(isHeld);
+    }
+  });
   let outgoing: http.ClientRequest;
   try {
     outgoing = open(request, connection);
--- a/packages/kumquatfront/src/flowControl/flowControl.spec.ts
+++ b/packages/kumquatfront/src/flowControl/flowControl.spec.ts
@@ -153,3 +153,34 @@
   stop();
   time.advance(60_000);
 });
+
+// Guards against silence that a source is blamed for while the process does not read it, and a second pause that ends the first.
+void test.test(
+  'the clock of reading stands still while the process holds the source, or its receiver takes nothing',
+  () => {
+    const { time, flow, calls, source } = start();
+    flow.attach(source('a'));
+    flow.recordHold(true);
+    time.advance(1_000);
+    flow.recordWrite(false);
+    time.advance(1_000);
+    flow.recordHold(false);
+    time.advance(1_000);
+    flow.recordDrain();
+    assert.equal(flow.pausedTime, 3_000);
+    time.advance(50);
+    assert.equal(flow.readingTime(), 50);
+    assert.deepEqual(calls, ['a paused', 'blocked', 'drained', 'a resumed']);
+  },
+);
+
+// Guards against a source that is not timed at all, since its predecessor was held when it ended.
+void test.test('a hold ends with its source', () => {
+  const { time, flow, source } = start();
+  flow.attach(source('a'));
+  flow.recordHold(true);
+  time.advance(1_000);
+  flow.attach(source('b'));
+  time.advance(1_000);
+  assert.equal(flow.pausedTime, 1_000);
+});
--- a/packages/kumquatfront/src/flowControl/flowControl.ts
+++ b/packages/kumquatfront/src/flowControl/flowControl.ts
@@ -40,6 +40,10 @@
   private source: Source | undefined;
   private isBlocked = false;
   private isLifted = false;
+  /** Whether the source was told to pause. */
+  private isStopped = false;
+  /** Whether the process does not read the source for a reason of its own. */
+  private isHeld = false;
   /** Time at which the pause of the source began; undefined while it is read. */
   private pausedAt: ports.Milliseconds | undefined;
   private pastPauses: ports.Milliseconds = 0;
@@ -69,6 +73,7 @@
 
   /** The source has ended. */
   detach(): void {
+    this.isHeld = false;
     this.endPause();
     this.source = undefined;
     this.isLifted = false;
@@ -97,7 +102,7 @@
       return;
     }
     this.isBlocked = false;
-    const { source, isPaused } = this;
+    const { source, isStopped: isPaused } = this;
     this.endPause();
     this.options.onDrained?.(isPaused);
     if (isPaused) {
@@ -105,24 +110,40 @@
     }
   }
 
+  /** Records that the process does not read the present source for a reason of its own, or reads it again. */
+  recordHold(isHeld: boolean): void {
+    this.isHeld = isHeld;
+    this.updateClock();
+  }
+
   /** Reads the present source to its end, whatever the receiver takes: for a source that has stopped and has little left. */
   readToEnd(): void {
     this.isLifted = true;
-    if (this.isPaused) {
+    if (this.isStopped) {
       this.endPause();
       this.source?.resume();
     }
   }
 
   private startPause(): void {
-    if (this.source !== undefined && !this.isPaused && !this.isLifted) {
-      this.pausedAt = this.options.now();
+    if (this.source !== undefined && !this.isStopped && !this.isLifted) {
+      this.isStopped = true;
+      this.updateClock();
       this.source.pause();
     }
   }
 
   private endPause(): void {
-    this.pastPauses = this.pausedTime;
-    this.pausedAt = undefined;
+    this.isStopped = false;
+    this.updateClock();
+  }
+
+  private updateClock(): void {
+    if (this.isStopped || this.isHeld) {
+      this.pausedAt ??= this.options.now();
+    } else {
+      this.pastPauses = this.pausedTime;
+      this.pausedAt = undefined;
+    }
   }
 }
--- a/packages/kumquatfront/src/flowControl/piecePace.spec.ts
+++ b/packages/kumquatfront/src/flowControl/piecePace.spec.ts
@@ -139,6 +139,17 @@
   assert.notEqual(resumedAt(), undefined);
 });
 
+// Guards against a connection that is stopped for good, or read twice, after one more read has followed its pause.
+void test.test('a connection that waits is resumed once, whatever it reads meanwhile', () => {
+  const fixture = new Fixture();
+  const { paced, resumedAt } = fixture.open();
+  assert.equal(paced.count(MOST_PIECES), true);
+  assert.equal(paced.count(MOST_PIECES), false);
+  fixture.time.advance(200);
+  assert.notEqual(resumedAt(), undefined);
+  assert.equal(paced.count(MOST_PIECES), true);
+});
+
 // Guards against an answer in many pieces that waits although nothing else is read.
 void test.test('a read that fits into the interval does not wait', () => {
   const { paced } = new Fixture().open();
--- a/packages/kumquatfront/src/flowControl/piecePace.ts
+++ b/packages/kumquatfront/src/flowControl/piecePace.ts
@@ -33,6 +33,7 @@
 export class PacedReads {
   private freePieces = MOST_FREE_PIECES;
   private countedAt: ports.Milliseconds;
+  private isWaiting = false;
 
   constructor(
     private readonly pace: PiecePace,
@@ -45,9 +46,14 @@
    * Counts a read.
    *
    * @param pieces - pieces that the read has held
-   * @returns true if the connection must not be read until it is resumed
+   * @returns true if the connection must not be read from now on until it is resumed
    */
   count(pieces: number): boolean {
+    if (this.isWaiting) {
+      // One more read may follow when a connection is stopped between two reads.
+      this.pace.pay(pieces);
+      return false;
+    }
     const { now } = this.pace;
     const newlyFree = ((now - this.countedAt) * FREE_PIECES_PER_SECOND) / MS_PER_SECOND;
     this.freePieces = Math.min(this.freePieces + newlyFree, MOST_FREE_PIECES);
@@ -56,7 +62,14 @@
       this.freePieces -= pieces;
       return false;
     }
-    return this.pace.count(pieces, this.connection);
+    this.isWaiting = this.pace.count(pieces, {
+      isOpen: this.connection.isOpen,
+      resume: () => {
+        this.isWaiting = false;
+        this.connection.resume();
+      },
+    });
+    return this.isWaiting;
   }
 }
 
@@ -107,6 +120,11 @@
     return true;
   }
 
+  /** Takes pieces that have been read from the intervals that follow. */
+  pay(pieces: number): void {
+    this.piecesLeft -= pieces;
+  }
+
   private openInterval(): void {
     if (this.isIntervalOpen) {
       return;
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -75,6 +75,9 @@
         this.onData(bytes);
         listener.data(bytes);
       },
+      held: (isHeld) => {
+        listener.held?.(isHeld);
+      },
       end: () => {
         this.onEnd(listener);
       },
--- a/packages/kumquatfront/src/relay/slowCallers.spec.ts
+++ b/packages/kumquatfront/src/relay/slowCallers.spec.ts
@@ -238,3 +238,35 @@
     assert.deepEqual(harness.callerEvents, ['begin', '1']);
   }
 });
+
+// Guards against a second run, and a mark against an upstream, for a time in which this entry has not read it.
+void test.test(
+  'no other upstream is searched while the entry does not read the stream, and one is after it',
+  () => {
+    const { harness, sent } = start({ resumable: true });
+    sent(0).listener.head(relayTestHarness.okHead);
+    sent(0).listener.held?.(true);
+    sendEvents(sent(0), 1, 2);
+    harness.time.advance(5_000);
+    assert.equal(harness.sentCalls.length, 1);
+    sent(0).listener.held?.(false);
+    harness.time.advance(4_000);
+    assert.equal(sent(0).cancelled, true);
+    assert.equal(harness.sentCalls.length, 2);
+  },
+);
+
+// Guards against an upstream that is blamed for the rest of an event that this entry has not read.
+void test.test('an event is not timed out while the entry does not read the stream', () => {
+  const { harness, exchange, sent } = start();
+  sent(0).listener.head(relayTestHarness.okHead);
+  sent(0).listener.data(Buffer.concat([relayTestHarness.streamEvent(1), Buffer.from('id: 2\nda')]));
+  sent(0).listener.held?.(true);
+  harness.time.advance(6_000);
+  sent(0).listener.held?.(false);
+  sent(0).listener.data(Buffer.from('ta:'));
+  sent(0).listener.data(Buffer.from(' x\n\n'));
+  assert.equal(exchange.describe()?.longestPause, 0);
+  sent(0).listener.end();
+  assert.deepEqual(harness.callerEvents, ['begin', '1', '2', 'end']);
+});
--- a/packages/kumquatfront/src/relay/streamExchange.ts
+++ b/packages/kumquatfront/src/relay/streamExchange.ts
@@ -320,6 +320,10 @@
       readEnded: () => {
         this.onReadEnded();
       },
+      held: (isHeld) => {
+        this.flow.recordHold(isHeld);
+        this.restartIdleTimer();
+      },
       completed: (remainder) => {
         const handleStopped = (): void => {
           this.recovery.onBroken(segment, 'broken', 'the upstream was told to stop the stream');
--- a/packages/kumquatfront/src/relay/streamSegment.ts
+++ b/packages/kumquatfront/src/relay/streamSegment.ts
@@ -33,6 +33,8 @@
   readonly event: (event: eventSplitter.CompleteEvent) => void;
   /** All events that one read completes have been reported. */
   readonly readEnded: () => void;
+  /** The segment is not read for a reason of this process, or read again. */
+  readonly held: (isHeld: boolean) => void;
   /** The stream is complete; `remainder` contains the bytes after its last event. */
   readonly completed: (remainder: Uint8Array) => void;
   readonly errorReceived: (errorResponse: ErrorResponse) => void;
@@ -108,6 +110,11 @@
           this.onData(bytes, listener);
         });
       },
+      held: (isHeld) => {
+        this.ifOpen(() => {
+          listener.held(isHeld);
+        });
+      },
       end: () => {
         this.ifOpen(() => {
           this.onEnd(listener);
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -123,6 +123,8 @@
 export interface ExchangeListener {
   readonly head: (head: ResponseHead) => void;
   readonly data: (bytes: Uint8Array) => void;
+  /** This entry does not read the response for a reason of its own, which is no silence of the upstream, or reads it again. */
+  readonly held?: (isHeld: boolean) => void;
   /** The response is complete. */
   readonly end: () => void;
   readonly failed: (failure: ExchangeFailure, reason: string) => void;
--- a/packages/kumquatfront/src/streams/generationRelay.ts
+++ b/packages/kumquatfront/src/streams/generationRelay.ts
@@ -219,6 +219,12 @@
       onToken: (generation, index, data) => {
         this.onToken(isCurrent(), generation, index, data);
       },
+      onHeld: (isHeld) => {
+        if (isCurrent()) {
+          this.flow.recordHold(isHeld);
+          this.startIdleTimer(this.options.settings.stallTimeout);
+        }
+      },
       onCompleted: (generation, count) => {
         if (isCurrent()) {
           this.onCompleted(generation, count);
--- a/packages/kumquatfront/src/streams/slowCallers.spec.ts
+++ b/packages/kumquatfront/src/streams/slowCallers.spec.ts
@@ -175,6 +175,20 @@
   assert.deepEqual(harness.events, ['0']);
 });
 
+// Guards against an engine that is taken for silent while this entry does not read it.
+void test.test('time in which the entry does not read a generation is no silence of its engine', () => {
+  const harness = new SlowCallerHarness();
+  harness.drain();
+  const { listener } = harness.connection(0);
+  listener.onHeld?.(true);
+  harness.time.advance(70_000);
+  assert.equal(harness.connections.length, 1);
+  listener.onHeld?.(false);
+  harness.time.advance(2_500);
+  assert.equal(harness.connections.at(-1)?.kind, 'resume r.1 from 1');
+  assert.deepEqual(harness.events, ['0']);
+});
+
 // Guards against a drain that takes the timer of a lost connection for that of a silent one.
 void test.test('a connection that was lost during a pause is opened again, whatever its caller takes', () => {
   const harness = new SlowCallerHarness();
--- a/packages/kumquatfront/src/streams/types.ts
+++ b/packages/kumquatfront/src/streams/types.ts
@@ -35,6 +35,8 @@
   onAccepted(): void;
   /** One token; `data` is the text of the event, forwarded unchanged. */
   onToken(generation: string, index: number, data: string): void;
+  /** The process does not read the connection for a reason of its own, or reads it again. */
+  onHeld?(isHeld: boolean): void;
   /** The generation is complete, with this many tokens. */
   onCompleted(generation: string, count: number): void;
   onFailed(reason: ConnectionFailure, detail: string): void;
