The spec of paced responses waits for the pause, not for 50 ms without bytes

What was seen: "a response goes on when neither its receiver nor the pace holds it" failed once, in 477 specs at load 25: 50 ms without a byte on a busy machine passed for the pause, and the bytes of the read that followed for a read during it.

Change: the spec waits until the connection has told that the pace holds it, as often as expected, and looks for the end of reading then. The bounds on bytes are as before.

--- a/packages/kumquatfront/src/adapters/pausableSocket.spec.ts
+++ b/packages/kumquatfront/src/adapters/pausableSocket.spec.ts
@@ -207,14 +207,11 @@
 /** Bytes of the body in one read in chunks of one byte. */
 const MOST_PIECES = 10_923;
 
-/** More than a response at a pace whose time stands still. */
-const MOST_PACED = 20 * MOST_PIECES;
-
 interface PacedResponse {
   readonly received: Received;
   readonly time: virtualTime.VirtualTime;
-  /** Bytes of the body, once nothing more arrives. */
-  readonly bytesWhenBlocked: () => Promise<number>;
+  /** Bytes of the body, once the pace has held it so many times and nothing more arrives. */
+  readonly bytesWhenHeld: (times: number) => Promise<number>;
 }
 
 /** Starts an upstream that sends without end, and is read at a pace whose time stands still. */
@@ -227,26 +224,25 @@
     undefined,
     new piecePace.PiecePace(time, time),
   );
-  const bytesWhenBlocked = async (): Promise<number> => {
-    const bytes = (): number => countBytes(received.pieces);
-    for (let before = -1; before !== bytes() && before < MOST_PACED;) {
-      before = bytes();
-      await timers.setTimeout(50);
+  const bytesWhenHeld = async (times: number): Promise<number> => {
+    while (received.holds.filter(Boolean).length < times) {
+      await timers.setTimeout(5);
     }
-    return bytes();
+    await untilBlocked(() => countBytes(received.pieces));
+    return countBytes(received.pieces);
   };
-  return { received, time, bytesWhenBlocked };
+  return { received, time, bytesWhenHeld };
 }
 
 // Guards against an upstream whose chunks take the processor from the callers of all others.
 void test.test('a response in chunks of one byte is read at the pace of the process', async () => {
-  const { received, time, bytesWhenBlocked } = await requestPaced(ONE_BYTE_CHUNKS);
+  const { received, time, bytesWhenHeld } = await requestPaced(ONE_BYTE_CHUNKS);
   try {
-    const first = await bytesWhenBlocked();
+    const first = await bytesWhenHeld(1);
     assert.ok(first > 0 && first <= 3 * MOST_PIECES, `${first} bytes`);
     assert.deepEqual(received.holds, [true]);
     time.advance(1_000);
-    const second = await bytesWhenBlocked();
+    const second = await bytesWhenHeld(2);
     assert.ok(second > first && second <= first + 2 * MOST_PIECES, `${second - first} bytes`);
     assert.deepEqual(received.holds, [true, false, true]);
   } finally {
@@ -256,18 +252,18 @@
 
 // Guards against a receiver that drains and ends the pause of the pace, and a pace that ends the pause of the receiver.
 void test.test('a response goes on when neither its receiver nor the pace holds it', async () => {
-  const { received, time, bytesWhenBlocked } = await requestPaced(ONE_BYTE_CHUNKS);
+  const { received, time, bytesWhenHeld } = await requestPaced(ONE_BYTE_CHUNKS);
   const { exchange, close } = received;
   try {
-    const first = await bytesWhenBlocked();
+    const first = await bytesWhenHeld(1);
     exchange.pause();
     exchange.resume();
-    assert.equal(await bytesWhenBlocked(), first);
+    assert.equal(await bytesWhenHeld(1), first);
     exchange.pause();
     time.advance(1_000);
-    assert.equal(await bytesWhenBlocked(), first);
+    assert.equal(await bytesWhenHeld(1), first);
     exchange.resume();
-    assert.ok((await bytesWhenBlocked()) > first);
+    assert.ok((await bytesWhenHeld(2)) > first);
   } finally {
     close();
   }
