A request that is refused while it arrives gets its 503, not a reset

What callers saw: of requests for which there was no memory none got the 503; their connections were reset (ECONNRESET, EPIPE).

Cause: the bound counts a head before the parser has it, and a request that it refused then was closed at once, with bytes that nobody had read; Linux resets such a connection. A request refused in its body was read for 512 KiB more, so that a caller which sends 4 MiB before it reads was reset as well.

Change: a refusal before the head is parsed is written to the socket. The sending side is closed, and the rest is read and dropped up to the largest body, for the same 0.5 s, at the pace of all reads. At most half of the connections of an address are read so, beyond it the oldest is closed; at the bound on connections they are closed before all others.

Evidence: boundedServer.spec over loopback connections, failed before: 0 of 40 requests of 40 kB got 503, now 40, without a reset; a caller of 4 MiB ended with EPIPE, now reads 503.

Changed tests: the client of boundedServer.spec keeps the code of its failure and may stay open after the end of the answer; no assertion is changed.

--- a/packages/kumquatfront/src/adapters/boundedServer.spec.ts
+++ b/packages/kumquatfront/src/adapters/boundedServer.spec.ts
@@ -29,6 +29,20 @@
   /** Answers the requests in order. */
   readonly answer: () => void;
   readonly closed: string[];
+  /** Uses up memory for requests until the end of the test. */
+  readonly useUp: (bytes: number) => void;
+}
+
+/** Holds memory for a request that is served. */
+function holdServed(requests: heldRequests.HeldRequests, bytes: number): heldRequests.HeldConnection {
+  const stallTimeout = (): number => 20_000;
+  const held = requests.openConnection({
+    ...{ listener: 'callers', stallTimeout, isLate: () => false },
+    ...{ takenBytes: () => 0, giveUp: () => undefined },
+  });
+  held.grow(bytes);
+  held.serve();
+  return held;
 }
 
 async function withServer(
@@ -40,6 +54,7 @@
   const begun: string[] = [];
   const closed: string[] = [];
   const open: http.ServerResponse[] = [];
+  const used: heldRequests.HeldConnection[] = [];
   const requests = new heldRequests.HeldRequests({
     ...time,
     log: { debug: noop, info: noop, warn: noop, error: noop },
@@ -87,8 +102,16 @@
     open.shift()?.end('answer');
   };
   try {
-    await run({ port, server, requests, begun, answer, closed });
+    await run({
+      ...{ port, server, requests, begun, answer, closed },
+      useUp: (bytes) => {
+        used.push(holdServed(requests, bytes));
+      },
+    });
   } finally {
+    for (const held of used) {
+      held.close();
+    }
     server.closeAllConnections();
     server.close();
   }
@@ -97,14 +120,18 @@
 class Client {
   text = '';
   isClosed = false;
+  /** Code of the failure of the connection. */
+  error: string | undefined;
   readonly socket: net.Socket;
 
-  constructor(port: number) {
-    this.socket = net.connect(port, '127.0.0.1');
+  constructor(port: number, { allowHalfOpen = false } = {}) {
+    this.socket = net.connect({ port, host: '127.0.0.1', allowHalfOpen });
     this.socket.on('data', (bytes: Buffer) => {
       this.text += bytes.toString('latin1');
     });
-    this.socket.on('error', () => undefined);
+    this.socket.on('error', ({ code }: NodeJS.ErrnoException) => {
+      this.error = code;
+    });
     this.socket.on('close', () => {
       this.isClosed = true;
     });
@@ -446,3 +473,93 @@
   };
   await withServer({ heldBytes: 12_000_000 }, run, { clock: time.clock, scheduler: time });
 });
+
+// Guards against a refusal that resets the connection: the caller cannot know that its request has not run.
+void test.test('a request that is refused with its first bytes gets 503', async () => {
+  await withServer({}, async ({ port, requests, closed, useUp }) => {
+    useUp(2 * requests.bounds.heldBytes);
+    const clients = Array.from({ length: 40 }, () => new Client(port));
+    for (const { socket } of clients) {
+      socket.write('POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 40000\r\n\r\n');
+      socket.write('x'.repeat(40_000));
+    }
+    await until(() => clients.every(({ isClosed }) => isClosed));
+    const refused = clients.filter(({ text }) => /^HTTP\/1.1 503 [^]*Retry-After: 1\r\n[^]*again/.test(text));
+    assert.equal(refused.length, 40);
+    assert.deepEqual(
+      clients.filter(({ error }) => error !== undefined).map(({ error }) => error),
+      [],
+    );
+    assert.equal(closed.length, 40);
+    assert.equal(requests.heldBytes, 2 * requests.bounds.heldBytes);
+  });
+});
+
+// Guards against a refusal that a caller loses since it sends its whole body before it reads.
+void test.test('a caller that sends the largest body before it reads gets 503', async () => {
+  await withServer({}, async ({ port, requests, useUp }) => {
+    useUp(requests.bounds.heldBytes - 50_000);
+    const client = new Client(port);
+    client.socket.pause();
+    const bytes = defaultBounds.MAXIMUM_BODY_BYTES;
+    client.socket.write(`POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: ${bytes}\r\n\r\n`);
+    client.socket.write(Buffer.alloc(bytes), () => {
+      client.socket.resume();
+    });
+    await until(() => client.isClosed);
+    assert.match(client.text, /^HTTP\/1.1 503 /);
+    assert.equal(client.error, undefined);
+  });
+});
+
+/** Collects the server's side of all connections, in the order in which they are opened. */
+function collectSockets(server: http.Server): readonly net.Socket[] {
+  const sockets: net.Socket[] = [];
+  server.on('connection', (socket) => {
+    sockets.push(socket);
+  });
+  return sockets;
+}
+
+/** Sends a request in part that is refused, and does not close the connection. */
+async function sendRefused(port: number): Promise<Client> {
+  const client = new Client(port, { allowHalfOpen: true });
+  client.socket.write('POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 40000\r\n\r\nx');
+  await until(() => client.text !== '' || client.isClosed);
+  return client;
+}
+
+// Guards against a crowd whose refused connections use up the descriptors while they are read.
+void test.test('of many refused connections that stay open, the oldest are closed at once', async () => {
+  await withServer({ connections: 8 }, async ({ port, server, requests, useUp }) => {
+    useUp(2 * requests.bounds.heldBytes);
+    const sockets = collectSockets(server);
+    const clients: Client[] = [];
+    for (let count = 0; count < 6; count += 1) {
+      clients.push(await sendRefused(port));
+    }
+    const areClosed = sockets.map(({ destroyed }) => destroyed);
+    await until(() => sockets.every(({ destroyed }) => destroyed));
+    for (const { socket } of clients) {
+      socket.destroy();
+    }
+    assert.deepEqual(areClosed, [true, true, false, false, false, false]);
+  });
+});
+
+// Guards against connections that are refused and take the place of others that may be used again.
+void test.test('at the limit of connections, a refused one is closed before all others', async () => {
+  await withServer({ connections: 3 }, async ({ port, server, requests, useUp }) => {
+    const sockets = collectSockets(server);
+    useUp(2 * requests.bounds.heldBytes);
+    const clients = [new Client(port), new Client(port)];
+    await until(() => sockets.length === 2);
+    clients.push(await sendRefused(port), new Client(port));
+    await until(() => sockets.length === 4);
+    const areClosed = sockets.map(({ destroyed }) => destroyed);
+    for (const { socket } of clients) {
+      socket.destroy();
+    }
+    assert.deepEqual(areClosed, [false, false, true, false]);
+  });
+});
--- a/packages/kumquatfront/src/adapters/boundedServer.ts
+++ b/packages/kumquatfront/src/adapters/boundedServer.ts
@@ -10,16 +10,14 @@
 import type * as types from '../callerBounds/types.js';
 import type * as ports from '../kernel/ports.js';
 import * as connectionGate from './connectionGate.js';
+import * as lingeringConnections from './lingeringConnections.js';
 import * as takenBytes from './takenBytes.js';
 
 /** Interval at which Node.js applies its time limits on heads; 30 s by default. */
 const TIME_LIMIT_CHECKS: ports.Milliseconds = 1_000;
 
-/**
- * Time for which a connection is read after the refusal of a request that has not arrived whole. Closing it at once would reset it, and
- * the client would lose the answer.
- */
-const LINGER: ports.Milliseconds = 500;
+/** Share of the connections that may be read after the refusal of a request that has not arrived whole. */
+const LINGERING_SHARE = 0.5;
 
 /** Delay for the retry of a refused request: by then the requests that hold the most are gone. */
 const RETRY_DELAY_SECONDS = 1;
@@ -50,6 +48,12 @@
   stalled: 'The request did not arrive in time; send it again.',
 };
 
+const REFUSAL_HEADERS = {
+  Connection: 'close',
+  'Content-Type': 'application/json',
+  'Retry-After': String(RETRY_DELAY_SECONDS),
+};
+
 /** For a request without a time limit, and for the head of the next one. */
 const isNeverLate = (): boolean => false;
 
@@ -63,18 +67,36 @@
   readonly onTooLarge: () => void;
 }
 
+/** What the connections of a server share. */
+interface SharedParts {
+  readonly turns: connectionGate.ChunkTurns;
+  readonly lingering: lingeringConnections.LingeringConnections;
+}
+
+/** Refuses a request whose head was not parsed yet. */
+function writeRefusal(socket: net.Socket, status: number, body: string): void {
+  const head = [
+    `HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ''}`,
+    ...Object.entries(REFUSAL_HEADERS).map(([name, value]) => `${name}: ${value}`),
+    `Content-Length: ${Buffer.byteLength(body)}`,
+  ];
+  socket.write(`${head.join('\r\n')}\r\n\r\n${body}`);
+}
+
 /** A connection of a server. */
 export class ServedConnection {
   readonly gate: connectionGate.ConnectionGate;
   private readonly held: heldRequests.HeldConnection;
+  private readonly lingering: lingeringConnections.LingeringConnections;
   private body = new byteCollector.ByteCollector();
   private isLate = isNeverLate;
 
   constructor(
     private readonly socket: net.Socket,
     private readonly options: BoundedServerOptions,
-    turns: connectionGate.ChunkTurns,
+    { turns, lingering }: SharedParts,
   ) {
+    this.lingering = lingering;
     const { listener, requests, stallTimeout = () => requests.bounds.stallTimeout } = options;
     this.held = requests.openConnection({
       ...{ listener, stallTimeout },
@@ -106,13 +128,7 @@
 
   private linger(): void {
     this.gate.discard();
-    this.socket.end();
-    const timer = setTimeout(() => {
-      this.socket.destroy();
-    }, LINGER);
-    this.socket.once('close', () => {
-      clearTimeout(timer);
-    });
+    this.lingering.end(this.socket);
   }
 
   /** Applies the bounds to a request until its answer has ended. */
@@ -184,21 +200,22 @@
     this.gate.discard();
     this.held.end();
     if (
-      request === undefined ||
-      request.incoming.complete ||
-      request.outgoing.headersSent ||
+      request?.incoming.complete === true ||
+      request?.outgoing.headersSent === true ||
       status === undefined
     ) {
       this.close(reason);
       return;
     }
     this.options.requests.recordClose(this.options.listener, reason);
-    request.outgoing.writeHead(status, {
-      Connection: 'close',
-      'Content-Type': 'application/json',
-      'Retry-After': String(RETRY_DELAY_SECONDS),
-    });
-    request.outgoing.end(JSON.stringify({ error: MESSAGE[reason] }));
+    const body = JSON.stringify({ error: MESSAGE[reason] });
+    if (request === undefined) {
+      writeRefusal(this.socket, status, body);
+      this.linger();
+      return;
+    }
+    request.outgoing.writeHead(status, REFUSAL_HEADERS);
+    request.outgoing.end(body);
   }
 
   /** Closes the connection at once. */
@@ -212,7 +229,10 @@
 class ConnectionTable {
   private readonly connections = new Map<net.Socket, ServedConnection>();
 
-  constructor(private readonly maximum: number) {}
+  constructor(
+    private readonly maximum: number,
+    private readonly lingering: lingeringConnections.LingeringConnections,
+  ) {}
 
   get(socket: net.Socket): ServedConnection | undefined {
     return this.connections.get(socket);
@@ -239,6 +259,9 @@
   }
 
   private makeRoom(newest: ServedConnection): void {
+    if (this.lingering.closeOldest()) {
+      return;
+    }
     let unused: ServedConnection | undefined;
     for (const connection of this.connections.values()) {
       if (connection.gate.isServing) {
@@ -267,10 +290,12 @@
  */
 export function create(options: BoundedServerOptions, handler: RequestHandler): http.Server {
   const turns = new connectionGate.ChunkTurns();
-  const table = new ConnectionTable(options.requests.bounds.connections);
+  const { connections } = options.requests.bounds;
+  const lingering = new lingeringConnections.LingeringConnections(connections * LINGERING_SHARE);
+  const table = new ConnectionTable(connections, lingering);
   const server = http.createServer({ connectionsCheckingInterval: TIME_LIMIT_CHECKS, ...options.http });
   server.on('connection', (socket: net.Socket) => {
-    table.add(socket, new ServedConnection(socket, options, turns));
+    table.add(socket, new ServedConnection(socket, options, { turns, lingering }));
   });
   server.on('request', (incoming, outgoing) => {
     const connection = table.get(incoming.socket);
--- a/packages/kumquatfront/src/adapters/connectionGate.ts
+++ b/packages/kumquatfront/src/adapters/connectionGate.ts
@@ -15,8 +15,8 @@
 /** Bytes that a client may have sent behind the request that is served: another request of the largest size. */
 const MAXIMUM_AHEAD_BYTES = defaultBounds.MAXIMUM_BODY_BYTES + WAITING_BYTES;
 
-/** Bytes that are ignored of a request that is refused before its end. */
-const MAXIMUM_DISCARDED_BYTES = 524_288;
+/** Bytes that are ignored of a request that is refused before its end: the rest of the largest one, as many clients send all before they read. */
+const MAXIMUM_DISCARDED_BYTES = MAXIMUM_AHEAD_BYTES;
 
 /** Bytes of a chunked body that are parsed at once, until its chunks prove to be large. */
 const CHUNKED_PIECE_BYTES = 8_192;
