Events of engines that wait during a pause count with all held responses

Callers saw: nothing yet; found by reading. What an entry had read from an engine and not parsed while its caller took no more, about a read of 64 KiB for each generation, was in no kind of held memory and within no bound on all.

Cause: `generationConnection` kept it in a buffer of its own, joined anew with each piece.

Change: it is kept like an event in part, in `HeldBytes`, and taken in parts of 4 KiB without a copy of the rest (`ByteCollector.takeFirst`); its room is given back as it is taken and at the end. When it is given up because all responses take too much, the generation is told so after its pause, and resumed behind its last token: told at once, it would open another connection, which is read until its first token for a caller that takes nothing. Events that were joined before a pause were not copied more than once or twice by the earlier code, as at most a read follows a pause; no measurement showed a quadratic cost.

Failed before: "events that wait during a pause count until they are passed on" (0 bytes held), "events that wait during pauses are held within one bound" (none given up).

--- a/packages/kumquatfront/src/adapters/generationConnection.ts
+++ b/packages/kumquatfront/src/adapters/generationConnection.ts
@@ -5,6 +5,7 @@
 
 import * as eventSource from 'eventsource-parser';
 
+import * as byteCollector from '../buffers/byteCollector.js';
 import * as eventSplitter from '../relay/eventSplitter.js';
 import * as heldBytes from '../relay/heldBytes.js';
 import * as responseClassification from '../relay/responseClassification.js';
@@ -24,7 +25,8 @@
  */
 const PARSED_BYTES = 4_096;
 
-const NO_BYTES = Buffer.alloc(0);
+/** Bytes that wait; counted with those of all connections, if these have a bound. */
+type WaitingBytes = heldBytes.HeldBytes | byteCollector.ByteCollector;
 
 function failureForStatus(status: number): streams.ConnectionFailure {
   if (status === 404 || status === 410) {
@@ -45,13 +47,13 @@
   private finished = false;
   /** Collects an event until it is complete: the parser would hold an object for each piece and each line of it. */
   private readonly splitter: eventSplitter.EventSplitter;
-  private readonly incomplete: heldBytes.HeldBytes | undefined;
+  private readonly incomplete: WaitingBytes;
   /** Bytes received since the last token. */
   private bytesWithoutToken = 0;
   private isPaused = false;
   /** Complete events that were read and are not parsed during a pause. */
-  private unparsed: Buffer = NO_BYTES;
-  /** Reports how the exchange ended, after the events that were read before. */
+  private readonly unparsed: WaitingBytes;
+  /** Reports how the exchange ended, after the events that were read before, or that these were given up. */
   private reportEnd: (() => void) | undefined;
 
   constructor(
@@ -59,11 +61,19 @@
     private readonly listener: streams.GenerationListener,
     responses: responseMemory.ResponseMemory | undefined,
   ) {
-    if (responses !== undefined) {
-      this.incomplete = new heldBytes.HeldBytes(responses, (reason) => {
+    const hold = (giveUp: (reason: string) => void): WaitingBytes =>
+      responses === undefined
+        ? new byteCollector.ByteCollector()
+        : new heldBytes.HeldBytes(responses, giveUp);
+    this.incomplete = hold((reason) => {
+      this.fail('broken', reason);
+    });
+    this.unparsed = hold((reason) => {
+      // Told after the pause: another connection would be read for a caller that takes nothing, and its events wait as well.
+      this.reportEnd = () => {
         this.fail('broken', reason);
-      });
-    }
+      };
+    });
     this.splitter = new eventSplitter.EventSplitter(this.incomplete);
     this.exchange = singleUseConnection.send(request, systemTime.scheduler, {
       head: (status) => {
@@ -92,8 +102,8 @@
   private finish(): boolean {
     const isOpen = !this.finished;
     this.finished = true;
-    this.unparsed = NO_BYTES;
-    this.incomplete?.clear();
+    this.unparsed.clear();
+    this.incomplete.clear();
     this.exchange.cancel();
     return isOpen;
   }
@@ -117,31 +127,47 @@
   }
 
   private onData(bytes: Uint8Array): void {
+    if (this.reportEnd !== undefined) {
+      // The events before were given up.
+      return;
+    }
     this.bytesWithoutToken += bytes.length;
-    const complete = this.splitter.pushTogether(bytes);
-    this.unparsed = this.unparsed.length === 0 ? complete : Buffer.concat([this.unparsed, complete]);
-    this.parse();
+    this.parseOrKeep(this.splitter.pushTogether(bytes));
     // Bounds the memory used by an event that never ends, and the time of a stream that has no tokens.
     if (Math.max(this.bytesWithoutToken, this.splitter.incompleteBytes) > MAXIMUM_EVENT_BYTES) {
       this.fail('broken', 'event too large');
     }
   }
 
-  /** Parses what was read until it is paused or ended; returns false if it is. */
-  private parse(): boolean {
-    while (!this.isPaused && this.unparsed.length > 0) {
-      const bytes = this.unparsed.subarray(0, PARSED_BYTES);
-      this.unparsed = this.unparsed.subarray(PARSED_BYTES);
-      this.parser.feed(this.decoder.write(bytes));
+  /** Parses complete events, and keeps those that come after a pause begins. */
+  private parseOrKeep(complete: Buffer): void {
+    let parsed = 0;
+    while (!this.isPaused && parsed < complete.length) {
+      this.feed(complete.subarray(parsed, parsed + PARSED_BYTES));
+      parsed += PARSED_BYTES;
+    }
+    if (!this.finished) {
+      this.unparsed.append(complete.subarray(parsed));
+    }
+  }
+
+  /** Parses what was kept until it is paused or ended; returns false if it is. */
+  private parseKept(): boolean {
+    while (!this.isPaused && this.unparsed.size > 0) {
+      this.feed(this.unparsed.takeFirst(PARSED_BYTES) ?? Buffer.alloc(0));
     }
     return !this.isPaused && !this.finished;
   }
 
+  private feed(bytes: Buffer): void {
+    this.parser.feed(this.decoder.write(bytes));
+  }
+
   private endAfterEvents(report: () => void): void {
-    if (this.unparsed.length === 0) {
+    if (this.unparsed.size === 0 && this.reportEnd === undefined) {
       report();
     } else {
-      this.reportEnd = report;
+      this.reportEnd ??= report;
     }
   }
 
@@ -173,7 +199,7 @@
 
   resume(): void {
     this.isPaused = false;
-    if (!this.parse()) {
+    if (!this.parseKept()) {
       return;
     }
     if (this.reportEnd === undefined) {
--- a/packages/kumquatfront/src/adapters/httpUpstreams.spec.ts
+++ b/packages/kumquatfront/src/adapters/httpUpstreams.spec.ts
@@ -4,6 +4,7 @@
 import * as assert from 'node:assert/strict';
 import type * as net from 'node:net';
 import * as test from 'node:test';
+import * as timers from 'node:timers/promises';
 import * as v8 from 'node:v8';
 
 import type * as orders from '../orders/types.js';
@@ -468,3 +469,107 @@
   assert.ok(all.filter((outcome) => outcome === 'token').length >= 2, all.join());
   assert.deepEqual(memory.held(), { bytes: 0, pieces: 0 });
 });
+
+/** Events of 40 bytes and more that fit in two reads. */
+const WAITING_TOKENS = 2_000;
+
+/** A generation that is paused at each of its tokens. */
+class PausedGeneration {
+  readonly tokens: number[] = [];
+  outcome = '';
+  private readonly connection: streams.GenerationConnection;
+
+  constructor(target: streams.UpstreamTarget, memory: responseMemory.ResponseMemory) {
+    const request = { generation: 'r.1', path: '/v1/completions', body: '{}', priority: 0 };
+    this.connection = httpUpstreams.createGenerationPort(memory).start(target, request, {
+      onAccepted: () => undefined,
+      onToken: (_generation, index) => {
+        this.tokens.push(index);
+        this.connection.pause();
+      },
+      onCompleted: () => {
+        this.outcome = 'completed';
+      },
+      onFailed: (reason) => {
+        this.outcome = reason;
+      },
+    });
+  }
+
+  resume(): void {
+    this.connection.resume();
+  }
+
+  close(): void {
+    this.connection.close();
+  }
+}
+
+async function serveWaitingTokens(context: test.TestContext): Promise<streams.UpstreamTarget> {
+  const text = Array.from(
+    { length: WAITING_TOKENS },
+    (_none, index) => `id: r.1:${index}\ndata: {"choices":[{"text":"a"}]}\n\n`,
+  ).join('');
+  const { target } = await serve(context, (socket) => {
+    socket.end(`${STREAM_HEAD}\r\n${text}id: r.1:${WAITING_TOKENS}\ndata: [DONE]\n\n`);
+  });
+  return target;
+}
+
+/** Waits until something holds, for a second at most. */
+async function until(holds: () => boolean): Promise<void> {
+  for (let turns = 0; !holds() && turns < 100; turns += 1) {
+    await timers.setTimeout(10);
+  }
+}
+
+// Guards against events that were read before a pause and that nothing counts, and against their loss or repetition.
+void test.test('events that wait during a pause count until they are passed on', async (context) => {
+  const target = await serveWaitingTokens(context);
+  const memory = smallMemory();
+  const generation = new PausedGeneration(target, memory);
+  await until(() => memory.held().bytes > 40_000);
+  assert.ok(memory.held().bytes > 40_000, `${memory.held().bytes} bytes`);
+  const before = memory.held().bytes;
+  for (let turns = 0; generation.outcome === '' && turns < WAITING_TOKENS; turns += 1) {
+    generation.resume();
+    assert.ok(memory.held().bytes <= 2 * before);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  assert.equal(generation.outcome, 'completed');
+  assert.deepEqual(
+    generation.tokens,
+    Array.from({ length: WAITING_TOKENS }, (_none, index) => index),
+  );
+  assert.deepEqual(memory.held(), { bytes: 0, pieces: 0 });
+});
+
+// Guards against room that stays taken, and against paused generations that fill the entry together.
+void test.test(
+  'events that wait during pauses are held within one bound, and given back',
+  async (context) => {
+    const target = await serveWaitingTokens(context);
+    const memory = smallMemory();
+    const generations = Array.from({ length: 12 }, () => new PausedGeneration(target, memory));
+    await until(() => generations.every(({ tokens }) => tokens.length > 0));
+    await timers.setTimeout(50);
+    const { bytes } = memory.held();
+    assert.ok(bytes > 300_000 && bytes <= 500_000, `${bytes} bytes`);
+    // A caller that takes nothing has no use for another connection.
+    assert.deepEqual([...new Set(generations.map(({ outcome }) => outcome))], ['']);
+    for (const generation of generations) {
+      generation.resume();
+    }
+    const broken = generations.filter(({ outcome }) => outcome === 'broken');
+    assert.ok(broken.length > 0 && broken.length < generations.length, `${broken.length} given up`);
+    for (const generation of generations) {
+      const { tokens } = generation;
+      assert.deepEqual(
+        tokens,
+        tokens.map((_index, position) => position),
+      );
+      generation.close();
+    }
+    assert.deepEqual(memory.held(), { bytes: 0, pieces: 0 });
+  },
+);
--- a/packages/kumquatfront/src/buffers/byteCollector.spec.ts
+++ b/packages/kumquatfront/src/buffers/byteCollector.spec.ts
@@ -140,3 +140,34 @@
     { numRuns: 200, seed: 78 },
   );
 });
+
+// Guards against bytes that are lost, repeated or copied again and again where parts of a block are taken while others arrive.
+void test.test(
+  'parts of blocks that are taken in between are the bytes in order, and those left stay',
+  () => {
+    const anyStep = fastCheck.record({ arrives: anyPiece, takes: anyPiece });
+    fastCheck.assert(
+      fastCheck.property(fastCheck.array(anyStep, { maxLength: 60 }), (steps) => {
+        const body = new byteCollector.ByteCollector();
+        const sent: Buffer[] = [];
+        const taken: Buffer[] = [];
+        for (const [index, { arrives, takes }] of steps.entries()) {
+          const piece = Buffer.alloc(arrives, index % 251);
+          sent.push(piece);
+          body.append(piece);
+          const part = body.takeFirst(takes);
+          assert.ok((part?.length ?? 0) <= takes);
+          taken.push(Buffer.from(part ?? []));
+          assert.ok(Buffer.concat([...taken, body.content()]).equals(Buffer.concat(sent)));
+          assert.equal(body.size, body.content().length);
+          assert.ok(body.memory >= body.size);
+        }
+        const left = body.size;
+        assert.equal(body.takeContent().length, left);
+        assert.deepEqual([body.size, body.memory, body.pieces], [0, 0, 0]);
+        assert.equal(body.takeFirst(1), undefined);
+      }),
+      { numRuns: 100, seed: 78 },
+    );
+  },
+);
--- a/packages/kumquatfront/src/buffers/byteCollector.ts
+++ b/packages/kumquatfront/src/buffers/byteCollector.ts
@@ -2,7 +2,8 @@
  * Collects bytes that another process sends in pieces of any size. It copies small pieces into blocks: a piece of a few bytes would
  * otherwise keep an object of some hundred bytes until all have arrived.
  *
- * The memory exceeds the bytes by less than one block of 64 KiB, and is at most twice the bytes and 1 KiB, however the bytes are cut.
+ * The memory exceeds the bytes by less than one block of 64 KiB, and is at most twice the bytes and 1 KiB, however the bytes are cut; the
+ * block whose bytes are being taken stays whole beside that.
  */
 
 const SMALLEST_BLOCK = 1_024;
@@ -26,6 +27,8 @@
   private readonly blocks: Buffer[] = [];
   /** Free bytes at the end of the last block; all others are full. */
   private free = 0;
+  /** Bytes of the first block that were taken. */
+  private taken = 0;
 
   /** Number of objects that hold them. */
   get pieces(): number {
@@ -98,10 +101,11 @@
   /** All bytes in order, which stay in the collector. */
   content(): Buffer {
     const [first = Buffer.alloc(0), ...others] = this.blocks;
+    const start = this.taken === 0 ? first : first.subarray(this.taken);
     if (others.length > 0) {
-      return Buffer.concat(this.blocks, this.size);
+      return Buffer.concat([start, ...others], this.size);
     }
-    return first.length === this.size ? first : first.subarray(0, this.size);
+    return start.length === this.size ? start : start.subarray(0, this.size);
   }
 
   /** All bytes in order; the collector is empty afterwards. */
@@ -113,24 +117,46 @@
 
   /** The oldest bytes, which are removed: those of one block, so that no more than its free room is kept with them. */
   takeBlock(): Buffer | undefined {
-    const block = this.blocks.shift();
+    return this.takeFirst(Number.MAX_SAFE_INTEGER);
+  }
+
+  /**
+   * The oldest bytes of one block, at most so many, which are removed; its memory is held until all of it is taken.
+   *
+   * @example
+   * ```ts
+   * parser.feed(collector.takeFirst(4_096));
+   * ```
+   */
+  takeFirst(maximum: number): Buffer | undefined {
+    const [block] = this.blocks;
     if (block === undefined) {
       return undefined;
     }
+    const end = block.length - (this.blocks.length === 1 ? this.free : 0);
+    const bytes = block.subarray(this.taken, Math.min(end, this.taken + maximum));
+    this.taken += bytes.length;
+    this.size -= bytes.length;
+    if (this.taken === end) {
+      this.dropFirst(block);
+    }
+    return bytes;
+  }
+
+  private dropFirst(block: Buffer): void {
+    this.blocks.shift();
     this.memory -= block.length;
-    let bytes = block;
+    this.taken = 0;
     if (this.blocks.length === 0) {
-      bytes = block.subarray(0, block.length - this.free);
       this.free = 0;
     }
-    this.size -= bytes.length;
-    return bytes;
   }
 
   /** Releases the memory. */
   clear(): void {
     this.blocks.length = 0;
     this.free = 0;
+    this.taken = 0;
     this.size = 0;
     this.memory = 0;
   }
--- a/packages/kumquatfront/src/relay/heldBytes.ts
+++ b/packages/kumquatfront/src/relay/heldBytes.ts
@@ -39,6 +39,15 @@
     return content;
   }
 
+  /** Removes and returns the oldest bytes, at most so many; undefined if there are none. */
+  takeFirst(maximum: number): Buffer | undefined {
+    const bytes = this.buffer?.takeFirst(maximum);
+    if (this.size === 0) {
+      this.clear();
+    }
+    return bytes;
+  }
+
   /** Gives the room back. */
   clear(): void {
     this.buffer?.release();
--- a/packages/kumquatfront/src/relay/responseMemory.ts
+++ b/packages/kumquatfront/src/relay/responseMemory.ts
@@ -60,6 +60,14 @@
     return this.collector.content();
   }
 
+  /** Removes and returns the oldest bytes, at most so many; undefined if there are none. */
+  takeFirst(maximum: number): Buffer | undefined {
+    const { memory, pieces } = this.collector;
+    const bytes = this.collector.takeFirst(maximum);
+    this.responses.recordTaken(this, memory - this.collector.memory, pieces - this.collector.pieces);
+    return bytes;
+  }
+
   /** Gives the room back; the content stays with whoever has taken it. */
   release(): void {
     this.responses.release(this);
@@ -143,6 +151,14 @@
     }
   }
 
+  /** Records that bytes of memory and objects of a response were taken. */
+  recordTaken(buffer: ResponseBuffer, bytes: number, pieces: number): void {
+    if (this.open.has(buffer)) {
+      this.used -= bytes;
+      this.pieces -= pieces;
+    }
+  }
+
   private giveUp(buffer: ResponseBuffer, reason: string): void {
     this.log.warn('responseGivenUp', {
       bytes: buffer.size,
--- a/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
+++ b/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
@@ -213,15 +213,15 @@
   {
     name: 'the free room of a block is not passed on with it',
     file: 'buffers/byteCollector.js',
-    find: 'bytes = block.subarray(0, block.length - this.free);',
-    replace: '',
+    find: '(this.blocks.length === 1 ? this.free : 0)',
+    replace: '0',
     scenario: COLLECTOR,
   },
   {
     name: 'no free room is left where the last block was taken',
     file: 'buffers/byteCollector.js',
-    find: 'bytes = block.subarray(0, block.length - this.free);\n            this.free = 0;',
-    replace: 'bytes = block.subarray(0, block.length - this.free);',
+    find: 'if (this.blocks.length === 0) {\n            this.free = 0;',
+    replace: 'if (this.blocks.length === 0) {',
     scenario: COLLECTOR,
   },
   {
@@ -311,8 +311,8 @@
   {
     name: 'events of engines that have not ended are counted with all responses',
     file: 'adapters/generationConnection.js',
-    find: 'responses !== undefined',
-    replace: 'false',
+    find: 'this.incomplete = hold(',
+    replace: 'this.incomplete = new byteCollector.ByteCollector(); hold(',
     scenario: UPSTREAMS,
   },
   {
@@ -336,4 +336,32 @@
     replace: '',
     scenario: 'spec:adapters/lineSocket',
   },
+  {
+    name: 'bytes that were taken are no part of the content any more',
+    file: 'buffers/byteCollector.js',
+    find: 'this.taken === 0 ? first : first.subarray(this.taken)',
+    replace: 'first',
+    scenario: COLLECTOR,
+  },
+  {
+    name: 'events that wait during a pause count with all responses',
+    file: 'adapters/generationConnection.js',
+    find: 'this.unparsed = hold(',
+    replace: 'this.unparsed = new byteCollector.ByteCollector(); hold(',
+    scenario: UPSTREAMS,
+  },
+  {
+    name: 'a generation whose waiting events are given up goes on after its pause',
+    file: 'adapters/generationConnection.js',
+    find: "this.reportEnd = () => {\n                this.fail('broken', reason);\n            };",
+    replace: "this.fail('broken', reason);",
+    scenario: UPSTREAMS,
+  },
+  {
+    name: 'the room of events that were taken is given back',
+    file: 'relay/responseMemory.js',
+    find: 'this.used -= bytes;\n            this.pieces -= pieces;',
+    replace: '',
+    scenario: UPSTREAMS,
+  },
 ];
