--- a/packages/kumquatfront/src/adapters/entryHttp.ts
+++ b/packages/kumquatfront/src/adapters/entryHttp.ts
@@ -182,9 +182,7 @@
       return;
     }
     const streaming = body.val.stream === true;
-    const caller = streaming
-      ? new generationResponses.EventStreamResponse(response)
-      : new generationResponses.BufferedJsonResponse(response, path, api.responses);
+    const answer = streaming ? createStream(api, response) : createWholeAnswer(api, response, path);
     const handle = api.entry.requests.generate(
       {
         bearerKey: httpMessages.bearerKey(request),
@@ -193,25 +191,43 @@
         body: body.val,
         acceptsRestart: !streaming || httpMessages.header(request, 'kumquatfront-accept') === 'restart',
       },
-      caller,
+      answer.caller,
     );
-    attachStreamHandle(api, response, caller, handle);
+    attachStreamHandle(response, answer, handle);
   });
 }
 
+/** The answer to a request for a generation. */
+interface GenerationAnswer {
+  readonly caller: streams.GenerationCaller;
+  /** Connects the answer with its generation. */
+  readonly attach: (handle: streams.StreamHandle) => void;
+}
+
+function createStream(api: EntryApi, response: http.ServerResponse): GenerationAnswer {
+  const caller = new generationResponses.EventStreamResponse(response);
+  const attach = ({ requestId }: streams.StreamHandle): void => {
+    caller.track(api.readers, requestId);
+  };
+  return { caller, attach };
+}
+
+function createWholeAnswer(api: EntryApi, response: http.ServerResponse, path: string): GenerationAnswer {
+  const caller = new generationResponses.BufferedJsonResponse(response, path, api.responses);
+  const attach = (handle: streams.StreamHandle): void => {
+    caller.onGivenUp = (reason) => {
+      handle.giveUpAnswer(reason);
+    };
+  };
+  return { caller, attach };
+}
+
 function attachStreamHandle(
-  api: EntryApi,
   response: http.ServerResponse,
-  caller: generationResponses.EventStreamResponse | generationResponses.BufferedJsonResponse,
+  { attach }: GenerationAnswer,
   handle: streams.StreamHandle,
 ): void {
-  if (caller instanceof generationResponses.EventStreamResponse) {
-    caller.track(api.readers, handle.requestId);
-  } else {
-    caller.onGivenUp = (reason) => {
-      handle.giveUpAnswer(reason);
-    };
-  }
+  attach(handle);
   response.on('drain', () => {
     handle.onDrain();
   });
@@ -225,7 +241,7 @@
     if (refuseNearHeapLimit(api, response)) {
       return;
     }
-    const caller = new generationResponses.EventStreamResponse(response);
+    const answer = createStream(api, response);
     const handle = api.entry.requests.resume(
       {
         bearerKey: httpMessages.bearerKey(request),
@@ -233,9 +249,9 @@
         requestId: REQUEST_PATH.exec(url.pathname)?.[1] ?? '',
         token: httpMessages.header(request, 'last-event-id') ?? '',
       },
-      caller,
+      answer.caller,
     );
-    attachStreamHandle(api, response, caller, handle);
+    attachStreamHandle(response, answer, handle);
   });
 }
 
--- a/packages/scenarios/src/scripts/heldMemorySafeguards.ts
+++ b/packages/scenarios/src/scripts/heldMemorySafeguards.ts
@@ -342,7 +342,7 @@
   {
     name: 'the streams of the own interface count what their callers have not read',
     file: 'adapters/entryHttp.js',
-    find: 'caller.track(api.readers, handle.requestId);',
+    find: 'caller.track(api.readers, requestId);',
     replace: '',
     scenario: OWN,
   },
