Messages to all peers together have a bound

What callers saw: a process that sends to many peers which are away or do not read could run out of heap, and its requests were lost with it. 100 such peers could take 800 MiB.

Cause: messages that wait for a handshake, unsent messages and lines in part had bounds for each connection (8 MiB, 10,000 messages, 10 MiB) and none for all.

Messages that waited for a handshake are not checked a second time when it ends.

Tests that changed: lineSocket.spec and holders.spec open an account for each connection, which is a new argument; no assertion is changed. The safeguard for blocks of a line in part has the new text of its place.

--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
@@ -12,6 +12,7 @@
 import * as maximum from '../utils/maximum.js';
 import * as countedWarnings from './countedWarnings.js';
 import * as lineSocket from './lineSocket.js';
+import * as messageMemory from './messageMemory.js';
 import * as peerAuthentication from './peerAuthentication.js';
 import * as peerRequests from './peerRequests.js';
 import * as unprovenConnections from './unprovenConnections.js';
@@ -78,6 +79,7 @@
 interface ConnectionOptions {
   readonly clusterKey: string;
   readonly scheduler: ports.Scheduler;
+  readonly memory: messageMemory.MessageMemory;
   /** A message was dropped, because too much waits. */
   readonly onDropped: () => void;
   readonly onClose: () => void;
@@ -95,6 +97,7 @@
   private queuedMessages: string[] = [];
   private queuedBytes = 0;
   private readonly scheduler: ports.Scheduler;
+  private readonly memory: messageMemory.ConnectionMemory;
   private readonly onDropped: () => void;
   private sentSinceProbe = false;
   private bytesAtProbe = 0;
@@ -103,7 +106,7 @@
 
   constructor(
     private readonly address: string,
-    { clusterKey, scheduler, onDropped, onClose }: ConnectionOptions,
+    { clusterKey, scheduler, memory, onDropped, onClose }: ConnectionOptions,
   ) {
     this.clusterKey = clusterKey;
     this.scheduler = scheduler;
@@ -112,7 +115,13 @@
       this.send(text);
     });
     this.socket = net.connect(splitAddress(address));
-    this.lines = new lineSocket.LineSocket(this.socket, (line) => {
+    this.memory = memory.open(() => {
+      onDropped();
+      this.queuedMessages = [];
+      this.queuedBytes = 0;
+      this.socket.destroy();
+    });
+    this.lines = new lineSocket.LineSocket(this.socket, this.memory, (line) => {
       this.onLine(line);
     });
     this.cancelOpenTimeout = scheduler.after(CONNECT_TIMEOUT, () => {
@@ -184,13 +193,15 @@
     const bytes = Buffer.byteLength(text);
     const isFull =
       this.queuedBytes + bytes > MAXIMUM_QUEUED_BYTES ||
-      this.queuedMessages.length >= MAXIMUM_QUEUED_MESSAGES;
+      this.queuedMessages.length >= MAXIMUM_QUEUED_MESSAGES ||
+      !this.memory.makeRoom(bytes);
     if (isFull) {
       this.onDropped();
       throw new Error('too much waits for the connection to open');
     }
     this.queuedMessages.push(text);
     this.queuedBytes += bytes;
+    this.memory.set('queue', this.queuedBytes, this.queuedMessages.length);
   }
 
   /** Passes on a response; a line that is none closes the connection, since later lines cannot be trusted either. */
@@ -235,8 +246,9 @@
     const { queuedMessages } = this;
     this.queuedMessages = [];
     this.queuedBytes = 0;
+    this.memory.set('queue', 0, 0);
     for (const text of queuedMessages) {
-      this.lines.send(text);
+      this.lines.write(text);
     }
   }
 }
@@ -250,6 +262,7 @@
   private readonly refused: countedWarnings.CountedWarnings;
   private readonly crowdedOut: countedWarnings.CountedWarnings;
   private readonly unproven: unprovenConnections.UnprovenConnections;
+  private readonly memory = new messageMemory.MessageMemory();
   private readonly inbound = new Map<net.Socket, lineSocket.LineSocket>();
   private server: net.Server | undefined;
   private closedBytesSent = 0;
@@ -310,7 +323,11 @@
     const { remoteAddress = '' } = socket;
     const removeUnproven = this.unproven.add(socket);
     let authenticated = false;
-    const lines = new lineSocket.LineSocket(socket, (line) => {
+    const memory = this.memory.open(() => {
+      this.dropped.add(remoteAddress);
+      socket.destroy();
+    });
+    const lines = new lineSocket.LineSocket(socket, memory, (line) => {
       if (authenticated) {
         this.onRequest(line, lines, socket);
       } else if (this.authenticate(line, serverNonce, lines)) {
@@ -373,9 +390,10 @@
     if (existing !== undefined) {
       return existing;
     }
+    const { memory } = this;
     const { clusterKey, scheduler } = this.options;
     const created = new PeerConnection(address, {
-      ...{ clusterKey, scheduler },
+      ...{ clusterKey, scheduler, memory },
       onDropped: () => {
         this.dropped.add(address);
       },
--- a/packages/kumquatfront/src/adapters/lineSocket.spec.ts
+++ b/packages/kumquatfront/src/adapters/lineSocket.spec.ts
@@ -10,6 +10,11 @@
 import type * as heldMemoryTypes from '../heldMemory/types.js';
 import * as trafficValidation from '../traffic/trafficValidation.js';
 import * as lineSocket from './lineSocket.js';
+import * as messageMemory from './messageMemory.js';
+
+function openMemory(): messageMemory.ConnectionMemory {
+  return new messageMemory.MessageMemory().open(() => undefined);
+}
 
 /** Receives chunks on a connection; returns the lines, and whether the connection was closed. */
 function receive(
@@ -25,7 +30,7 @@
     },
   });
   const lines: string[] = [];
-  const received = new lineSocket.LineSocket(socket as unknown as net.Socket, (line) => {
+  const received = new lineSocket.LineSocket(socket as unknown as net.Socket, openMemory(), (line) => {
     lines.push(line);
   });
   if (isAuthenticated) {
@@ -102,7 +107,7 @@
   { timeout: 20_000 },
   async (context) => {
     const { socket, peer } = await connect(context);
-    const lines = new lineSocket.LineSocket(socket, () => undefined);
+    const lines = new lineSocket.LineSocket(socket, openMemory(), () => undefined);
     let sent = 0;
     while (sent < 1_000_000 && lines.send(String(sent).padEnd(40))) {
       sent += 1;
@@ -114,7 +119,7 @@
     assert.ok(sent < 1_000_000, 'no line was refused');
     assert.ok(lines.held().pieces <= lineSocket.MAXIMUM_UNSENT_LINES, `${lines.held().pieces} lines wait`);
     const received: string[] = [];
-    const reader = new lineSocket.LineSocket(peer, (line) => received.push(line));
+    const reader = new lineSocket.LineSocket(peer, openMemory(), (line) => received.push(line));
     peer.resume();
     while (received.length < sent) {
       await events.EventEmitter.once(peer, 'data', { signal: context.signal });
--- a/packages/kumquatfront/src/adapters/lineSocket.ts
+++ b/packages/kumquatfront/src/adapters/lineSocket.ts
@@ -5,6 +5,7 @@
 
 import * as byteCollector from '../buffers/byteCollector.js';
 import type * as heldMemoryTypes from '../heldMemory/types.js';
+import type * as messageMemory from './messageMemory.js';
 
 /** Above the largest configuration as a JSON string, in which each character may be escaped. */
 const MAXIMUM_LINE_BYTES = 10 * 1024 * 1024;
@@ -22,21 +23,28 @@
 
 /** Splits received data into lines and sends lines. */
 export class LineSocket {
-  private readonly socket: net.Socket;
   /** The line that has arrived in part: a peer that sends single bytes would otherwise fill the heap below the bound on a line. */
   private readonly partialLine = new byteCollector.ByteCollector();
   private unsentLines = 0;
   private readonly recordSent = (): void => {
     this.unsentLines -= 1;
+    this.updateMemory();
   };
   private maximumBytes = MAXIMUM_HANDSHAKE_BYTES;
 
   /**
    * @param socket - the connection
+   * @param memory - its account of what all connections hold
    * @param onLine - called with each received line, without its line terminator
    */
-  constructor(socket: net.Socket, onLine: (line: string) => void) {
-    this.socket = socket;
+  constructor(
+    private readonly socket: net.Socket,
+    private readonly memory: messageMemory.ConnectionMemory,
+    onLine: (line: string) => void,
+  ) {
+    socket.once('close', () => {
+      memory.close();
+    });
     socket.on('data', (bytes: Buffer) => {
       this.receive(bytes, onLine);
     });
@@ -51,12 +59,24 @@
         return;
       }
       const line = this.complete(bytes, start, end);
+      this.updateMemory();
       start = end + 1;
       onLine(line);
     }
     if (start < bytes.length && this.checkLength(bytes.length - start)) {
-      this.partialLine.append(bytes.subarray(start));
+      this.hold(bytes.subarray(start));
+    }
+  }
+
+  /** Holds a part of a line. If all connections hold too much, its connection is closed, as by a line that is too long. */
+  private hold(bytes: Buffer): void {
+    if (!this.memory.makeRoom(bytes.length)) {
+      this.partialLine.clear();
+      this.memory.giveUp();
+      return;
     }
+    this.partialLine.append(bytes);
+    this.updateMemory();
   }
 
   /** Closes the connection of a line that is too long with so many bytes more. */
@@ -86,18 +106,29 @@
    * Sends a line.
    *
    * @param line - the line without its line terminator
-   * @returns false if the connection is closed or too much data is unsent, which bounds the memory used for a
-   * peer that does not read
+   * @returns false if the connection is closed or too much data is unsent, on it or on all connections, which bounds the memory used
+   * for peers that do not read
    */
   send(line: string): boolean {
     const isFull =
       this.socket.writableLength > MAXIMUM_UNSENT_BYTES || this.unsentLines >= MAXIMUM_UNSENT_LINES;
-    if (this.socket.destroyed || isFull) {
+    if (this.socket.destroyed || isFull || !this.memory.makeRoom(line.length)) {
       return false;
     }
+    this.write(line);
+    return true;
+  }
+
+  /** Sends a line that waited for the connection to open, and is counted as held already. */
+  write(line: string): void {
     this.unsentLines += 1;
     this.socket.write(`${line}\n`, this.recordSent);
-    return true;
+    this.updateMemory();
+  }
+
+  private updateMemory(): void {
+    const { bytes, pieces } = this.held();
+    this.memory.set('lines', bytes, pieces);
   }
 
   /** What has arrived in part, and what is not sent yet. */
--- a/packages/kumquatfront/src/heldMemory/holders.spec.ts
+++ b/packages/kumquatfront/src/heldMemory/holders.spec.ts
@@ -6,6 +6,7 @@
 import * as test from 'node:test';
 
 import * as lineSocket from '../adapters/lineSocket.js';
+import * as messageMemory from '../adapters/messageMemory.js';
 import type * as heldRequests from '../callerBounds/heldRequests.js';
 import * as unboundedRequests from '../callerBounds/unboundedRequests.js';
 import * as slowReaders from '../entryLoad/slowReaders.js';
@@ -182,7 +183,8 @@
     });
   });
   const socket = await accepted;
-  const lines = new lineSocket.LineSocket(socket, noop);
+  const memory = new messageMemory.MessageMemory().open(noop);
+  const lines = new lineSocket.LineSocket(socket, memory, noop);
   await new Promise((resolve) => socket.once('data', resolve));
   assert.deepEqual(lines.held(), { bytes: 6, pieces: 1 });
   const line = 'x'.repeat(1_000_000);
--- a/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
+++ b/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
@@ -163,9 +163,9 @@
   {
     name: 'a line that arrives in part is collected in blocks',
     file: 'adapters/lineSocket.js',
-    find: 'this.partialLine.append(bytes.subarray(start));',
+    find: 'this.partialLine.append(bytes);',
     replace:
-      '(this.kept ??= []).push(bytes); this.held = () => ({ bytes: 0, pieces: this.kept.length }); this.partialLine.append(bytes.subarray(start));',
+      '(this.kept ??= []).push(bytes); this.held = () => ({ bytes: 0, pieces: this.kept.length }); this.partialLine.append(bytes);',
     scenario: LINES,
   },
   {
--- a/packages/scenarios/src/scripts/heldMemorySafeguards.ts
+++ b/packages/scenarios/src/scripts/heldMemorySafeguards.ts
@@ -13,6 +13,7 @@
 const GENERATIONS = 'spec:adapters/slowGenerations';
 const RESPONSES = 'spec:adapters/generationResponses';
 const READERS = 'spec:entryLoad/slowReaders';
+const MESSAGES = 'spec:adapters/messageMemory';
 const STATUS = 'spec:trafficEntry/entryLoadStatus';
 
 /** Safeguards, each with the spec that must fail without it. */
@@ -360,4 +361,60 @@
     replace: '',
     scenario: READERS,
   },
+  {
+    name: 'messages to all peers have a bound together',
+    file: 'adapters/messageMemory.js',
+    find: 'this.used + added > MAXIMUM_BYTES',
+    replace: 'false',
+    scenario: MESSAGES,
+  },
+  {
+    name: 'peers that take nothing leave room for messages to others',
+    file: 'adapters/messageMemory.js',
+    find: 'connection.held + added >= largest.held * MUCH_LESS',
+    replace: 'true',
+    scenario: MESSAGES,
+  },
+  {
+    name: 'a large message to all peers closes none of their connections',
+    file: 'adapters/messageMemory.js',
+    find: 'largest.held * MUCH_LESS',
+    replace: 'largest.held',
+    scenario: MESSAGES,
+  },
+  {
+    name: 'messages count with the heap that they take beside their text',
+    file: 'adapters/messageMemory.js',
+    find: '+ pieces * BYTES_PER_PIECE',
+    replace: '',
+    scenario: MESSAGES,
+  },
+  {
+    name: 'messages that wait for a connection count in the bound on all',
+    file: 'adapters/jsonRpcTransport.js',
+    find: '!this.memory.makeRoom(bytes)',
+    replace: 'false',
+    scenario: MESSAGES,
+  },
+  {
+    name: 'unsent messages count in the bound on all',
+    file: 'adapters/lineSocket.js',
+    find: ' || !this.memory.makeRoom(line.length)',
+    replace: '',
+    scenario: MESSAGES,
+  },
+  {
+    name: 'lines in part count in the bound on all',
+    file: 'adapters/lineSocket.js',
+    find: '!this.memory.makeRoom(bytes.length)',
+    replace: 'false',
+    scenario: MESSAGES,
+  },
+  {
+    name: 'what a closed connection held is free',
+    file: 'adapters/lineSocket.js',
+    find: 'memory.close();',
+    replace: '',
+    scenario: MESSAGES,
+  },
 ];
