A source that has stopped for a move is read to its end without a wait

What callers would see: events missing from a stream that is moved. Found by a review of the pace, by reading.

Cause: the last events of a source that has stopped are read for 60 ms. The pause of a slow caller ended for them, that of the pace did not, so that a backlog of many small events could wait for longer.

Change: FlowControl.readToEnd tells the source, through segment and exchanges, and the connection leaves its pace for good.

Evidence: the new spec of pausableSocket and the assertions in those of flowControl and slowCallers fail without each of the three steps.

--- a/packages/kumquatfront/src/adapters/pausableSocket.spec.ts
+++ b/packages/kumquatfront/src/adapters/pausableSocket.spec.ts
@@ -269,6 +269,25 @@
   }
 });
 
+// Guards against the last events of an upstream that has stopped, which are lost if they are not read in time.
+void test.test(
+  'a response that is read to its end does not wait for the pace',
+  { timeout: 10_000 },
+  async () => {
+    const { received, bytesWhenHeld } = await requestPaced(ONE_BYTE_CHUNKS);
+    try {
+      await bytesWhenHeld(1);
+      received.exchange.readToEnd?.();
+      while (countBytes(received.pieces) < 10 * MOST_PIECES) {
+        await timers.setTimeout(5);
+      }
+      assert.deepEqual(received.holds, [true, false]);
+    } finally {
+      received.close();
+    }
+  },
+);
+
 // Guards against ordinary answers that wait.
 void test.test('a response in large chunks does not wait for the pace', { timeout: 10_000 }, async () => {
   const { received } = await requestPaced(`2000\r\n${'x'.repeat(8_192)}\r\n`);
--- a/packages/kumquatfront/src/adapters/singleUseConnection.ts
+++ b/packages/kumquatfront/src/adapters/singleUseConnection.ts
@@ -97,24 +97,41 @@
   return outgoing;
 }
 
-/** Returns what counts the pieces of a read, and lets the connection wait where they are too many; `onHeld` is told. */
+/** The pace of one connection. */
+interface Pacing {
+  /** Counts the pieces of a read, and lets the connection wait where they are too many. */
+  readonly keep: (pieces: number) => void;
+  /** Ends the wait, and lets the connection wait no more. */
+  readonly lift: () => void;
+}
+
+/**
+ * Applies a pace to a connection.
+ *
+ * @param onHeld - is told when the connection waits, and when it is read again
+ */
 function pacing(
   pace: piecePace.PiecePace,
   connection: pausableSocket.PausableSocket,
   onHeld: (isHeld: boolean) => void,
-): (pieces: number) => void {
-  const reads = pace.openConnection({
-    isOpen: () => !connection.destroyed,
-    resume: () => {
-      onHeld(false);
-      connection.resumeReads('pace');
+): Pacing {
+  let isLifted = false;
+  const resume = (): void => {
+    onHeld(false);
+    connection.resumeReads('pace');
+  };
+  const reads = pace.openConnection({ isOpen: () => !connection.destroyed && !isLifted, resume });
+  return {
+    keep: (pieces) => {
+      if (reads.count(pieces) && !isLifted) {
+        connection.pauseReads('pace');
+        onHeld(true);
+      }
+    },
+    lift: () => {
+      isLifted = true;
+      resume();
     },
-  });
-  return (pieces) => {
-    if (reads.count(pieces)) {
-      connection.pauseReads('pace');
-      onHeld(true);
-    }
   };
 }
 
@@ -153,7 +170,7 @@
   let response: http.IncomingMessage | undefined;
   let monitor: responseMonitor.ResponseMonitor | undefined;
   const pieces = new readPieces.ReadPieces((bytes, count) => {
-    keepPace(count);
+    paced.keep(count);
     if (!settled) {
       listener.data(bytes);
     }
@@ -162,7 +179,7 @@
   const connection = new pausableSocket.PausableSocket(() => {
     pieces.flush();
   });
-  const keepPace = pacing(pace, connection, (isHeld) => {
+  const paced = pacing(pace, connection, (isHeld) => {
     if (!settled) {
       listener.held?.(isHeld);
     }
@@ -284,5 +301,6 @@
     resume: () => {
       connection.resumeReads('receiver');
     },
+    readToEnd: paced.lift,
   };
 }
--- a/packages/kumquatfront/src/flowControl/flowControl.spec.ts
+++ b/packages/kumquatfront/src/flowControl/flowControl.spec.ts
@@ -30,6 +30,7 @@
   const source = (name: string): flowControl.Source => ({
     pause: record(`${name} paused`),
     resume: record(`${name} resumed`),
+    readToEnd: record(`${name} read to its end`),
   });
   return { time, flow, calls, source };
 }
@@ -103,7 +104,7 @@
   assert.equal(flow.isPaused, false);
   flow.attach(source('b'));
   flow.recordWrite(false);
-  assert.deepEqual(calls, ['a paused', 'blocked', 'a resumed', 'b paused']);
+  assert.deepEqual(calls, ['a paused', 'blocked', 'a resumed', 'a read to its end', 'b paused']);
 });
 
 function watch(takes: (now: number) => number, duration: number): number | undefined {
--- a/packages/kumquatfront/src/flowControl/flowControl.ts
+++ b/packages/kumquatfront/src/flowControl/flowControl.ts
@@ -9,6 +9,8 @@
   /** Stops reading; what has been read is still passed on. */
   readonly pause: () => void;
   readonly resume: () => void;
+  /** Reads what is left without a pause of the process; nothing if absent. */
+  readonly readToEnd?: () => void;
 }
 
 /** Dependencies of {@link FlowControl}. */
@@ -123,6 +125,7 @@
       this.endPause();
       this.source?.resume();
     }
+    this.source?.readToEnd?.();
   }
 
   private startPause(): void {
--- a/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
+++ b/packages/kumquatfront/src/quarantine/guardedUpstreams.ts
@@ -234,7 +234,7 @@
     quarantineState.recordSent(call.request);
     const tracked = new TrackedRun(options, call, causes);
     const exchange = upstreams.send(call, tracked.wrapListener(listener));
-    const { pause, resume } = exchange;
+    const { pause, resume, readToEnd } = exchange;
     return {
       cancel: (reason) => {
         tracked.finish(reason === 'silent');
@@ -242,6 +242,7 @@
       },
       pause,
       resume,
+      readToEnd,
     };
   };
   const send: relayTypes.UpstreamPort['send'] = (call, listener) =>
--- a/packages/kumquatfront/src/relay/relayTestHarness.ts
+++ b/packages/kumquatfront/src/relay/relayTestHarness.ts
@@ -37,6 +37,8 @@
   cancelled: boolean;
   /** True while the response is not read. */
   paused: boolean;
+  /** True once the rest of the response is read without a pace. */
+  isReadToEnd: boolean;
 }
 
 /** A memory copy that was requested from an engine. */
@@ -214,7 +216,7 @@
   private upstreams(): types.UpstreamPort {
     return {
       send: (call, listener) => {
-        const sent: SentCall = { call, listener, cancelled: false, paused: false };
+        const sent: SentCall = { call, listener, cancelled: false, paused: false, isReadToEnd: false };
         this.sentCalls.push(sent);
         return {
           cancel: () => {
@@ -226,6 +228,9 @@
           resume: () => {
             sent.paused = false;
           },
+          readToEnd: () => {
+            sent.isReadToEnd = true;
+          },
         };
       },
       check: (_address, done) => {
--- a/packages/kumquatfront/src/relay/slowCallers.spec.ts
+++ b/packages/kumquatfront/src/relay/slowCallers.spec.ts
@@ -153,6 +153,7 @@
   harness.copyRequests[1].done({ state: 'copied', handle: 'h2' });
   assert.equal(move.outcome, 'moved');
   assert.equal(sent(0).paused, false);
+  assert.equal(sent(0).isReadToEnd, true);
   sendEvents(sent(0), 3);
   assert.equal(sent(0).paused, false);
   sent(0).listener.failed('broken', 'closed without its end');
--- a/packages/kumquatfront/src/relay/streamSegment.ts
+++ b/packages/kumquatfront/src/relay/streamSegment.ts
@@ -142,6 +142,10 @@
     this.exchange?.resume();
   }
 
+  readToEnd(): void {
+    this.exchange?.readToEnd?.();
+  }
+
   private ifOpen(run: () => void): void {
     if (this.open) {
       run();
--- a/packages/kumquatfront/src/relay/successiveExchanges.ts
+++ b/packages/kumquatfront/src/relay/successiveExchanges.ts
@@ -44,4 +44,8 @@
     this.isPaused = false;
     this.current?.resume();
   };
+
+  readonly readToEnd = (): void => {
+    this.current?.readToEnd?.();
+  };
 }
--- a/packages/kumquatfront/src/relay/types.ts
+++ b/packages/kumquatfront/src/relay/types.ts
@@ -139,6 +139,8 @@
   /** Stops reading the response until `resume`; what has been read is still passed on. */
   readonly pause: () => void;
   readonly resume: () => void;
+  /** Reads the rest of the response at no pace but that of its upstream; nothing if absent. */
+  readonly readToEnd?: (() => void) | undefined;
 }
 
 /** Result of a connection attempt; `unknown` if there is no reply, as in a network partition. */
--- a/packages/scenarios/src/scripts/flowControlSafeguards.ts
+++ b/packages/scenarios/src/scripts/flowControlSafeguards.ts
@@ -46,10 +46,31 @@
   {
     name: 'a response in many pieces is read at the pace of the process',
     file: 'adapters/singleUseConnection.js',
-    find: 'if (reads.count(pieces)) {',
+    find: 'if (reads.count(pieces) && !isLifted) {',
     replace: 'if (false) {',
     scenario: SOCKET,
   },
+  {
+    name: 'a response that is read to its end does not wait for the pace',
+    file: 'adapters/singleUseConnection.js',
+    find: 'isLifted = true;',
+    replace: '',
+    scenario: SOCKET,
+  },
+  {
+    name: 'a source that has stopped is read to its end without a pause of the process',
+    file: 'flowControl/flowControl.js',
+    find: 'this.source?.readToEnd?.();',
+    replace: '',
+    scenario: CLASS,
+  },
+  {
+    name: 'a stream that is moved reads its source to the end without a pause of the process',
+    file: 'relay/streamSegment.js',
+    find: 'this.exchange?.readToEnd?.();',
+    replace: '',
+    scenario: STREAM,
+  },
   {
     name: 'a receiver that has drained does not end the pause of the pace',
     file: 'adapters/pausableSocket.js',
