Nothing is written to a connection whose sending side has ended

Found by a review, by reading: bytes that come behind the last answer of a connection may be refused, and the refusal was written after the end. Such a connection is closed. 53 specs of boundedServer and others pass; no spec shows the case.

--- a/packages/kumquatfront/src/adapters/boundedServer.ts
+++ b/packages/kumquatfront/src/adapters/boundedServer.ts
@@ -202,7 +202,8 @@
     if (
       request?.incoming.complete === true ||
       request?.outgoing.headersSent === true ||
-      status === undefined
+      status === undefined ||
+      !this.socket.writable
     ) {
       this.close(reason);
       return;
