A handshake between processes takes no room from other connections, and needs none

What callers would see: with almost all memory for messages in use, requests to a living peer fail in bursts, since its handshake line found no room and the connection was closed after a second; and strangers who have not proved the cluster key could close the connection that holds the most. Found by a review of the bound on all messages, by reading.

Change: the lines of a handshake, which are 4 KiB at most, are counted and not asked for room. What arrives behind a line that has closed its connection is dropped.

Evidence: the new spec of messageMemory fails without the condition; the two safeguards whose place has moved fail as before.

--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
@@ -227,7 +227,7 @@
         this.clientNonce,
         this.serverNonce,
       );
-      this.lines.send(JSON.stringify({ nonce: this.clientNonce, proof }));
+      this.lines.write(JSON.stringify({ nonce: this.clientNonce, proof }));
       return;
     }
     const expected = peerAuthentication.createProof(
@@ -354,7 +354,7 @@
       this.closedBytesSent += socket.bytesWritten;
       this.closedBytesReceived += socket.bytesRead;
     });
-    lines.send(JSON.stringify({ nonce: serverNonce }));
+    lines.write(JSON.stringify({ nonce: serverNonce }));
   }
 
   private authenticate(line: string, serverNonce: string, lines: lineSocket.LineSocket): boolean {
@@ -364,7 +364,7 @@
     if (!peerAuthentication.timingSafeEqual(proof, expected)) {
       return false;
     }
-    lines.send(
+    lines.write(
       JSON.stringify({ proof: peerAuthentication.createProof(clusterKey, 'server', nonce, serverNonce) }),
     );
     return true;
--- a/packages/kumquatfront/src/adapters/lineSocket.ts
+++ b/packages/kumquatfront/src/adapters/lineSocket.ts
@@ -30,7 +30,7 @@
     this.unsentLines -= 1;
     this.updateMemory();
   };
-  private maximumBytes = MAXIMUM_HANDSHAKE_BYTES;
+  private isProven = false;
 
   /**
    * @param socket - the connection
@@ -63,14 +63,17 @@
       start = end + 1;
       onLine(line);
     }
-    if (start < bytes.length && this.checkLength(bytes.length - start)) {
+    if (start < bytes.length && !this.socket.destroyed && this.checkLength(bytes.length - start)) {
       this.hold(bytes.subarray(start));
     }
   }
 
-  /** Holds a part of a line. If all connections hold too much, its connection is closed, as by a line that is too long. */
+  /**
+   * Holds a part of a line. If all connections hold too much, its connection is closed, as by a line that is too long. Before its proof a
+   * connection holds little, and takes no room from others.
+   */
   private hold(bytes: Buffer): void {
-    if (!this.memory.makeRoom(bytes.length)) {
+    if (this.isProven && !this.memory.makeRoom(bytes.length)) {
       this.partialLine.clear();
       this.memory.giveUp();
       return;
@@ -81,7 +84,8 @@
 
   /** Closes the connection of a line that is too long with so many bytes more. */
   private checkLength(added: number): boolean {
-    const isWithinBound = this.partialLine.size + added <= this.maximumBytes;
+    const maximum = this.isProven ? MAXIMUM_LINE_BYTES : MAXIMUM_HANDSHAKE_BYTES;
+    const isWithinBound = this.partialLine.size + added <= maximum;
     if (!isWithinBound) {
       this.partialLine.clear();
       this.socket.destroy();
@@ -99,7 +103,7 @@
 
   /** Permits long lines, once the other side is authenticated. */
   permitLongLines(): void {
-    this.maximumBytes = MAXIMUM_LINE_BYTES;
+    this.isProven = true;
   }
 
   /**
@@ -119,7 +123,7 @@
     return true;
   }
 
-  /** Sends a line that waited for the connection to open, and is counted as held already. */
+  /** Sends a line that needs no room: one of the handshake, or one that waited for it and is counted as held already. */
   write(line: string): void {
     this.unsentLines += 1;
     this.socket.write(`${line}\n`, this.recordSent);
--- a/packages/kumquatfront/src/adapters/messageMemory.spec.ts
+++ b/packages/kumquatfront/src/adapters/messageMemory.spec.ts
@@ -202,3 +202,22 @@
   const closed = sockets.filter(({ destroyed }) => destroyed).length;
   assert.ok(closed > 0 && closed < sockets.length, `${closed} of ${sockets.length} closed`);
 });
+
+// Guards against strangers that close the connections of peers, and against the last peer that takes its messages being kept out.
+void test.test('a handshake takes no room from other connections, and needs none', () => {
+  const { sockets } = openLines(1);
+  const memory = new messageMemory.MessageMemory();
+  const closed: string[] = [];
+  fill(
+    memory.open(() => closed.push('peer')),
+    1_000,
+  );
+  const [socket] = sockets;
+  assert.ok(socket !== undefined);
+  const stranger = memory.open(() => closed.push('stranger'));
+  const handshake = new lineSocket.LineSocket(socket as unknown as net.Socket, stranger, noop);
+  socket.emit('data', Buffer.alloc(4_000, 'x'));
+  handshake.write('x'.repeat(300_000));
+  assert.deepEqual(closed, []);
+  assert.ok(handshake.held().bytes > 300_000);
+});
--- a/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
+++ b/packages/scenarios/src/scripts/collectedBytesSafeguards.ts
@@ -171,7 +171,7 @@
   {
     name: 'a line has a bound on its bytes',
     file: 'adapters/lineSocket.js',
-    find: 'this.partialLine.size + added <= this.maximumBytes',
+    find: 'this.partialLine.size + added <= maximum',
     replace: 'true',
     scenario: LINES,
   },
--- a/packages/scenarios/src/scripts/endlessResponseSafeguards.ts
+++ b/packages/scenarios/src/scripts/endlessResponseSafeguards.ts
@@ -103,8 +103,8 @@
   {
     name: 'the lines of a handshake have a bound on their length',
     file: 'adapters/lineSocket.js',
-    find: 'maximumBytes = MAXIMUM_HANDSHAKE_BYTES',
-    replace: 'maximumBytes = MAXIMUM_LINE_BYTES',
+    find: 'this.isProven ? MAXIMUM_LINE_BYTES : MAXIMUM_HANDSHAKE_BYTES',
+    replace: 'MAXIMUM_LINE_BYTES',
     scenario: 'spec:adapters/lineSocket',
   },
 ];
--- a/packages/scenarios/src/scripts/heldMemorySafeguards.ts
+++ b/packages/scenarios/src/scripts/heldMemorySafeguards.ts
@@ -410,6 +410,13 @@
     replace: 'false',
     scenario: MESSAGES,
   },
+  {
+    name: 'a connection takes no room from others before its proof',
+    file: 'adapters/lineSocket.js',
+    find: 'this.isProven && !this.memory',
+    replace: '!this.memory',
+    scenario: MESSAGES,
+  },
   {
     name: 'what a closed connection held is free',
     file: 'adapters/lineSocket.js',
