Lines that wait for a connection are kept by its line socket

The connection to a peer kept them beside the socket, with the same bounds and a part of its own in the memory for messages. LineSocket has queue and sendQueued, an account holds one number, and closing a line socket drops what is queued. Bounds and messages of failures are the same.

--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
@@ -59,10 +59,6 @@
 /** The response to a probe counts as data that arrives. */
 const ignoreResponse = (): void => undefined;
 
-/** Bytes and messages that may wait until a connection is authenticated; the bytes are those that may be unsent afterwards. */
-const MAXIMUM_QUEUED_BYTES = lineSocket.MAXIMUM_UNSENT_BYTES;
-const MAXIMUM_QUEUED_MESSAGES = lineSocket.MAXIMUM_UNSENT_LINES;
-
 function splitAddress(address: string): { host: string; port: number } {
   const colon = address.lastIndexOf(':');
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
@@ -94,10 +90,7 @@
   private readonly clientNonce = peerAuthentication.createNonce();
   private serverNonce = '';
   private authenticated = false;
-  private queuedMessages: string[] = [];
-  private queuedBytes = 0;
   private readonly scheduler: ports.Scheduler;
-  private readonly memory: messageMemory.ConnectionMemory;
   private readonly onDropped: () => void;
   private sentSinceProbe = false;
   private bytesAtProbe = 0;
@@ -115,13 +108,11 @@
       this.send(text);
     });
     this.socket = net.connect(splitAddress(address));
-    this.memory = memory.open(() => {
+    const account = memory.open(() => {
       onDropped();
-      this.queuedMessages = [];
-      this.queuedBytes = 0;
-      this.socket.destroy();
+      this.lines.close();
     });
-    this.lines = new lineSocket.LineSocket(this.socket, this.memory, (line) => {
+    this.lines = new lineSocket.LineSocket(this.socket, account, (line) => {
       this.onLine(line);
     });
     this.cancelOpenTimeout = scheduler.after(CONNECT_TIMEOUT, () => {
@@ -147,11 +138,7 @@
   held(): heldMemoryTypes.Held {
     const { bytes, pieces } = this.lines.held();
     const waiting = this.requests.held();
-    return {
-      bytes: bytes + this.queuedBytes,
-      pieces: pieces + this.queuedMessages.length + waiting.pieces,
-      heapBytes: waiting.heapBytes,
-    };
+    return { bytes, pieces: pieces + waiting.pieces, heapBytes: waiting.heapBytes };
   }
 
   private scheduleProbe(): void {
@@ -178,7 +165,10 @@
   private send(text: string): void {
     this.sentSinceProbe = true;
     if (!this.authenticated) {
-      this.queue(text);
+      if (!this.lines.queue(text)) {
+        this.onDropped();
+        throw new Error('too much waits for the connection to open');
+      }
       return;
     }
     if (!this.lines.send(text)) {
@@ -189,21 +179,6 @@
     }
   }
 
-  private queue(text: string): void {
-    const bytes = Buffer.byteLength(text);
-    const isFull =
-      this.queuedBytes + bytes > MAXIMUM_QUEUED_BYTES ||
-      this.queuedMessages.length >= MAXIMUM_QUEUED_MESSAGES ||
-      !this.memory.makeRoom(bytes);
-    if (isFull) {
-      this.onDropped();
-      throw new Error('too much waits for the connection to open');
-    }
-    this.queuedMessages.push(text);
-    this.queuedBytes += bytes;
-    this.memory.set('queue', this.queuedBytes, this.queuedMessages.length);
-  }
-
   /** Passes on a response; a line that is none closes the connection, since later lines cannot be trusted either. */
   private receive(line: string): void {
     try {
@@ -243,13 +218,7 @@
     this.authenticated = true;
     this.lines.permitLongLines();
     this.cancelOpenTimeout();
-    const { queuedMessages } = this;
-    this.queuedMessages = [];
-    this.queuedBytes = 0;
-    this.memory.set('queue', 0, 0);
-    for (const text of queuedMessages) {
-      this.lines.write(text);
-    }
+    this.lines.sendQueued();
   }
 }
 
--- a/packages/kumquatfront/src/adapters/lineSocket.ts
+++ b/packages/kumquatfront/src/adapters/lineSocket.ts
@@ -14,7 +14,7 @@
 const MAXIMUM_HANDSHAKE_BYTES = 4_096;
 
 /** Bytes that may be unsent before another line is refused. */
-export const MAXIMUM_UNSENT_BYTES = 8 * 1024 * 1024;
+const MAXIMUM_UNSENT_BYTES = 8 * 1024 * 1024;
 
 /** Lines that may be unsent: each takes some 200 bytes of heap beside its own, so that bytes alone do not bound what a peer costs. */
 export const MAXIMUM_UNSENT_LINES = 10_000;
@@ -31,6 +31,9 @@
     this.updateMemory();
   };
   private isProven = false;
+  /** Lines that wait until the connection is open. */
+  private queued: string[] = [];
+  private queuedBytes = 0;
 
   /**
    * @param socket - the connection
@@ -123,6 +126,38 @@
     return true;
   }
 
+  /**
+   * Keeps a line until the connection is open.
+   *
+   * @returns false if too much waits, on it or on all connections
+   */
+  queue(line: string): boolean {
+    const bytes = Buffer.byteLength(line);
+    const isFull =
+      this.queuedBytes + bytes > MAXIMUM_UNSENT_BYTES || this.queued.length >= MAXIMUM_UNSENT_LINES;
+    if (isFull || !this.memory.makeRoom(bytes)) {
+      return false;
+    }
+    this.queued.push(line);
+    this.queuedBytes += bytes;
+    this.updateMemory();
+    return true;
+  }
+
+  /** Sends the lines that were queued. */
+  sendQueued(): void {
+    for (const line of this.takeQueued()) {
+      this.write(line);
+    }
+  }
+
+  private takeQueued(): readonly string[] {
+    const { queued } = this;
+    this.queued = [];
+    this.queuedBytes = 0;
+    return queued;
+  }
+
   /** Sends a line that needs no room: one of the handshake, or one that waited for it and is counted as held already. */
   write(line: string): void {
     this.unsentLines += 1;
@@ -132,18 +167,20 @@
 
   private updateMemory(): void {
     const { bytes, pieces } = this.held();
-    this.memory.set('lines', bytes, pieces);
+    this.memory.set(bytes, pieces);
   }
 
   /** What has arrived in part, and what is not sent yet. */
   held(): heldMemoryTypes.Held {
     return {
-      bytes: this.socket.writableLength + this.partialLine.memory,
-      pieces: this.unsentLines + this.partialLine.pieces,
+      bytes: this.socket.writableLength + this.queuedBytes + this.partialLine.memory,
+      pieces: this.unsentLines + this.queued.length + this.partialLine.pieces,
     };
   }
 
+  /** Closes the connection, and drops what is queued. */
   close(): void {
+    this.takeQueued();
     this.socket.destroy();
   }
 }
--- a/packages/kumquatfront/src/adapters/messageMemory.spec.ts
+++ b/packages/kumquatfront/src/adapters/messageMemory.spec.ts
@@ -98,7 +98,7 @@
   while (held < most && memory.makeRoom(step)) {
     held += step;
     messages += 1;
-    memory.set('queue', held, messages);
+    memory.set(held, messages);
   }
   return held;
 }
--- a/packages/kumquatfront/src/adapters/messageMemory.ts
+++ b/packages/kumquatfront/src/adapters/messageMemory.ts
@@ -13,9 +13,6 @@
 /** A connection is closed only for one that would hold less than this part of what it holds; a message to all peers would otherwise close some. */
 const MUCH_LESS = 0.5;
 
-/** What a connection holds: messages until it is open, and what is unsent or has arrived in part. */
-export type HeldPart = 'queue' | 'lines';
-
 /** What all connections hold; see the module comment. */
 export class MessageMemory {
   private readonly connections = new Set<ConnectionMemory>();
@@ -61,7 +58,8 @@
 
 /** What one connection holds. */
 export class ConnectionMemory {
-  private readonly parts: Record<HeldPart, number> = { queue: 0, lines: 0 };
+  /** Bytes that it holds, with the heap of its messages. */
+  held = 0;
   private isClosed = false;
 
   constructor(
@@ -69,11 +67,6 @@
     private readonly onGivenUp: () => void,
   ) {}
 
-  /** Bytes that it holds, with the heap of its messages. */
-  get held(): number {
-    return this.parts.queue + this.parts.lines;
-  }
-
   /**
    * Whether another message, or so many bytes more of one, may be held; may close connections that hold much more.
    *
@@ -88,12 +81,12 @@
     return this.memory.makeRoom(this, bytes + BYTES_PER_PIECE);
   }
 
-  /** Sets what one part holds. */
-  set(part: HeldPart, bytes: number, pieces: number): void {
+  /** Sets what it holds. */
+  set(bytes: number, pieces: number): void {
     if (!this.isClosed) {
       const held = bytes + pieces * BYTES_PER_PIECE;
-      this.memory.change(held - this.parts[part]);
-      this.parts[part] = held;
+      this.memory.change(held - this.held);
+      this.held = held;
     }
   }
 
@@ -105,8 +98,7 @@
 
   /** The connection is closed and holds nothing from now on. */
   close(): void {
-    this.set('queue', 0, 0);
-    this.set('lines', 0, 0);
+    this.set(0, 0);
     this.isClosed = true;
     this.memory.remove(this);
   }
--- a/packages/scenarios/src/scripts/heldMemorySafeguards.ts
+++ b/packages/scenarios/src/scripts/heldMemorySafeguards.ts
@@ -391,7 +391,7 @@
   },
   {
     name: 'messages that wait for a connection count in the bound on all',
-    file: 'adapters/jsonRpcTransport.js',
+    file: 'adapters/lineSocket.js',
     find: '!this.memory.makeRoom(bytes)',
     replace: 'false',
     scenario: MESSAGES,
