--- a/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
+++ b/packages/kumquatfront/src/adapters/jsonRpcTransport.ts
@@ -14,6 +14,7 @@
 import * as lineSocket from './lineSocket.js';
 import * as messageMemory from './messageMemory.js';
 import * as peerAuthentication from './peerAuthentication.js';
+import * as peerConnection from './peerConnection.js';
 import * as peerRequests from './peerRequests.js';
 import * as unprovenConnections from './unprovenConnections.js';
 
@@ -35,35 +36,9 @@
   close(): void;
 }
 
-/**
- * Connecting is aborted after this time, and the next message opens a new connection. Shorter than the kernel's SYN
- * retransmission delay of a second, so that processes that restart together do not wait that long for each other.
- */
-const CONNECT_TIMEOUT = 250;
-
-/** Maximum time from an open connection to the end of its authentication, on the connecting side. */
-const HANDSHAKE_TIMEOUT = 1_000;
 /** Maximum time for a peer to authenticate, on the accepting side. */
 const AUTHENTICATION_TIMEOUT = 2_000;
 
-/** Interval between liveness probes on a connection in use. */
-const PROBE_INTERVAL = 400;
-
-/**
- * A connection on which no data arrives within this time after a probe is closed, and the next message opens a new
- * one. Otherwise messages on a connection that stopped working without a reset would be lost unnoticed.
- */
-const PROBE_TIMEOUT = 1_000;
-const PROBE_METHOD = 'transport.probe';
-
-/** The response to a probe counts as data that arrives. */
-const ignoreResponse = (): void => undefined;
-
-function splitAddress(address: string): { host: string; port: number } {
-  const colon = address.lastIndexOf(':');
-  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
-}
-
 /** One line for a crowd: its connections, and the address that had the most of them. */
 function summary(counts: ReadonlyMap<string, number>): ports.LogFields {
   const [address = ''] = maximum.by(counts, ([, count]) => count) ?? [];
@@ -71,162 +46,11 @@
   return { address, connections, addresses: counts.size };
 }
 
-/** Options of an outgoing connection. */
-interface ConnectionOptions {
-  readonly clusterKey: string;
-  readonly scheduler: ports.Scheduler;
-  readonly memory: messageMemory.MessageMemory;
-  /** A message was dropped, because too much waits. */
-  readonly onDropped: () => void;
-  readonly onClose: () => void;
-}
-
-/** An outgoing connection to one peer; messages are queued until both sides are authenticated. */
-class PeerConnection {
-  readonly requests: peerRequests.PeerRequests;
-  readonly socket: net.Socket;
-  private readonly lines: lineSocket.LineSocket;
-  private readonly clusterKey: string;
-  private readonly clientNonce = peerAuthentication.createNonce();
-  private serverNonce = '';
-  private authenticated = false;
-  private readonly scheduler: ports.Scheduler;
-  private readonly onDropped: () => void;
-  private sentSinceProbe = false;
-  private bytesAtProbe = 0;
-  private cancelProbe: ports.Cancel = () => undefined;
-  private cancelOpenTimeout: ports.Cancel = () => undefined;
-
-  constructor(
-    private readonly address: string,
-    { clusterKey, scheduler, memory, onDropped, onClose }: ConnectionOptions,
-  ) {
-    this.clusterKey = clusterKey;
-    this.scheduler = scheduler;
-    this.onDropped = onDropped;
-    this.requests = new peerRequests.PeerRequests(scheduler, (text) => {
-      this.send(text);
-    });
-    this.socket = net.connect(splitAddress(address));
-    const account = memory.open(() => {
-      onDropped();
-      this.lines.close();
-    });
-    this.lines = new lineSocket.LineSocket(this.socket, account, (line) => {
-      this.onLine(line);
-    });
-    this.cancelOpenTimeout = scheduler.after(CONNECT_TIMEOUT, () => {
-      this.socket.destroy();
-    });
-    this.socket.on('connect', () => {
-      this.cancelOpenTimeout();
-      this.cancelOpenTimeout = scheduler.after(HANDSHAKE_TIMEOUT, () => {
-        this.socket.destroy();
-      });
-    });
-    this.socket.on('error', () => undefined);
-    this.scheduleProbe();
-    this.socket.on('close', () => {
-      this.cancelOpenTimeout();
-      this.cancelProbe();
-      this.requests.failAll('the connection was closed');
-      onClose();
-    });
-  }
-
-  /** What is not sent yet, what has arrived in part, and the requests that wait for a response. */
-  held(): heldMemoryTypes.Held {
-    const { bytes, pieces } = this.lines.held();
-    const waiting = this.requests.held();
-    return { bytes, pieces: pieces + waiting.pieces, heapBytes: waiting.heapBytes };
-  }
-
-  private scheduleProbe(): void {
-    this.cancelProbe = this.scheduler.after(PROBE_INTERVAL, () => {
-      if (!this.authenticated || !this.sentSinceProbe) {
-        this.scheduleProbe();
-        return;
-      }
-      const { address } = this;
-      const probe = { address, method: PROBE_METHOD, parameters: [], timeout: PROBE_TIMEOUT };
-      this.requests.send(probe, ignoreResponse);
-      this.sentSinceProbe = false;
-      this.bytesAtProbe = this.socket.bytesRead;
-      this.cancelProbe = this.scheduler.after(PROBE_TIMEOUT, () => {
-        if (this.socket.bytesRead === this.bytesAtProbe) {
-          this.socket.destroy();
-          return;
-        }
-        this.scheduleProbe();
-      });
-    });
-  }
-
-  private send(text: string): void {
-    this.sentSinceProbe = true;
-    if (!this.authenticated) {
-      if (!this.lines.queue(text)) {
-        this.onDropped();
-        throw new Error('too much waits for the connection to open');
-      }
-      return;
-    }
-    if (!this.lines.send(text)) {
-      if (!this.socket.destroyed) {
-        this.onDropped();
-      }
-      throw new Error('the connection is closed or its send buffer is full');
-    }
-  }
-
-  /** Passes on a response; a line that is none closes the connection, since later lines cannot be trusted either. */
-  private receive(line: string): void {
-    try {
-      this.requests.receive(JSON.parse(line));
-    } catch {
-      this.socket.destroy();
-    }
-  }
-
-  private onLine(line: string): void {
-    if (this.authenticated) {
-      this.receive(line);
-      return;
-    }
-    const message = peerAuthentication.parseMessage(line);
-    if (this.serverNonce === '') {
-      this.serverNonce = message.nonce;
-      const proof = peerAuthentication.createProof(
-        this.clusterKey,
-        'client',
-        this.clientNonce,
-        this.serverNonce,
-      );
-      this.lines.write(JSON.stringify({ nonce: this.clientNonce, proof }));
-      return;
-    }
-    const expected = peerAuthentication.createProof(
-      this.clusterKey,
-      'server',
-      this.clientNonce,
-      this.serverNonce,
-    );
-    if (!peerAuthentication.timingSafeEqual(message.proof, expected)) {
-      this.socket.destroy();
-      return;
-    }
-    this.authenticated = true;
-    this.lines.permitLongLines();
-    this.cancelOpenTimeout();
-    this.lines.sendQueued();
-  }
-}
-
 class Transport implements JsonRpcTransport {
   private readonly options: JsonRpcTransportOptions;
   // Failures are regular responses; by default the library also logs each of them to the console.
   private readonly rpcServer = new jsonRpc.JSONRPCServer({ errorListener: () => undefined });
-  private readonly connections = new Map<string, PeerConnection>();
+  private readonly connections = new Map<string, peerConnection.PeerConnection>();
   private readonly dropped: countedWarnings.CountedWarnings;
   private readonly refused: countedWarnings.CountedWarnings;
   private readonly crowdedOut: countedWarnings.CountedWarnings;
@@ -254,7 +78,7 @@
     this.unproven = new unprovenConnections.UnprovenConnections((address) => {
       this.crowdedOut.add(address);
     });
-    this.serve(PROBE_METHOD, (_parameters, reply) => {
+    this.serve(peerConnection.PROBE_METHOD, (_parameters, reply) => {
       reply(results.Ok(null));
     });
   }
@@ -277,7 +101,7 @@
   }
 
   listen(address: string, done: (port: number) => void): void {
-    const { host, port } = splitAddress(address);
+    const { host, port } = peerConnection.splitAddress(address);
     this.server = net.createServer((socket) => {
       this.accept(socket);
     });
@@ -354,14 +178,14 @@
     );
   }
 
-  private connectionTo(address: string): PeerConnection {
+  private connectionTo(address: string): peerConnection.PeerConnection {
     const existing = this.connections.get(address);
     if (existing !== undefined) {
       return existing;
     }
     const { memory } = this;
     const { clusterKey, scheduler } = this.options;
-    const created = new PeerConnection(address, {
+    const created = new peerConnection.PeerConnection(address, {
       ...{ clusterKey, scheduler, memory },
       onDropped: () => {
         this.dropped.add(address);
@@ -383,7 +207,7 @@
     timeout: ports.Milliseconds,
     done: ports.Reply,
   ): void {
-    let connection: PeerConnection;
+    let connection: peerConnection.PeerConnection;
     try {
       connection = this.connectionTo(address);
     } catch (error) {
--- a/packages/scenarios/src/scripts/heldMemorySafeguards.ts
+++ b/packages/scenarios/src/scripts/heldMemorySafeguards.ts
@@ -293,7 +293,7 @@
   },
   {
     name: 'requests that wait for the response of a peer count as messages',
-    file: 'adapters/jsonRpcTransport.js',
+    file: 'adapters/peerConnection.js',
     find: '+ waiting.pieces',
     replace: '',
     scenario: TIMED_OUT,
--- a/packages/scenarios/src/scripts/relaySafeguards.ts
+++ b/packages/scenarios/src/scripts/relaySafeguards.ts
@@ -155,7 +155,7 @@
   },
   {
     name: 'a connection attempt times out',
-    file: 'adapters/jsonRpcTransport.js',
+    file: 'adapters/peerConnection.js',
     find: 'scheduler.after(CONNECT_TIMEOUT, ',
     replace: 'scheduler.after(CONNECT_TIMEOUT * 100, ',
     scenario: 'spec:adapters/jsonRpcTransport',
