The pace itself knows the connections that it holds no more

A connection that is read to its end was exempt by a layer around the pace, in singleUseConnection; PacedReads has lift for it.

--- a/packages/kumquatfront/src/adapters/singleUseConnection.ts
+++ b/packages/kumquatfront/src/adapters/singleUseConnection.ts
@@ -97,44 +97,6 @@
   return outgoing;
 }
 
-/** The pace of one connection. */
-interface Pacing {
-  /** Counts the pieces of a read, and lets the connection wait where they are too many. */
-  readonly keep: (pieces: number) => void;
-  /** Ends the wait, and lets the connection wait no more. */
-  readonly lift: () => void;
-}
-
-/**
- * Applies a pace to a connection.
- *
- * @param onHeld - is told when the connection waits, and when it is read again
- */
-function pacing(
-  pace: piecePace.PiecePace,
-  connection: pausableSocket.PausableSocket,
-  onHeld: (isHeld: boolean) => void,
-): Pacing {
-  let isLifted = false;
-  const resume = (): void => {
-    onHeld(false);
-    connection.resumeReads('pace');
-  };
-  const reads = pace.openConnection({ isOpen: () => !connection.destroyed && !isLifted, resume });
-  return {
-    keep: (pieces) => {
-      if (reads.count(pieces) && !isLifted) {
-        connection.pauseReads('pace');
-        onHeld(true);
-      }
-    },
-    lift: () => {
-      isLifted = true;
-      resume();
-    },
-  };
-}
-
 /** Reports a request that cannot be encoded once the caller of `send` has returned, as every other failure. */
 function failAsWithheld(
   error: unknown,
@@ -170,7 +132,10 @@
   let response: http.IncomingMessage | undefined;
   let monitor: responseMonitor.ResponseMonitor | undefined;
   const pieces = new readPieces.ReadPieces((bytes, count) => {
-    paced.keep(count);
+    if (paced.count(count)) {
+      connection.pauseReads('pace');
+      tellHeld(true);
+    }
     if (!settled) {
       listener.data(bytes);
     }
@@ -179,10 +144,17 @@
   const connection = new pausableSocket.PausableSocket(() => {
     pieces.flush();
   });
-  const paced = pacing(pace, connection, (isHeld) => {
+  const tellHeld = (isHeld: boolean): void => {
     if (!settled) {
       listener.held?.(isHeld);
     }
+  };
+  const paced = pace.openConnection({
+    isOpen: () => !connection.destroyed,
+    resume: () => {
+      tellHeld(false);
+      connection.resumeReads('pace');
+    },
   });
   let outgoing: http.ClientRequest;
   try {
@@ -301,6 +273,8 @@
     resume: () => {
       connection.resumeReads('receiver');
     },
-    readToEnd: paced.lift,
+    readToEnd: () => {
+      paced.lift();
+    },
   };
 }
--- a/packages/kumquatfront/src/flowControl/piecePace.ts
+++ b/packages/kumquatfront/src/flowControl/piecePace.ts
@@ -34,6 +34,7 @@
   private freePieces = MOST_FREE_PIECES;
   private countedAt: ports.Milliseconds;
   private isWaiting = false;
+  private isLifted = false;
 
   constructor(
     private readonly pace: PiecePace,
@@ -63,13 +64,19 @@
       return false;
     }
     this.isWaiting = this.pace.count(pieces, {
-      isOpen: this.connection.isOpen,
+      isOpen: () => this.connection.isOpen() && !this.isLifted,
       resume: () => {
         this.isWaiting = false;
         this.connection.resume();
       },
     });
-    return this.isWaiting;
+    return this.isWaiting && !this.isLifted;
+  }
+
+  /** Ends the wait of the connection, which waits no more. */
+  lift(): void {
+    this.isLifted = true;
+    this.connection.resume();
   }
 }
 
--- a/packages/scenarios/src/scripts/flowControlSafeguards.ts
+++ b/packages/scenarios/src/scripts/flowControlSafeguards.ts
@@ -46,14 +46,14 @@
   {
     name: 'a response in many pieces is read at the pace of the process',
     file: 'adapters/singleUseConnection.js',
-    find: 'if (reads.count(pieces) && !isLifted) {',
+    find: 'if (paced.count(count)) {',
     replace: 'if (false) {',
     scenario: SOCKET,
   },
   {
     name: 'a response that is read to its end does not wait for the pace',
-    file: 'adapters/singleUseConnection.js',
-    find: 'isLifted = true;',
+    file: 'flowControl/piecePace.js',
+    find: 'this.isLifted = true;',
     replace: '',
     scenario: SOCKET,
   },
